--- /dev/null
+++ b/cardamombarrow/__main__.py
@@ -0,0 +1,20 @@
+"""Entry point of the one command, ``cardamombarrow``."""
+
+import sys
+
+from cardamombarrow.cli import core
+
+__all__ = ["main"]
+
+
+def main() -> int:
+    """Runs the command line.
+
+    Returns:
+        The exit code, as documented in ``docs/cli.md``.
+    """
+    return core.run(sys.argv[1:])
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/cardamombarrow/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The administration API and its client."""
--- /dev/null
+++ b/cardamombarrow/admin/app.py
@@ -0,0 +1,200 @@
+"""The administration API: read and edit the document, see the state."""
+
+from collections import abc
+from concurrent import futures
+import dataclasses
+import hashlib
+import json
+import time
+import typing
+
+from werkzeug import exceptions
+from werkzeug import routing
+from werkzeug import wrappers
+
+from cardamombarrow.control import state as state_module
+from cardamombarrow.document import machine
+from cardamombarrow.document import parsing
+from cardamombarrow.kernel import errors
+from cardamombarrow.kernel import ids
+from cardamombarrow.ledger import client as ledger_client
+from cardamombarrow.log import base
+from cardamombarrow.peers import codec
+from cardamombarrow.peers import control_pb2
+from cardamombarrow.peers import control_service
+
+__all__ = ["AdminApp"]
+
+EDIT_TIMEOUT_S = 5.0
+EDIT_LIMIT_BYTES = 4_000_000
+
+_ROUTES = routing.Map(
+    [
+        routing.Rule("/v1/document", endpoint="document", methods=["GET"]),
+        routing.Rule("/v1/edits", endpoint="edit", methods=["POST"]),
+        routing.Rule("/v1/history", endpoint="history", methods=["GET"]),
+        routing.Rule("/v1/in-force", endpoint="in_force", methods=["GET"]),
+        routing.Rule("/v1/status", endpoint="status", methods=["GET"]),
+        routing.Rule("/v1/ledger", endpoint="ledger", methods=["GET"]),
+        routing.Rule("/healthz", endpoint="health", methods=["GET"]),
+    ]
+)
+
+_EDIT_STATUS = {
+    machine.EditStatus.ACCEPTED: 200,
+    machine.EditStatus.CONFLICT: 409,
+    machine.EditStatus.INVALID: 422,
+    machine.EditStatus.FORBIDDEN: 403,
+    machine.EditStatus.ID_REUSED: 422,
+}
+
+Followers = abc.Callable[[], dict[ids.InstanceId, control_service.Follower]]
+
+
+class AdminApp:
+    """Serves operators."""
+
+    def __init__(
+        self,
+        log: base.Log,
+        state: state_module.ControlState,
+        followers: Followers,
+    ):
+        self._log = log
+        self._state = state
+        self._followers = followers
+
+    def __call__(
+        self, environ: dict[str, typing.Any], start_response: typing.Any
+    ) -> abc.Iterable[bytes]:
+        """Serves one request; see PEP 3333."""
+        request = wrappers.Request(environ)
+        request.max_content_length = EDIT_LIMIT_BYTES
+        try:
+            response = self._dispatch(request)
+        except errors.RouterError as error:
+            response = _json(
+                {"error": {"code": error.kind.value, "message": error.detail}},
+                error.answer.status,
+            )
+        return response(environ, start_response)
+
+    def _dispatch(self, request: wrappers.Request) -> wrappers.Response:
+        adapter = _ROUTES.bind_to_environ(request.environ)
+        try:
+            endpoint, _ = adapter.match()
+        except exceptions.HTTPException as error:
+            raise errors.RefusedError(
+                errors.ErrorKind.NOT_FOUND, str(error.name)
+            ) from None
+        if endpoint == "health":
+            return wrappers.Response("ok\n")
+        owner = self._authenticate(request)
+        return getattr(self, f"_on_{endpoint}")(request, owner)
+
+    def _authenticate(self, request: wrappers.Request) -> ids.OwnerId:
+        scheme, _, token = request.headers.get("Authorization", "").partition(
+            " "
+        )
+        digest = hashlib.sha256(token.strip().encode()).hexdigest()
+        document = parsing.parse(self._state.document.text)
+        for owner in document.owners.values():
+            if scheme.lower() == "bearer" and owner.token_sha256 == digest:
+                return owner.owner
+        raise errors.RefusedError(
+            errors.ErrorKind.UNAUTHENTICATED,
+            "send `Authorization: Bearer <token>` with an operator token",
+        )
+
+    def _on_document(
+        self, request: wrappers.Request, owner: ids.OwnerId
+    ) -> wrappers.Response:
+        document = self._state.document
+        return _json({"revision": document.revision, "text": document.text})
+
+    def _on_edit(
+        self, request: wrappers.Request, owner: ids.OwnerId
+    ) -> wrappers.Response:
+        edit = _read_edit(request, owner)
+        command = control_pb2.Command(edit=codec.edit_to_wire(edit))
+        future = self._log.propose(command.SerializeToString())
+        try:
+            raw = future.result(timeout=EDIT_TIMEOUT_S)
+        except futures.TimeoutError:
+            raise errors.UnavailableError(
+                errors.ErrorKind.NO_QUORUM,
+                "not committed in time; send it again with the same edit id",
+            ) from None
+        reply = codec.raise_failure(control_pb2.Reply.FromString(raw))
+        answer = codec.edit_answer_from_wire(reply.edit)
+        return _json(answer.to_json(), _EDIT_STATUS[answer.status])
+
+    def _on_history(
+        self, request: wrappers.Request, owner: ids.OwnerId
+    ) -> wrappers.Response:
+        items = [
+            dataclasses.asdict(item) for item in self._state.document.history
+        ]
+        return _json({"history": items})
+
+    def _on_in_force(
+        self, request: wrappers.Request, owner: ids.OwnerId
+    ) -> wrappers.Response:
+        now_s = time.monotonic()
+        instances = {
+            follower.instance: {
+                "domain": follower.domain,
+                "applied_revision": follower.applied_revision,
+                "heard_ago_s": round(now_s - follower.heard_s, 3),
+            }
+            for follower in list(self._followers().values())
+        }
+        revision = self._state.document.revision
+        return _json({"revision": revision, "instances": instances})
+
+    def _on_status(
+        self, request: wrappers.Request, owner: ids.OwnerId
+    ) -> wrappers.Response:
+        status = dataclasses.asdict(self._log.status())
+        return _json({"log": status, "revision": self._state.document.revision})
+
+    def _on_ledger(
+        self, request: wrappers.Request, owner: ids.OwnerId
+    ) -> wrappers.Response:
+        key = ledger_client.ledger_key(
+            ids.WorkspaceId(request.args.get("workspace", "")),
+            request.args.get("key", ""),
+        )
+        claim = self._state.ledger.lookup(key)
+        if claim is None:
+            raise errors.RefusedError(
+                errors.ErrorKind.NOT_FOUND, "this key was never claimed"
+            )
+        raw = dataclasses.asdict(claim)
+        return _json({**raw, "state": claim.state.value})
+
+
+def _read_edit(request: wrappers.Request, owner: ids.OwnerId) -> machine.Edit:
+    try:
+        raw = json.loads(request.get_data())
+        replacements = {
+            str(name): str(body) for name, body in raw["replacements"].items()
+        }
+        return machine.Edit(
+            edit_id=ids.EditId(str(raw["edit_id"])),
+            base_revision=ids.Revision(int(raw["base_revision"])),
+            replacements=replacements,
+            owner=owner,
+            author=str(raw.get("author", "")),
+            at_unix_s=time.time(),
+        )
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise errors.RefusedError(
+            errors.ErrorKind.BAD_REQUEST, f"not an edit: {error!r}"
+        ) from None
+
+
+def _json(content: typing.Any, status: int = 200) -> wrappers.Response:
+    return wrappers.Response(
+        json.dumps(content), status=status, content_type="application/json"
+    )
--- /dev/null
+++ b/cardamombarrow/admin/client.py
@@ -0,0 +1,73 @@
+"""The operators' side of the administration API."""
+
+import json
+import typing
+import urllib.parse
+
+from cardamombarrow.endpoints import http_get
+from cardamombarrow.kernel import errors
+
+__all__ = ["AdminClient"]
+
+TIMEOUT_S = 8.0
+
+
+class AdminClient:
+    """Asks the control processes in turn until one answers."""
+
+    def __init__(self, urls: list[str], token: str, ca_file: str = ""):
+        self._urls = urls
+        self._ca_file = ca_file
+        self._headers = (
+            f"Authorization: Bearer {token}",
+            "Content-Type: application/json",
+        )
+
+    def get(self, path: str, **query: str) -> dict[str, typing.Any]:
+        """Reads one resource.
+
+        Raises:
+            errors.RouterError: No control process gave it.
+        """
+        if query:
+            path = f"{path}?{urllib.parse.urlencode(query)}"
+        return self._ask("GET", path, None, ok=(200,))
+
+    def edit(self, edit: dict[str, typing.Any]) -> dict[str, typing.Any]:
+        """Sends an edit; the answer's ``status`` says what became of it.
+
+        An edit whose answer was lost is sent again, through the next control
+        process, under the same edit id, which cannot do it twice.
+        """
+        body = json.dumps(edit).encode()
+        return self._ask("POST", "/v1/edits", body, ok=(200, 403, 409, 422))
+
+    def _ask(
+        self, method: str, path: str, body: bytes | None, ok: tuple[int, ...]
+    ) -> dict[str, typing.Any]:
+        failure: errors.RouterError | None = None
+        for url in self._urls:
+            try:
+                reply = http_get.fetch(
+                    url + path,
+                    timeout_s=TIMEOUT_S,
+                    method=method,
+                    body=body,
+                    headers=self._headers,
+                    ca_file=self._ca_file,
+                )
+            except errors.EndpointError as error:
+                failure = error
+                continue
+            content = json.loads(reply.body)
+            if reply.status in ok and "error" not in content:
+                return content
+            failure = errors.RouterError(
+                errors.ErrorKind(content["error"]["code"]),
+                content["error"]["message"],
+            )
+            if reply.status < 500:
+                break
+        raise failure or errors.RouterError(
+            errors.ErrorKind.BAD_REQUEST, "name at least one --url"
+        )
--- /dev/null
+++ b/cardamombarrow/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/cardamombarrow/cli/core.py
@@ -0,0 +1,115 @@
+"""`cardamombarrow`: commands, exit codes, and what is said on errors."""
+
+import argparse
+from collections import abc
+import os
+import pathlib
+import sys
+
+from cardamombarrow import __version__
+from cardamombarrow.cli import exit_codes
+from cardamombarrow.cli import operate
+from cardamombarrow.cli import serve
+from cardamombarrow.kernel import errors
+
+__all__ = ["run"]
+
+
+def run(arguments: list[str]) -> int:
+    """Parses the arguments and carries out the command."""
+    parsed = _parser().parse_args(arguments)
+    command: abc.Callable[[argparse.Namespace], int] = parsed.command
+    try:
+        return command(parsed)
+    except errors.ConfigError as error:
+        for mistake in error.mistakes:
+            print(mistake, file=sys.stderr)
+        print("Nothing was started or changed.", file=sys.stderr)
+        return exit_codes.ExitCode.INVALID
+    except errors.RouterError as error:
+        print(f"{error.kind.value}: {error.detail}", file=sys.stderr)
+        return exit_codes.ExitCode.FAILED
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="cardamombarrow",
+        description="Routes language-model traffic by service levels.",
+        epilog="Exit codes: 0 done, 1 failed, 2 wrong usage, 3 invalid "
+        "settings or document, 4 conflict with a newer edit, 5 accepted but "
+        "not yet in force everywhere.",
+    )
+    parser.add_argument("--version", action="version", version=__version__)
+    commands = parser.add_subparsers(required=True, metavar="COMMAND")
+    _add_roles(commands)
+    _add_config(commands)
+    _add_state(commands)
+    return parser
+
+
+def _add_roles(commands: argparse._SubParsersAction) -> None:
+    for role, text in (
+        ("entry", "take callers' requests"),
+        ("control", "keep the document and the ledger"),
+    ):
+        command = commands.add_parser(role, help=text)
+        command.add_argument(
+            "--settings", type=pathlib.Path, required=True, metavar="FILE"
+        )
+        command.set_defaults(command=getattr(serve, role))
+    check = commands.add_parser("check", help="check settings or a document")
+    check.add_argument("--settings", type=pathlib.Path, metavar="FILE")
+    check.add_argument("--role", choices=["entry", "control"], default="entry")
+    check.add_argument("--document", type=pathlib.Path, metavar="FILE")
+    check.set_defaults(command=serve.check)
+
+
+def _add_access(command: argparse.ArgumentParser) -> None:
+    command.add_argument(
+        "--url",
+        action="append",
+        default=os.environ.get("CARDAMOMBARROW_URLS", "").split(),
+        help="administration address of a control process; may be repeated "
+        "(default: the variable CARDAMOMBARROW_URLS)",
+    )
+    command.add_argument(
+        "--token",
+        default=os.environ.get("CARDAMOMBARROW_TOKEN", ""),
+        help="operator token (default: the variable CARDAMOMBARROW_TOKEN)",
+    )
+    command.add_argument("--ca-file", default="", help="CA of the TLS server")
+
+
+def _add_config(commands: argparse._SubParsersAction) -> None:
+    config = commands.add_parser("config", help="read and edit the document")
+    actions = config.add_subparsers(required=True, metavar="ACTION")
+    get = actions.add_parser("get", help="print the document")
+    _add_access(get)
+    get.set_defaults(command=operate.get)
+    diff = actions.add_parser("diff", help="compare a file with the document")
+    _add_access(diff)
+    diff.add_argument("file", type=pathlib.Path)
+    diff.set_defaults(command=operate.diff)
+    edit = actions.add_parser("edit", help="replace sections by those of FILE")
+    _add_access(edit)
+    edit.add_argument("file", type=pathlib.Path, help="INI file of sections")
+    edit.add_argument("--base", type=int, help="revision it was made from")
+    edit.add_argument("--edit-id", help="the same when sent again")
+    edit.add_argument("--remove", action="append", default=[], metavar="NAME")
+    edit.add_argument("--wait-s", type=float, default=0.0, metavar="SECONDS")
+    edit.add_argument("--author", default=os.environ.get("USER", ""))
+    edit.set_defaults(command=operate.edit)
+    history = actions.add_parser("history", help="accepted edits")
+    _add_access(history)
+    history.set_defaults(command=operate.history)
+
+
+def _add_state(commands: argparse._SubParsersAction) -> None:
+    status = commands.add_parser("status", help="what each instance knows")
+    _add_access(status)
+    status.set_defaults(command=operate.status)
+    ledger = commands.add_parser("ledger", help="what became of a key")
+    _add_access(ledger)
+    ledger.add_argument("workspace")
+    ledger.add_argument("key")
+    ledger.set_defaults(command=operate.ledger)
--- /dev/null
+++ b/cardamombarrow/cli/operate.py
@@ -0,0 +1,118 @@
+"""Commands that talk to the administration API."""
+
+import argparse
+import difflib
+import json
+import sys
+import time
+import typing
+import uuid
+
+from cardamombarrow.admin import client
+from cardamombarrow.cli import exit_codes
+from cardamombarrow.document import text
+
+__all__ = ["diff", "edit", "get", "history", "ledger", "status"]
+
+WAIT_LOOK_S = 0.1
+
+
+def _client(arguments: argparse.Namespace) -> client.AdminClient:
+    return client.AdminClient(arguments.url, arguments.token, arguments.ca_file)
+
+
+def _print(content: typing.Any) -> None:
+    print(json.dumps(content, indent=2))
+
+
+def get(arguments: argparse.Namespace) -> int:
+    """Prints the document, with its revision on standard error."""
+    answer = _client(arguments).get("/v1/document")
+    print(f"revision {answer['revision']}", file=sys.stderr)
+    print(answer["text"], end="")
+    return 0
+
+
+def diff(arguments: argparse.Namespace) -> int:
+    """Prints how a file differs from the document."""
+    answer = _client(arguments).get("/v1/document")
+    new = arguments.file.read_text(encoding="utf-8")
+    lines = difflib.unified_diff(
+        answer["text"].splitlines(keepends=True),
+        new.splitlines(keepends=True),
+        f"revision {answer['revision']}",
+        str(arguments.file),
+    )
+    sys.stdout.writelines(lines)
+    return 0
+
+
+def edit(arguments: argparse.Namespace) -> int:
+    """Replaces sections; waits until the edit is in force where asked."""
+    admin = _client(arguments)
+    sections = text.split(arguments.file.read_text(encoding="utf-8"))
+    replacements = {
+        section.name: "\n".join(section.lines[1:])
+        for section in sections
+        if section.name
+    }
+    replacements.update(dict.fromkeys(arguments.remove, ""))
+    base = arguments.base
+    if base is None:
+        base = admin.get("/v1/document")["revision"]
+    answer = admin.edit(
+        {
+            "edit_id": arguments.edit_id or str(uuid.uuid4()),
+            "base_revision": base,
+            "replacements": replacements,
+            "author": arguments.author,
+        }
+    )
+    _print(answer)
+    if answer["status"] != "accepted":
+        codes = exit_codes.ExitCode
+        return codes.CONFLICT if answer["conflicts"] else codes.INVALID
+    if arguments.wait_s:
+        return _wait(admin, answer["revision"], arguments.wait_s)
+    return 0
+
+
+def _wait(admin: client.AdminClient, revision: int, wait_s: float) -> int:
+    deadline_s = time.monotonic() + wait_s
+    while True:
+        instances = admin.get("/v1/in-force")["instances"]
+        late = sorted(
+            name
+            for name, state in instances.items()
+            if state["applied_revision"] < revision
+        )
+        if not late:
+            print(f"in force at {len(instances)} instances", file=sys.stderr)
+            return 0
+        if time.monotonic() >= deadline_s:
+            print(f"not yet in force at: {', '.join(late)}", file=sys.stderr)
+            return exit_codes.ExitCode.NOT_IN_FORCE
+        time.sleep(WAIT_LOOK_S)
+
+
+def history(arguments: argparse.Namespace) -> int:
+    """Prints the accepted edits."""
+    _print(_client(arguments).get("/v1/history")["history"])
+    return 0
+
+
+def status(arguments: argparse.Namespace) -> int:
+    """Prints what each control process and instance knows."""
+    admin = _client(arguments)
+    _print({**admin.get("/v1/status"), **admin.get("/v1/in-force")})
+    return 0
+
+
+def ledger(arguments: argparse.Namespace) -> int:
+    """Prints what became of a key."""
+    _print(
+        _client(arguments).get(
+            "/v1/ledger", workspace=arguments.workspace, key=arguments.key
+        )
+    )
+    return 0
--- /dev/null
+++ b/cardamombarrow/control/__init__.py
@@ -0,0 +1,1 @@
+"""The `control` role: the state that must survive, and who serves it."""
--- /dev/null
+++ b/cardamombarrow/decisions/base.py
@@ -0,0 +1,282 @@
+"""The slots of the decisions: one abstract base class each.
+
+A policy is built from a `PolicyContext`, registers itself with
+``registry.plugin(<slot>, <name>)`` and is chosen by name in ``[policies]`` of
+the document. All methods are called under the dispatcher's lock.
+"""
+
+import abc
+from collections import abc as collections_abc
+import dataclasses
+import random
+
+from cardamombarrow.decisions import endpoint as endpoint_module
+from cardamombarrow.decisions import messages
+from cardamombarrow.document import schema
+from cardamombarrow.kernel import ids
+
+__all__ = [
+    "Admission",
+    "Choice",
+    "Estimate",
+    "Limits",
+    "Policy",
+    "PolicyContext",
+    "PreemptionPolicy",
+    "Quarantine",
+    "Queue",
+    "Retry",
+    "Room",
+    "Shares",
+    "Spill",
+]
+
+
+@dataclasses.dataclass(frozen=True)
+class PolicyContext:
+    """What a policy is built from.
+
+    Attributes:
+        rng: The only source of randomness, so that a run can be repeated.
+    """
+
+    document: schema.Document
+    instance: ids.InstanceId
+    domain: ids.DomainId
+    rng: random.Random
+
+
+class Policy(abc.ABC):
+    """Base of all policies."""
+
+    def __init__(self, context: PolicyContext):
+        self.context = context
+        self.document = context.document
+
+    def configure(self, document: schema.Document) -> None:
+        """Takes a newer document; what was learned is kept."""
+        self.document = document
+
+
+class Room(abc.ABC):
+    """Where a queued job could run right now."""
+
+    @abc.abstractmethod
+    def candidates(
+        self, job: messages.Job
+    ) -> list[endpoint_module.EndpointState]:
+        """Returns endpoints with a slot that the job may take."""
+
+
+class Queue(Policy):
+    """Whom to serve next."""
+
+    @abc.abstractmethod
+    def push(self, job: messages.Job, now_s: float) -> None:
+        """Adds a job."""
+
+    @abc.abstractmethod
+    def remove(self, request_id: ids.RequestId) -> messages.Job | None:
+        """Takes a job out without serving it."""
+
+    @abc.abstractmethod
+    def take(self, room: Room, now_s: float) -> messages.Job | None:
+        """Takes out the next job for which there is room, or None."""
+
+    @abc.abstractmethod
+    def jobs(self) -> collections_abc.Iterable[messages.Job]:
+        """Iterates over all queued jobs."""
+
+    @abc.abstractmethod
+    def jobs_ahead(self, job: messages.Job) -> int:
+        """Counts queued jobs of its service to be served before it."""
+
+    @abc.abstractmethod
+    def __len__(self) -> int:
+        """Counts all queued jobs."""
+
+
+class Admission(Policy):
+    """Who waits and who is refused."""
+
+    @abc.abstractmethod
+    def refuse(
+        self, job: messages.Job, backlog: messages.Backlog, now_s: float
+    ) -> str | None:
+        """Returns why an arriving job is refused, or None to let it wait."""
+
+    def give_up(
+        self, job: messages.Job, backlog: messages.Backlog, now_s: float
+    ) -> str | None:
+        """Returns why a waiting job is given up, or None to let it wait."""
+        return "deadline passed" if now_s >= job.deadline_s else None
+
+
+class Limits(Policy):
+    """How many requests an endpoint takes at once."""
+
+    @abc.abstractmethod
+    def limit(self, state: endpoint_module.EndpointState, now_s: float) -> int:
+        """Returns the limit for all instances together."""
+
+    def on_first_token(
+        self,
+        state: endpoint_module.EndpointState,
+        running: messages.Running,
+        now_s: float,
+    ) -> None:
+        """Learns from a first token."""
+
+    def on_finish(
+        self,
+        state: endpoint_module.EndpointState,
+        running: messages.Running,
+        outcome: messages.Outcome,
+        now_s: float,
+    ) -> None:
+        """Learns from an end."""
+
+
+class Choice(Policy):
+    """Where a job is sent."""
+
+    @abc.abstractmethod
+    def choose(
+        self,
+        job: messages.Job,
+        candidates: list[endpoint_module.EndpointState],
+        now_s: float,
+    ) -> tuple[endpoint_module.EndpointState, str]:
+        """Returns one of the candidates (at least one) and why."""
+
+    def on_first_token(
+        self,
+        state: endpoint_module.EndpointState,
+        running: messages.Running,
+        now_s: float,
+    ) -> None:
+        """Learns from a first token."""
+
+    def on_finish(
+        self,
+        state: endpoint_module.EndpointState,
+        running: messages.Running,
+        outcome: messages.Outcome,
+        now_s: float,
+    ) -> None:
+        """Learns from an end."""
+
+
+class Shares(Policy):
+    """How the instances of a domain split an endpoint's slots."""
+
+    @abc.abstractmethod
+    def share(
+        self,
+        state: endpoint_module.EndpointState,
+        limit: int,
+        own: messages.PeerDemand,
+        peers: collections_abc.Sequence[messages.PeerDemand],
+        now_s: float,
+    ) -> int:
+        """Returns this instance's slots out of `limit`."""
+
+
+class Retry(Policy):
+    """When a failed request is run again, and when a caller comes back."""
+
+    @abc.abstractmethod
+    def may_retry(
+        self,
+        job: messages.Job,
+        outcome: messages.Outcome,
+        now_s: float,
+    ) -> bool:
+        """Tells whether a request that failed undelivered is queued again."""
+
+    @abc.abstractmethod
+    def retry_after_s(self, backlog: messages.Backlog) -> float:
+        """Returns when a refused caller should come back."""
+
+    def on_finish(self, job: messages.Job, outcome: messages.Outcome) -> None:
+        """Learns from an end."""
+
+
+class Quarantine(Policy):
+    """Which requests are kept from endpoints because they crash them."""
+
+    @abc.abstractmethod
+    def refuse(self, job: messages.Job, now_s: float) -> str | None:
+        """Returns why a job must not run, or None."""
+
+    @abc.abstractmethod
+    def on_crash(
+        self,
+        endpoint: ids.EndpointId,
+        suspects: list[messages.Job],
+        now_s: float,
+    ) -> None:
+        """Learns that an endpoint died while these jobs ran on it."""
+
+    def solo(self, job: messages.Job, now_s: float) -> bool:
+        """Tells whether a job may only run alone on an endpoint."""
+        return False
+
+    def on_finish(
+        self, job: messages.Job, outcome: messages.Outcome, now_s: float
+    ) -> None:
+        """Learns from an end."""
+
+    def marks(self, now_s: float) -> dict[ids.Fingerprint, float]:
+        """Returns quarantined fingerprints and seconds left, for gossip."""
+        return {}
+
+    def merge(self, marks: dict[ids.Fingerprint, float], now_s: float) -> None:
+        """Takes fingerprints that another instance quarantined."""
+
+
+class Spill(Policy):
+    """When a job may leave its failure domain."""
+
+    @abc.abstractmethod
+    def allow(
+        self,
+        job: messages.Job,
+        state: endpoint_module.EndpointState,
+        local: messages.Backlog,
+        now_s: float,
+    ) -> bool:
+        """Tells whether the job may go to an endpoint of another domain."""
+
+    def on_place(
+        self,
+        job: messages.Job,
+        state: endpoint_module.EndpointState,
+        now_s: float,
+    ) -> None:
+        """Learns that a job went to another domain."""
+
+
+class PreemptionPolicy(Policy):
+    """Which running request gives way to a waiting one."""
+
+    @abc.abstractmethod
+    def victim(
+        self,
+        job: messages.Job,
+        states: list[endpoint_module.EndpointState],
+        now_s: float,
+    ) -> messages.Running | None:
+        """Returns the request to cancel for `job`, or None."""
+
+
+class Estimate(Policy):
+    """How long an answer will be."""
+
+    @abc.abstractmethod
+    def expected_tokens(self, job: messages.Job) -> float:
+        """Returns the estimated length of the answer."""
+
+    @abc.abstractmethod
+    def learn(self, job: messages.Job, tokens: int) -> None:
+        """Learns the length of a finished answer."""
--- /dev/null
+++ b/cardamombarrow/decisions/endpoint.py
@@ -0,0 +1,45 @@
+"""What one instance knows of one endpoint."""
+
+import dataclasses
+
+from cardamombarrow.decisions import messages
+from cardamombarrow.kernel import ids
+
+__all__ = ["EndpointState"]
+
+
+@dataclasses.dataclass(slots=True)
+class EndpointState:
+    """An endpoint as one instance sees it.
+
+    Attributes:
+        configured_slots: Most requests it runs at once, from the document.
+        leaving: It gets no new work.
+        running: This instance's requests on it.
+        share: Slots of it that this instance may use now.
+        report: Its last load report, or None.
+    """
+
+    endpoint: ids.EndpointId
+    service: ids.ServiceId
+    domain: ids.DomainId
+    configured_slots: int
+    leaving: bool = False
+    running: dict[ids.RequestId, messages.Running] = dataclasses.field(
+        default_factory=dict
+    )
+    share: int = 0
+    report: messages.LoadReport | None = None
+
+    @property
+    def free_slots(self) -> int:
+        """Slots that this instance may still use."""
+        return self.share - len(self.running)
+
+    @property
+    def expected_tokens_left(self) -> float:
+        """Estimated tokens that this instance's requests still need."""
+        return sum(
+            max(running.job.expected_tokens - running.tokens, 1.0)
+            for running in self.running.values()
+        )
--- /dev/null
+++ b/cardamombarrow/decisions/messages.py
@@ -0,0 +1,189 @@
+"""Typed messages into and out of the decisions."""
+
+import dataclasses
+import enum
+
+from cardamombarrow.kernel import errors
+from cardamombarrow.kernel import ids
+
+__all__ = [
+    "Backlog",
+    "Decision",
+    "Job",
+    "LoadReport",
+    "Outcome",
+    "PeerDemand",
+    "Placement",
+    "Preemption",
+    "Refusal",
+    "Running",
+]
+
+
+class Outcome(enum.Enum):
+    """How a placed request ended."""
+
+    DONE = "done"
+    CALLER_GONE = "caller_gone"
+    NOT_STARTED = "not_started"
+    REFUSED_BY_ENDPOINT = "refused_by_endpoint"
+    FAILED = "failed"
+    CRASHED = "crashed"
+    STALLED = "stalled"
+    PREEMPTED = "preempted"
+
+    @property
+    def not_run(self) -> bool:
+        """Whether the endpoint certainly did not run the request."""
+        return self in (Outcome.NOT_STARTED, Outcome.REFUSED_BY_ENDPOINT)
+
+
+@dataclasses.dataclass(slots=True)
+class Job:
+    """One request, as the decisions see it.
+
+    Attributes:
+        rank: Rank of its tier; 0 is served first.
+        arrived_s: When the entry had read it.
+        target_first_token_s: The promise, from arrival.
+        deadline_s: Moment after which an answer is of no use.
+        prompt_tokens: Estimated from the body's size.
+        max_tokens: Upper limit set by the caller; 0 is none.
+        expected_tokens: The estimate that the queue and choice work with.
+        prefix_key: Digest of the prompt's beginning, for cache affinity.
+        fingerprint: Digest of model and body, for the quarantine.
+        repeatable: False where the request may run at most once.
+        attempts: How often it has been placed so far.
+        tried: Endpoints that failed it.
+        may_have_run: Whether an earlier attempt may have run.
+    """
+
+    request_id: ids.RequestId
+    workspace: ids.WorkspaceId
+    class_id: ids.ClassId
+    service: ids.ServiceId
+    model: ids.ModelId
+    rank: int
+    arrived_s: float
+    target_first_token_s: float
+    deadline_s: float
+    prompt_tokens: int = 0
+    max_tokens: int = 0
+    expected_tokens: float = 0.0
+    prefix_key: str = ""
+    fingerprint: ids.Fingerprint | None = None
+    repeatable: bool = True
+    resumable: bool = False
+    attempts: int = 0
+    tried: tuple[ids.EndpointId, ...] = ()
+    may_have_run: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Running:
+    """A job on an endpoint.
+
+    Attributes:
+        first_token_s: When its first token came, or None.
+        tokens: Tokens relayed so far.
+    """
+
+    job: Job
+    endpoint: ids.EndpointId
+    placed_s: float
+    first_token_s: float | None = None
+    tokens: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReport:
+    """What an endpoint said of itself, some time ago.
+
+    Attributes:
+        measured_at_s: When it was read, on this instance's clock. What
+            happened since is not in it.
+    """
+
+    running: int
+    waiting: int
+    cache_used_share: float
+    leaving: bool
+    measured_at_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerDemand:
+    """What another instance of the domain asks for, from gossip.
+
+    Attributes:
+        demand_tokens_per_s: Arriving work by service.
+        in_flight: Requests it has on each endpoint.
+        seen_at_s: When it was heard, on this instance's clock.
+    """
+
+    instance: ids.InstanceId
+    demand_tokens_per_s: dict[ids.ServiceId, float]
+    in_flight: dict[ids.EndpointId, int]
+    seen_at_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Backlog:
+    """What stands before one job.
+
+    Attributes:
+        jobs_ahead: Queued jobs that would be served before it.
+        slots: Slots that its service's endpoints give this instance.
+        service_s: Mean time one job holds a slot.
+        predicted_wait_s: Expected time in the queue.
+    """
+
+    jobs_ahead: int
+    slots: int
+    service_s: float
+    predicted_wait_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Placement:
+    """Send this request to this endpoint now.
+
+    Attributes:
+        candidates: Endpoints that were weighed.
+        reason: Why this one, for the log.
+    """
+
+    request_id: ids.RequestId
+    endpoint: ids.EndpointId
+    wait_s: float
+    candidates: tuple[ids.EndpointId, ...]
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """Answer this request now with an error; it has not run."""
+
+    request_id: ids.RequestId
+    kind: errors.ErrorKind
+    detail: str
+    retry_after_s: float | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Preemption:
+    """Cancel this running request to make room.
+
+    Attributes:
+        requeue: Whether it waits for another run; otherwise it is answered
+            with `ErrorKind.PREEMPTED`.
+    """
+
+    request_id: ids.RequestId
+    endpoint: ids.EndpointId
+    wasted_tokens: int
+    requeue: bool
+    reason: str
+
+
+Decision = Placement | Refusal | Preemption
--- /dev/null
+++ b/cardamombarrow/document/machine.py
@@ -0,0 +1,229 @@
+"""The document as a state machine on the replicated log.
+
+An edit names an edit id, the revision it was made from and the sections it
+replaces. Of two edits of the same section from one revision the first to be
+committed wins; the other gets a conflict with the current text. A resent edit
+id gets the first answer again, so that an operator who lost the answer can
+send the edit again without doing it twice.
+"""
+
+import collections
+import dataclasses
+import enum
+import hashlib
+import json
+
+from cardamombarrow.document import parsing
+from cardamombarrow.document import schema
+from cardamombarrow.document import text as text_module
+from cardamombarrow.kernel import errors
+from cardamombarrow.kernel import ids
+
+__all__ = [
+    "DocumentState",
+    "Edit",
+    "EditAnswer",
+    "EditStatus",
+    "HistoryItem",
+]
+
+ANSWERS_KEPT = 10_000
+"""Edit ids whose answer is remembered: nearly 5 days at 2,100 edits a day."""
+
+HISTORY_KEPT = 1_000
+"""Accepted edits that `config history` can show."""
+
+
+class EditStatus(enum.Enum):
+    """What became of an edit."""
+
+    ACCEPTED = "accepted"
+    CONFLICT = "conflict"
+    INVALID = "invalid"
+    FORBIDDEN = "forbidden"
+    ID_REUSED = "id_reused"
+
+
+@dataclasses.dataclass(frozen=True)
+class Edit:
+    """A proposed change of the document.
+
+    Attributes:
+        edit_id: Chosen by the operator's client, the same when resent.
+        base_revision: The revision that the operator looked at.
+        replacements: New body by section name; empty removes the section.
+        owner: The team that was authenticated.
+        author: Who made the edit, as told by the client.
+        at_unix_s: Wall clock of the proposer, for history only.
+    """
+
+    edit_id: ids.EditId
+    base_revision: ids.Revision
+    replacements: dict[str, str]
+    owner: ids.OwnerId
+    author: str
+    at_unix_s: float
+
+    def digest(self) -> str:
+        """Returns a digest of what the edit changes, without time."""
+        body = json.dumps(
+            [self.base_revision, self.replacements, self.owner], sort_keys=True
+        )
+        return hashlib.sha256(body.encode()).hexdigest()
+
+
+@dataclasses.dataclass(frozen=True)
+class EditAnswer:
+    """The answer to an edit.
+
+    Attributes:
+        revision: The revision that the edit made, or the current one.
+        mistakes: Why the edit is invalid or forbidden.
+        conflicts: Current text of each section that changed since the base.
+    """
+
+    status: EditStatus
+    revision: ids.Revision
+    mistakes: tuple[str, ...] = ()
+    conflicts: dict[str, str] = dataclasses.field(default_factory=dict)
+
+    def to_json(self) -> dict:
+        """Returns the answer as plain JSON values."""
+        return {**dataclasses.asdict(self), "status": self.status.value}
+
+    @classmethod
+    def from_json(cls, raw: dict) -> "EditAnswer":
+        """Reads what `to_json` wrote."""
+        return cls(
+            status=EditStatus(raw["status"]),
+            revision=ids.Revision(raw["revision"]),
+            mistakes=tuple(raw["mistakes"]),
+            conflicts=dict(raw["conflicts"]),
+        )
+
+
+@dataclasses.dataclass(frozen=True)
+class HistoryItem:
+    """One accepted edit, for `config history`."""
+
+    revision: ids.Revision
+    edit_id: ids.EditId
+    owner: ids.OwnerId
+    author: str
+    at_unix_s: float
+    sections: tuple[str, ...]
+
+
+class DocumentState:
+    """The accepted document and what is needed to judge the next edit."""
+
+    def __init__(self, text: str):
+        self.text = text
+        self.revision = ids.Revision(1)
+        self.history: collections.deque[HistoryItem] = collections.deque(
+            maxlen=HISTORY_KEPT
+        )
+        self._changed_at: dict[str, int] = {}
+        self._answers: dict[ids.EditId, tuple[str, EditAnswer]] = {}
+
+    def apply(self, edit: Edit) -> EditAnswer:
+        """Judges an edit and, where accepted, makes it the document."""
+        digest = edit.digest()
+        known = self._answers.get(edit.edit_id)
+        if known is not None:
+            if known[0] == digest:
+                return known[1]
+            return EditAnswer(EditStatus.ID_REUSED, self.revision)
+        answer = self._judge(edit)
+        self._answers[edit.edit_id] = (digest, answer)
+        while len(self._answers) > ANSWERS_KEPT:
+            del self._answers[next(iter(self._answers))]
+        return answer
+
+    def _judge(self, edit: Edit) -> EditAnswer:
+        conflicts = self._conflicts(edit)
+        if conflicts:
+            return EditAnswer(
+                EditStatus.CONFLICT, self.revision, conflicts=conflicts
+            )
+        current = parsing.parse(self.text)
+        forbidden = _forbidden(edit, current)
+        if forbidden:
+            return EditAnswer(EditStatus.FORBIDDEN, self.revision, forbidden)
+        new_text = text_module.replace(self.text, edit.replacements)
+        try:
+            parsing.parse(new_text)
+        except errors.ConfigError as error:
+            return EditAnswer(
+                EditStatus.INVALID, self.revision, tuple(error.mistakes)
+            )
+        self._accept(edit, new_text)
+        return EditAnswer(EditStatus.ACCEPTED, self.revision)
+
+    def _conflicts(self, edit: Edit) -> dict[str, str]:
+        bodies = {
+            section.name: "\n".join(section.lines[1:])
+            for section in text_module.split(self.text)
+        }
+        return {
+            name: bodies.get(name, "")
+            for name in edit.replacements
+            if self._changed_at.get(name, 0) > edit.base_revision
+        }
+
+    def _accept(self, edit: Edit, new_text: str) -> None:
+        self.text = new_text
+        self.revision = ids.Revision(self.revision + 1)
+        for name in edit.replacements:
+            self._changed_at[name] = self.revision
+        self.history.append(
+            HistoryItem(
+                revision=self.revision,
+                edit_id=edit.edit_id,
+                owner=edit.owner,
+                author=edit.author,
+                at_unix_s=edit.at_unix_s,
+                sections=tuple(edit.replacements),
+            )
+        )
+
+    def to_json(self) -> dict:
+        """Returns the whole state as plain JSON values, for a snapshot."""
+        return {
+            "text": self.text,
+            "revision": self.revision,
+            "history": [dataclasses.asdict(item) for item in self.history],
+            "changed_at": self._changed_at,
+            "answers": {
+                edit_id: [digest, answer.to_json()]
+                for edit_id, (digest, answer) in self._answers.items()
+            },
+        }
+
+    @classmethod
+    def from_json(cls, raw: dict) -> "DocumentState":
+        """Reads what `to_json` wrote."""
+        state = cls(raw["text"])
+        state.revision = ids.Revision(raw["revision"])
+        for item in raw["history"]:
+            sections = tuple(item.pop("sections"))
+            state.history.append(HistoryItem(**item, sections=sections))
+        state._changed_at = dict(raw["changed_at"])
+        state._answers = {
+            ids.EditId(edit_id): (digest, EditAnswer.from_json(answer))
+            for edit_id, (digest, answer) in raw["answers"].items()
+        }
+        return state
+
+
+def _forbidden(edit: Edit, current: schema.Document) -> tuple[str, ...]:
+    owner = current.owners.get(edit.owner)
+    if owner is None:
+        return (f"no [owner:{edit.owner}]",)
+    if "*" in owner.sections:
+        return ()
+    return tuple(
+        f"owner {edit.owner} may not edit [{name}]"
+        for name in edit.replacements
+        if name.partition(":")[0] not in owner.sections
+    )
--- /dev/null
+++ b/cardamombarrow/document/schema.py
@@ -0,0 +1,163 @@
+"""Typed content of a valid configuration document."""
+
+import dataclasses
+import enum
+
+from cardamombarrow.kernel import ids
+
+__all__ = [
+    "Document",
+    "Model",
+    "Owner",
+    "Policies",
+    "RequestClass",
+    "Service",
+    "ServiceKind",
+    "Tier",
+    "Workspace",
+]
+
+
+class ServiceKind(enum.Enum):
+    """What stands behind a service; names an ``endpoint-kind`` plug-in."""
+
+    ENGINE = "engine"
+    PLAIN = "plain"
+
+
+@dataclasses.dataclass(frozen=True)
+class Tier:
+    """A sales tier.
+
+    Attributes:
+        rank: 0 is served first.
+        reserved_share: Share of each endpoint's slots, 0 to 1, that the tier
+            keeps under load from higher tiers, so that it never starves.
+    """
+
+    tier: ids.TierId
+    rank: int
+    reserved_share: float = 0.1
+
+
+@dataclasses.dataclass(frozen=True)
+class RequestClass:
+    """A class of requests with one promise.
+
+    Attributes:
+        target_first_token_s: Time from arrival to the first byte of the
+            answer that was sold.
+        target_total_s: Time from arrival to the end; also the deadline.
+        attainment_share: How often the target was sold, 0 to 1.
+        repeatable: False where a request may run at most once.
+        expected_tokens: First guess of an answer's length.
+    """
+
+    class_id: ids.ClassId
+    tier: ids.TierId
+    target_first_token_s: float
+    target_total_s: float
+    attainment_share: float = 0.95
+    repeatable: bool = True
+    expected_tokens: int = 200
+
+
+@dataclasses.dataclass(frozen=True)
+class Workspace:
+    """A customer's workspace.
+
+    Attributes:
+        key_sha256: Hex digests of the caller keys that are let in.
+        classes: Classes that its callers may use; the first is the default.
+        max_in_flight: Most requests held at once per entry; 0 is no limit.
+        weight: Its part of the capacity beside other workspaces of a class.
+    """
+
+    workspace: ids.WorkspaceId
+    key_sha256: tuple[str, ...]
+    classes: tuple[ids.ClassId, ...]
+    max_in_flight: int = 0
+    weight: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Service:
+    """Endpoints that serve the same requests.
+
+    Attributes:
+        slots_per_endpoint: Most requests an endpoint runs at once.
+        endpoints: Addresses ``host:port`` by failure domain.
+        unrepeatable: Routes, as ``METHOD /path``, that run at most once.
+        stall_limit_s: Longest silence within an answer before the endpoint
+            is probed.
+    """
+
+    service: ids.ServiceId
+    kind: ServiceKind
+    slots_per_endpoint: int = 8
+    stall_limit_s: float = 10.0
+    unrepeatable: tuple[str, ...] = ()
+    endpoints: dict[ids.DomainId, tuple[ids.EndpointId, ...]] = (
+        dataclasses.field(default_factory=dict)
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class Model:
+    """A model that callers name.
+
+    Attributes:
+        service: The service whose endpoints run it.
+        versions: Traffic weight by version, for a rollout.
+    """
+
+    model: ids.ModelId
+    service: ids.ServiceId
+    versions: dict[str, float] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True)
+class Owner:
+    """A team that may edit some sections.
+
+    Attributes:
+        token_sha256: Hex digest of the team's operator token.
+        sections: Section kinds, such as ``tier``; ``*`` is all.
+    """
+
+    owner: ids.OwnerId
+    token_sha256: str
+    sections: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Policies:
+    """Which decision plug-in runs in each slot."""
+
+    queue: str = "fifo"
+    admission: str = "bounded"
+    limits: str = "fixed"
+    choice: str = "round-robin"
+    shares: str = "static"
+    retry: str = "immediate"
+    quarantine: str = "none"
+    spill: str = "never"
+    preemption: str = "never"
+    estimate: str = "mean"
+
+
+@dataclasses.dataclass(frozen=True)
+class Document:
+    """A valid document: every reference in it leads somewhere."""
+
+    tiers: dict[ids.TierId, Tier]
+    classes: dict[ids.ClassId, RequestClass]
+    workspaces: dict[ids.WorkspaceId, Workspace]
+    services: dict[ids.ServiceId, Service]
+    models: dict[ids.ModelId, Model]
+    owners: dict[ids.OwnerId, Owner]
+    policies: Policies
+
+    def tier_of(self, class_id: ids.ClassId) -> Tier:
+        """Returns the tier of a class."""
+        return self.tiers[self.classes[class_id].tier]
--- /dev/null
+++ b/cardamombarrow/document/text.py
@@ -0,0 +1,88 @@
+"""The document as text: sections in order, each with its lines.
+
+An edit replaces whole sections, so the text is kept section by section and
+comments survive edits of other sections. Values are parsed by `schema`'s
+reader in `parsing`; this module only cuts and joins.
+"""
+
+import dataclasses
+import re
+
+__all__ = ["Section", "join", "replace", "split"]
+
+_HEADER = re.compile(r"^\[(?P<name>[^\]]+)\]\s*$")
+
+
+@dataclasses.dataclass(frozen=True)
+class Section:
+    """One section of the text.
+
+    Attributes:
+        name: What stands between the brackets, such as ``tier:gold``. The
+            lines before the first header have the empty name.
+        lines: All its lines, header included.
+        first_line: Line number of the header in the whole text, from 1.
+    """
+
+    name: str
+    lines: tuple[str, ...]
+    first_line: int
+
+    @property
+    def kind(self) -> str:
+        """The part of the name before the colon."""
+        return self.name.partition(":")[0]
+
+
+def split(text: str) -> list[Section]:
+    """Cuts a text into its sections, in order."""
+    sections = []
+    name, lines, first = "", [], 1
+    for number, line in enumerate(text.splitlines(), start=1):
+        header = _HEADER.match(line)
+        if header:
+            sections.append(Section(name, tuple(lines), first))
+            name, lines, first = header["name"].strip(), [], number
+        lines.append(line.rstrip())
+    sections.append(Section(name, tuple(lines), first))
+    return [section for section in sections if section.name or section.lines]
+
+
+def join(sections: list[Section]) -> str:
+    """Joins sections into one text; the inverse of `split`."""
+    return "".join(
+        line + "\n" for section in sections for line in section.lines
+    )
+
+
+def replace(text: str, replacements: dict[str, str]) -> str:
+    """Replaces, adds or removes whole sections.
+
+    Args:
+        text: The document.
+        replacements: New body (lines after the header) by section name; an
+            empty body removes the section.
+
+    Returns:
+        The new document; sections that were not there come last.
+    """
+    result = []
+    left = dict(replacements)
+    for section in split(text):
+        if section.name not in left:
+            result.append(section)
+            continue
+        body = left.pop(section.name)
+        if body.strip():
+            result.append(_section(section.name, body))
+    result.extend(
+        _section(name, body) for name, body in left.items() if body.strip()
+    )
+    return join(result)
+
+
+def _section(name: str, body: str) -> Section:
+    lines = [f"[{name}]", *(line.rstrip() for line in body.splitlines())]
+    while not lines[-1]:
+        lines.pop()
+    return Section(name, (*lines, ""), 0)
--- /dev/null
+++ b/cardamombarrow/endpoints/base.py
@@ -0,0 +1,113 @@
+"""What the entry asks of an endpoint, whatever its kind."""
+
+import abc
+from collections import abc as collections_abc
+import dataclasses
+import typing
+
+from cardamombarrow.decisions import messages
+from cardamombarrow.kernel import ids
+
+__all__ = ["CallerWatch", "EndpointKind", "Exchange", "Head", "OutgoingCall"]
+
+
+class CallerWatch(abc.ABC):
+    """Tells whether the caller is still there."""
+
+    @abc.abstractmethod
+    def fileno(self) -> int:
+        """Returns the caller's socket, to be polled beside the endpoint's."""
+
+    @abc.abstractmethod
+    def gone(self) -> bool:
+        """Returns whether the caller has closed the connection."""
+
+
+@dataclasses.dataclass(frozen=True)
+class OutgoingCall:
+    """One request to one endpoint.
+
+    Attributes:
+        deadline_s: Moment on the monotonic clock when the answer must end.
+        stall_limit_s: Longest silence within the answer.
+        rank: The tier's rank, for engines that honour priorities.
+    """
+
+    request_id: ids.RequestId
+    endpoint: ids.EndpointId
+    method: str
+    path: str
+    body: bytes
+    content_type: str
+    rank: int
+    deadline_s: float
+    stall_limit_s: float
+    caller: CallerWatch
+    cancelled: typing.Callable[[], bool]
+
+
+@dataclasses.dataclass(frozen=True)
+class Head:
+    """Status and headers of an answer; header names are lower case."""
+
+    status: int
+    headers: dict[str, str]
+
+    @property
+    def streams(self) -> bool:
+        """Whether server-sent events follow."""
+        return self.headers.get("content-type", "").startswith(
+            "text/event-stream"
+        )
+
+
+class Exchange(abc.ABC):
+    """A request under way. Used by one thread, closed in every case."""
+
+    @abc.abstractmethod
+    def head(self) -> Head:
+        """Waits for status and headers.
+
+        Raises:
+            errors.EndpointError: The endpoint failed or could not be reached.
+            errors.RefusedError: The caller left or the run was cancelled.
+        """
+
+    @abc.abstractmethod
+    def chunks(self) -> collections_abc.Iterator[bytes]:
+        """Yields the body as it comes; ends only after the whole of it.
+
+        Raises:
+            errors.EndpointError: The answer broke off, stalled or ran late.
+            errors.RefusedError: The caller left or the run was cancelled.
+        """
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Ends the exchange; one that has not finished is cancelled."""
+
+
+class EndpointKind(abc.ABC):
+    """A kind of endpoint; registered in the slot ``endpoint-kind``."""
+
+    @abc.abstractmethod
+    def open(self, call: OutgoingCall) -> Exchange:
+        """Prepares a request; nothing is sent before `Exchange.head`."""
+
+    @abc.abstractmethod
+    def poll(
+        self, endpoint: ids.EndpointId, timeout_s: float
+    ) -> messages.LoadReport | None:
+        """Reads the endpoint's load, or None where it reports none.
+
+        Raises:
+            errors.EndpointError: It could not be read.
+        """
+
+    @abc.abstractmethod
+    def count_tokens(self, chunk: bytes) -> int:
+        """Counts the tokens in a chunk of a streamed answer."""
+
+    @abc.abstractmethod
+    def is_whole(self, head: Head, tail: bytes) -> bool:
+        """Tells whether a streamed answer with this end is complete."""
--- /dev/null
+++ b/cardamombarrow/endpoints/engine.py
@@ -0,0 +1,66 @@
+"""Model engines: OpenAI-compatible HTTP, SSE, load in Prometheus text."""
+
+import re
+import time
+
+from cardamombarrow.decisions import messages
+from cardamombarrow.endpoints import base
+from cardamombarrow.endpoints import http_get
+from cardamombarrow.endpoints import transfer
+from cardamombarrow.kernel import errors
+from cardamombarrow.kernel import ids
+from cardamombarrow.kernel import registry
+
+__all__ = ["EngineKind", "parse_report"]
+
+_SAMPLE = re.compile(r"^engine:(\w+)(?:\{[^}]*\})?\s+([0-9.eE+-]+)", re.M)
+_DONE = b"data: [DONE]"
+
+
+@registry.plugin("endpoint-kind", "engine")
+class EngineKind(base.EndpointKind):
+    """An engine that batches continuously."""
+
+    def open(self, call: base.OutgoingCall) -> base.Exchange:
+        """Prepares a completion request."""
+        headers = [
+            f"Content-Type: {call.content_type}",
+            f"X-Request-Id: {call.request_id}",
+            f"X-Priority: {call.rank}",
+        ]
+        return transfer.CurlExchange(call, headers)
+
+    def poll(
+        self, endpoint: ids.EndpointId, timeout_s: float
+    ) -> messages.LoadReport | None:
+        """Reads ``/metrics``."""
+        reply = http_get.fetch(
+            f"http://{endpoint}/metrics", timeout_s=timeout_s
+        )
+        if reply.status != 200:
+            raise errors.EndpointError(
+                errors.ErrorKind.ENDPOINT_FAILED,
+                f"/metrics answered {reply.status}",
+                sent=True,
+            )
+        return parse_report(reply.body.decode(), time.monotonic())
+
+    def count_tokens(self, chunk: bytes) -> int:
+        """Counts events; engines send one token in each."""
+        return chunk.count(b"data: ")
+
+    def is_whole(self, head: base.Head, tail: bytes) -> bool:
+        """A stream is whole when it closes with the ``[DONE]`` event."""
+        return tail.rstrip().endswith(_DONE)
+
+
+def parse_report(text: str, now_s: float) -> messages.LoadReport:
+    """Reads a load report in the Prometheus text format."""
+    samples = {name: float(value) for name, value in _SAMPLE.findall(text)}
+    return messages.LoadReport(
+        running=int(samples.get("num_requests_running", 0)),
+        waiting=int(samples.get("num_requests_waiting", 0)),
+        cache_used_share=samples.get("cache_usage_share", 0.0),
+        leaving=bool(samples.get("leaving", 0)),
+        measured_at_s=now_s,
+    )
--- /dev/null
+++ b/cardamombarrow/endpoints/http_get.py
@@ -0,0 +1,61 @@
+"""One short GET or POST by pycurl, for reports, listings and operators."""
+
+import dataclasses
+import io
+
+import pycurl
+
+from cardamombarrow.kernel import errors
+
+__all__ = ["Reply", "fetch"]
+
+
+@dataclasses.dataclass(frozen=True)
+class Reply:
+    """A whole answer."""
+
+    status: int
+    body: bytes
+
+
+def fetch(
+    url: str,
+    *,
+    timeout_s: float,
+    method: str = "GET",
+    body: bytes | None = None,
+    headers: tuple[str, ...] = (),
+    ca_file: str = "",
+) -> Reply:
+    """Sends one request on a connection of its own and reads the answer.
+
+    Raises:
+        errors.EndpointError: No whole answer came in time.
+    """
+    buffer = io.BytesIO()
+    easy = pycurl.Curl()
+    try:
+        easy.setopt(pycurl.URL, url)
+        easy.setopt(pycurl.CUSTOMREQUEST, method)
+        if body is not None:
+            easy.setopt(pycurl.POSTFIELDS, body)
+        easy.setopt(pycurl.HTTPHEADER, [*headers, "Expect:"])
+        easy.setopt(pycurl.NOSIGNAL, 1)
+        easy.setopt(pycurl.NOPROXY, "*")
+        easy.setopt(pycurl.TIMEOUT_MS, round(timeout_s * 1_000))
+        easy.setopt(pycurl.WRITEDATA, buffer)
+        if ca_file:
+            easy.setopt(pycurl.CAINFO, ca_file)
+        easy.perform()
+        return Reply(easy.getinfo(pycurl.RESPONSE_CODE), buffer.getvalue())
+    except pycurl.error as error:
+        sent = easy.getinfo(pycurl.REQUEST_SIZE) > 0
+        raise errors.EndpointError(
+            errors.ErrorKind.ENDPOINT_FAILED
+            if sent
+            else errors.ErrorKind.ENDPOINT_UNREACHED,
+            f"{url}: {error.args[1]}",
+            sent=sent,
+        ) from None
+    finally:
+        easy.close()
--- /dev/null
+++ b/cardamombarrow/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The `entry` role: takes callers' requests, decides, relays, settles."""
--- /dev/null
+++ b/cardamombarrow/entry/answers.py
@@ -0,0 +1,56 @@
+"""Errors as the caller sees them."""
+
+import json
+import math
+
+from werkzeug import wrappers
+
+from cardamombarrow.kernel import errors
+from cardamombarrow.kernel import ids
+
+__all__ = ["error_event", "error_response", "failure"]
+
+
+def failure(error: errors.RouterError, request_id: ids.RequestId) -> bytes:
+    """Returns the JSON body for an error.
+
+    Returns:
+        ``{"error": {"code", "message", "not_run", "retryable",
+        "retry_after_s", "request_id"}}``.
+    """
+    return json.dumps(
+        {
+            "error": {
+                "code": error.kind.value,
+                "message": error.detail,
+                "not_run": error.not_run,
+                "retryable": error.answer.retryable,
+                "retry_after_s": error.retry_after_s,
+                "request_id": request_id,
+            }
+        }
+    ).encode()
+
+
+def error_response(
+    error: errors.RouterError, request_id: ids.RequestId
+) -> wrappers.Response:
+    """Returns the whole HTTP answer for an error."""
+    headers = {"X-Request-Id": request_id}
+    if error.retry_after_s is not None:
+        headers["Retry-After"] = str(math.ceil(error.retry_after_s))
+    return wrappers.Response(
+        failure(error, request_id),
+        status=error.answer.status,
+        headers=headers,
+        content_type="application/json",
+    )
+
+
+def error_event(error: errors.RouterError, request_id: ids.RequestId) -> bytes:
+    """Returns the event that ends a stream which broke off.
+
+    Without it a caller that stops at the end of the connection would take a
+    cut answer for a whole one.
+    """
+    return b"event: error\ndata: " + failure(error, request_id) + b"\n\n"
--- /dev/null
+++ b/cardamombarrow/entry/app.py
@@ -0,0 +1,200 @@
+"""The WSGI application of an entry: routes, authentication, answers."""
+
+from collections import abc
+import dataclasses
+import typing
+
+from werkzeug import exceptions
+from werkzeug import routing
+from werkzeug import wrappers
+
+from cardamombarrow.entry import answers
+from cardamombarrow.entry import caller as caller_module
+from cardamombarrow.entry import in_force
+from cardamombarrow.entry import incoming
+from cardamombarrow.entry import life
+from cardamombarrow.entry import once
+from cardamombarrow.kernel import errors
+from cardamombarrow.kernel import ids
+from cardamombarrow.kernel import logs
+
+__all__ = ["App", "Readiness"]
+
+_METHODS = ["GET", "POST", "PUT", "PATCH", "DELETE"]
+_RELAYED_HEADERS = ("content-type", "content-length", "cache-control")
+
+_ROUTES = routing.Map(
+    [
+        routing.Rule(
+            "/v1/chat/completions", endpoint="completion", methods=["POST"]
+        ),
+        routing.Rule(
+            "/v1/completions", endpoint="completion", methods=["POST"]
+        ),
+        routing.Rule(
+            "/v1/services/<name>/<path:path>",
+            endpoint="service",
+            methods=_METHODS,
+        ),
+        routing.Rule("/healthz", endpoint="health", methods=["GET"]),
+        routing.Rule("/readyz", endpoint="ready", methods=["GET"]),
+        routing.Rule("/v1/instance", endpoint="instance", methods=["GET"]),
+    ]
+)
+
+
+@dataclasses.dataclass
+class Readiness:
+    """Whether the balancer should send requests here."""
+
+    draining: bool = False
+
+
+class App:
+    """Serves callers."""
+
+    def __init__(
+        self,
+        instance: ids.InstanceId,
+        documents: in_force.InForce,
+        services: life.LifeServices,
+        readiness: Readiness,
+        body_limit_bytes: int,
+    ):
+        self._instance = instance
+        self._documents = documents
+        self._services = services
+        self._readiness = readiness
+        self._body_limit_bytes = body_limit_bytes
+
+    def __call__(
+        self, environ: dict[str, typing.Any], start_response: typing.Any
+    ) -> abc.Iterable[bytes]:
+        """Serves one request; see PEP 3333."""
+        request = wrappers.Request(environ)
+        request.max_content_length = self._body_limit_bytes
+        request_id = ids.new_request_id()
+        try:
+            response = self._dispatch(request, request_id)
+        except errors.RouterError as error:
+            response = answers.error_response(error, request_id)
+        except Exception as error:
+            logs.event(
+                "internal error",
+                "ERROR",
+                request_id=request_id,
+                detail=repr(error),
+            )
+            response = answers.error_response(
+                errors.RouterError(
+                    errors.ErrorKind.INTERNAL, "see the log of this instance"
+                ),
+                request_id,
+            )
+        return response(environ, start_response)
+
+    def _dispatch(
+        self, request: wrappers.Request, request_id: ids.RequestId
+    ) -> wrappers.Response:
+        adapter = _ROUTES.bind_to_environ(request.environ)
+        try:
+            endpoint, arguments = adapter.match()
+        except exceptions.HTTPException as error:
+            raise errors.RefusedError(
+                errors.ErrorKind.NOT_FOUND,
+                f"{request.method} {request.path}: {error.name}",
+            ) from None
+        handler = getattr(self, f"_on_{endpoint}")
+        return handler(request, request_id, **arguments)
+
+    def _on_health(
+        self, request: wrappers.Request, request_id: ids.RequestId
+    ) -> wrappers.Response:
+        return wrappers.Response("ok\n")
+
+    def _on_ready(
+        self, request: wrappers.Request, request_id: ids.RequestId
+    ) -> wrappers.Response:
+        if self._readiness.draining:
+            raise errors.RefusedError(errors.ErrorKind.DRAINING, "draining")
+        revision = self._documents.current().revision
+        return wrappers.Response(f"ready, revision {revision}\n")
+
+    def _on_instance(
+        self, request: wrappers.Request, request_id: ids.RequestId
+    ) -> wrappers.Response:
+        revision = self._documents.current().revision
+        body = f'{{"instance": "{self._instance}", "revision": {revision}}}\n'
+        return wrappers.Response(body, content_type="application/json")
+
+    def _on_completion(
+        self, request: wrappers.Request, request_id: ids.RequestId
+    ) -> wrappers.Response:
+        document = self._documents.current()
+        call = incoming.completion(
+            request,
+            document.document,
+            document.keys.authenticate(request),
+            request_id,
+            self._services.time_source.now_s(),
+        )
+        return self._run(request, call)
+
+    def _on_service(
+        self,
+        request: wrappers.Request,
+        request_id: ids.RequestId,
+        name: str,
+        path: str,
+    ) -> wrappers.Response:
+        document = self._documents.current()
+        call = incoming.service_call(
+            request,
+            document.document,
+            document.keys.authenticate(request),
+            name,
+            path,
+            request_id,
+            self._services.time_source.now_s(),
+        )
+        return self._run(request, call)
+
+    def _run(
+        self, request: wrappers.Request, call: incoming.IncomingCall
+    ) -> wrappers.Response:
+        watch = caller_module.SocketWatch(request.environ["werkzeug.socket"])
+        request_life = life.Life(call, watch, self._services)
+        if call.job.repeatable:
+            relay = request_life.run()
+        else:
+            relay = once.run_once(
+                call, request_life, self._services.ledger, self._instance
+            )
+        headers = {
+            name: relay.head.headers[name]
+            for name in _RELAYED_HEADERS
+            if name in relay.head.headers
+        }
+        headers["X-Request-Id"] = call.job.request_id
+        return wrappers.Response(
+            _with_error_event(relay, call.job.request_id),
+            status=relay.head.status,
+            headers=headers,
+            direct_passthrough=True,
+        )
+
+
+def _with_error_event(
+    relay: life.Relay, request_id: ids.RequestId
+) -> abc.Iterator[bytes]:
+    try:
+        yield from relay.chunks
+    except errors.RouterError as error:
+        if not relay.head.streams:
+            # The caller sees fewer bytes than announced, or no last chunk.
+            raise
+        yield answers.error_event(error, request_id)
+    finally:
+        close = getattr(relay.chunks, "close", None)
+        if close is not None:
+            close()
--- /dev/null
+++ b/cardamombarrow/entry/incoming.py
@@ -0,0 +1,230 @@
+"""From an HTTP request to a typed call: who asks, for what, how urgently."""
+
+import dataclasses
+import hashlib
+import json
+import typing
+
+from werkzeug import exceptions
+from werkzeug import wrappers
+
+from cardamombarrow.decisions import messages
+from cardamombarrow.document import schema
+from cardamombarrow.kernel import errors
+from cardamombarrow.kernel import ids
+
+__all__ = ["IncomingCall", "KeyIndex", "completion", "service_call"]
+
+CLASS_HEADER = "X-Request-Class"
+KEY_HEADER = "Idempotency-Key"
+BYTES_PER_TOKEN = 4
+PREFIX_BYTES = 512
+
+
+@dataclasses.dataclass(frozen=True)
+class IncomingCall:
+    """A request that was let in.
+
+    Attributes:
+        idempotency_key: Empty where the caller gave none.
+        body_sha256: Digest of method, path and body.
+        streams: Whether the caller asked for server-sent events.
+    """
+
+    job: messages.Job
+    kind: schema.ServiceKind
+    method: str
+    path: str
+    body: bytes
+    content_type: str
+    idempotency_key: str
+    body_sha256: str
+    streams: bool
+    stall_limit_s: float
+
+
+class KeyIndex:
+    """Workspaces by the digest of their caller keys."""
+
+    def __init__(self, document: schema.Document):
+        self._by_digest = {
+            digest: workspace
+            for workspace in document.workspaces.values()
+            for digest in workspace.key_sha256
+        }
+
+    def authenticate(self, request: wrappers.Request) -> schema.Workspace:
+        """Returns the workspace whose key the caller shows.
+
+        Raises:
+            errors.RefusedError: No key, or one that is not known.
+        """
+        scheme, _, key = request.headers.get("Authorization", "").partition(" ")
+        digest = hashlib.sha256(key.strip().encode()).hexdigest()
+        workspace = self._by_digest.get(digest)
+        if scheme.lower() != "bearer" or workspace is None:
+            raise errors.RefusedError(
+                errors.ErrorKind.UNAUTHENTICATED,
+                "send `Authorization: Bearer <key>` with a known key",
+            )
+        return workspace
+
+
+def completion(
+    request: wrappers.Request,
+    document: schema.Document,
+    workspace: schema.Workspace,
+    request_id: ids.RequestId,
+    now_s: float,
+) -> IncomingCall:
+    """Reads an OpenAI-compatible completion request.
+
+    Raises:
+        errors.RefusedError: It is malformed or names what is not there.
+    """
+    body = _body(request)
+    try:
+        content = json.loads(body)
+    except ValueError as error:
+        raise errors.RefusedError(
+            errors.ErrorKind.BAD_REQUEST, f"the body is not JSON: {error}"
+        ) from None
+    if not isinstance(content, dict) or not isinstance(
+        content.get("model"), str
+    ):
+        raise errors.RefusedError(
+            errors.ErrorKind.BAD_REQUEST, "the body names no `model`"
+        )
+    model = document.models.get(ids.ModelId(content["model"]))
+    if model is None:
+        raise errors.RefusedError(
+            errors.ErrorKind.UNKNOWN_MODEL, f"no model {content['model']!r}"
+        )
+    limit = content.get("max_tokens") or 0
+    if not isinstance(limit, int):
+        raise errors.RefusedError(
+            errors.ErrorKind.BAD_REQUEST, "`max_tokens` is not a number"
+        )
+    service = document.services[model.service]
+    request_class = _request_class(request, document, workspace)
+    call = _call(
+        request,
+        document,
+        workspace,
+        request_class,
+        service,
+        body,
+        request_id,
+        now_s,
+    )
+    call.job.model = model.model
+    call.job.max_tokens = limit
+    return dataclasses.replace(call, streams=bool(content.get("stream")))
+
+
+def service_call(
+    request: wrappers.Request,
+    document: schema.Document,
+    workspace: schema.Workspace,
+    name: str,
+    path: str,
+    request_id: ids.RequestId,
+    now_s: float,
+) -> IncomingCall:
+    """Reads a call of a plain service.
+
+    Raises:
+        errors.RefusedError: There is no such service, or the body is bad.
+    """
+    service = document.services.get(ids.ServiceId(name))
+    if service is None or service.kind is not schema.ServiceKind.PLAIN:
+        raise errors.RefusedError(
+            errors.ErrorKind.NOT_FOUND, f"no plain service {name!r}"
+        )
+    request_class = _request_class(request, document, workspace)
+    body = _body(request)
+    call = _call(
+        request,
+        document,
+        workspace,
+        request_class,
+        service,
+        body,
+        request_id,
+        now_s,
+    )
+    if f"{request.method} /{path}" in service.unrepeatable:
+        call.job.repeatable = False
+    query = request.query_string.decode("latin-1")
+    full_path = f"/{path}" + (f"?{query}" if query else "")
+    return dataclasses.replace(call, path=full_path)
+
+
+def _call(
+    request: wrappers.Request,
+    document: schema.Document,
+    workspace: schema.Workspace,
+    request_class: schema.RequestClass,
+    service: schema.Service,
+    body: bytes,
+    request_id: ids.RequestId,
+    now_s: float,
+) -> IncomingCall:
+    head = f"{request.method} {request.path}\n".encode()
+    digest = hashlib.sha256(head + body).hexdigest()
+    job = messages.Job(
+        request_id=request_id,
+        workspace=workspace.workspace,
+        class_id=request_class.class_id,
+        service=service.service,
+        model=ids.ModelId(""),
+        rank=document.tiers[request_class.tier].rank,
+        arrived_s=now_s,
+        target_first_token_s=request_class.target_first_token_s,
+        deadline_s=now_s + request_class.target_total_s,
+        prompt_tokens=len(body) // BYTES_PER_TOKEN,
+        prefix_key=hashlib.sha256(body[:PREFIX_BYTES]).hexdigest()[:16],
+        fingerprint=ids.Fingerprint(digest[:32]),
+        repeatable=request_class.repeatable,
+    )
+    return IncomingCall(
+        job=job,
+        kind=service.kind,
+        method=request.method,
+        path=request.path,
+        body=body,
+        content_type=request.content_type or "application/octet-stream",
+        idempotency_key=request.headers.get(KEY_HEADER, ""),
+        body_sha256=digest,
+        streams=False,
+        stall_limit_s=service.stall_limit_s,
+    )
+
+
+def _request_class(
+    request: wrappers.Request,
+    document: schema.Document,
+    workspace: schema.Workspace,
+) -> schema.RequestClass:
+    name = request.headers.get(CLASS_HEADER, workspace.classes[0])
+    if name not in workspace.classes:
+        known = ", ".join(workspace.classes)
+        raise errors.RefusedError(
+            errors.ErrorKind.UNKNOWN_CLASS,
+            f"{CLASS_HEADER} {name!r} is not one of: {known}",
+        )
+    return document.classes[ids.ClassId(name)]
+
+
+def _body(request: wrappers.Request) -> bytes:
+    try:
+        return typing.cast(bytes, request.get_data(cache=False))
+    except exceptions.RequestEntityTooLarge:
+        raise errors.RefusedError(
+            errors.ErrorKind.BODY_TOO_LARGE,
+            f"the body is over {request.max_content_length} bytes",
+        ) from None
+    except (exceptions.ClientDisconnected, OSError):
+        raise errors.RefusedError(
+            errors.ErrorKind.BAD_REQUEST, "the body did not come whole"
+        ) from None
--- /dev/null
+++ b/cardamombarrow/entry/life.py
@@ -0,0 +1,211 @@
+"""The life of one request, written straight down.
+
+claim (if unrepeatable) -> wait for a place -> send -> relay -> settle. The
+thread that serves the caller's connection runs all of it.
+"""
+
+from collections import abc
+from concurrent import futures
+import dataclasses
+
+from cardamombarrow.decisions import messages
+from cardamombarrow.document import schema
+from cardamombarrow.endpoints import base as endpoints_base
+from cardamombarrow.entry import broker as broker_module
+from cardamombarrow.entry import incoming
+from cardamombarrow.kernel import clock
+from cardamombarrow.kernel import errors
+from cardamombarrow.kernel import logs
+from cardamombarrow.ledger import client as ledger_client
+
+__all__ = ["Life", "LifeServices", "Relay"]
+
+CALLER_LOOK_S = 0.25
+"""Time between two looks at whether a waiting caller is still there."""
+
+TAIL_BYTES = 64
+"""End of the answer that is kept to tell whether it is whole."""
+
+_OUTCOMES = {
+    errors.ErrorKind.ENDPOINT_UNREACHED: messages.Outcome.NOT_STARTED,
+    errors.ErrorKind.ENDPOINT_REFUSED: messages.Outcome.REFUSED_BY_ENDPOINT,
+    errors.ErrorKind.ENDPOINT_FAILED: messages.Outcome.CRASHED,
+    errors.ErrorKind.ANSWER_CUT: messages.Outcome.CRASHED,
+    errors.ErrorKind.STALLED: messages.Outcome.STALLED,
+    errors.ErrorKind.DEADLINE: messages.Outcome.FAILED,
+    errors.ErrorKind.CALLER_GONE: messages.Outcome.CALLER_GONE,
+    errors.ErrorKind.PREEMPTED: messages.Outcome.PREEMPTED,
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class LifeServices:
+    """What every request's life needs.
+
+    Attributes:
+        kinds: How each kind of service's endpoints are spoken to.
+    """
+
+    broker: broker_module.Broker
+    ledger: ledger_client.LedgerClient
+    kinds: dict[schema.ServiceKind, endpoints_base.EndpointKind]
+    time_source: clock.Clock
+
+
+@dataclasses.dataclass
+class Relay:
+    """An answer on its way.
+
+    Attributes:
+        chunks: The body; it must be iterated to its end or closed.
+    """
+
+    head: endpoints_base.Head
+    chunks: abc.Iterator[bytes]
+
+
+class Life:
+    """One request from admission to settlement."""
+
+    def __init__(
+        self,
+        call: incoming.IncomingCall,
+        caller: endpoints_base.CallerWatch,
+        services: LifeServices,
+    ):
+        self._call = call
+        self._caller = caller
+        self._services = services
+        self._kind = services.kinds[call.kind]
+        self._tokens = 0
+
+    def run(self) -> Relay:
+        """Runs the request until its answer begins.
+
+        Returns:
+            The answer's head, and its body still to be relayed.
+
+        Raises:
+            errors.RouterError: It was refused or failed; `not_run` tells
+                whether it may have run.
+        """
+        broker = self._services.broker
+        ticket = broker.submit(self._call.job)
+        while True:
+            self._wait(ticket)
+            exchange = self._open(ticket)
+            try:
+                head = exchange.head()
+                if head.status in (429, 503):
+                    raise errors.EndpointError(
+                        errors.ErrorKind.ENDPOINT_REFUSED,
+                        f"the endpoint answered {head.status}",
+                        sent=True,
+                    )
+                return Relay(head, self._relay(ticket, exchange, head))
+            except errors.RouterError as error:
+                exchange.close()
+                self._settle(ticket, error)
+                ticket = self._again(ticket, error)
+            except BaseException:
+                exchange.close()
+                broker.finish(ticket.job.request_id, messages.Outcome.FAILED)
+                raise
+
+    def _wait(self, ticket: broker_module.Ticket) -> messages.Placement:
+        while True:
+            try:
+                return ticket.placed.result(timeout=CALLER_LOOK_S)
+            except futures.TimeoutError:
+                if self._caller.gone():
+                    self._services.broker.withdraw(ticket)
+                    raise errors.RefusedError(
+                        errors.ErrorKind.CALLER_GONE,
+                        "the caller left",
+                        not_run=not ticket.job.may_have_run,
+                    ) from None
+
+    def _open(self, ticket: broker_module.Ticket) -> endpoints_base.Exchange:
+        call = self._call
+        placement = ticket.placed.result()
+        return self._kind.open(
+            endpoints_base.OutgoingCall(
+                request_id=call.job.request_id,
+                endpoint=placement.endpoint,
+                method=call.method,
+                path=call.path,
+                body=call.body,
+                content_type=call.content_type,
+                rank=call.job.rank,
+                deadline_s=call.job.deadline_s,
+                stall_limit_s=call.stall_limit_s,
+                caller=self._caller,
+                cancelled=lambda: ticket.preempted is not None,
+            )
+        )
+
+    def _again(
+        self, ticket: broker_module.Ticket, error: errors.RouterError
+    ) -> broker_module.Ticket:
+        outcome = _OUTCOMES[error.kind]
+        if outcome is messages.Outcome.CALLER_GONE:
+            raise error
+        again = self._services.broker.resubmit(ticket, outcome)
+        if again is None:
+            raise error
+        return again
+
+    def _relay(
+        self,
+        ticket: broker_module.Ticket,
+        exchange: endpoints_base.Exchange,
+        head: endpoints_base.Head,
+    ) -> abc.Iterator[bytes]:
+        request_id = ticket.job.request_id
+        broker = self._services.broker
+        tail = b""
+        failure: errors.RouterError | None = errors.RefusedError(
+            errors.ErrorKind.CALLER_GONE, "the caller left", not_run=False
+        )
+        try:
+            for chunk in exchange.chunks():
+                if not tail:
+                    broker.first_token(request_id)
+                tail = (tail + chunk)[-TAIL_BYTES:]
+                self._tokens += self._kind.count_tokens(chunk)
+                broker.progress(request_id, self._tokens)
+                yield chunk
+            if head.streams and not self._kind.is_whole(head, tail):
+                raise errors.EndpointError(
+                    errors.ErrorKind.ANSWER_CUT,
+                    "the stream ended early",
+                    sent=True,
+                    delivered=True,
+                )
+            failure = None
+        except errors.RouterError as error:
+            failure = error
+            raise
+        finally:
+            exchange.close()
+            self._settle(ticket, failure)
+
+    def _settle(
+        self, ticket: broker_module.Ticket, error: errors.RouterError | None
+    ) -> None:
+        outcome = messages.Outcome.DONE
+        if error is not None:
+            outcome = _OUTCOMES[error.kind]
+        job = ticket.job
+        now_s = self._services.time_source.now_s()
+        self._services.broker.finish(job.request_id, outcome)
+        logs.decision(
+            "settle",
+            request_id=job.request_id,
+            workspace=job.workspace,
+            class_id=job.class_id,
+            outcome=outcome.value,
+            detail=error.detail if error else "",
+            tokens=self._tokens,
+            total_s=round(now_s - job.arrived_s, 4),
+        )
--- /dev/null
+++ b/cardamombarrow/kernel/__init__.py
@@ -0,0 +1,1 @@
+"""What every subpackage stands on: errors, ids, settings, registry, logs."""
--- /dev/null
+++ b/cardamombarrow/kernel/http.py
@@ -0,0 +1,136 @@
+"""The HTTP server that callers and operators talk to.
+
+werkzeug serves each connection in one task of a `ThreadPoolExecutor`, written
+straight down. werkzeug answers one request a connection and then closes it,
+so no answer can be read by the wrong caller.
+"""
+
+from concurrent import futures
+import dataclasses
+import pathlib
+import socket
+import ssl
+import threading
+import typing
+
+from werkzeug import serving
+
+from cardamombarrow.kernel import lifecycle
+from cardamombarrow.kernel import logs
+from cardamombarrow.kernel import settings
+
+__all__ = ["HttpServer", "HttpSettings"]
+
+
+@dataclasses.dataclass(frozen=True)
+class HttpSettings:
+    """Where and how HTTP is served."""
+
+    host: str = settings.setting("127.0.0.1", help="address to listen on")
+    port: int = settings.setting(
+        0, help="port to listen on; 0 takes a free one", low=0, high=65535
+    )
+    connections: int = settings.setting(
+        512, help="connections served at once", low=1, high=4096
+    )
+    read_timeout_s: float = settings.setting(
+        10.0,
+        unit="s",
+        help="longest wait for the next bytes of a request",
+        low=0.1,
+        high=600.0,
+    )
+    tls_certificate: str = settings.setting(
+        "", help="PEM certificate chain; empty serves without TLS"
+    )
+    tls_key: str = settings.setting("", help="PEM private key")
+
+
+class _Handler(serving.WSGIRequestHandler):
+    """One connection; writes of one chunk leave in one system call."""
+
+    wbufsize = -1
+
+    def log_request(self, *args: typing.Any, **kwargs: typing.Any) -> None:
+        """Writes nothing: the entry logs its own line per request."""
+
+    def log(self, type: str, message: str, *args: typing.Any) -> None:
+        """Writes what went wrong on a connection as a log line."""
+        logs.event("http", "DEBUG", detail=message % args)
+
+
+class _Server(serving.BaseWSGIServer):
+    """werkzeug's server with an executor in the place of new threads."""
+
+    multithread = True
+    request_queue_size = 1024
+
+    def __init__(self, http: HttpSettings, app: typing.Any):
+        context = None
+        if http.tls_certificate:
+            context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+            context.load_cert_chain(
+                pathlib.Path(http.tls_certificate), http.tls_key or None
+            )
+        super().__init__(http.host, http.port, app, handler=_Handler)
+        # The handshake runs in the connection's own task: done in the
+        # accepting thread, one silent client would hold up all others.
+        self._context = context
+        self._timeout_s = http.read_timeout_s
+        self._executor = futures.ThreadPoolExecutor(
+            max_workers=http.connections, thread_name_prefix="http"
+        )
+
+    def process_request(
+        self, request: socket.socket, client_address: typing.Any
+    ) -> None:
+        """Hands a new connection to the executor."""
+        self._executor.submit(self._serve, request, client_address)
+
+    def _serve(
+        self, connection: socket.socket, client_address: typing.Any
+    ) -> None:
+        try:
+            connection.settimeout(self._timeout_s)
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            if self._context is not None:
+                connection = self._context.wrap_socket(
+                    connection, server_side=True
+                )
+            self.finish_request(connection, client_address)
+        except OSError as error:
+            logs.event("http", "DEBUG", detail=str(error))
+        except Exception as error:
+            logs.event("http", "ERROR", detail=repr(error))
+        finally:
+            self.shutdown_request(connection)
+
+    def finish(self) -> None:
+        """Waits for the connections that are being served."""
+        self._executor.shutdown(wait=True)
+
+
+class HttpServer(lifecycle.Part):
+    """Serves a WSGI application until stopped."""
+
+    def __init__(self, http: HttpSettings, app: typing.Any):
+        self._server = _Server(http, app)
+        self._thread = threading.Thread(
+            target=self._server.serve_forever, name="accept", daemon=True
+        )
+
+    @property
+    def port(self) -> int:
+        """The port that is listened on."""
+        return self._server.server_port
+
+    def start(self) -> None:
+        """Starts accepting connections."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stops accepting and waits for every connection to be served."""
+        self._server.shutdown()
+        self._thread.join()
+        self._server.server_close()
+        self._server.finish()
--- /dev/null
+++ b/cardamombarrow/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once claims for unrepeatable requests, on the replicated log."""
--- /dev/null
+++ b/cardamombarrow/log/local.py
@@ -0,0 +1,45 @@
+"""A log with one voter, in memory: the baseline for tests and trials."""
+
+from concurrent import futures
+import threading
+
+from cardamombarrow.log import base
+
+__all__ = ["LocalLog"]
+
+
+class LocalLog(base.Log):
+    """Applies each command at once; nothing outlives the process."""
+
+    def __init__(self, voter: str, machine: base.StateMachine):
+        self._voter = voter
+        self._machine = machine
+        self._lock = threading.Lock()
+        self._index = 0
+
+    def propose(self, command: bytes) -> futures.Future[bytes]:
+        """Applies the command and returns a finished future."""
+        future: futures.Future[bytes] = futures.Future()
+        with self._lock:
+            self._index += 1
+            future.set_result(self._machine.apply(self._index, command))
+        return future
+
+    def status(self) -> base.LogStatus:
+        """Returns the status of a group of one."""
+        return base.LogStatus(
+            voter=self._voter,
+            leader=self._voter,
+            term=1,
+            commit_index=self._index,
+            voters=(self._voter,),
+            learners=(),
+            has_quorum=True,
+            redundant=False,
+        )
+
+    def start(self) -> None:
+        """Does nothing."""
+
+    def stop(self) -> None:
+        """Does nothing."""
--- /dev/null
+++ b/cardamombarrow/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the system's own processes, over grpclib."""
--- /dev/null
+++ b/cardamombarrow/peers/loop.py
@@ -0,0 +1,56 @@
+"""The one asyncio loop of a process.
+
+grpclib needs a loop. It runs in one thread and is reached only through
+`LoopThread.call`, which gives a `concurrent.futures.Future`; the rest of the
+project is threads.
+"""
+
+import asyncio
+from collections import abc
+from concurrent import futures
+import threading
+import typing
+
+from cardamombarrow.kernel import lifecycle
+
+__all__ = ["LoopThread"]
+
+_T = typing.TypeVar("_T")
+
+
+class LoopThread(lifecycle.Part):
+    """A thread that runs an asyncio loop."""
+
+    def __init__(self):
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(
+            target=self._loop.run_forever, name="loop", daemon=True
+        )
+
+    def start(self) -> None:
+        """Starts the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Cancels what still runs and ends the thread."""
+        asyncio.run_coroutine_threadsafe(self._cancel_all(), self._loop).result(
+            timeout=5
+        )
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(timeout=5)
+
+    async def _cancel_all(self) -> None:
+        tasks = [
+            task
+            for task in asyncio.all_tasks()
+            if task is not asyncio.current_task()
+        ]
+        for task in tasks:
+            task.cancel()
+        await asyncio.wait(tasks, timeout=2) if tasks else None
+
+    def call(
+        self, coroutine: abc.Coroutine[typing.Any, typing.Any, _T]
+    ) -> futures.Future[_T]:
+        """Runs a coroutine on the loop, from any other thread."""
+        return asyncio.run_coroutine_threadsafe(coroutine, self._loop)
--- /dev/null
+++ b/cardamombarrow/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's lagging list of live and leaving instances and endpoints."""
--- /dev/null
+++ b/cardamombarrow/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of whole processes, and of rules that hold across subpackages."""
--- /dev/null
+++ b/cardamombarrow/tests/test_path.py
@@ -0,0 +1,73 @@
+"""The whole path with real processes: caller, entry, engine, control."""
+
+import subprocess
+import sys
+
+import pytest
+
+from tools import caller
+
+pytestmark = pytest.mark.process
+
+
+@pytest.mark.parametrize("stream", [False, True])
+def test_completion_reaches_an_engine_and_comes_back_whole(kandula, stream):
+    answer = caller.complete(
+        kandula.entries["entry-1"],
+        "race-control",
+        model="trail-7b",
+        stream=stream,
+        tokens=7,
+    )
+    assert answer.status == 200
+    words = caller.content_of(answer).split()
+    assert [word.split("-")[1] for word in words] == list("0123456")
+    if stream:
+        assert answer.body.endswith(b"data: [DONE]\n\n")
+
+
+def test_unrepeatable_call_runs_once_and_is_answered_twice(kandula):
+    # A groomer's phone loses the answer to a sign-off and sends it again,
+    # through another entry; the pass must be signed off once.
+    first, again = (
+        caller.service(
+            kandula.entries[entry],
+            "groomers-north",
+            "trail-desk/sign-off",
+            body=b"pass 7",
+            key="pass-7",
+        )
+        for entry in ("entry-1", "entry-3")
+    )
+    assert first.status == again.status == 200
+    assert first.body == again.body
+
+
+def test_unrepeatable_call_without_a_key_is_refused(kandula):
+    answer = caller.service(
+        kandula.entries["entry-1"], "groomers-north", "trail-desk/sign-off"
+    )
+    assert answer.status == 400
+    assert answer.error["code"] == "idempotency_key_required"
+    assert answer.error["not_run"] is True
+
+
+def test_edit_comes_into_force_at_every_entry(kandula, tmp_path):
+    edit = tmp_path / "edit.ini"
+    edit.write_text("[tier:race]\nrank = 0\nreserved_share = 0.2\n")
+    command = [
+        *(sys.executable, "-m", "cardamombarrow", "config", "edit"),
+        *(str(edit), "--url", kandula.controls["control-1"]),
+        *("--token", "sales-token", "--wait-s", "10"),
+    ]
+    result = subprocess.run(command, capture_output=True, text=True)
+    assert result.returncode == 0, result.stderr
+    assert "in force at 4 instances" in result.stderr
+
+
+def test_unknown_key_is_refused(kandula):
+    answer = caller.complete(
+        kandula.entries["entry-1"], "nobody", model="trail-7b"
+    )
+    assert answer.status == 401
+    assert answer.error["code"] == "unauthenticated"
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools of the project: stand-ins, the demo, the test runner, the build."""
--- /dev/null
+++ b/tools/caller.py
@@ -0,0 +1,101 @@
+"""A small caller of an entry, for tests, demo and benchmarks."""
+
+import dataclasses
+import json
+import typing
+
+from cardamombarrow.endpoints import http_get
+
+__all__ = ["CallerAnswer", "complete", "content_of", "service"]
+
+
+@dataclasses.dataclass(frozen=True)
+class CallerAnswer:
+    """What a caller received, whole.
+
+    Attributes:
+        error: The error object of the answer or of its last event, or None.
+    """
+
+    status: int
+    body: bytes
+
+    @property
+    def error(self) -> dict[str, typing.Any] | None:
+        """The error that the answer carries."""
+        if b"event: error" in self.body:
+            last = self.body.rpartition(b"data: ")[2]
+            return json.loads(last)["error"]
+        if self.status >= 400:
+            return json.loads(self.body).get("error")
+        return None
+
+
+def complete(
+    url: str,
+    workspace: str,
+    *,
+    model: str,
+    request_class: str = "",
+    prompt: str = "",
+    stream: bool = True,
+    tokens: int = 5,
+    timeout_s: float = 20.0,
+) -> CallerAnswer:
+    """Asks for one completion and reads the whole answer."""
+    headers = [
+        f"Authorization: Bearer {workspace}-key",
+        "Content-Type: application/json",
+    ]
+    if request_class:
+        headers.append(f"X-Request-Class: {request_class}")
+    body = {
+        "model": model,
+        "messages": [{"role": "user", "content": prompt}],
+        "stream": stream,
+        "standin_tokens": tokens,
+    }
+    reply = http_get.fetch(
+        url + "/v1/chat/completions",
+        timeout_s=timeout_s,
+        method="POST",
+        headers=tuple(headers),
+        body=json.dumps(body).encode(),
+    )
+    return CallerAnswer(reply.status, reply.body)
+
+
+def service(
+    url: str,
+    workspace: str,
+    path: str,
+    *,
+    body: bytes = b"",
+    key: str = "",
+    method: str = "POST",
+    timeout_s: float = 20.0,
+) -> CallerAnswer:
+    """Calls a plain service, ``<service>/<path>``."""
+    headers = [f"Authorization: Bearer {workspace}-key"]
+    if key:
+        headers.append(f"Idempotency-Key: {key}")
+    reply = http_get.fetch(
+        f"{url}/v1/services/{path}",
+        timeout_s=timeout_s,
+        method=method,
+        headers=tuple(headers),
+        body=body,
+    )
+    return CallerAnswer(reply.status, reply.body)
+
+
+def content_of(answer: CallerAnswer) -> str:
+    """Returns the text of a completion, streamed or not."""
+    if not answer.body.startswith(b"data: "):
+        return json.loads(answer.body)["choices"][0]["message"]["content"]
+    events = answer.body.split(b"\n\n")
+    return "".join(
+        json.loads(event[6:])["choices"][0]["delta"]["content"]
+        for event in events
+        if event.startswith(b"data: {")
+    )
--- /dev/null
+++ b/tools/deployment.py
@@ -0,0 +1,268 @@
+"""Starts a whole deployment on loopback: controls, entries, stand-ins.
+
+Used by the demo, the benchmarks and the tests of whole processes. It ends
+only the processes that it started.
+"""
+
+import contextlib
+import dataclasses
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+import typing
+
+from cardamombarrow.document import parsing
+from cardamombarrow.endpoints import http_get
+from cardamombarrow.kernel import errors
+
+__all__ = ["Deployment", "Plan", "free_ports", "wait_until"]
+
+SECRET = "loopback-secret-of-the-stand-in-deployment"
+START_TIMEOUT_S = 30.0
+_ROOT = pathlib.Path(__file__).resolve().parent.parent
+
+
+def free_ports(count: int) -> list[int]:
+    """Returns ports that were free just now."""
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for item in sockets:
+            item.bind(("127.0.0.1", 0))
+        return [item.getsockname()[1] for item in sockets]
+
+
+def wait_until(
+    condition: typing.Callable[[], bool], timeout_s: float = START_TIMEOUT_S
+) -> bool:
+    """Waits until a condition holds; returns whether it came to."""
+    deadline_s = time.monotonic() + timeout_s
+    while time.monotonic() < deadline_s:
+        if condition():
+            return True
+        time.sleep(0.02)
+    return False
+
+
+@dataclasses.dataclass
+class Plan:
+    """What to start.
+
+    Attributes:
+        document: Text of the first document. A stand-in is started for each
+            endpoint in it, and its address put in the endpoint's place.
+        entries: Instance ids of entries by failure domain.
+        controls: Instance ids of control processes by failure domain.
+        engine_options: Command-line options of every stand-in engine.
+        entry_extra: More lines for every entry's settings, by section.
+    """
+
+    document: str
+    entries: dict[str, list[str]]
+    controls: dict[str, list[str]]
+    engine_options: tuple[str, ...] = ()
+    entry_extra: dict[str, str] = dataclasses.field(default_factory=dict)
+
+
+class Deployment(contextlib.AbstractContextManager):
+    """Running processes; ends them at exit.
+
+    Attributes:
+        engines: Addresses of the stand-ins by service.
+        entries: HTTP addresses by instance id.
+        controls: Administration URLs by instance id.
+        processes: Every process, by name.
+    """
+
+    def __init__(
+        self,
+        plan: Plan,
+        folder: pathlib.Path,
+        command: tuple[str, ...] = (sys.executable, "-m", "cardamombarrow"),
+    ):
+        self._plan = plan
+        self._folder = folder
+        self._command = command
+        self._settings: dict[str, tuple[str, pathlib.Path]] = {}
+        self.engines: dict[str, list[str]] = {}
+        self.entries: dict[str, str] = {}
+        self.controls: dict[str, str] = {}
+        self.peers: dict[str, str] = {}
+        self.processes: dict[str, subprocess.Popen] = {}
+        self.listing_url = ""
+
+    def __enter__(self) -> "Deployment":
+        """Starts everything and waits until every entry is ready."""
+        try:
+            self._start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        """Ends everything that was started."""
+        self.stop()
+
+    def _start(self) -> None:
+        self._folder.mkdir(parents=True, exist_ok=True)
+        text = self._start_standins()
+        document = self._folder / "document.ini"
+        document.write_text(text)
+        self._write_controls(document)
+        self._write_entries()
+        for name in self._settings:
+            self.start_instance(name)
+        for name in self._settings:
+            self.wait_ready(name)
+
+    def _start_standins(self) -> str:
+        text = self._plan.document
+        for service in parsing.parse(text).services.values():
+            listed = [e for group in service.endpoints.values() for e in group]
+            ports = free_ports(len(listed))
+            addresses = [f"127.0.0.1:{port}" for port in ports]
+            self.engines[service.service] = addresses
+            for endpoint, address in zip(listed, addresses, strict=True):
+                text = text.replace(endpoint, address)
+                self.start_engine(address)
+        port = free_ports(1)[0]
+        self.listing_url = f"http://127.0.0.1:{port}/v1/listing"
+        module = ("-m", "tools.standin.platform_list")
+        self._spawn("platform", (sys.executable, *module, "--port", str(port)))
+        return text
+
+    def start_engine(self, address: str) -> None:
+        """Starts the stand-in engine of an address, again if it ended."""
+        port = address.rpartition(":")[2]
+        self._spawn(
+            f"engine-{address}",
+            (
+                sys.executable,
+                "-m",
+                "tools.standin.engine",
+                "--port",
+                port,
+                *self._plan.engine_options,
+            ),
+        )
+
+    def _write_controls(self, document: pathlib.Path) -> None:
+        names = [n for group in self._plan.controls.values() for n in group]
+        ports = free_ports(2 * len(names))
+        for name, port in zip(names, ports[: len(names)], strict=True):
+            self.peers[name] = f"127.0.0.1:{port}"
+        for name, port in zip(names, ports[len(names) :], strict=True):
+            self.controls[name] = f"http://127.0.0.1:{port}"
+        voters = " ".join(f"{name}={self.peers[name]}" for name in names)
+        for domain, group in self._plan.controls.items():
+            for name in group:
+                state = (
+                    f"[state]\nfolder = {self._folder / name}\n"
+                    f"voters = {voters}\nfirst_document = {document}\n"
+                )
+                self._write("control", name, domain, self.controls[name], state)
+
+    def _write_entries(self) -> None:
+        names = [n for group in self._plan.entries.values() for n in group]
+        ports = free_ports(2 * len(names))
+        for name, port in zip(names, ports[: len(names)], strict=True):
+            self.peers[name] = f"127.0.0.1:{port}"
+        for name, port in zip(names, ports[len(names) :], strict=True):
+            self.entries[name] = f"http://127.0.0.1:{port}"
+        extra = dict(self._plan.entry_extra)
+        extra.setdefault("calls", "drain_notice_s = 0.3\n")
+        extra["platform"] = f"listing_url = {self.listing_url}\n" + extra.get(
+            "platform", "listing_interval_s = 0.5\n"
+        )
+        for domain, group in self._plan.entries.items():
+            seeds = " ".join(self.peers[name] for name in group)
+            sections = "".join(
+                f"[{name}]\n{body}" for name, body in extra.items()
+            )
+            for name in group:
+                self._write(
+                    "entry", name, domain, self.entries[name], sections, seeds
+                )
+
+    def _write(
+        self,
+        role: str,
+        name: str,
+        domain: str,
+        url: str,
+        more: str,
+        seeds: str = "",
+    ) -> None:
+        path = self._folder / f"{name}.ini"
+        controls = " ".join(self.peers[control] for control in self.controls)
+        path.write_text(
+            f"[instance]\nid = {name}\ndomain = {domain}\n"
+            f"[http]\nport = {url.rpartition(':')[2]}\n"
+            f"[peers]\nsecret = {SECRET}\n"
+            f"port = {self.peers[name].rpartition(':')[2]}\n"
+            f"controls = {controls}\nseeds = {seeds}\n"
+            f"report_interval_s = 0.3\n{more}"
+        )
+        self._settings[name] = (role, path)
+
+    def start_instance(self, name: str) -> None:
+        """Starts an entry or control process, again if it ended."""
+        role, path = self._settings[name]
+        self._spawn(name, (*self._command, role, "--settings", str(path)))
+
+    def _spawn(self, name: str, command: tuple[str, ...]) -> None:
+        with (self._folder / f"{name}.log").open("ab") as log:
+            self.processes[name] = subprocess.Popen(
+                command,
+                cwd=_ROOT,
+                stdout=log,
+                stderr=log,
+                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+            )
+
+    def wait_ready(self, name: str) -> None:
+        """Waits until an instance answers.
+
+        Raises:
+            RuntimeError: It did not start in time.
+        """
+        role, _ = self._settings[name]
+        urls = self.entries if role == "entry" else self.controls
+        path = "/readyz" if role == "entry" else "/healthz"
+
+        def answers() -> bool:
+            try:
+                return (
+                    http_get.fetch(urls[name] + path, timeout_s=1).status == 200
+                )
+            except errors.EndpointError:
+                return False
+
+        if not wait_until(answers):
+            raise RuntimeError(f"{name} did not start:\n{self.log(name)}")
+
+    def log(self, name: str) -> str:
+        """Returns what a process wrote so far."""
+        return (self._folder / f"{name}.log").read_text()
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Sends a signal to one of the processes."""
+        self.processes[name].send_signal(number)
+
+    def stop(self) -> None:
+        """Ends every process: politely, then by force."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.terminate()
+        deadline_s = time.monotonic() + 8
+        for process in self.processes.values():
+            try:
+                process.wait(max(0.1, deadline_s - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
--- /dev/null
+++ b/tools/run_tests.py
@@ -0,0 +1,28 @@
+"""Runs all tests; passes over those in KNOWN-RED.txt and prints them."""
+
+import pathlib
+import sys
+
+import pytest
+
+__all__ = ["main"]
+
+_ROOT = pathlib.Path(__file__).resolve().parent.parent
+
+
+def main() -> int:
+    """Runs pytest and returns its exit code."""
+    lines = (_ROOT / "KNOWN-RED.txt").read_text().splitlines()
+    known = [line for line in lines if line.strip() and line[0] != "#"]
+    if len(known) > 3:
+        print("KNOWN-RED.txt holds more than three lines")
+        return 1
+    deselect = []
+    for line in known:
+        print(f"known red: {line}")
+        deselect.append(f"--deselect={line.split('|')[0].strip()}")
+    return int(pytest.main([*sys.argv[1:], *deselect]))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tools/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the outside systems, for tests, demo and benchmarks."""
--- /dev/null
+++ b/tools/standin/engine.py
@@ -0,0 +1,300 @@
+"""A stand-in of a model engine and of a plain service.
+
+It speaks OpenAI-compatible HTTP with SSE, batches continuously, honours
+priorities and cancellation, and reports its load with a lag. What it ran is
+kept and can be read, so that a test can check "not run" against the engine's
+own word. ``POST /standin/behaviour`` changes how it behaves while it runs.
+"""
+
+import argparse
+import dataclasses
+import hashlib
+import heapq
+from http import server
+import itertools
+import json
+import os
+import threading
+import time
+import typing
+
+__all__ = ["Behaviour", "Engine", "main"]
+
+REPORT_TICK_S = 0.05
+
+
+@dataclasses.dataclass
+class Behaviour:
+    """How the engine behaves; every field can be changed at run time.
+
+    Attributes:
+        slots: Requests in one batch; more wait by priority.
+        token_s: Time between two tokens of one request.
+        prefill_s_per_token: Time to the first token per prompt token.
+        default_tokens: Length of an answer when the prompt sets none.
+        report_lag_s: Age of the load report that is shown.
+        stall_after_tokens: From this token on nothing comes; 0 is never.
+        cut_after_tokens: Connections close there; 0 is never.
+        crash_marker: A body that holds it ends the process; empty is none.
+        fail_status: Status answered to everything; 0 is none.
+        leaving: Shown in the load report.
+    """
+
+    slots: int = 8
+    token_s: float = 0.01
+    prefill_s_per_token: float = 0.0
+    default_tokens: int = 20
+    report_lag_s: float = 0.5
+    stall_after_tokens: int = 0
+    cut_after_tokens: int = 0
+    crash_marker: str = ""
+    fail_status: int = 0
+    leaving: bool = False
+
+
+class _Batch:
+    """Slots of the batch; those who wait get in by priority, then age."""
+
+    def __init__(self, behaviour: Behaviour):
+        self._behaviour = behaviour
+        self._lock = threading.Condition()
+        self._order = itertools.count()
+        self._waiting: list[tuple[int, int]] = []
+        self.running = 0
+
+    @property
+    def waiting(self) -> int:
+        """Requests outside the batch."""
+        return len(self._waiting)
+
+    def enter(self, rank: int) -> None:
+        """Waits for a place in the batch."""
+        with self._lock:
+            place = (rank, next(self._order))
+            heapq.heappush(self._waiting, place)
+            self._lock.wait_for(
+                lambda: (
+                    self._waiting[0] == place
+                    and self.running < self._behaviour.slots
+                )
+            )
+            heapq.heappop(self._waiting)
+            self.running += 1
+            self._lock.notify_all()
+
+    def leave(self) -> None:
+        """Gives the place back."""
+        with self._lock:
+            self.running -= 1
+            self._lock.notify_all()
+
+
+class Engine:
+    """State of one stand-in."""
+
+    def __init__(self, behaviour: Behaviour):
+        self.behaviour = behaviour
+        self.batch = _Batch(behaviour)
+        self.runs: list[dict[str, typing.Any]] = []
+        self.tokens = 0
+        self._reports: list[tuple[float, int, int]] = []
+        threading.Thread(target=self._observe, daemon=True).start()
+
+    def _observe(self) -> None:
+        while True:
+            self._reports.append(
+                (time.monotonic(), self.batch.running, self.batch.waiting)
+            )
+            del self._reports[:-1000]
+            time.sleep(REPORT_TICK_S)
+
+    def report(self) -> str:
+        """Returns the load as it was `report_lag_s` ago."""
+        seen_s = time.monotonic() - self.behaviour.report_lag_s
+        old = [item for item in self._reports if item[0] <= seen_s]
+        _, running, waiting = (old or [(0.0, 0, 0)])[-1]
+        return (
+            f"engine:num_requests_running {running}\n"
+            f"engine:num_requests_waiting {waiting}\n"
+            f"engine:cache_usage_share {running / self.behaviour.slots:.3f}\n"
+            f"engine:leaving {int(self.behaviour.leaving)}\n"
+        )
+
+    def run(
+        self, request_id: str, rank: int, body: bytes
+    ) -> typing.Iterator[str]:
+        """Yields the tokens of one answer."""
+        record: dict[str, typing.Any] = {
+            "request_id": request_id,
+            "body_sha256": hashlib.sha256(body).hexdigest(),
+            "at_unix_s": time.time(),
+            "tokens": 0,
+            "outcome": "running",
+        }
+        self.runs.append(record)
+        marker = self.behaviour.crash_marker.encode()
+        if marker and marker in body:
+            os._exit(70)
+        content = json.loads(body)
+        count = min(
+            content.get("standin_tokens", self.behaviour.default_tokens),
+            content.get("max_tokens") or 1_000_000,
+        )
+        self.batch.enter(rank)
+        try:
+            time.sleep(self.behaviour.prefill_s_per_token * len(body) / 4)
+            for number in range(count):
+                time.sleep(self.behaviour.token_s)
+                self._misbehave(number)
+                record["tokens"] = number + 1
+                self.tokens += 1
+                yield f"{record['body_sha256'][:8]}-{number} "
+            record["outcome"] = "done"
+        finally:
+            if record["outcome"] == "running":
+                record["outcome"] = "cancelled"
+            self.batch.leave()
+
+    def _misbehave(self, number: int) -> None:
+        behaviour = self.behaviour
+        while behaviour.stall_after_tokens and (
+            number >= behaviour.stall_after_tokens
+        ):
+            time.sleep(0.05)
+        if behaviour.cut_after_tokens and number >= behaviour.cut_after_tokens:
+            raise ConnectionAbortedError("told to cut")
+
+
+class _Handler(server.BaseHTTPRequestHandler):
+    """One connection."""
+
+    protocol_version = "HTTP/1.1"
+    wbufsize = -1
+    engine: Engine
+
+    def log_message(self, format: str, *args: object) -> None:
+        """Writes nothing."""
+
+    def do_GET(self) -> None:
+        """Serves reports and records, or a plain service's read."""
+        if self.path == "/metrics":
+            self._answer(200, self.engine.report().encode(), "text/plain")
+        elif self.path == "/standin/runs":
+            self._answer(200, json.dumps(self.engine.runs).encode())
+        else:
+            self._plain(b"")
+
+    def do_POST(self) -> None:
+        """Serves completions, or a plain service's write."""
+        body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
+        if self.path == "/standin/behaviour":
+            for name, value in json.loads(body).items():
+                setattr(self.engine.behaviour, name, value)
+            self._answer(200, b"{}")
+        elif self.path.startswith("/v1/"):
+            self._completion(body)
+        else:
+            self._plain(body)
+
+    def _completion(self, body: bytes) -> None:
+        if self.engine.behaviour.fail_status:
+            self._answer(self.engine.behaviour.fail_status, b"{}")
+            return
+        tokens = self.engine.run(
+            self.headers.get("X-Request-Id", ""),
+            int(self.headers.get("X-Priority", "0")),
+            body,
+        )
+        try:
+            if json.loads(body).get("stream"):
+                self._stream(tokens)
+            else:
+                self._whole(tokens)
+        except OSError:
+            self.close_connection = True
+        finally:
+            tokens.close()
+
+    def _stream(self, tokens: typing.Iterator[str]) -> None:
+        self.send_response(200)
+        self.send_header("Content-Type", "text/event-stream")
+        self.send_header("Transfer-Encoding", "chunked")
+        self.end_headers()
+        self.wfile.flush()
+        for token in tokens:
+            event = {"choices": [{"index": 0, "delta": {"content": token}}]}
+            self._chunk(b"data: " + json.dumps(event).encode() + b"\n\n")
+        self._chunk(b"data: [DONE]\n\n")
+        self._chunk(b"")
+
+    def _chunk(self, data: bytes) -> None:
+        self.wfile.write(b"%x\r\n%s\r\n" % (len(data), data))
+        self.wfile.flush()
+
+    def _whole(self, tokens: typing.Iterator[str]) -> None:
+        parts = list(tokens)
+        content = {
+            "choices": [
+                {
+                    "index": 0,
+                    "message": {"role": "assistant", "content": "".join(parts)},
+                    "finish_reason": "stop",
+                }
+            ],
+            "usage": {"completion_tokens": len(parts)},
+        }
+        self._answer(200, json.dumps(content).encode())
+
+    def _plain(self, body: bytes) -> None:
+        record = {
+            "request_id": self.headers.get("X-Request-Id", ""),
+            "method": self.command,
+            "path": self.path,
+            "body": body.decode("utf-8", "replace"),
+            "outcome": "running",
+        }
+        self.engine.runs.append(record)
+        self.engine.batch.enter(0)
+        try:
+            time.sleep(self.engine.behaviour.token_s)
+            record["outcome"] = "done"
+            answer = json.dumps({"ran": record["path"], "body": record["body"]})
+            self._answer(200, answer.encode())
+        finally:
+            self.engine.batch.leave()
+
+    def _answer(
+        self, status: int, body: bytes, kind: str = "application/json"
+    ) -> None:
+        self.send_response(status)
+        self.send_header("Content-Type", kind)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+
+class _Server(server.ThreadingHTTPServer):
+    request_queue_size = 1024
+    daemon_threads = True
+
+
+def main() -> None:
+    """Runs one stand-in; options are the fields of `Behaviour`."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, required=True)
+    for field in dataclasses.fields(Behaviour):
+        name = "--" + field.name.replace("_", "-")
+        if field.type is bool:
+            parser.add_argument(name, action="store_true")
+        else:
+            parser.add_argument(name, type=field.type, default=field.default)
+    options = vars(parser.parse_args())
+    port = options.pop("port")
+    handler = type(
+        "Handler", (_Handler,), {"engine": Engine(Behaviour(**options))}
+    )
+    _Server(("127.0.0.1", port), handler).serve_forever()
+
+
+if __name__ == "__main__":
+    main()
