--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -18,6 +18,7 @@
 from cardamombarrow.document import parsing
 from cardamombarrow.endpoints import http_get
 from cardamombarrow.kernel import errors
+from tools import proxy as proxy_module
 
 __all__ = ["Deployment", "Plan", "free_ports", "wait_until"]
 
@@ -58,6 +59,12 @@
         controls: Instance ids of control processes by failure domain.
         engine_options: Command-line options of every stand-in engine.
         entry_extra: More lines for every entry's settings, by section.
+        proxied: Whether what the instances say to each other goes through
+            `Deployment.proxy`, one link per source and target.
+        proxied_endpoints: Whether entries reach the endpoints through
+            `Deployment.proxy`: the document then names the links' addresses,
+            with the source ``entries`` and the endpoint's own address as
+            the name of the link.
     """
 
     document: str
@@ -65,6 +72,8 @@
     controls: dict[str, list[str]]
     engine_options: tuple[str, ...] = ()
     entry_extra: dict[str, str] = dataclasses.field(default_factory=dict)
+    proxied: bool = False
+    proxied_endpoints: bool = False
 
 
 class Deployment(contextlib.AbstractContextManager):
@@ -74,7 +83,9 @@
         engines: Addresses of the stand-ins by service.
         entries: HTTP addresses by instance id.
         controls: Administration URLs by instance id.
+        peers: Addresses for other instances, by instance id, past the proxy.
         processes: Every process, by name.
+        proxy: Links between the instances, where the plan asks for them.
     """
 
     def __init__(
@@ -93,6 +104,7 @@
         self.peers: dict[str, str] = {}
         self.processes: dict[str, subprocess.Popen] = {}
         self.listing_url = ""
+        self.proxy = proxy_module.Proxy()
 
     def __enter__(self) -> "Deployment":
         """Starts everything and waits until every entry is ready."""
@@ -127,7 +139,7 @@
             addresses = [f"127.0.0.1:{port}" for port in ports]
             self.engines[service.service] = addresses
             for endpoint, address in zip(listed, addresses, strict=True):
-                text = text.replace(endpoint, address)
+                text = text.replace(endpoint, self._endpoint_route(address))
                 self.start_engine(address)
         port = free_ports(1)[0]
         self.listing_url = f"http://127.0.0.1:{port}/v1/listing"
@@ -135,6 +147,17 @@
         self._spawn("platform", (sys.executable, *module, "--port", str(port)))
         return text
 
+    def _endpoint_route(self, address: str) -> str:
+        if not self._plan.proxied_endpoints:
+            return address
+        return self.proxy.link("entries", address, address).address
+
+    def _route(self, source: str, name: str) -> str:
+        """Returns the address under which an instance reaches another."""
+        if not self._plan.proxied or source == name:
+            return self.peers[name]
+        return self.proxy.link(source, name, self.peers[name]).address
+
     def start_engine(self, address: str) -> None:
         """Starts the stand-in engine of an address, again if it ended."""
         port = address.rpartition(":")[2]
@@ -157,9 +180,11 @@
             self.peers[name] = f"127.0.0.1:{port}"
         for name, port in zip(names, ports[len(names) :], strict=True):
             self.controls[name] = f"http://127.0.0.1:{port}"
-        voters = " ".join(f"{name}={self.peers[name]}" for name in names)
         for domain, group in self._plan.controls.items():
             for name in group:
+                voters = " ".join(
+                    f"{other}={self._route(name, other)}" for other in names
+                )
                 state = (
                     f"[state]\nfolder = {self._folder / name}\n"
                     f"voters = {voters}\nfirst_document = {document}\n"
@@ -179,11 +204,11 @@
             "platform", "listing_interval_s = 0.5\n"
         )
         for domain, group in self._plan.entries.items():
-            seeds = " ".join(self.peers[name] for name in group)
             sections = "".join(
                 f"[{name}]\n{body}" for name, body in extra.items()
             )
             for name in group:
+                seeds = " ".join(self._route(name, other) for other in group)
                 self._write(
                     "entry", name, domain, self.entries[name], sections, seeds
                 )
@@ -198,7 +223,9 @@
         seeds: str = "",
     ) -> None:
         path = self._folder / f"{name}.ini"
-        controls = " ".join(self.peers[control] for control in self.controls)
+        controls = " ".join(
+            self._route(name, control) for control in self.controls
+        )
         path.write_text(
             f"[instance]\nid = {name}\ndomain = {domain}\n"
             f"[http]\nport = {url.rpartition(':')[2]}\n"
@@ -254,7 +281,7 @@
         self.processes[name].send_signal(number)
 
     def stop(self) -> None:
-        """Ends every process: politely, then by force."""
+        """Ends every process: politely, then by force; then the proxy."""
         for process in self.processes.values():
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
@@ -266,3 +293,4 @@
             except subprocess.TimeoutExpired:
                 process.kill()
                 process.wait()
+        self.proxy.close()
