Check a document's references, ranges and policy names before accepting

Cause: an accepted document that named an unknown policy would have raised in every entry that took it into force. Ruled out: checking in the entry, since it is too late there.

--- a/cardamombarrow/document/parsing.py
+++ b/cardamombarrow/document/parsing.py
@@ -9,6 +9,7 @@
 import enum
 import typing
 
+from cardamombarrow.document import rules
 from cardamombarrow.document import schema
 from cardamombarrow.document import text as text_module
 from cardamombarrow.kernel import errors
@@ -56,7 +57,8 @@
         owners=reader.found["owner"],
         policies=reader.policies,
     )
-    reader.check_references(document)
+    if not reader.mistakes:
+        reader.check(document)
     if reader.mistakes:
         raise errors.ConfigError(reader.mistakes)
     return document
@@ -115,29 +117,32 @@
         fields = {field.name: field for field in dataclasses.fields(cls)}
         values: dict[str, typing.Any] = {}
         if cls is not schema.Policies:
-            values[dataclasses.fields(cls)[0].name] = name
-        endpoints: dict[ids.DomainId, tuple[ids.EndpointId, ...]] = {}
+            identity = next(iter(fields))
+            del fields[identity]
+            values[identity] = name
+        fields.pop("endpoints", None)
         before = len(self.mistakes)
+        seen: set[str] = set()
         for number, key, raw in self._pairs(section, place):
+            if key in seen:
+                self.mistake(number, f"{place} {key}", "stands twice")
+                continue
+            seen.add(key)
             if cls is schema.Service and key.startswith(_ENDPOINTS_PREFIX):
                 domain = ids.DomainId(key.removeprefix(_ENDPOINTS_PREFIX))
-                endpoints[domain] = tuple(raw.replace(",", " ").split())
-            elif key not in fields or key in ("endpoints", *values):
+                groups = values.setdefault("endpoints", {})
+                groups[domain] = tuple(raw.replace(",", " ").split())
+            elif key not in fields:
                 known = ", ".join(fields)
-                self.mistake(
-                    number,
-                    f"{place} {key}",
-                    f"unknown or twice; known: {known}",
-                )
+                reason = f"unknown key; known: {known}"
+                self.mistake(number, f"{place} {key}", reason)
             else:
                 try:
                     values[key] = _convert(fields[key].type, raw)
                 except ValueError as error:
                     self.mistake(number, f"{place} {key}", str(error))
-        if endpoints:
-            values["endpoints"] = endpoints
         for field in fields.values():
-            if field.name not in values and _required(field):
+            if field.name not in seen and _required(field):
                 self.mistake(
                     section.first_line,
                     f"{place} {field.name}",
@@ -159,21 +164,11 @@
                 continue
             yield number, key.strip(), raw.strip()
 
-    def check_references(self, document: schema.Document) -> None:
-        """Adds a mistake for each name that leads nowhere."""
-        for item in document.classes.values():
-            self._known(f"class:{item.class_id}", "tier", item.tier)
-        for item in document.models.values():
-            self._known(f"model:{item.model}", "service", item.service)
-        for item in document.workspaces.values():
-            for class_id in item.classes:
-                self._known(f"workspace:{item.workspace}", "class", class_id)
-
-    def _known(self, section: str, kind: str, name: str) -> None:
-        if f"{kind}:{name}" not in self._lines:
-            self.mistake(
-                self._lines[section], f"[{section}]", f"no [{kind}:{name}]"
-            )
+    def check(self, document: schema.Document) -> None:
+        """Adds the mistakes that only the whole document shows."""
+        for section, reason in rules.violations(document):
+            line = self._lines.get(section, 1)
+            self.mistake(line, f"[{section}]", reason)
 
 
 def _required(field: dataclasses.Field) -> bool:
--- /dev/null
+++ b/cardamombarrow/document/rules.py
@@ -0,0 +1,185 @@
+"""Rules that a document must keep to be accepted, besides its syntax.
+
+Each rule yields violations as (section, reason). They look at nothing but the
+document, so every voter comes to the same verdict. A document that broke a
+rule would be in force everywhere within seconds, so what an entry could not
+carry out must be caught here.
+"""
+
+from collections import abc
+import dataclasses
+import re
+import typing
+
+from cardamombarrow.decisions import core as decisions_core
+from cardamombarrow.document import schema
+from cardamombarrow.kernel import registry
+
+__all__ = ["Violation", "violations"]
+
+MOST_RESERVED_SHARE = 0.5
+"""All lower tiers together may hold back at most half from the highest."""
+
+_ADDRESS = re.compile(r"^[A-Za-z0-9.-]+:\d{1,5}$|^\[[0-9a-fA-F:]+\]:\d{1,5}$")
+_DIGEST = re.compile(r"^[0-9a-f]{64}$")
+_ROUTE = re.compile(r"^[A-Z]+ /\S*$")
+
+Violation = tuple[str, str]
+Rule = abc.Callable[[schema.Document], abc.Iterator[Violation]]
+
+
+def violations(document: schema.Document) -> abc.Iterator[Violation]:
+    """Yields every violation of every rule, as (section name, reason)."""
+    for rule in _RULES:
+        yield from rule(document)
+
+
+def _references(document: schema.Document) -> abc.Iterator[Violation]:
+    for item in document.classes.values():
+        if item.tier not in document.tiers:
+            yield f"class:{item.class_id}", f"there is no [tier:{item.tier}]"
+    for item in document.models.values():
+        if item.service not in document.services:
+            reason = f"there is no [service:{item.service}]"
+            yield f"model:{item.model}", reason
+    for item in document.workspaces.values():
+        for class_id in item.classes:
+            if class_id not in document.classes:
+                reason = f"there is no [class:{class_id}]"
+                yield f"workspace:{item.workspace}", reason
+
+
+def _ranges(document: schema.Document) -> abc.Iterator[Violation]:
+    groups: tuple[tuple[str, dict[typing.Any, typing.Any]], ...] = (
+        ("tier", document.tiers),
+        ("class", document.classes),
+        ("workspace", document.workspaces),
+        ("service", document.services),
+    )
+    for kind, items in groups:
+        for name, item in items.items():
+            for field in dataclasses.fields(item):
+                limits = _LIMITS.get((kind, field.name))
+                value = getattr(item, field.name)
+                if limits and not limits[0] <= value <= limits[1]:
+                    reason = (
+                        f"{field.name} = {value} is not within "
+                        f"{limits[0]} and {limits[1]}"
+                    )
+                    yield f"{kind}:{name}", reason
+
+
+_LIMITS: dict[tuple[str, str], tuple[float, float]] = {
+    ("tier", "rank"): (0, 15),
+    ("tier", "reserved_share"): (0.0, MOST_RESERVED_SHARE),
+    ("class", "target_first_token_s"): (0.01, 86_400),
+    ("class", "target_total_s"): (0.01, 86_400),
+    ("class", "attainment_share"): (0.01, 1.0),
+    ("class", "expected_tokens"): (1, 1_000_000),
+    ("workspace", "max_in_flight"): (0, 100_000),
+    ("workspace", "weight"): (0.01, 1_000),
+    ("service", "slots_per_endpoint"): (1, 10_000),
+    ("service", "stall_limit_s"): (0.1, 3_600),
+}
+
+
+def _tiers(document: schema.Document) -> abc.Iterator[Violation]:
+    by_rank: dict[int, schema.Tier] = {}
+    for tier in document.tiers.values():
+        other = by_rank.setdefault(tier.rank, tier)
+        if other is not tier:
+            reason = f"rank {tier.rank} belongs to [tier:{other.tier}]"
+            yield f"tier:{tier.tier}", reason
+    lower = sorted(by_rank)[1:]
+    reserved = sum(by_rank[rank].reserved_share for rank in lower)
+    if reserved > MOST_RESERVED_SHARE:
+        yield (
+            f"tier:{by_rank[lower[-1]].tier}",
+            f"the lower tiers reserve {reserved:.2f} of the capacity, more "
+            f"than {MOST_RESERVED_SHARE}",
+        )
+
+
+def _targets(document: schema.Document) -> abc.Iterator[Violation]:
+    for item in document.classes.values():
+        if item.target_total_s < item.target_first_token_s:
+            yield (
+                f"class:{item.class_id}",
+                "target_total_s is under target_first_token_s",
+            )
+
+
+def _keys(document: schema.Document) -> abc.Iterator[Violation]:
+    owner_of: dict[str, str] = {}
+    for workspace in document.workspaces.values():
+        section = f"workspace:{workspace.workspace}"
+        for digest in workspace.key_sha256:
+            if not _DIGEST.match(digest):
+                yield section, f"{digest!r} is not a SHA-256 in hexadecimal"
+            other = owner_of.setdefault(digest, section)
+            if other != section:
+                # The callers of one workspace would be served, and charged,
+                # as those of the other.
+                yield section, f"one of its keys belongs to [{other}]"
+        if not workspace.classes:
+            yield section, "it has no classes"
+
+
+def _endpoints(document: schema.Document) -> abc.Iterator[Violation]:
+    service_of: dict[str, str] = {}
+    for service in document.services.values():
+        section = f"service:{service.service}"
+        for endpoint in (e for g in service.endpoints.values() for e in g):
+            if not _ADDRESS.match(endpoint):
+                yield section, f"{endpoint!r} is not `host:port`"
+            if endpoint in service_of:
+                reason = f"{endpoint} stands in [{service_of[endpoint]}]"
+                yield section, f"{reason} already"
+            service_of[endpoint] = section
+        for route in service.unrepeatable:
+            if not _ROUTE.match(route):
+                yield section, f"{route!r} is not `METHOD /path`"
+
+
+def _models(document: schema.Document) -> abc.Iterator[Violation]:
+    for model in document.models.values():
+        section = f"model:{model.model}"
+        service = document.services.get(model.service)
+        if service and service.kind is not schema.ServiceKind.ENGINE:
+            yield section, f"[service:{model.service}] runs no models"
+        weights = model.versions.values()
+        if weights and (min(weights) < 0 or sum(weights) <= 0):
+            yield section, "its version weights must be 0 or more, one over 0"
+
+
+def _owners(document: schema.Document) -> abc.Iterator[Violation]:
+    for owner in document.owners.values():
+        if not _DIGEST.match(owner.token_sha256):
+            yield f"owner:{owner.owner}", "token_sha256 is not a SHA-256"
+    if not any("*" in owner.sections for owner in document.owners.values()):
+        # Without one, a document that locks everybody out could never be
+        # mended by an edit.
+        yield "owner", "no owner has `sections = *`"
+
+
+def _policies(document: schema.Document) -> abc.Iterator[Violation]:
+    registry.load(*decisions_core.POLICY_MODULES)
+    for field in dataclasses.fields(document.policies):
+        name = getattr(document.policies, field.name)
+        known = registry.names(field.name)
+        if name not in known:
+            reason = f"{field.name} = {name}; known: {', '.join(known)}"
+            yield "policies", reason
+
+
+_RULES: tuple[Rule, ...] = (
+    _references,
+    _ranges,
+    _tiers,
+    _targets,
+    _keys,
+    _endpoints,
+    _models,
+    _owners,
+    _policies,
+)
--- /dev/null
+++ b/cardamombarrow/document/tests/test_parsing.py
@@ -0,0 +1,86 @@
+"""Reading a document: what is accepted, and what is said of mistakes."""
+
+import pytest
+
+from cardamombarrow.document import parsing
+from cardamombarrow.document import schema
+from cardamombarrow.document import text
+from cardamombarrow.kernel import errors
+from cardamombarrow.kernel import ids
+
+
+def _mistakes(document: str) -> list[str]:
+    with pytest.raises(errors.ConfigError) as caught:
+        parsing.parse(document)
+    return caught.value.mistakes
+
+
+def _changed(document: str, section: str, body: str) -> str:
+    return text.replace(document, {section: body})
+
+
+def test_example_is_read_into_typed_sections(kandula_text):
+    document = parsing.parse(kandula_text)
+    question = document.classes[ids.ClassId("marshal-question")]
+    assert question.target_first_token_s == 0.92
+    assert document.tier_of(question.class_id).rank == 0
+    service = document.services[ids.ServiceId("trail-desk")]
+    assert service.kind is schema.ServiceKind.PLAIN
+    assert "POST /sign-off" in service.unrepeatable
+
+
+def test_every_mistake_is_told_with_its_line(kandula_text, snapshot):
+    broken = _changed(
+        kandula_text,
+        "class:marshal-question",
+        "tier = nowhere\ntarget_first_token_s = soon\ncolour = red\n",
+    )
+    assert _mistakes(broken) == snapshot
+
+
+@pytest.mark.parametrize(
+    ("section", "body", "reason"),
+    [
+        ("tier:desk", "rank = 0", "rank 0 belongs to"),
+        ("tier:digest", "rank = 2\nreserved_share = 0.9", "not within"),
+        ("model:trail-7b", "service = trail-desk", "runs no models"),
+        ("model:trail-7b", "service = gone", "no [service:gone]"),
+        ("policies", "choice = astrology", "known: "),
+        ("owner:operations", "", "no owner has `sections = *`"),
+        (
+            "service:extra",
+            "kind = engine\nendpoints.nuwara-a = 10.10.1.11:8000",
+            "already",
+        ),
+        ("service:extra", "kind = engine\nendpoints.x = here", "`host:port`"),
+    ],
+)
+def test_rule_is_kept(kandula_text, section, body, reason):
+    mistakes = _mistakes(_changed(kandula_text, section, body))
+    assert any(reason in mistake for mistake in mistakes)
+
+
+def test_two_workspaces_never_share_a_key(kandula_text):
+    # A key is copied from one workspace's section to another's. Callers of
+    # one customer would be served, and charged, as those of the other.
+    digest = next(iter(parsing.parse(kandula_text).workspaces.values()))
+    body = f"key_sha256 = {digest.key_sha256[0]}\nclasses = trail-digest"
+    broken = _changed(kandula_text, "workspace:copy", body)
+    assert any("belongs to" in mistake for mistake in _mistakes(broken))
+
+
+def test_a_section_that_stands_twice_is_refused(kandula_text):
+    twice = kandula_text + "[tier:race]\nrank = 5\n"
+    assert any("stands already" in m for m in _mistakes(twice))
+
+
+def test_text_survives_cutting_and_joining(kandula_text):
+    assert text.join(text.split(kandula_text)) == kandula_text
+
+
+def test_replacing_a_section_leaves_the_others_alone(kandula_text):
+    changed = _changed(kandula_text, "tier:race", "rank = 0")
+    before = {s.name: s.lines for s in text.split(kandula_text)}
+    after = {s.name: s.lines for s in text.split(changed)}
+    different = {name for name in before if before[name] != after.get(name)}
+    assert different == {"tier:race"}
--- a/cardamombarrow/entry/settings.py
+++ b/cardamombarrow/entry/settings.py
@@ -31,7 +31,7 @@
     """How the system's own processes find and trust each other."""
 
     secret: str = settings.setting(
-        help="shared secret of all instances, at least 16 characters"
+        help="shared secret of all instances", unit="characters", low=16
     )
     host: str = settings.setting(
         "127.0.0.1", help="address to listen on for other instances"
--- a/cardamombarrow/kernel/settings.py
+++ b/cardamombarrow/kernel/settings.py
@@ -34,7 +34,7 @@
         default: Value when the key is absent; without one it is required.
         help: What the key is for.
         unit: Unit of the value, such as ``s`` or ``bytes``.
-        low: Smallest allowed number, inclusive.
+        low: Smallest allowed number, inclusive; for text, its least length.
         high: Largest allowed number, inclusive.
 
     Returns:
@@ -138,6 +138,9 @@
         return tuple(raw.replace(",", " ").split())
     if isinstance(kind, type) and issubclass(kind, enum.Enum):
         return kind(raw)
+    least = field.metadata["low"]
+    if least is not None and len(raw) < least:
+        raise ValueError(f"needs at least {least} characters")
     return raw
 
 
