--- a/cardamombarrow/document/rules.py
+++ b/cardamombarrow/document/rules.py
@@ -15,7 +15,7 @@
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import registry
 
-__all__ = ["Violation", "violations"]
+__all__ = ["Violation", "limits_of", "violations"]
 
 MOST_RESERVED_SHARE = 0.5
 """All lower tiers together may hold back at most half from the highest."""
@@ -83,6 +83,11 @@
 }
 
 
+def limits_of(kind: str, key: str) -> tuple[float, float] | None:
+    """Returns the least and greatest value of a key, or None for no range."""
+    return _LIMITS.get((kind, key))
+
+
 def _tiers(document: schema.Document) -> abc.Iterator[Violation]:
     by_rank: dict[int, schema.Tier] = {}
     for tier in document.tiers.values():
--- a/cardamombarrow/document/schema.py
+++ b/cardamombarrow/document/schema.py
@@ -30,7 +30,7 @@
     """A sales tier.
 
     Attributes:
-        rank: 0 is served first.
+        rank: 0 is served first; no two tiers have the same.
         reserved_share: Share of each endpoint's slots, 0 to 1, that the tier
             keeps under load from higher tiers, so that it never starves.
     """
@@ -45,6 +45,7 @@
     """A class of requests with one promise.
 
     Attributes:
+        tier: The tier that its requests are served in.
         target_first_token_s: Time from arrival to the first byte of the
             answer that was sold.
         target_total_s: Time from arrival to the end; also the deadline.
@@ -85,9 +86,11 @@
     """Endpoints that serve the same requests.
 
     Attributes:
+        kind: `engine` for model engines, `plain` for other HTTP services.
         slots_per_endpoint: Most requests an endpoint runs at once.
-        endpoints: Addresses ``host:port`` by failure domain.
-        unrepeatable: Routes, as ``METHOD /path``, that run at most once.
+        unrepeatable: Routes, as `METHOD /path`, that run at most once.
+        endpoints: Addresses `host:port` by failure domain, one key
+            `endpoints.<domain>` for each.
         stall_limit_s: Longest silence within an answer before the endpoint
             is probed.
     """
@@ -122,7 +125,7 @@
 
     Attributes:
         token_sha256: Hex digest of the team's operator token.
-        sections: Section kinds, such as ``tier``; ``*`` is all.
+        sections: Section kinds, such as `tier`; `*` is all.
     """
 
     owner: ids.OwnerId
@@ -132,7 +135,20 @@
 
 @dataclasses.dataclass(frozen=True)
 class Policies:
-    """Which decision plug-in runs in each slot."""
+    """Which decision plug-in runs in each slot.
+
+    Attributes:
+        queue: Whom to serve next.
+        admission: Who waits and who is refused.
+        limits: How many requests an endpoint takes at once.
+        choice: Where a request is sent.
+        shares: How instances split an endpoint's slots.
+        retry: When a failed request runs again and a refused caller returns.
+        quarantine: Which requests are kept from endpoints that they crash.
+        spill: When a request may leave its failure domain.
+        preemption: Which running request gives way.
+        estimate: How long an answer will be.
+    """
 
     queue: str = "fifo"
     admission: str = "bounded"
--- a/tools/tests/__init__.py
+++ b/tools/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the tools."""
