Add the benchmark driver for the decisions

Cause: no decision can be measured against its baseline yet. FifoQueue counts jobs by service instead of walking the queue on each look.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,4 @@
+"""Measurements: decisions in virtual time, cost of a decision, a real burst.
+
+``python -m benchmarks`` prints a table per load pattern.
+"""
--- /dev/null
+++ b/benchmarks/__main__.py
@@ -0,0 +1,133 @@
+"""``python -m benchmarks``: a table per load pattern, ours and baselines."""
+
+import argparse
+from collections import abc
+import dataclasses
+import random
+import time
+
+from benchmarks import driver
+from benchmarks import patterns
+from benchmarks import results
+from cardamombarrow.document import schema
+
+__all__ = ["BASELINE", "main", "run"]
+
+BASELINE = schema.Policies(
+    queue="fifo",
+    admission="bounded",
+    limits="fixed",
+    choice="round-robin",
+    shares="static",
+    retry="immediate",
+    quarantine="none",
+    spill="never",
+    preemption="never",
+    estimate="mean",
+)
+
+_HEAD = (
+    "| policies | class | offered | whole | in time | best | refusals "
+    "| worst wait s | least in 10 s | goodput | best | wasted |"
+)
+
+
+def run(
+    pattern: patterns.Pattern, policies: schema.Policies, seeds: int
+) -> results.Result:
+    """Runs a pattern with several seeds and returns the mean."""
+    return results.merge(
+        [
+            driver.Driver(
+                pattern.build(random.Random(seed), policies), seed
+            ).run()
+            for seed in range(seeds)
+        ]
+    )
+
+
+def _variants(
+    pattern: patterns.Pattern, ours: schema.Policies, every_slot: bool
+) -> abc.Iterator[tuple[str, schema.Policies]]:
+    yield "ours", ours
+    yield "all baselines", BASELINE
+    slots = [field.name for field in dataclasses.fields(schema.Policies)]
+    for slot in slots if every_slot else pattern.slots:
+        name = getattr(BASELINE, slot)
+        if getattr(ours, slot) != name:
+            changed = dataclasses.replace(ours, **{slot: name})
+            yield f"{slot}={name}", changed
+
+
+def _rows(name: str, result: results.Result) -> abc.Iterator[str]:
+    for class_id, row in result.classes.items():
+        windows = [row.windows[n] for n in range(1, 6)]
+        yield (
+            f"| {name} | {class_id} | {row.offered:.0f} | {row.completed:.0f} "
+            f"| {row.attainment_share:.3f} | {row.best_share:.3f} "
+            f"| {row.refusals:.0f} | {row.worst_wait_s:.1f} | {min(windows)} "
+            f"| {result.goodput_share:.3f} | {result.best_goodput_share:.3f} "
+            f"| {result.wasted_share:.3f} |"
+        )
+
+
+def _extras(name: str, result: results.Result) -> str:
+    return (
+        f"{name}: crashes {result.crashes:.1f}, innocents lost "
+        f"{result.innocents_lost:.1f}, prompt tokens from cache "
+        f"{result.cached_share:.3f}, most over an endpoint's limit "
+        f"{result.most_over_limit:.0f}"
+    )
+
+
+def main() -> None:
+    """Prints the tables."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("patterns", nargs="*", metavar="pattern")
+    parser.add_argument("--seeds", type=int, default=3)
+    parser.add_argument(
+        "--set",
+        action="append",
+        default=[],
+        metavar="SLOT=NAME",
+        help="a policy of ours other than the document's default",
+    )
+    parser.add_argument(
+        "--every-slot",
+        action="store_true",
+        help="put each slot's baseline in, not just the pattern's own",
+    )
+    options = parser.parse_args()
+    unknown = set(options.patterns) - set(patterns.PATTERNS)
+    if unknown:
+        known = ", ".join(patterns.PATTERNS)
+        parser.error(f"unknown: {', '.join(unknown)}; known: {known}")
+    chosen = dict(item.split("=", 1) for item in options.set)
+    ours = dataclasses.replace(schema.Policies(), **chosen)
+    for name in options.patterns or patterns.PATTERNS:
+        _print(patterns.PATTERNS[name], ours, options)
+
+
+def _print(
+    pattern: patterns.Pattern,
+    ours: schema.Policies,
+    options: argparse.Namespace,
+) -> None:
+    started_s = time.monotonic()
+    print(f"\n### {pattern.name} ({options.seeds} seeds)\n")
+    print(_HEAD)
+    print("|---" * 12 + "|")
+    extras = []
+    for name, policies in _variants(pattern, ours, options.every_slot):
+        result = run(pattern, policies, options.seeds)
+        for row in _rows(name, result):
+            print(row)
+        extras.append(_extras(name, result))
+    print()
+    for line in extras:
+        print(f"- {line}")
+    print(f"\n({time.monotonic() - started_s:.1f} s)")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/fake_engine.py
@@ -0,0 +1,234 @@
+"""A model engine in virtual time, with continuous batching.
+
+One step gives each decoding request one token. It takes longer the more
+requests are in the batch and the more prompt tokens are read in it, so the
+rate per request falls as the batch grows while the rate of the whole rises.
+"""
+
+import collections
+import dataclasses
+import heapq
+import itertools
+
+from cardamombarrow.decisions import messages
+from cardamombarrow.kernel import ids
+
+__all__ = ["EngineSettings", "FakeEngine", "StepResult", "Work"]
+
+
+@dataclasses.dataclass(frozen=True)
+class EngineSettings:
+    """How an engine performs and misbehaves.
+
+    Attributes:
+        base_step_s: Part of a step that does not depend on the batch.
+        step_s_per_sequence: Part of a step per request in the batch.
+        prefill_s_per_token: Time to read one prompt token.
+        prefill_chunk_tokens: Most prompt tokens read in one step.
+        batch: Most requests in the batch; more wait inside by priority.
+        cache_tokens: Size of the prefix cache.
+        report_lag_s: Age of what a load report says.
+        slow_from_s: From this moment all takes `slowdown` times as long.
+        fail_from_s: From this moment every request fails within
+            `fail_after_s`, until `fail_until_s`.
+        restart_s: Time from a crash until it serves again.
+    """
+
+    base_step_s: float = 0.012
+    step_s_per_sequence: float = 0.001
+    prefill_s_per_token: float = 0.0001
+    prefill_chunk_tokens: int = 512
+    batch: int = 8
+    cache_tokens: int = 6_000
+    report_lag_s: float = 2.0
+    slow_from_s: float = float("inf")
+    slow_until_s: float = float("inf")
+    slowdown: float = 1.0
+    fail_from_s: float = float("inf")
+    fail_until_s: float = float("inf")
+    fail_after_s: float = 0.005
+    restart_s: float = 3.0
+
+    def cost_s(self, prompt_tokens: float, tokens: float) -> float:
+        """Returns the engine time of a request in a full batch."""
+        step_s = self.base_step_s + self.step_s_per_sequence * self.batch
+        return prompt_tokens * self.prefill_s_per_token + (
+            tokens * step_s / self.batch
+        )
+
+
+@dataclasses.dataclass
+class Work:
+    """A caller's request with what no router can know beforehand.
+
+    Attributes:
+        answer_tokens: How long the answer will be.
+        prefix_tokens: Leading part of the prompt that `prefix_key` names.
+        crashes: The engine that begins it dies.
+    """
+
+    class_id: ids.ClassId
+    workspace: ids.WorkspaceId
+    arrival_s: float
+    prompt_tokens: int
+    answer_tokens: int
+    prefix_key: str
+    prefix_tokens: int = 0
+    crashes: bool = False
+    tries: int = 0
+
+
+@dataclasses.dataclass
+class _Sequence:
+    job: messages.Job
+    work: Work
+    prefill_left: int
+    tokens: int = 0
+
+
+@dataclasses.dataclass
+class StepResult:
+    """What one step brought."""
+
+    first: list[ids.RequestId] = dataclasses.field(default_factory=list)
+    progress: list[tuple[ids.RequestId, int]] = dataclasses.field(
+        default_factory=list
+    )
+    finished: list[ids.RequestId] = dataclasses.field(default_factory=list)
+
+
+class FakeEngine:
+    """One engine."""
+
+    def __init__(self, settings: EngineSettings):
+        self.settings = settings
+        self.down_until_s = 0.0
+        self.stepping = False
+        self.prompt_tokens_read = 0
+        self.prompt_tokens_cached = 0
+        self._order = itertools.count()
+        self._waiting: list[tuple[int, int, _Sequence]] = []
+        self._batch: dict[ids.RequestId, _Sequence] = {}
+        self._cancelled: set[ids.RequestId] = set()
+        self._cache: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
+        self._reading: dict[ids.RequestId, int] = {}
+        self._history: collections.deque[tuple[float, int, int]] = (
+            collections.deque(maxlen=400)
+        )
+
+    def down(self, now_s: float) -> bool:
+        """Tells whether nobody can connect."""
+        return now_s < self.down_until_s
+
+    def failing(self, now_s: float) -> bool:
+        """Tells whether every request fails at once."""
+        settings = self.settings
+        return settings.fail_from_s <= now_s < settings.fail_until_s
+
+    def add(self, job: messages.Job, work: Work) -> None:
+        """Takes a request."""
+        sequence = _Sequence(job, work, work.prompt_tokens)
+        heapq.heappush(self._waiting, (job.rank, next(self._order), sequence))
+
+    def cancel(self, request_id: ids.RequestId) -> None:
+        """Drops a request; its place is free at the next step."""
+        if self._batch.pop(request_id, None) is None:
+            self._cancelled.add(request_id)
+
+    def crash(self, now_s: float) -> list[ids.RequestId]:
+        """Dies; returns the requests that die with it."""
+        lost = [
+            *self._batch,
+            *(
+                item[2].job.request_id
+                for item in self._waiting
+                if item[2].job.request_id not in self._cancelled
+            ),
+        ]
+        self._batch.clear()
+        self._waiting.clear()
+        self._cache.clear()
+        self._reading.clear()
+        self.down_until_s = now_s + self.settings.restart_s
+        return lost
+
+    def begin_step(self, now_s: float) -> float | None:
+        """Starts a step; returns its length in seconds, None if idle."""
+        self._admit()
+        if not self._batch:
+            return None
+        settings = self.settings
+        left = settings.prefill_chunk_tokens
+        self._reading.clear()
+        for request_id, sequence in self._batch.items():
+            if sequence.prefill_left and left:
+                part = min(left, sequence.prefill_left)
+                self._reading[request_id] = part
+                left -= part
+        length_s = (
+            settings.base_step_s
+            + settings.step_s_per_sequence * len(self._batch)
+            + settings.prefill_s_per_token * sum(self._reading.values())
+        )
+        if settings.slow_from_s <= now_s < settings.slow_until_s:
+            length_s *= settings.slowdown
+        return length_s
+
+    def _admit(self) -> None:
+        while self._waiting and len(self._batch) < self.settings.batch:
+            sequence = heapq.heappop(self._waiting)[2]
+            request_id = sequence.job.request_id
+            if request_id in self._cancelled:
+                self._cancelled.discard(request_id)
+                continue
+            key = sequence.work.prefix_key
+            self.prompt_tokens_read += sequence.prefill_left
+            if key in self._cache:
+                self._cache.move_to_end(key)
+                self.prompt_tokens_cached += self._cache[key]
+                sequence.prefill_left -= self._cache[key]
+            sequence.prefill_left = max(sequence.prefill_left, 1)
+            self._batch[request_id] = sequence
+
+    def crashing(self) -> bool:
+        """Tells whether a request in the batch kills the engine."""
+        return any(s.work.crashes for s in self._batch.values())
+
+    def end_step(self) -> StepResult:
+        """Ends the step that was begun."""
+        result = StepResult()
+        for request_id, sequence in list(self._batch.items()):
+            if sequence.prefill_left:
+                sequence.prefill_left -= self._reading.get(request_id, 0)
+                if sequence.prefill_left:
+                    continue
+                self._keep_prefix(sequence.work)
+                result.first.append(request_id)
+            sequence.tokens += 1
+            result.progress.append((request_id, sequence.tokens))
+            if sequence.tokens >= sequence.work.answer_tokens:
+                result.finished.append(request_id)
+                del self._batch[request_id]
+        return result
+
+    def _keep_prefix(self, work: Work) -> None:
+        if not work.prefix_tokens:
+            return
+        self._cache[work.prefix_key] = work.prefix_tokens
+        self._cache.move_to_end(work.prefix_key)
+        while sum(self._cache.values()) > self.settings.cache_tokens:
+            self._cache.popitem(last=False)
+
+    def observe(self, now_s: float) -> None:
+        """Keeps the load of this moment for later reports."""
+        self._history.append((now_s, len(self._batch), len(self._waiting)))
+
+    def report(self, now_s: float) -> messages.LoadReport:
+        """Returns the load as it was `report_lag_s` ago."""
+        seen_s = now_s - self.settings.report_lag_s
+        old = [item for item in self._history if item[0] <= seen_s]
+        _, running, waiting = (old or [(0.0, 0, 0)])[-1]
+        used = running / self.settings.batch
+        return messages.LoadReport(running, waiting, used, False, now_s)
--- /dev/null
+++ b/benchmarks/results.py
@@ -0,0 +1,105 @@
+"""What callers received, summed up by class."""
+
+import collections
+import dataclasses
+import statistics
+
+from cardamombarrow.kernel import ids
+
+__all__ = ["ClassResult", "Result", "merge"]
+
+WINDOW_S = 10.0
+"""Length of the windows in which each class should complete work."""
+
+
+@dataclasses.dataclass
+class ClassResult:
+    """One class in one run.
+
+    Attributes:
+        offered: Callers' requests; a resend is not counted again.
+        attained: First token in time, from the first sending on, and whole.
+        refusals: Refusals answered; one request may collect several.
+        worst_wait_s: Longest time from arrival to first token or final error.
+    """
+
+    offered: float = 0
+    completed: float = 0
+    attained: float = 0
+    refusals: float = 0
+    worst_wait_s: float = 0.0
+    best_share: float | None = None
+    windows: collections.Counter[int] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+    @property
+    def attainment_share(self) -> float:
+        """Share of the offered requests that met the target."""
+        return self.attained / max(self.offered, 1)
+
+
+@dataclasses.dataclass
+class Result:
+    """One run.
+
+    Attributes:
+        useful_s: Engine time of the answers that were whole while the load
+            lasted, in full batches.
+        wasted_s: Engine time of answers that nobody received whole.
+        capacity_s: Engine time that there was.
+        best_goodput_share: Most that any order could give.
+        crashes: Endpoints that died.
+        innocents_lost: Harmless requests that ended in an error after a
+            crash or in the quarantine.
+    """
+
+    classes: dict[ids.ClassId, ClassResult]
+    useful_s: float = 0.0
+    wasted_s: float = 0.0
+    capacity_s: float = 0.0
+    best_goodput_share: float = 1.0
+    cached_share: float = 0.0
+    crashes: float = 0
+    innocents_lost: float = 0
+    most_over_limit: float = 0
+
+    @property
+    def goodput_share(self) -> float:
+        """Useful engine time out of all there was."""
+        return self.useful_s / max(self.capacity_s, 1e-9)
+
+    @property
+    def wasted_share(self) -> float:
+        """Wasted engine time out of all that was used."""
+        return self.wasted_s / max(self.useful_s + self.wasted_s, 1e-9)
+
+
+_MAXIMA = ("worst_wait_s", "most_over_limit")
+
+
+def merge(results: list[Result]) -> Result:
+    """Returns the mean of several seeds; of waits the worst."""
+    merged = _mean(results, Result, skip=("classes",))
+    for class_id in results[0].classes:
+        parts = [result.classes[class_id] for result in results]
+        mean = _mean(parts, ClassResult, skip=("windows", "best_share"))
+        if parts[0].best_share is not None:
+            mean.best_share = statistics.fmean(p.best_share for p in parts)
+        for window in range(max(max(p.windows, default=0) for p in parts)):
+            mean.windows[window] = min(p.windows[window] for p in parts)
+        merged.classes[class_id] = mean
+    return merged
+
+
+def _mean(parts: list, cls: type, skip: tuple[str, ...]) -> object:
+    values = {}
+    for field in dataclasses.fields(cls):
+        if field.name in skip:
+            continue
+        numbers = [getattr(part, field.name) for part in parts]
+        summed = max if field.name in _MAXIMA else statistics.fmean
+        values[field.name] = summed(numbers)
+    if cls is Result:
+        values["classes"] = {}
+    return cls(**values)
--- a/cardamombarrow/decisions/baselines.py
+++ b/cardamombarrow/decisions/baselines.py
@@ -34,14 +34,21 @@
     def __init__(self, context: base.PolicyContext):
         super().__init__(context)
         self._jobs: dict[ids.RequestId, messages.Job] = {}
+        self._by_service: collections.Counter[ids.ServiceId] = (
+            collections.Counter()
+        )
 
     def push(self, job: messages.Job, now_s: float) -> None:
         """Adds a job at the end."""
         self._jobs[job.request_id] = job
+        self._by_service[job.service] += 1
 
     def remove(self, request_id: ids.RequestId) -> messages.Job | None:
         """Takes a job out."""
-        return self._jobs.pop(request_id, None)
+        job = self._jobs.pop(request_id, None)
+        if job is not None:
+            self._by_service[job.service] -= 1
+        return job
 
     def take(self, room: base.Room, now_s: float) -> messages.Job | None:
         """Takes the oldest job; while it has no room nobody overtakes it."""
@@ -50,7 +57,7 @@
             if job.service in blocked:
                 continue
             if room.candidates(job):
-                return self._jobs.pop(job.request_id)
+                return self.remove(job.request_id)
             blocked.add(job.service)
         return None
 
@@ -60,9 +67,7 @@
 
     def jobs_ahead(self, job: messages.Job) -> int:
         """Counts all queued jobs of the service."""
-        return sum(
-            1 for other in self._jobs.values() if other.service == job.service
-        )
+        return self._by_service[job.service]
 
     def __len__(self) -> int:
         """Counts the queued jobs."""
