--- a/cardamombarrow/cli/core.py
+++ b/cardamombarrow/cli/core.py
@@ -14,6 +14,17 @@
 
 __all__ = ["run"]
 
+_NEXT_STEPS = {
+    errors.ErrorKind.ENDPOINT_UNREACHED: "Name a control process that runs "
+    "with --url, or set CARDAMOMBARROW_URLS.",
+    errors.ErrorKind.UNAUTHENTICATED: "Give an operator token with --token, "
+    "or set CARDAMOMBARROW_TOKEN.",
+    errors.ErrorKind.NO_QUORUM: "Look at `cardamombarrow status`; when a "
+    "majority of the voters is reached again, send the edit again with the "
+    "same --edit-id.",
+    errors.ErrorKind.NOT_FOUND: "See `cardamombarrow --help`.",
+}
+
 
 def run(arguments: list[str]) -> int:
     """Parses the arguments and carries out the command."""
@@ -28,6 +39,9 @@
         return exit_codes.ExitCode.INVALID
     except errors.RouterError as error:
         print(f"{error.kind.value}: {error.detail}", file=sys.stderr)
+        step = _NEXT_STEPS.get(error.kind)
+        if step:
+            print(step, file=sys.stderr)
         return exit_codes.ExitCode.FAILED
 
 
--- a/cardamombarrow/cli/operate.py
+++ b/cardamombarrow/cli/operate.py
@@ -16,6 +16,14 @@
 
 WAIT_LOOK_S = 0.1
 
+_NEXT_STEPS = {
+    "conflict": "Others changed these sections since your base revision: put "
+    "your change into the text shown and send it as a new edit.",
+    "invalid": "Mend the mistakes and send it as a new edit.",
+    "forbidden": "Ask the owner of these sections.",
+    "id_reused": "This edit id belongs to another edit: leave out --edit-id.",
+}
+
 
 def _client(arguments: argparse.Namespace) -> client.AdminClient:
     return client.AdminClient(arguments.url, arguments.token, arguments.ca_file)
@@ -60,9 +68,13 @@
     base = arguments.base
     if base is None:
         base = admin.get("/v1/document")["revision"]
+    edit_id = arguments.edit_id or str(uuid.uuid4())
+    # Printed before the answer is known: an operator who loses the answer
+    # sends the edit again under this id, and it is not done twice.
+    print(f"edit id {edit_id}", file=sys.stderr)
     answer = admin.edit(
         {
-            "edit_id": arguments.edit_id or str(uuid.uuid4()),
+            "edit_id": edit_id,
             "base_revision": base,
             "replacements": replacements,
             "author": arguments.author,
@@ -70,6 +82,7 @@
     )
     _print(answer)
     if answer["status"] != "accepted":
+        print(_NEXT_STEPS[answer["status"]], file=sys.stderr)
         codes = exit_codes.ExitCode
         return codes.CONFLICT if answer["conflicts"] else codes.INVALID
     if arguments.wait_s:
