Take test ports below the range of outgoing connections

Cause: a control process of a test deployment did not start in 30 s; its port had been free when it was chosen, and was taken by an outgoing connection of another process before it listened. Ruled out: a fault of the control process (the same test alone passed 10 of 10). Change: ports from 10000 to 32000, from a place that depends on the process id.

--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import dataclasses
+import itertools
 import os
 import pathlib
 import signal
@@ -24,16 +25,33 @@
 
 SECRET = "loopback-secret-of-the-stand-in-deployment"
 START_TIMEOUT_S = 30.0
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
+"""Ports below the range from which outgoing connections are served."""
+
+PORTS_A_RUN = 256
+_PORT_NUMBERS = itertools.count(os.getpid() * PORTS_A_RUN)
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 
 
 def free_ports(count: int) -> list[int]:
-    """Returns ports that were free just now."""
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for item in sockets:
-            item.bind(("127.0.0.1", 0))
-        return [item.getsockname()[1] for item in sockets]
+    """Returns ports that are free, and that nobody is given by chance.
+
+    A port of the range that the machine hands to outgoing connections may be
+    taken by one of them before the process that is to listen there has
+    started; that process then fails to start, now and then. So ports below
+    that range are tried in turn, each run of tests from a place of its own.
+    """
+    found = []
+    while len(found) < count:
+        port = FIRST_PORT + next(_PORT_NUMBERS) % (LAST_PORT - FIRST_PORT)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        found.append(port)
+    return found
 
 
 def wait_until(
