Authenticate instances by HMAC and watch standing links both ways

Cause: the shared secret went over the wire with each call, so one listener had it for good. A link that had gone silent was never noticed: nothing was expected on it. /v1/in-force showed only the entries of the control process that was asked and dropped those whose link broke, so an edit was reported in force everywhere while a cut-off entry kept the old document.

Now each request carries an HMAC over method, time and nonce, good once. Control processes send a heartbeat each second with the word whether they have a quorum; the entry replaces the link after 4 s of silence and moves on after 3 s without quorum. Commands are tried at each control process in turn until the deadline. TLS between instances was weighed and left: it needs a certificate per instance; the HMAC needs what the settings hold already.

--- a/cardamombarrow/admin/app.py
+++ b/cardamombarrow/admin/app.py
@@ -21,7 +21,7 @@
 from cardamombarrow.log import base
 from cardamombarrow.peers import codec
 from cardamombarrow.peers import control_pb2
-from cardamombarrow.peers import control_service
+from cardamombarrow.peers import followers
 
 __all__ = ["AdminApp"]
 
@@ -48,7 +48,7 @@
     machine.EditStatus.ID_REUSED: 422,
 }
 
-Followers = abc.Callable[[], dict[ids.InstanceId, control_service.Follower]]
+Followers = abc.Callable[[], dict[ids.InstanceId, followers.Follower]]
 
 
 class AdminApp:
@@ -58,11 +58,11 @@
         self,
         log: base.Log,
         state: state_module.ControlState,
-        followers: Followers,
+        known_followers: Followers,
     ):
         self._log = log
         self._state = state
-        self._followers = followers
+        self._followers = known_followers
 
     def __call__(
         self, environ: dict[str, typing.Any], start_response: typing.Any
--- a/cardamombarrow/control/core.py
+++ b/cardamombarrow/control/core.py
@@ -15,6 +15,8 @@
 from cardamombarrow.log import base
 from cardamombarrow.log import local
 from cardamombarrow.peers import control_service
+from cardamombarrow.peers import follower_exchange
+from cardamombarrow.peers import followers as followers_module
 from cardamombarrow.peers import loop as loop_module
 from cardamombarrow.peers import secret as secret_module
 
@@ -31,8 +33,10 @@
 
     def apply(self, index: int, command: bytes) -> bytes:
         """Applies one command and publishes what it changed."""
+        before = self.document.revision
         answer = super().apply(index, command)
-        self.publish()
+        if self.document.revision != before:
+            self.publish()
         return answer
 
     def restore(self, snapshot: bytes) -> None:
@@ -44,7 +48,9 @@
         """Sends the document to the followers, if it is newer."""
         if self.service is not None:
             self._loop.call(
-                self.service.publish(self.document.revision, self.document.text)
+                self.service.followers.publish(
+                    self.document.revision, self.document.text
+                )
             )
 
 
@@ -63,10 +69,19 @@
         self._log = log
         self._state = state
         self._server: server.Server | None = None
+        self._exchange: follower_exchange.FollowerExchange | None = None
 
     def start(self) -> None:
         """Starts listening."""
         self._loop.call(self._start()).result(timeout=10)
+        peers = self._settings.peers
+        self._exchange = follower_exchange.FollowerExchange(
+            self._loop,
+            peers.controls,
+            peers.secret,
+            self._state.service.followers,
+        )
+        self._exchange.start()
 
     async def _start(self) -> None:
         peers = self._settings.peers
@@ -79,6 +94,7 @@
 
     def stop(self) -> None:
         """Stops listening."""
+        self._exchange.stop()
         self._loop.call(self._stop()).result(timeout=10)
 
     async def _stop(self) -> None:
@@ -87,9 +103,10 @@
     @property
     def followers(
         self,
-    ) -> dict[ids.InstanceId, control_service.Follower]:
-        """The entries that follow this control process."""
-        return self._state.service.followers if self._state.service else {}
+    ) -> dict[ids.InstanceId, followers_module.Follower]:
+        """The entries that follow this or another control process."""
+        service = self._state.service
+        return service.followers.table() if service else {}
 
 
 class _LogPart(lifecycle.Part):
--- a/cardamombarrow/peers/control_client.py
+++ b/cardamombarrow/peers/control_client.py
@@ -2,12 +2,13 @@
 
 One task per entry keeps a stream to one control process: reports of the
 applied revision go up, accepted documents come down. When the link breaks or
-goes silent, the next control process is tried.
+goes silent, or its control process has no quorum, the next one is tried.
 """
 
 import asyncio
 from collections import abc
 from concurrent import futures
+import contextlib
 import random
 
 from grpclib import client
@@ -23,12 +24,36 @@
 from cardamombarrow.peers import loop as loop_module
 from cardamombarrow.peers import secret as secret_module
 
-__all__ = ["ControlClient"]
+__all__ = ["LINK_ERRORS", "ControlClient"]
 
 RECONNECT_MIN_S = 0.2
 RECONNECT_MAX_S = 2.0
 
-_LINK_ERRORS = (OSError, exceptions.GRPCError, exceptions.StreamTerminatedError)
+SILENT_S = 4.0
+"""A link on which nothing came for this long is replaced: four heartbeats of
+`followers.HEARTBEAT_S`, so that one late heartbeat does no harm."""
+
+NO_QUORUM_MOVE_S = 3.0
+"""How long a control process without a quorum is followed: longer than an
+election takes, shorter than an edit may take to be in force."""
+
+ATTEMPT_S = 1.2
+"""Longest wait for one control process before the next is asked. It may have
+lost its quorum without knowing it yet, or the link may be silent."""
+
+PROPOSE_PAUSE_S = 0.1
+"""Pause after every control process has refused: an election may be on."""
+
+GOODBYE_S = 1.0
+
+LINK_ERRORS = (
+    OSError,
+    TimeoutError,
+    exceptions.GRPCError,
+    exceptions.ProtocolError,
+    exceptions.StreamTerminatedError,
+)
+"""What a broken or silent link raises."""
 
 
 class ControlClient(lifecycle.Part):
@@ -46,11 +71,14 @@
         self._loop = loop
         self._addresses = list(controls)
         random.shuffle(self._addresses)
-        self._metadata = secret_module.metadata(secret)
+        self._secret = secret
         self._report = report
         self._on_document = on_document
         self._report_interval_s = report_interval_s
         self._channels: dict[str, client.Channel] = {}
+        self._followed = ""
+        self._changed = asyncio.Event()
+        self._stopping = False
         self._task: futures.Future[None] | None = None
 
     def start(self) -> None:
@@ -58,76 +86,177 @@
         self._task = self._loop.call(self._follow_forever())
 
     def stop(self) -> None:
-        """Stops following."""
+        """Says goodbye and stops following."""
+        self._loop.call(self._goodbye()).result(timeout=GOODBYE_S + 1)
         self._task.cancel()
         self._loop.call(self._close()).result(timeout=5)
 
+    async def _goodbye(self) -> None:
+        self._stopping = True
+        self._changed.set()
+        # Leaves the link time to send the goodbye.
+        await asyncio.sleep(GOODBYE_S / 10)
+
     async def _close(self) -> None:
         for channel in self._channels.values():
             channel.close()
 
     def _stub(self, address: str) -> control_grpc.ControlStub:
         if address not in self._channels:
-            host, _, port = address.rpartition(":")
-            self._channels[address] = client.Channel(host, int(port))
+            self._channels[address] = secret_module.channel(
+                address, self._secret
+            )
         return control_grpc.ControlStub(self._channels[address])
 
+    def _drop(self, address: str) -> None:
+        """Closes a channel, so that the next use connects anew."""
+        channel = self._channels.pop(address, None)
+        if channel is not None:
+            channel.close()
+
+    # -- following ---------------------------------------------------------
+
     async def _follow_forever(self) -> None:
         pause_s = RECONNECT_MIN_S
-        while True:
+        while self._addresses:
             address = self._addresses[0]
             try:
                 await self._follow(address)
                 pause_s = RECONNECT_MIN_S
-            except (*_LINK_ERRORS, TimeoutError) as error:
+            except LINK_ERRORS as error:
                 logs.event(
                     "control link lost",
                     "WARNING",
                     address=address,
                     detail=repr(error),
                 )
-            self._addresses.append(self._addresses.pop(0))
+            self._followed = ""
+            self._drop(address)
+            self._addresses.remove(address)
+            self._addresses.append(address)
             await asyncio.sleep(random.uniform(RECONNECT_MIN_S, pause_s))
             pause_s = min(pause_s * 2, RECONNECT_MAX_S)
 
     async def _follow(self, address: str) -> None:
-        stub = self._stub(address)
-        async with stub.Follow.open(metadata=self._metadata) as stream:
-            await stream.send_message(self._report())
-            reader = asyncio.create_task(self._read(stream))
-            try:
-                while not reader.done():
-                    await asyncio.wait(
-                        [reader], timeout=self._report_interval_s
-                    )
-                    await stream.send_message(self._report())
-                await reader
-            finally:
-                reader.cancel()
-
-    async def _read(self, stream: client.Stream) -> None:
-        async for message in stream:
-            self._on_document(ids.Revision(message.revision), message.text)
+        loop = asyncio.get_running_loop()
+        quorum_s = loop.time()
+        async with asyncio.timeout(SILENT_S) as silence:
+            async with self._stub(address).Follow.open() as stream:
+                await stream.send_message(self._report())
+                sender = asyncio.create_task(self._send_reports(stream))
+                try:
+                    while message := await stream.recv_message():
+                        self._followed = address
+                        silence.reschedule(loop.time() + SILENT_S)
+                        await self._take(message)
+                        if message.has_quorum:
+                            quorum_s = loop.time()
+                        if loop.time() - quorum_s > NO_QUORUM_MOVE_S:
+                            logs.event("control without quorum", "WARNING")
+                            return
+                finally:
+                    sender.cancel()
+
+    async def _send_reports(self, stream: client.Stream) -> None:
+        while not self._stopping:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(
+                    self._changed.wait(), self._report_interval_s
+                )
+            self._changed.clear()
+            report = self._report()
+            report.leaving = self._stopping
+            await stream.send_message(report)
+
+    async def _take(self, message: control_pb2.DocumentMessage) -> None:
+        if not message.text:
+            return
+        try:
+            # Parsing takes long enough to hold up every other link.
+            await asyncio.to_thread(
+                self._on_document, ids.Revision(message.revision), message.text
+            )
+        except errors.RouterError as error:
+            # A later version of the control processes may accept what this
+            # one can't read. It keeps what it has in force.
+            logs.event("document not taken", "ERROR", detail=error.detail)
+        self._changed.set()
+
+    def report_now(self) -> None:
+        """Sends a report at once, because another revision is in force."""
+        self._loop.call(self._set_changed())
+
+    async def _set_changed(self) -> None:
+        self._changed.set()
+
+    def documents(
+        self, timeout_s: float
+    ) -> list[futures.Future[control_pb2.DocumentMessage | None]]:
+        """Asks every control process for its newest document."""
+        return [
+            self._loop.call(self._document(address, timeout_s))
+            for address in self._addresses
+        ]
+
+    async def _document(
+        self, address: str, timeout_s: float
+    ) -> control_pb2.DocumentMessage | None:
+        try:
+            return await asyncio.wait_for(
+                self._stub(address).Document(control_pb2.DocumentRequest()),
+                timeout_s,
+            )
+        except LINK_ERRORS:
+            self._drop(address)
+            return None
+
+    # -- commands ----------------------------------------------------------
 
     def propose(
         self, command: control_pb2.Command, timeout_s: float
     ) -> futures.Future[control_pb2.Reply]:
-        """Hands a command to the log by way of any control process."""
+        """Hands a command to the log by way of any control process.
+
+        A command may be handed in more than once, where an answer was lost;
+        the state machines take each command once only.
+        """
         return self._loop.call(self._propose(command, timeout_s))
 
     async def _propose(
         self, command: control_pb2.Command, timeout_s: float
     ) -> control_pb2.Reply:
-        error: Exception | None = None
-        for address in list(self._addresses):
-            try:
-                return await self._stub(address).Propose(
-                    command, timeout=timeout_s, metadata=self._metadata
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + timeout_s
+        reply = _no_quorum("no control process is set")
+        while loop.time() < deadline_s:
+            for address in list(self._addresses):
+                left_s = deadline_s - loop.time()
+                if left_s <= 0:
+                    break
+                reply = await self._attempt(
+                    command, address, min(left_s, ATTEMPT_S)
                 )
-            except (*_LINK_ERRORS, TimeoutError) as failure:
-                error = failure
-        return codec.failure_to_wire(
-            errors.UnavailableError(
-                errors.ErrorKind.NO_QUORUM, f"no control answered: {error!r}"
+                if reply.WhichOneof("kind") != "failure":
+                    return reply
+            await asyncio.sleep(PROPOSE_PAUSE_S)
+        return reply
+
+    async def _attempt(
+        self, command: control_pb2.Command, address: str, timeout_s: float
+    ) -> control_pb2.Reply:
+        try:
+            return await asyncio.wait_for(
+                self._stub(address).Propose(command), timeout_s
             )
-        )
+        except LINK_ERRORS as error:
+            if address != self._followed:
+                # Nothing else watches this link: had it gone silent, every
+                # later command on it would wait in vain.
+                self._drop(address)
+            return _no_quorum(f"{address}: {error!r}")
+
+
+def _no_quorum(detail: str) -> control_pb2.Reply:
+    return codec.failure_to_wire(
+        errors.UnavailableError(errors.ErrorKind.NO_QUORUM, detail)
+    )
--- a/cardamombarrow/peers/control_grpc.py
+++ b/cardamombarrow/peers/control_grpc.py
@@ -22,6 +22,14 @@
     async def Follow(self, stream: 'grpclib.server.Stream[cardamombarrow.peers.control_pb2.AppliedReport, cardamombarrow.peers.control_pb2.DocumentMessage]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Document(self, stream: 'grpclib.server.Stream[cardamombarrow.peers.control_pb2.DocumentRequest, cardamombarrow.peers.control_pb2.DocumentMessage]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def Followers(self, stream: 'grpclib.server.Stream[cardamombarrow.peers.control_pb2.FollowersRequest, cardamombarrow.peers.control_pb2.FollowersReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/cardamombarrow.peers.Control/Propose': grpclib.const.Handler(
@@ -36,6 +44,18 @@
                 cardamombarrow.peers.control_pb2.AppliedReport,
                 cardamombarrow.peers.control_pb2.DocumentMessage,
             ),
+            '/cardamombarrow.peers.Control/Document': grpclib.const.Handler(
+                self.Document,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                cardamombarrow.peers.control_pb2.DocumentRequest,
+                cardamombarrow.peers.control_pb2.DocumentMessage,
+            ),
+            '/cardamombarrow.peers.Control/Followers': grpclib.const.Handler(
+                self.Followers,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                cardamombarrow.peers.control_pb2.FollowersRequest,
+                cardamombarrow.peers.control_pb2.FollowersReply,
+            ),
         }
 
 
@@ -54,3 +74,15 @@
             cardamombarrow.peers.control_pb2.AppliedReport,
             cardamombarrow.peers.control_pb2.DocumentMessage,
         )
+        self.Document = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/cardamombarrow.peers.Control/Document',
+            cardamombarrow.peers.control_pb2.DocumentRequest,
+            cardamombarrow.peers.control_pb2.DocumentMessage,
+        )
+        self.Followers = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/cardamombarrow.peers.Control/Followers',
+            cardamombarrow.peers.control_pb2.FollowersRequest,
+            cardamombarrow.peers.control_pb2.FollowersReply,
+        )
--- a/cardamombarrow/peers/control_service.py
+++ b/cardamombarrow/peers/control_service.py
@@ -1,54 +1,33 @@
 """The control process's side of `control.proto`."""
 
 import asyncio
-import dataclasses
-import time
 
 from grpclib import server
 
 from cardamombarrow.kernel import errors
-from cardamombarrow.kernel import ids
 from cardamombarrow.log import base
 from cardamombarrow.peers import codec
 from cardamombarrow.peers import control_grpc
 from cardamombarrow.peers import control_pb2
+from cardamombarrow.peers import followers as followers_module
 
-__all__ = ["ControlService", "Follower"]
+__all__ = ["ControlService"]
 
 PROPOSE_TIMEOUT_S = 3.0
 
 
-@dataclasses.dataclass
-class Follower:
-    """An entry that follows this control process.
+class ControlService(control_grpc.ControlBase):
+    """Serves entries; lives on the loop thread.
 
     Attributes:
-        heard_s: Monotonic time of its last report.
+        followers: The entries that follow, and the document they get.
     """
 
-    instance: ids.InstanceId
-    domain: ids.DomainId
-    applied_revision: ids.Revision
-    heard_s: float
-
-
-class ControlService(control_grpc.ControlBase):
-    """Serves entries; lives on the loop thread."""
-
     def __init__(self, log: base.Log):
         self._log = log
-        self._document = control_pb2.DocumentMessage()
-        self._changed = asyncio.Condition()
-        self.followers: dict[ids.InstanceId, Follower] = {}
-
-    async def publish(self, revision: ids.Revision, text: str) -> None:
-        """Sends an accepted document to every follower."""
-        async with self._changed:
-            if revision > self._document.revision:
-                self._document = control_pb2.DocumentMessage(
-                    revision=revision, text=text
-                )
-                self._changed.notify_all()
+        self.followers = followers_module.Followers(
+            lambda: log.status().has_quorum
+        )
 
     async def Propose(self, stream: server.Stream) -> None:  # noqa: N802
         """Hands a command to the log."""
@@ -72,29 +51,15 @@
         await stream.send_message(reply)
 
     async def Follow(self, stream: server.Stream) -> None:  # noqa: N802
-        """Takes reports and sends documents until the entry leaves."""
-        sender = asyncio.create_task(self._send_documents(stream))
-        instance = None
-        try:
-            async for report in stream:
-                instance = ids.InstanceId(report.instance)
-                self.followers[instance] = Follower(
-                    instance,
-                    ids.DomainId(report.domain),
-                    ids.Revision(report.applied_revision),
-                    time.monotonic(),
-                )
-        finally:
-            sender.cancel()
-            if instance is not None:
-                self.followers.pop(instance, None)
-
-    async def _send_documents(self, stream: server.Stream) -> None:
-        sent = 0
-        while True:
-            async with self._changed:
-                while self._document.revision <= sent:
-                    await self._changed.wait()
-                document = self._document
-            await stream.send_message(document)
-            sent = document.revision
+        """Serves an entry's standing link."""
+        await self.followers.serve(stream)
+
+    async def Document(self, stream: server.Stream) -> None:  # noqa: N802
+        """Answers with the newest accepted document."""
+        await stream.recv_message()
+        await stream.send_message(self.followers.document())
+
+    async def Followers(self, stream: server.Stream) -> None:  # noqa: N802
+        """Answers with the entries heard of."""
+        await stream.recv_message()
+        await stream.send_message(self.followers.rows())
--- /dev/null
+++ b/cardamombarrow/peers/follower_exchange.py
@@ -0,0 +1,81 @@
+"""Control processes tell each other which entries they hear.
+
+An entry follows one control process; an operator may ask any. Each control
+process asks each other one at a fixed interval, one task per peer.
+"""
+
+import asyncio
+from concurrent import futures
+
+from grpclib import client
+from grpclib import exceptions
+
+from cardamombarrow.kernel import lifecycle
+from cardamombarrow.peers import control_grpc
+from cardamombarrow.peers import control_pb2
+from cardamombarrow.peers import followers as followers_module
+from cardamombarrow.peers import loop as loop_module
+from cardamombarrow.peers import secret as secret_module
+
+__all__ = ["FollowerExchange"]
+
+INTERVAL_S = 1.0
+TIMEOUT_S = 2.0
+
+
+class FollowerExchange(lifecycle.Part):
+    """Keeps a table of followers in step with the other controls'."""
+
+    def __init__(
+        self,
+        loop: loop_module.LoopThread,
+        controls: tuple[str, ...],
+        secret: str,
+        table: followers_module.Followers,
+    ):
+        self._loop = loop
+        self._controls = controls
+        self._secret = secret
+        self._table = table
+        self._tasks: list[futures.Future[None]] = []
+
+    def start(self) -> None:
+        """Starts asking."""
+        self._tasks = [
+            self._loop.call(self._ask_forever(address))
+            for address in self._controls
+        ]
+
+    def stop(self) -> None:
+        """Stops asking."""
+        for task in self._tasks:
+            task.cancel()
+
+    async def _ask_forever(self, address: str) -> None:
+        channel = secret_module.channel(address, self._secret)
+        try:
+            while True:
+                await asyncio.sleep(INTERVAL_S)
+                if not await self._ask(channel):
+                    # It may have gone silent: the next request gets a new
+                    # connection.
+                    channel.close()
+                    channel = secret_module.channel(address, self._secret)
+        finally:
+            channel.close()
+
+    async def _ask(self, channel: client.Channel) -> bool:
+        request = control_pb2.FollowersRequest()
+        try:
+            reply = await asyncio.wait_for(
+                control_grpc.ControlStub(channel).Followers(request), TIMEOUT_S
+            )
+        except (
+            OSError,
+            TimeoutError,
+            exceptions.GRPCError,
+            exceptions.StreamTerminatedError,
+        ):
+            return False
+        self._table.merge(reply)
+        return True
--- a/cardamombarrow/peers/secret.py
+++ b/cardamombarrow/peers/secret.py
@@ -1,36 +1,125 @@
-"""Authentication between the system's own processes by a shared secret."""
+"""Authentication between the system's own processes by a shared secret.
 
+The secret itself never travels. Each request carries the time, a random nonce
+and an HMAC-SHA256 over both and the method's name; a server takes a request
+only if the HMAC fits, the time is near its own, and the nonce is new. A
+standing stream is authenticated when it is opened.
+
+Notes:
+    Clocks of instances have to agree within `TIME_WINDOW_S`. Message bodies
+    are not covered: this keeps out who can reach the port or listen, not who
+    can change packets on the way.
+"""
+
+from collections import abc
+import hashlib
 import hmac
+import secrets
+import time
 
+from grpclib import client
 from grpclib import const
 from grpclib import events
 from grpclib import exceptions
 
-__all__ = ["HEADER", "guard", "metadata"]
+__all__ = ["HEADER", "TIME_WINDOW_S", "Guard", "channel", "guard", "token"]
+
+HEADER = "x-cardamombarrow-auth"
+
+TIME_WINDOW_S = 60.0
+"""How far the time in a token may be from the server's own."""
+
+NONCE_BYTES = 12
+
+
+def token(secret: str, method: str, at_unix_s: float) -> str:
+    """Returns a token for one request.
+
+    Args:
+        secret: The shared secret.
+        method: Name of the method, ``/package.Service/Method``.
+        at_unix_s: The client's wall clock.
+    """
+    nonce = secrets.token_hex(NONCE_BYTES)
+    return f"{at_unix_s:.3f}:{nonce}:{_mac(secret, method, at_unix_s, nonce)}"
+
+
+def _mac(secret: str, method: str, at_unix_s: float, nonce: str) -> str:
+    text = f"{method}\n{at_unix_s:.3f}\n{nonce}"
+    return hmac.new(secret.encode(), text.encode(), hashlib.sha256).hexdigest()
+
+
+def channel(address: str, secret: str) -> client.Channel:
+    """Returns a channel whose every request carries a token.
+
+    Args:
+        address: ``host:port`` of the other instance.
+        secret: The shared secret.
+    """
+    host, _, port = address.rpartition(":")
+    result = client.Channel(host, int(port))
+
+    async def sign(event: events.SendRequest) -> None:
+        event.metadata[HEADER] = token(secret, event.method_name, time.time())
+
+    events.listen(result, events.SendRequest, sign)
+    return result
+
+
+class Guard:
+    """Judges tokens; keeps the nonces of the time window."""
 
-HEADER = "x-cardamombarrow-secret"
+    def __init__(
+        self, secret: str, wall_clock: abc.Callable[[], float] = time.time
+    ):
+        self._secret = secret
+        self._wall_clock = wall_clock
+        self._seen: dict[str, float] = {}
 
+    def refuse(self, shown: str, method: str) -> str | None:
+        """Returns why a token is not taken, or None when it is."""
+        now_unix_s = self._wall_clock()
+        try:
+            raw_time, nonce, mac = shown.split(":")
+            at_unix_s = float(raw_time)
+        except ValueError:
+            return "missing or malformed token"
+        expected = _mac(self._secret, method, at_unix_s, nonce)
+        if not hmac.compare_digest(mac.encode(), expected.encode()):
+            return "wrong secret"
+        if abs(now_unix_s - at_unix_s) > TIME_WINDOW_S:
+            return "clocks differ too much, or an old token"
+        self._forget(now_unix_s)
+        if nonce in self._seen:
+            # Someone who listened on the network sends a token again.
+            return "token used before"
+        self._seen[nonce] = at_unix_s
+        return None
 
-def metadata(secret: str) -> dict[str, str]:
-    """Returns the metadata that a client sends with each call."""
-    return {HEADER: secret}
+    def _forget(self, now_unix_s: float) -> None:
+        # A token dated ahead stays valid for up to twice the window.
+        oldest_unix_s = now_unix_s - 2 * TIME_WINDOW_S
+        for nonce, at_unix_s in list(self._seen.items()):
+            if at_unix_s >= oldest_unix_s:
+                return
+            del self._seen[nonce]
 
 
 def guard(server: object, secret: str) -> None:
-    """Makes a grpclib server refuse every call without the secret.
+    """Makes a grpclib server refuse every request without a valid token.
 
     Without it, anyone who reaches the port could propose edits or claims.
 
     Args:
         server: A `grpclib.server.Server`.
-        secret: What callers must show.
+        secret: The shared secret.
     """
+    judge = Guard(secret)
 
     async def check(event: events.RecvRequest) -> None:
         shown = str(event.metadata.get(HEADER, ""))
-        if not hmac.compare_digest(shown.encode(), secret.encode()):
-            raise exceptions.GRPCError(
-                const.Status.UNAUTHENTICATED, "wrong or missing secret"
-            )
+        reason = judge.refuse(shown, event.method_name)
+        if reason is not None:
+            raise exceptions.GRPCError(const.Status.UNAUTHENTICATED, reason)
 
     events.listen(server, events.RecvRequest, check)
--- /dev/null
+++ b/cardamombarrow/peers/tests/test_secret.py
@@ -0,0 +1,87 @@
+"""No request between instances is taken unauthenticated."""
+
+import asyncio
+
+from grpclib import client
+from grpclib import const
+from grpclib import exceptions
+from grpclib import server
+import pytest
+
+from cardamombarrow.log import local
+from cardamombarrow.peers import control_grpc
+from cardamombarrow.peers import control_pb2
+from cardamombarrow.peers import control_service
+from cardamombarrow.peers import secret
+
+_METHOD = "/service/Method"
+
+
+def _judge(now_s=1_000.0):
+    return secret.Guard("right-secret-0123", lambda: now_s)
+
+
+@pytest.mark.parametrize(
+    "shown, reason",
+    [
+        ("", "malformed"),
+        ("1000:nonce", "malformed"),
+        ("x:nonce:mac", "malformed"),
+        (secret.token("wrong-secret-0123", _METHOD, 1_000.0), "wrong secret"),
+        (secret.token("right-secret-0123", "/a/B", 1_000.0), "wrong secret"),
+        (secret.token("right-secret-0123", _METHOD, 900.0), "old token"),
+        (secret.token("right-secret-0123", _METHOD, 1_100.0), "clocks differ"),
+    ],
+)
+def test_a_token_that_does_not_fit_is_refused(shown, reason):
+    assert reason in _judge().refuse(shown, _METHOD)
+
+
+def test_a_token_is_good_once():
+    # Someone records a request between two instances and sends it again; a
+    # claim or an edit would be proposed in another's name.
+    judge = _judge()
+    shown = secret.token("right-secret-0123", _METHOD, 1_000.0)
+    assert judge.refuse(shown, _METHOD) is None
+    assert judge.refuse(shown, _METHOD) == "token used before"
+
+
+def test_nonces_are_forgotten_only_once_their_tokens_are_too_old():
+    now_s = [1_000.0]
+    judge = secret.Guard("right-secret-0123", lambda: now_s[0])
+    ahead = secret.token("right-secret-0123", _METHOD, 1_059.0)
+    assert judge.refuse(ahead, _METHOD) is None
+    now_s[0] = 1_118.0
+    other = secret.token("right-secret-0123", _METHOD, 1_118.0)
+    assert judge.refuse(other, _METHOD) is None
+    assert judge.refuse(ahead, _METHOD) == "token used before"
+
+
+class _NoMachine:
+    def apply(self, index, command):
+        raise AssertionError("an unauthenticated command was applied")
+
+
+async def _propose(shown_secret):
+    service = control_service.ControlService(local.LocalLog("v", _NoMachine()))
+    served = server.Server([service])
+    secret.guard(served, "right-secret-0123")
+    await served.start("127.0.0.1", 0)
+    port = served._server.sockets[0].getsockname()[1]
+    if shown_secret is None:
+        channel = client.Channel("127.0.0.1", port)
+    else:
+        channel = secret.channel(f"127.0.0.1:{port}", shown_secret)
+    try:
+        stub = control_grpc.ControlStub(channel)
+        with pytest.raises(exceptions.GRPCError) as caught:
+            await stub.Propose(control_pb2.Command(), timeout=5)
+        assert caught.value.status is const.Status.UNAUTHENTICATED
+    finally:
+        channel.close()
+        served.close()
+
+
+@pytest.mark.parametrize("shown_secret", [None, "wrong-secret-0123"])
+def test_a_server_refuses_requests_without_the_secret(shown_secret):
+    asyncio.run(_propose(shown_secret))
