--- a/cardamombarrow/decisions/base.py
+++ b/cardamombarrow/decisions/base.py
@@ -10,6 +10,7 @@
 import dataclasses
 import random
 
+from cardamombarrow.decisions import capacity as capacity_module
 from cardamombarrow.decisions import endpoint as endpoint_module
 from cardamombarrow.decisions import messages
 from cardamombarrow.document import schema
@@ -31,6 +32,8 @@
     "Spill",
 ]
 
+UNBOUNDED = 1 << 30
+
 
 @dataclasses.dataclass(frozen=True)
 class PolicyContext:
@@ -67,6 +70,14 @@
     ) -> list[endpoint_module.EndpointState]:
         """Returns endpoints with a slot that the job may take."""
 
+    def services(self) -> collections_abc.Iterable[ids.ServiceId] | None:
+        """Returns the services where something changed; None is all."""
+        return None
+
+    def capacity(self, service: ids.ServiceId) -> capacity_module.Capacity:
+        """Returns this instance's slots of a service and who holds them."""
+        raise NotImplementedError
+
 
 class Queue(Policy):
     """Whom to serve next."""
@@ -95,6 +106,39 @@
     def __len__(self) -> int:
         """Counts all queued jobs."""
 
+    def work_ahead_s(
+        self, job: messages.Job, capacity: capacity_module.Capacity
+    ) -> float:
+        """Returns the slot-seconds of the queued jobs before it."""
+        return self.jobs_ahead(job) * capacity.mean_hold_s()
+
+    def oldest_wait_s(self, job: messages.Job, now_s: float) -> float:
+        """Returns how long the next job of the same tier has waited."""
+        return 0.0
+
+    def waiting_ranks(
+        self, service: ids.ServiceId
+    ) -> collections_abc.Iterable[int]:
+        """Returns the ranks with queued jobs, where tiers are told apart."""
+        return ()
+
+    def leaders(
+        self, service: ids.ServiceId
+    ) -> collections_abc.Iterable[messages.Job]:
+        """Returns some jobs of the highest waiting tier, the next first.
+
+        A queue that does not tell tiers apart returns none: nothing is
+        preempted for its jobs.
+        """
+        return ()
+
+    def evict(self, job: messages.Job) -> messages.Job | None:
+        """Takes out the job of a lower tier that should make room for it."""
+        return None
+
+    def settle(self, job: messages.Job, tokens: int) -> None:
+        """Learns the true length of a served job."""
+
 
 class Admission(Policy):
     """Who waits and who is refused."""
@@ -111,6 +155,16 @@
         """Returns why a waiting job is given up, or None to let it wait."""
         return "deadline passed" if now_s >= job.deadline_s else None
 
+    def look_s(
+        self, job: messages.Job, backlog: messages.Backlog, now_s: float
+    ) -> float:
+        """Returns when `give_up` has to be asked about it next."""
+        return job.deadline_s
+
+    def waiting_bound(self) -> int:
+        """Returns the most requests that may wait in one instance."""
+        return UNBOUNDED
+
 
 class Limits(Policy):
     """How many requests an endpoint takes at once."""
@@ -198,6 +252,10 @@
     def retry_after_s(self, backlog: messages.Backlog) -> float:
         """Returns when a refused caller should come back."""
 
+    def delay_s(self, job: messages.Job, outcome: messages.Outcome) -> float:
+        """Returns how long a job that may run again is held first."""
+        return 0.0
+
     def on_finish(self, job: messages.Job, outcome: messages.Outcome) -> None:
         """Learns from an end."""
 
@@ -267,7 +325,13 @@
         states: list[endpoint_module.EndpointState],
         now_s: float,
     ) -> messages.Running | None:
-        """Returns the request to cancel for `job`, or None."""
+        """Returns the request to cancel for `job`, or None.
+
+        Args:
+            job: A waiting job for which there is no room.
+            states: The endpoints of its service and domain.
+            now_s: The time.
+        """
 
 
 class Estimate(Policy):
--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -3,86 +3,57 @@
 An arriving job goes quarantine -> admission -> queue; `place` then takes jobs
 out in the queue's order while there is room, and picks an endpoint for each.
 The entry wraps one dispatcher in a lock; benchmarks drive it in virtual time.
+
+What a decision needs is kept up to date by each event (`capacity`, the heap of
+times at which a waiting job must be looked at, the services where something
+changed), so that no event costs a pass over all that waits or runs.
 """
 
 import dataclasses
 import typing
 
 from cardamombarrow.decisions import base
+from cardamombarrow.decisions import capacity as capacity_module
 from cardamombarrow.decisions import endpoint as endpoint_module
+from cardamombarrow.decisions import forecast
 from cardamombarrow.decisions import messages
+from cardamombarrow.decisions import policies
+from cardamombarrow.decisions import roster
+from cardamombarrow.decisions import waiting
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
-from cardamombarrow.kernel import registry
-
-__all__ = ["POLICY_MODULES", "Dispatcher"]
-
-POLICY_MODULES = ("cardamombarrow.decisions.baselines",)
-"""Modules whose import registers the policies."""
-
-PEER_VIEW_MAX_AGE_S = 10.0
-"""A peer not heard for this long counts as not there."""
 
-SERVICE_TIME_WEIGHT = 0.05
-"""Weight of one finished job in the mean time that a job holds a slot."""
+__all__ = ["Dispatcher"]
 
-FIRST_SERVICE_S = 1.0
-"""Mean time that a job holds a slot, before any has finished."""
+NO_ENDPOINT_RETRY_S = 1.0
+"""When a caller comes back whose service has no endpoint."""
 
+LOOK_MIN_S = 0.05
+"""Least time between two looks at one waiting job."""
 
-class _Policies:
-    """One policy object per slot, rebuilt when its name changes."""
-
-    queue: base.Queue
-    admission: base.Admission
-    limits: base.Limits
-    choice: base.Choice
-    shares: base.Shares
-    retry: base.Retry
-    quarantine: base.Quarantine
-    spill: base.Spill
-    preemption: base.PreemptionPolicy
-    estimate: base.Estimate
-
-    def __init__(self, context: base.PolicyContext):
-        self._names = context.document.policies
-        for field in dataclasses.fields(schema.Policies):
-            self._build(field.name, context)
-
-    def _build(self, slot: str, context: base.PolicyContext) -> None:
-        cls = registry.lookup(slot, getattr(context.document.policies, slot))
-        setattr(self, slot, cls(context))
-
-    def configure(self, context: base.PolicyContext, now_s: float) -> None:
-        """Takes a newer document; a renamed policy starts afresh."""
-        new = context.document.policies
-        for field in dataclasses.fields(schema.Policies):
-            slot = field.name
-            if getattr(new, slot) == getattr(self._names, slot):
-                getattr(self, slot).configure(context.document)
-                continue
-            waiting = list(self.queue.jobs()) if slot == "queue" else []
-            self._build(slot, context)
-            for job in waiting:
-                self.queue.push(job, now_s)
-        self._names = new
+WORKSPACE_RETRY_S = 1.0
+"""When a caller comes back whose workspace holds all it may."""
 
 
 class Dispatcher:
-    """All decisions of one instance."""
+    """All decisions of one instance.
+
+    Attributes:
+        wasted_tokens: Relayed tokens of runs that did not end whole.
+        preemptions: Requests that were told to give way.
+    """
 
     def __init__(self, context: base.PolicyContext, now_s: float):
-        registry.load(*POLICY_MODULES)
         self._context = context
-        self._policies = _Policies(context)
-        self._endpoints: dict[
-            ids.EndpointId, endpoint_module.EndpointState
-        ] = {}
+        self._policies = policies.Policies(context)
+        self._roster = roster.Roster(context, self._policies)
+        self._forecast = forecast.Forecast(self._policies)
         self._running: dict[ids.RequestId, messages.Running] = {}
-        self._peers: dict[ids.InstanceId, messages.PeerDemand] = {}
-        self._service_s: dict[ids.ServiceId, float] = {}
-        self._retries: list[messages.Job] = []
+        self._waiting = waiting.Waiting()
+        self._due: list[messages.Refusal] = []
+        self.wasted_tokens = 0
+        self.preemptions = 0
         self.configure(context.document, now_s)
 
     # -- what is known -----------------------------------------------------
@@ -95,46 +66,12 @@
         """
         self._context = dataclasses.replace(self._context, document=document)
         self._policies.configure(self._context, now_s)
-        listed = {}
-        for service in document.services.values():
-            for domain, endpoints in service.endpoints.items():
-                for endpoint in endpoints:
-                    listed[endpoint] = (service, domain)
-        for endpoint, (service, domain) in listed.items():
-            state = self._endpoints.get(endpoint)
-            if state is None:
-                self._endpoints[endpoint] = endpoint_module.EndpointState(
-                    endpoint,
-                    service.service,
-                    domain,
-                    service.slots_per_endpoint,
-                )
-            else:
-                state.configured_slots = service.slots_per_endpoint
-        for endpoint in set(self._endpoints) - set(listed):
-            state = self._endpoints[endpoint]
-            state.leaving = True
-            if not state.running:
-                del self._endpoints[endpoint]
+        self._roster.configure(document, now_s)
         self.refresh_shares(now_s)
 
     def refresh_shares(self, now_s: float) -> None:
         """Works out this instance's slots on every endpoint."""
-        own = self.demand(now_s)
-        for state in self._endpoints.values():
-            peers = self._peers_of(state.domain, now_s)
-            limit = self._policies.limits.limit(state, now_s)
-            state.share = self._policies.shares.share(
-                state, limit, own, peers, now_s
-            )
-
-    def _peers_of(
-        self, domain: ids.DomainId, now_s: float
-    ) -> list[messages.PeerDemand]:
-        if domain != self._context.domain:
-            return []
-        oldest_s = now_s - PEER_VIEW_MAX_AGE_S
-        return [p for p in self._peers.values() if p.seen_at_s >= oldest_s]
+        self._roster.refresh_shares(self.demand(now_s), now_s)
 
     def report(
         self,
@@ -142,36 +79,30 @@
         report: messages.LoadReport,
     ) -> None:
         """Takes an endpoint's load report."""
-        state = self._endpoints.get(endpoint)
-        if state is not None:
-            state.report = report
-            state.leaving = state.leaving or report.leaving
+        self._roster.report(endpoint, report)
 
     def set_leaving(self, endpoint: ids.EndpointId, leaving: bool) -> None:
         """Takes the platform's or a peer's word that an endpoint leaves."""
-        state = self._endpoints.get(endpoint)
-        if state is not None:
-            state.leaving = leaving
+        self._roster.set_leaving(endpoint, leaving)
 
     def peer(self, demand: messages.PeerDemand) -> None:
         """Takes another instance's demand."""
-        self._peers[demand.instance] = demand
+        self._roster.peer(demand)
 
     def forget_peer(self, instance: ids.InstanceId) -> None:
         """Drops an instance that has left."""
-        self._peers.pop(instance, None)
+        self._roster.forget_peer(instance)
 
     def demand(self, now_s: float) -> messages.PeerDemand:
         """Returns what this instance asks for, to be gossiped."""
-        demand: dict[ids.ServiceId, float] = {}
-        for job in self._policies.queue.jobs():
-            demand[job.service] = demand.get(job.service, 0.0) + 1.0
-        for running in self._running.values():
-            service = running.job.service
-            demand[service] = demand.get(service, 0.0) + 1.0
+        demand = {
+            service: float(count)
+            for service, count in self._waiting.demand.items()
+            if count
+        }
         in_flight = {
             state.endpoint: len(state.running)
-            for state in self._endpoints.values()
+            for state in self._roster.endpoints.values()
             if state.running
         }
         return messages.PeerDemand(
@@ -190,57 +121,139 @@
 
     def endpoints(self) -> list[endpoint_module.EndpointState]:
         """Returns all known endpoints."""
-        return list(self._endpoints.values())
+        return list(self._roster.endpoints.values())
+
+    def waiting_jobs(self) -> list[messages.Job]:
+        """Returns the jobs that wait for a place."""
+        return list(self._policies.queue.jobs())
 
     # -- a job's life --------------------------------------------------------
 
     def offer(self, job: messages.Job, now_s: float) -> messages.Refusal | None:
         """Takes an arriving job into the queue, or refuses it at once."""
         job.expected_tokens = self._policies.estimate.expected_tokens(job)
-        if not any(s.service == job.service for s in self._endpoints.values()):
+        capacity = self._roster.capacities.get(job.service)
+        if capacity is None or not (capacity.local or capacity.remote):
             return messages.Refusal(
                 job.request_id,
                 errors.ErrorKind.NO_ENDPOINT,
                 f"no endpoint serves {job.service}",
-                FIRST_SERVICE_S,
+                NO_ENDPOINT_RETRY_S,
             )
         reason = self._policies.quarantine.refuse(job, now_s)
         if reason is not None:
             return messages.Refusal(
                 job.request_id, errors.ErrorKind.QUARANTINED, reason, None
             )
-        backlog = self.backlog(job)
+        refusal = self._over_workspace_limit(job) or self._refuse(job, now_s)
+        if refusal is None:
+            self._waiting.enter(job)
+            self._enqueue(job, now_s)
+        return refusal
+
+    def _over_workspace_limit(
+        self, job: messages.Job
+    ) -> messages.Refusal | None:
+        workspace = self._context.document.workspaces.get(job.workspace)
+        most = workspace.max_in_flight if workspace else 0
+        if not most or self._waiting.in_flight[job.workspace] < most:
+            return None
+        return messages.Refusal(
+            job.request_id,
+            errors.ErrorKind.WORKSPACE_LIMIT,
+            f"workspace {job.workspace} holds its {most} requests already",
+            WORKSPACE_RETRY_S,
+        )
+
+    def _refuse(
+        self, job: messages.Job, now_s: float
+    ) -> messages.Refusal | None:
+        backlog = self.backlog(job, now_s)
         reason = self._policies.admission.refuse(job, backlog, now_s)
-        if reason is not None:
-            return self._refusal(
-                job, errors.ErrorKind.OVERLOADED, reason, backlog
+        if reason is None and self._is_full():
+            reason = self._make_room(job, now_s)
+        if reason is None:
+            return None
+        return self._refusal(
+            job, errors.ErrorKind.OVERLOADED, reason, backlog, now_s
+        )
+
+    def _is_full(self) -> bool:
+        bound = self._policies.admission.waiting_bound()
+        return len(self._waiting) >= bound
+
+    def _make_room(self, job: messages.Job, now_s: float) -> str | None:
+        """Gives up a waiting job of a lower tier, or tells that none waits.
+
+        Each waiting request holds a thread of the entry. Without the bound a
+        burst would take them all, and a higher tier's request would not even
+        be read; without the exchange the bound itself would refuse it in
+        favour of a lower tier.
+        """
+        evicted = self._policies.queue.evict(job)
+        if evicted is None:
+            return f"{len(self._waiting)} requests wait already"
+        self._waiting.leave(evicted)
+        self._due.append(
+            self._refusal(
+                evicted,
+                errors.ErrorKind.OVERLOADED,
+                f"gave its place in the queue to tier rank {job.rank}",
+                self.backlog(evicted, now_s),
+                now_s,
             )
-        self._policies.queue.push(job, now_s)
+        )
         return None
 
+    def _enqueue(self, job: messages.Job, now_s: float) -> None:
+        self._policies.queue.push(job, now_s)
+        self._waiting.queued(job)
+        self._roster.changed.add(job.service)
+        backlog = self.backlog(job, now_s)
+        look_s = self._policies.admission.look_s(job, backlog, now_s)
+        self._waiting.look_at(job, look_s)
+
     def withdraw(self, request_id: ids.RequestId) -> bool:
-        """Takes a queued job out, because its caller left."""
-        return self._policies.queue.remove(request_id) is not None
+        """Takes a waiting job out, because its caller left."""
+        job = self._policies.queue.remove(request_id)
+        if job is None:
+            job = self._waiting.release(request_id)
+        if job is None:
+            return False
+        self._waiting.leave(job)
+        return True
 
     def place(self, now_s: float) -> typing.Iterator[messages.Decision]:
         """Yields every decision that is due now."""
+        for job in self._waiting.due_back(now_s):
+            self._enqueue(job, now_s)
         yield from self._give_up(now_s)
-        room = _Room(self, now_s)
+        room = _Room(self._roster, self.backlog, now_s)
         while True:
             job = self._policies.queue.take(room, now_s)
             if job is None:
                 break
             yield self._send(job, room.candidates(job), now_s)
+        for service in sorted(self._roster.changed):
+            yield from self._preempt(service, now_s)
+        self._roster.changed.clear()
+        while self._due:
+            yield self._due.pop()
 
     def _give_up(self, now_s: float) -> typing.Iterator[messages.Refusal]:
-        for job in list(self._policies.queue.jobs()):
-            backlog = self.backlog(job)
-            reason = self._policies.admission.give_up(job, backlog, now_s)
-            if reason is not None:
-                self._policies.queue.remove(job.request_id)
-                yield self._refusal(
-                    job, errors.ErrorKind.QUEUE_TIMEOUT, reason, backlog
-                )
+        admission = self._policies.admission
+        for job in self._waiting.due_looks(now_s):
+            backlog = self.backlog(job, now_s)
+            reason = admission.give_up(job, backlog, now_s)
+            if reason is None:
+                look_s = admission.look_s(job, backlog, now_s)
+                self._waiting.look_at(job, max(look_s, now_s + LOOK_MIN_S))
+                continue
+            self._policies.queue.remove(job.request_id)
+            self._waiting.leave(job)
+            yield self._refusal(
+                job, errors.ErrorKind.QUEUE_TIMEOUT, reason, backlog, now_s
+            )
 
     def _refusal(
         self,
@@ -248,21 +261,54 @@
         kind: errors.ErrorKind,
         reason: str,
         backlog: messages.Backlog,
+        now_s: float,
     ) -> messages.Refusal:
         retry_after_s = self._policies.retry.retry_after_s(backlog)
+        self._forecast.refused(job, now_s)
         return messages.Refusal(job.request_id, kind, reason, retry_after_s)
 
+    def _preempt(
+        self, service: ids.ServiceId, now_s: float
+    ) -> typing.Iterator[messages.Preemption]:
+        """Asks lower tiers' requests to give way to waiting ones in danger.
+
+        A request that was told to give way holds its slot until it has ended;
+        counting those keeps one waiting job from costing several runs.
+        """
+        capacity = self._roster.capacities[service]
+        leaders = self._policies.queue.leaders(service)
+        for number, job in enumerate(leaders):
+            if number < capacity.preempting:
+                continue
+            victim = self._policies.preemption.victim(
+                job, capacity.local, now_s
+            )
+            if victim is None:
+                return
+            victim.preempted = True
+            capacity.preempting += 1
+            self.preemptions += 1
+            yield messages.Preemption(
+                request_id=victim.job.request_id,
+                endpoint=victim.endpoint,
+                wasted_tokens=victim.tokens,
+                requeue=victim.first_token_s is None,
+                reason=f"gives way to {job.request_id} of rank {job.rank}",
+            )
+
     def _send(
         self,
         job: messages.Job,
         candidates: list[endpoint_module.EndpointState],
         now_s: float,
     ) -> messages.Placement:
+        self._waiting.placed(job)
         state, reason = self._policies.choice.choose(job, candidates, now_s)
         job.attempts += 1
         running = messages.Running(job, state.endpoint, now_s)
         state.running[job.request_id] = running
         self._running[job.request_id] = running
+        self._roster.capacities[job.service].placed(job, now_s)
         if state.domain != self._context.domain:
             self._policies.spill.on_place(job, state, now_s)
         return messages.Placement(
@@ -279,7 +325,9 @@
         if running is None or running.first_token_s is not None:
             return
         running.first_token_s = now_s
-        state = self._endpoints[running.endpoint]
+        state = self._roster.endpoints[running.endpoint]
+        capacity = self._roster.capacities[state.service]
+        capacity.first_token(now_s - running.placed_s)
         self._policies.limits.on_first_token(state, running, now_s)
         self._policies.choice.on_first_token(state, running, now_s)
 
@@ -298,21 +346,24 @@
         """Releases a placed job's slot and learns from its end."""
         running = self._running.pop(request_id)
         job = running.job
-        state = self._endpoints[running.endpoint]
+        done = outcome is messages.Outcome.DONE
+        state = self._roster.endpoints[running.endpoint]
         del state.running[request_id]
+        self._roster.capacities[job.service].ended(running, done, now_s)
+        self._waiting.leave(job)
+        self._roster.changed.add(job.service)
         self._policies.limits.on_finish(state, running, outcome, now_s)
         self._policies.choice.on_finish(state, running, outcome, now_s)
         self._policies.retry.on_finish(job, outcome)
         self._policies.quarantine.on_finish(job, outcome, now_s)
-        if outcome is messages.Outcome.DONE:
+        if running.tokens:
+            self._policies.queue.settle(job, running.tokens)
+        if done:
             self._policies.estimate.learn(job, running.tokens)
-            held_s = now_s - running.placed_s
-            mean_s = self._service_s.get(job.service, held_s)
-            self._service_s[job.service] = mean_s + SERVICE_TIME_WEIGHT * (
-                held_s - mean_s
-            )
             return
-        job.tried = (*job.tried, running.endpoint)
+        self.wasted_tokens += running.tokens
+        if outcome is not messages.Outcome.PREEMPTED:
+            job.tried = (*job.tried, running.endpoint)
         job.may_have_run = job.may_have_run or not outcome.not_run
 
     def crashed(
@@ -335,54 +386,44 @@
             return False
         if not self._policies.retry.may_retry(job, outcome, now_s):
             return False
-        self._policies.queue.push(job, now_s)
+        self._waiting.enter(job)
+        delay_s = self._policies.retry.delay_s(job, outcome)
+        if delay_s <= 0.0:
+            self._enqueue(job, now_s)
+            return True
+        self._waiting.hold_back(job, now_s + delay_s)
         return True
 
-    def backlog(self, job: messages.Job) -> messages.Backlog:
+    def backlog(self, job: messages.Job, now_s: float) -> messages.Backlog:
         """Returns what stands before a job in its own domain."""
-        slots = sum(
-            state.share
-            for state in self._endpoints.values()
-            if state.service == job.service
-            and state.domain == self._context.domain
-            and not state.leaving
+        return self._forecast.backlog(
+            job, self._roster.capacities[job.service], now_s
         )
-        ahead = self._policies.queue.jobs_ahead(job)
-        service_s = self._service_s.get(job.service, FIRST_SERVICE_S)
-        wait_s = ahead * service_s / max(slots, 1)
-        return messages.Backlog(ahead, slots, service_s, wait_s)
-
-    def candidates(
-        self, job: messages.Job, now_s: float
-    ) -> list[endpoint_module.EndpointState]:
-        """Returns the endpoints with a slot that a job may take now."""
-        local = [
-            state
-            for state in self._endpoints.values()
-            if state.service == job.service
-            and not state.leaving
-            and state.free_slots > 0
-        ]
-        backlog = self.backlog(job)
-        allowed = [
-            state
-            for state in local
-            if state.domain == self._context.domain
-            or self._policies.spill.allow(job, state, backlog, now_s)
-        ]
-        untried = [s for s in allowed if s.endpoint not in job.tried]
-        return untried or allowed
 
 
 class _Room(base.Room):
     """The dispatcher's free slots at one moment."""
 
-    def __init__(self, dispatcher: Dispatcher, now_s: float):
-        self._dispatcher = dispatcher
+    def __init__(
+        self,
+        endpoints: roster.Roster,
+        backlog: roster.Backlog,
+        now_s: float,
+    ):
+        self._roster = endpoints
+        self._backlog = backlog
         self._now_s = now_s
 
     def candidates(
         self, job: messages.Job
     ) -> list[endpoint_module.EndpointState]:
         """Returns the endpoints with a slot that the job may take."""
-        return self._dispatcher.candidates(job, self._now_s)
+        return self._roster.candidates(job, self._backlog, self._now_s)
+
+    def services(self) -> list[ids.ServiceId]:
+        """Returns the services where something changed."""
+        return list(self._roster.changed)
+
+    def capacity(self, service: ids.ServiceId) -> capacity_module.Capacity:
+        """Returns this instance's slots of a service."""
+        return self._roster.capacities[service]
--- /dev/null
+++ b/cardamombarrow/decisions/fairness.py
@@ -0,0 +1,290 @@
+"""The order within one tier: deficit round robin, earliest deadline first.
+
+Load pattern: one workspace sends far more than the others. Served in order of
+arrival, its backlog stands before everybody's, and the others miss their
+targets for a burst that is not theirs.
+
+Each workspace has a credit of estimated tokens. Each round gives it a quantum
+times its weight; a job that is served is paid from it, and a workspace whose
+credit is used up sits out until enough rounds have passed. Among those with
+credit the earliest deadline (arrival plus target of the first token) goes
+first, so that the order differs from plain earliest-deadline-first only where
+somebody takes more than its part. The difference between an answer's true and
+estimated length is settled when it has ended, so that a workspace of long
+answers of unknown length pays for them, too.
+
+The scheme is Shreedhar and Varghese, "Efficient Fair Queuing using Deficit
+Round Robin", SIGCOMM 1995, in its variant that serves first and pays later:
+a job's length is not known when it is served. Taking a job costs O(log n) in
+the workspaces that have jobs; idle ones cost nothing.
+
+Figures: the quantum follows the mean estimated length in this tier, so that a
+round is about one job of each workspace; a smaller one only adds rounds, a
+larger one lets a hot workspace send several jobs in a row.
+"""
+
+from collections import abc
+import heapq
+import itertools
+import math
+
+from cardamombarrow.decisions import messages
+from cardamombarrow.kernel import ids
+
+__all__ = ["FairQueue"]
+
+FIRST_QUANTUM_TOKENS = 200.0
+QUANTUM_WEIGHT = 0.05
+"""Weight of one pushed job in the mean length that sets the quantum."""
+
+DEBT_MAX_ROUNDS = 100
+"""Most rounds that a workspace sits out: one endless answer costs no more."""
+
+
+class _Entry:
+    """A queued job in its workspace's heap; `job` is None once removed."""
+
+    __slots__ = ("due_s", "flow", "job", "number", "position")
+
+    def __init__(
+        self, job: messages.Job, flow: "_Flow", number: int, position: int
+    ):
+        self.job: messages.Job | None = job
+        self.flow = flow
+        self.number = number
+        self.position = position
+        self.due_s = job.arrived_s + job.target_first_token_s
+
+    def __lt__(self, other: "_Entry") -> bool:
+        return (self.due_s, self.number) < (other.due_s, other.number)
+
+
+class _Flow:
+    """One workspace's jobs.
+
+    Attributes:
+        live: Jobs in the heap that were not removed.
+        taken: Jobs that have left, for a job's place in the line.
+        ready_round: Round from which on it takes part; 0 is now.
+    """
+
+    __slots__ = (
+        "credit",
+        "heap",
+        "live",
+        "pushed",
+        "ready_round",
+        "taken",
+        "weight",
+        "workspace",
+    )
+
+    def __init__(self, workspace: ids.WorkspaceId, credit: float):
+        self.workspace = workspace
+        self.weight = 1.0
+        self.credit = credit
+        self.heap: list[_Entry] = []
+        self.live = 0
+        self.pushed = 0
+        self.taken = 0
+        self.ready_round = 0
+
+    def head(self) -> _Entry | None:
+        """Returns the earliest entry, and drops removed ones before it."""
+        while self.heap and self.heap[0].job is None:
+            heapq.heappop(self.heap)
+        return self.heap[0] if self.heap else None
+
+
+class FairQueue:
+    """The queued jobs of one tier of one service."""
+
+    def __init__(self):
+        self._flows: dict[ids.WorkspaceId, _Flow] = {}
+        self._entries: dict[ids.RequestId, _Entry] = {}
+        self._eligible: list[_Entry] = []
+        self._spent: list[tuple[int, int, _Flow]] = []
+        self._numbers = itertools.count()
+        self._round = 0
+        self._quantum = FIRST_QUANTUM_TOKENS
+        self.active = 0
+
+    def __len__(self) -> int:
+        """Counts the queued jobs."""
+        return len(self._entries)
+
+    def __contains__(self, request_id: ids.RequestId) -> bool:
+        """Tells whether a job is queued here."""
+        return request_id in self._entries
+
+    def jobs(self) -> list[messages.Job]:
+        """Returns all queued jobs, in no order."""
+        return [e.job for e in self._entries.values() if e.job is not None]
+
+    def push(self, job: messages.Job, weight: float) -> None:
+        """Adds a job of a workspace that has this weight."""
+        self._quantum += QUANTUM_WEIGHT * (_cost(job) - self._quantum)
+        flow = self._flow(job.workspace)
+        flow.weight = max(weight, 1e-3)
+        entry = _Entry(job, flow, next(self._numbers), flow.pushed)
+        flow.pushed += 1
+        flow.live += 1
+        self.active += flow.live == 1
+        heapq.heappush(flow.heap, entry)
+        self._entries[job.request_id] = entry
+        if flow.ready_round <= self._round and flow.heap[0] is entry:
+            heapq.heappush(self._eligible, entry)
+
+    def remove(self, request_id: ids.RequestId) -> messages.Job | None:
+        """Takes a job out without serving it."""
+        entry = self._entries.pop(request_id, None)
+        if entry is None:
+            return None
+        job = self._leave(entry)
+        # Whoever stands behind a removed head has no place among the eligible
+        # yet; without this a workspace would be passed over for good.
+        if entry.flow.ready_round <= self._round:
+            self._place(entry.flow)
+        return job
+
+    def peek(self) -> messages.Job | None:
+        """Returns the next job."""
+        entry = self._next()
+        return None if entry is None else entry.job
+
+    def pop(self) -> messages.Job | None:
+        """Takes out the next job and charges its workspace for it."""
+        entry = self._next()
+        if entry is None or entry.job is None:
+            return None
+        heapq.heappop(self._eligible)
+        heapq.heappop(entry.flow.heap)
+        del self._entries[entry.job.request_id]
+        job = self._leave(entry)
+        entry.flow.credit -= _cost(job)
+        self._place(entry.flow)
+        return job
+
+    def settle(self, job: messages.Job, tokens: int) -> None:
+        """Charges a workspace for the part that the estimate missed."""
+        flow = self._flow(job.workspace)
+        flow.credit -= tokens - _cost(job)
+        if flow.ready_round <= self._round and (
+            flow.credit <= 0.0 or not flow.live
+        ):
+            self._place(flow)
+
+    def heads(self, most: int) -> list[messages.Job]:
+        """Returns the next jobs, in order."""
+        hidden = list(itertools.islice(self._hide_all(), most))
+        for entry in hidden:
+            self.restore(entry)
+        return [entry.job for entry in hidden if entry.job is not None]
+
+    def _hide_all(self) -> abc.Iterator[_Entry]:
+        while (entry := self.hide()) is not None:
+            yield entry
+
+    def hide(self) -> _Entry | None:
+        """Puts the next job aside, to look behind it; it stays counted."""
+        entry = self._next()
+        if entry is not None:
+            heapq.heappop(self._eligible)
+            heapq.heappop(entry.flow.heap)
+            self._enlist(entry.flow)
+        return entry
+
+    def restore(self, entry: _Entry) -> None:
+        """Puts a job back that was put aside."""
+        heapq.heappush(entry.flow.heap, entry)
+        if entry.flow.ready_round <= self._round:
+            heapq.heappush(self._eligible, entry)
+
+    def position(self, job: messages.Job) -> int:
+        """Returns an upper estimate of the jobs of this tier before a job."""
+        entry = self._entries.get(job.request_id)
+        flow = self._flows.get(job.workspace)
+        if entry is not None:
+            before = max(entry.position - entry.flow.taken, 0)
+        else:
+            before = flow.live if flow else 0
+        others = self.active - (1 if flow and flow.live else 0)
+        queued = len(self._entries) - (1 if entry is not None else 0)
+        return min(queued, before + (before + 1) * others)
+
+    def longest(self) -> messages.Job | None:
+        """Returns the last job of the workspace with the most waiting."""
+        if not self._entries:
+            return None
+        flow = max(self._flows.values(), key=lambda flow: flow.live)
+        return max(e for e in flow.heap if e.job is not None).job
+
+    # -- rounds ------------------------------------------------------------
+
+    def _flow(self, workspace: ids.WorkspaceId) -> _Flow:
+        flow = self._flows.get(workspace)
+        if flow is None:
+            flow = _Flow(workspace, self._quantum)
+            self._flows[workspace] = flow
+        return flow
+
+    def _leave(self, entry: _Entry) -> messages.Job:
+        job = entry.job
+        assert job is not None
+        entry.job = None
+        entry.flow.live -= 1
+        entry.flow.taken += 1
+        if not entry.flow.live:
+            self.active -= 1
+        return job
+
+    def _next(self) -> _Entry | None:
+        """Returns the earliest entry among workspaces that have credit."""
+        while self._entries:
+            while self._eligible:
+                entry = self._eligible[0]
+                if self._is_current(entry):
+                    return entry
+                heapq.heappop(self._eligible)
+            if not self._spent:
+                break
+            self._round = max(self._round, self._spent[0][0])
+            self._start_round()
+        return None
+
+    def _is_current(self, entry: _Entry) -> bool:
+        flow = entry.flow
+        return flow.ready_round <= self._round and flow.head() is entry
+
+    def _start_round(self) -> None:
+        while self._spent and self._spent[0][0] <= self._round:
+            _, _, flow = heapq.heappop(self._spent)
+            self._place(flow)
+
+    def _place(self, flow: _Flow) -> None:
+        if flow.credit <= 0.0:
+            self._sit_out(flow)
+        elif flow.live:
+            self._enlist(flow)
+        else:
+            # It starts afresh when it comes again; the thousands of idle
+            # workspaces take no memory.
+            self._flows.pop(flow.workspace, None)
+
+    def _enlist(self, flow: _Flow) -> None:
+        head = flow.head()
+        if head is not None:
+            heapq.heappush(self._eligible, head)
+
+    def _sit_out(self, flow: _Flow) -> None:
+        quantum = self._quantum * flow.weight
+        rounds = math.floor(-flow.credit / quantum) + 1
+        flow.credit += rounds * quantum
+        flow.ready_round = self._round + min(rounds, DEBT_MAX_ROUNDS)
+        heapq.heappush(
+            self._spent, (flow.ready_round, next(self._numbers), flow)
+        )
+
+
+def _cost(job: messages.Job) -> float:
+    return max(job.expected_tokens, 1.0)
--- /dev/null
+++ b/cardamombarrow/decisions/forecast.py
@@ -0,0 +1,120 @@
+"""What stands before a job: the predicted wait, and who holds the slots.
+
+Load pattern: tiers with very different answers in one queue. A wait predicted
+from the length of the queue alone would count fifty letters before a chat
+message that overtakes them all, and would promise a letter the whole capacity
+that chat is using.
+
+The wait of a job is the work before it over the slots that its tier can
+count on: all slots, less those that higher tiers held of late, less what
+lower tiers with waiting work are owed, and never less than its own reserved
+share. While every slot is taken, the mean time until the next one is given
+back comes on top.
+"""
+
+import math
+
+from cardamombarrow.decisions import capacity as capacity_module
+from cardamombarrow.decisions import messages
+from cardamombarrow.decisions import policies as policies_module
+from cardamombarrow.document import schema
+from cardamombarrow.kernel import ids
+
+__all__ = ["Forecast"]
+
+LEAST_SLOTS = 0.05
+"""Slots that a tier without a reserved share is reckoned to get."""
+
+
+class _Returning:
+    """Refused jobs of a tier that will come back, less those served since."""
+
+    def __init__(self):
+        self.jobs = 0.0
+        self.seen_s = 0.0
+        self.drain_per_s = 0.0
+
+    def at(self, now_s: float) -> float:
+        """Returns the jobs still to come back."""
+        past_s = max(now_s - self.seen_s, 0.0)
+        self.seen_s = now_s
+        self.jobs = max(self.jobs - past_s * self.drain_per_s, 0.0)
+        return self.jobs
+
+
+class Forecast:
+    """Predicts waits from the queue and the slots of one instance."""
+
+    def __init__(self, policies: policies_module.Policies):
+        self._policies = policies
+        self._returning: dict[tuple[ids.ServiceId, int], _Returning] = {}
+
+    def backlog(
+        self,
+        job: messages.Job,
+        capacity: capacity_module.Capacity,
+        now_s: float,
+    ) -> messages.Backlog:
+        """Returns what stands before a job."""
+        queue = self._policies.queue
+        slots = self._usable_slots(job, capacity, now_s)
+        hold_s = capacity.hold_s(job.class_id)
+        work_s = queue.work_ahead_s(job, capacity)
+        wait_s = work_s / slots
+        if not capacity.has_free():
+            wait_s += capacity.mean_hold_s() / max(capacity.slots, 1)
+        returning = self._returning.setdefault(
+            (job.service, job.rank), _Returning()
+        )
+        back = returning.at(now_s)
+        returning.drain_per_s = slots / max(hold_s, 1e-3)
+        return messages.Backlog(
+            jobs_ahead=queue.jobs_ahead(job),
+            slots=capacity.slots,
+            service_s=hold_s,
+            predicted_wait_s=wait_s,
+            first_token_s=capacity.first_token_s,
+            oldest_wait_s=queue.oldest_wait_s(job, now_s),
+            returning_s=back * hold_s / slots,
+            lower_over_reserve=self._lower_over_reserve(job, capacity),
+        )
+
+    def refused(self, job: messages.Job, now_s: float) -> None:
+        """Learns that a job was refused and told to come back."""
+        returning = self._returning.setdefault(
+            (job.service, job.rank), _Returning()
+        )
+        returning.at(now_s)
+        returning.jobs += 1.0
+
+    def _tiers(self) -> list[schema.Tier]:
+        return list(self._policies.queue.document.tiers.values())
+
+    def _usable_slots(
+        self,
+        job: messages.Job,
+        capacity: capacity_module.Capacity,
+        now_s: float,
+    ) -> float:
+        slots = float(max(capacity.slots, 1))
+        waiting = self._policies.queue.waiting_ranks(job.service)
+        lower = 0.0
+        own = LEAST_SLOTS
+        for tier in self._tiers():
+            reserved = capacity_module.reserved_slots(tier, capacity.slots)
+            if tier.rank == job.rank:
+                own = max(own, reserved)
+            elif tier.rank > job.rank and tier.rank in waiting:
+                lower += reserved
+        left = slots - lower - capacity.use_above(job.rank, now_s)
+        return max(own, left)
+
+    def _lower_over_reserve(
+        self, job: messages.Job, capacity: capacity_module.Capacity
+    ) -> bool:
+        return any(
+            capacity.held[tier.rank]
+            > math.ceil(capacity_module.reserved_slots(tier, capacity.slots))
+            for tier in self._tiers()
+            if tier.rank > job.rank
+        )
--- a/cardamombarrow/decisions/messages.py
+++ b/cardamombarrow/decisions/messages.py
@@ -86,6 +86,7 @@
     Attributes:
         first_token_s: When its first token came, or None.
         tokens: Tokens relayed so far.
+        preempted: Whether it was told to give way and has not ended yet.
     """
 
     job: Job
@@ -93,6 +94,7 @@
     placed_s: float
     first_token_s: float | None = None
     tokens: int = 0
+    preempted: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -136,12 +138,22 @@
         slots: Slots that its service's endpoints give this instance.
         service_s: Mean time one job holds a slot.
         predicted_wait_s: Expected time in the queue.
+        first_token_s: Mean time from placement to the first token.
+        oldest_wait_s: How long the oldest job of its tier has waited.
+        returning_s: Time to serve those of its tier that were refused and
+            told to come back, less those that had time to be served since.
+        lower_over_reserve: Whether a lower tier runs more than its reserved
+            share of these slots.
     """
 
     jobs_ahead: int
     slots: int
     service_s: float
     predicted_wait_s: float
+    first_token_s: float = 0.0
+    oldest_wait_s: float = 0.0
+    returning_s: float = 0.0
+    lower_over_reserve: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/cardamombarrow/decisions/policies.py
@@ -0,0 +1,54 @@
+"""One policy object per slot, as the document names them."""
+
+import dataclasses
+
+from cardamombarrow.decisions import base
+from cardamombarrow.document import schema
+from cardamombarrow.kernel import registry
+
+__all__ = ["POLICY_MODULES", "Policies"]
+
+POLICY_MODULES = (
+    "cardamombarrow.decisions.baselines",
+    "cardamombarrow.decisions.tiers",
+)
+"""Modules whose import registers the policies."""
+
+
+class Policies:
+    """The policies in force; one is rebuilt when its name changes."""
+
+    queue: base.Queue
+    admission: base.Admission
+    limits: base.Limits
+    choice: base.Choice
+    shares: base.Shares
+    retry: base.Retry
+    quarantine: base.Quarantine
+    spill: base.Spill
+    preemption: base.PreemptionPolicy
+    estimate: base.Estimate
+
+    def __init__(self, context: base.PolicyContext):
+        registry.load(*POLICY_MODULES)
+        self._names = context.document.policies
+        for field in dataclasses.fields(schema.Policies):
+            self._build(field.name, context)
+
+    def _build(self, slot: str, context: base.PolicyContext) -> None:
+        cls = registry.lookup(slot, getattr(context.document.policies, slot))
+        setattr(self, slot, cls(context))
+
+    def configure(self, context: base.PolicyContext, now_s: float) -> None:
+        """Takes a newer document; a renamed policy starts afresh."""
+        new = context.document.policies
+        for field in dataclasses.fields(schema.Policies):
+            slot = field.name
+            if getattr(new, slot) == getattr(self._names, slot):
+                getattr(self, slot).configure(context.document)
+                continue
+            waiting = list(self.queue.jobs()) if slot == "queue" else []
+            self._build(slot, context)
+            for job in waiting:
+                self.queue.push(job, now_s)
+        self._names = new
--- /dev/null
+++ b/cardamombarrow/decisions/roster.py
@@ -0,0 +1,182 @@
+"""What one instance knows of endpoints and of the other instances.
+
+Endpoints are kept sorted by service into near and far ones that take work, so
+that a decision looks only at its own service's.
+"""
+
+from collections import abc
+import dataclasses
+
+from cardamombarrow.decisions import base
+from cardamombarrow.decisions import capacity as capacity_module
+from cardamombarrow.decisions import endpoint as endpoint_module
+from cardamombarrow.decisions import messages
+from cardamombarrow.decisions import policies as policies_module
+from cardamombarrow.document import schema
+from cardamombarrow.kernel import ids
+
+__all__ = ["Roster"]
+
+PEER_VIEW_MAX_AGE_S = 10.0
+"""A peer not heard for this long counts as not there."""
+
+Backlog = abc.Callable[[messages.Job, float], messages.Backlog]
+
+
+class Roster:
+    """The endpoints, this instance's slots on them, and its peers.
+
+    Attributes:
+        endpoints: All known endpoints, also those that take no new work.
+        capacities: This instance's slots by service.
+        changed: Services where something changed since they were looked at.
+    """
+
+    def __init__(
+        self, context: base.PolicyContext, policies: policies_module.Policies
+    ):
+        self._context = context
+        self._policies = policies
+        self._peers: dict[ids.InstanceId, messages.PeerDemand] = {}
+        self._unlisted: set[ids.EndpointId] = set()
+        self.endpoints: dict[ids.EndpointId, endpoint_module.EndpointState] = {}
+        self.capacities: dict[ids.ServiceId, capacity_module.Capacity] = {}
+        self.changed: set[ids.ServiceId] = set()
+
+    def configure(self, document: schema.Document, now_s: float) -> None:
+        """Takes a newer document into force.
+
+        Endpoints that are no longer listed get no new work; what runs on them
+        goes on.
+        """
+        self._context = dataclasses.replace(self._context, document=document)
+        listed = {
+            endpoint: (service, domain)
+            for service in document.services.values()
+            for domain, endpoints in service.endpoints.items()
+            for endpoint in endpoints
+        }
+        for endpoint, (service, domain) in listed.items():
+            state = self.endpoints.get(endpoint)
+            if state is None:
+                self.endpoints[endpoint] = endpoint_module.EndpointState(
+                    endpoint,
+                    service.service,
+                    domain,
+                    service.slots_per_endpoint,
+                )
+            else:
+                state.configured_slots = service.slots_per_endpoint
+                if endpoint in self._unlisted:
+                    state.leaving = False
+        self._unlisted -= set(listed)
+        for endpoint in set(self.endpoints) - set(listed):
+            state = self.endpoints[endpoint]
+            state.leaving = True
+            self._unlisted.add(endpoint)
+            if not state.running:
+                del self.endpoints[endpoint]
+                self._unlisted.discard(endpoint)
+        for service in {*document.services, *self.capacities}:
+            self._capacity(service, now_s).guess(document.classes)
+            self._regroup(service)
+
+    def _capacity(
+        self, service: ids.ServiceId, now_s: float
+    ) -> capacity_module.Capacity:
+        capacity = self.capacities.get(service)
+        if capacity is None:
+            capacity = capacity_module.Capacity(service, now_s)
+            self.capacities[service] = capacity
+        return capacity
+
+    def _regroup(self, service: ids.ServiceId) -> None:
+        """Sorts a service's endpoints that take work into near and far."""
+        open_states = [
+            state
+            for state in self.endpoints.values()
+            if state.service == service and not state.leaving
+        ]
+        own = self._context.domain
+        self.capacities[service].set_endpoints(
+            [state for state in open_states if state.domain == own],
+            [state for state in open_states if state.domain != own],
+        )
+        self.changed.add(service)
+
+    def refresh_shares(self, own: messages.PeerDemand, now_s: float) -> None:
+        """Works out this instance's slots on every endpoint."""
+        oldest_s = now_s - PEER_VIEW_MAX_AGE_S
+        peers = [p for p in self._peers.values() if p.seen_at_s >= oldest_s]
+        for state in self.endpoints.values():
+            near = state.domain == self._context.domain
+            limit = self._policies.limits.limit(state, now_s)
+            state.share = self._policies.shares.share(
+                state, limit, own, peers if near else [], now_s
+            )
+        for capacity in self.capacities.values():
+            capacity.count()
+        self.changed.update(self.capacities)
+
+    def report(
+        self,
+        endpoint: ids.EndpointId,
+        report: messages.LoadReport,
+    ) -> None:
+        """Takes an endpoint's load report."""
+        state = self.endpoints.get(endpoint)
+        if state is not None:
+            state.report = report
+            if report.leaving and not state.leaving:
+                self.set_leaving(endpoint, True)
+
+    def set_leaving(self, endpoint: ids.EndpointId, leaving: bool) -> None:
+        """Takes the platform's or a peer's word that an endpoint leaves."""
+        state = self.endpoints.get(endpoint)
+        if state is not None and state.leaving != leaving:
+            state.leaving = leaving
+            self._regroup(state.service)
+
+    def peer(self, demand: messages.PeerDemand) -> None:
+        """Takes another instance's demand."""
+        self._peers[demand.instance] = demand
+
+    def forget_peer(self, instance: ids.InstanceId) -> None:
+        """Drops an instance that has left."""
+        self._peers.pop(instance, None)
+
+    def candidates(
+        self, job: messages.Job, backlog: Backlog, now_s: float
+    ) -> list[endpoint_module.EndpointState]:
+        """Returns the endpoints with a slot that a job may take now.
+
+        Endpoints of other domains are weighed only where no local one has a
+        slot that has not failed the job yet.
+        """
+        capacity = self.capacities[job.service]
+        solo = self._policies.quarantine.solo(job, now_s)
+        near = [s for s in capacity.local if self._suits(s, solo, now_s)]
+        untried = [s for s in near if s.endpoint not in job.tried]
+        if untried or not capacity.remote:
+            return untried or near
+        local = backlog(job, now_s)
+        far = [
+            state
+            for state in capacity.remote
+            if self._suits(state, solo, now_s)
+            and self._policies.spill.allow(job, state, local, now_s)
+        ]
+        return [s for s in far if s.endpoint not in job.tried] or near or far
+
+    def _suits(
+        self, state: endpoint_module.EndpointState, solo: bool, now_s: float
+    ) -> bool:
+        running = state.running
+        if state.share <= len(running):
+            return False
+        if solo:
+            return not running
+        if len(running) != 1:
+            return True
+        only = next(iter(running.values())).job
+        return not self._policies.quarantine.solo(only, now_s)
--- /dev/null
+++ b/cardamombarrow/decisions/tiers.py
@@ -0,0 +1,322 @@
+"""Whom to serve next: strict preference by tier, with a reserved share.
+
+Load pattern: a burst of one tier. Served in order of arrival, a burst of long
+letters stands before every chat message; with strict preference alone, a
+burst of chat keeps letters from running for as long as it lasts.
+
+A higher tier always goes first, except that each lower tier with work waiting
+is owed its `reserved_share` of the slots. Eight slots at a share of 0.1 are
+0.8 of a slot, so the fraction is carried: while higher tiers wait, a lower
+tier's credit grows by its reserved slot-seconds and shrinks by those it
+holds. With credit above zero it gets the next free slot, one whole slot at a
+time. Time rather than tokens is counted, because the length of an answer is
+not known when it starts and slots are what tiers compete for.
+
+Slots that a lower tier took while nobody above it waited are not counted
+against it beyond its reserved ones, or a burst from above would find it in
+debt for minutes and it would starve. Giving them back early is the matter of
+`preemption`.
+
+Figures: the share is the document's, 0.1 by default. Credit and debt are
+bounded to what `CREDIT_S` and `DEBT_S` seconds of the reserved slots give:
+credit saved for longer would come out as a burst of the low tier at the
+moment the high one needs its slots; debt above a minute would leave windows
+in which the tier completes nothing.
+"""
+
+import collections
+from collections import abc
+import math
+
+from cardamombarrow.decisions import base
+from cardamombarrow.decisions import capacity as capacity_module
+from cardamombarrow.decisions import fairness
+from cardamombarrow.decisions import messages
+from cardamombarrow.document import schema
+from cardamombarrow.kernel import ids
+from cardamombarrow.kernel import registry
+
+__all__ = ["TieredQueue"]
+
+CREDIT_S = 10.0
+DEBT_S = 60.0
+LEADERS = 8
+"""Waiting jobs looked at for a preemption, at most."""
+
+PASSED_OVER = 4
+"""Jobs of a tier that are looked at when the first ones have no room."""
+
+
+class _ServiceQueue:
+    """The queued jobs of one service."""
+
+    def __init__(self, now_s: float):
+        self.tiers: dict[int, fairness.FairQueue] = {}
+        self.counts: dict[int, collections.Counter[ids.ClassId]] = {}
+        self._credit_s: collections.Counter[int] = collections.Counter()
+        self._held: dict[int, int] = {}
+        self._contended: tuple[int, ...] = ()
+        self._seen_s = now_s
+
+    def tier(self, rank: int) -> fairness.FairQueue:
+        """Returns the queue of a tier, made where there is none."""
+        if rank not in self.tiers:
+            self.tiers[rank] = fairness.FairQueue()
+            self.tiers = dict(sorted(self.tiers.items()))
+            self.counts[rank] = collections.Counter()
+            self.counts = dict(sorted(self.counts.items()))
+        return self.tiers[rank]
+
+    def waiting(self) -> list[int]:
+        """Returns the ranks with jobs, the highest tier first."""
+        return [rank for rank, tier in self.tiers.items() if len(tier)]
+
+    def take(
+        self, room: base.Room, reserved: dict[int, float], now_s: float
+    ) -> messages.Job | None:
+        """Takes out the next job for which there is room."""
+        self._advance(reserved, now_s)
+        capacity = None
+        waiting = self.waiting()
+        if waiting:
+            capacity = room.capacity(self._service())
+            for rank in self._order(waiting, reserved, capacity.held):
+                job = self._take_from(rank, room, capacity)
+                if job is not None:
+                    self._remember(reserved, capacity.held, job.rank)
+                    return job
+        self._remember(reserved, capacity.held if capacity else {}, None)
+        return None
+
+    def _service(self) -> ids.ServiceId:
+        for tier in self.tiers.values():
+            job = tier.peek()
+            if job is not None:
+                return job.service
+        raise LookupError("no job waits")
+
+    def _take_from(
+        self, rank: int, room: base.Room, capacity: capacity_module.Capacity
+    ) -> messages.Job | None:
+        tier = self.tiers[rank]
+        job = tier.peek()
+        if job is None:
+            return None
+        if room.candidates(job):
+            return self._pop(tier)
+        if not capacity.has_free():
+            return None
+        return self._pass_over(tier, room)
+
+    def _pass_over(
+        self, tier: fairness.FairQueue, room: base.Room
+    ) -> messages.Job | None:
+        """Looks behind jobs that none of the free slots suits.
+
+        A job that may only run alone waits for an empty endpoint. Without
+        this everybody behind it would wait beside free slots.
+        """
+        passed = []
+        found = None
+        while len(passed) < PASSED_OVER and len(tier):
+            job = tier.peek()
+            if job is None:
+                break
+            if room.candidates(job):
+                found = self._pop(tier)
+                break
+            passed.append(tier.hide())
+        for entry in passed:
+            if entry is not None:
+                tier.restore(entry)
+        return found
+
+    def _pop(self, tier: fairness.FairQueue) -> messages.Job:
+        job = tier.pop()
+        assert job is not None
+        self.counts[job.rank][job.class_id] -= 1
+        return job
+
+    # -- reserved shares ---------------------------------------------------
+
+    def _order(
+        self,
+        waiting: list[int],
+        reserved: dict[int, float],
+        held: abc.Mapping[int, int],
+    ) -> list[int]:
+        lower = waiting[1:]
+        if not lower:
+            return waiting
+        allowed = math.ceil(sum(reserved.get(rank, 0.0) for rank in lower))
+        owed = [
+            rank
+            for rank in lower
+            if self._credit_s[rank] > 0.0
+            and held.get(rank, 0) < math.ceil(reserved.get(rank, 0.0))
+        ]
+        if not owed or sum(held.get(rank, 0) for rank in lower) >= allowed:
+            return waiting
+        owed.sort(key=lambda rank: -self._credit_s[rank])
+        return [*owed, *(rank for rank in waiting if rank not in owed)]
+
+    def _remember(
+        self,
+        reserved: dict[int, float],
+        held: abc.Mapping[int, int],
+        taken: int | None,
+    ) -> None:
+        """Keeps what holds until the next look."""
+        self._contended = tuple(self.waiting()[1:])
+        self._held = {
+            rank: held.get(rank, 0) + (rank == taken)
+            for rank in self._contended
+        }
+
+    def _advance(self, reserved: dict[int, float], now_s: float) -> None:
+        """Carries the credits on over the time since the last look."""
+        past_s = now_s - self._seen_s
+        self._seen_s = now_s
+        for rank in self._contended:
+            slots = reserved.get(rank, 0.0)
+            used = min(self._held.get(rank, 0), math.ceil(slots))
+            credit_s = self._credit_s[rank] + (slots - used) * past_s
+            credit_s = min(credit_s, slots * CREDIT_S)
+            self._credit_s[rank] = max(credit_s, -slots * DEBT_S)
+
+
+@registry.plugin("queue", "tiered")
+class TieredQueue(base.Queue):
+    """Strict by tier with reserved shares; fair and by deadline within."""
+
+    def __init__(self, context: base.PolicyContext):
+        super().__init__(context)
+        self._services: dict[ids.ServiceId, _ServiceQueue] = {}
+        self._where: dict[ids.RequestId, messages.Job] = {}
+        self._shares = self._read_shares(context.document)
+
+    def configure(self, document: schema.Document) -> None:
+        """Takes newer shares and weights."""
+        super().configure(document)
+        self._shares = self._read_shares(document)
+
+    @staticmethod
+    def _read_shares(document: schema.Document) -> dict[int, float]:
+        return {
+            tier.rank: tier.reserved_share for tier in document.tiers.values()
+        }
+
+    def push(self, job: messages.Job, now_s: float) -> None:
+        """Adds a job."""
+        queue = self._services.get(job.service)
+        if queue is None:
+            queue = self._services[job.service] = _ServiceQueue(now_s)
+        workspace = self.document.workspaces.get(job.workspace)
+        weight = workspace.weight if workspace else 1.0
+        queue.tier(job.rank).push(job, weight)
+        queue.counts[job.rank][job.class_id] += 1
+        self._where[job.request_id] = job
+
+    def remove(self, request_id: ids.RequestId) -> messages.Job | None:
+        """Takes a job out."""
+        job = self._where.pop(request_id, None)
+        if job is not None:
+            queue = self._services[job.service]
+            queue.tiers[job.rank].remove(request_id)
+            queue.counts[job.rank][job.class_id] -= 1
+        return job
+
+    def take(self, room: base.Room, now_s: float) -> messages.Job | None:
+        """Takes the next job; looks only at services where something is new."""
+        services = room.services()
+        for service in self._services if services is None else services:
+            queue = self._services.get(service)
+            if queue is None:
+                continue
+            slots = room.capacity(service).slots
+            reserved = {
+                rank: share * slots for rank, share in self._shares.items()
+            }
+            job = queue.take(room, reserved, now_s)
+            if job is not None:
+                del self._where[job.request_id]
+                return job
+        return None
+
+    def jobs(self) -> abc.Iterable[messages.Job]:
+        """Iterates in order of arrival."""
+        return self._where.values()
+
+    def jobs_ahead(self, job: messages.Job) -> int:
+        """Counts higher tiers' jobs and those before it in its own."""
+        queue = self._services.get(job.service)
+        if queue is None:
+            return 0
+        ahead = sum(
+            len(tier) for rank, tier in queue.tiers.items() if rank < job.rank
+        )
+        tier = queue.tiers.get(job.rank)
+        return ahead + (tier.position(job) if tier else 0)
+
+    def work_ahead_s(
+        self, job: messages.Job, capacity: capacity_module.Capacity
+    ) -> float:
+        """Returns the slot-seconds of higher tiers and of those before it."""
+        queue = self._services.get(job.service)
+        if queue is None:
+            return 0.0
+        ahead_s = 0.0
+        for rank, counts in queue.counts.items():
+            if rank > job.rank:
+                break
+            tier_s = sum(
+                count * capacity.hold_s(class_id)
+                for class_id, count in counts.items()
+            )
+            if rank == job.rank:
+                tier = queue.tiers[rank]
+                tier_s *= tier.position(job) / max(len(tier), 1)
+            ahead_s += tier_s
+        return ahead_s
+
+    def oldest_wait_s(self, job: messages.Job, now_s: float) -> float:
+        """Returns how long the next job of the same tier has waited."""
+        queue = self._services.get(job.service)
+        tier = queue.tiers.get(job.rank) if queue else None
+        head = tier.peek() if tier else None
+        return now_s - head.arrived_s if head else 0.0
+
+    def waiting_ranks(self, service: ids.ServiceId) -> abc.Iterable[int]:
+        """Returns the ranks with queued jobs."""
+        queue = self._services.get(service)
+        return queue.waiting() if queue else ()
+
+    def leaders(self, service: ids.ServiceId) -> abc.Iterable[messages.Job]:
+        """Returns some jobs of the highest waiting tier."""
+        queue = self._services.get(service)
+        waiting = queue.waiting() if queue else []
+        if not waiting:
+            return ()
+        return queue.tiers[waiting[0]].heads(LEADERS)
+
+    def evict(self, job: messages.Job) -> messages.Job | None:
+        """Takes out the last job of the lowest tier's longest line."""
+        lowest = None
+        for queue in self._services.values():
+            ranks = queue.waiting()
+            if ranks and ranks[-1] > max(job.rank, lowest or -1):
+                lowest, found = ranks[-1], queue
+        if lowest is None:
+            return None
+        last = found.tiers[lowest].longest()
+        return self.remove(last.request_id) if last else None
+
+    def settle(self, job: messages.Job, tokens: int) -> None:
+        """Charges a workspace for the part that the estimate missed."""
+        queue = self._services.get(job.service)
+        if queue is not None and job.rank in queue.tiers:
+            queue.tiers[job.rank].settle(job, tokens)
+
+    def __len__(self) -> int:
+        """Counts the queued jobs."""
+        return len(self._where)
--- a/cardamombarrow/document/rules.py
+++ b/cardamombarrow/document/rules.py
@@ -11,7 +11,7 @@
 import re
 import typing
 
-from cardamombarrow.decisions import core as decisions_core
+from cardamombarrow.decisions import policies as policies_module
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import registry
 
@@ -168,7 +168,7 @@
 
 
 def _policies(document: schema.Document) -> abc.Iterator[Violation]:
-    registry.load(*decisions_core.POLICY_MODULES)
+    registry.load(*policies_module.POLICY_MODULES)
     for field in dataclasses.fields(document.policies):
         name = getattr(document.policies, field.name)
         known = registry.names(field.name)
--- a/cardamombarrow/document/schema.py
+++ b/cardamombarrow/document/schema.py
@@ -150,7 +150,7 @@
         estimate: How long an answer will be.
     """
 
-    queue: str = "fifo"
+    queue: str = "tiered"
     admission: str = "bounded"
     limits: str = "fixed"
     choice: str = "round-robin"
