--- a/cardamombarrow/cli/core.py
+++ b/cardamombarrow/cli/core.py
@@ -9,6 +9,7 @@
 from cardamombarrow import __version__
 from cardamombarrow.cli import exit_codes
 from cardamombarrow.cli import operate
+from cardamombarrow.cli import report
 from cardamombarrow.cli import serve
 from cardamombarrow.kernel import errors
 
@@ -51,13 +52,14 @@
         description="Routes language-model traffic by service levels.",
         epilog="Exit codes: 0 done, 1 failed, 2 wrong usage, 3 invalid "
         "settings or document, 4 conflict with a newer edit, 5 accepted but "
-        "not yet in force everywhere.",
+        "not yet in force everywhere, 6 a promise was not kept.",
     )
     parser.add_argument("--version", action="version", version=__version__)
     commands = parser.add_subparsers(required=True, metavar="COMMAND")
     _add_roles(commands)
     _add_config(commands)
     _add_state(commands)
+    report.add_parser(commands)
     return parser
 
 
--- a/cardamombarrow/entry/life.py
+++ b/cardamombarrow/entry/life.py
@@ -78,6 +78,7 @@
         self._services = services
         self._kind = services.kinds[call.kind]
         self._tokens = 0
+        self._first_token_s: float | None = None
 
     def run(self) -> Relay:
         """Runs the request until its answer begins.
@@ -169,7 +170,8 @@
         )
         try:
             for chunk in exchange.chunks():
-                if not tail:
+                if self._first_token_s is None:
+                    self._first_token_s = self._age_s()
                     broker.first_token(request_id)
                 tail = (tail + chunk)[-TAIL_BYTES:]
                 self._tokens += self._kind.count_tokens(chunk)
@@ -197,15 +199,21 @@
         if error is not None:
             outcome = _OUTCOMES[error.kind]
         job = ticket.job
-        now_s = self._services.time_source.now_s()
         self._services.broker.finish(job.request_id, outcome)
+        first_s = self._first_token_s
         logs.decision(
             "settle",
             request_id=job.request_id,
             workspace=job.workspace,
             class_id=job.class_id,
+            rank=job.rank,
             outcome=outcome.value,
             detail=error.detail if error else "",
             tokens=self._tokens,
-            total_s=round(now_s - job.arrived_s, 4),
+            first_token_s=None if first_s is None else round(first_s, 4),
+            target_first_token_s=job.target_first_token_s,
+            total_s=round(self._age_s(), 4),
         )
+
+    def _age_s(self) -> float:
+        return self._services.time_source.now_s() - self._call.job.arrived_s
--- /dev/null
+++ b/cardamombarrow/reports/core.py
@@ -0,0 +1,166 @@
+"""From log lines to a table of promises kept, in a pipeline of generators."""
+
+import collections
+from collections import abc
+import dataclasses
+import json
+import typing
+
+from hdrh import histogram
+
+from cardamombarrow.document import schema
+from cardamombarrow.kernel import ids
+
+__all__ = ["ClassReport", "Refused", "Settled", "collect", "events", "lines"]
+
+LONGEST_MS = 3_600_000
+SIGNIFICANT_DIGITS = 2
+
+
+@dataclasses.dataclass(frozen=True)
+class Settled:
+    """A run that ended, whole or not.
+
+    Attributes:
+        first_token_s: From arrival to the first byte; None if none came.
+        tokens: Tokens relayed.
+    """
+
+    class_id: ids.ClassId
+    workspace: ids.WorkspaceId
+    outcome: str
+    tokens: int
+    first_token_s: float | None
+    target_first_token_s: float
+
+    @property
+    def whole(self) -> bool:
+        """Whether the caller received the whole answer."""
+        return self.outcome == "done"
+
+    @property
+    def in_target(self) -> bool:
+        """Whether it was whole and its first token in time."""
+        return (
+            self.whole
+            and self.first_token_s is not None
+            and self.first_token_s <= self.target_first_token_s
+        )
+
+
+@dataclasses.dataclass(frozen=True)
+class Refused:
+    """A request that was answered with an error before it ran."""
+
+    class_id: ids.ClassId
+    workspace: ids.WorkspaceId
+    kind: str
+
+
+@dataclasses.dataclass
+class ClassReport:
+    """What became of one class.
+
+    Attributes:
+        ended: Runs by outcome.
+        refused: Refusals by error code.
+        in_target: Whole answers whose first token came in time.
+        useful_tokens: Tokens of whole answers.
+        wasted_tokens: Tokens of all other runs.
+        first_token_ms: Histogram of the whole answers.
+    """
+
+    class_id: ids.ClassId
+    ended: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    refused: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    in_target: int = 0
+    useful_tokens: int = 0
+    wasted_tokens: int = 0
+    first_token_ms: histogram.HdrHistogram = dataclasses.field(
+        default_factory=lambda: histogram.HdrHistogram(
+            1, LONGEST_MS, SIGNIFICANT_DIGITS
+        )
+    )
+
+    @property
+    def answered(self) -> int:
+        """Requests that were answered, whole, broken or refused."""
+        return self.ended.total() + self.refused.total()
+
+    @property
+    def attainment_share(self) -> float | None:
+        """Share of answered requests in target; None where there are none.
+
+        A refusal counts as a missed target: the caller was promised an
+        answer. One that came back later and was served counts twice, once as
+        a refusal and once as an answer.
+        """
+        return self.in_target / self.answered if self.answered else None
+
+    def kept(self, request_class: schema.RequestClass) -> bool:
+        """Tells whether the promise that was sold was kept."""
+        share = self.attainment_share
+        return share is None or share >= request_class.attainment_share
+
+
+def lines(
+    files: abc.Iterable[typing.TextIO],
+) -> abc.Iterator[dict[str, typing.Any]]:
+    """Yields each decision in the logs; what is not JSON is passed over."""
+    for file in files:
+        for line in file:
+            if '"decision"' not in line:
+                continue
+            try:
+                yield json.loads(line)
+            except ValueError:
+                # The last line of a process that was killed may be torn.
+                continue
+
+
+def events(
+    decisions: abc.Iterable[dict[str, typing.Any]],
+) -> abc.Iterator[Settled | Refused]:
+    """Yields the decisions that end a request or a run."""
+    for raw in decisions:
+        if raw.get("decision") == "settle":
+            yield Settled(
+                ids.ClassId(raw["class_id"]),
+                ids.WorkspaceId(raw["workspace"]),
+                raw["outcome"],
+                raw["tokens"],
+                raw["first_token_s"],
+                raw["target_first_token_s"],
+            )
+        elif raw.get("decision") == "refuse":
+            yield Refused(
+                ids.ClassId(raw["class_id"]),
+                ids.WorkspaceId(raw["workspace"]),
+                raw["kind"],
+            )
+
+
+def collect(
+    ended: abc.Iterable[Settled | Refused],
+) -> dict[ids.ClassId, ClassReport]:
+    """Adds up what became of each class."""
+    reports: dict[ids.ClassId, ClassReport] = {}
+    for event in ended:
+        report = reports.setdefault(event.class_id, ClassReport(event.class_id))
+        if isinstance(event, Refused):
+            report.refused[event.kind] += 1
+            continue
+        report.ended[event.outcome] += 1
+        report.in_target += event.in_target
+        if not event.whole:
+            report.wasted_tokens += event.tokens
+            continue
+        report.useful_tokens += event.tokens
+        if event.first_token_s is not None:
+            first_ms = max(1, round(event.first_token_s * 1_000))
+            report.first_token_ms.record_value(min(first_ms, LONGEST_MS))
+    return reports
