Gossip inside a failure domain and take the highest document at a start

Cause: each entry decided alone. It did not know what others had in flight or which endpoint they had found leaving, polled every endpoint itself, and after a restart took whatever document came first, even from a control process that was cut off. A domain cut off from all control processes could not restart an entry at all. The platform's lagging list put endpoints back into use whose own report said that they leave.

Now each entry writes a versioned row, and each second exchanges with two random others what the other lacks; news that can't wait goes at once. An endpoint is polled by two entries, by rendezvous hashing. A start asks all control processes and the seeds and takes the highest revision; without a control process with a quorum it asks on for 3 s first. A newer document that control did not bring within 1 s is pulled from the entry that has it.

Weighed: full tables each round (36 rows of 58 endpoints are over the budget by themselves), membership by SWIM probes (needs indirect probes as a second protocol; the versions are a heartbeat already). Summaries to other domains are left.

--- a/cardamombarrow/entry/broker.py
+++ b/cardamombarrow/entry/broker.py
@@ -95,6 +95,31 @@
         with self._lock:
             self._dispatcher.set_leaving(endpoint, leaving)
 
+    def demand(self) -> messages.PeerDemand:
+        """Returns what this instance asks for, to be gossiped."""
+        with self._lock:
+            return self._dispatcher.demand(self._clock.now_s())
+
+    def peer(self, demand: messages.PeerDemand) -> None:
+        """Takes another instance's demand."""
+        with self._lock:
+            self._dispatcher.peer(demand)
+
+    def forget_peer(self, instance: ids.InstanceId) -> None:
+        """Drops an instance that has left."""
+        with self._lock:
+            self._dispatcher.forget_peer(instance)
+
+    def quarantine_marks(self) -> dict[ids.Fingerprint, float]:
+        """Returns quarantined fingerprints and seconds left, for gossip."""
+        with self._lock:
+            return self._dispatcher.quarantine_marks(self._clock.now_s())
+
+    def merge_quarantine(self, marks: dict[ids.Fingerprint, float]) -> None:
+        """Takes fingerprints that another instance quarantined."""
+        with self._lock:
+            self._dispatcher.merge_quarantine(marks, self._clock.now_s())
+
     def submit(self, job: messages.Job) -> Ticket:
         """Hands in an arriving job.
 
--- a/cardamombarrow/entry/in_force.py
+++ b/cardamombarrow/entry/in_force.py
@@ -1,16 +1,25 @@
 """The accepted document that this instance has in force."""
 
 from collections import abc
+from concurrent import futures
 import dataclasses
 import threading
+import time
 
 from cardamombarrow.document import parsing
 from cardamombarrow.document import schema
 from cardamombarrow.entry import incoming
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import logs
+from cardamombarrow.peers import control_pb2
 
-__all__ = ["Applied", "InForce"]
+__all__ = ["Applied", "InForce", "take_first"]
+
+NO_QUORUM_WAIT_S = 3.0
+"""How long a start waits for a control process with a quorum. A cut-off
+domain has none, and then starts with the highest document it can find."""
+
+ASK_PAUSE_S = 0.2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -68,3 +77,36 @@
     def revision(self) -> ids.Revision:
         """The revision in force, 0 before the first."""
         return self._applied.revision if self._applied else ids.Revision(0)
+
+
+Ask = abc.Callable[[], list[futures.Future[control_pb2.DocumentMessage | None]]]
+
+
+def take_first(documents: InForce, ask: Ask, timeout_s: float) -> bool:
+    """Takes the highest revision that the sources have, before serving.
+
+    A restarted instance remembers nothing. Taking whatever comes first could
+    be the old document of a control process that is cut off; callers would
+    see an accepted edit reverted. So all sources are asked, and while no
+    control process with a quorum is among them, asked again for a while.
+
+    Args:
+        documents: Where the document is put.
+        ask: Asks every source; a future is None where none answered.
+        timeout_s: Longest wait.
+
+    Returns:
+        Whether any document is in force.
+    """
+    start_s = time.monotonic()
+    while time.monotonic() - start_s < timeout_s:
+        messages = [future.result() for future in ask()]
+        found = [message for message in messages if message and message.text]
+        certain = any(message.has_quorum for message in found)
+        waited = time.monotonic() - start_s >= NO_QUORUM_WAIT_S
+        if found and (certain or waited):
+            best = max(found, key=lambda message: message.revision)
+            documents.offer(ids.Revision(best.revision), best.text)
+            return True
+        time.sleep(ASK_PAUSE_S)
+    return documents.revision > 0
--- /dev/null
+++ b/cardamombarrow/entry/peering.py
@@ -0,0 +1,182 @@
+"""An entry's links to control processes and to its domain's other entries."""
+
+from concurrent import futures
+import time
+
+from cardamombarrow.document import schema
+from cardamombarrow.endpoints import base as endpoints_base
+from cardamombarrow.endpoints import poller as poller_module
+from cardamombarrow.entry import broker as broker_module
+from cardamombarrow.entry import in_force
+from cardamombarrow.entry import settings as settings_module
+from cardamombarrow.gossip import rows
+from cardamombarrow.gossip import table as table_module
+from cardamombarrow.kernel import clock
+from cardamombarrow.kernel import errors
+from cardamombarrow.kernel import ids
+from cardamombarrow.kernel import lifecycle
+from cardamombarrow.kernel import logs
+from cardamombarrow.peers import control_client
+from cardamombarrow.peers import control_pb2
+from cardamombarrow.peers import gossip_node
+from cardamombarrow.peers import loop as loop_module
+from cardamombarrow.peers import membership as membership_module
+from cardamombarrow.peers import server as server_module
+from cardamombarrow.platform import listing
+
+__all__ = ["Peering"]
+
+FIRST_DOCUMENT_TIMEOUT_S = 60.0
+
+ASK_TIMEOUT_S = 2.0
+"""Longest wait for one source of the first document."""
+
+
+class Peering(lifecycle.Part):
+    """All that an entry hears from and tells other instances.
+
+    Attributes:
+        control: The link to the control processes.
+    """
+
+    def __init__(
+        self,
+        settings: settings_module.EntrySettings,
+        documents: in_force.InForce,
+        time_source: clock.Clock,
+    ):
+        self._settings = settings
+        self._documents = documents
+        self._clock = time_source
+        self._instance = ids.InstanceId(settings.instance.id)
+        self._domain = ids.DomainId(settings.instance.domain)
+        self._loop = loop_module.LoopThread()
+        self._node: gossip_node.GossipNode | None = None
+        self._server: server_module.PeerServer | None = None
+        self.membership: membership_module.Membership | None = None
+        self.control = control_client.ControlClient(
+            self._loop,
+            settings.peers.controls,
+            settings.peers.secret,
+            self._report,
+            documents.offer,
+            settings.peers.report_interval_s,
+        )
+
+    def _report(self) -> control_pb2.AppliedReport:
+        return control_pb2.AppliedReport(
+            instance=self._instance,
+            domain=self._domain,
+            applied_revision=self._documents.revision,
+        )
+
+    def take_first_document(self) -> None:
+        """Starts the links to control and waits for a document.
+
+        Raises:
+            errors.UnavailableError: No instance gave a document in time.
+        """
+        self._loop.start()
+        if not in_force.take_first(
+            self._documents, self._ask, FIRST_DOCUMENT_TIMEOUT_S
+        ):
+            raise errors.UnavailableError(
+                errors.ErrorKind.NOT_READY,
+                "neither a control process nor an entry gave a document; "
+                "see [peers] controls and seeds",
+            )
+        self.control.start()
+
+    def _ask(
+        self,
+    ) -> list[futures.Future[control_pb2.DocumentMessage | None]]:
+        peers = self._settings.peers
+        return self.control.documents(ASK_TIMEOUT_S) + [
+            self._loop.call(
+                gossip_node.fetch_document(seed, peers.secret, ASK_TIMEOUT_S)
+            )
+            for seed in peers.seeds
+        ]
+
+    def join(
+        self,
+        kinds: dict[schema.ServiceKind, endpoints_base.EndpointKind],
+        broker: broker_module.Broker,
+    ) -> poller_module.Poller:
+        """Builds the gossip; returns the poller that it steers."""
+        self.membership = membership_module.Membership(
+            self._instance, self._domain, kinds, broker, self._clock
+        )
+        poller = poller_module.Poller(
+            self._settings.platform.report_interval_s,
+            self.membership.on_report,
+        )
+        peers = self._settings.peers
+        address = peers.address or f"{peers.host}:{peers.port}"
+        table = table_module.Table(
+            self._instance,
+            time.time_ns() // 1_000_000,
+            rows.Head(address, self._documents.revision),
+            self._clock.now_s(),
+        )
+        self.membership.attach(table, poller)
+        self._node = gossip_node.GossipNode(
+            self._loop,
+            table,
+            gossip_node.GossipSettings(
+                self._domain, address, peers.seeds, peers.secret
+            ),
+            self._hooks(),
+            self._clock,
+        )
+        self._server = server_module.PeerServer(
+            self._loop, peers.host, peers.port, peers.secret, [self._node]
+        )
+        return poller
+
+    def _hooks(self) -> gossip_node.GossipHooks:
+        return gossip_node.GossipHooks(
+            collect=self.membership.collect,
+            urgent=self.membership.urgent,
+            on_changes=self.membership.on_changes,
+            on_members=self.membership.on_members,
+            document=self._document,
+            on_document=self._take_document,
+        )
+
+    def _document(self) -> control_pb2.DocumentMessage:
+        if not self._documents.revision:
+            return control_pb2.DocumentMessage()
+        current = self._documents.current()
+        return control_pb2.DocumentMessage(
+            revision=current.revision, text=current.text
+        )
+
+    def _take_document(self, revision: ids.Revision, text: str) -> None:
+        try:
+            taken = self._documents.offer(revision, text)
+        except errors.RouterError as error:
+            logs.event("document not taken", "ERROR", detail=error.detail)
+            return
+        if taken:
+            logs.event("document from another entry", revision=revision)
+            self.control.report_now()
+
+    def on_listing(self, items: list[listing.EndpointListing]) -> None:
+        """Takes the platform's list."""
+        self.membership.on_listing(
+            (item.endpoint, item.state is listing.ListingState.LEAVING)
+            for item in items
+        )
+
+    def start(self) -> None:
+        """Starts gossip; call after `join`."""
+        self._server.start()
+        self._node.start()
+
+    def stop(self) -> None:
+        """Says goodbye to the other instances and ends all links."""
+        self._node.stop()
+        self.control.stop()
+        self._server.stop()
+        self._loop.stop()
--- a/cardamombarrow/entry/settings.py
+++ b/cardamombarrow/entry/settings.py
@@ -39,6 +39,11 @@
     port: int = settings.setting(
         0, help="port to listen on for other instances", low=0, high=65535
     )
+    address: str = settings.setting(
+        "",
+        help="address host:port that other instances reach this one at; "
+        "empty for the two above",
+    )
     controls: tuple[str, ...] = settings.setting(
         (), help="peer addresses host:port of the control processes"
     )
--- /dev/null
+++ b/cardamombarrow/gossip/rendezvous.py
@@ -0,0 +1,31 @@
+"""Which instances poll an endpoint, by rendezvous hashing.
+
+Every instance of a domain polling every endpoint would ask each endpoint 36
+times a second at the target size. Two ask, and share what they learn; each
+instance works out by itself who they are, and a change of members moves only
+the endpoints of who came or went (D. Thaler, C. Ravishankar, "Using
+name-based mappings to increase hit rates", 1998).
+"""
+
+from collections import abc
+import hashlib
+import heapq
+
+from cardamombarrow.kernel import ids
+
+__all__ = ["POLLERS_PER_ENDPOINT", "pollers"]
+
+POLLERS_PER_ENDPOINT = 2
+"""With two, the loss of one instance leaves no endpoint unobserved."""
+
+
+def pollers(
+    endpoint: ids.EndpointId, members: abc.Iterable[ids.InstanceId]
+) -> list[ids.InstanceId]:
+    """Returns the instances that poll an endpoint."""
+
+    def weight(member: ids.InstanceId) -> bytes:
+        text = f"{endpoint}\n{member}"
+        return hashlib.blake2b(text.encode(), digest_size=8).digest()
+
+    return heapq.nlargest(POLLERS_PER_ENDPOINT, members, key=weight)
--- /dev/null
+++ b/cardamombarrow/gossip/tests/test_leaving.py
@@ -0,0 +1,37 @@
+"""Joining what sources say of an endpoint that leaves."""
+
+from cardamombarrow.gossip import leaving
+from cardamombarrow.gossip import rendezvous
+
+
+def test_a_lagging_list_does_not_put_a_leaving_endpoint_back_into_use():
+    # The endpoint's own report says that it leaves; the platform's list lags
+    # and still calls it live. Requests sent to it would be cut.
+    view = leaving.LeavingView()
+    assert view.tell("10.0.0.1:8000", "report", True) is True
+    assert view.tell("10.0.0.1:8000", "list", False) is None
+    assert view.leaving() == ["10.0.0.1:8000"]
+    assert view.tell("10.0.0.1:8000", "report", False) is False
+    assert view.leaving() == []
+
+
+def test_the_word_of_an_instance_that_is_gone_is_forgotten():
+    view = leaving.LeavingView()
+    view.tell("a", "instance entry-2", True)
+    view.tell("b", "instance entry-2", True)
+    view.tell("b", "list", True)
+    assert view.forget_source("instance entry-2") == ["a"]
+    assert view.said_by(frozenset(("list",))) == ["b"]
+
+
+def test_every_endpoint_has_two_pollers_and_few_move():
+    # When an instance dies, endpoints whose pollers are all replaced would go
+    # unobserved for a while.
+    members = [f"entry-{number}" for number in range(12)]
+    endpoints = [f"10.0.0.{number}:8000" for number in range(58)]
+    before = {e: set(rendezvous.pollers(e, members)) for e in endpoints}
+    after = {e: set(rendezvous.pollers(e, members[1:])) for e in endpoints}
+    assert all(len(chosen) == 2 for chosen in before.values())
+    assert all(before[e] & after[e] for e in endpoints)
+    moved = [e for e in endpoints if before[e] != after[e]]
+    assert moved == [e for e in endpoints if "entry-0" in before[e]]
--- /dev/null
+++ b/cardamombarrow/gossip/tests/test_table_fuzz.py
@@ -0,0 +1,207 @@
+"""Several tables under loss, delay, restarts and cuts, against an oracle."""
+
+import random
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from cardamombarrow.gossip import rows
+from cardamombarrow.gossip import table as table_module
+
+_COUNT = 4
+_SERVICES = ("report-writer", "trail-desk")
+_nodes = st.integers(0, _COUNT - 1)
+
+
+def _head(number):
+    return rows.Head(f"10.0.0.{number}:7000", 0)
+
+
+class GossipMachine(stateful.RuleBasedStateMachine):
+    """The oracle: what each instance last wrote, by incarnation and version.
+
+    Whatever a table holds of a row must be what its owner wrote at just that
+    version; what a table knows never goes back while it holds the row.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.now_s = 100.0
+        self.written = {}
+        self.starts = 0
+        self.content = [{} for _ in range(_COUNT)]
+        self.tables = [self._start(number) for number in range(_COUNT)]
+        self.under_way = []
+        self.known = [{} for _ in range(_COUNT)]
+
+    def _start(self, number):
+        self.starts += 1
+        table = table_module.Table(
+            f"entry-{number}", self.starts, _head(number), self.now_s
+        )
+        self._note(table)
+        return table
+
+    def _note(self, table):
+        own = table.own
+        self.written[own.instance, own.incarnation, own.version] = {
+            key: item.value
+            for key, item in own.items.items()
+            if item.value is not None
+        }
+
+    @stateful.rule(
+        number=_nodes,
+        content=st.dictionaries(st.sampled_from(_SERVICES), st.integers(1, 9)),
+    )
+    def write(self, number, content):
+        items = {(rows.ItemKind.DEMAND, k): v for k, v in content.items()}
+        self.tables[number].update(_head(number), items, self.now_s)
+        self._note(self.tables[number])
+
+    @stateful.rule(sender=_nodes, asker=_nodes)
+    def send(self, sender, asker):
+        digest = self.tables[asker].digest()
+        deltas = self.tables[sender].deltas(digest, self.now_s)
+        self.under_way.append((asker, deltas))
+
+    @stateful.precondition(lambda self: self.under_way)
+    @stateful.rule(place=st.integers(0, 1_000), again=st.booleans())
+    def deliver(self, place, again):
+        place %= len(self.under_way)
+        number, deltas = self.under_way[place]
+        if not again:
+            del self.under_way[place]
+        self.tables[number].apply(deltas, self.now_s)
+        self._note(self.tables[number])
+
+    @stateful.precondition(lambda self: self.under_way)
+    @stateful.rule()
+    def lose(self):
+        self.under_way.pop()
+
+    @stateful.rule(number=_nodes)
+    def restart(self, number):
+        self.tables[number] = self._start(number)
+        self.known[number] = {}
+
+    @stateful.rule(by_s=st.sampled_from([0.5, 3.0, 11.0]))
+    def wait(self, by_s):
+        self.now_s += by_s
+        for table in self.tables:
+            table.expire(self.now_s)
+
+    @stateful.invariant()
+    def rows_are_what_their_owners_wrote(self):
+        for table in self.tables:
+            for row in table.others():
+                held = {
+                    key: item.value
+                    for key, item in row.items.items()
+                    if item.value is not None
+                }
+                version = (row.instance, row.incarnation, row.version)
+                assert held == self.written[version]
+
+    @stateful.invariant()
+    def versions_never_go_back(self):
+        for table, known in zip(self.tables, self.known, strict=True):
+            for row in table.others():
+                version = (row.incarnation, row.version)
+                assert version >= known.get(row.instance, (0, 0))
+                known[row.instance] = version
+
+    def teardown(self):
+        # Once messages arrive, all hear of all, whatever came before.
+        for _ in range(3 * _COUNT):
+            self.now_s += 1.0
+            for number, table in enumerate(self.tables):
+                table.update(_head(number), {}, self.now_s)
+                self._note(table)
+            for table in self.tables:
+                for other in self.tables:
+                    deltas = other.deltas(table.digest(), self.now_s)
+                    table.apply(deltas, self.now_s)
+        names = {f"entry-{number}" for number in range(_COUNT)}
+        for table in self.tables:
+            assert {row.instance for row in table.live()} == names
+        self.rows_are_what_their_owners_wrote()
+
+
+GossipMachine.TestCase.settings = hypothesis.settings(
+    max_examples=60, stateful_step_count=60, deadline=None
+)
+TestGossipMachine = GossipMachine.TestCase
+
+
+def _rounds(tables, now_s, rng):
+    for table in tables:
+        table.update(_head(0), {}, now_s)
+    for table in tables:
+        for other in rng.sample(tables, 2):
+            if other is not table:
+                reply = other.deltas(table.digest(), now_s)
+                push = table.deltas(other.digest(), now_s)
+                table.apply(reply, now_s)
+                other.apply(push, now_s)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_nobody_alive_is_dropped_among_36_instances(seed):
+    # Were the time to detection too short for the fan-out, live instances
+    # would come and go at the others, and shares of slots would jump.
+    rng = random.Random(seed)
+    tables = [
+        table_module.Table(f"entry-{n}", 1, _head(n), 0.0) for n in range(36)
+    ]
+    for table in tables[1:]:
+        table.apply(tables[0].deltas(table.digest(), 0.0), 0.0)
+        tables[0].apply(table.deltas(tables[0].digest(), 0.0), 0.0)
+    for now_s in range(1, 60):
+        _rounds(tables, float(now_s), rng)
+        gone = [table.expire(float(now_s)) for table in tables]
+        assert now_s < 8 or not any(gone)
+    assert all(len(table.live()) == 36 for table in tables)
+
+
+def test_a_dead_instance_is_dropped_and_back_after_a_restart():
+    # An entry is killed and started again by the platform. The others go on
+    # splitting slots with the dead one until they notice, and must split
+    # with the new one from the first message on.
+    one = table_module.Table("entry-1", 1, _head(1), 0.0)
+    two = table_module.Table("entry-2", 1, _head(2), 0.0)
+    late = two.deltas({}, 0.0)
+    one.apply(late, 0.0)
+    two.update(_head(2), {}, 1.0)
+    one.apply(two.deltas(one.digest(), 1.0), 1.0)
+    assert one.expire(12.0) == ["entry-2"]
+    one.apply(late, 12.0)
+    assert [row.instance for row in one.live()] == ["entry-1"]
+    again = table_module.Table("entry-2", 2, _head(2), 13.0)
+    one.apply(again.deltas(one.digest(), 13.0), 13.0)
+    assert {row.instance for row in one.live()} == {"entry-1", "entry-2"}
+
+
+def test_a_restart_with_its_clock_set_back_is_heard():
+    # A machine comes back with a clock in the past. Its new row has a lower
+    # incarnation than the one the others hold, and would be ignored.
+    one = table_module.Table("entry-1", 1, _head(1), 0.0)
+    one.apply(
+        table_module.Table("entry-2", 50, _head(2), 0.0).deltas({}, 0.0), 0.0
+    )
+    two = table_module.Table("entry-2", 7, _head(2), 1.0)
+    two.apply(one.deltas(two.digest(), 1.0), 1.0)
+    one.apply(two.deltas(one.digest(), 1.0), 1.0)
+    row = next(row for row in one.others())
+    assert row.incarnation == 51
+
+
+def test_a_goodbye_drops_the_row_at_once():
+    one = table_module.Table("entry-1", 1, _head(1), 0.0)
+    two = table_module.Table("entry-2", 1, _head(2), 0.0)
+    one.apply(two.deltas(one.digest(), 0.0), 0.0)
+    two.update(rows.Head("10.0.0.2:7000", 0, left=True), {}, 0.5)
+    assert one.apply(two.deltas(one.digest(), 0.5), 0.5).left == ["entry-2"]
+    assert one.others() == []
--- /dev/null
+++ b/cardamombarrow/peers/gossip_codec.py
@@ -0,0 +1,171 @@
+"""Between the gossip table's messages and protobuf.
+
+Times go over the wire as ages or as time left: the clocks of two instances
+have nothing in common.
+"""
+
+from collections import abc
+
+from cardamombarrow.decisions import messages
+from cardamombarrow.gossip import rows
+from cardamombarrow.kernel import ids
+from cardamombarrow.peers import gossip_pb2
+
+__all__ = [
+    "delta_from_wire",
+    "delta_to_wire",
+    "digest_from_wire",
+    "digest_to_wire",
+]
+
+_MS = 1_000
+
+
+def digest_to_wire(digest: rows.Digest) -> list[gossip_pb2.GossipDigestRow]:
+    """Converts a digest."""
+    return [
+        gossip_pb2.GossipDigestRow(
+            instance=instance, incarnation=incarnation, version=version
+        )
+        for instance, (incarnation, version) in digest.items()
+    ]
+
+
+def digest_from_wire(
+    wire: abc.Iterable[gossip_pb2.GossipDigestRow],
+) -> rows.Digest:
+    """Converts a digest back."""
+    return {
+        ids.InstanceId(row.instance): (row.incarnation, row.version)
+        for row in wire
+    }
+
+
+def delta_to_wire(delta: rows.RowDelta, now_s: float) -> gossip_pb2.GossipRow:
+    """Converts a row's delta."""
+    wire = gossip_pb2.GossipRow(
+        instance=delta.instance,
+        incarnation=delta.incarnation,
+        version=delta.version,
+        since=delta.since,
+        age_ms=int(delta.age_s * _MS),
+        address=delta.head.address,
+        applied_revision=delta.head.applied_revision,
+        left=delta.head.left,
+    )
+    for (kind, name), value in delta.items:
+        _ENCODERS[kind](wire, name, value, now_s)
+    return wire
+
+
+def _put_demand(
+    wire: gossip_pb2.GossipRow, name: str, value: float | None, now_s: float
+) -> None:
+    wire.demand_services.append(name)
+    wire.demand.append(value or 0.0)
+
+
+def _put_in_flight(
+    wire: gossip_pb2.GossipRow, name: int, value: int | None, now_s: float
+) -> None:
+    wire.in_flight_endpoints.append(name)
+    wire.in_flight.append(value or 0)
+
+
+def _put_leaving(
+    wire: gossip_pb2.GossipRow, name: str, value: bool | None, now_s: float
+) -> None:
+    names = wire.leaving_endpoints if value else wire.returned_endpoints
+    names.append(name)
+
+
+def _put_quarantine(
+    wire: gossip_pb2.GossipRow, name: str, value: float | None, now_s: float
+) -> None:
+    left_s = 0.0 if value is None else max(0.0, value - now_s)
+    wire.quarantined.append(name)
+    wire.quarantine_left_ms.append(int(left_s * _MS))
+
+
+def _put_report(
+    wire: gossip_pb2.GossipRow,
+    name: int,
+    value: messages.LoadReport | None,
+    now_s: float,
+) -> None:
+    if value is None:
+        wire.removed_reports.append(name)
+        return
+    wire.report_endpoints.append(name)
+    wire.report_running.append(value.running)
+    wire.report_waiting.append(value.waiting)
+    wire.report_cache_used_share.append(value.cache_used_share)
+    wire.report_leaving.append(value.leaving)
+    age_s = max(0.0, now_s - value.measured_at_s)
+    wire.report_age_ms.append(int(age_s * _MS))
+
+
+_ENCODERS = {
+    rows.ItemKind.DEMAND: _put_demand,
+    rows.ItemKind.IN_FLIGHT: _put_in_flight,
+    rows.ItemKind.LEAVING: _put_leaving,
+    rows.ItemKind.QUARANTINE: _put_quarantine,
+    rows.ItemKind.REPORT: _put_report,
+}
+
+
+def delta_from_wire(wire: gossip_pb2.GossipRow, now_s: float) -> rows.RowDelta:
+    """Converts a row's delta back."""
+    return rows.RowDelta(
+        instance=ids.InstanceId(wire.instance),
+        incarnation=wire.incarnation,
+        version=wire.version,
+        since=wire.since,
+        age_s=wire.age_ms / _MS,
+        head=rows.Head(
+            wire.address, ids.Revision(wire.applied_revision), wire.left
+        ),
+        items=list(_items(wire, now_s)),
+    )
+
+
+def _items(
+    wire: gossip_pb2.GossipRow, now_s: float
+) -> abc.Iterator[tuple[rows.Key, rows.Value | None]]:
+    kind = rows.ItemKind
+    for service, demand in zip(wire.demand_services, wire.demand):
+        yield (kind.DEMAND, service), demand or None
+    for endpoint, count in zip(wire.in_flight_endpoints, wire.in_flight):
+        yield (kind.IN_FLIGHT, endpoint), count or None
+    for endpoint in wire.leaving_endpoints:
+        yield (kind.LEAVING, endpoint), True
+    for endpoint in wire.returned_endpoints:
+        yield (kind.LEAVING, endpoint), None
+    for fingerprint, left_ms in zip(wire.quarantined, wire.quarantine_left_ms):
+        value = now_s + left_ms / _MS if left_ms else None
+        yield (kind.QUARANTINE, fingerprint), value
+    yield from _reports(wire, now_s)
+
+
+def _reports(
+    wire: gossip_pb2.GossipRow, now_s: float
+) -> abc.Iterator[tuple[rows.Key, rows.Value | None]]:
+    for endpoint in wire.removed_reports:
+        yield (rows.ItemKind.REPORT, endpoint), None
+    columns = zip(
+        wire.report_endpoints,
+        wire.report_running,
+        wire.report_waiting,
+        wire.report_cache_used_share,
+        wire.report_leaving,
+        wire.report_age_ms,
+    )
+    for endpoint, running, waiting, used, leaving, age_ms in columns:
+        report = messages.LoadReport(
+            running=running,
+            waiting=waiting,
+            cache_used_share=used,
+            leaving=leaving,
+            measured_at_s=now_s - age_ms / _MS,
+        )
+        yield (rows.ItemKind.REPORT, endpoint), report
--- /dev/null
+++ b/cardamombarrow/peers/gossip_node.py
@@ -0,0 +1,347 @@
+"""Carries gossip between the entries of a failure domain.
+
+One task runs a round each second: it raises the version of the own row, drops
+instances not heard of, and exchanges rows with two random others, each over a
+standing stream. News that can't wait starts a round at once.
+"""
+
+import asyncio
+from collections import abc
+from concurrent import futures
+import dataclasses
+import random
+
+from grpclib import client
+from grpclib import server
+
+from cardamombarrow.gossip import rows
+from cardamombarrow.gossip import table as table_module
+from cardamombarrow.kernel import clock
+from cardamombarrow.kernel import ids
+from cardamombarrow.kernel import lifecycle
+from cardamombarrow.kernel import logs
+from cardamombarrow.peers import control_client
+from cardamombarrow.peers import control_pb2
+from cardamombarrow.peers import gossip_codec
+from cardamombarrow.peers import gossip_grpc
+from cardamombarrow.peers import gossip_pb2
+from cardamombarrow.peers import loop as loop_module
+from cardamombarrow.peers import secret as secret_module
+
+__all__ = ["GossipHooks", "GossipNode", "GossipSettings", "fetch_document"]
+
+INTERVAL_S = 1.0
+"""Time between two rounds."""
+
+FAN_OUT = 2
+"""Partners in one round. A full mesh at 36 instances would cost 18 times as
+much; one partner takes twice as many rounds to reach all."""
+
+EXCHANGE_TIMEOUT_S = 1.5
+"""An exchange that takes longer has met a dead or silent link."""
+
+URGENT_GAP_S = 0.05
+"""Least time between two rounds, so that a storm of news is sent together."""
+
+NEWS_LOOK_S = 0.2
+"""Time between two looks for news that can't wait."""
+
+SEED_INTERVAL_S = 5.0
+"""Time between two tries of a seed that no live instance is known at: after a
+cut, neither side knows the other any more."""
+
+PULL_GRACE_S = 1.0
+"""How long a newer document is awaited from a control process before it is
+taken from the instance that has it."""
+
+PULL_TIMEOUT_S = 5.0
+
+
+@dataclasses.dataclass(frozen=True)
+class GossipSettings:
+    """Who the node is and whom it asks first."""
+
+    domain: ids.DomainId
+    address: str
+    seeds: tuple[str, ...]
+    secret: str
+
+
+@dataclasses.dataclass(frozen=True)
+class GossipHooks:
+    """What the node asks of the process and tells it; all must be quick.
+
+    Attributes:
+        collect: Returns the own row's items, at a time.
+        urgent: Tells whether there is news that can't wait.
+        on_changes: Takes what came in; the table has it already. Returns
+            whether it is to be passed on at once.
+        on_members: Takes the live instances when they have changed, with
+            those that are gone.
+        document: Returns the document in force.
+        on_document: Takes a newer document; runs in a thread.
+    """
+
+    collect: abc.Callable[[float], dict[rows.Key, rows.Value]]
+    urgent: abc.Callable[[], bool]
+    on_changes: abc.Callable[[rows.Changes, float], bool]
+    on_members: abc.Callable[
+        [frozenset[ids.InstanceId], list[ids.InstanceId]], None
+    ]
+    document: abc.Callable[[], control_pb2.DocumentMessage]
+    on_document: abc.Callable[[ids.Revision, str], object]
+
+
+class _Partner:
+    """A standing stream to one address."""
+
+    def __init__(self, address: str, secret: str):
+        self._channel = secret_module.channel(address, secret)
+        self._stream: client.Stream | None = None
+        self.stub = gossip_grpc.GossipStub(self._channel)
+        self.lock = asyncio.Lock()
+
+    async def stream(self) -> client.Stream:
+        """Returns the stream; opens it at first."""
+        if self._stream is None:
+            stream = self.stub.Exchange.open()
+            self._stream = await stream.__aenter__()
+        return self._stream
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self._channel.close()
+
+
+class GossipNode(gossip_grpc.GossipBase, lifecycle.Part):
+    """One instance's end of the gossip; lives on the loop thread."""
+
+    def __init__(
+        self,
+        loop: loop_module.LoopThread,
+        table: table_module.Table,
+        settings: GossipSettings,
+        hooks: GossipHooks,
+        time_source: clock.Clock,
+    ):
+        self._loop = loop
+        self.table = table
+        self._settings = settings
+        self._hooks = hooks
+        self._clock = time_source
+        self._partners: dict[str, _Partner] = {}
+        self._seed_of: dict[ids.InstanceId, str] = {}
+        self._members: frozenset[ids.InstanceId] = frozenset()
+        self._next_seed_s = 0.0
+        self._newer_since_s: float | None = None
+        self._left = False
+        self._wake = asyncio.Event()
+        self._task: futures.Future[None] | None = None
+
+    def start(self) -> None:
+        """Starts the rounds."""
+        self._task = self._loop.call(self._run())
+
+    def stop(self) -> None:
+        """Says goodbye to some others and ends the rounds."""
+        self._task.cancel()
+        self._loop.call(self._goodbye()).result(timeout=2 * EXCHANGE_TIMEOUT_S)
+
+    async def _goodbye(self) -> None:
+        self._left = True
+        await self._round(self._clock.now_s())
+        for partner in self._partners.values():
+            partner.close()
+
+    def wake(self) -> None:
+        """Starts a round at once; may be called from any thread."""
+        self._loop.call(self._set_wake())
+
+    async def _set_wake(self) -> None:
+        self._wake.set()
+
+    # -- rounds ----------------------------------------------------------------
+
+    async def _run(self) -> None:
+        next_s = self._clock.now_s()
+        while True:
+            await self._round(self._clock.now_s())
+            next_s = max(next_s + INTERVAL_S, self._clock.now_s())
+            await self._pause(next_s)
+
+    async def _pause(self, until_s: float) -> None:
+        await asyncio.sleep(URGENT_GAP_S)
+        while (left_s := until_s - self._clock.now_s()) > 0:
+            if self._wake.is_set() or self._hooks.urgent():
+                break
+            try:
+                await asyncio.wait_for(
+                    self._wake.wait(), min(left_s, NEWS_LOOK_S)
+                )
+            except TimeoutError:
+                continue
+        self._wake.clear()
+
+    async def _round(self, now_s: float) -> None:
+        revision = ids.Revision(self._hooks.document().revision)
+        head = rows.Head(self._settings.address, revision, self._left)
+        self.table.update(head, self._hooks.collect(now_s), now_s)
+        gone = self.table.expire(now_s)
+        self._tell_members(gone)
+        addresses = self._choose(now_s)
+        await asyncio.gather(*(self._exchange(each) for each in addresses))
+        await self._pull_newer(revision)
+
+    def _tell_members(self, gone: list[ids.InstanceId]) -> None:
+        members = frozenset(row.instance for row in self.table.live())
+        if members != self._members or gone:
+            logs.event("members", members=sorted(members), gone=gone)
+            self._hooks.on_members(members, gone)
+        self._members = members
+
+    def _address(self, row: table_module.Row) -> str:
+        return self._seed_of.get(row.instance, row.head.address)
+
+    def _choose(self, now_s: float) -> list[str]:
+        known = [self._address(row) for row in self.table.others()]
+        chosen = random.sample(known, min(FAN_OUT, len(known)))
+        unknown = set(self._settings.seeds) - set(known)
+        unknown -= {self._settings.address}
+        unknown.discard(self._seed_of.get(self.table.own.instance, ""))
+        if unknown and (not known or now_s >= self._next_seed_s):
+            self._next_seed_s = now_s + SEED_INTERVAL_S
+            chosen.append(random.choice(sorted(unknown)))
+        return chosen
+
+    async def _exchange(self, address: str) -> None:
+        partner = self._partners.get(address)
+        if partner is None:
+            partner = _Partner(address, self._settings.secret)
+            self._partners[address] = partner
+        try:
+            async with asyncio.timeout(EXCHANGE_TIMEOUT_S), partner.lock:
+                await self._talk(partner, address)
+        except control_client.LINK_ERRORS as error:
+            logs.event(
+                "gossip missed", "DEBUG", address=address, detail=repr(error)
+            )
+            partner.close()
+            self._partners.pop(address, None)
+
+    async def _talk(self, partner: _Partner, address: str) -> None:
+        stream = await partner.stream()
+        await stream.send_message(self._message(self.table.digest()))
+        reply = await stream.recv_message()
+        if reply is None:
+            raise ConnectionError("the stream ended")
+        if address in self._settings.seeds:
+            self._seed_of[ids.InstanceId(reply.instance)] = address
+        if not self._accept(reply):
+            return
+        answer = self._message()
+        self._add_rows(answer, gossip_codec.digest_from_wire(reply.digest))
+        if answer.rows:
+            await stream.send_message(answer)
+
+    # -- messages --------------------------------------------------------------
+
+    def _message(
+        self, digest: rows.Digest | None = None
+    ) -> gossip_pb2.GossipMessage:
+        return gossip_pb2.GossipMessage(
+            instance=self.table.own.instance,
+            domain=self._settings.domain,
+            digest=gossip_codec.digest_to_wire(digest or {}),
+        )
+
+    def _add_rows(
+        self, message: gossip_pb2.GossipMessage, known: rows.Digest
+    ) -> None:
+        now_s = self._clock.now_s()
+        message.rows.extend(
+            gossip_codec.delta_to_wire(delta, now_s)
+            for delta in self.table.deltas(known, now_s)
+        )
+
+    def _accept(self, message: gossip_pb2.GossipMessage) -> bool:
+        """Takes the rows of a message; False for a stranger's or one's own."""
+        if message.instance == self.table.own.instance:
+            return False
+        if message.domain != self._settings.domain:
+            logs.event(
+                "gossip from another failure domain",
+                "WARNING",
+                instance=message.instance,
+                domain=message.domain,
+            )
+            return False
+        now_s = self._clock.now_s()
+        deltas = [gossip_codec.delta_from_wire(r, now_s) for r in message.rows]
+        changes = self.table.apply(deltas, now_s)
+        if changes.refreshed or changes.items:
+            self._tell_members(changes.left)
+            if self._hooks.on_changes(changes, now_s):
+                self._wake.set()
+        return True
+
+    async def Exchange(self, stream: server.Stream) -> None:  # noqa: N802
+        """Serves another instance's standing stream."""
+        async for message in stream:
+            if not self._accept(message):
+                return
+            if message.digest:
+                known = gossip_codec.digest_from_wire(message.digest)
+                reply = self._message(self.table.digest())
+                self._add_rows(reply, known)
+                await stream.send_message(reply)
+
+    # -- documents -------------------------------------------------------------
+
+    async def Document(self, stream: server.Stream) -> None:  # noqa: N802
+        """Answers with the document in force."""
+        await stream.recv_message()
+        await stream.send_message(self._hooks.document())
+
+    async def _pull_newer(self, revision: ids.Revision) -> None:
+        newer = [
+            row
+            for row in self.table.others()
+            if row.head.applied_revision > revision
+        ]
+        now_s = self._clock.now_s()
+        if not newer:
+            self._newer_since_s = None
+        elif self._newer_since_s is None:
+            self._newer_since_s = now_s
+        elif now_s - self._newer_since_s >= PULL_GRACE_S:
+            self._newer_since_s = None
+            row = max(newer, key=lambda each: each.head.applied_revision)
+            message = await self.fetch(self._address(row))
+            if message is not None:
+                await asyncio.to_thread(
+                    self._hooks.on_document,
+                    ids.Revision(message.revision),
+                    message.text,
+                )
+
+    async def fetch(self, address: str) -> control_pb2.DocumentMessage | None:
+        """Asks an instance for its document; None where it doesn't answer."""
+        return await fetch_document(address, self._settings.secret)
+
+
+async def fetch_document(
+    address: str, secret: str, timeout_s: float = PULL_TIMEOUT_S
+) -> control_pb2.DocumentMessage | None:
+    """Asks an entry for its document; None where it doesn't answer."""
+    channel = secret_module.channel(address, secret)
+    try:
+        return await asyncio.wait_for(
+            gossip_grpc.GossipStub(channel).Document(
+                control_pb2.DocumentRequest()
+            ),
+            timeout_s,
+        )
+    except control_client.LINK_ERRORS:
+        return None
+    finally:
+        channel.close()
--- /dev/null
+++ b/cardamombarrow/peers/membership.py
@@ -0,0 +1,264 @@
+"""Joins the gossip of a failure domain to an entry's decisions.
+
+Out go this instance's demand, what it has in flight, the load reports that it
+polled, endpoints that leave and quarantined requests; what others tell comes
+in and is handed to the broker.
+"""
+
+from collections import abc
+import dataclasses
+import threading
+
+from cardamombarrow.decisions import messages
+from cardamombarrow.document import schema
+from cardamombarrow.endpoints import base as endpoints_base
+from cardamombarrow.endpoints import poller as poller_module
+from cardamombarrow.entry import broker as broker_module
+from cardamombarrow.gossip import leaving as leaving_module
+from cardamombarrow.gossip import rendezvous
+from cardamombarrow.gossip import rows
+from cardamombarrow.gossip import table as table_module
+from cardamombarrow.kernel import clock
+from cardamombarrow.kernel import ids
+from cardamombarrow.kernel import logs
+
+__all__ = ["Membership"]
+
+QUARANTINE_STEP_S = 1.0
+"""A quarantine that ends later by less than this is not told again; what is
+passed on from instance to instance gains the time it was under way."""
+
+_LIST = "platform list"
+_OWN_REPORT = "own report"
+_SHARED_REPORT = "shared report"
+_FIRST_HAND = frozenset((_LIST, _OWN_REPORT))
+
+
+def _by_peer(instance: ids.InstanceId) -> str:
+    return f"instance {instance}"
+
+
+@dataclasses.dataclass
+class _Reports:
+    """Load reports: the newest of each endpoint, and those polled here."""
+
+    newest_s: dict[ids.EndpointId, float] = dataclasses.field(
+        default_factory=dict
+    )
+    own: dict[ids.EndpointId, messages.LoadReport] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+class Membership:
+    """What one entry tells and hears; called from several threads."""
+
+    def __init__(
+        self,
+        instance: ids.InstanceId,
+        domain: ids.DomainId,
+        kinds: dict[schema.ServiceKind, endpoints_base.EndpointKind],
+        broker: broker_module.Broker,
+        time_source: clock.Clock,
+    ):
+        self._instance = instance
+        self._domain = domain
+        self._kinds = kinds
+        self._broker = broker
+        self._clock = time_source
+        self._lock = threading.RLock()
+        self._leaving = leaving_module.LeavingView()
+        self._reports = _Reports()
+        self._members = frozenset((instance,))
+        self._endpoints: dict[ids.EndpointId, endpoints_base.EndpointKind] = {}
+        self._by_hash: dict[int, ids.EndpointId] = {}
+        self._quarantine: dict[ids.Fingerprint, float] = {}
+        self._told_leaving: frozenset[ids.EndpointId] = frozenset()
+        self._table: table_module.Table | None = None
+        self._poller: poller_module.Poller | None = None
+
+    def attach(
+        self, table: table_module.Table, poller: poller_module.Poller
+    ) -> None:
+        """Sets the table that is read and the poller that is steered."""
+        self._table = table
+        self._poller = poller
+
+    # -- what this instance sees ---------------------------------------------
+
+    def on_document(self, document: schema.Document) -> None:
+        """Takes another document: other endpoints may be listed."""
+        with self._lock:
+            self._endpoints = {
+                endpoint: self._kinds[service.kind]
+                for service in document.services.values()
+                for endpoint in service.endpoints.get(self._domain, ())
+            }
+            self._by_hash = {
+                rows.endpoint_hash(endpoint): endpoint
+                for service in document.services.values()
+                for group in service.endpoints.values()
+                for endpoint in group
+            }
+            left = set(self._leaving.leaving())
+        for endpoint in left & set(self._by_hash.values()):
+            self._broker.set_leaving(endpoint, True)
+        self._retarget()
+
+    def on_listing(
+        self, listed: abc.Iterable[tuple[ids.EndpointId, bool]]
+    ) -> None:
+        """Takes the platform's list: endpoints and whether they leave."""
+        for endpoint, leaving in listed:
+            self._tell_leaving(endpoint, _LIST, leaving)
+
+    def on_report(
+        self, endpoint: ids.EndpointId, report: messages.LoadReport
+    ) -> None:
+        """Takes a load report that this instance polled."""
+        with self._lock:
+            self._reports.own[endpoint] = report
+            self._reports.newest_s[endpoint] = report.measured_at_s
+        self._broker.report(endpoint, report)
+        self._tell_leaving(endpoint, _SHARED_REPORT, False)
+        self._tell_leaving(endpoint, _OWN_REPORT, report.leaving)
+
+    def _tell_leaving(
+        self, endpoint: ids.EndpointId, source: str, leaving: bool
+    ) -> None:
+        with self._lock:
+            changed = self._leaving.tell(endpoint, source, leaving)
+        if changed is not None:
+            logs.decision(
+                "leaving" if changed else "back in use",
+                endpoint=endpoint,
+                source=source,
+            )
+            self._broker.set_leaving(endpoint, changed)
+
+    # -- hooks of the gossip node --------------------------------------------
+
+    def collect(self, now_s: float) -> dict[rows.Key, rows.Value]:
+        """Returns the items of this instance's row."""
+        kind = rows.ItemKind
+        items: dict[rows.Key, rows.Value] = {}
+        own = self._broker.demand()
+        for service, demand in own.demand_tokens_per_s.items():
+            items[kind.DEMAND, service] = demand
+        for endpoint, count in own.in_flight.items():
+            items[kind.IN_FLIGHT, rows.endpoint_hash(endpoint)] = count
+        with self._lock:
+            self._told_leaving = frozenset(self._leaving.said_by(_FIRST_HAND))
+            for endpoint in self._told_leaving:
+                items[kind.LEAVING, endpoint] = True
+            for endpoint, report in self._reports.own.items():
+                items[kind.REPORT, rows.endpoint_hash(endpoint)] = report
+            self._renew_quarantine(now_s)
+            for fingerprint, end_s in self._quarantine.items():
+                items[kind.QUARANTINE, fingerprint] = end_s
+        return items
+
+    def _renew_quarantine(self, now_s: float) -> None:
+        marks = self._broker.quarantine_marks()
+        for fingerprint, left_s in marks.items():
+            end_s = now_s + left_s
+            known_s = self._quarantine.get(fingerprint, 0.0)
+            if abs(end_s - known_s) > QUARANTINE_STEP_S:
+                self._quarantine[fingerprint] = end_s
+        for fingerprint in set(self._quarantine) - set(marks):
+            del self._quarantine[fingerprint]
+
+    def urgent(self) -> bool:
+        """Tells whether an endpoint leaves or a request is quarantined anew.
+
+        Without a round at once the word would take some seconds to reach a
+        domain of 36 instances, while each goes on sending to the endpoint.
+        """
+        with self._lock:
+            leaving = self._leaving.said_by(_FIRST_HAND)
+            if not self._told_leaving.issuperset(leaving):
+                return True
+            known = self._quarantine.keys()
+        return not known >= self._broker.quarantine_marks().keys()
+
+    def on_changes(self, changes: rows.Changes, now_s: float) -> bool:
+        """Takes what others told; True if it is to be passed on at once."""
+        news = bool(changes.left)
+        marks: dict[ids.Fingerprint, float] = {}
+        for instance, (kind, name), value in changes.items:
+            if instance in changes.left:
+                continue
+            if kind is rows.ItemKind.LEAVING:
+                self._tell_leaving(
+                    ids.EndpointId(name), _by_peer(instance), bool(value)
+                )
+                news = True
+            elif kind is rows.ItemKind.REPORT and value is not None:
+                self._take_report(name, value)
+            elif kind is rows.ItemKind.QUARANTINE and value is not None:
+                marks[ids.Fingerprint(name)] = value - now_s
+                news = True
+        if marks:
+            self._broker.merge_quarantine(marks)
+        for row in self._table.others():
+            if row.instance in changes.refreshed:
+                self._broker.peer(self._demand_of(row))
+        return news
+
+    def _take_report(
+        self, endpoint_hash: int, report: messages.LoadReport
+    ) -> None:
+        with self._lock:
+            endpoint = self._by_hash.get(endpoint_hash)
+            if endpoint is None:
+                return
+            newest_s = self._reports.newest_s.get(endpoint, float("-inf"))
+            if report.measured_at_s <= newest_s:
+                return
+            self._reports.newest_s[endpoint] = report.measured_at_s
+        self._broker.report(endpoint, report)
+        self._tell_leaving(endpoint, _SHARED_REPORT, report.leaving)
+
+    def _demand_of(self, row: table_module.Row) -> messages.PeerDemand:
+        demand: dict[ids.ServiceId, float] = {}
+        in_flight: dict[ids.EndpointId, int] = {}
+        for (kind, name), item in row.items.items():
+            if item.value is None:
+                continue
+            if kind is rows.ItemKind.DEMAND:
+                demand[ids.ServiceId(name)] = item.value
+            elif kind is rows.ItemKind.IN_FLIGHT and name in self._by_hash:
+                in_flight[self._by_hash[name]] = item.value
+        return messages.PeerDemand(
+            row.instance, demand, in_flight, row.refreshed_s
+        )
+
+    def on_members(
+        self,
+        members: frozenset[ids.InstanceId],
+        gone: list[ids.InstanceId],
+    ) -> None:
+        """Takes the live instances, and those that are gone."""
+        self._members = members | {self._instance}
+        for instance in gone:
+            self._broker.forget_peer(instance)
+            with self._lock:
+                back = self._leaving.forget_source(_by_peer(instance))
+            for endpoint in back:
+                self._broker.set_leaving(endpoint, False)
+        self._retarget()
+
+    def _retarget(self) -> None:
+        """Works out which endpoints this instance polls."""
+        with self._lock:
+            targets = {
+                endpoint: kind
+                for endpoint, kind in self._endpoints.items()
+                if self._instance in rendezvous.pollers(endpoint, self._members)
+            }
+            dropped = set(self._reports.own) - set(targets)
+            for endpoint in dropped:
+                del self._reports.own[endpoint]
+        for endpoint in dropped:
+            self._tell_leaving(endpoint, _OWN_REPORT, False)
+        self._poller.watch(targets)
