Bound the ledger in time and size without a second run

Cause: at 100,000 claims the oldest settled key was forgotten, however young, and a resend of it ran again. A claim whose entry had died kept its key 'in flight' for ever, and so did one that was committed after its entry had told the caller NO_QUORUM. A settlement without a quorum was lost. A caller who had its whole answer and sent the key again at once was told 'in flight', because the claim was settled after the last byte (seen in test_unrepeatable_call_runs_once_and_is_answered_twice).

Now a key is kept for 24 h, a full table refuses (not run), the claim carries its deadline and later resends are told that the outcome is unknown, 'not run' may come in before its claim, the entry goes on settling for an hour, and the last chunk waits for the settlement.

--- a/cardamombarrow/admin/app.py
+++ b/cardamombarrow/admin/app.py
@@ -170,8 +170,7 @@
             raise errors.RefusedError(
                 errors.ErrorKind.NOT_FOUND, "this key was never claimed"
             )
-        raw = dataclasses.asdict(claim)
-        return _json({**raw, "state": claim.state.value})
+        return _json(claim.to_json())
 
 
 def _read_edit(request: wrappers.Request, owner: ids.OwnerId) -> machine.Edit:
--- a/cardamombarrow/entry/core.py
+++ b/cardamombarrow/entry/core.py
@@ -16,6 +16,7 @@
 from cardamombarrow.kernel import logs
 from cardamombarrow.kernel import registry
 from cardamombarrow.ledger import client as ledger_client
+from cardamombarrow.ledger import settler
 from cardamombarrow.platform import listing
 
 __all__ = ["ENDPOINT_MODULES", "run"]
@@ -70,9 +71,12 @@
         documents.current().document, instance, domain, time_source
     )
     poller = peering.join(kinds, broker)
+    ledger = settler.Settler(
+        ledger_client.RemoteLedger(peering.control.propose)
+    )
     services = life.LifeServices(
         broker,
-        ledger_client.RemoteLedger(peering.control.propose),
+        ledger,
         kinds,
         time_source,
     )
@@ -99,5 +103,5 @@
     web = http.HttpServer(settings.http, app)
     logs.event("entry starts", port=web.port)
     drain = _Drain(readiness, settings.calls.drain_notice_s)
-    parts = [poller, watch, broker, peering, web, drain]
+    parts = [poller, watch, broker, peering, ledger, web, drain]
     lifecycle.Process(parts).run()
--- a/cardamombarrow/entry/life.py
+++ b/cardamombarrow/entry/life.py
@@ -80,6 +80,10 @@
         self._tokens = 0
         self._first_token_s: float | None = None
 
+    def left_s(self) -> float:
+        """Returns the time that is left until the request's deadline."""
+        return self._call.job.deadline_s - self._services.time_source.now_s()
+
     def run(self) -> Relay:
         """Runs the request until its answer begins.
 
--- a/cardamombarrow/entry/once.py
+++ b/cardamombarrow/entry/once.py
@@ -5,7 +5,6 @@
 the outcome is unknown, instead of running the request a second time.
 """
 
-import base64
 from collections import abc
 import dataclasses
 import time
@@ -24,6 +23,13 @@
 STORED_ANSWER_LIMIT_BYTES = 16_384
 """Larger answers are not stored; a resend is told that it did run."""
 
+SETTLE_MARGIN_S = 5.0
+"""Time after a request's deadline in which its claim is settled: the answer's
+end and a try to settle fit in it."""
+
+IN_FLIGHT_RETRY_S = 1.0
+FULL_RETRY_S = 60.0
+
 _REFUSALS = {
     machine.VerdictKind.IN_FLIGHT: (
         errors.ErrorKind.KEY_IN_FLIGHT,
@@ -37,6 +43,19 @@
         errors.ErrorKind.KEY_REUSED,
         "this key was used with another request",
     ),
+    machine.VerdictKind.WITHDRAWN: (
+        errors.ErrorKind.NO_QUORUM,
+        "this attempt was given up",
+    ),
+    machine.VerdictKind.FULL: (
+        errors.ErrorKind.OVERLOADED,
+        "the ledger has no room for another key",
+    ),
+}
+
+_RETRY_AFTER_S = {
+    machine.VerdictKind.IN_FLIGHT: IN_FLIGHT_RETRY_S,
+    machine.VerdictKind.FULL: FULL_RETRY_S,
 }
 
 
@@ -58,12 +77,7 @@
             f"unrepeatable requests need the header {incoming.KEY_HEADER}",
         )
     key = ledger_client.ledger_key(call.job.workspace, call.idempotency_key)
-    claim = machine.Claim(
-        body_sha256=call.body_sha256,
-        instance=instance,
-        attempt=call.job.request_id,
-        at_unix_s=time.time(),
-    )
+    claim = _new_claim(call, instance, request_life.left_s())
     verdict = ledger.claim(key, claim)
     logs.decision(
         "claim",
@@ -74,31 +88,45 @@
     if verdict.kind is machine.VerdictKind.ANSWERED:
         return _stored(verdict.claim)
     if verdict.kind is not machine.VerdictKind.RUN:
-        raise errors.RefusedError(*_REFUSALS[verdict.kind])
+        raise errors.RefusedError(
+            *_REFUSALS[verdict.kind],
+            retry_after_s=_RETRY_AFTER_S.get(verdict.kind),
+        )
+    state = machine.ClaimState.UNKNOWN
     try:
         relay = request_life.run()
-    except errors.RouterError as error:
-        state = (
-            machine.ClaimState.NOT_RUN
-            if error.not_run
-            else machine.ClaimState.UNKNOWN
-        )
-        _settle(ledger, key, dataclasses.replace(claim, state=state))
+    except BaseException as error:
+        if isinstance(error, errors.RouterError) and error.not_run:
+            state = machine.ClaimState.NOT_RUN
+        ledger.record(key, dataclasses.replace(claim, state=state))
         raise
     chunks = _recorded(relay, ledger, key, claim)
     return life.Relay(relay.head, chunks)
 
 
+def _new_claim(
+    call: incoming.IncomingCall, instance: ids.InstanceId, left_s: float
+) -> machine.Claim:
+    now_unix_s = time.time()
+    return machine.Claim(
+        body_sha256=call.body_sha256,
+        instance=instance,
+        attempt=call.job.request_id,
+        at_unix_s=now_unix_s,
+        deadline_unix_s=now_unix_s + left_s + SETTLE_MARGIN_S,
+    )
+
+
 def _stored(claim: machine.Claim) -> life.Relay:
     if not claim.status:
         raise errors.RefusedError(
             errors.ErrorKind.OUTCOME_UNKNOWN,
-            "the request ran to its end; its answer was too large to keep",
+            "the request ran to its end; its answer was not kept",
         )
     head = endpoints_base.Head(
         claim.status, {"content-type": claim.content_type}
     )
-    return life.Relay(head, iter([base64.b64decode(claim.answer)]))
+    return life.Relay(head, iter([claim.answer]))
 
 
 def _recorded(
@@ -107,29 +135,51 @@
     key: str,
     claim: machine.Claim,
 ) -> abc.Iterator[bytes]:
-    kept = []
+    """Relays an answer and settles the claim before its end is out.
+
+    A caller who has the whole answer may send the key again at once, through
+    another entry, and must find the answer there. A stream ends only after
+    this generator; of any other answer the last chunk is held back.
+    """
+    kept = _Kept()
+    held = b""
     outcome = dataclasses.replace(claim, state=machine.ClaimState.UNKNOWN)
     try:
         for chunk in relay.chunks:
-            kept.append(chunk)
-            yield chunk
-        outcome = dataclasses.replace(claim, state=machine.ClaimState.ANSWERED)
-        answer = b"".join(kept)
-        if len(answer) <= STORED_ANSWER_LIMIT_BYTES:
+            kept.add(chunk)
+            if relay.head.streams:
+                yield chunk
+            else:
+                if held:
+                    yield held
+                held = chunk
+        outcome.state = machine.ClaimState.ANSWERED
+        if kept.whole:
             outcome.status = relay.head.status
             outcome.content_type = relay.head.headers.get("content-type", "")
-            outcome.answer = base64.b64encode(answer).decode()
+            outcome.answer = b"".join(kept.chunks)
     finally:
         relay.chunks.close()
-        _settle(ledger, key, outcome)
+        ledger.record(key, outcome)
+    if held:
+        yield held
 
 
-def _settle(
-    ledger: ledger_client.LedgerClient, key: str, outcome: machine.Claim
-) -> None:
-    try:
-        ledger.settle(key, outcome)
-    except errors.UnavailableError as error:
-        # The claim stays open, so a resend is never run; it is told that the
-        # request is in flight until an operator or a later settle closes it.
-        logs.event("claim not settled", "WARNING", key=key, detail=error.detail)
+class _Kept:
+    """The answer so far, as long as it is small enough to store."""
+
+    def __init__(self):
+        self.chunks: list[bytes] = []
+        self._size_bytes = 0
+
+    @property
+    def whole(self) -> bool:
+        """Whether nothing was left out."""
+        return self._size_bytes <= STORED_ANSWER_LIMIT_BYTES
+
+    def add(self, chunk: bytes) -> None:
+        """Keeps a chunk, or drops all once they are too large."""
+        self._size_bytes += len(chunk)
+        self.chunks.append(chunk)
+        if not self.whole:
+            self.chunks.clear()
--- a/cardamombarrow/ledger/client.py
+++ b/cardamombarrow/ledger/client.py
@@ -16,6 +16,11 @@
 CLAIM_TIMEOUT_S = 3.0
 """Longest wait for a claim; after it the request is refused, not run."""
 
+SETTLE_TIMEOUT_S = 1.5
+"""Longest wait for one try to settle. The caller's last bytes wait for it."""
+
+REPLY_GRACE_S = 0.5
+
 Propose = collections_abc.Callable[
     [control_pb2.Command, float], futures.Future[control_pb2.Reply]
 ]
@@ -34,7 +39,9 @@
         """Claims a key for one run.
 
         Raises:
-            errors.UnavailableError: No quorum; nothing may be sent.
+            errors.UnavailableError: No quorum; nothing may be sent. The claim
+                may still be committed later, so it must be settled as not
+                run.
         """
 
     @abc.abstractmethod
@@ -45,6 +52,10 @@
             errors.UnavailableError: No quorum; the claim stays open.
         """
 
+    def record(self, key: str, outcome: machine.Claim) -> None:
+        """Settles now or, while there is no quorum, later."""
+        self.settle(key, outcome)
+
 
 class RemoteLedger(LedgerClient):
     """The ledger on the control processes."""
@@ -59,7 +70,8 @@
                 key=key, claim=codec.claim_to_wire(claim)
             )
         )
-        return codec.verdict_from_wire(self._ask(command).claim)
+        reply = self._ask(command, CLAIM_TIMEOUT_S)
+        return codec.verdict_from_wire(reply.claim)
 
     def settle(self, key: str, outcome: machine.Claim) -> bool:
         """See `LedgerClient.settle`."""
@@ -70,14 +82,17 @@
                 outcome=codec.claim_to_wire(outcome),
             )
         )
-        return self._ask(command).settle.settled
+        return self._ask(command, SETTLE_TIMEOUT_S).settle.settled
 
-    def _ask(self, command: control_pb2.Command) -> control_pb2.Reply:
-        deadline_s = time.monotonic() + CLAIM_TIMEOUT_S
-        future = self._propose(command, CLAIM_TIMEOUT_S)
+    def _ask(
+        self, command: control_pb2.Command, timeout_s: float
+    ) -> control_pb2.Reply:
+        deadline_s = time.monotonic() + timeout_s + REPLY_GRACE_S
+        future = self._propose(command, timeout_s)
         try:
-            reply = future.result(timeout=deadline_s - time.monotonic() + 0.5)
+            reply = future.result(timeout=deadline_s - time.monotonic())
         except futures.TimeoutError:
+            future.cancel()
             raise errors.UnavailableError(
                 errors.ErrorKind.NO_QUORUM, "no control answered in time"
             ) from None
--- a/cardamombarrow/peers/codec.py
+++ b/cardamombarrow/peers/codec.py
@@ -1,7 +1,5 @@
 """Between the typed messages of the state machines and protobuf."""
 
-import base64
-
 from cardamombarrow.document import machine as document_machine
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
@@ -72,10 +70,11 @@
         instance=claim.instance,
         attempt=claim.attempt,
         at_unix_s=claim.at_unix_s,
+        deadline_unix_s=claim.deadline_unix_s,
         state=claim.state.value,
         status=claim.status,
         content_type=claim.content_type,
-        answer=base64.b64decode(claim.answer),
+        answer=claim.answer,
     )
 
 
@@ -86,10 +85,11 @@
         instance=ids.InstanceId(wire.instance),
         attempt=ids.RequestId(wire.attempt),
         at_unix_s=wire.at_unix_s,
+        deadline_unix_s=wire.deadline_unix_s,
         state=ledger_machine.ClaimState(wire.state),
         status=wire.status,
         content_type=wire.content_type,
-        answer=base64.b64encode(wire.answer).decode(),
+        answer=wire.answer,
     )
 
 
