Give orders to engines from the log's leader

An unknown command of a newer version is answered with an error instead of stopping the voter. A text that was just parsed is not parsed again.

--- a/cardamombarrow/control/core.py
+++ b/cardamombarrow/control/core.py
@@ -8,12 +8,14 @@
 from cardamombarrow.control import settings as settings_module
 from cardamombarrow.control import state as state_module
 from cardamombarrow.document import parsing
+from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import http
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import lifecycle
 from cardamombarrow.kernel import logs
 from cardamombarrow.log import base
 from cardamombarrow.log import local
+from cardamombarrow.orders import runner
 from cardamombarrow.peers import control_service
 from cardamombarrow.peers import follower_exchange
 from cardamombarrow.peers import followers as followers_module
@@ -140,4 +142,10 @@
     app = admin_app.AdminApp(log, state, lambda: peers.followers)
     web = http.HttpServer(settings.http, app)
     logs.event("control starts", port=web.port)
-    lifecycle.Process([loop, _LogPart(log), peers, web]).run()
+    orders = runner.OrdersRunner(
+        ids.InstanceId(settings.instance.id),
+        log,
+        lambda: parsing.parse(state.document.text),
+        clock.SystemClock(),
+    )
+    lifecycle.Process([loop, _LogPart(log), peers, orders, web]).run()
--- a/cardamombarrow/control/state.py
+++ b/cardamombarrow/control/state.py
@@ -3,9 +3,11 @@
 import json
 
 from cardamombarrow.document import machine as document_machine
+from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 from cardamombarrow.ledger import machine as ledger_machine
 from cardamombarrow.log import base
+from cardamombarrow.orders import machine as orders_machine
 from cardamombarrow.peers import codec
 from cardamombarrow.peers import control_pb2
 
@@ -18,16 +20,26 @@
     Attributes:
         document: The accepted document.
         ledger: The claims of unrepeatable requests.
+        orders: Which control process gives orders to engines.
     """
 
     def __init__(self, first_text: str):
         self.document = document_machine.DocumentState(first_text)
         self.ledger = ledger_machine.LedgerState()
+        self.orders = orders_machine.OrdersState()
 
     def apply(self, index: int, command: bytes) -> bytes:
         """Applies one command; see `base.StateMachine`."""
         message = control_pb2.Command.FromString(command)
         kind = message.WhichOneof("kind")
+        if kind is None:
+            # Proposed by a newer version during an upgrade. Failing here
+            # would stop every older voter at the same entry, for good.
+            return codec.failure_to_wire(
+                errors.UnavailableError(
+                    errors.ErrorKind.INTERNAL, "a command of a newer version"
+                )
+            ).SerializeToString()
         return getattr(self, f"_apply_{kind}")(
             getattr(message, kind)
         ).SerializeToString()
@@ -58,12 +70,28 @@
         count = self.ledger.abandon(ids.InstanceId(wire.instance))
         return control_pb2.Reply(abandon=control_pb2.AbandonReply(count=count))
 
+    def _apply_take_orders(
+        self, wire: control_pb2.TakeOrdersCommand
+    ) -> control_pb2.Reply:
+        holder = self.orders.take(ids.InstanceId(wire.instance))
+        return _orders_reply(holder, current=True)
+
+    def _apply_renew_orders(
+        self, wire: control_pb2.RenewOrdersCommand
+    ) -> control_pb2.Reply:
+        asked = orders_machine.Holder(
+            ids.InstanceId(wire.instance), wire.fencing
+        )
+        current = self.orders.renew(asked)
+        return _orders_reply(self.orders.holder, current=current)
+
     def snapshot(self) -> bytes:
         """Returns document and ledger as JSON."""
         return json.dumps(
             {
                 "document": self.document.to_json(),
                 "ledger": self.ledger.to_json(),
+                "orders": self.orders.to_json(),
             }
         ).encode()
 
@@ -74,3 +102,14 @@
             raw["document"]
         )
         self.ledger = ledger_machine.LedgerState.from_json(raw["ledger"])
+        self.orders = orders_machine.OrdersState.from_json(raw["orders"])
+
+
+def _orders_reply(
+    holder: orders_machine.Holder, *, current: bool
+) -> control_pb2.Reply:
+    return control_pb2.Reply(
+        orders=control_pb2.OrdersReply(
+            instance=holder.instance, fencing=holder.fencing, current=current
+        )
+    )
--- a/cardamombarrow/document/parsing.py
+++ b/cardamombarrow/document/parsing.py
@@ -32,12 +32,16 @@
 _NAMELESS = ("policies", "weight-store")
 _ENDPOINTS_PREFIX = "endpoints."
 
+TEXTS_REMEMBERED = 2
+"""The text in force and the one that is being judged."""
+
 SECTIONS_REMEMBERED = 8_192
 """Twice the sections of a document at the target size."""
 
 
+@functools.lru_cache(maxsize=TEXTS_REMEMBERED)
 def parse(text: str) -> schema.Document:
-    """Reads and checks a document.
+    """Reads and checks a document; the same text is read once.
 
     Args:
         text: The INI text.
--- /dev/null
+++ b/cardamombarrow/orders/runner.py
@@ -0,0 +1,158 @@
+"""Gives orders while this control process leads the log."""
+
+from collections import abc
+from concurrent import futures
+import threading
+
+from cardamombarrow.document import schema
+from cardamombarrow.kernel import clock
+from cardamombarrow.kernel import errors
+from cardamombarrow.kernel import ids
+from cardamombarrow.kernel import lifecycle
+from cardamombarrow.kernel import logs
+from cardamombarrow.log import base
+from cardamombarrow.orders import engines
+from cardamombarrow.orders import lease as lease_module
+from cardamombarrow.orders import machine
+from cardamombarrow.orders import plan
+from cardamombarrow.peers import codec
+from cardamombarrow.peers import control_pb2
+
+__all__ = ["OrdersRunner"]
+
+LOOK_S = 1.0
+"""Time between two looks at the engines."""
+
+COMMIT_TIMEOUT_S = 3.0
+LOOKERS = 16
+
+
+class OrdersRunner(lifecycle.Part):
+    """One task that looks, plans and orders."""
+
+    def __init__(
+        self,
+        instance: ids.InstanceId,
+        log: base.Log,
+        document: abc.Callable[[], schema.Document],
+        time_source: clock.Clock,
+    ):
+        self._instance = instance
+        self._log = log
+        self._document = document
+        self._clock = time_source
+        self._lease: lease_module.Lease | None = None
+        self._rate: tuple[float, plan.LoadRate] | None = None
+        self._stop = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name="orders", daemon=True
+        )
+
+    def start(self) -> None:
+        """Starts looking."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stops; an order under way is waited for."""
+        self._stop.set()
+        self._thread.join()
+
+    def _run(self) -> None:
+        with futures.ThreadPoolExecutor(LOOKERS) as executor:
+            while not self._stop.wait(LOOK_S):
+                try:
+                    self._look(executor)
+                except (errors.RouterError, futures.TimeoutError) as error:
+                    # The next look starts from what the engines then show.
+                    logs.event("orders held up", "WARNING", detail=str(error))
+
+    def _look(self, executor: futures.Executor) -> None:
+        status = self._log.status()
+        if status.leader != status.voter or not status.has_quorum:
+            self._lease = None
+            return
+        document = self._document()
+        endpoints = {
+            endpoint: service
+            for service in document.services.values()
+            if service.orders is not schema.Orders.NONE
+            for group in service.endpoints.values()
+            for endpoint in group
+        }
+        if not endpoints:
+            return
+        if self._lease is None:
+            self._take()
+        seen = executor.map(engines.observe, endpoints)
+        observed = {
+            endpoint: state
+            for endpoint, state in zip(endpoints, seen, strict=True)
+            if state is not None
+        }
+        now_s = self._clock.now_s()
+        rate = self._rate_of(document)
+        orders = list(plan.next_orders(document, observed, rate, now_s))
+        if orders and self._renew():
+            for order in orders:
+                self._give(order, endpoints[order.endpoint])
+
+    def _rate_of(self, document: schema.Document) -> plan.LoadRate:
+        per_minute = document.weight_store.loads_per_minute
+        if self._rate is None or self._rate[0] != per_minute:
+            self._rate = per_minute, plan.LoadRate(per_minute)
+        return self._rate[1]
+
+    def _take(self) -> None:
+        reply = self._commit(
+            control_pb2.Command(
+                take_orders=control_pb2.TakeOrdersCommand(
+                    instance=self._instance
+                )
+            )
+        )
+        holder = machine.Holder(self._instance, reply.orders.fencing)
+        self._lease = lease_module.Lease(holder, self._clock.now_s())
+        logs.event("orders taken", fencing=holder.fencing)
+
+    def _renew(self) -> bool:
+        assert self._lease is not None
+        asked_s = self._clock.now_s()
+        reply = self._commit(
+            control_pb2.Command(
+                renew_orders=control_pb2.RenewOrdersCommand(
+                    instance=self._instance,
+                    fencing=self._lease.holder.fencing,
+                )
+            )
+        )
+        if not reply.orders.current:
+            self._lease = None
+            return False
+        self._lease.renewed(asked_s)
+        return True
+
+    def _commit(self, command: control_pb2.Command) -> control_pb2.Reply:
+        future = self._log.propose(command.SerializeToString())
+        raw = future.result(timeout=COMMIT_TIMEOUT_S)
+        return codec.raise_failure(control_pb2.Reply.FromString(raw))
+
+    def _give(self, order: plan.Order, service: schema.Service) -> None:
+        assert self._lease is not None
+        checks = service.orders is schema.Orders.FENCED
+        allowed = self._lease.may_send(self._clock.now_s(), checks_token=checks)
+        outcome = "held back by the lease"
+        if allowed:
+            try:
+                taken = engines.send(order, self._lease.holder.fencing)
+                outcome = "taken" if taken else "refused"
+            except errors.EndpointError as error:
+                outcome = error.detail
+        logs.decision(
+            "order",
+            endpoint=order.endpoint,
+            service=service.service,
+            kind=order.kind.value,
+            artifact=order.artifact,
+            fencing=self._lease.holder.fencing,
+            outcome=outcome,
+        )
--- a/tools/standin/engine.py
+++ b/tools/standin/engine.py
@@ -18,6 +18,8 @@
 import time
 import typing
 
+from tools.standin import shelf
+
 __all__ = ["Behaviour", "Engine", "main"]
 
 REPORT_TICK_S = 0.05
@@ -95,6 +97,7 @@
     def __init__(self, behaviour: Behaviour):
         self.behaviour = behaviour
         self.batch = _Batch(behaviour)
+        self.shelf = shelf.Shelf()
         self.runs: list[dict[str, typing.Any]] = []
         self.tokens = 0
         self._reports: list[tuple[float, int, int]] = []
@@ -181,6 +184,10 @@
             self._answer(200, self.engine.report().encode(), "text/plain")
         elif self.path == "/standin/runs":
             self._answer(200, json.dumps(self.engine.runs).encode())
+        elif self.path == "/v1/models":
+            self._answer(200, json.dumps(self.engine.shelf.models()).encode())
+        elif self.path == "/standin/orders":
+            self._answer(200, json.dumps(self.engine.shelf.orders).encode())
         else:
             self._plain(b"")
 
@@ -191,6 +198,9 @@
             for name, value in json.loads(body).items():
                 setattr(self.engine.behaviour, name, value)
             self._answer(200, b"{}")
+        elif self.path == "/v1/orders":
+            taken = self.engine.shelf.order(json.loads(body))
+            self._answer(202 if taken else 409, b"{}")
         elif self.path.startswith("/v1/"):
             self._completion(body)
         else:
