--- a/cardamombarrow/kernel/settings.py
+++ b/cardamombarrow/kernel/settings.py
@@ -15,7 +15,7 @@
 
 from cardamombarrow.kernel import errors
 
-__all__ = ["describe", "parse", "read", "setting"]
+__all__ = ["describe", "parse", "read", "section", "setting"]
 
 _T = typing.TypeVar("_T")
 
@@ -88,15 +88,26 @@
     for name, section_cls in sections.items():
         raw = dict(parser[name]) if parser.has_section(name) else {}
         place = f"{source}: [{name}]"
-        values[name] = _section(section_cls, raw, place, mistakes)
+        values[name] = section(section_cls, raw, place, mistakes)
     if mistakes:
         raise errors.ConfigError(mistakes)
     return cls(**values)
 
 
-def _section(
-    cls: type, raw: dict[str, str], place: str, mistakes: list[str]
-) -> typing.Any:
+def section(
+    cls: type[_T], raw: dict[str, str], place: str, mistakes: list[str]
+) -> _T | None:
+    """Reads one section.
+
+    Args:
+        cls: A dataclass whose fields are made with `setting`.
+        raw: Text by key.
+        place: File and section, for the mistakes.
+        mistakes: Mistakes found are added here.
+
+    Returns:
+        The section, or None where it has mistakes.
+    """
     known = {field.name: field for field in dataclasses.fields(cls)}
     for key in raw:
         if key not in known:
@@ -160,12 +171,12 @@
 
 def describe(cls: type) -> typing.Iterator[str]:
     """Yields a Markdown reference of a role's settings, line by line."""
-    for section in dataclasses.fields(cls):
-        yield f"### [{section.name}]"
+    for part in dataclasses.fields(cls):
+        yield f"### [{part.name}]"
         yield ""
         yield "| key | default | unit | range | meaning |"
         yield "| --- | --- | --- | --- | --- |"
-        for field in dataclasses.fields(section.type):
+        for field in dataclasses.fields(part.type):
             yield _describe_key(field)
         yield ""
 
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -6,17 +6,15 @@
 """
 
 import argparse
-import json
 import pathlib
 import sys
 import tempfile
-import time
 
 from cardamombarrow.document import parsing
 from cardamombarrow.document import schema
-from cardamombarrow.endpoints import http_get
 from tools import deployment
 from tools import load
+from tools import records
 
 __all__ = ["ENGINE_OPTIONS", "main", "mixed_load", "plan"]
 
@@ -110,7 +108,7 @@
                 loads, list(running.entries.values()), options.seed
             )
             result = generator.run(options.seconds, _show)
-            wasted_tokens, all_tokens = _tokens_of(running)
+            wasted_tokens, all_tokens = records.wasted_work(running)
         print("stopped everything")
     print()
     print("\n".join(load.table(result)))
@@ -124,18 +122,5 @@
     sys.stdout.flush()
 
 
-def _tokens_of(running: deployment.Deployment) -> tuple[int, int]:
-    """Returns tokens thrown away and all tokens, by the engines' records."""
-    time.sleep(0.5)
-    wasted = total = 0
-    for address in (a for group in running.engines.values() for a in group):
-        reply = http_get.fetch(f"http://{address}/standin/runs", timeout_s=10)
-        for record in json.loads(reply.body):
-            tokens = record.get("tokens", 0)
-            total += tokens
-            wasted += tokens if record["outcome"] != "done" else 0
-    return wasted, total
-
-
 if __name__ == "__main__":
     sys.exit(main())
--- a/tools/load.py
+++ b/tools/load.py
@@ -13,6 +13,7 @@
 import heapq
 import itertools
 import json
+import math
 import random
 import threading
 import time
@@ -43,6 +44,8 @@
         tokens: Mean length of an answer; lengths vary from half to double.
         target_first_token_s: What was promised, to judge attainment.
         deadline_s: Time from arrival after which the caller gives up.
+        from_s: Its first arrivals, from the start of the run.
+        to_s: Its last arrivals.
     """
 
     class_id: str
@@ -52,6 +55,8 @@
     tokens: int
     target_first_token_s: float
     deadline_s: float
+    from_s: float = 0.0
+    to_s: float = math.inf
 
 
 class Received(enum.Enum):
@@ -159,10 +164,10 @@
         self, load: ClassLoad, seconds: float
     ) -> abc.Iterator[tuple[float, ClassLoad, int]]:
         rng = random.Random(self._rng.random())
-        arrival_s = 0.0
+        arrival_s = load.from_s
         while True:
             arrival_s += rng.expovariate(load.rate_per_s)
-            if arrival_s >= seconds:
+            if arrival_s >= min(seconds, load.to_s):
                 return
             tokens = round(load.tokens * 2 ** rng.uniform(-1.0, 1.0))
             yield arrival_s, load, max(tokens, 1)
