Refuse at once what would miss its class's target

Cause: above capacity everybody who is let in waits past the target; the engines work on answers that come too late.

Ruled out: admission by queue age (CoDel-like), kept as `queue-age` beside it: bursts are over before its control law has reached the refusal rate.

Change: `admission = predicted-wait`, the default: wait predicted from the work before the job over the slots its tier can count on (`forecast`), judged by the class's own target; not while a lower tier runs more than its reserved share. Waiting jobs are given up when their deadline is out of reach, found by a heap of times. 320 requests wait at most; at the bound the lowest tier makes room.

--- a/cardamombarrow/decisions/base.py
+++ b/cardamombarrow/decisions/base.py
@@ -342,6 +342,11 @@
             now_s: The time.
         """
 
+    def on_finish(
+        self, running: messages.Running, outcome: messages.Outcome
+    ) -> None:
+        """Learns from an end."""
+
 
 class Estimate(Policy):
     """How long an answer will be."""
--- a/cardamombarrow/decisions/capacity.py
+++ b/cardamombarrow/decisions/capacity.py
@@ -97,6 +97,10 @@
         """Tells whether any local endpoint has a free slot."""
         return any(s.share > len(s.running) for s in self.local)
 
+    def free(self) -> int:
+        """Counts the free slots of the local endpoints."""
+        return sum(max(s.share - len(s.running), 0) for s in self.local)
+
     def placed(self, job: messages.Job, now_s: float) -> None:
         """Learns that a job took a slot."""
         self._average(now_s)
@@ -155,6 +159,11 @@
         self._average(now_s)
         return sum(use for other, use in self._use.items() if other < rank)
 
+    def use_of(self, rank: int, now_s: float) -> float:
+        """Returns the mean slots that a tier held of late."""
+        self._average(now_s)
+        return self._use.get(rank, 0.0)
+
     def _average(self, now_s: float) -> None:
         past_s = now_s - self._use_at_s
         if past_s <= 0.0:
--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -356,6 +356,7 @@
         self._policies.choice.on_finish(state, running, outcome, now_s)
         self._policies.retry.on_finish(job, outcome)
         self._policies.quarantine.on_finish(job, outcome, now_s)
+        self._policies.preemption.on_finish(running, outcome)
         if running.tokens:
             self._policies.queue.settle(job, running.tokens)
         if done:
--- a/cardamombarrow/decisions/forecast.py
+++ b/cardamombarrow/decisions/forecast.py
@@ -59,17 +59,23 @@
         queue = self._policies.queue
         slots = self._usable_slots(job, capacity, now_s)
         hold_s = capacity.hold_s(job.class_id)
-        work_s = queue.work_ahead_s(job, capacity)
-        wait_s = work_s / slots
-        if not capacity.has_free():
+        jobs_ahead = queue.jobs_ahead(job)
+        free = capacity.free()
+        wait_s = 0.0
+        if jobs_ahead >= free:
+            wait_s = queue.work_ahead_s(job, capacity) / slots
+        if not free:
             wait_s += capacity.mean_hold_s() / max(capacity.slots, 1)
         returning = self._returning.setdefault(
             (job.service, job.rank), _Returning()
         )
         back = returning.at(now_s)
-        returning.drain_per_s = slots / max(hold_s, 1e-3)
+        # While the tier's slots are full nobody who comes back is served:
+        # counting them as served would send the next ones back too early.
+        spare = max(slots - capacity.use_of(job.rank, now_s), 0.0)
+        returning.drain_per_s = spare / max(hold_s, 1e-3)
         return messages.Backlog(
-            jobs_ahead=queue.jobs_ahead(job),
+            jobs_ahead=jobs_ahead,
             slots=capacity.slots,
             service_s=hold_s,
             predicted_wait_s=wait_s,
--- a/cardamombarrow/decisions/policies.py
+++ b/cardamombarrow/decisions/policies.py
@@ -12,6 +12,7 @@
     "cardamombarrow.decisions.baselines",
     "cardamombarrow.decisions.choice",
     "cardamombarrow.decisions.tiers",
+    "cardamombarrow.decisions.admission",
 )
 """Modules whose import registers the policies."""
 
--- /dev/null
+++ b/cardamombarrow/decisions/tests/test_admission.py
@@ -0,0 +1,101 @@
+"""Who is refused at once, and who is given up."""
+
+import dataclasses
+import itertools
+
+import pytest
+
+from cardamombarrow.decisions import admission
+from cardamombarrow.decisions import messages
+from cardamombarrow.kernel import errors
+
+
+def _backlog(**fields):
+    return dataclasses.replace(
+        messages.Backlog(5, 8, 2.0, 0.0, first_token_s=0.1), **fields
+    )
+
+
+@pytest.fixture
+def predicted(context):
+    return admission.PredictedWaitAdmission(context)
+
+
+@pytest.mark.parametrize(
+    ("class_id", "wait_s", "refused"),
+    [("chat", 0.3, False), ("chat", 2.0, True), ("letter", 20.0, False)],
+)
+def test_each_class_is_judged_by_its_own_target(
+    predicted, new_job, class_id, wait_s, refused
+):
+    backlog = _backlog(predicted_wait_s=wait_s)
+    reason = predicted.refuse(new_job(class_id), backlog, 0.0)
+    assert (reason is not None) == refused
+
+
+def test_nobody_is_refused_while_a_lower_tier_holds_its_slots(
+    predicted, new_job
+):
+    # Letters hold all slots and a family's question would wait for seconds.
+    # Refused, it would have been shed to serve a lower tier.
+    backlog = _backlog(predicted_wait_s=60.0, lower_over_reserve=True)
+    assert predicted.refuse(new_job("chat"), backlog, 0.0) is None
+    assert predicted.give_up(new_job("chat"), backlog, 1.0) is None
+
+
+def test_slow_first_tokens_alone_refuse_nobody(predicted, new_job):
+    # Every engine needs two seconds to the first token. Were that alone a
+    # reason, all callers would be refused beside idle slots, for good.
+    backlog = _backlog(first_token_s=2.0)
+    assert predicted.refuse(new_job("chat"), backlog, 0.0) is None
+
+
+def test_waiting_job_is_given_up_once_its_deadline_is_out_of_reach(
+    predicted, new_job
+):
+    # An answer takes two seconds and the deadline is in one. Kept until then,
+    # the caller would learn a second later what is certain now.
+    job = new_job("chat")
+    backlog = _backlog(service_s=2.0, jobs_ahead=0)
+    assert predicted.give_up(job, backlog, job.deadline_s - 2.1) is None
+    assert predicted.give_up(job, backlog, job.deadline_s - 1.9)
+    assert predicted.look_s(job, backlog, 19.0) == job.deadline_s - 2.0
+
+
+def test_queue_age_refuses_only_after_an_interval_above_target(
+    context, new_job
+):
+    policy = admission.QueueAgeAdmission(context)
+    late = _backlog(oldest_wait_s=0.8)
+    refused = [
+        now_s / 10
+        for now_s in range(60)
+        if policy.refuse(new_job("chat"), late, now_s / 10)
+    ]
+    assert refused[0] >= 0.92
+    gaps = [b - a for a, b in itertools.pairwise(refused)]
+    assert gaps[-1] < gaps[0]
+    fresh = _backlog(oldest_wait_s=0.1)
+    assert policy.refuse(new_job("chat"), fresh, 6.1) is None
+
+
+def test_lowest_tier_makes_room_when_every_thread_is_taken(
+    new_dispatcher, new_job, monkeypatch
+):
+    # Each waiting request holds a thread of the entry. Letters took the last
+    # one; the next family's question would find nobody to read it.
+    monkeypatch.setattr(admission, "WAITING_BOUND", 3)
+    dispatcher = new_dispatcher(slots=1)
+    for _ in range(2):
+        dispatcher.offer(new_job("letter"), 0.0)
+    list(dispatcher.place(0.0))
+    letters = [new_job("letter") for _ in range(3)]
+    for letter in letters:
+        assert dispatcher.offer(letter, 0.0) is None
+    assert dispatcher.offer(new_job("letter"), 0.0) is not None
+    chat = new_job("chat")
+    assert dispatcher.offer(chat, 0.0) is None
+    (refusal,) = dispatcher.place(0.0)
+    assert refusal.kind is errors.ErrorKind.OVERLOADED
+    assert refusal.request_id == letters[-1].request_id
+    assert len(dispatcher.waiting_jobs()) == 3
--- a/cardamombarrow/decisions/tests/test_dispatcher.py
+++ b/cardamombarrow/decisions/tests/test_dispatcher.py
@@ -20,7 +20,8 @@
     refusal = dispatcher.offer(jobs[2], 0.0)
     assert refusal.kind is errors.ErrorKind.WORKSPACE_LIMIT
     dispatcher.finish(jobs[0].request_id, messages.Outcome.DONE, 1.0)
-    assert dispatcher.offer(jobs[2], 1.0) is None
+    again = new_job(arrived_s=1.0, workspace="limited")
+    assert dispatcher.offer(again, 1.0) is None
 
 
 def test_waiting_job_is_answered_at_its_deadline(new_dispatcher, new_job):
--- a/cardamombarrow/decisions/tiers.py
+++ b/cardamombarrow/decisions/tiers.py
@@ -17,11 +17,19 @@
 debt for minutes and it would starve. Giving them back early is the matter of
 `preemption`.
 
-Figures: the share is the document's, 0.1 by default. Credit and debt are
-bounded to what `CREDIT_S` and `DEBT_S` seconds of the reserved slots give:
-credit saved for longer would come out as a burst of the low tier at the
-moment the high one needs its slots; debt above a minute would leave windows
-in which the tier completes nothing.
+A lower tier also leaves a few slots free while higher tiers are in use of
+late: with all slots held by long answers, an urgent request would have to
+wait for one of them to end, or throw one away.
+
+Figures: `HEADROOM_SHARE` was measured with `preemption`, at 0, 0.1 and 0.15
+(`docs/decisions/queue.md`): without any, four times as much work is thrown
+away; with more, slots stand empty and nothing is gained. It is rounded down,
+so that an instance with fewer than ten slots keeps none. The reserved share
+is the document's, 0.1 by default. Credit and debt are bounded to what
+`CREDIT_S` and `DEBT_S` seconds of the reserved slots give: credit saved for
+longer would come out as a burst of the low tier at the moment the high one
+needs its slots; debt above a minute would leave windows in which the tier
+completes nothing.
 """
 
 import collections
@@ -40,6 +48,12 @@
 
 CREDIT_S = 10.0
 DEBT_S = 60.0
+HEADROOM_SHARE = 0.1
+"""Most slots that are kept free for higher tiers, as a part of all."""
+
+HEADROOM_USE = 0.1
+"""Mean slots that higher tiers must have used of late to have any kept."""
+
 LEADERS = 8
 """Waiting jobs looked at for a preemption, at most."""
 
@@ -80,7 +94,10 @@
         waiting = self.waiting()
         if waiting:
             capacity = room.capacity(self._service())
-            for rank in self._order(waiting, reserved, capacity.held):
+            owed = self._owed(waiting, reserved, capacity.held)
+            for rank in [*owed, *(r for r in waiting if r not in owed)]:
+                if rank not in owed and _keeps_free(capacity, rank, now_s):
+                    break
                 job = self._take_from(rank, room, capacity)
                 if job is not None:
                     self._remember(reserved, capacity.held, job.rank)
@@ -139,26 +156,24 @@
 
     # -- reserved shares ---------------------------------------------------
 
-    def _order(
+    def _owed(
         self,
         waiting: list[int],
         reserved: dict[int, float],
         held: abc.Mapping[int, int],
     ) -> list[int]:
+        """Returns the lower tiers that are owed a slot, the first one first."""
         lower = waiting[1:]
-        if not lower:
-            return waiting
         allowed = math.ceil(sum(reserved.get(rank, 0.0) for rank in lower))
+        if sum(held.get(rank, 0) for rank in lower) >= allowed:
+            return []
         owed = [
             rank
             for rank in lower
             if self._credit_s[rank] > 0.0
             and held.get(rank, 0) < math.ceil(reserved.get(rank, 0.0))
         ]
-        if not owed or sum(held.get(rank, 0) for rank in lower) >= allowed:
-            return waiting
-        owed.sort(key=lambda rank: -self._credit_s[rank])
-        return [*owed, *(rank for rank in waiting if rank not in owed)]
+        return sorted(owed, key=lambda rank: -self._credit_s[rank])
 
     def _remember(
         self,
@@ -185,6 +200,16 @@
             self._credit_s[rank] = max(credit_s, -slots * DEBT_S)
 
 
+def _keeps_free(
+    capacity: capacity_module.Capacity, rank: int, now_s: float
+) -> bool:
+    """Tells whether the free slots are kept for higher tiers."""
+    kept = math.floor(capacity.slots * HEADROOM_SHARE)
+    if not kept or capacity.use_above(rank, now_s) < HEADROOM_USE:
+        return False
+    return capacity.free() <= kept
+
+
 @registry.plugin("queue", "tiered")
 class TieredQueue(base.Queue):
     """Strict by tier with reserved shares; fair and by deadline within."""
--- a/cardamombarrow/document/schema.py
+++ b/cardamombarrow/document/schema.py
@@ -169,7 +169,7 @@
     """
 
     queue: str = "tiered"
-    admission: str = "bounded"
+    admission: str = "predicted-wait"
     limits: str = "fixed"
     choice: str = "two-candidates"
     shares: str = "static"
