Retry out of a budget and spread the return of refused callers

Cause: refused callers returned together after one second, were refused four times and gave up; failed requests ran three times at once.

Change: `retry = budget`, the default: a tenth of the successes of a class, full jitter, four attempts; the time to come back is the predicted wait plus the time to serve those refused before, spread by 0.7 to 1.3.

--- a/cardamombarrow/decisions/policies.py
+++ b/cardamombarrow/decisions/policies.py
@@ -13,6 +13,7 @@
     "cardamombarrow.decisions.choice",
     "cardamombarrow.decisions.tiers",
     "cardamombarrow.decisions.admission",
+    "cardamombarrow.decisions.retry",
 )
 """Modules whose import registers the policies."""
 
--- a/cardamombarrow/document/schema.py
+++ b/cardamombarrow/document/schema.py
@@ -173,7 +173,7 @@
     limits: str = "fixed"
     choice: str = "two-candidates"
     shares: str = "static"
-    retry: str = "immediate"
+    retry: str = "budget"
     quarantine: str = "none"
     spill: str = "never"
     preemption: str = "never"
