--- a/cardamombarrow/decisions/policies.py
+++ b/cardamombarrow/decisions/policies.py
@@ -14,6 +14,7 @@
     "cardamombarrow.decisions.tiers",
     "cardamombarrow.decisions.admission",
     "cardamombarrow.decisions.retry",
+    "cardamombarrow.decisions.preemption",
 )
 """Modules whose import registers the policies."""
 
--- a/cardamombarrow/document/schema.py
+++ b/cardamombarrow/document/schema.py
@@ -176,7 +176,7 @@
     retry: str = "budget"
     quarantine: str = "none"
     spill: str = "never"
-    preemption: str = "never"
+    preemption: str = "least-progress"
     estimate: str = "mean"
 
 
