--- /dev/null
+++ b/benchmarks/relay.py
@@ -0,0 +1,290 @@
+"""What relaying costs: CPU, rate and memory of one entry.
+
+One real control process, one entry and stand-in engines run on loopback. The
+entry's CPU time is read from ``/proc/<pid>/stat``. The same callers also go
+straight to the stand-ins, in the same run, so that what the callers and the
+stand-ins cost can be told from what the entry costs.
+
+Run as ``python -m benchmarks.relay``.
+"""
+
+import argparse
+import dataclasses
+import json
+import os
+import pathlib
+import tempfile
+import threading
+import time
+
+import pycurl
+
+from tools import deployment
+
+__all__ = ["Load", "Measured", "main", "measure"]
+
+DOCUMENT = """
+[tier:one]
+rank = 0
+
+[class:question]
+tier = one
+target_first_token_s = 5
+target_total_s = 120
+
+[workspace:bench]
+key_sha256 = {key_sha256}
+classes = question
+
+[service:writer]
+kind = engine
+slots_per_endpoint = 200
+endpoints.a = {endpoints}
+
+[model:m]
+service = writer
+
+[policies]
+
+[owner:operations]
+token_sha256 = {key_sha256}
+sections = *
+"""
+KEY_SHA256 = "b0962662e937d44c699c8305d90cbf190b3150c59b13863d1380b5cc3c711bb7"
+KEY = "bench-key"
+TOKEN_S = 0.026
+ENGINES = 6
+WARM_UP_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Load:
+    """What the callers ask for.
+
+    Attributes:
+        callers: Callers at once; each asks again as soon as it is answered.
+        tokens: Length of each answer.
+    """
+
+    name: str
+    callers: int
+    tokens: int
+    stream: bool
+    token_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Measured:
+    """What was seen during one load.
+
+    Attributes:
+        cpu_s: CPU time of the entry; 0 where callers went past it.
+    """
+
+    wall_s: float
+    cpu_s: float
+    requests: int
+    chunks: int
+    first_token_p95_s: float
+    gap_p95_s: float
+
+
+class _Caller:
+    """One caller in a closed loop; driven by `_drive`."""
+
+    def __init__(self, url: str, load: Load):
+        self.first_s: list[float] = []
+        self.gaps_s: list[float] = []
+        self.requests = 0
+        self.chunks = 0
+        self._sent_s = 0.0
+        self._last_s: float | None = None
+        body = {
+            "model": "m",
+            "messages": [{"role": "user", "content": "x" * 400}],
+            "stream": load.stream,
+            "standin_tokens": load.tokens,
+        }
+        self.easy = pycurl.Curl()
+        self.easy.setopt(pycurl.URL, url + "/v1/chat/completions")
+        self.easy.setopt(pycurl.POSTFIELDS, json.dumps(body))
+        self.easy.setopt(
+            pycurl.HTTPHEADER,
+            [f"Authorization: Bearer {KEY}", "Expect:"],
+        )
+        self.easy.setopt(pycurl.FRESH_CONNECT, 1)
+        self.easy.setopt(pycurl.NOSIGNAL, 1)
+        self.easy.setopt(pycurl.NOPROXY, "*")
+        self.easy.setopt(pycurl.WRITEFUNCTION, self._on_body)
+
+    def begin(self) -> None:
+        self._sent_s = time.monotonic()
+        self._last_s = None
+
+    def _on_body(self, data: bytes) -> None:
+        now_s = time.monotonic()
+        if self._last_s is None:
+            self.first_s.append(now_s - self._sent_s)
+        else:
+            self.gaps_s.append(now_s - self._last_s)
+        self._last_s = now_s
+        self.chunks += data.count(b"data: {")
+
+
+def _drive(callers: list[_Caller], until_s: float) -> None:
+    multi = pycurl.CurlMulti()
+    by_easy = {caller.easy: caller for caller in callers}
+    for caller in callers:
+        caller.begin()
+        multi.add_handle(caller.easy)
+    while time.monotonic() < until_s:
+        multi.select(0.1)
+        while multi.perform()[0] == pycurl.E_CALL_MULTI_PERFORM:
+            pass
+        _, done, failed = multi.info_read()
+        if failed:
+            raise RuntimeError(f"a caller failed: {failed[0][1:]}")
+        for easy in done:
+            status = easy.getinfo(pycurl.RESPONSE_CODE)
+            if status != 200:
+                raise RuntimeError(f"a caller was answered {status}")
+            caller = by_easy[easy]
+            caller.requests += 1
+            multi.remove_handle(easy)
+            caller.begin()
+            multi.add_handle(easy)
+    for caller in callers:
+        multi.remove_handle(caller.easy)
+        caller.easy.close()
+    multi.close()
+
+
+def _cpu_s(pid: int) -> float:
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2]
+    user, system = fields.split()[11:13]
+    return (int(user) + int(system)) / os.sysconf("SC_CLK_TCK")
+
+
+def _memory_kib(pid: int) -> int:
+    status = pathlib.Path(f"/proc/{pid}/status").read_text()
+    line = next(line for line in status.splitlines() if "VmRSS" in line)
+    return int(line.split()[1])
+
+
+def _p95(values: list[float]) -> float:
+    return sorted(values)[int(0.95 * (len(values) - 1))] if values else 0.0
+
+
+def measure(
+    urls: list[str], pid: int | None, load: Load, seconds: float
+) -> Measured:
+    """Puts a load on some addresses and reads what it took.
+
+    Args:
+        urls: Where callers go, each to one of them in turn.
+        pid: Process whose CPU time is read, or None.
+        load: What callers ask for.
+        seconds: Length of the measured part, after `WARM_UP_S`.
+    """
+    callers = [
+        _Caller(urls[number % len(urls)], load)
+        for number in range(load.callers)
+    ]
+    end_s = time.monotonic() + WARM_UP_S + seconds
+    thread = threading.Thread(target=_drive, args=(callers, end_s))
+    thread.start()
+    time.sleep(WARM_UP_S)
+    before = _count(callers)
+    cpu_s = _cpu_s(pid) if pid else 0.0
+    start_s = time.monotonic()
+    time.sleep(max(0.0, end_s - start_s - 0.05))
+    wall_s = time.monotonic() - start_s
+    cpu_s = _cpu_s(pid) - cpu_s if pid else 0.0
+    after = _count(callers)
+    thread.join()
+    return Measured(
+        wall_s,
+        cpu_s,
+        after[0] - before[0],
+        after[1] - before[1],
+        _p95([value for caller in callers for value in caller.first_s]),
+        _p95([value for caller in callers for value in caller.gaps_s]),
+    )
+
+
+def _count(callers: list[_Caller]) -> tuple[int, int]:
+    requests = sum(caller.requests for caller in callers)
+    return requests, sum(caller.chunks for caller in callers)
+
+
+def _row(name: str, way: str, seen: Measured) -> str:
+    chunks = max(seen.chunks, 1)
+    return (
+        f"| {name} | {way} | {seen.requests / seen.wall_s:.0f} "
+        f"| {seen.chunks / seen.wall_s:.0f} "
+        f"| {100 * seen.cpu_s / seen.wall_s:.0f}% "
+        f"| {1e6 * seen.cpu_s / max(seen.requests, 1):.0f} "
+        f"| {1e6 * seen.cpu_s / chunks:.0f} "
+        f"| {1e3 * seen.first_token_p95_s:.1f} "
+        f"| {1e3 * seen.gap_p95_s:.1f} |"
+    )
+
+
+def _plan() -> deployment.Plan:
+    endpoints = ", ".join(f"10.0.0.{n}:80" for n in range(1, ENGINES + 1))
+    return deployment.Plan(
+        document=DOCUMENT.format(key_sha256=KEY_SHA256, endpoints=endpoints),
+        entries={"a": ["entry-1"]},
+        controls={"a": ["control-1"]},
+        engine_options=("--slots", "200", "--token-s", str(TOKEN_S)),
+    )
+
+
+LOADS = (
+    Load("plain answers", 16, 1, False, 0.0),
+    Load("short streams", 16, 5, True, 0.0),
+    Load("long streams, unpaced", 16, 400, True, 0.001),
+    Load("target size", 170, 340, True, TOKEN_S),
+)
+
+
+def main() -> None:
+    """Prints one table."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=4.0)
+    options = parser.parse_args()
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        deployment.Deployment(_plan(), pathlib.Path(folder)) as running,
+    ):
+        entry = running.entries["entry-1"]
+        engines = [f"http://{e}" for e in running.engines["writer"]]
+        pid = running.processes["entry-1"].pid
+        print(f"idle entry: {_memory_kib(pid) / 1024:.0f} MiB resident\n")
+        print(
+            "| load | way | requests/s | tokens/s | entry CPU | us a request "
+            "| us a token | first token p95 ms | gap p95 ms |"
+        )
+        print("| --- " * 9 + "|")
+        for load in LOADS:
+            _pace(engines, load.token_s)
+            direct = measure(engines, None, load, options.seconds)
+            print(_row(load.name, "direct", direct), flush=True)
+            through = measure([entry], pid, load, options.seconds)
+            print(_row(load.name, "entry", through), flush=True)
+        print(f"\nbusy entry: {_memory_kib(pid) / 1024:.0f} MiB resident")
+
+
+def _pace(engines: list[str], token_s: float) -> None:
+    for engine in engines:
+        easy = pycurl.Curl()
+        easy.setopt(pycurl.URL, f"{engine}/standin/behaviour")
+        easy.setopt(pycurl.NOPROXY, "*")
+        easy.setopt(pycurl.POSTFIELDS, json.dumps({"token_s": token_s}))
+        easy.setopt(pycurl.WRITEFUNCTION, lambda _: None)
+        easy.perform()
+        easy.close()
+
+
+if __name__ == "__main__":
+    main()
