Write answers without the server's wait at their end

Cause: werkzeug waits 10 ms for more input after each answer while the last chunk is still in its buffer, and closes the answer's iterator only then. So the caller saw the end of a stream late and a slot was held too long. It also sent HTML for its own errors. Ruled out: the engine and libcurl; the same callers straight to the stand-in had no such gap. Change: our handler writes head and first chunk, and each later chunk, in one call each; closes the iterator at once; reads the rest of a refused request for one second at most; bounds a whole request and each write.

--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -92,22 +92,19 @@
 class _Caller:
     """One caller in a closed loop; driven by `_drive`."""
 
-    def __init__(self, url: str, load: Load):
+    def __init__(self, url: str, load: Load, place: float):
         self.first_s: list[float] = []
         self.gaps_s: list[float] = []
         self.requests = 0
         self.chunks = 0
         self._sent_s = 0.0
         self._last_s: float | None = None
-        body = {
-            "model": "m",
-            "messages": [{"role": "user", "content": "x" * 400}],
-            "stream": load.stream,
-            "standin_tokens": load.tokens,
-        }
+        self._load = load
         self.easy = pycurl.Curl()
         self.easy.setopt(pycurl.URL, url + "/v1/chat/completions")
-        self.easy.setopt(pycurl.POSTFIELDS, json.dumps(body))
+        # The first answers differ in length, so that callers don't all ask
+        # again at one moment.
+        self._ask_for(max(1, round(load.tokens * place)))
         self.easy.setopt(
             pycurl.HTTPHEADER,
             [f"Authorization: Bearer {KEY}", "Expect:"],
@@ -117,7 +114,18 @@
         self.easy.setopt(pycurl.NOPROXY, "*")
         self.easy.setopt(pycurl.WRITEFUNCTION, self._on_body)
 
+    def _ask_for(self, tokens: int) -> None:
+        body = {
+            "model": "m",
+            "messages": [{"role": "user", "content": "x" * 400}],
+            "stream": self._load.stream,
+            "standin_tokens": tokens,
+        }
+        self.easy.setopt(pycurl.POSTFIELDS, json.dumps(body))
+
     def begin(self) -> None:
+        if self.requests:
+            self._ask_for(self._load.tokens)
         self._sent_s = time.monotonic()
         self._last_s = None
 
@@ -187,13 +195,16 @@
         seconds: Length of the measured part, after `WARM_UP_S`.
     """
     callers = [
-        _Caller(urls[number % len(urls)], load)
+        _Caller(urls[number % len(urls)], load, (number + 1) / load.callers)
         for number in range(load.callers)
     ]
     end_s = time.monotonic() + WARM_UP_S + seconds
     thread = threading.Thread(target=_drive, args=(callers, end_s))
     thread.start()
     time.sleep(WARM_UP_S)
+    for caller in callers:
+        caller.first_s.clear()
+        caller.gaps_s.clear()
     before = _count(callers)
     cpu_s = _cpu_s(pid) if pid else 0.0
     start_s = time.monotonic()
@@ -242,6 +253,7 @@
 
 LOADS = (
     Load("plain answers", 16, 1, False, 0.0),
+    Load("short streams, one caller", 1, 5, True, 0.0),
     Load("short streams", 16, 5, True, 0.0),
     Load("long streams, unpaced", 16, 400, True, 0.001),
     Load("target size", 170, 340, True, TOKEN_S),
--- /dev/null
+++ b/cardamombarrow/kernel/connection.py
@@ -0,0 +1,280 @@
+"""One caller's HTTP connection: reads a request, writes its answer.
+
+werkzeug parses the request and builds the WSGI environment. Its way of
+writing is replaced, for three reasons. It waits 10 ms for more input after
+each answer while the end of the answer is still in its buffer, so that the
+caller sees the end late and the answer's iterator, which holds an endpoint's
+slot, is closed late. It sends pages of HTML for errors of its own. And it
+bounds each read but not a whole request, so a client that sends a byte now
+and then holds a thread for ever.
+"""
+
+from collections import abc
+import http
+import io
+import json
+import socket
+import time
+import typing
+
+from werkzeug import serving
+
+from cardamombarrow.kernel import errors
+from cardamombarrow.kernel import logs
+
+__all__ = ["Handler", "error_body"]
+
+LINGER_S = 1.0
+"""Longest time in which the rest of a refused request is read."""
+
+LINGER_BYTES = 16_000_000
+"""Most that is read of the rest of a refused request."""
+
+CHUNK_BYTES = 65_536
+
+_NO_BODY_STATUSES = {204, 304}
+
+
+def error_body(kind: errors.ErrorKind, detail: str) -> bytes:
+    """Returns the JSON body for an error of the HTTP layer itself."""
+    answer = errors.ANSWERS[kind]
+    return json.dumps(
+        {
+            "error": {
+                "code": kind.value,
+                "message": detail,
+                "not_run": answer.not_run,
+                "retryable": answer.retryable,
+                "retry_after_s": None,
+                "request_id": None,
+            }
+        }
+    ).encode()
+
+
+class _BoundedReader(io.RawIOBase):
+    """Reads a socket, each wait and the whole request within bounds."""
+
+    def __init__(
+        self, connection: socket.socket, idle_s: float, total_s: float
+    ):
+        self._connection = connection
+        self._idle_s = idle_s
+        self._deadline_s = time.monotonic() + total_s
+
+    def readable(self) -> bool:
+        return True
+
+    def readinto(self, buffer: typing.Any) -> int:
+        left_s = self._deadline_s - time.monotonic()
+        if left_s <= 0:
+            raise TimeoutError("the request did not come whole in time")
+        self._connection.settimeout(min(self._idle_s, left_s))
+        return self._connection.recv_into(buffer)
+
+
+class _CountedInput(io.RawIOBase):
+    """The request's body; knows whether some of it is still to be read."""
+
+    def __init__(self, stream: typing.Any, left_bytes: float):
+        self._stream = stream
+        self.left_bytes = left_bytes
+
+    def readable(self) -> bool:
+        return True
+
+    def readinto(self, buffer: typing.Any) -> int:
+        size = self._stream.readinto(buffer) or 0
+        self.left_bytes = self.left_bytes - size if size else 0
+        return size
+
+
+class _AnswerWriter:
+    """Writes head and body; what is ready together leaves together."""
+
+    def __init__(self, handler: "Handler"):
+        self._handler = handler
+        self._head: tuple[str, list[tuple[str, str]]] | None = None
+        self._chunked = False
+        self.begun = False
+
+    def start(
+        self,
+        status: str,
+        headers: list[tuple[str, str]],
+        exc_info: typing.Any = None,
+    ) -> abc.Callable[[bytes], None]:
+        """Takes status and headers; see PEP 3333."""
+        del exc_info
+        self._head = (status, headers)
+        return self.write
+
+    def write(self, data: bytes) -> None:
+        """Sends one chunk, the first one with the head before it."""
+        head = b"" if self.begun else self._begin()
+        if self._chunked and data:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        if head or data:
+            self._handler.connection.sendall(head + data)
+
+    def finish(self) -> None:
+        """Sends what tells the caller that the answer is whole."""
+        if not self.begun:
+            self.write(b"")
+        if self._chunked:
+            self._handler.connection.sendall(b"0\r\n\r\n")
+
+    def _begin(self) -> bytes:
+        assert self._head is not None, "no status was set"
+        status_text, headers = self._head
+        code, _, reason = status_text.partition(" ")
+        self.begun = True
+        names = {name.lower() for name, _ in headers}
+        self._chunked = (
+            "content-length" not in names
+            and int(code) not in _NO_BODY_STATUSES
+            and self._handler.command != "HEAD"
+            and self._handler.request_version >= "HTTP/1.1"
+        )
+        lines = [f"HTTP/1.1 {code} {reason}"]
+        lines += [f"{name}: {value}" for name, value in headers]
+        if self._chunked:
+            lines.append("Transfer-Encoding: chunked")
+        # One request a connection: an answer can't be read by the wrong
+        # caller, and a client that pipelines gets no second one.
+        lines += ["Connection: close", "", ""]
+        return "\r\n".join(lines).encode("latin-1")
+
+
+class Handler(serving.WSGIRequestHandler):
+    """Serves one request on one connection."""
+
+    protocol_version = "HTTP/1.1"
+
+    def setup(self) -> None:
+        """Prepares bounded reading and unbuffered writing."""
+        self.connection = self.request
+        limits = self.server.limits
+        reader = _BoundedReader(
+            self.connection, limits.read_timeout_s, limits.request_timeout_s
+        )
+        self.rfile = io.BufferedReader(reader, CHUNK_BYTES)
+        self.wfile = _SocketFile(self.connection)
+
+    def log_request(self, *args: typing.Any, **kwargs: typing.Any) -> None:
+        """Writes nothing: the application logs its own lines."""
+
+    def log(self, type: str, message: str, *args: typing.Any) -> None:
+        """Writes what went wrong on a connection as a log line."""
+        logs.event("http", "DEBUG", detail=message % args)
+
+    def send_error(
+        self, code: int, message: str | None = None, explain: str | None = None
+    ) -> None:
+        """Answers a request that cannot be parsed, as JSON like all errors."""
+        detail = message or http.HTTPStatus(code).phrase
+        body = error_body(errors.ErrorKind.BAD_REQUEST, detail)
+        self.command = self.command or "GET"
+        self.request_version = "HTTP/1.1"
+        self.close_connection = True
+        self._answer_error(f"{code} {http.HTTPStatus(code).phrase}", body)
+        self._linger()
+
+    def _answer_error(self, status: str, body: bytes) -> None:
+        writer = _AnswerWriter(self)
+        writer.start(
+            status,
+            [
+                ("Content-Type", "application/json"),
+                ("Content-Length", str(len(body))),
+            ],
+        )
+        self.connection.settimeout(self.server.limits.write_timeout_s)
+        writer.write(body)
+
+    def run_wsgi(self) -> None:
+        """Runs the application and writes what it yields."""
+        self.close_connection = True
+        if self.headers.get("Expect", "").strip().lower() == "100-continue":
+            self.connection.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self.environ = environ = self.make_environ()
+        body = _CountedInput(environ["wsgi.input"], _body_bytes(environ))
+        environ["wsgi.input"] = body
+        writer = _AnswerWriter(self)
+        try:
+            self._relay(self.server.app(environ, writer.start), writer)
+        except OSError as error:
+            self.log("info", "the caller is gone: %s", error)
+        except errors.RouterError as error:
+            # No last chunk, or fewer bytes than announced: the caller sees
+            # that the answer is not whole.
+            self.log("info", "the answer broke off: %s", error)
+        except Exception as error:
+            logs.event("http", "ERROR", detail=repr(error))
+            if not writer.begun:
+                self._answer_error(
+                    "500 Internal Server Error",
+                    error_body(
+                        errors.ErrorKind.INTERNAL,
+                        "see the log of this instance",
+                    ),
+                )
+        if body.left_bytes > 0:
+            self._linger()
+
+    def _relay(
+        self, chunks: abc.Iterable[bytes], writer: _AnswerWriter
+    ) -> None:
+        try:
+            # A caller that stops reading fills the socket's buffer; without
+            # a bound the write, and an endpoint's slot, would wait for ever.
+            self.connection.settimeout(self.server.limits.write_timeout_s)
+            for data in chunks:
+                writer.write(data)
+            writer.finish()
+        finally:
+            close = getattr(chunks, "close", None)
+            if close is not None:
+                close()
+
+    def _linger(self) -> None:
+        # Closing a socket with unread input resets the connection, and the
+        # reset can overtake the answer: the caller would see no error at all.
+        deadline_s = time.monotonic() + LINGER_S
+        left_bytes = LINGER_BYTES
+        try:
+            self.connection.shutdown(socket.SHUT_WR)
+            while left_bytes > 0:
+                left_s = deadline_s - time.monotonic()
+                if left_s <= 0:
+                    return
+                self.connection.settimeout(left_s)
+                size = len(self.connection.recv(CHUNK_BYTES))
+                if not size:
+                    return
+                left_bytes -= size
+        except OSError:
+            return
+
+
+class _SocketFile(io.RawIOBase):
+    """Where the base class writes; nothing is held back."""
+
+    def __init__(self, connection: socket.socket):
+        self._connection = connection
+
+    def writable(self) -> bool:
+        return True
+
+    def write(self, data: typing.Any) -> int:
+        self._connection.sendall(data)
+        return len(data)
+
+
+def _body_bytes(environ: dict[str, typing.Any]) -> float:
+    if environ.get("wsgi.input_terminated"):
+        return float("inf")
+    try:
+        return max(0, int(environ.get("CONTENT_LENGTH") or 0))
+    except ValueError:
+        return 0
--- a/cardamombarrow/kernel/http.py
+++ b/cardamombarrow/kernel/http.py
@@ -15,6 +15,7 @@
 
 from werkzeug import serving
 
+from cardamombarrow.kernel import connection as connection_module
 from cardamombarrow.kernel import lifecycle
 from cardamombarrow.kernel import logs
 from cardamombarrow.kernel import settings
@@ -40,25 +41,27 @@
         low=0.1,
         high=600.0,
     )
+    request_timeout_s: float = settings.setting(
+        30.0,
+        unit="s",
+        help="longest time until a request has come whole",
+        low=0.1,
+        high=3600.0,
+    )
+    write_timeout_s: float = settings.setting(
+        10.0,
+        unit="s",
+        help="longest wait for a caller to take one piece of an answer; "
+        "after it the caller counts as gone",
+        low=0.1,
+        high=600.0,
+    )
     tls_certificate: str = settings.setting(
         "", help="PEM certificate chain; empty serves without TLS"
     )
     tls_key: str = settings.setting("", help="PEM private key")
 
 
-class _Handler(serving.WSGIRequestHandler):
-    """One connection; writes of one chunk leave in one system call."""
-
-    wbufsize = -1
-
-    def log_request(self, *args: typing.Any, **kwargs: typing.Any) -> None:
-        """Writes nothing: the entry logs its own line per request."""
-
-    def log(self, type: str, message: str, *args: typing.Any) -> None:
-        """Writes what went wrong on a connection as a log line."""
-        logs.event("http", "DEBUG", detail=message % args)
-
-
 class _Server(serving.BaseWSGIServer):
     """werkzeug's server with an executor in the place of new threads."""
 
@@ -72,11 +75,13 @@
             context.load_cert_chain(
                 pathlib.Path(http.tls_certificate), http.tls_key or None
             )
-        super().__init__(http.host, http.port, app, handler=_Handler)
+        super().__init__(
+            http.host, http.port, app, handler=connection_module.Handler
+        )
         # The handshake runs in the connection's own task: done in the
         # accepting thread, one silent client would hold up all others.
         self._context = context
-        self._timeout_s = http.read_timeout_s
+        self.limits = http
         self._executor = futures.ThreadPoolExecutor(
             max_workers=http.connections, thread_name_prefix="http"
         )
@@ -91,7 +96,7 @@
         self, connection: socket.socket, client_address: typing.Any
     ) -> None:
         try:
-            connection.settimeout(self._timeout_s)
+            connection.settimeout(self.limits.read_timeout_s)
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             if self._context is not None:
                 connection = self._context.wrap_socket(
