Write to callers without waiting first

Cause: on a socket with a timeout each write is two system calls, a wait and the write, and each gives the interpreter lock away and has to get it back. Ruled out: TLS, which keeps the timeout. Change: the answer is written to a non-blocking socket; only when its buffer is full does the write wait, within the limit.

--- a/cardamombarrow/kernel/connection.py
+++ b/cardamombarrow/kernel/connection.py
@@ -14,6 +14,7 @@
 import io
 import json
 import socket
+import ssl
 import time
 import typing
 
@@ -115,14 +116,14 @@
         if self._chunked and data:
             data = b"%x\r\n%b\r\n" % (len(data), data)
         if head or data:
-            self._handler.connection.sendall(head + data)
+            self._handler.send(head + data)
 
     def finish(self) -> None:
         """Sends what tells the caller that the answer is whole."""
         if not self.begun:
             self.write(b"")
         if self._chunked:
-            self._handler.connection.sendall(b"0\r\n\r\n")
+            self._handler.send(b"0\r\n\r\n")
 
     def _begin(self) -> bytes:
         assert self._head is not None, "no status was set"
@@ -150,6 +151,7 @@
     """Serves one request on one connection."""
 
     protocol_version = "HTTP/1.1"
+    _non_blocking = False
 
     def setup(self) -> None:
         """Prepares bounded reading and unbuffered writing."""
@@ -161,6 +163,34 @@
         self.rfile = io.BufferedReader(reader, CHUNK_BYTES)
         self.wfile = _SocketFile(self.connection)
 
+    def send(self, data: bytes) -> None:
+        """Writes to the caller, within the limit set for it.
+
+        A caller that stops reading fills the socket's buffer; without a bound
+        the write, and with it an endpoint's slot, would wait for ever.
+
+        Raises:
+            OSError: The caller is gone, or has stopped reading.
+        """
+        if self._non_blocking:
+            try:
+                sent_bytes = self.connection.send(data)
+            except BlockingIOError:
+                sent_bytes = 0
+            if sent_bytes == len(data):
+                return
+            data = data[sent_bytes:]
+        self.connection.settimeout(self.server.limits.write_timeout_s)
+        self.connection.sendall(data)
+        self._set_non_blocking()
+
+    def _set_non_blocking(self) -> None:
+        # A socket with a timeout waits in one system call before it writes in
+        # another; nearly always the buffer has room already. TLS needs both.
+        if not isinstance(self.connection, ssl.SSLSocket):
+            self.connection.setblocking(False)
+            self._non_blocking = True
+
     def log_request(self, *args: typing.Any, **kwargs: typing.Any) -> None:
         """Writes nothing: the application logs its own lines."""
 
@@ -189,7 +219,6 @@
                 ("Content-Length", str(len(body))),
             ],
         )
-        self.connection.settimeout(self.server.limits.write_timeout_s)
         writer.write(body)
 
     def run_wsgi(self) -> None:
@@ -226,9 +255,6 @@
         self, chunks: abc.Iterable[bytes], writer: _AnswerWriter
     ) -> None:
         try:
-            # A caller that stops reading fills the socket's buffer; without
-            # a bound the write, and an endpoint's slot, would wait for ever.
-            self.connection.settimeout(self.server.limits.write_timeout_s)
             for data in chunks:
                 writer.write(data)
             writer.finish()
