Write log lines from a thread of their own

Cause: a request writes its lines while it holds the dispatcher's lock; the write gives the interpreter lock away, and whoever waits for the dispatcher waits until it is back. Ruled out: a bounded queue that drops lines; there is one line per decision and none may be missing while the process lives. Change: lines go to one thread that writes together what is ready; over 10,000 waiting lines the writers wait.

--- a/cardamombarrow/kernel/logs.py
+++ b/cardamombarrow/kernel/logs.py
@@ -4,18 +4,69 @@
 placement decision. Field names carry their unit.
 """
 
+import atexit
+import contextlib
 import datetime
 import json
+import queue
 import sys
+import threading
+import time
 import typing
 
 import loguru
 
 __all__ = ["configure", "decision", "event"]
 
+MOST_WAITING_LINES = 10_000
+"""Lines that may wait to be written, so that memory stays bounded."""
+
+FULL_WAIT_S = 0.01
+CLOSE_TIMEOUT_S = 2.0
+
 _LOGGER = loguru.logger
 
 
+class _LineWriter:
+    """Writes lines from a thread of its own, those that are ready together.
+
+    Requests write log lines while they hold locks. A write gives the
+    interpreter lock away; under load, getting it back took longer than the
+    write, and all that waited for those locks waited with it.
+    """
+
+    def __init__(self, stream: typing.TextIO):
+        self._stream = stream
+        self._lines: queue.SimpleQueue[str | None] = queue.SimpleQueue()
+        self._thread = threading.Thread(
+            target=self._run, name="logs", daemon=True
+        )
+        self._thread.start()
+        atexit.register(self._close)
+
+    def write(self, line: str) -> None:
+        """Hands a line over; waits only while too many lie there already."""
+        while self._lines.qsize() >= MOST_WAITING_LINES:
+            time.sleep(FULL_WAIT_S)
+        self._lines.put(line)
+
+    def _run(self) -> None:
+        ended = False
+        while not ended:
+            ready = [self._lines.get()]
+            while not self._lines.empty():
+                ready.append(self._lines.get())
+            ended = None in ready
+            # Whoever read the log may be gone; requests go on without it.
+            with contextlib.suppress(OSError, ValueError):
+                self._stream.write("".join(line for line in ready if line))
+                self._stream.flush()
+
+    def _close(self) -> None:
+        self._lines.put(None)
+        self._thread.join(CLOSE_TIMEOUT_S)
+
+
 def configure(level: str, role: str, instance: str) -> None:
     """Sends log lines as JSON to standard error.
 
@@ -25,6 +76,7 @@
         instance: This instance's id; stands in every line.
     """
     _LOGGER.remove()
+    lines = _LineWriter(sys.stderr)
     base = {"role": role, "instance": instance}
 
     def write(message: typing.Any) -> None:
@@ -39,7 +91,7 @@
         }
         if record["exception"] is not None:
             line["exception"] = repr(record["exception"].value)
-        sys.stderr.write(json.dumps(line, default=str) + "\n")
+        lines.write(json.dumps(line, default=str) + "\n")
 
     _LOGGER.add(write, level=level, format="{message}", catch=True)
 
