--- a/cardamombarrow/endpoints/transfer.py
+++ b/cardamombarrow/endpoints/transfer.py
@@ -7,6 +7,7 @@
 silent while idle. `docs/endpoints.md` has the measured cost.
 """
 
+import collections
 from collections import abc
 import select
 import time
@@ -35,7 +36,7 @@
 
     def __init__(self, call: base.OutgoingCall, headers: list[str]):
         self._call = call
-        self._chunks: list[bytes] = []
+        self._chunks: collections.deque[bytes] = collections.deque()
         self._header_lines: list[bytes] = []
         self._head: base.Head | None = None
         self._finished = False
@@ -47,9 +48,9 @@
         self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._on_socket)
         self._multi.setopt(pycurl.M_TIMERFUNCTION, self._on_timer)
         self._easy = self._build(headers)
-        self._caller_fd = call.caller.fileno()
-        if self._caller_fd >= 0:
-            self._poll.register(self._caller_fd, select.POLLRDHUP)
+        caller_fd = call.caller.fileno()
+        if caller_fd >= 0:
+            self._poll.register(caller_fd, select.POLLRDHUP)
 
     def _build(self, headers: list[str]) -> pycurl.Curl:
         call = self._call
@@ -125,15 +126,14 @@
         self._heard_s = time.monotonic()
         while True:
             if self._chunks:
-                data = self._chunks
-                self._chunks = []
-                yield data[0] if len(data) == 1 else b"".join(data)
+                data = b"".join(self._chunks)
+                self._chunks.clear()
+                yield data
             elif self._finished:
                 break
             else:
                 self._step()
-                if not self._chunks:
-                    self._check_stall()
+                self._check_stall()
         if self._error is not None:
             raise self._failure()
 
@@ -156,20 +156,17 @@
         wait_s = min(WAIT_SLICE_S, call.deadline_s - now_s)
         if self._timer_s is not None:
             wait_s = min(wait_s, max(0.0, self._timer_s - now_s))
-        for fd, mask in self._poll.poll(wait_s * 1_000):
-            if fd == self._caller_fd:
+        ready = self._poll.poll(wait_s * 1_000)
+        for fd, mask in ready:
+            if fd == call.caller.fileno():
                 raise errors.RefusedError(
                     errors.ErrorKind.CALLER_GONE, "the caller left"
                 )
-            self._act(fd, _TO_CURL.get(mask) or _to_curl(mask))
+            self._multi.socket_action(fd, _to_curl(mask))
         if self._timer_s is not None and time.monotonic() >= self._timer_s:
             self._timer_s = None
-            self._act(pycurl.SOCKET_TIMEOUT, 0)
-
-    def _act(self, fd: int, flags: int) -> None:
-        _, running = self._multi.socket_action(fd, flags)
-        if not running:
-            self._collect()
+            self._multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
+        self._collect()
 
     def _collect(self) -> None:
         _, done, failed = self._multi.info_read()
@@ -208,10 +205,6 @@
         return self._easy.getinfo(pycurl.REQUEST_SIZE) > 0
 
 
-_TO_CURL = {select.POLLIN: pycurl.CSELECT_IN}
-"""The mask of nearly every event, so that it needs no working out."""
-
-
 def _to_curl(mask: int) -> int:
     flags = 0
     if mask & (select.POLLIN | select.POLLHUP):
--- a/cardamombarrow/entry/life.py
+++ b/cardamombarrow/entry/life.py
@@ -177,9 +177,7 @@
                 if self._first_token_s is None:
                     self._first_token_s = self._age_s()
                     broker.first_token(request_id)
-                tail = (chunk if len(chunk) >= TAIL_BYTES else tail + chunk)[
-                    -TAIL_BYTES:
-                ]
+                tail = (tail + chunk)[-TAIL_BYTES:]
                 self._tokens += self._kind.count_tokens(chunk)
                 broker.progress(request_id, self._tokens)
                 yield chunk
