Refuse edits that smuggle in a section or come from the future

Found while writing the oracle for the document's fuzzing. A body that held another section's header became that section: the token of sales, allowed to edit tiers, could write [owner:me] with all rights. An edit with a base revision higher than the current one met no conflict at all and so replaced what its author had not seen. The table of changed sections grew for ever with names that come and go.

Ruled out: checking it in the administration API only, because edits also come from other clients of the log. Now the state machine refuses both, and remembers changes for 10,000 revisions; an older base conflicts.

--- a/cardamombarrow/document/machine.py
+++ b/cardamombarrow/document/machine.py
@@ -30,6 +30,10 @@
 ANSWERS_KEPT = 10_000
 """Edit ids whose answer is remembered: nearly 5 days at 2,100 edits a day."""
 
+BASE_AGE_KEPT = 10_000
+"""Revisions for which it is remembered which sections they changed. An edit
+made from an older one conflicts, whatever it changes."""
+
 HISTORY_KEPT = 1_000
 """Accepted edits that `config history` can show."""
 
@@ -141,6 +145,9 @@
         return answer
 
     def _judge(self, edit: Edit) -> EditAnswer:
+        malformed = self._malformed(edit)
+        if malformed:
+            return EditAnswer(EditStatus.INVALID, self.revision, malformed)
         conflicts = self._conflicts(edit)
         if conflicts:
             return EditAnswer(
@@ -160,22 +167,40 @@
         self._accept(edit, new_text)
         return EditAnswer(EditStatus.ACCEPTED, self.revision)
 
+    def _malformed(self, edit: Edit) -> tuple[str, ...]:
+        if not edit.replacements:
+            return ("the edit replaces no section",)
+        if not 1 <= edit.base_revision <= self.revision:
+            # From a revision that is yet to come, no edit would conflict.
+            return (
+                f"base revision {edit.base_revision} is not one of 1 to "
+                f"{self.revision}",
+            )
+        return tuple(
+            f"[{name}]: the name or the body holds the header of a section"
+            for name, body in edit.replacements.items()
+            if not _is_one_section(name, body)
+        )
+
     def _conflicts(self, edit: Edit) -> dict[str, str]:
         bodies = {
             section.name: "\n".join(section.lines[1:])
             for section in text_module.split(self.text)
         }
+        too_old = edit.base_revision < self.revision - BASE_AGE_KEPT
         return {
             name: bodies.get(name, "")
             for name in edit.replacements
-            if self._changed_at.get(name, 0) > edit.base_revision
+            if too_old or self._changed_at.get(name, 0) > edit.base_revision
         }
 
     def _accept(self, edit: Edit, new_text: str) -> None:
         self.text = new_text
         self.revision = ids.Revision(self.revision + 1)
         for name in edit.replacements:
+            self._changed_at.pop(name, None)
             self._changed_at[name] = self.revision
+        self._forget_changes()
         self.history.append(
             HistoryItem(
                 revision=self.revision,
@@ -187,6 +212,13 @@
             )
         )
 
+    def _forget_changes(self) -> None:
+        oldest = self.revision - BASE_AGE_KEPT
+        for name, revision in list(self._changed_at.items()):
+            if revision >= oldest:
+                return
+            del self._changed_at[name]
+
     def to_json(self) -> dict:
         """Returns the whole state as plain JSON values, for a snapshot."""
         return {
@@ -206,8 +238,8 @@
         state = cls(raw["text"])
         state.revision = ids.Revision(raw["revision"])
         for item in raw["history"]:
-            sections = tuple(item.pop("sections"))
-            state.history.append(HistoryItem(**item, sections=sections))
+            sections = tuple(item["sections"])
+            state.history.append(HistoryItem(**{**item, "sections": sections}))
         state._changed_at = dict(raw["changed_at"])
         state._answers = {
             ids.EditId(edit_id): (digest, EditAnswer.from_json(answer))
@@ -216,6 +248,16 @@
         return state
 
 
+def _is_one_section(name: str, body: str) -> bool:
+    """Tells whether a replacement stays within its section.
+
+    A header inside a body would start another section: who may edit tiers
+    only could so give themselves an owner's section with all rights.
+    """
+    sections = text_module.split(f"[{name}]\n{body}")
+    return len(sections) == 1 and sections[0].name == name
+
+
 def _forbidden(edit: Edit, current: schema.Document) -> tuple[str, ...]:
     owner = current.owners.get(edit.owner)
     if owner is None:
