Bound what callers can take of an entry, by tier and workspace

Cause: a request that waits in the queue keeps a thread, so a flood of one low tier took all threads and a higher tier's request was never read. Ruled out: a larger executor, which only moves the point; threads per tier, which stand idle when one tier has all the load. A body without an announced length that is over the limit is refused: werkzeug cut it off in silence. An answer without a body (204, HEAD) frees its slot.

--- a/cardamombarrow/endpoints/transfer.py
+++ b/cardamombarrow/endpoints/transfer.py
@@ -57,6 +57,8 @@
         easy = pycurl.Curl()
         easy.setopt(pycurl.URL, f"http://{call.endpoint}{call.path}")
         easy.setopt(pycurl.CUSTOMREQUEST, call.method)
+        if call.method == "HEAD":
+            easy.setopt(pycurl.NOBODY, 1)
         if call.body or call.method in ("POST", "PUT", "PATCH"):
             easy.setopt(pycurl.POSTFIELDS, call.body)
         easy.setopt(pycurl.HTTPHEADER, [*headers, "Expect:"])
--- a/cardamombarrow/entry/app.py
+++ b/cardamombarrow/entry/app.py
@@ -8,8 +8,10 @@
 from werkzeug import routing
 from werkzeug import wrappers
 
+from cardamombarrow.decisions import messages
 from cardamombarrow.entry import answers
 from cardamombarrow.entry import caller as caller_module
+from cardamombarrow.entry import gate as gate_module
 from cardamombarrow.entry import in_force
 from cardamombarrow.entry import incoming
 from cardamombarrow.entry import life
@@ -21,6 +23,7 @@
 __all__ = ["App", "Readiness"]
 
 _METHODS = ["GET", "POST", "PUT", "PATCH", "DELETE"]
+_NO_BODY_STATUSES = (204, 304)
 _RELAYED_HEADERS = ("content-type", "content-length", "cache-control")
 
 _ROUTES = routing.Map(
@@ -59,12 +62,14 @@
         documents: in_force.InForce,
         services: life.LifeServices,
         readiness: Readiness,
+        gate: gate_module.Gate,
         body_limit_bytes: int,
     ):
         self._instance = instance
         self._documents = documents
         self._services = services
         self._readiness = readiness
+        self._gate = gate
         self._body_limit_bytes = body_limit_bytes
 
     def __call__(
@@ -162,14 +167,17 @@
     def _run(
         self, request: wrappers.Request, call: incoming.IncomingCall
     ) -> wrappers.Response:
-        watch = caller_module.SocketWatch(request.environ["werkzeug.socket"])
-        request_life = life.Life(call, watch, self._services)
-        if call.job.repeatable:
-            relay = request_life.run()
-        else:
-            relay = once.run_once(
-                call, request_life, self._services.ledger, self._instance
-            )
+        self._gate.enter(call.job, self._documents.current().document)
+        try:
+            relay = self._begin(request, call)
+        except BaseException:
+            self._gate.leave(call.job)
+            raise
+        chunks = self._chunks(relay, call.job)
+        if relay.head.status in _NO_BODY_STATUSES or request.method == "HEAD":
+            # werkzeug neither iterates nor closes the body of such an answer:
+            # the endpoint's slot would be held for ever.
+            chunks = iter(list(chunks))
         headers = {
             name: relay.head.headers[name]
             for name in _RELAYED_HEADERS
@@ -177,24 +185,35 @@
         }
         headers["X-Request-Id"] = call.job.request_id
         return wrappers.Response(
-            _with_error_event(relay, call.job.request_id),
+            chunks,
             status=relay.head.status,
             headers=headers,
             direct_passthrough=True,
         )
 
+    def _begin(
+        self, request: wrappers.Request, call: incoming.IncomingCall
+    ) -> life.Relay:
+        watch = caller_module.SocketWatch(request.environ["werkzeug.socket"])
+        request_life = life.Life(call, watch, self._services)
+        if call.job.repeatable:
+            return request_life.run()
+        return once.run_once(
+            call, request_life, self._services.ledger, self._instance
+        )
 
-def _with_error_event(
-    relay: life.Relay, request_id: ids.RequestId
-) -> abc.Iterator[bytes]:
-    try:
-        yield from relay.chunks
-    except errors.RouterError as error:
-        if not relay.head.streams:
-            # The caller sees fewer bytes than announced, or no last chunk.
-            raise
-        yield answers.error_event(error, request_id)
-    finally:
-        close = getattr(relay.chunks, "close", None)
-        if close is not None:
-            close()
+    def _chunks(
+        self, relay: life.Relay, job: messages.Job
+    ) -> abc.Iterator[bytes]:
+        try:
+            yield from relay.chunks
+        except errors.RouterError as error:
+            if not relay.head.streams:
+                # The caller sees fewer bytes than announced, or no last chunk.
+                raise
+            yield answers.error_event(error, job.request_id)
+        finally:
+            close = getattr(relay.chunks, "close", None)
+            if close is not None:
+                close()
+            self._gate.leave(job)
--- a/cardamombarrow/entry/core.py
+++ b/cardamombarrow/entry/core.py
@@ -1,10 +1,12 @@
 """The entry process: wiring of its parts."""
 
+import random
 import time
 
 from cardamombarrow.document import schema
 from cardamombarrow.entry import app as app_module
 from cardamombarrow.entry import broker as broker_module
+from cardamombarrow.entry import gate as gate_module
 from cardamombarrow.entry import in_force
 from cardamombarrow.entry import life
 from cardamombarrow.entry import peering as peering_module
@@ -86,6 +88,7 @@
         documents,
         services,
         readiness,
+        gate_module.Gate(settings.http.connections, random.Random()),
         settings.calls.body_limit_bytes,
     )
 
--- a/cardamombarrow/entry/incoming.py
+++ b/cardamombarrow/entry/incoming.py
@@ -101,9 +101,10 @@
             errors.ErrorKind.UNKNOWN_MODEL, f"no model {content['model']!r}"
         )
     limit = content.get("max_tokens") or 0
-    if not isinstance(limit, int):
+    if not isinstance(limit, int) or limit < 0:
         raise errors.RefusedError(
-            errors.ErrorKind.BAD_REQUEST, "`max_tokens` is not a number"
+            errors.ErrorKind.BAD_REQUEST,
+            "`max_tokens` is not a whole number over 0",
         )
     service = document.services[model.service]
     request_class = _request_class(request, document, workspace)
@@ -217,14 +218,20 @@
 
 
 def _body(request: wrappers.Request) -> bytes:
+    too_large = errors.RefusedError(
+        errors.ErrorKind.BODY_TOO_LARGE,
+        f"the body is over {request.max_content_length} bytes",
+    )
     try:
-        return typing.cast(bytes, request.get_data(cache=False))
+        body = typing.cast(bytes, request.get_data(cache=False))
     except exceptions.RequestEntityTooLarge:
-        raise errors.RefusedError(
-            errors.ErrorKind.BODY_TOO_LARGE,
-            f"the body is over {request.max_content_length} bytes",
-        ) from None
+        raise too_large from None
     except (exceptions.ClientDisconnected, OSError):
         raise errors.RefusedError(
             errors.ErrorKind.BAD_REQUEST, "the body did not come whole"
         ) from None
+    # werkzeug ends a body without an announced length at the limit and says
+    # nothing: an endpoint would be sent a request with its end cut off.
+    if getattr(request.environ["wsgi.input"], "left_bytes", 0) > 0:
+        raise too_large
+    return body
--- a/cardamombarrow/kernel/connection.py
+++ b/cardamombarrow/kernel/connection.py
@@ -36,7 +36,9 @@
 _NO_BODY_STATUSES = {204, 304}
 
 
-def error_body(kind: errors.ErrorKind, detail: str) -> bytes:
+def error_body(
+    kind: errors.ErrorKind, detail: str, retry_after_s: float | None = None
+) -> bytes:
     """Returns the JSON body for an error of the HTTP layer itself."""
     answer = errors.ANSWERS[kind]
     return json.dumps(
@@ -46,7 +48,7 @@
                 "message": detail,
                 "not_run": answer.not_run,
                 "retryable": answer.retryable,
-                "retry_after_s": None,
+                "retry_after_s": retry_after_s,
                 "request_id": None,
             }
         }
--- a/cardamombarrow/kernel/http.py
+++ b/cardamombarrow/kernel/http.py
@@ -16,12 +16,25 @@
 from werkzeug import serving
 
 from cardamombarrow.kernel import connection as connection_module
+from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import lifecycle
 from cardamombarrow.kernel import logs
 from cardamombarrow.kernel import settings
 
 __all__ = ["HttpServer", "HttpSettings"]
 
+WAITING_FACTOR = 2
+"""Connections that may be open, as a multiple of those served at once."""
+
+_FULL_BODY = connection_module.error_body(
+    errors.ErrorKind.OVERLOADED, "too many connections", retry_after_s=2.0
+)
+_FULL_ANSWER = (
+    b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n"
+    b"Content-Type: application/json\r\nRetry-After: 2\r\n"
+    b"Content-Length: %d\r\n\r\n%b" % (len(_FULL_BODY), _FULL_BODY)
+)
+
 
 @dataclasses.dataclass(frozen=True)
 class HttpSettings:
@@ -82,6 +95,9 @@
         # accepting thread, one silent client would hold up all others.
         self._context = context
         self.limits = http
+        self._lock = threading.Lock()
+        self._open = 0
+        self._most_open = WAITING_FACTOR * http.connections
         self._executor = futures.ThreadPoolExecutor(
             max_workers=http.connections, thread_name_prefix="http"
         )
@@ -89,8 +105,24 @@
     def process_request(
         self, request: socket.socket, client_address: typing.Any
     ) -> None:
-        """Hands a new connection to the executor."""
-        self._executor.submit(self._serve, request, client_address)
+        """Hands a new connection to the executor, unless too many wait."""
+        with self._lock:
+            full = self._open >= self._most_open
+            self._open += not full
+        if full:
+            self._turn_away(request)
+        else:
+            self._executor.submit(self._serve, request, client_address)
+
+    def _turn_away(self, connection: socket.socket) -> None:
+        # Done by the accepting thread, so it must not wait for the client.
+        try:
+            connection.setblocking(False)
+            connection.send(_FULL_ANSWER)
+        except OSError as error:
+            logs.event("http", "DEBUG", detail=str(error))
+        finally:
+            self.shutdown_request(connection)
 
     def _serve(
         self, connection: socket.socket, client_address: typing.Any
@@ -109,6 +141,8 @@
             logs.event("http", "ERROR", detail=repr(error))
         finally:
             self.shutdown_request(connection)
+            with self._lock:
+                self._open -= 1
 
     def finish(self) -> None:
         """Waits for the connections that are being served."""
--- a/tools/caller.py
+++ b/tools/caller.py
@@ -1,12 +1,20 @@
 """A small caller of an entry, for tests, demo and benchmarks."""
 
 import dataclasses
+import hashlib
 import json
 import typing
 
 from cardamombarrow.endpoints import http_get
 
-__all__ = ["CallerAnswer", "complete", "content_of", "service"]
+__all__ = [
+    "CallerAnswer",
+    "complete",
+    "completion_body",
+    "content_of",
+    "service",
+    "whole_content",
+]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -14,11 +22,13 @@
     """What a caller received, whole.
 
     Attributes:
+        sent: The body of the request.
         error: The error object of the answer or of its last event, or None.
     """
 
     status: int
     body: bytes
+    sent: bytes = b""
 
     @property
     def error(self) -> dict[str, typing.Any] | None:
@@ -31,6 +41,19 @@
         return None
 
 
+def completion_body(
+    model: str, prompt: str, stream: bool, tokens: int
+) -> bytes:
+    """Returns the body of a completion request."""
+    content = {
+        "model": model,
+        "messages": [{"role": "user", "content": prompt}],
+        "stream": stream,
+        "standin_tokens": tokens,
+    }
+    return json.dumps(content).encode()
+
+
 def complete(
     url: str,
     workspace: str,
@@ -49,20 +72,15 @@
     ]
     if request_class:
         headers.append(f"X-Request-Class: {request_class}")
-    body = {
-        "model": model,
-        "messages": [{"role": "user", "content": prompt}],
-        "stream": stream,
-        "standin_tokens": tokens,
-    }
+    sent = completion_body(model, prompt, stream, tokens)
     reply = http_get.fetch(
         url + "/v1/chat/completions",
         timeout_s=timeout_s,
         method="POST",
         headers=tuple(headers),
-        body=json.dumps(body).encode(),
+        body=sent,
     )
-    return CallerAnswer(reply.status, reply.body)
+    return CallerAnswer(reply.status, reply.body, sent)
 
 
 def service(
@@ -89,6 +107,12 @@
     return CallerAnswer(reply.status, reply.body)
 
 
+def whole_content(answer: CallerAnswer, tokens: int) -> str:
+    """Returns the text that a stand-in gives to what the caller sent."""
+    mark = hashlib.sha256(answer.sent).hexdigest()[:8]
+    return "".join(f"{mark}-{number} " for number in range(tokens))
+
+
 def content_of(answer: CallerAnswer) -> str:
     """Returns the text of a completion, streamed or not."""
     if not answer.body.startswith(b"data: "):
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -223,7 +223,9 @@
         )
         for domain, group in self._plan.entries.items():
             sections = "".join(
-                f"[{name}]\n{body}" for name, body in extra.items()
+                f"[{name}]\n{body}"
+                for name, body in extra.items()
+                if name != "http"
             )
             for name in group:
                 seeds = " ".join(self._route(name, other) for other in group)
@@ -244,9 +246,11 @@
         controls = " ".join(
             self._route(name, control) for control in self.controls
         )
+        http_more = self._plan.entry_extra.get("http", "")
         path.write_text(
             f"[instance]\nid = {name}\ndomain = {domain}\n"
             f"[http]\nport = {url.rpartition(':')[2]}\n"
+            f"{http_more if role == 'entry' else ''}"
             f"[peers]\nsecret = {SECRET}\n"
             f"port = {self.peers[name].rpartition(':')[2]}\n"
             f"controls = {controls}\nseeds = {seeds}\n"
@@ -290,6 +294,10 @@
         if not wait_until(answers):
             raise RuntimeError(f"{name} did not start:\n{self.log(name)}")
 
+    def settings_path(self, name: str) -> pathlib.Path:
+        """Returns the settings file of an instance."""
+        return self._settings[name][1]
+
     def log(self, name: str) -> str:
         """Returns what a process wrote so far."""
         return (self._folder / f"{name}.log").read_text()
--- a/tools/standin/engine.py
+++ b/tools/standin/engine.py
@@ -14,6 +14,7 @@
 import itertools
 import json
 import os
+import select
 import threading
 import time
 import typing
@@ -24,6 +25,11 @@
 
 REPORT_TICK_S = 0.05
 
+CANCEL_LOOK_S = 0.05
+"""Time between two looks at whether the router has cancelled a request."""
+
+Gone = typing.Callable[[], bool]
+
 
 @dataclasses.dataclass
 class Behaviour:
@@ -54,6 +60,11 @@
     leaving: bool = False
 
 
+def _leave_if(gone: Gone) -> None:
+    if gone():
+        raise ConnectionAbortedError("cancelled")
+
+
 class _Batch:
     """Slots of the batch; those who wait get in by priority, then age."""
 
@@ -124,7 +135,7 @@
         )
 
     def run(
-        self, request_id: str, rank: int, body: bytes
+        self, request_id: str, rank: int, body: bytes, gone: Gone
     ) -> typing.Iterator[str]:
         """Yields the tokens of one answer."""
         record: dict[str, typing.Any] = {
@@ -145,10 +156,10 @@
         )
         self.batch.enter(rank)
         try:
-            time.sleep(self.behaviour.prefill_s_per_token * len(body) / 4)
+            self._prefill(len(body) / 4, gone)
             for number in range(count):
                 time.sleep(self.behaviour.token_s)
-                self._misbehave(number)
+                self._misbehave(number, gone)
                 record["tokens"] = number + 1
                 self.tokens += 1
                 yield f"{record['body_sha256'][:8]}-{number} "
@@ -158,12 +169,19 @@
                 record["outcome"] = "cancelled"
             self.batch.leave()
 
-    def _misbehave(self, number: int) -> None:
+    def _prefill(self, tokens: float, gone: Gone) -> None:
+        end_s = time.monotonic() + self.behaviour.prefill_s_per_token * tokens
+        while (left_s := end_s - time.monotonic()) > 0:
+            _leave_if(gone)
+            time.sleep(min(left_s, CANCEL_LOOK_S))
+
+    def _misbehave(self, number: int, gone: Gone) -> None:
         behaviour = self.behaviour
         while behaviour.stall_after_tokens and (
             number >= behaviour.stall_after_tokens
         ):
-            time.sleep(0.05)
+            _leave_if(gone)
+            time.sleep(CANCEL_LOOK_S)
         if behaviour.cut_after_tokens and number >= behaviour.cut_after_tokens:
             raise ConnectionAbortedError("told to cut")
 
@@ -206,6 +224,11 @@
         else:
             self._plain(body)
 
+    def _gone(self) -> bool:
+        poll = select.poll()
+        poll.register(self.connection, select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     def _completion(self, body: bytes) -> None:
         if self.engine.behaviour.fail_status:
             self._answer(self.engine.behaviour.fail_status, b"{}")
@@ -214,6 +237,7 @@
             self.headers.get("X-Request-Id", ""),
             int(self.headers.get("X-Priority", "0")),
             body,
+            self._gone,
         )
         try:
             if json.loads(body).get("stream"):
