--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -75,6 +75,7 @@
             endpoint in it, and its address put in the endpoint's place.
         entries: Instance ids of entries by failure domain.
         controls: Instance ids of control processes by failure domain.
+        standins: Whether a stand-in is started for each endpoint.
         engine_options: Command-line options of every stand-in engine.
         entry_extra: More lines for every entry's settings, by section.
         proxied: Whether what the instances say to each other goes through
@@ -89,6 +90,7 @@
     entries: dict[str, list[str]]
     controls: dict[str, list[str]]
     engine_options: tuple[str, ...] = ()
+    standins: bool = True
     entry_extra: dict[str, str] = dataclasses.field(default_factory=dict)
     proxied: bool = False
     proxied_endpoints: bool = False
@@ -151,7 +153,8 @@
 
     def _start_standins(self) -> str:
         text = self._plan.document
-        for service in parsing.parse(text).services.values():
+        services = parsing.parse(text).services.values()
+        for service in services if self._plan.standins else ():
             listed = [e for group in service.endpoints.values() for e in group]
             ports = free_ports(len(listed))
             addresses = [f"127.0.0.1:{port}" for port in ports]
