Estimate answer lengths by class and workspace, forgetting the past

Cause: one mean by class is wrong for every workspace that differs from it; it sets what a workspace pays in the fair queue.

Ruled out: a histogram per workspace (3,800 of 12 KB are 46 MB, above what a node may spend); a mean over all time (does not follow a new model version).

Change: `estimate = quantile`, the default: two histograms by class that take turns, one ratio by workspace.

Conclusion: kept for documents whose guesses are off or whose workspaces differ.

--- a/cardamombarrow/decisions/policies.py
+++ b/cardamombarrow/decisions/policies.py
@@ -15,6 +15,7 @@
     "cardamombarrow.decisions.admission",
     "cardamombarrow.decisions.retry",
     "cardamombarrow.decisions.preemption",
+    "cardamombarrow.decisions.estimate",
 )
 """Modules whose import registers the policies."""
 
--- a/cardamombarrow/document/schema.py
+++ b/cardamombarrow/document/schema.py
@@ -177,7 +177,7 @@
     quarantine: str = "none"
     spill: str = "never"
     preemption: str = "least-progress"
-    estimate: str = "mean"
+    estimate: str = "quantile"
 
 
 @dataclasses.dataclass(frozen=True)
