Wake the broker's timer when something is due, write no line in its lock

Cause: the timer looked at everything 20 times a second, idle or not, under the lock; JSON of log lines was written under the lock that every request's thread passes through; an error in a decision would have ended the timer, and with it every deadline.

Change: the timer sleeps until the next look, alarm or retry that the dispatcher knows of, at most 0.25 s (shares). Decisions are carried out under the lock and logged after it. A job whose caller leaves at the moment of its placement is finished by `withdraw`, once. A preemption is due at a moment, not at the next event. A class that an edit takes out does no harm.

Ruled out: resolving futures after the lock is released; a caller could then leave between the placement and its future, and nobody would finish the job.

Tests: with the finish taken out of `withdraw`, the race test and one more of test_broker.py fail (scratch copy).

--- a/cardamombarrow/decisions/base.py
+++ b/cardamombarrow/decisions/base.py
@@ -327,6 +327,10 @@
 class PreemptionPolicy(Policy):
     """Which running request gives way to a waiting one."""
 
+    def danger_s(self, job: messages.Job) -> float | None:
+        """Returns when a job that still waits may need a victim, or None."""
+        return None
+
     @abc.abstractmethod
     def victim(
         self,
--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -13,7 +13,6 @@
 import typing
 
 from cardamombarrow.decisions import base
-from cardamombarrow.decisions import capacity as capacity_module
 from cardamombarrow.decisions import endpoint as endpoint_module
 from cardamombarrow.decisions import forecast
 from cardamombarrow.decisions import messages
@@ -26,15 +25,12 @@
 
 __all__ = ["Dispatcher"]
 
-NO_ENDPOINT_RETRY_S = 1.0
-"""When a caller comes back whose service has no endpoint."""
+RETRY_S = 1.0
+"""When a caller comes back who is refused for something other than load."""
 
 LOOK_MIN_S = 0.05
 """Least time between two looks at one waiting job."""
 
-WORKSPACE_RETRY_S = 1.0
-"""When a caller comes back whose workspace holds all it may."""
-
 
 class Dispatcher:
     """All decisions of one instance.
@@ -95,19 +91,7 @@
 
     def demand(self, now_s: float) -> messages.PeerDemand:
         """Returns what this instance asks for, to be gossiped."""
-        demand = {
-            service: float(count)
-            for service, count in self._waiting.demand.items()
-            if count
-        }
-        in_flight = {
-            state.endpoint: len(state.running)
-            for state in self._roster.endpoints.values()
-            if state.running
-        }
-        return messages.PeerDemand(
-            self._context.instance, demand, in_flight, now_s
-        )
+        return self._roster.demand(self._waiting.demand, now_s)
 
     def quarantine_marks(self, now_s: float) -> dict[ids.Fingerprint, float]:
         """Returns quarantined fingerprints and seconds left, for gossip."""
@@ -138,7 +122,7 @@
                 job.request_id,
                 errors.ErrorKind.NO_ENDPOINT,
                 f"no endpoint serves {job.service}",
-                NO_ENDPOINT_RETRY_S,
+                RETRY_S,
             )
         reason = self._policies.quarantine.refuse(job, now_s)
         if reason is not None:
@@ -162,7 +146,7 @@
             job.request_id,
             errors.ErrorKind.WORKSPACE_LIMIT,
             f"workspace {job.workspace} holds its {most} requests already",
-            WORKSPACE_RETRY_S,
+            RETRY_S,
         )
 
     def _refuse(
@@ -212,6 +196,9 @@
         backlog = self.backlog(job, now_s)
         look_s = self._policies.admission.look_s(job, backlog, now_s)
         self._waiting.look_at(job, look_s)
+        danger_s = self._policies.preemption.danger_s(job)
+        if danger_s is not None:
+            self._waiting.alarm(job, danger_s)
 
     def withdraw(self, request_id: ids.RequestId) -> bool:
         """Takes a waiting job out, because its caller left."""
@@ -223,12 +210,22 @@
         self._waiting.leave(job)
         return True
 
+    def next_s(self) -> float | None:
+        """Returns when `place` has to be called though nothing happens.
+
+        Returns:
+            The moment, or None while nothing waits.
+        """
+        return self._waiting.next_s()
+
     def place(self, now_s: float) -> typing.Iterator[messages.Decision]:
         """Yields every decision that is due now."""
         for job in self._waiting.due_back(now_s):
             self._enqueue(job, now_s)
         yield from self._give_up(now_s)
-        room = _Room(self._roster, self.backlog, now_s)
+        for job in self._waiting.due_alarms(now_s):
+            self._roster.changed.add(job.service)
+        room = roster.Room(self._roster, self.backlog, now_s)
         while True:
             job = self._policies.queue.take(room, now_s)
             if job is None:
@@ -400,31 +397,3 @@
         return self._forecast.backlog(
             job, self._roster.capacities[job.service], now_s
         )
-
-
-class _Room(base.Room):
-    """The dispatcher's free slots at one moment."""
-
-    def __init__(
-        self,
-        endpoints: roster.Roster,
-        backlog: roster.Backlog,
-        now_s: float,
-    ):
-        self._roster = endpoints
-        self._backlog = backlog
-        self._now_s = now_s
-
-    def candidates(
-        self, job: messages.Job
-    ) -> list[endpoint_module.EndpointState]:
-        """Returns the endpoints with a slot that the job may take."""
-        return self._roster.candidates(job, self._backlog, self._now_s)
-
-    def services(self) -> list[ids.ServiceId]:
-        """Returns the services where something changed."""
-        return list(self._roster.changed)
-
-    def capacity(self, service: ids.ServiceId) -> capacity_module.Capacity:
-        """Returns this instance's slots of a service."""
-        return self._roster.capacities[service]
--- a/cardamombarrow/decisions/estimate.py
+++ b/cardamombarrow/decisions/estimate.py
@@ -33,6 +33,9 @@
 LEAST_ANSWERS = 8
 """Answers of a class below which the document's guess is used."""
 
+GUESS_TOKENS = 200.0
+"""Length of answers of a class that the document no longer has."""
+
 PRIOR_ANSWERS = 8.0
 RATIO_WEIGHT = 0.05
 """Least weight of one answer in its workspace's ratio."""
@@ -103,7 +106,7 @@
         """Returns the mean length, at most what the caller allows."""
         lengths = self._lengths.get(job.class_id)
         if lengths is None or lengths.count < LEAST_ANSWERS:
-            mean = float(self.document.classes[job.class_id].expected_tokens)
+            mean = self._guess(job.class_id)
         else:
             mean = lengths.mean
         ratio = self._ratios.get((job.class_id, job.workspace))
@@ -123,9 +126,14 @@
         """
         lengths = self._lengths.get(class_id)
         if lengths is None or lengths.count < LEAST_ANSWERS:
-            return float(self.document.classes[class_id].expected_tokens)
+            return self._guess(class_id)
         return lengths.quantile(share)
 
+    def _guess(self, class_id: ids.ClassId) -> float:
+        # An edit may take a class out while its requests are on their way.
+        known = self.document.classes.get(class_id)
+        return float(known.expected_tokens) if known else GUESS_TOKENS
+
     def learn(self, job: messages.Job, tokens: int) -> None:
         """Records the length of a whole answer; those without tokens pass."""
         if tokens <= 0:
--- a/cardamombarrow/decisions/preemption.py
+++ b/cardamombarrow/decisions/preemption.py
@@ -58,6 +58,10 @@
         super().configure(document)
         self._tiers = _by_rank(document)
 
+    def danger_s(self, job: messages.Job) -> float:
+        """Returns when a waiting job's target is in danger."""
+        return job.arrived_s + DANGER_SHARE * job.target_first_token_s
+
     def victim(
         self,
         job: messages.Job,
@@ -65,8 +69,7 @@
         now_s: float,
     ) -> messages.Running | None:
         """Returns the request that costs least, or None."""
-        waited_s = now_s - job.arrived_s
-        if waited_s < DANGER_SHARE * job.target_first_token_s:
+        if now_s < self.danger_s(job):
             return None
         running = [
             item
--- a/cardamombarrow/decisions/roster.py
+++ b/cardamombarrow/decisions/roster.py
@@ -15,7 +15,7 @@
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import ids
 
-__all__ = ["Roster"]
+__all__ = ["Backlog", "Room", "Roster"]
 
 PEER_VIEW_MAX_AGE_S = 10.0
 """A peer not heard for this long counts as not there."""
@@ -145,6 +145,25 @@
         """Drops an instance that has left."""
         self._peers.pop(instance, None)
 
+    def demand(
+        self, jobs: abc.Mapping[ids.ServiceId, int], now_s: float
+    ) -> messages.PeerDemand:
+        """Returns what this instance asks for, to be gossiped.
+
+        Args:
+            jobs: Jobs that wait or run, by service.
+            now_s: The time.
+        """
+        in_flight = {
+            state.endpoint: len(state.running)
+            for state in self.endpoints.values()
+            if state.running
+        }
+        demand = {name: float(count) for name, count in jobs.items() if count}
+        return messages.PeerDemand(
+            self._context.instance, demand, in_flight, now_s
+        )
+
     def candidates(
         self, job: messages.Job, backlog: Backlog, now_s: float
     ) -> list[endpoint_module.EndpointState]:
@@ -186,3 +205,31 @@
             return True
         only = next(iter(running.values())).job
         return not self._policies.quarantine.solo(only, now_s)
+
+
+class Room(base.Room):
+    """The dispatcher's free slots at one moment."""
+
+    def __init__(
+        self,
+        endpoints: Roster,
+        backlog: Backlog,
+        now_s: float,
+    ):
+        self._roster = endpoints
+        self._backlog = backlog
+        self._now_s = now_s
+
+    def candidates(
+        self, job: messages.Job
+    ) -> list[endpoint_module.EndpointState]:
+        """Returns the endpoints with a slot that the job may take."""
+        return self._roster.candidates(job, self._backlog, self._now_s)
+
+    def services(self) -> list[ids.ServiceId]:
+        """Returns the services where something changed."""
+        return list(self._roster.changed)
+
+    def capacity(self, service: ids.ServiceId) -> capacity_module.Capacity:
+        """Returns this instance's slots of a service."""
+        return self._roster.capacities[service]
--- a/cardamombarrow/decisions/tests/test_dispatcher.py
+++ b/cardamombarrow/decisions/tests/test_dispatcher.py
@@ -61,6 +61,26 @@
     return dataclasses.replace(document, services={service.service: changed})
 
 
+def test_class_taken_out_of_the_document_does_no_harm(
+    new_dispatcher, new_job, document
+):
+    # An operator removes a class while one of its requests is on its way to
+    # the queue and another one runs.
+    dispatcher = new_dispatcher()
+    first, second = new_job("letter"), new_job("letter")
+    assert dispatcher.offer(first, 0.0) is None
+    list(dispatcher.place(0.0))
+    classes = {k: v for k, v in document.classes.items() if k != "letter"}
+    tiers = {k: v for k, v in document.tiers.items() if k != "letter"}
+    dispatcher.configure(
+        dataclasses.replace(document, classes=classes, tiers=tiers), 1.0
+    )
+    assert dispatcher.offer(second, 1.0) is None
+    assert len(list(dispatcher.place(1.0))) == 1
+    dispatcher.progress(first.request_id, 10)
+    dispatcher.finish(first.request_id, messages.Outcome.DONE, 2.0)
+
+
 class _Callers:
     """Does one random thing after another and keeps account."""
 
--- a/cardamombarrow/decisions/waiting.py
+++ b/cardamombarrow/decisions/waiting.py
@@ -34,6 +34,7 @@
         self._looks: list[_Timed] = []
         self._held_back: dict[ids.RequestId, messages.Job] = {}
         self._ready: list[_Timed] = []
+        self._alarms: list[_Timed] = []
         self._numbers = itertools.count()
 
     def __len__(self) -> int:
@@ -69,7 +70,7 @@
         """Yields the jobs that still wait and whose time has come."""
         while self._looks and self._looks[0][0] <= now_s:
             job = heapq.heappop(self._looks)[2]
-            if self._jobs.get(job.request_id) is job:
+            if self._waits(job):
                 yield job
 
     def hold_back(self, job: messages.Job, ready_s: float) -> None:
@@ -88,7 +89,29 @@
             if self._held_back.pop(job.request_id, None) is not None:
                 yield job
 
+    def alarm(self, job: messages.Job, when_s: float) -> None:
+        """Sets when a job's service is looked at if it still waits."""
+        heapq.heappush(self._alarms, (when_s, next(self._numbers), job))
+
+    def due_alarms(self, now_s: float) -> abc.Iterator[messages.Job]:
+        """Yields the jobs that still wait at the time that was set."""
+        while self._alarms and self._alarms[0][0] <= now_s:
+            job = heapq.heappop(self._alarms)[2]
+            if self._waits(job):
+                yield job
+
     def next_s(self) -> float | None:
         """Returns the next moment at which something is due, or None."""
-        times = [heap[0][0] for heap in (self._looks, self._ready) if heap]
+        times = []
+        for heap in (self._looks, self._alarms):
+            # A job that has left needs no wake-up.
+            while heap and not self._waits(heap[0][2]):
+                heapq.heappop(heap)
+            if heap:
+                times.append(heap[0][0])
+        if self._ready:
+            times.append(self._ready[0][0])
         return min(times, default=None)
+
+    def _waits(self, job: messages.Job) -> bool:
+        return self._jobs.get(job.request_id) is job
--- a/cardamombarrow/entry/broker.py
+++ b/cardamombarrow/entry/broker.py
@@ -1,14 +1,17 @@
 """The dispatcher behind a lock: threads wait here for a place.
 
 Each request's thread hands in a job and waits on a future. Whenever a job
-arrives, a slot is released, or the timer ticks, the decisions that are due
-are carried out by resolving the futures of the jobs that they concern.
+arrives, a slot is released, or something that waits is due, the decisions are
+carried out by resolving the futures of the jobs that they concern. Log lines
+are written after the lock is released: every thread waits for the lock, and
+none should wait for another's JSON.
 """
 
 from concurrent import futures
 import dataclasses
 import random
 import threading
+import time
 
 from cardamombarrow.decisions import base
 from cardamombarrow.decisions import core
@@ -22,8 +25,12 @@
 
 __all__ = ["Broker", "Ticket"]
 
-TICK_S = 0.05
-"""Time between two looks at jobs whose time is up."""
+SHARES_S = 0.25
+"""Time between two looks at this instance's slots.
+
+Peers' demand and load reports come about once a second; four looks within
+that time follow them closely enough.
+"""
 
 
 @dataclasses.dataclass
@@ -56,8 +63,10 @@
         )
         self._dispatcher = core.Dispatcher(context, time_source.now_s())
         self._lock = threading.Lock()
+        self._wake = threading.Condition(self._lock)
+        self._wake_s = 0.0
+        self._stopped = False
         self._tickets: dict[ids.RequestId, Ticket] = {}
-        self._stop = threading.Event()
         self._thread = threading.Thread(
             target=self._tick, name="broker", daemon=True
         )
@@ -68,20 +77,57 @@
 
     def stop(self) -> None:
         """Stops the timer."""
-        self._stop.set()
+        with self._lock:
+            self._stopped = True
+            self._wake.notify()
         self._thread.join()
 
     def _tick(self) -> None:
-        while not self._stop.wait(TICK_S):
-            with self._lock:
-                self._dispatcher.refresh_shares(self._clock.now_s())
-                self._run_due()
+        shares_s = self._clock.now_s()
+        while self._sleep(shares_s):
+            now_s = self._clock.now_s()
+            refresh = now_s >= shares_s
+            if refresh:
+                shares_s = now_s + SHARES_S
+            try:
+                self._look(refresh, now_s)
+            except Exception as error:
+                # Without its timer an entry would go on serving, but nobody
+                # who waits would be answered at a deadline.
+                logs.event("timer failed", "ERROR", detail=repr(error))
+                time.sleep(SHARES_S)
+
+    def _look(self, refresh: bool, now_s: float) -> None:
+        with self._lock:
+            if refresh:
+                self._dispatcher.refresh_shares(now_s)
+            lines = self._run_due()
+        _write(lines)
+
+    def _sleep(self, until_s: float) -> bool:
+        """Waits until something is due; returns False at the stop."""
+        with self._lock:
+            while not self._stopped:
+                due_s = self._dispatcher.next_s()
+                self._wake_s = until_s if due_s is None else min(due_s, until_s)
+                wait_s = self._wake_s - self._clock.now_s()
+                if wait_s <= 0.0:
+                    return True
+                self._wake.wait(wait_s)
+            return False
+
+    def _wake_if_earlier(self) -> None:
+        """Wakes the timer where what has come is due before its wake-up."""
+        due_s = self._dispatcher.next_s()
+        if due_s is not None and due_s < self._wake_s:
+            self._wake.notify()
 
     def configure(self, document: schema.Document) -> None:
         """Takes a newer document into force."""
         with self._lock:
             self._dispatcher.configure(document, self._clock.now_s())
-            self._run_due()
+            lines = self._run_due()
+        _write(lines)
 
     def report(
         self, endpoint: ids.EndpointId, report: messages.LoadReport
@@ -129,10 +175,14 @@
         ticket = Ticket(job, futures.Future())
         with self._lock:
             refusal = self._dispatcher.offer(job, self._clock.now_s())
-            if refusal is not None:
-                raise _refuse(job, refusal)
-            self._tickets[job.request_id] = ticket
-            self._run_due()
+            if refusal is None:
+                self._tickets[job.request_id] = ticket
+                lines = self._run_due()
+                self._wake_if_earlier()
+        if refusal is not None:
+            _write([_Line(job, refusal)])
+            raise _refused(job, refusal)
+        _write(lines)
         return ticket
 
     def resubmit(
@@ -146,24 +196,35 @@
             if not self._dispatcher.retry(job, outcome, now_s):
                 return None
             self._tickets[job.request_id] = again
-            self._run_due()
+            attempts = job.attempts
+            lines = self._run_due()
+            self._wake_if_earlier()
         logs.decision(
             "retry",
             request_id=job.request_id,
             outcome=outcome.value,
-            attempts=job.attempts,
+            attempts=attempts,
             tried=job.tried,
         )
+        _write(lines)
         return again
 
     def withdraw(self, ticket: Ticket) -> None:
-        """Takes a job back whose caller left before it was placed."""
+        """Takes a job back whose caller left before it saw its place.
+
+        The caller may leave at the moment when the job is placed. Decisions
+        are carried out under the lock, so the job either waits still, or its
+        future tells what became of it; a placed one is finished here, because
+        nobody else will: its slot would be lost until a restart.
+        """
+        lines: list[_Line] = []
         with self._lock:
             request_id = ticket.job.request_id
             if self._dispatcher.withdraw(request_id):
-                self._tickets.pop(request_id, None)
-            elif ticket.placed.done() and not ticket.placed.exception():
-                self._finish(request_id, messages.Outcome.CALLER_GONE)
+                del self._tickets[request_id]
+            elif not ticket.placed.exception(timeout=0):
+                lines = self._finish(request_id, messages.Outcome.CALLER_GONE)
+        _write(lines)
 
     def first_token(self, request_id: ids.RequestId) -> None:
         """Tells that the first token came."""
@@ -179,58 +240,80 @@
     ) -> None:
         """Releases the slot of a placed job."""
         with self._lock:
-            self._finish(request_id, outcome)
+            lines = self._finish(request_id, outcome)
+        _write(lines)
 
     def _finish(
         self, request_id: ids.RequestId, outcome: messages.Outcome
-    ) -> None:
+    ) -> list["_Line"]:
         self._tickets.pop(request_id, None)
         self._dispatcher.finish(request_id, outcome, self._clock.now_s())
-        self._run_due()
+        return self._run_due()
 
-    def _run_due(self) -> None:
+    def _run_due(self) -> list["_Line"]:
+        """Carries out the decisions that are due; returns what to log."""
+        lines = []
         for decision in self._dispatcher.place(self._clock.now_s()):
             ticket = self._tickets[decision.request_id]
+            lines.append(_Line(ticket.job, decision, ticket.job.attempts))
             if isinstance(decision, messages.Placement):
-                _log_placement(ticket.job, decision)
                 ticket.placed.set_result(decision)
             elif isinstance(decision, messages.Refusal):
                 del self._tickets[decision.request_id]
-                ticket.placed.set_exception(_refuse(ticket.job, decision))
+                ticket.placed.set_exception(_refused(ticket.job, decision))
             else:
                 ticket.preempted = decision
+        return lines
 
 
-def _log_placement(job: messages.Job, placement: messages.Placement) -> None:
-    logs.decision(
-        "place",
-        request_id=job.request_id,
-        workspace=job.workspace,
-        class_id=job.class_id,
-        rank=job.rank,
-        service=job.service,
-        endpoint=placement.endpoint,
-        candidates=placement.candidates,
-        reason=placement.reason,
-        wait_s=round(placement.wait_s, 4),
-        attempt=job.attempts,
-    )
-
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Line:
+    """A decision to be logged once the lock is released."""
 
-def _refuse(
+    job: messages.Job
+    decision: messages.Decision
+    attempt: int = 0
+
+
+def _write(lines: list[_Line]) -> None:
+    for line in lines:
+        job = line.job
+        shared = {
+            "request_id": job.request_id,
+            "workspace": job.workspace,
+            "class_id": job.class_id,
+            "rank": job.rank,
+            "service": job.service,
+        }
+        name, fields = _details(line.decision)
+        logs.decision(name, **shared, **fields, attempt=line.attempt)
+
+
+def _details(decision: messages.Decision) -> tuple[str, dict[str, object]]:
+    if isinstance(decision, messages.Placement):
+        return "place", {
+            "endpoint": decision.endpoint,
+            "candidates": decision.candidates,
+            "reason": decision.reason,
+            "wait_s": round(decision.wait_s, 4),
+        }
+    if isinstance(decision, messages.Refusal):
+        return "refuse", {
+            "kind": decision.kind.value,
+            "reason": decision.detail,
+            "retry_after_s": decision.retry_after_s,
+        }
+    return "preempt", {
+        "endpoint": decision.endpoint,
+        "reason": decision.reason,
+        "wasted_tokens": decision.wasted_tokens,
+        "requeue": decision.requeue,
+    }
+
+
+def _refused(
     job: messages.Job, refusal: messages.Refusal
 ) -> errors.RefusedError:
-    logs.decision(
-        "refuse",
-        request_id=job.request_id,
-        workspace=job.workspace,
-        class_id=job.class_id,
-        rank=job.rank,
-        service=job.service,
-        kind=refusal.kind.value,
-        reason=refusal.detail,
-        retry_after_s=refusal.retry_after_s,
-    )
     # A job that was placed before and is given up while it waits for another
     # run may have run: only the first wait can end in "not run".
     return errors.RefusedError(
--- /dev/null
+++ b/cardamombarrow/entry/tests/test_broker.py
@@ -0,0 +1,157 @@
+"""Threads that wait for a place, and callers that leave meanwhile."""
+
+from concurrent import futures
+import random
+import threading
+import time
+
+import pytest
+
+from cardamombarrow.decisions import messages
+from cardamombarrow.document import parsing
+from cardamombarrow.entry import broker as broker_module
+from cardamombarrow.kernel import clock
+from cardamombarrow.kernel import errors
+from cardamombarrow.kernel import ids
+from cardamombarrow.kernel import logs
+
+_LIMIT_S = 10.0
+
+
+def _job(number: int, **fields: object) -> messages.Job:
+    now_s = time.monotonic()
+    job = messages.Job(
+        request_id=ids.RequestId(f"r{number}"),
+        workspace=ids.WorkspaceId("race-control"),
+        class_id=ids.ClassId("marshal-question"),
+        service=ids.ServiceId("report-writer"),
+        model=ids.ModelId("trail-7b"),
+        rank=0,
+        arrived_s=now_s,
+        target_first_token_s=30.0,
+        deadline_s=now_s + 60.0,
+    )
+    for name, value in fields.items():
+        setattr(job, name, value)
+    return job
+
+
+@pytest.fixture
+def broker(kandula_text):
+    document = parsing.parse(kandula_text)
+    made = broker_module.Broker(
+        document,
+        ids.InstanceId("entry-1"),
+        ids.DomainId("badulla-a"),
+        clock.SystemClock(),
+    )
+    made.start()
+    yield made
+    made.stop()
+
+
+def _wait_until(condition) -> None:
+    end_s = time.monotonic() + _LIMIT_S
+    while not condition():
+        assert time.monotonic() < end_s
+        time.sleep(0.005)
+
+
+def test_caller_that_leaves_as_it_is_placed_gives_its_slot_back(broker):
+    # A phone hangs up in the very moment in which its request gets a slot.
+    # If neither side sees the other, the slot stays taken until a restart,
+    # and after some dozens of such calls the entry serves nobody.
+    def one(number: int) -> None:
+        rng = random.Random(number)
+        try:
+            ticket = broker.submit(_job(number))
+        except errors.RefusedError:
+            return
+        try:
+            ticket.placed.result(timeout=rng.uniform(0.0, 0.004))
+        except futures.TimeoutError:
+            broker.withdraw(ticket)
+            return
+        except errors.RefusedError:
+            return
+        time.sleep(rng.uniform(0.0, 0.004))
+        broker.finish(ticket.job.request_id, messages.Outcome.DONE)
+
+    with futures.ThreadPoolExecutor(48) as executor:
+        for future in [executor.submit(one, n) for n in range(800)]:
+            future.result(timeout=60)
+    demand = broker.demand()
+    assert demand.demand_tokens_per_s == {}
+    assert demand.in_flight == {}
+
+
+def test_withdrawn_after_its_place_is_finished_once(broker):
+    ticket = broker.submit(_job(1))
+    assert ticket.placed.result(timeout=_LIMIT_S)
+    broker.withdraw(ticket)
+    assert broker.demand().in_flight == {}
+    assert broker.submit(_job(2)).placed.result(timeout=_LIMIT_S)
+
+
+def _fill(broker) -> list[broker_module.Ticket]:
+    held = []
+    while True:
+        ticket = broker.submit(_job(len(held) + 100, rank=2))
+        if not ticket.placed.done():
+            broker.withdraw(ticket)
+            return held
+        held.append(ticket)
+
+
+def test_deadline_is_answered_without_any_other_event(broker):
+    # Every slot is taken and nothing else happens at this entry. Without a
+    # timer that knows the deadline the caller would wait for an event that
+    # never comes.
+    _fill(broker)
+    now_s = time.monotonic()
+    ticket = broker.submit(_job(1, deadline_s=now_s + 6.0, rank=2))
+    error = ticket.placed.exception(timeout=_LIMIT_S)
+    assert error.kind is errors.ErrorKind.QUEUE_TIMEOUT
+    assert error.not_run
+    assert error.retry_after_s
+
+
+def test_run_that_gives_way_is_told_and_queued_again(broker):
+    held = _fill(broker)
+    urgent = broker.submit(_job(1, target_first_token_s=0.2))
+    _wait_until(lambda: any(ticket.preempted for ticket in held))
+    victim = next(ticket for ticket in held if ticket.preempted)
+    broker.finish(victim.job.request_id, messages.Outcome.PREEMPTED)
+    assert urgent.placed.result(timeout=_LIMIT_S)
+    again = broker.resubmit(victim, messages.Outcome.PREEMPTED)
+    assert again is not None
+    assert again.preempted is None
+
+
+def test_no_line_is_written_while_the_lock_is_held(broker, monkeypatch):
+    # Every request's thread passes through the lock. With a slow log behind
+    # it, one line would hold up all of them.
+    probes = []
+
+    def probe(name: str, **fields: object) -> None:
+        thread = threading.Thread(target=broker.demand)
+        thread.start()
+        thread.join(_LIMIT_S)
+        probes.append((name, not thread.is_alive()))
+
+    monkeypatch.setattr(logs, "decision", probe)
+    ticket = broker.submit(_job(1))
+    broker.finish(ticket.job.request_id, messages.Outcome.DONE)
+    with pytest.raises(errors.RefusedError):
+        broker.submit(_job(2, service=ids.ServiceId("no-such-service")))
+    assert probes == [("place", True), ("refuse", True)]
+
+
+def test_timer_sleeps_while_nothing_waits(broker, monkeypatch):
+    looks = []
+    look = broker._look
+    monkeypatch.setattr(
+        broker, "_look", lambda *args: looks.append(args) or look(*args)
+    )
+    time.sleep(1.0)
+    assert len(looks) <= 1.0 / broker_module.SHARES_S + 1
