Tell crashes of endpoints from broken and silent connections

Cause: a broken connection counted as a crash of its endpoint, a silent one as a stalled endpoint, and nobody told the quarantine which requests were there. An engine's 500 went to the caller as an answer and counted as success. A plain service's 503 was said not to have run. A request whose engine failed after the head, before the first byte, was not redone. Ruled out: counting each broken connection, as all of an endpoint's break at once when it dies. Change: a probe over a new connection decides; the first thread to see a break takes down the suspects, those that see it within a second count to it; the first part of an answer is waited for before the caller gets the head.

--- a/cardamombarrow/decisions/messages.py
+++ b/cardamombarrow/decisions/messages.py
@@ -30,6 +30,7 @@
     FAILED = "failed"
     CRASHED = "crashed"
     STALLED = "stalled"
+    CONNECTION_SILENT = "connection_silent"
     PREEMPTED = "preempted"
 
     @property
--- a/cardamombarrow/endpoints/base.py
+++ b/cardamombarrow/endpoints/base.py
@@ -6,11 +6,17 @@
 import typing
 
 from cardamombarrow.decisions import messages
+from cardamombarrow.endpoints import http_get
+from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 
 __all__ = ["CallerWatch", "EndpointKind", "Exchange", "Head", "OutgoingCall"]
 
 
+PROBE_TIMEOUT_S = 1.0
+"""An endpoint that answers a probe within this is alive."""
+
+
 class CallerWatch(abc.ABC):
     """Tells whether the caller is still there."""
 
@@ -104,6 +110,27 @@
             errors.EndpointError: It could not be read.
         """
 
+    def probe(self, endpoint: ids.EndpointId) -> bool:
+        """Asks over a new connection whether the endpoint still answers.
+
+        A connection can go silent for good while new ones work. Then the
+        endpoint is not to blame, and others' requests on it go on.
+        """
+        url = f"http://{endpoint}/metrics"
+        try:
+            http_get.fetch(url, timeout_s=PROBE_TIMEOUT_S)
+        except errors.EndpointError:
+            return False
+        return True
+
+    @abc.abstractmethod
+    def not_started(self, head: Head) -> bool:
+        """Tells whether this answer says that the request did not run."""
+
+    @abc.abstractmethod
+    def failed(self, head: Head) -> bool:
+        """Tells whether this answer is a failure, to be redone elsewhere."""
+
     @abc.abstractmethod
     def count_tokens(self, chunk: bytes) -> int:
         """Counts the tokens in a chunk of a streamed answer."""
--- a/cardamombarrow/endpoints/engine.py
+++ b/cardamombarrow/endpoints/engine.py
@@ -14,6 +14,7 @@
 __all__ = ["EngineKind", "parse_report"]
 
 _SAMPLE = re.compile(r"^engine:(\w+)(?:\{[^}]*\})?\s+([0-9.eE+-]+)", re.M)
+_NOT_STARTED = (429, 503)
 _DONE = b"data: [DONE]"
 
 
@@ -28,7 +29,7 @@
             f"X-Request-Id: {call.request_id}",
             f"X-Priority: {call.rank}",
         ]
-        return transfer.CurlExchange(call, headers)
+        return transfer.CurlExchange(call, headers, self.probe)
 
     def poll(
         self, endpoint: ids.EndpointId, timeout_s: float
@@ -45,6 +46,14 @@
             )
         return parse_report(reply.body.decode(), time.monotonic())
 
+    def not_started(self, head: base.Head) -> bool:
+        """Engines answer 429 or 503 to what they did not start."""
+        return head.status in _NOT_STARTED
+
+    def failed(self, head: base.Head) -> bool:
+        """Any other status from 500 on is the engine's failure."""
+        return head.status >= 500
+
     def count_tokens(self, chunk: bytes) -> int:
         """Counts events; engines send one token in each."""
         return chunk.count(b"data: ")
--- a/cardamombarrow/endpoints/plain.py
+++ b/cardamombarrow/endpoints/plain.py
@@ -20,7 +20,7 @@
             f"Content-Type: {call.content_type}",
             f"X-Request-Id: {call.request_id}",
         ]
-        return transfer.CurlExchange(call, headers)
+        return transfer.CurlExchange(call, headers, self.probe)
 
     def poll(
         self, endpoint: ids.EndpointId, timeout_s: float
@@ -28,6 +28,14 @@
         """Reads ``/metrics``, as engines offer it."""
         return engine.EngineKind().poll(endpoint, timeout_s)
 
+    def not_started(self, head: base.Head) -> bool:
+        """Never: a service may answer 503 to what it ran in part."""
+        return False
+
+    def failed(self, head: base.Head) -> bool:
+        """Never: the service's answers are its callers' to read."""
+        return False
+
     def count_tokens(self, chunk: bytes) -> int:
         """Counts nothing: there are no tokens."""
         return 0
--- a/cardamombarrow/endpoints/transfer.py
+++ b/cardamombarrow/endpoints/transfer.py
@@ -16,12 +16,16 @@
 
 from cardamombarrow.endpoints import base
 from cardamombarrow.kernel import errors
+from cardamombarrow.kernel import ids
 
 __all__ = ["CurlExchange"]
 
 CONNECT_TIMEOUT_S = 2.0
 """An endpoint that does not accept within this is not reached."""
 
+KEEPALIVE_IDLE_S = 5
+KEEPALIVE_INTERVAL_S = 3
+
 WAIT_SLICE_S = 0.25
 """Longest wait before cancellation by the dispatcher is looked at again."""
 
@@ -34,8 +38,14 @@
 class CurlExchange(base.Exchange):
     """An exchange over one fresh connection."""
 
-    def __init__(self, call: base.OutgoingCall, headers: list[str]):
+    def __init__(
+        self,
+        call: base.OutgoingCall,
+        headers: list[str],
+        probe: abc.Callable[[ids.EndpointId], bool],
+    ):
         self._call = call
+        self._probe = probe
         self._chunks: collections.deque[bytes] = collections.deque()
         self._header_lines: list[bytes] = []
         self._head: base.Head | None = None
@@ -67,6 +77,9 @@
         easy.setopt(pycurl.NOSIGNAL, 1)
         easy.setopt(pycurl.NOPROXY, "*")
         easy.setopt(pycurl.TCP_NODELAY, 1)
+        easy.setopt(pycurl.TCP_KEEPALIVE, 1)
+        easy.setopt(pycurl.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+        easy.setopt(pycurl.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
         easy.setopt(pycurl.CONNECTTIMEOUT_MS, round(CONNECT_TIMEOUT_S * 1_000))
         easy.setopt(pycurl.HEADERFUNCTION, self._on_header)
         easy.setopt(pycurl.WRITEFUNCTION, self._on_body)
@@ -117,10 +130,13 @@
     def head(self) -> base.Head:
         """Sends the request and waits for status and headers."""
         self._multi.add_handle(self._easy)
+        self._heard_s = time.monotonic()
         while self._head is None:
             if self._finished:
                 raise self._failure()
             self._step()
+            if self._silent_s() > self._call.stall_limit_s:
+                self._check_alive()
         return self._head
 
     def chunks(self) -> abc.Iterator[bytes]:
@@ -135,7 +151,8 @@
                 break
             else:
                 self._step()
-                self._check_stall()
+                if self._silent_s() > self._call.stall_limit_s:
+                    self._check_stall()
         if self._error is not None:
             raise self._failure()
 
@@ -178,16 +195,39 @@
             self._finished = True
             self._error = (code, text)
 
+    def _silent_s(self) -> float:
+        if self._finished or self._chunks:
+            return 0.0
+        return time.monotonic() - self._heard_s
+
+    def _check_alive(self) -> None:
+        # An answer that does not stream is silent until it is whole, so that
+        # its silence alone says nothing; only a dead endpoint ends the wait.
+        silent_s = self._silent_s()
+        if not self._probe(self._call.endpoint):
+            raise self._endpoint_error(
+                errors.ErrorKind.STALLED,
+                f"silent for {silent_s:.1f} s; a new connection is not "
+                "answered either",
+            )
+        self._heard_s = time.monotonic()
+
     def _check_stall(self) -> None:
-        silent_s = time.monotonic() - self._heard_s
-        if not self._finished and silent_s > self._call.stall_limit_s:
+        silent_s = self._silent_s()
+        head = self._head
+        self._check_alive()
+        self._step()
+        if self._silent_s() > 0 and head is not None and head.streams:
             raise self._endpoint_error(
-                errors.ErrorKind.STALLED, f"silent for {silent_s:.1f} s"
+                errors.ErrorKind.CONNECTION_SILENT,
+                f"silent for {silent_s:.1f} s; the endpoint answers a new "
+                "connection, so this one went silent",
             )
 
     def _failure(self) -> errors.EndpointError:
         code, text = self._error or (0, "no answer")
         if code in _NOT_REACHED or not self._sent():
+            # Nothing of the request left this instance.
             return errors.EndpointError(
                 errors.ErrorKind.ENDPOINT_UNREACHED, text, sent=False
             )
@@ -196,7 +236,7 @@
             if self._head is None
             else errors.ErrorKind.ANSWER_CUT
         )
-        return self._endpoint_error(kind, text)
+        return errors.EndpointError(kind, text, sent=True, broke=True)
 
     def _endpoint_error(
         self, kind: errors.ErrorKind, detail: str
--- a/cardamombarrow/entry/broker.py
+++ b/cardamombarrow/entry/broker.py
@@ -141,6 +141,24 @@
         with self._lock:
             self._dispatcher.set_leaving(endpoint, leaving)
 
+    def in_flight(self, endpoint: ids.EndpointId) -> list[messages.Job]:
+        """Returns the jobs that run on an endpoint now."""
+        with self._lock:
+            return [
+                running.job
+                for state in self._dispatcher.endpoints()
+                if state.endpoint == endpoint
+                for running in state.running.values()
+            ]
+
+    def crashed(
+        self, endpoint: ids.EndpointId, suspects: list[messages.Job]
+    ) -> None:
+        """Tells that an endpoint died while these jobs ran on it."""
+        with self._lock:
+            now_s = self._clock.now_s()
+            self._dispatcher.crashed(endpoint, suspects, now_s)
+
     def demand(self) -> messages.PeerDemand:
         """Returns what this instance asks for, to be gossiped."""
         with self._lock:
--- a/cardamombarrow/entry/core.py
+++ b/cardamombarrow/entry/core.py
@@ -6,6 +6,7 @@
 from cardamombarrow.document import schema
 from cardamombarrow.entry import app as app_module
 from cardamombarrow.entry import broker as broker_module
+from cardamombarrow.entry import crashes
 from cardamombarrow.entry import gate as gate_module
 from cardamombarrow.entry import in_force
 from cardamombarrow.entry import life
@@ -81,6 +82,7 @@
         ledger,
         kinds,
         time_source,
+        crashes.Crashes(broker),
     )
     readiness = app_module.Readiness()
     app = app_module.App(
--- a/cardamombarrow/entry/life.py
+++ b/cardamombarrow/entry/life.py
@@ -7,11 +7,13 @@
 from collections import abc
 from concurrent import futures
 import dataclasses
+import itertools
 
 from cardamombarrow.decisions import messages
 from cardamombarrow.document import schema
 from cardamombarrow.endpoints import base as endpoints_base
 from cardamombarrow.entry import broker as broker_module
+from cardamombarrow.entry import crashes as crashes_module
 from cardamombarrow.entry import incoming
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import errors
@@ -32,12 +34,17 @@
     errors.ErrorKind.ENDPOINT_FAILED: messages.Outcome.CRASHED,
     errors.ErrorKind.ANSWER_CUT: messages.Outcome.CRASHED,
     errors.ErrorKind.STALLED: messages.Outcome.STALLED,
+    errors.ErrorKind.CONNECTION_SILENT: messages.Outcome.CONNECTION_SILENT,
     errors.ErrorKind.DEADLINE: messages.Outcome.FAILED,
     errors.ErrorKind.CALLER_GONE: messages.Outcome.CALLER_GONE,
     errors.ErrorKind.PREEMPTED: messages.Outcome.PREEMPTED,
 }
 
 
+_FINAL = (errors.ErrorKind.CALLER_GONE, errors.ErrorKind.DEADLINE)
+"""What no second run can mend."""
+
+
 @dataclasses.dataclass(frozen=True)
 class LifeServices:
     """What every request's life needs.
@@ -50,6 +57,7 @@
     ledger: ledger_client.LedgerClient
     kinds: dict[schema.ServiceKind, endpoints_base.EndpointKind]
     time_source: clock.Clock
+    crashes: crashes_module.Crashes
 
 
 @dataclasses.dataclass
@@ -100,23 +108,52 @@
             self._wait(ticket)
             exchange = self._open(ticket)
             try:
-                head = exchange.head()
-                if head.status in (429, 503):
-                    raise errors.EndpointError(
-                        errors.ErrorKind.ENDPOINT_REFUSED,
-                        f"the endpoint answered {head.status}",
-                        sent=True,
-                    )
-                return Relay(head, self._relay(ticket, exchange, head))
+                return self._begin(ticket, exchange)
             except errors.RouterError as error:
                 exchange.close()
-                self._settle(ticket, error)
+                self._fail(ticket, error)
                 ticket = self._again(ticket, error)
             except BaseException:
                 exchange.close()
                 broker.finish(ticket.job.request_id, messages.Outcome.FAILED)
                 raise
 
+    def _begin(
+        self, ticket: broker_module.Ticket, exchange: endpoints_base.Exchange
+    ) -> Relay:
+        """Waits for the first piece of the body.
+
+        Until then nothing has gone to the caller, and a request whose
+        endpoint fails can still be redone.
+        """
+        head = exchange.head()
+        if self._kind.not_started(head):
+            raise errors.EndpointError(
+                errors.ErrorKind.ENDPOINT_REFUSED,
+                f"the endpoint answered {head.status}",
+                sent=True,
+            )
+        if self._kind.failed(head):
+            raise errors.EndpointError(
+                errors.ErrorKind.ENDPOINT_FAILED,
+                f"the endpoint answered {head.status}",
+                sent=True,
+            )
+        chunks = exchange.chunks()
+        first = next(chunks, b"")
+        relay = self._relay(ticket, exchange, head, first, chunks)
+        return Relay(head, relay)
+
+    def _fail(
+        self, ticket: broker_module.Ticket, error: errors.RouterError
+    ) -> None:
+        if isinstance(error, errors.EndpointError):
+            placement = ticket.placed.result()
+            self._services.crashes.on_failure(
+                placement.endpoint, ticket.job, error, self._kind
+            )
+        self._settle(ticket, error)
+
     def _wait(self, ticket: broker_module.Ticket) -> messages.Placement:
         while True:
             try:
@@ -153,7 +190,7 @@
         self, ticket: broker_module.Ticket, error: errors.RouterError
     ) -> broker_module.Ticket:
         outcome = _OUTCOMES[error.kind]
-        if outcome is messages.Outcome.CALLER_GONE:
+        if error.kind in _FINAL:
             raise error
         again = self._services.broker.resubmit(ticket, outcome)
         if again is None:
@@ -165,6 +202,8 @@
         ticket: broker_module.Ticket,
         exchange: endpoints_base.Exchange,
         head: endpoints_base.Head,
+        first: bytes,
+        rest: abc.Iterator[bytes],
     ) -> abc.Iterator[bytes]:
         request_id = ticket.job.request_id
         broker = self._services.broker
@@ -173,7 +212,7 @@
             errors.ErrorKind.CALLER_GONE, "the caller left", not_run=False
         )
         try:
-            for chunk in exchange.chunks():
+            for chunk in itertools.chain([first] if first else [], rest):
                 if self._first_token_s is None:
                     self._first_token_s = self._age_s()
                     broker.first_token(request_id)
@@ -194,7 +233,10 @@
             raise
         finally:
             exchange.close()
-            self._settle(ticket, failure)
+            if failure is None:
+                self._settle(ticket, None)
+            else:
+                self._fail(ticket, failure)
 
     def _settle(
         self, ticket: broker_module.Ticket, error: errors.RouterError | None
--- a/cardamombarrow/kernel/errors.py
+++ b/cardamombarrow/kernel/errors.py
@@ -49,6 +49,7 @@
     ENDPOINT_FAILED = "endpoint_failed"
     ANSWER_CUT = "answer_cut"
     STALLED = "stalled"
+    CONNECTION_SILENT = "connection_silent"
     DEADLINE = "deadline"
     NO_QUORUM = "no_quorum"
     CONFLICT = "conflict"
@@ -111,6 +112,7 @@
     ErrorKind.ENDPOINT_FAILED: _may_have_run(502),
     ErrorKind.ANSWER_CUT: _may_have_run(502),
     ErrorKind.STALLED: _may_have_run(504),
+    ErrorKind.CONNECTION_SILENT: _may_have_run(504),
     ErrorKind.DEADLINE: _may_have_run(504),
     ErrorKind.NO_QUORUM: _later(503),
     ErrorKind.CONFLICT: _never(409),
@@ -168,6 +170,7 @@
     Attributes:
         sent: Whether any byte of the request may have reached the endpoint.
         delivered: Whether any byte of the answer went to the caller.
+        broke: Whether the connection broke, as when the endpoint dies.
     """
 
     def __init__(
@@ -177,6 +180,7 @@
         *,
         sent: bool,
         delivered: bool = False,
+        broke: bool = False,
         retry_after_s: float | None = None,
     ):
         super().__init__(
@@ -187,6 +191,7 @@
         )
         self.sent = sent
         self.delivered = delivered
+        self.broke = broke
 
 
 class UnavailableError(RouterError):
--- a/tools/standin/engine.py
+++ b/tools/standin/engine.py
@@ -25,6 +25,10 @@
 
 REPORT_TICK_S = 0.05
 
+CUT_MARKER = b"standin-cut"
+CUT_AT_TOKEN = 3
+"""Where the connection of a request with `CUT_MARKER` in its body closes."""
+
 CANCEL_LOOK_S = 0.05
 """Time between two looks at whether the router has cancelled a request."""
 
@@ -44,7 +48,10 @@
         stall_after_tokens: From this token on nothing comes; 0 is never.
         cut_after_tokens: Connections close there; 0 is never.
         crash_marker: A body that holds it ends the process; empty is none.
-        fail_status: Status answered to everything; 0 is none.
+        cut_at_start: Connections close before the first token.
+        short_answer: A plain answer ends before its announced length.
+        fail_status: Status answered to every completion; 0 is none.
+        fail_plain_status: Status with which plain calls end; 0 is none.
         leaving: Shown in the load report.
     """
 
@@ -56,7 +63,10 @@
     stall_after_tokens: int = 0
     cut_after_tokens: int = 0
     crash_marker: str = ""
+    cut_at_start: bool = False
+    short_answer: bool = False
     fail_status: int = 0
+    fail_plain_status: int = 0
     leaving: bool = False
 
 
@@ -156,10 +166,14 @@
         )
         self.batch.enter(rank)
         try:
+            if self.behaviour.cut_at_start:
+                raise ConnectionAbortedError("told to cut")
             self._prefill(len(body) / 4, gone)
             for number in range(count):
                 time.sleep(self.behaviour.token_s)
                 self._misbehave(number, gone)
+                if number == CUT_AT_TOKEN and CUT_MARKER in body:
+                    raise ConnectionAbortedError("told to cut")
                 record["tokens"] = number + 1
                 self.tokens += 1
                 yield f"{record['body_sha256'][:8]}-{number} "
@@ -277,7 +291,15 @@
             ],
             "usage": {"completion_tokens": len(parts)},
         }
-        self._answer(200, json.dumps(content).encode())
+        body = json.dumps(content).encode()
+        if self.engine.behaviour.short_answer:
+            self.send_response(200)
+            self.send_header("Content-Length", str(len(body)))
+            self.end_headers()
+            self.wfile.write(body[:-10])
+            self.close_connection = True
+            return
+        self._answer(200, body)
 
     def _plain(self, body: bytes) -> None:
         record = {
@@ -293,7 +315,8 @@
             time.sleep(self.engine.behaviour.token_s)
             record["outcome"] = "done"
             answer = json.dumps({"ran": record["path"], "body": record["body"]})
-            self._answer(200, answer.encode())
+            status = self.engine.behaviour.fail_plain_status or 200
+            self._answer(status, answer.encode())
         finally:
             self.engine.batch.leave()
 
