Run the tests in four workers, a module in one

Cause: all tests took 85 s one after another, mostly waiting for processes. Ruled out: shorter waits in the tests. Ids of one parametrized test changed from run to run; they are fixed now.

--- a/cardamombarrow/peers/tests/test_secret.py
+++ b/cardamombarrow/peers/tests/test_secret.py
@@ -32,6 +32,15 @@
         (secret.token("right-secret-0123", _METHOD, 900.0), "old token"),
         (secret.token("right-secret-0123", _METHOD, 1_100.0), "clocks differ"),
     ],
+    ids=[
+        "empty",
+        "two parts",
+        "no time",
+        "other secret",
+        "other method",
+        "old",
+        "from the future",
+    ],
 )
 def test_a_token_that_does_not_fit_is_refused(shown, reason):
     assert reason in _judge().refuse(shown, _METHOD)
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -7,6 +7,10 @@
 
 __all__ = ["main"]
 
+_PARALLEL = ("-n", "4", "--dist", "loadscope")
+"""Tests of one module stay in one worker, which keeps one deployment of real
+processes per module; four workers leave cores for those processes."""
+
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 
 
@@ -21,7 +25,7 @@
     for line in known:
         print(f"known red: {line}")
         deselect.append(f"--deselect={line.split('|')[0].strip()}")
-    return int(pytest.main([*sys.argv[1:], *deselect]))
+    return int(pytest.main([*_PARALLEL, *sys.argv[1:], *deselect]))
 
 
 if __name__ == "__main__":
