Let one request of each tier wait, predict the wait of a reserved slot

The predicted wait left out the time between two slots of a tier that has only its reserved ones; put in, it refused everybody of the tier, and its reserved slots went to others.

Change: the time between two slots of the own tier counts; a workspace that sits out its rounds is predicted behind those who come meanwhile; a tier with nobody waiting refuses nobody.

--- a/cardamombarrow/decisions/admission.py
+++ b/cardamombarrow/decisions/admission.py
@@ -11,7 +11,10 @@
 `ARRIVAL_FACTOR`. A class with a long target may wait long. Since the wait is
 predicted from the work that is served before it, the lowest tier is refused
 first; and a tier is not refused while a lower one runs more than its reserved
-share, because those slots are about to be its own.
+share, because those slots are about to be its own. One request of each tier
+may always wait: with the reserved share of a few slots the time between two
+of them can be above the target, and with nobody waiting the tier would leave
+them to others and complete nothing.
 
 `QueueAgeAdmission` is the other way that was weighed, after CoDel (Nichols
 and Jacobson, "Controlling Queue Delay", ACM Queue 2012): it needs no
@@ -95,7 +98,7 @@
         self, job: messages.Job, backlog: messages.Backlog, now_s: float
     ) -> str | None:
         """Refuses a job whose first token is predicted too late."""
-        if backlog.lower_over_reserve:
+        if backlog.lower_over_reserve or not backlog.tier_waiting:
             return None
         return _too_late(job, backlog, ARRIVAL_FACTOR, now_s)
 
@@ -111,7 +114,7 @@
         reason = super().give_up(job, backlog, now_s)
         if reason is not None or backlog.lower_over_reserve:
             return reason
-        if backlog.jobs_ahead == 0 or job.attempts:
+        if not backlog.tier_waiting or job.attempts:
             return None
         return _too_late(job, backlog, WAITING_FACTOR, now_s)
 
--- a/cardamombarrow/decisions/base.py
+++ b/cardamombarrow/decisions/base.py
@@ -112,6 +112,10 @@
         """Returns the slot-seconds of the queued jobs before it."""
         return self.jobs_ahead(job) * capacity.mean_hold_s()
 
+    def tier_waiting(self, job: messages.Job) -> int:
+        """Counts the other queued jobs of a job's tier and service."""
+        return self.jobs_ahead(job)
+
     def oldest_wait_s(self, job: messages.Job, now_s: float) -> float:
         """Returns how long the next job of the same tier has waited."""
         return 0.0
--- a/cardamombarrow/decisions/fairness.py
+++ b/cardamombarrow/decisions/fairness.py
@@ -210,7 +210,10 @@
             before = flow.live if flow else 0
         others = self.active - (1 if flow and flow.live else 0)
         queued = len(self._entries) - (1 if entry is not None else 0)
-        return min(queued, before + (before + 1) * others)
+        # While it sits out, also those who come later go first.
+        rounds_out = max(flow.ready_round - self._round, 0) if flow else 0
+        overtaking = rounds_out * others
+        return min(queued, before + (before + 1) * others) + overtaking
 
     def longest(self) -> messages.Job | None:
         """Returns the last job of the workspace with the most waiting."""
--- a/cardamombarrow/decisions/forecast.py
+++ b/cardamombarrow/decisions/forecast.py
@@ -9,7 +9,8 @@
 count on: all slots, less those that higher tiers held of late, less what
 lower tiers with waiting work are owed, and never less than its own reserved
 share. While every slot is taken, the mean time until the next one is given
-back comes on top.
+back comes on top, or the time between two slots of its own tier where that is
+longer.
 """
 
 import math
@@ -65,7 +66,8 @@
         if jobs_ahead >= free:
             wait_s = queue.work_ahead_s(job, capacity) / slots
         if not free:
-            wait_s += capacity.mean_hold_s() / max(capacity.slots, 1)
+            next_s = capacity.mean_hold_s() / max(capacity.slots, 1)
+            wait_s += max(next_s, hold_s / slots)
         returning = self._returning.setdefault(
             (job.service, job.rank), _Returning()
         )
@@ -80,6 +82,7 @@
             service_s=hold_s,
             predicted_wait_s=wait_s,
             first_token_s=capacity.first_token_s,
+            tier_waiting=queue.tier_waiting(job),
             oldest_wait_s=queue.oldest_wait_s(job, now_s),
             returning_s=back * hold_s / slots,
             lower_over_reserve=self._lower_over_reserve(job, capacity),
--- a/cardamombarrow/decisions/messages.py
+++ b/cardamombarrow/decisions/messages.py
@@ -143,6 +143,7 @@
         service_s: Mean time one job holds a slot.
         predicted_wait_s: Expected time in the queue.
         first_token_s: Mean time from placement to the first token.
+        tier_waiting: Queued jobs of its tier, itself not counted.
         oldest_wait_s: How long the oldest job of its tier has waited.
         returning_s: Time to serve those of its tier that were refused and
             told to come back, less those that had time to be served since.
@@ -155,6 +156,7 @@
     service_s: float
     predicted_wait_s: float
     first_token_s: float = 0.0
+    tier_waiting: int = 0
     oldest_wait_s: float = 0.0
     returning_s: float = 0.0
     lower_over_reserve: bool = False
--- a/cardamombarrow/decisions/tests/test_admission.py
+++ b/cardamombarrow/decisions/tests/test_admission.py
@@ -12,7 +12,8 @@
 
 def _backlog(**fields):
     return dataclasses.replace(
-        messages.Backlog(5, 8, 2.0, 0.0, first_token_s=0.1), **fields
+        messages.Backlog(5, 8, 2.0, 0.0, first_token_s=0.1, tier_waiting=5),
+        **fields,
     )
 
 
@@ -43,6 +44,14 @@
     assert predicted.give_up(new_job("chat"), backlog, 1.0) is None
 
 
+def test_one_request_of_each_tier_may_always_wait(predicted, new_job):
+    # A burst of chat leaves summaries a tenth of the slots, one every few
+    # seconds. Refused by the prediction, none would be there to take it.
+    backlog = _backlog(predicted_wait_s=60.0, tier_waiting=0)
+    assert predicted.refuse(new_job("summary"), backlog, 0.0) is None
+    assert predicted.give_up(new_job("summary"), backlog, 9.0) is None
+
+
 def test_slow_first_tokens_alone_refuse_nobody(predicted, new_job):
     # Every engine needs two seconds to the first token. Were that alone a
     # reason, all callers would be refused beside idle slots, for good.
@@ -56,7 +65,7 @@
     # An answer takes two seconds and the deadline is in one. Kept until then,
     # the caller would learn a second later what is certain now.
     job = new_job("chat")
-    backlog = _backlog(service_s=2.0, jobs_ahead=0)
+    backlog = _backlog(service_s=2.0, tier_waiting=0)
     assert predicted.give_up(job, backlog, job.deadline_s - 2.1) is None
     assert predicted.give_up(job, backlog, job.deadline_s - 1.9)
     assert predicted.look_s(job, backlog, 19.0) == job.deadline_s - 2.0
--- a/cardamombarrow/decisions/tiers.py
+++ b/cardamombarrow/decisions/tiers.py
@@ -304,6 +304,12 @@
             ahead_s += tier_s
         return ahead_s
 
+    def tier_waiting(self, job: messages.Job) -> int:
+        """Counts the other queued jobs of a job's tier and service."""
+        queue = self._services.get(job.service)
+        tier = queue.tiers.get(job.rank) if queue else None
+        return len(tier) - (job.request_id in tier) if tier else 0
+
     def oldest_wait_s(self, job: messages.Job, now_s: float) -> float:
         """Returns how long the next job of the same tier has waited."""
         queue = self._services.get(job.service)
