Test cuts, silent links, restarts and kills with real processes

Found by them: a connection reset between its set-up and its first use makes grpclib raise AttributeError ('Connection' has no attribute '_transport'), which LINK_ERRORS did not name; the entry ended at its start. Ruled out: the proxy's doing, since a control process that is just stopping resets the same way.

--- a/cardamombarrow/peers/control_client.py
+++ b/cardamombarrow/peers/control_client.py
@@ -53,6 +53,9 @@
 
 
 LINK_ERRORS = (
+    # grpclib raises it on a connection that was lost between its set-up and
+    # its first use. Uncaught it ended the process at its start.
+    AttributeError,
     OSError,
     StaleBaseError,
     TimeoutError,
--- a/cardamombarrow/peers/follower_exchange.py
+++ b/cardamombarrow/peers/follower_exchange.py
@@ -8,9 +8,9 @@
 from concurrent import futures
 
 from grpclib import client
-from grpclib import exceptions
 
 from cardamombarrow.kernel import lifecycle
+from cardamombarrow.peers import control_client
 from cardamombarrow.peers import control_grpc
 from cardamombarrow.peers import control_pb2
 from cardamombarrow.peers import followers as followers_module
@@ -70,12 +70,7 @@
             reply = await asyncio.wait_for(
                 control_grpc.ControlStub(channel).Followers(request), TIMEOUT_S
             )
-        except (
-            OSError,
-            TimeoutError,
-            exceptions.GRPCError,
-            exceptions.StreamTerminatedError,
-        ):
+        except control_client.LINK_ERRORS:
             return False
         self._table.merge(reply)
         return True
--- /dev/null
+++ b/cardamombarrow/tests/test_in_force.py
@@ -0,0 +1,106 @@
+"""An accepted edit comes into force everywhere, whatever the links do."""
+
+import signal
+
+import pytest
+
+from cardamombarrow.endpoints import http_get
+from tools import deployment
+from tools import editor
+from tools.standin import control
+
+pytestmark = pytest.mark.process
+
+_DOMAIN = ("entry-1", "entry-2")
+
+
+@pytest.fixture(scope="module")
+def running(kandula_text, tmp_path_factory):
+    """Two domains; one entry has no neighbour that could help it."""
+    plan = deployment.Plan(
+        document=kandula_text,
+        entries={"nuwara-a": list(_DOMAIN), "badulla-a": ["entry-3"]},
+        controls={"nuwara-a": ["control-1"]},
+        proxied=True,
+    )
+    folder = tmp_path_factory.mktemp("in_force")
+    with deployment.Deployment(plan, folder) as started:
+        yield started
+
+
+def _operator(running):
+    return editor.Editor(list(running.controls.values()))
+
+
+def _edit(running, share):
+    return _operator(running).edit_share(share)
+
+
+def _late(running, revision):
+    return _operator(running).late(revision)
+
+
+def test_silent_link_is_found_and_replaced(running):
+    # Something between an entry and its control process loses track of their
+    # connection. Nothing breaks, and new connections work; the entry would
+    # keep the old document for good.
+    for link in running.proxy.between({"entry-3"}, {"control-1"}):
+        link.silence(new_too=False)
+    revision = _edit(running, 0.2)
+    assert deployment.wait_until(
+        lambda: running.revision("entry-3") == revision, 20
+    )
+    assert deployment.wait_until(lambda: not _late(running, revision), 20)
+
+
+def test_entry_that_is_cut_off_is_named(running):
+    # An operator waits until an edit is in force everywhere. An entry that is
+    # alive but out of reach must not be passed over.
+    links = running.proxy.between({"entry-3"}, {"control-1"})
+    for link in links:
+        link.cut()
+    revision = _edit(running, 0.15)
+    assert deployment.wait_until(
+        lambda: _late(running, revision) == {"entry-3"}, 20
+    )
+    for link in links:
+        link.mend()
+    assert deployment.wait_until(lambda: not _late(running, revision), 20)
+
+
+def test_restarts_keep_the_accepted_revision(running):
+    # Entries crash and come back. Whatever they had accepted is in force
+    # again before they turn ready.
+    revision = _edit(running, 0.25)
+    assert deployment.wait_until(lambda: not _late(running, revision), 20)
+    for entry in ("entry-1", "entry-3"):
+        running.signal(entry, signal.SIGKILL)
+        running.processes[entry].wait()
+        running.start_instance(entry)
+        running.wait_ready(entry)
+        assert running.revision(entry) == revision
+
+
+def test_leaving_endpoint_is_out_of_use_in_the_whole_domain(running):
+    # An engine is about to leave and says so in its load report, while the
+    # platform's list still calls it live. Two entries poll it; the others
+    # must hear it from them, or go on sending requests that will be cut.
+    endpoint = running.engines["trail-desk"][0]
+    http_get.fetch(
+        running.listing_url.replace("/v1/listing", "/standin/state"),
+        timeout_s=5,
+        method="POST",
+        body=f'{{"address": "{endpoint}", "state": "live"}}'.encode(),
+    )
+    control.behave(endpoint, leaving=True)
+
+    def told(entry):
+        lines = running.log(entry).splitlines()
+        return any(
+            '"decision": "leaving"' in line and endpoint in line
+            for line in lines
+        )
+
+    for entry in _DOMAIN:
+        assert deployment.wait_until(lambda e=entry: told(e), 20)
+    control.behave(endpoint, leaving=False)
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -7,6 +7,7 @@
 import contextlib
 import dataclasses
 import itertools
+import json
 import os
 import pathlib
 import signal
@@ -305,6 +306,11 @@
         """Returns what a process wrote so far."""
         return (self._folder / f"{name}.log").read_text()
 
+    def revision(self, name: str) -> int:
+        """Returns the revision that an entry has in force."""
+        url = self.entries[name] + "/v1/instance"
+        return json.loads(http_get.fetch(url, timeout_s=5).body)["revision"]
+
     def signal(self, name: str, number: signal.Signals) -> None:
         """Sends a signal to one of the processes."""
         self.processes[name].send_signal(number)
