Tell removals of gossip items also at second hand

Ruled out: the pruning of removals (not reached in the failing steps) and messages delivered twice (each was delivered once).

Now a row knows the lowest version from which changes can be told, and an asker below it gets the row whole. The failing steps and a directed test are in test_table_fuzz.py; both failed before and pass now.

--- a/cardamombarrow/gossip/table.py
+++ b/cardamombarrow/gossip/table.py
@@ -37,6 +37,8 @@
     Attributes:
         refreshed_s: Local time at which the instance itself had `version`.
         items: By key, in the order of their last change.
+        floor: Lowest version from which changes can be told here: removals
+            up to it are not known, or forgotten.
     """
 
     instance: ids.InstanceId
@@ -45,6 +47,7 @@
     head: rows.Head
     refreshed_s: float
     items: dict[rows.Key, rows.Item] = dataclasses.field(default_factory=dict)
+    floor: int = 0
 
     def put(
         self,
@@ -77,6 +80,7 @@
                 return
             if item.value is None:
                 del self.items[key]
+                self.floor = max(self.floor, item.version)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -162,6 +166,8 @@
             if (incarnation, version) >= (row.incarnation, row.version):
                 continue
             since = version if incarnation == row.incarnation else 0
+            if since < row.floor:
+                since = 0
             result.append(
                 rows.RowDelta(
                     row.instance,
@@ -226,6 +232,7 @@
                 delta.version,
                 delta.head,
                 refreshed_s,
+                floor=delta.version,
             )
             self._rows[delta.instance] = row
         row.version = delta.version
--- a/cardamombarrow/gossip/tests/test_table_fuzz.py
+++ b/cardamombarrow/gossip/tests/test_table_fuzz.py
@@ -197,6 +197,25 @@
     assert {key[1] for key in one.others()[0].items} == {"a"}
 
 
+def test_a_removal_reaches_who_hears_of_it_at_second_hand():
+    # An endpoint was leaving and is back. One instance learns the whole row
+    # after that and so never hears of the removal; another that has the old
+    # row asks it for what is new. It would keep the endpoint out of use for
+    # good. Found by the machine above: write({report-writer: 1}, 3), send to
+    # 1 and 0, deliver(0), wait(11.0), deliver(1), then rounds.
+    owner = table_module.Table("entry-1", 1, _head(1), 0.0)
+    late = table_module.Table("entry-2", 1, _head(2), 0.0)
+    fresh = table_module.Table("entry-3", 1, _head(3), 0.0)
+    leaving = {(rows.ItemKind.LEAVING, "10.0.0.9:8000"): True}
+    owner.update(_head(1), leaving, 1.0)
+    late.apply(owner.deltas(late.digest(), 1.0), 1.0)
+    owner.update(_head(1), {}, 2.0)
+    fresh.apply(owner.deltas(fresh.digest(), 2.0), 2.0)
+    changes = late.apply(fresh.deltas(late.digest(), 2.0), 2.0)
+    key = (rows.ItemKind.LEAVING, "10.0.0.9:8000")
+    assert ("entry-1", key, None) in changes.items
+
+
 def test_a_restart_with_its_clock_set_back_is_heard():
     # A machine comes back with a clock in the past. Its new row has a lower
     # incarnation than the one the others hold, and would be ignored.
