Send numbers in flight as one array and to one partner a round

A profile showed the time in the items, one for each endpoint and instance, and the bytes were those items, each named by 8 bytes.

One partner leaves the budget to the rest of control; urgent news goes to three.

--- a/cardamombarrow/gossip/rows.py
+++ b/cardamombarrow/gossip/rows.py
@@ -11,6 +11,7 @@
     "Changes",
     "Digest",
     "Head",
+    "InFlight",
     "Item",
     "ItemKind",
     "Key",
@@ -20,27 +21,47 @@
 ]
 
 
-class ItemKind(enum.Enum):
-    """What an item of a row tells."""
+class ItemKind(enum.IntEnum):
+    """What an item of a row tells; a number, because it is hashed often."""
 
-    DEMAND = "demand"
+    DEMAND = 1
     """Requests waiting and running, by service."""
 
-    IN_FLIGHT = "in_flight"
-    """Requests that the instance has on an endpoint, by endpoint's hash."""
+    IN_FLIGHT = 2
+    """Requests that the instance has on each endpoint; one item."""
 
-    LEAVING = "leaving"
+    LEAVING = 3
     """Its own sources say that the endpoint leaves, by endpoint."""
 
-    QUARANTINE = "quarantine"
+    QUARANTINE = 4
     """Local time at which the quarantine ends, by fingerprint."""
 
-    REPORT = "report"
+    REPORT = 5
     """The endpoint's load report that it polled, by endpoint's hash."""
 
 
 Key = tuple[ItemKind, str | int]
-Value = float | int | bool | messages.LoadReport
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InFlight:
+    """Requests on each endpoint, as an array over a list of endpoints.
+
+    One item for each endpoint, named by a hash, took more bytes and more time
+    than all else in a row. Instances mostly have the same list of endpoints
+    in force; where they do not, the numbers are of no use to each other until
+    the newer document has come.
+
+    Attributes:
+        list_hash: `endpoint_hash` of the sorted endpoints, joined by spaces.
+        counts: One number for each of them.
+    """
+
+    list_hash: int
+    counts: tuple[int, ...]
+
+
+Value = float | int | bool | messages.LoadReport | InFlight
 
 
 def endpoint_hash(endpoint: ids.EndpointId) -> int:
@@ -74,7 +95,8 @@
     """What every delta of a row repeats.
 
     Attributes:
-        address: ``host:port`` at which the instance listens for others.
+        address: ``host:port`` at which the instance listens for others; the
+            same within an incarnation, and not repeated in later deltas.
         left: The instance has said goodbye.
     """
 
--- a/cardamombarrow/gossip/table.py
+++ b/cardamombarrow/gossip/table.py
@@ -17,9 +17,8 @@
 __all__ = ["DEAD_AGE_S", "Row", "Table"]
 
 DEAD_AGE_S = 10.0
-"""A row not refreshed for this long is dropped. With two partners a second a
-row reaches 36 instances within about 4 rounds; half of all messages lost
-doubles that."""
+"""A row not refreshed for this long is dropped. With one partner a second a
+row reaches 36 instances within about 6 rounds."""
 
 REMOVED_KEPT_S = 60.0
 """How long a removed item is told of: longer than `DEAD_AGE_S`, after which
@@ -57,8 +56,14 @@
         now_s: float,
     ) -> None:
         """Stores an item as the last changed."""
-        self.items.pop(key, None)
-        self.items[key] = rows.Item(version, value, now_s)
+        item = self.items.pop(key, None)
+        if item is None:
+            item = rows.Item(version, value, now_s)
+        else:
+            item.version = version
+            item.value = value
+            item.changed_s = now_s
+        self.items[key] = item
 
     def changed_since(
         self, version: int
@@ -236,7 +241,7 @@
             )
             self._rows[delta.instance] = row
         row.version = delta.version
-        row.head = delta.head
+        row.head = dataclasses.replace(delta.head, address=row.head.address)
         row.refreshed_s = max(row.refreshed_s, refreshed_s)
         for key, value in delta.items:
             row.put(key, value, delta.version, now_s)
--- a/cardamombarrow/peers/gossip_codec.py
+++ b/cardamombarrow/peers/gossip_codec.py
@@ -49,7 +49,8 @@
         version=delta.version,
         since=delta.since,
         age_ms=int(delta.age_s * _MS),
-        address=delta.head.address,
+        # It never changes within an incarnation.
+        address=delta.head.address if delta.since == 0 else "",
         applied_revision=delta.head.applied_revision,
         left=delta.head.left,
     )
@@ -66,10 +67,14 @@
 
 
 def _put_in_flight(
-    wire: gossip_pb2.GossipRow, name: int, value: int | None, now_s: float
+    wire: gossip_pb2.GossipRow,
+    name: str,
+    value: rows.InFlight | None,
+    now_s: float,
 ) -> None:
-    wire.in_flight_endpoints.append(name)
-    wire.in_flight.append(value or 0)
+    if value is not None:
+        wire.in_flight_list = value.list_hash
+        wire.in_flight.extend(value.counts)
 
 
 def _put_leaving(
@@ -135,8 +140,9 @@
     kind = rows.ItemKind
     for service, demand in zip(wire.demand_services, wire.demand):
         yield (kind.DEMAND, service), demand or None
-    for endpoint, count in zip(wire.in_flight_endpoints, wire.in_flight):
-        yield (kind.IN_FLIGHT, endpoint), count or None
+    if wire.in_flight_list:
+        counts = tuple(wire.in_flight)
+        yield (kind.IN_FLIGHT, ""), rows.InFlight(wire.in_flight_list, counts)
     for endpoint in wire.leaving_endpoints:
         yield (kind.LEAVING, endpoint), True
     for endpoint in wire.returned_endpoints:
--- a/cardamombarrow/peers/gossip_node.py
+++ b/cardamombarrow/peers/gossip_node.py
@@ -1,8 +1,8 @@
 """Carries gossip between the entries of a failure domain.
 
 One task runs a round each second: it raises the version of the own row, drops
-instances not heard of, and exchanges rows with two random others, each over a
-standing stream. News that can't wait starts a round at once.
+instances not heard of, and exchanges rows with a random other, over a standing
+stream. News that can't wait starts a round at once.
 """
 
 import asyncio
@@ -33,9 +33,12 @@
 INTERVAL_S = 1.0
 """Time between two rounds."""
 
-FAN_OUT = 2
-"""Partners in one round. A full mesh at 36 instances would cost 18 times as
-much; one partner takes twice as many rounds to reach all."""
+FAN_OUT = 1
+"""Partners in one round; docs/gossip.md has the figures for two."""
+
+URGENT_FAN_OUT = 3
+"""Partners in a round that is made at once: each instance that hears the news
+tells this many, so that hardly one is left out."""
 
 EXCHANGE_TIMEOUT_S = 1.5
 """An exchange that takes longer has met a dead or silent link."""
@@ -135,6 +138,7 @@
         self._next_seed_s = 0.0
         self._newer_since_s: float | None = None
         self._left = False
+        self._urgent = False
         self._wake = asyncio.Event()
         self._task: futures.Future[None] | None = None
 
@@ -148,7 +152,7 @@
         self._loop.call(self._goodbye()).result(timeout=2 * EXCHANGE_TIMEOUT_S)
 
     async def _goodbye(self) -> None:
-        self._left = True
+        self._left = self._urgent = True
         await self._round(self._clock.now_s())
         for partner in self._partners.values():
             partner.close()
@@ -173,6 +177,7 @@
         await asyncio.sleep(URGENT_GAP_S)
         while (left_s := until_s - self._clock.now_s()) > 0:
             if self._wake.is_set() or self._hooks.urgent():
+                self._urgent = True
                 break
             try:
                 await asyncio.wait_for(
@@ -204,7 +209,9 @@
 
     def _choose(self, now_s: float) -> list[str]:
         known = [self._address(row) for row in self.table.others()]
-        chosen = random.sample(known, min(FAN_OUT, len(known)))
+        fan_out = URGENT_FAN_OUT if self._urgent else FAN_OUT
+        self._urgent = False
+        chosen = random.sample(known, min(fan_out, len(known)))
         unknown = set(self._settings.seeds) - set(known)
         unknown -= {self._settings.address}
         unknown.discard(self._seed_of.get(self.table.own.instance, ""))
--- a/cardamombarrow/peers/membership.py
+++ b/cardamombarrow/peers/membership.py
@@ -31,6 +31,7 @@
 _LIST = "platform list"
 _OWN_REPORT = "own report"
 _SHARED_REPORT = "shared report"
+_DEMAND_KINDS = (rows.ItemKind.DEMAND, rows.ItemKind.IN_FLIGHT)
 _FIRST_HAND = frozenset((_LIST, _OWN_REPORT))
 
 
@@ -72,6 +73,8 @@
         self._members = frozenset((instance,))
         self._endpoints: dict[ids.EndpointId, endpoints_base.EndpointKind] = {}
         self._by_hash: dict[int, ids.EndpointId] = {}
+        self._listed: tuple[ids.EndpointId, ...] = ()
+        self._list_hash = 0
         self._quarantine: dict[ids.Fingerprint, float] = {}
         self._told_leaving: frozenset[ids.EndpointId] = frozenset()
         self._table: table_module.Table | None = None
@@ -100,6 +103,8 @@
                 for group in service.endpoints.values()
                 for endpoint in group
             }
+            self._listed = tuple(sorted(self._endpoints))
+            self._list_hash = rows.endpoint_hash(" ".join(self._listed))
             left = set(self._leaving.leaving())
         for endpoint in left & set(self._by_hash.values()):
             self._broker.set_leaving(endpoint, True)
@@ -145,9 +150,9 @@
         own = self._broker.demand()
         for service, demand in own.demand_tokens_per_s.items():
             items[kind.DEMAND, service] = demand
-        for endpoint, count in own.in_flight.items():
-            items[kind.IN_FLIGHT, rows.endpoint_hash(endpoint)] = count
         with self._lock:
+            counts = tuple(own.in_flight.get(each, 0) for each in self._listed)
+            items[kind.IN_FLIGHT, ""] = rows.InFlight(self._list_hash, counts)
             self._told_leaving = frozenset(self._leaving.said_by(_FIRST_HAND))
             for endpoint in self._told_leaving:
                 items[kind.LEAVING, endpoint] = True
@@ -222,13 +227,16 @@
     def _demand_of(self, row: table_module.Row) -> messages.PeerDemand:
         demand: dict[ids.ServiceId, float] = {}
         in_flight: dict[ids.EndpointId, int] = {}
+        with self._lock:
+            listed, list_hash = self._listed, self._list_hash
         for (kind, name), item in row.items.items():
-            if item.value is None:
+            if item.value is None or kind not in _DEMAND_KINDS:
                 continue
             if kind is rows.ItemKind.DEMAND:
                 demand[ids.ServiceId(name)] = item.value
-            elif kind is rows.ItemKind.IN_FLIGHT and name in self._by_hash:
-                in_flight[self._by_hash[name]] = item.value
+            elif item.value.list_hash == list_hash:
+                pairs = zip(listed, item.value.counts, strict=True)
+                in_flight = {each: n for each, n in pairs if n}
         return messages.PeerDemand(
             row.instance, demand, in_flight, row.refreshed_s
         )
