Answer before the first document, lose no connection at a stop

Cause: until a document was in force the port was closed, so a balancer could not tell an entry that waits from one that is down; and at a stop, connections that the system had set up but no thread had taken were reset. Ruled out: a separate port for health, which balancers would have to learn. Change: the port opens first and answers not_ready; before it is closed, what waits on it is taken. Shown: test_drain.py, 4 passed: endpoints that leave by the list or by their report get no new request after 3 s and lose none; SIGTERM, again and SIGINT under 6 long streams cut none, /readyz says draining, a late request is served.

--- a/cardamombarrow/entry/core.py
+++ b/cardamombarrow/entry/core.py
@@ -12,6 +12,7 @@
 from cardamombarrow.entry import life
 from cardamombarrow.entry import peering as peering_module
 from cardamombarrow.entry import settings as settings_module
+from cardamombarrow.entry import starting as starting_module
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import http
 from cardamombarrow.kernel import ids
@@ -69,6 +70,10 @@
     documents = in_force.InForce()
     time_source = clock.SystemClock()
     peering = peering_module.Peering(settings, documents, time_source)
+    starting = starting_module.Starting()
+    web = http.HttpServer(settings.http, starting)
+    web.start()
+    logs.event("entry starts", port=web.port)
     peering.take_first_document()
     broker = broker_module.Broker(
         documents.current().document, instance, domain, time_source
@@ -105,8 +110,7 @@
         settings.platform.listing_interval_s,
         peering.on_listing,
     )
-    web = http.HttpServer(settings.http, app)
-    logs.event("entry starts", port=web.port)
+    starting.serve(app)
     drain = _Drain(readiness, settings.calls.drain_notice_s)
     parts = [poller, watch, broker, peering, ledger, web, drain]
     lifecycle.Process(parts).run()
--- a/cardamombarrow/kernel/http.py
+++ b/cardamombarrow/kernel/http.py
@@ -144,6 +144,24 @@
             with self._lock:
                 self._open -= 1
 
+    def server_close(self) -> None:
+        """Takes the connections that are set up already, then closes."""
+        if self.socket.fileno() >= 0:
+            self._take_waiting()
+        super().server_close()
+
+    def _take_waiting(self) -> None:
+        # Closing the port resets them: those callers would see a request fail
+        # that no process had looked at.
+        self.socket.setblocking(False)
+        while True:
+            try:
+                connection, address = self.get_request()
+            except OSError:
+                return
+            connection.setblocking(True)
+            self.process_request(connection, address)
+
     def finish(self) -> None:
         """Waits for the connections that are being served."""
         self._executor.shutdown(wait=True)
@@ -164,8 +182,9 @@
         return self._server.server_port
 
     def start(self) -> None:
-        """Starts accepting connections."""
-        self._thread.start()
+        """Starts accepting connections; does nothing once it does."""
+        if self._thread.ident is None:
+            self._thread.start()
 
     def stop(self) -> None:
         """Stops accepting and waits for every connection to be served."""
--- /dev/null
+++ b/cardamombarrow/tests/test_drain.py
@@ -0,0 +1,155 @@
+"""Endpoints that leave, and entries that are told to stop."""
+
+from concurrent import futures
+import json
+import signal
+import time
+
+import pytest
+
+from cardamombarrow.endpoints import http_get
+from cardamombarrow.kernel import errors
+from tools import caller
+from tools import deployment
+
+pytestmark = pytest.mark.process
+
+LEAVING_LIMIT_S = 3.0
+"""After this an endpoint that leaves gets no new request."""
+
+_STREAM_TOKENS = 150
+
+
+@pytest.fixture
+def running(kandula_text, tmp_path):
+    plan = deployment.Plan(
+        document=kandula_text,
+        entries={"nuwara-a": ["entry-1"]},
+        controls={"nuwara-a": ["control-1"]},
+        engine_options=("--token-s", "0.03", "--report-lag-s", "0.2"),
+        entry_extra={"calls": "drain_notice_s = 2\n"},
+    )
+    with deployment.Deployment(plan, tmp_path) as started:
+        yield started
+
+
+def _ask(running, **options) -> caller.CallerAnswer:
+    return caller.complete(
+        running.entries["entry-1"],
+        "digest-desk",
+        model="trail-7b",
+        timeout_s=40,
+        **options,
+    )
+
+
+def _post(url: str, content: dict) -> None:
+    http_get.fetch(
+        url, timeout_s=5, method="POST", body=json.dumps(content).encode()
+    )
+
+
+def _get(url: str) -> bytes:
+    return http_get.fetch(url, timeout_s=5).body
+
+
+def _runs(address: str) -> list[dict]:
+    return json.loads(_get(f"http://{address}/standin/runs"))
+
+
+@pytest.mark.parametrize("teller", ["platform", "report"])
+def test_a_leaving_endpoint_gets_no_new_request_and_loses_none(running, teller):
+    # The platform takes an engine away, or the engine says so itself, while
+    # streams run on it. New requests go elsewhere after a few seconds at
+    # most; the streams that it has come whole.
+    leaving = running.engines["report-writer"][0]
+    with futures.ThreadPoolExecutor(8) as executor:
+        streams = [
+            executor.submit(_ask, running, tokens=_STREAM_TOKENS)
+            for _ in range(6)
+        ]
+        assert deployment.wait_until(lambda: len(_runs(leaving)) > 0)
+        if teller == "platform":
+            base = running.listing_url.removesuffix("/v1/listing")
+            _post(
+                f"{base}/standin/state",
+                {"address": leaving, "state": "leaving"},
+            )
+            assert deployment.wait_until(
+                lambda: b"leaving" in _get(running.listing_url)
+            )
+            assert deployment.wait_until(
+                lambda: b"leaving" in _get(running.listing_url)
+            )
+            assert deployment.wait_until(
+                lambda: b"leaving" in _get(running.listing_url)
+            )
+        else:
+            _post(f"http://{leaving}/standin/behaviour", {"leaving": True})
+        time.sleep(LEAVING_LIMIT_S)
+        before = len(_runs(leaving))
+        for number in range(8):
+            assert _ask(running, tokens=2, prompt=str(number)).status == 200
+        assert len(_runs(leaving)) == before
+        for future in streams:
+            answer = future.result()
+            assert caller.content_of(answer) == caller.whole_content(
+                answer, _STREAM_TOKENS
+            )
+
+
+def test_a_stop_cuts_no_stream_and_tells_the_balancer_first(running):
+    # An operator restarts an entry on a race morning. The balancer still
+    # sends requests for some seconds; long answers are under way; and the
+    # operator, impatient, sends the signal again. Nobody's answer is cut.
+    url = running.entries["entry-1"]
+    with futures.ThreadPoolExecutor(8) as executor:
+        streams = [
+            executor.submit(_ask, running, tokens=_STREAM_TOKENS)
+            for _ in range(6)
+        ]
+        assert deployment.wait_until(lambda: "place" in running.log("entry-1"))
+        running.signal("entry-1", signal.SIGTERM)
+        assert deployment.wait_until(
+            lambda: http_get.fetch(f"{url}/readyz", timeout_s=5).status == 503
+        )
+        ready = http_get.fetch(f"{url}/readyz", timeout_s=5)
+        assert json.loads(ready.body)["error"]["code"] == "draining"
+        assert _ask(running, tokens=2, prompt="late").status == 200
+        running.signal("entry-1", signal.SIGTERM)
+        running.signal("entry-1", signal.SIGINT)
+        for future in streams:
+            answer = future.result()
+            assert caller.content_of(answer) == caller.whole_content(
+                answer, _STREAM_TOKENS
+            )
+    assert running.processes["entry-1"].wait(timeout=30) == 0
+    with pytest.raises(errors.EndpointError):
+        http_get.fetch(f"{url}/healthz", timeout_s=1)
+
+
+def test_an_entry_without_a_document_is_alive_but_not_ready(running):
+    # The whole control side is down when an entry starts. The balancer must
+    # see that it can't serve yet, and the entry serves as soon as it can.
+    url = running.entries["entry-1"]
+    for name in ("entry-1", "control-1"):
+        running.processes[name].kill()
+        running.processes[name].wait()
+    running.start_instance("entry-1")
+
+    def fetch(path: str) -> http_get.Reply | None:
+        try:
+            return http_get.fetch(url + path, timeout_s=2)
+        except errors.EndpointError:
+            return None
+
+    assert deployment.wait_until(lambda: fetch("/healthz") is not None)
+    ready = fetch("/readyz")
+    assert ready.status == 503
+    assert json.loads(ready.body)["error"]["code"] == "not_ready"
+    asked = _ask(running, tokens=2)
+    assert asked.error["code"] == "not_ready"
+    assert asked.error["not_run"] is True
+    running.start_instance("control-1")
+    running.wait_ready("entry-1")
+    assert _ask(running, tokens=2).status == 200
