Serve metrics of what callers got

Latency by class from HDR histograms, attainment, goodput and wasted tokens, errors by code. A refusal is a missed target: counting only what was let in would show full attainment while half of what was sold is refused. Tokens of answers that don't stream are read from their usage; before, they counted as none, for the estimate of lengths too, and the closing event of a stream counted as one.

--- a/cardamombarrow/endpoints/base.py
+++ b/cardamombarrow/endpoints/base.py
@@ -135,6 +135,10 @@
     def count_tokens(self, chunk: bytes) -> int:
         """Counts the tokens in a chunk of a streamed answer."""
 
+    def tokens_at_end(self, tail: bytes) -> int:
+        """Reads the tokens of a plain answer from its end; 0 is not told."""
+        return 0
+
     @abc.abstractmethod
     def is_whole(self, head: Head, tail: bytes) -> bool:
         """Tells whether a streamed answer with this end is complete."""
--- a/cardamombarrow/endpoints/engine.py
+++ b/cardamombarrow/endpoints/engine.py
@@ -15,6 +15,7 @@
 
 _SAMPLE = re.compile(r"^engine:(\w+)(?:\{[^}]*\})?\s+([0-9.eE+-]+)", re.M)
 _NOT_STARTED = (429, 503)
+_USAGE = re.compile(rb'"completion_tokens":\s*(\d+)')
 _DONE = b"data: [DONE]"
 
 
@@ -56,7 +57,12 @@
 
     def count_tokens(self, chunk: bytes) -> int:
         """Counts events; engines send one token in each."""
-        return chunk.count(b"data: ")
+        return chunk.count(b"data: {")
+
+    def tokens_at_end(self, tail: bytes) -> int:
+        """Reads the usage that closes an answer that is not streamed."""
+        found = _USAGE.findall(tail)
+        return int(found[-1]) if found else 0
 
     def is_whole(self, head: base.Head, tail: bytes) -> bool:
         """A stream is whole when it closes with the ``[DONE]`` event."""
--- a/cardamombarrow/entry/app.py
+++ b/cardamombarrow/entry/app.py
@@ -40,6 +40,7 @@
             methods=_METHODS,
         ),
         routing.Rule("/healthz", endpoint="health", methods=["GET"]),
+        routing.Rule("/metrics", endpoint="metrics", methods=["GET"]),
         routing.Rule("/readyz", endpoint="ready", methods=["GET"]),
         routing.Rule("/v1/instance", endpoint="instance", methods=["GET"]),
     ]
@@ -82,8 +83,10 @@
         try:
             response = self._dispatch(request, request_id)
         except errors.RouterError as error:
+            self._services.metrics.error(error.kind, error.class_id)
             response = answers.error_response(error, request_id)
         except Exception as error:
+            self._services.metrics.error(errors.ErrorKind.INTERNAL)
             logs.event(
                 "internal error",
                 "ERROR",
@@ -125,6 +128,14 @@
         revision = self._documents.current().revision
         return wrappers.Response(f"ready, revision {revision}\n")
 
+    def _on_metrics(
+        self, request: wrappers.Request, request_id: ids.RequestId
+    ) -> wrappers.Response:
+        text = self._services.metrics.text(
+            self._gate.held, self._documents.revision
+        )
+        return wrappers.Response(text, content_type="text/plain; version=0.0.4")
+
     def _on_instance(
         self, request: wrappers.Request, request_id: ids.RequestId
     ) -> wrappers.Response:
@@ -167,11 +178,10 @@
     def _run(
         self, request: wrappers.Request, call: incoming.IncomingCall
     ) -> wrappers.Response:
-        self._gate.enter(call.job, self._documents.current().document)
         try:
-            relay = self._begin(request, call)
-        except BaseException:
-            self._gate.leave(call.job)
+            relay = self._enter(request, call)
+        except errors.RouterError as error:
+            error.class_id = call.job.class_id
             raise
         chunks = self._chunks(relay, call.job)
         if relay.head.status in _NO_BODY_STATUSES or request.method == "HEAD":
@@ -191,6 +201,16 @@
             direct_passthrough=True,
         )
 
+    def _enter(
+        self, request: wrappers.Request, call: incoming.IncomingCall
+    ) -> life.Relay:
+        self._gate.enter(call.job, self._documents.current().document)
+        try:
+            return self._begin(request, call)
+        except BaseException:
+            self._gate.leave(call.job)
+            raise
+
     def _begin(
         self, request: wrappers.Request, call: incoming.IncomingCall
     ) -> life.Relay:
@@ -208,6 +228,7 @@
         try:
             yield from relay.chunks
         except errors.RouterError as error:
+            self._services.metrics.error(error.kind, job.class_id)
             if not relay.head.streams:
                 # The caller sees fewer bytes than announced, or no last chunk.
                 raise
--- a/cardamombarrow/entry/core.py
+++ b/cardamombarrow/entry/core.py
@@ -10,6 +10,7 @@
 from cardamombarrow.entry import gate as gate_module
 from cardamombarrow.entry import in_force
 from cardamombarrow.entry import life
+from cardamombarrow.entry import metrics
 from cardamombarrow.entry import peering as peering_module
 from cardamombarrow.entry import settings as settings_module
 from cardamombarrow.entry import starting as starting_module
@@ -88,6 +89,7 @@
         kinds,
         time_source,
         crashes.Crashes(broker),
+        metrics.Metrics(),
     )
     readiness = app_module.Readiness()
     app = app_module.App(
--- a/cardamombarrow/entry/life.py
+++ b/cardamombarrow/entry/life.py
@@ -15,6 +15,7 @@
 from cardamombarrow.entry import broker as broker_module
 from cardamombarrow.entry import crashes as crashes_module
 from cardamombarrow.entry import incoming
+from cardamombarrow.entry import metrics as metrics_module
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import logs
@@ -25,8 +26,9 @@
 CALLER_LOOK_S = 0.25
 """Time between two looks at whether a waiting caller is still there."""
 
-TAIL_BYTES = 64
-"""End of the answer that is kept to tell whether it is whole."""
+TAIL_BYTES = 512
+"""End of the answer that is kept to tell whether it is whole, and how many
+tokens it had."""
 
 _OUTCOMES = {
     errors.ErrorKind.ENDPOINT_UNREACHED: messages.Outcome.NOT_STARTED,
@@ -58,6 +60,7 @@
     kinds: dict[schema.ServiceKind, endpoints_base.EndpointKind]
     time_source: clock.Clock
     crashes: crashes_module.Crashes
+    metrics: metrics_module.Metrics
 
 
 @dataclasses.dataclass
@@ -105,7 +108,11 @@
         broker = self._services.broker
         ticket = broker.submit(self._call.job)
         while True:
-            self._wait(ticket)
+            self._services.metrics.wait(1)
+            try:
+                self._wait(ticket)
+            finally:
+                self._services.metrics.wait(-1)
             exchange = self._open(ticket)
             try:
                 return self._begin(ticket, exchange)
@@ -227,6 +234,8 @@
                     sent=True,
                     delivered=True,
                 )
+            self._tokens = self._tokens or self._kind.tokens_at_end(tail)
+            broker.progress(request_id, self._tokens)
             failure = None
         except errors.RouterError as error:
             failure = error
@@ -247,6 +256,12 @@
         job = ticket.job
         self._services.broker.finish(job.request_id, outcome)
         first_s = self._first_token_s
+        if error is None:
+            self._services.metrics.done(
+                job, first_s or self._age_s(), self._age_s(), self._tokens
+            )
+        else:
+            self._services.metrics.wasted(outcome, self._tokens)
         logs.decision(
             "settle",
             request_id=job.request_id,
--- /dev/null
+++ b/cardamombarrow/entry/metrics.py
@@ -0,0 +1,153 @@
+"""What an entry counts of itself, as Prometheus text.
+
+Latencies go into one HDR histogram per class that was seen: two significant
+digits from a millisecond to an hour take some 20 KB, whatever the load.
+"""
+
+import collections
+from collections import abc
+import threading
+
+from hdrh import histogram
+
+from cardamombarrow.decisions import messages
+from cardamombarrow.kernel import errors
+from cardamombarrow.kernel import ids
+
+__all__ = ["Metrics"]
+
+HIGHEST_MS = 3_600_000
+SIGNIFICANT_DIGITS = 2
+QUANTILES = (0.5, 0.9, 0.95, 0.99)
+PREFIX = "cardamombarrow_"
+
+_NOT_OURS = {
+    errors.ErrorKind.BAD_REQUEST,
+    errors.ErrorKind.CALLER_GONE,
+    errors.ErrorKind.KEY_REQUIRED,
+    errors.ErrorKind.KEY_REUSED,
+}
+"""Failures that say nothing of whether a promise was kept."""
+
+
+class _Latency:
+    """Latencies of one kind and class."""
+
+    def __init__(self):
+        self._histogram = histogram.HdrHistogram(
+            1, HIGHEST_MS, SIGNIFICANT_DIGITS
+        )
+        self._sum_s = 0.0
+
+    def record(self, value_s: float) -> None:
+        value_ms = min(max(round(value_s * 1_000), 1), HIGHEST_MS)
+        self._histogram.record_value(value_ms)
+        self._sum_s += value_s
+
+    def lines(self, name: str, class_id: ids.ClassId) -> abc.Iterator[str]:
+        for quantile in QUANTILES:
+            value_ms = self._histogram.get_value_at_percentile(100 * quantile)
+            labels = f'class="{class_id}",quantile="{quantile}"'
+            yield f"{PREFIX}{name}{{{labels}}} {value_ms / 1_000}"
+        labels = f'class="{class_id}"'
+        count = self._histogram.get_total_count()
+        yield f"{PREFIX}{name}_sum{{{labels}}} {self._sum_s:.3f}"
+        yield f"{PREFIX}{name}_count{{{labels}}} {count}"
+
+
+class Metrics:
+    """Counts what became of requests; shared by all threads.
+
+    Attributes:
+        waiting: Requests that wait for a place now.
+    """
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._first_token: dict[ids.ClassId, _Latency] = {}
+        self._total: dict[ids.ClassId, _Latency] = {}
+        self._requests: collections.Counter[tuple[ids.ClassId, bool]] = (
+            collections.Counter()
+        )
+        self._errors: collections.Counter[errors.ErrorKind] = (
+            collections.Counter()
+        )
+        self._wasted: collections.Counter[messages.Outcome] = (
+            collections.Counter()
+        )
+        self._goodput_tokens = 0
+        self.waiting = 0
+
+    def wait(self, change: int) -> None:
+        """Counts a request into (1) or out of (-1) those that wait."""
+        with self._lock:
+            self.waiting += change
+
+    def done(
+        self,
+        job: messages.Job,
+        first_token_s: float,
+        total_s: float,
+        tokens: int,
+    ) -> None:
+        """Counts an answer that came whole; times run from the arrival."""
+        met = first_token_s <= job.target_first_token_s
+        with self._lock:
+            for kept, value_s in (
+                (self._first_token, first_token_s),
+                (self._total, total_s),
+            ):
+                kept.setdefault(job.class_id, _Latency()).record(value_s)
+            self._requests[job.class_id, met] += 1
+            self._goodput_tokens += tokens
+
+    def wasted(self, outcome: messages.Outcome, tokens: int) -> None:
+        """Counts the tokens of a run whose answer did not come whole."""
+        with self._lock:
+            self._wasted[outcome] += tokens
+
+    def error(
+        self, kind: errors.ErrorKind, class_id: ids.ClassId | None = None
+    ) -> None:
+        """Counts an error that a caller got; its promise was not kept."""
+        with self._lock:
+            self._errors[kind] += 1
+            if class_id is not None and kind not in _NOT_OURS:
+                self._requests[class_id, False] += 1
+
+    def text(self, held: int, revision: ids.Revision) -> str:
+        """Returns all of it in the Prometheus text format."""
+        with self._lock:
+            return "\n".join(self._lines(held, revision)) + "\n"
+
+    def _lines(self, held: int, revision: ids.Revision) -> abc.Iterator[str]:
+        for name, kept in (
+            ("first_token_seconds", self._first_token),
+            ("total_seconds", self._total),
+        ):
+            yield f"# TYPE {PREFIX}{name} summary"
+            for class_id, latency in kept.items():
+                yield from latency.lines(name, class_id)
+        yield f"# TYPE {PREFIX}requests_total counter"
+        for (class_id, met), count in self._requests.items():
+            labels = f'class="{class_id}",target="{_TARGET[met]}"'
+            yield f"{PREFIX}requests_total{{{labels}}} {count}"
+        yield f"# TYPE {PREFIX}errors_total counter"
+        for kind, count in self._errors.items():
+            yield f'{PREFIX}errors_total{{code="{kind.value}"}} {count}'
+        yield f"# TYPE {PREFIX}goodput_tokens_total counter"
+        yield f"{PREFIX}goodput_tokens_total {self._goodput_tokens}"
+        yield f"# TYPE {PREFIX}wasted_tokens_total counter"
+        for outcome, tokens in self._wasted.items():
+            labels = f'reason="{outcome.value}"'
+            yield f"{PREFIX}wasted_tokens_total{{{labels}}} {tokens}"
+        for name, value in (
+            ("requests_held", held),
+            ("requests_waiting", self.waiting),
+            ("document_revision", revision),
+        ):
+            yield f"# TYPE {PREFIX}{name} gauge"
+            yield f"{PREFIX}{name} {value}"
+
+
+_TARGET = {True: "met", False: "missed"}
--- /dev/null
+++ b/cardamombarrow/entry/tests/test_metrics.py
@@ -0,0 +1,77 @@
+"""What an entry counts of itself."""
+
+import re
+
+import pytest
+
+from cardamombarrow.decisions import messages
+from cardamombarrow.entry import metrics
+from cardamombarrow.kernel import errors
+from cardamombarrow.kernel import ids
+
+
+def _job(class_id: str) -> messages.Job:
+    return messages.Job(
+        request_id=ids.RequestId("r"),
+        workspace=ids.WorkspaceId("w"),
+        class_id=ids.ClassId(class_id),
+        service=ids.ServiceId("s"),
+        model=ids.ModelId("m"),
+        rank=0,
+        arrived_s=0.0,
+        target_first_token_s=1.0,
+        deadline_s=60.0,
+    )
+
+
+def _samples(text: str) -> dict[str, float]:
+    return {
+        name: float(value)
+        for name, value in re.findall(r"^([^#\s]+) (\S+)$", text, re.M)
+    }
+
+
+def _read(counted: metrics.Metrics) -> dict[str, float]:
+    return _samples(counted.text(3, ids.Revision(7)))
+
+
+def test_latency_and_attainment_stand_by_class():
+    counted = metrics.Metrics()
+    for number in range(1, 101):
+        counted.done(_job("question"), number / 50, 4.0, tokens=10)
+    seen = _read(counted)
+    prefix = "cardamombarrow_"
+    quantile = seen[
+        prefix + 'first_token_seconds{class="question",quantile="0.95"}'
+    ]
+    assert quantile == pytest.approx(1.9, rel=0.02)
+    labels = '{class="question",target="met"}'
+    assert seen[prefix + "requests_total" + labels] == 50
+    assert seen[prefix + "goodput_tokens_total"] == 1_000
+    assert seen[prefix + "requests_held"] == 3
+    assert seen[prefix + "document_revision"] == 7
+
+
+def test_a_refusal_is_a_missed_target_and_a_bad_request_is_not():
+    # A router that counted only what it let in would show full attainment
+    # while it refuses half of what was sold.
+    counted = metrics.Metrics()
+    for kind in (
+        errors.ErrorKind.OVERLOADED,
+        errors.ErrorKind.BAD_REQUEST,
+        errors.ErrorKind.CALLER_GONE,
+    ):
+        counted.error(kind, ids.ClassId("question"))
+    seen = _read(counted)
+    labels = '{class="question",target="missed"}'
+    assert seen["cardamombarrow_requests_total" + labels] == 1
+    assert seen['cardamombarrow_errors_total{code="overloaded"}'] == 1
+    assert seen['cardamombarrow_errors_total{code="bad_request"}'] == 1
+
+
+def test_wasted_tokens_stand_by_reason():
+    counted = metrics.Metrics()
+    counted.wasted(messages.Outcome.CRASHED, 40)
+    counted.wasted(messages.Outcome.CRASHED, 2)
+    name = 'cardamombarrow_wasted_tokens_total{reason="crashed"}'
+    assert _read(counted)[name] == 42
--- a/cardamombarrow/kernel/errors.py
+++ b/cardamombarrow/kernel/errors.py
@@ -9,6 +9,8 @@
 import dataclasses
 import enum
 
+from cardamombarrow.kernel import ids
+
 __all__ = [
     "ANSWERS",
     "Answer",
@@ -131,6 +133,7 @@
         retry_after_s: When the caller should come back, or None.
         not_run: Overrides the table's `not_run` where the place that raised
             knows better.
+        class_id: The class of the request that failed, where it is known.
     """
 
     def __init__(
@@ -145,6 +148,7 @@
         self.kind = kind
         self.detail = detail
         self.retry_after_s = retry_after_s
+        self.class_id: ids.ClassId | None = None
         self._not_run = not_run
 
     @property
--- a/cardamombarrow/tests/test_callers.py
+++ b/cardamombarrow/tests/test_callers.py
@@ -309,6 +309,18 @@
     assert (status, error["code"]) == (429, "workspace_limit")
 
 
+def test_metrics_tell_what_callers_got(running):
+    # What operators bill and alarm on must be what callers saw.
+    url = running.entries["entry-1"]
+    _quick_is_served(running)
+    _send(url, _post(b"no json"))
+    text = http_get.fetch(f"{url}/metrics", timeout_s=5).body.decode()
+    prefix = "cardamombarrow_"
+    assert f'{prefix}requests_total{{class="question",target="met"}}' in text
+    assert f'{prefix}errors_total{{code="bad_request"}}' in text
+    assert f"{prefix}requests_waiting 0" in text
+
+
 def test_callers_are_served_over_tls(running, tmp_path):
     # Keys must not cross the network in the clear.
     certificate, key = tmp_path / "cert.pem", tmp_path / "key.pem"
