Resume cut streams and split traffic over versions

A stream that breaks off goes on at its token on any endpoint where the engine offers it, by whole events, so that no event is read as two halves; what was computed before the break is not wasted. Versions are drawn by weight from the request's random id.

--- a/cardamombarrow/endpoints/base.py
+++ b/cardamombarrow/endpoints/base.py
@@ -37,6 +37,8 @@
         deadline_s: Moment on the monotonic clock when the answer must end.
         stall_limit_s: Longest silence within the answer.
         rank: The tier's rank, for engines that honour priorities.
+        resume_tokens: Tokens that the caller has already; the answer is to
+            go on after them.
     """
 
     request_id: ids.RequestId
@@ -50,6 +52,7 @@
     stall_limit_s: float
     caller: CallerWatch
     cancelled: typing.Callable[[], bool]
+    resume_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -135,6 +138,10 @@
     def count_tokens(self, chunk: bytes) -> int:
         """Counts the tokens in a chunk of a streamed answer."""
 
+    def resumable(self, head: Head) -> bool:
+        """Tells whether a cut answer can go on where it broke off."""
+        return False
+
     def tokens_at_end(self, tail: bytes) -> int:
         """Reads the tokens of a plain answer from its end; 0 is not told."""
         return 0
--- a/cardamombarrow/endpoints/engine.py
+++ b/cardamombarrow/endpoints/engine.py
@@ -30,6 +30,8 @@
             f"X-Request-Id: {call.request_id}",
             f"X-Priority: {call.rank}",
         ]
+        if call.resume_tokens:
+            headers.append(f"X-Resume-Offset: {call.resume_tokens}")
         return transfer.CurlExchange(call, headers, self.probe)
 
     def poll(
@@ -47,6 +49,10 @@
             )
         return parse_report(reply.body.decode(), time.monotonic())
 
+    def resumable(self, head: base.Head) -> bool:
+        """Engines that resume streams say so in the stream's head."""
+        return head.streams and head.headers.get("x-resumable") == "yes"
+
     def not_started(self, head: base.Head) -> bool:
         """Engines answer 429 or 503 to what they did not start."""
         return head.status in _NOT_STARTED
--- a/cardamombarrow/entry/app.py
+++ b/cardamombarrow/entry/app.py
@@ -194,6 +194,8 @@
             if name in relay.head.headers
         }
         headers["X-Request-Id"] = call.job.request_id
+        if call.version:
+            headers["X-Model-Version"] = call.version
         return wrappers.Response(
             chunks,
             status=relay.head.status,
--- a/cardamombarrow/entry/incoming.py
+++ b/cardamombarrow/entry/incoming.py
@@ -29,6 +29,7 @@
         idempotency_key: Empty where the caller gave none.
         body_sha256: Digest of method, path and body.
         streams: Whether the caller asked for server-sent events.
+        version: The model's version that was drawn; empty is none.
     """
 
     job: messages.Job
@@ -41,6 +42,7 @@
     body_sha256: str
     streams: bool
     stall_limit_s: float
+    version: str = ""
 
 
 class KeyIndex:
@@ -121,7 +123,23 @@
     call.job.model = model.model
     call.job.max_tokens = limit
     call.job.streams = bool(content.get("stream"))
-    return dataclasses.replace(call, streams=call.job.streams)
+    version = _version(model, request_id)
+    if version:
+        body = json.dumps({**content, "model": version}).encode()
+    return dataclasses.replace(
+        call, body=body, version=version, streams=call.job.streams
+    )
+
+
+def _version(model: schema.Model, request_id: ids.RequestId) -> str:
+    """Draws a version by traffic weight; the random id is the draw."""
+    point = int(request_id, 16) / 16 ** len(request_id)
+    point *= sum(model.versions.values())
+    for version, weight in model.versions.items():
+        point -= weight
+        if point < 0:
+            return version
+    return ""
 
 
 def service_call(
--- a/cardamombarrow/entry/life.py
+++ b/cardamombarrow/entry/life.py
@@ -43,6 +43,8 @@
 }
 
 
+EVENT_END = b"\n\n"
+
 _FINAL = (errors.ErrorKind.CALLER_GONE, errors.ErrorKind.DEADLINE)
 """What no second run can mend."""
 
@@ -75,6 +77,33 @@
     chunks: abc.Iterator[bytes]
 
 
+@dataclasses.dataclass
+class _Run:
+    """One run on an endpoint whose answer has begun."""
+
+    ticket: broker_module.Ticket
+    exchange: endpoints_base.Exchange
+    head: endpoints_base.Head
+    resumable: bool
+    first: bytes
+    rest: abc.Iterator[bytes]
+
+
+def _whole_events(chunks: abc.Iterator[bytes]) -> abc.Iterator[bytes]:
+    """Holds back what follows the last whole event.
+
+    A stream that is resumed goes on with a whole event. Had half of one been
+    relayed before the cut, the caller would read both as one.
+    """
+    held = b""
+    for chunk in chunks:
+        whole, end, held = (held + chunk).rpartition(EVENT_END)
+        if end:
+            yield whole + end
+    if held:
+        yield held
+
+
 class Life:
     """One request from admission to settlement."""
 
@@ -105,8 +134,12 @@
             errors.RouterError: It was refused or failed; `not_run` tells
                 whether it may have run.
         """
-        broker = self._services.broker
-        ticket = broker.submit(self._call.job)
+        ticket = self._services.broker.submit(self._call.job)
+        run = self._begin(ticket)
+        return Relay(run.head, self._relay(run))
+
+    def _begin(self, ticket: broker_module.Ticket) -> _Run:
+        """Runs a placed or waiting job until an answer begins."""
         while True:
             self._services.metrics.wait(1)
             try:
@@ -115,19 +148,21 @@
                 self._services.metrics.wait(-1)
             exchange = self._open(ticket)
             try:
-                return self._begin(ticket, exchange)
+                return self._first_piece(ticket, exchange)
             except errors.RouterError as error:
                 exchange.close()
                 self._fail(ticket, error)
                 ticket = self._again(ticket, error)
             except BaseException:
                 exchange.close()
-                broker.finish(ticket.job.request_id, messages.Outcome.FAILED)
+                self._services.broker.finish(
+                    ticket.job.request_id, messages.Outcome.FAILED
+                )
                 raise
 
-    def _begin(
+    def _first_piece(
         self, ticket: broker_module.Ticket, exchange: endpoints_base.Exchange
-    ) -> Relay:
+    ) -> _Run:
         """Waits for the first piece of the body.
 
         Until then nothing has gone to the caller, and a request whose
@@ -146,10 +181,12 @@
                 f"the endpoint answered {head.status}",
                 sent=True,
             )
+        resumable = self._kind.resumable(head) and ticket.job.repeatable
         chunks = exchange.chunks()
+        if resumable:
+            chunks = _whole_events(chunks)
         first = next(chunks, b"")
-        relay = self._relay(ticket, exchange, head, first, chunks)
-        return Relay(head, relay)
+        return _Run(ticket, exchange, head, resumable, first, chunks)
 
     def _fail(
         self, ticket: broker_module.Ticket, error: errors.RouterError
@@ -190,6 +227,7 @@
                 stall_limit_s=call.stall_limit_s,
                 caller=self._caller,
                 cancelled=lambda: ticket.preempted is not None,
+                resume_tokens=self._tokens,
             )
         )
 
@@ -204,22 +242,32 @@
             raise error
         return again
 
-    def _relay(
-        self,
-        ticket: broker_module.Ticket,
-        exchange: endpoints_base.Exchange,
-        head: endpoints_base.Head,
-        first: bytes,
-        rest: abc.Iterator[bytes],
-    ) -> abc.Iterator[bytes]:
-        request_id = ticket.job.request_id
+    def _relay(self, run: _Run) -> abc.Iterator[bytes]:
+        while True:
+            try:
+                yield from self._relay_run(run)
+                return
+            except errors.RouterError as error:
+                if not run.resumable or not self._tokens:
+                    raise
+                run = self._begin(self._again(run.ticket, error))
+                logs.decision(
+                    "resume",
+                    request_id=self._call.job.request_id,
+                    tokens=self._tokens,
+                    reason=error.detail,
+                )
+
+    def _relay_run(self, run: _Run) -> abc.Iterator[bytes]:
+        request_id = run.ticket.job.request_id
         broker = self._services.broker
         tail = b""
         failure: errors.RouterError | None = errors.RefusedError(
             errors.ErrorKind.CALLER_GONE, "the caller left", not_run=False
         )
+        first = [run.first] if run.first else []
         try:
-            for chunk in itertools.chain([first] if first else [], rest):
+            for chunk in itertools.chain(first, run.rest):
                 if self._first_token_s is None:
                     self._first_token_s = self._age_s()
                     broker.first_token(request_id)
@@ -227,7 +275,7 @@
                 self._tokens += self._kind.count_tokens(chunk)
                 broker.progress(request_id, self._tokens)
                 yield chunk
-            if head.streams and not self._kind.is_whole(head, tail):
+            if run.head.streams and not self._kind.is_whole(run.head, tail):
                 raise errors.EndpointError(
                     errors.ErrorKind.ANSWER_CUT,
                     "the stream ended early",
@@ -241,11 +289,11 @@
             failure = error
             raise
         finally:
-            exchange.close()
+            run.exchange.close()
             if failure is None:
-                self._settle(ticket, None)
+                self._settle(run.ticket, None)
             else:
-                self._fail(ticket, failure)
+                self._fail(run.ticket, failure)
 
     def _settle(
         self, ticket: broker_module.Ticket, error: errors.RouterError | None
--- a/cardamombarrow/tests/test_endpoint_failures.py
+++ b/cardamombarrow/tests/test_endpoint_failures.py
@@ -290,3 +290,34 @@
     assert deployment.wait_until(
         lambda: "running" not in [r["outcome"] for r in _runs(running, "lone")]
     )
+
+
+def _running_on(running) -> str:
+    for address in running.engines["pair"]:
+        for run in json.loads(_fetch(address, "/standin/runs")):
+            if run["outcome"] == "running" and run["tokens"] > 2:
+                return address
+    return ""
+
+
+@pytest.mark.parametrize("failure", ["cut", "killed"])
+def test_a_cut_stream_goes_on_where_the_engine_offers_it(running, failure):
+    # A long letter's stream breaks with its connection, or its engine dies.
+    # Engines that resume go on at the token where it broke off: the caller
+    # gets each token once, and none is computed twice.
+    first, second = running.engines["pair"]
+    prompt = "standin-cut" if failure == "cut" else failure
+    with (
+        _behaving(first, resumable=True),
+        _behaving(second, resumable=True),
+        futures.ThreadPoolExecutor(1) as executor,
+    ):
+        asked = executor.submit(_ask, running, "pair", prompt=prompt, tokens=60)
+        if failure == "killed":
+            assert deployment.wait_until(lambda: _running_on(running))
+            with _killed(running, _running_on(running)):
+                answer = asked.result()
+        else:
+            answer = asked.result()
+    assert caller.content_of(answer) == caller.whole_content(answer, 60)
+    assert answer.body.endswith(b"data: [DONE]\n\n")
--- a/tools/standin/engine.py
+++ b/tools/standin/engine.py
@@ -53,6 +53,7 @@
         fail_status: Status answered to every completion; 0 is none.
         fail_plain_status: Status with which plain calls end; 0 is none.
         leaving: Shown in the load report.
+        resumable: Streams can be resumed with the header X-Resume-Offset.
     """
 
     slots: int = 8
@@ -68,6 +69,7 @@
     fail_status: int = 0
     fail_plain_status: int = 0
     leaving: bool = False
+    resumable: bool = False
 
 
 def _leave_if(gone: Gone) -> None:
@@ -145,7 +147,12 @@
         )
 
     def run(
-        self, request_id: str, rank: int, body: bytes, gone: Gone
+        self,
+        request_id: str,
+        rank: int,
+        body: bytes,
+        gone: Gone,
+        first: int = 0,
     ) -> typing.Iterator[str]:
         """Yields the tokens of one answer."""
         record: dict[str, typing.Any] = {
@@ -169,10 +176,10 @@
             if self.behaviour.cut_at_start:
                 raise ConnectionAbortedError("told to cut")
             self._prefill(len(body) / 4, gone)
-            for number in range(count):
+            for number in range(first, count):
                 time.sleep(self.behaviour.token_s)
                 self._misbehave(number, gone)
-                if number == CUT_AT_TOKEN and CUT_MARKER in body:
+                if (number, first) == (CUT_AT_TOKEN, 0) and CUT_MARKER in body:
                     raise ConnectionAbortedError("told to cut")
                 record["tokens"] = number + 1
                 self.tokens += 1
@@ -252,6 +259,7 @@
             int(self.headers.get("X-Priority", "0")),
             body,
             self._gone,
+            int(self.headers.get("X-Resume-Offset", "0")),
         )
         try:
             if json.loads(body).get("stream"):
@@ -266,6 +274,8 @@
     def _stream(self, tokens: typing.Iterator[str]) -> None:
         self.send_response(200)
         self.send_header("Content-Type", "text/event-stream")
+        if self.engine.behaviour.resumable:
+            self.send_header("X-Resumable", "yes")
         self.send_header("Transfer-Encoding", "chunked")
         self.end_headers()
         self.wfile.flush()
