Count tokens as wasted only when no resumed run uses them

Cause: the tokens before a break counted as wasted though the resumed stream made use of them. A run that can be resumed is marked so for the choice of whom to preempt.

--- a/cardamombarrow/entry/life.py
+++ b/cardamombarrow/entry/life.py
@@ -182,6 +182,7 @@
                 sent=True,
             )
         resumable = self._kind.resumable(head) and ticket.job.repeatable
+        ticket.job.resumable = resumable
         chunks = exchange.chunks()
         if resumable:
             chunks = _whole_events(chunks)
@@ -243,20 +244,34 @@
         return again
 
     def _relay(self, run: _Run) -> abc.Iterator[bytes]:
-        while True:
-            try:
-                yield from self._relay_run(run)
-                return
-            except errors.RouterError as error:
-                if not run.resumable or not self._tokens:
-                    raise
-                run = self._begin(self._again(run.ticket, error))
-                logs.decision(
-                    "resume",
-                    request_id=self._call.job.request_id,
-                    tokens=self._tokens,
-                    reason=error.detail,
-                )
+        try:
+            while True:
+                try:
+                    yield from self._relay_run(run)
+                    return
+                except errors.RouterError as error:
+                    run = self._resume(run, error)
+        except errors.RouterError as error:
+            # Only now is it known that no resumed run makes use of them.
+            self._services.metrics.wasted(_OUTCOMES[error.kind], self._tokens)
+            raise
+        except GeneratorExit:
+            outcome = messages.Outcome.CALLER_GONE
+            self._services.metrics.wasted(outcome, self._tokens)
+            raise
+
+    def _resume(self, run: _Run, error: errors.RouterError) -> _Run:
+        """Goes on with an answer that broke off, or raises `error`."""
+        if not run.resumable or not self._tokens:
+            raise error
+        again = self._begin(self._again(run.ticket, error))
+        logs.decision(
+            "resume",
+            request_id=self._call.job.request_id,
+            tokens=self._tokens,
+            reason=error.detail,
+        )
+        return again
 
     def _relay_run(self, run: _Run) -> abc.Iterator[bytes]:
         request_id = run.ticket.job.request_id
@@ -308,8 +323,6 @@
             self._services.metrics.done(
                 job, first_s or self._age_s(), self._age_s(), self._tokens
             )
-        else:
-            self._services.metrics.wasted(outcome, self._tokens)
         logs.decision(
             "settle",
             request_id=job.request_id,
