--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -229,13 +229,15 @@
 
 
 def _row(name: str, way: str, seen: Measured) -> str:
-    chunks = max(seen.chunks, 1)
+    per_chunk = "-"
+    if seen.chunks:
+        per_chunk = f"{1e6 * seen.cpu_s / seen.chunks:.0f}"
     return (
         f"| {name} | {way} | {seen.requests / seen.wall_s:.0f} "
         f"| {seen.chunks / seen.wall_s:.0f} "
         f"| {100 * seen.cpu_s / seen.wall_s:.0f}% "
         f"| {1e6 * seen.cpu_s / max(seen.requests, 1):.0f} "
-        f"| {1e6 * seen.cpu_s / chunks:.0f} "
+        f"| {per_chunk} "
         f"| {1e3 * seen.first_token_p95_s:.1f} "
         f"| {1e3 * seen.gap_p95_s:.1f} |"
     )
--- a/cardamombarrow/kernel/http.py
+++ b/cardamombarrow/kernel/http.py
@@ -7,10 +7,13 @@
 
 from concurrent import futures
 import dataclasses
+import errno
 import pathlib
+import resource
 import socket
 import ssl
 import threading
+import time
 import typing
 
 from werkzeug import serving
@@ -26,6 +29,11 @@
 WAITING_FACTOR = 2
 """Connections that may be open, as a multiple of those served at once."""
 
+OTHER_DESCRIPTORS = 64
+"""Descriptors beside those of callers and endpoints: links, logs, polls."""
+
+FULL_PAUSE_S = 0.05
+
 _FULL_BODY = connection_module.error_body(
     errors.ErrorKind.OVERLOADED, "too many connections", retry_after_s=2.0
 )
@@ -75,6 +83,20 @@
     tls_key: str = settings.setting("", help="PEM private key")
 
 
+def _check_descriptors(connections: int) -> None:
+    """Warns where the system allows too few open files for the settings."""
+    wanted = (WAITING_FACTOR + 1) * connections + OTHER_DESCRIPTORS
+    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if allowed < wanted:
+        logs.event(
+            "too few file descriptors",
+            "WARNING",
+            allowed=allowed,
+            wanted=wanted,
+            detail="raise the limit of open files or lower [http] connections",
+        )
+
+
 class _Server(serving.BaseWSGIServer):
     """werkzeug's server with an executor in the place of new threads."""
 
@@ -95,6 +117,7 @@
         # accepting thread, one silent client would hold up all others.
         self._context = context
         self.limits = http
+        _check_descriptors(http.connections)
         self._lock = threading.Lock()
         self._open = 0
         self._most_open = WAITING_FACTOR * http.connections
@@ -102,6 +125,19 @@
             max_workers=http.connections, thread_name_prefix="http"
         )
 
+    def get_request(self) -> tuple[socket.socket, typing.Any]:
+        """Accepts a connection; pauses where no descriptor is left.
+
+        The waiting connection stays ready, so that without a pause this
+        thread would try again and again and take a core.
+        """
+        try:
+            return super().get_request()
+        except OSError as error:
+            if error.errno in (errno.EMFILE, errno.ENFILE):
+                time.sleep(FULL_PAUSE_S)
+            raise
+
     def process_request(
         self, request: socket.socket, client_address: typing.Any
     ) -> None:
--- a/cardamombarrow/tests/test_callers.py
+++ b/cardamombarrow/tests/test_callers.py
@@ -53,8 +53,9 @@
 token_sha256 = fd501e4e4eabb3b62f313e4d323048dfbddebb4d702c7b63512125b3fa21dd28
 sections = *
 """
-_HTTP = """
-connections = 260
+_CONNECTIONS = 260
+_HTTP = f"""
+connections = {_CONNECTIONS}
 read_timeout_s = 3
 request_timeout_s = 5
 write_timeout_s = 3
@@ -297,6 +298,26 @@
         _behave(running, "slow", token_s=0.02)
 
 
+def test_idle_connections_over_the_bound_are_turned_away(running):
+    # A fault in a client, or somebody with ill intent, opens connections and
+    # sends nothing. The entry's descriptors must not run out; what is over
+    # the bound is told so at once, and all is well when they are gone.
+    url = running.entries["entry-1"]
+    idle = [_connect(url) for _ in range(2 * _CONNECTIONS)]
+    try:
+        with _connect(url) as connection:
+            answer = connection.recv(65_536)
+        assert answer.startswith(b"HTTP/1.1 503 ")
+        assert b'"code": "overloaded"' in answer
+        assert b'"not_run": true' in answer
+    finally:
+        for connection in idle:
+            connection.close()
+    assert deployment.wait_until(
+        lambda: http_get.fetch(f"{url}/healthz", timeout_s=15).status == 200
+    )
+
+
 def test_a_workspace_holds_no_more_than_its_limit(running):
     # One customer's loop sends without end; the sold limit holds it.
     url = running.entries["entry-1"]
