Stop the other parts when one fails to stop

Cause: an exception at a part's stop left the parts behind it running, and the process never ended; seen with an HTTP port that was closed already. Change: the failure is logged and the stop goes on.

--- a/cardamombarrow/kernel/lifecycle.py
+++ b/cardamombarrow/kernel/lifecycle.py
@@ -45,9 +45,22 @@
             self._stop.wait()
         finally:
             for part in reversed(started):
-                part.stop()
-                logs.event("part stopped", part=type(part).__name__)
+                _stop(part)
 
     def _on_signal(self, number: int, _: types.FrameType | None) -> None:
         logs.event("signal", signal=signal.Signals(number).name)
         self._stop.set()
+
+
+def _stop(part: Part) -> None:
+    # A part that fails to stop must not keep the others from it: their
+    # threads would go on, and the process would never end.
+    name = type(part).__name__
+    try:
+        part.stop()
+    except Exception as error:
+        logs.event(
+            "part failed to stop", "ERROR", part=name, detail=repr(error)
+        )
+    else:
+        logs.event("part stopped", part=name)
