Close gossip streams to instances that are gone

Cause: a stream was closed only when an exchange over it failed. At the other end a stream whose peer had vanished without a word waited for ever. Ruled out: dropping the stream after each exchange, which costs a handshake a second.

Now streams to addresses that are neither live nor seeds are closed each round, and a served stream ends after 600 s without use. Without the change test_a_node_that_is_gone_is_dropped_and_its_stream_closed[True] fails; the other case passed before as well, since the failing exchange closed it.

--- a/cardamombarrow/peers/gossip_node.py
+++ b/cardamombarrow/peers/gossip_node.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections import abc
 from concurrent import futures
+import contextlib
 import dataclasses
 import random
 
@@ -53,6 +54,11 @@
 """Time between two tries of a seed that no live instance is known at: after a
 cut, neither side knows the other any more."""
 
+IDLE_S = 600.0
+"""A stream that another instance does not use for this long is ended: the
+other end may have vanished without a word, and its connections would pile up.
+At 36 instances a stream is used every 35 s on average."""
+
 PULL_GRACE_S = 1.0
 """How long a newer document is awaited from a control process before it is
 taken from the instance that has it."""
@@ -209,6 +215,7 @@
 
     def _choose(self, now_s: float) -> list[str]:
         known = [self._address(row) for row in self.table.others()]
+        self._close_unused({*known, *self._settings.seeds})
         fan_out = URGENT_FAN_OUT if self._urgent else FAN_OUT
         self._urgent = False
         chosen = random.sample(known, min(fan_out, len(known)))
@@ -220,6 +227,11 @@
             chosen.append(random.choice(sorted(unknown)))
         return chosen
 
+    def _close_unused(self, used: set[str]) -> None:
+        """Closes streams to instances that are gone, or they would pile up."""
+        for address in set(self._partners) - used:
+            self._partners.pop(address).close()
+
     async def _exchange(self, address: str) -> None:
         partner = self._partners.get(address)
         if partner is None:
@@ -293,8 +305,13 @@
 
     async def Exchange(self, stream: server.Stream) -> None:  # noqa: N802
         """Serves another instance's standing stream."""
-        async for message in stream:
-            if not self._accept(message):
+        with contextlib.suppress(TimeoutError):
+            await self._serve(stream)
+
+    async def _serve(self, stream: server.Stream) -> None:
+        while True:
+            message = await asyncio.wait_for(stream.recv_message(), IDLE_S)
+            if message is None or not self._accept(message):
                 return
             if message.digest:
                 known = gossip_codec.digest_from_wire(message.digest)
--- /dev/null
+++ b/cardamombarrow/peers/tests/test_gossip_node.py
@@ -0,0 +1,140 @@
+"""Gossip nodes over loopback: joining, news, documents, the gone."""
+
+import contextlib
+
+import pytest
+
+from cardamombarrow.gossip import rows
+from cardamombarrow.gossip import table as table_module
+from cardamombarrow.kernel import clock
+from cardamombarrow.peers import control_pb2
+from cardamombarrow.peers import gossip_node
+from cardamombarrow.peers import loop as loop_module
+from cardamombarrow.peers import server as server_module
+from tools import deployment
+
+_SECRET = "a-secret-of-the-tests"
+
+
+class _Node:
+    """One node with its server; its row and document are set by the test."""
+
+    def __init__(self, name, address, seeds, domain="nuwara-a"):
+        self.items = {}
+        self.heard = {}
+        self.gone = []
+        self.vanished = False
+        self.document = control_pb2.DocumentMessage(revision=1, text="one")
+        self.loop = loop_module.LoopThread()
+        self.loop.start()
+        hooks = gossip_node.GossipHooks(
+            collect=lambda now_s: dict(self.items),
+            urgent=lambda: False,
+            on_changes=self._on_changes,
+            on_members=lambda members, gone: self.gone.extend(gone),
+            document=lambda: self.document,
+            on_document=self._on_document,
+        )
+        time_source = clock.SystemClock()
+        head = rows.Head(address, 1)
+        self.node = gossip_node.GossipNode(
+            self.loop,
+            table_module.Table(name, 1, head, time_source.now_s()),
+            gossip_node.GossipSettings(domain, address, seeds, _SECRET),
+            hooks,
+            time_source,
+        )
+        host, _, port = address.rpartition(":")
+        self.server = server_module.PeerServer(
+            self.loop, host, int(port), _SECRET, [self.node]
+        )
+        self.server.start()
+        self.node.start()
+
+    def _on_changes(self, changes, now_s):
+        for instance, key, value in changes.items:
+            self.heard[instance, key] = value
+        return bool(changes.items)
+
+    def _on_document(self, revision, text):
+        self.document = control_pb2.DocumentMessage(
+            revision=revision, text=text
+        )
+
+    def members(self):
+        return {row.instance for row in self.node.table.live()}
+
+    def vanish(self):
+        """Ends without a goodbye; its connections stay open."""
+        if not self.vanished:
+            self.loop.stop()
+        self.vanished = True
+
+
+@pytest.fixture
+def start(monkeypatch):
+    """Starts nodes that know the first one only; rounds are quick."""
+    monkeypatch.setattr(gossip_node, "INTERVAL_S", 0.1)
+    monkeypatch.setattr(gossip_node, "PULL_GRACE_S", 0.2)
+    monkeypatch.setattr(table_module, "DEAD_AGE_S", 2.0)
+    with contextlib.ExitStack() as stack:
+
+        def start_nodes(count, **options):
+            addresses = [f"127.0.0.1:{p}" for p in deployment.free_ports(count)]
+            nodes = [
+                _Node(f"entry-{n}", address, (addresses[0],), **options)
+                for n, address in enumerate(addresses)
+            ]
+            for node in nodes:
+                stack.callback(node.vanish)
+            return nodes
+
+        yield start_nodes
+
+
+def _all_know(nodes):
+    names = {node.node.table.own.instance for node in nodes}
+    return deployment.wait_until(
+        lambda: all(node.members() == names for node in nodes)
+    )
+
+
+def test_nodes_that_know_one_seed_find_each_other_and_hear_news(start):
+    nodes = start(5)
+    assert _all_know(nodes)
+    key = (rows.ItemKind.LEAVING, "10.0.0.9:8000")
+    nodes[4].items = {key: True}
+    nodes[4].node.wake()
+    assert deployment.wait_until(
+        lambda: all(n.heard.get(("entry-4", key)) for n in nodes[:4])
+    )
+
+
+@pytest.mark.parametrize("goodbye", [False, True])
+def test_a_node_that_is_gone_is_dropped_and_its_stream_closed(start, goodbye):
+    # An instance is replaced, with a goodbye, or loses its power, and no
+    # connection ends. Streams to instances that are replaced day by day would
+    # pile up until memory is short.
+    nodes = start(3)
+    assert _all_know(nodes)
+    gone = nodes.pop()
+    address = gone.node.table.own.head.address
+    for node in nodes:
+        assert deployment.wait_until(lambda n=node: address in n.node._partners)
+    if goodbye:
+        gone.node.stop()
+    else:
+        gone.vanish()
+    for node in nodes:
+        assert deployment.wait_until(lambda n=node: "entry-2" in n.gone)
+        assert deployment.wait_until(
+            lambda n=node: address not in n.node._partners, 10
+        )
+
+
+def test_a_newer_document_is_taken_from_another_node(start):
+    nodes = start(2)
+    assert _all_know(nodes)
+    nodes[1].document = control_pb2.DocumentMessage(revision=7, text="seven")
+    assert deployment.wait_until(lambda: nodes[0].document.revision == 7)
+    assert nodes[0].document.text == "seven"
