--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -129,10 +129,13 @@
             return messages.Refusal(
                 job.request_id, errors.ErrorKind.QUARANTINED, reason, None
             )
-        refusal = self._over_workspace_limit(job) or self._refuse(job, now_s)
+        refusal = self._over_workspace_limit(job)
+        if refusal is None:
+            backlog = self.backlog(job, now_s)
+            refusal = self._refuse(job, backlog, now_s)
         if refusal is None:
             self._waiting.enter(job)
-            self._enqueue(job, now_s)
+            self._enqueue(job, backlog, now_s)
         return refusal
 
     def _over_workspace_limit(
@@ -150,11 +153,11 @@
         )
 
     def _refuse(
-        self, job: messages.Job, now_s: float
+        self, job: messages.Job, backlog: messages.Backlog, now_s: float
     ) -> messages.Refusal | None:
-        backlog = self.backlog(job, now_s)
         reason = self._policies.admission.refuse(job, backlog, now_s)
-        if reason is None and self._is_full():
+        bound = self._policies.admission.waiting_bound()
+        if reason is None and len(self._waiting) >= bound:
             reason = self._make_room(job, now_s)
         if reason is None:
             return None
@@ -162,10 +165,6 @@
             job, errors.ErrorKind.OVERLOADED, reason, backlog, now_s
         )
 
-    def _is_full(self) -> bool:
-        bound = self._policies.admission.waiting_bound()
-        return len(self._waiting) >= bound
-
     def _make_room(self, job: messages.Job, now_s: float) -> str | None:
         """Gives up a waiting job of a lower tier, or tells that none waits.
 
@@ -189,11 +188,12 @@
         )
         return None
 
-    def _enqueue(self, job: messages.Job, now_s: float) -> None:
+    def _enqueue(
+        self, job: messages.Job, backlog: messages.Backlog, now_s: float
+    ) -> None:
         self._policies.queue.push(job, now_s)
         self._waiting.queued(job)
         self._roster.changed.add(job.service)
-        backlog = self.backlog(job, now_s)
         look_s = self._policies.admission.look_s(job, backlog, now_s)
         self._waiting.look_at(job, look_s)
         danger_s = self._policies.preemption.danger_s(job)
@@ -221,7 +221,7 @@
     def place(self, now_s: float) -> typing.Iterator[messages.Decision]:
         """Yields every decision that is due now."""
         for job in self._waiting.due_back(now_s):
-            self._enqueue(job, now_s)
+            self._enqueue(job, self.backlog(job, now_s), now_s)
         yield from self._give_up(now_s)
         for job in self._waiting.due_alarms(now_s):
             self._roster.changed.add(job.service)
@@ -230,7 +230,7 @@
             job = self._policies.queue.take(room, now_s)
             if job is None:
                 break
-            yield self._send(job, room.candidates(job), now_s)
+            yield self._send(job, room.last(job), now_s)
         for service in sorted(self._roster.changed):
             yield from self._preempt(service, now_s)
         self._roster.changed.clear()
@@ -387,7 +387,7 @@
         self._waiting.enter(job)
         delay_s = self._policies.retry.delay_s(job, outcome)
         if delay_s <= 0.0:
-            self._enqueue(job, now_s)
+            self._enqueue(job, self.backlog(job, now_s), now_s)
             return True
         self._waiting.hold_back(job, now_s + delay_s)
         return True
--- a/cardamombarrow/decisions/fairness.py
+++ b/cardamombarrow/decisions/fairness.py
@@ -97,11 +97,16 @@
 
 
 class FairQueue:
-    """The queued jobs of one tier of one service."""
+    """The queued jobs of one tier of one service.
+
+    Attributes:
+        entries: The queued jobs by id; empty while nothing waits.
+        active: Workspaces that have queued jobs.
+    """
 
     def __init__(self):
         self._flows: dict[ids.WorkspaceId, _Flow] = {}
-        self._entries: dict[ids.RequestId, _Entry] = {}
+        self.entries: dict[ids.RequestId, _Entry] = {}
         self._eligible: list[_Entry] = []
         self._spent: list[tuple[int, int, _Flow]] = []
         self._numbers = itertools.count()
@@ -111,15 +116,15 @@
 
     def __len__(self) -> int:
         """Counts the queued jobs."""
-        return len(self._entries)
+        return len(self.entries)
 
     def __contains__(self, request_id: ids.RequestId) -> bool:
         """Tells whether a job is queued here."""
-        return request_id in self._entries
+        return request_id in self.entries
 
     def jobs(self) -> list[messages.Job]:
         """Returns all queued jobs, in no order."""
-        return [e.job for e in self._entries.values() if e.job is not None]
+        return [e.job for e in self.entries.values() if e.job is not None]
 
     def push(self, job: messages.Job, weight: float) -> None:
         """Adds a job of a workspace that has this weight."""
@@ -131,13 +136,13 @@
         flow.live += 1
         self.active += flow.live == 1
         heapq.heappush(flow.heap, entry)
-        self._entries[job.request_id] = entry
+        self.entries[job.request_id] = entry
         if flow.ready_round <= self._round and flow.heap[0] is entry:
             heapq.heappush(self._eligible, entry)
 
     def remove(self, request_id: ids.RequestId) -> messages.Job | None:
         """Takes a job out without serving it."""
-        entry = self._entries.pop(request_id, None)
+        entry = self.entries.pop(request_id, None)
         if entry is None:
             return None
         job = self._leave(entry)
@@ -159,7 +164,7 @@
             return None
         heapq.heappop(self._eligible)
         heapq.heappop(entry.flow.heap)
-        del self._entries[entry.job.request_id]
+        del self.entries[entry.job.request_id]
         job = self._leave(entry)
         entry.flow.credit -= _cost(job)
         self._place(entry.flow)
@@ -202,14 +207,14 @@
 
     def position(self, job: messages.Job) -> int:
         """Returns an upper estimate of the jobs of this tier before a job."""
-        entry = self._entries.get(job.request_id)
+        entry = self.entries.get(job.request_id)
         flow = self._flows.get(job.workspace)
         if entry is not None:
             before = max(entry.position - entry.flow.taken, 0)
         else:
             before = flow.live if flow else 0
         others = self.active - (1 if flow and flow.live else 0)
-        queued = len(self._entries) - (1 if entry is not None else 0)
+        queued = len(self.entries) - (1 if entry is not None else 0)
         # While it sits out, also those who come later go first.
         rounds_out = max(flow.ready_round - self._round, 0) if flow else 0
         overtaking = rounds_out * others
@@ -217,7 +222,7 @@
 
     def longest(self) -> messages.Job | None:
         """Returns the last job of the workspace with the most waiting."""
-        if not self._entries:
+        if not self.entries:
             return None
         flow = max(self._flows.values(), key=lambda flow: flow.live)
         return max(e for e in flow.heap if e.job is not None).job
@@ -243,7 +248,7 @@
 
     def _next(self) -> _Entry | None:
         """Returns the earliest entry among workspaces that have credit."""
-        while self._entries:
+        while self.entries:
             while self._eligible:
                 entry = self._eligible[0]
                 if self._is_current(entry):
--- a/cardamombarrow/decisions/roster.py
+++ b/cardamombarrow/decisions/roster.py
@@ -219,12 +219,20 @@
         self._roster = endpoints
         self._backlog = backlog
         self._now_s = now_s
+        self._asked: messages.Job | None = None
+        self._answer: list[endpoint_module.EndpointState] = []
 
     def candidates(
         self, job: messages.Job
     ) -> list[endpoint_module.EndpointState]:
         """Returns the endpoints with a slot that the job may take."""
-        return self._roster.candidates(job, self._backlog, self._now_s)
+        self._answer = self._roster.candidates(job, self._backlog, self._now_s)
+        self._asked = job
+        return self._answer
+
+    def last(self, job: messages.Job) -> list[endpoint_module.EndpointState]:
+        """Returns the candidates of a job that was just asked about."""
+        return self._answer if self._asked is job else self.candidates(job)
 
     def services(self) -> list[ids.ServiceId]:
         """Returns the services where something changed."""
--- a/cardamombarrow/decisions/tiers.py
+++ b/cardamombarrow/decisions/tiers.py
@@ -83,34 +83,43 @@
 
     def waiting(self) -> list[int]:
         """Returns the ranks with jobs, the highest tier first."""
-        return [rank for rank, tier in self.tiers.items() if len(tier)]
+        return [rank for rank, tier in self.tiers.items() if tier.entries]
 
     def take(
-        self, room: base.Room, reserved: dict[int, float], now_s: float
+        self,
+        room: base.Room,
+        capacity: capacity_module.Capacity,
+        shares: dict[int, float],
+        now_s: float,
     ) -> messages.Job | None:
         """Takes out the next job for which there is room."""
-        self._advance(reserved, now_s)
-        capacity = None
         waiting = self.waiting()
-        if waiting:
-            capacity = room.capacity(self._service())
-            owed = self._owed(waiting, reserved, capacity.held)
-            for rank in [*owed, *(r for r in waiting if r not in owed)]:
-                if rank not in owed and _keeps_free(capacity, rank, now_s):
-                    break
-                job = self._take_from(rank, room, capacity)
-                if job is not None:
-                    self._remember(reserved, capacity.held, job.rank)
-                    return job
-        self._remember(reserved, capacity.held if capacity else {}, None)
-        return None
+        if not waiting and not self._contended:
+            self._seen_s = now_s
+            return None
+        slots = capacity.slots
+        reserved = {rank: share * slots for rank, share in shares.items()}
+        self._advance(reserved, now_s)
+        taken = self._take_first(waiting, room, capacity, reserved, now_s)
+        self._remember(capacity.held, taken)
+        return taken
 
-    def _service(self) -> ids.ServiceId:
-        for tier in self.tiers.values():
-            job = tier.peek()
+    def _take_first(
+        self,
+        waiting: list[int],
+        room: base.Room,
+        capacity: capacity_module.Capacity,
+        reserved: dict[int, float],
+        now_s: float,
+    ) -> messages.Job | None:
+        owed = self._owed(waiting, reserved, capacity.held)
+        for rank in [*owed, *(r for r in waiting if r not in owed)]:
+            if rank not in owed and _keeps_free(capacity, rank, now_s):
+                break
+            job = self._take_from(rank, room, capacity)
             if job is not None:
-                return job.service
-        raise LookupError("no job waits")
+                return job
+        return None
 
     def _take_from(
         self, rank: int, room: base.Room, capacity: capacity_module.Capacity
@@ -176,17 +185,13 @@
         return sorted(owed, key=lambda rank: -self._credit_s[rank])
 
     def _remember(
-        self,
-        reserved: dict[int, float],
-        held: abc.Mapping[int, int],
-        taken: int | None,
+        self, held: abc.Mapping[int, int], taken: messages.Job | None
     ) -> None:
         """Keeps what holds until the next look."""
         self._contended = tuple(self.waiting()[1:])
-        self._held = {
-            rank: held.get(rank, 0) + (rank == taken)
-            for rank in self._contended
-        }
+        self._held = {rank: held.get(rank, 0) for rank in self._contended}
+        if taken is not None and taken.rank in self._held:
+            self._held[taken.rank] += 1
 
     def _advance(self, reserved: dict[int, float], now_s: float) -> None:
         """Carries the credits on over the time since the last look."""
@@ -258,11 +263,8 @@
             queue = self._services.get(service)
             if queue is None:
                 continue
-            slots = room.capacity(service).slots
-            reserved = {
-                rank: share * slots for rank, share in self._shares.items()
-            }
-            job = queue.take(room, reserved, now_s)
+            capacity = room.capacity(service)
+            job = queue.take(room, capacity, self._shares, now_s)
             if job is not None:
                 del self._where[job.request_id]
                 return job
