--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -261,7 +261,7 @@
         now_s: float,
     ) -> messages.Refusal:
         retry_after_s = self._policies.retry.retry_after_s(backlog)
-        self._forecast.refused(job, now_s + retry_after_s)
+        self._forecast.refused(job, now_s)
         return messages.Refusal(job.request_id, kind, reason, retry_after_s)
 
     def _preempt(
--- a/cardamombarrow/decisions/forecast.py
+++ b/cardamombarrow/decisions/forecast.py
@@ -13,7 +13,6 @@
 longer.
 """
 
-import heapq
 import math
 
 from cardamombarrow.decisions import capacity as capacity_module
@@ -29,25 +28,19 @@
 
 
 class _Returning:
-    """Refused jobs of a tier that have been told when to come back.
-
-    Whoever comes back is let in or refused, and then counted, anew. Counting
-    a caller until it could have been served instead counts one that is
-    refused again twice, and the times grow far beyond the burst.
-    """
+    """Refused jobs of a tier that will come back, less those served since."""
 
     def __init__(self):
-        self._times_s: list[float] = []
-
-    def at(self, now_s: float) -> int:
-        """Counts the jobs still to come back."""
-        while self._times_s and self._times_s[0] <= now_s:
-            heapq.heappop(self._times_s)
-        return len(self._times_s)
+        self.jobs = 0.0
+        self.seen_s = 0.0
+        self.drain_per_s = 0.0
 
-    def add(self, back_s: float) -> None:
-        """Takes the moment at which one is to come back."""
-        heapq.heappush(self._times_s, back_s)
+    def at(self, now_s: float) -> float:
+        """Returns the jobs still to come back."""
+        past_s = max(now_s - self.seen_s, 0.0)
+        self.seen_s = now_s
+        self.jobs = max(self.jobs - past_s * self.drain_per_s, 0.0)
+        return self.jobs
 
 
 class Forecast:
@@ -75,7 +68,14 @@
         if not free:
             next_s = capacity.mean_hold_s() / max(capacity.slots, 1)
             wait_s += max(next_s, hold_s / slots)
-        returning = self._returning_of(job).at(now_s)
+        returning = self._returning.setdefault(
+            (job.service, job.rank), _Returning()
+        )
+        back = returning.at(now_s)
+        # While the tier's slots are full nobody who comes back is served:
+        # counting them as served would send the next ones back too early.
+        spare = max(slots - capacity.use_of(job.rank, now_s), 0.0)
+        returning.drain_per_s = spare / max(hold_s, 1e-3)
         return messages.Backlog(
             jobs_ahead=jobs_ahead,
             slots=capacity.slots,
@@ -84,19 +84,17 @@
             first_token_s=capacity.first_token_s,
             tier_waiting=queue.tier_waiting(job),
             oldest_wait_s=queue.oldest_wait_s(job, now_s),
-            returning_s=returning * hold_s / slots,
+            returning_s=back * hold_s / slots,
             lower_over_reserve=self._lower_over_reserve(job, capacity),
         )
 
-    def refused(self, job: messages.Job, back_s: float) -> None:
-        """Learns that a job was refused and told when to come back."""
-        self._returning_of(job).add(back_s)
-
-    def _returning_of(self, job: messages.Job) -> _Returning:
-        key = (job.service, job.rank)
-        if key not in self._returning:
-            self._returning[key] = _Returning()
-        return self._returning[key]
+    def refused(self, job: messages.Job, now_s: float) -> None:
+        """Learns that a job was refused and told to come back."""
+        returning = self._returning.setdefault(
+            (job.service, job.rank), _Returning()
+        )
+        returning.at(now_s)
+        returning.jobs += 1.0
 
     def _tiers(self) -> list[schema.Tier]:
         return list(self._policies.queue.document.tiers.values())
