--- a/cardamombarrow/admin/client.py
+++ b/cardamombarrow/admin/client.py
@@ -6,6 +6,7 @@
 
 from cardamombarrow.endpoints import http_get
 from cardamombarrow.kernel import errors
+from cardamombarrow.log import membership
 
 __all__ = ["AdminClient"]
 
@@ -42,6 +43,17 @@
         body = json.dumps(edit).encode()
         return self._ask("POST", "/v1/edits", body, ok=(200, 403, 409, 422))
 
+    def change_member(
+        self, kind: membership.ChangeKind, member: str
+    ) -> dict[str, typing.Any]:
+        """Asks for a change of the log's members; see `log.membership`.
+
+        Raises:
+            errors.RouterError: It was refused, or there is no quorum.
+        """
+        body = json.dumps({"change": kind.value, "member": member}).encode()
+        return self._ask("POST", "/v1/members", body, ok=(200,))
+
     def _ask(
         self, method: str, path: str, body: bytes | None, ok: tuple[int, ...]
     ) -> dict[str, typing.Any]:
--- a/cardamombarrow/cli/core.py
+++ b/cardamombarrow/cli/core.py
@@ -8,6 +8,7 @@
 
 from cardamombarrow import __version__
 from cardamombarrow.cli import exit_codes
+from cardamombarrow.cli import member
 from cardamombarrow.cli import operate
 from cardamombarrow.cli import report
 from cardamombarrow.cli import serve
@@ -60,6 +61,7 @@
     _add_config(commands)
     _add_state(commands)
     report.add_parser(commands)
+    member.add_parser(commands, _add_access)
     return parser
 
 
--- a/cardamombarrow/cli/operate.py
+++ b/cardamombarrow/cli/operate.py
@@ -67,7 +67,7 @@
     replacements.update(dict.fromkeys(arguments.remove, ""))
     base = arguments.base
     if base is None:
-        base = admin.get("/v1/document")["revision"]
+        base = admin.get("/v1/document", fresh="yes")["revision"]
     edit_id = arguments.edit_id or str(uuid.uuid4())
     # Printed before the answer is known: an operator who loses the answer
     # sends the edit again under this id, and it is not done twice.
--- a/cardamombarrow/log/driver.py
+++ b/cardamombarrow/log/driver.py
@@ -30,7 +30,7 @@
 PROPOSE_TIMEOUT_S = 5.0
 """A proposal is given up after this: two elections and the retry."""
 
-NO_QUORUM_S = 2.2
+NO_QUORUM_S = 2.5
 """Without a leader for this long, longer than an election takes, proposals
 fail at once: the operator learns of it in no time."""
 
--- a/cardamombarrow/log/leading.py
+++ b/cardamombarrow/log/leading.py
@@ -133,7 +133,10 @@
         """Sends what was appended in this step."""
         for voter in self._others():
             progress = self.progress_of(voter)
-            if progress.next_index <= self._state.log.last_index:
+            # A commit is told at once: whoever handed a command to a follower
+            # would otherwise wait for the next heartbeat.
+            is_told = progress.commit_sent >= self._state.commit_index
+            if progress.next_index <= self._state.log.last_index or not is_told:
                 self._send(voter, progress, heartbeat=False)
 
     def _send(
@@ -175,6 +178,7 @@
             entries = log.slice(prev_index + 1, last, MESSAGE_LIMIT_BYTES)
             progress.next_index += len(entries)
             progress.sent_s = state.now_s
+        progress.commit_sent = state.commit_index
         state.send(
             voter,
             messages.AppendRequest(
--- a/cardamombarrow/log/progress.py
+++ b/cardamombarrow/log/progress.py
@@ -18,6 +18,7 @@
         probing: Whether the leader still looks for the point where the two
             logs agree; it then sends one message at a time.
         sent_s: When entries were last sent.
+        commit_sent: The commit index it was last told.
         snapshot: The snapshot under way to it, or None.
         offset: How much of the snapshot it has.
     """
@@ -27,5 +28,6 @@
     match_index: int = 0
     probing: bool = True
     sent_s: float = float("-inf")
+    commit_sent: int = 0
     snapshot: messages.Snapshot | None = None
     offset: int = 0
--- a/cardamombarrow/log/state.py
+++ b/cardamombarrow/log/state.py
@@ -25,7 +25,7 @@
     """Times of the protocol.
 
     Attributes:
-        heartbeat_s: Between two heartbeats of an idle leader. Four fit in an
+        heartbeat_s: Between two heartbeats of an idle leader. Three fit in an
             election timeout, so that a lost one deposes nobody.
         election_min_s: Least silence after which a follower stands for
             election, and the longest that a leader leads without hearing from
@@ -40,11 +40,11 @@
         join_s: Between two requests of a process that is in no membership.
     """
 
-    heartbeat_s: float = 0.25
-    election_min_s: float = 1.0
-    election_max_s: float = 2.0
-    relay_after_s: float = 0.6
-    retry_s: float = 0.8
+    heartbeat_s: float = 0.4
+    election_min_s: float = 1.2
+    election_max_s: float = 2.2
+    relay_after_s: float = 0.9
+    retry_s: float = 1.0
     join_s: float = 0.5
 
 
--- a/cardamombarrow/tests/test_control_failures.py
+++ b/cardamombarrow/tests/test_control_failures.py
@@ -6,6 +6,8 @@
 import json
 import shutil
 import signal
+import subprocess
+import sys
 
 import pytest
 
@@ -318,3 +320,55 @@
         if not ran[body]:
             assert all(answer.status != 200 for answer in group)
     assert sum(group[-1].status == 200 for group in answers) >= 1
+
+
+def _member(running, *arguments):
+    command = [
+        *(sys.executable, "-m", "cardamombarrow", "member", *arguments),
+        *("--url", running.controls["control-2"]),
+        *("--token", "operations-token"),
+    ]
+    return subprocess.run(command, capture_output=True, text=True)
+
+
+def _start_fourth(running):
+    http_port, peer_port = deployment.free_ports(2)
+    text = (running.state_folder / "control-1.ini").read_text()
+    port = running.controls["control-1"].rpartition(":")[2]
+    own = running.peers["control-1"]
+    text = text.replace(f"port = {port}\n", f"port = {http_port}\n")
+    text = text.replace(
+        f"port = {own.rpartition(':')[2]}\n", f"port = {peer_port}\n"
+    )
+    text = text.replace("id = control-1\n", "id = control-4\n")
+    text = text.replace(
+        f"folder = {running.state_folder / 'control-1'}\n",
+        f"folder = {running.state_folder / 'control-4'}\n",
+    )
+    path = running.state_folder / "control-4.ini"
+    path.write_text(text)
+    running._settings["control-4"] = ("control", path)
+    running.controls["control-4"] = f"http://127.0.0.1:{http_port}"
+    running.start_instance("control-4")
+    running.wait_ready("control-4")
+
+
+def test_a_fourth_process_is_let_in_and_one_taken_out(running):
+    # An instance is replaced by another one: the new process waits until an
+    # operator lets it in, catches up without a vote, and then counts.
+    _start_fourth(running)
+    assert _member(running, "remove", "control-9").returncode == 1
+    assert deployment.wait_until(
+        lambda: "control-4" in _member(running, "list").stdout
+    )
+    assert _member(running, "add", "control-4").returncode == 0
+    assert deployment.wait_until(
+        lambda: _member(running, "promote", "control-4").returncode == 0
+    )
+    leader = _leader(running, (*NAMES, "control-4"))
+    gone = next(n for n in ("control-1", "control-3") if n != leader)
+    assert _member(running, "remove", gone).returncode == 0
+    voters = _log_of(running, leader)["voters"]
+    assert len(voters) == 3
+    assert any(voter.startswith("control-4.") for voter in voters)
+    assert _Operator(running, "control-4").edit(0.07)["status"] == "accepted"
