--- a/cardamombarrow/log/tests/test_core.py
+++ b/cardamombarrow/log/tests/test_core.py
@@ -3,6 +3,7 @@
 import pytest
 
 from cardamombarrow.log import membership
+from cardamombarrow.log import messages
 from cardamombarrow.log.tests import simulation
 
 
@@ -152,3 +153,89 @@
     cluster.nodes["A"].start()
     assert cluster.run_until(lambda: _is_redundant(cluster))
     assert cluster.answers("A")
+
+
+def _deliver(cluster, wanted):
+    """Delivers what is wanted, and what it leads to; drops the rest."""
+    while cluster.posted:
+        if wanted(cluster.posted[0][2].message):
+            cluster.deliver(0)
+        else:
+            del cluster.posted[0]
+
+
+def _elect(cluster, name):
+    """Lets a member win by votes alone; its first entry reaches nobody."""
+    votes = (messages.VoteRequest, messages.VoteReply)
+    for _ in range(3):
+        # A refusal tells it a higher term; it stands again with that.
+        cluster.posted.clear()
+        cluster.now_s += 2 * simulation.TIMING.election_max_s
+        cluster.tick(name)
+        _deliver(cluster, lambda message: isinstance(message, votes))
+        if cluster.nodes[name].runner.core.state.is_leader:
+            return
+    assert cluster.nodes[name].runner.core.state.is_leader
+
+
+def test_entry_of_an_earlier_term_is_not_committed_by_counting(cluster):
+    # A leader's entry reaches nobody before it fails, and neither does that
+    # of the next one. The first one leads again and copies its old entry to a
+    # majority, then fails, and the second one leads again. Were the old entry
+    # counted as committed, an operator's accepted edit would be replaced.
+    first = cluster.leader().name
+    second, third = (name for name in "ABC" if name != first)
+    nodes = cluster.nodes
+    for command in ("first-long-command", "second-long-command"):
+        nodes[first].propose(command)
+    old = nodes[first].runner.core.state.log.last_index - 1
+    cluster.posted.clear()
+    nodes[first].crash(kept_share=0.0)
+    _elect(cluster, second)
+    nodes[second].crash(kept_share=0.0)
+    nodes[first].start()
+    _elect(cluster, first)
+    cluster.now_s += simulation.TIMING.heartbeat_s
+    cluster.tick(first)
+    _deliver(
+        cluster,
+        lambda message: all(
+            entry.index == old for entry in getattr(message, "entries", ())
+        ),
+    )
+    assert nodes[third].runner.core.state.log.last_index == old
+    nodes[first].crash(kept_share=0.0)
+    nodes[second].start()
+    _elect(cluster, second)
+    nodes[first].start()
+    assert cluster.answers(third)
+
+
+def test_parts_of_a_snapshot_do_not_multiply_on_a_slow_link(cluster):
+    # A new learner gets the state over a link whose round trip is longer than
+    # a heartbeat, so the leader sends the same part several times. Each copy
+    # was answered with the next part; the run of the fuzzer never ended.
+    leader = cluster.leader()
+    away = next(name for name in "ABC" if name != leader.name)
+    for other in "ABC":
+        cluster.cut(away, other)
+    for _ in range(60):
+        assert cluster.answers(leader.name)
+    leader.snapshot()
+    cluster.heal()
+    sent = []
+    post = cluster.post
+
+    def count(sender, envelope):
+        is_chunk = isinstance(envelope.message, messages.SnapshotChunk)
+        if is_chunk and not envelope.relayed:
+            sent.append(envelope.message.offset)
+        post(sender, envelope)
+
+    cluster.post = count
+    assert cluster.run_until(lambda: sent)
+    for _ in range(2):
+        cluster.now_s += simulation.TIMING.heartbeat_s
+        cluster.tick(leader.name)
+    assert cluster.answers(away)
+    assert len(sent) <= len(set(sent)) + 8
