Test that answers without a body free their slots

With the body of a 204 left to the HTTP library, as it was, the test fails: the service gets no more requests after as many as it has slots.

--- a/cardamombarrow/tests/test_endpoint_failures.py
+++ b/cardamombarrow/tests/test_endpoint_failures.py
@@ -16,6 +16,7 @@
 pytestmark = pytest.mark.process
 
 _DIGEST = "fd501e4e4eabb3b62f313e4d323048dfbddebb4d702c7b63512125b3fa21dd28"
+_SHOP_SLOTS = 3
 _DOCUMENT = f"""
 [tier:race]
 rank = 0
@@ -40,6 +41,7 @@
 endpoints.a = 10.0.0.2:80, 10.0.0.3:80
 [service:shop]
 kind = plain
+slots_per_endpoint = {_SHOP_SLOTS}
 unrepeatable = POST /charge, POST /refund
 endpoints.a = 10.0.0.4:80
 [model:lone]
@@ -258,6 +260,17 @@
     assert len(_runs(running, "shop")) == 1
 
 
+def test_answers_without_a_body_free_their_slots(running):
+    # A shop's service answers 204. The HTTP library never iterates the body
+    # of such an answer; had its slot been kept, the service would get no more
+    # requests after as many of them as it has slots.
+    url = running.entries["entry-1"]
+    with _behaving(running.engines["shop"][0], fail_plain_status=204):
+        for _ in range(_SHOP_SLOTS + 2):
+            answer = caller.service(url, "desk", "shop/stock", body=b"x")
+            assert (answer.status, answer.body) == (204, b"")
+
+
 def test_a_silent_connection_is_told_from_a_dead_engine(running):
     # Something between the two ends has lost track of a connection: nothing
     # comes any more, while a new connection works. The stream ends in an
