--- a/cardamombarrow/decisions/policies.py
+++ b/cardamombarrow/decisions/policies.py
@@ -12,6 +12,7 @@
     "cardamombarrow.decisions.baselines",
     "cardamombarrow.decisions.choice",
     "cardamombarrow.decisions.limits",
+    "cardamombarrow.decisions.spill",
     "cardamombarrow.decisions.tiers",
     "cardamombarrow.decisions.admission",
     "cardamombarrow.decisions.retry",
