Quarantine requests that crash endpoints

Cause: one request ends each engine that runs it and is sent again; every resend costs an engine and the answers of all others on it. Ruled out: condemning at the second crash in company, which takes the innocent requests that were retried beside the crashing one. Change: quarantine = crashes, the default. With none as default the crashing-request test fails.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -74,7 +74,8 @@
 def _extras(name: str, result: results.Result) -> str:
     return (
         f"{name}: crashes {result.crashes:.1f}, innocents lost "
-        f"{result.innocents_lost:.1f}, prompt tokens from cache "
+        f"{result.innocents_lost:.1f} and quarantined "
+        f"{result.innocents_quarantined:.1f}, prompt tokens from cache "
         f"{result.cached_share:.3f}, most over an endpoint's limit "
         f"{result.most_over_limit:.0f}"
     )
--- a/benchmarks/driver.py
+++ b/benchmarks/driver.py
@@ -177,7 +177,7 @@
             deadline_s=self._now_s + request_class.target_total_s,
             prompt_tokens=work.prompt_tokens,
             prefix_key=work.prefix_key,
-            fingerprint=ids.Fingerprint(f"f{id(work)}"),
+            fingerprint=_fingerprint(work),
             repeatable=request_class.repeatable,
         )
 
@@ -407,9 +407,19 @@
         read = sum(e.prompt_tokens_read for e in self._engines.values())
         cached = sum(e.prompt_tokens_cached for e in self._engines.values())
         result.cached_share = cached / max(read, 1)
+        result.innocents_quarantined = len(self._marked_innocents())
         self._bounds(settings)
         return result
 
+    def _marked_innocents(self) -> set[ids.Fingerprint]:
+        crashing = {
+            _fingerprint(work) for work in self._scenario.works if work.crashes
+        }
+        marked = [
+            entry.quarantine_marks(self._now_s) for entry in self._entries
+        ]
+        return set().union(*marked) - crashing
+
     def _bounds(self, settings: fake_engine.EngineSettings) -> None:
         """Works out what no order could beat, as a fluid.
 
@@ -435,3 +445,7 @@
             result.classes[name].best_share = min(1.0, max(0.0, share))
             used_s += cost_s[name]
         result.best_goodput_share = min(1.0, used_s / result.capacity_s)
+
+
+def _fingerprint(work: fake_engine.Work) -> ids.Fingerprint:
+    return ids.Fingerprint(f"f{id(work)}")
--- a/benchmarks/results.py
+++ b/benchmarks/results.py
@@ -52,6 +52,8 @@
         crashes: Endpoints that died.
         innocents_lost: Harmless requests that ended in an error after a
             crash or in the quarantine.
+        innocents_quarantined: Harmless requests marked as crashing.
+        most_over_limit: Most requests at once on an endpoint beyond its limit.
     """
 
     classes: dict[ids.ClassId, ClassResult]
@@ -62,6 +64,7 @@
     cached_share: float = 0.0
     crashes: float = 0
     innocents_lost: float = 0
+    innocents_quarantined: float = 0
     most_over_limit: float = 0
 
     @property
--- a/cardamombarrow/decisions/tests/test_endpoint_overload.py
+++ b/cardamombarrow/decisions/tests/test_endpoint_overload.py
@@ -80,11 +80,19 @@
     return letters.attainment_share > 0.85 and result.wasted_share < 0.03
 
 
+def _crashing_request(result: results.Result) -> bool:
+    # Two requests end the process of each engine that runs them, and are
+    # sent again through any entry, with innocent requests beside them.
+    innocents_kept = not result.innocents_quarantined
+    return result.crashes <= 6 and innocents_kept
+
+
 CASES = [
     ("many-prefixes", "choice", _many_prefixes),
     ("slow-endpoint", "choice", _slow_endpoint),
     ("straggler", "choice", _straggler),
     ("fail-fast", "choice", _fail_fast),
+    ("crashing-request", "quarantine", _crashing_request),
     ("memory-short", "limits", _memory_short),
 ]
 
--- a/cardamombarrow/document/schema.py
+++ b/cardamombarrow/document/schema.py
@@ -174,7 +174,7 @@
     choice: str = "two-candidates"
     shares: str = "static"
     retry: str = "budget"
-    quarantine: str = "none"
+    quarantine: str = "crashes"
     spill: str = "never"
     preemption: str = "least-progress"
     estimate: str = "quantile"
