--- a/benchmarks/decision_cost.py
+++ b/benchmarks/decision_cost.py
@@ -1,128 +1,209 @@
-"""``python -m benchmarks.decision_cost``: CPU of one decision by size.
+"""``python -m benchmarks.decision_cost``: processor time of one decision.
 
-One decision is the whole life of a request in the dispatcher: offered,
-placed, first token, end. Each size is a domain with its instances, endpoints
-and workspaces, at nine tenths of its slots.
+One dispatcher is kept under overload in virtual time: for each request that
+ends two arrive, so that the queue is full and about half are refused. The
+processor time of everything that the dispatcher does is divided by the number
+of requests that arrived.
 """
 
+import argparse
 import dataclasses
+import itertools
 import random
 import time
 
-from benchmarks import driver
-from benchmarks import patterns
 from cardamombarrow.decisions import base
 from cardamombarrow.decisions import core
 from cardamombarrow.decisions import messages
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import ids
 
-__all__ = ["SIZES", "cost_ms", "main"]
+__all__ = ["Size", "main"]
 
-SIZES = ((15, 9, 950), (29, 18, 1_900), (58, 36, 3_800))
-"""Endpoints, instances and workspaces; the last is the target size."""
+DOMAIN = ids.DomainId("nuwara-a")
+FAR = ids.DomainId("badulla-a")
+CLASSES = (
+    ("chat", 0, 0.92, 20.0),
+    ("summary", 1, 4.0, 60.0),
+    ("digest", 2, 30.0, 300.0),
+    ("archive", 3, 60.0, 600.0),
+)
+SLOTS = 32
+REQUESTS = 6_000
 
-SLOTS = 36
-"""Slots per endpoint, so that each instance has one on each."""
 
-DECISIONS = 5_000
-CLASSES = (patterns.CHAT, patterns.DESK, patterns.LETTER)
+@dataclasses.dataclass(frozen=True)
+class Size:
+    """Size of a deployment as one instance sees it."""
 
+    endpoints: int = 58
+    far_endpoints: int = 582
+    services: int = 21
+    workspaces: int = 3_800
+    instances: int = 36
 
-def _dispatcher(
-    endpoints: int, instances: int, workspaces: int
-) -> core.Dispatcher:
-    scenario = patterns.PATTERNS["overload-2x"].build(
-        random.Random(0), schema.Policies()
-    )
-    document = scenario.document
-    names = tuple(ids.EndpointId(f"10.0.0.{n}:80") for n in range(endpoints))
-    service = dataclasses.replace(
-        document.services[driver.SERVICE],
-        slots_per_endpoint=SLOTS,
-        endpoints={driver.DOMAIN: names},
-    )
-    spaces = {
-        ids.WorkspaceId(f"w{n}"): schema.Workspace(
-            ids.WorkspaceId(f"w{n}"), (), CLASSES
+
+def _document(size: Size) -> schema.Document:
+    tiers = {
+        name: schema.Tier(ids.TierId(name), rank)
+        for name, rank, _, _ in CLASSES
+    }
+    classes = {
+        name: schema.RequestClass(
+            ids.ClassId(name), ids.TierId(name), first_s, total_s
+        )
+        for name, _, first_s, total_s in CLASSES
+    }
+    workspaces = {
+        f"w{n}": schema.Workspace(ids.WorkspaceId(f"w{n}"), (), tuple(classes))
+        for n in range(size.workspaces)
+    }
+    services = {
+        f"s{n}": schema.Service(
+            ids.ServiceId(f"s{n}"),
+            schema.ServiceKind.ENGINE,
+            SLOTS,
+            endpoints={
+                DOMAIN: _endpoints("near", n, size.endpoints, size.services),
+                FAR: _endpoints("far", n, size.far_endpoints, size.services),
+            },
         )
-        for n in range(workspaces)
+        for n in range(size.services)
     }
-    document = dataclasses.replace(
-        document, services={driver.SERVICE: service}, workspaces=spaces
+    return schema.Document(
+        tiers, classes, workspaces, services, {}, {}, schema.Policies()
     )
-    dispatcher = core.Dispatcher(
-        base.PolicyContext(
-            document,
-            ids.InstanceId("entry-0"),
-            driver.DOMAIN,
-            random.Random(1),
-        ),
-        0.0,
+
+
+def _endpoints(
+    name: str, service: int, count: int, services: int
+) -> tuple[ids.EndpointId, ...]:
+    return tuple(
+        ids.EndpointId(f"{name}-{number}")
+        for number in range(service, count, services)
     )
-    for n in range(1, instances):
-        dispatcher.peer(
-            messages.PeerDemand(
-                ids.InstanceId(f"entry-{n}"), {driver.SERVICE: 40.0}, {}, 0.0
+
+
+class _Load:
+    """Feeds one dispatcher and adds up its processor time."""
+
+    def __init__(self, size: Size):
+        self._size = size
+        self._rng = random.Random(1)
+        document = _document(size)
+        context = base.PolicyContext(
+            document, ids.InstanceId("i0"), DOMAIN, random.Random(2)
+        )
+        self._dispatcher = core.Dispatcher(context, 0.0)
+        self._jobs: dict[ids.RequestId, messages.Job] = {}
+        self._running: list[ids.RequestId] = []
+        self._numbers = itertools.count()
+        self._now_s = 0.0
+        self.cpu_s = 0.0
+        self.arrived = 0
+        self.refused = 0
+
+    def peers(self) -> None:
+        """Gives the dispatcher its peers' demand."""
+        for number in range(1, self._size.instances):
+            demand = {
+                ids.ServiceId(f"s{n}"): 5.0 for n in range(self._size.services)
+            }
+            instance = ids.InstanceId(f"i{number}")
+            self._dispatcher.peer(
+                messages.PeerDemand(instance, demand, {}, self._now_s)
             )
+
+    def refresh(self) -> float:
+        """Returns the processor time of one look at the shares."""
+        self.peers()
+        started_s = time.process_time()
+        self._dispatcher.refresh_shares(self._now_s)
+        return time.process_time() - started_s
+
+    def run(self, requests: int) -> None:
+        """Serves some arrivals under overload."""
+        while self.arrived < requests:
+            self._now_s += 0.005
+            jobs = [self._job(), self._job()]
+            ended = self._take_ended()
+            started_s = time.process_time()
+            for name in ended:
+                self._dispatcher.finish(
+                    name, messages.Outcome.DONE, self._now_s
+                )
+            for job in jobs:
+                refusal = self._dispatcher.offer(job, self._now_s)
+                self.refused += refusal is not None
+            decisions = list(self._dispatcher.place(self._now_s))
+            self.cpu_s += time.process_time() - started_s
+            self._note(decisions)
+
+    def _job(self) -> messages.Job:
+        name, rank, first_s, total_s = self._rng.choice(CLASSES)
+        self.arrived += 1
+        return messages.Job(
+            ids.RequestId(f"r{next(self._numbers)}"),
+            ids.WorkspaceId(f"w{self._rng.randrange(self._size.workspaces)}"),
+            ids.ClassId(name),
+            ids.ServiceId(f"s{self._rng.randrange(self._size.services)}"),
+            ids.ModelId("m"),
+            rank,
+            self._now_s,
+            first_s,
+            self._now_s + total_s,
         )
-    dispatcher.refresh_shares(0.0)
-    return dispatcher
-
-
-def _job(number: int, workspaces: int, now_s: float) -> messages.Job:
-    return messages.Job(
-        request_id=ids.RequestId(f"r{number}"),
-        workspace=ids.WorkspaceId(f"w{number * 7 % workspaces}"),
-        class_id=CLASSES[number % 3],
-        service=driver.SERVICE,
-        model=ids.ModelId("trail-7b"),
-        rank=number % 3,
-        arrived_s=now_s,
-        target_first_token_s=30.0,
-        deadline_s=now_s + 120.0,
-        prompt_tokens=500,
-        prefix_key=f"p{number % 500}",
-        fingerprint=ids.Fingerprint(f"f{number}"),
-    )
 
+    def _take_ended(self) -> list[ids.RequestId]:
+        if len(self._running) < 40:
+            return []
+        return [self._running.pop(self._rng.randrange(len(self._running)))]
 
-def cost_ms(
-    endpoints: int, instances: int, workspaces: int
-) -> tuple[float, float]:
-    """Returns CPU of a decision and of a refresh of the shares, in ms."""
-    dispatcher = _dispatcher(endpoints, instances, workspaces)
-    slots = sum(state.share for state in dispatcher.endpoints())
-    running: list[ids.RequestId] = []
-    began_s = time.process_time()
-    for number in range(DECISIONS):
-        now_s = number * 0.01
-        job = _job(number, workspaces, now_s)
-        dispatcher.offer(job, now_s)
-        for decision in list(dispatcher.place(now_s)):
+    def _note(self, decisions: list[messages.Decision]) -> None:
+        for decision in decisions:
             if isinstance(decision, messages.Placement):
-                dispatcher.first_token(decision.request_id, now_s)
-                running.append(decision.request_id)
-        while len(running) > 0.9 * slots:
-            request_id = running.pop(0)
-            dispatcher.progress(request_id, 50)
-            dispatcher.finish(request_id, messages.Outcome.DONE, now_s)
-    decision_ms = (time.process_time() - began_s) * 1_000 / DECISIONS
-    began_s = time.process_time()
-    for _ in range(100):
-        dispatcher.refresh_shares(0.0)
-    refresh_ms = (time.process_time() - began_s) * 10
-    return decision_ms, refresh_ms
+                self._running.append(decision.request_id)
+            elif isinstance(decision, messages.Refusal):
+                self.refused += 1
+
+
+def _measure(size: Size, requests: int) -> str:
+    load = _Load(size)
+    load.peers()
+    load.run(requests // 4)
+    load.cpu_s, load.arrived, load.refused = 0.0, 0, 0
+    load.run(requests)
+    refresh_s = load.refresh()
+    decision_s = load.cpu_s / load.arrived
+    return (
+        f"| {size.endpoints} | {size.far_endpoints} | {size.workspaces} "
+        f"| {size.instances} | {decision_s * 1e3:.3f} "
+        f"| {load.refused / load.arrived:.2f} | {refresh_s * 1e3:.2f} |"
+    )
 
 
 def main() -> None:
-    """Prints a row per size."""
-    print("| endpoints | instances | workspaces | decision ms | refresh ms |")
-    print("|---|---|---|---|---|")
-    for size in SIZES:
-        decision_ms, refresh_ms = cost_ms(*size)
-        cells = [*map(str, size), f"{decision_ms:.3f}", f"{refresh_ms:.3f}"]
-        print(f"| {' | '.join(cells)} |")
+    """Prints a table over sizes."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--requests", type=int, default=REQUESTS)
+    options = parser.parse_args()
+    target = Size()
+    sizes = [
+        target,
+        *(
+            dataclasses.replace(target, endpoints=near, far_endpoints=far)
+            for near, far in ((21, 210), (42, 420))
+        ),
+        *(dataclasses.replace(target, workspaces=n) for n in (100, 1_000)),
+        *(dataclasses.replace(target, instances=n) for n in (8, 18)),
+    ]
+    print(
+        "| endpoints | far | workspaces | instances | decision ms "
+        "| refused | look at the shares ms |"
+    )
+    print("|---" * 7 + "|")
+    for size in sizes:
+        print(_measure(size, options.requests))
 
 
 if __name__ == "__main__":
