Test that an isolated control process reverts nothing

Three control processes, one of them cut off in silence with the old document; an entry that reaches only that one is killed and started again. It turns ready with the edited revision, which its domain's other entry has.

--- a/cardamombarrow/tests/test_in_force.py
+++ b/cardamombarrow/tests/test_in_force.py
@@ -5,6 +5,7 @@
 import pytest
 
 from cardamombarrow.endpoints import http_get
+from cardamombarrow.kernel import errors
 from tools import deployment
 from tools import editor
 from tools.standin import control
@@ -104,3 +105,61 @@
     for entry in _DOMAIN:
         assert deployment.wait_until(lambda e=entry: told(e), 20)
     control.behave(endpoint, leaving=False)
+
+
+@pytest.fixture(scope="module")
+def three_controls(kandula_text, tmp_path_factory):
+    """One domain of two entries, three control processes."""
+    plan = deployment.Plan(
+        document=kandula_text,
+        entries={"nuwara-a": list(_DOMAIN)},
+        controls={
+            "nuwara-a": ["control-1"],
+            "badulla-a": ["control-2"],
+            "ratnapura-a": ["control-3"],
+        },
+        proxied=True,
+    )
+    folder = tmp_path_factory.mktemp("three_controls")
+    with deployment.Deployment(plan, folder) as started:
+        yield started
+
+
+def test_isolated_control_reverts_nothing(three_controls):
+    # A control process loses the other two without noticing at once, and goes
+    # on offering the document it has. An edit is accepted by the others. An
+    # entry that reaches only the isolated one, and restarts, would serve by
+    # the old document; callers would see an accepted edit reverted.
+    running = three_controls
+    proxy = running.proxy
+    others = {"control-1", "control-2"}
+    for link in proxy.between({"control-3"}, others):
+        link.silence(new_too=True)
+    urls = [running.controls[name] for name in sorted(others)]
+    revision = 0
+
+    def edited():
+        nonlocal revision
+        try:
+            revision = editor.Editor(urls).edit_share(0.2)
+        except errors.RouterError:
+            return False
+        return True
+
+    assert deployment.wait_until(edited)
+    for entry in _DOMAIN:
+        assert deployment.wait_until(
+            lambda e=entry: running.revision(e) >= revision, 20
+        )
+    for link in proxy.between({"entry-1"}, others):
+        link.cut()
+    running.signal("entry-1", signal.SIGKILL)
+    running.processes["entry-1"].wait()
+    running.start_instance("entry-1")
+    running.wait_ready("entry-1")
+    assert running.revision("entry-1") >= revision
+    for link in proxy.links.values():
+        link.mend()
+    assert deployment.wait_until(
+        lambda: not editor.Editor(urls).late(revision), 20
+    )
