--- a/cardamombarrow/decisions/capacity.py
+++ b/cardamombarrow/decisions/capacity.py
@@ -97,16 +97,9 @@
         """Tells whether any local endpoint has a free slot."""
         return any(s.share > len(s.running) for s in self.local)
 
-    def free(self, *, highest: bool = False) -> int:
-        """Counts the free slots of the local endpoints.
-
-        Args:
-            highest: Whether for the highest tier, which may borrow.
-        """
-        return sum(
-            max(s.slots_for(highest=highest) - len(s.running), 0)
-            for s in self.local
-        )
+    def free(self) -> int:
+        """Counts the free slots of the local endpoints."""
+        return sum(max(s.share - len(s.running), 0) for s in self.local)
 
     def placed(self, job: messages.Job, now_s: float) -> None:
         """Learns that a job took a slot."""
--- a/cardamombarrow/decisions/endpoint.py
+++ b/cardamombarrow/decisions/endpoint.py
@@ -8,10 +8,6 @@
 __all__ = ["EndpointState"]
 
 
-MOST_BORROWED = 2
-"""Slots above the share; docs/decisions/endpoints.md has the figures."""
-
-
 @dataclasses.dataclass(slots=True)
 class EndpointState:
     """An endpoint as one instance sees it.
@@ -21,9 +17,6 @@
         leaving: It gets no new work.
         running: This instance's requests on it.
         share: Slots of it that this instance may use now.
-        limit: Slots that all instances may use together.
-        others_running: Requests of the other instances on it, as they last
-            told; None where one of them has not told of late.
         report: Its last load report, or None.
     """
 
@@ -36,26 +29,8 @@
         default_factory=dict
     )
     share: int = 0
-    limit: int = 0
-    others_running: int | None = None
     report: messages.LoadReport | None = None
 
-    def slots_for(self, *, highest: bool) -> int:
-        """Returns the slots that a job may find taken at most.
-
-        Load pattern: an instance's few slots are all taken, and a request of
-        the highest tier arrives while slots of other instances lie idle.
-        Without this it waits, or a running answer gives way for it, beside
-        free slots. So the highest tier may use up to `MOST_BORROWED` slots
-        above the share, as far as the others leave the limit unused. Lower
-        tiers keep to the share: what is told is a second old, and all
-        instances would take the same idle slot at once.
-        """
-        if not highest or self.others_running is None:
-            return self.share
-        unused = self.limit - self.others_running - 2
-        return max(self.share, min(unused, self.share + MOST_BORROWED))
-
     @property
     def free_slots(self) -> int:
         """Slots that this instance may still use."""
--- a/cardamombarrow/decisions/forecast.py
+++ b/cardamombarrow/decisions/forecast.py
@@ -61,8 +61,7 @@
         slots = self._usable_slots(job, capacity, now_s)
         hold_s = capacity.hold_s(job.class_id)
         jobs_ahead = queue.jobs_ahead(job)
-        highest = min(tier.rank for tier in self._tiers())
-        free = capacity.free(highest=job.rank == highest)
+        free = capacity.free()
         wait_s = 0.0
         if jobs_ahead >= free:
             wait_s = queue.work_ahead_s(job, capacity) / slots
--- a/cardamombarrow/decisions/roster.py
+++ b/cardamombarrow/decisions/roster.py
@@ -24,10 +24,6 @@
 on using its slots: forgotten within seconds, all would take the whole limit.
 """
 
-IN_FLIGHT_FRESH_S = 4.0
-"""Age up to which a peer's requests in flight are reckoned with; gossip is due
-each second, and some rounds may be lost."""
-
 Backlog = abc.Callable[[messages.Job, float], messages.Backlog]
 
 
@@ -47,7 +43,6 @@
         self._policies = policies
         self._peers: dict[ids.InstanceId, messages.PeerDemand] = {}
         self._unlisted: set[ids.EndpointId] = set()
-        self._highest_rank = 0
         self.endpoints: dict[ids.EndpointId, endpoint_module.EndpointState] = {}
         self.capacities: dict[ids.ServiceId, capacity_module.Capacity] = {}
         self.changed: set[ids.ServiceId] = set()
@@ -59,8 +54,6 @@
         goes on.
         """
         self._context = dataclasses.replace(self._context, document=document)
-        ranks = [tier.rank for tier in document.tiers.values()]
-        self._highest_rank = min(ranks, default=0)
         listed = {
             endpoint: (service, domain)
             for service in document.services.values()
@@ -122,8 +115,6 @@
         for state in self.endpoints.values():
             near = state.domain == self._context.domain
             limit = self._policies.limits.limit(state, now_s)
-            state.limit = limit
-            state.others_running = _others_running(state, peers, now_s)
             state.share = self._policies.shares.share(
                 state, limit, own, peers if near else [], now_s
             )
@@ -208,8 +199,7 @@
         now_s: float,
     ) -> bool:
         running = state.running
-        highest = job.rank == self._highest_rank
-        if state.slots_for(highest=highest) <= len(running):
+        if state.share <= len(running):
             return False
         if not self._policies.choice.available(job, state, now_s):
             return False
@@ -221,17 +211,6 @@
         return not self._policies.quarantine.solo(only, now_s)
 
 
-def _others_running(
-    state: endpoint_module.EndpointState,
-    peers: list[messages.PeerDemand],
-    now_s: float,
-) -> int | None:
-    """Adds up what the other instances have on an endpoint."""
-    if any(now_s - peer.seen_at_s > IN_FLIGHT_FRESH_S for peer in peers):
-        return None
-    return sum(peer.in_flight.get(state.endpoint, 0) for peer in peers)
-
-
 class Room(base.Room):
     """The dispatcher's free slots at one moment."""
 
