Give the slot back when a request cannot be prepared, quote paths again

Cause: Life._open ran after the slot was taken and outside the guard. A Content-Type beyond ASCII made pycurl raise there, and the slot was kept for good; a path with a space or a letter beyond ASCII was sent unquoted, or not at all. Change: the guard covers it, such a Content-Type is refused as bad_request, and paths are quoted.

--- a/cardamombarrow/entry/incoming.py
+++ b/cardamombarrow/entry/incoming.py
@@ -4,6 +4,7 @@
 import hashlib
 import json
 import typing
+from urllib import parse
 
 from werkzeug import exceptions
 from werkzeug import wrappers
@@ -176,7 +177,9 @@
     if f"{request.method} /{path}" in service.unrepeatable:
         call.job.repeatable = False
     query = request.query_string.decode("latin-1")
-    full_path = f"/{path}" + (f"?{query}" if query else "")
+    # The path was unquoted by the routing; sent as it is, a space or a letter
+    # beyond ASCII in it would make another request of it, or none.
+    full_path = f"/{parse.quote(path)}" + (f"?{query}" if query else "")
     return dataclasses.replace(call, path=full_path)
 
 
@@ -214,7 +217,7 @@
         method=request.method,
         path=request.path,
         body=body,
-        content_type=request.content_type or "application/octet-stream",
+        content_type=_content_type(request),
         idempotency_key=request.headers.get(KEY_HEADER, ""),
         body_sha256=digest,
         streams=False,
@@ -222,6 +225,15 @@
     )
 
 
+def _content_type(request: wrappers.Request) -> str:
+    content_type = request.content_type or "application/octet-stream"
+    if not content_type.isascii():
+        raise errors.RefusedError(
+            errors.ErrorKind.BAD_REQUEST, "Content-Type is not ASCII"
+        )
+    return content_type
+
+
 def _request_class(
     request: wrappers.Request,
     document: schema.Document,
--- a/cardamombarrow/entry/life.py
+++ b/cardamombarrow/entry/life.py
@@ -146,7 +146,15 @@
                 self._wait(ticket)
             finally:
                 self._services.metrics.wait(-1)
-            exchange = self._open(ticket)
+            try:
+                exchange = self._open(ticket)
+            except BaseException:
+                # Kept, the slot would be lost to this instance for good; some
+                # such requests and the endpoint would look full while idle.
+                self._services.broker.finish(
+                    ticket.job.request_id, messages.Outcome.NOT_STARTED
+                )
+                raise
             try:
                 return self._first_piece(ticket, exchange)
             except errors.RouterError as error:
--- a/cardamombarrow/tests/test_endpoint_failures.py
+++ b/cardamombarrow/tests/test_endpoint_failures.py
@@ -2,6 +2,7 @@
 
 from concurrent import futures
 import contextlib
+from http import client
 import json
 import re
 import signal
@@ -344,3 +345,29 @@
     assert caller.content_of(answer) == caller.whole_content(answer, 60)
     assert answer.body.endswith(b"data: [DONE]\n\n")
     assert _wasted_tokens(running) == wasted_tokens
+
+
+def test_a_header_that_cannot_be_sent_on_costs_no_slot(running):
+    # Bug: a header beyond ASCII made the preparation of the request fail after
+    # its slot was taken. Some such calls, and the service looked full for good.
+    url = running.entries["entry-1"]
+    for _ in range(2 * _SHOP_SLOTS):
+        connection = client.HTTPConnection(url.removeprefix("http://"))
+        connection.request(
+            "POST",
+            "/v1/services/shop/stock",
+            b"x",
+            {
+                "Authorization": "Bearer desk-key",
+                "Content-Type": "text/\u00e9",
+            },
+        )
+        assert connection.getresponse().status == 400
+        connection.close()
+    assert caller.service(url, "desk", "shop/stock", method="GET").status == 200
+
+
+def test_a_quoted_path_reaches_the_service_as_it_was(running):
+    url = running.entries["entry-1"]
+    answer = caller.service(url, "desk", "shop/a%20b%C3%A9", method="GET")
+    assert json.loads(answer.body)["ran"] == "/a%20b%C3%A9"
