--- a/cardamombarrow/tests/test_drain.py
+++ b/cardamombarrow/tests/test_drain.py
@@ -103,12 +103,17 @@
     # sends requests for some seconds; long answers are under way; and the
     # operator, impatient, sends the signal again. Nobody's answer is cut.
     url = running.entries["entry-1"]
+
+    def placed() -> int:
+        return running.log("entry-1").count('"decision": "place"')
+
+    before = placed()
     with futures.ThreadPoolExecutor(8) as executor:
         streams = [
             executor.submit(_ask, running, tokens=_STREAM_TOKENS)
             for _ in range(6)
         ]
-        assert deployment.wait_until(lambda: "place" in running.log("entry-1"))
+        assert deployment.wait_until(lambda: placed() >= before + 6)
         running.signal("entry-1", signal.SIGTERM)
         assert deployment.wait_until(
             lambda: http_get.fetch(f"{url}/readyz", timeout_s=5).status == 503
