--- a/benchmarks/driver.py
+++ b/benchmarks/driver.py
@@ -14,13 +14,13 @@
 
 from benchmarks import fake_engine
 from benchmarks import results
+from benchmarks import scenarios
 from cardamombarrow.decisions import base
 from cardamombarrow.decisions import core
 from cardamombarrow.decisions import messages
-from cardamombarrow.document import schema
 from cardamombarrow.kernel import ids
 
-__all__ = ["DOMAIN", "SERVICE", "Driver", "Scenario"]
+__all__ = ["DOMAIN", "SERVICE", "Driver"]
 
 DOMAIN = ids.DomainId("nuwara-a")
 SERVICE = ids.ServiceId("report-writer")
@@ -38,31 +38,6 @@
 """Time after which that caller sends again."""
 
 
-@dataclasses.dataclass
-class Scenario:
-    """One run's load and faults.
-
-    Attributes:
-        document: Classes, the service and the policies.
-        engines: How each endpoint of the document performs.
-        works: Callers' requests.
-        entry_weights: How the balancer spreads callers over the entries.
-        gossip_delay_s: Age of a peer's demand when it arrives.
-        cut_from_s: From this moment no gossip arrives, until `cut_until_s`.
-        drain_s: Time after the last arrival in which work may still end.
-    """
-
-    document: schema.Document
-    engines: dict[ids.EndpointId, fake_engine.EngineSettings]
-    works: list[fake_engine.Work]
-    duration_s: float
-    entry_weights: tuple[float, ...] = (1.0, 1.0)
-    gossip_delay_s: float = 0.2
-    cut_from_s: float = float("inf")
-    cut_until_s: float = float("inf")
-    drain_s: float = 30.0
-
-
 @dataclasses.dataclass
 class _Flight:
     """A request on its way through one entry.
@@ -83,7 +58,7 @@
 class Driver:
     """One run of one scenario."""
 
-    def __init__(self, scenario: Scenario, seed: int):
+    def __init__(self, scenario: scenarios.Scenario, seed: int):
         self._scenario = scenario
         self._rng = random.Random(seed)
         self._now_s = 0.0
--- a/benchmarks/patterns.py
+++ b/benchmarks/patterns.py
@@ -7,6 +7,7 @@
 
 from benchmarks import driver
 from benchmarks import fake_engine
+from benchmarks import scenarios
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import ids
 
@@ -128,17 +129,17 @@
     works: list[fake_engine.Work],
     faults: dict[int, dict[str, float]] | None = None,
     **more: object,
-) -> driver.Scenario:
+) -> scenarios.Scenario:
     engines = {
         endpoint: fake_engine.EngineSettings(**(faults or {}).get(number, {}))
         for number, endpoint in enumerate(ENDPOINTS)
     }
-    return driver.Scenario(
+    return scenarios.Scenario(
         _document(policies), engines, works, DURATION_S, **more
     )
 
 
-Build = abc.Callable[[random.Random, schema.Policies], driver.Scenario]
+Build = abc.Callable[[random.Random, schema.Policies], scenarios.Scenario]
 
 
 @dataclasses.dataclass(frozen=True)
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -11,7 +11,6 @@
 import argparse
 import dataclasses
 import json
-import os
 import pathlib
 import tempfile
 import threading
@@ -20,9 +19,12 @@
 import pycurl
 
 from tools import deployment
+from tools import process_cost
 
 __all__ = ["Load", "Measured", "main", "measure"]
 
+BYTES_PER_MIB = 1 << 20
+
 DOCUMENT = """
 [tier:one]
 rank = 0
@@ -167,18 +169,6 @@
     multi.close()
 
 
-def _cpu_s(pid: int) -> float:
-    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2]
-    user, system = fields.split()[11:13]
-    return (int(user) + int(system)) / os.sysconf("SC_CLK_TCK")
-
-
-def _memory_kib(pid: int) -> int:
-    status = pathlib.Path(f"/proc/{pid}/status").read_text()
-    line = next(line for line in status.splitlines() if "VmRSS" in line)
-    return int(line.split()[1])
-
-
 def _p95(values: list[float]) -> float:
     return sorted(values)[int(0.95 * (len(values) - 1))] if values else 0.0
 
@@ -206,11 +196,11 @@
         caller.first_s.clear()
         caller.gaps_s.clear()
     before = _count(callers)
-    cpu_s = _cpu_s(pid) if pid else 0.0
+    cpu_s = process_cost.cpu_s(pid) if pid else 0.0
     start_s = time.monotonic()
     time.sleep(max(0.0, end_s - start_s - 0.05))
     wall_s = time.monotonic() - start_s
-    cpu_s = _cpu_s(pid) - cpu_s if pid else 0.0
+    cpu_s = process_cost.cpu_s(pid) - cpu_s if pid else 0.0
     after = _count(callers)
     thread.join()
     return Measured(
@@ -274,7 +264,8 @@
         entry = running.entries["entry-1"]
         engines = [f"http://{e}" for e in running.engines["writer"]]
         pid = running.processes["entry-1"].pid
-        print(f"idle entry: {_memory_kib(pid) / 1024:.0f} MiB resident\n")
+        idle_mib = process_cost.memory_bytes(pid) / BYTES_PER_MIB
+        print(f"idle entry: {idle_mib:.0f} MiB resident\n")
         print(
             "| load | way | requests/s | tokens/s | entry CPU | us a request "
             "| us a token | first token p95 ms | gap p95 ms |"
@@ -286,7 +277,8 @@
             print(_row(load.name, "direct", direct), flush=True)
             through = measure([entry], pid, load, options.seconds)
             print(_row(load.name, "entry", through), flush=True)
-        print(f"\nbusy entry: {_memory_kib(pid) / 1024:.0f} MiB resident")
+        busy_mib = process_cost.memory_bytes(pid) / BYTES_PER_MIB
+        print(f"\nbusy entry: {busy_mib:.0f} MiB resident")
 
 
 def _pace(engines: list[str], token_s: float) -> None:
--- a/cardamombarrow/decisions/tests/test_overload.py
+++ b/cardamombarrow/decisions/tests/test_overload.py
@@ -20,6 +20,7 @@
 from benchmarks import driver
 from benchmarks import patterns
 from benchmarks import results
+from benchmarks import scenarios
 from cardamombarrow.decisions import messages
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import errors
@@ -70,7 +71,7 @@
 class _WatchedDriver(driver.Driver):
     """A driver that checks the rules on its way."""
 
-    def __init__(self, scenario: driver.Scenario, seed: int, watch: Watch):
+    def __init__(self, scenario: scenarios.Scenario, seed: int, watch: Watch):
         super().__init__(scenario, seed)
         self._watch = watch
         self._ran: set[ids.RequestId] = set()
@@ -149,7 +150,7 @@
         self._watch.broken.append(f"at {self._now_s:.2f} s: {rule}")
 
 
-Build = abc.Callable[[random.Random, schema.Policies], driver.Scenario]
+Build = abc.Callable[[random.Random, schema.Policies], scenarios.Scenario]
 
 
 def _long_answers_of_one(rng, policies):
