--- a/benchmarks/gossip.py
+++ b/benchmarks/gossip.py
@@ -145,7 +145,7 @@
                 on_changes=lambda changes, now_s: False,
                 on_members=lambda members, gone: None,
                 document=lambda: control_pb2.DocumentMessage(revision=1),
-                on_document=lambda revision, text: None,
+                on_document=lambda revision, text, format_name: None,
             ),
             clock.SystemClock(),
         )
--- a/cardamombarrow/cli/serve.py
+++ b/cardamombarrow/cli/serve.py
@@ -19,13 +19,15 @@
 
 def entry(arguments: argparse.Namespace) -> int:
     """Runs an entry."""
-    entry_core.run(settings.read(_SETTINGS["entry"], arguments.settings))
+    path = arguments.settings
+    entry_core.run(settings.read(_SETTINGS["entry"], path), path)
     return 0
 
 
 def control(arguments: argparse.Namespace) -> int:
     """Runs a control process."""
-    control_core.run(settings.read(_SETTINGS["control"], arguments.settings))
+    path = arguments.settings
+    control_core.run(settings.read(_SETTINGS["control"], path), path)
     return 0
 
 
--- a/cardamombarrow/control/core.py
+++ b/cardamombarrow/control/core.py
@@ -4,19 +4,26 @@
 import contextlib
 import pathlib
 import threading
+import typing
 
 from grpclib import server
 
 from cardamombarrow.admin import app as admin_app
+from cardamombarrow.admin import editions
+from cardamombarrow.control import metrics
 from cardamombarrow.control import settings as settings_module
 from cardamombarrow.control import state as state_module
+from cardamombarrow.document import formats
 from cardamombarrow.document import parsing
+from cardamombarrow.document import schema
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import http
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import lifecycle
 from cardamombarrow.kernel import logs
+from cardamombarrow.kernel import registry
+from cardamombarrow.kernel import reloading
 from cardamombarrow.log import base
 from cardamombarrow.log import driver
 from cardamombarrow.log import membership
@@ -61,9 +68,7 @@
         """Sends the document to the followers, if it is newer."""
         if self.service is not None and self.document.revision:
             self._loop.call(
-                self.service.followers.publish(
-                    self.document.revision, self.document.text
-                )
+                self.service.followers.publish(self.document.accepted)
             )
 
 
@@ -92,7 +97,7 @@
         peers = self._settings.peers
         self._exchange = follower_exchange.FollowerExchange(
             self._loop,
-            peers.controls,
+            peers.control_addresses(),
             peers.secret,
             self._state.service.followers,
         )
@@ -100,7 +105,11 @@
 
     async def _start(self) -> None:
         peers = self._settings.peers
-        service = control_service.ControlService(self._log)
+        service = control_service.ControlService(
+            self._log,
+            lambda: self._state.document.accepted,
+            ids.DomainId(self._settings.instance.domain),
+        )
         self._server = server.Server([service, self._log_service])
         secret_module.guard(self._server, peers.secret)
         await self._server.start(peers.host, peers.port)
@@ -181,7 +190,8 @@
     """Returns where this process stands in the log."""
     name = settings.instance.id
     listed = _voters(settings)
-    own = f"{settings.peers.host}:{settings.peers.port}"
+    peers = settings.peers
+    own = peers.address or f"{peers.host}:{peers.port}"
     return driver.LogPlace(
         folder=pathlib.Path(settings.state.folder),
         me=membership.Member(membership.VoterId(name), listed.get(name, own)),
@@ -190,7 +200,8 @@
             for other, address in listed.items()
             if other != name
         ),
-        is_founder=not listed or next(iter(listed)) == name,
+        is_founder=settings.state.founds
+        and (not listed or next(iter(listed)) == name),
     )
 
 
@@ -202,21 +213,49 @@
             raise errors.ConfigError(
                 [f"[state] voters: {item!r} is not id=host:port"]
             )
-        listed[name] = address
+        listed[name] = settings.peers.at_controls_port(address)
     return listed
 
 
-def run(settings: settings_module.ControlSettings) -> None:
+def _orders_document(
+    state: state_module.ControlState,
+) -> schema.Document | None:
+    accepted = state.document.accepted
+    if not accepted.revision:
+        return None
+    return formats.parse(accepted.format, accepted.text)
+
+
+def _operator_app(
+    settings: settings_module.ControlSettings,
+    log: base.Log,
+    state: _PublishingState,
+    peers: _PeerServer,
+) -> typing.Any:
+    protocol = settings.operators.protocol
+    if protocol == formats.SECTIONS:
+        return admin_app.AdminApp(log, state, lambda: peers.followers)
+    cls = registry.lookup(editions.SLOT, protocol)
+    return cls(editions.Editions(log, state))
+
+
+def run(
+    settings: settings_module.ControlSettings, path: pathlib.Path | None = None
+) -> None:
     """Runs a control process until it is told to stop.
 
+    Args:
+        settings: Its settings.
+        path: The file they came from, to be looked at for changes.
+
     Raises:
         errors.ConfigError: The settings, the first document or the data
             folder are not valid.
     """
+    lifecycle.ignore_hangup()
     logs.configure(settings.log.level, "control", settings.instance.id)
+    registry.load(*settings.instance.plugins)
     loop = loop_module.LoopThread()
-    first_text = pathlib.Path(settings.state.first_document).read_text()
-    parsing.parse(first_text)
     state = _PublishingState(loop)
     log_service = log_transport.LogService()
     transport = log_transport.LogTransport(
@@ -227,15 +266,29 @@
     except storage.CorruptError as error:
         raise errors.ConfigError([str(error)]) from None
     peers = _PeerServer(loop, settings, log, log_service, state)
-    app = admin_app.AdminApp(log, state, lambda: peers.followers)
-    web = http.HttpServer(settings.http, app)
-    orders = runner.OrdersRunner(
-        ids.InstanceId(settings.instance.id),
-        log,
-        lambda: parsing.parse(state.document.text),
-        clock.SystemClock(),
+    web = http.HttpServer(
+        settings.http, _operator_app(settings, log, state, peers)
+    )
+    parts: list[lifecycle.Part] = [loop, peers, _LogPart(log)]
+    if settings.state.first_document:
+        first_text = pathlib.Path(settings.state.first_document).read_text()
+        parsing.parse(first_text)
+        parts.append(_FirstDocument(log, state, first_text))
+    parts.append(
+        runner.OrdersRunner(
+            ids.InstanceId(settings.instance.id),
+            log,
+            lambda: _orders_document(state),
+            clock.SystemClock(),
+        )
+    )
+    side = http.side_server(
+        settings.side.metrics, metrics.MetricsApp(log, state)
     )
-    first_document = _FirstDocument(log, state, first_text)
+    parts += [web] if side is None else [web, side]
+    reloader = None
+    if path is not None:
+        reloader = reloading.Reloader(path, settings, {})
+        parts.append(reloader)
     logs.event("control starts", port=web.port, voter=log.me.id)
-    parts = [loop, peers, _LogPart(log), first_document, orders, web]
-    lifecycle.Process(parts).run()
+    lifecycle.Process(parts, reloader.ask if reloader else None).run()
--- a/cardamombarrow/control/settings.py
+++ b/cardamombarrow/control/settings.py
@@ -6,7 +6,7 @@
 from cardamombarrow.kernel import http
 from cardamombarrow.kernel import settings
 
-__all__ = ["ControlSettings", "StateSettings"]
+__all__ = ["ControlSettings", "OperatorSettings", "StateSettings"]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -19,8 +19,26 @@
         help="first voters as id=host:port, the same list on each; "
         "used only while the data folder is empty",
     )
+    founds: bool = settings.setting(
+        True,
+        help="whether this process may found the group; no, where the system "
+        "ran before and only this data folder is empty",
+    )
     first_document: str = settings.setting(
-        "", help="file with the document of revision 1"
+        "",
+        help="file with the document of revision 1; empty where operators "
+        "hand in editions",
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class OperatorSettings:
+    """How operators speak."""
+
+    protocol: str = settings.setting(
+        "sections",
+        help="`sections` for the administration API, or an operator-app "
+        "plug-in for editions",
     )
 
 
@@ -32,4 +50,6 @@
     http: http.HttpSettings
     peers: entry_settings.PeerSettings
     state: StateSettings
+    operators: OperatorSettings
+    side: entry_settings.SideSettings
     log: entry_settings.LogSettings
--- a/cardamombarrow/control/state.py
+++ b/cardamombarrow/control/state.py
@@ -27,8 +27,7 @@
     """
 
     def __init__(self):
-        self.document = document_machine.DocumentState("")
-        self.document.revision = NO_DOCUMENT
+        self.document = document_machine.DocumentState("", NO_DOCUMENT)
         self.ledger = ledger_machine.LedgerState()
         self.orders = orders_machine.OrdersState()
 
@@ -64,6 +63,12 @@
         answer = self.document.apply(codec.edit_from_wire(wire))
         return control_pb2.Reply(edit=codec.edit_answer_to_wire(answer))
 
+    def _apply_edition(
+        self, wire: control_pb2.EditionCommand
+    ) -> control_pb2.Reply:
+        answer = self.document.apply_edition(codec.edition_from_wire(wire))
+        return control_pb2.Reply(edition=codec.edition_answer_to_wire(answer))
+
     def _apply_claim(self, wire: control_pb2.ClaimCommand) -> control_pb2.Reply:
         verdict = self.ledger.claim(wire.key, codec.claim_from_wire(wire.claim))
         return control_pb2.Reply(claim=codec.verdict_to_wire(verdict))
--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -65,6 +65,13 @@
         self._roster.configure(document, now_s)
         self.refresh_shares(now_s)
 
+    def set_found(
+        self, found: tuple[messages.KnownEndpoint, ...], now_s: float
+    ) -> None:
+        """Takes the endpoints that discovery knows, beside the document's."""
+        self._roster.set_found(found, now_s)
+        self.refresh_shares(now_s)
+
     def refresh_shares(self, now_s: float) -> None:
         """Works out this instance's slots on every endpoint."""
         self._roster.refresh_shares(self.demand(now_s), now_s)
@@ -363,6 +370,7 @@
         if outcome is not messages.Outcome.PREEMPTED:
             job.tried = (*job.tried, running.endpoint)
         job.may_have_run = job.may_have_run or not outcome.not_run
+        job.runs += not outcome.not_run
 
     def crashed(
         self,
--- a/cardamombarrow/decisions/messages.py
+++ b/cardamombarrow/decisions/messages.py
@@ -10,6 +10,7 @@
     "Backlog",
     "Decision",
     "Job",
+    "KnownEndpoint",
     "LoadReport",
     "Outcome",
     "PeerDemand",
@@ -57,6 +58,8 @@
         attempts: How often it has been placed so far.
         tried: Endpoints that failed it.
         may_have_run: Whether an earlier attempt may have run.
+        runs: Attempts that may have run.
+        max_runs: Most endpoints that may run it; 0 leaves it to the policy.
         streams: Whether tokens come one by one; otherwise the first byte of
             the answer comes with its last.
     """
@@ -80,6 +83,8 @@
     attempts: int = 0
     tried: tuple[ids.EndpointId, ...] = ()
     may_have_run: bool = False
+    runs: int = 0
+    max_runs: int = 0
     streams: bool = True
 
 
@@ -117,6 +122,20 @@
     measured_at_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KnownEndpoint:
+    """An endpoint that discovery has found.
+
+    Attributes:
+        slots: Most requests it runs at once; 0 leaves it to the document.
+    """
+
+    endpoint: ids.EndpointId
+    service: ids.ServiceId
+    domain: ids.DomainId
+    slots: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerDemand:
     """What another instance of the domain asks for, from gossip.
--- a/cardamombarrow/decisions/retry.py
+++ b/cardamombarrow/decisions/retry.py
@@ -66,6 +66,8 @@
             return False
         if now_s >= job.deadline_s:
             return False
+        if job.max_runs and job.runs >= job.max_runs:
+            return False
         if outcome is messages.Outcome.PREEMPTED:
             return True
         budget = self._budget.get(job.class_id, BUDGET_START)
--- a/cardamombarrow/decisions/roster.py
+++ b/cardamombarrow/decisions/roster.py
@@ -43,6 +43,7 @@
         self._policies = policies
         self._peers: dict[ids.InstanceId, messages.PeerDemand] = {}
         self._unlisted: set[ids.EndpointId] = set()
+        self._found: tuple[messages.KnownEndpoint, ...] = ()
         self.endpoints: dict[ids.EndpointId, endpoint_module.EndpointState] = {}
         self.capacities: dict[ids.ServiceId, capacity_module.Capacity] = {}
         self.changed: set[ids.ServiceId] = set()
@@ -54,23 +55,43 @@
         goes on.
         """
         self._context = dataclasses.replace(self._context, document=document)
+        self._relist(now_s)
+
+    def set_found(
+        self, found: tuple[messages.KnownEndpoint, ...], now_s: float
+    ) -> None:
+        """Takes the endpoints that discovery knows, beside the document's."""
+        self._found = found
+        self._relist(now_s)
+
+    def _listed(self) -> dict[ids.EndpointId, messages.KnownEndpoint]:
+        services = self._context.document.services
         listed = {
-            endpoint: (service, domain)
-            for service in document.services.values()
+            endpoint: messages.KnownEndpoint(
+                endpoint, service.service, domain, service.slots_per_endpoint
+            )
+            for service in services.values()
             for domain, endpoints in service.endpoints.items()
             for endpoint in endpoints
         }
-        for endpoint, (service, domain) in listed.items():
+        for known in self._found:
+            service = services.get(known.service)
+            if service is not None:
+                slots = known.slots or service.slots_per_endpoint
+                listed[known.endpoint] = dataclasses.replace(known, slots=slots)
+        return listed
+
+    def _relist(self, now_s: float) -> None:
+        document = self._context.document
+        listed = self._listed()
+        for endpoint, known in listed.items():
             state = self.endpoints.get(endpoint)
             if state is None:
                 self.endpoints[endpoint] = endpoint_module.EndpointState(
-                    endpoint,
-                    service.service,
-                    domain,
-                    service.slots_per_endpoint,
+                    endpoint, known.service, known.domain, known.slots
                 )
             else:
-                state.configured_slots = service.slots_per_endpoint
+                state.configured_slots = known.slots
                 if endpoint in self._unlisted:
                     state.leaving = False
         self._unlisted -= set(listed)
--- a/cardamombarrow/document/machine.py
+++ b/cardamombarrow/document/machine.py
@@ -5,6 +5,11 @@
 committed wins; the other gets a conflict with the current text. A resent edit
 id gets the first answer again, so that an operator who lost the answer can
 send the edit again without doing it twice.
+
+An operator who keeps the whole document elsewhere hands it in as an edition
+instead, under a number of their own. The highest number holds; one that comes
+late, or again, is acknowledged and changes nothing, so that editions may be
+sent again in any order.
 """
 
 import collections
@@ -13,6 +18,7 @@
 import hashlib
 import json
 
+from cardamombarrow.document import formats
 from cardamombarrow.document import parsing
 from cardamombarrow.document import schema
 from cardamombarrow.document import text as text_module
@@ -20,10 +26,14 @@
 from cardamombarrow.kernel import ids
 
 __all__ = [
+    "Accepted",
     "DocumentState",
     "Edit",
     "EditAnswer",
     "EditStatus",
+    "Edition",
+    "EditionAnswer",
+    "EditionStatus",
     "HistoryItem",
 ]
 
@@ -118,18 +128,110 @@
     sections: tuple[str, ...]
 
 
+class EditionStatus(enum.Enum):
+    """What became of an edition."""
+
+    ACCEPTED = "accepted"
+    KEPT = "kept"
+    INVALID = "invalid"
+
+
+@dataclasses.dataclass(frozen=True)
+class Edition:
+    """A whole document under the operator's own number.
+
+    Attributes:
+        number: The highest one holds.
+        text: What the operator wrote; read back as it is.
+        format: The plug-in that reads the text; see `formats`.
+    """
+
+    number: int
+    text: str
+    format: str
+
+
+@dataclasses.dataclass(frozen=True)
+class EditionAnswer:
+    """The answer to an edition.
+
+    Attributes:
+        status: `KEPT` where the same or a higher number was accepted before.
+        revision: The revision in force after it.
+        number: The number in force after it.
+        mistakes: Why it is invalid.
+    """
+
+    status: EditionStatus
+    revision: ids.Revision
+    number: int
+    mistakes: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class Accepted:
+    """An accepted document.
+
+    It is replaced as a whole, so that readers never see the text of one
+    revision under the number of another.
+
+    Attributes:
+        number: The operator's number; 0 where it came by edits.
+        format: The plug-in that reads the text; see `formats`.
+    """
+
+    revision: ids.Revision
+    text: str
+    format: str = formats.SECTIONS
+    number: int = 0
+
+
 class DocumentState:
-    """The accepted document and what is needed to judge the next edit."""
+    """The accepted document and what is needed to judge the next change.
 
-    def __init__(self, text: str):
-        self.text = text
-        self.revision = ids.Revision(1)
+    Attributes:
+        accepted: The document in force.
+    """
+
+    def __init__(self, text: str, revision: int = 1):
+        self.accepted = Accepted(ids.Revision(revision), text)
         self.history: collections.deque[HistoryItem] = collections.deque(
             maxlen=HISTORY_KEPT
         )
         self._changed_at: dict[str, int] = {}
         self._answers: dict[ids.EditId, tuple[str, EditAnswer]] = {}
 
+    @property
+    def text(self) -> str:
+        """The accepted text."""
+        return self.accepted.text
+
+    @property
+    def revision(self) -> ids.Revision:
+        """The accepted revision; 0 before the first document."""
+        return self.accepted.revision
+
+    def apply_edition(self, edition: Edition) -> EditionAnswer:
+        """Makes an edition the document, unless one as high was before."""
+        accepted = self.accepted
+        if edition.number <= accepted.number:
+            status = EditionStatus.KEPT
+            return EditionAnswer(status, accepted.revision, accepted.number)
+        try:
+            formats.parse(edition.format, edition.text)
+        except errors.ConfigError as error:
+            return EditionAnswer(
+                EditionStatus.INVALID,
+                accepted.revision,
+                accepted.number,
+                tuple(error.mistakes),
+            )
+        revision = ids.Revision(accepted.revision + 1)
+        self.accepted = Accepted(
+            revision, edition.text, edition.format, edition.number
+        )
+        return EditionAnswer(EditionStatus.ACCEPTED, revision, edition.number)
+
     def apply(self, edit: Edit) -> EditAnswer:
         """Judges an edit and, where accepted, makes it the document."""
         digest = edit.digest()
@@ -168,6 +270,8 @@
         return EditAnswer(EditStatus.ACCEPTED, self.revision)
 
     def _malformed(self, edit: Edit) -> tuple[str, ...]:
+        if not formats.is_sectioned(self.accepted.format):
+            return (f"the document is kept as {self.accepted.format}",)
         if not edit.replacements:
             return ("the edit replaces no section",)
         if not 1 <= edit.base_revision <= self.revision:
@@ -195,8 +299,11 @@
         }
 
     def _accept(self, edit: Edit, new_text: str) -> None:
-        self.text = new_text
-        self.revision = ids.Revision(self.revision + 1)
+        self.accepted = dataclasses.replace(
+            self.accepted,
+            revision=ids.Revision(self.revision + 1),
+            text=new_text,
+        )
         for name in edit.replacements:
             self._changed_at.pop(name, None)
             self._changed_at[name] = self.revision
@@ -224,6 +331,8 @@
         return {
             "text": self.text,
             "revision": self.revision,
+            "format": self.accepted.format,
+            "number": self.accepted.number,
             "history": [dataclasses.asdict(item) for item in self.history],
             "changed_at": self._changed_at,
             "answers": {
@@ -236,7 +345,13 @@
     def from_json(cls, raw: dict) -> "DocumentState":
         """Reads what `to_json` wrote."""
         state = cls(raw["text"])
-        state.revision = ids.Revision(raw["revision"])
+        state.accepted = Accepted(
+            ids.Revision(raw["revision"]),
+            raw["text"],
+            # A snapshot of an earlier version has neither.
+            raw.get("format", formats.SECTIONS),
+            raw.get("number", 0),
+        )
         for item in raw["history"]:
             sections = tuple(item["sections"])
             state.history.append(HistoryItem(**{**item, "sections": sections}))
--- a/cardamombarrow/document/parsing.py
+++ b/cardamombarrow/document/parsing.py
@@ -25,11 +25,13 @@
     "workspace": schema.Workspace,
     "service": schema.Service,
     "model": schema.Model,
+    "route": schema.Route,
     "owner": schema.Owner,
     "policies": schema.Policies,
     "weight-store": schema.WeightStore,
+    "limits": schema.CallerLimits,
 }
-_NAMELESS = ("policies", "weight-store")
+_NAMELESS = ("policies", "weight-store", "limits")
 _ENDPOINTS_PREFIX = "endpoints."
 
 TEXTS_REMEMBERED = 2
@@ -82,6 +84,8 @@
         owners=found["owner"],
         policies=found["policies"].get("", schema.Policies()),
         weight_store=found["weight-store"].get("", schema.WeightStore()),
+        routes=found["route"],
+        limits=found["limits"].get("", schema.CallerLimits()),
     )
     if not mistakes:
         mistakes.extend(
@@ -211,6 +215,8 @@
         if raw.lower() not in _BOOLEANS:
             raise ValueError(f"{raw!r} is not yes or no")
         return _BOOLEANS[raw.lower()]
+    if kind == int | None:
+        kind = int
     if kind in (int, float):
         try:
             return kind(raw)
--- /dev/null
+++ b/cardamombarrow/document/routed.py
@@ -0,0 +1,114 @@
+"""Builds a document out of routes, for formats that know nothing else.
+
+Such formats name no tiers and no policies. The policies are those that suit
+callers that come by route: requests leave their failure domain where their
+own has no room, and share one budget of retries.
+"""
+
+import dataclasses
+
+from cardamombarrow.document import rules
+from cardamombarrow.document import schema
+from cardamombarrow.kernel import errors
+from cardamombarrow.kernel import ids
+
+__all__ = [
+    "LAST_RANK",
+    "PLAIN_SLOTS",
+    "POLICIES",
+    "Parts",
+    "build",
+    "tier_id",
+]
+
+LAST_RANK = 9
+"""Rank of requests for which none is given."""
+
+PLAIN_SLOTS = 8
+"""Slots of a plain service's endpoint until discovery tells them."""
+
+RESERVED_SHARE = 0.1
+"""Reserved share of a lower tier, as in a document of sections."""
+
+POLICIES = schema.Policies(spill="budget")
+
+
+@dataclasses.dataclass(frozen=True)
+class Parts:
+    """What a format has read.
+
+    Attributes:
+        ranks: Rank of each class's requests.
+        open_to_all: Whether no request needs a key.
+    """
+
+    services: list[schema.Service]
+    routes: list[schema.Route]
+    classes: list[schema.RequestClass]
+    ranks: dict[ids.ClassId, int]
+    workspaces: list[schema.Workspace]
+    open_to_all: bool
+    limits: schema.CallerLimits
+
+
+def tier_id(rank: int) -> ids.TierId:
+    """Returns the name of the tier of a rank."""
+    return ids.TierId(f"rank-{rank}")
+
+
+def build(parts: Parts) -> schema.Document:
+    """Returns the document.
+
+    Raises:
+        errors.ConfigError: With every mistake found.
+    """
+    mistakes = [
+        *_twice("service", [each.service for each in parts.services]),
+        *_twice("route", [each.route for each in parts.routes]),
+        *_twice("workspace", [each.workspace for each in parts.workspaces]),
+    ]
+    routes = parts.routes
+    if parts.open_to_all:
+        routes = [dataclasses.replace(each, anonymous=True) for each in routes]
+    anybody = schema.Workspace(schema.ANYBODY, (), ())
+    document = schema.Document(
+        tiers=_tiers(parts),
+        classes={each.class_id: each for each in parts.classes},
+        workspaces={
+            each.workspace: each for each in (anybody, *parts.workspaces)
+        },
+        services={each.service: each for each in parts.services},
+        models={},
+        owners={},
+        policies=POLICIES,
+        routes={each.route: each for each in routes},
+        limits=parts.limits,
+    )
+    mistakes += [
+        f"[{section}]: {reason}"
+        for section, reason in rules.route_violations(document)
+    ]
+    if mistakes:
+        raise errors.ConfigError(mistakes)
+    return document
+
+
+def _twice(kind: str, names: list[str]) -> list[str]:
+    seen: set[str] = set()
+    mistakes = []
+    for name in names:
+        if name in seen:
+            mistakes.append(f"{kind} {name!r} stands twice")
+        seen.add(name)
+    return mistakes
+
+
+def _tiers(parts: Parts) -> dict[ids.TierId, schema.Tier]:
+    ranks = set(parts.ranks.values())
+    ranks |= {w.rank for w in parts.workspaces if w.rank is not None}
+    lower = max(len(ranks) - 1, 1)
+    reserved = min(RESERVED_SHARE, rules.MOST_RESERVED_SHARE / lower)
+    return {
+        tier_id(rank): schema.Tier(tier_id(rank), rank, reserved)
+        for rank in sorted(ranks)
+    }
--- a/cardamombarrow/document/rules.py
+++ b/cardamombarrow/document/rules.py
@@ -13,9 +13,16 @@
 
 from cardamombarrow.decisions import policies as policies_module
 from cardamombarrow.document import schema
+from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import registry
 
-__all__ = ["Violation", "limits_of", "violations"]
+__all__ = [
+    "MOST_RESERVED_SHARE",
+    "Violation",
+    "limits_of",
+    "route_violations",
+    "violations",
+]
 
 MOST_RESERVED_SHARE = 0.5
 """All lower tiers together may hold back at most half from the highest."""
@@ -34,6 +41,37 @@
         yield from rule(document)
 
 
+def route_violations(document: schema.Document) -> abc.Iterator[Violation]:
+    """Yields violations of the rules on routes and keys only.
+
+    For documents that come by routes alone; the rest of them is made here.
+    """
+    yield from _routes(document)
+    yield from _keys(document)
+
+
+def _routes(document: schema.Document) -> abc.Iterator[Violation]:
+    places: dict[tuple[str, str], ids.RouteId] = {}
+    for route in document.routes.values():
+        section = f"route:{route.route}"
+        place = (route.host, route.path_prefix)
+        other = places.setdefault(place, route.route)
+        if other != route.route:
+            yield section, f"its host and prefix belong to [route:{other}]"
+        if not (route.path_prefix[:1] == route.path_prefix[-1:] == "/"):
+            yield section, "its prefix does not begin and end with a slash"
+        for service in route.services:
+            if service not in document.services:
+                yield section, f"there is no [service:{service}]"
+        weights = route.services.values()
+        if not weights or min(weights) < 0 or sum(weights) <= 0:
+            yield section, "its weights must be 0 or more, one over 0"
+        if route.class_id not in document.classes:
+            yield section, f"there is no [class:{route.class_id}]"
+        if route.max_attempts < 1:
+            yield section, "max_attempts is under 1"
+
+
 def _references(document: schema.Document) -> abc.Iterator[Violation]:
     for item in document.classes.values():
         if item.tier not in document.tiers:
@@ -123,8 +161,16 @@
                 # The callers of one workspace would be served, and charged,
                 # as those of the other.
                 yield section, f"one of its keys belongs to [{other}]"
+
+
+def _workspaces(document: schema.Document) -> abc.Iterator[Violation]:
+    ranks = {tier.rank for tier in document.tiers.values()}
+    for workspace in document.workspaces.values():
+        section = f"workspace:{workspace.workspace}"
         if not workspace.classes:
             yield section, "it has no classes"
+        if workspace.rank is not None and workspace.rank not in ranks:
+            yield section, f"no tier has rank {workspace.rank}"
 
 
 def _endpoints(document: schema.Document) -> abc.Iterator[Violation]:
@@ -183,6 +229,8 @@
     _tiers,
     _targets,
     _keys,
+    _workspaces,
+    _routes,
     _endpoints,
     _models,
     _owners,
--- a/cardamombarrow/document/schema.py
+++ b/cardamombarrow/document/schema.py
@@ -6,12 +6,15 @@
 from cardamombarrow.kernel import ids
 
 __all__ = [
+    "ANYBODY",
+    "CallerLimits",
     "Document",
     "Model",
     "Orders",
     "Owner",
     "Policies",
     "RequestClass",
+    "Route",
     "Service",
     "ServiceKind",
     "Tier",
@@ -20,6 +23,10 @@
 ]
 
 
+ANYBODY = ids.WorkspaceId("")
+"""The workspace of callers that need no key."""
+
+
 class ServiceKind(enum.Enum):
     """What stands behind a service; names an ``endpoint-kind`` plug-in."""
 
@@ -86,6 +93,8 @@
         classes: Classes that its callers may use; the first is the default.
         max_in_flight: Most requests held at once per entry; 0 is no limit.
         weight: Its part of the capacity beside other workspaces of a class.
+        rank: Rank of its requests, before that of their route's tier; None
+            leaves the tier's.
     """
 
     workspace: ids.WorkspaceId
@@ -93,6 +102,7 @@
     classes: tuple[ids.ClassId, ...]
     max_in_flight: int = 0
     weight: float = 1.0
+    rank: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -110,6 +120,9 @@
             `endpoints.<domain>` for each.
         stall_limit_s: Longest silence within an answer before the endpoint
             is probed.
+        max_connections: Connections that an endpoint takes from all instances
+            together; 0 is not known.
+        memory_tokens: Tokens that an engine's memory holds; 0 is not known.
     """
 
     service: ids.ServiceId
@@ -118,6 +131,8 @@
     stall_limit_s: float = 10.0
     orders: Orders = Orders.NONE
     unrepeatable: tuple[str, ...] = ()
+    max_connections: int = 0
+    memory_tokens: int = 0
     endpoints: dict[ids.DomainId, tuple[ids.EndpointId, ...]] = (
         dataclasses.field(default_factory=dict)
     )
@@ -137,6 +152,52 @@
     versions: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
+@dataclasses.dataclass(frozen=True)
+class Route:
+    """Where requests of one host and path prefix go, and as which class.
+
+    Attributes:
+        host: Lower case, without a port.
+        path_prefix: Begins and ends with a slash; of the prefixes that begin
+            a request's path the longest one holds.
+        services: Traffic weight by service.
+        max_attempts: Most endpoints that may run one request.
+        anonymous: Whether callers need no key.
+        resumable: Whether a stream that broke off may go on elsewhere.
+        streams: Whether its answers are streams of events.
+        longest_pause_s: Pause between two events of a stream above which the
+            answer counts as late; 0 sets none.
+    """
+
+    route: ids.RouteId
+    host: str
+    path_prefix: str
+    class_id: ids.ClassId
+    services: dict[ids.ServiceId, float]
+    max_attempts: int = 1
+    anonymous: bool = False
+    resumable: bool = False
+    streams: bool = False
+    longest_pause_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True)
+class CallerLimits:
+    """What callers may send, and how slowly.
+
+    Attributes:
+        header_bytes: Request line and header fields together.
+        header_timeout_s: Longest time from the first byte to the last header
+            field.
+        idle_timeout_s: Longest silence of an open connection.
+    """
+
+    header_bytes: int = 65_536
+    body_bytes: int = 4_000_000
+    header_timeout_s: float = 30.0
+    idle_timeout_s: float = 30.0
+
+
 @dataclasses.dataclass(frozen=True)
 class Owner:
     """A team that may edit some sections.
@@ -204,6 +265,8 @@
     owners: dict[ids.OwnerId, Owner]
     policies: Policies
     weight_store: WeightStore = dataclasses.field(default_factory=WeightStore)
+    routes: dict[ids.RouteId, Route] = dataclasses.field(default_factory=dict)
+    limits: CallerLimits = dataclasses.field(default_factory=CallerLimits)
 
     def tier_of(self, class_id: ids.ClassId) -> Tier:
         """Returns the tier of a class."""
--- /dev/null
+++ b/cardamombarrow/document/tests/test_editions.py
@@ -0,0 +1,58 @@
+"""Whole documents under the operator's own numbers."""
+
+import json
+
+import hypothesis
+from hypothesis import strategies
+
+from cardamombarrow.document import formats
+from cardamombarrow.document import machine
+
+_NUMBERS = strategies.lists(
+    strategies.tuples(
+        strategies.integers(min_value=1, max_value=9), strategies.booleans()
+    ),
+    max_size=20,
+)
+
+
+def _text(kandula_text: str, number: int, valid: bool) -> str:
+    text = f"# edition {number}\n{kandula_text}"
+    return text if valid else text + "[nonsense]\n"
+
+
+@hypothesis.given(sent=_NUMBERS)
+def test_the_highest_valid_number_holds_in_any_order(kandula_text, sent):
+    # Operators race each other, resend what was accepted, and older editions
+    # arrive late. What is in force is the first text of the highest number.
+    state = machine.DocumentState("", 0)
+    expected = (0, "")
+    for number, valid in sent:
+        text = _text(kandula_text, number, valid)
+        edition = machine.Edition(number, text, formats.SECTIONS)
+        answer = state.apply_edition(edition)
+        if number <= expected[0]:
+            assert answer.status is machine.EditionStatus.KEPT
+        elif valid:
+            assert answer.status is machine.EditionStatus.ACCEPTED
+            expected = (number, text)
+        else:
+            assert answer.status is machine.EditionStatus.INVALID
+        assert (state.accepted.number, state.accepted.text) == expected
+    raw = json.loads(json.dumps(state.to_json()))
+    assert machine.DocumentState.from_json(raw).accepted == state.accepted
+
+
+def test_other_content_under_the_number_held_changes_nothing(kandula_text):
+    state = machine.DocumentState("", 0)
+    first = machine.Edition(5, kandula_text, formats.SECTIONS)
+    state.apply_edition(first)
+    other = machine.Edition(5, f"# other\n{kandula_text}", formats.SECTIONS)
+    assert state.apply_edition(other).status is machine.EditionStatus.KEPT
+    assert state.accepted.text == kandula_text
+
+
+def test_an_unknown_format_is_refused_everywhere_alike():
+    edition = machine.Edition(1, "x", "unheard-of")
+    answer = machine.DocumentState("", 0).apply_edition(edition)
+    assert answer.status is machine.EditionStatus.INVALID
--- a/cardamombarrow/endpoints/base.py
+++ b/cardamombarrow/endpoints/base.py
@@ -6,6 +6,7 @@
 import typing
 
 from cardamombarrow.decisions import messages
+from cardamombarrow.document import schema
 from cardamombarrow.endpoints import http_get
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
@@ -39,6 +40,11 @@
         rank: The tier's rank, for engines that honour priorities.
         resume_tokens: Tokens that the caller has already; the answer is to
             go on after them.
+        resume_after: Id of the last event that the caller has already; empty
+            for none.
+        caller_id: The caller's own name for the request; empty for none.
+        workspace: Whose request it is; empty for anybody's.
+        headers: What the caller sent that concerns the endpoint, unchanged.
     """
 
     request_id: ids.RequestId
@@ -53,6 +59,10 @@
     caller: CallerWatch
     cancelled: typing.Callable[[], bool]
     resume_tokens: int = 0
+    resume_after: str = ""
+    caller_id: str = ""
+    workspace: ids.WorkspaceId = schema.ANYBODY
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -61,6 +71,7 @@
 
     status: int
     headers: dict[str, str]
+    reason: str = ""
 
     @property
     def streams(self) -> bool:
@@ -97,7 +108,17 @@
 
 
 class EndpointKind(abc.ABC):
-    """A kind of endpoint; registered in the slot ``endpoint-kind``."""
+    """A kind of endpoint; registered in the slot ``endpoint-kind``.
+
+    Attributes:
+        polled: Whether its load is asked for at intervals. Where the answers
+            themselves tell the load, nothing is asked.
+        relays_failures: Whether its own failure answers go to the caller when
+            the request can't be redone.
+    """
+
+    polled = True
+    relays_failures = False
 
     @abc.abstractmethod
     def open(self, call: OutgoingCall) -> Exchange:
@@ -119,13 +140,28 @@
         A connection can go silent for good while new ones work. Then the
         endpoint is not to blame, and others' requests on it go on.
         """
-        url = f"http://{endpoint}/metrics"
+        url = f"http://{ids.address_of(endpoint)}/metrics"
         try:
             http_get.fetch(url, timeout_s=PROBE_TIMEOUT_S)
         except errors.EndpointError:
             return False
         return True
 
+    def check(self, head: Head, call: OutgoingCall) -> None:  # noqa: B027
+        """Refuses an answer that does not belong to the request.
+
+        Raises:
+            errors.EndpointError: It is another request's, or damaged.
+        """
+
+    def load_in(self, head: Head) -> messages.LoadReport | None:
+        """Reads the load that an answer tells of its endpoint, if it does."""
+        return None
+
+    def last_event(self, chunk: bytes) -> str:
+        """Returns the id of the last event in a chunk; empty for none."""
+        return ""
+
     @abc.abstractmethod
     def not_started(self, head: Head) -> bool:
         """Tells whether this answer says that the request did not run."""
--- a/cardamombarrow/endpoints/engine.py
+++ b/cardamombarrow/endpoints/engine.py
@@ -39,7 +39,7 @@
     ) -> messages.LoadReport | None:
         """Reads ``/metrics``."""
         reply = http_get.fetch(
-            f"http://{endpoint}/metrics", timeout_s=timeout_s
+            f"http://{ids.address_of(endpoint)}/metrics", timeout_s=timeout_s
         )
         if reply.status != 200:
             raise errors.EndpointError(
--- a/cardamombarrow/endpoints/transfer.py
+++ b/cardamombarrow/endpoints/transfer.py
@@ -65,7 +65,10 @@
     def _build(self, headers: list[str]) -> pycurl.Curl:
         call = self._call
         easy = pycurl.Curl()
-        easy.setopt(pycurl.URL, f"http://{call.endpoint}{call.path}")
+        easy.setopt(pycurl.URL, f"http://{ids.address_of(call.endpoint)}/")
+        # Put into the address, a path with dots or odd letters would be
+        # rewritten, and the endpoint would run another request.
+        easy.setopt(pycurl.REQUEST_TARGET, call.path)
         easy.setopt(pycurl.CUSTOMREQUEST, call.method)
         if call.method == "HEAD":
             easy.setopt(pycurl.NOBODY, 1)
@@ -110,7 +113,9 @@
         if line.strip():
             self._header_lines.append(line.strip())
             return
-        status = int(self._header_lines[0].split()[1])
+        _, _, status_text = self._header_lines[0].partition(b" ")
+        code, _, reason = status_text.decode("latin-1").partition(" ")
+        status = int(code)
         if status < 200:
             return
         pairs = (
@@ -118,7 +123,9 @@
             for line in self._header_lines[1:]
         )
         self._head = base.Head(
-            status, {name.lower(): value.strip() for name, value in pairs}
+            status,
+            {name.lower(): value.strip() for name, value in pairs},
+            reason,
         )
 
     def _on_body(self, data: bytes) -> None:
--- a/cardamombarrow/entry/app.py
+++ b/cardamombarrow/entry/app.py
@@ -1,29 +1,24 @@
 """The WSGI application of an entry: routes, authentication, answers."""
 
 from collections import abc
-import dataclasses
 import typing
 
 from werkzeug import exceptions
 from werkzeug import routing
 from werkzeug import wrappers
 
-from cardamombarrow.decisions import messages
 from cardamombarrow.entry import answers
-from cardamombarrow.entry import caller as caller_module
-from cardamombarrow.entry import gate as gate_module
 from cardamombarrow.entry import in_force
 from cardamombarrow.entry import incoming
-from cardamombarrow.entry import life
-from cardamombarrow.entry import once
+from cardamombarrow.entry import readiness as readiness_module
+from cardamombarrow.entry import relaying as relaying_module
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import logs
 
-__all__ = ["App", "Readiness"]
+__all__ = ["App"]
 
 _METHODS = ["GET", "POST", "PUT", "PATCH", "DELETE"]
-_NO_BODY_STATUSES = (204, 304)
 _RELAYED_HEADERS = ("content-type", "content-length", "cache-control")
 
 _ROUTES = routing.Map(
@@ -47,13 +42,6 @@
 )
 
 
-@dataclasses.dataclass
-class Readiness:
-    """Whether the balancer should send requests here."""
-
-    draining: bool = False
-
-
 class App:
     """Serves callers."""
 
@@ -61,16 +49,15 @@
         self,
         instance: ids.InstanceId,
         documents: in_force.InForce,
-        services: life.LifeServices,
-        readiness: Readiness,
-        gate: gate_module.Gate,
+        relaying: relaying_module.Relaying,
+        readiness: readiness_module.Readiness,
         body_limit_bytes: int,
     ):
         self._instance = instance
         self._documents = documents
-        self._services = services
+        self._relaying = relaying
+        self._services = relaying.services
         self._readiness = readiness
-        self._gate = gate
         self._body_limit_bytes = body_limit_bytes
 
     def __call__(
@@ -123,8 +110,9 @@
     def _on_ready(
         self, request: wrappers.Request, request_id: ids.RequestId
     ) -> wrappers.Response:
-        if self._readiness.draining:
-            raise errors.RefusedError(errors.ErrorKind.DRAINING, "draining")
+        reason = self._readiness.reason()
+        if reason is not None:
+            raise errors.RefusedError(errors.ErrorKind.DRAINING, reason)
         revision = self._documents.current().revision
         return wrappers.Response(f"ready, revision {revision}\n")
 
@@ -132,7 +120,7 @@
         self, request: wrappers.Request, request_id: ids.RequestId
     ) -> wrappers.Response:
         text = self._services.metrics.text(
-            self._gate.held, self._documents.revision
+            self._relaying.held, self._documents.revision
         )
         return wrappers.Response(text, content_type="text/plain; version=0.0.4")
 
@@ -178,16 +166,13 @@
     def _run(
         self, request: wrappers.Request, call: incoming.IncomingCall
     ) -> wrappers.Response:
-        try:
-            relay = self._enter(request, call)
-        except errors.RouterError as error:
-            error.class_id = call.job.class_id
-            raise
-        chunks = self._chunks(relay, call.job)
-        if relay.head.status in _NO_BODY_STATUSES or request.method == "HEAD":
-            # werkzeug neither iterates nor closes the body of such an answer:
-            # the endpoint's slot would be held for ever.
-            chunks = iter(list(chunks))
+        relaying = self._relaying
+        run = (
+            relaying.run_plain
+            if call.job.repeatable
+            else relaying.run_claimed(call)
+        )
+        relay = relaying.begin(request.environ, call, run, tells_breaks=True)
         headers = {
             name: relay.head.headers[name]
             for name in _RELAYED_HEADERS
@@ -197,46 +182,8 @@
         if call.version:
             headers["X-Model-Version"] = call.version
         return wrappers.Response(
-            chunks,
+            relay.chunks,
             status=relay.head.status,
             headers=headers,
             direct_passthrough=True,
         )
-
-    def _enter(
-        self, request: wrappers.Request, call: incoming.IncomingCall
-    ) -> life.Relay:
-        self._gate.enter(call.job, self._documents.current().document)
-        try:
-            return self._begin(request, call)
-        except BaseException:
-            self._gate.leave(call.job)
-            raise
-
-    def _begin(
-        self, request: wrappers.Request, call: incoming.IncomingCall
-    ) -> life.Relay:
-        watch = caller_module.SocketWatch(request.environ["werkzeug.socket"])
-        request_life = life.Life(call, watch, self._services)
-        if call.job.repeatable:
-            return request_life.run()
-        return once.run_once(
-            call, request_life, self._services.ledger, self._instance
-        )
-
-    def _chunks(
-        self, relay: life.Relay, job: messages.Job
-    ) -> abc.Iterator[bytes]:
-        try:
-            yield from relay.chunks
-        except errors.RouterError as error:
-            self._services.metrics.error(error.kind, job.class_id)
-            if not relay.head.streams:
-                # The caller sees fewer bytes than announced, or no last chunk.
-                raise
-            yield answers.error_event(error, job.request_id)
-        finally:
-            close = getattr(relay.chunks, "close", None)
-            if close is not None:
-                close()
-            self._gate.leave(job)
--- a/cardamombarrow/entry/broker.py
+++ b/cardamombarrow/entry/broker.py
@@ -129,6 +129,18 @@
             lines = self._run_due()
         _write(lines)
 
+    def set_found(self, found: tuple[messages.KnownEndpoint, ...]) -> None:
+        """Takes the endpoints that discovery knows."""
+        with self._lock:
+            self._dispatcher.set_found(found, self._clock.now_s())
+            lines = self._run_due()
+        _write(lines)
+
+    def has_endpoints(self) -> bool:
+        """Tells whether any endpoint is known."""
+        with self._lock:
+            return bool(self._dispatcher.endpoints())
+
     def report(
         self, endpoint: ids.EndpointId, report: messages.LoadReport
     ) -> None:
--- a/cardamombarrow/entry/core.py
+++ b/cardamombarrow/entry/core.py
@@ -1,18 +1,29 @@
 """The entry process: wiring of its parts."""
 
+import pathlib
 import random
 import time
+import typing
 
+from cardamombarrow.discovery import base as discovery
+from cardamombarrow.discovery import core as discovery_core
 from cardamombarrow.document import schema
+from cardamombarrow.endpoints import base as endpoints_base
 from cardamombarrow.entry import app as app_module
 from cardamombarrow.entry import broker as broker_module
 from cardamombarrow.entry import crashes
 from cardamombarrow.entry import gate as gate_module
 from cardamombarrow.entry import in_force
+from cardamombarrow.entry import lease as lease_module
 from cardamombarrow.entry import life
 from cardamombarrow.entry import metrics
 from cardamombarrow.entry import peering as peering_module
+from cardamombarrow.entry import protocol as protocol_module
+from cardamombarrow.entry import readiness as readiness_module
+from cardamombarrow.entry import relaying as relaying_module
+from cardamombarrow.entry import routed
 from cardamombarrow.entry import settings as settings_module
+from cardamombarrow.entry import side as side_module
 from cardamombarrow.entry import starting as starting_module
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import http
@@ -20,17 +31,21 @@
 from cardamombarrow.kernel import lifecycle
 from cardamombarrow.kernel import logs
 from cardamombarrow.kernel import registry
+from cardamombarrow.kernel import reloading
 from cardamombarrow.ledger import client as ledger_client
 from cardamombarrow.ledger import settler
-from cardamombarrow.platform import listing
 
-__all__ = ["ENDPOINT_MODULES", "run"]
+__all__ = ["ENDPOINT_MODULES", "OPENAI", "run"]
 
 ENDPOINT_MODULES = (
+    "cardamombarrow.discovery.own_list",
     "cardamombarrow.endpoints.engine",
     "cardamombarrow.endpoints.plain",
 )
-"""Modules whose import registers the endpoint kinds."""
+"""Modules whose import registers the project's own endpoint kinds and list."""
+
+OPENAI = "openai"
+"""The caller protocol whose requests name models and plain services."""
 
 
 class _Drain(lifecycle.Part):
@@ -40,7 +55,7 @@
     unready. An instance that closed its port at once would cut those callers.
     """
 
-    def __init__(self, readiness: app_module.Readiness, notice_s: float):
+    def __init__(self, readiness: readiness_module.Readiness, notice_s: float):
         self._readiness = readiness
         self._notice_s = notice_s
 
@@ -54,26 +69,83 @@
         time.sleep(self._notice_s)
 
 
-def run(settings: settings_module.EntrySettings) -> None:
+def _kinds(
+    protocol: str,
+) -> dict[schema.ServiceKind, endpoints_base.EndpointKind]:
+    """Returns how each kind of service's endpoints are spoken to."""
+    prefix = "" if protocol == OPENAI else f"{protocol}."
+    return {
+        kind: registry.lookup("endpoint-kind", f"{prefix}{kind.value}")()
+        for kind in schema.ServiceKind
+    }
+
+
+def _app(
+    settings: settings_module.EntrySettings,
+    documents: in_force.InForce,
+    relaying: relaying_module.Relaying,
+    readiness: readiness_module.Readiness,
+    lease: lease_module.DocumentLease,
+) -> typing.Any:
+    """Returns the application that callers speak to."""
+    protocol = settings.calls.protocol
+    if protocol == OPENAI:
+        return app_module.App(
+            ids.InstanceId(settings.instance.id),
+            documents,
+            relaying,
+            readiness,
+            settings.calls.body_limit_bytes,
+        )
+    return routed.RoutedApp(
+        documents,
+        relaying,
+        registry.lookup(protocol_module.SLOT, protocol)(),
+        lease,
+        random.Random(),
+    )
+
+
+def _side_servers(
+    settings: settings_module.EntrySettings, app: typing.Any
+) -> list[http.HttpServer]:
+    servers = [
+        http.side_server(address, app)
+        for address in (settings.side.ready, settings.side.metrics)
+    ]
+    return [server for server in servers if server is not None]
+
+
+def run(
+    settings: settings_module.EntrySettings, path: pathlib.Path | None = None
+) -> None:
     """Runs an entry process until it is told to stop.
 
+    Args:
+        settings: Its settings.
+        path: The file they came from, to be looked at for changes.
+
     Raises:
         errors.UnavailableError: No instance gave a document in time.
     """
+    lifecycle.ignore_hangup()
     logs.configure(settings.log.level, "entry", settings.instance.id)
-    registry.load(*ENDPOINT_MODULES)
-    kinds = {
-        kind: registry.lookup("endpoint-kind", kind.value)()
-        for kind in schema.ServiceKind
-    }
+    registry.load(*ENDPOINT_MODULES, *settings.instance.plugins)
+    kinds = _kinds(settings.calls.protocol)
+    source = registry.lookup(discovery.SLOT, settings.platform.discovery)()
     instance = ids.InstanceId(settings.instance.id)
     domain = ids.DomainId(settings.instance.domain)
     documents = in_force.InForce()
     time_source = clock.SystemClock()
     peering = peering_module.Peering(settings, documents, time_source)
-    starting = starting_module.Starting()
+    starting, side_starting = (
+        starting_module.Starting(),
+        starting_module.Starting(),
+    )
     web = http.HttpServer(settings.http, starting)
-    web.start()
+    side = _side_servers(settings, side_starting)
+    for server in (web, *side):
+        server.start()
     logs.event("entry starts", port=web.port)
     peering.take_first_document()
     broker = broker_module.Broker(
@@ -91,15 +163,9 @@
         crashes.Crashes(broker),
         metrics.Metrics(),
     )
-    readiness = app_module.Readiness()
-    app = app_module.App(
-        instance,
-        documents,
-        services,
-        readiness,
-        gate_module.Gate(settings.http.connections, random.Random()),
-        settings.calls.body_limit_bytes,
-    )
+    readiness = readiness_module.Readiness()
+    gate = gate_module.Gate(settings.http.connections, random.Random())
+    relaying = relaying_module.Relaying(instance, documents, services, gate)
 
     def apply(applied: in_force.Applied) -> None:
         broker.configure(applied.document)
@@ -107,12 +173,31 @@
 
     documents.add_listener(apply)
     apply(documents.current())
-    watch = listing.ListingWatch(
+    watch = discovery_core.ListingWatch(
+        source,
         settings.platform.listing_url,
         settings.platform.listing_interval_s,
-        peering.on_listing,
+        lambda items: peering.on_listing(items, source.names_endpoints),
+    )
+    if source.names_endpoints:
+        readiness.require(
+            lambda: None if broker.has_endpoints() else "no endpoint is known"
+        )
+    readiness.require(
+        lambda: None if peering.lease.holds else "the document is in doubt"
+    )
+    starting.serve(
+        _app(settings, documents, relaying, readiness, peering.lease)
+    )
+    side_starting.serve(
+        side_module.SideApp(instance, documents, relaying, readiness)
     )
-    starting.serve(app)
     drain = _Drain(readiness, settings.calls.drain_notice_s)
-    parts = [poller, watch, broker, peering, ledger, web, drain]
-    lifecycle.Process(parts).run()
+    parts = [*side, poller, watch, broker, peering, ledger, web, drain]
+    reloader = None
+    if path is not None:
+        reloader = reloading.Reloader(
+            path, settings, {"peers.controls": peering.on_settings}
+        )
+        parts.insert(0, reloader)
+    lifecycle.Process(parts, reloader.ask if reloader else None).run()
--- a/cardamombarrow/entry/in_force.py
+++ b/cardamombarrow/entry/in_force.py
@@ -6,9 +6,10 @@
 import threading
 import time
 
-from cardamombarrow.document import parsing
+from cardamombarrow.document import formats
 from cardamombarrow.document import schema
 from cardamombarrow.entry import incoming
+from cardamombarrow.entry import routes as routes_module
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import logs
 from cardamombarrow.peers import control_pb2
@@ -30,6 +31,8 @@
     text: str
     document: schema.Document
     keys: incoming.KeyIndex
+    routes: routes_module.RouteIndex
+    format: str = formats.SECTIONS
 
 
 class InForce:
@@ -49,14 +52,25 @@
         """Calls `listener` with each revision that comes into force."""
         self._listeners.append(listener)
 
-    def offer(self, revision: ids.Revision, text: str) -> bool:
-        """Takes an accepted document; returns whether it was newer."""
+    def offer(
+        self, revision: ids.Revision, text: str, format_name: str = ""
+    ) -> bool:
+        """Takes an accepted document; returns whether it was newer.
+
+        Args:
+            revision: Its number.
+            text: What the operator wrote.
+            format_name: The plug-in that reads it; empty is INI sections.
+        """
+        format_name = format_name or formats.SECTIONS
         with self._lock:
             if self._applied and revision <= self._applied.revision:
                 return False
-            document = parsing.parse(text)
+            document = formats.parse(format_name, text)
+            keys = incoming.KeyIndex(document)
+            routes = routes_module.RouteIndex(document)
             self._applied = Applied(
-                revision, text, document, incoming.KeyIndex(document)
+                revision, text, document, keys, routes, format_name
             )
             for listener in self._listeners:
                 listener(self._applied)
@@ -113,7 +127,7 @@
         waited = time.monotonic() - start_s >= NO_QUORUM_WAIT_S
         if found and (certain or waited):
             best = max(found, key=lambda message: message.revision)
-            documents.offer(ids.Revision(best.revision), best.text)
+            documents.offer(ids.Revision(best.revision), best.text, best.format)
             return True
         time.sleep(ASK_PAUSE_S)
     return documents.revision > 0
--- a/cardamombarrow/entry/incoming.py
+++ b/cardamombarrow/entry/incoming.py
@@ -14,7 +14,13 @@
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 
-__all__ = ["IncomingCall", "KeyIndex", "completion", "service_call"]
+__all__ = [
+    "IncomingCall",
+    "KeyIndex",
+    "completion",
+    "read_body",
+    "service_call",
+]
 
 CLASS_HEADER = "X-Request-Class"
 KEY_HEADER = "Idempotency-Key"
@@ -31,6 +37,10 @@
         body_sha256: Digest of method, path and body.
         streams: Whether the caller asked for server-sent events.
         version: The model's version that was drawn; empty is none.
+        headers: What the caller sent for the endpoint, unchanged.
+        caller_id: The caller's own name for the request; empty for none.
+        resumable: Whether a stream that broke off may go on elsewhere.
+        resume_after: Id of the last event that the caller has already.
     """
 
     job: messages.Job
@@ -44,6 +54,10 @@
     streams: bool
     stall_limit_s: float
     version: str = ""
+    headers: tuple[tuple[str, str], ...] = ()
+    caller_id: str = ""
+    resumable: bool = True
+    resume_after: str = ""
 
 
 class KeyIndex:
@@ -56,6 +70,10 @@
             for digest in workspace.key_sha256
         }
 
+    def find(self, key: str) -> schema.Workspace | None:
+        """Returns the workspace of a key, or None."""
+        return self._by_digest.get(hashlib.sha256(key.encode()).hexdigest())
+
     def authenticate(self, request: wrappers.Request) -> schema.Workspace:
         """Returns the workspace whose key the caller shows.
 
@@ -63,8 +81,7 @@
             errors.RefusedError: No key, or one that is not known.
         """
         scheme, _, key = request.headers.get("Authorization", "").partition(" ")
-        digest = hashlib.sha256(key.strip().encode()).hexdigest()
-        workspace = self._by_digest.get(digest)
+        workspace = self.find(key.strip())
         if scheme.lower() != "bearer" or workspace is None:
             raise errors.RefusedError(
                 errors.ErrorKind.UNAUTHENTICATED,
@@ -85,7 +102,7 @@
     Raises:
         errors.RefusedError: It is malformed or names what is not there.
     """
-    body = _body(request)
+    body = read_body(request)
     try:
         content = json.loads(body)
     except ValueError as error:
@@ -163,7 +180,7 @@
             errors.ErrorKind.NOT_FOUND, f"no plain service {name!r}"
         )
     request_class = _request_class(request, document, workspace)
-    body = _body(request)
+    body = read_body(request)
     call = _call(
         request,
         document,
@@ -249,7 +266,12 @@
     return document.classes[ids.ClassId(name)]
 
 
-def _body(request: wrappers.Request) -> bytes:
+def read_body(request: wrappers.Request) -> bytes:
+    """Reads a request's body, up to its `max_content_length`.
+
+    Raises:
+        errors.RefusedError: It is too large, or did not come whole.
+    """
     too_large = errors.RefusedError(
         errors.ErrorKind.BODY_TOO_LARGE,
         f"the body is over {request.max_content_length} bytes",
--- a/cardamombarrow/entry/life.py
+++ b/cardamombarrow/entry/life.py
@@ -45,6 +45,11 @@
 
 EVENT_END = b"\n\n"
 
+WHOLE_BYTES = 65_536
+"""Answers of an announced length up to this are read whole before any of it
+goes out: one that breaks off can then be redone, and one that can't is told as
+a failure, not as half an answer."""
+
 _FINAL = (errors.ErrorKind.CALLER_GONE, errors.ErrorKind.DEADLINE)
 """What no second run can mend."""
 
@@ -87,6 +92,30 @@
     resumable: bool
     first: bytes
     rest: abc.Iterator[bytes]
+    settled: bool = False
+
+
+def _failure_of(head: endpoints_base.Head) -> errors.EndpointError:
+    return errors.EndpointError(
+        errors.ErrorKind.ENDPOINT_FAILED,
+        f"the endpoint answered {head.status}",
+        sent=True,
+    )
+
+
+def _outcome_of(error: errors.RouterError | None) -> messages.Outcome:
+    return messages.Outcome.DONE if error is None else _OUTCOMES[error.kind]
+
+
+def _is_short(head: endpoints_base.Head) -> bool:
+    """Tells whether an answer is read whole before any of it goes out."""
+    length = head.headers.get("content-length", "")
+    return (
+        not head.streams
+        and length.isascii()
+        and length.isdigit()
+        and int(length) <= WHOLE_BYTES
+    )
 
 
 def _whole_events(chunks: abc.Iterator[bytes]) -> abc.Iterator[bytes]:
@@ -118,6 +147,8 @@
         self._services = services
         self._kind = services.kinds[call.kind]
         self._tokens = 0
+        self._last_event = ""
+        self._relaying = False
         self._first_token_s: float | None = None
 
     def left_s(self) -> float:
@@ -136,6 +167,7 @@
         """
         ticket = self._services.broker.submit(self._call.job)
         run = self._begin(ticket)
+        self._relaying = True
         return Relay(run.head, self._relay(run))
 
     def _begin(self, ticket: broker_module.Ticket) -> _Run:
@@ -156,7 +188,9 @@
                 )
                 raise
             try:
-                return self._first_piece(ticket, exchange)
+                run = self._first_piece(ticket, exchange)
+                if not self._kind.failed(run.head):
+                    return run
             except errors.RouterError as error:
                 exchange.close()
                 self._fail(ticket, error)
@@ -167,6 +201,27 @@
                     ticket.job.request_id, messages.Outcome.FAILED
                 )
                 raise
+            else:
+                again = self._redo_failure(run)
+                if again is None:
+                    return run
+                ticket = again
+
+    def _redo_failure(self, run: _Run) -> broker_module.Ticket | None:
+        """Queues a request again that its endpoint answered with a failure.
+
+        Returns:
+            None where that is not allowed; the failure then goes to the
+            caller as the endpoint gave it.
+        """
+        ticket = run.ticket
+        run.exchange.close()
+        error = _failure_of(run.head)
+        self._settle(ticket, error, messages.Outcome.FAILED)
+        again = self._services.broker.resubmit(ticket, messages.Outcome.FAILED)
+        if again is None:
+            run.settled = True
+        return again
 
     def _first_piece(
         self, ticket: broker_module.Ticket, exchange: endpoints_base.Exchange
@@ -177,26 +232,43 @@
         endpoint fails can still be redone.
         """
         head = exchange.head()
+        self._take_load(ticket, head)
         if self._kind.not_started(head):
             raise errors.EndpointError(
                 errors.ErrorKind.ENDPOINT_REFUSED,
                 f"the endpoint answered {head.status}",
                 sent=True,
             )
-        if self._kind.failed(head):
-            raise errors.EndpointError(
-                errors.ErrorKind.ENDPOINT_FAILED,
-                f"the endpoint answered {head.status}",
-                sent=True,
-            )
-        resumable = self._kind.resumable(head) and ticket.job.repeatable
+        self._kind.check(head, self._outgoing(ticket))
+        if self._kind.failed(head) and not self._kind.relays_failures:
+            raise _failure_of(head)
+        if self._relaying and not (head.status == 200 and head.streams):
+            # The head of the answer is out: what is no stream would be read
+            # as the stream's next events.
+            raise _failure_of(head)
+        resumable = (
+            self._kind.resumable(head)
+            and ticket.job.repeatable
+            and self._call.resumable
+        )
         ticket.job.resumable = resumable
         chunks = exchange.chunks()
         if resumable:
             chunks = _whole_events(chunks)
-        first = next(chunks, b"")
+        if _is_short(head) or self._kind.failed(head):
+            first = b"".join(chunks)
+        else:
+            first = next(chunks, b"")
         return _Run(ticket, exchange, head, resumable, first, chunks)
 
+    def _take_load(
+        self, ticket: broker_module.Ticket, head: endpoints_base.Head
+    ) -> None:
+        report = self._kind.load_in(head)
+        if report is not None:
+            endpoint = ticket.placed.result().endpoint
+            self._services.broker.report(endpoint, report)
+
     def _fail(
         self, ticket: broker_module.Ticket, error: errors.RouterError
     ) -> None:
@@ -221,23 +293,30 @@
                     ) from None
 
     def _open(self, ticket: broker_module.Ticket) -> endpoints_base.Exchange:
+        return self._kind.open(self._outgoing(ticket))
+
+    def _outgoing(
+        self, ticket: broker_module.Ticket
+    ) -> endpoints_base.OutgoingCall:
         call = self._call
         placement = ticket.placed.result()
-        return self._kind.open(
-            endpoints_base.OutgoingCall(
-                request_id=call.job.request_id,
-                endpoint=placement.endpoint,
-                method=call.method,
-                path=call.path,
-                body=call.body,
-                content_type=call.content_type,
-                rank=call.job.rank,
-                deadline_s=call.job.deadline_s,
-                stall_limit_s=call.stall_limit_s,
-                caller=self._caller,
-                cancelled=lambda: ticket.preempted is not None,
-                resume_tokens=self._tokens,
-            )
+        return endpoints_base.OutgoingCall(
+            request_id=call.job.request_id,
+            endpoint=placement.endpoint,
+            method=call.method,
+            path=call.path,
+            body=call.body,
+            content_type=call.content_type,
+            rank=call.job.rank,
+            deadline_s=call.job.deadline_s,
+            stall_limit_s=call.stall_limit_s,
+            caller=self._caller,
+            cancelled=lambda: ticket.preempted is not None,
+            resume_tokens=self._tokens,
+            resume_after=self._last_event or call.resume_after,
+            caller_id=call.caller_id,
+            workspace=call.job.workspace,
+            headers=call.headers,
         )
 
     def _again(
@@ -282,6 +361,9 @@
         return again
 
     def _relay_run(self, run: _Run) -> abc.Iterator[bytes]:
+        if run.settled:
+            yield run.first
+            return
         request_id = run.ticket.job.request_id
         broker = self._services.broker
         tail = b""
@@ -296,6 +378,10 @@
                     broker.first_token(request_id)
                 tail = (tail + chunk)[-TAIL_BYTES:]
                 self._tokens += self._kind.count_tokens(chunk)
+                if run.resumable:
+                    self._last_event = (
+                        self._kind.last_event(chunk) or self._last_event
+                    )
                 broker.progress(request_id, self._tokens)
                 yield chunk
             if run.head.streams and not self._kind.is_whole(run.head, tail):
@@ -319,11 +405,13 @@
                 self._fail(run.ticket, failure)
 
     def _settle(
-        self, ticket: broker_module.Ticket, error: errors.RouterError | None
+        self,
+        ticket: broker_module.Ticket,
+        error: errors.RouterError | None,
+        outcome: messages.Outcome | None = None,
     ) -> None:
-        outcome = messages.Outcome.DONE
-        if error is not None:
-            outcome = _OUTCOMES[error.kind]
+        if outcome is None:
+            outcome = _outcome_of(error)
         job = ticket.job
         self._services.broker.finish(job.request_id, outcome)
         first_s = self._first_token_s
--- a/cardamombarrow/entry/peering.py
+++ b/cardamombarrow/entry/peering.py
@@ -3,11 +3,14 @@
 from concurrent import futures
 import time
 
+from cardamombarrow.decisions import messages
+from cardamombarrow.discovery import base as discovery
 from cardamombarrow.document import schema
 from cardamombarrow.endpoints import base as endpoints_base
 from cardamombarrow.endpoints import poller as poller_module
 from cardamombarrow.entry import broker as broker_module
 from cardamombarrow.entry import in_force
+from cardamombarrow.entry import lease as lease_module
 from cardamombarrow.entry import settings as settings_module
 from cardamombarrow.gossip import rows
 from cardamombarrow.gossip import table as table_module
@@ -16,18 +19,22 @@
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import lifecycle
 from cardamombarrow.kernel import logs
+from cardamombarrow.peers import confirming as confirming_module
 from cardamombarrow.peers import control_client
 from cardamombarrow.peers import control_pb2
 from cardamombarrow.peers import gossip_node
 from cardamombarrow.peers import loop as loop_module
 from cardamombarrow.peers import membership as membership_module
 from cardamombarrow.peers import server as server_module
-from cardamombarrow.platform import listing
 
 __all__ = ["Peering"]
 
 FIRST_DOCUMENT_TIMEOUT_S = 60.0
 
+MEET_TRIES = 2
+"""How often all control processes are asked before one is followed: they may
+still be starting."""
+
 ASK_TIMEOUT_S = 2.0
 """Longest wait for one source of the first document."""
 
@@ -54,14 +61,28 @@
         self._node: gossip_node.GossipNode | None = None
         self._server: server_module.PeerServer | None = None
         self.membership: membership_module.Membership | None = None
+        self._broker: broker_module.Broker | None = None
+        self._found: tuple[messages.KnownEndpoint, ...] = ()
         self.control = control_client.ControlClient(
             self._loop,
-            settings.peers.controls,
+            settings.peers.control_addresses(),
             settings.peers.secret,
             self._report,
             documents.offer,
             documents.revision_and_text,
             settings.peers.report_interval_s,
+            self._domain,
+        )
+        boot_clock = clock.BootClock()
+        self.lease = lease_module.DocumentLease(
+            settings.document.confirmed_within_s, boot_clock
+        )
+        self._confirming = confirming_module.Confirming(
+            self._loop,
+            self.control,
+            self._confirm_request,
+            self._on_confirmed,
+            boot_clock,
         )
 
     def _report(self) -> control_pb2.AppliedReport:
@@ -69,15 +90,49 @@
             instance=self._instance,
             domain=self._domain,
             applied_revision=self._documents.revision,
+            address=self._address(),
+        )
+
+    def _address(self) -> str:
+        peers = self._settings.peers
+        return peers.address or f"{peers.host}:{peers.port}"
+
+    def _confirm_request(self) -> control_pb2.ConfirmRequest:
+        return control_pb2.ConfirmRequest(
+            instance=self._instance,
+            domain=self._domain,
+            applied_revision=self._documents.revision,
         )
 
+    def _on_confirmed(
+        self, asked_s: float, reply: control_pb2.ConfirmReply
+    ) -> None:
+        document = reply.document
+        if document.text:
+            revision = ids.Revision(document.revision)
+            self._take_document(revision, document.text, document.format)
+        if self._documents.revision >= document.revision:
+            self.lease.confirm(asked_s)
+        if self._node is not None:
+            self._node.set_seeds((*self._settings.peers.seeds, *reply.entries))
+
     def take_first_document(self) -> None:
         """Starts the links to control and waits for a document.
 
+        Where documents have to be confirmed, the first one may be any: no
+        request is let in before a majority has confirmed it.
+
         Raises:
             errors.UnavailableError: No instance gave a document in time.
         """
         self._loop.start()
+        if self.lease.bound_s:
+            self._meet_controls()
+            self.control.start()
+            self._confirming.start()
+            while not self._documents.wait_first(FIRST_DOCUMENT_TIMEOUT_S):
+                logs.event("no document yet", "WARNING")
+            return
         if not in_force.take_first(
             self._documents, self._ask, FIRST_DOCUMENT_TIMEOUT_S
         ):
@@ -88,6 +143,13 @@
             )
         self.control.start()
 
+    def _meet_controls(self) -> None:
+        """Asks all control processes once, to learn which is near."""
+        for _ in range(MEET_TRIES):
+            asked = self.control.documents(ASK_TIMEOUT_S)
+            if all(future.result() is not None for future in asked):
+                return
+
     def _ask(
         self,
     ) -> list[futures.Future[control_pb2.DocumentMessage | None]]:
@@ -105,6 +167,7 @@
         broker: broker_module.Broker,
     ) -> poller_module.Poller:
         """Builds the gossip; returns the poller that it steers."""
+        self._broker = broker
         self.membership = membership_module.Membership(
             self._instance, self._domain, kinds, broker, self._clock
         )
@@ -113,7 +176,7 @@
             self.membership.on_report,
         )
         peers = self._settings.peers
-        address = peers.address or f"{peers.host}:{peers.port}"
+        address = self._address()
         table = table_module.Table(
             self._instance,
             time.time_ns() // 1_000_000,
@@ -150,12 +213,16 @@
             return control_pb2.DocumentMessage()
         current = self._documents.current()
         return control_pb2.DocumentMessage(
-            revision=current.revision, text=current.text
+            revision=current.revision,
+            text=current.text,
+            format=current.format,
         )
 
-    def _take_document(self, revision: ids.Revision, text: str) -> None:
+    def _take_document(
+        self, revision: ids.Revision, text: str, format_name: str
+    ) -> None:
         try:
-            taken = self._documents.offer(revision, text)
+            taken = self._documents.offer(revision, text, format_name)
         except errors.RouterError as error:
             logs.event("document not taken", "ERROR", detail=error.detail)
             return
@@ -163,12 +230,38 @@
             logs.event("document from another entry", revision=revision)
             self.control.report_now()
 
-    def on_listing(self, items: list[listing.EndpointListing]) -> None:
-        """Takes the platform's list."""
+    def on_listing(
+        self, items: list[discovery.Listed], names_endpoints: bool
+    ) -> None:
+        """Takes the list of endpoints.
+
+        Args:
+            items: What it says.
+            names_endpoints: Whether it says which endpoints there are.
+        """
         self.membership.on_listing(
-            (item.endpoint, item.state is listing.ListingState.LEAVING)
+            (item.endpoint, item.state is discovery.ListedState.LEAVING)
             for item in items
         )
+        if not names_endpoints:
+            return
+        found = tuple(
+            messages.KnownEndpoint(
+                item.endpoint, item.service, item.domain, item.slots
+            )
+            for item in items
+        )
+        if found != self._found:
+            self._found = found
+            logs.decision(
+                "endpoints", endpoints=[each.endpoint for each in found]
+            )
+            self._broker.set_found(found)
+            self.membership.on_found(found)
+
+    def on_settings(self, settings: settings_module.EntrySettings) -> None:
+        """Takes another list of control processes."""
+        self.control.set_controls(settings.peers.control_addresses())
 
     def start(self) -> None:
         """Starts gossip; call after `join`."""
@@ -178,6 +271,8 @@
     def stop(self) -> None:
         """Says goodbye to the other instances and ends all links."""
         self._node.stop()
+        if self.lease.bound_s:
+            self._confirming.stop()
         self.control.stop()
         self._server.stop()
         self._loop.stop()
--- /dev/null
+++ b/cardamombarrow/entry/readiness.py
@@ -0,0 +1,34 @@
+"""Whether the balancer should send requests to this entry."""
+
+from collections import abc
+
+__all__ = ["Condition", "Readiness"]
+
+Condition = abc.Callable[[], str | None]
+"""Returns why the entry is not ready, or None."""
+
+
+class Readiness:
+    """Ready while it does not drain and every condition holds.
+
+    Attributes:
+        draining: Set at a stop.
+    """
+
+    def __init__(self):
+        self.draining = False
+        self._conditions: list[Condition] = []
+
+    def require(self, condition: Condition) -> None:
+        """Adds a condition."""
+        self._conditions.append(condition)
+
+    def reason(self) -> str | None:
+        """Returns why the entry is not ready, or None."""
+        if self.draining:
+            return "draining"
+        for condition in self._conditions:
+            reason = condition()
+            if reason is not None:
+                return reason
+        return None
--- /dev/null
+++ b/cardamombarrow/entry/relaying.py
@@ -0,0 +1,124 @@
+"""Runs a call that was let in and relays its answer, whoever asked how."""
+
+from collections import abc
+import typing
+
+from cardamombarrow.decisions import messages
+from cardamombarrow.entry import answers
+from cardamombarrow.entry import caller as caller_module
+from cardamombarrow.entry import gate as gate_module
+from cardamombarrow.entry import in_force
+from cardamombarrow.entry import incoming
+from cardamombarrow.entry import life
+from cardamombarrow.entry import once
+from cardamombarrow.kernel import errors
+from cardamombarrow.kernel import ids
+
+__all__ = ["Relaying"]
+
+NO_BODY_STATUSES = (204, 304)
+
+
+class Relaying:
+    """What the applications of an entry have in common.
+
+    Attributes:
+        services: What every request's life needs.
+    """
+
+    def __init__(
+        self,
+        instance: ids.InstanceId,
+        documents: in_force.InForce,
+        services: life.LifeServices,
+        gate: gate_module.Gate,
+    ):
+        self._instance = instance
+        self._documents = documents
+        self._gate = gate
+        self.services = services
+
+    @property
+    def held(self) -> int:
+        """Requests that are held now."""
+        return self._gate.held
+
+    def begin(
+        self,
+        environ: dict[str, typing.Any],
+        call: incoming.IncomingCall,
+        run: abc.Callable[[life.Life], life.Relay],
+        *,
+        tells_breaks: bool,
+    ) -> life.Relay:
+        """Runs a call until its answer begins.
+
+        Args:
+            environ: The WSGI environment.
+            call: The call.
+            run: Runs its life; `run_plain`, or `run_claimed`.
+            tells_breaks: Whether a stream that breaks off ends with an event
+                that says so; otherwise the connection breaks.
+
+        Raises:
+            errors.RouterError: It was refused or failed.
+        """
+        try:
+            self._gate.enter(call.job, self._documents.current().document)
+            relay = self._run(environ, call, run)
+        except errors.RouterError as error:
+            error.class_id = call.job.class_id
+            raise
+        chunks = self._chunks(relay, call.job, tells_breaks)
+        method = environ["REQUEST_METHOD"]
+        if relay.head.status in NO_BODY_STATUSES or method == "HEAD":
+            # werkzeug neither iterates nor closes the body of such an answer:
+            # the endpoint's slot would be held for ever.
+            chunks = iter(list(chunks))
+        return life.Relay(relay.head, chunks)
+
+    def _run(
+        self,
+        environ: dict[str, typing.Any],
+        call: incoming.IncomingCall,
+        run: abc.Callable[[life.Life], life.Relay],
+    ) -> life.Relay:
+        try:
+            watch = caller_module.SocketWatch(environ["werkzeug.socket"])
+            return run(life.Life(call, watch, self.services))
+        except BaseException:
+            self._gate.leave(call.job)
+            raise
+
+    def run_plain(self, request_life: life.Life) -> life.Relay:
+        """Runs a call as it is."""
+        return request_life.run()
+
+    def run_claimed(
+        self, call: incoming.IncomingCall
+    ) -> abc.Callable[[life.Life], life.Relay]:
+        """Returns how a call is run under a claim in the ledger."""
+
+        def run(request_life: life.Life) -> life.Relay:
+            return once.run_once(
+                call, request_life, self.services.ledger, self._instance
+            )
+
+        return run
+
+    def _chunks(
+        self, relay: life.Relay, job: messages.Job, tells_breaks: bool
+    ) -> abc.Iterator[bytes]:
+        try:
+            yield from relay.chunks
+        except errors.RouterError as error:
+            self.services.metrics.error(error.kind, job.class_id)
+            if not (relay.head.streams and tells_breaks):
+                # The caller sees fewer bytes than announced, or no last chunk.
+                raise
+            yield answers.error_event(error, job.request_id)
+        finally:
+            close = getattr(relay.chunks, "close", None)
+            if close is not None:
+                close()
+            self._gate.leave(job)
--- /dev/null
+++ b/cardamombarrow/entry/routes.py
@@ -0,0 +1,53 @@
+"""Finds the route of a request: by host, then the longest prefix."""
+
+from cardamombarrow.document import schema
+from cardamombarrow.kernel import ids
+
+__all__ = ["RouteIndex", "draw_service"]
+
+
+class RouteIndex:
+    """The routes of one document."""
+
+    def __init__(self, document: schema.Document):
+        self._routes = {
+            (route.host, route.path_prefix): route
+            for route in document.routes.values()
+        }
+
+    def match(self, host: str, path: str) -> schema.Route | None:
+        """Returns the route of a request, or None.
+
+        Costs one look per slash of the path, however many routes there are.
+
+        Args:
+            host: What the caller named; case and port do not count.
+            path: The path without its query.
+        """
+        name = _without_port(host).lower()
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            route = self._routes.get((name, path[: end + 1]))
+            if route is not None:
+                return route
+        return None
+
+
+def _without_port(host: str) -> str:
+    name, separator, port = host.rpartition(":")
+    return name if separator and port.isdigit() else host
+
+
+def draw_service(route: schema.Route, point: float) -> ids.ServiceId:
+    """Returns one of a route's services by weight.
+
+    Args:
+        route: The route; its weights add up to more than 0.
+        point: From 0 to below 1, drawn evenly.
+    """
+    left = point * sum(route.services.values())
+    for service, weight in route.services.items():
+        left -= weight
+        if left < 0:
+            return service
+    return next(name for name, weight in route.services.items() if weight)
--- a/cardamombarrow/entry/settings.py
+++ b/cardamombarrow/entry/settings.py
@@ -5,7 +5,16 @@
 from cardamombarrow.kernel import http
 from cardamombarrow.kernel import settings
 
-__all__ = ["EntrySettings", "InstanceSettings", "LogSettings", "PeerSettings"]
+__all__ = [
+    "CallSettings",
+    "DocumentSettings",
+    "EntrySettings",
+    "InstanceSettings",
+    "LogSettings",
+    "PeerSettings",
+    "PlatformSettings",
+    "SideSettings",
+]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -15,6 +24,9 @@
     id: str = settings.setting(help="id of this instance, unique")
     domain: str = settings.setting(help="failure domain it stands in")
     region: str = settings.setting("", help="region it stands in")
+    plugins: tuple[str, ...] = settings.setting(
+        (), help="modules to import at the start; they register plug-ins"
+    )
 
 
 @dataclasses.dataclass(frozen=True)
@@ -47,6 +59,13 @@
     controls: tuple[str, ...] = settings.setting(
         (), help="peer addresses host:port of the control processes"
     )
+    controls_port: int = settings.setting(
+        0,
+        help="port of the control processes, in place of those in `controls`; "
+        "0 takes them as they stand",
+        low=0,
+        high=65535,
+    )
     seeds: tuple[str, ...] = settings.setting(
         (), help="peer addresses host:port of some entries of this domain"
     )
@@ -58,11 +77,54 @@
         high=60.0,
     )
 
+    def control_addresses(self) -> tuple[str, ...]:
+        """Returns the peer addresses of the control processes."""
+        return tuple(self.at_controls_port(each) for each in self.controls)
+
+    def at_controls_port(self, address: str) -> str:
+        """Returns an address with the port that control processes use."""
+        if not self.controls_port:
+            return address
+        return f"{address.rpartition(':')[0]}:{self.controls_port}"
+
+
+@dataclasses.dataclass(frozen=True)
+class SideSettings:
+    """Where a platform asks how the process is."""
+
+    ready: str = settings.setting(
+        "", help="address host:port of its own for /readyz; empty for none"
+    )
+    metrics: str = settings.setting(
+        "", help="address host:port of its own for /metrics; empty for none"
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class DocumentSettings:
+    """How sure an entry must be of the document."""
+
+    confirmed_within_s: float = settings.setting(
+        0.0,
+        unit="s",
+        help="greatest age of the last confirmation by a majority that the "
+        "document in force is the newest; older, requests are refused. With "
+        "0 an entry that is cut off serves on",
+        low=0.0,
+        high=3600.0,
+    )
+
 
 @dataclasses.dataclass(frozen=True)
 class CallSettings:
     """Bounds on callers' requests."""
 
+    protocol: str = settings.setting(
+        "openai",
+        help="how callers speak: `openai`, or a caller-protocol plug-in for "
+        "requests by route",
+    )
+
     body_limit_bytes: int = settings.setting(
         4_000_000,
         unit="bytes",
@@ -84,6 +146,9 @@
 class PlatformSettings:
     """The platform's list and the endpoints' reports."""
 
+    discovery: str = settings.setting(
+        "list", help="discovery plug-in that reads the list"
+    )
     listing_url: str = settings.setting(
         "", help="URL of the platform's list; empty for none"
     )
@@ -108,4 +173,6 @@
     peers: PeerSettings
     calls: CallSettings
     platform: PlatformSettings
+    document: DocumentSettings
+    side: SideSettings
     log: LogSettings
--- /dev/null
+++ b/cardamombarrow/entry/side.py
@@ -0,0 +1,63 @@
+"""What an entry tells the platform on addresses of its own."""
+
+from collections import abc
+import json
+import typing
+
+from werkzeug import wrappers
+
+from cardamombarrow.entry import in_force
+from cardamombarrow.entry import readiness as readiness_module
+from cardamombarrow.entry import relaying as relaying_module
+from cardamombarrow.kernel import ids
+
+__all__ = ["SideApp"]
+
+
+class SideApp:
+    """Serves ``/readyz``, ``/metrics`` and ``/v1/instance``; see PEP 3333."""
+
+    def __init__(
+        self,
+        instance: ids.InstanceId,
+        documents: in_force.InForce,
+        relaying: relaying_module.Relaying,
+        readiness: readiness_module.Readiness,
+    ):
+        self._instance = instance
+        self._documents = documents
+        self._relaying = relaying
+        self._readiness = readiness
+
+    def __call__(
+        self, environ: dict[str, typing.Any], start_response: typing.Any
+    ) -> abc.Iterable[bytes]:
+        """Serves one request."""
+        response = self._answer(environ["PATH_INFO"])
+        return response(environ, start_response)
+
+    def _answer(self, path: str) -> wrappers.Response:
+        if path == "/metrics":
+            text = self._relaying.services.metrics.text(
+                self._relaying.held, self._documents.revision
+            )
+            return wrappers.Response(
+                text, content_type="text/plain; version=0.0.4"
+            )
+        if path == "/v1/instance":
+            return self._instance_answer()
+        reason = self._readiness.reason()
+        if reason is not None:
+            return wrappers.Response(f"{reason}\n", status=503)
+        return wrappers.Response("ready\n")
+
+    def _instance_answer(self) -> wrappers.Response:
+        believes = {
+            "instance": self._instance,
+            "revision": self._documents.revision,
+            "not_ready": self._readiness.reason(),
+            "held": self._relaying.held,
+        }
+        return wrappers.Response(
+            json.dumps(believes) + "\n", content_type="application/json"
+        )
--- a/cardamombarrow/kernel/clock.py
+++ b/cardamombarrow/kernel/clock.py
@@ -3,7 +3,7 @@
 import abc
 import time
 
-__all__ = ["Clock", "ManualClock", "SystemClock"]
+__all__ = ["BootClock", "Clock", "ManualClock", "SystemClock"]
 
 
 class Clock(abc.ABC):
@@ -22,6 +22,18 @@
         return time.monotonic()
 
 
+class BootClock(Clock):
+    """A clock that also counts the time in which the machine was suspended.
+
+    A bound on how old knowledge may be has to count that time: a machine that
+    wakes up knows nothing of what was accepted while it slept.
+    """
+
+    def now_s(self) -> float:
+        """Returns the time since the machine's start."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class ManualClock(Clock):
     """A clock that moves only when told to."""
 
--- a/cardamombarrow/kernel/connection.py
+++ b/cardamombarrow/kernel/connection.py
@@ -11,6 +11,7 @@
 
 from collections import abc
 import http
+from http import client
 import io
 import json
 import socket
@@ -20,10 +21,22 @@
 
 from werkzeug import serving
 
+from cardamombarrow.kernel import chunked
 from cardamombarrow.kernel import errors
+from cardamombarrow.kernel import heads
 from cardamombarrow.kernel import logs
 
-__all__ = ["Handler", "error_body"]
+__all__ = ["HEADERS_KEY", "HEAD_BYTES_KEY", "Handler", "error_body"]
+
+HEADERS_KEY = "cardamombarrow.headers"
+"""Where the environment has the header fields as they came: a tuple of pairs.
+WSGI's own form loses their order and joins those that stand twice."""
+
+HEAD_BYTES_KEY = "cardamombarrow.head_bytes"
+"""Where the environment has the size of the head."""
+
+HEAD_LIMIT_BYTES = 131_072
+"""Longest head that is read at all; the application may allow less."""
 
 LINGER_S = 1.0
 """Longest time in which the rest of a refused request is read."""
@@ -193,6 +206,55 @@
             self.connection.setblocking(False)
             self._non_blocking = True
 
+    def parse_request(self) -> bool:
+        """Reads the head strictly; answers and returns False otherwise."""
+        self.command = self.path = ""
+        self.request_version = "HTTP/1.1"
+        self.close_connection = True
+        raw = self._read_head()
+        if raw is None:
+            self._refuse_head(
+                errors.ErrorKind.HEADERS_TOO_LARGE,
+                f"the head is over {HEAD_LIMIT_BYTES} bytes",
+            )
+            return False
+        if not raw.endswith(b"\r\n\r\n") and not raw.endswith(b"\n\n"):
+            # The client left, or was silent for too long.
+            return False
+        try:
+            head = heads.parse(raw)
+        except errors.RefusedError as error:
+            self._refuse_head(error.kind, error.detail)
+            return False
+        self.head = head
+        self.head_bytes = len(raw)
+        self.command = head.method
+        self.path = head.target
+        self.request_version = head.version
+        self.headers = client.HTTPMessage()
+        for name, value in head.fields:
+            self.headers[name] = value
+        return True
+
+    def _read_head(self) -> bytes | None:
+        lines = [self.raw_requestline]
+        left_bytes = HEAD_LIMIT_BYTES - len(self.raw_requestline)
+        while lines[-1] not in (b"\r\n", b"\n", b""):
+            if left_bytes <= 0:
+                return None
+            lines.append(self.rfile.readline(left_bytes))
+            left_bytes -= len(lines[-1])
+        return b"".join(lines)
+
+    def _refuse_head(self, kind: errors.ErrorKind, detail: str) -> None:
+        status = http.HTTPStatus(errors.ANSWERS[kind].status)
+        logs.decision(
+            "answer", status=status.value, kind=kind.value, detail=detail
+        )
+        body = error_body(kind, detail)
+        self._answer_error(f"{status.value} {status.phrase}", body)
+        self._linger()
+
     def log_request(self, *args: typing.Any, **kwargs: typing.Any) -> None:
         """Writes nothing: the application logs its own lines."""
 
@@ -229,6 +291,11 @@
         if self.headers.get("Expect", "").strip().lower() == "100-continue":
             self.connection.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
         self.environ = environ = self.make_environ()
+        environ[HEADERS_KEY] = self.head.fields
+        environ[HEAD_BYTES_KEY] = self.head_bytes
+        if self.head.is_chunked:
+            environ["wsgi.input_terminated"] = True
+            environ["wsgi.input"] = chunked.ChunkedInput(self.rfile)
         body = _CountedInput(environ["wsgi.input"], _body_bytes(environ))
         environ["wsgi.input"] = body
         writer = _AnswerWriter(self)
--- a/cardamombarrow/kernel/errors.py
+++ b/cardamombarrow/kernel/errors.py
@@ -28,6 +28,8 @@
 
     BAD_REQUEST = "bad_request"
     BODY_TOO_LARGE = "body_too_large"
+    HEADERS_TOO_LARGE = "headers_too_large"
+    UNKNOWN_VERSION = "unknown_version"
     UNAUTHENTICATED = "unauthenticated"
     FORBIDDEN = "forbidden"
     NOT_FOUND = "not_found"
@@ -91,6 +93,8 @@
 ANSWERS: dict[ErrorKind, Answer] = {
     ErrorKind.BAD_REQUEST: _never(400),
     ErrorKind.BODY_TOO_LARGE: _never(413),
+    ErrorKind.HEADERS_TOO_LARGE: _never(431),
+    ErrorKind.UNKNOWN_VERSION: _never(505),
     ErrorKind.UNAUTHENTICATED: _never(401),
     ErrorKind.FORBIDDEN: _never(403),
     ErrorKind.NOT_FOUND: _never(404),
--- a/cardamombarrow/kernel/http.py
+++ b/cardamombarrow/kernel/http.py
@@ -24,7 +24,7 @@
 from cardamombarrow.kernel import logs
 from cardamombarrow.kernel import settings
 
-__all__ = ["HttpServer", "HttpSettings"]
+__all__ = ["HttpServer", "HttpSettings", "side_server"]
 
 WAITING_FACTOR = 2
 """Connections that may be open, as a multiple of those served at once."""
@@ -52,6 +52,9 @@
     port: int = settings.setting(
         0, help="port to listen on; 0 takes a free one", low=0, high=65535
     )
+    address: str = settings.setting(
+        "", help="address host:port to listen on, in place of the two above"
+    )
     connections: int = settings.setting(
         512, help="connections served at once", low=1, high=4096
     )
@@ -82,6 +85,13 @@
     )
     tls_key: str = settings.setting("", help="PEM private key")
 
+    def place(self) -> tuple[str, int]:
+        """Returns host and port to listen on."""
+        if not self.address:
+            return self.host, self.port
+        host, _, port = self.address.rpartition(":")
+        return host, int(port)
+
 
 def _check_descriptors(connections: int) -> None:
     """Warns where the system allows too few open files for the settings."""
@@ -110,9 +120,8 @@
             context.load_cert_chain(
                 pathlib.Path(http.tls_certificate), http.tls_key or None
             )
-        super().__init__(
-            http.host, http.port, app, handler=connection_module.Handler
-        )
+        host, port = http.place()
+        super().__init__(host, port, app, handler=connection_module.Handler)
         # The handshake runs in the connection's own task: done in the
         # accepting thread, one silent client would hold up all others.
         self._context = context
@@ -203,6 +212,21 @@
         self._executor.shutdown(wait=True)
 
 
+def side_server(address: str, app: typing.Any) -> "HttpServer | None":
+    """Returns a server for a platform's own questions, or None.
+
+    Asked on a port of its own, a process answers while its callers hold all
+    the threads that serve them.
+
+    Args:
+        address: ``host:port``; empty for none.
+        app: What it serves.
+    """
+    if not address:
+        return None
+    return HttpServer(HttpSettings(address=address, connections=4), app)
+
+
 class HttpServer(lifecycle.Part):
     """Serves a WSGI application until stopped."""
 
--- a/cardamombarrow/kernel/ids.py
+++ b/cardamombarrow/kernel/ids.py
@@ -14,9 +14,13 @@
     "OwnerId",
     "RequestId",
     "Revision",
+    "RouteId",
     "ServiceId",
     "TierId",
     "WorkspaceId",
+    "address_of",
+    "endpoint_id",
+    "identity_of",
     "new_request_id",
 ]
 
@@ -29,6 +33,7 @@
 ClassId = typing.NewType("ClassId", str)
 TierId = typing.NewType("TierId", str)
 RequestId = typing.NewType("RequestId", str)
+RouteId = typing.NewType("RouteId", str)
 OwnerId = typing.NewType("OwnerId", str)
 EditId = typing.NewType("EditId", str)
 Fingerprint = typing.NewType("Fingerprint", str)
@@ -38,3 +43,32 @@
 def new_request_id() -> RequestId:
     """Returns a request id of 96 random bits, unique among instances."""
     return RequestId(secrets.token_hex(12))
+
+
+_IDENTITY_MARK = "#"
+
+
+def endpoint_id(address: str, identity: str = "") -> EndpointId:
+    """Returns the id of an endpoint.
+
+    An address may be given to another endpoint after one has ended. With the
+    identity in the id, what was learned of the first is not held against the
+    second.
+
+    Args:
+        address: ``host:port``.
+        identity: What the endpoint calls itself; empty where that is not
+            known.
+    """
+    mark = _IDENTITY_MARK if identity else ""
+    return EndpointId(f"{address}{mark}{identity}")
+
+
+def address_of(endpoint: EndpointId) -> str:
+    """Returns the address ``host:port`` of an endpoint."""
+    return endpoint.partition(_IDENTITY_MARK)[0]
+
+
+def identity_of(endpoint: EndpointId) -> str:
+    """Returns what an endpoint calls itself; empty where not known."""
+    return endpoint.partition(_IDENTITY_MARK)[2]
--- a/cardamombarrow/kernel/lifecycle.py
+++ b/cardamombarrow/kernel/lifecycle.py
@@ -1,13 +1,14 @@
 """Start and stop of a process: parts start in order and stop in reverse."""
 
 import abc
+from collections import abc as abc_module
 import signal
 import threading
 import types
 
 from cardamombarrow.kernel import logs
 
-__all__ = ["Part", "Process"]
+__all__ = ["Part", "Process", "ignore_hangup"]
 
 
 class Part(abc.ABC):
@@ -22,21 +23,38 @@
         """Stops the part; returns once its work is finished."""
 
 
+def ignore_hangup() -> None:
+    """Makes SIGHUP harmless until `Process` takes it.
+
+    By default it ends a process: a change of the settings file, told to a
+    process that has not finished starting, would kill it.
+    """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 class Process:
     """Runs parts until SIGTERM or SIGINT arrives.
 
+    SIGHUP calls `on_hangup`, where there is one, and is ignored otherwise.
+
     Example:
         >>> Process([server, poller]).run()  # doctest: +SKIP
     """
 
-    def __init__(self, parts: list[Part]):
+    def __init__(
+        self,
+        parts: list[Part],
+        on_hangup: abc_module.Callable[[], None] | None = None,
+    ):
         self._parts = parts
+        self._on_hangup = on_hangup
         self._stop = threading.Event()
 
     def run(self) -> None:
         """Starts all parts, waits for a signal, stops all parts."""
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self._on_signal)
+        signal.signal(signal.SIGHUP, self._on_reload)
         started: list[Part] = []
         try:
             for part in self._parts:
@@ -47,6 +65,10 @@
             for part in reversed(started):
                 _stop(part)
 
+    def _on_reload(self, number: int, _: types.FrameType | None) -> None:
+        if self._on_hangup is not None:
+            self._on_hangup()
+
     def _on_signal(self, number: int, _: types.FrameType | None) -> None:
         logs.event("signal", signal=signal.Signals(number).name)
         self._stop.set()
--- a/cardamombarrow/kernel/logs.py
+++ b/cardamombarrow/kernel/logs.py
@@ -11,7 +11,6 @@
 import queue
 import sys
 import threading
-import time
 import typing
 
 import loguru
@@ -21,7 +20,6 @@
 MOST_WAITING_LINES = 10_000
 """Lines that may wait to be written, so that memory stays bounded."""
 
-FULL_WAIT_S = 0.01
 CLOSE_TIMEOUT_S = 2.0
 
 _LOGGER = loguru.logger
@@ -38,6 +36,7 @@
     def __init__(self, stream: typing.TextIO):
         self._stream = stream
         self._lines: queue.SimpleQueue[str | None] = queue.SimpleQueue()
+        self._dropped = 0
         self._thread = threading.Thread(
             target=self._run, name="logs", daemon=True
         )
@@ -45,10 +44,15 @@
         atexit.register(self._close)
 
     def write(self, line: str) -> None:
-        """Hands a line over; waits only while too many lie there already."""
-        while self._lines.qsize() >= MOST_WAITING_LINES:
-            time.sleep(FULL_WAIT_S)
-        self._lines.put(line)
+        """Hands a line over, or drops it where too many lie there already.
+
+        Whoever reads the log may have stopped: a request that waited for it
+        would be answered late, or never.
+        """
+        if self._lines.qsize() >= MOST_WAITING_LINES:
+            self._dropped += 1
+        else:
+            self._lines.put(line)
 
     def _run(self) -> None:
         ended = False
@@ -57,6 +61,9 @@
             while not self._lines.empty():
                 ready.append(self._lines.get())
             ended = None in ready
+            dropped, self._dropped = self._dropped, 0
+            if dropped:
+                ready.append(f'{{"event": "lines dropped", "n": {dropped}}}\n')
             # Whoever read the log may be gone; requests go on without it.
             with contextlib.suppress(OSError, ValueError):
                 self._stream.write("".join(line for line in ready if line))
@@ -68,7 +75,7 @@
 
 
 def configure(level: str, role: str, instance: str) -> None:
-    """Sends log lines as JSON to standard error.
+    """Sends log lines as JSON to standard output.
 
     Args:
         level: Least level that is written, such as ``INFO``.
@@ -76,7 +83,7 @@
         instance: This instance's id; stands in every line.
     """
     _LOGGER.remove()
-    lines = _LineWriter(sys.stderr)
+    lines = _LineWriter(sys.stdout)
     base = {"role": role, "instance": instance}
 
     def write(message: typing.Any) -> None:
--- /dev/null
+++ b/cardamombarrow/kernel/reloading.py
@@ -0,0 +1,121 @@
+"""Takes a changed settings file while the process runs.
+
+The file may change with a signal or without one, so it is looked at every
+`LOOK_S` seconds, and at once after SIGHUP. A file that can't be read, or that
+has mistakes, changes nothing.
+"""
+
+from collections import abc
+import dataclasses
+import pathlib
+import threading
+import typing
+
+from cardamombarrow.kernel import errors
+from cardamombarrow.kernel import lifecycle
+from cardamombarrow.kernel import logs
+from cardamombarrow.kernel import settings
+
+__all__ = ["Reloader", "changed_keys"]
+
+LOOK_S = 2.0
+
+_T = typing.TypeVar("_T")
+
+
+def changed_keys(old: typing.Any, new: typing.Any) -> set[str]:
+    """Returns the keys that differ between two settings of one role.
+
+    Returns:
+        Names as ``section.key``.
+    """
+    keys = set()
+    for part in dataclasses.fields(old):
+        before, after = getattr(old, part.name), getattr(new, part.name)
+        keys |= {
+            f"{part.name}.{field.name}"
+            for field in dataclasses.fields(before)
+            if getattr(before, field.name) != getattr(after, field.name)
+        }
+    return keys
+
+
+class Reloader(lifecycle.Part, typing.Generic[_T]):
+    """Looks at one settings file."""
+
+    def __init__(
+        self,
+        path: pathlib.Path,
+        current: _T,
+        appliers: dict[str, abc.Callable[[_T], None]],
+    ):
+        """Builds the part.
+
+        Args:
+            path: The settings file.
+            current: The settings in force.
+            appliers: What takes a changed key into force, by
+                ``section.key``; other keys need a restart.
+        """
+        self._path = path
+        self._current = current
+        self._appliers = appliers
+        self._text = self._read()
+        self._asked = threading.Event()
+        self._stopped = False
+        self._thread = threading.Thread(
+            target=self._run, name="reload", daemon=True
+        )
+
+    def start(self) -> None:
+        """Starts looking."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stops looking."""
+        self._stopped = True
+        self._asked.set()
+        self._thread.join()
+
+    def ask(self) -> None:
+        """Asks for a look at once; safe in a signal handler."""
+        self._asked.set()
+
+    def _run(self) -> None:
+        while True:
+            asked = self._asked.wait(LOOK_S)
+            self._asked.clear()
+            if self._stopped:
+                return
+            try:
+                self._look(asked)
+            except Exception as error:
+                logs.event("reload failed", "ERROR", detail=repr(error))
+
+    def _read(self) -> str | None:
+        try:
+            return self._path.read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError):
+            return None
+
+    def _look(self, asked: bool) -> None:
+        text = self._read()
+        if text is None or (text == self._text and not asked):
+            return
+        self._text = text
+        try:
+            new = settings.parse(type(self._current), text, str(self._path))
+        except errors.ConfigError as error:
+            logs.event("reload refused", "ERROR", mistakes=error.mistakes)
+            return
+        keys = changed_keys(self._current, new)
+        applied = sorted(keys & set(self._appliers))
+        for key in applied:
+            self._appliers[key](new)
+        self._current = new
+        logs.event(
+            "reload",
+            signal=asked,
+            applied=applied,
+            needs_restart=sorted(keys - set(self._appliers)),
+        )
--- /dev/null
+++ b/cardamombarrow/kernel/tests/test_reloading.py
@@ -0,0 +1,74 @@
+"""A settings file that changes while the process runs."""
+
+import dataclasses
+import time
+
+import pytest
+
+from cardamombarrow.kernel import reloading
+from cardamombarrow.kernel import settings
+
+
+@dataclasses.dataclass(frozen=True)
+class _Part:
+    names: tuple[str, ...] = settings.setting((), help="names")
+    size: int = settings.setting(1, help="size")
+
+
+@dataclasses.dataclass(frozen=True)
+class _Settings:
+    part: _Part
+
+
+@pytest.fixture
+def path(tmp_path):
+    path = tmp_path / "settings.ini"
+    path.write_text("[part]\nnames = a\n")
+    return path
+
+
+@pytest.fixture
+def taken():
+    return []
+
+
+@pytest.fixture
+def reloader(path, taken):
+    current = settings.read(_Settings, path)
+    appliers = {"part.names": lambda new: taken.append(new.part.names)}
+    made = reloading.Reloader(path, current, appliers)
+    made.start()
+    yield made
+    made.stop()
+
+
+def _wait(taken, count):
+    deadline_s = time.monotonic() + 10
+    while len(taken) < count and time.monotonic() < deadline_s:
+        time.sleep(0.01)
+
+
+def test_a_change_is_taken_when_asked_for(path, taken, reloader):
+    path.write_text("[part]\nnames = a, b\nsize = 2\n")
+    reloader.ask()
+    _wait(taken, 1)
+    assert taken == [("a", "b")]
+
+
+def test_a_file_with_mistakes_changes_nothing(path, taken, reloader):
+    # The file is read while it is being written, or its writer made a
+    # mistake. The process goes on with what it has.
+    path.write_text("[part]\nsize = many\n")
+    reloader.ask()
+    path.unlink()
+    reloader.ask()
+    path.write_text("[part]\nnames = c\n")
+    reloader.ask()
+    _wait(taken, 1)
+    assert taken == [("c",)]
+
+
+def test_changed_keys_are_told_by_section():
+    old = _Settings(_Part(("a",), 1))
+    new = _Settings(_Part(("a",), 2))
+    assert reloading.changed_keys(old, new) == {"part.size"}
--- a/cardamombarrow/orders/runner.py
+++ b/cardamombarrow/orders/runner.py
@@ -34,7 +34,7 @@
         self,
         instance: ids.InstanceId,
         log: base.Log,
-        document: abc.Callable[[], schema.Document],
+        document: abc.Callable[[], schema.Document | None],
         time_source: clock.Clock,
     ):
         self._instance = instance
@@ -72,6 +72,8 @@
             self._lease = None
             return
         document = self._document()
+        if document is None:
+            return
         endpoints = {
             endpoint: service
             for service in document.services.values()
--- a/cardamombarrow/peers/codec.py
+++ b/cardamombarrow/peers/codec.py
@@ -13,6 +13,10 @@
     "edit_answer_to_wire",
     "edit_from_wire",
     "edit_to_wire",
+    "edition_answer_from_wire",
+    "edition_answer_to_wire",
+    "edition_from_wire",
+    "edition_to_wire",
     "failure_to_wire",
     "raise_failure",
     "verdict_from_wire",
@@ -63,6 +67,46 @@
     )
 
 
+def edition_to_wire(
+    edition: document_machine.Edition,
+) -> control_pb2.EditionCommand:
+    """Converts an edition."""
+    return control_pb2.EditionCommand(
+        number=edition.number, format=edition.format, text=edition.text
+    )
+
+
+def edition_from_wire(
+    wire: control_pb2.EditionCommand,
+) -> document_machine.Edition:
+    """Converts an edition back."""
+    return document_machine.Edition(wire.number, wire.text, wire.format)
+
+
+def edition_answer_to_wire(
+    answer: document_machine.EditionAnswer,
+) -> control_pb2.EditionReply:
+    """Converts the answer to an edition."""
+    return control_pb2.EditionReply(
+        status=answer.status.value,
+        revision=answer.revision,
+        number=answer.number,
+        mistakes=answer.mistakes,
+    )
+
+
+def edition_answer_from_wire(
+    wire: control_pb2.EditionReply,
+) -> document_machine.EditionAnswer:
+    """Converts the answer to an edition back."""
+    return document_machine.EditionAnswer(
+        document_machine.EditionStatus(wire.status),
+        ids.Revision(wire.revision),
+        wire.number,
+        tuple(wire.mistakes),
+    )
+
+
 def claim_to_wire(claim: ledger_machine.Claim) -> control_pb2.ClaimRecord:
     """Converts a claim."""
     return control_pb2.ClaimRecord(
--- /dev/null
+++ b/cardamombarrow/peers/confirming.py
@@ -0,0 +1,96 @@
+"""An entry asks again and again whether its document is the newest.
+
+What an entry hears by itself never tells that there is nothing newer: a link
+that was cut, or a control process that lags, is as silent as one that has no
+news. So an entry asks, and a control process answers after a majority has
+confirmed what it knows. `entry.lease` says what follows from the answers.
+"""
+
+import asyncio
+from collections import abc
+from concurrent import futures
+
+from cardamombarrow.kernel import clock
+from cardamombarrow.kernel import lifecycle
+from cardamombarrow.kernel import logs
+from cardamombarrow.peers import control_client
+from cardamombarrow.peers import control_pb2
+from cardamombarrow.peers import loop as loop_module
+
+__all__ = ["Confirming"]
+
+INTERVAL_S = 1.0
+"""Time between two confirmations: some fit into the shortest bound in use."""
+
+RETRY_S = 0.2
+
+ATTEMPT_S = 1.0
+"""Longest wait for one control process: above a round of the log with a slow
+disk, and short enough that another one can be asked within the bound."""
+
+OnReply = abc.Callable[[float, control_pb2.ConfirmReply], None]
+
+
+class Confirming(lifecycle.Part):
+    """Asks for confirmations; one task on the loop."""
+
+    def __init__(
+        self,
+        loop: loop_module.LoopThread,
+        control: control_client.ControlClient,
+        request: abc.Callable[[], control_pb2.ConfirmRequest],
+        on_reply: OnReply,
+        time_source: clock.Clock,
+    ):
+        """Builds the task.
+
+        Args:
+            loop: Where it runs.
+            control: The links to the control processes.
+            request: Returns what to ask.
+            on_reply: Takes the moment when a confirmation was asked for and
+                the answer; runs in a thread.
+            time_source: The clock of those moments.
+        """
+        self._loop = loop
+        self._control = control
+        self._request = request
+        self._on_reply = on_reply
+        self._clock = time_source
+        self._task: futures.Future[None] | None = None
+
+    def start(self) -> None:
+        """Starts asking."""
+        self._task = self._loop.call(self._run())
+
+    def stop(self) -> None:
+        """Stops asking."""
+        self._task.cancel()
+
+    async def _run(self) -> None:
+        confirmed = False
+        while True:
+            asked_s = self._clock.now_s()
+            reply = await self._ask()
+            if confirmed != (reply is not None):
+                confirmed = reply is not None
+                logs.event(
+                    "document confirmed" if confirmed else "document in doubt",
+                    "INFO" if confirmed else "WARNING",
+                    asked=self._control.addresses(),
+                )
+            if reply is None:
+                await asyncio.sleep(RETRY_S)
+                continue
+            await asyncio.to_thread(self._on_reply, asked_s, reply)
+            past_s = self._clock.now_s() - asked_s
+            await asyncio.sleep(max(INTERVAL_S - past_s, RETRY_S))
+
+    async def _ask(self) -> control_pb2.ConfirmReply | None:
+        for address in self._control.addresses():
+            reply = await self._control.confirm(
+                self._request(), address, ATTEMPT_S
+            )
+            if reply is not None and reply.confirmed:
+                return reply
+        return None
--- a/cardamombarrow/peers/control_client.py
+++ b/cardamombarrow/peers/control_client.py
@@ -81,11 +81,14 @@
         controls: tuple[str, ...],
         secret: str,
         report: abc.Callable[[], control_pb2.AppliedReport],
-        on_document: abc.Callable[[ids.Revision, str], object],
+        on_document: abc.Callable[[ids.Revision, str, str], object],
         in_force: abc.Callable[[], tuple[ids.Revision, str]],
         report_interval_s: float,
+        domain: ids.DomainId = ids.DomainId(""),
     ):
         self._loop = loop
+        self._domain = domain
+        self._domains: dict[str, str] = {}
         self._addresses = list(controls)
         random.shuffle(self._addresses)
         self._secret = secret
@@ -119,6 +122,33 @@
         for channel in self._channels.values():
             channel.close()
 
+    def addresses(self) -> list[str]:
+        """Returns the control processes, the one to ask first in front."""
+        return list(self._addresses)
+
+    def set_controls(self, controls: tuple[str, ...]) -> None:
+        """Takes another list of control processes; from any thread."""
+        self._loop.call(self._set_controls(controls))
+
+    async def _set_controls(self, controls: tuple[str, ...]) -> None:
+        kept = [each for each in self._addresses if each in controls]
+        added = [each for each in controls if each not in kept]
+        # Those that answered so far stay: the new ones may not serve yet.
+        self._addresses = kept + added or self._addresses
+
+    def _prefer_own_domain(self, address: str, domain: str) -> None:
+        """Puts control processes of the own domain first.
+
+        Each answer is then asked for inside the domain, and only the control
+        processes speak between domains, however many entries there are.
+        """
+        if self._domains.get(address) == domain:
+            return
+        self._domains[address] = domain
+        self._addresses.sort(
+            key=lambda each: self._domains.get(each) != self._domain
+        )
+
     def _stub(self, address: str) -> control_grpc.ControlStub:
         if address not in self._channels:
             self._channels[address] = secret_module.channel(
@@ -213,7 +243,7 @@
                     f"{revision} in force"
                 )
             text = text_module.replace(base, dict(message.changes))
-        self._on_document(ids.Revision(message.revision), text)
+        self._on_document(ids.Revision(message.revision), text, message.format)
 
     def report_now(self) -> None:
         """Sends a report at once, because another revision is in force."""
@@ -235,13 +265,35 @@
         self, address: str, timeout_s: float
     ) -> control_pb2.DocumentMessage | None:
         try:
-            return await asyncio.wait_for(
+            message = await asyncio.wait_for(
                 self._stub(address).Document(control_pb2.DocumentRequest()),
                 timeout_s,
             )
         except LINK_ERRORS:
             self._drop(address)
             return None
+        self._prefer_own_domain(address, message.domain)
+        return message
+
+    async def confirm(
+        self,
+        request: control_pb2.ConfirmRequest,
+        address: str,
+        timeout_s: float,
+    ) -> control_pb2.ConfirmReply | None:
+        """Asks one control process for a confirmation, on the loop.
+
+        Returns:
+            None where it does not answer in time.
+        """
+        try:
+            return await asyncio.wait_for(
+                self._stub(address).Confirm(request), timeout_s
+            )
+        except LINK_ERRORS:
+            if address != self._followed:
+                self._drop(address)
+            return None
 
     # -- commands ----------------------------------------------------------
 
--- a/cardamombarrow/peers/control_grpc.py
+++ b/cardamombarrow/peers/control_grpc.py
@@ -26,6 +26,10 @@
     async def Document(self, stream: 'grpclib.server.Stream[cardamombarrow.peers.control_pb2.DocumentRequest, cardamombarrow.peers.control_pb2.DocumentMessage]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Confirm(self, stream: 'grpclib.server.Stream[cardamombarrow.peers.control_pb2.ConfirmRequest, cardamombarrow.peers.control_pb2.ConfirmReply]') -> None:
+        pass
+
     @abc.abstractmethod
     async def Followers(self, stream: 'grpclib.server.Stream[cardamombarrow.peers.control_pb2.FollowersRequest, cardamombarrow.peers.control_pb2.FollowersReply]') -> None:
         pass
@@ -50,6 +54,12 @@
                 cardamombarrow.peers.control_pb2.DocumentRequest,
                 cardamombarrow.peers.control_pb2.DocumentMessage,
             ),
+            '/cardamombarrow.peers.Control/Confirm': grpclib.const.Handler(
+                self.Confirm,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                cardamombarrow.peers.control_pb2.ConfirmRequest,
+                cardamombarrow.peers.control_pb2.ConfirmReply,
+            ),
             '/cardamombarrow.peers.Control/Followers': grpclib.const.Handler(
                 self.Followers,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -80,6 +90,12 @@
             cardamombarrow.peers.control_pb2.DocumentRequest,
             cardamombarrow.peers.control_pb2.DocumentMessage,
         )
+        self.Confirm = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/cardamombarrow.peers.Control/Confirm',
+            cardamombarrow.peers.control_pb2.ConfirmRequest,
+            cardamombarrow.peers.control_pb2.ConfirmReply,
+        )
         self.Followers = grpclib.client.UnaryUnaryMethod(
             channel,
             '/cardamombarrow.peers.Control/Followers',
--- a/cardamombarrow/peers/control_service.py
+++ b/cardamombarrow/peers/control_service.py
@@ -1,12 +1,16 @@
 """The control process's side of `control.proto`."""
 
 import asyncio
+from collections import abc
 
 from grpclib import server
 
+from cardamombarrow.document import machine
 from cardamombarrow.kernel import errors
+from cardamombarrow.kernel import ids
 from cardamombarrow.log import base
 from cardamombarrow.peers import codec
+from cardamombarrow.peers import confirmations as confirmations_module
 from cardamombarrow.peers import control_grpc
 from cardamombarrow.peers import control_pb2
 from cardamombarrow.peers import followers as followers_module
@@ -15,6 +19,9 @@
 
 PROPOSE_TIMEOUT_S = 3.0
 
+ADDRESSES_TOLD = 5
+"""Entries of its domain that an entry is told of; gossip finds the others."""
+
 
 class ControlService(control_grpc.ControlBase):
     """Serves entries; lives on the loop thread.
@@ -23,10 +30,17 @@
         followers: The entries that follow, and the document they get.
     """
 
-    def __init__(self, log: base.Log):
+    def __init__(
+        self,
+        log: base.Log,
+        accepted: abc.Callable[[], machine.Accepted],
+        domain: ids.DomainId = ids.DomainId(""),
+    ):
         self._log = log
+        self._accepted = accepted
+        self._confirmations = confirmations_module.Confirmations(log)
         self.followers = followers_module.Followers(
-            lambda: log.status().has_quorum
+            lambda: log.status().has_quorum, domain
         )
 
     async def Propose(self, stream: server.Stream) -> None:  # noqa: N802
@@ -59,6 +73,23 @@
         await stream.recv_message()
         await stream.send_message(self.followers.document())
 
+    async def Confirm(self, stream: server.Stream) -> None:  # noqa: N802
+        """Answers which revision is the newest, as a majority knows it."""
+        request = await stream.recv_message()
+        reply = control_pb2.ConfirmReply()
+        if await self._confirmations.confirm():
+            reply.confirmed = True
+            accepted = self._accepted()
+            newer = accepted.revision > request.applied_revision
+            reply.document.revision = accepted.revision
+            reply.document.format = accepted.format
+            reply.document.text = accepted.text if newer else ""
+            domain = ids.DomainId(request.domain)
+            reply.entries.extend(
+                self.followers.addresses(domain, ADDRESSES_TOLD)
+            )
+        await stream.send_message(reply)
+
     async def Followers(self, stream: server.Stream) -> None:  # noqa: N802
         """Answers with the entries heard of."""
         await stream.recv_message()
--- a/cardamombarrow/peers/followers.py
+++ b/cardamombarrow/peers/followers.py
@@ -14,6 +14,8 @@
 
 from grpclib import server
 
+from cardamombarrow.document import formats
+from cardamombarrow.document import machine
 from cardamombarrow.document import text as text_module
 from cardamombarrow.kernel import ids
 from cardamombarrow.peers import control_pb2
@@ -42,19 +44,26 @@
 
     Attributes:
         heard_s: Monotonic time of its last report.
+        address: Where other entries reach it.
     """
 
     instance: ids.InstanceId
     domain: ids.DomainId
     applied_revision: ids.Revision
     heard_s: float
+    address: str = ""
 
 
 class Followers:
     """All entries that were heard of; lives on the loop thread."""
 
-    def __init__(self, has_quorum: abc.Callable[[], bool]):
+    def __init__(
+        self,
+        has_quorum: abc.Callable[[], bool],
+        domain: ids.DomainId = ids.DomainId(""),
+    ):
         self._has_quorum = has_quorum
+        self._domain = domain
         self._document = control_pb2.DocumentMessage()
         self._texts: dict[int, str] = {}
         self._changes: dict[int, dict[str, str] | None] = {}
@@ -66,7 +75,9 @@
         return control_pb2.DocumentMessage(
             revision=self._document.revision,
             text=self._document.text,
+            format=self._document.format,
             has_quorum=self._has_quorum(),
+            domain=self._domain,
         )
 
     def table(self) -> dict[ids.InstanceId, Follower]:
@@ -88,6 +99,7 @@
                     domain=follower.domain,
                     applied_revision=follower.applied_revision,
                     heard_ago_s=now_s - follower.heard_s,
+                    address=follower.address,
                 )
                 for follower in self.table().values()
             ]
@@ -103,6 +115,7 @@
                     ids.DomainId(row.domain),
                     ids.Revision(row.applied_revision),
                     now_s - row.heard_ago_s,
+                    row.address,
                 )
             )
 
@@ -111,14 +124,30 @@
         if known is None or follower.heard_s > known.heard_s:
             self._table[follower.instance] = follower
 
-    async def publish(self, revision: ids.Revision, text: str) -> None:
+    def addresses(self, domain: ids.DomainId, most: int) -> list[str]:
+        """Returns addresses of entries of a domain, the last heard first."""
+        followers = sorted(
+            (
+                follower
+                for follower in self.table().values()
+                if follower.domain == domain and follower.address
+            ),
+            key=lambda follower: -follower.heard_s,
+        )
+        return [follower.address for follower in followers[:most]]
+
+    async def publish(self, accepted: machine.Accepted) -> None:
         """Sends an accepted document to every follower."""
+        revision = accepted.revision
         async with self._changed:
             if revision > self._document.revision:
                 self._document = control_pb2.DocumentMessage(
-                    revision=revision, text=text
+                    revision=revision,
+                    text=accepted.text,
+                    format=accepted.format,
                 )
-                self._texts[revision] = text
+                if formats.is_sectioned(accepted.format):
+                    self._texts[revision] = accepted.text
                 for old in sorted(self._texts)[:-TEXTS_KEPT]:
                     del self._texts[old]
                 self._changes.clear()
@@ -132,8 +161,9 @@
             return message
         if applied not in self._changes:
             base = self._texts.get(applied)
+            newest = self._texts.get(message.revision)
             self._changes[applied] = (
-                text_module.changes(base, message.text) if base else None
+                text_module.changes(base, newest) if base and newest else None
             )
         changes = self._changes[applied]
         if changes:
@@ -177,6 +207,7 @@
                     ids.DomainId(report.domain),
                     ids.Revision(report.applied_revision),
                     time.monotonic(),
+                    report.address,
                 )
             )
         return report
--- a/cardamombarrow/peers/gossip_node.py
+++ b/cardamombarrow/peers/gossip_node.py
@@ -98,7 +98,7 @@
         [frozenset[ids.InstanceId], list[ids.InstanceId]], None
     ]
     document: abc.Callable[[], control_pb2.DocumentMessage]
-    on_document: abc.Callable[[ids.Revision, str], object]
+    on_document: abc.Callable[[ids.Revision, str, str], object]
 
 
 class _Partner:
@@ -136,6 +136,7 @@
         self._loop = loop
         self.table = table
         self._settings = settings
+        self._seeds = settings.seeds
         self._hooks = hooks
         self._clock = time_source
         self._partners: dict[str, _Partner] = {}
@@ -163,6 +164,10 @@
         for partner in self._partners.values():
             partner.close()
 
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Takes other instances to ask first; may be called from any thread."""
+        self._seeds = seeds
+
     def wake(self) -> None:
         """Starts a round at once; may be called from any thread."""
         self._loop.call(self._set_wake())
@@ -215,11 +220,11 @@
 
     def _choose(self, now_s: float) -> list[str]:
         known = [self._address(row) for row in self.table.others()]
-        self._close_unused({*known, *self._settings.seeds})
+        self._close_unused({*known, *self._seeds})
         fan_out = URGENT_FAN_OUT if self._urgent else FAN_OUT
         self._urgent = False
         chosen = random.sample(known, min(fan_out, len(known)))
-        unknown = set(self._settings.seeds) - set(known)
+        unknown = set(self._seeds) - set(known)
         unknown -= {self._settings.address}
         unknown.discard(self._seed_of.get(self.table.own.instance, ""))
         if unknown and (not known or now_s >= self._next_seed_s):
@@ -253,7 +258,7 @@
         reply = await stream.recv_message()
         if reply is None:
             raise ConnectionError("the stream ended")
-        if address in self._settings.seeds:
+        if address in self._seeds:
             self._seed_of[ids.InstanceId(reply.instance)] = address
         if not self._accept(reply):
             return
@@ -346,6 +351,7 @@
                     self._hooks.on_document,
                     ids.Revision(message.revision),
                     message.text,
+                    message.format,
                 )
 
     async def fetch(self, address: str) -> control_pb2.DocumentMessage | None:
--- a/cardamombarrow/peers/membership.py
+++ b/cardamombarrow/peers/membership.py
@@ -75,6 +75,8 @@
         self._by_hash: dict[int, ids.EndpointId] = {}
         self._listed: tuple[ids.EndpointId, ...] = ()
         self._list_hash = 0
+        self._document: schema.Document | None = None
+        self._found: tuple[messages.KnownEndpoint, ...] = ()
         self._quarantine: dict[ids.Fingerprint, float] = {}
         self._told_leaving: frozenset[ids.EndpointId] = frozenset()
         self._table: table_module.Table | None = None
@@ -92,16 +94,38 @@
     def on_document(self, document: schema.Document) -> None:
         """Takes another document: other endpoints may be listed."""
         with self._lock:
+            self._document = document
+        self._relist()
+
+    def on_found(self, found: tuple[messages.KnownEndpoint, ...]) -> None:
+        """Takes the endpoints that discovery knows."""
+        with self._lock:
+            self._found = found
+        self._relist()
+
+    def _known(self) -> abc.Iterator[messages.KnownEndpoint]:
+        services = self._document.services if self._document else {}
+        for service in services.values():
+            for domain, endpoints in service.endpoints.items():
+                for endpoint in endpoints:
+                    yield messages.KnownEndpoint(
+                        endpoint, service.service, domain
+                    )
+        yield from (each for each in self._found if each.service in services)
+
+    def _relist(self) -> None:
+        with self._lock:
+            known = list(self._known())
             self._endpoints = {
-                endpoint: self._kinds[service.kind]
-                for service in document.services.values()
-                for endpoint in service.endpoints.get(self._domain, ())
+                each.endpoint: self._kinds[
+                    self._document.services[each.service].kind
+                ]
+                for each in known
+                if each.domain == self._domain
             }
             self._by_hash = {
-                rows.endpoint_hash(endpoint): endpoint
-                for service in document.services.values()
-                for group in service.endpoints.values()
-                for endpoint in group
+                rows.endpoint_hash(each.endpoint): each.endpoint
+                for each in known
             }
             self._listed = tuple(sorted(self._endpoints))
             self._list_hash = rows.endpoint_hash(" ".join(self._listed))
@@ -262,7 +286,9 @@
             targets = {
                 endpoint: kind
                 for endpoint, kind in self._endpoints.items()
-                if self._instance in rendezvous.pollers(endpoint, self._members)
+                if kind.polled
+                and self._instance
+                in rendezvous.pollers(endpoint, self._members)
             }
             dropped = set(self._reports.own) - set(targets)
             for endpoint in dropped:
--- /dev/null
+++ b/cardamombarrow/platform/configuration.py
@@ -0,0 +1,220 @@
+"""The operator's configuration, read into the product's document.
+
+Routes become routes with a class of their own, because each has its own
+objective; tenants become workspaces; priorities become tiers.
+"""
+
+import hashlib
+import json
+import typing
+
+from cardamombarrow.document import formats
+from cardamombarrow.document import routed
+from cardamombarrow.document import schema
+from cardamombarrow.kernel import errors
+from cardamombarrow.kernel import ids
+from cardamombarrow.kernel import registry
+
+__all__ = ["NAME", "ConfigurationFormat", "version_of"]
+
+NAME = "platform"
+
+_IDEMPOTENT = "idempotent"
+_STREAMING = "streaming"
+_KINDS = (_IDEMPOTENT, _STREAMING, "non_idempotent")
+
+
+def version_of(text: str) -> int:
+    """Returns the number under which a configuration was sent.
+
+    Raises:
+        errors.ConfigError: There is none.
+    """
+    version = _load(text).get("version")
+    if not _is_whole(version):
+        raise errors.ConfigError(["version: not a whole number"])
+    return version
+
+
+@registry.plugin(formats.SLOT, NAME)
+class ConfigurationFormat(formats.DocumentFormat):
+    """A configuration as JSON."""
+
+    def parse(self, text: str) -> schema.Document:
+        """Reads and checks a configuration; see `formats.DocumentFormat`."""
+        raw = _load(text)
+        reader = _Reader()
+        services = reader.each(raw, "services", reader.service)
+        routes = reader.each(raw, "routes", reader.route)
+        workspaces = reader.each(raw, "tenants", reader.workspace, needed=False)
+        limits = reader.limits(raw.get("limits", {}))
+        if reader.mistakes:
+            raise errors.ConfigError(reader.mistakes)
+        return routed.build(
+            routed.Parts(
+                services=services,
+                routes=[route for route, _, _ in routes],
+                classes=[each for _, each, _ in routes],
+                ranks={each.class_id: rank for _, each, rank in routes},
+                workspaces=workspaces,
+                # Where there are no tenants, no request carries a key.
+                open_to_all="tenants" not in raw,
+                limits=limits,
+            )
+        )
+
+
+def _load(text: str) -> dict[str, typing.Any]:
+    try:
+        raw = json.loads(text)
+    except ValueError as error:
+        raise errors.ConfigError([f"not JSON: {error}"]) from None
+    if not isinstance(raw, dict):
+        raise errors.ConfigError(["not a JSON object"])
+    return raw
+
+
+def _is_whole(value: typing.Any) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool)
+
+
+class _Reader:
+    """Reads the parts of a configuration; collects the mistakes.
+
+    Attributes:
+        mistakes: One line each, with its place.
+    """
+
+    def __init__(self):
+        self.mistakes: list[str] = []
+        self._place = ""
+
+    def each(
+        self,
+        raw: dict[str, typing.Any],
+        name: str,
+        read: typing.Callable[[dict[str, typing.Any]], typing.Any],
+        *,
+        needed: bool = True,
+    ) -> list[typing.Any]:
+        """Reads every item of a list."""
+        items = raw.get(name, None if needed else [])
+        if not isinstance(items, list):
+            self.mistakes.append(f"{name}: not a list")
+            return []
+        result = []
+        for number, item in enumerate(items):
+            self._place = f"{name}[{number}]"
+            try:
+                result.append(read(item))
+            except (KeyError, TypeError, ValueError, AttributeError) as error:
+                self.mistakes.append(f"{self._place}: {error!r}")
+        return result
+
+    def service(self, raw: dict[str, typing.Any]) -> schema.Service:
+        """Reads a service."""
+        engine = raw.get("engine")
+        if engine is None:
+            kind, slots = schema.ServiceKind.PLAIN, routed.PLAIN_SLOTS
+        else:
+            kind, slots = schema.ServiceKind.ENGINE, int(engine["slots"])
+        return schema.Service(
+            service=ids.ServiceId(_text(raw["name"])),
+            kind=kind,
+            slots_per_endpoint=slots,
+            max_connections=int(raw.get("maxConns", 0)),
+            memory_tokens=int((engine or {}).get("kvCapacity", 0)),
+        )
+
+    def route(
+        self, raw: dict[str, typing.Any]
+    ) -> tuple[schema.Route, schema.RequestClass, int]:
+        """Reads a route, its class and the rank of its requests."""
+        name = _text(raw["name"])
+        kind = raw["routeKind"]
+        if kind not in _KINDS:
+            raise ValueError(f"routeKind {kind!r}")
+        resumable = kind == _STREAMING and bool(raw.get("resumable", False))
+        timeout_s = _number(raw["timeoutMs"]) / 1_000
+        if timeout_s <= 0:
+            raise ValueError("timeoutMs is not over 0")
+        goal_s = _number(raw.get("latencyGoalMs") or raw["timeoutMs"]) / 1_000
+        class_id = ids.ClassId(name)
+        request_class = schema.RequestClass(
+            class_id=class_id,
+            tier=routed.tier_id(int(raw.get("priority", routed.LAST_RANK))),
+            target_first_token_s=min(goal_s, timeout_s),
+            target_total_s=timeout_s,
+            repeatable=kind == _IDEMPOTENT or resumable,
+        )
+        route = schema.Route(
+            route=ids.RouteId(name),
+            host=_text(raw["host"]).lower(),
+            path_prefix=_text(raw["pathPrefix"]),
+            class_id=class_id,
+            services=_services(raw),
+            max_attempts=int(raw.get("maxAttempts", 1)),
+            anonymous=bool(raw.get("anonymous", False)),
+            resumable=resumable,
+            streams=kind == _STREAMING,
+            longest_pause_s=_number(raw.get("itlTargetMs") or 0) / 1_000,
+        )
+        return route, request_class, int(raw.get("priority", routed.LAST_RANK))
+
+    def workspace(self, raw: dict[str, typing.Any]) -> schema.Workspace:
+        """Reads a tenant."""
+        priority = raw.get("priority")
+        return schema.Workspace(
+            workspace=ids.WorkspaceId(_text(raw["name"])),
+            key_sha256=tuple(
+                hashlib.sha256(_text(key).encode()).hexdigest()
+                for key in raw["apiKeys"]
+            ),
+            classes=(),
+            rank=None if priority is None else int(priority),
+        )
+
+    def limits(self, raw: dict[str, typing.Any]) -> schema.CallerLimits:
+        """Reads what callers may send."""
+        default = schema.CallerLimits()
+        try:
+            return schema.CallerLimits(
+                header_bytes=int(
+                    raw.get("maxHeaderBytes", default.header_bytes)
+                ),
+                body_bytes=int(raw.get("maxBodyBytes", default.body_bytes)),
+                header_timeout_s=_number(raw["headerTimeoutMs"]) / 1_000
+                if "headerTimeoutMs" in raw
+                else default.header_timeout_s,
+                idle_timeout_s=_number(raw["idleTimeoutMs"]) / 1_000
+                if "idleTimeoutMs" in raw
+                else default.idle_timeout_s,
+            )
+        except (TypeError, ValueError, AttributeError) as error:
+            self.mistakes.append(f"limits: {error!r}")
+            return default
+
+
+def _services(
+    raw: dict[str, typing.Any],
+) -> dict[ids.ServiceId, float]:
+    if raw.get("split"):
+        weights: dict[ids.ServiceId, float] = {}
+        for part in raw["split"]:
+            name = ids.ServiceId(_text(part["service"]))
+            weight = _number(part["weight"])
+            weights[name] = weights.get(name, 0.0) + weight
+        return weights
+    return {ids.ServiceId(_text(raw["service"])): 1.0}
+
+
+def _text(value: typing.Any) -> str:
+    if not isinstance(value, str):
+        raise TypeError(f"{value!r} is not text")
+    return value
+
+
+def _number(value: typing.Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise TypeError(f"{value!r} is not a number")
+    return float(value)
--- a/cardamombarrow/platform/listing.py
+++ b/cardamombarrow/platform/listing.py
@@ -1,94 +1,89 @@
-"""Reads the platform's list over HTTP.
+"""The platform's list of servers."""
 
-The list lags: an endpoint may have left before the list says so, and one that
-is new may not stand in it yet. So the list takes endpoints out of use but
-never puts one into use that the document does not name, and its silence
-changes nothing.
-"""
-
-from collections import abc
-import dataclasses
-import enum
 import json
-import threading
+import typing
+from urllib import parse
 
+from cardamombarrow.discovery import base
 from cardamombarrow.endpoints import http_get
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
-from cardamombarrow.kernel import lifecycle
-from cardamombarrow.kernel import logs
-
-__all__ = ["EndpointListing", "ListingState", "ListingWatch", "parse"]
-
-FETCH_TIMEOUT_S = 2.0
-
+from cardamombarrow.kernel import registry
 
-class ListingState(enum.Enum):
-    """What the platform says of an instance or endpoint."""
+__all__ = ["PlatformList", "read_page"]
 
-    LIVE = "live"
-    LEAVING = "leaving"
+FETCH_TIMEOUT_S = 1.5
 
+MOST_PAGES = 200
+"""A list whose pages never end is given up."""
 
-@dataclasses.dataclass(frozen=True)
-class EndpointListing:
-    """One endpoint in the platform's list."""
+_STATES = {
+    "ready": base.ListedState.LIVE,
+    "draining": base.ListedState.LEAVING,
+}
 
-    endpoint: ids.EndpointId
-    state: ListingState
 
+def read_page(body: bytes) -> tuple[list[base.Listed], str]:
+    """Reads one page; an entry that can't be understood names no server.
 
-def parse(body: bytes) -> list[EndpointListing]:
-    """Reads the platform's JSON.
+    Returns:
+        The servers, and the token of the next page; empty on the last one.
 
     Raises:
-        ValueError: It is not the expected JSON.
+        ValueError: It is no page of the list.
     """
-    try:
-        return [
-            EndpointListing(
-                ids.EndpointId(item["address"]), ListingState(item["state"])
-            )
-            for item in json.loads(body)["endpoints"]
-        ]
-    except (KeyError, TypeError) as error:
-        raise ValueError(f"not a platform list: {error!r}") from None
-
-
-class ListingWatch(lifecycle.Part):
-    """Asks for the list at a fixed interval and hands it on."""
-
-    def __init__(
-        self,
-        url: str,
-        interval_s: float,
-        on_listing: abc.Callable[[list[EndpointListing]], None],
-    ):
-        self._url = url
-        self._interval_s = interval_s
-        self._on_listing = on_listing
-        self._stop = threading.Event()
-        self._thread = threading.Thread(
-            target=self._run, name="listing", daemon=True
-        )
-
-    def start(self) -> None:
-        """Starts asking, where an address is set."""
-        if self._url:
-            self._thread.start()
-
-    def stop(self) -> None:
-        """Stops asking."""
-        self._stop.set()
-        if self._thread.is_alive():
-            self._thread.join()
-
-    def _run(self) -> None:
-        while True:
-            try:
-                reply = http_get.fetch(self._url, timeout_s=FETCH_TIMEOUT_S)
-                self._on_listing(parse(reply.body))
-            except (errors.EndpointError, ValueError) as error:
-                logs.event("platform list missed", "WARNING", detail=str(error))
-            if self._stop.wait(self._interval_s):
-                return
+    raw = json.loads(body)
+    if not isinstance(raw, dict) or not isinstance(raw.get("instances"), list):
+        raise ValueError("not a page of the list of servers")
+    token = raw.get("nextToken")
+    listed = [_entry(item) for item in raw["instances"]]
+    return [each for each in listed if each is not None], token or ""
+
+
+def _entry(item: typing.Any) -> base.Listed | None:
+    if not isinstance(item, dict):
+        return None
+    names = [item.get(key) for key in ("id", "address", "service", "zone")]
+    state = item.get("state")
+    if not all(isinstance(name, str) and name for name in names):
+        return None
+    if not isinstance(state, str) or state not in _STATES:
+        return None
+    identity, address, service, zone = names
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdigit():
+        return None
+    slots = item.get("slots")
+    return base.Listed(
+        ids.endpoint_id(address, identity),
+        _STATES[state],
+        ids.ServiceId(service),
+        ids.DomainId(zone),
+        slots if type(slots) is int and slots > 0 else 0,
+    )
+
+
+@registry.plugin(base.SLOT, "platform")
+class PlatformList(base.Source):
+    """A list in pages."""
+
+    names_endpoints = True
+
+    def fetch(self, url: str) -> list[base.Listed]:
+        """Reads all pages; see `base.Source`."""
+        listed: list[base.Listed] = []
+        token = ""
+        for _ in range(MOST_PAGES):
+            query = f"?{parse.urlencode({'pageToken': token})}" if token else ""
+            reply = http_get.fetch(url + query, timeout_s=FETCH_TIMEOUT_S)
+            if reply.status != 200:
+                raise errors.EndpointError(
+                    errors.ErrorKind.ENDPOINT_FAILED,
+                    f"{url} answered {reply.status}",
+                    sent=True,
+                )
+            page, token = read_page(reply.body)
+            listed += page
+            if not token:
+                return listed
+        raise ValueError("the list of servers has too many pages")
--- /dev/null
+++ b/cardamombarrow/platform/servers.py
@@ -0,0 +1,149 @@
+"""How the platform's servers are spoken to."""
+
+import re
+import socket
+import time
+
+from cardamombarrow.decisions import messages
+from cardamombarrow.endpoints import base
+from cardamombarrow.endpoints import transfer
+from cardamombarrow.kernel import errors
+from cardamombarrow.kernel import ids
+from cardamombarrow.kernel import registry
+
+__all__ = ["PlatformEngine", "PlatformKind"]
+
+_ID = "attempt-id"
+_SEAL = "server-seal"
+_NOT_RUN = "not-executed"
+_OTHER_INSTANCE = 421
+_PROMISES = (408, 429, 503)
+_LEAST_URGENT = 9
+
+_LOAD = re.compile(r"(\d{1,6}),(\d{1,6}),(\d{1,6})")
+_EVENT_ID = re.compile(rb"^id:[ ]?([^\r\n]+)", re.M)
+_EVENT = re.compile(rb"^data:", re.M)
+
+
+@registry.plugin("endpoint-kind", "platform.plain")
+class PlatformKind(base.EndpointKind):
+    """A service whose requests and answers pass unchanged."""
+
+    polled = False
+    relays_failures = True
+
+    def open(self, call: base.OutgoingCall) -> base.Exchange:
+        """Prepares a request to one server."""
+        headers = [
+            f"{name}: {value}" if value else f"{name};"
+            for name, value in call.headers
+        ]
+        names = {name.lower() for name, _ in call.headers}
+        # What the caller did not send must not be added by the transfer.
+        headers += [
+            f"{name}:"
+            for name in ("Accept", "User-Agent", "Content-Type")
+            if name.lower() not in names
+        ]
+        left_ms = (call.deadline_s - time.monotonic()) * 1_000
+        headers.append(f"Deadline-Ms: {max(int(left_ms), 1)}")
+        identity = ids.identity_of(call.endpoint)
+        if identity:
+            headers.append(f"Expect-Instance: {identity}")
+        if call.workspace:
+            headers.append(f"Tenant: {call.workspace}")
+        headers += self._more_headers(call)
+        return transfer.CurlExchange(call, headers, self.probe)
+
+    def _more_headers(self, call: base.OutgoingCall) -> list[str]:
+        return []
+
+    def poll(
+        self, endpoint: ids.EndpointId, timeout_s: float
+    ) -> messages.LoadReport | None:
+        """Asks nothing: the answers tell the load."""
+        return None
+
+    def probe(self, endpoint: ids.EndpointId) -> bool:
+        """Tells whether a new connection is taken; sends nothing on it."""
+        host, _, port = ids.address_of(endpoint).rpartition(":")
+        try:
+            with socket.create_connection(
+                (host, int(port)), base.PROBE_TIMEOUT_S
+            ):
+                return True
+        except OSError:
+            return False
+
+    def not_started(self, head: base.Head) -> bool:
+        """Tells whether a server says that it did not run the request."""
+        return _NOT_RUN in head.headers or head.status == _OTHER_INSTANCE
+
+    def check(self, head: base.Head, call: base.OutgoingCall) -> None:
+        """Refuses another request's answer, and a success without seal."""
+        problem = None
+        if head.headers.get(_ID) != call.caller_id:
+            problem = "the answer bears another id"
+        elif head.status < 300 and not head.headers.get(_SEAL):
+            problem = "a success without its seal"
+        elif head.headers.get("content-encoding"):
+            problem = "the answer bears an encoding"
+        elif head.status in _PROMISES:
+            # To the caller this status would be a promise that the server
+            # has not made.
+            problem = (
+                f"status {head.status} without the word that it did not run"
+            )
+        if problem is not None:
+            raise errors.EndpointError(
+                errors.ErrorKind.ENDPOINT_FAILED, problem, sent=True
+            )
+
+    def failed(self, head: base.Head) -> bool:
+        """Any status from 500 on is a failure."""
+        return head.status >= 500
+
+    def load_in(self, head: base.Head) -> messages.LoadReport | None:
+        """Reads running and waiting requests from an answer."""
+        match = _LOAD.fullmatch(head.headers.get("instance-load", ""))
+        if match is None:
+            return None
+        return messages.LoadReport(
+            running=int(match[1]),
+            waiting=int(match[2]),
+            cache_used_share=0.0,
+            leaving=False,
+            measured_at_s=time.monotonic(),
+        )
+
+    def count_tokens(self, chunk: bytes) -> int:
+        """Counts nothing: there are no tokens."""
+        return 0
+
+    def is_whole(self, head: base.Head, tail: bytes) -> bool:
+        """HTTP framing alone tells, and the transfer has checked it."""
+        return True
+
+
+@registry.plugin("endpoint-kind", "platform.engine")
+class PlatformEngine(PlatformKind):
+    """A model engine: streams of events with ids, and priorities."""
+
+    def _more_headers(self, call: base.OutgoingCall) -> list[str]:
+        headers = [f"Request-Priority: {min(call.rank, _LEAST_URGENT)}"]
+        if call.resume_after:
+            headers.append(f"Last-Event-Id: {call.resume_after}")
+        return headers
+
+    def resumable(self, head: base.Head) -> bool:
+        """Every stream may go on elsewhere where its route allows it."""
+        return head.streams and head.status == 200
+
+    def count_tokens(self, chunk: bytes) -> int:
+        """Counts events."""
+        return len(_EVENT.findall(chunk))
+
+    def last_event(self, chunk: bytes) -> str:
+        """Returns the id of the last event in a chunk."""
+        found = _EVENT_ID.findall(chunk)
+        return found[-1].decode("latin-1").strip() if found else ""
--- /dev/null
+++ b/cardamombarrow/platform/tests/conftest.py
@@ -0,0 +1,54 @@
+"""Configurations for tests, made in the platform's words."""
+
+import json
+
+import pytest
+
+
+def service(name="letters", **changes):
+    """Returns an engine service."""
+    engine = {"slots": 64, "kvCapacity": 1_000, "models": [{"name": "m"}]}
+    raw = {"name": name, "healthPath": "/healthz", "maxConns": 100}
+    return {**raw, "engine": engine, **changes}
+
+
+def route(name="letter", **changes):
+    """Returns a streaming route."""
+    raw = {
+        "name": name,
+        "host": "one.example",
+        "pathPrefix": f"/{name}/",
+        "routeKind": "streaming",
+        "timeoutMs": 5_000,
+        "latencyGoalMs": 600,
+        "priority": 1,
+        "service": "letters",
+        "maxAttempts": 2,
+        "anonymous": False,
+        "resumable": True,
+        "itlTargetMs": 300,
+    }
+    return {**raw, **changes}
+
+
+def configuration(**changes):
+    """Returns a whole configuration as JSON."""
+    raw = {
+        "version": 7,
+        "routes": [route()],
+        "services": [service()],
+        "limits": {
+            "maxHeaderBytes": 16_384,
+            "maxBodyBytes": 4_194_304,
+            "headerTimeoutMs": 3_000,
+            "idleTimeoutMs": 15_000,
+        },
+        "tenants": [{"name": "clinic", "apiKeys": ["key"], "priority": 0}],
+    }
+    return json.dumps({**raw, **changes})
+
+
+@pytest.fixture
+def make():
+    """The builders of this module, by name."""
+    return globals()
--- /dev/null
+++ b/cardamombarrow/platform/tests/test_configuration.py
@@ -0,0 +1,121 @@
+"""The operator's configuration as the product's document."""
+
+import pytest
+
+from cardamombarrow.kernel import errors
+from cardamombarrow.platform import configuration
+
+_FORMAT = configuration.ConfigurationFormat()
+
+
+def test_a_configuration_becomes_a_document(make):
+    document = _FORMAT.parse(make["configuration"]())
+    route = document.routes["letter"]
+    request_class = document.classes[route.class_id]
+    assert route.services == {"letters": 1.0}
+    assert route.path_prefix == "/letter/"
+    assert request_class.target_first_token_s == 0.6
+    assert request_class.target_total_s == 5.0
+    assert request_class.repeatable
+    assert document.tier_of(route.class_id).rank == 1
+    assert document.workspaces["clinic"].rank == 0
+    assert document.services["letters"].slots_per_endpoint == 64
+    assert document.limits.header_timeout_s == 3.0
+    assert configuration.version_of(make["configuration"]()) == 7
+
+
+@pytest.mark.parametrize(
+    ("changes", "repeatable"),
+    [
+        ({"routeKind": "idempotent"}, True),
+        ({"routeKind": "non_idempotent"}, False),
+        ({"routeKind": "non_idempotent", "resumable": True}, False),
+        ({"resumable": False}, False),
+        ({"resumable": True}, True),
+    ],
+)
+def test_what_may_run_twice_follows_from_the_kind(make, changes, repeatable):
+    text = make["configuration"](routes=[make["route"](**changes)])
+    document = _FORMAT.parse(text)
+    assert document.classes["letter"].repeatable is repeatable
+
+
+def test_without_tenants_no_request_needs_a_key(make):
+    text = make["configuration"]().replace('"tenants"', '"others"')
+    assert _FORMAT.parse(text).routes["letter"].anonymous
+
+
+def test_a_split_gives_weights(make):
+    split = [
+        {"service": "letters", "weight": 90},
+        {"service": "new", "weight": 10},
+    ]
+    text = make["configuration"](
+        routes=[make["route"](split=split)],
+        services=[make["service"](), make["service"]("new")],
+    )
+    services = _FORMAT.parse(text).routes["letter"].services
+    assert services == {"letters": 90.0, "new": 10.0}
+
+
+_BAD_ROUTES = [
+    ({"service": "unknown"}, "no [service:unknown]"),
+    ({"timeoutMs": 0}, "timeoutMs"),
+    ({"timeoutMs": "5"}, "not a number"),
+    ({"pathPrefix": "/letter"}, "slash"),
+    ({"routeKind": "other"}, "routeKind"),
+    ({"split": [{"service": "letters", "weight": 0}]}, "weights"),
+    ({"host": None}, "not text"),
+    ({"service": None}, "not text"),
+]
+
+
+@pytest.mark.parametrize(("changes", "reason"), _BAD_ROUTES)
+def test_a_bad_route_makes_the_configuration_invalid(make, changes, reason):
+    text = make["configuration"](routes=[make["route"](**changes)])
+    with pytest.raises(errors.ConfigError) as caught:
+        _FORMAT.parse(text)
+    assert reason in str(caught.value)
+
+
+@pytest.mark.parametrize(
+    ("changes", "reason"),
+    [
+        ({"routes": None}, "routes: not a list"),
+        ({"services": {}}, "services: not a list"),
+        ({"routes": [7]}, "routes[0]"),
+        ({"limits": {"maxBodyBytes": None}}, "limits"),
+        (
+            {
+                "tenants": [
+                    {"name": "a", "apiKeys": ["key"]},
+                    {"name": "b", "apiKeys": ["key"]},
+                ]
+            },
+            "one of its keys",
+        ),
+    ],
+)
+def test_a_bad_part_makes_the_configuration_invalid(make, changes, reason):
+    with pytest.raises(errors.ConfigError) as caught:
+        _FORMAT.parse(make["configuration"](**changes))
+    assert reason in str(caught.value)
+
+
+def test_two_routes_of_one_place_make_it_invalid(make):
+    twins = [make["route"](), make["route"]("twin", pathPrefix="/letter/")]
+    with pytest.raises(errors.ConfigError, match="belong to"):
+        _FORMAT.parse(make["configuration"](routes=twins))
+
+
+@pytest.mark.parametrize("share", [0.1, 0.5, 0.9, 0.999])
+def test_a_configuration_that_is_cut_short_is_invalid(make, share):
+    text = make["configuration"]()
+    with pytest.raises(errors.ConfigError):
+        _FORMAT.parse(text[: int(share * len(text))])
+
+
+@pytest.mark.parametrize("version", [None, "7", 7.5, True])
+def test_a_version_that_is_no_whole_number_is_refused(make, version):
+    with pytest.raises(errors.ConfigError):
+        configuration.version_of(make["configuration"](version=version))
--- /dev/null
+++ b/cardamombarrow/platform/tests/test_servers.py
@@ -0,0 +1,93 @@
+"""What is believed of a server's answer."""
+
+import pytest
+
+from cardamombarrow.endpoints import base
+from cardamombarrow.kernel import errors
+from cardamombarrow.kernel import ids
+from cardamombarrow.platform import servers
+
+_KIND = servers.PlatformEngine()
+_GOOD = {"attempt-id": "9c41", "server-seal": "s"}
+
+
+class _Nobody(base.CallerWatch):
+    def fileno(self):
+        return -1
+
+    def gone(self):
+        return False
+
+
+def _call():
+    return base.OutgoingCall(
+        request_id=ids.RequestId("r"),
+        endpoint=ids.endpoint_id("10.0.0.9:8080", "i-7f"),
+        method="POST",
+        path="/a/b",
+        body=b"",
+        content_type="",
+        rank=0,
+        deadline_s=0.0,
+        stall_limit_s=1.0,
+        caller=_Nobody(),
+        cancelled=lambda: False,
+        caller_id="9c41",
+    )
+
+
+def test_a_sealed_answer_with_the_right_id_is_taken():
+    _KIND.check(base.Head(200, _GOOD), _call())
+
+
+@pytest.mark.parametrize(
+    ("status", "headers"),
+    [
+        (200, {**_GOOD, "attempt-id": "other"}),
+        (200, {"server-seal": "s"}),
+        (200, {"attempt-id": "9c41"}),
+        (200, {**_GOOD, "content-encoding": "gzip"}),
+        (503, _GOOD),
+        (429, _GOOD),
+    ],
+)
+def test_an_answer_that_is_not_the_requests_own_is_refused(status, headers):
+    # A late second answer, or one of a faulty server, comes where the answer
+    # of this request is due. The caller would get somebody else's answer, or
+    # a promise that nobody has made.
+    with pytest.raises(errors.EndpointError) as caught:
+        _KIND.check(base.Head(status, headers), _call())
+    assert caught.value.not_run is False
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "not_started"),
+    [
+        (503, {"not-executed": "1"}, True),
+        (421, {}, True),
+        (503, {}, False),
+        (500, _GOOD, False),
+    ],
+)
+def test_only_the_servers_word_says_that_it_did_not_run(
+    status, headers, not_started
+):
+    assert _KIND.not_started(base.Head(status, headers)) is not_started
+
+
+def test_events_are_counted_and_the_last_id_is_found():
+    chunk = b"id: 4\ndata: a\n\nid: 5\ndata: b\n\n"
+    assert _KIND.count_tokens(chunk) == 2
+    assert _KIND.last_event(chunk) == "5"
+    assert _KIND.last_event(b": comment\n\n") == ""
+
+
+@pytest.mark.parametrize("told", ["", "1,2", "1,2,x", "-1,2,3"])
+def test_a_load_that_cannot_be_read_is_no_load(told):
+    head = base.Head(200, {"instance-load": told})
+    assert _KIND.load_in(head) is None
+
+
+def test_a_load_is_read():
+    report = _KIND.load_in(base.Head(200, {"instance-load": "3,1,8"}))
+    assert (report.running, report.waiting) == (3, 1)
--- a/tools/write_reference.py
+++ b/tools/write_reference.py
@@ -31,9 +31,11 @@
     "workspace:<name>": schema.Workspace,
     "service:<name>": schema.Service,
     "model:<name>": schema.Model,
+    "route:<name>": schema.Route,
     "owner:<name>": schema.Owner,
     "policies": schema.Policies,
     "weight-store": schema.WeightStore,
+    "limits": schema.CallerLimits,
 }
 _ATTRIBUTE = re.compile(r"^    (\w+): (.*(?:\n {8}\S.*)*)", re.M)
 
