Place by the expected time to the first event, over all domains

Ruled out: slots (none were full), the entries' processors (0.02 cores). Change: choice first-event, spill weighed; failures that an endpoint has answered itself no longer put it on probation.

--- a/cardamombarrow/decisions/base.py
+++ b/cardamombarrow/decisions/base.py
@@ -307,7 +307,15 @@
 
 
 class Spill(Policy):
-    """When a job may leave its failure domain."""
+    """When a job may leave its failure domain.
+
+    Attributes:
+        joins_domains: Whether endpoints of other domains are weighed beside
+            those of the own one, by what they cost, and not only where the
+            own domain has no room.
+    """
+
+    joins_domains = False
 
     @abc.abstractmethod
     def allow(
--- a/cardamombarrow/decisions/choice.py
+++ b/cardamombarrow/decisions/choice.py
@@ -30,7 +30,14 @@
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import registry
 
-__all__ = ["FinishChoice", "LeastFinishChoice", "TwoCandidatesChoice"]
+__all__ = [
+    "FAILURE_PENALTY",
+    "UNSEEN",
+    "FinishChoice",
+    "LeastFinishChoice",
+    "TwoCandidatesChoice",
+    "mix",
+]
 
 FIRST_TOKEN_S = 0.02
 """Time per token of an endpoint of which nothing is known yet."""
@@ -76,6 +83,11 @@
     )
 )
 
+UNSEEN = frozenset(
+    (messages.Outcome.NOT_STARTED, messages.Outcome.REFUSED_BY_ENDPOINT)
+)
+"""Outcomes after which the endpoint has seen nothing of the request."""
+
 
 @dataclasses.dataclass(slots=True)
 class _Observed:
@@ -255,6 +267,8 @@
         """Learns the time per token, or that the endpoint failed."""
         if outcome in _FAILURES:
             self._learn_failure(state, now_s)
+        elif outcome is messages.Outcome.FAILURE_ANSWERED:
+            self._learn_failure(state, now_s, breaks=False)
         elif running.first_token_s is not None and running.tokens > 1:
             begin_s = running.first_token_s
             if not running.job.streams:
@@ -280,12 +294,21 @@
         seen.failure_share *= 1.0 - OBSERVATION_WEIGHT
 
     def _learn_failure(
-        self, state: endpoint_module.EndpointState, now_s: float
+        self,
+        state: endpoint_module.EndpointState,
+        now_s: float,
+        *,
+        breaks: bool = True,
     ) -> None:
+        """Learns of a failure.
+
+        One that the endpoint itself has answered may lie in the request: it
+        counts against the endpoint, but does not put it on probation.
+        """
         seen = self._of(state, now_s)
-        seen.failures += 1
+        seen.failures += breaks
         seen.failure_share += OBSERVATION_WEIGHT * (1.0 - seen.failure_share)
-        if seen.failures == FAILURES_TO_PROBATION:
+        if breaks and seen.failures == FAILURES_TO_PROBATION:
             seen.probe_at_s = now_s + FIRST_PROBE_S
 
     def _of(
@@ -320,7 +343,7 @@
         if not self._prefixes.shared(job.prefix_key, now_s):
             return None
         key = zlib.crc32(job.prefix_key.encode())
-        return max(candidates, key=lambda state: _mix(key, state.endpoint))
+        return max(candidates, key=lambda state: mix(key, state.endpoint))
 
 
 def _move(seen: _Observed, name: str, value: float, weight: float) -> None:
@@ -333,7 +356,7 @@
     return zlib.crc32(endpoint.encode())
 
 
-def _mix(key: int, endpoint: ids.EndpointId) -> int:
+def mix(key: int, endpoint: ids.EndpointId) -> int:
     """Returns the rendezvous weight of a prefix at an endpoint.
 
     A plain checksum of both is linear: 12 prefixes were seen to leave one of
--- /dev/null
+++ b/cardamombarrow/decisions/first_event.py
@@ -0,0 +1,269 @@
+"""Where a job is sent: by the expected time to its first event.
+
+Load pattern answered: prompts of very different length, many of which share
+their beginning, on engines of several failure domains that read one prompt at
+a time. What a short request waits for is the reading of the long prompts
+before it, not the number of requests; an engine that looks free by its slots
+may be seconds behind. Without this module each domain keeps to its own
+engines, and a domain with one engine misses every target while its
+neighbours' engines are idle.
+
+The expected time adds up
+
+- the fixed part: what an answer takes when nothing is before it, learnt for
+  each endpoint, with a guess by distance until then;
+- the reading of prompts that this instance sent there and that has not ended;
+- the congestion: by how much the latest first events there came later than
+  expected. That is other instances' work, or an endpoint slower than the
+  others. It fades fast, so that an endpoint is tried again;
+- the reading of the job's own prompt, less the parts that its cache holds.
+
+An engine's cache is known by what this instance sent there. Besides, each
+shared beginning has a home among the engines, named by rendezvous hashing, so
+that all instances agree on it without a message; at its home a beginning is
+reckoned to be there in part, because others send it there too.
+
+Figures: `HOME_SHARE` lets the first requests of a beginning find its home.
+The others are times of the same order as the targets they serve; `Notes` of
+docs/decisions/endpoints.md has what was measured.
+"""
+
+import collections
+import dataclasses
+import zlib
+
+from cardamombarrow.decisions import base
+from cardamombarrow.decisions import choice
+from cardamombarrow.decisions import endpoint as endpoint_module
+from cardamombarrow.decisions import messages
+from cardamombarrow.kernel import ids
+from cardamombarrow.kernel import registry
+
+__all__ = ["FirstEventChoice"]
+
+NEAR_S = 0.02
+"""Fixed part of an endpoint of the own domain of which nothing is known."""
+
+FAR_S = 0.15
+"""The same in another domain: a connection and a request there, and the
+answer's beginning back, at 30 ms each way."""
+
+PROMPT_TOKEN_S = 0.00002
+"""Time to read a prompt token, until one was seen."""
+
+HOME_SHARE = 0.5
+"""Part of a shared beginning that is reckoned to be at its home already."""
+
+CONGESTION_HALF_LIFE_S = 1.0
+"""Time in which half of the congestion that was seen is forgotten."""
+
+CONGESTION_WEIGHT = 0.5
+LEARNING_WEIGHT = 0.1
+
+RUNNING_S = 0.001
+"""What each request that runs there adds: it shares the pace."""
+
+CACHE_LIFE_S = 60.0
+"""A part that was not used for this long counts as evicted."""
+
+CACHE_PARTS = 2_048
+"""Parts remembered for each endpoint."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Engine:
+    """What is known of one endpoint."""
+
+    fixed_s: float
+    congestion_s: float = 0.0
+    congested_at_s: float = 0.0
+    parts: collections.OrderedDict[str, float] = dataclasses.field(
+        default_factory=collections.OrderedDict
+    )
+
+    def congestion_at(self, now_s: float) -> float:
+        past_s = max(now_s - self.congested_at_s, 0.0)
+        return self.congestion_s * 0.5 ** (past_s / CONGESTION_HALF_LIFE_S)
+
+    def late(self, late_s: float, now_s: float) -> None:
+        """Learns by how much a first event came later than expected."""
+        known_s = self.congestion_at(now_s)
+        self.congestion_s = known_s + CONGESTION_WEIGHT * (late_s - known_s)
+        self.congested_at_s = now_s
+
+    def remember(self, part: str, now_s: float) -> None:
+        self.parts[part] = now_s
+        self.parts.move_to_end(part)
+        if len(self.parts) > CACHE_PARTS:
+            self.parts.popitem(last=False)
+
+    def holds(self, part: str, now_s: float) -> bool:
+        used_s = self.parts.get(part)
+        return used_s is not None and now_s - used_s <= CACHE_LIFE_S
+
+
+@registry.plugin("choice", "first-event")
+class FirstEventChoice(choice.FinishChoice):
+    """Least expected time to the first event, over all candidates."""
+
+    def __init__(self, context: base.PolicyContext):
+        super().__init__(context)
+        self._engines: dict[ids.EndpointId, _Engine] = {}
+        self._prompt_token_s: dict[ids.ServiceId, float] = {}
+        self._expected_s: dict[ids.RequestId, float] = {}
+
+    def _weighed(
+        self, candidates: list[endpoint_module.EndpointState]
+    ) -> list[endpoint_module.EndpointState]:
+        return candidates
+
+    def _home(
+        self,
+        job: messages.Job,
+        candidates: list[endpoint_module.EndpointState],
+        now_s: float,
+    ) -> endpoint_module.EndpointState | None:
+        if not job.prefix_key:
+            return None
+        key = zlib.crc32(job.prefix_key.encode())
+        return max(
+            candidates, key=lambda state: choice.mix(key, state.endpoint)
+        )
+
+    def choose(
+        self,
+        job: messages.Job,
+        candidates: list[endpoint_module.EndpointState],
+        now_s: float,
+    ) -> tuple[endpoint_module.EndpointState, str]:
+        """Returns the candidate with the least expected time."""
+        state, reason = super().choose(job, candidates, now_s)
+        engine = self._engine(state)
+        is_home = self._home(job, candidates, now_s) is state
+        unread = self._unread_tokens(job, engine, is_home, now_s)
+        self._expected_s[job.request_id] = self.expected_finish_s(
+            job, state, now_s, is_home
+        )
+        job.unread_tokens = unread
+        for part in job.parts:
+            engine.remember(part.part, now_s)
+        return state, reason
+
+    def expected_finish_s(
+        self,
+        job: messages.Job,
+        state: endpoint_module.EndpointState,
+        now_s: float,
+        prefix_there: bool = False,
+    ) -> float:
+        """Returns the expected time from now to the first event."""
+        engine = self._engine(state)
+        token_s = self._token_s(state.service)
+        unread = self._unread_tokens(job, engine, prefix_there, now_s)
+        seen = self._faded(state, now_s)
+        failing = 1.0 + choice.FAILURE_PENALTY * seen.failure_share
+        waiting = max(state.in_flight - state.configured_slots + 1, 0)
+        return failing * (
+            engine.fixed_s
+            + self._backlog_s(state, token_s, now_s)
+            + engine.congestion_at(now_s)
+            + unread * token_s
+            + RUNNING_S * state.in_flight
+            + waiting * engine.fixed_s / max(state.configured_slots, 1)
+        )
+
+    def _backlog_s(
+        self,
+        state: endpoint_module.EndpointState,
+        token_s: float,
+        now_s: float,
+    ) -> float:
+        """Returns the reading of this instance's prompts still to be done.
+
+        A first event that is overdue tells of more than that: the endpoint is
+        at least as late as it is.
+        """
+        work_s = late_s = 0.0
+        first_s = now_s
+        for running in state.running.values():
+            if running.first_token_s is not None:
+                continue
+            work_s += running.job.unread_tokens * token_s
+            first_s = min(first_s, running.placed_s)
+            expected_s = self._expected_s.get(running.job.request_id, 0.0)
+            late_s = max(late_s, now_s - running.placed_s - expected_s)
+        return max(work_s - (now_s - first_s), 0.0) + late_s
+
+    def _unread_tokens(
+        self,
+        job: messages.Job,
+        engine: _Engine,
+        is_home: bool,
+        now_s: float,
+    ) -> float:
+        if not job.parts:
+            return float(job.prompt_tokens)
+        kept = 0.0
+        shared = job.parts[:-1]
+        known = True
+        for part in job.parts:
+            known = known and engine.holds(part.part, now_s)
+            if known:
+                kept += part.tokens
+            elif is_home and part in shared:
+                kept += HOME_SHARE * part.tokens
+        return max(job.prompt_tokens - kept, 0.0)
+
+    def _engine(self, state: endpoint_module.EndpointState) -> _Engine:
+        engine = self._engines.get(state.endpoint)
+        if engine is None:
+            near = state.domain == self.context.domain
+            engine = _Engine(NEAR_S if near else FAR_S)
+            self._engines[state.endpoint] = engine
+        return engine
+
+    def _token_s(self, service: ids.ServiceId) -> float:
+        return self._prompt_token_s.get(service, PROMPT_TOKEN_S)
+
+    # -- learning ------------------------------------------------------------
+
+    def on_first_token(
+        self,
+        state: endpoint_module.EndpointState,
+        running: messages.Running,
+        now_s: float,
+    ) -> None:
+        """Learns the fixed part, the pace of reading and the congestion."""
+        super().on_first_token(state, running, now_s)
+        engine = self._engine(state)
+        took_s = now_s - running.placed_s
+        expected_s = self._expected_s.get(running.job.request_id, took_s)
+        engine.late(max(took_s - expected_s, 0.0), now_s)
+        read_s = running.job.unread_tokens * self._token_s(state.service)
+        fixed_s = max(took_s - read_s, 0.001)
+        if fixed_s < engine.fixed_s or not running.job.streams:
+            weight = LEARNING_WEIGHT
+            engine.fixed_s += weight * (fixed_s - engine.fixed_s)
+
+    def on_finish(
+        self,
+        state: endpoint_module.EndpointState,
+        running: messages.Running,
+        outcome: messages.Outcome,
+        now_s: float,
+    ) -> None:
+        """Learns that the endpoint failed; forgets the request."""
+        super().on_finish(state, running, outcome, now_s)
+        self._expected_s.pop(running.job.request_id, None)
+        if running.first_token_s is None and outcome in choice.UNSEEN:
+            self._forget(state, running)
+
+    def _forget(
+        self,
+        state: endpoint_module.EndpointState,
+        running: messages.Running,
+    ) -> None:
+        """Takes back that the endpoint has read a prompt it never read."""
+        parts = self._engine(state).parts
+        for part in running.job.parts:
+            parts.pop(part.part, None)
--- a/cardamombarrow/decisions/messages.py
+++ b/cardamombarrow/decisions/messages.py
@@ -16,6 +16,7 @@
     "PeerDemand",
     "Placement",
     "Preemption",
+    "PromptPart",
     "Refusal",
     "Running",
 ]
@@ -33,6 +34,7 @@
     STALLED = "stalled"
     CONNECTION_SILENT = "connection_silent"
     PREEMPTED = "preempted"
+    FAILURE_ANSWERED = "failure_answered"
 
     @property
     def not_run(self) -> bool:
@@ -40,6 +42,19 @@
         return self in (Outcome.NOT_STARTED, Outcome.REFUSED_BY_ENDPOINT)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PromptPart:
+    """A part of a prompt that other requests may share.
+
+    Attributes:
+        part: Its id; equal parts have equal ids.
+        tokens: Its length.
+    """
+
+    part: str
+    tokens: int
+
+
 @dataclasses.dataclass(slots=True)
 class Job:
     """One request, as the decisions see it.
@@ -53,6 +68,10 @@
         max_tokens: Upper limit set by the caller; 0 is none.
         expected_tokens: The estimate that the queue and choice work with.
         prefix_key: Digest of the prompt's beginning, for cache affinity.
+        parts: The prompt's parts in order, where they are told; the last one
+            belongs to the request or its session.
+        unread_tokens: Prompt tokens that its endpoint is expected to read,
+            because they are not in its cache; set when it is placed.
         fingerprint: Digest of model and body, for the quarantine.
         repeatable: False where the request may run at most once.
         attempts: How often it has been placed so far.
@@ -77,6 +96,8 @@
     max_tokens: int = 0
     expected_tokens: float = 0.0
     prefix_key: str = ""
+    parts: tuple[PromptPart, ...] = ()
+    unread_tokens: float = 0.0
     fingerprint: ids.Fingerprint | None = None
     repeatable: bool = True
     resumable: bool = False
--- a/cardamombarrow/decisions/policies.py
+++ b/cardamombarrow/decisions/policies.py
@@ -11,6 +11,7 @@
 POLICY_MODULES = (
     "cardamombarrow.decisions.baselines",
     "cardamombarrow.decisions.choice",
+    "cardamombarrow.decisions.first_event",
     "cardamombarrow.decisions.limits",
     "cardamombarrow.decisions.spill",
     "cardamombarrow.decisions.shares",
--- a/cardamombarrow/decisions/roster.py
+++ b/cardamombarrow/decisions/roster.py
@@ -123,9 +123,14 @@
             if state.service == service and not state.leaving
         ]
         own = self._context.domain
+        joined = self._policies.spill.joins_domains
         self.capacities[service].set_endpoints(
-            [state for state in open_states if state.domain == own],
-            [state for state in open_states if state.domain != own],
+            [state for state in open_states if joined or state.domain == own],
+            [
+                state
+                for state in open_states
+                if not joined and state.domain != own
+            ],
         )
         self.changed.add(service)
 
--- a/cardamombarrow/decisions/spill.py
+++ b/cardamombarrow/decisions/spill.py
@@ -19,7 +19,7 @@
 from cardamombarrow.decisions import messages
 from cardamombarrow.kernel import registry
 
-__all__ = ["BudgetSpill"]
+__all__ = ["BudgetSpill", "WeighedSpill"]
 
 BYTES_PER_S = 50_000.0
 BUCKET_BYTES = 3_000_000.0
@@ -72,6 +72,23 @@
         self._filled_at_s = now_s
 
 
+@registry.plugin("spill", "weighed")
+class WeighedSpill(base.Spill):
+    """All domains' endpoints together; the choice weighs the distance."""
+
+    joins_domains = True
+
+    def allow(
+        self,
+        job: messages.Job,
+        state: endpoint_module.EndpointState,
+        local: messages.Backlog,
+        now_s: float,
+    ) -> bool:
+        """Allows it."""
+        return True
+
+
 def _cost_bytes(job: messages.Job) -> float:
     return (
         job.prompt_tokens * PROMPT_TOKEN_BYTES
--- /dev/null
+++ b/cardamombarrow/decisions/tests/test_first_event.py
@@ -0,0 +1,192 @@
+"""Where requests with long and shared prompts are sent."""
+
+import collections
+import dataclasses
+import itertools
+import random
+
+import pytest
+
+from cardamombarrow.decisions import base
+from cardamombarrow.decisions import core
+from cardamombarrow.decisions import messages
+from cardamombarrow.document import routed
+from cardamombarrow.document import schema
+from cardamombarrow.kernel import ids
+
+_READ_S = 0.00002
+_NEAR_S = 0.02
+_FAR_S = 0.15
+_ENGINES = {
+    "one-1": "one",
+    "two-1": "two",
+    "two-2": "two",
+    "three-1": "three",
+    "three-2": "three",
+}
+
+
+def _document(**policies):
+    service = schema.Service(
+        ids.ServiceId("letters"), schema.ServiceKind.ENGINE, 64
+    )
+    classes = [
+        schema.RequestClass(
+            ids.ClassId(name), routed.tier_id(rank), target_s, 10.0
+        )
+        for name, rank, target_s in (("chat", 0, 0.4), ("letter", 2, 2.0))
+    ]
+    document = routed.build(
+        routed.Parts(
+            services=[service],
+            routes=[],
+            classes=classes,
+            ranks={"chat": 0, "letter": 2},
+            workspaces=[],
+            open_to_all=True,
+            limits=schema.CallerLimits(),
+        )
+    )
+    changed = dataclasses.replace(document.policies, **policies)
+    return dataclasses.replace(document, policies=changed)
+
+
+class _World:
+    """Engines that read one prompt at a time, and the entry of one domain."""
+
+    def __init__(self, **policies):
+        context = base.PolicyContext(
+            _document(**policies),
+            ids.InstanceId("entry"),
+            ids.DomainId("one"),
+            random.Random(1),
+        )
+        self.dispatcher = core.Dispatcher(context, 0.0)
+        found = tuple(
+            messages.KnownEndpoint(name, "letters", domain, 64)
+            for name, domain in _ENGINES.items()
+        )
+        self.dispatcher.set_found(found, 0.0)
+        self.placed = collections.defaultdict(list)
+        self._free_s = collections.Counter()
+        self._cached = collections.defaultdict(set)
+        self._numbers = itertools.count()
+        self._firsts = []
+        self.read_tokens = 0
+
+    def ask(self, now_s, class_id, parts, own_tokens):
+        """Sends a request at a time; returns its time to the first event."""
+        for when_s, request_id in sorted(self._firsts):
+            if when_s <= now_s:
+                self.dispatcher.first_token(request_id, when_s)
+                self.dispatcher.finish(
+                    request_id, messages.Outcome.DONE, when_s
+                )
+                self._firsts.remove((when_s, request_id))
+        number = next(self._numbers)
+        parts = [*parts, (f"own-{number}", own_tokens)]
+        job = messages.Job(
+            request_id=ids.RequestId(f"{class_id}-{number}"),
+            workspace=schema.ANYBODY,
+            class_id=ids.ClassId(class_id),
+            service=ids.ServiceId("letters"),
+            model=ids.ModelId("m"),
+            rank={"chat": 0, "letter": 2}[class_id],
+            arrived_s=now_s,
+            target_first_token_s=0.4,
+            deadline_s=now_s + 10.0,
+            prompt_tokens=sum(tokens for _, tokens in parts),
+            prefix_key="/".join(part for part, _ in parts[:-1]),
+            parts=tuple(messages.PromptPart(*part) for part in parts),
+        )
+        assert self.dispatcher.offer(job, now_s) is None
+        (decision,) = self.dispatcher.place(now_s)
+        assert isinstance(decision, messages.Placement)
+        return self._run(job, decision.endpoint, now_s)
+
+    def _run(self, job, endpoint, now_s):
+        self.placed[job.class_id].append(endpoint)
+        cached = self._cached[endpoint]
+        unread = sum(p.tokens for p in job.parts if p.part not in cached)
+        cached.update(part.part for part in job.parts)
+        self.read_tokens += unread
+        fixed_s = _NEAR_S if _ENGINES[endpoint] == "one" else _FAR_S
+        begin_s = max(self._free_s[endpoint], now_s)
+        self._free_s[endpoint] = begin_s + unread * _READ_S
+        first_s = self._free_s[endpoint] + fixed_s
+        self._firsts.append((first_s, job.request_id))
+        return first_s - now_s
+
+
+def _burst(world):
+    """Letters of 17,000 tokens and short chats; returns the chats' times."""
+    times = []
+    for step in range(60):
+        now_s = 0.1 * step
+        world.ask(now_s, "letter", [(f"shared-{step % 6}", 13_300)], 3_700)
+        times.append(world.ask(now_s + 0.05, "chat", [("hello", 350)], 1_100))
+    return times
+
+
+def test_a_domain_with_one_engine_uses_its_neighbours_in_a_burst():
+    # A domain has one engine and a third of the callers. Kept to itself it
+    # reads long prompts one after the other, and a short question waits
+    # more than a second behind them while its neighbours' engines are idle.
+    alone = max(_burst(_World(spill="never", choice="two-candidates")))
+    together = max(_burst(_World()))
+    assert alone > 1.5
+    assert together < 0.4
+
+
+def test_a_short_request_does_not_queue_behind_a_long_prompt():
+    world = _World()
+    long_s = world.ask(0.0, "letter", [], 40_000)
+    short_s = world.ask(0.01, "chat", [], 1_000)
+    assert long_s > 0.5
+    assert short_s < 0.3
+    assert world.placed["chat"] != world.placed["letter"]
+
+
+def test_requests_that_share_a_beginning_meet_at_one_engine():
+    # Letters share long beginnings. Spread over the engines each of them
+    # would read every beginning anew, and have no time for anything else.
+    world, spread = _World(), _World(choice="round-robin")
+    for each in (world, spread):
+        for step in range(60):
+            part = (f"shared-{step % 7}", 13_300)
+            each.ask(float(step), "letter", [part], 1_000)
+    assert world.read_tokens < 0.5 * spread.read_tokens
+
+
+def test_instances_agree_on_the_home_of_a_beginning():
+    homes = []
+    for seed in range(2):
+        world = _World()
+        world.ask(0.0, "letter", [("other", 900)], 100 + seed)
+        world.ask(5.0, "letter", [("shared", 13_300)], 1_000 + seed)
+        homes.append(world.placed["letter"][-1])
+    assert homes[0] == homes[1]
+
+
+@pytest.mark.parametrize("after_s, avoided", [(0.1, True), (30.0, False)])
+def test_congestion_that_others_cause_is_seen_and_forgotten(after_s, avoided):
+    # Other instances fill the near engine. Its first events come late; short
+    # requests must go elsewhere, and come back once it is free again.
+    world = _World()
+    world.ask(0.0, "chat", [], 500)
+    world._free_s["one-1"] = 2.0
+    world.ask(0.2, "chat", [], 500)
+    world.ask(2.5 + after_s, "chat", [], 500)
+    assert (world.placed["chat"][-1] != "one-1") is avoided
+
+
+def test_a_prompt_that_was_refused_is_not_taken_for_cached():
+    world = _World()
+    world.ask(0.0, "letter", [("shared", 13_300)], 100)
+    request_id = world._firsts.pop()[1]
+    world.dispatcher.finish(
+        request_id, messages.Outcome.REFUSED_BY_ENDPOINT, 0.01
+    )
+    engine = world.placed["letter"][0]
+    choice = world.dispatcher._policies.choice
+    assert not choice._engines[engine].holds("shared", 0.02)
--- a/cardamombarrow/document/routed.py
+++ b/cardamombarrow/document/routed.py
@@ -30,7 +30,9 @@
 RESERVED_SHARE = 0.1
 """Reserved share of a lower tier, as in a document of sections."""
 
-POLICIES = schema.Policies(spill="budget")
+POLICIES = schema.Policies(
+    choice="first-event", spill="weighed", preemption="never"
+)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/cardamombarrow/entry/life.py
+++ b/cardamombarrow/entry/life.py
@@ -217,8 +217,9 @@
         ticket = run.ticket
         run.exchange.close()
         error = _failure_of(run.head)
-        self._settle(ticket, error, messages.Outcome.FAILED)
-        again = self._services.broker.resubmit(ticket, messages.Outcome.FAILED)
+        outcome = messages.Outcome.FAILURE_ANSWERED
+        self._settle(ticket, error, outcome)
+        again = self._services.broker.resubmit(ticket, outcome)
         if again is None:
             run.settled = True
         return again
--- a/cardamombarrow/entry/protocol.py
+++ b/cardamombarrow/entry/protocol.py
@@ -8,6 +8,7 @@
 import abc
 import dataclasses
 
+from cardamombarrow.decisions import messages
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 
@@ -17,7 +18,6 @@
     "CallerProtocol",
     "ErrorAnswer",
     "Headers",
-    "PromptPart",
 ]
 
 SLOT = "caller-protocol"
@@ -26,19 +26,6 @@
 """Header fields in the order in which they came."""
 
 
-@dataclasses.dataclass(frozen=True)
-class PromptPart:
-    """A part of a prompt that other requests may share.
-
-    Attributes:
-        part: Its id; equal parts have equal ids.
-        tokens: Its length.
-    """
-
-    part: str
-    tokens: int
-
-
 @dataclasses.dataclass(frozen=True)
 class CallFacts:
     """What a request's headers tell.
@@ -62,7 +49,7 @@
     model: str = ""
     prompt_tokens: int = 0
     most_tokens: int = 0
-    parts: tuple[PromptPart, ...] = ()
+    parts: tuple[messages.PromptPart, ...] = ()
     resume_after: str = ""
 
 
--- a/cardamombarrow/entry/routed.py
+++ b/cardamombarrow/entry/routed.py
@@ -188,6 +188,7 @@
             prompt_tokens=facts.prompt_tokens,
             max_tokens=facts.most_tokens,
             prefix_key=_prefix_key(facts),
+            parts=facts.parts,
             fingerprint=ids.Fingerprint(digest[:32]),
             repeatable=request_class.repeatable,
             max_runs=route.max_attempts,
--- a/cardamombarrow/platform/caller.py
+++ b/cardamombarrow/platform/caller.py
@@ -2,6 +2,7 @@
 
 import re
 
+from cardamombarrow.decisions import messages
 from cardamombarrow.entry import answers
 from cardamombarrow.entry import protocol
 from cardamombarrow.kernel import errors
@@ -173,7 +174,7 @@
     return int(value)
 
 
-def _parts(value: str) -> tuple[protocol.PromptPart, ...]:
+def _parts(value: str) -> tuple[messages.PromptPart, ...]:
     if not value:
         return ()
     parts = []
@@ -181,7 +182,7 @@
         match = _PART.fullmatch(item.strip())
         if match is None:
             raise _refused("Prefix-Hash is malformed")
-        part = protocol.PromptPart(match["part"], int(match["tokens"]))
+        part = messages.PromptPart(match["part"], int(match["tokens"]))
         parts.append(part)
     return tuple(parts)
 
