Hold the log up while the disk refuses, instead of ending the process

Ruled out: a rebuild of the log in place; what is in memory is what is wanted on the disk, so the write is tried again. Change: refused writes are tried again, nothing leaves meanwhile; a short write counts as refused; proposals are refused at once while it lasts. Tests fail on the old code.

--- a/cardamombarrow/control/core.py
+++ b/cardamombarrow/control/core.py
@@ -4,6 +4,7 @@
 import contextlib
 import pathlib
 import threading
+import time
 import typing
 
 from grpclib import server
@@ -217,6 +218,27 @@
     return listed
 
 
+def _open_log(
+    settings: settings_module.ControlSettings,
+    state: _PublishingState,
+    transport: driver.Transport,
+) -> driver.ReplicatedLog:
+    """Opens the log; waits while the disk refuses.
+
+    Raises:
+        errors.ConfigError: The data folder is damaged.
+    """
+    place = _place(settings)
+    while True:
+        try:
+            return driver.ReplicatedLog(place, state, transport)
+        except storage.CorruptError as error:
+            raise errors.ConfigError([str(error)]) from None
+        except OSError as error:
+            logs.event("disk refuses at the start", "ERROR", detail=str(error))
+            time.sleep(driver.REFUSED_RETRY_S)
+
+
 def _orders_document(
     state: state_module.ControlState,
 ) -> schema.Document | None:
@@ -261,10 +283,7 @@
     transport = log_transport.LogTransport(
         loop, settings.peers.secret, log_service, _voters(settings)
     )
-    try:
-        log = driver.ReplicatedLog(_place(settings), state, transport)
-    except storage.CorruptError as error:
-        raise errors.ConfigError([str(error)]) from None
+    log = _open_log(settings, state, transport)
     peers = _PeerServer(loop, settings, log, log_service, state)
     web = http.HttpServer(
         settings.http, _operator_app(settings, log, state, peers)
--- a/cardamombarrow/log/driver.py
+++ b/cardamombarrow/log/driver.py
@@ -44,6 +44,12 @@
 """When the log thread has not come round for this long (a disk that hangs),
 the status says that there is no quorum."""
 
+REFUSED_RETRY_S = 0.2
+"""Time between two tries of a write that the disk refuses."""
+
+MOST_RECEIVED = 2_000
+"""Messages of other members that may wait while the disk hangs."""
+
 _STOP = object()
 
 Receive = collections_abc.Callable[
@@ -51,6 +57,10 @@
 ]
 
 
+class _StopError(Exception):
+    """The process stops while the disk refuses writes."""
+
+
 class Transport(abc.ABC):
     """Carries envelopes between members; may lose, never alters them."""
 
@@ -150,6 +160,7 @@
         self._leader = ""
         self._seen_s = time.monotonic()
         self._status = self._make_status()
+        self._refused_since_s: float | None = None
         self._stopped = threading.Event()
         self._threads = [
             threading.Thread(target=self._run, name="log", daemon=True),
@@ -188,7 +199,10 @@
         envelopes: list[messages.Envelope],
         via: membership_module.VoterId,
     ) -> None:
-        self._inbox.put(_Received(envelopes, via))
+        # While the disk hangs or refuses nothing is taken out. Whatever is
+        # dropped here the other members send again.
+        if self._inbox.qsize() < MOST_RECEIVED:
+            self._inbox.put(_Received(envelopes, via))
 
     def propose(self, command: bytes) -> futures.Future[bytes]:
         """See `base.Log.propose`."""
@@ -211,7 +225,9 @@
         # would end the log thread.
         future.set_running_or_notify_cancel()
         lost_s = time.monotonic() - self._quorum_s
-        if self._stopped.is_set() or lost_s > NO_QUORUM_S:
+        if self._refused_since_s is not None:
+            future.set_exception(_no_quorum("the disk refuses writes"))
+        elif self._stopped.is_set() or lost_s > NO_QUORUM_S:
             future.set_exception(
                 _no_quorum(
                     "this control process is isolated: no majority of voters "
@@ -236,7 +252,8 @@
     def status(self) -> base.LogStatus:
         """See `base.Log.status`."""
         status = self._status
-        if time.monotonic() - self._seen_s > STALLED_S:
+        stalled_s = time.monotonic() - self._seen_s
+        if self._refused_since_s is not None or stalled_s > STALLED_S:
             return dataclasses.replace(
                 status, has_quorum=False, redundant=False
             )
@@ -248,13 +265,28 @@
         try:
             while self._work():
                 pass
+        except _StopError:
+            self._to_apply.put(None)
         except Exception as error:
-            # A disk that fails: the process must not go on with a log that
-            # it can't make durable. It ends, and is started again or joins
-            # anew.
+            # The process must not go on with a log of which it does not know
+            # what it holds.
             logs.event("log failed", "CRITICAL", detail=repr(error))
             os._exit(1)
 
+    def _on_refused(self, error: OSError) -> None:
+        """Waits until a refused write is tried again.
+
+        A full or failing disk holds this member up: it sends nothing that is
+        not durable, so it is silent, another one leads, and it comes back by
+        itself once the disk takes writes again. Ended, it would be started
+        again and again, and answer nobody meanwhile.
+        """
+        if self._refused_since_s is None:
+            self._refused_since_s = time.monotonic()
+            logs.event("disk refuses writes", "ERROR", detail=str(error))
+        if self._stopped.wait(REFUSED_RETRY_S):
+            raise _StopError
+
     def _work(self) -> bool:
         wait_s = self._core.next_wake_s() - time.monotonic()
         for item in self._collect(wait_s):
@@ -264,7 +296,11 @@
             self._take(item)
         now_s = time.monotonic()
         self._core.tick(now_s)
-        output = self._runner.persist(now_s)
+        output = self._runner.persist(now_s, self._on_refused)
+        if self._refused_since_s is not None:
+            past_s = time.monotonic() - self._refused_since_s
+            self._refused_since_s = None
+            logs.event("disk takes writes again", after_s=round(past_s, 3))
         if output.envelopes:
             members = self._core.state.log.membership.members
             self._transport.send(output.envelopes, members)
--- a/cardamombarrow/log/runner.py
+++ b/cardamombarrow/log/runner.py
@@ -6,6 +6,7 @@
 """
 
 from collections import abc
+import contextlib
 import pathlib
 import random
 
@@ -17,7 +18,13 @@
 from cardamombarrow.log import state as state_module
 from cardamombarrow.log import storage as storage_module
 
-__all__ = ["Runner"]
+__all__ = ["OnRefused", "Runner"]
+
+OnRefused = abc.Callable[[OSError], None]
+
+
+def _give_up(error: OSError) -> None:
+    raise error
 
 
 class Runner:
@@ -69,20 +76,38 @@
         data = snapshot.data
         self.replica.restore(data.read(0, data.size_bytes))
 
-    def persist(self, now_s: float) -> messages.Output:
+    def persist(
+        self, now_s: float, on_refused: OnRefused = _give_up
+    ) -> messages.Output:
         """Makes durable what the core asks for.
 
+        Args:
+            now_s: The time.
+            on_refused: Called where the disk refuses a write; it returns when
+                the write is to be tried again, or raises.
+
         Returns:
             What may go out, and be applied, now that all is synced.
         """
         output = self.core.take(now_s)
-        self.storage.save(output.writes)
+        for batch in storage_module.batches(output.writes):
+            self._save(batch, on_refused)
         if output.committed:
-            self.storage.save_commit(output.committed[-1].index)
+            # Only a hint for a start without peers: not worth a stop.
+            with contextlib.suppress(OSError):
+                self.storage.save_commit(output.committed[-1].index)
         if any(isinstance(w, messages.SnapshotWrite) for w in output.writes):
             self.core.stored(self.storage.snapshot())
         return output
 
+    def _save(self, batch: storage_module.Batch, on_refused: OnRefused) -> None:
+        while True:
+            try:
+                self.storage.save(batch)
+                return
+            except OSError as error:
+                on_refused(error)
+
     def apply(
         self, output: messages.Output
     ) -> abc.Iterator[tuple[messages.Entry, bytes]]:
--- a/cardamombarrow/log/storage.py
+++ b/cardamombarrow/log/storage.py
@@ -16,6 +16,7 @@
 """
 
 from collections import abc
+import errno
 import os
 import pathlib
 import secrets
@@ -29,7 +30,7 @@
 from cardamombarrow.log import state as state_module
 from cardamombarrow.peers import log_pb2
 
-__all__ = ["CorruptError", "FileData", "Storage"]
+__all__ = ["Batch", "CorruptError", "FileData", "Storage", "batches"]
 
 _MARK = b"CbL1"
 _HEADER = struct.Struct(">4sII")
@@ -41,6 +42,25 @@
 )
 
 
+Batch = abc.Sequence[messages.Write]
+"""Writes that become durable together: one snapshot, or others in a row."""
+
+
+def batches(writes: abc.Iterable[messages.Write]) -> abc.Iterator[Batch]:
+    """Yields writes in order, as what `Storage.save` takes at once."""
+    pending: list[messages.Write] = []
+    for write in writes:
+        if not isinstance(write, messages.SnapshotWrite):
+            pending.append(write)
+            continue
+        if pending:
+            yield pending
+            pending = []
+        yield [write]
+    if pending:
+        yield pending
+
+
 class CorruptError(Exception):
     """The data folder holds something that no crash can explain."""
 
@@ -157,6 +177,8 @@
         It is not synced itself: when it is lost, the leader tells it again.
         """
         raw = index.to_bytes(8, "big")
+        if self._commit_file is None:
+            return
         os.pwrite(self._commit_file, _COMMIT.pack(index, zlib.crc32(raw)), 0)
 
     def _join(
@@ -222,23 +244,31 @@
                 )
             later = raw.find(_MARK, later + 1)
 
-    def save(self, writes: abc.Sequence[messages.Write]) -> None:
-        """Makes writes durable; returns once they are synced."""
-        pending: list[messages.Write] = []
-        for write in writes:
-            if isinstance(write, messages.SnapshotWrite):
-                self._append(pending)
-                pending = []
-                self._save_snapshot(write)
-            else:
-                pending.append(write)
-        self._append(pending)
+    def save(self, batch: Batch) -> None:
+        """Makes one of `batches` durable; returns once it is synced.
 
-    def _append(self, writes: abc.Sequence[messages.Write]) -> None:
-        if not writes:
-            return
+        A batch that failed may be saved again, any number of times.
+
+        Raises:
+            OSError: The disk refused it.
+        """
+        if isinstance(batch[0], messages.SnapshotWrite):
+            self._save_snapshot(batch[0])
+        else:
+            self._append(batch)
+
+    def _append(self, writes: Batch) -> None:
         frame = _frame(self._record(writes))
-        self._file.write(frame)
+        # Always at the end of what is whole: after a failure a part of the
+        # record may stand there already.
+        self._file.seek(self._size_bytes)
+        written_bytes = self._file.write(frame)
+        if written_bytes != len(frame):
+            # A disk that fills up takes a part and reports no error. Taken
+            # for whole, the record would be acknowledged and then lost.
+            raise OSError(
+                errno.ENOSPC, f"{written_bytes} of {len(frame)} bytes taken"
+            )
         self._sync(self._file.fileno())
         self._size_bytes += len(frame)
 
--- a/cardamombarrow/log/tests/test_driver.py
+++ b/cardamombarrow/log/tests/test_driver.py
@@ -1,5 +1,9 @@
 """The running log with one voter and a real data folder."""
 
+import errno
+import os
+import time
+
 import pytest
 
 from cardamombarrow.kernel import errors
@@ -85,3 +89,61 @@
         assert not log.status().has_quorum
     finally:
         log.stop()
+
+
+class _Disk:
+    """Refuses syncs, or takes only a part of each write, while told to."""
+
+    def __init__(self, monkeypatch):
+        self.full = False
+        self._sync = os.fsync
+        monkeypatch.setattr(os, "fsync", self.sync)
+
+    def sync(self, descriptor):
+        if self.full:
+            raise OSError(errno.ENOSPC, "no space left")
+        self._sync(descriptor)
+
+
+def test_a_full_disk_holds_the_log_up_and_loses_nothing(tmp_path, monkeypatch):
+    # A disk fills up under a control process. The process used to end itself,
+    # was started again, and ended again. It has to stay, refuse what it
+    # can't keep, and go on once there is room, with all that it acknowledged.
+    disk = _Disk(monkeypatch)
+    log = _open(tmp_path / "A", simulation.Journal())
+    log.start()
+    try:
+        assert log.propose(b"before").result(timeout=20) == b"1"
+        disk.full = True
+        held_up = log.propose(b"held up")
+        assert _wait_until(lambda: not log.status().has_quorum)
+        with pytest.raises(errors.UnavailableError):
+            log.propose(b"refused").result(timeout=20)
+        disk.full = False
+        assert held_up.result(timeout=20) == b"2"
+        assert log.propose(b"after").result(timeout=20) == b"3"
+    finally:
+        log.stop()
+    again = _open(tmp_path / "A", simulation.Journal())
+    again.start()
+    try:
+        assert again.propose(b"again").result(timeout=20) == b"4"
+    finally:
+        again.stop()
+
+
+def test_a_process_can_stop_while_its_disk_refuses(tmp_path, monkeypatch):
+    disk = _Disk(monkeypatch)
+    log = _open(tmp_path / "A", simulation.Journal())
+    log.start()
+    disk.full = True
+    log.propose(b"held up")
+    assert _wait_until(lambda: not log.status().has_quorum)
+    log.stop()
+
+
+def _wait_until(condition):
+    deadline_s = time.monotonic() + 20
+    while not condition() and time.monotonic() < deadline_s:
+        time.sleep(0.01)
+    return condition()
--- a/cardamombarrow/log/tests/test_storage.py
+++ b/cardamombarrow/log/tests/test_storage.py
@@ -133,3 +133,34 @@
 def test_folder_of_another_process_is_refused(folder):
     with pytest.raises(storage_module.CorruptError, match="belongs to A"):
         storage_module.Storage(folder, "B")
+
+
+class _ShortFile:
+    """A file whose disk takes only a part of the first write."""
+
+    def __init__(self, file):
+        self._file = file
+        self._short = True
+
+    def write(self, data):
+        if self._short:
+            self._short = False
+            return self._file.write(data[: len(data) // 2])
+        return self._file.write(data)
+
+    def __getattr__(self, name):
+        return getattr(self._file, name)
+
+
+def test_a_write_that_is_taken_in_part_is_refused_and_tried_again(folder):
+    # A disk that fills up takes half of a record and reports no error. Counted
+    # as whole, the entry is acknowledged, and gone after the next start.
+    storage = storage_module.Storage(folder, "A")
+    storage.load()
+    storage._file = _ShortFile(storage._file)
+    batch = [messages.EntryWrite(_entries(6, 6))]
+    with pytest.raises(OSError):
+        storage.save(batch)
+    storage.save(batch)
+    storage.close()
+    assert _load(folder).entries.slice(1, 6) == _entries(1, 6)
