Tend the control processes' membership; bound retries over all entries

Ruled out: letting silent voters go whenever they are silent; a frozen one would be let go and the next loss not survived. Change: [state] wanted_voters; entries learn of control processes from their confirmations; retry = window, each entry takes its part of the bound. Found by the fuzzer on the way, each mended with a test that fails first: the old identity of a lost disk stayed a voter after an early promotion; a removal was accepted that left no living majority; redundancy was claimed for a moment of a membership just changed.

--- a/cardamombarrow/control/core.py
+++ b/cardamombarrow/control/core.py
@@ -28,6 +28,7 @@
 from cardamombarrow.log import base
 from cardamombarrow.log import driver
 from cardamombarrow.log import membership
+from cardamombarrow.log import state as log_state
 from cardamombarrow.log import storage
 from cardamombarrow.orders import runner
 from cardamombarrow.peers import control_pb2
@@ -98,12 +99,19 @@
         peers = self._settings.peers
         self._exchange = follower_exchange.FollowerExchange(
             self._loop,
-            peers.control_addresses(),
+            self._other_controls,
             peers.secret,
             self._state.service.followers,
         )
         self._exchange.start()
 
+    def _other_controls(self) -> set[str]:
+        """Returns the control processes known from the log and settings."""
+        peers = self._settings.peers
+        own = peers.address or f"{peers.host}:{peers.port}"
+        known = self._log.addresses() or peers.control_addresses()
+        return set(known) - {own}
+
     async def _start(self) -> None:
         peers = self._settings.peers
         service = control_service.ControlService(
@@ -229,9 +237,12 @@
         errors.ConfigError: The data folder is damaged.
     """
     place = _place(settings)
+    tending = log_state.Tending(wanted_voters=settings.state.wanted_voters)
     while True:
         try:
-            return driver.ReplicatedLog(place, state, transport)
+            return driver.ReplicatedLog(
+                place, state, transport, tending=tending
+            )
         except storage.CorruptError as error:
             raise errors.ConfigError([str(error)]) from None
         except OSError as error:
--- a/cardamombarrow/control/settings.py
+++ b/cardamombarrow/control/settings.py
@@ -24,6 +24,14 @@
         help="whether this process may found the group; no, where the system "
         "ran before and only this data folder is empty",
     )
+    wanted_voters: int = settings.setting(
+        0,
+        help="voters that the group keeps by itself: processes that ask are "
+        "let in, silent ones above this number are let go; with 0 the "
+        "operators alone change the members",
+        low=0,
+        high=7,
+    )
     first_document: str = settings.setting(
         "",
         help="file with the document of revision 1; empty where operators "
--- a/cardamombarrow/decisions/base.py
+++ b/cardamombarrow/decisions/base.py
@@ -27,6 +27,7 @@
     "Quarantine",
     "Queue",
     "Retry",
+    "RetryBounds",
     "Room",
     "Shares",
     "Spill",
@@ -35,18 +36,35 @@
 UNBOUNDED = 1 << 30
 
 
+@dataclasses.dataclass(frozen=True)
+class RetryBounds:
+    """What all instances together may send again to one service.
+
+    Attributes:
+        share: Part of the requests of a window that may be sent again.
+        slack: Requests of a window that may be sent again besides.
+        window_s: Any span of this length counts.
+    """
+
+    share: float = 0.1
+    slack: float = 20.0
+    window_s: float = 10.0
+
+
 @dataclasses.dataclass(frozen=True)
 class PolicyContext:
     """What a policy is built from.
 
     Attributes:
         rng: The only source of randomness, so that a run can be repeated.
+        retries: Bounds on retries, over all instances.
     """
 
     document: schema.Document
     instance: ids.InstanceId
     domain: ids.DomainId
     rng: random.Random
+    retries: RetryBounds = dataclasses.field(default_factory=RetryBounds)
 
 
 class Policy(abc.ABC):
@@ -272,6 +290,12 @@
     def on_finish(self, job: messages.Job, outcome: messages.Outcome) -> None:
         """Learns from an end."""
 
+    def on_arrival(self, job: messages.Job, now_s: float) -> None:
+        """Learns that a request came."""
+
+    def set_instances(self, count: int) -> None:
+        """Learns how many instances share what is bounded over all."""
+
 
 class Quarantine(Policy):
     """Which requests are kept from endpoints because they crash them."""
--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -72,6 +72,10 @@
         self._roster.set_found(found, now_s)
         self.refresh_shares(now_s)
 
+    def set_instances(self, count: int) -> None:
+        """Learns how many instances share what is bounded over all."""
+        self._policies.retry.set_instances(count)
+
     def refresh_shares(self, now_s: float) -> None:
         """Works out this instance's slots on every endpoint."""
         self._roster.refresh_shares(self.demand(now_s), now_s)
@@ -123,6 +127,7 @@
     def offer(self, job: messages.Job, now_s: float) -> messages.Refusal | None:
         """Takes an arriving job into the queue, or refuses it at once."""
         job.expected_tokens = self._policies.estimate.expected_tokens(job)
+        self._policies.retry.on_arrival(job, now_s)
         capacity = self._roster.capacities.get(job.service)
         if capacity is None or not (capacity.local or capacity.remote):
             return messages.Refusal(
--- a/cardamombarrow/decisions/retry.py
+++ b/cardamombarrow/decisions/retry.py
@@ -26,12 +26,14 @@
 failing endpoint needs to lose its weight in the choice.
 """
 
+import collections
+
 from cardamombarrow.decisions import base
 from cardamombarrow.decisions import messages
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import registry
 
-__all__ = ["BudgetRetry"]
+__all__ = ["BudgetRetry", "WindowRetry"]
 
 ATTEMPTS = 4
 BUDGET_SHARE = 0.1
@@ -40,6 +42,15 @@
 BACKOFF_FIRST_S = 0.1
 BACKOFF_MAX_S = 2.0
 
+MARGIN = 0.8
+"""Part of a bound over all instances that is used."""
+
+GUESSED_INSTANCES = 10.0
+"""Instances that share the slack, until a count was heard."""
+
+INSTANCES_DECAY = 0.99
+"""What is left of a count once a second; a tenth is gone in ten seconds."""
+
 RETRY_AFTER_MIN_S = 1.0
 """Least time to come back: an earlier return finds the same queue."""
 
@@ -70,8 +81,12 @@
             return False
         if outcome is messages.Outcome.PREEMPTED:
             return True
+        return job.attempts < ATTEMPTS and self._spend(job, now_s)
+
+    def _spend(self, job: messages.Job, now_s: float) -> bool:
+        """Takes a retry out of the budget; False where it is empty."""
         budget = self._budget.get(job.class_id, BUDGET_START)
-        if job.attempts >= ATTEMPTS or budget < 1.0:
+        if budget < 1.0:
             return False
         self._budget[job.class_id] = budget - 1.0
         return True
@@ -94,3 +109,79 @@
         if outcome is messages.Outcome.DONE:
             budget = self._budget.get(job.class_id, BUDGET_START)
             self._budget[job.class_id] = min(budget + BUDGET_SHARE, BUDGET_MAX)
+
+
+class _Window:
+    """Arrivals and retries of one service within the last seconds."""
+
+    def __init__(self, window_s: float):
+        self._window_s = window_s
+        self._arrivals: collections.deque[float] = collections.deque()
+        self._retries: collections.deque[float] = collections.deque()
+
+    def arrived(self, now_s: float) -> None:
+        self._arrivals.append(now_s)
+        self._forget(now_s)
+
+    def spend(self, share: float, slack: float, now_s: float) -> bool:
+        self._forget(now_s)
+        allowed = share * len(self._arrivals) + slack
+        if len(self._retries) + 1 > allowed:
+            return False
+        self._retries.append(now_s)
+        return True
+
+    def _forget(self, now_s: float) -> None:
+        for times in (self._arrivals, self._retries):
+            while times and times[0] <= now_s - self._window_s:
+                times.popleft()
+
+
+@registry.plugin("retry", "window")
+class WindowRetry(BudgetRetry):
+    """Retries within a bound that all instances keep together.
+
+    Load pattern: every endpoint of a service fails part of its requests, and
+    seven or eighty instances each spend a budget of their own; what was meant
+    as a tenth more load is as much again. Each instance takes its part of the
+    bound: the share of its own requests, and of the slack one part in as many
+    as there are instances. The parts add up to the bound, also while the
+    instances can't hear one another, because each keeps the highest count
+    that it has heard of late.
+
+    Figures: `MARGIN` of the bound is used, because what an instance counts as
+    one window is not to the millisecond what an observer counts.
+    """
+
+    def __init__(self, context: base.PolicyContext):
+        super().__init__(context)
+        self._windows: dict[ids.ServiceId, _Window] = {}
+        self._instances = GUESSED_INSTANCES
+
+    def _spend(self, job: messages.Job, now_s: float) -> bool:
+        bounds = self.context.retries
+        return self._window(job).spend(
+            MARGIN * bounds.share,
+            MARGIN * bounds.slack / self._instances,
+            now_s,
+        )
+
+    def on_arrival(self, job: messages.Job, now_s: float) -> None:
+        """Counts a request into its service's window."""
+        self._window(job).arrived(now_s)
+
+    def set_instances(self, count: int) -> None:
+        """Learns how many instances share the slack.
+
+        A count that falls because others are out of reach must not raise this
+        instance's part: they go on with theirs. It falls slowly.
+        """
+        falling = max(self._instances * INSTANCES_DECAY, 1.0)
+        self._instances = max(float(count), falling)
+
+    def _window(self, job: messages.Job) -> _Window:
+        window = self._windows.get(job.service)
+        if window is None:
+            window = _Window(self.context.retries.window_s)
+            self._windows[job.service] = window
+        return window
--- a/cardamombarrow/document/routed.py
+++ b/cardamombarrow/document/routed.py
@@ -31,7 +31,7 @@
 """Reserved share of a lower tier, as in a document of sections."""
 
 POLICIES = schema.Policies(
-    choice="first-event", spill="weighed", preemption="never"
+    choice="first-event", spill="weighed", preemption="never", retry="window"
 )
 
 
--- a/cardamombarrow/entry/broker.py
+++ b/cardamombarrow/entry/broker.py
@@ -56,10 +56,15 @@
         instance: ids.InstanceId,
         domain: ids.DomainId,
         time_source: clock.Clock,
+        retries: base.RetryBounds | None = None,
     ):
         self._clock = time_source
         context = base.PolicyContext(
-            document, instance, domain, random.Random()
+            document,
+            instance,
+            domain,
+            random.Random(),
+            retries or base.RetryBounds(),
         )
         self._dispatcher = core.Dispatcher(context, time_source.now_s())
         self._lock = threading.Lock()
@@ -136,6 +141,11 @@
             lines = self._run_due()
         _write(lines)
 
+    def set_instances(self, count: int) -> None:
+        """Learns how many instances share what is bounded over all."""
+        with self._lock:
+            self._dispatcher.set_instances(count)
+
     def has_endpoints(self) -> bool:
         """Tells whether any endpoint is known."""
         with self._lock:
--- a/cardamombarrow/entry/core.py
+++ b/cardamombarrow/entry/core.py
@@ -5,6 +5,7 @@
 import time
 import typing
 
+from cardamombarrow.decisions import base as decisions_base
 from cardamombarrow.discovery import base as discovery
 from cardamombarrow.discovery import core as discovery_core
 from cardamombarrow.document import schema
@@ -148,8 +149,15 @@
         server.start()
     logs.event("entry starts", port=web.port)
     peering.take_first_document()
+    retries = settings.retries
     broker = broker_module.Broker(
-        documents.current().document, instance, domain, time_source
+        documents.current().document,
+        instance,
+        domain,
+        time_source,
+        decisions_base.RetryBounds(
+            retries.share, retries.slack, retries.window_s
+        ),
     )
     poller = peering.join(kinds, broker)
     ledger = settler.Settler(
--- a/cardamombarrow/entry/peering.py
+++ b/cardamombarrow/entry/peering.py
@@ -113,6 +113,12 @@
             self._take_document(revision, document.text, document.format)
         if self._documents.revision >= document.revision:
             self.lease.confirm(asked_s)
+        if reply.controls and set(reply.controls) != set(
+            self.control.addresses()
+        ):
+            self.control.set_controls(tuple(reply.controls))
+        if self._broker is not None:
+            self._broker.set_instances(max(reply.entry_count, 1))
         if self._node is not None:
             self._node.set_seeds((*self._settings.peers.seeds, *reply.entries))
 
--- a/cardamombarrow/entry/settings.py
+++ b/cardamombarrow/entry/settings.py
@@ -13,6 +13,7 @@
     "LogSettings",
     "PeerSettings",
     "PlatformSettings",
+    "RetrySettings",
     "SideSettings",
 ]
 
@@ -100,6 +101,28 @@
     )
 
 
+@dataclasses.dataclass(frozen=True)
+class RetrySettings:
+    """What all entries together may send again to one service."""
+
+    share: float = settings.setting(
+        0.1,
+        help="part of the requests of a window that may be sent again",
+        low=0.0,
+        high=10.0,
+    )
+    slack: float = settings.setting(
+        20.0,
+        unit="requests",
+        help="requests of a window that may be sent again besides",
+        low=0.0,
+        high=1e6,
+    )
+    window_s: float = settings.setting(
+        10.0, unit="s", help="length of a window", low=0.1, high=3600.0
+    )
+
+
 @dataclasses.dataclass(frozen=True)
 class DocumentSettings:
     """How sure an entry must be of the document."""
@@ -174,5 +197,6 @@
     calls: CallSettings
     platform: PlatformSettings
     document: DocumentSettings
+    retries: RetrySettings
     side: SideSettings
     log: LogSettings
--- a/cardamombarrow/log/base.py
+++ b/cardamombarrow/log/base.py
@@ -104,6 +104,10 @@
     def find(self, name: str) -> membership.Member | None:
         """Returns the member or applicant of an identity or a name."""
 
+    def addresses(self) -> tuple[str, ...]:
+        """Returns the addresses of all members that are known here."""
+        return ()
+
     @abc.abstractmethod
     def status(self) -> LogStatus:
         """Returns what this voter knows."""
--- a/cardamombarrow/log/core.py
+++ b/cardamombarrow/log/core.py
@@ -47,6 +47,7 @@
         contacts: tuple[membership_module.Member, ...] = (),
         is_founder: bool = False,
         keep_entries: int = KEEP_ENTRIES,
+        tending: state_module.Tending | None = None,
     ):
         """Starts a member.
 
@@ -60,9 +61,10 @@
                 the name only.
             is_founder: Whether this one stands first in that list.
             keep_entries: Entries kept before a snapshot.
+            tending: How a leader tends the membership.
         """
         timing = timing or state_module.Timing()
-        state = state_module.CoreState(me, durable, timing, rng, now_s)
+        state = state_module.CoreState(me, durable, timing, rng, now_s, tending)
         self.state = state
         self._keep_entries = keep_entries
         self._handed_out = state.log.snapshot.index
--- a/cardamombarrow/log/driver.py
+++ b/cardamombarrow/log/driver.py
@@ -132,6 +132,7 @@
         machine: base.StateMachine,
         transport: Transport,
         timing: state_module.Timing | None = None,
+        tending: state_module.Tending | None = None,
     ):
         """Opens the data folder and rebuilds the state machine.
 
@@ -153,11 +154,13 @@
             time.monotonic(),
             os.fsync,
             timing,
+            tending=tending,
         )
         self._core = self._runner.core
         self._quorum_s = time.monotonic()
         self._snapshotting = False
         self._leader = ""
+        self._voters: tuple[membership_module.Member, ...] = ()
         self._seen_s = time.monotonic()
         self._status = self._make_status()
         self._refused_since_s: float | None = None
@@ -249,6 +252,11 @@
                 return member
         return None
 
+    def addresses(self) -> tuple[str, ...]:
+        """Returns the addresses of all members that are known here."""
+        members = self._core.state.log.membership.members
+        return tuple(member.address for member in members)
+
     def status(self) -> base.LogStatus:
         """See `base.Log.status`."""
         status = self._status
@@ -362,6 +370,10 @@
         self._seen_s = now_s
         self._status = self._make_status()
         state = self._core.state
+        voters = state.log.membership.voters
+        if voters != self._voters:
+            self._voters = voters
+            logs.event("voters", voters=[voter.id for voter in voters])
         if state.leader != self._leader:
             self._leader = state.leader
             logs.event(
--- a/cardamombarrow/log/joining.py
+++ b/cardamombarrow/log/joining.py
@@ -1,5 +1,7 @@
 """How a process with an empty data folder comes into a group."""
 
+from collections import abc
+
 from cardamombarrow.log import membership as membership_module
 from cardamombarrow.log import messages
 from cardamombarrow.log import proposals as proposals_module
@@ -45,14 +47,39 @@
     def tick(self) -> None:
         """Asks those of the settings' list to be let in, or founds."""
         state = self._state
-        if not self.is_outside or state.now_s < self._due_s:
+        if state.now_s < self._due_s:
+            return
+        if not self.is_outside:
+            self._ask_again()
             return
         self._due_s = state.now_s + state.timing.join_s
         if self._is_founder and len(self._fresh) == len(self._contacts):
             self._found()
             return
+        self._ask(self._contacts)
+
+    def _ask_again(self) -> None:
+        """Asks the others to be let in, where no leader has been heard.
+
+        A member that was cut off may have been let go meanwhile. Nobody sends
+        to it any more, so that it would wait for ever.
+        """
+        state = self._state
+        self._due_s = state.now_s + 2 * state.timing.join_s
+        silent_s = state.now_s - state.leader_heard_s
+        if not state.tending.wanted_voters or state.is_leader:
+            return
+        if silent_s < state.tending.rejoin_after_s:
+            return
+        known = [m for m in state.log.membership.members if m != state.me]
+        addresses = {member.address for member in known}
+        more = [c for c in self._contacts if c.address not in addresses]
+        self._ask((*known, *more))
+
+    def _ask(self, contacts: abc.Iterable[membership_module.Member]) -> None:
+        state = self._state
         request = messages.JoinRequest(state.term, state.me)
-        for contact in self._contacts:
+        for contact in contacts:
             state.output.envelopes.append(
                 messages.Envelope(
                     state.me.id,
@@ -93,7 +120,11 @@
         if source == joiner.id and not state.is_leader:
             # The leader may not stand in the joiner's settings.
             state.send(state.leader, request)
-        if any(
+        wanted = state.tending.wanted_voters
+        wants_more = wanted and (
+            len(membership.members) < state.tending.most_members
+        )
+        if wants_more or any(
             other.automatic or other in membership.voters
             for other in membership.others_named_as(joiner)
         ):
--- a/cardamombarrow/log/leading.py
+++ b/cardamombarrow/log/leading.py
@@ -60,6 +60,10 @@
         state = self._state
         index = state.log.last_index + 1
         entry = messages.Entry(index, state.term, kind, proposal, data)
+        if kind is messages.EntryKind.MEMBERSHIP:
+            # Until the next look: what was true of the voters before need not
+            # be true of these, and whoever reads it may take another away.
+            state.redundant = False
         state.log.append([entry])
         writes = state.output.writes
         if writes and isinstance(writes[-1], messages.EntryWrite):
@@ -97,7 +101,7 @@
         """
         state = self._state
         removed = not state.is_voter and self.may_change()
-        if removed or not state.log.membership.is_majority(self._alive()):
+        if removed or not state.log.membership.is_majority(self.alive()):
             state.follow(state.term, membership_module.NOBODY)
             return
         state.redundant = self._is_redundant()
@@ -107,7 +111,8 @@
         for voter in self._others():
             self._send(voter, self.progress_of(voter), heartbeat=True)
 
-    def _alive(self) -> list[membership_module.VoterId]:
+    def alive(self) -> list[membership_module.VoterId]:
+        """Returns this leader and the members that it heard of late."""
         state = self._state
         since_s = state.now_s - state.timing.election_min_s
         voters = [state.me.id]
@@ -118,7 +123,7 @@
 
     def _is_redundant(self) -> bool:
         membership = self._state.log.membership
-        alive = set(self._alive()) & membership.voter_ids
+        alive = set(self.alive()) & membership.voter_ids
         there = [voter for voter in alive if self._is_caught_up(voter)]
         return len(there) >= membership.quorum + 1
 
@@ -290,10 +295,48 @@
                 return membership_module.Change(kinds.REMOVE, gone[0])
             if is_ready:
                 return membership_module.Change(kinds.PROMOTE, learner)
+        gone = self._former_identity() or self._gone()
+        if gone is not None:
+            return membership_module.Change(kinds.REMOVE, gone)
         return None
 
+    def _former_identity(self) -> membership_module.Member | None:
+        """Returns a voter whose instance has come back under a newer identity.
+
+        An operator may promote the new identity before the old one is let go.
+        The old one never answers again, and counts for the majority: of four
+        voters one is dead, and the loss of one link ends the leadership.
+        """
+        voters = self._state.log.membership.voters
+        alive = set(self.alive())
+        for place, voter in enumerate(voters):
+            name = membership_module.name_of(voter.id)
+            for newer in voters[place + 1 :]:
+                is_same = membership_module.name_of(newer.id) == name
+                if is_same and newer.id in alive and voter.id not in alive:
+                    return voter
+        return None
+
+    def _gone(self) -> membership_module.Member | None:
+        """Returns the member above the wanted number that is silent longest."""
+        state = self._state
+        membership, tending = state.log.membership, state.tending
+        if not tending.wanted_voters:
+            return None
+        spare = len(membership.voters) > tending.wanted_voters
+        candidates = membership.learners + (membership.voters if spare else ())
+        silent = [
+            (self.progress_of(member.id).heard_s, member)
+            for member in candidates
+            if member.id != state.me.id
+        ]
+        heard_s, member = min(silent, default=(state.now_s, None))
+        if state.now_s - heard_s < tending.gone_after_s:
+            return None
+        return member
+
     def _is_ready(self, learner: membership_module.Member) -> bool:
-        return learner.id in self._alive() and self.has_synced(learner)
+        return learner.id in self.alive() and self.has_synced(learner)
 
     def has_synced(self, learner: membership_module.Member) -> bool:
         """Whether a learner holds and has synced nearly all entries."""
--- a/cardamombarrow/log/proposals.py
+++ b/cardamombarrow/log/proposals.py
@@ -107,10 +107,23 @@
             if is_promotion and not self._leading.has_synced(change.member):
                 raise ValueError(f"{change.member.id} has not caught up yet")
             after = membership.after(change)
+            self._check_majority(after)
         except ValueError as error:
             return messages.EntryKind.BARRIER, str(error).encode()
         return messages.EntryKind.MEMBERSHIP, after.encode()
 
+    def _check_majority(self, after: membership_module.Membership) -> None:
+        """Refuses a membership that could not commit anything.
+
+        A voter is dead and an operator removes another one: the two that are
+        left could never agree again, and no later change could mend it.
+
+        Raises:
+            ValueError: No majority of its voters is alive.
+        """
+        if not after.is_majority(self._leading.alive()):
+            raise ValueError("no majority would be alive after it")
+
     def change(self, change: membership_module.Change) -> None:
         """Appends a change that the leader itself has decided on."""
         number = messages.ProposalId(self._state.rng.getrandbits(63) or 1)
--- a/cardamombarrow/log/runner.py
+++ b/cardamombarrow/log/runner.py
@@ -49,6 +49,7 @@
         sync: abc.Callable[[int], None],
         timing: state_module.Timing | None = None,
         keep_entries: int = core_module.KEEP_ENTRIES,
+        tending: state_module.Tending | None = None,
     ):
         """Opens a folder; `me.id` is the name, without the random part.
 
@@ -66,6 +67,7 @@
             contacts,
             is_founder,
             keep_entries,
+            tending,
         )
         self.replica = replica_module.Replica(machine)
         snapshot = durable.entries.snapshot
--- a/cardamombarrow/log/state.py
+++ b/cardamombarrow/log/state.py
@@ -8,7 +8,7 @@
 from cardamombarrow.log import membership
 from cardamombarrow.log import messages
 
-__all__ = ["CoreState", "Durable", "Role", "Timing"]
+__all__ = ["CoreState", "Durable", "Role", "Tending", "Timing"]
 
 
 class Role(enum.Enum):
@@ -48,6 +48,33 @@
     join_s: float = 0.5
 
 
+@dataclasses.dataclass(frozen=True)
+class Tending:
+    """How the leader tends the membership without an operator.
+
+    A process that takes the place of a lost one may come with another address
+    and name, so that nothing tells whom it replaces. Every process that asks
+    is therefore let in, and one that has gone silent is let go as soon as
+    there are more voters than wanted without it. One that was only cut off
+    asks to be let in again when it is back.
+
+    Attributes:
+        wanted_voters: Voters that must stay, however long they are silent;
+            with 0 the operators alone change the membership.
+        most_members: Nobody more is let in than this.
+        gone_after_s: Silence after which a voter above the wanted number is
+            let go; longer than an election, shorter than the time that the
+            next loss may take.
+        rejoin_after_s: Time without a leader after which a member asks
+            whether it is still one.
+    """
+
+    wanted_voters: int = 0
+    most_members: int = 7
+    gone_after_s: float = 2.5
+    rejoin_after_s: float = 3.0
+
+
 @dataclasses.dataclass
 class Durable:
     """What storage gives back after a restart."""
@@ -70,9 +97,11 @@
         timing: Timing,
         rng: random.Random,
         now_s: float,
+        tending: Tending | None = None,
     ):
         self.me = me
         self.timing = timing
+        self.tending = tending or Tending()
         self.rng = rng
         self.now_s = now_s
         self.term = durable.term
--- a/cardamombarrow/log/tests/simulation.py
+++ b/cardamombarrow/log/tests/simulation.py
@@ -110,6 +110,7 @@
             self._on_sync,
             TIMING,
             keep_entries=3,
+            tending=cluster.tending,
         )
         self.work()
 
@@ -168,7 +169,14 @@
 class Cluster:
     """All processes and the network between them."""
 
-    def __init__(self, folder: pathlib.Path, names: list[str], seed: int):
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        names: list[str],
+        seed: int,
+        tending: state_module.Tending | None = None,
+    ):
+        self.tending = tending
         self.folder = folder
         self.founders = names
         self.rng = random.Random(seed)
--- a/cardamombarrow/log/tests/test_core.py
+++ b/cardamombarrow/log/tests/test_core.py
@@ -239,3 +239,62 @@
         cluster.tick(leader.name)
     assert cluster.answers(away)
     assert len(sent) <= len(set(sent)) + 8
+
+
+def test_the_old_identity_goes_also_after_an_early_promotion(cluster):
+    # A disk is lost, and an operator promotes the new identity as soon as it
+    # has caught up. The old one used to stay a voter for good: of four voters
+    # one was dead, and a cut of one more link left no leader.
+    lost = next(n for n in "ABC" if n != cluster.leader().name)
+    old = cluster.nodes[lost].runner.core.state.me.id
+    cluster.nodes[lost].lose_disk()
+    cluster.nodes[lost].start()
+    promote = membership.ChangeKind.PROMOTE
+
+    def is_promoted():
+        leader = cluster.leader()
+        if leader is None:
+            return False
+        known = leader.runner.core.state.log.membership
+        for learner in known.learners:
+            leader.change(membership.Change(promote, learner))
+        new = cluster.nodes[lost].runner.core.state.me.id
+        return new in known.voter_ids
+
+    assert cluster.run_until(is_promoted)
+    cluster.run(5)
+    state = cluster.leader().runner.core.state
+    assert old not in state.log.membership.voter_ids
+    assert len(state.log.membership.voters) == 3
+
+
+def test_a_removal_that_leaves_no_living_majority_is_refused(cluster):
+    # A voter is dead, and an operator removes one of the two others. The one
+    # that is left and the dead one could never agree again.
+    leader = cluster.leader()
+    dead, other = (n for n in "ABC" if n != leader.name)
+    cluster.nodes[dead].crash(1.0)
+    cluster.run(3)
+    state = leader.runner.core.state
+    (member,) = (m for m in state.log.membership.voters if m.address == other)
+    remove = membership.ChangeKind.REMOVE
+    leader.change(membership.Change(remove, member))
+    cluster.run(3)
+    assert len(state.log.membership.voters) == 3
+    assert cluster.answers(leader.name)
+
+
+def test_redundancy_is_not_claimed_of_a_membership_just_changed(cluster):
+    # A disk is lost and its new identity joins within a second, so that the
+    # old one is let go while it still counts as heard. For a moment the two
+    # voters that are left were told to bear another loss.
+    leader = cluster.leader()
+    lost = next(n for n in "ABC" if n != leader.name)
+    cluster.nodes[lost].lose_disk()
+    cluster.nodes[lost].start()
+    for _ in range(100):
+        cluster.run(simulation.STEP_S)
+        state = leader.runner.core.state
+        if len(state.log.membership.voters) == 2:
+            assert not state.redundant
+    assert len(state.log.membership.voters) == 3
--- a/cardamombarrow/log/tests/test_core_fuzz.py
+++ b/cardamombarrow/log/tests/test_core_fuzz.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies
 
 from cardamombarrow.log import membership
+from cardamombarrow.log import state as state_module
 from cardamombarrow.log.tests import simulation
 
 _EXAMPLES = int(os.environ.get("FUZZ_EXAMPLES", "60"))
@@ -25,11 +26,13 @@
 class LogMachine(stateful.RuleBasedStateMachine):
     """Does to a group of three what can happen to it."""
 
+    tending: state_module.Tending | None = None
+
     @stateful.initialize(seed=strategies.integers(0, 1_000))
     def found(self, seed):
         self._folder = tempfile.TemporaryDirectory()
         self.cluster = simulation.Cluster(
-            pathlib.Path(self._folder.name), list("ABC"), seed
+            pathlib.Path(self._folder.name), list("ABC"), seed, self.tending
         )
         assert self.cluster.run_until(self._is_whole)
 
@@ -240,7 +243,19 @@
         assert cluster.leader().runner.core.state.term == term
 
 
-LogMachine.TestCase.settings = hypothesis.settings(
+class TendedLogMachine(LogMachine):
+    """The same, where the leader tends the membership and no operator does."""
+
+    tending = state_module.Tending(wanted_voters=3)
+
+    @stateful.rule(name=_NAMES, kind=strategies.just("add"))
+    def change_membership(self, name, kind):
+        if "D" not in self.cluster.nodes:
+            self.cluster.add_node("D")
+            self.cluster.run(1.0)
+
+
+_SETTINGS = hypothesis.settings(
     max_examples=_EXAMPLES,
     stateful_step_count=60,
     derandomize=_SEED is None,
@@ -250,5 +265,8 @@
     suppress_health_check=list(hypothesis.HealthCheck),
 )
 TestLog = LogMachine.TestCase
-if _SEED is not None:
-    TestLog.runTest = hypothesis.seed(int(_SEED))(TestLog.runTest)
+TestTendedLog = TendedLogMachine.TestCase
+for _case in (TestLog, TestTendedLog):
+    _case.settings = _SETTINGS
+    if _SEED is not None:
+        _case.runTest = hypothesis.seed(int(_SEED))(_case.runTest)
--- a/cardamombarrow/peers/control_client.py
+++ b/cardamombarrow/peers/control_client.py
@@ -133,8 +133,10 @@
     async def _set_controls(self, controls: tuple[str, ...]) -> None:
         kept = [each for each in self._addresses if each in controls]
         added = [each for each in controls if each not in kept]
-        # Those that answered so far stay: the new ones may not serve yet.
         self._addresses = kept + added or self._addresses
+        for address in added:
+            # Tells in which domain it stands.
+            await self._document(address, ATTEMPT_S)
 
     def _prefer_own_domain(self, address: str, domain: str) -> None:
         """Puts control processes of the own domain first.
--- a/cardamombarrow/peers/control_service.py
+++ b/cardamombarrow/peers/control_service.py
@@ -85,6 +85,8 @@
             reply.document.format = accepted.format
             reply.document.text = accepted.text if newer else ""
             domain = ids.DomainId(request.domain)
+            reply.controls.extend(self._log.addresses())
+            reply.entry_count = self.followers.count_heard()
             reply.entries.extend(
                 self.followers.addresses(domain, ADDRESSES_TOLD)
             )
--- a/cardamombarrow/peers/follower_exchange.py
+++ b/cardamombarrow/peers/follower_exchange.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections import abc
 from concurrent import futures
 
 from grpclib import client
@@ -29,7 +30,7 @@
     def __init__(
         self,
         loop: loop_module.LoopThread,
-        controls: tuple[str, ...],
+        controls: abc.Callable[[], set[str]],
         secret: str,
         table: followers_module.Followers,
     ):
@@ -37,19 +38,36 @@
         self._controls = controls
         self._secret = secret
         self._table = table
-        self._tasks: list[futures.Future[None]] = []
+        self._task: futures.Future[None] | None = None
 
     def start(self) -> None:
         """Starts asking."""
-        self._tasks = [
-            self._loop.call(self._ask_forever(address))
-            for address in self._controls
-        ]
+        self._task = self._loop.call(self._run())
 
     def stop(self) -> None:
         """Stops asking."""
-        for task in self._tasks:
-            task.cancel()
+        self._task.cancel()
+
+    async def _run(self) -> None:
+        """Keeps one task for each other control process.
+
+        They come and go while this process runs; asked by the settings alone,
+        one that took the place of another would never be heard.
+        """
+        tasks: dict[str, asyncio.Task[None]] = {}
+        try:
+            while True:
+                wanted = self._controls()
+                for address in set(tasks) - wanted:
+                    tasks.pop(address).cancel()
+                for address in wanted - set(tasks):
+                    tasks[address] = asyncio.create_task(
+                        self._ask_forever(address)
+                    )
+                await asyncio.sleep(INTERVAL_S)
+        finally:
+            for task in tasks.values():
+                task.cancel()
 
     async def _ask_forever(self, address: str) -> None:
         channel = secret_module.channel(address, self._secret)
--- a/cardamombarrow/peers/followers.py
+++ b/cardamombarrow/peers/followers.py
@@ -124,6 +124,11 @@
         if known is None or follower.heard_s > known.heard_s:
             self._table[follower.instance] = follower
 
+    def count_heard(self) -> int:
+        """Counts the entries of all domains that were heard of late."""
+        oldest_s = time.monotonic() - FOLLOWER_TIMEOUT_S
+        return sum(f.heard_s >= oldest_s for f in self._table.values())
+
     def addresses(self, domain: ids.DomainId, most: int) -> list[str]:
         """Returns addresses of entries of a domain, the last heard first."""
         followers = sorted(
