--- a/cardamombarrow/document/parsing.py
+++ b/cardamombarrow/document/parsing.py
@@ -155,7 +155,10 @@
             first = next(iter(self._fields))
             del self._fields[first]
             self._values[first] = identity
-        self._fields.pop("endpoints", None)
+        if cls is schema.Service:
+            del self._fields["endpoints"]
+        if cls is schema.Workspace:
+            del self._fields["rank"]
 
     def read(self, lines: tuple[str, ...]) -> _Reading:
         """Reads the lines, header first."""
@@ -215,8 +218,6 @@
         if raw.lower() not in _BOOLEANS:
             raise ValueError(f"{raw!r} is not yes or no")
         return _BOOLEANS[raw.lower()]
-    if kind == int | None:
-        kind = int
     if kind in (int, float):
         try:
             return kind(raw)
--- a/cardamombarrow/document/routed.py
+++ b/cardamombarrow/document/routed.py
@@ -85,6 +85,7 @@
         policies=POLICIES,
         routes={each.route: each for each in routes},
         limits=parts.limits,
+        rank_order=_order(parts),
     )
     mistakes += [
         f"[{section}]: {reason}"
@@ -106,11 +107,22 @@
 
 
 def _tiers(parts: Parts) -> dict[ids.TierId, schema.Tier]:
-    ranks = set(parts.ranks.values())
-    ranks |= {w.rank for w in parts.workspaces if w.rank is not None}
+    """Returns the tiers of the classes, and one for each rank beside them."""
+    ranks = set(parts.ranks.values()) | set(_order(parts).values())
     lower = max(len(ranks) - 1, 1)
     reserved = min(RESERVED_SHARE, rules.MOST_RESERVED_SHARE / lower)
     return {
         tier_id(rank): schema.Tier(tier_id(rank), rank, reserved)
         for rank in sorted(ranks)
     }
+
+
+def _order(parts: Parts) -> dict[tuple[int, int], int]:
+    """Returns the rank of each pair of a workspace's and a class's rank."""
+    workspaces = [schema.Workspace(schema.ANYBODY, (), ()), *parts.workspaces]
+    pairs = {
+        schema.rank_pair(workspace, rank)
+        for workspace in workspaces
+        for rank in parts.ranks.values()
+    }
+    return {pair: rank for rank, pair in enumerate(sorted(pairs))}
--- a/cardamombarrow/document/rules.py
+++ b/cardamombarrow/document/rules.py
@@ -164,13 +164,9 @@
 
 
 def _workspaces(document: schema.Document) -> abc.Iterator[Violation]:
-    ranks = {tier.rank for tier in document.tiers.values()}
     for workspace in document.workspaces.values():
-        section = f"workspace:{workspace.workspace}"
         if not workspace.classes:
-            yield section, "it has no classes"
-        if workspace.rank is not None and workspace.rank not in ranks:
-            yield section, f"no tier has rank {workspace.rank}"
+            yield f"workspace:{workspace.workspace}", "it has no classes"
 
 
 def _endpoints(document: schema.Document) -> abc.Iterator[Violation]:
--- a/cardamombarrow/document/schema.py
+++ b/cardamombarrow/document/schema.py
@@ -20,6 +20,7 @@
     "Tier",
     "WeightStore",
     "Workspace",
+    "rank_pair",
 ]
 
 
@@ -93,8 +94,9 @@
         classes: Classes that its callers may use; the first is the default.
         max_in_flight: Most requests held at once per entry; 0 is no limit.
         weight: Its part of the capacity beside other workspaces of a class.
-        rank: Rank of its requests, before that of their route's tier; None
-            leaves the tier's.
+        rank: Its requests go before those of workspaces of a higher rank,
+            whatever their tiers; among workspaces of one rank the tier
+            decides. Only in documents that come by routes.
     """
 
     workspace: ids.WorkspaceId
@@ -253,9 +255,24 @@
     loads_per_minute: float = 6.0
 
 
+def rank_pair(workspace: Workspace, rank: int) -> tuple[int, int]:
+    """Returns what requests are ordered by: workspace first, then tier.
+
+    Args:
+        workspace: Whose requests they are.
+        rank: The rank of their class's tier.
+    """
+    return rank if workspace.rank is None else workspace.rank, rank
+
+
 @dataclasses.dataclass(frozen=True)
 class Document:
-    """A valid document: every reference in it leads somewhere."""
+    """A valid document: every reference in it leads somewhere.
+
+    Attributes:
+        rank_order: Rank by what `rank_pair` returns; empty where the tier
+            alone decides.
+    """
 
     tiers: dict[ids.TierId, Tier]
     classes: dict[ids.ClassId, RequestClass]
@@ -267,6 +284,14 @@
     weight_store: WeightStore = dataclasses.field(default_factory=WeightStore)
     routes: dict[ids.RouteId, Route] = dataclasses.field(default_factory=dict)
     limits: CallerLimits = dataclasses.field(default_factory=CallerLimits)
+    rank_order: dict[tuple[int, int], int] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def rank_of(self, class_id: ids.ClassId, workspace: Workspace) -> int:
+        """Returns the rank of a workspace's requests of a class."""
+        rank = self.tier_of(class_id).rank
+        return self.rank_order.get(rank_pair(workspace, rank), rank)
 
     def tier_of(self, class_id: ids.ClassId) -> Tier:
         """Returns the tier of a class."""
--- a/cardamombarrow/entry/routed.py
+++ b/cardamombarrow/entry/routed.py
@@ -170,9 +170,7 @@
         limit_s = request_class.target_total_s
         if facts.limit_s is not None:
             limit_s = min(limit_s, facts.limit_s)
-        rank = document.tiers[request_class.tier].rank
-        if workspace.rank is not None:
-            rank = workspace.rank
+        rank = document.rank_of(request_class.class_id, workspace)
         method, target = environ["REQUEST_METHOD"], environ["REQUEST_URI"]
         digest = _digest(workspace, method, target, body)
         job = messages.Job(
--- a/cardamombarrow/platform/tests/test_configuration.py
+++ b/cardamombarrow/platform/tests/test_configuration.py
@@ -119,3 +119,27 @@
 def test_a_version_that_is_no_whole_number_is_refused(make, version):
     with pytest.raises(errors.ConfigError):
         configuration.version_of(make["configuration"](version=version))
+
+
+def test_the_workspace_goes_before_the_route_and_the_route_decides_equals(
+    make,
+):
+    # All workspaces have one priority. Taken in place of the routes', a
+    # short question and a long letter would be equally urgent.
+    routes = [make["route"](f"r{rank}", priority=rank) for rank in (0, 2)]
+    tenants = [
+        {"name": "a", "apiKeys": ["1"], "priority": 1},
+        {"name": "b", "apiKeys": ["2"], "priority": 1},
+        {"name": "late", "apiKeys": ["3"], "priority": 5},
+    ]
+    document = _FORMAT.parse(
+        make["configuration"](routes=routes, tenants=tenants)
+    )
+
+    def rank(route, workspace):
+        return document.rank_of(route, document.workspaces[workspace])
+
+    assert rank("r0", "a") == rank("r0", "b") < rank("r2", "b")
+    assert rank("r2", "a") < rank("r0", "late") < rank("r2", "late")
+    ranks = {tier.rank for tier in document.tiers.values()}
+    assert {rank(r, w) for r in ("r0", "r2") for w in ("a", "late")} <= ranks
--- a/tools/write_reference.py
+++ b/tools/write_reference.py
@@ -37,6 +37,9 @@
     "weight-store": schema.WeightStore,
     "limits": schema.CallerLimits,
 }
+_NOT_KEYS = {(schema.Workspace, "rank")}
+"""Fields that documents of sections do not have."""
+
 _ATTRIBUTE = re.compile(r"^    (\w+): (.*(?:\n {8}\S.*)*)", re.M)
 
 
@@ -85,6 +88,8 @@
         meanings = dict(_ATTRIBUTE.findall(doc))
         fields = dataclasses.fields(cls)
         for field in fields[1:] if ":" in name else fields:
+            if (cls, field.name) in _NOT_KEYS:
+                continue
             yield _document_key(name.partition(":")[0], field, meanings)
 
 
