Keep long prompts and short requests on engines of their own

Ruled out: forwarding (events arrive within 10 ms of the engine's making). Change: part of the engines are quiet, agreed on by hash.

--- a/cardamombarrow/decisions/first_event.py
+++ b/cardamombarrow/decisions/first_event.py
@@ -16,7 +16,9 @@
 - the congestion: by how much the latest first events there came later than
   expected. That is other instances' work, or an endpoint slower than the
   others. It fades fast, so that an endpoint is tried again;
-- the reading of the job's own prompt, less the parts that its cache holds.
+- the reading of the job's own prompt, less the parts that its cache holds;
+- what it costs to leave its lane (see `lanes`): a long prompt makes the short
+  answers on a quiet engine stutter, a short request stutters among long ones.
 
 An engine's cache is known by what this instance sent there. Besides, each
 shared beginning has a home among the engines, named by rendezvous hashing, so
@@ -35,7 +37,9 @@
 from cardamombarrow.decisions import base
 from cardamombarrow.decisions import choice
 from cardamombarrow.decisions import endpoint as endpoint_module
+from cardamombarrow.decisions import lanes
 from cardamombarrow.decisions import messages
+from cardamombarrow.document import schema
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import registry
 
@@ -60,6 +64,19 @@
 CONGESTION_WEIGHT = 0.5
 LEARNING_WEIGHT = 0.1
 
+LONG_READ_SHARE = 0.5
+"""A prompt is long when reading it takes this part of the shortest pause that
+any route of the document allows within an answer."""
+
+SHORTEST_PAUSE_S = 0.2
+"""That pause, where no route tells one."""
+
+LONG_CROSSING_SHARE = 0.6
+"""Part of its target that a long prompt waits rather than take a quiet one."""
+
+SHORT_CROSSING_S = 0.3
+"""What a short request waits before it goes among long prompts."""
+
 RUNNING_S = 0.001
 """What each request that runs there adds: it shares the pace."""
 
@@ -102,6 +119,11 @@
         return used_s is not None and now_s - used_s <= CACHE_LIFE_S
 
 
+def _shortest_pause_s(document: schema.Document) -> float:
+    told = [r.longest_pause_s for r in document.routes.values()]
+    return min(filter(None, told), default=SHORTEST_PAUSE_S)
+
+
 @registry.plugin("choice", "first-event")
 class FirstEventChoice(choice.FinishChoice):
     """Least expected time to the first event, over all candidates."""
@@ -111,6 +133,8 @@
         self._engines: dict[ids.EndpointId, _Engine] = {}
         self._prompt_token_s: dict[ids.ServiceId, float] = {}
         self._expected_s: dict[ids.RequestId, float] = {}
+        self._quiet: frozenset[ids.EndpointId] = frozenset()
+        self._shortest_pause_s = _shortest_pause_s(context.document)
 
     def _weighed(
         self, candidates: list[endpoint_module.EndpointState]
@@ -125,11 +149,50 @@
     ) -> endpoint_module.EndpointState | None:
         if not job.prefix_key:
             return None
+        candidates = self._lane(job, candidates) or candidates
         key = zlib.crc32(job.prefix_key.encode())
         return max(
             candidates, key=lambda state: choice.mix(key, state.endpoint)
         )
 
+    def _lane(
+        self,
+        job: messages.Job,
+        candidates: list[endpoint_module.EndpointState],
+    ) -> list[endpoint_module.EndpointState]:
+        """Returns the candidates in the lane of a job."""
+        if not job.prompt_tokens:
+            return candidates
+        self._quiet = lanes.quiet_endpoints(
+            (state.domain, state.endpoint) for state in candidates
+        )
+        is_long = self._is_long(job)
+        return [
+            state
+            for state in candidates
+            if (state.endpoint in self._quiet) is not is_long
+        ]
+
+    def _is_long(self, job: messages.Job) -> bool:
+        read_s = job.prompt_tokens * self._token_s(job.service)
+        return read_s > LONG_READ_SHARE * self._shortest_pause_s
+
+    def _crossing_s(
+        self, job: messages.Job, state: endpoint_module.EndpointState
+    ) -> float:
+        if not job.prompt_tokens or not self._quiet:
+            return 0.0
+        is_quiet = state.endpoint in self._quiet
+        if self._is_long(job):
+            target_s = job.target_first_token_s
+            return LONG_CROSSING_SHARE * target_s if is_quiet else 0.0
+        return 0.0 if is_quiet else SHORT_CROSSING_S
+
+    def configure(self, document: schema.Document) -> None:
+        """Takes the shortest pause of a newer document."""
+        super().configure(document)
+        self._shortest_pause_s = _shortest_pause_s(document)
+
     def choose(
         self,
         job: messages.Job,
@@ -137,11 +200,12 @@
         now_s: float,
     ) -> tuple[endpoint_module.EndpointState, str]:
         """Returns the candidate with the least expected time."""
+        self._lane(job, candidates)
         state, reason = super().choose(job, candidates, now_s)
         engine = self._engine(state)
         is_home = self._home(job, candidates, now_s) is state
         unread = self._unread_tokens(job, engine, is_home, now_s)
-        self._expected_s[job.request_id] = self.expected_finish_s(
+        self._expected_s[job.request_id] = self._first_event_s(
             job, state, now_s, is_home
         )
         job.unread_tokens = unread
@@ -156,14 +220,24 @@
         now_s: float,
         prefix_there: bool = False,
     ) -> float:
-        """Returns the expected time from now to the first event."""
+        """Returns the expected time to the first event, and for crossing."""
+        seen = self._faded(state, now_s)
+        failing = 1.0 + choice.FAILURE_PENALTY * seen.failure_share
+        first_s = self._first_event_s(job, state, now_s, prefix_there)
+        return failing * (first_s + self._crossing_s(job, state))
+
+    def _first_event_s(
+        self,
+        job: messages.Job,
+        state: endpoint_module.EndpointState,
+        now_s: float,
+        prefix_there: bool,
+    ) -> float:
         engine = self._engine(state)
         token_s = self._token_s(state.service)
         unread = self._unread_tokens(job, engine, prefix_there, now_s)
-        seen = self._faded(state, now_s)
-        failing = 1.0 + choice.FAILURE_PENALTY * seen.failure_share
         waiting = max(state.in_flight - state.configured_slots + 1, 0)
-        return failing * (
+        return (
             engine.fixed_s
             + self._backlog_s(state, token_s, now_s)
             + engine.congestion_at(now_s)
--- a/cardamombarrow/decisions/tests/test_first_event.py
+++ b/cardamombarrow/decisions/tests/test_first_event.py
@@ -93,7 +93,7 @@
             model=ids.ModelId("m"),
             rank={"chat": 0, "letter": 2}[class_id],
             arrived_s=now_s,
-            target_first_token_s=0.4,
+            target_first_token_s={"chat": 0.4, "letter": 2.0}[class_id],
             deadline_s=now_s + 10.0,
             prompt_tokens=sum(tokens for _, tokens in parts),
             prefix_key="/".join(part for part, _ in parts[:-1]),
@@ -170,14 +170,16 @@
 
 @pytest.mark.parametrize("after_s, avoided", [(0.1, True), (30.0, False)])
 def test_congestion_that_others_cause_is_seen_and_forgotten(after_s, avoided):
-    # Other instances fill the near engine. Its first events come late; short
-    # requests must go elsewhere, and come back once it is free again.
+    # Other instances fill the engine that suits best. Its first events come
+    # late; requests must go elsewhere, and come back once it is free again.
     world = _World()
     world.ask(0.0, "chat", [], 500)
-    world._free_s["one-1"] = 2.0
+    (best,) = world.placed["chat"]
+    world._free_s[best] = 2.0
     world.ask(0.2, "chat", [], 500)
+    assert world.placed["chat"][-1] == best
     world.ask(2.5 + after_s, "chat", [], 500)
-    assert (world.placed["chat"][-1] != "one-1") is avoided
+    assert (world.placed["chat"][-1] != best) is avoided
 
 
 def test_a_prompt_that_was_refused_is_not_taken_for_cached():
@@ -190,3 +192,20 @@
     engine = world.placed["letter"][0]
     choice = world.dispatcher._policies.choice
     assert not choice._engines[engine].holds("shared", 0.02)
+
+
+def test_long_prompts_and_short_requests_keep_to_engines_of_their_own():
+    # An engine reads a long prompt between the tokens of its other requests;
+    # short answers on it stutter. Sent wherever there was room, a few long
+    # prompts made most of the short answers late.
+    world = _World()
+    _burst(world)
+    mixed = set(world.placed["chat"]) & set(world.placed["letter"])
+    assert not mixed
+
+
+def test_long_prompts_take_quiet_engines_rather_than_miss_their_target():
+    world = _World()
+    for step in range(40):
+        world.ask(0.02 * step, "letter", [], 40_000)
+    assert len(set(world.placed["letter"])) == len(_ENGINES)
