--- a/cardamombarrow/decisions/base.py
+++ b/cardamombarrow/decisions/base.py
@@ -216,6 +216,18 @@
 class Choice(Policy):
     """Where a job is sent."""
 
+    def consider(
+        self,
+        job: messages.Job,
+        states: list[endpoint_module.EndpointState],
+        now_s: float,
+    ) -> None:
+        """Takes all endpoints of a job's service, before `available`."""
+
+    def patience_s(self, job: messages.Job) -> float | None:
+        """Returns after which wait `available` judges a job otherwise."""
+        return None
+
     def available(
         self,
         job: messages.Job,
--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -211,6 +211,9 @@
         danger_s = self._policies.preemption.danger_s(job)
         if danger_s is not None:
             self._waiting.alarm(job, danger_s)
+        patience_s = self._policies.choice.patience_s(job)
+        if patience_s is not None:
+            self._waiting.alarm(job, now_s + patience_s)
 
     def withdraw(self, request_id: ids.RequestId) -> bool:
         """Takes a waiting job out, because its caller left."""
@@ -334,6 +337,7 @@
         if running is None or running.first_token_s is not None:
             return
         running.first_token_s = now_s
+        self._roster.changed.add(running.job.service)
         state = self._roster.endpoints[running.endpoint]
         capacity = self._roster.capacities[state.service]
         capacity.first_token(now_s - running.placed_s)
--- a/cardamombarrow/decisions/first_event.py
+++ b/cardamombarrow/decisions/first_event.py
@@ -77,6 +77,16 @@
 SHORT_CROSSING_S = 0.3
 """What a short request waits before it goes among long prompts."""
 
+MOST_LONG_UNREAD = 1
+"""Long prompts of this instance that an endpoint has not read yet, at most."""
+
+MOST_SHORT_UNREAD = 4
+"""The same for short ones."""
+
+PATIENCE_SHARE = 0.3
+"""Part of its target that a long prompt waits for its home before it goes
+where its beginning has to be read anew."""
+
 RUNNING_S = 0.001
 """What each request that runs there adds: it shares the pace."""
 
@@ -134,6 +144,10 @@
         self._prompt_token_s: dict[ids.ServiceId, float] = {}
         self._expected_s: dict[ids.RequestId, float] = {}
         self._quiet: frozenset[ids.EndpointId] = frozenset()
+        self._considered: tuple[ids.RequestId, ids.EndpointId | None] = (
+            ids.RequestId(""),
+            None,
+        )
         self._shortest_pause_s = _shortest_pause_s(context.document)
 
     def _weighed(
@@ -188,6 +202,51 @@
             return LONG_CROSSING_SHARE * target_s if is_quiet else 0.0
         return 0.0 if is_quiet else SHORT_CROSSING_S
 
+    def consider(
+        self,
+        job: messages.Job,
+        states: list[endpoint_module.EndpointState],
+        now_s: float,
+    ) -> None:
+        """Notes the home of a job among all endpoints of its service."""
+        home = self._home(job, states, now_s) if states else None
+        self._considered = job.request_id, home and home.endpoint
+
+    def patience_s(self, job: messages.Job) -> float | None:
+        """Returns how long a long prompt waits for its home."""
+        if not job.prefix_key:
+            return None
+        return PATIENCE_SHARE * job.target_first_token_s
+
+    def available(
+        self,
+        job: messages.Job,
+        state: endpoint_module.EndpointState,
+        now_s: float,
+    ) -> bool:
+        """Tells whether a prompt may be handed to an endpoint now.
+
+        Handed over at once, all prompts of a burst lie in the engines'
+        memory, where they drive out the shared beginnings that the next ones
+        need, and no more urgent one can overtake them.
+        """
+        if not super().available(job, state, now_s):
+            return False
+        if not job.prompt_tokens:
+            return True
+        unread = sum(
+            running.first_token_s is None for running in state.running.values()
+        )
+        if not self._is_long(job):
+            return unread < MOST_SHORT_UNREAD
+        if unread >= MOST_LONG_UNREAD:
+            return False
+        request_id, home = self._considered
+        if request_id != job.request_id or home in (None, state.endpoint):
+            return True
+        patience_s = self.patience_s(job) or 0.0
+        return now_s - job.arrived_s >= patience_s
+
     def configure(self, document: schema.Document) -> None:
         """Takes the shortest pause of a newer document."""
         super().configure(document)
--- a/cardamombarrow/decisions/roster.py
+++ b/cardamombarrow/decisions/roster.py
@@ -204,6 +204,7 @@
         """
         capacity = self.capacities[job.service]
         solo = self._policies.quarantine.solo(job, now_s)
+        self._policies.choice.consider(job, capacity.local, now_s)
         near = [s for s in capacity.local if self._suits(job, s, solo, now_s)]
         untried = [s for s in near if s.endpoint not in job.tried]
         if untried or not capacity.remote:
--- a/cardamombarrow/document/routed.py
+++ b/cardamombarrow/document/routed.py
@@ -27,8 +27,10 @@
 PLAIN_SLOTS = 8
 """Slots of a plain service's endpoint until discovery tells them."""
 
-RESERVED_SHARE = 0.1
-"""Reserved share of a lower tier, as in a document of sections."""
+RESERVED_SHARE = 0.01
+"""Reserved share of a lower tier. Engines have far more slots than prompts that
+they read at once: with a tenth of the slots a lower tier was owed every next
+prompt, and an urgent one waited 3.3 s behind a burst instead of 0.8 s."""
 
 POLICIES = schema.Policies(
     choice="first-event", spill="weighed", preemption="never", retry="window"
--- a/cardamombarrow/entry/broker.py
+++ b/cardamombarrow/entry/broker.py
@@ -270,6 +270,8 @@
         """Tells that the first token came."""
         with self._lock:
             self._dispatcher.first_token(request_id, self._clock.now_s())
+            lines = self._run_due()
+        _write(lines)
 
     def progress(self, request_id: ids.RequestId, tokens: int) -> None:
         """Tells how many tokens were relayed so far."""
--- a/cardamombarrow/entry/core.py
+++ b/cardamombarrow/entry/core.py
@@ -45,29 +45,45 @@
 )
 """Modules whose import registers the project's own endpoint kinds and list."""
 
+DRAIN_LOOK_S = 0.05
+
 OPENAI = "openai"
 """The caller protocol whose requests name models and plain services."""
 
 
 class _Drain(lifecycle.Part):
-    """Turns unready at a stop, and waits until the balancer has noticed.
+    """Turns unready at a stop, refuses later, and waits for what runs.
 
     A balancer goes on sending for some seconds after the instance turned
-    unready. An instance that closed its port at once would cut those callers.
+    unready. An instance that closed its port at once would cut those callers;
+    one that served them to the end would be killed in the middle of answers.
     """
 
-    def __init__(self, readiness: readiness_module.Readiness, notice_s: float):
+    def __init__(
+        self,
+        readiness: readiness_module.Readiness,
+        relaying: relaying_module.Relaying,
+        calls: settings_module.CallSettings,
+    ):
         self._readiness = readiness
-        self._notice_s = notice_s
+        self._relaying = relaying
+        self._calls = calls
 
     def start(self) -> None:
         """Does nothing."""
 
     def stop(self) -> None:
-        """Turns unready and waits."""
+        """Turns unready, waits, refuses, and waits for what is served."""
+        begin_s = time.monotonic()
         self._readiness.draining = True
-        logs.event("draining", notice_s=self._notice_s)
-        time.sleep(self._notice_s)
+        notice_s = self._calls.drain_notice_s
+        logs.event("draining", notice_s=notice_s, held=self._relaying.held)
+        time.sleep(notice_s)
+        self._readiness.refusing = True
+        logs.event("refusing", held=self._relaying.held)
+        end_s = begin_s + self._calls.drain_most_s
+        while self._relaying.held and time.monotonic() < end_s:
+            time.sleep(DRAIN_LOOK_S)
 
 
 def _kinds(
@@ -173,7 +189,9 @@
     )
     readiness = readiness_module.Readiness()
     gate = gate_module.Gate(settings.http.connections, random.Random())
-    relaying = relaying_module.Relaying(instance, documents, services, gate)
+    relaying = relaying_module.Relaying(
+        instance, documents, services, gate, readiness
+    )
 
     def apply(applied: in_force.Applied) -> None:
         broker.configure(applied.document)
@@ -200,7 +218,7 @@
     side_starting.serve(
         side_module.SideApp(instance, documents, relaying, readiness)
     )
-    drain = _Drain(readiness, settings.calls.drain_notice_s)
+    drain = _Drain(readiness, relaying, settings.calls)
     parts = [*side, poller, watch, broker, peering, ledger, web, drain]
     reloader = None
     if path is not None:
--- a/cardamombarrow/entry/readiness.py
+++ b/cardamombarrow/entry/readiness.py
@@ -13,10 +13,12 @@
 
     Attributes:
         draining: Set at a stop.
+        refusing: Set once the balancer has had time to notice the stop.
     """
 
     def __init__(self):
         self.draining = False
+        self.refusing = False
         self._conditions: list[Condition] = []
 
     def require(self, condition: Condition) -> None:
--- a/cardamombarrow/entry/relaying.py
+++ b/cardamombarrow/entry/relaying.py
@@ -11,6 +11,7 @@
 from cardamombarrow.entry import incoming
 from cardamombarrow.entry import life
 from cardamombarrow.entry import once
+from cardamombarrow.entry import readiness as readiness_module
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 
@@ -18,6 +19,10 @@
 
 NO_BODY_STATUSES = (204, 304)
 
+DRAINING_RETRY_S = 0.3
+"""When a caller comes back who met an instance that stops: time enough to
+reach another one."""
+
 
 class Relaying:
     """What the applications of an entry have in common.
@@ -32,10 +37,12 @@
         documents: in_force.InForce,
         services: life.LifeServices,
         gate: gate_module.Gate,
+        readiness: readiness_module.Readiness,
     ):
         self._instance = instance
         self._documents = documents
         self._gate = gate
+        self._readiness = readiness
         self.services = services
 
     @property
@@ -64,6 +71,14 @@
             errors.RouterError: It was refused or failed.
         """
         try:
+            if self._readiness.refusing:
+                # A balancer that knows nobody else goes on sending. What is
+                # taken now would be cut off when the process is killed.
+                raise errors.RefusedError(
+                    errors.ErrorKind.DRAINING,
+                    "this instance stops",
+                    retry_after_s=DRAINING_RETRY_S,
+                )
             self._gate.enter(call.job, self._documents.current().document)
             relay = self._run(environ, call, run)
         except errors.RouterError as error:
--- a/cardamombarrow/entry/settings.py
+++ b/cardamombarrow/entry/settings.py
@@ -155,6 +155,14 @@
         low=1_000,
         high=1_000_000_000,
     )
+    drain_most_s: float = settings.setting(
+        30.0,
+        unit="s",
+        help="time after SIGTERM for which new callers are answered, though "
+        "refused, while requests are still served",
+        low=0.0,
+        high=600.0,
+    )
     drain_notice_s: float = settings.setting(
         5.0,
         unit="s",
--- a/cardamombarrow/log/state.py
+++ b/cardamombarrow/log/state.py
@@ -33,6 +33,8 @@
             plus a slow sync.
         election_max_s: Greatest such silence; drawn anew each time, so that
             two followers rarely stand at once.
+        first_election_min_s: Least time from a start to the first election.
+        first_election_max_s: Greatest such time.
         relay_after_s: Silence of a direct link after which messages also go
             by way of a third voter; well under `election_min_s`, so that a
             cut of one link deposes nobody.
@@ -43,6 +45,8 @@
     heartbeat_s: float = 0.4
     election_min_s: float = 1.2
     election_max_s: float = 2.2
+    first_election_min_s: float = 0.2
+    first_election_max_s: float = 0.8
     relay_after_s: float = 0.9
     retry_s: float = 1.0
     join_s: float = 0.5
@@ -118,8 +122,12 @@
             membership.VoterId, tuple[float, membership.VoterId]
         ] = {}
         self._relay_turn = 0
-        self.election_due_s = 0.0
-        self.reset_election_timer()
+        # Who has just started has no leader to be loyal to. Where all start
+        # at once, waiting a whole election timeout only lengthens the outage;
+        # where there is a leader, the others refuse the pre-vote.
+        self.election_due_s = now_s + rng.uniform(
+            timing.first_election_min_s, timing.first_election_max_s
+        )
 
     @property
     def is_voter(self) -> bool:
--- a/cardamombarrow/tests/test_drain.py
+++ b/cardamombarrow/tests/test_drain.py
@@ -158,3 +158,27 @@
     running.start_instance("control-1")
     running.wait_ready("entry-1")
     assert _ask(running, tokens=2).status == 200
+
+
+def test_an_entry_that_stops_refuses_once_the_balancer_had_its_time(running):
+    # The balancer knows no other entry and goes on sending for as long as the
+    # port is open. What was taken then was cut off when the process was
+    # killed at the end of its time; it has to be told to come back.
+    url = running.entries["entry-1"]
+    with futures.ThreadPoolExecutor(2) as executor:
+        stream = executor.submit(_ask, running, tokens=_STREAM_TOKENS)
+        assert deployment.wait_until(
+            lambda: '"decision": "place"' in running.log("entry-1")
+        )
+        running.signal("entry-1", signal.SIGTERM)
+        assert deployment.wait_until(
+            lambda: '"event": "refusing"' in running.log("entry-1")
+        )
+        refused = caller.complete(url, "digest-desk", model="trail-7b")
+        assert refused.status == 503
+        error = json.loads(refused.body)["error"]
+        assert (error["code"], error["not_run"]) == ("draining", True)
+        answer = stream.result()
+    assert caller.content_of(answer) == caller.whole_content(
+        answer, _STREAM_TOKENS
+    )
