--- a/cardamombarrow/entry/life.py
+++ b/cardamombarrow/entry/life.py
@@ -150,6 +150,8 @@
         self._last_event = ""
         self._relaying = False
         self._first_token_s: float | None = None
+        self._last_piece_s: float | None = None
+        self._longest_pause_s = 0.0
 
     def left_s(self) -> float:
         """Returns the time that is left until the request's deadline."""
@@ -377,6 +379,7 @@
                 if self._first_token_s is None:
                     self._first_token_s = self._age_s()
                     broker.first_token(request_id)
+                self._note_pause()
                 tail = (tail + chunk)[-TAIL_BYTES:]
                 self._tokens += self._kind.count_tokens(chunk)
                 if run.resumable:
@@ -431,8 +434,17 @@
             tokens=self._tokens,
             first_token_s=None if first_s is None else round(first_s, 4),
             target_first_token_s=job.target_first_token_s,
+            longest_pause_s=round(self._longest_pause_s, 4),
             total_s=round(self._age_s(), 4),
         )
 
+    def _note_pause(self) -> None:
+        """Keeps the longest time between two pieces of the answer."""
+        age_s = self._age_s()
+        if self._last_piece_s is not None:
+            pause_s = age_s - self._last_piece_s
+            self._longest_pause_s = max(self._longest_pause_s, pause_s)
+        self._last_piece_s = age_s
+
     def _age_s(self) -> float:
         return self._services.time_source.now_s() - self._call.job.arrived_s
