--- a/cardamombarrow/admin/app.py
+++ b/cardamombarrow/admin/app.py
@@ -12,9 +12,11 @@
 from werkzeug import routing
 from werkzeug import wrappers
 
+from cardamombarrow.admin import editions
 from cardamombarrow.control import state as state_module
+from cardamombarrow.document import formats
 from cardamombarrow.document import machine
-from cardamombarrow.document import parsing
+from cardamombarrow.document import schema
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import logs
@@ -34,6 +36,7 @@
     [
         routing.Rule("/v1/document", endpoint="document", methods=["GET"]),
         routing.Rule("/v1/edits", endpoint="edit", methods=["POST"]),
+        routing.Rule("/v1/editions", endpoint="edition", methods=["PUT"]),
         routing.Rule("/v1/history", endpoint="history", methods=["GET"]),
         routing.Rule("/v1/in-force", endpoint="in_force", methods=["GET"]),
         routing.Rule("/v1/status", endpoint="status", methods=["GET"]),
@@ -66,6 +69,7 @@
         self._log = log
         self._state = state
         self._followers = known_followers
+        self._editions = editions.Editions(log, state)
 
     def __call__(
         self, environ: dict[str, typing.Any], start_response: typing.Any
@@ -106,7 +110,7 @@
                 "no document yet: the control processes have no leader, or "
                 "this one has not caught up",
             )
-        document = parsing.parse(self._state.document.text)
+        document = _document(self._state)
         for owner in document.owners.values():
             if scheme.lower() == "bearer" and owner.token_sha256 == digest:
                 return owner.owner
@@ -125,8 +129,15 @@
         """
         if request.args.get("fresh") == "yes":
             _wait(self._log.barrier())
-        document = self._state.document
-        return _json({"revision": document.revision, "text": document.text})
+        accepted = self._state.document.accepted
+        return _json(
+            {
+                "revision": accepted.revision,
+                "number": accepted.number,
+                "format": accepted.format,
+                "text": accepted.text,
+            }
+        )
 
     def _on_edit(
         self, request: wrappers.Request, owner: ids.OwnerId
@@ -138,6 +149,30 @@
         answer = codec.edit_answer_from_wire(reply.edit)
         return _json(answer.to_json(), _EDIT_STATUS[answer.status])
 
+    def _on_edition(
+        self, request: wrappers.Request, owner: ids.OwnerId
+    ) -> wrappers.Response:
+        """Replaces the whole document, under the operator's own number."""
+        self._check_all_rights(owner)
+        try:
+            raw = json.loads(self._editions.read_text(request))
+            number, text = int(raw["number"]), str(raw["text"])
+        except (ValueError, KeyError, TypeError) as error:
+            raise errors.RefusedError(
+                errors.ErrorKind.BAD_REQUEST, f"not an edition: {error!r}"
+            ) from None
+        answer = self._editions.put(number, text, formats.SECTIONS)
+        content = {**dataclasses.asdict(answer), "status": answer.status.value}
+        invalid = answer.status is machine.EditionStatus.INVALID
+        return _json(content, 422 if invalid else 200)
+
+    def _check_all_rights(self, owner: ids.OwnerId) -> None:
+        if "*" not in _document(self._state).owners[owner].sections:
+            raise errors.RefusedError(
+                errors.ErrorKind.FORBIDDEN,
+                "only an owner with `sections = *` may do this",
+            )
+
     def _on_history(
         self, request: wrappers.Request, owner: ids.OwnerId
     ) -> wrappers.Response:
@@ -171,12 +206,7 @@
         self, request: wrappers.Request, owner: ids.OwnerId
     ) -> wrappers.Response:
         """Adds a learner, promotes it to a voter, or removes a member."""
-        document = parsing.parse(self._state.document.text)
-        if "*" not in document.owners[owner].sections:
-            raise errors.RefusedError(
-                errors.ErrorKind.FORBIDDEN,
-                "only an owner with `sections = *` may change the members",
-            )
+        self._check_all_rights(owner)
         change = self._read_change(request)
         logs.event(
             "membership change asked for",
@@ -222,6 +252,11 @@
         return _json(claim.to_json())
 
 
+def _document(state: state_module.ControlState) -> schema.Document:
+    accepted = state.document.accepted
+    return formats.parse(accepted.format, accepted.text)
+
+
 def _wait(future: futures.Future[bytes]) -> bytes:
     try:
         return future.result(timeout=EDIT_TIMEOUT_S)
--- a/cardamombarrow/admin/client.py
+++ b/cardamombarrow/admin/client.py
@@ -43,6 +43,11 @@
         body = json.dumps(edit).encode()
         return self._ask("POST", "/v1/edits", body, ok=(200, 403, 409, 422))
 
+    def push(self, number: int, text: str) -> dict[str, typing.Any]:
+        """Hands in a whole document under the operator's own number."""
+        body = json.dumps({"number": number, "text": text}).encode()
+        return self._ask("PUT", "/v1/editions", body, ok=(200, 422))
+
     def change_member(
         self, kind: membership.ChangeKind, member: str
     ) -> dict[str, typing.Any]:
--- a/cardamombarrow/cli/core.py
+++ b/cardamombarrow/cli/core.py
@@ -117,6 +117,16 @@
     edit.add_argument("--wait-s", type=float, default=0.0, metavar="SECONDS")
     edit.add_argument("--author", default=os.environ.get("USER", ""))
     edit.set_defaults(command=operate.edit)
+    push = actions.add_parser("push", help="replace the whole document")
+    _add_access(push)
+    push.add_argument("file", type=pathlib.Path, help="INI file, whole")
+    push.add_argument(
+        "--number",
+        type=int,
+        required=True,
+        help="the operator's own number; the highest holds",
+    )
+    push.set_defaults(command=operate.push)
     history = actions.add_parser("history", help="accepted edits")
     _add_access(history)
     history.set_defaults(command=operate.history)
@@ -126,6 +136,11 @@
     status = commands.add_parser("status", help="what each instance knows")
     _add_access(status)
     status.set_defaults(command=operate.status)
+    instance = commands.add_parser(
+        "instance", help="what one entry believes, and how old it is"
+    )
+    instance.add_argument("address", help="its readiness address, host:port")
+    instance.set_defaults(command=operate.instance)
     ledger = commands.add_parser("ledger", help="what became of a key")
     _add_access(ledger)
     ledger.add_argument("workspace")
--- a/cardamombarrow/cli/operate.py
+++ b/cardamombarrow/cli/operate.py
@@ -11,10 +11,21 @@
 from cardamombarrow.admin import client
 from cardamombarrow.cli import exit_codes
 from cardamombarrow.document import text
-
-__all__ = ["diff", "edit", "get", "history", "ledger", "status"]
+from cardamombarrow.endpoints import http_get
+
+__all__ = [
+    "diff",
+    "edit",
+    "get",
+    "history",
+    "instance",
+    "ledger",
+    "push",
+    "status",
+]
 
 WAIT_LOOK_S = 0.1
+INSTANCE_TIMEOUT_S = 5.0
 
 _NEXT_STEPS = {
     "conflict": "Others changed these sections since your base revision: put "
@@ -90,6 +101,25 @@
     return 0
 
 
+def push(arguments: argparse.Namespace) -> int:
+    """Replaces the whole document under the operator's own number."""
+    whole = arguments.file.read_text(encoding="utf-8")
+    answer = _client(arguments).push(arguments.number, whole)
+    _print(answer)
+    if answer["status"] == "invalid":
+        return exit_codes.ExitCode.INVALID
+    return 0
+
+
+def instance(arguments: argparse.Namespace) -> int:
+    """Prints what an entry believes, and how old it is."""
+    reply = http_get.fetch(
+        f"http://{arguments.address}/v1/instance", timeout_s=INSTANCE_TIMEOUT_S
+    )
+    _print(json.loads(reply.body))
+    return 0
+
+
 def _wait(admin: client.AdminClient, revision: int, wait_s: float) -> int:
     deadline_s = time.monotonic() + wait_s
     while True:
--- a/cardamombarrow/entry/broker.py
+++ b/cardamombarrow/entry/broker.py
@@ -23,7 +23,7 @@
 from cardamombarrow.kernel import lifecycle
 from cardamombarrow.kernel import logs
 
-__all__ = ["Broker", "Ticket"]
+__all__ = ["Broker", "EndpointView", "Ticket"]
 
 SHARES_S = 0.25
 """Time between two looks at this instance's slots.
@@ -47,6 +47,25 @@
     preempted: messages.Preemption | None = None
 
 
+@dataclasses.dataclass(frozen=True)
+class EndpointView:
+    """What one entry believes of an endpoint.
+
+    Attributes:
+        running: This entry's requests on it.
+        share: Slots of it that this entry may use.
+        report_age_s: Age of its last load report; None without one.
+    """
+
+    endpoint: ids.EndpointId
+    service: ids.ServiceId
+    domain: ids.DomainId
+    leaving: bool
+    running: int
+    share: int
+    report_age_s: float | None
+
+
 class Broker(lifecycle.Part):
     """One dispatcher, shared by the threads of an entry."""
 
@@ -146,6 +165,25 @@
         with self._lock:
             self._dispatcher.set_instances(count)
 
+    def views(self) -> list[EndpointView]:
+        """Returns what is believed of each endpoint, for operators."""
+        now_s = self._clock.now_s()
+        with self._lock:
+            return [
+                EndpointView(
+                    endpoint=state.endpoint,
+                    service=state.service,
+                    domain=state.domain,
+                    leaving=state.leaving,
+                    running=len(state.running),
+                    share=state.share,
+                    report_age_s=None
+                    if state.report is None
+                    else round(now_s - state.report.measured_at_s, 3),
+                )
+                for state in self._dispatcher.endpoints()
+            ]
+
     def has_endpoints(self) -> bool:
         """Tells whether any endpoint is known."""
         with self._lock:
--- a/cardamombarrow/entry/core.py
+++ b/cardamombarrow/entry/core.py
@@ -216,7 +216,9 @@
         _app(settings, documents, relaying, readiness, peering.lease)
     )
     side_starting.serve(
-        side_module.SideApp(instance, documents, relaying, readiness)
+        side_module.SideApp(
+            instance, documents, relaying, readiness, peering.lease
+        )
     )
     drain = _Drain(readiness, relaying, settings.calls)
     parts = [*side, poller, watch, broker, peering, ledger, web, drain]
--- a/cardamombarrow/entry/side.py
+++ b/cardamombarrow/entry/side.py
@@ -1,12 +1,14 @@
 """What an entry tells the platform on addresses of its own."""
 
 from collections import abc
+import dataclasses
 import json
 import typing
 
 from werkzeug import wrappers
 
 from cardamombarrow.entry import in_force
+from cardamombarrow.entry import lease as lease_module
 from cardamombarrow.entry import readiness as readiness_module
 from cardamombarrow.entry import relaying as relaying_module
 from cardamombarrow.kernel import ids
@@ -23,11 +25,13 @@
         documents: in_force.InForce,
         relaying: relaying_module.Relaying,
         readiness: readiness_module.Readiness,
+        lease: lease_module.DocumentLease,
     ):
         self._instance = instance
         self._documents = documents
         self._relaying = relaying
         self._readiness = readiness
+        self._lease = lease
 
     def __call__(
         self, environ: dict[str, typing.Any], start_response: typing.Any
@@ -55,8 +59,13 @@
         believes = {
             "instance": self._instance,
             "revision": self._documents.revision,
+            "document_age_s": round(self._lease.age_s, 3),
             "not_ready": self._readiness.reason(),
             "held": self._relaying.held,
+            "endpoints": [
+                dataclasses.asdict(view)
+                for view in self._relaying.services.broker.views()
+            ],
         }
         return wrappers.Response(
             json.dumps(believes) + "\n", content_type="application/json"
--- a/cardamombarrow/tests/test_operators.py
+++ b/cardamombarrow/tests/test_operators.py
@@ -63,3 +63,41 @@
     result = _edit(kandula, tmp_path, "[class:runner-question]\ntier = x\n")
     assert result.returncode == 3
     assert "required key is missing" in result.stdout
+
+
+def _config(kandula, *arguments, token="operations-token"):
+    command = (sys.executable, "-m", "cardamombarrow", "config")
+    return subprocess.run(
+        [*command, *arguments],
+        capture_output=True,
+        text=True,
+        env={
+            **os.environ,
+            "CARDAMOMBARROW_URLS": " ".join(kandula.controls.values()),
+            "CARDAMOMBARROW_TOKEN": token,
+        },
+    )
+
+
+def test_a_whole_document_is_pushed_once_whatever_the_order(kandula, tmp_path):
+    # An operator keeps the whole document elsewhere and loses answers; the
+    # same file comes again, and an older one late. The highest number holds.
+    path = tmp_path / "document.ini"
+    whole = _config(kandula, "get").stdout
+    statuses = []
+    for number in (7, 7, 5):
+        path.write_text(f"# number {number}\n{whole}")
+        pushed = _config(kandula, "push", str(path), "--number", str(number))
+        assert pushed.returncode == 0, pushed.stderr
+        statuses.append(json.loads(pushed.stdout)["status"])
+    assert statuses == ["accepted", "kept", "kept"]
+    assert _config(kandula, "get").stdout.startswith("# number 7\n")
+
+
+def test_a_team_without_all_rights_cannot_push(kandula, tmp_path):
+    path = tmp_path / "document.ini"
+    path.write_text(_config(kandula, "get").stdout)
+    arguments = ("push", str(path), "--number", "99")
+    pushed = _config(kandula, *arguments, token="sales-token")
+    assert pushed.returncode == 1
+    assert "forbidden" in pushed.stderr
