--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -329,6 +329,9 @@
             wait_s=now_s - job.arrived_s,
             candidates=tuple(candidate.endpoint for candidate in candidates),
             reason=reason,
+            report_age_s=None
+            if state.report is None
+            else now_s - state.report.measured_at_s,
         )
 
     def first_token(self, request_id: ids.RequestId, now_s: float) -> None:
--- a/cardamombarrow/decisions/messages.py
+++ b/cardamombarrow/decisions/messages.py
@@ -209,6 +209,7 @@
     Attributes:
         candidates: Endpoints that were weighed.
         reason: Why this one, for the log.
+        report_age_s: Age of the endpoint's load report; None without one.
     """
 
     request_id: ids.RequestId
@@ -216,6 +217,7 @@
     wait_s: float
     candidates: tuple[ids.EndpointId, ...]
     reason: str
+    report_age_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cardamombarrow/discovery/core.py
+++ b/cardamombarrow/discovery/core.py
@@ -42,19 +42,27 @@
         if self._thread.is_alive():
             self._thread.join()
 
+    def look(self) -> None:
+        """Asks once; call it before requests are let in.
+
+        A process that has just started would refuse its first callers for
+        want of any endpoint.
+        """
+        if not self._url:
+            return
+        try:
+            self._on_listing(self._source.fetch(self._url))
+            self._tell(None)
+        except (errors.EndpointError, ValueError) as error:
+            self._tell(str(error))
+        except Exception as error:
+            # Ended, this thread would leave the process with the list of
+            # that moment for good: it would send to endpoints long gone.
+            logs.event("list not taken", "ERROR", detail=repr(error))
+
     def _run(self) -> None:
-        while True:
-            try:
-                self._on_listing(self._source.fetch(self._url))
-                self._tell(None)
-            except (errors.EndpointError, ValueError) as error:
-                self._tell(str(error))
-            except Exception as error:
-                # Ended, this thread would leave the process with the list of
-                # that moment for good: it would send to endpoints long gone.
-                logs.event("list not taken", "ERROR", detail=repr(error))
-            if self._stop.wait(self._interval_s):
-                return
+        while not self._stop.wait(self._interval_s):
+            self.look()
 
     def _tell(self, problem: str | None) -> None:
         """Writes a line when the list is lost or back."""
--- a/cardamombarrow/document/routed.py
+++ b/cardamombarrow/document/routed.py
@@ -18,6 +18,7 @@
     "POLICIES",
     "Parts",
     "build",
+    "expected_tokens",
     "tier_id",
 ]
 
@@ -27,6 +28,9 @@
 PLAIN_SLOTS = 8
 """Slots of a plain service's endpoint until discovery tells them."""
 
+STREAM_TOKENS = 40
+"""Events of a stream, until some were seen."""
+
 RESERVED_SHARE = 0.01
 """Reserved share of a lower tier. Engines have far more slots than prompts that
 they read at once: with a tenth of the slots a lower tier was owed every next
@@ -55,6 +59,15 @@
     limits: schema.CallerLimits
 
 
+def expected_tokens(streams: bool) -> int:
+    """Returns the first guess of an answer's length.
+
+    An answer that does not stream is short. Guessed as long as a stream, one
+    that had to be sent again was given up with half of its time left.
+    """
+    return STREAM_TOKENS if streams else 1
+
+
 def tier_id(rank: int) -> ids.TierId:
     """Returns the name of the tier of a rank."""
     return ids.TierId(f"rank-{rank}")
--- a/cardamombarrow/entry/broker.py
+++ b/cardamombarrow/entry/broker.py
@@ -381,6 +381,8 @@
             "candidates": decision.candidates,
             "reason": decision.reason,
             "wait_s": round(decision.wait_s, 4),
+            "report_age_s": decision.report_age_s
+            and round(decision.report_age_s, 3),
         }
     if isinstance(decision, messages.Refusal):
         return "refuse", {
--- a/cardamombarrow/entry/core.py
+++ b/cardamombarrow/entry/core.py
@@ -212,6 +212,7 @@
     readiness.require(
         lambda: None if peering.lease.holds else "the document is in doubt"
     )
+    watch.look()
     starting.serve(
         _app(settings, documents, relaying, readiness, peering.lease)
     )
--- a/cardamombarrow/entry/life.py
+++ b/cardamombarrow/entry/life.py
@@ -431,6 +431,7 @@
             workspace=job.workspace,
             class_id=job.class_id,
             rank=job.rank,
+            endpoint=ticket.placed.result().endpoint,
             outcome=outcome.value,
             detail=error.detail if error else "",
             tokens=self._tokens,
--- a/cardamombarrow/platform/configuration.py
+++ b/cardamombarrow/platform/configuration.py
@@ -146,6 +146,7 @@
             target_first_token_s=min(goal_s, timeout_s),
             target_total_s=timeout_s,
             repeatable=kind == _IDEMPOTENT or resumable,
+            expected_tokens=routed.expected_tokens(kind == _STREAMING),
         )
         route = schema.Route(
             route=ids.RouteId(name),
--- a/cardamombarrow/platform/tests/test_configuration.py
+++ b/cardamombarrow/platform/tests/test_configuration.py
@@ -143,3 +143,10 @@
     assert rank("r2", "a") < rank("r0", "late") < rank("r2", "late")
     ranks = {tier.rank for tier in document.tiers.values()}
     assert {rank(r, w) for r in ("r0", "r2") for w in ("a", "late")} <= ranks
+
+
+def test_an_answer_that_does_not_stream_is_guessed_to_be_short(make):
+    # A short call that met a dead endpoint was given up at half of its time,
+    # because until one was seen it counted as long as a whole stream.
+    text = make["configuration"](routes=[make["route"](routeKind="idempotent")])
+    assert _FORMAT.parse(text).classes["letter"].expected_tokens == 1
