Want as many voters as the losses that must be borne; share the list of endpoints

Change: [state] tended and tolerated_losses; one reader of the list a domain, by gossip; the pace of reading is learnt as a median.

--- a/cardamombarrow/control/core.py
+++ b/cardamombarrow/control/core.py
@@ -237,7 +237,7 @@
         errors.ConfigError: The data folder is damaged.
     """
     place = _place(settings)
-    tending = log_state.Tending(wanted_voters=settings.state.wanted_voters)
+    tending = log_state.Tending(wanted_voters=settings.state.wanted_voters())
     while True:
         try:
             return driver.ReplicatedLog(
--- a/cardamombarrow/control/settings.py
+++ b/cardamombarrow/control/settings.py
@@ -8,6 +8,9 @@
 
 __all__ = ["ControlSettings", "OperatorSettings", "StateSettings"]
 
+LEAST_VOTERS = 3
+"""With fewer, the loss of one leaves no majority."""
+
 
 @dataclasses.dataclass(frozen=True)
 class StateSettings:
@@ -24,13 +27,18 @@
         help="whether this process may found the group; no, where the system "
         "ran before and only this data folder is empty",
     )
-    wanted_voters: int = settings.setting(
-        0,
-        help="voters that the group keeps by itself: processes that ask are "
-        "let in, silent ones above this number are let go; with 0 the "
-        "operators alone change the members",
+    tended: bool = settings.setting(
+        False,
+        help="whether the group keeps its members by itself: processes that "
+        "ask are let in, silent ones above the wanted number are let go; "
+        "with `no` the operators alone change the members",
+    )
+    tolerated_losses: int = settings.setting(
+        1,
+        help="disks whose loss at once must be survived; twice as many voters "
+        "and one more are wanted",
         low=0,
-        high=7,
+        high=3,
     )
     first_document: str = settings.setting(
         "",
@@ -38,6 +46,12 @@
         "hand in editions",
     )
 
+    def wanted_voters(self) -> int:
+        """Returns the voters that must stay; 0 where none are let go."""
+        if not self.tended:
+            return 0
+        return max(2 * self.tolerated_losses + 1, LEAST_VOTERS)
+
 
 @dataclasses.dataclass(frozen=True)
 class OperatorSettings:
--- /dev/null
+++ b/cardamombarrow/control/tests/test_settings.py
@@ -0,0 +1,19 @@
+"""Settings of the control role."""
+
+import pytest
+
+from cardamombarrow.control import settings as settings_module
+
+
+@pytest.mark.parametrize(
+    ("fields", "wanted"),
+    [
+        ({}, 0),
+        ({"tended": True}, 3),
+        ({"tended": True, "tolerated_losses": 0}, 3),
+        ({"tended": True, "tolerated_losses": 2}, 5),
+    ],
+)
+def test_voters_are_wanted_by_the_losses_that_must_be_borne(fields, wanted):
+    state = settings_module.StateSettings(folder="x", **fields)
+    assert state.wanted_voters() == wanted
--- a/cardamombarrow/decisions/first_event.py
+++ b/cardamombarrow/decisions/first_event.py
@@ -55,6 +55,16 @@
 PROMPT_TOKEN_S = 0.00002
 """Time to read a prompt token, until one was seen."""
 
+PACE_TOKENS = 4_000
+"""A prompt from this length on tells the pace of reading; shorter ones tell the
+fixed part."""
+
+PACE_STEP = 1.02
+"""Factor of one step of the pace: 35 prompts move it by two."""
+
+PACE_LEAST_S = 1e-6
+PACE_MOST_S = 1e-3
+
 HOME_SHARE = 0.5
 """Part of a shared beginning that is reckoned to be at its home already."""
 
@@ -372,12 +382,29 @@
         took_s = now_s - running.placed_s
         expected_s = self._expected_s.get(running.job.request_id, took_s)
         engine.late(max(took_s - expected_s, 0.0), now_s)
-        read_s = running.job.unread_tokens * self._token_s(state.service)
+        unread = running.job.unread_tokens
+        if unread >= PACE_TOKENS:
+            self._learn_pace(state.service, (took_s - engine.fixed_s) / unread)
+            return
+        read_s = unread * self._token_s(state.service)
         fixed_s = max(took_s - read_s, 0.001)
         if fixed_s < engine.fixed_s or not running.job.streams:
             weight = LEARNING_WEIGHT
             engine.fixed_s += weight * (fixed_s - engine.fixed_s)
 
+    def _learn_pace(self, service: ids.ServiceId, seen_s: float) -> None:
+        """Moves the time to read a token a step towards what was seen.
+
+        Steps of one size lead to the median: a prompt that waited for others
+        tells too much, one that was cached against expectation too little,
+        and neither may pull the estimate along.
+        """
+        token_s = self._token_s(service)
+        step = PACE_STEP if seen_s > token_s else 1.0 / PACE_STEP
+        self._prompt_token_s[service] = min(
+            max(token_s * step, PACE_LEAST_S), PACE_MOST_S
+        )
+
     def on_finish(
         self,
         state: endpoint_module.EndpointState,
--- a/cardamombarrow/discovery/base.py
+++ b/cardamombarrow/discovery/base.py
@@ -3,10 +3,18 @@
 import abc
 import dataclasses
 import enum
+import json
 
 from cardamombarrow.kernel import ids
 
-__all__ = ["SLOT", "Listed", "ListedState", "Source"]
+__all__ = [
+    "SLOT",
+    "Listed",
+    "ListedState",
+    "Source",
+    "from_text",
+    "to_text",
+]
 
 SLOT = "discovery"
 
@@ -59,3 +67,33 @@
             errors.EndpointError: It could not be read.
             ValueError: It is no such list.
         """
+
+
+def to_text(items: list[Listed]) -> str:
+    """Returns a list as text, the same for equal lists in any order."""
+    raw = sorted(
+        [item.endpoint, item.state.value, item.service, item.domain, item.slots]
+        for item in items
+    )
+    return json.dumps(raw, separators=(",", ":"))
+
+
+def from_text(text: str) -> list[Listed]:
+    """Reads what `to_text` wrote.
+
+    Raises:
+        ValueError: It is no such text.
+    """
+    try:
+        return [
+            Listed(
+                ids.EndpointId(endpoint),
+                ListedState(state),
+                ids.ServiceId(service),
+                ids.DomainId(domain),
+                slots,
+            )
+            for endpoint, state, service, domain, slots in json.loads(text)
+        ]
+    except TypeError as error:
+        raise ValueError(f"not a list of endpoints: {error!r}") from None
--- a/cardamombarrow/discovery/core.py
+++ b/cardamombarrow/discovery/core.py
@@ -1,31 +1,62 @@
-"""Asks for a list of endpoints again and again."""
+"""Asks for a list of endpoints again and again, or hears it from others.
+
+In a domain one entry reads the list and the others hear of it by gossip; an
+entry reads it itself as soon as what it knows has grown old. So the number of
+readings does not grow with the entries, and the loss of the reader, or of the
+gossip, costs no more than `STALE_FACTOR` intervals.
+"""
 
 from collections import abc
 import threading
 
 from cardamombarrow.discovery import base
+from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import lifecycle
 from cardamombarrow.kernel import logs
 
-__all__ = ["ListingWatch"]
+__all__ = ["STALE_FACTOR", "ListingWatch"]
+
+STALE_FACTOR = 2.0
+"""Intervals after which an entry reads the list that others should have."""
+
+LOOKS_PER_INTERVAL = 6
+
+OnListing = abc.Callable[[list[base.Listed]], None]
 
 
 class ListingWatch(lifecycle.Part):
-    """Asks at a fixed interval and hands on what the list says."""
+    """Reads a list when it is due and hands on what it says."""
 
     def __init__(
         self,
         source: base.Source,
         url: str,
         interval_s: float,
-        on_listing: abc.Callable[[list[base.Listed]], None],
+        on_listing: OnListing,
+        time_source: clock.Clock,
+        is_reader: abc.Callable[[], bool] = lambda: True,
     ):
+        """Builds the part.
+
+        Args:
+            source: The kind of list.
+            url: Where it is; empty for none.
+            interval_s: Time between two readings.
+            on_listing: Takes the list.
+            time_source: The clock.
+            is_reader: Tells whether this entry reads it for its domain.
+        """
         self._source = source
         self._url = url
         self._interval_s = interval_s
         self._on_listing = on_listing
+        self._clock = time_source
+        self._is_reader = is_reader
         self._missed = False
+        self._lock = threading.Lock()
+        self._read_s = float("-inf")
+        self._own: tuple[str, float] | None = None
         self._stop = threading.Event()
         self._thread = threading.Thread(
             target=self._run, name="listing", daemon=True
@@ -42,6 +73,24 @@
         if self._thread.is_alive():
             self._thread.join()
 
+    def own(self) -> tuple[str, float] | None:
+        """Returns the list that this entry itself read last, and when."""
+        return self._own
+
+    def heard(self, text: str, read_s: float) -> None:
+        """Takes a list that another entry read at a moment.
+
+        Args:
+            text: The list; see `base.to_text`.
+            read_s: When it was read, by this entry's clock.
+        """
+        try:
+            items = base.from_text(text)
+        except ValueError as error:
+            logs.event("list not taken", "ERROR", detail=str(error))
+            return
+        self._take(items, read_s)
+
     def look(self) -> None:
         """Asks once; call it before requests are let in.
 
@@ -50,8 +99,11 @@
         """
         if not self._url:
             return
+        asked_s = self._clock.now_s()
         try:
-            self._on_listing(self._source.fetch(self._url))
+            items = self._source.fetch(self._url)
+            self._own = base.to_text(items), asked_s
+            self._take(items, asked_s)
             self._tell(None)
         except (errors.EndpointError, ValueError) as error:
             self._tell(str(error))
@@ -60,9 +112,25 @@
             # that moment for good: it would send to endpoints long gone.
             logs.event("list not taken", "ERROR", detail=repr(error))
 
+    def _take(self, items: list[base.Listed], read_s: float) -> None:
+        with self._lock:
+            # What another entry read earlier must not bring back an endpoint
+            # that has been seen to leave since.
+            if read_s > self._read_s:
+                self._read_s = read_s
+                self._on_listing(items)
+
     def _run(self) -> None:
-        while not self._stop.wait(self._interval_s):
-            self.look()
+        while not self._stop.wait(self._interval_s / LOOKS_PER_INTERVAL):
+            if self._is_due():
+                self.look()
+
+    def _is_due(self) -> bool:
+        now_s = self._clock.now_s()
+        if now_s - self._read_s >= STALE_FACTOR * self._interval_s:
+            return True
+        own_s = float("-inf") if self._own is None else self._own[1]
+        return self._is_reader() and now_s - own_s >= self._interval_s
 
     def _tell(self, problem: str | None) -> None:
         """Writes a line when the list is lost or back."""
--- a/cardamombarrow/discovery/tests/test_core.py
+++ b/cardamombarrow/discovery/tests/test_core.py
@@ -6,6 +6,7 @@
 
 from cardamombarrow.discovery import base
 from cardamombarrow.discovery import core
+from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 
@@ -26,9 +27,16 @@
 _LOST = errors.EndpointError(errors.ErrorKind.ENDPOINT_FAILED, "x", sent=True)
 
 
+def _watch(source, take, interval_s, url="http://x", **options):
+    time_source = options.pop("time_source", clock.SystemClock())
+    return core.ListingWatch(
+        source, url, interval_s, take, time_source, **options
+    )
+
+
 def test_the_list_is_there_after_the_first_look():
     taken = []
-    watch = core.ListingWatch(_Source(_LISTED), "http://x", 60.0, taken.append)
+    watch = _watch(_Source(_LISTED), taken.append, 60.0)
     watch.look()
     assert taken == [_LISTED]
 
@@ -41,7 +49,7 @@
     # our own. What was known stays, and the next answer is taken.
     taken = []
     source = _Source(failure, failure, _LISTED)
-    watch = core.ListingWatch(source, "http://x", 0.01, taken.append)
+    watch = _watch(source, taken.append, 0.01)
     watch.start()
     deadline_s = time.monotonic() + 20
     while not taken and time.monotonic() < deadline_s:
@@ -51,7 +59,73 @@
 
 
 def test_without_an_address_nothing_is_asked():
-    watch = core.ListingWatch(_Source(_LOST), "", 0.01, None)
+    watch = _watch(_Source(_LOST), None, 0.01, url="")
     watch.look()
     watch.start()
     watch.stop()
+
+
+_LEAVING = [base.Listed(ids.EndpointId("a:1"), base.ListedState.LEAVING)]
+
+
+def test_a_list_that_was_read_earlier_brings_nothing_back():
+    # An endpoint has been seen to leave. Gossip then brings a list that
+    # another entry read a second before; requests would go there again.
+    taken = []
+    time_source = clock.ManualClock(10.0)
+    watch = _watch(
+        _Source(_LEAVING), taken.append, 1.0, time_source=time_source
+    )
+    watch.look()
+    watch.heard(base.to_text(_LISTED), 9.0)
+    assert taken == [_LEAVING]
+    watch.heard(base.to_text(_LISTED), 11.0)
+    assert taken == [_LEAVING, _LISTED]
+
+
+@pytest.mark.parametrize(
+    ("is_reader", "heard_ago_s", "due"),
+    [
+        (True, 0.0, True),
+        (False, 0.0, False),
+        (False, 1.9, False),
+        (False, 2.1, True),
+    ],
+)
+def test_who_hears_the_list_reads_it_only_when_that_grows_old(
+    is_reader, heard_ago_s, due
+):
+    # All 78 entries reading the list asked the platform more often than it
+    # answers. The reader may also die, and nobody tells the others.
+    time_source = clock.ManualClock(10.0)
+    watch = _watch(
+        _Source(_LISTED),
+        lambda items: None,
+        1.0,
+        time_source=time_source,
+        is_reader=lambda: is_reader,
+    )
+    watch.heard(base.to_text(_LISTED), 10.0 - heard_ago_s)
+    assert watch._is_due() is due
+
+
+def test_a_list_survives_its_way_as_text():
+    listed = [
+        base.Listed(
+            ids.EndpointId("b:2#i-1"),
+            base.ListedState.LEAVING,
+            ids.ServiceId("s"),
+            ids.DomainId("d"),
+            7,
+        ),
+        *_LISTED,
+    ]
+    text = base.to_text(listed)
+    assert base.to_text(listed[::-1]) == text
+    assert set(base.from_text(text)) == set(listed)
+
+
+@pytest.mark.parametrize("text", ["", "7", "[7]", '[["a", "odd", "", "", 0]]'])
+def test_a_text_that_is_no_list_is_refused(text):
+    with pytest.raises(ValueError):
+        base.from_text(text)
--- a/cardamombarrow/entry/core.py
+++ b/cardamombarrow/entry/core.py
@@ -123,6 +123,14 @@
     )
 
 
+def _list_reader(
+    settings: settings_module.EntrySettings, peering: peering_module.Peering
+) -> typing.Callable[[], bool]:
+    if settings.platform.listing_shared:
+        return peering.membership.is_list_reader
+    return lambda: True
+
+
 def _side_servers(
     settings: settings_module.EntrySettings, app: typing.Any
 ) -> list[http.HttpServer]:
@@ -204,7 +212,11 @@
         settings.platform.listing_url,
         settings.platform.listing_interval_s,
         lambda items: peering.on_listing(items, source.names_endpoints),
+        time_source,
+        _list_reader(settings, peering),
     )
+    if settings.platform.listing_shared:
+        peering.membership.share_listing(watch)
     if source.names_endpoints:
         readiness.require(
             lambda: None if broker.has_endpoints() else "no endpoint is known"
--- a/cardamombarrow/entry/settings.py
+++ b/cardamombarrow/entry/settings.py
@@ -186,6 +186,10 @@
     listing_interval_s: float = settings.setting(
         1.0, unit="s", help="time between two looks", low=0.05, high=60.0
     )
+    listing_shared: bool = settings.setting(
+        False,
+        help="whether one entry of a domain reads the list for the others",
+    )
     report_interval_s: float = settings.setting(
         1.0,
         unit="s",
--- a/cardamombarrow/gossip/rendezvous.py
+++ b/cardamombarrow/gossip/rendezvous.py
@@ -13,12 +13,19 @@
 
 from cardamombarrow.kernel import ids
 
-__all__ = ["POLLERS_PER_ENDPOINT", "pollers"]
+__all__ = ["POLLERS_PER_ENDPOINT", "list_reader", "pollers"]
 
 POLLERS_PER_ENDPOINT = 2
 """With two, the loss of one instance leaves no endpoint unobserved."""
 
 
+def list_reader(
+    members: abc.Iterable[ids.InstanceId],
+) -> ids.InstanceId:
+    """Returns the instance of a domain that reads the list of endpoints."""
+    return pollers(ids.EndpointId(""), members)[0]
+
+
 def pollers(
     endpoint: ids.EndpointId, members: abc.Iterable[ids.InstanceId]
 ) -> list[ids.InstanceId]:
--- a/cardamombarrow/gossip/rows.py
+++ b/cardamombarrow/gossip/rows.py
@@ -15,6 +15,7 @@
     "Item",
     "ItemKind",
     "Key",
+    "ListingMark",
     "RowDelta",
     "Value",
     "endpoint_hash",
@@ -39,6 +40,12 @@
     REPORT = 5
     """The endpoint's load report that it polled, by endpoint's hash."""
 
+    LISTING = 6
+    """Which list of endpoints it read, and when; one item."""
+
+    LISTED = 7
+    """That list as text; one item."""
+
 
 Key = tuple[ItemKind, str | int]
 
@@ -61,7 +68,23 @@
     counts: tuple[int, ...]
 
 
-Value = float | int | bool | messages.LoadReport | InFlight
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListingMark:
+    """That an instance read a list of endpoints.
+
+    A list seldom changes and is read often. Its text is sent when it changes,
+    and these few bytes at each reading.
+
+    Attributes:
+        text_hash: `endpoint_hash` of the list's text.
+        read_s: Local time at which it was read.
+    """
+
+    text_hash: int
+    read_s: float
+
+
+Value = float | int | bool | str | messages.LoadReport | InFlight | ListingMark
 
 
 def endpoint_hash(endpoint: ids.EndpointId) -> int:
--- a/cardamombarrow/kernel/tests/test_reloading.py
+++ b/cardamombarrow/kernel/tests/test_reloading.py
@@ -11,6 +11,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class _Part:
+    name: str = settings.setting(help="needed, as every role needs its id")
     names: tuple[str, ...] = settings.setting((), help="names")
     size: int = settings.setting(1, help="size")
 
@@ -23,7 +24,7 @@
 @pytest.fixture
 def path(tmp_path):
     path = tmp_path / "settings.ini"
-    path.write_text("[part]\nnames = a\n")
+    path.write_text("[part]\nname = x\nnames = a\n")
     return path
 
 
@@ -49,7 +50,7 @@
 
 
 def test_a_change_is_taken_when_asked_for(path, taken, reloader):
-    path.write_text("[part]\nnames = a, b\nsize = 2\n")
+    path.write_text("[part]\nname = x\nnames = a, b\nsize = 2\n")
     reloader.ask()
     _wait(taken, 1)
     assert taken == [("a", "b")]
@@ -58,17 +59,17 @@
 def test_a_file_with_mistakes_changes_nothing(path, taken, reloader):
     # The file is read while it is being written, or its writer made a
     # mistake. The process goes on with what it has.
-    path.write_text("[part]\nsize = many\n")
+    path.write_text("[part]\nname = x\nsize = many\n")
     reloader.ask()
     path.unlink()
     reloader.ask()
-    path.write_text("[part]\nnames = c\n")
+    path.write_text("[part]\nname = x\nnames = c\n")
     reloader.ask()
     _wait(taken, 1)
     assert taken == [("c",)]
 
 
 def test_changed_keys_are_told_by_section():
-    old = _Settings(_Part(("a",), 1))
-    new = _Settings(_Part(("a",), 2))
+    old = _Settings(_Part("x", ("a",), 1))
+    new = _Settings(_Part("x", ("a",), 2))
     assert reloading.changed_keys(old, new) == {"part.size"}
--- a/cardamombarrow/log/tests/test_tending.py
+++ b/cardamombarrow/log/tests/test_tending.py
@@ -85,3 +85,20 @@
     cluster.add_node("D")
     cluster.run(20)
     assert _names(cluster) == set("ABC")
+
+
+def test_enough_voters_stay_for_the_losses_that_must_be_borne(tmp_path):
+    # Two disks may be lost at once, and two of six voters are dark for a
+    # while. Were voters let go down to three, the loss of two disks right
+    # after would leave no majority, and what was accepted could not be read.
+    tending = state_module.Tending(wanted_voters=5)
+    cluster = simulation.Cluster(tmp_path, list("ABC"), 7, tending)
+    for name in "DEF":
+        cluster.add_node(name)
+    assert cluster.run_until(lambda: _names(cluster) == set("ABCDEF"))
+    leader = cluster.leader().name
+    for name in [n for n in "ABCDEF" if n != leader][:2]:
+        for other in "ABCDEF":
+            cluster.cut(name, other)
+    cluster.run(30)
+    assert len(_names(cluster)) == 5
--- a/cardamombarrow/peers/gossip_codec.py
+++ b/cardamombarrow/peers/gossip_codec.py
@@ -110,12 +110,31 @@
     wire.report_age_ms.append(int(age_s * _MS))
 
 
+def _put_listing(
+    wire: gossip_pb2.GossipRow,
+    name: str,
+    value: rows.ListingMark | None,
+    now_s: float,
+) -> None:
+    if value is not None:
+        wire.listing_hash = value.text_hash
+        wire.listing_age_ms = int(max(0.0, now_s - value.read_s) * _MS)
+
+
+def _put_listed(
+    wire: gossip_pb2.GossipRow, name: str, value: str | None, now_s: float
+) -> None:
+    wire.listed = value or ""
+
+
 _ENCODERS = {
     rows.ItemKind.DEMAND: _put_demand,
     rows.ItemKind.IN_FLIGHT: _put_in_flight,
     rows.ItemKind.LEAVING: _put_leaving,
     rows.ItemKind.QUARANTINE: _put_quarantine,
     rows.ItemKind.REPORT: _put_report,
+    rows.ItemKind.LISTING: _put_listing,
+    rows.ItemKind.LISTED: _put_listed,
 }
 
 
@@ -150,6 +169,14 @@
     for fingerprint, left_ms in zip(wire.quarantined, wire.quarantine_left_ms):
         value = now_s + left_ms / _MS if left_ms else None
         yield (kind.QUARANTINE, fingerprint), value
+    if wire.listed:
+        yield (kind.LISTED, ""), wire.listed
+    if wire.listing_hash:
+        read_s = now_s - wire.listing_age_ms / _MS
+        yield (
+            (kind.LISTING, ""),
+            rows.ListingMark(wire.listing_hash, read_s),
+        )
     yield from _reports(wire, now_s)
 
 
--- a/cardamombarrow/peers/membership.py
+++ b/cardamombarrow/peers/membership.py
@@ -10,6 +10,7 @@
 import threading
 
 from cardamombarrow.decisions import messages
+from cardamombarrow.discovery import core as discovery
 from cardamombarrow.document import schema
 from cardamombarrow.endpoints import base as endpoints_base
 from cardamombarrow.endpoints import poller as poller_module
@@ -28,9 +29,19 @@
 """A quarantine that ends later by less than this is not told again; what is
 passed on from instance to instance gains the time it was under way."""
 
+LISTS_KEPT = 8
+"""Texts of lists that are remembered, for marks that come later."""
+
 _LIST = "platform list"
 _OWN_REPORT = "own report"
 _SHARED_REPORT = "shared report"
+_NEWS_KINDS = (
+    rows.ItemKind.LEAVING,
+    rows.ItemKind.QUARANTINE,
+    rows.ItemKind.LISTED,
+)
+"""What is passed on at once."""
+
 _DEMAND_KINDS = (rows.ItemKind.DEMAND, rows.ItemKind.IN_FLIGHT)
 _FIRST_HAND = frozenset((_LIST, _OWN_REPORT))
 
@@ -79,6 +90,9 @@
         self._found: tuple[messages.KnownEndpoint, ...] = ()
         self._quarantine: dict[ids.Fingerprint, float] = {}
         self._told_leaving: frozenset[ids.EndpointId] = frozenset()
+        self._listing: discovery.ListingWatch | None = None
+        self._listed_texts: dict[int, str] = {}
+        self._told_listing = 0
         self._table: table_module.Table | None = None
         self._poller: poller_module.Poller | None = None
 
@@ -89,6 +103,14 @@
         self._table = table
         self._poller = poller
 
+    def share_listing(self, listing: discovery.ListingWatch) -> None:
+        """Tells others of the lists that this entry reads, and hears theirs."""
+        self._listing = listing
+
+    def is_list_reader(self) -> bool:
+        """Tells whether this entry reads the list for its domain."""
+        return rendezvous.list_reader(self._members) == self._instance
+
     # -- what this instance sees ---------------------------------------------
 
     def on_document(self, document: schema.Document) -> None:
@@ -182,11 +204,41 @@
                 items[kind.LEAVING, endpoint] = True
             for endpoint, report in self._reports.own.items():
                 items[kind.REPORT, rows.endpoint_hash(endpoint)] = report
+            self._collect_listing(items)
             self._renew_quarantine(now_s)
             for fingerprint, end_s in self._quarantine.items():
                 items[kind.QUARANTINE, fingerprint] = end_s
         return items
 
+    def _collect_listing(self, items: dict[rows.Key, rows.Value]) -> None:
+        own_list = self._listing.own() if self._listing else None
+        if own_list is None:
+            return
+        text, read_s = own_list
+        self._told_listing = rows.endpoint_hash(ids.EndpointId(text))
+        mark = rows.ListingMark(self._told_listing, read_s)
+        items[rows.ItemKind.LISTING, ""] = mark
+        items[rows.ItemKind.LISTED, ""] = text
+
+    def _has_new_listing(self) -> bool:
+        own_list = self._listing.own() if self._listing else None
+        if own_list is None:
+            return False
+        text_hash = rows.endpoint_hash(ids.EndpointId(own_list[0]))
+        return text_hash != self._told_listing
+
+    def _take_listing(self, mark: rows.ListingMark) -> None:
+        """Takes that another entry read a list, if its text is known here."""
+        text = self._listed_texts.get(mark.text_hash)
+        if text is not None and self._listing is not None:
+            self._listing.heard(text, mark.read_s)
+
+    def _keep_listed(self, text: str) -> None:
+        text_hash = rows.endpoint_hash(ids.EndpointId(text))
+        self._listed_texts[text_hash] = text
+        while len(self._listed_texts) > LISTS_KEPT:
+            del self._listed_texts[next(iter(self._listed_texts))]
+
     def _renew_quarantine(self, now_s: float) -> None:
         marks = self._broker.quarantine_marks()
         for fingerprint, left_s in marks.items():
@@ -203,6 +255,8 @@
         Without a round at once the word would take some seconds to reach a
         domain of 36 instances, while each goes on sending to the endpoint.
         """
+        if self._has_new_listing():
+            return True
         with self._lock:
             leaving = self._leaving.said_by(_FIRST_HAND)
             if not self._told_leaving.issuperset(leaving):
@@ -217,16 +271,16 @@
         for instance, (kind, name), value in changes.items:
             if instance in changes.left:
                 continue
+            news = news or kind in _NEWS_KINDS
             if kind is rows.ItemKind.LEAVING:
-                self._tell_leaving(
-                    ids.EndpointId(name), _by_peer(instance), bool(value)
-                )
-                news = True
-            elif kind is rows.ItemKind.REPORT and value is not None:
-                self._take_report(name, value)
-            elif kind is rows.ItemKind.QUARANTINE and value is not None:
+                endpoint = ids.EndpointId(name)
+                self._tell_leaving(endpoint, _by_peer(instance), bool(value))
+            elif value is None:
+                continue
+            elif kind is rows.ItemKind.QUARANTINE:
                 marks[ids.Fingerprint(name)] = value - now_s
-                news = True
+            else:
+                self._take_knowledge(kind, name, value)
         if marks:
             self._broker.merge_quarantine(marks)
         for row in self._table.others():
@@ -234,6 +288,16 @@
                 self._broker.peer(self._demand_of(row))
         return news
 
+    def _take_knowledge(
+        self, kind: rows.ItemKind, name: str | int, value: rows.Value
+    ) -> None:
+        if kind is rows.ItemKind.LISTED:
+            self._keep_listed(value)
+        elif kind is rows.ItemKind.LISTING:
+            self._take_listing(value)
+        elif kind is rows.ItemKind.REPORT:
+            self._take_report(name, value)
+
     def _take_report(
         self, endpoint_hash: int, report: messages.LoadReport
     ) -> None:
