--- a/cardamombarrow/decisions/first_event.py
+++ b/cardamombarrow/decisions/first_event.py
@@ -30,13 +30,12 @@
 docs/decisions/endpoints.md has what was measured.
 """
 
-import collections
-import dataclasses
 import zlib
 
 from cardamombarrow.decisions import base
 from cardamombarrow.decisions import choice
 from cardamombarrow.decisions import endpoint as endpoint_module
+from cardamombarrow.decisions import engine_view
 from cardamombarrow.decisions import lanes
 from cardamombarrow.decisions import messages
 from cardamombarrow.document import schema
@@ -65,13 +64,13 @@
 PACE_LEAST_S = 1e-6
 PACE_MOST_S = 1e-3
 
+ENGINES_KEPT = 1_024
+"""Endpoints remembered; some more than there are at the target size."""
+
 HOME_SHARE = 0.5
 """Part of a shared beginning that is reckoned to be at its home already."""
 
-CONGESTION_HALF_LIFE_S = 1.0
-"""Time in which half of the congestion that was seen is forgotten."""
 
-CONGESTION_WEIGHT = 0.5
 LEARNING_WEIGHT = 0.1
 
 LONG_READ_SHARE = 0.5
@@ -100,44 +99,6 @@
 RUNNING_S = 0.001
 """What each request that runs there adds: it shares the pace."""
 
-CACHE_LIFE_S = 60.0
-"""A part that was not used for this long counts as evicted."""
-
-CACHE_PARTS = 2_048
-"""Parts remembered for each endpoint."""
-
-
-@dataclasses.dataclass(slots=True)
-class _Engine:
-    """What is known of one endpoint."""
-
-    fixed_s: float
-    congestion_s: float = 0.0
-    congested_at_s: float = 0.0
-    parts: collections.OrderedDict[str, float] = dataclasses.field(
-        default_factory=collections.OrderedDict
-    )
-
-    def congestion_at(self, now_s: float) -> float:
-        past_s = max(now_s - self.congested_at_s, 0.0)
-        return self.congestion_s * 0.5 ** (past_s / CONGESTION_HALF_LIFE_S)
-
-    def late(self, late_s: float, now_s: float) -> None:
-        """Learns by how much a first event came later than expected."""
-        known_s = self.congestion_at(now_s)
-        self.congestion_s = known_s + CONGESTION_WEIGHT * (late_s - known_s)
-        self.congested_at_s = now_s
-
-    def remember(self, part: str, now_s: float) -> None:
-        self.parts[part] = now_s
-        self.parts.move_to_end(part)
-        if len(self.parts) > CACHE_PARTS:
-            self.parts.popitem(last=False)
-
-    def holds(self, part: str, now_s: float) -> bool:
-        used_s = self.parts.get(part)
-        return used_s is not None and now_s - used_s <= CACHE_LIFE_S
-
 
 def _shortest_pause_s(document: schema.Document) -> float:
     told = [r.longest_pause_s for r in document.routes.values()]
@@ -150,7 +111,7 @@
 
     def __init__(self, context: base.PolicyContext):
         super().__init__(context)
-        self._engines: dict[ids.EndpointId, _Engine] = {}
+        self._engines: dict[ids.EndpointId, engine_view.EngineView] = {}
         self._prompt_token_s: dict[ids.ServiceId, float] = {}
         self._expected_s: dict[ids.RequestId, float] = {}
         self._quiet: frozenset[ids.EndpointId] = frozenset()
@@ -340,7 +301,7 @@
     def _unread_tokens(
         self,
         job: messages.Job,
-        engine: _Engine,
+        engine: engine_view.EngineView,
         is_home: bool,
         now_s: float,
     ) -> float:
@@ -357,12 +318,17 @@
                 kept += HOME_SHARE * part.tokens
         return max(job.prompt_tokens - kept, 0.0)
 
-    def _engine(self, state: endpoint_module.EndpointState) -> _Engine:
+    def _engine(
+        self, state: endpoint_module.EndpointState
+    ) -> engine_view.EngineView:
         engine = self._engines.get(state.endpoint)
         if engine is None:
             near = state.domain == self.context.domain
-            engine = _Engine(NEAR_S if near else FAR_S)
+            engine = engine_view.EngineView(NEAR_S if near else FAR_S)
             self._engines[state.endpoint] = engine
+            if len(self._engines) > ENGINES_KEPT:
+                # Every start of an endpoint is another one.
+                del self._engines[next(iter(self._engines))]
         return engine
 
     def _token_s(self, service: ids.ServiceId) -> float:
--- a/cardamombarrow/decisions/tests/test_first_event.py
+++ b/cardamombarrow/decisions/tests/test_first_event.py
@@ -264,3 +264,14 @@
     world.advance(0.55)
     assert len(set(world.placed["letter"])) == 1
     assert len(world.placed["letter"]) == most + 1
+
+
+def test_endpoints_that_came_and_went_are_forgotten(monkeypatch):
+    # Each start of an endpoint is a new one with a name of its own. Over
+    # months of releases an instance would remember them all.
+    monkeypatch.setattr(first_event, "ENGINES_KEPT", 3)
+    world = _World()
+    for step in range(40):
+        world.ask(0.02 * step, "letter", [], 20_000)
+    world.advance(5.0)
+    assert len(world.choice._engines) <= 3
--- a/cardamombarrow/entry/life.py
+++ b/cardamombarrow/entry/life.py
@@ -16,6 +16,7 @@
 from cardamombarrow.entry import crashes as crashes_module
 from cardamombarrow.entry import incoming
 from cardamombarrow.entry import metrics as metrics_module
+from cardamombarrow.entry import pieces
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import logs
@@ -30,26 +31,6 @@
 """End of the answer that is kept to tell whether it is whole, and how many
 tokens it had."""
 
-_OUTCOMES = {
-    errors.ErrorKind.ENDPOINT_UNREACHED: messages.Outcome.NOT_STARTED,
-    errors.ErrorKind.ENDPOINT_REFUSED: messages.Outcome.REFUSED_BY_ENDPOINT,
-    errors.ErrorKind.ENDPOINT_FAILED: messages.Outcome.CRASHED,
-    errors.ErrorKind.ANSWER_CUT: messages.Outcome.CRASHED,
-    errors.ErrorKind.STALLED: messages.Outcome.STALLED,
-    errors.ErrorKind.CONNECTION_SILENT: messages.Outcome.CONNECTION_SILENT,
-    errors.ErrorKind.DEADLINE: messages.Outcome.FAILED,
-    errors.ErrorKind.CALLER_GONE: messages.Outcome.CALLER_GONE,
-    errors.ErrorKind.PREEMPTED: messages.Outcome.PREEMPTED,
-}
-
-
-EVENT_END = b"\n\n"
-
-WHOLE_BYTES = 65_536
-"""Answers of an announced length up to this are read whole before any of it
-goes out: one that breaks off can then be redone, and one that can't is told as
-a failure, not as half an answer."""
-
 _FINAL = (errors.ErrorKind.CALLER_GONE, errors.ErrorKind.DEADLINE)
 """What no second run can mend."""
 
@@ -95,44 +76,6 @@
     settled: bool = False
 
 
-def _failure_of(head: endpoints_base.Head) -> errors.EndpointError:
-    return errors.EndpointError(
-        errors.ErrorKind.ENDPOINT_FAILED,
-        f"the endpoint answered {head.status}",
-        sent=True,
-    )
-
-
-def _outcome_of(error: errors.RouterError | None) -> messages.Outcome:
-    return messages.Outcome.DONE if error is None else _OUTCOMES[error.kind]
-
-
-def _is_short(head: endpoints_base.Head) -> bool:
-    """Tells whether an answer is read whole before any of it goes out."""
-    length = head.headers.get("content-length", "")
-    return (
-        not head.streams
-        and length.isascii()
-        and length.isdigit()
-        and int(length) <= WHOLE_BYTES
-    )
-
-
-def _whole_events(chunks: abc.Iterator[bytes]) -> abc.Iterator[bytes]:
-    """Holds back what follows the last whole event.
-
-    A stream that is resumed goes on with a whole event. Had half of one been
-    relayed before the cut, the caller would read both as one.
-    """
-    held = b""
-    for chunk in chunks:
-        whole, end, held = (held + chunk).rpartition(EVENT_END)
-        if end:
-            yield whole + end
-    if held:
-        yield held
-
-
 class Life:
     """One request from admission to settlement."""
 
@@ -218,7 +161,7 @@
         """
         ticket = run.ticket
         run.exchange.close()
-        error = _failure_of(run.head)
+        error = pieces.failure_of(run.head)
         outcome = messages.Outcome.FAILURE_ANSWERED
         self._settle(ticket, error, outcome)
         again = self._services.broker.resubmit(ticket, outcome)
@@ -244,11 +187,11 @@
             )
         self._kind.check(head, self._outgoing(ticket))
         if self._kind.failed(head) and not self._kind.relays_failures:
-            raise _failure_of(head)
+            raise pieces.failure_of(head)
         if self._relaying and not (head.status == 200 and head.streams):
             # The head of the answer is out: what is no stream would be read
             # as the stream's next events.
-            raise _failure_of(head)
+            raise pieces.failure_of(head)
         resumable = (
             self._kind.resumable(head)
             and ticket.job.repeatable
@@ -257,8 +200,8 @@
         ticket.job.resumable = resumable
         chunks = exchange.chunks()
         if resumable:
-            chunks = _whole_events(chunks)
-        if _is_short(head) or self._kind.failed(head):
+            chunks = pieces.whole_events(chunks)
+        if pieces.is_short(head) or self._kind.failed(head):
             first = b"".join(chunks)
         else:
             first = next(chunks, b"")
@@ -327,7 +270,7 @@
     def _again(
         self, ticket: broker_module.Ticket, error: errors.RouterError
     ) -> broker_module.Ticket:
-        outcome = _OUTCOMES[error.kind]
+        outcome = pieces.OUTCOMES[error.kind]
         if error.kind in _FINAL:
             raise error
         again = self._services.broker.resubmit(ticket, outcome)
@@ -345,7 +288,9 @@
                     run = self._resume(run, error)
         except errors.RouterError as error:
             # Only now is it known that no resumed run makes use of them.
-            self._services.metrics.wasted(_OUTCOMES[error.kind], self._tokens)
+            self._services.metrics.wasted(
+                pieces.OUTCOMES[error.kind], self._tokens
+            )
             raise
         except GeneratorExit:
             outcome = messages.Outcome.CALLER_GONE
@@ -417,7 +362,7 @@
         outcome: messages.Outcome | None = None,
     ) -> None:
         if outcome is None:
-            outcome = _outcome_of(error)
+            outcome = pieces.outcome_of(error)
         job = ticket.job
         self._services.broker.finish(job.request_id, outcome)
         first_s = self._first_token_s
