Keep an endpoint's connections over all entries within its bound

Ruled out: retries, which have a bound of their own. Change: each entry has its part, from the count of entries that falls slowly; the count is one module for both bounds.

--- a/cardamombarrow/decisions/retry.py
+++ b/cardamombarrow/decisions/retry.py
@@ -29,6 +29,7 @@
 import collections
 
 from cardamombarrow.decisions import base
+from cardamombarrow.decisions import fleet
 from cardamombarrow.decisions import messages
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import registry
@@ -42,15 +43,6 @@
 BACKOFF_FIRST_S = 0.1
 BACKOFF_MAX_S = 2.0
 
-MARGIN = 0.8
-"""Part of a bound over all instances that is used."""
-
-GUESSED_INSTANCES = 10.0
-"""Instances that share the slack, until a count was heard."""
-
-INSTANCES_DECAY = 0.99
-"""What is left of a count once a second; a tenth is gone in ten seconds."""
-
 RETRY_AFTER_MIN_S = 1.0
 """Least time to come back: an earlier return finds the same queue."""
 
@@ -149,17 +141,13 @@
     as a tenth more load is as much again. Each instance takes its part of the
     bound: the share of its own requests, and of the slack one part in as many
     as there are instances. The parts add up to the bound, also while the
-    instances can't hear one another, because each keeps the highest count
-    that it has heard of late.
-
-    Figures: `MARGIN` of the bound is used, because what an instance counts as
-    one window is not to the millisecond what an observer counts.
+    instances can't hear one another; see `fleet`.
     """
 
     def __init__(self, context: base.PolicyContext):
         super().__init__(context)
         self._windows: dict[ids.ServiceId, _Window] = {}
-        self._instances = GUESSED_INSTANCES
+        self._fleet = fleet.FleetPart()
 
     def _spend(self, job: messages.Job, now_s: float) -> bool:
         return self._window(job).spend(*self._part(), now_s)
@@ -167,7 +155,7 @@
     def _part(self) -> tuple[float, float]:
         """Returns the share and the slack that are this instance's own."""
         bounds = self.context.retries
-        return MARGIN * bounds.share, MARGIN * bounds.slack / self._instances
+        return fleet.MARGIN * bounds.share, self._fleet.of(bounds.slack)
 
     def delay_s(self, job: messages.Job, outcome: messages.Outcome) -> float:
         """Returns no wait for the first retry, and backs off later ones.
@@ -193,13 +181,8 @@
         self._window(job).arrived(now_s)
 
     def set_instances(self, count: int) -> None:
-        """Learns how many instances share the slack.
-
-        A count that falls because others are out of reach must not raise this
-        instance's part: they go on with theirs. It falls slowly.
-        """
-        falling = max(self._instances * INSTANCES_DECAY, 1.0)
-        self._instances = max(float(count), falling)
+        """Learns how many instances share the slack."""
+        self._fleet.heard(count)
 
     def _window(self, job: messages.Job) -> _Window:
         window = self._windows.get(job.service)
--- a/cardamombarrow/decisions/roster.py
+++ b/cardamombarrow/decisions/roster.py
@@ -10,6 +10,7 @@
 from cardamombarrow.decisions import base
 from cardamombarrow.decisions import capacity as capacity_module
 from cardamombarrow.decisions import endpoint as endpoint_module
+from cardamombarrow.decisions import fleet
 from cardamombarrow.decisions import messages
 from cardamombarrow.decisions import policies as policies_module
 from cardamombarrow.document import schema
@@ -42,6 +43,7 @@
         self._context = context
         self._policies = policies
         self._peers: dict[ids.InstanceId, messages.PeerDemand] = {}
+        self._fleet = fleet.FleetPart()
         self._unlisted: set[ids.EndpointId] = set()
         self._found: tuple[messages.KnownEndpoint, ...] = ()
         self.endpoints: dict[ids.EndpointId, endpoint_module.EndpointState] = {}
@@ -141,13 +143,31 @@
         for state in self.endpoints.values():
             near = state.domain == self._context.domain
             limit = self._policies.limits.limit(state, now_s)
-            state.share = self._policies.shares.share(
+            share = self._policies.shares.share(
                 state, limit, own, peers if near else [], now_s
             )
+            state.share = min(share, self._connections(state.service, share))
         for capacity in self.capacities.values():
             capacity.count()
         self.changed.update(self.capacities)
 
+    def _connections(self, service: ids.ServiceId, share: int) -> int:
+        """Returns how many connections this instance may have to an endpoint.
+
+        Each request has a connection of its own. Above its bound an endpoint
+        resets connections, also those that have a request on them, and such a
+        request may have run. Slots are split within a domain only: in a burst
+        the instances of all domains together could open more than that.
+        """
+        known = self._context.document.services.get(service)
+        if known is None or not known.max_connections:
+            return share
+        return self._fleet.whole(known.max_connections)
+
+    def set_instances(self, count: int) -> None:
+        """Learns how many instances share an endpoint's connections."""
+        self._fleet.heard(count)
+
     def report(
         self,
         endpoint: ids.EndpointId,
--- /dev/null
+++ b/cardamombarrow/decisions/tests/test_fleet.py
@@ -0,0 +1,74 @@
+"""Parts of a bound that all instances keep together."""
+
+import dataclasses
+import random
+
+import pytest
+
+from cardamombarrow.decisions import base
+from cardamombarrow.decisions import core
+from cardamombarrow.decisions import fleet
+from cardamombarrow.decisions import messages
+from cardamombarrow.decisions.tests import test_plain_calls
+from cardamombarrow.kernel import ids
+
+_SERVER = ids.EndpointId("one-1")
+
+
+def _part(*counts):
+    part = fleet.FleetPart()
+    for count in counts:
+        part.heard(count)
+    return part
+
+
+@pytest.mark.parametrize("count", [1, 2, 7, 80])
+@pytest.mark.parametrize("bound", [100, 360, 520])
+def test_parts_of_all_instances_keep_the_bound(count, bound):
+    parts = [_part(*[count] * 300).whole(bound) for _ in range(count)]
+    assert 0 < sum(parts) <= max(bound, count)
+
+
+def test_a_part_does_not_grow_while_nobody_is_heard():
+    # A cut leaves each half of eighty instances with the other half unheard
+    # for some seconds, and both go on. Parts that grew at once would double
+    # the connections to an endpoint, which resets what is above its bound.
+    before = _part(80).of(520)
+    assert _part(80, *[40] * 5).of(520) < 1.06 * before
+    assert 2 * 40 * _part(80, *[40] * 20).whole(520) <= 520
+
+
+def _dispatcher(domain, max_connections):
+    document = test_plain_calls.document()
+    service = dataclasses.replace(
+        document.services[ids.ServiceId("bookings")],
+        max_connections=max_connections,
+    )
+    document = dataclasses.replace(
+        document, services={service.service: service}
+    )
+    context = base.PolicyContext(
+        document, ids.InstanceId(domain), ids.DomainId(domain), random.Random(1)
+    )
+    dispatcher = core.Dispatcher(context, 0.0)
+    found = messages.KnownEndpoint(_SERVER, service.service, "one", 6)
+    dispatcher.set_found((found,), 0.0)
+    return dispatcher
+
+
+@pytest.mark.parametrize("count", [7, 80])
+def test_instances_of_all_domains_keep_an_endpoints_connections(count):
+    # Slots are split among the instances of one domain. In a burst those of
+    # the other domains send there too, each up to all the slots, and the
+    # endpoint resets connections that have requests on them.
+    most = 2 * count
+    in_flight = 0
+    for number in range(count):
+        dispatcher = _dispatcher(f"domain-{number}", most)
+        dispatcher.set_instances(count)
+        dispatcher.refresh_shares(1.0)
+        for call in range(6):
+            job = test_plain_calls.call(f"{number}-{call}", 1.0)
+            dispatcher.offer(job, 1.0)
+        in_flight += len(list(dispatcher.place(1.0)))
+    assert count <= in_flight <= most
--- a/cardamombarrow/decisions/tests/test_plain_calls.py
+++ b/cardamombarrow/decisions/tests/test_plain_calls.py
@@ -17,7 +17,8 @@
 _SERVERS = {"one-1": "one", "two-1": "two", "three-1": "three"}
 
 
-def _document():
+def document():
+    """Returns a document of one plain service, anyone's."""
     service = schema.Service(
         ids.ServiceId("bookings"), schema.ServiceKind.PLAIN, 6
     )
@@ -37,6 +38,24 @@
     )
 
 
+def call(name, now_s):
+    """Returns a call that may be repeated."""
+    return messages.Job(
+        request_id=ids.RequestId(f"lookup-{name}"),
+        workspace=schema.ANYBODY,
+        class_id=ids.ClassId("lookup"),
+        service=ids.ServiceId("bookings"),
+        model=ids.ModelId(""),
+        rank=0,
+        arrived_s=now_s,
+        target_first_token_s=_TARGET_S,
+        deadline_s=now_s + 1.0,
+        repeatable=True,
+        streams=False,
+        max_runs=2,
+    )
+
+
 class _World:
     """Three servers, one in each domain, and the entry of domain one.
 
@@ -47,7 +66,7 @@
     def __init__(self, work_s, seed=1):
         self._rng = random.Random(seed)
         context = base.PolicyContext(
-            _document(),
+            document(),
             ids.InstanceId("entry"),
             ids.DomainId("one"),
             self._rng,
@@ -70,20 +89,7 @@
         for number in range(calls):
             now_s = number * gap_s
             self._advance(now_s)
-            job = messages.Job(
-                request_id=ids.RequestId(f"lookup-{number}"),
-                workspace=schema.ANYBODY,
-                class_id=ids.ClassId("lookup"),
-                service=ids.ServiceId("bookings"),
-                model=ids.ModelId(""),
-                rank=0,
-                arrived_s=now_s,
-                target_first_token_s=_TARGET_S,
-                deadline_s=now_s + 1.0,
-                repeatable=True,
-                streams=False,
-                max_runs=2,
-            )
+            job = call(str(number), now_s)
             self._arrived_s[job.request_id] = now_s
             assert self.dispatcher.offer(job, now_s) is None
             self._place(now_s)
