Test that the time left is told; name what placing costs; docs

The header lines of a request to a server are built by a method of their own, so that the time told can be tested without a server: a test that tells the whole time again fails. The choice's cost is no longer called a finish.

--- a/cardamombarrow/decisions/choice.py
+++ b/cardamombarrow/decisions/choice.py
@@ -159,9 +159,9 @@
         weighed = self._weighed(candidates)
         if home is not None:
             weighed = [home, *weighed]
-        finish_s, _, chosen = min(
+        cost_s, _, chosen = min(
             (
-                self.expected_finish_s(job, state, now_s, state is home),
+                self.cost_s(job, state, now_s, state is home),
                 position,
                 state,
             )
@@ -169,7 +169,7 @@
         )
         self._prefixes.remember(job.prefix_key, now_s)
         prefix = ", home of its prefix" if chosen is home else ""
-        return chosen, f"least finish {finish_s:.3f} s{prefix}"
+        return chosen, f"least cost {cost_s:.3f} s{prefix}"
 
     def _probe(
         self,
@@ -186,16 +186,19 @@
             return state
         return None
 
-    # -- expected finish -----------------------------------------------------
+    # -- cost ----------------------------------------------------------------
 
-    def expected_finish_s(
+    def cost_s(
         self,
         job: messages.Job,
         state: endpoint_module.EndpointState,
         now_s: float,
         prefix_there: bool = False,
     ) -> float:
-        """Returns the expected time from now to the job's last token."""
+        """Returns what placing a job at an endpoint costs, as a time.
+
+        Here it is the expected time from now to the job's last token.
+        """
         seen = self._faded(state, now_s)
         saved_s = 0.0
         if prefix_there:
--- a/cardamombarrow/decisions/first_event.py
+++ b/cardamombarrow/decisions/first_event.py
@@ -20,6 +20,9 @@
 - what it costs to leave its lane (see `lanes`): a long prompt makes the short
   answers on a quiet engine stutter, a short request stutters among long ones.
 
+A call that does not stream has no prompt to be read: what counts is the
+median time of such answers, and one that is overdue tells nothing of the next.
+
 An engine's cache is known by what this instance sent there. Besides, each
 shared beginning has a home among the engines, named by rendezvous hashing, so
 that all instances agree on it without a message; at its home a beginning is
@@ -240,14 +243,17 @@
             engine.remember(part.part, now_s)
         return state, reason
 
-    def expected_finish_s(
+    def cost_s(
         self,
         job: messages.Job,
         state: endpoint_module.EndpointState,
         now_s: float,
         prefix_there: bool = False,
     ) -> float:
-        """Returns the expected time to the first event, and for crossing."""
+        """Returns the expected time to the first event, and for crossing.
+
+        An endpoint that fails counts as slower; see `choice`.
+        """
         seen = self._faded(state, now_s)
         failing = 1.0 + choice.FAILURE_PENALTY * seen.failure_share
         first_s = self._first_event_s(job, state, now_s, prefix_there)
--- a/cardamombarrow/platform/servers.py
+++ b/cardamombarrow/platform/servers.py
@@ -34,6 +34,17 @@
 
     def open(self, call: base.OutgoingCall) -> base.Exchange:
         """Prepares a request to one server."""
+        headers = self.request_headers(call)
+        return transfer.CurlExchange(call, headers, self.probe)
+
+    def request_headers(self, call: base.OutgoingCall) -> list[str]:
+        """Returns the header lines of a request that is sent now.
+
+        A server works until the time that it is told is over. What is told is
+        what is left now, not what the caller allowed at first: a request that
+        waited here, or is sent once more, would otherwise be worked on after
+        its caller has gone.
+        """
         headers = [
             f"{name}: {value}" if value else f"{name};"
             for name, value in call.headers
@@ -52,8 +63,7 @@
             headers.append(f"Expect-Instance: {identity}")
         if call.workspace:
             headers.append(f"Tenant: {call.workspace}")
-        headers += self._more_headers(call)
-        return transfer.CurlExchange(call, headers, self.probe)
+        return headers + self._more_headers(call)
 
     def _more_headers(self, call: base.OutgoingCall) -> list[str]:
         return []
--- a/cardamombarrow/platform/tests/test_servers.py
+++ b/cardamombarrow/platform/tests/test_servers.py
@@ -5,6 +5,7 @@
 from cardamombarrow.endpoints import base
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
+from cardamombarrow.platform import caller
 from cardamombarrow.platform import servers
 
 _KIND = servers.PlatformEngine()
@@ -19,7 +20,7 @@
         return False
 
 
-def _call():
+def _call(deadline_s=0.0, headers=()):
     return base.OutgoingCall(
         request_id=ids.RequestId("r"),
         endpoint=ids.endpoint_id("10.0.0.9:8080", "i-7f"),
@@ -28,7 +29,8 @@
         body=b"",
         content_type="",
         rank=0,
-        deadline_s=0.0,
+        deadline_s=deadline_s,
+        headers=headers,
         stall_limit_s=1.0,
         caller=_Nobody(),
         cancelled=lambda: False,
@@ -36,6 +38,29 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("now_s", "left_ms"), [(100.0, 1_500), (101.25, 250), (101.75, 1)]
+)
+@pytest.mark.parametrize("kind", [servers.PlatformKind, servers.PlatformEngine])
+def test_a_server_is_told_the_time_that_is_left(
+    monkeypatch, kind, now_s, left_ms
+):
+    # A request waits for a place, or is sent once more after a failure. Told
+    # the caller's whole time again, the server works on after the caller has
+    # gone, at the moment when places are short.
+    facts = caller.PlatformProtocol().read(
+        (("Attempt-Id", "9c41"), ("Deadline-Ms", "1500"))
+    )
+    call = _call(100.0 + facts.limit_s, facts.forwarded)
+    monkeypatch.setattr(servers.time, "monotonic", lambda: now_s)
+    told = [
+        line
+        for line in kind().request_headers(call)
+        if line.lower().startswith("deadline-ms")
+    ]
+    assert told == [f"Deadline-Ms: {left_ms}"]
+
+
 def test_a_sealed_answer_with_the_right_id_is_taken():
     _KIND.check(base.Head(200, _GOOD), _call())
 
