Decide a tied election soon

Change: a candidate that lost stands again after 0.2 to 0.8 s, doubled each round up to the followers' timeout.

--- a/cardamombarrow/log/election.py
+++ b/cardamombarrow/log/election.py
@@ -10,6 +10,7 @@
     True: state_module.Role.PRE_CANDIDATE,
     False: state_module.Role.CANDIDATE,
 }
+_STANDING = frozenset(_ROLES.values())
 
 
 class Election:
@@ -18,6 +19,7 @@
     def __init__(self, state: state_module.CoreState):
         self._state = state
         self._granted: set[membership.VoterId] = set()
+        self._lost = 0
 
     def tick(self) -> bool:
         """Stands for election when it is time; returns whether it won."""
@@ -35,9 +37,11 @@
         it would depose the leader as soon as it is reached again.
         """
         state = self._state
+        if pre:
+            self._lost = self._lost + 1 if state.role in _STANDING else 0
         state.role = _ROLES[pre]
         state.leader = membership.NOBODY
-        state.reset_election_timer()
+        state.set_candidate_timer(self._lost)
         if not pre:
             state.set_term(state.term + 1, state.me.id)
         self._granted = {state.me.id}
--- a/cardamombarrow/log/state.py
+++ b/cardamombarrow/log/state.py
@@ -145,6 +145,29 @@
             self.timing.election_min_s, self.timing.election_max_s
         )
 
+    def set_candidate_timer(self, lost: int) -> None:
+        """Draws when a candidate stands again if it does not win.
+
+        Two that stand at once take each other's votes, and nobody leads until
+        one stands again. Waiting a whole election timeout for that, a second
+        tie in a row outlasted the time in which a voter that had lost its
+        disk must be back in the membership: the next lost disk was then one
+        too many for good. Each round that is lost doubles the wait, up to
+        that of followers, because slow disks and links need longer rounds.
+
+        Args:
+            lost: Rounds that this candidate has lost in a row.
+        """
+        timing = self.timing
+        factor = 2.0**lost
+        least_s = min(
+            factor * timing.first_election_min_s, timing.election_min_s
+        )
+        most_s = min(
+            factor * timing.first_election_max_s, timing.election_max_s
+        )
+        self.election_due_s = self.now_s + self.rng.uniform(least_s, most_s)
+
     def set_term(self, term: int, vote: membership.VoterId) -> None:
         """Sets term and vote, and asks for both to be made durable."""
         self.term = term
--- a/cardamombarrow/log/tests/test_core.py
+++ b/cardamombarrow/log/tests/test_core.py
@@ -298,3 +298,27 @@
         if len(state.log.membership.voters) == 2:
             assert not state.redundant
     assert len(state.log.membership.voters) == 3
+
+
+def _tied(folder, seed):
+    """Returns how long a tie lasts between two that stand at once."""
+    made = simulation.Cluster(folder, ["A", "B", "C"], seed=seed)
+    assert made.run_until(lambda: _is_redundant(made))
+    made.leader().crash(1.0)
+    made.run(simulation.TIMING.election_min_s)
+    for node in made.alive:
+        node.runner.core.state.election_due_s = made.now_s
+    tied_s = made.now_s
+    assert made.run_until(lambda: made.leader() is not None)
+    return made.now_s - tied_s
+
+
+def test_a_tied_election_is_decided_soon(tmp_path):
+    # The leader is lost and both others stand at the same moment, each with
+    # its own vote. Waiting a whole election timeout after that, a second tie
+    # leaves the users without a document that can be confirmed for 4 s, and
+    # a voter that has lost its disk is not back in time before the next one
+    # loses its own.
+    times_s = sorted(_tied(tmp_path / str(seed), seed) for seed in range(20))
+    assert times_s[15] < simulation.TIMING.election_min_s
+    assert times_s[-1] < simulation.TIMING.election_max_s
