Keep one count of instances for all that is bounded over them

The roster and the retry policy each had a count of their own, fed side by side by the dispatcher. It now stands once in what policies are built from; the two setters are gone. Tests keep their assertions.

--- a/cardamombarrow/decisions/base.py
+++ b/cardamombarrow/decisions/base.py
@@ -12,6 +12,7 @@
 
 from cardamombarrow.decisions import capacity as capacity_module
 from cardamombarrow.decisions import endpoint as endpoint_module
+from cardamombarrow.decisions import fleet as fleet_module
 from cardamombarrow.decisions import messages
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import ids
@@ -58,6 +59,8 @@
     Attributes:
         rng: The only source of randomness, so that a run can be repeated.
         retries: Bounds on retries, over all instances.
+        fleet: How many instances share what is bounded over all; one for all
+            policies of an instance.
     """
 
     document: schema.Document
@@ -65,6 +68,9 @@
     domain: ids.DomainId
     rng: random.Random
     retries: RetryBounds = dataclasses.field(default_factory=RetryBounds)
+    fleet: fleet_module.FleetPart = dataclasses.field(
+        default_factory=fleet_module.FleetPart
+    )
 
 
 class Policy(abc.ABC):
@@ -309,9 +315,6 @@
     def on_arrival(self, job: messages.Job, now_s: float) -> None:
         """Learns that a request came."""
 
-    def set_instances(self, count: int) -> None:
-        """Learns how many instances share what is bounded over all."""
-
 
 class Quarantine(Policy):
     """Which requests are kept from endpoints because they crash them."""
--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -74,8 +74,7 @@
 
     def set_instances(self, count: int) -> None:
         """Learns how many instances share what is bounded over all."""
-        self._policies.retry.set_instances(count)
-        self._roster.set_instances(count)
+        self._context.fleet.heard(count)
 
     def refresh_shares(self, now_s: float) -> None:
         """Works out this instance's slots on every endpoint."""
--- a/cardamombarrow/decisions/fleet.py
+++ b/cardamombarrow/decisions/fleet.py
@@ -31,7 +31,10 @@
 
 
 class FleetPart:
-    """How many instances share a bound, and this one's part of it."""
+    """How many instances share a bound, and this one's part of it.
+
+    An instance has one of these; whatever is bounded over all reads it.
+    """
 
     def __init__(self):
         self._instances = GUESSED_INSTANCES
--- a/cardamombarrow/decisions/retry.py
+++ b/cardamombarrow/decisions/retry.py
@@ -147,7 +147,6 @@
     def __init__(self, context: base.PolicyContext):
         super().__init__(context)
         self._windows: dict[ids.ServiceId, _Window] = {}
-        self._fleet = fleet.FleetPart()
 
     def _spend(self, job: messages.Job, now_s: float) -> bool:
         return self._window(job).spend(*self._part(), now_s)
@@ -155,7 +154,10 @@
     def _part(self) -> tuple[float, float]:
         """Returns the share and the slack that are this instance's own."""
         bounds = self.context.retries
-        return fleet.MARGIN * bounds.share, self._fleet.of(bounds.slack)
+        return (
+            fleet.MARGIN * bounds.share,
+            self.context.fleet.of(bounds.slack),
+        )
 
     def delay_s(self, job: messages.Job, outcome: messages.Outcome) -> float:
         """Returns no wait for the first retry, and backs off later ones.
@@ -180,10 +182,6 @@
         """Counts a request into its service's window."""
         self._window(job).arrived(now_s)
 
-    def set_instances(self, count: int) -> None:
-        """Learns how many instances share the slack."""
-        self._fleet.heard(count)
-
     def _window(self, job: messages.Job) -> _Window:
         window = self._windows.get(job.service)
         if window is None:
--- a/cardamombarrow/decisions/roster.py
+++ b/cardamombarrow/decisions/roster.py
@@ -10,7 +10,6 @@
 from cardamombarrow.decisions import base
 from cardamombarrow.decisions import capacity as capacity_module
 from cardamombarrow.decisions import endpoint as endpoint_module
-from cardamombarrow.decisions import fleet
 from cardamombarrow.decisions import messages
 from cardamombarrow.decisions import policies as policies_module
 from cardamombarrow.document import schema
@@ -43,7 +42,6 @@
         self._context = context
         self._policies = policies
         self._peers: dict[ids.InstanceId, messages.PeerDemand] = {}
-        self._fleet = fleet.FleetPart()
         self._unlisted: set[ids.EndpointId] = set()
         self._found: tuple[messages.KnownEndpoint, ...] = ()
         self.endpoints: dict[ids.EndpointId, endpoint_module.EndpointState] = {}
@@ -162,11 +160,7 @@
         known = self._context.document.services.get(service)
         if known is None or not known.max_connections:
             return share
-        return self._fleet.whole(known.max_connections)
-
-    def set_instances(self, count: int) -> None:
-        """Learns how many instances share an endpoint's connections."""
-        self._fleet.heard(count)
+        return self._context.fleet.whole(known.max_connections)
 
     def report(
         self,
--- a/cardamombarrow/decisions/tests/test_retry_window.py
+++ b/cardamombarrow/decisions/tests/test_retry_window.py
@@ -6,6 +6,7 @@
 import pytest
 
 from cardamombarrow.decisions import base
+from cardamombarrow.decisions import fleet
 from cardamombarrow.decisions import messages
 from cardamombarrow.decisions import retry
 
@@ -13,10 +14,16 @@
 
 
 def _instances(context, count):
-    context = dataclasses.replace(context, retries=_BOUNDS)
-    made = [retry.WindowRetry(context) for _ in range(count)]
+    made = [
+        retry.WindowRetry(
+            dataclasses.replace(
+                context, retries=_BOUNDS, fleet=fleet.FleetPart()
+            )
+        )
+        for _ in range(count)
+    ]
     for policy in made:
-        policy.set_instances(count)
+        policy.context.fleet.heard(count)
     return made
 
 
@@ -57,8 +64,8 @@
     # with their parts; were each to take the whole slack, the bound would be
     # broken by as many times as there are instances.
     (policy,) = _instances(context, 1)
-    policy.set_instances(80)
-    policy.set_instances(1)
+    policy.context.fleet.heard(80)
+    policy.context.fleet.heard(1)
     allowed = 0
     for _ in range(50):
         job = new_job(deadline_s=60.0, attempts=1)
