Work out lane and home once a placement

first_event asked for both again after the base class had chosen, three times in all. The base class now tells what it chose, and whether that is the home, to a method that subclasses may fill. Same choices; tests untouched.

--- a/cardamombarrow/decisions/choice.py
+++ b/cardamombarrow/decisions/choice.py
@@ -152,10 +152,11 @@
         now_s: float,
     ) -> tuple[endpoint_module.EndpointState, str]:
         """Returns the candidate with the least expected finish."""
+        home = self._home(job, candidates, now_s)
         probe = self._probe(candidates, now_s)
         if probe is not None:
+            self._chosen(job, probe, probe is home, now_s)
             return probe, "probe after failures"
-        home = self._home(job, candidates, now_s)
         weighed = self._weighed(candidates)
         if home is not None:
             weighed = [home, *weighed]
@@ -168,9 +169,19 @@
             for position, state in enumerate(weighed)
         )
         self._prefixes.remember(job.prefix_key, now_s)
+        self._chosen(job, chosen, chosen is home, now_s)
         prefix = ", home of its prefix" if chosen is home else ""
         return chosen, f"least cost {cost_s:.3f} s{prefix}"
 
+    def _chosen(
+        self,
+        job: messages.Job,
+        state: endpoint_module.EndpointState,
+        is_home: bool,
+        now_s: float,
+    ) -> None:
+        """Learns where a job goes, before it is placed."""
+
     def _probe(
         self,
         candidates: list[endpoint_module.EndpointState],
--- a/cardamombarrow/decisions/first_event.py
+++ b/cardamombarrow/decisions/first_event.py
@@ -132,9 +132,10 @@
         candidates: list[endpoint_module.EndpointState],
         now_s: float,
     ) -> endpoint_module.EndpointState | None:
+        lane = self._lane(job, candidates)
         if not job.prefix_key:
             return None
-        candidates = self._lane(job, candidates) or candidates
+        candidates = lane or candidates
         key = zlib.crc32(job.prefix_key.encode())
         return max(
             candidates, key=lambda state: choice.mix(key, state.endpoint)
@@ -223,17 +224,15 @@
         super().configure(document)
         self._shortest_pause_s = _shortest_pause_s(document)
 
-    def choose(
+    def _chosen(
         self,
         job: messages.Job,
-        candidates: list[endpoint_module.EndpointState],
+        state: endpoint_module.EndpointState,
+        is_home: bool,
         now_s: float,
-    ) -> tuple[endpoint_module.EndpointState, str]:
-        """Returns the candidate with the least expected time."""
-        self._lane(job, candidates)
-        state, reason = super().choose(job, candidates, now_s)
+    ) -> None:
+        """Notes what is expected of a placement, and what its engine reads."""
         engine = self._engine(state)
-        is_home = self._home(job, candidates, now_s) is state
         unread = self._unread_tokens(job, engine, is_home, now_s)
         self._expected_s[job.request_id] = self._first_event_s(
             job, state, now_s, is_home
@@ -241,7 +240,6 @@
         job.unread_tokens = unread
         for part in job.parts:
             engine.remember(part.part, now_s)
-        return state, reason
 
     def cost_s(
         self,
