One base for parts that are one task on the loop; one answer to the unforeseen

Three classes started and stopped their task in the same words, and both applications of an entry logged and answered an unforeseen error in the same words. The log draws its first election time by the candidates' timer, whose first round it is.

--- a/cardamombarrow/entry/answers.py
+++ b/cardamombarrow/entry/answers.py
@@ -7,8 +7,9 @@
 
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
+from cardamombarrow.kernel import logs
 
-__all__ = ["error_event", "error_response", "failure"]
+__all__ = ["error_event", "error_response", "failure", "internal_error"]
 
 
 def failure(error: errors.RouterError, request_id: ids.RequestId) -> bytes:
@@ -47,6 +48,18 @@
     )
 
 
+def internal_error(
+    cause: Exception, request_id: ids.RequestId
+) -> errors.RouterError:
+    """Logs an error that nobody foresaw and returns what the caller sees."""
+    logs.event(
+        "internal error", "ERROR", request_id=request_id, detail=repr(cause)
+    )
+    return errors.RouterError(
+        errors.ErrorKind.INTERNAL, "see the log of this instance"
+    )
+
+
 def error_event(error: errors.RouterError, request_id: ids.RequestId) -> bytes:
     """Returns the event that ends a stream which broke off.
 
--- a/cardamombarrow/entry/app.py
+++ b/cardamombarrow/entry/app.py
@@ -14,7 +14,6 @@
 from cardamombarrow.entry import relaying as relaying_module
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
-from cardamombarrow.kernel import logs
 
 __all__ = ["App"]
 
@@ -74,18 +73,8 @@
             response = answers.error_response(error, request_id)
         except Exception as error:
             self._services.metrics.error(errors.ErrorKind.INTERNAL)
-            logs.event(
-                "internal error",
-                "ERROR",
-                request_id=request_id,
-                detail=repr(error),
-            )
-            response = answers.error_response(
-                errors.RouterError(
-                    errors.ErrorKind.INTERNAL, "see the log of this instance"
-                ),
-                request_id,
-            )
+            failure = answers.internal_error(error, request_id)
+            response = answers.error_response(failure, request_id)
         return response(environ, start_response)
 
     def _dispatch(
--- a/cardamombarrow/entry/routed.py
+++ b/cardamombarrow/entry/routed.py
@@ -16,6 +16,7 @@
 from cardamombarrow.decisions import messages
 from cardamombarrow.document import schema
 from cardamombarrow.endpoints import base as endpoints_base
+from cardamombarrow.entry import answers
 from cardamombarrow.entry import in_force
 from cardamombarrow.entry import incoming
 from cardamombarrow.entry import lease as lease_module
@@ -83,15 +84,7 @@
         except errors.RouterError as error:
             failure = error
         except Exception as error:
-            logs.event(
-                "internal error",
-                "ERROR",
-                request_id=request_id,
-                detail=repr(error),
-            )
-            failure = errors.RouterError(
-                errors.ErrorKind.INTERNAL, "see the log of this instance"
-            )
+            failure = answers.internal_error(error, request_id)
         return self._refuse(failure, request_id, start_response)
 
     def _refuse(
--- a/cardamombarrow/log/state.py
+++ b/cardamombarrow/log/state.py
@@ -125,9 +125,7 @@
         # Who has just started has no leader to be loyal to. Where all start
         # at once, waiting a whole election timeout only lengthens the outage;
         # where there is a leader, the others refuse the pre-vote.
-        self.election_due_s = now_s + rng.uniform(
-            timing.first_election_min_s, timing.first_election_max_s
-        )
+        self.set_candidate_timer(lost=0)
 
     @property
     def is_voter(self) -> bool:
--- a/cardamombarrow/peers/confirming.py
+++ b/cardamombarrow/peers/confirming.py
@@ -8,10 +8,8 @@
 
 import asyncio
 from collections import abc
-from concurrent import futures
 
 from cardamombarrow.kernel import clock
-from cardamombarrow.kernel import lifecycle
 from cardamombarrow.kernel import logs
 from cardamombarrow.peers import control_client
 from cardamombarrow.peers import control_pb2
@@ -31,7 +29,7 @@
 OnReply = abc.Callable[[float, control_pb2.ConfirmReply], None]
 
 
-class Confirming(lifecycle.Part):
+class Confirming(loop_module.LoopPart):
     """Asks for confirmations; one task on the loop."""
 
     def __init__(
@@ -52,20 +50,11 @@
                 the answer; runs in a thread.
             time_source: The clock of those moments.
         """
-        self._loop = loop
+        super().__init__(loop)
         self._control = control
         self._request = request
         self._on_reply = on_reply
         self._clock = time_source
-        self._task: futures.Future[None] | None = None
-
-    def start(self) -> None:
-        """Starts asking."""
-        self._task = self._loop.call(self._run())
-
-    def stop(self) -> None:
-        """Stops asking."""
-        self._task.cancel()
 
     async def _run(self) -> None:
         confirmed = False
--- a/cardamombarrow/peers/follower_exchange.py
+++ b/cardamombarrow/peers/follower_exchange.py
@@ -6,11 +6,9 @@
 
 import asyncio
 from collections import abc
-from concurrent import futures
 
 from grpclib import client
 
-from cardamombarrow.kernel import lifecycle
 from cardamombarrow.peers import control_client
 from cardamombarrow.peers import control_grpc
 from cardamombarrow.peers import control_pb2
@@ -24,7 +22,7 @@
 TIMEOUT_S = 2.0
 
 
-class FollowerExchange(lifecycle.Part):
+class FollowerExchange(loop_module.LoopPart):
     """Keeps a table of followers in step with the other controls'."""
 
     def __init__(
@@ -34,19 +32,10 @@
         secret: str,
         table: followers_module.Followers,
     ):
-        self._loop = loop
+        super().__init__(loop)
         self._controls = controls
         self._secret = secret
         self._table = table
-        self._task: futures.Future[None] | None = None
-
-    def start(self) -> None:
-        """Starts asking."""
-        self._task = self._loop.call(self._run())
-
-    def stop(self) -> None:
-        """Stops asking."""
-        self._task.cancel()
 
     async def _run(self) -> None:
         """Keeps one task for each other control process.
--- a/cardamombarrow/peers/gossip_node.py
+++ b/cardamombarrow/peers/gossip_node.py
@@ -7,7 +7,6 @@
 
 import asyncio
 from collections import abc
-from concurrent import futures
 import contextlib
 import dataclasses
 import random
@@ -19,7 +18,6 @@
 from cardamombarrow.gossip import table as table_module
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import ids
-from cardamombarrow.kernel import lifecycle
 from cardamombarrow.kernel import logs
 from cardamombarrow.peers import control_client
 from cardamombarrow.peers import control_pb2
@@ -122,7 +120,7 @@
         self._channel.close()
 
 
-class GossipNode(gossip_grpc.GossipBase, lifecycle.Part):
+class GossipNode(gossip_grpc.GossipBase, loop_module.LoopPart):
     """One instance's end of the gossip; lives on the loop thread."""
 
     def __init__(
@@ -133,7 +131,7 @@
         hooks: GossipHooks,
         time_source: clock.Clock,
     ):
-        self._loop = loop
+        super().__init__(loop)
         self.table = table
         self._settings = settings
         self._seeds = settings.seeds
@@ -147,15 +145,10 @@
         self._left = False
         self._urgent = False
         self._wake = asyncio.Event()
-        self._task: futures.Future[None] | None = None
-
-    def start(self) -> None:
-        """Starts the rounds."""
-        self._task = self._loop.call(self._run())
 
     def stop(self) -> None:
         """Says goodbye to some others and ends the rounds."""
-        self._task.cancel()
+        super().stop()
         self._loop.call(self._goodbye()).result(timeout=2 * EXCHANGE_TIMEOUT_S)
 
     async def _goodbye(self) -> None:
--- a/cardamombarrow/peers/loop.py
+++ b/cardamombarrow/peers/loop.py
@@ -5,15 +5,16 @@
 project is threads.
 """
 
+import abc
 import asyncio
-from collections import abc
+from collections import abc as collections_abc
 from concurrent import futures
 import threading
 import typing
 
 from cardamombarrow.kernel import lifecycle
 
-__all__ = ["LoopThread"]
+__all__ = ["LoopPart", "LoopThread"]
 
 _T = typing.TypeVar("_T")
 
@@ -50,7 +51,27 @@
         await asyncio.wait(tasks, timeout=2) if tasks else None
 
     def call(
-        self, coroutine: abc.Coroutine[typing.Any, typing.Any, _T]
+        self, coroutine: collections_abc.Coroutine[typing.Any, typing.Any, _T]
     ) -> futures.Future[_T]:
         """Runs a coroutine on the loop, from any other thread."""
         return asyncio.run_coroutine_threadsafe(coroutine, self._loop)
+
+
+class LoopPart(lifecycle.Part):
+    """A part that is one task on the loop for as long as it is started."""
+
+    def __init__(self, loop: LoopThread):
+        self._loop = loop
+        self._task: futures.Future[None] | None = None
+
+    def start(self) -> None:
+        """Starts the task."""
+        self._task = self._loop.call(self._run())
+
+    def stop(self) -> None:
+        """Cancels the task."""
+        self._task.cancel()
+
+    @abc.abstractmethod
+    async def _run(self) -> None:
+        """Does the part's work until it is cancelled."""
