--- a/cardamombarrow/control/state.py
+++ b/cardamombarrow/control/state.py
@@ -126,8 +126,13 @@
         return packing.pack(text)
 
     def restore(self, snapshot: bytes) -> None:
-        """Replaces document and ledger."""
-        raw = json.loads(packing.unpack(snapshot))
+        """Replaces document and ledger by a snapshot, packed or not."""
+        plain = snapshot.startswith(b"{")
+        raw = json.loads(
+            # A snapshot is this process's own, or a member's: a bound would
+            # keep one that has grown from ever being read again.
+            snapshot if plain else packing.unpack(snapshot, most_bytes=0)
+        )
         self.document = document_machine.DocumentState.from_json(
             raw["document"]
         )
--- a/cardamombarrow/peers/codec.py
+++ b/cardamombarrow/peers/codec.py
@@ -87,7 +87,9 @@
     Raises:
         ValueError: Its text can't be unpacked.
     """
-    text = packing.unpack(wire.packed_text)
+    text = wire.text
+    if wire.packed_text:
+        text = packing.unpack(wire.packed_text)
     return document_machine.Edition(wire.number, text, wire.format)
 
 
--- a/cardamombarrow/peers/packing.py
+++ b/cardamombarrow/peers/packing.py
@@ -11,7 +11,7 @@
 __all__ = ["MOST_BYTES", "pack", "unpack"]
 
 MOST_BYTES = 64_000_000
-"""Most bytes that are unpacked; far above what an operator may hand in."""
+"""Most bytes of a text; far above what an operator may hand in."""
 
 
 def pack(text: str) -> bytes:
@@ -19,15 +19,22 @@
     return zlib.compress(text.encode())
 
 
-def unpack(packed: bytes) -> str:
+def unpack(packed: bytes, most_bytes: int | None = None) -> str:
     """Returns a packed text.
 
+    Args:
+        packed: What `pack` gave.
+        most_bytes: Longest text, `MOST_BYTES` where it is not told; 0 is
+            without bound.
+
     Raises:
         ValueError: It is no packed text, is cut short or is too long.
     """
     unpacker = zlib.decompressobj()
+    if most_bytes is None:
+        most_bytes = MOST_BYTES
     try:
-        data = unpacker.decompress(packed, MOST_BYTES)
+        data = unpacker.decompress(packed, most_bytes)
     except zlib.error as error:
         raise ValueError(f"no packed text: {error}") from None
     if not unpacker.eof:
