Let changes and fresh reads wait for a log that is being applied

Cause: after a restart of all control processes a follower that knows the leader may not have applied its log yet. The token of an operator was looked for before the barrier of a fresh read, in a document that was not there, and the read was refused (not_ready) though it had only to wait.

Ruled out: a change of leader. The refused read is answered by _authenticate, which asks the log nothing, so that neither terms nor the timers of elections can matter; and the test had found a leader by /v1/status, which needs a document, at that process.

Change: a change or a fresh read waits for a barrier where this process has no document. Plain reads, among them /v1/status, answer at once as before.

Figures: the two new cases fail before (503), and pass after.

--- a/cardamombarrow/admin/app.py
+++ b/cardamombarrow/admin/app.py
@@ -96,9 +96,25 @@
             ) from None
         if endpoint == "health":
             return wrappers.Response("ok\n")
+        if self._is_newest_wanted(request):
+            self._catch_up()
         owner = self._authenticate(request)
         return getattr(self, f"_on_{endpoint}")(request, owner)
 
+    def _is_newest_wanted(self, request: wrappers.Request) -> bool:
+        return request.method != "GET" or request.args.get("fresh") == "yes"
+
+    def _catch_up(self) -> None:
+        """Waits until there is a document to know the caller by.
+
+        A process that has just started may have a leader and not have applied
+        its log yet. It knows no token then, and would refuse an operator whom
+        it can serve a moment later. Once it has a document nobody waits here,
+        so that strangers cost no round of the log.
+        """
+        if self._state.document.revision == state_module.NO_DOCUMENT:
+            outcomes.wait(self._log.barrier(), EDIT_TIMEOUT_S)
+
     def _authenticate(self, request: wrappers.Request) -> ids.OwnerId:
         scheme, _, token = request.headers.get("Authorization", "").partition(
             " "
--- /dev/null
+++ b/cardamombarrow/admin/tests/test_app.py
@@ -0,0 +1,116 @@
+"""Reads and edits at a control process that has not applied its log yet."""
+
+from concurrent import futures
+import io
+import json
+
+import pytest
+from werkzeug import test as werkzeug_test
+
+from cardamombarrow.admin import app
+from cardamombarrow.control import state
+from cardamombarrow.document import formats
+from cardamombarrow.document import machine
+from cardamombarrow.log import base
+from cardamombarrow.peers import codec
+from cardamombarrow.peers import control_pb2
+
+
+class _LaggingLog(base.Log):
+    """Applies what was accepted before only once a barrier is asked for."""
+
+    def __init__(self, applied, commands):
+        self._state = applied
+        self._commands = commands
+        self._index = 0
+        self.barriers = 0
+
+    def propose(self, command):
+        future = futures.Future()
+        self._index += 1
+        future.set_result(self._state.apply(self._index, command))
+        return future
+
+    def barrier(self):
+        self.barriers += 1
+        commands, self._commands = self._commands, []
+        for command in commands:
+            self.propose(command)
+        future = futures.Future()
+        future.set_result(b"")
+        return future
+
+    def change(self, change):
+        raise NotImplementedError
+
+    def find(self, name):
+        return None
+
+    def status(self):
+        return base.LogStatus("a", "b", 1, 0, ("a", "b"), (), True, True)
+
+    def start(self):
+        """Does nothing."""
+
+    def stop(self):
+        """Does nothing."""
+
+
+def _ask(kandula_text, method, path, body=b""):
+    edition = machine.Edition(3, kandula_text, formats.SECTIONS)
+    wire = codec.edition_to_wire(edition)
+    command = control_pb2.Command(edition=wire)
+    applied = state.ControlState()
+    log = _LaggingLog(applied, [command.SerializeToString()])
+    builder = werkzeug_test.EnvironBuilder(
+        path,
+        method=method,
+        input_stream=io.BytesIO(body),
+        content_length=len(body),
+        headers={"Authorization": "Bearer sales-token"},
+    )
+    response = werkzeug_test.run_wsgi_app(
+        app.AdminApp(log, applied, dict), builder.get_environ()
+    )
+    content, status, _ = response
+    return status, json.loads(b"".join(content)), log
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "body"),
+    [
+        ("GET", "/v1/document?fresh=yes", b""),
+        (
+            "POST",
+            "/v1/edits",
+            json.dumps(
+                {
+                    "edit_id": "a",
+                    "base_revision": 1,
+                    "replacements": {
+                        "tier:race": "rank = 0\nreserved_share = 0.1\n"
+                    },
+                }
+            ).encode(),
+        ),
+    ],
+)
+def test_a_process_that_has_just_started_applies_its_log_before_it_refuses(
+    kandula_text, method, path, body
+):
+    # All control processes were restarted and there is a leader again, but
+    # this one has not applied its log yet, which takes a moment on a busy
+    # machine. It knows no operator's token, and an operator who asked it for
+    # the newest document was refused though all was well.
+    status, content, log = _ask(kandula_text, method, path, body)
+    assert status.startswith("200"), content
+    assert log.barriers
+
+
+def test_a_read_of_what_is_known_here_does_not_wait_for_the_log(kandula_text):
+    # A status is asked for while there is no leader, too; it must not hang
+    # for as long as an election takes.
+    status, content, log = _ask(kandula_text, "GET", "/v1/status")
+    assert status.startswith("503")
+    assert content["error"]["code"] == "not_ready"
+    assert log.barriers == 0
