Hold requests of the first moments after a restart of all

Cause: after a restart of all processes an entry has the document within 0.2 s and its first confirmation 0.4 to 0.6 s later, once the log has a leader.

Ruled out: a shorter time to come back alone, which moves the loss (more refusals, each costs the only return); slow reading of the document.

Change: a request is held while a first confirmation is expected: at most a quarter of its caller's time, and until 2 s after the start; before the first document for 1 s at most. Whoever had a confirmation and lost it is cut off and refuses at once as before. The time before the application sees a request counts for its deadline and its target. Each hold is logged with its reason, its bounds and its outcome.

--- a/cardamombarrow/entry/core.py
+++ b/cardamombarrow/entry/core.py
@@ -163,10 +163,8 @@
     documents = in_force.InForce()
     time_source = clock.SystemClock()
     peering = peering_module.Peering(settings, documents, time_source)
-    starting, side_starting = (
-        starting_module.Starting(),
-        starting_module.Starting(),
-    )
+    starting = starting_module.Starting(starting_module.HOLD_S)
+    side_starting = starting_module.Starting()
     web = http.HttpServer(settings.http, starting)
     side = _side_servers(settings, side_starting)
     for server in (web, *side):
--- a/cardamombarrow/entry/lease.py
+++ b/cardamombarrow/entry/lease.py
@@ -27,14 +27,21 @@
     def __init__(self, bound_s: float, time_source: clock.Clock):
         self.bound_s = bound_s
         self._clock = time_source
-        self._lock = threading.Lock()
+        self._confirmed = threading.Condition()
+        self._begun_s = time_source.now_s()
         self._asked_s: float | None = None
 
     def confirm(self, asked_s: float) -> None:
         """Takes a confirmation that was asked for at a moment."""
-        with self._lock:
+        with self._confirmed:
             if self._asked_s is None or asked_s > self._asked_s:
                 self._asked_s = asked_s
+            self._confirmed.notify_all()
+
+    def wait(self, timeout_s: float) -> bool:
+        """Waits for a confirmation; returns whether the lease holds."""
+        with self._confirmed:
+            return self._confirmed.wait_for(lambda: self.holds, timeout_s)
 
     @property
     def age_s(self) -> float:
@@ -44,6 +51,13 @@
             return float("inf")
         return self._clock.now_s() - asked_s
 
+    @property
+    def unconfirmed_s(self) -> float | None:
+        """Seconds since the start without any confirmation; None after one."""
+        if self._asked_s is not None:
+            return None
+        return self._clock.now_s() - self._begun_s
+
     @property
     def holds(self) -> bool:
         """Whether the document may be taken for the newest."""
--- a/cardamombarrow/entry/routed.py
+++ b/cardamombarrow/entry/routed.py
@@ -17,6 +17,8 @@
 from cardamombarrow.document import schema
 from cardamombarrow.endpoints import base as endpoints_base
 from cardamombarrow.entry import answers
+from cardamombarrow.entry import caller as caller_module
+from cardamombarrow.entry import holding
 from cardamombarrow.entry import in_force
 from cardamombarrow.entry import incoming
 from cardamombarrow.entry import lease as lease_module
@@ -119,7 +121,7 @@
         facts: protocol_module.CallFacts,
         request_id: ids.RequestId,
     ) -> abc.Iterable[bytes]:
-        applied = self._confirmed()
+        applied = self._confirmed(environ, facts, request_id)
         target = environ["REQUEST_URI"]
         path = target.partition("?")[0]
         route = applied.routes.match(environ.get("HTTP_HOST", ""), path)
@@ -141,14 +143,21 @@
         )
         return relay.chunks
 
-    def _confirmed(self) -> in_force.Applied:
-        """Returns the document in force, if it may be taken for the newest.
+    def _confirmed(
+        self,
+        environ: dict[str, typing.Any],
+        facts: protocol_module.CallFacts,
+        request_id: ids.RequestId,
+    ) -> in_force.Applied:
+        """Returns the document in force, once it may be taken for the newest.
 
         Raises:
             errors.RefusedError: There is none, or it may be out of date. A
                 key that was taken away would still be let in, and a route
                 that was added would be denied.
         """
+        if not self._lease.holds:
+            self._hold(environ, facts, request_id)
         if not self._documents.revision:
             reason = "no document is in force yet"
         elif not self._lease.holds:
@@ -159,6 +168,37 @@
             errors.ErrorKind.NOT_READY, reason, retry_after_s=NOT_READY_RETRY_S
         )
 
+    def _hold(
+        self,
+        environ: dict[str, typing.Any],
+        facts: protocol_module.CallFacts,
+        request_id: ids.RequestId,
+    ) -> None:
+        """Waits for a confirmation that is expected soon.
+
+        Raises:
+            errors.RefusedError: The caller left meanwhile.
+        """
+        unconfirmed_s = self._lease.unconfirmed_s
+        limit_s = facts.limit_s or holding.STARTING_S
+        most_s = holding.hold_s(unconfirmed_s, limit_s)
+        if most_s <= 0.0:
+            return
+        confirmed = self._lease.wait(most_s)
+        logs.decision(
+            "hold",
+            request_id=request_id,
+            reason="the first confirmation of the document is awaited",
+            unconfirmed_s=round(unconfirmed_s, 3),
+            limit_s=limit_s,
+            most_s=round(most_s, 3),
+            confirmed=confirmed,
+        )
+        if caller_module.SocketWatch(environ["werkzeug.socket"]).gone():
+            raise errors.RefusedError(
+                errors.ErrorKind.CALLER_GONE, "the caller left"
+            )
+
     def _call(
         self,
         environ: dict[str, typing.Any],
@@ -173,7 +213,7 @@
         request_class = document.classes[route.class_id]
         name = routes.draw_service(route, self._rng.random())
         service = document.services[name]
-        now_s = self._relaying.services.time_source.now_s()
+        arrived_s = environ[connection.ARRIVED_KEY]
         limit_s = request_class.target_total_s
         if facts.limit_s is not None:
             limit_s = min(limit_s, facts.limit_s)
@@ -187,9 +227,9 @@
             service=name,
             model=ids.ModelId(facts.model),
             rank=rank,
-            arrived_s=now_s,
+            arrived_s=arrived_s,
             target_first_token_s=request_class.target_first_token_s,
-            deadline_s=now_s + limit_s,
+            deadline_s=arrived_s + limit_s,
             prompt_tokens=facts.prompt_tokens,
             max_tokens=facts.most_tokens,
             prefix_key=_prefix_key(facts),
--- a/cardamombarrow/entry/starting.py
+++ b/cardamombarrow/entry/starting.py
@@ -2,9 +2,11 @@
 
 The port is open from the start, so that a balancer sees an instance that
 lives and is not ready, and not one that refuses connections and may be down.
+Callers are held for as long as a start takes; see `holding`.
 """
 
 from collections import abc
+import threading
 import typing
 
 from werkzeug import wrappers
@@ -17,21 +19,37 @@
 
 RETRY_AFTER_S = 2.0
 
+HOLD_S = 1.0
+"""How long a caller is held before it is known what it asks for: a third of the
+shortest time that callers give a request."""
+
 
 class Starting:
     """A WSGI application that hands over to another once there is one."""
 
-    def __init__(self):
+    def __init__(self, hold_s: float = 0.0):
+        """Builds the application.
+
+        Args:
+            hold_s: How long a request waits for the other application. With 0
+                it is refused at once, as a balancer that asks for readiness
+                has to be.
+        """
+        self._hold_s = hold_s
+        self._served = threading.Event()
         self._app: typing.Any = None
 
     def serve(self, app: typing.Any) -> None:
-        """Hands every later request to `app`."""
+        """Hands every held and later request to `app`."""
         self._app = app
+        self._served.set()
 
     def __call__(
         self, environ: dict[str, typing.Any], start_response: typing.Any
     ) -> abc.Iterable[bytes]:
         """Serves one request; see PEP 3333."""
+        if self._app is None and environ["PATH_INFO"] != "/healthz":
+            self._served.wait(self._hold_s)
         if self._app is not None:
             return self._app(environ, start_response)
         return self._answer(environ["PATH_INFO"])(environ, start_response)
--- a/cardamombarrow/kernel/connection.py
+++ b/cardamombarrow/kernel/connection.py
@@ -26,7 +26,17 @@
 from cardamombarrow.kernel import heads
 from cardamombarrow.kernel import logs
 
-__all__ = ["HEADERS_KEY", "HEAD_BYTES_KEY", "Handler", "error_body"]
+__all__ = [
+    "ARRIVED_KEY",
+    "HEADERS_KEY",
+    "HEAD_BYTES_KEY",
+    "Handler",
+    "error_body",
+]
+
+ARRIVED_KEY = "cardamombarrow.arrived_s"
+"""Where the environment has the moment when the head had been read, on the
+monotonic clock: what waits before the application sees it counts, too."""
 
 HEADERS_KEY = "cardamombarrow.headers"
 """Where the environment has the header fields as they came: a tuple of pairs.
@@ -291,6 +301,7 @@
         if self.headers.get("Expect", "").strip().lower() == "100-continue":
             self.connection.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
         self.environ = environ = self.make_environ()
+        environ[ARRIVED_KEY] = time.monotonic()
         environ[HEADERS_KEY] = self.head.fields
         environ[HEAD_BYTES_KEY] = self.head_bytes
         if self.head.is_chunked:
