Let voters that start together stand one after the other

Cause: where all control processes restart at once each drew the time of its first election from 0.2 to 0.8 s; the first came after 0.35 s on average, and in one start of three two of them tied. Nobody is served until one leads.

Ruled out: a shorter range to draw from, which ties more often.

Change: from its start a voter stands by its place among the voters: the first after 0.1 s, each next one 0.25 s later, longer than an election with 30 ms one way takes. After a tie or a lost round times are drawn as before.

--- a/cardamombarrow/log/state.py
+++ b/cardamombarrow/log/state.py
@@ -33,7 +33,12 @@
             plus a slow sync.
         election_max_s: Greatest such silence; drawn anew each time, so that
             two followers rarely stand at once.
-        first_election_min_s: Least time from a start to the first election.
+        start_election_s: From a start to the first election of the voter that
+            comes first by identity: time for the others to listen.
+        start_step_s: How much later each next voter stands: longer than an
+            election of the one before takes with 30 ms one way, so that
+            voters that start together don't tie.
+        first_election_min_s: Least time from a tie to the next election.
         first_election_max_s: Greatest such time.
         relay_after_s: Silence of a direct link after which messages also go
             by way of a third voter; well under `election_min_s`, so that a
@@ -45,6 +50,8 @@
     heartbeat_s: float = 0.4
     election_min_s: float = 1.2
     election_max_s: float = 2.2
+    start_election_s: float = 0.1
+    start_step_s: float = 0.25
     first_election_min_s: float = 0.2
     first_election_max_s: float = 0.8
     relay_after_s: float = 0.9
@@ -125,7 +132,7 @@
         # Who has just started has no leader to be loyal to. Where all start
         # at once, waiting a whole election timeout only lengthens the outage;
         # where there is a leader, the others refuse the pre-vote.
-        self.set_candidate_timer(lost=0)
+        self.set_start_timer()
 
     @property
     def is_voter(self) -> bool:
@@ -143,6 +150,20 @@
             self.timing.election_min_s, self.timing.election_max_s
         )
 
+    def set_start_timer(self) -> None:
+        """Sets when this voter stands after its start, by its place.
+
+        Where all start at once, times that are drawn lead to a tie in one
+        start of three, and to a first election that comes late in the others;
+        nobody is served until it is over. The first voter by identity stands
+        at once and alone; the next ones follow where it is gone.
+        """
+        timing = self.timing
+        voters = sorted(self.log.membership.voter_ids)
+        place = voters.index(self.me.id) if self.is_voter else len(voters)
+        step_s = place * timing.start_step_s
+        self.election_due_s = self.now_s + timing.start_election_s + step_s
+
     def set_candidate_timer(self, lost: int) -> None:
         """Draws when a candidate stands again if it does not win.
 
--- a/cardamombarrow/log/tests/test_core.py
+++ b/cardamombarrow/log/tests/test_core.py
@@ -322,3 +322,28 @@
     times_s = sorted(_tied(tmp_path / str(seed), seed) for seed in range(20))
     assert times_s[15] < simulation.TIMING.election_min_s
     assert times_s[-1] < simulation.TIMING.election_max_s
+
+
+def _restarted(folder, seed, without=""):
+    """Returns how long nobody leads after all have lost power at once."""
+    made = simulation.Cluster(folder, ["A", "B", "C"], seed=seed)
+    assert made.run_until(lambda: _is_redundant(made))
+    for node in made.alive:
+        node.crash(1.0)
+    for name in "ABC":
+        if name != without:
+            made.nodes[name].start()
+    begun_s = made.now_s
+    assert made.run_until(lambda: made.leader() is not None)
+    return made.now_s - begun_s
+
+
+@pytest.mark.parametrize(("without", "most_s"), [("", 0.3), ("A", 0.6)])
+def test_a_restart_of_all_soon_has_a_leader(tmp_path, without, most_s):
+    # All processes are killed at the same moment and are back. Until one
+    # leads, no entry may serve, and callers wait or are refused. With times
+    # that were drawn it took up to a second, more after a tie.
+    times_s = [
+        _restarted(tmp_path / str(seed), seed, without) for seed in range(20)
+    ]
+    assert max(times_s) <= most_s + simulation.STEP_S
