Begin a round of confirmation though the one before lasts

Cause: who asks while a round of the log is under way waits for the next one. After a restart of all the first round waits for a leader; those who asked meanwhile had to wait for a second one after it, 0.13 s more.

Change: the next round begins when the one before has lasted for 0.1 s, more than a round without faults.

--- a/cardamombarrow/peers/confirmations.py
+++ b/cardamombarrow/peers/confirmations.py
@@ -1,8 +1,10 @@
 """Confirms that a control process knows all that was accepted.
 
 Each confirmation costs a round of the log. All who ask while one round is
-under way share the next one: however many entries follow a control process,
-it has one round in flight.
+under way share the next one, which begins when the one before has ended, or
+has lasted for `OVERLAP_S`: however many entries follow a control process, it
+begins no more rounds than that. Without the second bound those who ask while
+there is no leader wait for two rounds, one after the other, once there is one.
 """
 
 import asyncio
@@ -12,6 +14,10 @@
 
 __all__ = ["Confirmations"]
 
+OVERLAP_S = 0.1
+"""Time from one round to the next while the first lasts: above a round without
+faults (a round trip between regions and a sync), so that none overlap then."""
+
 TIMEOUT_S = 3.0
 """Longer than an election: those who ask give up earlier by themselves."""
 
@@ -37,7 +43,7 @@
 
     async def _round(self, before: "asyncio.Task[bool] | None") -> bool:
         if before is not None:
-            await asyncio.wait([before])
+            await asyncio.wait([before], timeout=OVERLAP_S)
         # A round covers only what was accepted before it begins, so whoever
         # asks from here on waits for another one.
         self._running, self._next = self._next, None
--- a/cardamombarrow/peers/tests/test_confirmations.py
+++ b/cardamombarrow/peers/tests/test_confirmations.py
@@ -46,6 +46,26 @@
     asyncio.run(run())
 
 
+def test_a_round_that_waits_for_a_leader_does_not_hold_up_the_next_one():
+    # All were restarted. The first entry asks before there is a leader; its
+    # round waits for one. Those who ask a moment later waited for that round
+    # and then for one of their own, and their callers with them.
+    async def run():
+        log = _Log()
+        asked = confirmations.Confirmations(log)
+        first = asyncio.create_task(asked.confirm())
+        await _settle()
+        later = asyncio.create_task(asked.confirm())
+        await asyncio.sleep(1.5 * confirmations.OVERLAP_S)
+        assert len(log.barriers) == 2
+        for barrier in log.barriers:
+            barrier.set_result(b"")
+        assert await first
+        assert await later
+
+    asyncio.run(run())
+
+
 def test_without_a_majority_nothing_is_confirmed():
     async def run():
         log = _Log()
