Go back to the control process of the own domain

Cause: an entry that starts beside its control process finds it not listening yet, follows another one, and stays there for as long as it runs: five of eight entries on the new customer's site. All documents, heartbeats and confirmations then cross regions.

Ruled out: the order of the addresses, which is right once a control process has answered; nothing asked the one that had not.

Change: while an entry follows a process of another domain, it asks those of its own domain, or of a domain that it does not know yet, once a second, without the text of the document, and goes there if one has a quorum.

--- a/cardamombarrow/peers/control_client.py
+++ b/cardamombarrow/peers/control_client.py
@@ -42,6 +42,12 @@
 """Longest wait for one control process before the next is asked. It may have
 lost its quorum without knowing it yet, or the link may be silent."""
 
+NEAR_LOOK_S = 1.0
+"""Time between two looks for the own domain's control process while another
+one is followed. It was not there yet at the start, or was lost for a time;
+without the look an entry gets all documents from another region from then on:
+of eight entries that started with the control processes, five did."""
+
 PROPOSE_PAUSE_S = 0.1
 """Pause after every control process has refused: an election may be on."""
 
@@ -95,18 +101,23 @@
         self._report_interval_s = report_interval_s
         self._channels: dict[str, client.Channel] = {}
         self._followed = ""
+        self._near = ""
         self._changed = asyncio.Event()
         self._stopping = False
-        self._task: futures.Future[None] | None = None
+        self._tasks: list[futures.Future[None]] = []
 
     def start(self) -> None:
         """Starts following."""
-        self._task = self._loop.call(self._follow_forever())
+        self._tasks = [
+            self._loop.call(self._follow_forever()),
+            self._loop.call(self._look_near_forever()),
+        ]
 
     def stop(self) -> None:
         """Says goodbye and stops following."""
         self._loop.call(self._goodbye()).result(timeout=GOODBYE_S + 1)
-        self._task.cancel()
+        for task in self._tasks:
+            task.cancel()
         self._loop.call(self._close()).result(timeout=5)
 
     async def _goodbye(self) -> None:
@@ -181,9 +192,35 @@
             self._drop(address)
             self._addresses.remove(address)
             self._addresses.append(address)
+            if self._near in self._addresses:
+                self._addresses.remove(self._near)
+                self._addresses.insert(0, self._near)
+            self._near = ""
             await asyncio.sleep(random.uniform(RECONNECT_MIN_S, pause_s))
             pause_s = min(pause_s * 2, RECONNECT_MAX_S)
 
+    async def _look_near_forever(self) -> None:
+        while not self._stopping:
+            await asyncio.sleep(NEAR_LOOK_S)
+            if self._followed and not self._is_own(self._followed):
+                await self._look_near()
+
+    def _is_own(self, address: str) -> bool:
+        return self._domains.get(address) == self._domain
+
+    async def _look_near(self) -> None:
+        """Notes the own domain's control process, if it has a quorum."""
+        for address in self._addresses:
+            if address == self._followed:
+                continue
+            if not self._is_own(address) and address in self._domains:
+                continue
+            message = await self._document(address, ATTEMPT_S, brief=True)
+            has_quorum = message is not None and message.has_quorum
+            if has_quorum and self._is_own(address):
+                self._near = address
+                return
+
     async def _follow(self, address: str) -> None:
         loop = asyncio.get_running_loop()
         quorum_s = loop.time()
@@ -201,6 +238,9 @@
                         if loop.time() - quorum_s > NO_QUORUM_MOVE_S:
                             logs.event("control without quorum", "WARNING")
                             return
+                        if self._near:
+                            logs.event("control of the own domain is back")
+                            return
                 finally:
                     sender.cancel()
 
@@ -261,12 +301,12 @@
         ]
 
     async def _document(
-        self, address: str, timeout_s: float
+        self, address: str, timeout_s: float, *, brief: bool = False
     ) -> control_pb2.DocumentMessage | None:
+        request = control_pb2.DocumentRequest(brief=brief)
         try:
             message = await asyncio.wait_for(
-                self._stub(address).Document(control_pb2.DocumentRequest()),
-                timeout_s,
+                self._stub(address).Document(request), timeout_s
             )
         except LINK_ERRORS:
             self._drop(address)
--- a/cardamombarrow/peers/control_service.py
+++ b/cardamombarrow/peers/control_service.py
@@ -70,8 +70,11 @@
 
     async def Document(self, stream: server.Stream) -> None:  # noqa: N802
         """Answers with the newest accepted document."""
-        await stream.recv_message()
-        await stream.send_message(self.followers.document())
+        request = await stream.recv_message()
+        document = self.followers.document()
+        if request.brief:
+            document.text = ""
+        await stream.send_message(document)
 
     async def Confirm(self, stream: server.Stream) -> None:  # noqa: N802
         """Answers which revision is the newest, as a majority knows it."""
