Fetch shared beginnings from engines that have read them

An entry knew only what it had sent itself, an eighth of all.

Weighed: reading the engines' cache events. What entries have sent is known without a call, and is right but for what engines dropped.

Change: each entry notes which parts it sent where, tells what is new once the first event has come, with the confirmation that it asks for each second, and hears the same of the others; control processes pass on what their own entries told. Where the chosen engine lacks 256 tokens or more that a sound engine keeps, the request names that one as its source; where nobody has told of a beginning, its home. Age and tokens stand in the place line.

--- a/cardamombarrow/control/core.py
+++ b/cardamombarrow/control/core.py
@@ -102,6 +102,7 @@
             self._other_controls,
             peers.secret,
             self._state.service.followers,
+            self._state.service.kept,
         )
         self._exchange.start()
 
--- a/cardamombarrow/decisions/base.py
+++ b/cardamombarrow/decisions/base.py
@@ -252,6 +252,24 @@
     ) -> tuple[endpoint_module.EndpointState, str]:
         """Returns one of the candidates (at least one) and why."""
 
+    def fetch(
+        self,
+        job: messages.Job,
+        state: endpoint_module.EndpointState,
+        now_s: float,
+    ) -> messages.Fetch | None:
+        """Returns where the chosen endpoint gets the prompt's beginning."""
+        return None
+
+    def take_news(self, now_s: float) -> list[messages.KeptNews]:
+        """Returns what the other instances should know of engines' caches."""
+        return []
+
+    def hear(
+        self, news: collections_abc.Iterable[messages.KeptNews], now_s: float
+    ) -> None:
+        """Takes what other instances know of engines' caches."""
+
     def on_first_token(
         self,
         state: endpoint_module.EndpointState,
--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -9,6 +9,7 @@
 changed), so that no event costs a pass over all that waits or runs.
 """
 
+from collections import abc
 import dataclasses
 import typing
 
@@ -104,6 +105,16 @@
         """Returns what this instance asks for, to be gossiped."""
         return self._roster.demand(self._waiting.demand, now_s)
 
+    def kept_news(self, now_s: float) -> list[messages.KeptNews]:
+        """Returns what is new about engines' caches, for the others."""
+        return self._policies.choice.take_news(now_s)
+
+    def hear_kept(
+        self, news: abc.Iterable[messages.KeptNews], now_s: float
+    ) -> None:
+        """Takes what other instances know of engines' caches."""
+        self._policies.choice.hear(news, now_s)
+
     def quarantine_marks(self, now_s: float) -> dict[ids.Fingerprint, float]:
         """Returns quarantined fingerprints and seconds left, for gossip."""
         return self._policies.quarantine.marks(now_s)
@@ -315,7 +326,9 @@
         now_s: float,
     ) -> messages.Placement:
         self._waiting.placed(job)
-        state, reason = self._policies.choice.choose(job, candidates, now_s)
+        choice = self._policies.choice
+        state, reason = choice.choose(job, candidates, now_s)
+        fetch = choice.fetch(job, state, now_s)
         job.attempts += 1
         running = messages.Running(job, state.endpoint, now_s)
         state.running[job.request_id] = running
@@ -332,6 +345,7 @@
             report_age_s=None
             if state.report is None
             else now_s - state.report.measured_at_s,
+            fetch=fetch,
         )
 
     def first_token(self, request_id: ids.RequestId, now_s: float) -> None:
--- a/cardamombarrow/decisions/engine_view.py
+++ b/cardamombarrow/decisions/engine_view.py
@@ -1,10 +1,9 @@
 """What one instance has learnt of an engine by its own requests.
 
-How late its first events come tells of work that other instances gave it; what
-was sent to it tells what its cache should hold. Both fade.
+How late its first events come tells of work that other instances gave it. What
+was learnt fades.
 """
 
-import collections
 import dataclasses
 
 __all__ = ["EngineView"]
@@ -26,12 +25,6 @@
 """Time without an answer in which half of what was learnt is forgotten. What
 was slow would otherwise never be tried again where others are near."""
 
-CACHE_LIFE_S = 60.0
-"""A part that was not used for this long counts as evicted."""
-
-CACHE_PARTS = 2_048
-"""Parts remembered for each endpoint."""
-
 
 @dataclasses.dataclass(slots=True)
 class EngineView:
@@ -44,7 +37,6 @@
         congestion_s: How much later than expected first events came, when
             one was seen last.
         congested_at_s: When that was.
-        parts: When each part of a prompt was sent there last.
     """
 
     guess_s: float
@@ -52,9 +44,6 @@
     fixed_at_s: float = 0.0
     congestion_s: float = 0.0
     congested_at_s: float = 0.0
-    parts: collections.OrderedDict[str, float] = dataclasses.field(
-        default_factory=collections.OrderedDict
-    )
 
     def __post_init__(self) -> None:
         self.fixed_s = self.guess_s
@@ -93,15 +82,3 @@
         step = TYPICAL_STEP if seen_s > known_s else 1.0 / TYPICAL_STEP
         self.fixed_s = known_s * step
         self.fixed_at_s = now_s
-
-    def remember(self, part: str, now_s: float) -> None:
-        """Learns that a part was sent there."""
-        self.parts[part] = now_s
-        self.parts.move_to_end(part)
-        if len(self.parts) > CACHE_PARTS:
-            self.parts.popitem(last=False)
-
-    def holds(self, part: str, now_s: float) -> bool:
-        """Tells whether a part should be in its cache."""
-        used_s = self.parts.get(part)
-        return used_s is not None and now_s - used_s <= CACHE_LIFE_S
--- a/cardamombarrow/decisions/first_event.py
+++ b/cardamombarrow/decisions/first_event.py
@@ -23,22 +23,25 @@
 A call that does not stream has no prompt to be read: what counts is the
 median time of such answers, and one that is overdue tells nothing of the next.
 
-An engine's cache is known by what this instance sent there. Besides, each
+An engine's cache is known by what this instance sent there and what others
+tell (see `kept`); what it lacks it may fetch (see `fetching`). Besides, each
 shared beginning has a home among the engines, named by rendezvous hashing, so
-that all instances agree on it without a message; at its home a beginning is
-reckoned to be there in part, because others send it there too.
+that all instances agree on it without a message; while nobody has told of a
+beginning it is reckoned to be there in part, because others send it there too.
 
-Figures: `HOME_SHARE` lets the first requests of a beginning find its home.
-The others are times of the same order as the targets they serve; `Notes` of
+Figures: they are times of the same order as the targets they serve; `Notes` of
 docs/decisions/endpoints.md has what was measured.
 """
 
+from collections import abc as collections_abc
 import zlib
 
 from cardamombarrow.decisions import base
+from cardamombarrow.decisions import caches
 from cardamombarrow.decisions import choice
 from cardamombarrow.decisions import endpoint as endpoint_module
 from cardamombarrow.decisions import engine_view
+from cardamombarrow.decisions import fetching
 from cardamombarrow.decisions import lanes
 from cardamombarrow.decisions import messages
 from cardamombarrow.document import schema
@@ -70,9 +73,6 @@
 ENGINES_KEPT = 1_024
 """Endpoints remembered; some more than there are at the target size."""
 
-HOME_SHARE = 0.5
-"""Part of a shared beginning that is reckoned to be at its home already."""
-
 LONG_READ_SHARE = 0.5
 """A prompt is long when reading it takes this part of the shortest pause that
 any route of the document allows within an answer."""
@@ -114,6 +114,8 @@
         self._engines: dict[ids.EndpointId, engine_view.EngineView] = {}
         self._prompt_token_s: dict[ids.ServiceId, float] = {}
         self._expected_s: dict[ids.RequestId, float] = {}
+        self._caches = caches.Caches()
+        self._fetch: messages.Fetch | None = None
         self._quiet: frozenset[ids.EndpointId] = frozenset()
         self._considered: tuple[ids.RequestId, ids.EndpointId | None] = (
             ids.RequestId(""),
@@ -180,12 +182,13 @@
         states: list[endpoint_module.EndpointState],
         now_s: float,
     ) -> None:
-        """Notes the home of a job among all endpoints of its service."""
+        """Notes home and keepers of a job among all endpoints."""
         home = self._home(job, states, now_s) if states else None
         self._considered = job.request_id, home and home.endpoint
+        self._caches.consider(job, states, now_s)
 
     def patience_s(self, job: messages.Job) -> float | None:
-        """Returns how long a long prompt waits for its home."""
+        """Returns how long a long prompt waits for an engine that suits it."""
         if not job.prefix_key:
             return None
         return PATIENCE_SHARE * job.target_first_token_s
@@ -213,6 +216,15 @@
             return unread < MOST_SHORT_UNREAD
         if unread >= MOST_LONG_UNREAD:
             return False
+        return self._is_patience_over(job, state, now_s)
+
+    def _is_patience_over(
+        self,
+        job: messages.Job,
+        state: endpoint_module.EndpointState,
+        now_s: float,
+    ) -> bool:
+        """Tells whether a job need not wait for its home any longer."""
         request_id, home = self._considered
         if request_id != job.request_id or home in (None, state.endpoint):
             return True
@@ -232,14 +244,46 @@
         now_s: float,
     ) -> None:
         """Notes what is expected of a placement, and what its engine reads."""
-        engine = self._engine(state)
-        unread = self._unread_tokens(job, engine, is_home, now_s)
         self._expected_s[job.request_id] = self._first_event_s(
             job, state, now_s, is_home
         )
-        job.unread_tokens = unread
-        for part in job.parts:
-            engine.remember(part.part, now_s)
+        self._fetch = self._find_fetch(job, state, now_s)
+        unread = self._caches.unread_tokens(job, state.endpoint, is_home)
+        fetched = self._fetch.tokens if self._fetch else 0
+        job.unread_tokens = max(unread - fetched, 0.0)
+        self._caches.sent(job, state.endpoint, now_s)
+
+    def _find_fetch(
+        self,
+        job: messages.Job,
+        state: endpoint_module.EndpointState,
+        now_s: float,
+    ) -> messages.Fetch | None:
+        service = self.document.services.get(job.service)
+        fetch_s = fetching.fetch_token_s(service)
+        if fetch_s is None or fetch_s >= self._token_s(job.service):
+            return None
+        _, home = self._considered
+        return self._caches.fetch(job, state, home, self._is_sound, now_s)
+
+    def fetch(
+        self,
+        job: messages.Job,
+        state: endpoint_module.EndpointState,
+        now_s: float,
+    ) -> messages.Fetch | None:
+        """Returns where the endpoint just chosen fetches from."""
+        return self._fetch
+
+    def take_news(self, now_s: float) -> list[messages.KeptNews]:
+        """Returns parts that were read of late, for the other instances."""
+        return self._caches.parts.take_news(now_s)
+
+    def hear(
+        self, news: collections_abc.Iterable[messages.KeptNews], now_s: float
+    ) -> None:
+        """Takes parts that other instances had read."""
+        self._caches.parts.hear(news, now_s)
 
     def cost_s(
         self,
@@ -266,7 +310,7 @@
     ) -> float:
         engine = self._engine(state)
         token_s = self._token_s(state.service)
-        unread = self._unread_tokens(job, engine, prefix_there, now_s)
+        unread = self._caches.unread_tokens(job, state.endpoint, prefix_there)
         waiting = max(state.in_flight - state.configured_slots + 1, 0)
         fixed_s = engine.fixed_at(now_s)
         return (
@@ -307,25 +351,10 @@
             late_s.remove(max(late_s))
         return max(work_s - (now_s - first_s), 0.0) + max(late_s, default=0.0)
 
-    def _unread_tokens(
-        self,
-        job: messages.Job,
-        engine: engine_view.EngineView,
-        is_home: bool,
-        now_s: float,
-    ) -> float:
-        if not job.parts:
-            return float(job.prompt_tokens)
-        kept = 0.0
-        shared = job.parts[:-1]
-        known = True
-        for part in job.parts:
-            known = known and engine.holds(part.part, now_s)
-            if known:
-                kept += part.tokens
-            elif is_home and part in shared:
-                kept += HOME_SHARE * part.tokens
-        return max(job.prompt_tokens - kept, 0.0)
+    def _is_sound(self, endpoint: ids.EndpointId) -> bool:
+        """Tells whether an endpoint has not failed of late."""
+        seen = self._observed.get(endpoint)
+        return seen is None or not seen.failures
 
     def _engine(
         self, state: endpoint_module.EndpointState
@@ -355,6 +384,7 @@
         super().on_first_token(state, running, now_s)
         engine = self._engine(state)
         took_s = now_s - running.placed_s
+        self._caches.read(running.job, state.endpoint, now_s)
         if not running.job.streams:
             engine.learn_typical(took_s, now_s)
             return
@@ -392,15 +422,7 @@
         """Learns that the endpoint failed; forgets the request."""
         super().on_finish(state, running, outcome, now_s)
         self._expected_s.pop(running.job.request_id, None)
-        if running.first_token_s is None and outcome in choice.UNSEEN:
-            self._forget(state, running)
-
-    def _forget(
-        self,
-        state: endpoint_module.EndpointState,
-        running: messages.Running,
-    ) -> None:
-        """Takes back that the endpoint has read a prompt it never read."""
-        parts = self._engine(state).parts
-        for part in running.job.parts:
-            parts.pop(part.part, None)
+        if outcome is messages.Outcome.CRASHED:
+            self._caches.parts.drop(state.endpoint)
+        elif running.first_token_s is None and outcome in choice.UNSEEN:
+            self._caches.not_read(running.job, state.endpoint)
--- a/cardamombarrow/decisions/messages.py
+++ b/cardamombarrow/decisions/messages.py
@@ -9,7 +9,9 @@
 __all__ = [
     "Backlog",
     "Decision",
+    "Fetch",
     "Job",
+    "KeptNews",
     "KnownEndpoint",
     "LoadReport",
     "Outcome",
@@ -202,6 +204,36 @@
     lower_over_reserve: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeptNews:
+    """Parts of prompts that an engine has read, told to other instances.
+
+    Attributes:
+        parts: Their keys; see `kept.part_key`.
+        age_s: Greatest time since one of them was read or used.
+    """
+
+    endpoint: ids.EndpointId
+    parts: tuple[int, ...]
+    age_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fetch:
+    """Have the engine fetch a prompt's beginning from another one.
+
+    Attributes:
+        source: The engine that should keep it.
+        tokens: How many it should keep beyond the engine's own; 0 where the
+            source is only where others would have sent it first.
+        age_s: How long ago the source was known to use it; None if never.
+    """
+
+    source: ids.EndpointId
+    tokens: int
+    age_s: float | None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Placement:
     """Send this request to this endpoint now.
@@ -210,6 +242,8 @@
         candidates: Endpoints that were weighed.
         reason: Why this one, for the log.
         report_age_s: Age of the endpoint's load report; None without one.
+        fetch: Where the endpoint gets the prompt's beginning from; None where
+            it reads what it does not keep.
     """
 
     request_id: ids.RequestId
@@ -218,6 +252,7 @@
     candidates: tuple[ids.EndpointId, ...]
     reason: str
     report_age_s: float | None = None
+    fetch: Fetch | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cardamombarrow/decisions/tests/test_first_event.py
+++ b/cardamombarrow/decisions/tests/test_first_event.py
@@ -10,6 +10,7 @@
 from cardamombarrow.decisions import base
 from cardamombarrow.decisions import core
 from cardamombarrow.decisions import first_event
+from cardamombarrow.decisions import kept
 from cardamombarrow.decisions import messages
 from cardamombarrow.document import routed
 from cardamombarrow.document import schema
@@ -28,9 +29,13 @@
 }
 
 
-def _document(**policies):
+def _document(link_mbit_per_s, **policies):
     service = schema.Service(
-        ids.ServiceId("letters"), schema.ServiceKind.ENGINE, 64
+        ids.ServiceId("letters"),
+        schema.ServiceKind.ENGINE,
+        64,
+        cache_token_bytes=35_136,
+        cache_link_mbit_per_s=link_mbit_per_s,
     )
     classes = [
         schema.RequestClass(
@@ -56,9 +61,9 @@
 class _World:
     """Engines that read one prompt at a time, and the entry of one domain."""
 
-    def __init__(self, **policies):
+    def __init__(self, link_mbit_per_s=0.0, **policies):
         context = base.PolicyContext(
-            _document(**policies),
+            _document(link_mbit_per_s, **policies),
             ids.InstanceId("entry"),
             ids.DomainId("one"),
             random.Random(1),
@@ -73,6 +78,7 @@
         self.placed = collections.defaultdict(list)
         self.first_s = {}
         self.read_tokens = 0
+        self.fetches = []
         self.free_s = collections.Counter()
         self._cached = collections.defaultdict(set)
         self._jobs = {}
@@ -126,6 +132,11 @@
         endpoint = decision.endpoint
         self.placed[job.class_id].append(endpoint)
         cached = self._cached[endpoint]
+        if decision.fetch is not None:
+            source = self._cached[decision.fetch.source]
+            fetched = {p.part for p in job.parts} & source - cached
+            self.fetches.append((decision.fetch, fetched))
+            cached |= fetched
         unread = sum(p.tokens for p in job.parts if p.part not in cached)
         cached.update(part.part for part in job.parts)
         self.read_tokens += unread
@@ -223,7 +234,8 @@
         request_id, messages.Outcome.REFUSED_BY_ENDPOINT, 0.01
     )
     engine = world.placed["letter"][0]
-    assert not world.choice._engines[engine].holds("shared", 0.02)
+    parts = world.choice._caches.parts
+    assert not parts.holds(kept.part_key("shared"), engine, 0.02)
 
 
 def test_long_prompts_and_short_requests_keep_to_engines_of_their_own():
@@ -275,3 +287,66 @@
         world.ask(0.02 * step, "letter", [], 20_000)
     world.advance(5.0)
     assert len(world.choice._engines) <= 3
+
+
+def _crowd(world):
+    """Bursts of letters that share few long beginnings."""
+    for burst in range(10):
+        for step in range(12):
+            now_s = 2.0 * burst + 0.01 * step
+            part = (f"shared-{step % 3}", 13_300)
+            world.ask(now_s, "letter", [part], 3_700)
+    world.advance(1_000.0)
+    return world
+
+
+def test_a_beginning_is_read_once_and_fetched_by_the_other_engines():
+    # Letters that share a beginning come at once; the engine that has it is
+    # busy, and the others read it anew, for each of them. Callers see first
+    # events come late on all engines, with work that was done before.
+    fetching_world, reading = _crowd(_World(1_000_000.0)), _crowd(_World())
+    assert not reading.fetches
+    assert any(fetched for _, fetched in fetching_world.fetches)
+    own_tokens = 120 * 3_700
+    again = fetching_world.read_tokens - own_tokens - 3 * 13_300
+    assert again < 0.4 * (reading.read_tokens - own_tokens - 3 * 13_300)
+    slowest_s = max(fetching_world.times("letter"))
+    assert slowest_s <= max(reading.times("letter"))
+
+
+def test_engines_with_a_slow_link_read():
+    # A transfer that takes longer than reading makes the first event later.
+    assert not _crowd(_World(1_000.0)).fetches
+
+
+def test_an_engine_that_failed_is_not_fetched_from():
+    # It is silent and still listed. An engine that asked it for a part would
+    # wait for an answer that does not come, and its caller with it.
+    world = _World(1_000_000.0)
+    world.ask(0.0, "letter", [("shared", 13_300)], 100)
+    world.advance(1.0)
+    (silent,) = world.placed["letter"]
+    world.ask(2.0, "letter", [("shared", 13_300)], 100)
+    _, request_id = world._firsts.pop()
+    world.dispatcher.finish(request_id, messages.Outcome.STALLED, 2.5)
+    for step in range(5):
+        world.ask(3.0 + step, "letter", [("shared", 13_300)], 100)
+    assert all(fetch.source != silent for fetch, _ in world.fetches)
+
+
+def test_what_another_instance_had_read_is_fetched():
+    # Two instances have a part of the callers each. What one has had read is
+    # not read again by an engine that the other one sends to.
+    one, other = _World(1_000_000.0), _World(1_000_000.0)
+    one.ask(0.0, "letter", [("shared", 13_300)], 100)
+    one.advance(1.0)
+    (keeper,) = one.placed["letter"]
+    other.dispatcher.hear_kept(one.dispatcher.kept_news(1.0), 1.0)
+    for _ in range(12):
+        other.ask(1.5, "letter", [("shared", 13_300)], 100)
+    other.advance(10.0)
+    assert other.fetches
+    fetch, _ = other.fetches[0]
+    assert fetch.source == keeper
+    assert fetch.tokens == 13_300
+    assert fetch.age_s > 0.0
--- a/cardamombarrow/document/schema.py
+++ b/cardamombarrow/document/schema.py
@@ -124,7 +124,10 @@
             is probed.
         max_connections: Connections that an endpoint takes from all instances
             together; 0 is not known.
-        memory_tokens: Tokens that an engine's memory holds; 0 is not known.
+        cache_token_bytes: Bytes that an engine sends for each kept token that
+            another one fetches from it.
+        cache_link_mbit_per_s: Pace of such a transfer in Mbit/s; 0 where
+            engines can't fetch from each other.
     """
 
     service: ids.ServiceId
@@ -134,7 +137,8 @@
     orders: Orders = Orders.NONE
     unrepeatable: tuple[str, ...] = ()
     max_connections: int = 0
-    memory_tokens: int = 0
+    cache_token_bytes: int = 0
+    cache_link_mbit_per_s: float = 0.0
     endpoints: dict[ids.DomainId, tuple[ids.EndpointId, ...]] = (
         dataclasses.field(default_factory=dict)
     )
--- a/cardamombarrow/endpoints/base.py
+++ b/cardamombarrow/endpoints/base.py
@@ -49,6 +49,8 @@
         caller_id: The caller's own name for the request; empty for none.
         workspace: Whose request it is; empty for anybody's.
         headers: What the caller sent that concerns the endpoint, unchanged.
+        fetch_from: Engine that the endpoint fetches the prompt's beginning
+            from, where it can; None for none.
     """
 
     request_id: ids.RequestId
@@ -69,6 +71,7 @@
     caller_id: str = ""
     workspace: ids.WorkspaceId = schema.ANYBODY
     headers: tuple[tuple[str, str], ...] = ()
+    fetch_from: ids.EndpointId | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/cardamombarrow/entry/broker.py
+++ b/cardamombarrow/entry/broker.py
@@ -234,6 +234,16 @@
         with self._lock:
             self._dispatcher.forget_peer(instance)
 
+    def kept_news(self) -> list[messages.KeptNews]:
+        """Returns what is new about engines' caches, for the others."""
+        with self._lock:
+            return self._dispatcher.kept_news(self._clock.now_s())
+
+    def hear_kept(self, news: list[messages.KeptNews]) -> None:
+        """Takes what other instances know of engines' caches."""
+        with self._lock:
+            self._dispatcher.hear_kept(news, self._clock.now_s())
+
     def quarantine_marks(self) -> dict[ids.Fingerprint, float]:
         """Returns quarantined fingerprints and seconds left, for gossip."""
         with self._lock:
@@ -383,6 +393,7 @@
             "wait_s": round(decision.wait_s, 4),
             "report_age_s": decision.report_age_s
             and round(decision.report_age_s, 3),
+            **_fetch_details(decision.fetch),
         }
     if isinstance(decision, messages.Refusal):
         return "refuse", {
@@ -398,6 +409,16 @@
     }
 
 
+def _fetch_details(fetch: messages.Fetch | None) -> dict[str, object]:
+    if fetch is None:
+        return {}
+    return {
+        "fetch_from": fetch.source,
+        "fetch_tokens": fetch.tokens,
+        "fetch_age_s": fetch.age_s and round(fetch.age_s, 3),
+    }
+
+
 def _refused(
     job: messages.Job, refusal: messages.Refusal
 ) -> errors.RefusedError:
--- a/cardamombarrow/entry/life.py
+++ b/cardamombarrow/entry/life.py
@@ -265,6 +265,7 @@
             caller_id=call.caller_id,
             workspace=call.job.workspace,
             headers=call.headers,
+            fetch_from=placement.fetch and placement.fetch.source,
         )
 
     def _again(
--- a/cardamombarrow/entry/peering.py
+++ b/cardamombarrow/entry/peering.py
@@ -24,6 +24,7 @@
 from cardamombarrow.peers import control_client
 from cardamombarrow.peers import control_pb2
 from cardamombarrow.peers import gossip_node
+from cardamombarrow.peers import kept_codec
 from cardamombarrow.peers import loop as loop_module
 from cardamombarrow.peers import membership as membership_module
 from cardamombarrow.peers import server as server_module
@@ -84,6 +85,7 @@
         self.membership: membership_module.Membership | None = None
         self._broker: broker_module.Broker | None = None
         self._found: tuple[messages.KnownEndpoint, ...] = ()
+        self._kept_number = 0
         self.control = control_client.ControlClient(
             self._loop,
             settings.peers.control_addresses(),
@@ -119,10 +121,13 @@
         return peers.address or f"{peers.host}:{peers.port}"
 
     def _confirm_request(self) -> control_pb2.ConfirmRequest:
+        news = [] if self._broker is None else self._broker.kept_news()
         return control_pb2.ConfirmRequest(
             instance=self._instance,
             domain=self._domain,
             applied_revision=self._documents.revision,
+            kept=kept_codec.kept_to_wire(news),
+            kept_since=self._kept_number,
         )
 
     def _on_confirmed(
@@ -140,6 +145,9 @@
             self.control.set_controls(tuple(reply.controls))
         if self._broker is not None:
             self._broker.set_instances(max(reply.entry_count, 1))
+            self._kept_number = reply.kept_number
+            known = self.membership.endpoints_by_hash()
+            self._broker.hear_kept(kept_codec.kept_from_wire(reply.kept, known))
         if self._node is not None:
             self._node.set_seeds((*self._settings.peers.seeds, *reply.entries))
 
--- a/cardamombarrow/peers/control_service.py
+++ b/cardamombarrow/peers/control_service.py
@@ -2,6 +2,8 @@
 
 import asyncio
 from collections import abc
+import random
+import time
 
 from grpclib import server
 
@@ -14,6 +16,7 @@
 from cardamombarrow.peers import control_grpc
 from cardamombarrow.peers import control_pb2
 from cardamombarrow.peers import followers as followers_module
+from cardamombarrow.peers import kept_board
 
 __all__ = ["ControlService"]
 
@@ -28,6 +31,7 @@
 
     Attributes:
         followers: The entries that follow, and the document they get.
+        kept: What entries tell each other of engines' caches.
     """
 
     def __init__(
@@ -39,6 +43,7 @@
         self._log = log
         self._accepted = accepted
         self._confirmations = confirmations_module.Confirmations(log)
+        self.kept = kept_board.KeptBoard(random.Random())
         self.followers = followers_module.Followers(
             lambda: log.status().has_quorum, domain
         )
@@ -80,6 +85,7 @@
         """Answers which revision is the newest, as a majority knows it."""
         request = await stream.recv_message()
         reply = control_pb2.ConfirmReply()
+        self.kept.put(request.kept, request.instance, time.monotonic())
         if await self._confirmations.confirm():
             reply.confirmed = True
             accepted = self._accepted()
@@ -93,9 +99,18 @@
             reply.entries.extend(
                 self.followers.addresses(domain, ADDRESSES_TOLD)
             )
+            kept, reply.kept_number = self.kept.since(
+                request.kept_since, request.instance, time.monotonic()
+            )
+            reply.kept.extend(kept)
         await stream.send_message(reply)
 
     async def Followers(self, stream: server.Stream) -> None:  # noqa: N802
-        """Answers with the entries heard of."""
-        await stream.recv_message()
-        await stream.send_message(self.followers.rows())
+        """Answers with the entries heard of, and what they told."""
+        request = await stream.recv_message()
+        reply = self.followers.rows()
+        kept, reply.kept_number = self.kept.own_since(
+            request.kept_since, time.monotonic()
+        )
+        reply.kept.extend(kept)
+        await stream.send_message(reply)
--- /dev/null
+++ b/cardamombarrow/peers/kept_codec.py
@@ -0,0 +1,38 @@
+"""Between what is known of engines' caches and protobuf."""
+
+from collections import abc
+
+from cardamombarrow.decisions import messages
+from cardamombarrow.gossip import rows
+from cardamombarrow.kernel import ids
+from cardamombarrow.peers import control_pb2
+
+__all__ = ["kept_from_wire", "kept_to_wire"]
+
+
+def kept_to_wire(
+    news: abc.Iterable[messages.KeptNews],
+) -> list[control_pb2.KeptParts]:
+    """Converts what is new about engines' caches."""
+    return [
+        control_pb2.KeptParts(
+            endpoint=rows.endpoint_hash(each.endpoint),
+            parts=each.parts,
+            age_ms=int(each.age_s * 1_000),
+        )
+        for each in news
+    ]
+
+
+def kept_from_wire(
+    wire: abc.Iterable[control_pb2.KeptParts],
+    known: abc.Mapping[int, ids.EndpointId],
+) -> list[messages.KeptNews]:
+    """Converts it back; leaves out endpoints that are not known here."""
+    return [
+        messages.KeptNews(
+            known[each.endpoint], tuple(each.parts), each.age_ms / 1_000
+        )
+        for each in wire
+        if each.endpoint in known
+    ]
--- a/cardamombarrow/peers/membership.py
+++ b/cardamombarrow/peers/membership.py
@@ -156,6 +156,11 @@
             self._broker.set_leaving(endpoint, True)
         self._retarget()
 
+    def endpoints_by_hash(self) -> dict[int, ids.EndpointId]:
+        """Returns the known endpoints by the hashes that name them."""
+        with self._lock:
+            return self._by_hash
+
     def on_listing(
         self, listed: abc.Iterable[tuple[ids.EndpointId, bool]]
     ) -> None:
--- a/cardamombarrow/platform/configuration.py
+++ b/cardamombarrow/platform/configuration.py
@@ -123,7 +123,8 @@
             kind=kind,
             slots_per_endpoint=slots,
             max_connections=int(raw.get("maxConns", 0)),
-            memory_tokens=int((engine or {}).get("kvCapacity", 0)),
+            cache_token_bytes=int((engine or {}).get("kvTokenBytes", 0)),
+            cache_link_mbit_per_s=float((engine or {}).get("linkMbps", 0.0)),
         )
 
     def route(
--- a/cardamombarrow/platform/servers.py
+++ b/cardamombarrow/platform/servers.py
@@ -143,6 +143,8 @@
         headers = [f"Request-Priority: {min(call.rank, _LEAST_URGENT)}"]
         if call.resume_after:
             headers.append(f"Last-Event-Id: {call.resume_after}")
+        if call.fetch_from is not None:
+            headers.append(f"Kv-Fetch: {ids.address_of(call.fetch_from)}")
         return headers
 
     def resumable(self, head: base.Head) -> bool:
--- a/cardamombarrow/platform/tests/test_servers.py
+++ b/cardamombarrow/platform/tests/test_servers.py
@@ -20,7 +20,7 @@
         return False
 
 
-def _call(deadline_s=0.0, headers=()):
+def _call(deadline_s=0.0, headers=(), fetch_from=None):
     return base.OutgoingCall(
         request_id=ids.RequestId("r"),
         endpoint=ids.endpoint_id("10.0.0.9:8080", "i-7f"),
@@ -35,6 +35,7 @@
         caller=_Nobody(),
         cancelled=lambda: False,
         caller_id="9c41",
+        fetch_from=fetch_from,
     )
 
 
@@ -116,3 +117,18 @@
 def test_a_load_is_read():
     report = _KIND.load_in(base.Head(200, {"instance-load": "3,1,8"}))
     assert (report.running, report.waiting) == (3, 1)
+
+
+def test_only_the_router_says_where_a_beginning_is_fetched_from():
+    # A caller that names another server would have ours take bytes from it.
+    facts = caller.PlatformProtocol().read(
+        (("Attempt-Id", "9c41"), ("Kv-Fetch", "10.9.9.9:1"))
+    )
+    source = ids.endpoint_id("10.0.0.8:8080", "i-9a")
+    lines = _KIND.request_headers(
+        _call(headers=facts.forwarded, fetch_from=source)
+    )
+    told = [line for line in lines if line.lower().startswith("kv-fetch")]
+    assert told == ["Kv-Fetch: 10.0.0.8:8080"]
+    lines = _KIND.request_headers(_call(headers=facts.forwarded))
+    assert not [line for line in lines if line.lower().startswith("kv-fetch")]
