Keep connections to endpoints that tell how long they keep them

Ruled out: libcurl with its own pool. It sends a request again by itself when a kept connection is dead, and nothing turns that off for a body it can rewind.

Change: a client of our own over h11. A connection serves the next request after an answer that was whole and believed, where the endpoint tells its Keep-Alive time; half of that time is used, a request that may run once takes only one used within the last second, and a connection on which something came meanwhile is closed. Nothing is sent twice.

--- a/cardamombarrow/endpoints/base.py
+++ b/cardamombarrow/endpoints/base.py
@@ -49,6 +49,7 @@
         caller_id: The caller's own name for the request; empty for none.
         workspace: Whose request it is; empty for anybody's.
         headers: What the caller sent that concerns the endpoint, unchanged.
+        repeatable: Whether it may run twice.
         fetch_from: Engine that the endpoint fetches the prompt's beginning
             from, where it can; None for none.
     """
@@ -71,6 +72,7 @@
     caller_id: str = ""
     workspace: ids.WorkspaceId = schema.ANYBODY
     headers: tuple[tuple[str, str], ...] = ()
+    repeatable: bool = False
     fetch_from: ids.EndpointId | None = None
 
 
@@ -111,6 +113,14 @@
             errors.RefusedError: The caller left or the run was cancelled.
         """
 
+    @abc.abstractmethod
+    def release(self) -> None:
+        """Tells that the answer is whole and was believed.
+
+        Its connection may then serve another request; without this call it is
+        closed with the exchange.
+        """
+
     @abc.abstractmethod
     def close(self) -> None:
         """Ends the exchange; one that has not finished is cancelled."""
--- a/cardamombarrow/endpoints/engine.py
+++ b/cardamombarrow/endpoints/engine.py
@@ -26,13 +26,13 @@
     def open(self, call: base.OutgoingCall) -> base.Exchange:
         """Prepares a completion request."""
         headers = [
-            f"Content-Type: {call.content_type}",
-            f"X-Request-Id: {call.request_id}",
-            f"X-Priority: {call.rank}",
+            ("Content-Type", call.content_type),
+            ("X-Request-Id", call.request_id),
+            ("X-Priority", str(call.rank)),
         ]
         if call.resume_tokens:
-            headers.append(f"X-Resume-Offset: {call.resume_tokens}")
-        return transfer.CurlExchange(call, headers, self.probe)
+            headers.append(("X-Resume-Offset", str(call.resume_tokens)))
+        return transfer.HttpExchange(call, headers, self.probe)
 
     def poll(
         self, endpoint: ids.EndpointId, timeout_s: float
--- a/cardamombarrow/endpoints/plain.py
+++ b/cardamombarrow/endpoints/plain.py
@@ -17,10 +17,10 @@
     def open(self, call: base.OutgoingCall) -> base.Exchange:
         """Prepares a request to the service."""
         headers = [
-            f"Content-Type: {call.content_type}",
-            f"X-Request-Id: {call.request_id}",
+            ("Content-Type", call.content_type),
+            ("X-Request-Id", call.request_id),
         ]
-        return transfer.CurlExchange(call, headers, self.probe)
+        return transfer.HttpExchange(call, headers, self.probe)
 
     def poll(
         self, endpoint: ids.EndpointId, timeout_s: float
--- a/cardamombarrow/endpoints/tests/test_transfer.py
+++ b/cardamombarrow/endpoints/tests/test_transfer.py
@@ -46,7 +46,7 @@
 
 
 def _error(call):
-    exchange = transfer.CurlExchange(call, [], lambda endpoint: True)
+    exchange = transfer.HttpExchange(call, [], lambda endpoint: True)
     try:
         with pytest.raises(errors.EndpointError) as caught:
             exchange.head()
--- a/cardamombarrow/endpoints/transfer.py
+++ b/cardamombarrow/endpoints/transfer.py
@@ -1,179 +1,153 @@
-"""One HTTP exchange by pycurl, driven by the thread that relays it.
-
-Every exchange uses a connection of its own. libcurl silently sends a request
-again when a reused connection turns out to be dead; for an unrepeatable
-request that is a second run, and for one that crashes endpoints a second
-crash. A fresh connection each time also cannot be one of those that went
-silent while idle. `docs/endpoints.md` has the measured cost.
+"""One HTTP exchange with an endpoint, driven by the thread that relays it.
+
+The client is our own, over h11's parser, because of what must not happen. A
+library that keeps connections sends a request again by itself when a kept one
+turns out to be dead; for an unrepeatable request that is a second run, and for
+one that crashes endpoints a second crash. Here nothing is sent twice, and a
+connection serves another request only after an answer that was whole and
+believed (`Exchange.release`); see `pool`.
 """
 
-import collections
 from collections import abc
 import select
 import time
 
-import pycurl
-
 from cardamombarrow.endpoints import base
+from cardamombarrow.endpoints import connection as connection_module
+from cardamombarrow.endpoints import pool as pool_module
+from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 
-__all__ = ["CurlExchange"]
+__all__ = ["POOL", "HttpExchange"]
 
 CONNECT_TIMEOUT_S = 0.5
 """An endpoint that does not accept within this is not reached. Some round
 trips between regions; nothing was sent, so that every request can still go
 elsewhere, and with 2 s its caller had left by then."""
 
-KEEPALIVE_IDLE_S = 5
-KEEPALIVE_INTERVAL_S = 3
-
 WAIT_SLICE_S = 0.25
 """Longest wait before cancellation by the dispatcher is looked at again."""
 
-_NOT_REACHED = {
-    pycurl.E_COULDNT_CONNECT,
-    pycurl.E_COULDNT_RESOLVE_HOST,
-}
+POOL = pool_module.Pool(clock.BootClock())
+"""The idle connections of this process."""
 
+_BODY_METHODS = ("POST", "PUT", "PATCH")
 
-class CurlExchange(base.Exchange):
-    """An exchange over one fresh connection."""
+
+class HttpExchange(base.Exchange):
+    """An exchange over a new or a kept connection."""
 
     def __init__(
         self,
         call: base.OutgoingCall,
-        headers: list[str],
+        headers: list[tuple[str, str]],
         probe: abc.Callable[[ids.EndpointId], bool],
+        pool: pool_module.Pool = POOL,
     ):
+        """Prepares an exchange.
+
+        Args:
+            call: The request.
+            headers: Its header fields, without those of the framing.
+            probe: Tells whether an endpoint takes a new connection.
+            pool: Where connections are kept.
+        """
         self._call = call
+        self._headers = headers
         self._probe = probe
-        self._chunks: collections.deque[bytes] = collections.deque()
-        self._header_lines: list[bytes] = []
-        self._head: base.Head | None = None
-        self._finished = False
-        self._error: tuple[int, str] | None = None
-        self._timer_s: float | None = 0.0
-        self._heard_s = time.monotonic()
+        self._pool = pool
+        self._connection: connection_module.Connection | None = None
+        self._broken: str | None = None
+        self._believed = False
+        self._begin_s = self._heard_s = time.monotonic()
         self._poll = select.poll()
-        self._multi = pycurl.CurlMulti()
-        self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._on_socket)
-        self._multi.setopt(pycurl.M_TIMERFUNCTION, self._on_timer)
-        self._easy = self._build(headers)
         caller_fd = call.caller.fileno()
         if caller_fd >= 0:
             self._poll.register(caller_fd, select.POLLRDHUP)
 
-    def _build(self, headers: list[str]) -> pycurl.Curl:
-        call = self._call
-        easy = pycurl.Curl()
-        easy.setopt(pycurl.URL, f"http://{ids.address_of(call.endpoint)}/")
-        # Put into the address, a path with dots or odd letters would be
-        # rewritten, and the endpoint would run another request.
-        easy.setopt(pycurl.REQUEST_TARGET, call.path)
-        easy.setopt(pycurl.CUSTOMREQUEST, call.method)
-        if call.method == "HEAD":
-            easy.setopt(pycurl.NOBODY, 1)
-        if call.body or call.method in ("POST", "PUT", "PATCH"):
-            easy.setopt(pycurl.POSTFIELDS, call.body)
-        easy.setopt(pycurl.HTTPHEADER, [*headers, "Expect:"])
-        easy.setopt(pycurl.FRESH_CONNECT, 1)
-        easy.setopt(pycurl.FORBID_REUSE, 1)
-        easy.setopt(pycurl.NOSIGNAL, 1)
-        easy.setopt(pycurl.NOPROXY, "*")
-        easy.setopt(pycurl.TCP_NODELAY, 1)
-        easy.setopt(pycurl.TCP_KEEPALIVE, 1)
-        easy.setopt(pycurl.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-        easy.setopt(pycurl.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-        easy.setopt(pycurl.CONNECTTIMEOUT_MS, round(CONNECT_TIMEOUT_S * 1_000))
-        easy.setopt(pycurl.HEADERFUNCTION, self._on_header)
-        easy.setopt(pycurl.WRITEFUNCTION, self._on_body)
-        return easy
-
-    # -- called back by libcurl --------------------------------------------
-
-    def _on_socket(self, what: int, fd: int, multi: object, _: object) -> None:
-        del multi
-        if what == pycurl.POLL_REMOVE:
-            self._poll.unregister(fd)
-            return
-        mask = 0
-        if what in (pycurl.POLL_IN, pycurl.POLL_INOUT):
-            mask |= select.POLLIN
-        if what in (pycurl.POLL_OUT, pycurl.POLL_INOUT):
-            mask |= select.POLLOUT
-        self._poll.register(fd, mask)
-
-    def _on_timer(self, timeout_ms: int) -> None:
-        self._timer_s = (
-            None if timeout_ms < 0 else time.monotonic() + timeout_ms / 1_000
-        )
-
-    def _on_header(self, line: bytes) -> None:
-        if line.startswith(b"HTTP/"):
-            self._header_lines.clear()
-        if line.strip():
-            self._header_lines.append(line.strip())
-            return
-        _, _, status_text = self._header_lines[0].partition(b" ")
-        code, _, reason = status_text.decode("latin-1").partition(" ")
-        status = int(code)
-        if status < 200:
-            return
-        pairs = (
-            line.decode("latin-1").split(":", 1)
-            for line in self._header_lines[1:]
-        )
-        self._head = base.Head(
-            status,
-            {name.lower(): value.strip() for name, value in pairs},
-            reason,
-        )
-
-    def _on_body(self, data: bytes) -> None:
-        self._chunks.append(data)
-        self._heard_s = time.monotonic()
-
     # -- the exchange ------------------------------------------------------
 
     def head(self) -> base.Head:
         """Sends the request and waits for status and headers."""
-        self._multi.add_handle(self._easy)
-        begin_s = self._heard_s = time.monotonic()
-        while self._head is None:
-            if self._finished:
+        self._begin_s = self._heard_s = time.monotonic()
+        connection = self._connect()
+        while connection.head is None:
+            if self._broken is not None:
                 raise self._failure()
             self._step()
-            self._check_first_byte(begin_s)
+            self._check_connect()
+            self._check_first_byte()
             if self._silent_s() > self._call.stall_limit_s:
                 self._check_alive()
-        return self._head
+        return connection.head
 
     def chunks(self) -> abc.Iterator[bytes]:
         """Yields the body; data that is ready together comes together."""
+        connection = self._connection
+        assert connection is not None, "head comes first"
         self._heard_s = time.monotonic()
         while True:
-            if self._chunks:
-                data = b"".join(self._chunks)
-                self._chunks.clear()
+            data = connection.take()
+            if data:
                 yield data
-            elif self._finished:
-                break
+            elif connection.whole:
+                return
+            elif self._broken is not None:
+                raise self._failure()
             else:
                 self._step()
                 if self._silent_s() > self._call.stall_limit_s:
                     self._check_stall()
-        if self._error is not None:
-            raise self._failure()
+
+    def release(self) -> None:
+        """Lets the connection serve another request once this has ended."""
+        self._believed = True
 
     def close(self) -> None:
-        """Closes the connection, whatever state it is in."""
-        self._multi.close()
-        self._easy.close()
+        """Ends the exchange; one that has not finished is cancelled."""
+        connection, self._connection = self._connection, None
+        if connection is None:
+            return
+        if self._believed and connection.whole and self._broken is None:
+            self._pool.give(self._call.endpoint, connection)
+        else:
+            connection.close()
+
+    def _connect(self) -> connection_module.Connection:
+        call = self._call
+        connection = self._pool.take(call.endpoint, repeatable=call.repeatable)
+        try:
+            if connection is None:
+                address = ids.address_of(call.endpoint)
+                connection = connection_module.Connection(address)
+        except OSError as error:
+            raise errors.EndpointError(
+                errors.ErrorKind.ENDPOINT_UNREACHED, str(error), sent=False
+            ) from None
+        self._connection = connection
+        connection.begin(call.method, call.path, self._fields(), call.body)
+        self._poll.register(connection.fileno(), connection.events)
+        return connection
+
+    def _fields(self) -> list[tuple[str, str]]:
+        """Returns the header fields with those of the framing."""
+        call = self._call
+        fields = [
+            (name, value)
+            for name, value in self._headers
+            if name.lower() != "content-length"
+        ]
+        if not any(name.lower() == "host" for name, _ in fields):
+            fields.insert(0, ("Host", ids.address_of(call.endpoint)))
+        if call.body or call.method in _BODY_METHODS:
+            fields.append(("Content-Length", str(len(call.body))))
+        return fields
 
     def _step(self) -> None:
         now_s = time.monotonic()
-        call = self._call
+        call, connection = self._call, self._connection
+        assert connection is not None
         if now_s >= call.deadline_s:
             raise self._endpoint_error(
                 errors.ErrorKind.DEADLINE, "the answer did not end in time"
@@ -183,42 +157,49 @@
                 errors.ErrorKind.PREEMPTED, "gave way to a higher tier"
             )
         wait_s = min(WAIT_SLICE_S, call.deadline_s - now_s)
-        if self._timer_s is not None:
-            wait_s = min(wait_s, max(0.0, self._timer_s - now_s))
-        ready = self._poll.poll(wait_s * 1_000)
-        for fd, mask in ready:
+        self._poll.modify(connection.fileno(), connection.events)
+        for fd, mask in self._poll.poll(wait_s * 1_000):
             if fd == call.caller.fileno():
                 raise errors.RefusedError(
                     errors.ErrorKind.CALLER_GONE, "the caller left"
                 )
-            self._multi.socket_action(fd, _to_curl(mask))
-        if self._timer_s is not None and time.monotonic() >= self._timer_s:
-            self._timer_s = None
-            self._multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
-        self._collect()
-
-    def _collect(self) -> None:
-        _, done, failed = self._multi.info_read()
-        if done:
-            self._finished = True
-        for _, code, text in failed:
-            self._finished = True
-            self._error = (code, text)
+            self._go_on(connection, mask)
+
+    def _go_on(
+        self, connection: connection_module.Connection, mask: int
+    ) -> None:
+        try:
+            connection.ready(mask)
+        except connection_module.BrokenError as error:
+            self._broken = str(error)
+        if mask & select.POLLIN:
+            self._heard_s = time.monotonic()
 
     def _silent_s(self) -> float:
-        if self._finished or self._chunks:
+        if self._broken is not None or self._connection.whole:
             return 0.0
         return time.monotonic() - self._heard_s
 
-    def _check_first_byte(self, begin_s: float) -> None:
+    def _check_connect(self) -> None:
+        late = time.monotonic() - self._begin_s > CONNECT_TIMEOUT_S
+        if late and not self._connection.connected:
+            raise errors.EndpointError(
+                errors.ErrorKind.ENDPOINT_UNREACHED,
+                f"not connected within {CONNECT_TIMEOUT_S} s",
+                sent=False,
+            )
+
+    def _check_first_byte(self) -> None:
         """Gives up an endpoint that is far too late, where another can help.
 
         One that takes requests and never answers looks alive to every probe;
         the caller would wait for it until its deadline.
         """
         limit_s = self._call.first_byte_limit_s
-        late = time.monotonic() - begin_s > limit_s and self._head is None
-        if late and not self._finished and self._call.may_redo():
+        if self._broken is not None or self._connection.head is not None:
+            return
+        late = time.monotonic() - self._begin_s > limit_s
+        if late and self._call.may_redo():
             raise self._endpoint_error(
                 errors.ErrorKind.STALLED, f"no answer within {limit_s:.2f} s"
             )
@@ -237,7 +218,7 @@
 
     def _check_stall(self) -> None:
         silent_s = self._silent_s()
-        head = self._head
+        head = self._connection.head
         self._check_alive()
         self._step()
         if self._silent_s() > 0 and head is not None and head.streams:
@@ -248,15 +229,15 @@
             )
 
     def _failure(self) -> errors.EndpointError:
-        code, text = self._error or (0, "no answer")
-        if code in _NOT_REACHED or not self._sent():
+        text = self._broken or "no answer"
+        if not self._connection.sent:
             # Nothing of the request left this instance.
             return errors.EndpointError(
                 errors.ErrorKind.ENDPOINT_UNREACHED, text, sent=False
             )
         kind = (
             errors.ErrorKind.ENDPOINT_FAILED
-            if self._head is None
+            if self._connection.head is None
             else errors.ErrorKind.ANSWER_CUT
         )
         return errors.EndpointError(kind, text, sent=True, broke=True)
@@ -264,18 +245,4 @@
     def _endpoint_error(
         self, kind: errors.ErrorKind, detail: str
     ) -> errors.EndpointError:
-        return errors.EndpointError(kind, detail, sent=self._sent())
-
-    def _sent(self) -> bool:
-        return self._easy.getinfo(pycurl.REQUEST_SIZE) > 0
-
-
-def _to_curl(mask: int) -> int:
-    flags = 0
-    if mask & (select.POLLIN | select.POLLHUP):
-        flags |= pycurl.CSELECT_IN
-    if mask & select.POLLOUT:
-        flags |= pycurl.CSELECT_OUT
-    if mask & select.POLLERR:
-        flags |= pycurl.CSELECT_ERR
-    return flags
+        return errors.EndpointError(kind, detail, sent=self._connection.sent)
--- a/cardamombarrow/entry/life.py
+++ b/cardamombarrow/entry/life.py
@@ -160,6 +160,7 @@
             caller as the endpoint gave it.
         """
         ticket = run.ticket
+        run.exchange.release()
         run.exchange.close()
         error = pieces.failure_of(run.head)
         outcome = messages.Outcome.FAILURE_ANSWERED
@@ -265,6 +266,7 @@
             caller_id=call.caller_id,
             workspace=call.job.workspace,
             headers=call.headers,
+            repeatable=call.job.repeatable,
             fetch_from=placement.fetch and placement.fetch.source,
         )
 
@@ -346,6 +348,7 @@
             self._tokens = self._tokens or self._kind.tokens_at_end(tail)
             broker.progress(request_id, self._tokens)
             failure = None
+            run.exchange.release()
         except errors.RouterError as error:
             failure = error
             raise
--- a/cardamombarrow/platform/servers.py
+++ b/cardamombarrow/platform/servers.py
@@ -35,37 +35,27 @@
     def open(self, call: base.OutgoingCall) -> base.Exchange:
         """Prepares a request to one server."""
         headers = self.request_headers(call)
-        return transfer.CurlExchange(call, headers, self.probe)
+        return transfer.HttpExchange(call, headers, self.probe)
 
-    def request_headers(self, call: base.OutgoingCall) -> list[str]:
-        """Returns the header lines of a request that is sent now.
+    def request_headers(self, call: base.OutgoingCall) -> list[tuple[str, str]]:
+        """Returns the header fields of a request that is sent now.
 
         A server works until the time that it is told is over. What is told is
         what is left now, not what the caller allowed at first: a request that
         waited here, or is sent once more, would otherwise be worked on after
         its caller has gone.
         """
-        headers = [
-            f"{name}: {value}" if value else f"{name};"
-            for name, value in call.headers
-        ]
-        names = {name.lower() for name, _ in call.headers}
-        # What the caller did not send must not be added by the transfer.
-        headers += [
-            f"{name}:"
-            for name in ("Accept", "User-Agent", "Content-Type")
-            if name.lower() not in names
-        ]
+        headers = list(call.headers)
         left_ms = (call.deadline_s - time.monotonic()) * 1_000
-        headers.append(f"Deadline-Ms: {max(int(left_ms), 1)}")
+        headers.append(("Deadline-Ms", str(max(int(left_ms), 1))))
         identity = ids.identity_of(call.endpoint)
         if identity:
-            headers.append(f"Expect-Instance: {identity}")
+            headers.append(("Expect-Instance", identity))
         if call.workspace:
-            headers.append(f"Tenant: {call.workspace}")
+            headers.append(("Tenant", call.workspace))
         return headers + self._more_headers(call)
 
-    def _more_headers(self, call: base.OutgoingCall) -> list[str]:
+    def _more_headers(self, call: base.OutgoingCall) -> list[tuple[str, str]]:
         return []
 
     def poll(
@@ -139,12 +129,14 @@
 class PlatformEngine(PlatformKind):
     """A model engine: streams of events with ids, and priorities."""
 
-    def _more_headers(self, call: base.OutgoingCall) -> list[str]:
-        headers = [f"Request-Priority: {min(call.rank, _LEAST_URGENT)}"]
+    def _more_headers(self, call: base.OutgoingCall) -> list[tuple[str, str]]:
+        priority = str(min(call.rank, _LEAST_URGENT))
+        headers = [("Request-Priority", priority)]
         if call.resume_after:
-            headers.append(f"Last-Event-Id: {call.resume_after}")
+            headers.append(("Last-Event-Id", call.resume_after))
         if call.fetch_from is not None:
-            headers.append(f"Kv-Fetch: {ids.address_of(call.fetch_from)}")
+            source = ids.address_of(call.fetch_from)
+            headers.append(("Kv-Fetch", source))
         return headers
 
     def resumable(self, head: base.Head) -> bool:
--- a/cardamombarrow/platform/tests/test_servers.py
+++ b/cardamombarrow/platform/tests/test_servers.py
@@ -55,11 +55,11 @@
     call = _call(100.0 + facts.limit_s, facts.forwarded)
     monkeypatch.setattr(servers.time, "monotonic", lambda: now_s)
     told = [
-        line
-        for line in kind().request_headers(call)
-        if line.lower().startswith("deadline-ms")
+        value
+        for name, value in kind().request_headers(call)
+        if name.lower() == "deadline-ms"
     ]
-    assert told == [f"Deadline-Ms: {left_ms}"]
+    assert told == [str(left_ms)]
 
 
 def test_a_sealed_answer_with_the_right_id_is_taken():
@@ -125,10 +125,10 @@
         (("Attempt-Id", "9c41"), ("Kv-Fetch", "10.9.9.9:1"))
     )
     source = ids.endpoint_id("10.0.0.8:8080", "i-9a")
-    lines = _KIND.request_headers(
+    fields = _KIND.request_headers(
         _call(headers=facts.forwarded, fetch_from=source)
     )
-    told = [line for line in lines if line.lower().startswith("kv-fetch")]
-    assert told == ["Kv-Fetch: 10.0.0.8:8080"]
-    lines = _KIND.request_headers(_call(headers=facts.forwarded))
-    assert not [line for line in lines if line.lower().startswith("kv-fetch")]
+    told = [value for name, value in fields if name.lower() == "kv-fetch"]
+    assert told == ["10.0.0.8:8080"]
+    fields = _KIND.request_headers(_call(headers=facts.forwarded))
+    assert "kv-fetch" not in [name.lower() for name, _ in fields]
