--- a/cardamombarrow/decisions/first_event.py
+++ b/cardamombarrow/decisions/first_event.py
@@ -34,16 +34,17 @@
 """
 
 from collections import abc as collections_abc
-import zlib
 
 from cardamombarrow.decisions import base
 from cardamombarrow.decisions import caches
-from cardamombarrow.decisions import choice
 from cardamombarrow.decisions import endpoint as endpoint_module
 from cardamombarrow.decisions import engine_view
+from cardamombarrow.decisions import failures
 from cardamombarrow.decisions import fetching
 from cardamombarrow.decisions import lanes
 from cardamombarrow.decisions import messages
+from cardamombarrow.decisions import pace
+from cardamombarrow.decisions import weighed
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import registry
@@ -57,19 +58,6 @@
 """The same in another domain: a connection and a request there, and the
 answer's beginning back, at 30 ms each way."""
 
-PROMPT_TOKEN_S = 0.00002
-"""Time to read a prompt token, until one was seen."""
-
-PACE_TOKENS = 4_000
-"""A prompt from this length on tells the pace of reading; shorter ones tell the
-fixed part."""
-
-PACE_STEP = 1.02
-"""Factor of one step of the pace: 35 prompts move it by two."""
-
-PACE_LEAST_S = 1e-6
-PACE_MOST_S = 1e-3
-
 ENGINES_KEPT = 1_024
 """Endpoints remembered; some more than there are at the target size."""
 
@@ -106,13 +94,13 @@
 
 
 @registry.plugin("choice", "first-event")
-class FirstEventChoice(choice.FinishChoice):
+class FirstEventChoice(weighed.WeighedChoice):
     """Least expected time to the first event, over all candidates."""
 
     def __init__(self, context: base.PolicyContext):
         super().__init__(context)
         self._engines: dict[ids.EndpointId, engine_view.EngineView] = {}
-        self._prompt_token_s: dict[ids.ServiceId, float] = {}
+        self._pace = pace.ReadingPace()
         self._expected_s: dict[ids.RequestId, float] = {}
         self._caches = caches.Caches()
         self._fetch: messages.Fetch | None = None
@@ -138,10 +126,7 @@
         if not job.prefix_key:
             return None
         candidates = lane or candidates
-        key = zlib.crc32(job.prefix_key.encode())
-        return max(
-            candidates, key=lambda state: choice.mix(key, state.endpoint)
-        )
+        return weighed.home_among(job.prefix_key, candidates)
 
     def _lane(
         self,
@@ -162,7 +147,7 @@
         ]
 
     def _is_long(self, job: messages.Job) -> bool:
-        read_s = job.prompt_tokens * self._token_s(job.service)
+        read_s = job.prompt_tokens * self._pace.token_s(job.service)
         return read_s > LONG_READ_SHARE * self._shortest_pause_s
 
     def _crossing_s(
@@ -261,10 +246,11 @@
     ) -> messages.Fetch | None:
         service = self.document.services.get(job.service)
         fetch_s = fetching.fetch_token_s(service)
-        if fetch_s is None or fetch_s >= self._token_s(job.service):
+        if fetch_s is None or fetch_s >= self._pace.token_s(job.service):
             return None
         _, home = self._considered
-        return self._caches.fetch(job, state, home, self._is_sound, now_s)
+        is_sound = self._failures.is_sound
+        return self._caches.fetch(job, state, home, is_sound, now_s)
 
     def fetch(
         self,
@@ -294,10 +280,9 @@
     ) -> float:
         """Returns the expected time to the first event, and for crossing.
 
-        An endpoint that fails counts as slower; see `choice`.
+        An endpoint that fails counts as slower; see `failures`.
         """
-        seen = self._faded(state, now_s)
-        failing = 1.0 + choice.FAILURE_PENALTY * seen.failure_share
+        failing = self._failures.slowdown(state.endpoint, now_s)
         first_s = self._first_event_s(job, state, now_s, prefix_there)
         return failing * (first_s + self._crossing_s(job, state))
 
@@ -309,7 +294,7 @@
         prefix_there: bool,
     ) -> float:
         engine = self._engine(state)
-        token_s = self._token_s(state.service)
+        token_s = self._pace.token_s(state.service)
         unread = self._caches.unread_tokens(job, state.endpoint, prefix_there)
         waiting = max(state.in_flight - state.configured_slots + 1, 0)
         fixed_s = engine.fixed_at(now_s)
@@ -351,11 +336,6 @@
             late_s.remove(max(late_s))
         return max(work_s - (now_s - first_s), 0.0) + max(late_s, default=0.0)
 
-    def _is_sound(self, endpoint: ids.EndpointId) -> bool:
-        """Tells whether an endpoint has not failed of late."""
-        seen = self._observed.get(endpoint)
-        return seen is None or not seen.failures
-
     def _engine(
         self, state: endpoint_module.EndpointState
     ) -> engine_view.EngineView:
@@ -369,9 +349,6 @@
                 del self._engines[next(iter(self._engines))]
         return engine
 
-    def _token_s(self, service: ids.ServiceId) -> float:
-        return self._prompt_token_s.get(service, PROMPT_TOKEN_S)
-
     # -- learning ------------------------------------------------------------
 
     def on_first_token(
@@ -391,27 +368,15 @@
         expected_s = self._expected_s.get(running.job.request_id, took_s)
         engine.late(max(took_s - expected_s, 0.0), now_s)
         unread = running.job.unread_tokens
-        if unread >= PACE_TOKENS:
-            self._learn_pace(state.service, (took_s - engine.fixed_s) / unread)
+        if unread >= pace.LEAST_TOKENS:
+            read_s = took_s - engine.fixed_s
+            self._pace.learn(state.service, read_s / unread)
             return
-        read_s = unread * self._token_s(state.service)
+        read_s = unread * self._pace.token_s(state.service)
         fixed_s = max(took_s - read_s, 0.001)
         if fixed_s < engine.fixed_s:
             engine.learn_fixed(fixed_s, now_s)
 
-    def _learn_pace(self, service: ids.ServiceId, seen_s: float) -> None:
-        """Moves the time to read a token a step towards what was seen.
-
-        Steps of one size lead to the median: a prompt that waited for others
-        tells too much, one that was cached against expectation too little,
-        and neither may pull the estimate along.
-        """
-        token_s = self._token_s(service)
-        step = PACE_STEP if seen_s > token_s else 1.0 / PACE_STEP
-        self._prompt_token_s[service] = min(
-            max(token_s * step, PACE_LEAST_S), PACE_MOST_S
-        )
-
     def on_finish(
         self,
         state: endpoint_module.EndpointState,
@@ -424,5 +389,5 @@
         self._expected_s.pop(running.job.request_id, None)
         if outcome is messages.Outcome.CRASHED:
             self._caches.parts.drop(state.endpoint)
-        elif running.first_token_s is None and outcome in choice.UNSEEN:
+        elif running.first_token_s is None and outcome in failures.UNSEEN:
             self._caches.not_read(running.job, state.endpoint)
--- /dev/null
+++ b/cardamombarrow/peers/tests/test_membership.py
@@ -0,0 +1,97 @@
+"""What an entry tells the others of its domain at once."""
+
+import pytest
+
+from cardamombarrow.decisions import messages
+from cardamombarrow.discovery import base
+from cardamombarrow.discovery import core as discovery
+from cardamombarrow.endpoints import poller as poller_module
+from cardamombarrow.gossip import rows
+from cardamombarrow.gossip import table as table_module
+from cardamombarrow.kernel import clock
+from cardamombarrow.kernel import ids
+from cardamombarrow.peers import membership as membership_module
+
+_LISTED = [base.Listed(ids.EndpointId("a:1"), base.ListedState.LIVE)]
+
+
+class _Source(base.Source):
+    def fetch(self, url):
+        return _LISTED
+
+
+class _Broker:
+    """Asks for nothing and keeps nothing."""
+
+    def demand(self):
+        return messages.PeerDemand(ids.InstanceId("e"), {}, {}, 0.0)
+
+    def quarantine_marks(self):
+        return {}
+
+    def peer(self, demand):
+        """Does nothing."""
+
+
+class _Entry:
+    """One entry's side of the gossip, with its list of endpoints."""
+
+    def __init__(self, name, time_source):
+        self.membership = membership_module.Membership(
+            ids.InstanceId(name), ids.DomainId("d"), {}, _Broker(), time_source
+        )
+        self.table = table_module.Table(
+            ids.InstanceId(name), 1, rows.Head("a", 1), time_source.now_s()
+        )
+        self.watch = discovery.ListingWatch(
+            _Source(),
+            "http://x",
+            discovery.ListingTimes.within(2.0, 5.0),
+            lambda items: None,
+            time_source,
+        )
+        poller = poller_module.Poller(1.0, lambda *_: None)
+        self.membership.attach(self.table, poller)
+        self.membership.share_listing(self.watch)
+        self._clock = time_source
+
+    def tell(self, other):
+        """Tells another entry; returns whether that one passes it on."""
+        now_s = self._clock.now_s()
+        head = rows.Head("a", 1)
+        self.table.update(head, self.membership.collect(now_s), now_s)
+        deltas = self.table.deltas(other.table.digest(), now_s)
+        changes = other.table.apply(deltas, now_s)
+        return other.membership.on_changes(changes, now_s)
+
+
+@pytest.fixture
+def entries():
+    time_source = clock.ManualClock(100.0)
+    made = [_Entry(name, time_source) for name in ("reader", "one", "two")]
+    return time_source, made
+
+
+def test_a_reading_of_the_list_is_passed_on_at_once(entries):
+    # Told with the usual rounds only, a reading takes some seconds to reach a
+    # dozen entries. The list of the last ones has grown old by then, and they
+    # read it themselves: three of four calls to the platform were theirs.
+    time_source, (reader, one, two) = entries
+    for step in range(3):
+        time_source.advance(2.0)
+        reader.watch.look()
+        assert reader.membership.urgent(), step
+        assert reader.tell(one)
+        assert not reader.membership.urgent()
+        reader.tell(two)
+        assert one.watch._read_s == two.watch._read_s == reader.watch._read_s
+
+
+def test_a_reading_that_is_known_is_not_passed_on(entries):
+    time_source, (reader, one, two) = entries
+    reader.watch.look()
+    reader.tell(one)
+    reader.tell(two)
+    time_source.advance(1.0)
+    assert not reader.tell(one)
+    assert not one.tell(two)
