Tell readings of the list of endpoints at once

Cause: one entry of a domain reads the list every 1.2 s and the others hear of it in rounds of a second each. Besides, a changed list that came with its mark was passed over, because the mark was looked at before the text (found by the test): the others took it with the next reading, 1.2 s later.

--- a/cardamombarrow/discovery/tests/test_core.py
+++ b/cardamombarrow/discovery/tests/test_core.py
@@ -29,9 +29,8 @@
 
 def _watch(source, take, interval_s, url="http://x", **options):
     time_source = options.pop("time_source", clock.SystemClock())
-    return core.ListingWatch(
-        source, url, interval_s, take, time_source, **options
-    )
+    times = core.ListingTimes.within(interval_s, 0.0)
+    return core.ListingWatch(source, url, times, take, time_source, **options)
 
 
 def test_the_list_is_there_after_the_first_look():
@@ -109,6 +108,37 @@
     assert watch._is_due() is due
 
 
+@pytest.mark.parametrize(
+    ("interval_s", "bound_s", "expected"),
+    [
+        (1.0, 0.0, core.ListingTimes(1.0, 2.0)),
+        (2.0, 5.0, core.ListingTimes(2.0, 4.0)),
+        # A deployment where the word must be everywhere within a second.
+        (2.0, 1.0, core.ListingTimes(0.4, 0.8)),
+    ],
+)
+def test_a_list_is_never_older_than_the_word_of_a_leaving_endpoint_may_be(
+    interval_s, bound_s, expected
+):
+    assert core.ListingTimes.within(interval_s, bound_s) == expected
+
+
+@pytest.mark.parametrize(
+    ("read_s", "is_news"), [(9.0, False), (10.2, False), (12.0, True)]
+)
+def test_a_reading_is_news_once(read_s, is_news):
+    # What is passed on at once and is no news would go round for ever.
+    watch = _watch(
+        _Source(_LISTED),
+        lambda items: None,
+        1.0,
+        time_source=clock.ManualClock(12.0),
+    )
+    watch.heard(base.to_text(_LISTED), 10.0)
+    assert watch.heard(base.to_text(_LISTED), read_s) is is_news
+    assert watch.heard(base.to_text(_LISTED), read_s) is False
+
+
 def test_a_list_survives_its_way_as_text():
     listed = [
         base.Listed(
--- a/cardamombarrow/entry/core.py
+++ b/cardamombarrow/entry/core.py
@@ -208,7 +208,10 @@
     watch = discovery_core.ListingWatch(
         source,
         settings.platform.listing_url,
-        settings.platform.listing_interval_s,
+        discovery_core.ListingTimes.within(
+            settings.platform.listing_interval_s,
+            settings.platform.leaving_within_ms / 1_000,
+        ),
         lambda items: peering.on_listing(items, source.names_endpoints),
         time_source,
         _list_reader(settings, peering),
--- a/cardamombarrow/entry/settings.py
+++ b/cardamombarrow/entry/settings.py
@@ -186,6 +186,15 @@
     listing_interval_s: float = settings.setting(
         1.0, unit="s", help="time between two looks", low=0.05, high=60.0
     )
+    leaving_within_ms: float = settings.setting(
+        0.0,
+        unit="ms",
+        help="time from the list's word that an endpoint leaves until no "
+        "entry sends to it any more; with 0 a list counts as old after two "
+        "intervals",
+        low=0.0,
+        high=600_000.0,
+    )
     listing_shared: bool = settings.setting(
         False,
         help="whether one entry of a domain reads the list for the others",
--- a/cardamombarrow/peers/membership.py
+++ b/cardamombarrow/peers/membership.py
@@ -42,6 +42,7 @@
 )
 """What is passed on at once."""
 
+_MARK = rows.ItemKind.LISTING
 _DEMAND_KINDS = (rows.ItemKind.DEMAND, rows.ItemKind.IN_FLIGHT)
 _FIRST_HAND = frozenset((_LIST, _OWN_REPORT))
 
@@ -93,6 +94,7 @@
         self._listing: discovery.ListingWatch | None = None
         self._listed_texts: dict[int, str] = {}
         self._told_listing = 0
+        self._told_read_s = float("-inf")
         self._table: table_module.Table | None = None
         self._poller: poller_module.Poller | None = None
 
@@ -219,9 +221,9 @@
         own_list = self._listing.own() if self._listing else None
         if own_list is None:
             return
-        text, read_s = own_list
+        text, self._told_read_s = own_list
         self._told_listing = rows.endpoint_hash(ids.EndpointId(text))
-        mark = rows.ListingMark(self._told_listing, read_s)
+        mark = rows.ListingMark(self._told_listing, self._told_read_s)
         items[rows.ItemKind.LISTING, ""] = mark
         items[rows.ItemKind.LISTED, ""] = text
 
@@ -229,14 +231,18 @@
         own_list = self._listing.own() if self._listing else None
         if own_list is None:
             return False
-        text_hash = rows.endpoint_hash(ids.EndpointId(own_list[0]))
-        return text_hash != self._told_listing
+        return own_list[1] > self._told_read_s
 
-    def _take_listing(self, mark: rows.ListingMark) -> None:
-        """Takes that another entry read a list, if its text is known here."""
+    def _take_listing(self, mark: rows.ListingMark) -> bool:
+        """Takes that another entry read a list, if its text is known here.
+
+        Returns:
+            Whether that is news.
+        """
         text = self._listed_texts.get(mark.text_hash)
-        if text is not None and self._listing is not None:
-            self._listing.heard(text, mark.read_s)
+        if text is None or self._listing is None:
+            return False
+        return self._listing.heard(text, mark.read_s)
 
     def _keep_listed(self, text: str) -> None:
         text_hash = rows.endpoint_hash(ids.EndpointId(text))
@@ -255,10 +261,13 @@
             del self._quarantine[fingerprint]
 
     def urgent(self) -> bool:
-        """Tells whether an endpoint leaves or a request is quarantined anew.
+        """Tells whether there is news that can't wait.
 
+        An endpoint leaves, a request is quarantined, or the list was read.
         Without a round at once the word would take some seconds to reach a
-        domain of 36 instances, while each goes on sending to the endpoint.
+        domain of 36 instances, while each goes on sending to the endpoint; and
+        those whose list has grown old meanwhile read it themselves: with 12
+        entries in a domain they made three of four readings.
         """
         if self._has_new_listing():
             return True
@@ -273,7 +282,12 @@
         """Takes what others told; True if it is to be passed on at once."""
         news = bool(changes.left)
         marks: dict[ids.Fingerprint, float] = {}
-        for instance, (kind, name), value in changes.items:
+        # A list's text comes before the mark that tells when it was read:
+        # the mark of a text that is not known is passed over, and a changed
+        # list was taken only at the next reading.
+        for instance, (kind, name), value in sorted(
+            changes.items, key=lambda item: item[1][0] is _MARK
+        ):
             if instance in changes.left:
                 continue
             news = news or kind in _NEWS_KINDS
@@ -284,6 +298,8 @@
                 continue
             elif kind is rows.ItemKind.QUARANTINE:
                 marks[ids.Fingerprint(name)] = value - now_s
+            elif kind is rows.ItemKind.LISTING:
+                news = self._take_listing(value) or news
             else:
                 self._take_knowledge(kind, name, value)
         if marks:
@@ -298,8 +314,6 @@
     ) -> None:
         if kind is rows.ItemKind.LISTED:
             self._keep_listed(value)
-        elif kind is rows.ItemKind.LISTING:
-            self._take_listing(value)
         elif kind is rows.ItemKind.REPORT:
             self._take_report(name, value)
 
