--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -76,7 +76,8 @@
         f"{name}: crashes {result.crashes:.1f}, innocents lost "
         f"{result.innocents_lost:.1f} and quarantined "
         f"{result.innocents_quarantined:.1f}, prompt tokens from cache "
-        f"{result.cached_share:.3f}, most over an endpoint's limit "
+        f"{result.cached_share:.3f} and fetched {result.fetched_share:.3f}, "
+        f"most over an endpoint's limit "
         f"{result.most_over_limit:.0f}"
     )
 
--- a/benchmarks/driver.py
+++ b/benchmarks/driver.py
@@ -12,6 +12,7 @@
 import itertools
 import random
 
+from benchmarks import bound
 from benchmarks import fake_engine
 from benchmarks import results
 from benchmarks import scenarios
@@ -43,6 +44,7 @@
     """A request on its way through one entry.
 
     Attributes:
+        source: Engine that the present run's beginning is fetched from.
         tokens: Tokens of the present run.
         delivered: Whether the caller has received any of it.
     """
@@ -51,6 +53,7 @@
     work: fake_engine.Work
     entry: int
     endpoint: ids.EndpointId | None = None
+    source: ids.EndpointId | None = None
     tokens: int = 0
     delivered: bool = False
 
@@ -152,6 +155,7 @@
             deadline_s=self._now_s + request_class.target_total_s,
             prompt_tokens=work.prompt_tokens,
             prefix_key=work.prefix_key,
+            parts=tuple(messages.PromptPart(*part) for part in work.parts),
             fingerprint=_fingerprint(work),
             repeatable=request_class.repeatable,
         )
@@ -192,6 +196,7 @@
 
     def _placed(self, flight: _Flight, placement: messages.Placement) -> None:
         flight.endpoint = placement.endpoint
+        flight.source = placement.fetch and placement.fetch.source
         flight.tokens = 0
         self._at(self._now_s + LINK_S, lambda: self._deliver(flight))
 
@@ -205,7 +210,10 @@
             when_s = self._now_s + engine.settings.fail_after_s
             self._at(when_s, lambda: self._end(flight, outcome))
             return
-        engine.add(flight.job, flight.work)
+        source = self._engines.get(flight.source)
+        if source is not None and source.down(self._now_s):
+            source = None
+        engine.add(flight.job, flight.work, source)
         self._watch_limit(flight.endpoint)
         if not engine.stepping:
             self._step(flight.endpoint)
@@ -351,9 +359,10 @@
             return
         demand = self._entries[entry].demand(self._now_s)
         marks = self._entries[entry].quarantine_marks(self._now_s)
+        news = self._entries[entry].kept_news(self._now_s)
         self._at(
             self._now_s + scenario.gossip_delay_s,
-            lambda: self._heard(entry, demand, marks),
+            lambda: self._heard(entry, demand, marks, news),
         )
 
     def _heard(
@@ -361,18 +370,19 @@
         entry: int,
         demand: messages.PeerDemand,
         marks: dict[ids.Fingerprint, float],
+        news: list[messages.KeptNews],
     ) -> None:
         demand = dataclasses.replace(demand, seen_at_s=self._now_s)
         for number, other in enumerate(self._entries):
             if number != entry:
                 other.peer(demand)
                 other.merge_quarantine(marks, self._now_s)
+                other.hear_kept(news, self._now_s)
 
     # -- summing up ----------------------------------------------------------
 
     def _sum_up(self) -> results.Result:
         result = self._result
-        settings = fake_engine.EngineSettings()
         result.capacity_s = sum(
             self._scenario.duration_s / max(engine.settings.slowdown, 1.0)
             if engine.settings.slow_from_s <= 0.0
@@ -381,9 +391,11 @@
         )
         read = sum(e.prompt_tokens_read for e in self._engines.values())
         cached = sum(e.prompt_tokens_cached for e in self._engines.values())
+        fetched = sum(e.prompt_tokens_fetched for e in self._engines.values())
         result.cached_share = cached / max(read, 1)
+        result.fetched_share = fetched / max(read, 1)
         result.innocents_quarantined = len(self._marked_innocents())
-        self._bounds(settings)
+        bound.set_bounds(result, self._scenario)
         return result
 
     def _marked_innocents(self) -> set[ids.Fingerprint]:
@@ -395,32 +407,6 @@
         ]
         return set().union(*marked) - crashing
 
-    def _bounds(self, settings: fake_engine.EngineSettings) -> None:
-        """Works out what no order could beat, as a fluid.
-
-        A class can at most have the engine time that the higher ones leave,
-        over the run and its own target, at the price of a full batch.
-        """
-        document = self._scenario.document
-        result = self._result
-        rate = result.capacity_s / self._scenario.duration_s
-        cost_s: collections.Counter[ids.ClassId] = collections.Counter()
-        for work in self._scenario.works:
-            cost_s[work.class_id] += settings.cost_s(
-                work.prompt_tokens - work.prefix_tokens, work.answer_tokens
-            )
-        used_s = 0.0
-        in_order = sorted(
-            document.classes, key=lambda name: document.tier_of(name).rank
-        )
-        for name in in_order:
-            target_s = document.classes[name].target_first_token_s
-            left_s = result.capacity_s + target_s * rate - used_s
-            share = left_s / max(cost_s[name], 1e-9)
-            result.classes[name].best_share = min(1.0, max(0.0, share))
-            used_s += cost_s[name]
-        result.best_goodput_share = min(1.0, used_s / result.capacity_s)
-
 
 def _fingerprint(work: fake_engine.Work) -> ids.Fingerprint:
     return ids.Fingerprint(f"f{id(work)}")
--- a/benchmarks/fake_engine.py
+++ b/benchmarks/fake_engine.py
@@ -27,6 +27,8 @@
         prefill_chunk_tokens: Most prompt tokens read in one step.
         batch: Most requests in the batch; more wait inside by priority.
         cache_tokens: Size of the prefix cache.
+        fetch_share: Time to take a token from another engine, as a part of
+            the time to read it.
         report_lag_s: Age of what a load report says.
         knee: Requests that fit into its memory.
         over_knee_step_s: Part of a step per request beyond `knee`, for what
@@ -43,6 +45,7 @@
     prefill_chunk_tokens: int = 512
     batch: int = 8
     cache_tokens: int = 6_000
+    fetch_share: float = 0.03
     knee: int = 1_000
     over_knee_step_s: float = 0.0
     report_lag_s: float = 2.0
@@ -69,6 +72,8 @@
     Attributes:
         answer_tokens: How long the answer will be.
         prefix_tokens: Leading part of the prompt that `prefix_key` names.
+        parts: The prompt's parts by name and length, where they are told; the
+            last one is the request's own.
         crashes: The engine that begins it dies.
     """
 
@@ -81,6 +86,16 @@
     prefix_tokens: int = 0
     crashes: bool = False
     tries: int = 0
+    parts: tuple[tuple[str, int], ...] = ()
+
+    @property
+    def shared(self) -> tuple[tuple[str, int], ...]:
+        """The parts that other requests may share."""
+        if self.parts:
+            return self.parts[:-1]
+        if not self.prefix_tokens:
+            return ()
+        return ((self.prefix_key, self.prefix_tokens),)
 
 
 @dataclasses.dataclass
@@ -88,6 +103,7 @@
     job: messages.Job
     work: Work
     prefill_left: int
+    source: "FakeEngine | None" = None
     tokens: int = 0
 
 
@@ -111,6 +127,7 @@
         self.stepping = False
         self.prompt_tokens_read = 0
         self.prompt_tokens_cached = 0
+        self.prompt_tokens_fetched = 0
         self._order = itertools.count()
         self._waiting: list[tuple[int, int, _Sequence]] = []
         self._batch: dict[ids.RequestId, _Sequence] = {}
@@ -132,9 +149,14 @@
         settings = self.settings
         return settings.fail_from_s <= now_s < settings.fail_until_s
 
-    def add(self, job: messages.Job, work: Work) -> None:
-        """Takes a request."""
-        sequence = _Sequence(job, work, work.prompt_tokens)
+    def add(
+        self,
+        job: messages.Job,
+        work: Work,
+        source: "FakeEngine | None" = None,
+    ) -> None:
+        """Takes a request; `source` may keep what this engine does not."""
+        sequence = _Sequence(job, work, work.prompt_tokens, source)
         heapq.heappush(self._waiting, (job.rank, next(self._order), sequence))
 
     def cancel(self, request_id: ids.RequestId) -> None:
@@ -190,15 +212,33 @@
             if request_id in self._cancelled:
                 self._cancelled.discard(request_id)
                 continue
-            key = sequence.work.prefix_key
-            self.prompt_tokens_read += sequence.prefill_left
-            if key in self._cache:
-                self._cache.move_to_end(key)
-                self.prompt_tokens_cached += self._cache[key]
-                sequence.prefill_left -= self._cache[key]
-            sequence.prefill_left = max(sequence.prefill_left, 1)
+            self._begin(sequence)
             self._batch[request_id] = sequence
 
+    def _begin(self, sequence: _Sequence) -> None:
+        """Works out what of a prompt is kept, fetched and still to be read."""
+        work = sequence.work
+        kept = self._kept_tokens(work)
+        fetched = 0
+        if sequence.source is not None:
+            fetched = max(sequence.source._kept_tokens(work) - kept, 0)
+        self.prompt_tokens_read += work.prompt_tokens
+        self.prompt_tokens_cached += kept
+        self.prompt_tokens_fetched += fetched
+        unread = work.prompt_tokens - kept - fetched
+        transfer = round(fetched * self.settings.fetch_share)
+        sequence.prefill_left = max(unread + transfer, 1)
+
+    def _kept_tokens(self, work: Work) -> int:
+        """Returns the leading tokens of a prompt that are in the cache."""
+        tokens = 0
+        for name, length in work.shared:
+            if name not in self._cache:
+                break
+            self._cache.move_to_end(name)
+            tokens += length
+        return tokens
+
     def crashing(self) -> bool:
         """Tells whether a request in the batch kills the engine."""
         return any(s.work.crashes for s in self._batch.values())
@@ -221,10 +261,9 @@
         return result
 
     def _keep_prefix(self, work: Work) -> None:
-        if not work.prefix_tokens:
-            return
-        self._cache[work.prefix_key] = work.prefix_tokens
-        self._cache.move_to_end(work.prefix_key)
+        for name, length in work.shared:
+            self._cache[name] = length
+            self._cache.move_to_end(name)
         while sum(self._cache.values()) > self.settings.cache_tokens:
             self._cache.popitem(last=False)
 
--- a/benchmarks/patterns.py
+++ b/benchmarks/patterns.py
@@ -22,6 +22,11 @@
 DURATION_S = 60.0
 WORKSPACES = 10
 
+TOKEN_BYTES = 35_136
+LINK_MBIT_PER_S = 100_000.0
+"""What an engine sends for a token, and how fast: 3 us, where reading a token
+takes an engine of these patterns 100 us."""
+
 
 @dataclasses.dataclass(frozen=True)
 class _Shape:
@@ -46,7 +51,12 @@
 """At a load of one these take about 0.8 of the four engines."""
 
 
-def _document(policies: schema.Policies) -> schema.Document:
+Build = abc.Callable[[random.Random, schema.Policies], scenarios.Scenario]
+
+
+def _document(
+    policies: schema.Policies, link_mbit_per_s: float
+) -> schema.Document:
     tiers = {
         ids.TierId(name): schema.Tier(ids.TierId(name), rank)
         for rank, name in enumerate(("family", "arranger", "letters"))
@@ -76,6 +86,8 @@
         driver.SERVICE,
         schema.ServiceKind.ENGINE,
         slots_per_endpoint=SLOTS,
+        cache_token_bytes=TOKEN_BYTES,
+        cache_link_mbit_per_s=link_mbit_per_s,
         endpoints={driver.DOMAIN: ENDPOINTS},
     )
     model = schema.Model(ids.ModelId("trail-7b"), driver.SERVICE)
@@ -128,18 +140,15 @@
     policies: schema.Policies,
     works: list[fake_engine.Work],
     faults: dict[int, dict[str, float]] | None = None,
+    link_mbit_per_s: float = 0.0,
     **more: object,
 ) -> scenarios.Scenario:
     engines = {
         endpoint: fake_engine.EngineSettings(**(faults or {}).get(number, {}))
         for number, endpoint in enumerate(ENDPOINTS)
     }
-    return scenarios.Scenario(
-        _document(policies), engines, works, DURATION_S, **more
-    )
-
-
-Build = abc.Callable[[random.Random, schema.Policies], scenarios.Scenario]
+    document = _document(policies, link_mbit_per_s)
+    return scenarios.Scenario(document, engines, works, DURATION_S, **more)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -200,6 +209,33 @@
     return _scenario(policies, works)
 
 
+def _beginnings(*, fetched: bool, lost: bool = False) -> Build:
+    """Bursts of requests that share eight beginnings, told as parts.
+
+    The caches of all engines hold them together, one engine three of them.
+    """
+
+    def build(rng, policies):
+        works = _mixed(rng, 0.4, 0.4, 0.2)
+        works += _arrivals(rng, DESK, 2.5, 10.0, 40.0)
+        for number, work in enumerate(works):
+            if work.class_id == DESK:
+                part = (f"shared-{rng.randrange(8)}", 2_000)
+                work.prefix_key, work.prefix_tokens = part
+                work.parts = (part, (f"own-{number}", work.prompt_tokens))
+                work.prompt_tokens += work.prefix_tokens
+        faults = None
+        if lost:
+            # It fails whatever it is given, in the middle of the burst.
+            faults = {0: {"fail_from_s": 20.0, "fail_until_s": 30.0}}
+        if policies.choice == schema.Policies().choice:
+            policies = dataclasses.replace(policies, choice="first-event")
+        link = LINK_MBIT_PER_S if fetched else 0.0
+        return _scenario(policies, works, faults, link, gossip_delay_s=1.5)
+
+    return build
+
+
 def _slow_endpoint(rng, policies):
     faults = {0: {"slow_from_s": 0.0, "slowdown": 4.0}}
     return _scenario(policies, _mixed(rng, 0.6, 0.6, 0.6), faults)
@@ -288,6 +324,18 @@
         Pattern("hot-workspace", ("queue",), _hot_workspace),
         Pattern("hot-prefix", ("choice",), _hot_prefix),
         Pattern("many-prefixes", ("choice",), _many_prefixes),
+        Pattern("beginnings-read", ("choice",), _beginnings(fetched=False)),
+        Pattern("beginnings-fetched", ("choice",), _beginnings(fetched=True)),
+        Pattern(
+            "beginnings-lost-read",
+            ("choice",),
+            _beginnings(fetched=False, lost=True),
+        ),
+        Pattern(
+            "beginnings-lost-fetched",
+            ("choice",),
+            _beginnings(fetched=True, lost=True),
+        ),
         Pattern("slow-endpoint", ("choice", "limits"), _slow_endpoint),
         Pattern("overstated-slots", ("limits",), _overstated_slots),
         Pattern("memory-short", ("limits",), _memory_short),
--- a/benchmarks/results.py
+++ b/benchmarks/results.py
@@ -48,6 +48,8 @@
             lasted, in full batches.
         wasted_s: Engine time of answers that nobody received whole.
         capacity_s: Engine time that there was.
+        cached_share: Part of all prompt tokens that engines kept already.
+        fetched_share: Part that they fetched from each other.
         best_goodput_share: Most that any order could give.
         crashes: Endpoints that died.
         innocents_lost: Harmless requests that ended in an error after a
@@ -62,6 +64,7 @@
     capacity_s: float = 0.0
     best_goodput_share: float = 1.0
     cached_share: float = 0.0
+    fetched_share: float = 0.0
     crashes: float = 0
     innocents_lost: float = 0
     innocents_quarantined: float = 0
