--- a/cardamombarrow/decisions/kept.py
+++ b/cardamombarrow/decisions/kept.py
@@ -16,8 +16,8 @@
 
 Figures: `LIFE_S` is the time in which an engine's memory of some 600,000
 tokens is filled anew at 10,000 tokens a second. `PARTS` with two engines each
-take 3.5 MB, and 6.5 MB at most. `HOLDERS` are enough to leave a choice of sources
-where one is lost. `NEWS` bounds what one message tells to 2 KB.
+take 3.5 MB, and 6.5 MB at most. `HOLDERS` are enough to leave a choice of
+sources where one is lost. `NEWS` bounds what one message tells to 2 KB.
 """
 
 import collections
--- /dev/null
+++ b/cardamombarrow/decisions/knowledge.py
@@ -0,0 +1,100 @@
+"""What a dispatcher is told: documents, endpoints, loads, other instances."""
+
+from collections import abc
+import dataclasses
+
+from cardamombarrow.decisions import base
+from cardamombarrow.decisions import endpoint as endpoint_module
+from cardamombarrow.decisions import messages
+from cardamombarrow.decisions import policies
+from cardamombarrow.decisions import roster
+from cardamombarrow.decisions import waiting
+from cardamombarrow.document import schema
+from cardamombarrow.kernel import ids
+
+__all__ = ["Knowledge"]
+
+
+class Knowledge:
+    """The policies in force, and all that they go by."""
+
+    def __init__(self, context: base.PolicyContext, now_s: float):
+        self._context = context
+        self._policies = policies.Policies(context)
+        self._roster = roster.Roster(context, self._policies)
+        self._waiting = waiting.Waiting()
+        self.configure(context.document, now_s)
+
+    def configure(self, document: schema.Document, now_s: float) -> None:
+        """Takes a newer document into force.
+
+        Endpoints that are no longer listed get no new work; what runs on them
+        goes on.
+        """
+        self._context = dataclasses.replace(self._context, document=document)
+        self._policies.configure(self._context, now_s)
+        self._roster.configure(document, now_s)
+        self.refresh_shares(now_s)
+
+    def set_found(
+        self, found: tuple[messages.KnownEndpoint, ...], now_s: float
+    ) -> None:
+        """Takes the endpoints that discovery knows, beside the document's."""
+        self._roster.set_found(found, now_s)
+        self.refresh_shares(now_s)
+
+    def set_instances(self, count: int) -> None:
+        """Learns how many instances share what is bounded over all."""
+        self._context.fleet.heard(count)
+
+    def refresh_shares(self, now_s: float) -> None:
+        """Works out this instance's slots on every endpoint."""
+        self._roster.refresh_shares(self.demand(now_s), now_s)
+
+    def report(
+        self,
+        endpoint: ids.EndpointId,
+        report: messages.LoadReport,
+    ) -> None:
+        """Takes an endpoint's load report."""
+        self._roster.report(endpoint, report)
+
+    def set_leaving(self, endpoint: ids.EndpointId, leaving: bool) -> None:
+        """Takes the platform's or a peer's word that an endpoint leaves."""
+        self._roster.set_leaving(endpoint, leaving)
+
+    def peer(self, demand: messages.PeerDemand) -> None:
+        """Takes another instance's demand."""
+        self._roster.peer(demand)
+
+    def forget_peer(self, instance: ids.InstanceId) -> None:
+        """Drops an instance that has left."""
+        self._roster.forget_peer(instance)
+
+    def demand(self, now_s: float) -> messages.PeerDemand:
+        """Returns what this instance asks for, to be gossiped."""
+        return self._roster.demand(self._waiting.demand, now_s)
+
+    def kept_news(self, now_s: float) -> list[messages.KeptNews]:
+        """Returns what is new about engines' caches, for the others."""
+        return self._policies.choice.take_news(now_s)
+
+    def hear_kept(
+        self, news: abc.Iterable[messages.KeptNews], now_s: float
+    ) -> None:
+        """Takes what other instances know of engines' caches."""
+        self._policies.choice.hear(news, now_s)
+
+    def quarantine_marks(self, now_s: float) -> dict[ids.Fingerprint, float]:
+        """Returns quarantined fingerprints and seconds left, for gossip."""
+        return self._policies.quarantine.marks(now_s)
+
+    def merge_quarantine(
+        self, marks: dict[ids.Fingerprint, float], now_s: float
+    ) -> None:
+        """Takes fingerprints that another instance quarantined."""
+        self._policies.quarantine.merge(marks, now_s)
+
+    def endpoints(self) -> list[endpoint_module.EndpointState]:
+        """Returns all known endpoints."""
+        return list(self._roster.endpoints.values())
--- a/cardamombarrow/entry/broker.py
+++ b/cardamombarrow/entry/broker.py
@@ -2,9 +2,7 @@
 
 Each request's thread hands in a job and waits on a future. Whenever a job
 arrives, a slot is released, or something that waits is due, the decisions are
-carried out by resolving the futures of the jobs that they concern. Log lines
-are written after the lock is released: every thread waits for the lock, and
-none should wait for another's JSON.
+carried out by resolving the futures of the jobs that they concern.
 """
 
 from concurrent import futures
@@ -17,6 +15,7 @@
 from cardamombarrow.decisions import core
 from cardamombarrow.decisions import messages
 from cardamombarrow.document import schema
+from cardamombarrow.entry import decision_lines
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
@@ -126,7 +125,7 @@
             if refresh:
                 self._dispatcher.refresh_shares(now_s)
             lines = self._run_due()
-        _write(lines)
+        decision_lines.write(lines)
 
     def _sleep(self, until_s: float) -> bool:
         """Waits until something is due; returns False at the stop."""
@@ -151,14 +150,14 @@
         with self._lock:
             self._dispatcher.configure(document, self._clock.now_s())
             lines = self._run_due()
-        _write(lines)
+        decision_lines.write(lines)
 
     def set_found(self, found: tuple[messages.KnownEndpoint, ...]) -> None:
         """Takes the endpoints that discovery knows."""
         with self._lock:
             self._dispatcher.set_found(found, self._clock.now_s())
             lines = self._run_due()
-        _write(lines)
+        decision_lines.write(lines)
 
     def set_instances(self, count: int) -> None:
         """Learns how many instances share what is bounded over all."""
@@ -268,9 +267,9 @@
                 lines = self._run_due()
                 self._wake_if_earlier()
         if refusal is not None:
-            _write([_Line(job, refusal)])
+            decision_lines.write([decision_lines.Line(job, refusal)])
             raise _refused(job, refusal)
-        _write(lines)
+        decision_lines.write(lines)
         return ticket
 
     def resubmit(
@@ -294,7 +293,7 @@
             attempts=attempts,
             tried=job.tried,
         )
-        _write(lines)
+        decision_lines.write(lines)
         return again
 
     def may_redo(self, job: messages.Job) -> bool:
@@ -310,21 +309,21 @@
         future tells what became of it; a placed one is finished here, because
         nobody else will: its slot would be lost until a restart.
         """
-        lines: list[_Line] = []
+        lines: list[decision_lines.Line] = []
         with self._lock:
             request_id = ticket.job.request_id
             if self._dispatcher.withdraw(request_id):
                 del self._tickets[request_id]
             elif not ticket.placed.exception(timeout=0):
                 lines = self._finish(request_id, messages.Outcome.CALLER_GONE)
-        _write(lines)
+        decision_lines.write(lines)
 
     def first_token(self, request_id: ids.RequestId) -> None:
         """Tells that the first token came."""
         with self._lock:
             self._dispatcher.first_token(request_id, self._clock.now_s())
             lines = self._run_due()
-        _write(lines)
+        decision_lines.write(lines)
 
     def progress(self, request_id: ids.RequestId, tokens: int) -> None:
         """Tells how many tokens were relayed so far."""
@@ -336,21 +335,23 @@
         """Releases the slot of a placed job."""
         with self._lock:
             lines = self._finish(request_id, outcome)
-        _write(lines)
+        decision_lines.write(lines)
 
     def _finish(
         self, request_id: ids.RequestId, outcome: messages.Outcome
-    ) -> list["_Line"]:
+    ) -> list[decision_lines.Line]:
         self._tickets.pop(request_id, None)
         self._dispatcher.finish(request_id, outcome, self._clock.now_s())
         return self._run_due()
 
-    def _run_due(self) -> list["_Line"]:
+    def _run_due(self) -> list[decision_lines.Line]:
         """Carries out the decisions that are due; returns what to log."""
         lines = []
         for decision in self._dispatcher.place(self._clock.now_s()):
             ticket = self._tickets[decision.request_id]
-            lines.append(_Line(ticket.job, decision, ticket.job.attempts))
+            lines.append(
+                decision_lines.Line(ticket.job, decision, ticket.job.attempts)
+            )
             if isinstance(decision, messages.Placement):
                 ticket.placed.set_result(decision)
             elif isinstance(decision, messages.Refusal):
@@ -361,64 +362,6 @@
         return lines
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Line:
-    """A decision to be logged once the lock is released."""
-
-    job: messages.Job
-    decision: messages.Decision
-    attempt: int = 0
-
-
-def _write(lines: list[_Line]) -> None:
-    for line in lines:
-        job = line.job
-        shared = {
-            "request_id": job.request_id,
-            "workspace": job.workspace,
-            "class_id": job.class_id,
-            "rank": job.rank,
-            "service": job.service,
-        }
-        name, fields = _details(line.decision)
-        logs.decision(name, **shared, **fields, attempt=line.attempt)
-
-
-def _details(decision: messages.Decision) -> tuple[str, dict[str, object]]:
-    if isinstance(decision, messages.Placement):
-        return "place", {
-            "endpoint": decision.endpoint,
-            "candidates": decision.candidates,
-            "reason": decision.reason,
-            "wait_s": round(decision.wait_s, 4),
-            "report_age_s": decision.report_age_s
-            and round(decision.report_age_s, 3),
-            **_fetch_details(decision.fetch),
-        }
-    if isinstance(decision, messages.Refusal):
-        return "refuse", {
-            "kind": decision.kind.value,
-            "reason": decision.detail,
-            "retry_after_s": decision.retry_after_s,
-        }
-    return "preempt", {
-        "endpoint": decision.endpoint,
-        "reason": decision.reason,
-        "wasted_tokens": decision.wasted_tokens,
-        "requeue": decision.requeue,
-    }
-
-
-def _fetch_details(fetch: messages.Fetch | None) -> dict[str, object]:
-    if fetch is None:
-        return {}
-    return {
-        "fetch_from": fetch.source,
-        "fetch_tokens": fetch.tokens,
-        "fetch_age_s": fetch.age_s and round(fetch.age_s, 3),
-    }
-
-
 def _refused(
     job: messages.Job, refusal: messages.Refusal
 ) -> errors.RefusedError:
--- /dev/null
+++ b/cardamombarrow/entry/decision_lines.py
@@ -0,0 +1,72 @@
+"""The log lines of the dispatcher's decisions.
+
+They are made once the dispatcher's lock is released: every thread waits for
+that lock, and none should wait for another's JSON.
+"""
+
+from collections import abc
+import dataclasses
+
+from cardamombarrow.decisions import messages
+from cardamombarrow.kernel import logs
+
+__all__ = ["Line", "write"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Line:
+    """A decision to be logged once the lock is released."""
+
+    job: messages.Job
+    decision: messages.Decision
+    attempt: int = 0
+
+
+def write(lines: abc.Iterable[Line]) -> None:
+    """Writes a line for each decision."""
+    for line in lines:
+        job = line.job
+        shared = {
+            "request_id": job.request_id,
+            "workspace": job.workspace,
+            "class_id": job.class_id,
+            "rank": job.rank,
+            "service": job.service,
+        }
+        name, fields = _details(line.decision)
+        logs.decision(name, **shared, **fields, attempt=line.attempt)
+
+
+def _details(decision: messages.Decision) -> tuple[str, dict[str, object]]:
+    if isinstance(decision, messages.Placement):
+        return "place", {
+            "endpoint": decision.endpoint,
+            "candidates": decision.candidates,
+            "reason": decision.reason,
+            "wait_s": round(decision.wait_s, 4),
+            "report_age_s": decision.report_age_s
+            and round(decision.report_age_s, 3),
+            **_fetch_details(decision.fetch),
+        }
+    if isinstance(decision, messages.Refusal):
+        return "refuse", {
+            "kind": decision.kind.value,
+            "reason": decision.detail,
+            "retry_after_s": decision.retry_after_s,
+        }
+    return "preempt", {
+        "endpoint": decision.endpoint,
+        "reason": decision.reason,
+        "wasted_tokens": decision.wasted_tokens,
+        "requeue": decision.requeue,
+    }
+
+
+def _fetch_details(fetch: messages.Fetch | None) -> dict[str, object]:
+    if fetch is None:
+        return {}
+    return {
+        "fetch_from": fetch.source,
+        "fetch_tokens": fetch.tokens,
+        "fetch_age_s": fetch.age_s and round(fetch.age_s, 3),
+    }
