--- a/cardamombarrow/peers/kept_board.py
+++ b/cardamombarrow/peers/kept_board.py
@@ -26,7 +26,7 @@
 """Most groups of parts held: 80 entries that use 10 engines a second each."""
 
 PARTS_TOLD = 2_000
-"""Most parts in one answer, 8 KB: 10 ms of a link of 5 Mbit/s."""
+"""Most parts in one answer, 8 to 11 KB: 18 ms of a link of 5 Mbit/s."""
 
 MOST_AGE_MS = 60_000
 
