See a signal that does not wake the main thread

Its log has no line of that signal, only of the next one, 30 s later. It came 40 ms after the first requests, as the main thread was about to wait for it: the interpreter notes a signal and calls the handler from the main thread once that runs, and a wait without end that begins after the note is not ended by it. One that is delivered to another thread has the same effect.

Ruled out: the drain (it began at once with the second signal); handlers that were not set (the default would have ended the process).

Change: the wait ends every half second and is begun again.

Figures: the new test hands the signal to another thread; before, the process does not stop within 20 s (fails), after it does.

--- a/cardamombarrow/kernel/lifecycle.py
+++ b/cardamombarrow/kernel/lifecycle.py
@@ -32,6 +32,15 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 
+SIGNAL_LOOK_S = 0.5
+"""Longest time in which a signal is not seen that came at a bad moment.
+
+The interpreter notes a signal and calls its handler from the main thread once
+that runs. One that comes as that thread is about to wait, or on another thread,
+does not wake it: an entry that was told to stop as it had just started served
+on until it was told again. So the wait is short, and begun again."""
+
+
 class Process:
     """Runs parts until SIGTERM or SIGINT arrives.
 
@@ -60,7 +69,8 @@
             for part in self._parts:
                 part.start()
                 started.append(part)
-            self._stop.wait()
+            while not self._stop.wait(SIGNAL_LOOK_S):
+                pass
         finally:
             for part in reversed(started):
                 _stop(part)
--- a/cardamombarrow/kernel/tests/test_lifecycle.py
+++ b/cardamombarrow/kernel/tests/test_lifecycle.py
@@ -1,6 +1,8 @@
 """Start and stop of a process's parts."""
 
 import signal
+import subprocess
+import sys
 
 import pytest
 
@@ -43,3 +45,39 @@
         ]
     ).run()
     assert stopped == ["last", "middle", "first"]
+
+
+_LATE = """
+import signal, threading, time
+from cardamombarrow.kernel import lifecycle
+
+class Other(lifecycle.Part):
+    def start(self):
+        threading.Thread(target=time.sleep, args=(60,), daemon=True).start()
+        # From here on the system hands the signal to the other thread.
+        signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM})
+        print("started", flush=True)
+
+    def stop(self):
+        print("stopped", flush=True)
+
+lifecycle.Process([Other()]).run()
+"""
+
+
+def test_a_signal_that_does_not_wake_the_main_thread_is_seen():
+    # An operator stops an entry that has just started. The signal comes as
+    # the main thread is about to wait, or on another thread: noted, and not
+    # looked at. The entry served on and was killed in the middle of answers.
+    process = subprocess.Popen(
+        [sys.executable, "-c", _LATE], stdout=subprocess.PIPE, text=True
+    )
+    try:
+        lines = iter(process.stdout.readline, "")
+        assert any("started" in line for line in lines)
+        process.terminate()
+        output, _ = process.communicate(timeout=20)
+    finally:
+        process.kill()
+    assert "stopped" in output
+    assert process.returncode == 0
