Drop a hash that is only used where it is made

What was told of the list is known by when it was read; the hash of its text was kept beside it and read nowhere else. No behaviour changes.

--- a/cardamombarrow/peers/membership.py
+++ b/cardamombarrow/peers/membership.py
@@ -93,7 +93,6 @@
         self._told_leaving: frozenset[ids.EndpointId] = frozenset()
         self._listing: discovery.ListingWatch | None = None
         self._listed_texts: dict[int, str] = {}
-        self._told_listing = 0
         self._told_read_s = float("-inf")
         self._table: table_module.Table | None = None
         self._poller: poller_module.Poller | None = None
@@ -222,8 +221,8 @@
         if own_list is None:
             return
         text, self._told_read_s = own_list
-        self._told_listing = rows.endpoint_hash(ids.EndpointId(text))
-        mark = rows.ListingMark(self._told_listing, self._told_read_s)
+        text_hash = rows.endpoint_hash(ids.EndpointId(text))
+        mark = rows.ListingMark(text_hash, self._told_read_s)
         items[rows.ItemKind.LISTING, ""] = mark
         items[rows.ItemKind.LISTED, ""] = text
 
