Let in a request of the edition before

Cause: the gate looked a request's rank and workspace up in the edition that is in force when it is counted in; the request may have been read under the one before. A rank that is gone raised ValueError, a workspace that is gone KeyError: an internal error instead of an answer. Found by reading; not seen in a log.

--- a/cardamombarrow/entry/gate.py
+++ b/cardamombarrow/entry/gate.py
@@ -54,7 +54,8 @@
             errors.RefusedError: The tier's or the workspace's bound is met.
         """
         bound = self._bound(job.rank, document)
-        workspace = document.workspaces[job.workspace]
+        workspace = document.workspaces.get(job.workspace)
+        most = workspace.max_in_flight if workspace else 0
         with self._lock:
             if self._held >= bound:
                 raise self._refusal(
@@ -63,7 +64,7 @@
                     f"{bound}",
                 )
             own = self._by_workspace[job.workspace]
-            if workspace.max_in_flight and own >= workspace.max_in_flight:
+            if most and own >= most:
                 raise self._refusal(
                     errors.ErrorKind.WORKSPACE_LIMIT,
                     f"{own} requests of the workspace are held",
@@ -80,9 +81,11 @@
                 del self._by_workspace[job.workspace]
 
     def _bound(self, rank: int, document: schema.Document) -> int:
-        ranks = sorted({tier.rank for tier in document.tiers.values()})
-        above = ranks.index(rank) / max(1, len(ranks) - 1)
-        share = HIGHEST_SHARE - (HIGHEST_SHARE - LOWEST_SHARE) * above
+        # The rank may be one of the edition before, which has gone out of
+        # force since the request was read: it is not looked up.
+        ranks = {tier.rank for tier in document.tiers.values()}
+        above = sum(each < rank for each in ranks) / max(1, len(ranks) - 1)
+        share = HIGHEST_SHARE - (HIGHEST_SHARE - LOWEST_SHARE) * min(above, 1.0)
         return max(1, int(share * self._connections))
 
     def _refusal(
