--- a/cardamombarrow/document/routed.py
+++ b/cardamombarrow/document/routed.py
@@ -19,6 +19,8 @@
     "Parts",
     "build",
     "expected_tokens",
+    "pair_rank",
+    "rank_parts",
     "tier_id",
 ]
 
@@ -140,4 +142,22 @@
         for workspace in workspaces
         for rank in parts.ranks.values()
     }
-    return {pair: rank for rank, pair in enumerate(sorted(pairs))}
+    return {pair: pair_rank(pair) for pair in pairs}
+
+
+def pair_rank(pair: tuple[int, int]) -> int:
+    """Returns the rank of a pair that `schema.rank_pair` returns.
+
+    It follows from the pair alone. Entries are on different editions for some
+    seconds, and requests outlive an edition. Were it the pair's place among
+    those of the edition, one more workspace rank would give the same pair
+    another rank, and an engine would put back a request for one that is less
+    urgent.
+    """
+    first, second = (min(rank, LAST_RANK) for rank in pair)
+    return first * (LAST_RANK + 1) + second
+
+
+def rank_parts(rank: int) -> tuple[int, int]:
+    """Returns the pair of a rank that `pair_rank` gave."""
+    return divmod(rank, LAST_RANK + 1)
--- a/cardamombarrow/platform/servers.py
+++ b/cardamombarrow/platform/servers.py
@@ -5,6 +5,7 @@
 import time
 
 from cardamombarrow.decisions import messages
+from cardamombarrow.document import routed
 from cardamombarrow.endpoints import base
 from cardamombarrow.endpoints import transfer
 from cardamombarrow.kernel import errors
@@ -20,6 +21,9 @@
 _PROMISES = (408, 429, 503)
 _LEAST_URGENT = 9
 
+_STEPS = 3
+"""Priorities that a server tells apart within one workspace rank."""
+
 _LOAD = re.compile(r"(\d{1,6}),(\d{1,6}),(\d{1,6})")
 _EVENT_ID = re.compile(rb"^id:[ ]?([^\r\n]+)", re.M)
 _EVENT = re.compile(rb"^data:", re.M)
@@ -130,8 +134,7 @@
     """A model engine: streams of events with ids, and priorities."""
 
     def _more_headers(self, call: base.OutgoingCall) -> list[tuple[str, str]]:
-        priority = str(min(call.rank, _LEAST_URGENT))
-        headers = [("Request-Priority", priority)]
+        headers = [("Request-Priority", str(_priority(call.rank)))]
         if call.resume_after:
             headers.append(("Last-Event-Id", call.resume_after))
         if call.fetch_from is not None:
@@ -151,3 +154,13 @@
         """Returns the id of the last event in a chunk."""
         found = _EVENT_ID.findall(chunk)
         return found[-1].decode("latin-1").strip() if found else ""
+
+
+def _priority(rank: int) -> int:
+    """Returns the priority that a server is told, 0 to 9.
+
+    Servers know ten priorities and ranks are a hundred. The three most urgent
+    workspace ranks are told apart, and three steps within each.
+    """
+    first, second = routed.rank_parts(rank)
+    return min(_STEPS * first + min(second, _STEPS - 1), _LEAST_URGENT)
--- a/cardamombarrow/platform/tests/test_configuration.py
+++ b/cardamombarrow/platform/tests/test_configuration.py
@@ -145,6 +145,28 @@
     assert {rank(r, w) for r in ("r0", "r2") for w in ("a", "late")} <= ranks
 
 
+def test_another_workspace_rank_leaves_the_ranks_of_the_others_as_they_are(
+    make,
+):
+    # An operator adds a workspace that goes before all others. Entries take
+    # the edition one after the other, and requests placed under the one before
+    # still run. With other ranks for the same requests an engine puts back a
+    # question of the one edition for a letter of the other.
+    routes = [make["route"](f"r{rank}", priority=rank) for rank in (0, 1, 2)]
+    tenants = [{"name": "a", "apiKeys": ["1"], "priority": 1}]
+    first = {"name": "first", "apiKeys": ["2"], "priority": 0}
+    before, after = (
+        _FORMAT.parse(make["configuration"](routes=routes, tenants=each))
+        for each in (tenants, [*tenants, first])
+    )
+    for route in ("r0", "r1", "r2"):
+        ranks = {
+            document.rank_of(route, document.workspaces["a"])
+            for document in (before, after)
+        }
+        assert len(ranks) == 1
+
+
 def test_an_answer_that_does_not_stream_is_guessed_to_be_short(make):
     # A short call that met a dead endpoint was given up at half of its time,
     # because until one was seen it counted as long as a whole stream.
--- a/cardamombarrow/platform/tests/test_servers.py
+++ b/cardamombarrow/platform/tests/test_servers.py
@@ -1,7 +1,10 @@
 """What is believed of a server's answer."""
 
+import itertools
+
 import pytest
 
+from cardamombarrow.document import routed
 from cardamombarrow.endpoints import base
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
@@ -20,7 +23,7 @@
         return False
 
 
-def _call(deadline_s=0.0, headers=(), fetch_from=None):
+def _call(deadline_s=0.0, headers=(), fetch_from=None, rank=0):
     return base.OutgoingCall(
         request_id=ids.RequestId("r"),
         endpoint=ids.endpoint_id("10.0.0.9:8080", "i-7f"),
@@ -28,7 +31,7 @@
         path="/a/b",
         body=b"",
         content_type="",
-        rank=0,
+        rank=rank,
         deadline_s=deadline_s,
         headers=headers,
         stall_limit_s=1.0,
@@ -132,3 +135,21 @@
     assert told == ["10.0.0.8:8080"]
     fields = _KIND.request_headers(_call(headers=facts.forwarded))
     assert "kv-fetch" not in [name.lower() for name, _ in fields]
+
+
+def test_priorities_follow_the_order_of_ranks():
+    # Servers put requests back by the priority that they are told. One that
+    # went against the ranks would cut an urgent answer for a letter.
+    pairs = sorted(itertools.product(range(10), repeat=2))
+    told = [
+        int(dict(_KIND.request_headers(_call(rank=rank)))["Request-Priority"])
+        for rank in map(routed.pair_rank, pairs)
+    ]
+    assert told == sorted(told)
+    assert told[0] == 0
+    assert told[-1] == 9
+    nine = itertools.product(range(3), repeat=2)
+    three_by_three = [told[pairs.index(pair)] for pair in nine]
+        told[pairs.index(p)] for p in itertools.product(range(3), repeat=2)
+    ]
+    assert three_by_three == list(range(9))
