--- a/cardamombarrow/platform/tests/test_servers.py
+++ b/cardamombarrow/platform/tests/test_servers.py
@@ -150,6 +150,4 @@
     assert told[-1] == 9
     nine = itertools.product(range(3), repeat=2)
     three_by_three = [told[pairs.index(pair)] for pair in nine]
-        told[pairs.index(p)] for p in itertools.product(range(3), repeat=2)
-    ]
     assert three_by_three == list(range(9))
