--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -6,7 +6,8 @@
 import random
 import time
 
-from benchmarks import driver
+from benchmarks import asked_driver
+from benchmarks import many_entries
 from benchmarks import patterns
 from benchmarks import results
 from cardamombarrow.document import schema
@@ -26,6 +27,8 @@
     estimate="mean",
 )
 
+_ALL = {**patterns.PATTERNS, **many_entries.PATTERNS}
+
 _HEAD = (
     "| policies | class | offered | whole | in time | best | refusals "
     "| worst wait s | least in 10 s | goodput | best | wasted |"
@@ -38,7 +41,7 @@
     """Runs a pattern with several seeds and returns the mean."""
     return results.merge(
         [
-            driver.Driver(
+            asked_driver.make(
                 pattern.build(random.Random(seed), policies), seed
             ).run()
             for seed in range(seeds)
@@ -100,14 +103,14 @@
         help="put each slot's baseline in, not just the pattern's own",
     )
     options = parser.parse_args()
-    unknown = set(options.patterns) - set(patterns.PATTERNS)
+    unknown = set(options.patterns) - set(_ALL)
     if unknown:
-        known = ", ".join(patterns.PATTERNS)
+        known = ", ".join(_ALL)
         parser.error(f"unknown: {', '.join(unknown)}; known: {known}")
     chosen = dict(item.split("=", 1) for item in options.set)
     ours = dataclasses.replace(schema.Policies(), **chosen)
-    for name in options.patterns or patterns.PATTERNS:
-        _print(patterns.PATTERNS[name], ours, options)
+    for name in options.patterns or _ALL:
+        _print(_ALL[name], ours, options)
 
 
 def _print(
--- a/benchmarks/driver.py
+++ b/benchmarks/driver.py
@@ -21,7 +21,7 @@
 from cardamombarrow.decisions import messages
 from cardamombarrow.kernel import ids
 
-__all__ = ["DOMAIN", "SERVICE", "Driver"]
+__all__ = ["DOMAIN", "LINK_S", "SERVICE", "TICK_S", "Driver", "Flight"]
 
 DOMAIN = ids.DomainId("nuwara-a")
 SERVICE = ids.ServiceId("report-writer")
@@ -40,7 +40,7 @@
 
 
 @dataclasses.dataclass
-class _Flight:
+class Flight:
     """A request on its way through one entry.
 
     Attributes:
@@ -68,7 +68,7 @@
         self._order = itertools.count()
         self._heap: list[tuple[float, int, abc.Callable[[], None]]] = []
         self._numbers = itertools.count()
-        self._flights: dict[ids.RequestId, _Flight] = {}
+        self._flights: dict[ids.RequestId, Flight] = {}
         self._engines = {
             endpoint: fake_engine.FakeEngine(settings)
             for endpoint, settings in scenario.engines.items()
@@ -132,14 +132,17 @@
         weights = self._scenario.entry_weights
         entry = self._rng.choices(range(len(weights)), weights)[0]
         job = self._job(work)
-        flight = _Flight(job, work, entry)
+        flight = Flight(job, work, entry)
         self._flights[job.request_id] = flight
-        refusal = self._entries[entry].offer(job, self._now_s)
+        refusal = self._offer(flight)
         if refusal is not None:
             self._refused(flight, refusal)
             return
         self._pump(entry)
 
+    def _offer(self, flight: Flight) -> messages.Refusal | None:
+        return self._entries[flight.entry].offer(flight.job, self._now_s)
+
     def _job(self, work: fake_engine.Work) -> messages.Job:
         document = self._scenario.document
         request_class = document.classes[work.class_id]
@@ -160,7 +163,7 @@
             repeatable=request_class.repeatable,
         )
 
-    def _refused(self, flight: _Flight, refusal: messages.Refusal) -> None:
+    def _refused(self, flight: Flight, refusal: messages.Refusal) -> None:
         work = flight.work
         del self._flights[flight.job.request_id]
         self._result.classes[work.class_id].refusals += 1
@@ -194,13 +197,13 @@
                     lambda flight=flight: self._preempt(flight),
                 )
 
-    def _placed(self, flight: _Flight, placement: messages.Placement) -> None:
+    def _placed(self, flight: Flight, placement: messages.Placement) -> None:
         flight.endpoint = placement.endpoint
         flight.source = placement.fetch and placement.fetch.source
         flight.tokens = 0
         self._at(self._now_s + LINK_S, lambda: self._deliver(flight))
 
-    def _deliver(self, flight: _Flight) -> None:
+    def _deliver(self, flight: Flight) -> None:
         engine = self._engines[flight.endpoint]
         if engine.down(self._now_s):
             self._end(flight, messages.Outcome.NOT_STARTED)
@@ -224,13 +227,13 @@
         over = held - service.slots_per_endpoint
         self._result.most_over_limit = max(self._result.most_over_limit, over)
 
-    def _preempt(self, flight: _Flight) -> None:
+    def _preempt(self, flight: Flight) -> None:
         if flight.job.request_id not in self._flights or not flight.endpoint:
             return
         self._engines[flight.endpoint].cancel(flight.job.request_id)
         self._end(flight, messages.Outcome.PREEMPTED)
 
-    def _end(self, flight: _Flight, outcome: messages.Outcome) -> None:
+    def _end(self, flight: Flight, outcome: messages.Outcome) -> None:
         """Ends a run; a run that failed undelivered may be queued again."""
         entry = self._entries[flight.entry]
         entry.finish(flight.job.request_id, outcome, self._now_s)
@@ -239,14 +242,15 @@
             self._done(flight)
         else:
             self._waste(flight)
-            again = not flight.delivered and entry.retry(
-                flight.job, outcome, self._now_s
-            )
-            if not again:
+            if flight.delivered or not self._retry(flight, outcome):
                 self._lose(flight)
         self._pump(flight.entry)
 
-    def _done(self, flight: _Flight) -> None:
+    def _retry(self, flight: Flight, outcome: messages.Outcome) -> bool:
+        entry = self._entries[flight.entry]
+        return entry.retry(flight.job, outcome, self._now_s)
+
+    def _done(self, flight: Flight) -> None:
         del self._flights[flight.job.request_id]
         of_class = self._result.classes[flight.work.class_id]
         of_class.completed += 1
@@ -256,7 +260,7 @@
         if self._now_s <= self._scenario.duration_s:
             self._result.useful_s += self._cost_s(flight)
 
-    def _lose(self, flight: _Flight) -> None:
+    def _lose(self, flight: Flight) -> None:
         del self._flights[flight.job.request_id]
         self._failed(flight.work)
         if flight.work.crashes and flight.work.tries < CRASHER_TRIES:
@@ -265,11 +269,11 @@
         if self._result.crashes and not flight.work.crashes:
             self._result.innocents_lost += 1
 
-    def _waste(self, flight: _Flight) -> None:
+    def _waste(self, flight: Flight) -> None:
         if flight.tokens:
             self._result.wasted_s += self._cost_s(flight)
 
-    def _cost_s(self, flight: _Flight) -> float:
+    def _cost_s(self, flight: Flight) -> float:
         return fake_engine.EngineSettings().cost_s(
             flight.work.prompt_tokens, flight.tokens
         )
@@ -299,7 +303,7 @@
                 self._end(self._flights[request_id], messages.Outcome.DONE)
         self._step(endpoint)
 
-    def _first(self, flight: _Flight) -> None:
+    def _first(self, flight: Flight) -> None:
         work = flight.work
         entry = self._entries[flight.entry]
         entry.first_token(flight.job.request_id, self._now_s)
@@ -326,7 +330,7 @@
         engine = self._engines[endpoint]
         self._result.crashes += 1
         engine.stepping = False
-        by_entry: dict[int, list[_Flight]] = collections.defaultdict(list)
+        by_entry: dict[int, list[Flight]] = collections.defaultdict(list)
         for request_id in engine.crash(self._now_s):
             flight = self._flights.get(request_id)
             if flight is not None:
--- /dev/null
+++ b/benchmarks/many_entries.py
@@ -0,0 +1,210 @@
+"""Load patterns of one domain with many entries before few engines.
+
+Each entry sends to one engine once in some ten seconds, so that what it knows
+by its own requests is mostly nothing. Prompts share long beginnings and differ
+in length by a multiple; an engine reads one after the other.
+"""
+
+from collections import abc
+import dataclasses
+import math
+import random
+
+from benchmarks import driver
+from benchmarks import fake_engine
+from benchmarks import patterns
+from benchmarks import scenarios
+from cardamombarrow.document import routed
+from cardamombarrow.document import schema
+from cardamombarrow.kernel import ids
+
+__all__ = ["DIGEST", "PATTERNS", "QUESTION", "SUMMARY", "scenario"]
+
+ENTRIES = 32
+SLOTS = 12
+DURATION_S = 40.0
+BURST_S = (10.0, 18.0)
+RATE_PER_S = 26.4
+BEGINNINGS = 30
+WORKSPACES = 10
+
+DIGEST = ids.ClassId("digest")
+SUMMARY = ids.ClassId("summary")
+QUESTION = ids.ClassId("question")
+
+ENDPOINTS = tuple(ids.EndpointId(f"10.10.1.{n}:8000") for n in range(11, 24))
+
+ENGINE = fake_engine.EngineSettings(
+    base_step_s=0.002,
+    step_s_per_sequence=0.0002,
+    prefill_s_per_token=0.00002,
+    prefill_chunk_tokens=2_048,
+    batch=SLOTS,
+    cache_tokens=300_000,
+    report_lag_s=0.3,
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class _Kind:
+    """One kind of request.
+
+    Attributes:
+        weight: Its part of all arrivals.
+        shared_tokens: Mean length of the beginning.
+        own_tokens: Mean length of the rest of the prompt.
+    """
+
+    class_id: ids.ClassId
+    rank: int
+    weight: float
+    shared_tokens: int
+    own_tokens: int
+    answer_tokens: int
+    target_s: float
+    deadline_s: float
+    pause_s: float
+
+
+KINDS = (
+    _Kind(DIGEST, 2, 64.0, 13_300, 3_720, 120, 2.06, 12.4, 0.6),
+    _Kind(SUMMARY, 1, 50.0, 6_300, 2_890, 51, 0.845, 6.3, 0.25),
+    _Kind(QUESTION, 0, 45.0, 350, 1_110, 171, 0.526, 12.6, 0.15),
+)
+
+
+def _document() -> schema.Document:
+    tiers = {
+        ids.TierId(f"rank-{each.rank}"): schema.Tier(
+            ids.TierId(f"rank-{each.rank}"),
+            each.rank,
+            routed.RESERVED_SHARE if each.rank else 0.0,
+        )
+        for each in KINDS
+    }
+    classes = {
+        each.class_id: schema.RequestClass(
+            each.class_id,
+            ids.TierId(f"rank-{each.rank}"),
+            each.target_s,
+            each.deadline_s,
+            expected_tokens=each.answer_tokens,
+        )
+        for each in KINDS
+    }
+    routes = {
+        ids.RouteId(each.class_id): schema.Route(
+            route=ids.RouteId(each.class_id),
+            host="router.example",
+            path_prefix=f"/{each.class_id}/",
+            class_id=each.class_id,
+            services={driver.SERVICE: 1.0},
+            max_attempts=2,
+            anonymous=True,
+            resumable=False,
+            streams=True,
+            longest_pause_s=each.pause_s,
+        )
+        for each in KINDS
+    }
+    service = schema.Service(
+        driver.SERVICE,
+        schema.ServiceKind.ENGINE,
+        slots_per_endpoint=SLOTS,
+        cache_token_bytes=327_680,
+        cache_link_mbit_per_s=320_000.0,
+        endpoints={driver.DOMAIN: ENDPOINTS},
+    )
+    workspaces = {
+        name: schema.Workspace(name, (), tuple(classes))
+        for name in (ids.WorkspaceId(f"w{n}") for n in range(WORKSPACES))
+    }
+    return schema.Document(
+        tiers,
+        classes,
+        workspaces,
+        {service.service: service},
+        {},
+        {},
+        routed.POLICIES,
+        routes=routes,
+    )
+
+
+def _works(
+    rng: random.Random, load: float, burst: float
+) -> abc.Iterator[fake_engine.Work]:
+    now_s = 0.0
+    number = 0
+    while True:
+        in_burst = BURST_S[0] <= now_s < BURST_S[1]
+        now_s += rng.expovariate(RATE_PER_S * load * (burst if in_burst else 1))
+        if now_s >= DURATION_S:
+            return
+        kind = rng.choices(KINDS, [each.weight for each in KINDS])[0]
+        group = int(rng.paretovariate(1.0)) % BEGINNINGS
+        shared = round(kind.shared_tokens * (0.5 + group * 7 % 10 / 10))
+        own = max(round(kind.own_tokens * rng.lognormvariate(-0.5, 1.0)), 50)
+        answer = kind.answer_tokens * rng.lognormvariate(-0.18, 0.6)
+        beginning = f"{kind.class_id}-{group}"
+        yield fake_engine.Work(
+            class_id=kind.class_id,
+            workspace=ids.WorkspaceId(f"w{rng.randrange(WORKSPACES)}"),
+            arrival_s=now_s,
+            prompt_tokens=shared + own,
+            answer_tokens=max(math.ceil(answer), 3),
+            prefix_key=beginning,
+            prefix_tokens=shared,
+            parts=((beginning, shared), (f"own-{number}", own)),
+        )
+        number += 1
+
+
+def scenario(
+    rng: random.Random,
+    load: float,
+    burst: float,
+    entries: int = ENTRIES,
+    **more: object,
+) -> scenarios.Scenario:
+    """Returns the scenario.
+
+    Args:
+        rng: Where requests come from.
+        load: Times the usual rate.
+        burst: Times that within `BURST_S`.
+        entries: Instances before the engines.
+        more: Further fields of the scenario.
+    """
+    return scenarios.Scenario(
+        _document(),
+        dict.fromkeys(ENDPOINTS, ENGINE),
+        list(_works(rng, load, burst)),
+        DURATION_S,
+        entry_weights=(1.0,) * entries,
+        gossip_delay_s=1.5,
+        drain_s=15.0,
+        **more,
+    )
+
+
+def _pattern(name: str, **more: object) -> patterns.Pattern:
+    def build(rng, policies):
+        return scenario(rng, 1.0, 4.0, **more)
+
+    return patterns.Pattern(name, (), build)
+
+
+PATTERNS = {
+    pattern.name: pattern
+    for pattern in (
+        _pattern("many-entries"),
+        _pattern("many-entries-asked", asked=True),
+        _pattern(
+            "many-entries-asked-lost",
+            asked=True,
+            placer_lost_from_s=12.0,
+            placer_lost_until_s=20.0,
+        ),
+    )
+}
--- a/benchmarks/scenarios.py
+++ b/benchmarks/scenarios.py
@@ -21,6 +21,9 @@
         gossip_delay_s: Age of a peer's demand when it arrives.
         cut_from_s: From this moment no gossip arrives, until `cut_until_s`.
         drain_s: Time after the last arrival in which work may still end.
+        asked: Whether one instance places the requests of all entries.
+        placer_lost_from_s: From this moment it is dark, until
+            `placer_lost_until_s`.
     """
 
     document: schema.Document
@@ -32,3 +35,6 @@
     cut_from_s: float = float("inf")
     cut_until_s: float = float("inf")
     drain_s: float = 30.0
+    asked: bool = False
+    placer_lost_from_s: float = float("inf")
+    placer_lost_until_s: float = float("inf")
--- a/cardamombarrow/decisions/base.py
+++ b/cardamombarrow/decisions/base.py
@@ -61,6 +61,8 @@
         retries: Bounds on retries, over all instances.
         fleet: How many instances share what is bounded over all; one for all
             policies of an instance.
+        whole_domain: Whether the decisions are made for all instances of the
+            domain, and not only for one that shares it with others.
     """
 
     document: schema.Document
@@ -71,6 +73,7 @@
     fleet: fleet_module.FleetPart = dataclasses.field(
         default_factory=fleet_module.FleetPart
     )
+    whole_domain: bool = False
 
 
 class Policy(abc.ABC):
@@ -252,6 +255,14 @@
     ) -> tuple[endpoint_module.EndpointState, str]:
         """Returns one of the candidates (at least one) and why."""
 
+    def placed_elsewhere(
+        self,
+        job: messages.Job,
+        state: endpoint_module.EndpointState,
+        now_s: float,
+    ) -> None:
+        """Learns that another instance decided where a job goes."""
+
     def fetch(
         self,
         job: messages.Job,
--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -14,9 +14,9 @@
 from cardamombarrow.decisions import base
 from cardamombarrow.decisions import endpoint as endpoint_module
 from cardamombarrow.decisions import forecast
-from cardamombarrow.decisions import knowledge
 from cardamombarrow.decisions import messages
 from cardamombarrow.decisions import roster
+from cardamombarrow.decisions import runs
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 
@@ -29,20 +29,18 @@
 """Least time between two looks at one waiting job."""
 
 
-class Dispatcher(knowledge.Knowledge):
+class Dispatcher(runs.Runs):
     """All decisions of one instance.
 
     Attributes:
-        wasted_tokens: Relayed tokens of runs that did not end whole.
         preemptions: Requests that were told to give way.
     """
 
     def __init__(self, context: base.PolicyContext, now_s: float):
         super().__init__(context, now_s)
         self._forecast = forecast.Forecast(self._policies)
-        self._running: dict[ids.RequestId, messages.Running] = {}
+        self._asked: dict[ids.RequestId, messages.Job] = {}
         self._due: list[messages.Refusal] = []
-        self.wasted_tokens = 0
         self.preemptions = 0
 
     def waiting_jobs(self) -> list[messages.Job]:
@@ -53,6 +51,19 @@
 
     def offer(self, job: messages.Job, now_s: float) -> messages.Refusal | None:
         """Takes an arriving job into the queue, or refuses it at once."""
+        refusal = self._receive(job, now_s)
+        if refusal is None:
+            backlog = self.backlog(job, now_s)
+            refusal = self._refuse(job, backlog, now_s)
+        if refusal is None:
+            self._waiting.enter(job)
+            self._enqueue(job, backlog, now_s)
+        return refusal
+
+    def _receive(
+        self, job: messages.Job, now_s: float
+    ) -> messages.Refusal | None:
+        """Takes note of an arriving job; refuses what may not run at all."""
         job.expected_tokens = self._policies.estimate.expected_tokens(job)
         self._policies.retry.on_arrival(job, now_s)
         capacity = self._roster.capacities.get(job.service)
@@ -68,18 +79,14 @@
             return messages.Refusal(
                 job.request_id, errors.ErrorKind.QUARANTINED, reason, None
             )
-        refusal = self._over_workspace_limit(job)
-        if refusal is None:
-            backlog = self.backlog(job, now_s)
-            refusal = self._refuse(job, backlog, now_s)
-        if refusal is None:
-            self._waiting.enter(job)
-            self._enqueue(job, backlog, now_s)
-        return refusal
+        return self._over_workspace_limit(job)
 
     def _over_workspace_limit(
         self, job: messages.Job
     ) -> messages.Refusal | None:
+        if self._context.whole_domain:
+            # The bound is one instance's, which has looked at it already.
+            return None
         workspace = self._context.document.workspaces.get(job.workspace)
         most = workspace.max_in_flight if workspace else 0
         if not most or self._waiting.in_flight[job.workspace] < most:
@@ -142,8 +149,68 @@
         if patience_s is not None:
             self._waiting.alarm(job, now_s + patience_s)
 
+    # -- decisions made elsewhere ---------------------------------------------
+
+    def may_ask(self, job: messages.Job, now_s: float) -> bool:
+        """Tells whether another instance may decide where a job goes.
+
+        One that may have crashed an endpoint has to run alone there, and only
+        this instance knows of it yet.
+        """
+        return job.streams and not self._policies.quarantine.solo(job, now_s)
+
+    def announce(
+        self, job: messages.Job, now_s: float
+    ) -> messages.Refusal | None:
+        """Takes note of an arriving job that another instance decides on."""
+        refusal = self._receive(job, now_s)
+        if refusal is None:
+            self._waiting.enter(job)
+            self._asked[job.request_id] = job
+        return refusal
+
+    def adopt(
+        self,
+        request_id: ids.RequestId,
+        placed: messages.Placement,
+        now_s: float,
+    ) -> bool:
+        """Carries out another instance's decision on an announced job.
+
+        Returns:
+            False where its endpoint takes no work by what is known here; the
+            job stays announced.
+        """
+        state = self._roster.endpoints.get(placed.endpoint)
+        if state is None or state.leaving:
+            return False
+        job = self._asked.pop(request_id)
+        self._policies.choice.placed_elsewhere(job, state, now_s)
+        self._run(job, state, now_s)
+        return True
+
+    def decide_here(self, request_id: ids.RequestId, now_s: float) -> bool:
+        """Takes an announced job into the own queue after all."""
+        job = self._asked.pop(request_id, None)
+        if job is None:
+            return False
+        self._enqueue(job, self.backlog(job, now_s), now_s)
+        return True
+
+    def refused_elsewhere(self, request_id: ids.RequestId) -> bool:
+        """Drops an announced job that another instance refused."""
+        job = self._asked.pop(request_id, None)
+        if job is None:
+            return False
+        self._waiting.leave(job)
+        return True
+
+    # -- waiting and placing --------------------------------------------------
+
     def withdraw(self, request_id: ids.RequestId) -> bool:
         """Takes a waiting job out, because its caller left."""
+        if self.refused_elsewhere(request_id):
+            return True
         job = self._policies.queue.remove(request_id)
         if job is None:
             job = self._waiting.release(request_id)
@@ -245,13 +312,7 @@
         choice = self._policies.choice
         state, reason = choice.choose(job, candidates, now_s)
         fetch = choice.fetch(job, state, now_s)
-        job.attempts += 1
-        running = messages.Running(job, state.endpoint, now_s)
-        state.running[job.request_id] = running
-        self._running[job.request_id] = running
-        self._roster.capacities[job.service].placed(job, now_s)
-        if state.domain != self._context.domain:
-            self._policies.spill.on_place(job, state, now_s)
+        self._run(job, state, now_s)
         return messages.Placement(
             request_id=job.request_id,
             endpoint=state.endpoint,
@@ -264,84 +325,40 @@
             fetch=fetch,
         )
 
-    def first_token(self, request_id: ids.RequestId, now_s: float) -> None:
-        """Learns that a placed job's first token came."""
-        running = self._running.get(request_id)
-        if running is None or running.first_token_s is not None:
-            return
-        running.first_token_s = now_s
-        self._roster.changed.add(running.job.service)
-        state = self._roster.endpoints[running.endpoint]
-        capacity = self._roster.capacities[state.service]
-        capacity.first_token(now_s - running.placed_s)
-        self._policies.limits.on_first_token(state, running, now_s)
-        self._policies.choice.on_first_token(state, running, now_s)
-
-    def progress(self, request_id: ids.RequestId, tokens: int) -> None:
-        """Learns how many tokens of a placed job were relayed so far."""
-        running = self._running.get(request_id)
-        if running is not None:
-            running.tokens = tokens
-
-    def finish(
-        self,
-        request_id: ids.RequestId,
-        outcome: messages.Outcome,
-        now_s: float,
-    ) -> None:
-        """Releases a placed job's slot and learns from its end."""
-        running = self._running.pop(request_id)
-        job = running.job
-        done = outcome is messages.Outcome.DONE
-        state = self._roster.endpoints[running.endpoint]
-        del state.running[request_id]
-        self._roster.capacities[job.service].ended(running, done, now_s)
-        self._waiting.leave(job)
-        self._roster.changed.add(job.service)
-        self._policies.limits.on_finish(state, running, outcome, now_s)
-        self._policies.choice.on_finish(state, running, outcome, now_s)
-        self._policies.retry.on_finish(job, outcome)
-        self._policies.quarantine.on_finish(job, outcome, now_s)
-        self._policies.preemption.on_finish(running, outcome)
-        if running.tokens:
-            self._policies.queue.settle(job, running.tokens)
-        if done:
-            self._policies.estimate.learn(job, running.tokens)
-            return
-        self.wasted_tokens += running.tokens
-        if outcome is not messages.Outcome.PREEMPTED:
-            job.tried = (*job.tried, running.endpoint)
-        job.may_have_run = job.may_have_run or not outcome.not_run
-        job.runs += not outcome.not_run
-
-    def crashed(
-        self,
-        endpoint: ids.EndpointId,
-        suspects: list[messages.Job],
-        now_s: float,
-    ) -> None:
-        """Learns that an endpoint died while these jobs ran on it."""
-        self._policies.quarantine.on_crash(endpoint, suspects, now_s)
-
     def retry(
         self,
         job: messages.Job,
         outcome: messages.Outcome,
         now_s: float,
+        ask: bool = False,
     ) -> bool:
-        """Queues a failed job again, if that is allowed and of use."""
+        """Queues a failed job again, if that is allowed and of use.
+
+        Args:
+            job: The job.
+            outcome: How its last run ended.
+            now_s: The time.
+            ask: Announce it for another instance's decision, in place of
+                queueing it, if it needs no delay; see `is_announced`.
+        """
         if self._policies.quarantine.refuse(job, now_s) is not None:
             return False
         if not self._policies.retry.may_retry(job, outcome, now_s):
             return False
         self._waiting.enter(job)
         delay_s = self._policies.retry.delay_s(job, outcome)
-        if delay_s <= 0.0:
+        if delay_s > 0.0:
+            self._waiting.hold_back(job, now_s + delay_s)
+        elif ask:
+            self._asked[job.request_id] = job
+        else:
             self._enqueue(job, self.backlog(job, now_s), now_s)
-            return True
-        self._waiting.hold_back(job, now_s + delay_s)
         return True
 
+    def is_announced(self, request_id: ids.RequestId) -> bool:
+        """Tells whether another instance decides on a job now."""
+        return request_id in self._asked
+
     def may_redo(self, job: messages.Job, now_s: float) -> bool:
         """Tells whether a running job could be sent elsewhere now."""
         others = [
--- a/cardamombarrow/decisions/first_event.py
+++ b/cardamombarrow/decisions/first_event.py
@@ -238,6 +238,25 @@
         job.unread_tokens = max(unread - fetched, 0.0)
         self._caches.sent(job, state.endpoint, now_s)
 
+    def placed_elsewhere(
+        self,
+        job: messages.Job,
+        state: endpoint_module.EndpointState,
+        now_s: float,
+    ) -> None:
+        """Notes what the endpoint reads, and when its first event is due.
+
+        What is left to read was worked out where the decision was made.
+        """
+        token_s = self._pace.token_s(state.service)
+        fixed_s = self._engine(state).fixed_at(now_s)
+        self._expected_s[job.request_id] = (
+            fixed_s
+            + self._backlog_s(job, state, token_s, now_s)
+            + job.unread_tokens * token_s
+        )
+        self._caches.sent(job, state.endpoint, now_s)
+
     def _find_fetch(
         self,
         job: messages.Job,
--- a/cardamombarrow/decisions/knowledge.py
+++ b/cardamombarrow/decisions/knowledge.py
@@ -95,6 +95,12 @@
         """Takes fingerprints that another instance quarantined."""
         self._policies.quarantine.merge(marks, now_s)
 
+    def learn_from(self, other: "Knowledge", now_s: float) -> None:
+        """Takes what another dispatcher of the same process knows."""
+        self._roster.learn_from(other._roster, now_s)
+        self.merge_quarantine(other.quarantine_marks(now_s), now_s)
+        self.refresh_shares(now_s)
+
     def endpoints(self) -> list[endpoint_module.EndpointState]:
         """Returns all known endpoints."""
         return list(self._roster.endpoints.values())
--- a/cardamombarrow/decisions/roster.py
+++ b/cardamombarrow/decisions/roster.py
@@ -64,6 +64,15 @@
         self._found = found
         self._relist(now_s)
 
+    def learn_from(self, other: "Roster", now_s: float) -> None:
+        """Takes the endpoints that another roster knows, and their loads."""
+        self.set_found(other._found, now_s)
+        for endpoint, state in other.endpoints.items():
+            if state.leaving:
+                self.set_leaving(endpoint, True)
+            if state.report is not None:
+                self.report(endpoint, state.report)
+
     def _listed(self) -> dict[ids.EndpointId, messages.KnownEndpoint]:
         services = self._context.document.services
         listed = {
@@ -139,16 +148,27 @@
         oldest_s = now_s - PEER_VIEW_MAX_AGE_S
         peers = [p for p in self._peers.values() if p.seen_at_s >= oldest_s]
         for state in self.endpoints.values():
-            near = state.domain == self._context.domain
-            limit = self._policies.limits.limit(state, now_s)
-            share = self._policies.shares.share(
-                state, limit, own, peers if near else [], now_s
-            )
+            share = self._share(state, own, peers, now_s)
             state.share = min(share, self._connections(state.service, share))
         for capacity in self.capacities.values():
             capacity.count()
         self.changed.update(self.capacities)
 
+    def _share(
+        self,
+        state: endpoint_module.EndpointState,
+        own: messages.PeerDemand,
+        peers: abc.Sequence[messages.PeerDemand],
+        now_s: float,
+    ) -> int:
+        limit = self._policies.limits.limit(state, now_s)
+        if self._context.whole_domain:
+            return limit
+        near = state.domain == self._context.domain
+        return self._policies.shares.share(
+            state, limit, own, peers if near else [], now_s
+        )
+
     def _connections(self, service: ids.ServiceId, share: int) -> int:
         """Returns how many connections this instance may have to an endpoint.
 
@@ -160,6 +180,9 @@
         known = self._context.document.services.get(service)
         if known is None or not known.max_connections:
             return share
+        if self._context.whole_domain:
+            domains = {state.domain for state in self.endpoints.values()}
+            return max(known.max_connections // max(len(domains), 1), 1)
         return self._context.fleet.whole(known.max_connections)
 
     def report(
--- /dev/null
+++ b/cardamombarrow/decisions/runs.py
@@ -0,0 +1,132 @@
+"""What runs on endpoints by this instance's knowledge, and what its ends tell.
+
+Each run holds a slot from the moment it is placed until `Runs.finish`; every
+policy that learns from first tokens and ends is told here.
+"""
+
+from cardamombarrow.decisions import base
+from cardamombarrow.decisions import endpoint as endpoint_module
+from cardamombarrow.decisions import knowledge
+from cardamombarrow.decisions import messages
+from cardamombarrow.kernel import ids
+
+__all__ = ["Runs"]
+
+
+class Runs(knowledge.Knowledge):
+    """The requests on endpoints.
+
+    Attributes:
+        wasted_tokens: Relayed tokens of runs that did not end whole.
+    """
+
+    def __init__(self, context: base.PolicyContext, now_s: float):
+        super().__init__(context, now_s)
+        self._running: dict[ids.RequestId, messages.Running] = {}
+        self.wasted_tokens = 0
+
+    def runs(self) -> list[messages.Running]:
+        """Returns the jobs that run on endpoints."""
+        return list(self._running.values())
+
+    def _run(
+        self,
+        job: messages.Job,
+        state: endpoint_module.EndpointState,
+        placed_s: float,
+    ) -> messages.Running:
+        job.attempts += 1
+        running = messages.Running(job, state.endpoint, placed_s)
+        state.running[job.request_id] = running
+        self._running[job.request_id] = running
+        self._roster.capacities[state.service].placed(job, placed_s)
+        if state.domain != self._context.domain:
+            self._policies.spill.on_place(job, state, placed_s)
+        return running
+
+    def take_run(
+        self,
+        job: messages.Job,
+        endpoint: ids.EndpointId,
+        placed_s: float,
+        begun: bool,
+        now_s: float,
+    ) -> bool:
+        """Learns of a request that another instance has sent by itself.
+
+        Returns:
+            False where the endpoint is not known.
+        """
+        state = self._roster.endpoints.get(endpoint)
+        if state is None or job.request_id in self._running:
+            return False
+        self._waiting.enter(job)
+        self._policies.choice.placed_elsewhere(job, state, now_s)
+        running = self._run(job, state, placed_s)
+        if begun:
+            running.first_token_s = now_s
+        return True
+
+    def first_token(self, request_id: ids.RequestId, now_s: float) -> None:
+        """Learns that a placed job's first token came."""
+        running = self._running.get(request_id)
+        if running is None or running.first_token_s is not None:
+            return
+        running.first_token_s = now_s
+        self._roster.changed.add(running.job.service)
+        state = self._roster.endpoints[running.endpoint]
+        capacity = self._roster.capacities[state.service]
+        capacity.first_token(now_s - running.placed_s)
+        self._policies.limits.on_first_token(state, running, now_s)
+        self._policies.choice.on_first_token(state, running, now_s)
+
+    def progress(self, request_id: ids.RequestId, tokens: int) -> None:
+        """Learns how many tokens of a placed job were relayed so far."""
+        running = self._running.get(request_id)
+        if running is not None:
+            running.tokens = tokens
+
+    def finish(
+        self,
+        request_id: ids.RequestId,
+        outcome: messages.Outcome,
+        now_s: float,
+    ) -> int:
+        """Releases a placed job's slot and learns from its end.
+
+        Returns:
+            The tokens of the run.
+        """
+        running = self._running.pop(request_id)
+        job = running.job
+        done = outcome is messages.Outcome.DONE
+        state = self._roster.endpoints[running.endpoint]
+        del state.running[request_id]
+        self._roster.capacities[job.service].ended(running, done, now_s)
+        self._waiting.leave(job)
+        self._roster.changed.add(job.service)
+        self._policies.limits.on_finish(state, running, outcome, now_s)
+        self._policies.choice.on_finish(state, running, outcome, now_s)
+        self._policies.retry.on_finish(job, outcome)
+        self._policies.quarantine.on_finish(job, outcome, now_s)
+        self._policies.preemption.on_finish(running, outcome)
+        if running.tokens:
+            self._policies.queue.settle(job, running.tokens)
+        if done:
+            self._policies.estimate.learn(job, running.tokens)
+            return running.tokens
+        self.wasted_tokens += running.tokens
+        if outcome is not messages.Outcome.PREEMPTED:
+            job.tried = (*job.tried, running.endpoint)
+        job.may_have_run = job.may_have_run or not outcome.not_run
+        job.runs += not outcome.not_run
+        return running.tokens
+
+    def crashed(
+        self,
+        endpoint: ids.EndpointId,
+        suspects: list[messages.Job],
+        now_s: float,
+    ) -> None:
+        """Learns that an endpoint died while these jobs ran on it."""
+        self._policies.quarantine.on_crash(endpoint, suspects, now_s)
--- a/cardamombarrow/entry/core.py
+++ b/cardamombarrow/entry/core.py
@@ -181,7 +181,8 @@
             retries.share, retries.slack, retries.window_s
         ),
     )
-    poller = peering.join(kinds, broker)
+    counts = metrics.Metrics()
+    poller = peering.join(kinds, broker, counts)
     ledger = settler.Settler(
         ledger_client.RemoteLedger(peering.control.propose)
     )
@@ -191,7 +192,7 @@
         kinds,
         time_source,
         crashes.Crashes(broker),
-        metrics.Metrics(),
+        counts,
     )
     readiness = readiness_module.Readiness()
     gate = gate_module.Gate(settings.http.connections, random.Random())
--- a/cardamombarrow/entry/decision_lines.py
+++ b/cardamombarrow/entry/decision_lines.py
@@ -15,24 +15,34 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Line:
-    """A decision to be logged once the lock is released."""
+    """A decision to be logged once the lock is released.
+
+    Attributes:
+        placer: The instance that decided, where the placer was asked.
+        asked_s: Time from the question to its decision.
+    """
 
     job: messages.Job
     decision: messages.Decision
     attempt: int = 0
+    placer: str = ""
+    asked_s: float = 0.0
 
 
 def write(lines: abc.Iterable[Line]) -> None:
     """Writes a line for each decision."""
     for line in lines:
         job = line.job
-        shared = {
+        shared: dict[str, object] = {
             "request_id": job.request_id,
             "workspace": job.workspace,
             "class_id": job.class_id,
             "rank": job.rank,
             "service": job.service,
         }
+        if line.placer:
+            shared["placer"] = line.placer
+            shared["asked_s"] = round(line.asked_s, 4)
         name, fields = _details(line.decision)
         logs.decision(name, **shared, **fields, attempt=line.attempt)
 
--- a/cardamombarrow/entry/life.py
+++ b/cardamombarrow/entry/life.py
@@ -17,6 +17,7 @@
 from cardamombarrow.entry import incoming
 from cardamombarrow.entry import metrics as metrics_module
 from cardamombarrow.entry import pieces
+from cardamombarrow.entry import ticket as ticket_module
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import logs
@@ -67,7 +68,7 @@
 class _Run:
     """One run on an endpoint whose answer has begun."""
 
-    ticket: broker_module.Ticket
+    ticket: ticket_module.Ticket
     exchange: endpoints_base.Exchange
     head: endpoints_base.Head
     resumable: bool
@@ -115,7 +116,7 @@
         self._relaying = True
         return Relay(run.head, self._relay(run))
 
-    def _begin(self, ticket: broker_module.Ticket) -> _Run:
+    def _begin(self, ticket: ticket_module.Ticket) -> _Run:
         """Runs a placed or waiting job until an answer begins."""
         while True:
             self._services.metrics.wait(1)
@@ -152,7 +153,7 @@
                     return run
                 ticket = again
 
-    def _redo_failure(self, run: _Run) -> broker_module.Ticket | None:
+    def _redo_failure(self, run: _Run) -> ticket_module.Ticket | None:
         """Queues a request again that its endpoint answered with a failure.
 
         Returns:
@@ -171,7 +172,7 @@
         return again
 
     def _first_piece(
-        self, ticket: broker_module.Ticket, exchange: endpoints_base.Exchange
+        self, ticket: ticket_module.Ticket, exchange: endpoints_base.Exchange
     ) -> _Run:
         """Waits for the first piece of the body.
 
@@ -209,15 +210,15 @@
         return _Run(ticket, exchange, head, resumable, first, chunks)
 
     def _take_load(
-        self, ticket: broker_module.Ticket, head: endpoints_base.Head
+        self, ticket: ticket_module.Ticket, head: endpoints_base.Head
     ) -> None:
         report = self._kind.load_in(head)
         if report is not None:
             endpoint = ticket.placed.result().endpoint
-            self._services.broker.report(endpoint, report)
+            self._services.broker.answer_load(endpoint, report)
 
     def _fail(
-        self, ticket: broker_module.Ticket, error: errors.RouterError
+        self, ticket: ticket_module.Ticket, error: errors.RouterError
     ) -> None:
         if isinstance(error, errors.EndpointError):
             placement = ticket.placed.result()
@@ -226,7 +227,7 @@
             )
         self._settle(ticket, error)
 
-    def _wait(self, ticket: broker_module.Ticket) -> messages.Placement:
+    def _wait(self, ticket: ticket_module.Ticket) -> messages.Placement:
         while True:
             try:
                 return ticket.placed.result(timeout=CALLER_LOOK_S)
@@ -239,11 +240,11 @@
                         not_run=not ticket.job.may_have_run,
                     ) from None
 
-    def _open(self, ticket: broker_module.Ticket) -> endpoints_base.Exchange:
+    def _open(self, ticket: ticket_module.Ticket) -> endpoints_base.Exchange:
         return self._kind.open(self._outgoing(ticket))
 
     def _outgoing(
-        self, ticket: broker_module.Ticket
+        self, ticket: ticket_module.Ticket
     ) -> endpoints_base.OutgoingCall:
         call = self._call
         placement = ticket.placed.result()
@@ -271,8 +272,8 @@
         )
 
     def _again(
-        self, ticket: broker_module.Ticket, error: errors.RouterError
-    ) -> broker_module.Ticket:
+        self, ticket: ticket_module.Ticket, error: errors.RouterError
+    ) -> ticket_module.Ticket:
         outcome = pieces.OUTCOMES[error.kind]
         if error.kind in _FINAL:
             raise error
@@ -361,7 +362,7 @@
 
     def _settle(
         self,
-        ticket: broker_module.Ticket,
+        ticket: ticket_module.Ticket,
         error: errors.RouterError | None,
         outcome: messages.Outcome | None = None,
     ) -> None:
--- a/cardamombarrow/entry/metrics.py
+++ b/cardamombarrow/entry/metrics.py
@@ -13,6 +13,7 @@
 from cardamombarrow.decisions import messages
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
+from cardamombarrow.placing import messages as placing_messages
 
 __all__ = ["Metrics"]
 
@@ -94,6 +95,9 @@
         self._wasted: collections.Counter[messages.Outcome] = (
             collections.Counter()
         )
+        self._asked: collections.Counter[placing_messages.AskedOutcome] = (
+            collections.Counter()
+        )
         self._goodput_tokens = 0
         self.waiting = 0
 
@@ -134,6 +138,11 @@
             if class_id is not None and kind not in _NOT_OURS:
                 self._requests[class_id, False] += 1
 
+    def asked(self, outcome: placing_messages.AskedOutcome) -> None:
+        """Counts what became of a question to the placer."""
+        with self._lock:
+            self._asked[outcome] += 1
+
     def text(self, held: int, revision: ids.Revision) -> str:
         """Returns all of it in the Prometheus text format."""
         with self._lock:
@@ -160,6 +169,10 @@
         for outcome, tokens in self._wasted.items():
             labels = f'reason="{outcome.value}"'
             yield f"{PREFIX}wasted_tokens_total{{{labels}}} {tokens}"
+        yield f"# TYPE {PREFIX}placing_questions_total counter"
+        for asked, count in self._asked.items():
+            labels = f'outcome="{asked.value}"'
+            yield f"{PREFIX}placing_questions_total{{{labels}}} {count}"
         for name, value in (
             ("requests_held", held),
             ("requests_waiting", self.waiting),
--- a/cardamombarrow/entry/peering.py
+++ b/cardamombarrow/entry/peering.py
@@ -12,6 +12,8 @@
 from cardamombarrow.entry import broker as broker_module
 from cardamombarrow.entry import in_force
 from cardamombarrow.entry import lease as lease_module
+from cardamombarrow.entry import metrics as metrics_module
+from cardamombarrow.entry import placer as placer_module
 from cardamombarrow.entry import settings as settings_module
 from cardamombarrow.gossip import rows
 from cardamombarrow.gossip import table as table_module
@@ -27,6 +29,8 @@
 from cardamombarrow.peers import kept_codec
 from cardamombarrow.peers import loop as loop_module
 from cardamombarrow.peers import membership as membership_module
+from cardamombarrow.peers import placing_client
+from cardamombarrow.peers import placing_service
 from cardamombarrow.peers import server as server_module
 
 __all__ = ["Peering", "meet"]
@@ -84,6 +88,7 @@
         self._server: server_module.PeerServer | None = None
         self.membership: membership_module.Membership | None = None
         self._broker: broker_module.Broker | None = None
+        self._asking: placing_client.PlacingClient | None = None
         self._found: tuple[messages.KnownEndpoint, ...] = ()
         self._kept_number = 0
         self.control = control_client.ControlClient(
@@ -191,8 +196,15 @@
         self,
         kinds: dict[schema.ServiceKind, endpoints_base.EndpointKind],
         broker: broker_module.Broker,
+        counts: metrics_module.Metrics,
     ) -> poller_module.Poller:
-        """Builds the gossip; returns the poller that it steers."""
+        """Builds the gossip; returns the poller that it steers.
+
+        Args:
+            kinds: How each kind of service's endpoints are spoken to.
+            broker: What is told to others, and is told.
+            counts: Where questions to the placer are counted.
+        """
         self._broker = broker
         self.membership = membership_module.Membership(
             self._instance, self._domain, kinds, broker, self._clock
@@ -219,9 +231,28 @@
             self._hooks(),
             self._clock,
         )
+        placer = placer_module.Placer(broker.for_domain, self._loop.soon)
         self._server = server_module.PeerServer(
-            self._loop, peers.host, peers.port, peers.secret, [self._node]
+            self._loop,
+            peers.host,
+            peers.port,
+            peers.secret,
+            [self._node, placing_service.PlacingService(placer)],
         )
+        if peers.ask_placer:
+            self._asking = placing_client.PlacingClient(
+                self._loop,
+                self._instance,
+                peers.secret,
+                placing_client.ClientHooks(
+                    members=self._node.addresses,
+                    runs=broker.runs,
+                    on_answer=broker.on_answer,
+                    fall_back=broker.fall_back,
+                    count=counts.asked,
+                ),
+            )
+            broker.set_asking(self._asking)
         return poller
 
     def _hooks(self) -> gossip_node.GossipHooks:
@@ -293,9 +324,13 @@
         """Starts gossip; call after `join`."""
         self._server.start()
         self._node.start()
+        if self._asking is not None:
+            self._asking.start()
 
     def stop(self) -> None:
         """Says goodbye to the other instances and ends all links."""
+        if self._asking is not None:
+            self._asking.stop()
         self._node.stop()
         if self.lease.bound_s:
             self._confirming.stop()
--- /dev/null
+++ b/cardamombarrow/entry/placer.py
@@ -0,0 +1,210 @@
+"""Places the requests of a whole domain: the side that is asked.
+
+Each entry that asks is an owner. What it has asked and what it has running is
+kept by owner, so that nothing is left behind when one is gone: a place that is
+never given back would look taken until a restart.
+"""
+
+from collections import abc
+
+from cardamombarrow.decisions import messages
+from cardamombarrow.entry import broker as broker_module
+from cardamombarrow.entry import ticket as ticket_module
+from cardamombarrow.kernel import errors
+from cardamombarrow.kernel import ids
+from cardamombarrow.kernel import logs
+from cardamombarrow.placing import messages as placing_messages
+
+__all__ = ["Owner", "Placer"]
+
+MOST_OPEN = 1_024
+"""Requests that one owner may have waiting or running here. A domain of 36
+entries at their 512 connections each holds less than twice as many in all."""
+
+Send = abc.Callable[[placing_messages.Answer | placing_messages.Waits], None]
+
+
+class Owner:
+    """An entry whose requests are placed here.
+
+    Attributes:
+        epoch: Grows with each stream that the instance opens.
+        tickets: Its requests that wait or run by a decision made here.
+        runs: Its requests that run by a decision of its own.
+    """
+
+    def __init__(self, instance: ids.InstanceId, epoch: int, send: Send):
+        self.instance = instance
+        self.epoch = epoch
+        self.send = send
+        self.tickets: dict[ids.RequestId, ticket_module.Ticket] = {}
+        self.runs: set[ids.RequestId] = set()
+
+    @property
+    def is_full(self) -> bool:
+        """Whether it has as many requests here as it may have."""
+        return len(self.tickets) + len(self.runs) >= MOST_OPEN
+
+
+class Placer:
+    """Decides for all owners; every method runs on the loop thread."""
+
+    def __init__(
+        self,
+        broker: abc.Callable[[], broker_module.Broker],
+        post: abc.Callable[[abc.Callable[[], None]], None],
+    ):
+        """Builds the placer.
+
+        Args:
+            broker: Returns the broker for the whole domain; it is built when
+                the first owner comes.
+            post: Has something done on the loop thread.
+        """
+        self._open_broker = broker
+        self._post = post
+        self._broker: broker_module.Broker | None = None
+        self._owners: dict[ids.InstanceId, Owner] = {}
+
+    @property
+    def owners(self) -> int:
+        """Counts the entries that ask here."""
+        return len(self._owners)
+
+    def join(
+        self, instance: ids.InstanceId, epoch: int, send: Send
+    ) -> Owner | None:
+        """Takes an entry; None where a later stream of it is here already.
+
+        A link that went silent may not have ended when its entry is back over
+        another one, which tells anew what runs.
+        """
+        known = self._owners.get(instance)
+        if known is not None:
+            if known.epoch >= epoch:
+                return None
+            self.leave(known)
+        if self._broker is None:
+            self._broker = self._open_broker()
+        owner = Owner(instance, epoch, send)
+        self._owners[instance] = owner
+        logs.event("places for", instance=instance, owners=len(self._owners))
+        return owner
+
+    def leave(self, owner: Owner) -> None:
+        """Drops an entry that is gone, or decides elsewhere, and all it had."""
+        if self._owners.get(owner.instance) is not owner:
+            return
+        del self._owners[owner.instance]
+        held = len(owner.tickets) + len(owner.runs)
+        for request_id in list(owner.tickets):
+            self.withdrawn(owner, request_id)
+        for request_id in list(owner.runs):
+            self.ended(owner, request_id, messages.Outcome.CALLER_GONE, 0)
+        logs.event("places no more for", instance=owner.instance, held=held)
+
+    def question(self, owner: Owner, job: messages.Job) -> None:
+        """Takes a question; the answer goes to the owner."""
+        refusal = None
+        if owner.is_full or job.request_id in owner.tickets:
+            refusal = messages.Refusal(
+                job.request_id,
+                errors.ErrorKind.NOT_READY,
+                f"{len(owner.tickets)} requests of the instance are here",
+                None,
+            )
+        else:
+            try:
+                ticket = self._broker.submit(job)
+            except errors.RefusedError as error:
+                refusal = messages.Refusal(
+                    job.request_id,
+                    error.kind,
+                    error.detail,
+                    error.retry_after_s,
+                )
+        if refusal is not None:
+            owner.send(placing_messages.Answer(refusal))
+            return
+        owner.tickets[job.request_id] = ticket
+        ticket.on_preempted = lambda decision: self._post(
+            lambda: owner.send(placing_messages.Answer(decision))
+        )
+        if not ticket.placed.done():
+            owner.send(placing_messages.Waits(job.request_id))
+        ticket.placed.add_done_callback(
+            lambda _: self._post(lambda: self._answer(owner, ticket))
+        )
+
+    def _answer(self, owner: Owner, ticket: ticket_module.Ticket) -> None:
+        job = ticket.job
+        if owner.tickets.get(job.request_id) is not ticket:
+            return
+        error = ticket.placed.exception()
+        if error is None:
+            answer = placing_messages.Answer(
+                ticket.placed.result(), job.unread_tokens, job.expected_tokens
+            )
+        else:
+            del owner.tickets[job.request_id]
+            answer = placing_messages.Answer(_refusal(job, error))
+        owner.send(answer)
+
+    def run(self, owner: Owner, run: placing_messages.Run) -> None:
+        """Learns of a request that its entry has sent by its own decision."""
+        if owner.is_full or run.job.request_id in owner.tickets:
+            return
+        if self._broker.take_run(run):
+            owner.runs.add(run.job.request_id)
+
+    def begun(self, owner: Owner, request_id: ids.RequestId) -> None:
+        """Learns that a request's first event came."""
+        if request_id in owner.tickets or request_id in owner.runs:
+            self._broker.first_token(request_id)
+
+    def ended(
+        self,
+        owner: Owner,
+        request_id: ids.RequestId,
+        outcome: messages.Outcome,
+        tokens: int,
+    ) -> None:
+        """Learns that a request has left its endpoint."""
+        if request_id in owner.runs:
+            owner.runs.discard(request_id)
+        else:
+            ticket = owner.tickets.pop(request_id, None)
+            if ticket is None:
+                return
+            if not ticket.placed.done():
+                self._broker.withdraw(ticket)
+                return
+            if ticket.placed.exception() is not None:
+                return
+        self._broker.progress(request_id, tokens)
+        self._broker.finish(request_id, outcome)
+
+    def withdrawn(self, owner: Owner, request_id: ids.RequestId) -> None:
+        """Learns that an entry does not want an answer any longer."""
+        ticket = owner.tickets.pop(request_id, None)
+        if ticket is None:
+            return
+        if ticket.placed.done() and ticket.placed.exception() is not None:
+            return
+        self._broker.withdraw(ticket)
+
+    def loaded(
+        self, endpoint: ids.EndpointId, report: messages.LoadReport
+    ) -> None:
+        """Takes what an answer to some entry said of its endpoint's load."""
+        self._broker.report(endpoint, report)
+
+
+def _refusal(job: messages.Job, error: BaseException) -> messages.Refusal:
+    if not isinstance(error, errors.RefusedError):
+        return messages.Refusal(
+            job.request_id, errors.ErrorKind.NOT_READY, repr(error), None
+        )
+    return messages.Refusal(
+        job.request_id, error.kind, error.detail, error.retry_after_s
+    )
--- a/cardamombarrow/entry/settings.py
+++ b/cardamombarrow/entry/settings.py
@@ -70,6 +70,11 @@
     seeds: tuple[str, ...] = settings.setting(
         (), help="peer addresses host:port of some entries of this domain"
     )
+    ask_placer: bool = settings.setting(
+        True,
+        help="ask one instance of the domain where each stream goes; with no, "
+        "each decides by itself",
+    )
     report_interval_s: float = settings.setting(
         1.0,
         unit="s",
--- a/cardamombarrow/entry/tests/test_broker.py
+++ b/cardamombarrow/entry/tests/test_broker.py
@@ -10,6 +10,8 @@
 from cardamombarrow.decisions import messages
 from cardamombarrow.document import parsing
 from cardamombarrow.entry import broker as broker_module
+from cardamombarrow.entry import knowing
+from cardamombarrow.entry import ticket as ticket_module
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
@@ -93,7 +95,7 @@
     assert broker.submit(_job(2)).placed.result(timeout=_LIMIT_S)
 
 
-def _fill(broker) -> list[broker_module.Ticket]:
+def _fill(broker) -> list[ticket_module.Ticket]:
     held = []
     while True:
         ticket = broker.submit(_job(len(held) + 100, rank=2))
@@ -154,4 +156,4 @@
         broker, "_look", lambda *args: looks.append(args) or look(*args)
     )
     time.sleep(1.0)
-    assert len(looks) <= 1.0 / broker_module.SHARES_S + 1
+    assert len(looks) <= 1.0 / knowing.SHARES_S + 1
--- a/cardamombarrow/peers/gossip_node.py
+++ b/cardamombarrow/peers/gossip_node.py
@@ -161,6 +161,10 @@
         """Takes other instances to ask first; may be called from any thread."""
         self._seeds = seeds
 
+    def addresses(self) -> dict[ids.InstanceId, str]:
+        """Returns where the live instances are reached, this one included."""
+        return {row.instance: self._address(row) for row in self.table.live()}
+
     def wake(self) -> None:
         """Starts a round at once; may be called from any thread."""
         self._loop.call(self._set_wake())
--- a/cardamombarrow/peers/loop.py
+++ b/cardamombarrow/peers/loop.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections import abc as collections_abc
 from concurrent import futures
+import contextlib
 import threading
 import typing
 
@@ -56,6 +57,12 @@
         """Runs a coroutine on the loop, from any other thread."""
         return asyncio.run_coroutine_threadsafe(coroutine, self._loop)
 
+    def soon(self, callback: collections_abc.Callable[[], None]) -> None:
+        """Has something done on the loop, from any thread."""
+        with contextlib.suppress(RuntimeError):
+            # A loop that has ended has nobody left who waits for it.
+            self._loop.call_soon_threadsafe(callback)
+
 
 class LoopPart(lifecycle.Part):
     """A part that is one task on the loop for as long as it is started."""
--- /dev/null
+++ b/cardamombarrow/peers/tests/test_placing.py
@@ -0,0 +1,373 @@
+"""Entries and the placer of their domain over loopback, and what breaks."""
+
+import contextlib
+import threading
+import time
+
+from grpclib import server as grpclib_server
+import pytest
+
+from cardamombarrow.decisions import messages
+from cardamombarrow.document import parsing
+from cardamombarrow.entry import broker as broker_module
+from cardamombarrow.entry import placer as placer_module
+from cardamombarrow.kernel import clock
+from cardamombarrow.kernel import errors
+from cardamombarrow.kernel import ids
+from cardamombarrow.peers import loop as loop_module
+from cardamombarrow.peers import placing_client
+from cardamombarrow.peers import placing_grpc
+from cardamombarrow.peers import placing_pb2
+from cardamombarrow.peers import placing_service
+from cardamombarrow.peers import server as server_module
+from cardamombarrow.placing import order as order_module
+from tools import deployment
+from tools import proxy
+
+_SECRET = "a-secret-of-the-tests"
+_LIMIT_S = 20.0
+_DOMAIN = ids.DomainId("badulla-a")
+_SERVICE = ids.ServiceId("report-writer")
+
+
+def _wait_until(condition) -> None:
+    end_s = time.monotonic() + _LIMIT_S
+    while not condition():
+        assert time.monotonic() < end_s
+        time.sleep(0.005)
+
+
+class _Silent(placing_grpc.PlacingBase):
+    """Says hello once, takes every question and answers none."""
+
+    async def Place(self, stream: grpclib_server.Stream) -> None:  # noqa: N802
+        await stream.send_message(placing_pb2.PlacingReply())
+        while await stream.recv_message() is not None:
+            pass
+
+
+class _Other(placing_grpc.PlacingBase):
+    """A service that does not know the call."""
+
+    async def Place(self, stream: grpclib_server.Stream) -> None:  # noqa: N802
+        raise NotImplementedError
+
+
+class _Entry:
+    """An entry without callers: its broker, its port and its client."""
+
+    def __init__(self, name, document):
+        self.name = ids.InstanceId(name)
+        self.broker = broker_module.Broker(
+            document, self.name, _DOMAIN, clock.SystemClock()
+        )
+        self.loop = loop_module.LoopThread()
+        self.address = f"127.0.0.1:{deployment.free_ports(1)[0]}"
+        self.members = {}
+        self.placer = placer_module.Placer(
+            self.broker.for_domain, self.loop.soon
+        )
+        self.services = [placing_service.PlacingService(self.placer)]
+        self.server = None
+        self.client = placing_client.PlacingClient(
+            self.loop,
+            self.name,
+            _SECRET,
+            placing_client.ClientHooks(
+                members=lambda: self.members,
+                runs=self.broker.runs,
+                on_answer=self.broker.on_answer,
+                fall_back=self.broker.fall_back,
+                count=lambda outcome: None,
+            ),
+        )
+
+    def start(self) -> None:
+        self.broker.start()
+        self.loop.start()
+        self.listen()
+        self.broker.set_asking(self.client)
+        self.client.start()
+
+    def listen(self) -> None:
+        host, _, port = self.address.rpartition(":")
+        self.server = server_module.PeerServer(
+            self.loop, host, int(port), _SECRET, self.services
+        )
+        self.server.start()
+
+    def die(self) -> None:
+        """Ends without a word, as a killed process does."""
+        self.client.stop()
+        self.loop.stop()
+
+    def stop(self) -> None:
+        if not self.loop._thread.is_alive():
+            return
+        self.client.stop()
+        self.server.stop()
+        self.broker.stop()
+        self.loop.stop()
+
+    def asks(self, other: "_Entry") -> bool:
+        link = self.client._link
+        return link is not None and link.instance == other.name
+
+
+def _job(number: int, **fields: object) -> messages.Job:
+    now_s = time.monotonic()
+    job = messages.Job(
+        request_id=ids.RequestId(f"r{number}"),
+        workspace=ids.WorkspaceId("race-control"),
+        class_id=ids.ClassId("marshal-question"),
+        service=_SERVICE,
+        model=ids.ModelId("trail-7b"),
+        rank=0,
+        arrived_s=now_s,
+        target_first_token_s=30.0,
+        deadline_s=now_s + 60.0,
+        prompt_tokens=100,
+    )
+    for name, value in fields.items():
+        setattr(job, name, value)
+    return job
+
+
+@pytest.fixture
+def entries(kandula_text):
+    """Two entries that know each other; the first one places."""
+    document = parsing.parse(kandula_text)
+    made = [_Entry(f"entry-{number}", document) for number in (1, 2)]
+    order = order_module.PlacerOrder()
+    order.set_members([each.name for each in made])
+    made.sort(key=lambda each: each.name != order.first(0.0))
+    members = {each.name: each.address for each in made}
+    for each in made:
+        each.members = members
+        each.start()
+    yield made
+    for each in made:
+        with contextlib.suppress(Exception):
+            each.stop()
+
+
+def _settled(entries) -> None:
+    _wait_until(lambda: all(each.asks(entries[0]) for each in entries))
+
+
+def _running(broker: broker_module.Broker) -> int:
+    return sum(view.running for view in broker.views())
+
+
+def _slots(broker: broker_module.Broker) -> int:
+    return sum(
+        view.share
+        for view in broker.views()
+        if (view.service, view.domain) == (_SERVICE, _DOMAIN)
+    )
+
+
+def _place(entry: _Entry, number: int, **fields: object):
+    ticket = entry.broker.submit(_job(number, **fields))
+    return ticket, ticket.placed.result(timeout=_LIMIT_S)
+
+
+def test_one_decides_for_both_and_sees_all_that_runs(entries):
+    _settled(entries)
+    for number, entry in enumerate(entries * 2):
+        _place(entry, number)
+    domain = entries[0].broker.for_domain()
+    assert _running(domain) == 4
+    assert [_running(each.broker) for each in entries] == [2, 2]
+    for number, entry in enumerate(entries * 2):
+        entry.broker.first_token(ids.RequestId(f"r{number}"))
+        entry.broker.finish(ids.RequestId(f"r{number}"), messages.Outcome.DONE)
+    _wait_until(lambda: _running(domain) == 0)
+
+
+def test_a_request_waits_at_the_placer_for_its_turn(entries):
+    _settled(entries)
+    slots = _slots(entries[0].broker.for_domain())
+    for number in range(slots):
+        _place(entries[number % 2], number)
+    waiting = entries[1].broker.submit(_job(slots))
+    time.sleep(3 * placing_client.ANSWER_S)
+    assert not waiting.placed.done()
+    entries[0].broker.finish(ids.RequestId("r0"), messages.Outcome.DONE)
+    waiting.placed.result(timeout=_LIMIT_S)
+
+
+def test_a_caller_that_leaves_while_its_request_waits_leaves_nothing(entries):
+    # Its place in the queue would be given an engine's slot that nobody uses
+    # and nobody gives back.
+    _settled(entries)
+    domain = entries[0].broker.for_domain()
+    slots = _slots(domain)
+    for number in range(slots):
+        _place(entries[0], number)
+    waiting = entries[1].broker.submit(_job(slots))
+    time.sleep(3 * placing_client.ANSWER_S)
+    entries[1].broker.withdraw(waiting)
+    for number in range(slots):
+        entries[0].broker.finish(
+            ids.RequestId(f"r{number}"), messages.Outcome.DONE
+        )
+    _wait_until(lambda: _running(domain) == 0)
+    assert not waiting.placed.done()
+    assert _running(entries[1].broker) == 0
+
+
+@pytest.mark.parametrize("how", ["silent", "gone", "another version"])
+def test_without_a_placer_each_decides_by_itself_at_once(
+    kandula_text, entries, how
+):
+    # The placer hangs, is dead, or is of a version that places for nobody.
+    # Callers must not notice: none is refused, and none waits longer than a
+    # question may take.
+    _settled(entries)
+    first, second = entries
+    first.server.stop()
+    if how != "gone":
+        first.services = [_Silent()] if how == "silent" else []
+        if how == "another version":
+            first.services = [_Other()]
+        first.listen()
+        first.client.stop()
+    if how == "silent":
+        _wait_until(lambda: second.client._link is None)
+        _wait_until(lambda: second.asks(first) or second.asks(second))
+    for number in range(6):
+        begin_s = time.monotonic()
+        _place(second, number)
+        assert time.monotonic() - begin_s < 1.0
+    assert _running(second.broker) == 6
+
+
+def test_a_placer_that_comes_back_is_told_what_runs(entries):
+    # It restarts with nothing in its books. Until it is told, the engines
+    # look empty to it and it fills them a second time.
+    _settled(entries)
+    first, second = entries
+    _place(second, 1)
+    first.server.stop()
+    _wait_until(lambda: not second.asks(first))
+    _place(second, 2)
+    domain = first.broker.for_domain()
+    _wait_until(lambda: _running(domain) == 0)
+    first.listen()
+    _wait_until(lambda: _running(domain) == 2)
+    second.broker.finish(ids.RequestId("r1"), messages.Outcome.DONE)
+    second.broker.finish(ids.RequestId("r2"), messages.Outcome.DONE)
+    _wait_until(lambda: _running(domain) == 0)
+
+
+def test_an_entry_that_dies_leaves_no_place_taken(entries):
+    _settled(entries)
+    first, second = entries
+    for number in range(4):
+        _place(second, number)
+    domain = first.broker.for_domain()
+    assert _running(domain) == 4
+    second.die()
+    _wait_until(lambda: _running(domain) == 0)
+
+
+def test_a_later_stream_of_an_entry_replaces_the_one_before(kandula_text):
+    # The link goes silent without a reset, and the entry is back over another
+    # one. Counted with both, everything it runs would be counted twice.
+    broker = broker_module.Broker(
+        parsing.parse(kandula_text),
+        ids.InstanceId("entry-1"),
+        _DOMAIN,
+        clock.SystemClock(),
+    )
+    done = []
+    placer = placer_module.Placer(broker.for_domain, lambda call: call())
+    before = placer.join(ids.InstanceId("entry-2"), 1, done.append)
+    placer.question(before, _job(1))
+    after = placer.join(ids.InstanceId("entry-2"), 2, done.append)
+    assert after is not None
+    assert placer.join(ids.InstanceId("entry-2"), 1, done.append) is None
+    assert _running(broker.for_domain()) == 0
+    placer.leave(before)
+    assert placer.owners == 1
+    broker.for_domain().stop()
+
+
+def test_an_owner_may_not_fill_the_placer(kandula_text, monkeypatch):
+    monkeypatch.setattr(placer_module, "MOST_OPEN", 3)
+    broker = broker_module.Broker(
+        parsing.parse(kandula_text),
+        ids.InstanceId("entry-1"),
+        _DOMAIN,
+        clock.SystemClock(),
+    )
+    told = []
+    placer = placer_module.Placer(broker.for_domain, lambda call: call())
+    owner = placer.join(ids.InstanceId("entry-2"), 1, told.append)
+    for number in range(5):
+        placer.question(owner, _job(number))
+    refused = [
+        answer.decision.kind
+        for answer in told
+        if isinstance(getattr(answer, "decision", None), messages.Refusal)
+    ]
+    assert refused == [errors.ErrorKind.NOT_READY] * 2
+    broker.for_domain().stop()
+
+
+def test_two_who_both_place_send_nothing_twice(entries):
+    # Views of who is alive differ for some seconds, so both entries ask
+    # themselves. Each request is still sent by the entry that holds it, once.
+    _settled(entries)
+    for each in entries:
+        each.members = {
+            each.name: each.address,
+            ids.InstanceId("nobody"): "127.0.0.1:1",
+        }
+    placed = {}
+
+    def one(entry, number):
+        ticket, placement = _place(entry, number)
+        placed.setdefault(number, []).append(placement.endpoint)
+        entry.broker.finish(ticket.job.request_id, messages.Outcome.DONE)
+
+    threads = [
+        threading.Thread(target=one, args=(entries[number % 2], number))
+        for number in range(40)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join(_LIMIT_S)
+    assert sorted(placed) == list(range(40))
+    assert all(len(endpoints) == 1 for endpoints in placed.values())
+    assert [_running(each.broker) for each in entries] == [0, 0]
+
+
+def test_a_link_that_goes_silent_holds_no_request(entries):
+    # Something between two machines forgets their connection: no reset comes,
+    # and new connections work. A request that waits at the placer would wait
+    # until its deadline.
+    _settled(entries)
+    first, second = entries
+    with proxy.Proxy() as proxies:
+        link = proxies.link("second", "first", first.address)
+        second.members = {**second.members, first.name: link.address}
+        second.client._loop.soon(
+            lambda: second.client._link.lose("moves", failed=False)
+        )
+        _wait_until(lambda: not second.asks(first))
+        _wait_until(lambda: second.asks(first))
+        slots = _slots(first.broker.for_domain())
+        for number in range(slots):
+            _place(first, number)
+        waiting = second.broker.submit(_job(slots))
+        time.sleep(3 * placing_client.ANSWER_S)
+        assert second.client._link.questions
+        link.silence(new_too=False)
+        for number in range(slots):
+            first.broker.finish(
+                ids.RequestId(f"r{number}"), messages.Outcome.DONE
+            )
+        waiting.placed.result(timeout=_LIMIT_S)
