Tell placers of other domains what one has on endpoints

Cause: a placer knows its own domain's endpoints well and the others' not at all, so the others' look idle, and all send there. What is told counts as reading, as unread prompts and as places. Each bound on unread prompts now holds for all that is known, so in a placer it is 8 and 12 in place of 3 and 4 that were for one instance of many, and a long prompt crosses into the quiet lane for twice its target.

--- a/cardamombarrow/decisions/endpoint.py
+++ b/cardamombarrow/decisions/endpoint.py
@@ -18,6 +18,7 @@
         running: This instance's requests on it.
         share: Slots of it that this instance may use now.
         report: Its last load report, or None.
+        others: What other deciding instances have on it, by instance.
     """
 
     endpoint: ids.EndpointId
@@ -30,6 +31,9 @@
     )
     share: int = 0
     report: messages.LoadReport | None = None
+    others: dict[ids.InstanceId, messages.OthersLoad] = dataclasses.field(
+        default_factory=dict
+    )
 
     @property
     def free_slots(self) -> int:
@@ -52,6 +56,41 @@
         old = sum(r.placed_s < measured_at_s for r in self.running.values())
         return own + max(0, reported - old)
 
+    @property
+    def others_running(self) -> int:
+        """Requests on it that other deciding instances told of."""
+        return sum(load.running for load in self.others.values())
+
+    @property
+    def unread(self) -> int:
+        """Requests on it without a first event, others' included."""
+        own = sum(run.first_token_s is None for run in self.running.values())
+        return own + sum(load.unread for load in self.others.values())
+
+    def others_reading_s(self, token_s: float, now_s: float) -> float:
+        """Returns the time for which it still reads others' prompts.
+
+        Args:
+            token_s: Time to read a token.
+            now_s: The time.
+        """
+        left_s = (
+            load.unread_tokens * token_s - (now_s - load.seen_at_s)
+            for load in self.others.values()
+        )
+        return sum(max(each_s, 0.0) for each_s in left_s)
+
+    def own_load(self, now_s: float) -> messages.OthersLoad:
+        """Returns what this instance has on it, to be told to others."""
+        unread = [
+            run.job.unread_tokens
+            for run in self.running.values()
+            if run.first_token_s is None
+        ]
+        return messages.OthersLoad(
+            len(self.running), len(unread), sum(unread), now_s
+        )
+
     @property
     def expected_tokens_left(self) -> float:
         """Estimated tokens that this instance's requests still need."""
--- a/cardamombarrow/decisions/first_event.py
+++ b/cardamombarrow/decisions/first_event.py
@@ -12,7 +12,8 @@
 
 - the fixed part: what an answer takes when nothing is before it, learnt for
   each endpoint, with a guess by distance until then;
-- the reading of prompts that this instance sent there and that has not ended;
+- the reading of prompts that this instance sent there and that has not ended,
+  and of those that others told of;
 - the congestion: by how much the latest first events there came later than
   expected. That is other instances' work, or an endpoint slower than the
   others. It fades fast, so that an endpoint is tried again;
@@ -34,6 +35,7 @@
 """
 
 from collections import abc as collections_abc
+import dataclasses
 
 from cardamombarrow.decisions import base
 from cardamombarrow.decisions import caches
@@ -68,17 +70,35 @@
 SHORTEST_PAUSE_S = 0.2
 """That pause, where no route tells one."""
 
-LONG_CROSSING_SHARE = 0.6
-"""Part of its target that a long prompt waits rather than take a quiet one."""
-
 SHORT_CROSSING_S = 0.3
 """What a short request waits before it goes among long prompts."""
 
-MOST_LONG_UNREAD = 3
-"""Long prompts of this instance that an endpoint has not read yet, at most."""
 
-MOST_SHORT_UNREAD = 4
-"""The same for short ones."""
+@dataclasses.dataclass(frozen=True)
+class _Bounds:
+    """What depends on how much is known of an endpoint's load.
+
+    Attributes:
+        long_unread: Known prompts that an endpoint has not read yet, at most,
+            for a long one to go there.
+        short_unread: The same for a short one.
+        long_crossing_share: Part of its target that a long prompt waits rather
+            than take a quiet endpoint.
+    """
+
+    long_unread: int
+    short_unread: int
+    long_crossing_share: float
+
+
+OWN_BOUNDS = _Bounds(3, 4, 0.6)
+"""Where an instance knows its own requests only: others send as many."""
+
+DOMAIN_BOUNDS = _Bounds(8, 12, 2.0)
+"""Where all requests are known. Fewer would leave an endpoint without a prompt
+while the word of its last first event is under way. What keeps long prompts
+from the quiet ones is the price: known to be late, an endpoint of their own
+lane would send them there as soon as there is a burst."""
 
 PATIENCE_SHARE = 0.3
 """Part of its target that a long prompt waits for its home before it goes
@@ -110,6 +130,7 @@
             None,
         )
         self._shortest_pause_s = _shortest_pause_s(context.document)
+        self._bounds = DOMAIN_BOUNDS if context.whole_domain else OWN_BOUNDS
 
     def _weighed(
         self, candidates: list[endpoint_module.EndpointState]
@@ -158,7 +179,8 @@
         is_quiet = state.endpoint in self._quiet
         if self._is_long(job):
             target_s = job.target_first_token_s
-            return LONG_CROSSING_SHARE * target_s if is_quiet else 0.0
+            share = self._bounds.long_crossing_share
+            return share * target_s if is_quiet else 0.0
         return 0.0 if is_quiet else SHORT_CROSSING_S
 
     def consider(
@@ -194,12 +216,10 @@
             return False
         if not job.prompt_tokens:
             return True
-        unread = sum(
-            running.first_token_s is None for running in state.running.values()
-        )
+        unread = state.unread
         if not self._is_long(job):
-            return unread < MOST_SHORT_UNREAD
-        if unread >= MOST_LONG_UNREAD:
+            return unread < self._bounds.short_unread
+        if unread >= self._bounds.long_unread:
             return False
         return self._is_patience_over(job, state, now_s)
 
@@ -353,7 +373,9 @@
             late_s.append(now_s - running.placed_s - expected_s)
         if not job.streams:
             late_s.remove(max(late_s))
-        return max(work_s - (now_s - first_s), 0.0) + max(late_s, default=0.0)
+        own_s = max(work_s - (now_s - first_s), 0.0)
+        others_s = state.others_reading_s(token_s, now_s)
+        return own_s + others_s + max(late_s, default=0.0)
 
     def _engine(
         self, state: endpoint_module.EndpointState
--- a/cardamombarrow/decisions/knowledge.py
+++ b/cardamombarrow/decisions/knowledge.py
@@ -95,6 +95,28 @@
         """Takes fingerprints that another instance quarantined."""
         self._policies.quarantine.merge(marks, now_s)
 
+    def set_others(
+        self,
+        instance: ids.InstanceId,
+        loads: abc.Mapping[ids.EndpointId, messages.OthersLoad],
+    ) -> None:
+        """Takes what another deciding instance has on some endpoints."""
+        self._roster.set_others(instance, loads)
+
+    def forget_others(self, instance: ids.InstanceId) -> None:
+        """Drops what an instance had told that is heard of no longer."""
+        self._roster.forget_others(instance)
+
+    def own_loads(
+        self, now_s: float
+    ) -> dict[ids.EndpointId, messages.OthersLoad]:
+        """Returns what this instance has on endpoints, to be told."""
+        return {
+            state.endpoint: state.own_load(now_s)
+            for state in self._roster.endpoints.values()
+            if state.running
+        }
+
     def learn_from(self, other: "Knowledge", now_s: float) -> None:
         """Takes what another dispatcher of the same process knows."""
         self._roster.learn_from(other._roster, now_s)
--- a/cardamombarrow/decisions/messages.py
+++ b/cardamombarrow/decisions/messages.py
@@ -14,6 +14,7 @@
     "KeptNews",
     "KnownEndpoint",
     "LoadReport",
+    "OthersLoad",
     "Outcome",
     "PeerDemand",
     "Placement",
@@ -175,6 +176,23 @@
     seen_at_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OthersLoad:
+    """What another instance that decides for a domain has on an endpoint.
+
+    Attributes:
+        running: Requests.
+        unread: Those of them that have had no first event.
+        unread_tokens: Prompt tokens that these are expected to have read.
+        seen_at_s: When it was heard, on this instance's clock.
+    """
+
+    running: int
+    unread: int
+    unread_tokens: float
+    seen_at_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Backlog:
     """What stands before one job.
--- a/cardamombarrow/decisions/roster.py
+++ b/cardamombarrow/decisions/roster.py
@@ -197,6 +197,28 @@
             if report.leaving and not state.leaving:
                 self.set_leaving(endpoint, True)
 
+    def set_others(
+        self,
+        instance: ids.InstanceId,
+        loads: abc.Mapping[ids.EndpointId, messages.OthersLoad],
+    ) -> None:
+        """Takes what another deciding instance has on some endpoints."""
+        for endpoint, load in loads.items():
+            state = self.endpoints.get(endpoint)
+            if state is None:
+                continue
+            if load.running:
+                state.others[instance] = load
+            else:
+                state.others.pop(instance, None)
+            self.changed.add(state.service)
+
+    def forget_others(self, instance: ids.InstanceId) -> None:
+        """Drops what an instance had told that is heard of no longer."""
+        for state in self.endpoints.values():
+            if state.others.pop(instance, None) is not None:
+                self.changed.add(state.service)
+
     def set_leaving(self, endpoint: ids.EndpointId, leaving: bool) -> None:
         """Takes the platform's or a peer's word that an endpoint leaves."""
         state = self.endpoints.get(endpoint)
@@ -263,7 +285,7 @@
         now_s: float,
     ) -> bool:
         running = state.running
-        if state.share <= len(running):
+        if state.share <= len(running) + state.others_running:
             return False
         if not self._policies.choice.available(job, state, now_s):
             return False
--- a/cardamombarrow/entry/broker.py
+++ b/cardamombarrow/entry/broker.py
@@ -241,6 +241,29 @@
                 if running.job.streams
             ]
 
+    def own_loads(self) -> dict[ids.EndpointId, messages.OthersLoad]:
+        """Returns what runs on endpoints by decisions made here."""
+        with self._lock:
+            return self._dispatcher.own_loads(self._clock.now_s())
+
+    def set_others(
+        self,
+        instance: ids.InstanceId,
+        loads: dict[ids.EndpointId, messages.OthersLoad],
+    ) -> None:
+        """Takes what another domain's placer has on endpoints."""
+        with self._lock:
+            self._dispatcher.set_others(instance, loads)
+            lines = self._run_due()
+        decision_lines.write(lines)
+
+    def forget_others(self, instance: ids.InstanceId) -> None:
+        """Drops what a placer told that is heard of no longer."""
+        with self._lock:
+            self._dispatcher.forget_others(instance)
+            lines = self._run_due()
+        decision_lines.write(lines)
+
     def take_run(self, run: placing_messages.Run) -> bool:
         """Learns of a request that an entry of the domain has sent itself."""
         with self._lock:
--- a/cardamombarrow/entry/peering.py
+++ b/cardamombarrow/entry/peering.py
@@ -31,6 +31,7 @@
 from cardamombarrow.peers import membership as membership_module
 from cardamombarrow.peers import placing_client
 from cardamombarrow.peers import placing_service
+from cardamombarrow.peers import placing_teller
 from cardamombarrow.peers import server as server_module
 
 __all__ = ["Peering", "meet"]
@@ -89,6 +90,8 @@
         self.membership: membership_module.Membership | None = None
         self._broker: broker_module.Broker | None = None
         self._asking: placing_client.PlacingClient | None = None
+        self._placer: placer_module.Placer | None = None
+        self._teller: placing_teller.LoadTeller | None = None
         self._found: tuple[messages.KnownEndpoint, ...] = ()
         self._kept_number = 0
         self.control = control_client.ControlClient(
@@ -119,6 +122,7 @@
             domain=self._domain,
             applied_revision=self._documents.revision,
             address=self._address(),
+            places=self._placer is not None and self._placer.owners > 0,
         )
 
     def _address(self) -> str:
@@ -153,6 +157,8 @@
             self._kept_number = reply.kept_number
             known = self.membership.endpoints_by_hash()
             self._broker.hear_kept(kept_codec.kept_from_wire(reply.kept, known))
+        if self._teller is not None:
+            self._teller.set_placers(reply.placers)
         if self._node is not None:
             self._node.set_seeds((*self._settings.peers.seeds, *reply.entries))
 
@@ -232,12 +238,25 @@
             self._clock,
         )
         placer = placer_module.Placer(broker.for_domain, self._loop.soon)
+        self._placer = placer
+        self._teller = placing_teller.LoadTeller(
+            self._loop,
+            self._instance,
+            peers.secret,
+            placer.own_loads,
+            lambda: placer.owners > 0,
+        )
         self._server = server_module.PeerServer(
             self._loop,
             peers.host,
             peers.port,
             peers.secret,
-            [self._node, placing_service.PlacingService(placer)],
+            [
+                self._node,
+                placing_service.PlacingService(
+                    placer, self.membership.endpoints_by_hash
+                ),
+            ],
         )
         if peers.ask_placer:
             self._asking = placing_client.PlacingClient(
@@ -324,6 +343,7 @@
         """Starts gossip; call after `join`."""
         self._server.start()
         self._node.start()
+        self._teller.start()
         if self._asking is not None:
             self._asking.start()
 
@@ -331,6 +351,7 @@
         """Says goodbye to the other instances and ends all links."""
         if self._asking is not None:
             self._asking.stop()
+        self._teller.stop()
         self._node.stop()
         if self.lease.bound_s:
             self._confirming.stop()
--- a/cardamombarrow/entry/placer.py
+++ b/cardamombarrow/entry/placer.py
@@ -193,6 +193,24 @@
             return
         self._broker.withdraw(ticket)
 
+    def own_loads(self) -> dict[ids.EndpointId, messages.OthersLoad]:
+        """Returns what runs by decisions made here; empty without owners."""
+        return self._broker.own_loads() if self._owners else {}
+
+    def set_others(
+        self,
+        instance: ids.InstanceId,
+        loads: dict[ids.EndpointId, messages.OthersLoad],
+    ) -> None:
+        """Takes what the placer of another domain has on endpoints."""
+        if self._broker is not None:
+            self._broker.set_others(instance, loads)
+
+    def forget_others(self, instance: ids.InstanceId) -> None:
+        """Drops what a placer told that is heard of no longer."""
+        if self._broker is not None:
+            self._broker.forget_others(instance)
+
     def loaded(
         self, endpoint: ids.EndpointId, report: messages.LoadReport
     ) -> None:
--- a/cardamombarrow/peers/control_service.py
+++ b/cardamombarrow/peers/control_service.py
@@ -99,6 +99,7 @@
             reply.entries.extend(
                 self.followers.addresses(domain, ADDRESSES_TOLD)
             )
+            reply.placers.extend(self.followers.placers(domain))
             kept, reply.kept_number = self.kept.since(
                 request.kept_since, request.instance, time.monotonic()
             )
--- a/cardamombarrow/peers/followers.py
+++ b/cardamombarrow/peers/followers.py
@@ -45,6 +45,7 @@
     Attributes:
         heard_s: Monotonic time of its last report.
         address: Where other entries reach it.
+        places: Whether it places the requests of its domain.
     """
 
     instance: ids.InstanceId
@@ -52,6 +53,7 @@
     applied_revision: ids.Revision
     heard_s: float
     address: str = ""
+    places: bool = False
 
 
 class Followers:
@@ -100,6 +102,7 @@
                     applied_revision=follower.applied_revision,
                     heard_ago_s=now_s - follower.heard_s,
                     address=follower.address,
+                    places=follower.places,
                 )
                 for follower in self.table().values()
             ]
@@ -116,6 +119,7 @@
                     ids.Revision(row.applied_revision),
                     now_s - row.heard_ago_s,
                     row.address,
+                    row.places,
                 )
             )
 
@@ -141,6 +145,17 @@
         )
         return [follower.address for follower in followers[:most]]
 
+    def placers(self, domain: ids.DomainId) -> list[str]:
+        """Returns addresses of entries that place for other domains."""
+        oldest_s = time.monotonic() - FOLLOWER_TIMEOUT_S
+        return sorted(
+            follower.address
+            for follower in self._table.values()
+            if follower.places
+            and follower.domain != domain
+            and follower.heard_s >= oldest_s
+        )
+
     async def publish(self, accepted: machine.Accepted) -> None:
         """Sends an accepted document to every follower."""
         revision = accepted.revision
@@ -213,6 +228,7 @@
                     ids.Revision(report.applied_revision),
                     time.monotonic(),
                     report.address,
+                    report.places,
                 )
             )
         return report
--- a/cardamombarrow/peers/placing_codec.py
+++ b/cardamombarrow/peers/placing_codec.py
@@ -6,6 +6,7 @@
 from collections import abc
 
 from cardamombarrow.decisions import messages
+from cardamombarrow.gossip import rows
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 from cardamombarrow.peers import placing_pb2
@@ -16,6 +17,8 @@
     "answers_to_wire",
     "job_from_wire",
     "job_to_wire",
+    "loads_from_wire",
+    "loads_to_wire",
     "outcome_from_wire",
     "run_from_wire",
     "run_to_wire",
@@ -115,6 +118,37 @@
         return messages.Outcome.FAILED
 
 
+def loads_to_wire(
+    instance: ids.InstanceId,
+    loads: abc.Mapping[ids.EndpointId, messages.OthersLoad],
+) -> placing_pb2.LoadNews:
+    """Converts what a placer has on endpoints."""
+    news = placing_pb2.LoadNews(instance=instance)
+    for endpoint, load in loads.items():
+        news.loads.add(
+            endpoint=rows.endpoint_hash(endpoint),
+            running=load.running,
+            unread=load.unread,
+            unread_tokens=round(load.unread_tokens),
+        )
+    return news
+
+
+def loads_from_wire(
+    news: placing_pb2.LoadNews,
+    known: abc.Mapping[int, ids.EndpointId],
+    now_s: float,
+) -> dict[ids.EndpointId, messages.OthersLoad]:
+    """Converts it back; leaves out endpoints that are not known here."""
+    return {
+        known[load.endpoint]: messages.OthersLoad(
+            load.running, load.unread, float(load.unread_tokens), now_s
+        )
+        for load in news.loads
+        if load.endpoint in known
+    }
+
+
 def answers_to_wire(
     answers: abc.Iterable[placing_messages.Answer | placing_messages.Waits],
 ) -> placing_pb2.PlacingReply:
--- a/cardamombarrow/peers/placing_grpc.py
+++ b/cardamombarrow/peers/placing_grpc.py
@@ -18,6 +18,10 @@
     async def Place(self, stream: 'grpclib.server.Stream[cardamombarrow.peers.placing_pb2.PlacingRequest, cardamombarrow.peers.placing_pb2.PlacingReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Tell(self, stream: 'grpclib.server.Stream[cardamombarrow.peers.placing_pb2.LoadNews, cardamombarrow.peers.placing_pb2.LoadPulse]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/cardamombarrow.peers.Placing/Place': grpclib.const.Handler(
@@ -26,6 +30,12 @@
                 cardamombarrow.peers.placing_pb2.PlacingRequest,
                 cardamombarrow.peers.placing_pb2.PlacingReply,
             ),
+            '/cardamombarrow.peers.Placing/Tell': grpclib.const.Handler(
+                self.Tell,
+                grpclib.const.Cardinality.STREAM_STREAM,
+                cardamombarrow.peers.placing_pb2.LoadNews,
+                cardamombarrow.peers.placing_pb2.LoadPulse,
+            ),
         }
 
 
@@ -38,3 +48,9 @@
             cardamombarrow.peers.placing_pb2.PlacingRequest,
             cardamombarrow.peers.placing_pb2.PlacingReply,
         )
+        self.Tell = grpclib.client.StreamStreamMethod(
+            channel,
+            '/cardamombarrow.peers.Placing/Tell',
+            cardamombarrow.peers.placing_pb2.LoadNews,
+            cardamombarrow.peers.placing_pb2.LoadPulse,
+        )
--- a/cardamombarrow/peers/placing_service.py
+++ b/cardamombarrow/peers/placing_service.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections import abc
 import contextlib
 import time
 
@@ -30,7 +31,11 @@
 SILENT_S = 10.0
 """An entry of which nothing came for this long is dropped: it vanished without
 a word, and what it had running counts as load until then. One that is alive
-tells at least every `placing_client.PULSE_S`."""
+tells at least every `placing_link.PULSE_S`."""
+
+NEWS_SILENT_S = 3.0
+"""The same for another domain's placer, which tells at least every
+`placing_teller.PULSE_S`: what it told is worth nothing by then."""
 
 
 class _Out:
@@ -61,8 +66,19 @@
 class PlacingService(placing_grpc.PlacingBase):
     """Takes questions for the placer; lives on the loop."""
 
-    def __init__(self, placer: placer_module.Placer):
+    def __init__(
+        self,
+        placer: placer_module.Placer,
+        endpoints: abc.Callable[[], abc.Mapping[int, ids.EndpointId]],
+    ):
+        """Builds the service.
+
+        Args:
+            placer: Who decides.
+            endpoints: Returns the known endpoints by their hashes.
+        """
         self._placer = placer
+        self._endpoints = endpoints
 
     async def Place(self, stream: server.Stream) -> None:  # noqa: N802
         """Serves one entry until it leaves or goes silent."""
@@ -88,6 +104,28 @@
             sender.cancel()
             self._placer.leave(owner)
 
+    async def Tell(self, stream: server.Stream) -> None:  # noqa: N802
+        """Takes the loads of another domain's placer until it goes silent."""
+        instance = ids.InstanceId("")
+        try:
+            with contextlib.suppress(TimeoutError):
+                while True:
+                    news = await asyncio.wait_for(
+                        stream.recv_message(), NEWS_SILENT_S
+                    )
+                    if news is None:
+                        return
+                    instance = instance or ids.InstanceId(news.instance)
+                    self._placer.set_others(
+                        instance,
+                        placing_codec.loads_from_wire(
+                            news, self._endpoints(), time.monotonic()
+                        ),
+                    )
+                    await stream.send_message(placing_pb2.LoadPulse())
+        finally:
+            self._placer.forget_others(instance)
+
     def _take(
         self, owner: placer_module.Owner, message: placing_pb2.PlacingRequest
     ) -> None:
--- /dev/null
+++ b/cardamombarrow/peers/tests/test_placing_teller.py
@@ -0,0 +1,145 @@
+"""Placers of several domains tell each other what they have on endpoints."""
+
+import time
+
+import pytest
+
+from cardamombarrow.decisions import messages
+from cardamombarrow.gossip import rows
+from cardamombarrow.kernel import ids
+from cardamombarrow.peers import loop as loop_module
+from cardamombarrow.peers import placing_codec
+from cardamombarrow.peers import placing_service
+from cardamombarrow.peers import placing_teller
+from cardamombarrow.peers import server as server_module
+from tools import deployment
+from tools import proxy
+
+_SECRET = "a-secret-of-the-tests"
+_LIMIT_S = 20.0
+_ONE = ids.EndpointId("10.1.0.1:80#a")
+_TWO = ids.EndpointId("10.1.0.2:80#b")
+_SENDER = ids.InstanceId("entry-1")
+
+
+def _load(running, unread=0, tokens=0.0, seen_at_s=0.0):
+    return messages.OthersLoad(running, unread, tokens, seen_at_s)
+
+
+def _wait_until(condition) -> None:
+    end_s = time.monotonic() + _LIMIT_S
+    while not condition():
+        assert time.monotonic() < end_s
+        time.sleep(0.005)
+
+
+@pytest.mark.parametrize(
+    ("before", "now", "told"),
+    [
+        ({}, {}, {}),
+        ({}, {_ONE: _load(1)}, {_ONE: 1}),
+        ({_ONE: _load(1)}, {_ONE: _load(1, seen_at_s=9.0)}, {}),
+        ({_ONE: _load(1, 1)}, {_ONE: _load(1)}, {_ONE: 1}),
+        ({_ONE: _load(2)}, {_TWO: _load(1)}, {_ONE: 0, _TWO: 1}),
+    ],
+)
+def test_only_what_changed_is_told_and_what_ended(before, now, told):
+    news = placing_teller.changed(before, now)
+    assert {name: load.running for name, load in news.items()} == told
+
+
+def test_an_endpoint_that_the_other_does_not_know_is_left_out():
+    known = {rows.endpoint_hash(_ONE): _ONE}
+    news = placing_codec.loads_to_wire(
+        _SENDER, {_ONE: _load(3, 2, 99.6), _TWO: _load(1)}
+    )
+    back = placing_codec.loads_from_wire(news, known, 7.0)
+    assert back == {_ONE: _load(3, 2, 100.0, 7.0)}
+
+
+class _Placer:
+    """Takes note of what it is told."""
+
+    def __init__(self):
+        self.loads = {}
+
+    def set_others(self, instance, loads):
+        told = self.loads.setdefault(instance, {})
+        for endpoint, load in loads.items():
+            told[endpoint] = load.running
+
+    def forget_others(self, instance):
+        self.loads.pop(instance, None)
+
+
+@pytest.fixture
+def loop():
+    made = loop_module.LoopThread()
+    made.start()
+    yield made
+    made.stop()
+
+
+@pytest.fixture
+def told(loop):
+    """Address of a placer, and the placer."""
+    port = deployment.free_ports(1)[0]
+    placer = _Placer()
+    known = {rows.endpoint_hash(each): each for each in (_ONE, _TWO)}
+    service = placing_service.PlacingService(placer, lambda: known)
+    server = server_module.PeerServer(
+        loop, "127.0.0.1", port, _SECRET, [service]
+    )
+    server.start()
+    yield f"127.0.0.1:{port}", placer
+    server.stop()
+
+
+@pytest.fixture
+def teller(loop):
+    """A teller, and the loads that it tells."""
+    loads = {_ONE: _load(2)}
+    placing = [True]
+    made = placing_teller.LoadTeller(
+        loop, _SENDER, _SECRET, lambda: dict(loads), lambda: placing[0]
+    )
+    made.loads, made.placing = loads, placing
+    made.start()
+    yield made
+    made.stop()
+
+
+def test_loads_arrive_and_go(told, teller):
+    address, placer = told
+    teller.set_placers([address])
+    _wait_until(lambda: placer.loads.get(_SENDER) == {_ONE: 2})
+    del teller.loads[_ONE]
+    teller.loads[_TWO] = _load(1)
+    _wait_until(lambda: placer.loads.get(_SENDER) == {_ONE: 0, _TWO: 1})
+
+
+def test_one_that_places_no_longer_is_forgotten(told, teller):
+    # Its requests go on by other decisions. Kept, what it told last would
+    # make the engines look loaded for good.
+    address, placer = told
+    teller.set_placers([address])
+    _wait_until(lambda: _SENDER in placer.loads)
+    teller.placing[0] = False
+    _wait_until(lambda: _SENDER not in placer.loads)
+
+
+def test_what_was_told_over_a_link_that_went_silent_is_forgotten(
+    told, teller, monkeypatch
+):
+    # The link between two regions goes silent without a reset. Engines that
+    # were full at that moment would look full until it comes back.
+    monkeypatch.setattr(placing_service, "NEWS_SILENT_S", 1.5)
+    address, placer = told
+    with proxy.Proxy() as proxies:
+        link = proxies.link("one", "other", address)
+        teller.set_placers([link.address])
+        _wait_until(lambda: _SENDER in placer.loads)
+        link.silence(new_too=True)
+        _wait_until(lambda: _SENDER not in placer.loads)
+        link.mend()
+        _wait_until(lambda: _SENDER in placer.loads)
