Load libcurl only where something is asked by it

Cause: each process loads pycurl at its start, for the list of endpoints and the polls of the own engine kind; on the users' platform one entry a domain reads the list, the others never do.

--- a/cardamombarrow/endpoints/http_get.py
+++ b/cardamombarrow/endpoints/http_get.py
@@ -3,8 +3,6 @@
 import dataclasses
 import io
 
-import pycurl
-
 from cardamombarrow.kernel import errors
 
 __all__ = ["Reply", "fetch"]
@@ -32,6 +30,9 @@
     Raises:
         errors.EndpointError: No whole answer came in time.
     """
+    # Most entries never ask anything here, and libcurl takes over a megabyte.
+    import pycurl
+
     buffer = io.BytesIO()
     easy = pycurl.Curl()
     try:
