--- a/cardamombarrow/cli/serve.py
+++ b/cardamombarrow/cli/serve.py
@@ -18,7 +18,7 @@
 def entry(arguments: argparse.Namespace) -> int:
     """Runs an entry."""
     # Imported here: an entry that loaded the control process's modules too
-    # would hold 1.7 MB more on each instance (private memory, measured).
+    # would hold their memory on each instance.
     from cardamombarrow.entry import core as entry_core
 
     path = arguments.settings
--- a/cardamombarrow/decisions/admission.py
+++ b/cardamombarrow/decisions/admission.py
@@ -26,10 +26,9 @@
 or when its first token is predicted far beyond its target; it is answered at
 that moment, never held back.
 
-Figures: `ARRIVAL_FACTOR` and `WAITING_FACTOR` were measured, see
-`docs/decisions/queue.md`. `WAITING_BOUND` follows from the 512 connections
-that an entry serves at once by default (`[http] connections`): 320 wait, 160
-run (eight engines of 20 slots), 32 are left for everything else.
+`WAITING_BOUND` follows from the 512 connections that an entry serves at once by
+default (`[http] connections`): what waits and what runs leave some for
+everything else.
 """
 
 import math
--- a/cardamombarrow/decisions/estimate.py
+++ b/cardamombarrow/decisions/estimate.py
@@ -12,10 +12,9 @@
 towards 1 while it has few answers: 3,800 workspaces with histograms of their
 own would take more memory than an instance has for all of its control.
 
-Figures: 256 answers place a mean within 4 to 6 % for answers whose standard
-deviation is 0.7 to 1 of the mean (sigma / sqrt(n)). `PRIOR_ANSWERS` is the
-count at which a workspace's own answers weigh as much as its class. The
-memory of one histogram of two digits up to 100,000 tokens is 12 KB.
+256 answers place a mean within 4 to 6 % for answers whose standard deviation is
+0.7 to 1 of the mean (sigma / sqrt(n)). `PRIOR_ANSWERS` is the count at which a
+workspace's own answers weigh as much as its class.
 """
 
 import dataclasses
--- a/cardamombarrow/decisions/failures.py
+++ b/cardamombarrow/decisions/failures.py
@@ -8,9 +8,9 @@
 A failure that the endpoint itself has answered may lie in the request: it
 counts against the endpoint, but does not put it on probation.
 
-Figures: five requests make two thirds of the share of failures; it fades with
-the half-life of all that is observed. Probes begin as soon as a restart may
-have ended and back off to what callers wait for at most.
+Five requests make two thirds of the share of failures; it fades with the
+half-life of all that is observed. Probes begin as soon as a restart may have
+ended and back off to what callers wait for at most.
 """
 
 import dataclasses
--- a/cardamombarrow/decisions/fairness.py
+++ b/cardamombarrow/decisions/fairness.py
@@ -18,9 +18,9 @@
 a job's length is not known when it is served. Taking a job costs O(log n) in
 the workspaces that have jobs; idle ones cost nothing.
 
-Figures: the quantum follows the mean estimated length in this tier, so that a
-round is about one job of each workspace; a smaller one only adds rounds, a
-larger one lets a hot workspace send several jobs in a row.
+The quantum follows the mean estimated length in this tier, so that a round is
+about one job of each workspace; a smaller one only adds rounds, a larger one
+lets a hot workspace send several jobs in a row.
 """
 
 from collections import abc
--- a/cardamombarrow/decisions/fetching.py
+++ b/cardamombarrow/decisions/fetching.py
@@ -15,10 +15,9 @@
 requests nowhere, and the load went wherever it could: three times as much was
 moved, and long prompts made the short answers on all engines stutter.
 
-Figures: `FAR_START_S` is a connection and a question over 30 ms each way; the
-first events of short prompts came 0.07 s later with a fetch from another
-region. `WAIT_SHARE` lets every class wait for that but those whose target is
-so short that it matters. `LEAST_TOKENS` are read in some 3 to 6 ms.
+`FAR_START_S` is a connection and a question over 30 ms each way. `WAIT_SHARE`
+lets every class wait for that but those whose target is so short that it
+matters.
 """
 
 import typing
--- a/cardamombarrow/decisions/first_event.py
+++ b/cardamombarrow/decisions/first_event.py
@@ -30,8 +30,7 @@
 that all instances agree on it without a message; while nobody has told of a
 beginning it is reckoned to be there in part, because others send it there too.
 
-Figures: they are times of the same order as the targets they serve; `Notes` of
-docs/decisions/endpoints.md has what was measured.
+All times are of the order of the targets that they serve.
 """
 
 from collections import abc as collections_abc
--- a/cardamombarrow/decisions/fleet.py
+++ b/cardamombarrow/decisions/fleet.py
@@ -11,9 +11,9 @@
 with theirs: what was heard falls by a hundredth with each count that is
 heard, once a second. While nothing is heard it stays.
 
-Figures: `MARGIN` of a bound is used, because what an instance counts is not
-to the millisecond what an observer counts. `GUESSED_INSTANCES` is somewhat
-more than the smallest deployment has.
+`MARGIN` of a bound is used, because what an instance counts is not to the
+millisecond what an observer counts. `GUESSED_INSTANCES` is somewhat more than a
+small deployment has.
 """
 
 import math
--- a/cardamombarrow/decisions/kept.py
+++ b/cardamombarrow/decisions/kept.py
@@ -14,10 +14,9 @@
 engines themselves would be exact, but costs calls for each engine, domain and
 second, while this grows with the new places of parts only.
 
-Figures: `LIFE_S` is the time in which an engine's memory of some 600,000
-tokens is filled anew at 10,000 tokens a second. `PARTS` with two engines each
-take 3.5 MB, and 6.5 MB at most. `HOLDERS` are enough to leave a choice of
-sources where one is lost. `NEWS` bounds what one message tells to 2 KB.
+`LIFE_S` is about the time in which an engine's memory is filled anew. `HOLDERS`
+are enough to leave a choice of sources where one is lost. `NEWS` bounds what one
+message tells to 2 KB.
 """
 
 import collections
--- a/cardamombarrow/decisions/lanes.py
+++ b/cardamombarrow/decisions/lanes.py
@@ -13,9 +13,8 @@
 short requests mostly stay near. The lanes are a preference: the choice weighs
 what crossing them costs against what waiting costs.
 
-Figures: `QUIET_SHARE` of the engines is quiet. Of the reading, short requests
-make some 12 %, but an answer holds its place for longer than its prompt is
-read; docs/measurements.md has what other shares gave.
+Short requests make a small part of the reading, but an answer holds its place
+for longer than its prompt is read, so `QUIET_SHARE` is more than that part.
 """
 
 from collections import abc
--- a/cardamombarrow/decisions/pace.py
+++ b/cardamombarrow/decisions/pace.py
@@ -1,6 +1,6 @@
 """How fast the engines of a service read prompts, learnt from first events.
 
-Figures: steps of `STEP` move the estimate by two with 35 prompts. A prompt of
+Steps of `STEP` follow a change within some tens of prompts. A prompt of
 `LEAST_TOKENS` takes long enough that its reading, not the rest, sets the time.
 """
 
--- a/cardamombarrow/decisions/preemption.py
+++ b/cardamombarrow/decisions/preemption.py
@@ -16,10 +16,10 @@
 token into a budget, and tiers below the highest preempt only out of what the
 budget holds. The highest may overdraw it, for its promise is the tightest.
 
-Figures, measured in `docs/decisions/queue.md`: `DANGER_SHARE` leaves the rest
-of the target for the cancelled request's end, which takes one token's time on
-a stream, and for the first token; a smaller one throws away more and gains
-nothing. `WASTE_SHARE` is the 2 % of wasted work that is aimed at.
+`DANGER_SHARE` leaves the rest of the target for the cancelled request's end,
+which takes one token's time on a stream, and for the first token; a smaller one
+throws away more and gains nothing. `WASTE_SHARE` is the 2 % of wasted work that
+is aimed at.
 """
 
 import collections
--- a/cardamombarrow/decisions/quarantine.py
+++ b/cardamombarrow/decisions/quarantine.py
@@ -11,9 +11,8 @@
 quarantined for a time and the mark spreads by gossip. A second crash in
 company condemns nobody.
 
-Figures: the quarantine lasts ten minutes, longer than a caller's resends and
-short enough that a mended engine serves the same body again; the tables hold
-4,096 fingerprints, about 1 MB, and drop the oldest.
+The quarantine outlasts a caller's resends, and is short enough that a mended
+engine serves the same body again. The tables are bounded and drop the oldest.
 """
 
 import dataclasses
--- a/cardamombarrow/decisions/retry.py
+++ b/cardamombarrow/decisions/retry.py
@@ -19,11 +19,11 @@
 spread evenly over `SPREAD` around that, so that callers refused together do
 not return together.
 
-Figures: a share of 0.1 bounds the added load at a tenth, the figure that
-"Addressing Cascading Failures" in Google's "Site Reliability Engineering"
-(2016) gives for its client-side retry budget. `BUDGET_START` lets a class
-retry before it has had a success. The first backoff is about the time that a
-failing endpoint needs to lose its weight in the choice.
+A share of 0.1 bounds the added load at a tenth, the figure that "Addressing
+Cascading Failures" in Google's "Site Reliability Engineering" (2016) gives for
+its client-side retry budget. `BUDGET_START` lets a class retry before it has had
+a success. The first backoff is about the time that a failing endpoint needs to
+lose its weight in the choice.
 """
 
 import collections
--- a/cardamombarrow/decisions/shares.py
+++ b/cardamombarrow/decisions/shares.py
@@ -13,8 +13,7 @@
 limit / n, and the limit is kept.
 
 With late views the parts can add up to more. The excess is bounded by the
-half that goes by demand; docs/decisions/endpoints.md has what was measured.
-Work above a part that shrank is not cut: it drains.
+half that goes by demand. Work above a part that shrank is not cut: it drains.
 """
 
 from collections import abc
--- a/cardamombarrow/decisions/tiers.py
+++ b/cardamombarrow/decisions/tiers.py
@@ -21,15 +21,13 @@
 late: with all slots held by long answers, an urgent request would have to
 wait for one of them to end, or throw one away.
 
-Figures: `HEADROOM_SHARE` was measured with `preemption`, at 0, 0.1 and 0.15
-(`docs/decisions/queue.md`): without any, four times as much work is thrown
-away; with more, slots stand empty and nothing is gained. It is rounded down,
-so that an instance with fewer than ten slots keeps none. The reserved share
-is the document's, 0.1 by default. Credit and debt are bounded to what
-`CREDIT_S` and `DEBT_S` seconds of the reserved slots give: credit saved for
-longer would come out as a burst of the low tier at the moment the high one
-needs its slots; debt above a minute would leave windows in which the tier
-completes nothing.
+Without `HEADROOM_SHARE` the highest tier finds no free slot in a burst and work
+of others is thrown away for it; with more of it slots stand empty. It is
+rounded down, so that an instance with fewer than ten slots keeps none. Credit
+and debt are bounded to what `CREDIT_S` and `DEBT_S` seconds of the reserved
+slots give: credit saved for longer would come out as a burst of the low tier at
+the moment the high one needs its slots; debt above a minute would leave windows
+in which the tier completes nothing.
 """
 
 import collections
--- a/cardamombarrow/endpoints/pool.py
+++ b/cardamombarrow/endpoints/pool.py
@@ -7,11 +7,11 @@
 lost. So a request that may run once only takes a connection that was in use a
 moment ago, and every request one that the endpoint keeps for much longer.
 
-Figures: `KEEP_SHARE` leaves half of the time that an endpoint tells, which
-covers clocks of different pace and a busy network. `ONCE_S` bounds what a
-fault can hit: connections that were used in the second before it. `MOST_IDLE`
-serves the requests that one entry has at an endpoint at most moments, and
-keeps what all entries hold open well below what endpoints accept.
+`KEEP_SHARE` leaves half of the time that an endpoint tells, which covers clocks
+of different pace and a busy network. `ONCE_S` bounds what a fault can hit:
+connections that were used in the second before it. `MOST_IDLE` serves the
+requests that one entry has at an endpoint at most moments, and keeps what all
+entries hold open well below what endpoints accept.
 """
 
 import threading
--- a/cardamombarrow/entry/holding.py
+++ b/cardamombarrow/entry/holding.py
@@ -10,9 +10,9 @@
 An entry whose confirmation was there and has run out is cut off. Nothing says
 when that ends, and other entries can serve its callers, so it holds nobody.
 
-Figures: `HELD_SHARE` leaves a caller three quarters of its time for the answer
-or for another entry. `STARTING_S` is three times what a start of all
-processes takes, elections included; who is not confirmed by then is cut off.
+`HELD_SHARE` leaves a caller most of its time for the answer or for another
+entry. `STARTING_S` is longer than a start of all processes takes, elections
+included; who is not confirmed by then is cut off.
 """
 
 __all__ = ["HELD_SHARE", "STARTING_S", "hold_s"]
