--- a/cardamombarrow/decisions/kept.py
+++ b/cardamombarrow/decisions/kept.py
@@ -15,8 +15,8 @@
 second, while this grows with the new places of parts only.
 
 `LIFE_S` is about the time in which an engine's memory is filled anew. `HOLDERS`
-are enough to leave a choice of sources where one is lost. `NEWS` bounds what one
-message tells to 2 KB.
+are enough to leave a choice of sources where one is lost. `NEWS` bounds what
+one message tells to 2 KB.
 """
 
 import collections
--- a/cardamombarrow/decisions/spill.py
+++ b/cardamombarrow/decisions/spill.py
@@ -9,8 +9,8 @@
 for its prompt and expected answer. A long prompt needs a fuller bucket than a
 short one, so when bytes are scarce long prompts stay.
 
-A token is reckoned as four bytes of prompt, and as 200 bytes of answer, which is
-a streamed event of the OpenAI format.
+A token is reckoned as four bytes of prompt, and as 200 bytes of answer, which
+is a streamed event of the OpenAI format.
 """
 
 from cardamombarrow.decisions import base
