--- a/cardamombarrow/decisions/retry.py
+++ b/cardamombarrow/decisions/retry.py
@@ -22,8 +22,8 @@
 A share of 0.1 bounds the added load at a tenth, the figure that "Addressing
 Cascading Failures" in Google's "Site Reliability Engineering" (2016) gives for
 its client-side retry budget. `BUDGET_START` lets a class retry before it has
-had a success. The first backoff is about the time that a failing endpoint needs to
-lose its weight in the choice.
+had a success. The first backoff is about the time that a failing endpoint needs
+to lose its weight in the choice.
 """
 
 import collections
