--- /dev/null
+++ b/benchmarks/placing_cost.py
@@ -0,0 +1,142 @@
+"""What a question to the placer costs: ``python -m benchmarks.placing_cost``.
+
+Two entries in one process, over loopback, each with a broker, a port and a
+client, as the entry role wires them. One of them places; requests are handed to
+the other one, begin and end. The processor time is that of both sides together.
+"""
+
+import argparse
+import dataclasses
+import random
+import statistics
+import time
+
+from benchmarks import driver
+from benchmarks import many_entries
+from cardamombarrow.decisions import messages
+from cardamombarrow.entry import broker as broker_module
+from cardamombarrow.entry import placer as placer_module
+from cardamombarrow.kernel import clock
+from cardamombarrow.kernel import ids
+from cardamombarrow.kernel import logs
+from cardamombarrow.peers import loop as loop_module
+from cardamombarrow.peers import placing_client
+from cardamombarrow.peers import placing_service
+from cardamombarrow.peers import server as server_module
+from cardamombarrow.placing import order as order_module
+from tools import deployment
+
+__all__ = ["main"]
+
+SECRET = "a-secret-of-benchmarks"
+START_S = 1.0
+
+
+class _Entry:
+    """One entry without callers."""
+
+    def __init__(self, name: str, document, members: dict[str, str]):
+        self.broker = broker_module.Broker(
+            document,
+            ids.InstanceId(name),
+            driver.DOMAIN,
+            clock.SystemClock(),
+        )
+        self.loop = loop_module.LoopThread()
+        placer = placer_module.Placer(self.broker.for_domain, self.loop.soon)
+        host, _, port = members[name].rpartition(":")
+        self.server = server_module.PeerServer(
+            self.loop,
+            host,
+            int(port),
+            SECRET,
+            [placing_service.PlacingService(placer, dict)],
+        )
+        self.client = placing_client.PlacingClient(
+            self.loop,
+            ids.InstanceId(name),
+            SECRET,
+            placing_client.ClientHooks(
+                members=lambda: members,
+                runs=self.broker.runs,
+                on_answer=self.broker.on_answer,
+                fall_back=self.broker.fall_back,
+                count=lambda outcome: None,
+            ),
+        )
+
+    def start(self) -> None:
+        """Starts listening and asking."""
+        self.broker.start()
+        self.loop.start()
+        self.server.start()
+        self.broker.set_asking(self.client)
+        self.client.start()
+
+
+def _jobs(count: int) -> list[messages.Job]:
+    scenario = many_entries.scenario(random.Random(1), 10.0, 1.0)
+    return [
+        messages.Job(
+            request_id=ids.RequestId(f"{number:024x}"),
+            workspace=work.workspace,
+            class_id=work.class_id,
+            service=driver.SERVICE,
+            model=ids.ModelId("m"),
+            rank=0,
+            arrived_s=0.0,
+            target_first_token_s=2.0,
+            deadline_s=0.0,
+            prompt_tokens=work.prompt_tokens,
+            prefix_key=work.prefix_key,
+            parts=tuple(messages.PromptPart(*part) for part in work.parts),
+        )
+        for number, work in enumerate(scenario.works[:count])
+    ]
+
+
+def main() -> None:
+    """Prints processor time and time of a question."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--questions", type=int, default=2_000)
+    options = parser.parse_args()
+    logs.configure("ERROR", "benchmark", "placing")
+    names = ["entry-1", "entry-2"]
+    ports = deployment.free_ports(len(names))
+    members = {
+        name: f"127.0.0.1:{port}"
+        for name, port in zip(names, ports, strict=True)
+    }
+    document = many_entries.scenario(random.Random(1), 0.01, 1.0).document
+    entries = {name: _Entry(name, document, members) for name in names}
+    for entry in entries.values():
+        entry.start()
+    time.sleep(START_S)
+    order = order_module.PlacerOrder()
+    order.set_members(names)
+    asker = next(
+        entry
+        for name, entry in entries.items()
+        if name != order.first(time.monotonic())
+    )
+    took_s = []
+    begin_cpu_s = time.process_time()
+    for job in _jobs(options.questions):
+        now_s = time.monotonic()
+        job = dataclasses.replace(job, arrived_s=now_s, deadline_s=now_s + 60.0)
+        ticket = asker.broker.submit(job)
+        ticket.placed.result()
+        took_s.append(time.monotonic() - now_s)
+        asker.broker.first_token(job.request_id)
+        asker.broker.finish(job.request_id, messages.Outcome.DONE)
+    cpu_s = time.process_time() - begin_cpu_s
+    cuts = statistics.quantiles(took_s, n=20)
+    print(
+        f"{options.questions} questions: {cpu_s / options.questions * 1e3:.3f} "
+        f"ms of CPU each, both sides; answered in {cuts[9] * 1e3:.2f} ms "
+        f"(median), {cuts[18] * 1e3:.2f} ms (95 in 100)"
+    )
+
+
+if __name__ == "__main__":
+    main()
