Fill an endpoint beyond its places only where it puts back by itself

Cause: the rule that an urgent request takes a less urgent one's place held for every kind of engine; those of the project's own documents queue what is above their places, and there preemption cancels one first. Found by reading; the test fails before.

--- a/cardamombarrow/decisions/base.py
+++ b/cardamombarrow/decisions/base.py
@@ -223,7 +223,14 @@
 
 
 class Choice(Policy):
-    """Where a job is sent."""
+    """Where a job is sent.
+
+    Attributes:
+        displaces: Whether an endpoint whose places are taken may be handed a
+            more urgent job, because it puts back a less urgent one by itself.
+    """
+
+    displaces = False
 
     def consider(
         self,
--- a/cardamombarrow/decisions/first_event.py
+++ b/cardamombarrow/decisions/first_event.py
@@ -120,6 +120,8 @@
 class FirstEventChoice(weighed.WeighedChoice):
     """Least expected time to the first event, over all candidates."""
 
+    displaces = True
+
     def __init__(self, context: base.PolicyContext):
         super().__init__(context)
         self._engines: dict[ids.EndpointId, engine_view.EngineView] = {}
--- a/cardamombarrow/decisions/roster.py
+++ b/cardamombarrow/decisions/roster.py
@@ -305,9 +305,10 @@
         back. Where all are known, an urgent request need not wait until a
         long answer has ended.
         """
-        if self._context.whole_domain and job.streams:
+        displaces = self._policies.choice.displaces and job.streams
+        if self._context.whole_domain and displaces:
             return state.held_against(job.rank)
-        return len(state.running)
+        return state.known_running
 
 
 class Room(base.Room):
--- a/cardamombarrow/decisions/tests/test_others_load.py
+++ b/cardamombarrow/decisions/tests/test_others_load.py
@@ -1,5 +1,6 @@
 """What other deciding instances have on an endpoint counts there."""
 
+import dataclasses
 import random
 
 import pytest
@@ -33,9 +34,15 @@
     assert state.others_reading_s(token_s, 102.0) == 0.0
 
 
-@pytest.fixture
-def dispatcher():
+@pytest.fixture(name="dispatcher")
+def _dispatcher():
+    return _whole_domain()
+
+
+def _whole_domain(**policies):
     document = many_entries.scenario(random.Random(1), 0.01, 1.0).document
+    chosen = dataclasses.replace(document.policies, **policies)
+    document = dataclasses.replace(document, policies=chosen)
     context = base.PolicyContext(
         document,
         ids.InstanceId("placer"),
@@ -143,3 +150,14 @@
     loads[free] = messages.OthersLoad((2,) * 11, 1, 3_000.0, 0.0)
     dispatcher.set_others(_PEER, loads)
     assert _place(dispatcher, 1) == [free]
+
+
+def test_an_endpoint_that_puts_nothing_back_is_not_filled_beyond_its_places():
+    # Engines of other kinds only queue what is above their places, or fail.
+    # Handed an urgent request all the same, they make it late or lose it.
+    dispatcher = _whole_domain(choice="two-candidates")
+    full = dict.fromkeys(
+        many_entries.ENDPOINTS, messages.OthersLoad((2,) * 12, 0, 0.0, 0.0)
+    )
+    dispatcher.set_others(_PEER, full)
+    assert _place(dispatcher, 1) == []
