Tell loads again after a silent link; keep what a later stream told

Found by reading on the way: the end of an old stream took away what a later one of the same placer had told; the test fails before.

--- a/cardamombarrow/peers/placing_service.py
+++ b/cardamombarrow/peers/placing_service.py
@@ -79,6 +79,7 @@
         """
         self._placer = placer
         self._endpoints = endpoints
+        self._tellers: dict[ids.InstanceId, server.Stream] = {}
 
     async def Place(self, stream: server.Stream) -> None:  # noqa: N802
         """Serves one entry until it leaves or goes silent."""
@@ -115,7 +116,9 @@
                     )
                     if news is None:
                         return
-                    instance = instance or ids.InstanceId(news.instance)
+                    if not instance:
+                        instance = ids.InstanceId(news.instance)
+                        self._tellers[instance] = stream
                     self._placer.set_others(
                         instance,
                         placing_codec.loads_from_wire(
@@ -124,7 +127,11 @@
                     )
                     await stream.send_message(placing_pb2.LoadPulse())
         finally:
-            self._placer.forget_others(instance)
+            # A placer that is back over another stream has told anew what it
+            # has; the end of the one before must not take that away.
+            if self._tellers.get(instance) is stream:
+                del self._tellers[instance]
+                self._placer.forget_others(instance)
 
     def _take(
         self, owner: placer_module.Owner, message: placing_pb2.PlacingRequest
--- a/cardamombarrow/peers/placing_teller.py
+++ b/cardamombarrow/peers/placing_teller.py
@@ -122,7 +122,8 @@
         # grpclib opens a stream with its first message; nothing can be read
         # before.
         hello = placing_codec.loads_to_wire(self._instance, {})
-        await stream.send_message(hello)
+        async with asyncio.timeout(SILENT_S):
+            await stream.send_message(hello)
         reader = asyncio.create_task(self._read(stream))
         try:
             while not reader.done():
@@ -137,6 +138,9 @@
                 await asyncio.sleep(INTERVAL_S)
         finally:
             reader.cancel()
+        # A stream that is left without an error waits for the other side's
+        # last word, which never comes over a silent link.
+        raise TimeoutError("the other side is silent, or has ended")
 
     async def _read(self, stream: client.Stream) -> None:
         """Ends when the other side has been silent for too long."""
--- a/cardamombarrow/peers/tests/test_placing_teller.py
+++ b/cardamombarrow/peers/tests/test_placing_teller.py
@@ -1,5 +1,6 @@
 """Placers of several domains tell each other what they have on endpoints."""
 
+import asyncio
 import time
 
 import pytest
@@ -143,3 +144,43 @@
         _wait_until(lambda: _SENDER not in placer.loads)
         link.mend()
         _wait_until(lambda: _SENDER in placer.loads)
+
+
+class _Stream:
+    """A stream whose messages the test hands in."""
+
+    def __init__(self):
+        self.messages = asyncio.Queue()
+
+    async def recv_message(self):
+        return await self.messages.get()
+
+    async def send_message(self, message):
+        pass
+
+
+def test_the_end_of_a_stream_leaves_what_a_later_one_told():
+    # A placer opens another stream while its old one still hangs at this end.
+    # When that ends at last, what the new one told has to stay: it tells only
+    # what changes, and a full engine would look idle from then on.
+    placer = _Placer()
+    known = {rows.endpoint_hash(_ONE): _ONE}
+    service = placing_service.PlacingService(placer, lambda: known)
+    news = placing_codec.loads_to_wire(_SENDER, {_ONE: _load(2)})
+
+    async def run():
+        old, new = _Stream(), _Stream()
+        tasks = []
+        for stream in (old, new):
+            tasks.append(asyncio.create_task(service.Tell(stream)))
+            stream.messages.put_nowait(news)
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+        old.messages.put_nowait(None)
+        await tasks[0]
+        assert placer.loads == {_SENDER: {_ONE: 2}}
+        new.messages.put_nowait(None)
+        await tasks[1]
+        assert placer.loads == {}
+
+    asyncio.run(run())
