--- a/cardamombarrow/entry/placer.py
+++ b/cardamombarrow/entry/placer.py
@@ -18,8 +18,8 @@
 __all__ = ["Owner", "Placer"]
 
 MOST_OPEN = 1_024
-"""Requests that one owner may have waiting or running here. A domain of 36
-entries at their 512 connections each holds less than twice as many in all."""
+"""Requests that one owner may have waiting or running here: twice the
+connections that an entry serves at once."""
 
 Send = abc.Callable[[placing_messages.Answer | placing_messages.Waits], None]
 
@@ -117,12 +117,7 @@
             try:
                 ticket = self._broker.submit(job)
             except errors.RefusedError as error:
-                refusal = messages.Refusal(
-                    job.request_id,
-                    error.kind,
-                    error.detail,
-                    error.retry_after_s,
-                )
+                refusal = _refusal(job, error)
         if refusal is not None:
             owner.send(placing_messages.Answer(refusal))
             return
