Let the log thread sleep in a member that does not vote

Cause: next_wake_s gave the election time to every member that doesn't lead, but Election.tick moves it on at voters only. Ruled out: joining.due_s (its tick always moves it on), the leader's heartbeat. Shown: the simulation now checks after every tick, in the directed and the model tests, that the next wake-up lies ahead; a learner cut off failed it. A counter of the log thread's wake-ups is on /metrics.

--- a/cardamombarrow/control/metrics.py
+++ b/cardamombarrow/control/metrics.py
@@ -46,3 +46,5 @@
         ):
             yield f"# TYPE {PREFIX}{name} gauge"
             yield f"{PREFIX}{name} {value}"
+        yield f"# TYPE {PREFIX}log_wakeups_total counter"
+        yield f"{PREFIX}log_wakeups_total {status.wakeups}"
--- a/cardamombarrow/log/base.py
+++ b/cardamombarrow/log/base.py
@@ -51,6 +51,7 @@
         applied_index: Last index applied here.
         applicants: Identities that asked to be let in, and wait for an
             operator.
+        wakeups: How often the log thread has come round since its start.
     """
 
     voter: str
@@ -64,6 +65,7 @@
     role: str = "follower"
     applied_index: int = 0
     applicants: tuple[str, ...] = ()
+    wakeups: int = 0
 
 
 class Log(abc.ABC):
--- a/cardamombarrow/log/core.py
+++ b/cardamombarrow/log/core.py
@@ -204,7 +204,11 @@
             return self._joining.due_s
         if state.is_leader:
             return self._leading.heartbeat_due_s
-        return min(state.election_due_s, state.now_s + state.timing.retry_s)
+        retry_s = state.now_s + state.timing.retry_s
+        if not state.is_voter:
+            # Only a voter's `tick` moves the election time on.
+            return retry_s
+        return min(state.election_due_s, retry_s)
 
     def _is_stale(self, term: int) -> bool:
         state = self.state
--- a/cardamombarrow/log/driver.py
+++ b/cardamombarrow/log/driver.py
@@ -159,6 +159,7 @@
         self._core = self._runner.core
         self._quorum_s = time.monotonic()
         self._snapshotting = False
+        self._wakeups = 0
         self._leader = ""
         self._voters: tuple[membership_module.Member, ...] = ()
         self._seen_s = time.monotonic()
@@ -296,6 +297,7 @@
             raise _StopError
 
     def _work(self) -> bool:
+        self._wakeups += 1
         wait_s = self._core.next_wake_s() - time.monotonic()
         for item in self._collect(wait_s):
             if item is _STOP:
@@ -400,6 +402,7 @@
             role=_role(state),
             applied_index=self._runner.replica.applied_index,
             applicants=tuple(m.id for m in core.applicants.values()),
+            wakeups=self._wakeups,
         )
 
     # -- the apply thread --------------------------------------------------
--- a/cardamombarrow/log/tests/simulation.py
+++ b/cardamombarrow/log/tests/simulation.py
@@ -222,6 +222,8 @@
         node = self.nodes[name]
         if node.runner:
             node.runner.core.tick(self.now_s)
+            # A wake-up that is due at once again is a thread that spins.
+            assert node.runner.core.next_wake_s() > self.now_s
             node.work()
 
     def run(self, duration_s: float) -> None:
--- a/cardamombarrow/log/tests/test_core.py
+++ b/cardamombarrow/log/tests/test_core.py
@@ -347,3 +347,20 @@
         _restarted(tmp_path / str(seed), seed, without) for seed in range(20)
     ]
     assert max(times_s) <= most_s + simulation.STEP_S
+
+
+def test_a_learner_that_hears_no_leader_does_not_spin(tmp_path):
+    # Guards against a log thread that burns a core in a learner cut off.
+    cluster = simulation.Cluster(tmp_path, ["A", "B", "C"], seed=3)
+    assert cluster.run_until(lambda: _is_redundant(cluster))
+    cluster.add_node("D")
+    cluster.run(1)
+    learner = cluster.nodes["D"].runner.core.state.me
+    change = membership.Change(membership.ChangeKind.ADD_LEARNER, learner)
+    cluster.leader().change(change)
+    cluster.run(2)
+    state = cluster.nodes["D"].runner.core.state
+    assert state.log.membership.members and not state.is_voter
+    for other in "ABC":
+        cluster.cut("D", other)
+    cluster.run(10)
