--- a/cardamombarrow/platform/servers.py
+++ b/cardamombarrow/platform/servers.py
@@ -22,7 +22,7 @@
 _LEAST_URGENT = 9
 
 _STEPS = 3
-"""Priorities that a server tells apart within one workspace rank."""
+"""Workspace ranks that a server tells apart within one route rank."""
 
 _LOAD = re.compile(r"(\d{1,6}),(\d{1,6}),(\d{1,6})")
 _EVENT_ID = re.compile(rb"^id:[ ]?([^\r\n]+)", re.M)
@@ -159,8 +159,10 @@
 def _priority(rank: int) -> int:
     """Returns the priority that a server is told, 0 to 9.
 
-    Servers know ten priorities and ranks are a hundred. The three most urgent
-    workspace ranks are told apart, and three steps within each.
+    Servers know ten priorities and ranks are a hundred. A server puts running
+    requests back, and there the route's rank goes first: a workspace's rank
+    decides who waits and who is placed, not whose answer is cut.
     """
-    first, second = routed.rank_parts(rank)
-    return min(_STEPS * first + min(second, _STEPS - 1), _LEAST_URGENT)
+    workspace_rank, route_rank = routed.rank_parts(rank)
+    step = min(workspace_rank, _STEPS - 1)
+    return min(_STEPS * route_rank + step, _LEAST_URGENT)
