--- a/cardamombarrow/control/core.py
+++ b/cardamombarrow/control/core.py
@@ -14,9 +14,13 @@
 from cardamombarrow.control import metrics
 from cardamombarrow.control import settings as settings_module
 from cardamombarrow.control import state as state_module
+from cardamombarrow.discovery import base as discovery
 from cardamombarrow.document import formats
 from cardamombarrow.document import parsing
 from cardamombarrow.document import schema
+from cardamombarrow.duties import base as duties_base
+from cardamombarrow.duties import holding as holding_module
+from cardamombarrow.duties import runner as duties_runner
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import http
@@ -35,6 +39,7 @@
 from cardamombarrow.peers import control_service
 from cardamombarrow.peers import follower_exchange
 from cardamombarrow.peers import followers as followers_module
+from cardamombarrow.peers import gathering
 from cardamombarrow.peers import log_transport
 from cardamombarrow.peers import loop as loop_module
 from cardamombarrow.peers import secret as secret_module
@@ -44,6 +49,8 @@
 FIRST_DOCUMENT_LOOK_S = 0.1
 FIRST_DOCUMENT_TIMEOUT_S = 5.0
 
+GATHER_TIMEOUT_S = 2.0
+
 
 class _PublishingState(state_module.ControlState):
     """Tells the followers of every accepted document."""
@@ -103,6 +110,8 @@
             peers.secret,
             self._state.service.followers,
             self._state.service.kept,
+            self._state.service.metered,
+            lambda: self._log.status().role == "leader",
         )
         self._exchange.start()
 
@@ -121,6 +130,7 @@
             ids.DomainId(self._settings.instance.domain),
         )
         self._server = server.Server([service, self._log_service])
+        service.metered.count_windows(self._settings.duties.window_s)
         secret_module.guard(self._server, peers.secret)
         await self._server.start(peers.host, peers.port)
         self._state.service = service
@@ -134,6 +144,26 @@
     async def _stop(self) -> None:
         self._server.close()
 
+    def gathered(self) -> duties_runner.Gathered | None:
+        """Returns what entries have told of usage and demand."""
+        service = self._state.service
+        if service is None:
+            return None
+        return self._loop.call(self._gather(service.metered)).result(
+            timeout=GATHER_TIMEOUT_S
+        )
+
+    async def _gather(
+        self, metered: gathering.Gathering
+    ) -> duties_runner.Gathered:
+        now_s = time.monotonic()
+        return duties_runner.Gathered(
+            unix_s=metered.unix_s(),
+            totals=metered.usage.totals(),
+            sources=metered.usage.sources(),
+            demand=metered.demand.all(now_s),
+        )
+
     @property
     def followers(
         self,
@@ -273,6 +303,35 @@
     return cls(editions.Editions(log, state))
 
 
+def _duties(
+    settings: settings_module.ControlSettings,
+    log: base.Log,
+    state: _PublishingState,
+    peers: _PeerServer,
+) -> duties_runner.DutiesRunner:
+    duties = settings.duties
+    source = registry.lookup(discovery.SLOT, duties.discovery)()
+    holding = holding_module.Holding(
+        log,
+        ids.InstanceId(duties.holder or settings.instance.id),
+        duties.lease_ms / 1_000,
+        clock.BootClock(),
+    )
+    return duties_runner.DutiesRunner(
+        duties,
+        log,
+        holding,
+        registry.lookup(duties_base.SLOT, duties.gateway)(),
+        duties_runner.Sources(
+            gathered=peers.gathered,
+            state=lambda: state.duties,
+            document=lambda: _orders_document(state),
+            listing=lambda: source.fetch(duties.listing_url),
+        ),
+        clock.SystemClock(),
+    )
+
+
 def run(
     settings: settings_module.ControlSettings, path: pathlib.Path | None = None
 ) -> None:
@@ -313,6 +372,8 @@
             clock.SystemClock(),
         )
     )
+    if settings.duties.any_wanted:
+        parts.append(_duties(settings, log, state, peers))
     side = http.side_server(
         settings.side.metrics, metrics.MetricsApp(log, state)
     )
--- a/cardamombarrow/control/settings.py
+++ b/cardamombarrow/control/settings.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from cardamombarrow.duties import settings as duties_settings
 from cardamombarrow.entry import settings as entry_settings
 from cardamombarrow.kernel import http
 from cardamombarrow.kernel import settings
@@ -73,5 +74,6 @@
     peers: entry_settings.PeerSettings
     state: StateSettings
     operators: OperatorSettings
+    duties: duties_settings.DutySettings
     side: entry_settings.SideSettings
     log: entry_settings.LogSettings
--- a/cardamombarrow/control/state.py
+++ b/cardamombarrow/control/state.py
@@ -3,6 +3,7 @@
 import json
 
 from cardamombarrow.document import machine as document_machine
+from cardamombarrow.duties import machine as duties_machine
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 from cardamombarrow.ledger import machine as ledger_machine
@@ -25,12 +26,14 @@
             one is committed.
         ledger: The claims of unrepeatable requests.
         orders: Which control process gives orders to engines.
+        duties: Which one calls the platform for all, and what it reported.
     """
 
     def __init__(self):
         self.document = document_machine.DocumentState("", NO_DOCUMENT)
         self.ledger = ledger_machine.LedgerState()
         self.orders = orders_machine.OrdersState()
+        self.duties = duties_machine.DutiesState()
 
     def apply(self, index: int, command: bytes) -> bytes:
         """Applies one command; see `base.StateMachine`."""
@@ -114,6 +117,59 @@
         current = self.orders.renew(asked)
         return _orders_reply(self.orders.holder, current=current)
 
+    def _apply_take_duties(
+        self, wire: control_pb2.TakeDutiesCommand
+    ) -> control_pb2.Reply:
+        holder = self.duties.take(ids.InstanceId(wire.instance))
+        return self._duties_reply(holder, current=True)
+
+    def _apply_renew_duties(
+        self, wire: control_pb2.RenewDutiesCommand
+    ) -> control_pb2.Reply:
+        asked = orders_machine.Holder(
+            ids.InstanceId(wire.instance), wire.fencing
+        )
+        current = self.duties.renew(asked)
+        return self._duties_reply(self.duties.holders.holder, current=current)
+
+    def _duties_reply(
+        self, holder: orders_machine.Holder, *, current: bool
+    ) -> control_pb2.Reply:
+        return control_pb2.Reply(
+            duties=control_pb2.DutiesReply(
+                instance=holder.instance,
+                fencing=holder.fencing,
+                current=current,
+                before=self.duties.before,
+            )
+        )
+
+    def _apply_commit_usage(
+        self, wire: control_pb2.CommitUsageCommand
+    ) -> control_pb2.Reply:
+        counts = {
+            ids.WorkspaceId(name): count for name, count in wire.counts.items()
+        }
+        holder = orders_machine.Holder(
+            ids.InstanceId(wire.instance), wire.fencing
+        )
+        report = self.duties.commit(wire.window, counts, holder)
+        return control_pb2.Reply(
+            usage=control_pb2.UsageReply(
+                window=wire.window,
+                counts=report.counts if report else {},
+                committed=report is not None,
+            )
+        )
+
+    def _apply_settle_usage(
+        self, wire: control_pb2.SettleUsageCommand
+    ) -> control_pb2.Reply:
+        self.duties.settle(wire.window)
+        return control_pb2.Reply(
+            usage=control_pb2.UsageReply(window=wire.window, committed=True)
+        )
+
     def snapshot(self) -> bytes:
         """Returns document and ledger as packed JSON."""
         text = json.dumps(
@@ -121,6 +177,7 @@
                 "document": self.document.to_json(),
                 "ledger": self.ledger.to_json(),
                 "orders": self.orders.to_json(),
+                "duties": self.duties.to_json(),
             }
         )
         return packing.pack(text)
@@ -138,6 +195,9 @@
         )
         self.ledger = ledger_machine.LedgerState.from_json(raw["ledger"])
         self.orders = orders_machine.OrdersState.from_json(raw["orders"])
+        # A snapshot of a version before duties has none.
+        if "duties" in raw:
+            self.duties = duties_machine.DutiesState.from_json(raw["duties"])
 
 
 def _orders_reply(
--- a/cardamombarrow/decisions/pace.py
+++ b/cardamombarrow/decisions/pace.py
@@ -24,7 +24,14 @@
 class ReadingPace:
     """Time to read a prompt token, by service."""
 
-    def __init__(self):
+    def __init__(self, quantile: float = 0.5):
+        """Starts with a guess.
+
+        Args:
+            quantile: Which one of the times seen is followed.
+        """
+        self._up = STEP ** (2 * quantile)
+        self._down = STEP ** (2 * quantile - 2)
         self._token_s: dict[ids.ServiceId, float] = {}
 
     def token_s(self, service: ids.ServiceId) -> float:
@@ -34,12 +41,12 @@
     def learn(self, service: ids.ServiceId, seen_s: float) -> None:
         """Moves the time to read a token a step towards what was seen.
 
-        Steps of one size lead to the median: a prompt that waited for others
-        tells too much, one that was cached against expectation too little,
-        and neither may pull the estimate along.
+        Steps of a fixed size lead to a quantile: a prompt that waited for
+        others tells too much, one that was cached against expectation too
+        little, and neither may pull the estimate along.
         """
         token_s = self.token_s(service)
-        step = STEP if seen_s > token_s else 1.0 / STEP
+        step = self._up if seen_s > token_s else self._down
         self._token_s[service] = min(
             max(token_s * step, FASTEST_TOKEN_S), SLOWEST_TOKEN_S
         )
--- a/cardamombarrow/discovery/base.py
+++ b/cardamombarrow/discovery/base.py
@@ -37,6 +37,7 @@
         service: Empty where the list does not tell it.
         domain: Empty where the list does not tell it.
         slots: Most requests it runs at once; 0 where the list does not tell.
+        spot: Whether the platform may reclaim it.
     """
 
     endpoint: ids.EndpointId
@@ -44,6 +45,7 @@
     service: ids.ServiceId = NOT_TOLD_SERVICE
     domain: ids.DomainId = NOT_TOLD_DOMAIN
     slots: int = 0
+    spot: bool = False
 
 
 class Source(abc.ABC):
--- a/cardamombarrow/document/parsing.py
+++ b/cardamombarrow/document/parsing.py
@@ -156,7 +156,7 @@
             del self._fields[first]
             self._values[first] = identity
         if cls is schema.Service:
-            del self._fields["endpoints"]
+            del self._fields["endpoints"], self._fields["scaling"]
         if cls is schema.Workspace:
             del self._fields["rank"]
 
--- a/cardamombarrow/document/schema.py
+++ b/cardamombarrow/document/schema.py
@@ -107,6 +107,27 @@
     rank: int | None = None
 
 
+@dataclasses.dataclass(frozen=True)
+class Scaling:
+    """How many endpoints of a service may be ordered, and what they cost.
+
+    Attributes:
+        least: Least endpoints in a failure domain.
+        most: Most endpoints in a failure domain, of all kinds together.
+        boot_s: Time from an order until an endpoint serves.
+        spot_price: Price of a reclaimable endpoint as a share of the other
+            kind's; 0 where there are none.
+        prices: Price of an endpoint second by failure domain, in any one
+            unit. Endpoints are ordered only in these domains.
+    """
+
+    least: int
+    most: int
+    boot_s: float
+    spot_price: float
+    prices: dict[ids.DomainId, float]
+
+
 @dataclasses.dataclass(frozen=True)
 class Service:
     """Endpoints that serve the same requests.
@@ -128,6 +149,8 @@
             another one fetches from it.
         cache_link_mbit_per_s: Pace of such a transfer in Mbit/s; 0 where
             engines can't fetch from each other.
+        scaling: What may be ordered; None where the number of endpoints is
+            not for this system to decide.
     """
 
     service: ids.ServiceId
@@ -139,6 +162,7 @@
     max_connections: int = 0
     cache_token_bytes: int = 0
     cache_link_mbit_per_s: float = 0.0
+    scaling: Scaling | None = None
     endpoints: dict[ids.DomainId, tuple[ids.EndpointId, ...]] = (
         dataclasses.field(default_factory=dict)
     )
--- /dev/null
+++ b/cardamombarrow/duties/ordering.py
@@ -0,0 +1,189 @@
+"""Which orders of endpoints are sent, from what is wanted and what is there.
+
+Load pattern: all reclaimable endpoints of a domain go at once, within seconds,
+and for a while no others are to be had. Those are so much cheaper that they
+are asked for first; what they don't fill, the other kind fills. An endpoint is
+given up only once its replacement serves.
+
+Orders are numbers, not changes, so that one which is sent twice does no harm.
+An old one that is carried out after a newer one does: see `Order.contradicts`.
+"""
+
+import collections
+from collections import abc
+import dataclasses
+
+from cardamombarrow.discovery import base as discovery
+from cardamombarrow.document import schema
+from cardamombarrow.duties import base
+from cardamombarrow.kernel import ids
+
+__all__ = ["Fleet", "Order", "Ordering", "fleet_of"]
+
+SPOT_RETRY_S = 8.0
+"""Time until reclaimable endpoints are asked for again after a refusal."""
+
+INVALID_RETRY_S = 60.0
+"""Time until an order is sent again that makes no sense to the platform."""
+
+SEEN_AFTER_S = 4.0
+"""Time beside that of a start within which an order shows in the list."""
+
+RETRY_S = 1.0
+"""Time until an order without a clear answer is sent again."""
+
+_PAUSES_S = {
+    base.Outcome.REFUSED: SPOT_RETRY_S,
+    base.Outcome.INVALID: INVALID_RETRY_S,
+    base.Outcome.UNAVAILABLE: RETRY_S,
+    base.Outcome.UNKNOWN: RETRY_S,
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class Fleet:
+    """Endpoints of one service in one failure domain that take work."""
+
+    spot: int = 0
+    regular: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Order:
+    """A call that is due.
+
+    Attributes:
+        contradicts: Whether an earlier call that says something else may
+            still be carried out: this one needs a newer fencing token.
+    """
+
+    call: base.EndpointOrder
+    contradicts: bool
+
+
+@dataclasses.dataclass
+class _Sent:
+    count: int
+    sent_s: float
+    outcome: base.Outcome
+    repeated: bool = False
+
+
+_Subject = tuple[ids.ServiceId, ids.DomainId, bool]
+
+
+def fleet_of(
+    items: abc.Iterable[discovery.Listed], service: ids.ServiceId
+) -> dict[ids.DomainId, Fleet]:
+    """Counts the endpoints of a service in a list, by failure domain."""
+    counts: dict[ids.DomainId, collections.Counter[bool]] = {}
+    for item in items:
+        if item.service != service:
+            continue
+        if item.state is not discovery.ListedState.LIVE:
+            continue
+        counts.setdefault(item.domain, collections.Counter())[item.spot] += 1
+    return {
+        domain: Fleet(spot=count[True], regular=count[False])
+        for domain, count in counts.items()
+    }
+
+
+class Ordering:
+    """What one holder has ordered since it holds."""
+
+    def __init__(self):
+        self._sent: dict[_Subject, _Sent] = {}
+
+    def due(
+        self,
+        service: schema.Service,
+        wanted: abc.Mapping[ids.DomainId, int],
+        fleets: abc.Mapping[ids.DomainId, Fleet],
+        now_s: float,
+    ) -> abc.Iterator[Order]:
+        """Yields the orders to send now.
+
+        Args:
+            service: What is ordered.
+            wanted: Endpoints of both kinds together, by failure domain.
+            fleets: Endpoints that are listed, by failure domain.
+            now_s: Monotonic time.
+        """
+        assert service.scaling is not None
+        for domain, count in sorted(wanted.items()):
+            fleet = fleets.get(domain, Fleet())
+            spot = 0
+            if service.scaling.spot_price:
+                room = service.scaling.most - fleet.regular
+                spot = max(min(count, room), 0)
+                yield from self._order(
+                    service, domain, True, spot, fleet, now_s
+                )
+            regular = self._regular(service, domain, count, fleet, now_s)
+            yield from self._order(
+                service, domain, False, regular, fleet, now_s
+            )
+
+    def _regular(
+        self,
+        service: schema.Service,
+        domain: ids.DomainId,
+        count: int,
+        fleet: Fleet,
+        now_s: float,
+    ) -> int:
+        """Returns how many of the dearer kind there shall be."""
+        coming = fleet.spot
+        sent = self._sent.get((service.service, domain, True))
+        boot_s = service.scaling.boot_s + SEEN_AFTER_S
+        taken = sent is not None and sent.outcome is base.Outcome.TAKEN
+        if taken and now_s - sent.sent_s <= boot_s:
+            coming = max(coming, sent.count)
+        room = service.scaling.most - coming
+        grown = max(min(count - coming, room), 0)
+        kept = max(count - fleet.spot, 0)
+        return min(max(fleet.regular, grown), kept)
+
+    def _order(
+        self,
+        service: schema.Service,
+        domain: ids.DomainId,
+        spot: bool,
+        count: int,
+        fleet: Fleet,
+        now_s: float,
+    ) -> abc.Iterator[Order]:
+        seen = fleet.spot if spot else fleet.regular
+        sent = self._sent.get((service.service, domain, spot))
+        call = base.EndpointOrder(service.service, domain, spot, count)
+        if sent is None:
+            if count != seen:
+                yield Order(call, contradicts=False)
+            return
+        if count == seen:
+            sent.repeated = False
+        past_s = now_s - sent.sent_s
+        if sent.outcome is base.Outcome.TAKEN:
+            boot_s = service.scaling.boot_s + SEEN_AFTER_S
+            is_lost = count != seen and past_s > boot_s and not sent.repeated
+            if count != sent.count or is_lost:
+                # What an answered call asked for and did not come may have
+                # been undone by an older call that was carried out late.
+                yield Order(call, contradicts=count == sent.count)
+        elif past_s >= _PAUSES_S[sent.outcome] and count != seen:
+            unknown = sent.outcome is base.Outcome.UNKNOWN
+            yield Order(call, contradicts=unknown and count != sent.count)
+
+    def sent(
+        self, call: base.EndpointOrder, outcome: base.Outcome, now_s: float
+    ) -> None:
+        """Notes what became of an order."""
+        subject = call.service, call.domain, call.spot
+        before = self._sent.get(subject)
+        repeated = (
+            before is not None
+            and before.outcome is base.Outcome.TAKEN
+            and before.count == call.count
+        )
+        self._sent[subject] = _Sent(call.count, now_s, outcome, repeated)
--- /dev/null
+++ b/cardamombarrow/duties/runner.py
@@ -0,0 +1,303 @@
+"""Carries out the duties while this control process leads the log."""
+
+from collections import abc
+import dataclasses
+import threading
+
+from cardamombarrow.decisions import scaling
+from cardamombarrow.discovery import base as discovery
+from cardamombarrow.document import schema
+from cardamombarrow.duties import base
+from cardamombarrow.duties import holding as holding_module
+from cardamombarrow.duties import machine
+from cardamombarrow.duties import ordering as ordering_module
+from cardamombarrow.duties import settings as settings_module
+from cardamombarrow.duties import windows
+from cardamombarrow.kernel import clock
+from cardamombarrow.kernel import errors
+from cardamombarrow.kernel import ids
+from cardamombarrow.kernel import lifecycle
+from cardamombarrow.kernel import logs
+from cardamombarrow.log import base as log_base
+from cardamombarrow.metering import board
+from cardamombarrow.peers import control_pb2
+
+__all__ = ["DutiesRunner", "Gathered", "Sources"]
+
+LOOK_S = 0.5
+"""Time between two looks at what is due."""
+
+LIST_S = 2.0
+"""Time between two readings of the list of endpoints."""
+
+LIST_LIFE_S = 8.0
+"""Age from which a list tells nothing of endpoints that could be given up."""
+
+RESEND_S = 1.0
+"""Time until a report without a clear answer is sent again."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Gathered:
+    """What entries told, as it stands now.
+
+    Attributes:
+        unix_s: The time of day that is agreed on.
+        totals: Counts by window and workspace.
+        sources: How many entries told something, by window.
+        demand: What is asked of services by failure domain.
+    """
+
+    unix_s: float
+    totals: dict[int, dict[ids.WorkspaceId, int]]
+    sources: dict[int, int]
+    demand: list[board.Demand]
+
+
+@dataclasses.dataclass(frozen=True)
+class Sources:
+    """Where the runner reads from.
+
+    Attributes:
+        gathered: Returns what entries told; None before any did.
+        state: Returns the duties as the log has them.
+        document: Returns the document in force; None before the first one.
+        listing: Reads the list of endpoints.
+    """
+
+    gathered: abc.Callable[[], Gathered | None]
+    state: abc.Callable[[], machine.DutiesState]
+    document: abc.Callable[[], schema.Document | None]
+    listing: abc.Callable[[], list[discovery.Listed]]
+
+
+class DutiesRunner(lifecycle.Part):
+    """One task that reports usage and orders endpoints."""
+
+    def __init__(
+        self,
+        settings: settings_module.DutySettings,
+        log: log_base.Log,
+        holding: holding_module.Holding,
+        gateway: base.Gateway,
+        sources: Sources,
+        time_source: clock.Clock,
+    ):
+        self._settings = settings
+        self._log = log
+        self._holding = holding
+        self._gateway = gateway
+        self._sources = sources
+        self._clock = time_source
+        self._times = windows.UsageTimes(
+            settings.window_s, settings.usage_late_s
+        )
+        self._first_window: int | None = None
+        self._reported_s: dict[int, float] = {}
+        self._ordering = ordering_module.Ordering()
+        self._scalers: dict[ids.ServiceId, scaling.Scaler] = {}
+        self._listed: list[discovery.Listed] = []
+        self._listed_s = float("-inf")
+        self._called_s = float("-inf")
+        self._stop = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name="duties", daemon=True
+        )
+
+    def start(self) -> None:
+        """Starts looking."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stops; a call under way is waited for."""
+        self._stop.set()
+        self._thread.join()
+
+    def _run(self) -> None:
+        while not self._stop.wait(LOOK_S):
+            try:
+                self.look()
+            except errors.RouterError as error:
+                # The next look starts from what the log then has.
+                logs.event("duties held up", "WARNING", detail=error.detail)
+
+    def look(self) -> None:
+        """Does what is due now.
+
+        Raises:
+            errors.RouterError: The log did not answer; nothing is lost.
+        """
+        if not self._holding.leads():
+            self._first_window = None
+            return
+        gathered = self._sources.gathered()
+        if gathered is None:
+            return
+        if self._holding.holder is None:
+            self._take(gathered)
+        if self._settings.reports_usage:
+            self._commit_usage(gathered)
+            self._report_usage()
+        if self._settings.orders_endpoints:
+            self._order_endpoints(gathered)
+
+    def _take(self, gathered: Gathered) -> None:
+        self._holding.take()
+        self._ordering = ordering_module.Ordering()
+        last = self._sources.state().last_window
+        self._first_window = (
+            int(gathered.unix_s // self._times.window_s)
+            if last is None
+            else last + 1
+        )
+
+    # -- usage ---------------------------------------------------------------
+
+    def _commit_usage(self, gathered: Gathered) -> None:
+        holder = self._holding.holder
+        state = self._sources.state()
+        if holder is None or self._first_window is None:
+            return
+        for window in windows.due_windows(
+            state, self._first_window, gathered.unix_s, self._times
+        ):
+            reply = holding_module.commit(
+                self._log,
+                control_pb2.Command(
+                    commit_usage=control_pb2.CommitUsageCommand(
+                        window=window,
+                        counts=gathered.totals.get(window, {}),
+                        instance=holder.instance,
+                        fencing=holder.fencing,
+                    )
+                ),
+            ).usage
+            logs.decision(
+                "usage committed",
+                window=window,
+                requests=sum(reply.counts.values()),
+                workspaces=len(reply.counts),
+                sources=gathered.sources.get(window, 0),
+                age_s=round(
+                    gathered.unix_s - (window + 1) * self._times.window_s, 3
+                ),
+                fencing=holder.fencing,
+                committed=reply.committed,
+            )
+            if not reply.committed:
+                # Another one has held the duties meanwhile.
+                self._holding.refused()
+                return
+
+    def _report_usage(self) -> None:
+        state = self._sources.state()
+        for window in windows.open_windows(state):
+            now_s = self._clock.now_s()
+            if now_s - self._reported_s.get(window, -RESEND_S) < RESEND_S:
+                continue
+            counts = dict(state.reports[window].counts)
+            outcome = self._call(base.UsageReport(window, counts))
+            if outcome is None:
+                return
+            self._reported_s[window] = now_s
+            if outcome in (base.Outcome.TAKEN, base.Outcome.INVALID):
+                holding_module.commit(
+                    self._log,
+                    control_pb2.Command(
+                        settle_usage=control_pb2.SettleUsageCommand(
+                            window=window
+                        )
+                    ),
+                )
+                self._reported_s.pop(window, None)
+
+    # -- endpoints -----------------------------------------------------------
+
+    def _order_endpoints(self, gathered: Gathered) -> None:
+        document = self._sources.document()
+        if document is None:
+            return
+        services = [s for s in document.services.values() if s.scaling]
+        if not services or not self._read_list():
+            return
+        for service in services:
+            self._order_service(service, gathered.demand)
+
+    def _read_list(self) -> bool:
+        """Reads the list where it is old; returns whether it can be used."""
+        now_s = self._clock.now_s()
+        if now_s - self._listed_s >= LIST_S:
+            try:
+                self._listed = self._sources.listing()
+                self._listed_s = now_s
+            except (errors.RouterError, ValueError) as error:
+                logs.event(
+                    "list of endpoints not read", "WARNING", detail=str(error)
+                )
+        return now_s - self._listed_s < LIST_LIFE_S
+
+    def _order_service(
+        self, service: schema.Service, demand: list[board.Demand]
+    ) -> None:
+        now_s = self._clock.now_s()
+        name = service.service
+        fleets = ordering_module.fleet_of(self._listed, name)
+        scaler = self._scalers.setdefault(name, scaling.TargetUtilisation())
+        asked = {
+            each.domain: scaling.DomainDemand(each.reading, each.running)
+            for each in demand
+            if each.service == name
+        }
+        present = {
+            # While one kind takes the place of the other both are there.
+            domain: max(fleet.spot, fleet.regular)
+            for domain, fleet in fleets.items()
+        }
+        wanted = scaler.wanted(service, asked, present, now_s)
+        for order in self._ordering.due(service, wanted, fleets, now_s):
+            if order.contradicts:
+                self._holding.take()
+            outcome = self._call(order.call)
+            if outcome is None:
+                return
+            self._ordering.sent(order.call, outcome, self._clock.now_s())
+            logs.decision(
+                "order endpoints",
+                service=name,
+                domain=order.call.domain,
+                spot=order.call.spot,
+                count=order.call.count,
+                outcome=outcome.value,
+                contradicts=order.contradicts,
+                listed=repr(fleets.get(order.call.domain)),
+                list_age_s=round(now_s - self._listed_s, 3),
+                wanted=wanted[order.call.domain],
+                demand={
+                    domain: (round(each.reading, 2), each.running)
+                    for domain, each in asked.items()
+                },
+            )
+
+    def _call(self, call: base.DutyCall) -> base.Outcome | None:
+        """Makes a call; returns None where it may not be made now."""
+        space_s = 1.0 / self._settings.calls_per_s
+        self._stop.wait(
+            max(self._called_s + space_s - self._clock.now_s(), 0.0)
+        )
+        if not self._holding.may_call():
+            return None
+        holder = self._holding.holder
+        assert holder is not None
+        outcome = self._gateway.send(self._settings.url, call, holder)
+        self._called_s = self._clock.now_s()
+        if outcome is not base.Outcome.TAKEN:
+            logs.event(
+                "call to the platform not taken",
+                "WARNING",
+                call=repr(call),
+                fencing=holder.fencing,
+                outcome=outcome.value,
+            )
+        if outcome is base.Outcome.REFUSED and not self._holding.refused():
+            return None
+        return outcome
--- /dev/null
+++ b/cardamombarrow/duties/tests/test_ordering.py
@@ -0,0 +1,190 @@
+"""Which orders are sent, against a platform that carries them out."""
+
+import dataclasses
+
+import pytest
+
+from cardamombarrow.discovery import base as discovery
+from cardamombarrow.document import schema
+from cardamombarrow.duties import base
+from cardamombarrow.duties import ordering as ordering_module
+from cardamombarrow.kernel import ids
+
+_DOMAINS = [ids.DomainId(name) for name in ("north", "south", "west")]
+_SCALING = schema.Scaling(
+    least=1,
+    most=10,
+    boot_s=4.0,
+    spot_price=0.2,
+    prices=dict.fromkeys(_DOMAINS, 1.0),
+)
+_SERVICE = schema.Service(
+    ids.ServiceId("writer"), schema.ServiceKind.ENGINE, scaling=_SCALING
+)
+
+
+class _Platform:
+    """Carries out orders after a start, and reclaims a domain's spot ones."""
+
+    def __init__(self, regular=5):
+        self.now_s = 0.0
+        self.counts = {(d, False): regular for d in _DOMAINS}
+        self.pending = []
+        self.dry = set()
+        self.silent = False
+        self.ordering = ordering_module.Ordering()
+        self.sent = []
+
+    def take(self, call):
+        if self.silent:
+            return base.Outcome.UNKNOWN
+        key = call.domain, call.spot
+        more = call.count > self.counts.get(key, 0)
+        if call.spot and call.domain in self.dry and more:
+            return base.Outcome.REFUSED
+        late_s = _SCALING.boot_s if more else 0.0
+        self.pending.append((self.now_s + late_s, key, call.count))
+        return base.Outcome.TAKEN
+
+    def fleets(self):
+        return {
+            domain: ordering_module.Fleet(
+                self.counts.get((domain, True), 0),
+                self.counts.get((domain, False), 0),
+            )
+            for domain in _DOMAINS
+        }
+
+    def total(self, domain):
+        fleet = self.fleets()[domain]
+        return fleet.spot + fleet.regular
+
+    def run(self, wanted, duration_s):
+        end_s = self.now_s + duration_s
+        wanted = dict.fromkeys(_DOMAINS, wanted)
+        while self.now_s < end_s:
+            due = [each for each in self.pending if each[0] <= self.now_s]
+            self.pending = [p for p in self.pending if p not in due]
+            for _, key, count in due:
+                self.counts[key] = count
+            for order in self.ordering.due(
+                _SERVICE, wanted, self.fleets(), self.now_s
+            ):
+                outcome = self.take(order.call)
+                self.sent.append(order)
+                self.ordering.sent(order.call, outcome, self.now_s)
+            self.now_s += 0.5
+
+
+@pytest.fixture
+def platform():
+    return _Platform()
+
+
+def test_cheap_endpoints_replace_the_dear_ones_once_they_serve(platform):
+    # Guards against a service without endpoints while others start.
+    for _ in range(40):
+        platform.run(5, 0.5)
+        assert all(platform.total(domain) >= 5 for domain in _DOMAINS)
+    assert platform.counts[_DOMAINS[0], True] == 5
+    assert platform.counts[_DOMAINS[0], False] == 0
+    before = len(platform.sent)
+    platform.run(5, 60)
+    assert len(platform.sent) == before
+
+
+def test_a_reclaimed_domain_gets_dear_ones_while_no_cheap_one_is_there(
+    platform,
+):
+    # Guards against a domain that stays empty after its spot ones went.
+    platform.run(5, 30)
+    platform.dry.add(_DOMAINS[0])
+    platform.counts[_DOMAINS[0], True] = 0
+    platform.run(5, 6)
+    assert platform.counts[_DOMAINS[0], False] == 5
+    platform.dry.clear()
+    platform.run(5, 30)
+    assert platform.counts[_DOMAINS[0], True] == 5
+    assert platform.counts[_DOMAINS[0], False] == 0
+
+
+def test_a_second_reclaim_is_answered_like_the_first(platform):
+    platform.run(5, 30)
+    for _ in range(2):
+        platform.counts[_DOMAINS[0], True] = 0
+        platform.run(5, 30)
+        assert platform.counts[_DOMAINS[0], True] == 5
+
+
+def test_an_order_without_an_answer_is_sent_again_with_the_same_token(
+    platform,
+):
+    platform.silent = True
+    platform.run(5, 3)
+    assert len(platform.sent) > 3
+    assert not any(order.contradicts for order in platform.sent)
+
+
+def test_another_number_after_no_answer_needs_a_newer_token(platform):
+    # Guards against an old order that is carried out after a newer one.
+    platform.silent = True
+    platform.run(5, 0.5)
+    platform.run(3, 2)
+    changed = [
+        order
+        for order in platform.sent
+        if order.call.spot and order.call.count == 3
+    ]
+    assert changed and changed[0].contradicts
+
+
+def test_an_order_undone_by_a_late_one_is_sent_once_more(platform):
+    platform.run(5, 30)
+    before = len(platform.sent)
+    platform.counts[_DOMAINS[0], True] = 2
+    platform.run(5, 30)
+    again = platform.sent[before:]
+    assert again[0].contradicts
+    assert platform.counts[_DOMAINS[0], True] == 5
+
+
+def test_both_kinds_together_keep_to_the_bound():
+    platform = _Platform(regular=8)
+    platform.run(10, 0.5)
+    spot = [order.call for order in platform.sent if order.call.spot]
+    assert {call.count for call in spot} == {2}
+    platform.run(10, 60)
+    assert {platform.total(domain) for domain in _DOMAINS} == {10}
+
+
+def test_without_cheap_ones_the_dear_kind_is_ordered(platform):
+    scaling = dataclasses.replace(_SCALING, spot_price=0.0)
+    service = dataclasses.replace(_SERVICE, scaling=scaling)
+    wanted = {_DOMAINS[0]: 7}
+    orders = list(
+        platform.ordering.due(service, wanted, platform.fleets(), 0.0)
+    )
+    assert [order.call.count for order in orders] == [7]
+    assert not orders[0].call.spot
+
+
+def test_only_living_endpoints_of_the_service_are_counted():
+    def listed(service, state, spot):
+        return discovery.Listed(
+            ids.EndpointId("10.0.0.1:1"),
+            state,
+            ids.ServiceId(service),
+            _DOMAINS[0],
+            8,
+            spot,
+        )
+
+    live, leaving = discovery.ListedState.LIVE, discovery.ListedState.LEAVING
+    items = [
+        listed("writer", live, True),
+        listed("writer", live, False),
+        listed("writer", leaving, True),
+        listed("desk", live, False),
+    ]
+    fleets = ordering_module.fleet_of(items, _SERVICE.service)
+    assert fleets == {_DOMAINS[0]: ordering_module.Fleet(1, 1)}
--- a/cardamombarrow/entry/core.py
+++ b/cardamombarrow/entry/core.py
@@ -193,6 +193,7 @@
         time_source,
         crashes.Crashes(broker),
         counts,
+        peering.meter,
     )
     readiness = readiness_module.Readiness()
     gate = gate_module.Gate(settings.http.connections, random.Random())
--- a/cardamombarrow/entry/life.py
+++ b/cardamombarrow/entry/life.py
@@ -22,6 +22,7 @@
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import logs
 from cardamombarrow.ledger import client as ledger_client
+from cardamombarrow.metering import meter as meter_module
 
 __all__ = ["Life", "LifeServices", "Relay"]
 
@@ -50,6 +51,7 @@
     time_source: clock.Clock
     crashes: crashes_module.Crashes
     metrics: metrics_module.Metrics
+    meter: meter_module.Meter
 
 
 @dataclasses.dataclass
@@ -93,6 +95,8 @@
         self._tokens = 0
         self._last_event = ""
         self._relaying = False
+        self._counted = False
+        self._sent_s = 0.0
         self._first_token_s: float | None = None
         self._last_piece_s: float | None = None
         self._longest_pause_s = 0.0
@@ -187,6 +191,8 @@
                 f"the endpoint answered {head.status}",
                 sent=True,
             )
+        if not self._call.streams:
+            self._count()
         self._kind.check(head, self._outgoing(ticket))
         if self._kind.failed(head) and not self._kind.relays_failures:
             raise pieces.failure_of(head)
@@ -209,6 +215,12 @@
             first = next(chunks, b"")
         return _Run(ticket, exchange, head, resumable, first, chunks)
 
+    def _count(self) -> None:
+        """Counts the request as one that has begun to run, once."""
+        if not self._counted:
+            self._counted = True
+            self._services.meter.began(self._call.job.workspace)
+
     def _take_load(
         self, ticket: ticket_module.Ticket, head: endpoints_base.Head
     ) -> None:
@@ -225,6 +237,9 @@
             self._services.crashes.on_failure(
                 placement.endpoint, ticket.job, error, self._kind
             )
+            refused = error.kind is errors.ErrorKind.ENDPOINT_REFUSED
+            if error.sent and not refused and not self._call.streams:
+                self._count()
         self._settle(ticket, error)
 
     def _wait(self, ticket: ticket_module.Ticket) -> messages.Placement:
@@ -241,6 +256,7 @@
                     ) from None
 
     def _open(self, ticket: ticket_module.Ticket) -> endpoints_base.Exchange:
+        self._sent_s = self._age_s()
         return self._kind.open(self._outgoing(ticket))
 
     def _outgoing(
@@ -330,6 +346,7 @@
                 if self._first_token_s is None:
                     self._first_token_s = self._age_s()
                     broker.first_token(request_id)
+                    self._note_read(run.ticket.job)
                 self._note_pause()
                 tail = (tail + chunk)[-TAIL_BYTES:]
                 self._tokens += self._kind.count_tokens(chunk)
@@ -391,6 +408,14 @@
             total_s=round(self._age_s(), 4),
         )
 
+    def _note_read(self, job: messages.Job) -> None:
+        """Counts a stream that has begun, and the reading of its prompt."""
+        if self._call.streams and self._first_token_s is not None:
+            self._count()
+            after_s = self._first_token_s - self._sent_s
+            meter = self._services.meter
+            meter.read(job.service, job.unread_tokens, after_s)
+
     def _note_pause(self) -> None:
         """Keeps the longest time between two pieces of the answer."""
         age_s = self._age_s()
--- a/cardamombarrow/entry/peering.py
+++ b/cardamombarrow/entry/peering.py
@@ -1,7 +1,9 @@
 """An entry's links to control processes and to its domain's other entries."""
 
+import collections
 from collections import abc
 from concurrent import futures
+import secrets
 import time
 
 from cardamombarrow.decisions import messages
@@ -22,9 +24,13 @@
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import lifecycle
 from cardamombarrow.kernel import logs
+from cardamombarrow.metering import board
+from cardamombarrow.metering import meter as meter_module
+from cardamombarrow.metering import true_time
 from cardamombarrow.peers import confirming as confirming_module
 from cardamombarrow.peers import control_client
 from cardamombarrow.peers import control_pb2
+from cardamombarrow.peers import gathering
 from cardamombarrow.peers import gossip_node
 from cardamombarrow.peers import kept_codec
 from cardamombarrow.peers import loop as loop_module
@@ -50,6 +56,9 @@
 ASK_TIMEOUT_S = 2.0
 """Longest wait for one source of the first document."""
 
+BOOT_BYTES = 4
+"""Random bytes that tell one start of an entry from another."""
+
 
 _Asked = list[futures.Future[control_pb2.DocumentMessage | None]]
 
@@ -108,6 +117,12 @@
         self.lease = lease_module.DocumentLease(
             settings.document.confirmed_within_s, boot_clock
         )
+        self._told_number = 0
+        self._boot = secrets.token_hex(BOOT_BYTES)
+        self.time = true_time.AgreedTime(boot_clock)
+        self.meter = meter_module.Meter(
+            settings.metering.window_s, self.time.unix_s
+        )
         self._confirming = confirming_module.Confirming(
             self._loop,
             self.control,
@@ -129,7 +144,8 @@
         peers = self._settings.peers
         return peers.address or f"{peers.host}:{peers.port}"
 
-    def _confirm_request(self) -> control_pb2.ConfirmRequest:
+    def _confirm_request(self, address: str) -> control_pb2.ConfirmRequest:
+        usage, self._told_number = self.meter.news(address)
         news = [] if self._broker is None else self._broker.kept_news()
         return control_pb2.ConfirmRequest(
             instance=self._instance,
@@ -137,11 +153,37 @@
             applied_revision=self._documents.revision,
             kept=kept_codec.kept_to_wire(news),
             kept_since=self._kept_number,
+            usage=[
+                gathering.usage_to_wire(
+                    board.SourceCounts(
+                        f"{self._instance}.{self._boot}",
+                        each.window,
+                        each.counts,
+                    )
+                )
+                for each in usage
+            ],
+            demand=[
+                control_pb2.DemandRow(
+                    domain=self._domain,
+                    service=each.service,
+                    reading=each.reading_s,
+                    running=each.running,
+                )
+                for each in self.meter.demand(self._running())
+            ],
         )
 
+    def _running(self) -> collections.Counter[ids.ServiceId]:
+        runs = [] if self._broker is None else self._broker.runs()
+        return collections.Counter(run.job.service for run in runs)
+
     def _on_confirmed(
-        self, asked_s: float, reply: control_pb2.ConfirmReply
+        self, address: str, asked_s: float, reply: control_pb2.ConfirmReply
     ) -> None:
+        self.meter.confirmed(address, reply.boot, self._told_number)
+        if reply.unix_s:
+            self.time.told(reply.unix_s)
         document = reply.document
         if document.text:
             revision = ids.Revision(document.revision)
@@ -355,6 +397,7 @@
         self._node.stop()
         if self.lease.bound_s:
             self._confirming.stop()
+            self._confirming.tell_last()
         self.control.stop()
         self._server.stop()
         self._loop.stop()
--- a/cardamombarrow/entry/settings.py
+++ b/cardamombarrow/entry/settings.py
@@ -213,6 +213,20 @@
     )
 
 
+@dataclasses.dataclass(frozen=True)
+class MeteringSettings:
+    """What an entry counts."""
+
+    window_s: float = settings.setting(
+        0.0,
+        unit="s",
+        help="length of the windows in which usage by workspace is counted; "
+        "0 counts none",
+        low=0.0,
+        high=86_400.0,
+    )
+
+
 @dataclasses.dataclass(frozen=True)
 class EntrySettings:
     """All settings of the role; one INI section each."""
@@ -224,5 +238,6 @@
     platform: PlatformSettings
     document: DocumentSettings
     retries: RetrySettings
+    metering: MeteringSettings
     side: SideSettings
     log: LogSettings
--- /dev/null
+++ b/cardamombarrow/metering/tests/test_meter.py
@@ -0,0 +1,96 @@
+"""What an entry counts."""
+
+import pytest
+
+from cardamombarrow.kernel import ids
+from cardamombarrow.metering import meter as meter_module
+
+_WORKSPACE = ids.WorkspaceId("trails")
+_SERVICE = ids.ServiceId("writer")
+
+
+class _Time:
+    def __init__(self):
+        self.now_s = 1_000.0
+
+    def __call__(self):
+        return self.now_s
+
+
+@pytest.fixture
+def now():
+    return _Time()
+
+
+@pytest.fixture
+def meter(now):
+    return meter_module.Meter(5.0, now)
+
+
+def test_counts_by_window_and_workspace(meter, now):
+    meter.began(_WORKSPACE)
+    now.now_s = 1_004.9
+    meter.began(_WORKSPACE)
+    now.now_s = 1_005.0
+    meter.began(ids.WorkspaceId("clubs"))
+    news, _ = meter.news("a:1")
+    assert [(each.window, each.counts) for each in news] == [
+        (200, {"trails": 2}),
+        (201, {"clubs": 1}),
+    ]
+
+
+def test_only_what_is_not_confirmed_is_told_again(meter):
+    meter.began(_WORKSPACE)
+    _, number = meter.news("a:1")
+    meter.confirmed("a:1", 7, number)
+    assert meter.news("a:1")[0] == []
+    meter.began(_WORKSPACE)
+    assert meter.news("a:1")[0][0].counts == {"trails": 2}
+
+
+def test_another_control_process_is_told_all(meter):
+    # Guards against counts that go with a control process that is lost.
+    meter.began(_WORKSPACE)
+    _, number = meter.news("a:1")
+    meter.confirmed("a:1", 7, number)
+    assert meter.news("b:1")[0][0].counts == {"trails": 1}
+
+
+def test_a_control_process_that_has_restarted_is_told_all(meter):
+    # Guards against counts that a restart at the same address has lost.
+    meter.began(_WORKSPACE)
+    _, number = meter.news("a:1")
+    meter.confirmed("a:1", 7, number)
+    _, number = meter.news("a:1")
+    meter.confirmed("a:1", 8, number)
+    assert meter.news("a:1")[0][0].counts == {"trails": 1}
+
+
+def test_windows_and_memory_are_bounded(meter, now):
+    for _ in range(100):
+        now.now_s += 5.0
+        meter.began(_WORKSPACE)
+    assert len(meter.news("a:1")[0]) == meter_module.WINDOWS_KEPT
+
+
+def test_without_windows_nothing_is_counted(now):
+    meter = meter_module.Meter(0.0, now)
+    meter.began(_WORKSPACE)
+    assert meter.news("a:1")[0] == []
+
+
+def test_prompts_that_waited_do_not_set_the_pace(meter):
+    # Guards against a burst that makes reading look slower than it is: more
+    # endpoints would be ordered than the prompts need.
+    for turn in range(2_000):
+        waited = 1.0 if turn % 2 else 0.0
+        meter.read(_SERVICE, 10_000, 0.1 + waited)
+    before_s = meter.demand({})[0].reading_s
+    meter.read(_SERVICE, 10_000, 0.1)
+    assert meter.demand({})[0].reading_s - before_s < 0.15
+
+
+def test_demand_names_services_that_only_run(meter):
+    total = meter.demand({_SERVICE: 3})[0]
+    assert (total.service, total.running) == (_SERVICE, 3)
--- /dev/null
+++ b/cardamombarrow/metering/tests/test_true_time.py
@@ -0,0 +1,58 @@
+"""The time of day that is agreed on."""
+
+import pytest
+
+from cardamombarrow.kernel import clock
+from cardamombarrow.metering import true_time
+
+TRUE_S = 1_700_000_000.0
+
+
+class _Wall:
+    def __init__(self, boot):
+        self._boot = boot
+        self.jump_s = 0.0
+
+    def __call__(self):
+        return TRUE_S + self._boot.now_s() + self.jump_s
+
+
+@pytest.fixture
+def boot():
+    return clock.ManualClock(50.0)
+
+
+@pytest.fixture
+def wall(boot):
+    return _Wall(boot)
+
+
+@pytest.mark.parametrize("jump_s", [2.4, -2.4])
+@pytest.mark.parametrize("peers", [2, 4, 5])
+def test_a_clock_that_jumps_moves_nothing(boot, wall, jump_s, peers):
+    # Guards against usage that is billed in the wrong window.
+    poll = true_time.ClockPoll(boot, wall)
+    wall.jump_s = jump_s
+    for number in range(peers):
+        asked_s = boot.now_s()
+        boot.advance(0.06)
+        poll.heard(f"c{number}", TRUE_S + boot.now_s() - 0.03, asked_s)
+    assert poll.unix_s() == pytest.approx(TRUE_S + boot.now_s(), abs=0.01)
+
+
+def test_alone_a_process_has_its_own_clock(boot, wall):
+    poll = true_time.ClockPoll(boot, wall)
+    poll.heard("c1", TRUE_S, boot.now_s())
+    boot.advance(true_time.SAMPLE_LIFE_S + 1)
+    assert poll.unix_s() == pytest.approx(wall())
+
+
+def test_an_entry_follows_what_it_is_told_and_not_its_clock(boot, wall):
+    time = true_time.AgreedTime(boot, wall)
+    assert not time.is_agreed
+    assert time.unix_s() == wall()
+    time.told(TRUE_S + boot.now_s())
+    wall.jump_s = 2.4
+    boot.advance(3.0)
+    assert time.is_agreed
+    assert time.unix_s() == pytest.approx(TRUE_S + boot.now_s())
--- a/cardamombarrow/peers/confirming.py
+++ b/cardamombarrow/peers/confirming.py
@@ -8,6 +8,8 @@
 
 import asyncio
 from collections import abc
+from concurrent import futures
+import contextlib
 
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import logs
@@ -26,7 +28,10 @@
 """Longest wait for one control process: above a round of the log with a slow
 disk, and short enough that another one can be asked within the bound."""
 
-OnReply = abc.Callable[[float, control_pb2.ConfirmReply], None]
+LAST_S = 0.3
+"""Longest wait at a stop: what is told has arrived long before an answer."""
+
+OnReply = abc.Callable[[str, float, control_pb2.ConfirmReply], None]
 
 
 class Confirming(loop_module.LoopPart):
@@ -36,7 +41,7 @@
         self,
         loop: loop_module.LoopThread,
         control: control_client.ControlClient,
-        request: abc.Callable[[], control_pb2.ConfirmRequest],
+        request: abc.Callable[[str], control_pb2.ConfirmRequest],
         on_reply: OnReply,
         time_source: clock.Clock,
     ):
@@ -45,9 +50,9 @@
         Args:
             loop: Where it runs.
             control: The links to the control processes.
-            request: Returns what to ask.
-            on_reply: Takes the moment when a confirmation was asked for and
-                the answer; runs in a thread.
+            request: Returns what to ask a control process, by its address.
+            on_reply: Takes whom was asked, the moment at which, and the
+                answer; runs in a thread.
             time_source: The clock of those moments.
         """
         super().__init__(loop)
@@ -60,7 +65,7 @@
         confirmed = False
         while True:
             asked_s = self._clock.now_s()
-            reply = await self._ask()
+            address, reply = await self._ask()
             if confirmed != (reply is not None):
                 confirmed = reply is not None
                 logs.event(
@@ -71,15 +76,20 @@
             if reply is None:
                 await asyncio.sleep(RETRY_S)
                 continue
-            await asyncio.to_thread(self._on_reply, asked_s, reply)
+            await asyncio.to_thread(self._on_reply, address, asked_s, reply)
             past_s = self._clock.now_s() - asked_s
             await asyncio.sleep(max(INTERVAL_S - past_s, RETRY_S))
 
-    async def _ask(self) -> control_pb2.ConfirmReply | None:
+    async def _ask(self) -> tuple[str, control_pb2.ConfirmReply | None]:
         for address in self._control.addresses():
             reply = await self._control.confirm(
-                self._request(), address, ATTEMPT_S
+                self._request(address), address, ATTEMPT_S
             )
             if reply is not None and reply.confirmed:
-                return reply
-        return None
+                return address, reply
+        return "", None
+
+    def tell_last(self) -> None:
+        """Asks once more before the process stops, for what asking tells."""
+        with contextlib.suppress(futures.TimeoutError):
+            self._loop.call(self._ask()).result(timeout=LAST_S)
--- a/cardamombarrow/peers/control_service.py
+++ b/cardamombarrow/peers/control_service.py
@@ -16,6 +16,7 @@
 from cardamombarrow.peers import control_grpc
 from cardamombarrow.peers import control_pb2
 from cardamombarrow.peers import followers as followers_module
+from cardamombarrow.peers import gathering
 from cardamombarrow.peers import kept_board
 
 __all__ = ["ControlService"]
@@ -32,6 +33,7 @@
     Attributes:
         followers: The entries that follow, and the document they get.
         kept: What entries tell each other of engines' caches.
+        metered: What entries have counted, and the time that is agreed on.
     """
 
     def __init__(
@@ -44,6 +46,7 @@
         self._accepted = accepted
         self._confirmations = confirmations_module.Confirmations(log)
         self.kept = kept_board.KeptBoard(random.Random())
+        self.metered = gathering.Gathering()
         self.followers = followers_module.Followers(
             lambda: log.status().has_quorum, domain
         )
@@ -86,6 +89,7 @@
         request = await stream.recv_message()
         reply = control_pb2.ConfirmReply()
         self.kept.put(request.kept, request.instance, time.monotonic())
+        self.metered.take_entry(request)
         if await self._confirmations.confirm():
             reply.confirmed = True
             accepted = self._accepted()
@@ -104,6 +108,8 @@
                 request.kept_since, request.instance, time.monotonic()
             )
             reply.kept.extend(kept)
+            reply.unix_s = self.metered.unix_s()
+            reply.boot = self.metered.boot
         await stream.send_message(reply)
 
     async def Followers(self, stream: server.Stream) -> None:  # noqa: N802
@@ -114,4 +120,5 @@
             request.kept_since, time.monotonic()
         )
         reply.kept.extend(kept)
+        self.metered.tell_control(request, reply)
         await stream.send_message(reply)
--- a/cardamombarrow/peers/follower_exchange.py
+++ b/cardamombarrow/peers/follower_exchange.py
@@ -10,10 +10,12 @@
 
 from grpclib import client
 
+from cardamombarrow.kernel import clock
 from cardamombarrow.peers import control_client
 from cardamombarrow.peers import control_grpc
 from cardamombarrow.peers import control_pb2
 from cardamombarrow.peers import followers as followers_module
+from cardamombarrow.peers import gathering
 from cardamombarrow.peers import kept_board
 from cardamombarrow.peers import loop as loop_module
 from cardamombarrow.peers import secret as secret_module
@@ -34,12 +36,28 @@
         secret: str,
         table: followers_module.Followers,
         kept: kept_board.KeptBoard,
+        metered: gathering.Gathering,
+        leads: abc.Callable[[], bool],
     ):
+        """Builds the exchange.
+
+        Args:
+            loop: Where it runs.
+            controls: Returns the addresses of the others.
+            secret: What instances authenticate each other by.
+            table: The entries heard of.
+            kept: What entries tell of engines' caches.
+            metered: What entries count.
+            leads: Whether this process needs what other entries count.
+        """
         super().__init__(loop)
         self._controls = controls
         self._secret = secret
         self._table = table
         self._kept = kept
+        self._metered = metered
+        self._leads = leads
+        self._boot_clock = clock.BootClock()
 
     async def _run(self) -> None:
         """Keeps one task for each other control process.
@@ -64,36 +82,46 @@
 
     async def _ask_forever(self, address: str) -> None:
         channel = secret_module.channel(address, self._secret)
-        number: int | None = 0
+        asked = control_pb2.FollowersRequest()
         try:
             while True:
                 await asyncio.sleep(INTERVAL_S)
-                number = await self._ask(channel, number or 0)
-                if number is None:
+                asked.wants_usage = self._leads()
+                asked_s = self._boot_clock.now_s()
+                reply = await self._ask(channel, asked)
+                if reply is not None:
+                    self._take(address, asked, asked_s, reply)
+                else:
                     # It may have gone silent: the next request gets a new
                     # connection.
+                    asked = control_pb2.FollowersRequest()
                     channel.close()
                     channel = secret_module.channel(address, self._secret)
         finally:
             channel.close()
 
-    async def _ask(self, channel: client.Channel, number: int) -> int | None:
-        """Asks once.
-
-        Args:
-            channel: The connection.
-            number: The number that the last answer bore.
-
-        Returns:
-            The number of this one; None where there was none.
-        """
-        request = control_pb2.FollowersRequest(kept_since=number)
+    async def _ask(
+        self, channel: client.Channel, request: control_pb2.FollowersRequest
+    ) -> control_pb2.FollowersReply | None:
+        """Asks once; None where there was no answer."""
         try:
-            reply = await asyncio.wait_for(
+            return await asyncio.wait_for(
                 control_grpc.ControlStub(channel).Followers(request), TIMEOUT_S
             )
         except control_client.LINK_ERRORS:
             return None
+
+    def _take(
+        self,
+        address: str,
+        asked: control_pb2.FollowersRequest,
+        asked_s: float,
+        reply: control_pb2.FollowersReply,
+    ) -> None:
+        """Takes an answer, and notes in the question what it has told."""
         self._table.merge(reply)
         self._kept.put(reply.kept, "", time.monotonic())
-        return reply.kept_number
+        asked.kept_since = reply.kept_number
+        self._metered.take_control(address, asked_s, reply)
+        if reply.usage_number:
+            asked.usage_since = reply.usage_number
--- /dev/null
+++ b/cardamombarrow/peers/gathering.py
@@ -0,0 +1,132 @@
+"""A control process's side of what entries count: usage, demand, the time.
+
+Entries tell with each question for a confirmation. Control processes ask each
+other once a second for what their own entries told, and only the one that
+leads the log needs it.
+"""
+
+import random
+import time
+
+from cardamombarrow.kernel import clock
+from cardamombarrow.kernel import ids
+from cardamombarrow.metering import board
+from cardamombarrow.metering import meter
+from cardamombarrow.metering import true_time
+from cardamombarrow.peers import control_pb2
+
+__all__ = ["Gathering", "demand_to_wire", "usage_to_wire"]
+
+WINDOWS_AHEAD = 1
+"""Windows later than the present one that are believed: clocks differ."""
+
+
+class Gathering:
+    """What was told of usage and demand; lives on one loop.
+
+    Attributes:
+        boot: Tells this start of the process from another.
+        usage: Counts by window.
+        demand: What is asked for.
+    """
+
+    def __init__(self):
+        self.boot = random.getrandbits(63)
+        self.usage = board.UsageBoard(random.getrandbits(31) << 32)
+        self.demand = board.DemandBoard()
+        self._clocks = true_time.ClockPoll(clock.BootClock())
+        self._window_s = 0.0
+
+    def count_windows(self, window_s: float) -> None:
+        """Sets the length of windows; without it all windows are believed."""
+        self._window_s = window_s
+
+    def unix_s(self) -> float:
+        """Returns the time of day that control processes agree on."""
+        return self._clocks.unix_s()
+
+    def take_entry(self, request: control_pb2.ConfirmRequest) -> None:
+        """Takes what an entry tells with its question."""
+        now_s = time.monotonic()
+        for row in request.usage:
+            self._put(row, direct=True)
+        for row in request.demand:
+            self.demand.put(
+                request.instance,
+                ids.DomainId(row.domain),
+                ids.ServiceId(row.service),
+                row.reading,
+                int(row.running),
+                now_s,
+            )
+
+    def tell_control(
+        self,
+        request: control_pb2.FollowersRequest,
+        reply: control_pb2.FollowersReply,
+    ) -> None:
+        """Adds what another control process asks for to the answer to it."""
+        reply.unix_s = time.time()
+        if not request.wants_usage:
+            return
+        told, reply.usage_number = self.usage.own_since(request.usage_since)
+        reply.usage.extend(map(usage_to_wire, told))
+        own = self.demand.own(time.monotonic())
+        reply.demand.extend(map(demand_to_wire, own))
+
+    def take_control(
+        self, peer: str, asked_s: float, reply: control_pb2.FollowersReply
+    ) -> None:
+        """Takes another control process's answer.
+
+        Args:
+            peer: Its address.
+            asked_s: When it was asked, by the boot clock.
+            reply: The answer.
+        """
+        if reply.unix_s:
+            self._clocks.heard(peer, reply.unix_s, asked_s)
+        for row in reply.usage:
+            self._put(row, direct=False)
+        if reply.usage_number:
+            demands = [
+                board.Demand(
+                    ids.DomainId(row.domain),
+                    ids.ServiceId(row.service),
+                    row.reading,
+                    row.running,
+                )
+                for row in reply.demand
+            ]
+            self.demand.put_others(peer, demands, time.monotonic())
+
+    def _put(self, row: control_pb2.UsageRow, *, direct: bool) -> None:
+        if self._window_s:
+            newest = meter.window_of(self.unix_s(), self._window_s)
+            if row.window > newest + WINDOWS_AHEAD:
+                return
+        counts = dict(
+            zip(map(ids.WorkspaceId, row.workspaces), row.counts, strict=False)
+        )
+        told = board.SourceCounts(row.source, row.window, counts)
+        self.usage.put(told, direct=direct)
+
+
+def usage_to_wire(told: board.SourceCounts) -> control_pb2.UsageRow:
+    """Converts the totals of one window."""
+    return control_pb2.UsageRow(
+        source=told.source,
+        window=told.window,
+        workspaces=list(told.counts),
+        counts=list(told.counts.values()),
+    )
+
+
+def demand_to_wire(demand: board.Demand) -> control_pb2.DemandRow:
+    """Converts what a failure domain asks of a service."""
+    return control_pb2.DemandRow(
+        domain=demand.domain,
+        service=demand.service,
+        reading=demand.reading,
+        running=demand.running,
+    )
--- a/cardamombarrow/platform/__init__.py
+++ b/cardamombarrow/platform/__init__.py
@@ -8,13 +8,22 @@
 - `operator`: the calls that operators make,
 - `caller`: how callers say what they want,
 - `servers`: how endpoints are spoken to,
-- `listing`: the list of endpoints.
+- `listing`: the list of endpoints,
+- `duties`: usage reports and orders of endpoints.
 """
 
 from cardamombarrow.platform import caller
 from cardamombarrow.platform import configuration
+from cardamombarrow.platform import duties
 from cardamombarrow.platform import listing
 from cardamombarrow.platform import operator
 from cardamombarrow.platform import servers
 
-__all__ = ["caller", "configuration", "listing", "operator", "servers"]
+__all__ = [
+    "caller",
+    "configuration",
+    "duties",
+    "listing",
+    "operator",
+    "servers",
+]
--- a/cardamombarrow/platform/configuration.py
+++ b/cardamombarrow/platform/configuration.py
@@ -13,6 +13,7 @@
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
+from cardamombarrow.kernel import logs
 from cardamombarrow.kernel import registry
 
 __all__ = ["NAME", "ConfigurationFormat", "version_of"]
@@ -125,6 +126,7 @@
             max_connections=int(raw.get("maxConns", 0)),
             cache_token_bytes=int((engine or {}).get("kvTokenBytes", 0)),
             cache_link_mbit_per_s=float((engine or {}).get("linkMbps", 0.0)),
+            scaling=_scaling(raw.get("scaling")),
         )
 
     def route(
@@ -197,6 +199,35 @@
             return default
 
 
+def _scaling(raw: typing.Any) -> schema.Scaling | None:
+    """Reads what may be ordered of a service.
+
+    Returns:
+        None where nothing may be, or where it makes no sense: the service
+        is served as it stands.
+    """
+    if raw is None:
+        return None
+    try:
+        scaling = schema.Scaling(
+            least=int(raw["min"]),
+            most=int(raw["max"]),
+            boot_s=_number(raw.get("bootS", 0)),
+            spot_price=_number(raw.get("spotPrice", 0)),
+            prices={
+                ids.DomainId(zone): _number(price)
+                for zone, price in raw["zonePrices"].items()
+            },
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        logs.event("scaling not understood", "WARNING", detail=repr(error))
+        return None
+    if not (0 <= scaling.least <= scaling.most and scaling.prices):
+        logs.event("scaling without a choice", "WARNING", detail=str(raw))
+        return None
+    return scaling
+
+
 def _services(
     raw: dict[str, typing.Any],
 ) -> dict[ids.ServiceId, float]:
--- a/cardamombarrow/platform/listing.py
+++ b/cardamombarrow/platform/listing.py
@@ -60,6 +60,7 @@
         ids.ServiceId(service),
         ids.DomainId(zone),
         slots if type(slots) is int and slots > 0 else 0,
+        item.get("spot") is True,
     )
 
 
--- a/tools/write_reference.py
+++ b/tools/write_reference.py
@@ -37,7 +37,7 @@
     "weight-store": schema.WeightStore,
     "limits": schema.CallerLimits,
 }
-_NOT_KEYS = {(schema.Workspace, "rank")}
+_NOT_KEYS = {(schema.Workspace, "rank"), (schema.Service, "scaling")}
 """Fields that documents of sections do not have."""
 
 _ATTRIBUTE = re.compile(r"^    (\w+): (.*(?:\n {8}\S.*)*)", re.M)
