--- a/cardamombarrow/cli/core.py
+++ b/cardamombarrow/cli/core.py
@@ -7,6 +7,7 @@
 import sys
 
 from cardamombarrow import __version__
+from cardamombarrow.cli import duties
 from cardamombarrow.cli import exit_codes
 from cardamombarrow.cli import member
 from cardamombarrow.cli import operate
@@ -62,6 +63,7 @@
     _add_state(commands)
     report.add_parser(commands)
     member.add_parser(commands, _add_access)
+    duties.add_parser(commands)
     return parser
 
 
--- a/cardamombarrow/control/core.py
+++ b/cardamombarrow/control/core.py
@@ -372,10 +372,13 @@
             clock.SystemClock(),
         )
     )
+    orders = list
     if settings.duties.any_wanted:
-        parts.append(_duties(settings, log, state, peers))
+        duties = _duties(settings, log, state, peers)
+        parts.append(duties)
+        orders = duties.orders
     side = http.side_server(
-        settings.side.metrics, metrics.MetricsApp(log, state)
+        settings.side.metrics, metrics.MetricsApp(log, state, orders)
     )
     parts += [web] if side is None else [web, side]
     reloader = None
--- a/cardamombarrow/control/metrics.py
+++ b/cardamombarrow/control/metrics.py
@@ -1,6 +1,11 @@
-"""What a control process counts of itself, as Prometheus text."""
+"""What a control process counts of itself, as Prometheus text.
+
+``/duties`` gives as JSON who calls the platform, what usage was reported and,
+at the holder, which endpoints were ordered.
+"""
 
 from collections import abc
+import json
 import typing
 
 from werkzeug import wrappers
@@ -12,24 +17,62 @@
 
 PREFIX = "cardamombarrow_"
 
+DUTIES_PATH = "/duties"
+
 
 class MetricsApp:
-    """Serves the state of the log on every path; see PEP 3333."""
+    """Serves the duties, and on all other paths the log; see PEP 3333."""
 
-    def __init__(self, log: base.Log, state: state_module.ControlState):
+    def __init__(
+        self,
+        log: base.Log,
+        state: state_module.ControlState,
+        orders: abc.Callable[[], list[dict[str, typing.Any]]] = list,
+    ):
+        """Builds the application.
+
+        Args:
+            log: The log of this process.
+            state: What it has applied.
+            orders: Returns the orders of endpoints that this process gave.
+        """
         self._log = log
         self._state = state
+        self._orders = orders
 
     def __call__(
         self, environ: dict[str, typing.Any], start_response: typing.Any
     ) -> abc.Iterable[bytes]:
         """Serves one request."""
+        if environ.get("PATH_INFO") == DUTIES_PATH:
+            body = json.dumps(self._duties())
+            answer = wrappers.Response(body, content_type="application/json")
+            return answer(environ, start_response)
         text = "\n".join([*self._lines(), ""])
         response = wrappers.Response(
             text, content_type="text/plain; version=0.0.4"
         )
         return response(environ, start_response)
 
+    def _duties(self) -> dict[str, typing.Any]:
+        duties = self._state.duties
+        holder = duties.holders.holder
+        return {
+            "holder": holder.instance,
+            "fencing": holder.fencing,
+            "reports": [
+                {
+                    "window": window,
+                    "requests": sum(report.counts.values()),
+                    "counts": report.counts,
+                    "fencing": report.fencing,
+                    "taken": report.taken,
+                }
+                for window, report in sorted(duties.reports.items())
+            ],
+            "orders": self._orders(),
+        }
+
     def _lines(self) -> abc.Iterator[str]:
         status = self._log.status()
         accepted = self._state.document.accepted
@@ -43,6 +86,11 @@
             ("log_voters", len(status.voters)),
             ("document_revision", accepted.revision),
             ("document_number", accepted.number),
+            ("duties_fencing", self._state.duties.holders.holder.fencing),
+            (
+                "usage_reports_open",
+                sum(not r.taken for r in self._state.duties.reports.values()),
+            ),
         ):
             yield f"# TYPE {PREFIX}{name} gauge"
             yield f"{PREFIX}{name} {value}"
--- a/cardamombarrow/decisions/scaling.py
+++ b/cardamombarrow/decisions/scaling.py
@@ -13,6 +13,7 @@
 """
 
 import abc
+import collections
 from collections import abc as collections_abc
 import dataclasses
 import math
@@ -24,6 +25,7 @@
     "DomainDemand",
     "Scaler",
     "TargetUtilisation",
+    "TrendAhead",
     "Unchanged",
     "spread",
 ]
@@ -38,6 +40,9 @@
 """How long a peak counts: longer than the waves that traffic comes in, and
 than the start of an endpoint and the reading of what it keeps."""
 
+TREND_S = 4.0
+"""Time over which a trend is seen."""
+
 LOWER_STEP = 2
 """A domain gives up endpoints only where it has this many too many: each that
 goes takes along what it keeps."""
@@ -137,6 +142,44 @@
         return self._peaks[domain][0][1]
 
 
+class TrendAhead(Scaler):
+    """Follows what demand will be once an ordered endpoint serves.
+
+    The trend of the last `TREND_S` is drawn on by the time of a start.
+    """
+
+    def __init__(self):
+        self._samples: collections.deque[tuple[float, dict]] = (
+            collections.deque()
+        )
+
+    def wanted(
+        self,
+        service: schema.Service,
+        demand: collections_abc.Mapping[ids.DomainId, DomainDemand],
+        present: collections_abc.Mapping[ids.DomainId, int],
+        now_s: float,
+    ) -> dict[ids.DomainId, int]:
+        """Returns the endpoints wanted; see `Scaler`."""
+        scaling = service.scaling
+        assert scaling is not None
+        needs = {d: _need(service, demand.get(d)) for d in scaling.prices}
+        self._samples.append((now_s, needs))
+        while now_s - self._samples[0][0] > TREND_S:
+            self._samples.popleft()
+        if not any(needs.values()):
+            return dict(present)
+        then_s, before = self._samples[0]
+        past_s = max(now_s - then_s, TREND_S / 2)
+        ahead = {
+            domain: max(
+                need + (need - before[domain]) * scaling.boot_s / past_s, 0.0
+            )
+            for domain, need in needs.items()
+        }
+        return spread(ahead, scaling)
+
+
 def _need(service: schema.Service, demand: DomainDemand | None) -> float:
     if demand is None:
         return 0.0
--- a/cardamombarrow/duties/ordering.py
+++ b/cardamombarrow/duties/ordering.py
@@ -12,6 +12,7 @@
 import collections
 from collections import abc
 import dataclasses
+import typing
 
 from cardamombarrow.discovery import base as discovery
 from cardamombarrow.document import schema
@@ -67,6 +68,7 @@
     sent_s: float
     outcome: base.Outcome
     repeated: bool = False
+    seen: int | None = None
 
 
 _Subject = tuple[ids.ServiceId, ids.DomainId, bool]
@@ -161,6 +163,7 @@
             if count != seen:
                 yield Order(call, contradicts=False)
             return
+        sent.seen = seen
         if count == seen:
             sent.repeated = False
         past_s = now_s - sent.sent_s
@@ -175,6 +178,27 @@
             unknown = sent.outcome is base.Outcome.UNKNOWN
             yield Order(call, contradicts=unknown and count != sent.count)
 
+    def view(self) -> list[dict[str, typing.Any]]:
+        """Returns the last order of each kind, as plain JSON values."""
+        return [
+            {
+                "service": service,
+                "domain": domain,
+                "spot": spot,
+                "count": sent.count,
+                "outcome": sent.outcome.value,
+            }
+            for (service, domain, spot), sent in sorted(self._sent.items())
+        ]
+
+    @property
+    def awaits(self) -> bool:
+        """Whether an order was taken and is not seen carried out yet."""
+        return any(
+            sent.outcome is base.Outcome.TAKEN and sent.count != sent.seen
+            for sent in self._sent.values()
+        )
+
     def sent(
         self, call: base.EndpointOrder, outcome: base.Outcome, now_s: float
     ) -> None:
--- a/cardamombarrow/duties/runner.py
+++ b/cardamombarrow/duties/runner.py
@@ -3,6 +3,7 @@
 from collections import abc
 import dataclasses
 import threading
+import typing
 
 from cardamombarrow.decisions import scaling
 from cardamombarrow.discovery import base as discovery
@@ -30,6 +31,9 @@
 LIST_S = 2.0
 """Time between two readings of the list of endpoints."""
 
+LIST_AWAITED_S = 1.0
+"""The same while an order is expected to show in it."""
+
 LIST_LIFE_S = 8.0
 """Age from which a list tells nothing of endpoints that could be given up."""
 
@@ -113,6 +117,10 @@
         self._stop.set()
         self._thread.join()
 
+    def orders(self) -> list[dict[str, typing.Any]]:
+        """Returns the last orders of endpoints, where this process holds."""
+        return self._ordering.view() if self._holding.holder else []
+
     def _run(self) -> None:
         while not self._stop.wait(LOOK_S):
             try:
@@ -226,7 +234,8 @@
     def _read_list(self) -> bool:
         """Reads the list where it is old; returns whether it can be used."""
         now_s = self._clock.now_s()
-        if now_s - self._listed_s >= LIST_S:
+        pause_s = LIST_AWAITED_S if self._ordering.awaits else LIST_S
+        if now_s - self._listed_s >= pause_s:
             try:
                 self._listed = self._sources.listing()
                 self._listed_s = now_s
