--- a/cardamombarrow/entry/life.py
+++ b/cardamombarrow/entry/life.py
@@ -17,6 +17,7 @@
 from cardamombarrow.entry import incoming
 from cardamombarrow.entry import metrics as metrics_module
 from cardamombarrow.entry import pieces
+from cardamombarrow.entry import progress as progress_module
 from cardamombarrow.entry import ticket as ticket_module
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import errors
@@ -92,14 +93,11 @@
         self._caller = caller
         self._services = services
         self._kind = services.kinds[call.kind]
-        self._tokens = 0
+        self._progress = progress_module.Progress(
+            call.job, services.time_source, services.meter
+        )
         self._last_event = ""
         self._relaying = False
-        self._counted = False
-        self._sent_s = 0.0
-        self._first_token_s: float | None = None
-        self._last_piece_s: float | None = None
-        self._longest_pause_s = 0.0
 
     def left_s(self) -> float:
         """Returns the time that is left until the request's deadline."""
@@ -192,7 +190,7 @@
                 sent=True,
             )
         if not self._call.streams:
-            self._count()
+            self._progress.began()
         self._kind.check(head, self._outgoing(ticket))
         if self._kind.failed(head) and not self._kind.relays_failures:
             raise pieces.failure_of(head)
@@ -215,12 +213,6 @@
             first = next(chunks, b"")
         return _Run(ticket, exchange, head, resumable, first, chunks)
 
-    def _count(self) -> None:
-        """Counts the request as one that has begun to run, once."""
-        if not self._counted:
-            self._counted = True
-            self._services.meter.began(self._call.job.workspace)
-
     def _take_load(
         self, ticket: ticket_module.Ticket, head: endpoints_base.Head
     ) -> None:
@@ -239,7 +231,7 @@
             )
             refused = error.kind is errors.ErrorKind.ENDPOINT_REFUSED
             if error.sent and not refused and not self._call.streams:
-                self._count()
+                self._progress.began()
         self._settle(ticket, error)
 
     def _wait(self, ticket: ticket_module.Ticket) -> messages.Placement:
@@ -256,7 +248,7 @@
                     ) from None
 
     def _open(self, ticket: ticket_module.Ticket) -> endpoints_base.Exchange:
-        self._sent_s = self._age_s()
+        self._progress.sent()
         return self._kind.open(self._outgoing(ticket))
 
     def _outgoing(
@@ -278,7 +270,7 @@
             cancelled=lambda: ticket.preempted is not None,
             first_byte_limit_s=call.first_byte_limit_s,
             may_redo=lambda: self._services.broker.may_redo(call.job),
-            resume_tokens=self._tokens,
+            resume_tokens=self._progress.tokens,
             resume_after=self._last_event or call.resume_after,
             caller_id=call.caller_id,
             workspace=call.job.workspace,
@@ -309,23 +301,23 @@
         except errors.RouterError as error:
             # Only now is it known that no resumed run makes use of them.
             self._services.metrics.wasted(
-                pieces.OUTCOMES[error.kind], self._tokens
+                pieces.OUTCOMES[error.kind], self._progress.tokens
             )
             raise
         except GeneratorExit:
             outcome = messages.Outcome.CALLER_GONE
-            self._services.metrics.wasted(outcome, self._tokens)
+            self._services.metrics.wasted(outcome, self._progress.tokens)
             raise
 
     def _resume(self, run: _Run, error: errors.RouterError) -> _Run:
         """Goes on with an answer that broke off, or raises `error`."""
-        if not run.resumable or not self._tokens:
+        if not run.resumable or not self._progress.tokens:
             raise error
         again = self._begin(self._again(run.ticket, error))
         logs.decision(
             "resume",
             request_id=self._call.job.request_id,
-            tokens=self._tokens,
+            tokens=self._progress.tokens,
             reason=error.detail,
         )
         return again
@@ -336,6 +328,7 @@
             return
         request_id = run.ticket.job.request_id
         broker = self._services.broker
+        progress = self._progress
         tail = b""
         failure: errors.RouterError | None = errors.RefusedError(
             errors.ErrorKind.CALLER_GONE, "the caller left", not_run=False
@@ -343,18 +336,17 @@
         first = [run.first] if run.first else []
         try:
             for chunk in itertools.chain(first, run.rest):
-                if self._first_token_s is None:
-                    self._first_token_s = self._age_s()
+                if progress.first_token_s is None:
+                    progress.first_piece(run.ticket.job)
                     broker.first_token(request_id)
-                    self._note_read(run.ticket.job)
-                self._note_pause()
+                progress.piece()
                 tail = (tail + chunk)[-TAIL_BYTES:]
-                self._tokens += self._kind.count_tokens(chunk)
+                progress.tokens += self._kind.count_tokens(chunk)
                 if run.resumable:
                     self._last_event = (
                         self._kind.last_event(chunk) or self._last_event
                     )
-                broker.progress(request_id, self._tokens)
+                broker.progress(request_id, progress.tokens)
                 yield chunk
             if run.head.streams and not self._kind.is_whole(run.head, tail):
                 raise errors.EndpointError(
@@ -363,8 +355,8 @@
                     sent=True,
                     delivered=True,
                 )
-            self._tokens = self._tokens or self._kind.tokens_at_end(tail)
-            broker.progress(request_id, self._tokens)
+            progress.tokens = progress.tokens or self._kind.tokens_at_end(tail)
+            broker.progress(request_id, progress.tokens)
             failure = None
             run.exchange.release()
         except errors.RouterError as error:
@@ -387,10 +379,11 @@
             outcome = pieces.outcome_of(error)
         job = ticket.job
         self._services.broker.finish(job.request_id, outcome)
-        first_s = self._first_token_s
+        progress = self._progress
+        first_s, age_s = progress.first_token_s, progress.age_s
         if error is None:
             self._services.metrics.done(
-                job, first_s or self._age_s(), self._age_s(), self._tokens
+                job, first_s or age_s, age_s, progress.tokens
             )
         logs.decision(
             "settle",
@@ -401,28 +394,9 @@
             endpoint=ticket.placed.result().endpoint,
             outcome=outcome.value,
             detail=error.detail if error else "",
-            tokens=self._tokens,
+            tokens=progress.tokens,
             first_token_s=None if first_s is None else round(first_s, 4),
             target_first_token_s=job.target_first_token_s,
-            longest_pause_s=round(self._longest_pause_s, 4),
-            total_s=round(self._age_s(), 4),
+            longest_pause_s=round(progress.longest_pause_s, 4),
+            total_s=round(age_s, 4),
         )
-
-    def _note_read(self, job: messages.Job) -> None:
-        """Counts a stream that has begun, and the reading of its prompt."""
-        if self._call.streams and self._first_token_s is not None:
-            self._count()
-            after_s = self._first_token_s - self._sent_s
-            meter = self._services.meter
-            meter.read(job.service, job.unread_tokens, after_s)
-
-    def _note_pause(self) -> None:
-        """Keeps the longest time between two pieces of the answer."""
-        age_s = self._age_s()
-        if self._last_piece_s is not None:
-            pause_s = age_s - self._last_piece_s
-            self._longest_pause_s = max(self._longest_pause_s, pause_s)
-        self._last_piece_s = age_s
-
-    def _age_s(self) -> float:
-        return self._services.time_source.now_s() - self._call.job.arrived_s
--- a/cardamombarrow/log/driver.py
+++ b/cardamombarrow/log/driver.py
@@ -10,6 +10,7 @@
 from collections import abc as collections_abc
 from concurrent import futures
 import dataclasses
+import functools
 import os
 import pathlib
 import queue
@@ -24,6 +25,7 @@
 from cardamombarrow.log import messages
 from cardamombarrow.log import runner as runner_module
 from cardamombarrow.log import state as state_module
+from cardamombarrow.log import waiters as waiters_module
 
 __all__ = ["LogPlace", "ReplicatedLog", "Transport"]
 
@@ -117,12 +119,6 @@
     data: bytes
 
 
-@dataclasses.dataclass
-class _Waiting:
-    future: futures.Future[bytes]
-    deadline_s: float
-
-
 class ReplicatedLog(base.Log):
     """One member of the replicated log."""
 
@@ -142,8 +138,7 @@
         self._transport = transport
         self._inbox: queue.SimpleQueue = queue.SimpleQueue()
         self._to_apply: queue.SimpleQueue = queue.SimpleQueue()
-        self._waiting: dict[messages.ProposalId, _Waiting] = {}
-        self._lock = threading.Lock()
+        self._waiters = waiters_module.Waiters()
         self._runner = runner_module.Runner(
             place.folder,
             place.me,
@@ -189,11 +184,9 @@
         self._inbox.put(_STOP)
         for thread in self._threads:
             thread.join(timeout=5)
-        with self._lock:
-            waiting = list(self._waiting.values())
-            self._waiting.clear()
-        for item in waiting:
-            item.future.set_exception(_no_quorum("this process stops"))
+        self._waiters.expire(
+            time.monotonic(), _no_quorum("this process stops"), lost=True
+        )
         self._runner.storage.close()
 
     # -- called from any thread --------------------------------------------
@@ -336,10 +329,11 @@
             for envelope in item.envelopes:
                 self._core.step(envelope, now_s, item.via)
         elif isinstance(item, _Proposed):
-            waiting = _Waiting(item.future, now_s + PROPOSE_TIMEOUT_S)
-            with self._lock:
-                number = self._core.propose(item.kind, item.data)
-                self._waiting[number] = waiting
+            self._waiters.add(
+                functools.partial(self._core.propose, item.kind, item.data),
+                item.future,
+                now_s + PROPOSE_TIMEOUT_S,
+            )
         else:
             self._core.compact(item.index, item.data)
             self._snapshotting = False
@@ -350,21 +344,13 @@
             )
 
     def _expire(self, now_s: float) -> None:
-        if not self._waiting:
-            return
-        lost = now_s - self._quorum_s > NO_QUORUM_S
-        with self._lock:
-            late = [
-                number
-                for number, item in self._waiting.items()
-                if lost or item.deadline_s < now_s
-            ]
-            items = [self._waiting.pop(number) for number in late]
-        for number, item in zip(late, items, strict=True):
+        late = self._waiters.expire(
+            now_s,
+            _no_quorum("not committed in time; it may still be, later"),
+            lost=now_s - self._quorum_s > NO_QUORUM_S,
+        )
+        for number in late:
             self._core.forget(number)
-            item.future.set_exception(
-                _no_quorum("not committed in time; it may still be, later")
-            )
 
     def _look(self, now_s: float) -> None:
         if self._core.has_quorum:
@@ -411,7 +397,7 @@
         try:
             while (output := self._to_apply.get()) is not None:
                 for entry, answer in self._runner.apply(output):
-                    self._answer(entry.proposal, answer)
+                    self._waiters.answer(entry.proposal, answer)
                 self._snapshot_if_due()
         except Exception as error:
             # The same entry fails in the same way at every start; the log
@@ -419,12 +405,6 @@
             logs.event("apply failed", "CRITICAL", detail=repr(error))
             os._exit(1)
 
-    def _answer(self, number: messages.ProposalId, answer: bytes) -> None:
-        with self._lock:
-            waiting = self._waiting.pop(number, None)
-        if waiting is not None:
-            waiting.future.set_result(answer)
-
     def _snapshot_if_due(self) -> None:
         last_bytes = self._core.state.log.snapshot.data.size_bytes
         limit_bytes = max(SNAPSHOT_MIN_BYTES, SNAPSHOT_FACTOR * last_bytes)
