Lower the wanted endpoints only after demand was seen; own calls of duties, process test

Ruled out: the list that lags (it only delayed the orders). Fewer are wanted only once demand was seen for the time of a peak, and what is listed bit by bit before any demand is kept at its highest.

--- a/cardamombarrow/control/core.py
+++ b/cardamombarrow/control/core.py
@@ -51,6 +51,12 @@
 
 GATHER_TIMEOUT_S = 2.0
 
+DUTY_MODULES = (
+    "cardamombarrow.discovery.own_list",
+    "cardamombarrow.duties.http_gateway",
+)
+"""Modules whose import registers the project's own list and calls."""
+
 
 class _PublishingState(state_module.ControlState):
     """Tells the followers of every accepted document."""
@@ -347,7 +353,7 @@
     """
     lifecycle.ignore_hangup()
     logs.configure(settings.log.level, "control", settings.instance.id)
-    registry.load(*settings.instance.plugins)
+    registry.load(*DUTY_MODULES, *settings.instance.plugins)
     loop = loop_module.LoopThread()
     state = _PublishingState(loop)
     log_service = log_transport.LogService()
--- a/cardamombarrow/decisions/scaling.py
+++ b/cardamombarrow/decisions/scaling.py
@@ -102,6 +102,7 @@
     def __init__(self):
         self._peaks: dict[ids.DomainId, list[tuple[float, float]]] = {}
         self._wanted: dict[ids.DomainId, int] = {}
+        self._asked_since_s: float | None = None
 
     def wanted(
         self,
@@ -117,16 +118,21 @@
         for domain in domains:
             self._note(domain, _need(service, demand.get(domain)), now_s)
         needs = {domain: self._peak(domain) for domain in domains}
-        if not any(needs.values()):
-            # Nothing was asked yet: what is there was set up on purpose.
-            return dict(present)
-        target = spread(needs, scaling)
-        for domain, count in target.items():
-            before = self._wanted.get(domain, present.get(domain, 0))
-            is_lower = count <= before - LOWER_STEP
-            self._wanted[domain] = (
-                count if count > before or is_lower else before
-            )
+        if self._asked_since_s is None:
+            # What is there was set up on purpose. It is listed bit by bit.
+            for domain, count in present.items():
+                before = self._wanted.get(domain, 0)
+                self._wanted[domain] = max(count, before)
+            if not any(needs.values()):
+                return dict(self._wanted)
+            self._asked_since_s = now_s
+        # The first requests tell nothing yet of how many there will be.
+        may_lower = now_s - self._asked_since_s >= PEAK_HOLD_S
+        for domain, count in spread(needs, scaling).items():
+            before = self._wanted.get(domain, 0)
+            is_lower = may_lower and count <= before - LOWER_STEP
+            if count > before or is_lower:
+                self._wanted[domain] = count
         return dict(self._wanted)
 
     def _note(self, domain: ids.DomainId, need: float, now_s: float) -> None:
--- a/cardamombarrow/decisions/tests/test_scaling.py
+++ b/cardamombarrow/decisions/tests/test_scaling.py
@@ -35,6 +35,26 @@
     assert _play(scaling.TargetUtilisation(), [{}] * 30) == _PRESENT
 
 
+def test_the_first_requests_take_no_endpoint_away():
+    # Guards against a service that is cut down as its callers begin to come.
+    scaler = scaling.TargetUtilisation()
+    _play(scaler, [{}] * 10)
+    for second in range(10, 25):
+        wanted = scaler.wanted(
+            _SERVICE, _even(0.1, running=1.0), _PRESENT, float(second)
+        )
+        assert wanted == _PRESENT
+
+
+def test_endpoints_that_are_listed_bit_by_bit_are_all_kept():
+    # Guards against a number that is read from half of a list.
+    scaler = scaling.TargetUtilisation()
+    for second, count in enumerate((1, 3, 5, 4, 2)):
+        present = dict.fromkeys(_DOMAINS, count)
+        wanted = scaler.wanted(_SERVICE, {}, present, float(second))
+    assert wanted == _PRESENT
+
+
 def test_calm_work_gives_endpoints_back():
     wanted = _play(scaling.TargetUtilisation(), [_even(2.0)] * 40)
     assert sum(wanted.values()) < sum(_PRESENT.values())
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -80,6 +80,8 @@
         standins: Whether a stand-in is started for each endpoint.
         engine_options: Command-line options of every stand-in engine.
         entry_extra: More lines for every entry's settings, by section.
+        control_extra: More lines for every control process's settings;
+            ``{platform}`` stands for the address of the platform's stand-in.
         proxied: Whether what the instances say to each other goes through
             `Deployment.proxy`, one link per source and target.
         proxied_endpoints: Whether entries reach the endpoints through
@@ -95,6 +97,7 @@
     standins: bool = True
     report_interval_s: float = 0.3
     entry_extra: dict[str, str] = dataclasses.field(default_factory=dict)
+    control_extra: str = ""
     proxied: bool = False
     proxied_endpoints: bool = False
 
@@ -212,6 +215,8 @@
                 state = (
                     f"[state]\nfolder = {self._folder / name}\n"
                     f"voters = {voters}\nfirst_document = {document}\n"
+                ) + self._plan.control_extra.format(
+                    platform=self.listing_url.removesuffix("/v1/listing")
                 )
                 self._write("control", name, domain, self.controls[name], state)
 
--- a/tools/standin/platform_list.py
+++ b/tools/standin/platform_list.py
@@ -2,6 +2,8 @@
 
 ``POST /standin/state`` with ``{"address": ..., "state": "live"|"leaving"}``
 changes the truth; ``GET /v1/listing`` shows it as it was some time ago.
+``POST /v1/usage`` and ``/v1/endpoints`` take the calls of one holder, refuse
+old fencing tokens, and are shown by ``GET /standin/calls``.
 """
 
 import argparse
@@ -37,14 +39,39 @@
             }
 
 
+class Duties:
+    """The calls of one holder, checked as a platform would."""
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._newest: dict[str, int] = {}
+        self.calls: list[dict[str, object]] = []
+
+    def take(self, path: str, token: int, holder: str, body: dict) -> int:
+        """Takes a call; returns the HTTP status."""
+        subject = f"{path} {body.get('service')} {body.get('domain')}"
+        with self._lock:
+            if token < self._newest.get(subject, 0):
+                return 409
+            self._newest[subject] = token
+            self.calls.append(
+                {"path": path, "token": token, "holder": holder, **body}
+            )
+            return 200
+
+
 class _Handler(server.BaseHTTPRequestHandler):
     listing: PlatformList
+    duties: Duties
 
     def log_message(self, format: str, *args: object) -> None:
         """Writes nothing."""
 
     def do_GET(self) -> None:
-        """Shows the list."""
+        """Shows the list, or the calls that were taken."""
+        if self.path == "/standin/calls":
+            self._answer(self.duties.calls)
+            return
         endpoints = [
             {"address": address, "state": state}
             for address, state in self.listing.shown().items()
@@ -52,15 +79,24 @@
         self._answer({"endpoints": endpoints})
 
     def do_POST(self) -> None:
-        """Changes the truth."""
+        """Changes the truth, or takes a call of a holder."""
         size = int(self.headers.get("Content-Length", 0))
         change = json.loads(self.rfile.read(size))
+        if self.path.startswith("/v1/"):
+            status = self.duties.take(
+                self.path,
+                int(self.headers["X-Fencing-Token"]),
+                self.headers["X-Holder"],
+                change,
+            )
+            self._answer({}, status)
+            return
         self.listing.change(change["address"], change["state"])
         self._answer({})
 
-    def _answer(self, content: object) -> None:
+    def _answer(self, content: object, status: int = 200) -> None:
         body = json.dumps(content).encode()
-        self.send_response(200)
+        self.send_response(status)
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
         self.wfile.write(body)
@@ -73,7 +109,9 @@
     parser.add_argument("--lag-s", type=float, default=2.0)
     options = parser.parse_args()
     handler = type(
-        "Handler", (_Handler,), {"listing": PlatformList(options.lag_s)}
+        "Handler",
+        (_Handler,),
+        {"listing": PlatformList(options.lag_s), "duties": Duties()},
     )
     server.ThreadingHTTPServer(
         ("127.0.0.1", options.port), handler
