Tell other control processes only of followers that they don't hear

Rows that nobody hears any more are told by all as before, because the process that heard them last may be gone.

--- a/cardamombarrow/peers/followers.py
+++ b/cardamombarrow/peers/followers.py
@@ -46,6 +46,7 @@
         heard_s: Monotonic time of its last report.
         address: Where other entries reach it.
         places: Whether it places the requests of its domain.
+        direct: Whether it told this process itself.
     """
 
     instance: ids.InstanceId
@@ -54,6 +55,7 @@
     heard_s: float
     address: str = ""
     places: bool = False
+    direct: bool = False
 
 
 class Followers:
@@ -92,7 +94,12 @@
         }
 
     def rows(self) -> control_pb2.FollowersReply:
-        """Returns the table for another control process."""
+        """Returns what another control process may not know.
+
+        Each asks each other one, so those that others hear are left out. Those
+        that nobody hears any more are told by all: the process that heard them
+        last may be gone.
+        """
         now_s = time.monotonic()
         return control_pb2.FollowersReply(
             rows=[
@@ -105,6 +112,8 @@
                     places=follower.places,
                 )
                 for follower in self.table().values()
+                if follower.direct
+                or now_s - follower.heard_s > FOLLOWER_TIMEOUT_S
             ]
         )
 
@@ -229,6 +238,7 @@
                     time.monotonic(),
                     report.address,
                     report.places,
+                    direct=True,
                 )
             )
         return report
--- a/cardamombarrow/peers/tests/test_followers.py
+++ b/cardamombarrow/peers/tests/test_followers.py
@@ -6,6 +6,7 @@
 
 from cardamombarrow.document import machine
 from cardamombarrow.document import text
+from cardamombarrow.peers import control_pb2
 from cardamombarrow.peers import followers
 
 
@@ -49,3 +50,26 @@
     message = table.newer(applied)
     assert not message.text
     assert not message.changes
+
+
+def _row(instance, heard_ago_s):
+    return control_pb2.FollowerRow(
+        instance=instance, domain="north", heard_ago_s=heard_ago_s
+    )
+
+
+def test_what_others_hear_is_not_told_back_to_them():
+    # Guards against bytes between regions that grow with the square of the
+    # control processes.
+    table = followers.Followers(lambda: True)
+    table.merge(control_pb2.FollowersReply(rows=[_row("entry-1", 0.5)]))
+    assert "entry-1" in table.table()
+    assert not table.rows().rows
+
+
+def test_an_entry_that_nobody_hears_is_told_by_all():
+    # Guards against an entry that is forgotten with the control process that
+    # heard it last.
+    table = followers.Followers(lambda: True)
+    table.merge(control_pb2.FollowersReply(rows=[_row("entry-1", 60.0)]))
+    assert [row.instance for row in table.rows().rows] == ["entry-1"]
