--- a/benchmarks/asked_driver.py
+++ b/benchmarks/asked_driver.py
@@ -9,7 +9,7 @@
 
 from benchmarks import driver
 from benchmarks import scenarios
-from cardamombarrow.decisions import base
+from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import core
 from cardamombarrow.decisions import messages
 from cardamombarrow.kernel import ids
@@ -38,7 +38,7 @@
         self._every(driver.TICK_S, self._tick_placer)
 
     def _new_placer(self) -> core.Dispatcher:
-        context = base.PolicyContext(
+        context = context_module.PolicyContext(
             self._scenario.document,
             ids.InstanceId("entry-0"),
             driver.DOMAIN,
--- a/benchmarks/decision_cost.py
+++ b/benchmarks/decision_cost.py
@@ -12,7 +12,7 @@
 import random
 import time
 
-from cardamombarrow.decisions import base
+from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import core
 from cardamombarrow.decisions import messages
 from cardamombarrow.document import schema
@@ -91,7 +91,7 @@
         self._size = size
         self._rng = random.Random(1)
         document = _document(size)
-        context = base.PolicyContext(
+        context = context_module.PolicyContext(
             document, ids.InstanceId("i0"), DOMAIN, random.Random(2)
         )
         self._dispatcher = core.Dispatcher(context, 0.0)
--- a/benchmarks/driver.py
+++ b/benchmarks/driver.py
@@ -16,7 +16,7 @@
 from benchmarks import fake_engine
 from benchmarks import results
 from benchmarks import scenarios
-from cardamombarrow.decisions import base
+from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import core
 from cardamombarrow.decisions import messages
 from cardamombarrow.kernel import ids
@@ -75,7 +75,7 @@
         }
         self._entries = [
             core.Dispatcher(
-                base.PolicyContext(
+                context_module.PolicyContext(
                     scenario.document,
                     ids.InstanceId(f"entry-{number}"),
                     DOMAIN,
--- a/cardamombarrow/decisions/admission.py
+++ b/cardamombarrow/decisions/admission.py
@@ -34,6 +34,7 @@
 import math
 
 from cardamombarrow.decisions import base
+from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import messages
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import registry
@@ -134,7 +135,7 @@
 class QueueAgeAdmission(_DeadlineAdmission):
     """Refuses at a growing rate while the oldest job has waited too long."""
 
-    def __init__(self, context: base.PolicyContext):
+    def __init__(self, context: context_module.PolicyContext):
         super().__init__(context)
         self._control: dict[tuple[ids.ServiceId, int], _AgeControl] = {}
 
--- a/cardamombarrow/decisions/base.py
+++ b/cardamombarrow/decisions/base.py
@@ -1,18 +1,16 @@
 """The slots of the decisions: one abstract base class each.
 
-A policy is built from a `PolicyContext`, registers itself with
+A policy is built from a `context.PolicyContext`, registers itself with
 ``registry.plugin(<slot>, <name>)`` and is chosen by name in ``[policies]`` of
 the document. All methods are called under the dispatcher's lock.
 """
 
 import abc
 from collections import abc as collections_abc
-import dataclasses
-import random
 
 from cardamombarrow.decisions import capacity as capacity_module
+from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import endpoint as endpoint_module
-from cardamombarrow.decisions import fleet as fleet_module
 from cardamombarrow.decisions import messages
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import ids
@@ -23,12 +21,10 @@
     "Estimate",
     "Limits",
     "Policy",
-    "PolicyContext",
     "PreemptionPolicy",
     "Quarantine",
     "Queue",
     "Retry",
-    "RetryBounds",
     "Room",
     "Shares",
     "Spill",
@@ -37,49 +33,10 @@
 UNBOUNDED = 1 << 30
 
 
-@dataclasses.dataclass(frozen=True)
-class RetryBounds:
-    """What all instances together may send again to one service.
-
-    Attributes:
-        share: Part of the requests of a window that may be sent again.
-        slack: Requests of a window that may be sent again besides.
-        window_s: Any span of this length counts.
-    """
-
-    share: float = 0.1
-    slack: float = 20.0
-    window_s: float = 10.0
-
-
-@dataclasses.dataclass(frozen=True)
-class PolicyContext:
-    """What a policy is built from.
-
-    Attributes:
-        rng: The only source of randomness, so that a run can be repeated.
-        retries: Bounds on retries, over all instances.
-        fleet: How many instances share what is bounded over all; one for all
-            policies of an instance.
-        whole_domain: Whether the decisions are made for all instances of the
-            domain, and not only for one that shares it with others.
-    """
-
-    document: schema.Document
-    instance: ids.InstanceId
-    domain: ids.DomainId
-    rng: random.Random
-    retries: RetryBounds = dataclasses.field(default_factory=RetryBounds)
-    fleet: fleet_module.FleetPart = dataclasses.field(
-        default_factory=fleet_module.FleetPart
-    )
-    whole_domain: bool = False
-
-
 class Policy(abc.ABC):
     """Base of all policies."""
 
-    def __init__(self, context: PolicyContext):
+    def __init__(self, context: context_module.PolicyContext):
         self.context = context
         self.document = context.document
 
--- a/cardamombarrow/decisions/baselines.py
+++ b/cardamombarrow/decisions/baselines.py
@@ -4,6 +4,7 @@
 from collections import abc
 
 from cardamombarrow.decisions import base
+from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import endpoint as endpoint_module
 from cardamombarrow.decisions import messages
 from cardamombarrow.kernel import ids
@@ -31,7 +32,7 @@
 class FifoQueue(base.Queue):
     """Serves in order of arrival, whatever the tier."""
 
-    def __init__(self, context: base.PolicyContext):
+    def __init__(self, context: context_module.PolicyContext):
         super().__init__(context)
         self._jobs: dict[ids.RequestId, messages.Job] = {}
         self._by_service: collections.Counter[ids.ServiceId] = (
@@ -100,7 +101,7 @@
 class RoundRobinChoice(base.Choice):
     """Each endpoint in turn."""
 
-    def __init__(self, context: base.PolicyContext):
+    def __init__(self, context: context_module.PolicyContext):
         super().__init__(context)
         self._turn: collections.Counter[ids.ServiceId] = collections.Counter()
 
@@ -201,7 +202,7 @@
 class MeanEstimate(base.Estimate):
     """The class's running mean, starting from the document's guess."""
 
-    def __init__(self, context: base.PolicyContext):
+    def __init__(self, context: context_module.PolicyContext):
         super().__init__(context)
         self._mean: dict[ids.ClassId, float] = {}
 
--- a/cardamombarrow/decisions/choice.py
+++ b/cardamombarrow/decisions/choice.py
@@ -19,7 +19,7 @@
 
 import dataclasses
 
-from cardamombarrow.decisions import base
+from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import endpoint as endpoint_module
 from cardamombarrow.decisions import failures
 from cardamombarrow.decisions import messages
@@ -70,7 +70,7 @@
 class FinishChoice(weighed.WeighedChoice):
     """Least expected finish among the candidates that are weighed."""
 
-    def __init__(self, context: base.PolicyContext):
+    def __init__(self, context: context_module.PolicyContext):
         super().__init__(context)
         self._observed: dict[ids.EndpointId, _Observed] = {}
         self._means: dict[ids.ServiceId, _Observed] = {}
--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -11,7 +11,7 @@
 
 import typing
 
-from cardamombarrow.decisions import base
+from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import endpoint as endpoint_module
 from cardamombarrow.decisions import forecast
 from cardamombarrow.decisions import messages
@@ -36,7 +36,7 @@
         preemptions: Requests that were told to give way.
     """
 
-    def __init__(self, context: base.PolicyContext, now_s: float):
+    def __init__(self, context: context_module.PolicyContext, now_s: float):
         super().__init__(context, now_s)
         self._forecast = forecast.Forecast(self._policies)
         self._asked: dict[ids.RequestId, messages.Job] = {}
--- a/cardamombarrow/decisions/estimate.py
+++ b/cardamombarrow/decisions/estimate.py
@@ -22,6 +22,7 @@
 from hdrh import histogram
 
 from cardamombarrow.decisions import base
+from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import messages
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import registry
@@ -96,7 +97,7 @@
 class QuantileEstimate(base.Estimate):
     """Lengths by class and workspace, forgetting what is long past."""
 
-    def __init__(self, context: base.PolicyContext):
+    def __init__(self, context: context_module.PolicyContext):
         super().__init__(context)
         self._lengths: dict[ids.ClassId, _Lengths] = {}
         self._ratios: dict[tuple[ids.ClassId, ids.WorkspaceId], _Ratio] = {}
--- a/cardamombarrow/decisions/first_event.py
+++ b/cardamombarrow/decisions/first_event.py
@@ -36,8 +36,8 @@
 from collections import abc as collections_abc
 import dataclasses
 
-from cardamombarrow.decisions import base
 from cardamombarrow.decisions import caches
+from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import endpoint as endpoint_module
 from cardamombarrow.decisions import engine_view
 from cardamombarrow.decisions import failures
@@ -122,7 +122,7 @@
 
     displaces = True
 
-    def __init__(self, context: base.PolicyContext):
+    def __init__(self, context: context_module.PolicyContext):
         super().__init__(context)
         self._engines: dict[ids.EndpointId, engine_view.EngineView] = {}
         self._pace = pace.ReadingPace()
--- a/cardamombarrow/decisions/knowledge.py
+++ b/cardamombarrow/decisions/knowledge.py
@@ -3,7 +3,7 @@
 from collections import abc
 import dataclasses
 
-from cardamombarrow.decisions import base
+from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import endpoint as endpoint_module
 from cardamombarrow.decisions import messages
 from cardamombarrow.decisions import policies
@@ -18,7 +18,7 @@
 class Knowledge:
     """The policies in force, and all that they go by."""
 
-    def __init__(self, context: base.PolicyContext, now_s: float):
+    def __init__(self, context: context_module.PolicyContext, now_s: float):
         self._context = context
         self._policies = policies.Policies(context)
         self._roster = roster.Roster(context, self._policies)
--- a/cardamombarrow/decisions/limits.py
+++ b/cardamombarrow/decisions/limits.py
@@ -24,6 +24,7 @@
 import dataclasses
 
 from cardamombarrow.decisions import base
+from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import endpoint as endpoint_module
 from cardamombarrow.decisions import messages
 from cardamombarrow.decisions import prefixes
@@ -163,7 +164,7 @@
 class FirstTokenLimits(base.Limits):
     """A limit that follows the time to first token."""
 
-    def __init__(self, context: base.PolicyContext):
+    def __init__(self, context: context_module.PolicyContext):
         super().__init__(context)
         self._tracks: dict[ids.EndpointId, _Track] = {}
         self._prefixes = prefixes.SharedPrefixes()
--- a/cardamombarrow/decisions/policies.py
+++ b/cardamombarrow/decisions/policies.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from cardamombarrow.decisions import base
+from cardamombarrow.decisions import context as context_module
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import registry
 
@@ -39,17 +40,19 @@
     preemption: base.PreemptionPolicy
     estimate: base.Estimate
 
-    def __init__(self, context: base.PolicyContext):
+    def __init__(self, context: context_module.PolicyContext):
         registry.load(*POLICY_MODULES)
         self._names = context.document.policies
         for field in dataclasses.fields(schema.Policies):
             self._build(field.name, context)
 
-    def _build(self, slot: str, context: base.PolicyContext) -> None:
+    def _build(self, slot: str, context: context_module.PolicyContext) -> None:
         cls = registry.lookup(slot, getattr(context.document.policies, slot))
         setattr(self, slot, cls(context))
 
-    def configure(self, context: base.PolicyContext, now_s: float) -> None:
+    def configure(
+        self, context: context_module.PolicyContext, now_s: float
+    ) -> None:
         """Takes a newer document; a renamed policy starts afresh."""
         new = context.document.policies
         for field in dataclasses.fields(schema.Policies):
--- a/cardamombarrow/decisions/preemption.py
+++ b/cardamombarrow/decisions/preemption.py
@@ -27,6 +27,7 @@
 
 from cardamombarrow.decisions import base
 from cardamombarrow.decisions import capacity as capacity_module
+from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import endpoint as endpoint_module
 from cardamombarrow.decisions import messages
 from cardamombarrow.document import schema
@@ -48,7 +49,7 @@
 class LeastProgressPreemption(base.PreemptionPolicy):
     """Cancels what costs least, for a request whose target is in danger."""
 
-    def __init__(self, context: base.PolicyContext):
+    def __init__(self, context: context_module.PolicyContext):
         super().__init__(context)
         self._tiers = _by_rank(context.document)
         self._budget_tokens = 0.0
--- a/cardamombarrow/decisions/quarantine.py
+++ b/cardamombarrow/decisions/quarantine.py
@@ -18,6 +18,7 @@
 import dataclasses
 
 from cardamombarrow.decisions import base
+from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import messages
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import registry
@@ -42,7 +43,7 @@
 class CrashQuarantine(base.Quarantine):
     """Two crashes, the second one alone, quarantine a fingerprint."""
 
-    def __init__(self, context: base.PolicyContext):
+    def __init__(self, context: context_module.PolicyContext):
         super().__init__(context)
         self._suspects: dict[ids.Fingerprint, _Suspect] = {}
         self._until_s: dict[ids.Fingerprint, float] = {}
--- a/cardamombarrow/decisions/retry.py
+++ b/cardamombarrow/decisions/retry.py
@@ -29,6 +29,7 @@
 import collections
 
 from cardamombarrow.decisions import base
+from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import fleet
 from cardamombarrow.decisions import messages
 from cardamombarrow.kernel import ids
@@ -54,7 +55,7 @@
 class BudgetRetry(base.Retry):
     """Retries out of a budget; spreads the returns of refused callers."""
 
-    def __init__(self, context: base.PolicyContext):
+    def __init__(self, context: context_module.PolicyContext):
         super().__init__(context)
         self._budget: dict[ids.ClassId, float] = {}
 
@@ -144,7 +145,7 @@
     instances can't hear one another; see `fleet`.
     """
 
-    def __init__(self, context: base.PolicyContext):
+    def __init__(self, context: context_module.PolicyContext):
         super().__init__(context)
         self._windows: dict[ids.ServiceId, _Window] = {}
 
--- a/cardamombarrow/decisions/roster.py
+++ b/cardamombarrow/decisions/roster.py
@@ -9,6 +9,7 @@
 
 from cardamombarrow.decisions import base
 from cardamombarrow.decisions import capacity as capacity_module
+from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import endpoint as endpoint_module
 from cardamombarrow.decisions import messages
 from cardamombarrow.decisions import policies as policies_module
@@ -37,7 +38,9 @@
     """
 
     def __init__(
-        self, context: base.PolicyContext, policies: policies_module.Policies
+        self,
+        context: context_module.PolicyContext,
+        policies: policies_module.Policies,
     ):
         self._context = context
         self._policies = policies
--- a/cardamombarrow/decisions/runs.py
+++ b/cardamombarrow/decisions/runs.py
@@ -4,7 +4,7 @@
 policy that learns from first tokens and ends is told here.
 """
 
-from cardamombarrow.decisions import base
+from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import endpoint as endpoint_module
 from cardamombarrow.decisions import knowledge
 from cardamombarrow.decisions import messages
@@ -20,7 +20,7 @@
         wasted_tokens: Relayed tokens of runs that did not end whole.
     """
 
-    def __init__(self, context: base.PolicyContext, now_s: float):
+    def __init__(self, context: context_module.PolicyContext, now_s: float):
         super().__init__(context, now_s)
         self._running: dict[ids.RequestId, messages.Running] = {}
         self.wasted_tokens = 0
--- a/cardamombarrow/decisions/scaling.py
+++ b/cardamombarrow/decisions/scaling.py
@@ -30,15 +30,15 @@
     "spread",
 ]
 
-READING_UTILISATION = 0.25
+READING_UTILISATION = 0.4
 """Part of an endpoint's time that reading prompts may take."""
 
 PLACES_UTILISATION = 0.5
 """Part of an endpoint's places that may be taken."""
 
-PEAK_HOLD_S = 20.0
+PEAK_HOLD_S = 60.0
 """How long a peak counts: longer than the waves that traffic comes in, and
-than the start of an endpoint and the reading of what it keeps."""
+than an endpoint's start and the reading of what the one before it kept."""
 
 TREND_S = 4.0
 """Time over which a trend is seen."""
--- a/cardamombarrow/decisions/shares.py
+++ b/cardamombarrow/decisions/shares.py
@@ -23,6 +23,7 @@
 import zlib
 
 from cardamombarrow.decisions import base
+from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import endpoint as endpoint_module
 from cardamombarrow.decisions import messages
 from cardamombarrow.kernel import ids
@@ -96,7 +97,7 @@
 class DemandShares(base.Shares):
     """Half evenly, half by gossiped demand."""
 
-    def __init__(self, context: base.PolicyContext):
+    def __init__(self, context: context_module.PolicyContext):
         super().__init__(context)
         self._own: messages.PeerDemand | None = None
         self._means: dict[ids.InstanceId, _Mean] = {}
--- a/cardamombarrow/decisions/spill.py
+++ b/cardamombarrow/decisions/spill.py
@@ -14,6 +14,7 @@
 """
 
 from cardamombarrow.decisions import base
+from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import endpoint as endpoint_module
 from cardamombarrow.decisions import messages
 from cardamombarrow.kernel import registry
@@ -33,7 +34,7 @@
 class BudgetSpill(base.Spill):
     """Other domains for jobs in danger, within a token bucket of bytes."""
 
-    def __init__(self, context: base.PolicyContext):
+    def __init__(self, context: context_module.PolicyContext):
         super().__init__(context)
         self._bytes = BUCKET_BYTES
         self._filled_at_s = 0.0
--- a/cardamombarrow/decisions/tiers.py
+++ b/cardamombarrow/decisions/tiers.py
@@ -36,6 +36,7 @@
 
 from cardamombarrow.decisions import base
 from cardamombarrow.decisions import capacity as capacity_module
+from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import fairness
 from cardamombarrow.decisions import messages
 from cardamombarrow.document import schema
@@ -217,7 +218,7 @@
 class TieredQueue(base.Queue):
     """Strict by tier with reserved shares; fair and by deadline within."""
 
-    def __init__(self, context: base.PolicyContext):
+    def __init__(self, context: context_module.PolicyContext):
         super().__init__(context)
         self._services: dict[ids.ServiceId, _ServiceQueue] = {}
         self._where: dict[ids.RequestId, messages.Job] = {}
--- a/cardamombarrow/decisions/weighed.py
+++ b/cardamombarrow/decisions/weighed.py
@@ -9,6 +9,7 @@
 import zlib
 
 from cardamombarrow.decisions import base
+from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import endpoint as endpoint_module
 from cardamombarrow.decisions import failures
 from cardamombarrow.decisions import messages
@@ -20,7 +21,7 @@
 class WeighedChoice(base.Choice):
     """Least cost among the candidates that are weighed."""
 
-    def __init__(self, context: base.PolicyContext):
+    def __init__(self, context: context_module.PolicyContext):
         super().__init__(context)
         self._failures = failures.Failures()
 
--- a/cardamombarrow/entry/core.py
+++ b/cardamombarrow/entry/core.py
@@ -5,7 +5,7 @@
 import time
 import typing
 
-from cardamombarrow.decisions import base as decisions_base
+from cardamombarrow.decisions import context as context_module
 from cardamombarrow.discovery import base as discovery
 from cardamombarrow.discovery import core as discovery_core
 from cardamombarrow.document import schema
@@ -177,7 +177,7 @@
         instance,
         domain,
         time_source,
-        decisions_base.RetryBounds(
+        context_module.RetryBounds(
             retries.share, retries.slack, retries.window_s
         ),
     )
--- a/cardamombarrow/entry/knowing.py
+++ b/cardamombarrow/entry/knowing.py
@@ -10,7 +10,7 @@
 import threading
 import time
 
-from cardamombarrow.decisions import base
+from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import core
 from cardamombarrow.decisions import messages
 from cardamombarrow.document import schema
@@ -60,16 +60,16 @@
         instance: ids.InstanceId,
         domain: ids.DomainId,
         time_source: clock.Clock,
-        retries: base.RetryBounds | None = None,
+        retries: context_module.RetryBounds | None = None,
         whole_domain: bool = False,
     ):
         self._clock = time_source
-        self._context = context = base.PolicyContext(
+        self._context = context = context_module.PolicyContext(
             document,
             instance,
             domain,
             random.Random(),
-            retries or base.RetryBounds(),
+            retries or context_module.RetryBounds(),
             whole_domain=whole_domain,
         )
         self._asking: asking_module.Asking = asking_module.NobodyAsked()
