Smooth demand, and let a full domain go back to the cheap kind

Demand is now smoothed (half-life 2 s); two places of a domain are kept free of the dear kind, which gives up two at a time. Ruled out: refusals (the cheap kind was never asked for again).

--- a/cardamombarrow/decisions/scaling.py
+++ b/cardamombarrow/decisions/scaling.py
@@ -40,6 +40,10 @@
 """How long a peak counts: longer than the waves that traffic comes in, and
 than an endpoint's start and the reading of what the one before it kept."""
 
+SMOOTHING_S = 2.0
+"""Time after which half of what demand was before counts no more: a few long
+prompts within a second are no reason for another endpoint."""
+
 TREND_S = 4.0
 """Time over which a trend is seen."""
 
@@ -101,6 +105,8 @@
 
     def __init__(self):
         self._peaks: dict[ids.DomainId, list[tuple[float, float]]] = {}
+        self._smooth: dict[ids.DomainId, float] = {}
+        self._seen_s = float("-inf")
         self._wanted: dict[ids.DomainId, int] = {}
         self._asked_since_s: float | None = None
 
@@ -115,8 +121,13 @@
         scaling = service.scaling
         assert scaling is not None
         domains = list(scaling.prices)
+        kept = 0.5 ** ((now_s - self._seen_s) / SMOOTHING_S)
+        self._seen_s = now_s
         for domain in domains:
-            self._note(domain, _need(service, demand.get(domain)), now_s)
+            need = _need(service, demand.get(domain))
+            before = self._smooth.get(domain, 0.0)
+            self._smooth[domain] = kept * before + (1 - kept) * need
+            self._note(domain, self._smooth[domain], now_s)
         needs = {domain: self._peak(domain) for domain in domains}
         if self._asked_since_s is None:
             # What is there was set up on purpose. It is listed bit by bit.
--- a/cardamombarrow/duties/ordering.py
+++ b/cardamombarrow/duties/ordering.py
@@ -33,6 +33,10 @@
 RETRY_S = 1.0
 """Time until an order without a clear answer is sent again."""
 
+SWAP_STEP = 2
+"""Places of a domain kept free of the dearer kind, and endpoints of it given up
+at a time where there is no room for the cheaper kind beside them."""
+
 LATE_S = 60.0
 """How long a call without an answer may still be carried out."""
 
@@ -140,16 +144,22 @@
         now_s: float,
     ) -> int:
         """Returns how many of the dearer kind there shall be."""
+        scaling = service.scaling
+        if not scaling.spot_price:
+            return min(count, scaling.most)
         coming = fleet.spot
         sent = self._sent.get((service.service, domain, True))
-        boot_s = service.scaling.boot_s + SEEN_AFTER_S
         taken = sent is not None and sent.outcome is base.Outcome.TAKEN
+        boot_s = scaling.boot_s + SEEN_AFTER_S
         if taken and now_s - sent.sent_s <= boot_s:
             coming = max(coming, sent.count)
-        room = service.scaling.most - coming
+        room = min(scaling.most - coming, scaling.most - SWAP_STEP)
         grown = max(min(count - coming, room), 0)
-        kept = max(count - fleet.spot, 0)
-        return min(max(fleet.regular, grown), kept)
+        kept = count - fleet.spot
+        if taken and count > scaling.most - fleet.regular:
+            # Without room the cheaper kind could never come back.
+            kept -= SWAP_STEP
+        return min(max(fleet.regular, grown), max(kept, 0))
 
     def _order(
         self,
--- a/cardamombarrow/duties/tests/test_ordering.py
+++ b/cardamombarrow/duties/tests/test_ordering.py
@@ -108,6 +108,24 @@
     assert platform.counts[_DOMAINS[0], False] == 0
 
 
+def test_a_full_domain_goes_back_to_the_cheap_kind():
+    # Guards against dear endpoints that stay because they leave no room for
+    # the cheap ones that are to be had again.
+    platform = _Platform()
+    platform.run(10, 40)
+    assert platform.counts[_DOMAINS[0], True] == 10
+    platform.dry.add(_DOMAINS[0])
+    platform.counts[_DOMAINS[0], True] = 0
+    platform.run(10, 8)
+    assert platform.counts[_DOMAINS[0], False] == 8
+    platform.dry.clear()
+    for _ in range(120):
+        platform.run(10, 0.5)
+        assert platform.total(_DOMAINS[0]) >= 10 - 2 * 2
+    assert platform.counts[_DOMAINS[0], True] == 10
+    assert platform.counts[_DOMAINS[0], False] == 0
+
+
 def test_a_second_reclaim_is_answered_like_the_first(platform):
     platform.run(5, 30)
     for _ in range(2):
