--- a/cardamombarrow/platform/tests/test_names.py
+++ b/cardamombarrow/platform/tests/test_names.py
@@ -11,6 +11,7 @@
     r"|Expect-Instance|Instance-Load|Instance-Id|Model-Name|Request-Priority"
     r"|routeKind|pathPrefix|latencyGoalMs|itlTargetMs|apiKeys|maxAttempts"
     r"|kv-events|kv-list|kvCapacity|maxConns|cloudApi|coldRemainingMs"
+    r"|Duty-Holder|windowId|spotPrice|zonePrices|/scaling\b"
     r"|CARDAMOMBARROW_CONFIG|/configuration\b",
     re.IGNORECASE,
 )
