--- a/benchmarks/scaling.py
+++ b/benchmarks/scaling.py
@@ -191,7 +191,7 @@
     calls = 0
     for order in orders.due(SERVICE, wanted, fleets, platform.now_s):
         outcome = platform.take(order.call)
-        orders.sent(order, outcome, platform.now_s)
+        orders.record(order, outcome, platform.now_s)
         calls += 1
     return calls
 
--- a/cardamombarrow/control/core.py
+++ b/cardamombarrow/control/core.py
@@ -35,11 +35,11 @@
 from cardamombarrow.log import state as log_state
 from cardamombarrow.log import storage
 from cardamombarrow.orders import runner
+from cardamombarrow.peers import collecting
 from cardamombarrow.peers import control_pb2
 from cardamombarrow.peers import control_service
 from cardamombarrow.peers import follower_exchange
 from cardamombarrow.peers import followers as followers_module
-from cardamombarrow.peers import gathering
 from cardamombarrow.peers import log_transport
 from cardamombarrow.peers import loop as loop_module
 from cardamombarrow.peers import secret as secret_module
@@ -49,7 +49,7 @@
 FIRST_DOCUMENT_LOOK_S = 0.1
 FIRST_DOCUMENT_TIMEOUT_S = 5.0
 
-GATHER_TIMEOUT_S = 2.0
+METERING_TIMEOUT_S = 2.0
 
 DUTY_MODULES = (
     "cardamombarrow.discovery.own_list",
@@ -150,20 +150,20 @@
     async def _stop(self) -> None:
         self._server.close()
 
-    def gathered(self) -> duties_runner.Gathered | None:
+    def metering(self) -> duties_runner.MeteringView | None:
         """Returns what entries have told of usage and demand."""
         service = self._state.service
         if service is None:
             return None
-        return self._loop.call(self._gather(service.metered)).result(
-            timeout=GATHER_TIMEOUT_S
+        return self._loop.call(self._metering_view(service.metered)).result(
+            timeout=METERING_TIMEOUT_S
         )
 
-    async def _gather(
-        self, metered: gathering.Gathering
-    ) -> duties_runner.Gathered:
+    async def _metering_view(
+        self, metered: collecting.MeteringCollector
+    ) -> duties_runner.MeteringView:
         now_s = time.monotonic()
-        return duties_runner.Gathered(
+        return duties_runner.MeteringView(
             unix_s=metered.unix_s(),
             totals=metered.usage.totals(),
             sources=metered.usage.sources(),
@@ -329,7 +329,7 @@
         holding,
         registry.lookup(duties_base.SLOT, duties.gateway)(),
         duties_runner.Sources(
-            gathered=peers.gathered,
+            metering=peers.metering,
             state=lambda: state.duties,
             document=lambda: _orders_document(state),
             listing=lambda: source.fetch(duties.listing_url),
--- a/cardamombarrow/duties/holding.py
+++ b/cardamombarrow/duties/holding.py
@@ -6,43 +6,20 @@
 the time of a lease: the two can't ask each other.
 """
 
-from concurrent import futures
-
 from cardamombarrow.kernel import clock
-from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import logs
 from cardamombarrow.log import base as log_base
 from cardamombarrow.orders import machine
-from cardamombarrow.peers import codec
+from cardamombarrow.peers import committing
 from cardamombarrow.peers import control_pb2
 
-__all__ = ["COMMIT_TIMEOUT_S", "Holding", "commit"]
-
-COMMIT_TIMEOUT_S = 3.0
+__all__ = ["Holding"]
 
 CONFIRMED_SHARE = 0.25
 """Part of a lease for which one confirmation is relied on."""
 
 
-def commit(
-    log: log_base.Log, command: control_pb2.Command
-) -> control_pb2.Reply:
-    """Hands a command to the log and waits for its answer.
-
-    Raises:
-        errors.RouterError: It was not committed, or it was refused.
-    """
-    future = log.propose(command.SerializeToString())
-    try:
-        raw = future.result(timeout=COMMIT_TIMEOUT_S)
-    except futures.TimeoutError:
-        raise errors.UnavailableError(
-            errors.ErrorKind.NO_QUORUM, "not committed in time"
-        ) from None
-    return codec.raise_failure(control_pb2.Reply.FromString(raw))
-
-
 class Holding:
     """This process's hold on the duties; used by one thread."""
 
@@ -71,10 +48,10 @@
         status = self._log.status()
         leads = status.leader == status.voter and status.has_quorum
         if not leads and self._holder is not None:
-            self.let_go("it does not lead the log")
+            self.release("it does not lead the log")
         return leads
 
-    def let_go(self, reason: str) -> None:
+    def release(self, reason: str) -> None:
         """Stops holding; a token that was held is not used again."""
         logs.event(
             "duties let go",
@@ -91,7 +68,7 @@
             errors.RouterError: There is no quorum.
         """
         asked_s = self._clock.now_s()
-        reply = commit(
+        reply = committing.commit(
             self._log,
             control_pb2.Command(
                 take_duties=control_pb2.TakeDutiesCommand(
@@ -120,7 +97,7 @@
             return False
         if not self._is_confirmed():
             asked_s = self._clock.now_s()
-            reply = commit(
+            reply = committing.commit(
                 self._log,
                 control_pb2.Command(
                     renew_duties=control_pb2.RenewDutiesCommand(
@@ -130,7 +107,7 @@
                 ),
             ).duties
             if not reply.current:
-                self.let_go(f"{reply.instance} holds {reply.fencing}")
+                self.release(f"{reply.instance} holds {reply.fencing}")
                 return False
             self._confirmed_s = asked_s
         return self._is_confirmed()
--- a/cardamombarrow/duties/ordering.py
+++ b/cardamombarrow/duties/ordering.py
@@ -19,7 +19,7 @@
 from cardamombarrow.duties import base
 from cardamombarrow.kernel import ids
 
-__all__ = ["Fleet", "Order", "Ordering", "fleet_of"]
+__all__ = ["Fleet", "Order", "Ordering", "count_endpoints"]
 
 SPOT_RETRY_S = 8.0
 """Time until reclaimable endpoints are asked for again after a refusal."""
@@ -82,7 +82,7 @@
 _Subject = tuple[ids.ServiceId, ids.DomainId, bool]
 
 
-def fleet_of(
+def count_endpoints(
     items: abc.Iterable[discovery.Listed], service: ids.ServiceId
 ) -> dict[ids.DomainId, Fleet]:
     """Counts the endpoints of a service in a list, by failure domain."""
@@ -214,7 +214,7 @@
             for sent in self._sent.values()
         )
 
-    def sent(self, order: Order, outcome: base.Outcome, now_s: float) -> None:
+    def record(self, order: Order, outcome: base.Outcome, now_s: float) -> None:
         """Notes what became of an order."""
         call = order.call
         subject = call.service, call.domain, call.spot
--- a/cardamombarrow/duties/runner.py
+++ b/cardamombarrow/duties/runner.py
@@ -21,9 +21,10 @@
 from cardamombarrow.kernel import logs
 from cardamombarrow.log import base as log_base
 from cardamombarrow.metering import board
+from cardamombarrow.peers import committing
 from cardamombarrow.peers import control_pb2
 
-__all__ = ["DutiesRunner", "Gathered", "Sources"]
+__all__ = ["DutiesRunner", "MeteringView", "Sources"]
 
 LOOK_S = 0.5
 """Time between two looks at what is due."""
@@ -42,7 +43,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Gathered:
+class MeteringView:
     """What entries told, as it stands now.
 
     Attributes:
@@ -63,13 +64,13 @@
     """Where the runner reads from.
 
     Attributes:
-        gathered: Returns what entries told; None before any did.
+        metering: Returns what entries told; None before any did.
         state: Returns the duties as the log has them.
         document: Returns the document in force; None before the first one.
         listing: Reads the list of endpoints.
     """
 
-    gathered: abc.Callable[[], Gathered | None]
+    metering: abc.Callable[[], MeteringView | None]
     state: abc.Callable[[], machine.DutiesState]
     document: abc.Callable[[], schema.Document | None]
     listing: abc.Callable[[], list[discovery.Listed]]
@@ -138,43 +139,43 @@
         if not self._holding.leads():
             self._first_window = None
             return
-        gathered = self._sources.gathered()
-        if gathered is None:
+        metering = self._sources.metering()
+        if metering is None:
             return
         if self._holding.holder is None:
-            self._take(gathered)
+            self._take(metering)
         if self._settings.reports_usage:
-            self._commit_usage(gathered)
+            self._commit_usage(metering)
             self._report_usage()
         if self._settings.orders_endpoints:
-            self._order_endpoints(gathered)
+            self._order_endpoints(metering)
 
-    def _take(self, gathered: Gathered) -> None:
+    def _take(self, metering: MeteringView) -> None:
         self._holding.take()
         self._ordering = ordering_module.Ordering()
         last = self._sources.state().last_window
         self._first_window = (
-            int(gathered.unix_s // self._times.window_s)
+            int(metering.unix_s // self._times.window_s)
             if last is None
             else last + 1
         )
 
     # -- usage ---------------------------------------------------------------
 
-    def _commit_usage(self, gathered: Gathered) -> None:
+    def _commit_usage(self, metering: MeteringView) -> None:
         holder = self._holding.holder
         state = self._sources.state()
         if holder is None or self._first_window is None:
             return
         for window in windows.due_windows(
-            state, self._first_window, gathered.unix_s, self._times
+            state, self._first_window, metering.unix_s, self._times
         ):
-            reply = holding_module.commit(
+            reply = committing.commit(
                 self._log,
                 control_pb2.Command(
                     commit_usage=control_pb2.CommitUsageCommand(
                         window=window,
-                        counts=gathered.totals.get(window, {}),
+                        counts=metering.totals.get(window, {}),
                         instance=holder.instance,
                         fencing=holder.fencing,
                     )
@@ -185,9 +186,9 @@
                 window=window,
                 requests=sum(reply.counts.values()),
                 workspaces=len(reply.counts),
-                sources=gathered.sources.get(window, 0),
+                sources=metering.sources.get(window, 0),
                 age_s=round(
-                    gathered.unix_s - (window + 1) * self._times.window_s, 3
+                    metering.unix_s - (window + 1) * self._times.window_s, 3
                 ),
                 fencing=holder.fencing,
                 committed=reply.committed,
@@ -209,7 +210,7 @@
                 return
             self._reported_s[window] = now_s
             if outcome in (base.Outcome.TAKEN, base.Outcome.INVALID):
-                holding_module.commit(
+                committing.commit(
                     self._log,
                     control_pb2.Command(
                         settle_usage=control_pb2.SettleUsageCommand(
@@ -221,7 +222,7 @@
 
     # -- endpoints -----------------------------------------------------------
 
-    def _order_endpoints(self, gathered: Gathered) -> None:
+    def _order_endpoints(self, metering: MeteringView) -> None:
         document = self._sources.document()
         if document is None:
             return
@@ -229,7 +230,7 @@
         if not services or not self._read_list():
             return
         for service in services:
-            self._order_service(service, gathered.demand)
+            self._order_service(service, metering.demand)
 
     def _read_list(self) -> bool:
         """Reads the list where it is old; returns whether it can be used."""
@@ -250,7 +251,7 @@
     ) -> None:
         now_s = self._clock.now_s()
         name = service.service
-        fleets = ordering_module.fleet_of(self._listed, name)
+        fleets = ordering_module.count_endpoints(self._listed, name)
         scaler = self._scalers.setdefault(name, scaling.TargetUtilisation())
         asked = {
             each.domain: scaling.DomainDemand(each.reading, each.running)
@@ -269,7 +270,7 @@
             outcome = self._call(order.call)
             if outcome is None:
                 return
-            self._ordering.sent(order, outcome, self._clock.now_s())
+            self._ordering.record(order, outcome, self._clock.now_s())
             logs.decision(
                 "order endpoints",
                 service=name,
--- a/cardamombarrow/duties/tests/test_ordering.py
+++ b/cardamombarrow/duties/tests/test_ordering.py
@@ -72,7 +72,7 @@
             ):
                 outcome = self.take(order.call)
                 self.sent.append(order)
-                self.ordering.sent(order, outcome, self.now_s)
+                self.ordering.record(order, outcome, self.now_s)
             self.now_s += 0.5
 
 
@@ -221,5 +221,5 @@
         listed("writer", leaving, True),
         listed("desk", live, False),
     ]
-    fleets = ordering_module.fleet_of(items, _SERVICE.service)
+    fleets = ordering_module.count_endpoints(items, _SERVICE.service)
     assert fleets == {_DOMAINS[0]: ordering_module.Fleet(1, 1)}
--- a/cardamombarrow/duties/tests/test_runner.py
+++ b/cardamombarrow/duties/tests/test_runner.py
@@ -109,7 +109,7 @@
             holding_module.Holding(log, ids.InstanceId(name), 3.0, self.clock),
             _Gateway(self),
             runner_module.Sources(
-                gathered=self._gathered,
+                metering=self._metering,
                 state=lambda: self.state.duties,
                 document=_Document,
                 listing=self._listing,
@@ -117,8 +117,8 @@
             self.clock,
         )
 
-    def _gathered(self):
-        return runner_module.Gathered(
+    def _metering(self):
+        return runner_module.MeteringView(
             unix_s=self.unix_s,
             totals={w: dict(c) for w, c in self.counts.items()},
             sources={},
--- a/cardamombarrow/entry/peering.py
+++ b/cardamombarrow/entry/peering.py
@@ -27,10 +27,10 @@
 from cardamombarrow.metering import board
 from cardamombarrow.metering import meter as meter_module
 from cardamombarrow.metering import true_time
+from cardamombarrow.peers import collecting
 from cardamombarrow.peers import confirming as confirming_module
 from cardamombarrow.peers import control_client
 from cardamombarrow.peers import control_pb2
-from cardamombarrow.peers import gathering
 from cardamombarrow.peers import gossip_node
 from cardamombarrow.peers import kept_codec
 from cardamombarrow.peers import loop as loop_module
@@ -117,7 +117,7 @@
         self.lease = lease_module.DocumentLease(
             settings.document.confirmed_within_s, boot_clock
         )
-        self._told_number = 0
+        self._usage_number = 0
         self._boot = secrets.token_hex(BOOT_BYTES)
         self.time = true_time.AgreedTime(boot_clock)
         self.meter = meter_module.Meter(
@@ -145,7 +145,7 @@
         return peers.address or f"{peers.host}:{peers.port}"
 
     def _confirm_request(self, address: str) -> control_pb2.ConfirmRequest:
-        usage, self._told_number = self.meter.news(address)
+        usage, self._usage_number = self.meter.unconfirmed(address)
         news = [] if self._broker is None else self._broker.kept_news()
         return control_pb2.ConfirmRequest(
             instance=self._instance,
@@ -154,7 +154,7 @@
             kept=kept_codec.kept_to_wire(news),
             kept_since=self._kept_number,
             usage=[
-                gathering.usage_to_wire(
+                collecting.usage_to_wire(
                     board.SourceCounts(
                         f"{self._instance}.{self._boot}",
                         each.window,
@@ -181,9 +181,9 @@
     def _on_confirmed(
         self, address: str, asked_s: float, reply: control_pb2.ConfirmReply
     ) -> None:
-        self.meter.confirmed(address, reply.boot, self._told_number)
+        self.meter.acknowledge(address, reply.boot, self._usage_number)
         if reply.unix_s:
-            self.time.told(reply.unix_s)
+            self.time.synchronize(reply.unix_s)
         document = reply.document
         if document.text:
             revision = ids.Revision(document.revision)
@@ -397,7 +397,7 @@
         self._node.stop()
         if self.lease.bound_s:
             self._confirming.stop()
-            self._confirming.tell_last()
+            self._confirming.flush()
         self.control.stop()
         self._server.stop()
         self._loop.stop()
--- a/cardamombarrow/metering/meter.py
+++ b/cardamombarrow/metering/meter.py
@@ -85,14 +85,14 @@
             for old in sorted(self._windows)[:-WINDOWS_KEPT]:
                 del self._windows[old]
 
-    def news(self, control: str) -> tuple[list[WindowCounts], int]:
+    def unconfirmed(self, control: str) -> tuple[list[WindowCounts], int]:
         """Returns the totals that a control process has not confirmed.
 
         Args:
             control: Its address.
 
         Returns:
-            The totals, and the number to hand to `confirmed`.
+            The totals, and the number to hand to `acknowledge`.
         """
         with self._lock:
             address, _, number = self._confirmed
@@ -110,8 +110,8 @@
             ]
             return [each for each in news if each.counts], self._change
 
-    def confirmed(self, control: str, boot: int, number: int) -> None:
-        """Notes that a control process has what `news` gave with a number.
+    def acknowledge(self, control: str, boot: int, number: int) -> None:
+        """Notes that a control process has the totals up to a number.
 
         Args:
             control: Its address.
--- a/cardamombarrow/metering/tests/test_meter.py
+++ b/cardamombarrow/metering/tests/test_meter.py
@@ -33,7 +33,7 @@
     meter.began(_WORKSPACE)
     now.now_s = 1_005.0
     meter.began(ids.WorkspaceId("clubs"))
-    news, _ = meter.news("a:1")
+    news, _ = meter.unconfirmed("a:1")
     assert [(each.window, each.counts) for each in news] == [
         (200, {"trails": 2}),
         (201, {"clubs": 1}),
@@ -42,42 +42,42 @@
 
 def test_only_what_is_not_confirmed_is_told_again(meter):
     meter.began(_WORKSPACE)
-    _, number = meter.news("a:1")
-    meter.confirmed("a:1", 7, number)
-    assert meter.news("a:1")[0] == []
+    _, number = meter.unconfirmed("a:1")
+    meter.acknowledge("a:1", 7, number)
+    assert meter.unconfirmed("a:1")[0] == []
     meter.began(_WORKSPACE)
-    assert meter.news("a:1")[0][0].counts == {"trails": 2}
+    assert meter.unconfirmed("a:1")[0][0].counts == {"trails": 2}
 
 
 def test_another_control_process_is_told_all(meter):
     # Guards against counts that go with a control process that is lost.
     meter.began(_WORKSPACE)
-    _, number = meter.news("a:1")
-    meter.confirmed("a:1", 7, number)
-    assert meter.news("b:1")[0][0].counts == {"trails": 1}
+    _, number = meter.unconfirmed("a:1")
+    meter.acknowledge("a:1", 7, number)
+    assert meter.unconfirmed("b:1")[0][0].counts == {"trails": 1}
 
 
 def test_a_control_process_that_has_restarted_is_told_all(meter):
     # Guards against counts that a restart at the same address has lost.
     meter.began(_WORKSPACE)
-    _, number = meter.news("a:1")
-    meter.confirmed("a:1", 7, number)
-    _, number = meter.news("a:1")
-    meter.confirmed("a:1", 8, number)
-    assert meter.news("a:1")[0][0].counts == {"trails": 1}
+    _, number = meter.unconfirmed("a:1")
+    meter.acknowledge("a:1", 7, number)
+    _, number = meter.unconfirmed("a:1")
+    meter.acknowledge("a:1", 8, number)
+    assert meter.unconfirmed("a:1")[0][0].counts == {"trails": 1}
 
 
 def test_windows_and_memory_are_bounded(meter, now):
     for _ in range(100):
         now.now_s += 5.0
         meter.began(_WORKSPACE)
-    assert len(meter.news("a:1")[0]) == meter_module.WINDOWS_KEPT
+    assert len(meter.unconfirmed("a:1")[0]) == meter_module.WINDOWS_KEPT
 
 
 def test_without_windows_nothing_is_counted(now):
     meter = meter_module.Meter(0.0, now)
     meter.began(_WORKSPACE)
-    assert meter.news("a:1")[0] == []
+    assert meter.unconfirmed("a:1")[0] == []
 
 
 def test_prompts_that_waited_do_not_set_the_pace(meter):
--- a/cardamombarrow/metering/tests/test_true_time.py
+++ b/cardamombarrow/metering/tests/test_true_time.py
@@ -36,13 +36,13 @@
     for number in range(peers):
         asked_s = boot.now_s()
         boot.advance(0.06)
-        poll.heard(f"c{number}", TRUE_S + boot.now_s() - 0.03, asked_s)
+        poll.add_sample(f"c{number}", TRUE_S + boot.now_s() - 0.03, asked_s)
     assert poll.unix_s() == pytest.approx(TRUE_S + boot.now_s(), abs=0.01)
 
 
 def test_alone_a_process_has_its_own_clock(boot, wall):
     poll = true_time.ClockPoll(boot, wall)
-    poll.heard("c1", TRUE_S, boot.now_s())
+    poll.add_sample("c1", TRUE_S, boot.now_s())
     boot.advance(true_time.SAMPLE_LIFE_S + 1)
     assert poll.unix_s() == pytest.approx(wall())
 
@@ -51,7 +51,7 @@
     time = true_time.AgreedTime(boot, wall)
     assert not time.is_agreed
     assert time.unix_s() == wall()
-    time.told(TRUE_S + boot.now_s())
+    time.synchronize(TRUE_S + boot.now_s())
     wall.jump_s = 2.4
     boot.advance(3.0)
     assert time.is_agreed
--- a/cardamombarrow/metering/true_time.py
+++ b/cardamombarrow/metering/true_time.py
@@ -36,7 +36,7 @@
         """Whether the offset is the control processes' and not this one's."""
         return self._offset_s is not None
 
-    def told(self, unix_s: float) -> None:
+    def synchronize(self, unix_s: float) -> None:
         """Takes what a control process tells to be the time now."""
         self._offset_s = unix_s - self._clock.now_s()
 
@@ -65,7 +65,7 @@
         self._wall_s = wall_s
         self._samples: dict[str, _Sample] = {}
 
-    def heard(self, peer: str, unix_s: float, asked_s: float) -> None:
+    def add_sample(self, peer: str, unix_s: float, asked_s: float) -> None:
         """Takes another process's reading of its clock.
 
         Args:
--- a/cardamombarrow/orders/runner.py
+++ b/cardamombarrow/orders/runner.py
@@ -15,7 +15,7 @@
 from cardamombarrow.orders import lease as lease_module
 from cardamombarrow.orders import machine
 from cardamombarrow.orders import plan
-from cardamombarrow.peers import codec
+from cardamombarrow.peers import committing
 from cardamombarrow.peers import control_pb2
 
 __all__ = ["OrdersRunner"]
@@ -23,7 +23,6 @@
 LOOK_S = 1.0
 """Time between two looks at the engines."""
 
-COMMIT_TIMEOUT_S = 3.0
 LOOKERS = 16
 
 
@@ -62,7 +61,7 @@
             while not self._stop.wait(LOOK_S):
                 try:
                     self._look(executor)
-                except (errors.RouterError, futures.TimeoutError) as error:
+                except errors.RouterError as error:
                     # The next look starts from what the engines then show.
                     logs.event("orders held up", "WARNING", detail=str(error))
 
@@ -105,12 +104,13 @@
         return self._rate[1]
 
     def _take(self) -> None:
-        reply = self._commit(
+        reply = committing.commit(
+            self._log,
             control_pb2.Command(
                 take_orders=control_pb2.TakeOrdersCommand(
                     instance=self._instance
                 )
-            )
+            ),
         )
         holder = machine.Holder(self._instance, reply.orders.fencing)
         self._lease = lease_module.Lease(holder, self._clock.now_s())
@@ -119,13 +119,14 @@
     def _renew(self) -> bool:
         assert self._lease is not None
         asked_s = self._clock.now_s()
-        reply = self._commit(
+        reply = committing.commit(
+            self._log,
             control_pb2.Command(
                 renew_orders=control_pb2.RenewOrdersCommand(
                     instance=self._instance,
                     fencing=self._lease.holder.fencing,
                 )
-            )
+            ),
         )
         if not reply.orders.current:
             self._lease = None
@@ -133,11 +134,6 @@
         self._lease.renewed(asked_s)
         return True
 
-    def _commit(self, command: control_pb2.Command) -> control_pb2.Reply:
-        future = self._log.propose(command.SerializeToString())
-        raw = future.result(timeout=COMMIT_TIMEOUT_S)
-        return codec.raise_failure(control_pb2.Reply.FromString(raw))
-
     def _give(self, order: plan.Order, service: schema.Service) -> None:
         assert self._lease is not None
         checks = service.orders is schema.Orders.FENCED
--- a/cardamombarrow/peers/gathering.py
+++ b/cardamombarrow/peers/collecting.py
@@ -15,13 +15,13 @@
 from cardamombarrow.metering import true_time
 from cardamombarrow.peers import control_pb2
 
-__all__ = ["Gathering", "demand_to_wire", "usage_to_wire"]
+__all__ = ["MeteringCollector", "demand_to_wire", "usage_to_wire"]
 
 WINDOWS_AHEAD = 1
 """Windows later than the present one that are believed: clocks differ."""
 
 
-class Gathering:
+class MeteringCollector:
     """What was told of usage and demand; lives on one loop.
 
     Attributes:
@@ -45,7 +45,7 @@
         """Returns the time of day that control processes agree on."""
         return self._clocks.unix_s()
 
-    def take_entry(self, request: control_pb2.ConfirmRequest) -> None:
+    def merge_request(self, request: control_pb2.ConfirmRequest) -> None:
         """Takes what an entry tells with its question."""
         now_s = time.monotonic()
         for row in request.usage:
@@ -60,7 +60,7 @@
                 now_s,
             )
 
-    def tell_control(
+    def fill_reply(
         self,
         request: control_pb2.FollowersRequest,
         reply: control_pb2.FollowersReply,
@@ -74,7 +74,7 @@
         own = self.demand.own(time.monotonic())
         reply.demand.extend(map(demand_to_wire, own))
 
-    def take_control(
+    def merge_reply(
         self, peer: str, asked_s: float, reply: control_pb2.FollowersReply
     ) -> None:
         """Takes another control process's answer.
@@ -85,7 +85,7 @@
             reply: The answer.
         """
         if reply.unix_s:
-            self._clocks.heard(peer, reply.unix_s, asked_s)
+            self._clocks.add_sample(peer, reply.unix_s, asked_s)
         for row in reply.usage:
             self._put(row, direct=False)
         if reply.usage_number:
--- /dev/null
+++ b/cardamombarrow/peers/committing.py
@@ -0,0 +1,30 @@
+"""Hands a command to the log of this process and waits for the answer."""
+
+from concurrent import futures
+
+from cardamombarrow.kernel import errors
+from cardamombarrow.log import base
+from cardamombarrow.peers import codec
+from cardamombarrow.peers import control_pb2
+
+__all__ = ["COMMIT_TIMEOUT_S", "commit"]
+
+COMMIT_TIMEOUT_S = 3.0
+"""Longer than an election: a command that waits for one is still committed."""
+
+
+def commit(log: base.Log, command: control_pb2.Command) -> control_pb2.Reply:
+    """Commits a command and returns its answer.
+
+    Raises:
+        errors.RouterError: It was not committed in time, and may still be, or
+            it was refused.
+    """
+    future = log.propose(command.SerializeToString())
+    try:
+        raw = future.result(timeout=COMMIT_TIMEOUT_S)
+    except futures.TimeoutError:
+        raise errors.UnavailableError(
+            errors.ErrorKind.NO_QUORUM, "not committed in time"
+        ) from None
+    return codec.raise_failure(control_pb2.Reply.FromString(raw))
--- a/cardamombarrow/peers/confirming.py
+++ b/cardamombarrow/peers/confirming.py
@@ -28,7 +28,7 @@
 """Longest wait for one control process: above a round of the log with a slow
 disk, and short enough that another one can be asked within the bound."""
 
-LAST_S = 0.3
+FLUSH_TIMEOUT_S = 0.3
 """Longest wait at a stop: what is told has arrived long before an answer."""
 
 OnReply = abc.Callable[[str, float, control_pb2.ConfirmReply], None]
@@ -89,7 +89,7 @@
                 return address, reply
         return "", None
 
-    def tell_last(self) -> None:
+    def flush(self) -> None:
         """Asks once more before the process stops, for what asking tells."""
         with contextlib.suppress(futures.TimeoutError):
-            self._loop.call(self._ask()).result(timeout=LAST_S)
+            self._loop.call(self._ask()).result(timeout=FLUSH_TIMEOUT_S)
--- a/cardamombarrow/peers/control_service.py
+++ b/cardamombarrow/peers/control_service.py
@@ -12,11 +12,11 @@
 from cardamombarrow.kernel import ids
 from cardamombarrow.log import base
 from cardamombarrow.peers import codec
+from cardamombarrow.peers import collecting
 from cardamombarrow.peers import confirmations as confirmations_module
 from cardamombarrow.peers import control_grpc
 from cardamombarrow.peers import control_pb2
 from cardamombarrow.peers import followers as followers_module
-from cardamombarrow.peers import gathering
 from cardamombarrow.peers import kept_board
 
 __all__ = ["ControlService"]
@@ -46,7 +46,7 @@
         self._accepted = accepted
         self._confirmations = confirmations_module.Confirmations(log)
         self.kept = kept_board.KeptBoard(random.Random())
-        self.metered = gathering.Gathering()
+        self.metered = collecting.MeteringCollector()
         self.followers = followers_module.Followers(
             lambda: log.status().has_quorum, domain
         )
@@ -89,7 +89,7 @@
         request = await stream.recv_message()
         reply = control_pb2.ConfirmReply()
         self.kept.put(request.kept, request.instance, time.monotonic())
-        self.metered.take_entry(request)
+        self.metered.merge_request(request)
         if await self._confirmations.confirm():
             reply.confirmed = True
             accepted = self._accepted()
@@ -120,5 +120,5 @@
             request.kept_since, time.monotonic()
         )
         reply.kept.extend(kept)
-        self.metered.tell_control(request, reply)
+        self.metered.fill_reply(request, reply)
         await stream.send_message(reply)
--- a/cardamombarrow/peers/follower_exchange.py
+++ b/cardamombarrow/peers/follower_exchange.py
@@ -11,11 +11,11 @@
 from grpclib import client
 
 from cardamombarrow.kernel import clock
+from cardamombarrow.peers import collecting
 from cardamombarrow.peers import control_client
 from cardamombarrow.peers import control_grpc
 from cardamombarrow.peers import control_pb2
 from cardamombarrow.peers import followers as followers_module
-from cardamombarrow.peers import gathering
 from cardamombarrow.peers import kept_board
 from cardamombarrow.peers import loop as loop_module
 from cardamombarrow.peers import secret as secret_module
@@ -36,7 +36,7 @@
         secret: str,
         table: followers_module.Followers,
         kept: kept_board.KeptBoard,
-        metered: gathering.Gathering,
+        metered: collecting.MeteringCollector,
         leads: abc.Callable[[], bool],
     ):
         """Builds the exchange.
@@ -122,6 +122,6 @@
         self._table.merge(reply)
         self._kept.put(reply.kept, "", time.monotonic())
         asked.kept_since = reply.kept_number
-        self._metered.take_control(address, asked_s, reply)
+        self._metered.merge_reply(address, asked_s, reply)
         if reply.usage_number:
             asked.usage_since = reply.usage_number
