Say in logs and metrics what rate limits endpoints state

Now: a line when an endpoint's limit changes, limit and its age in each placement, the number of limited endpoints, requests sent to them. No decision uses it yet.

--- a/cardamombarrow/decisions/context.py
+++ b/cardamombarrow/decisions/context.py
@@ -4,6 +4,7 @@
 import random
 
 from cardamombarrow.decisions import fleet as fleet_module
+from cardamombarrow.decisions import rate_limits as rate_limits_module
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import ids
 
@@ -34,6 +35,8 @@
         retries: Bounds on retries, over all instances.
         fleet: How many instances share what is bounded over all; one for all
             policies of an instance.
+        rate_limits: What endpoints state of the rate that they take; one for
+            all dispatchers of an instance.
         whole_domain: Whether the decisions are made for all instances of the
             domain, and not only for one that shares it with others.
     """
@@ -46,4 +49,7 @@
     fleet: fleet_module.FleetPart = dataclasses.field(
         default_factory=fleet_module.FleetPart
     )
+    rate_limits: rate_limits_module.RateLimits = dataclasses.field(
+        default_factory=rate_limits_module.RateLimits
+    )
     whole_domain: bool = False
--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -313,6 +313,7 @@
         state, reason = choice.choose(job, candidates, now_s)
         fetch = choice.fetch(job, state, now_s)
         self._run(job, state, now_s)
+        limit = self.rate_limit(state.endpoint)
         return messages.Placement(
             request_id=job.request_id,
             endpoint=state.endpoint,
@@ -323,6 +324,8 @@
             if state.report is None
             else now_s - state.report.measured_at_s,
             fetch=fetch,
+            limit_per_s=limit and limit.per_s,
+            limit_age_s=limit and now_s - limit.heard_s,
         )
 
     def retry(
--- a/cardamombarrow/decisions/knowledge.py
+++ b/cardamombarrow/decisions/knowledge.py
@@ -59,6 +59,20 @@
         """Takes an endpoint's load report."""
         self._roster.report(endpoint, report)
 
+    def hear_rate_limit(
+        self, endpoint: ids.EndpointId, limit: messages.RateLimit
+    ) -> messages.RateLimit | None:
+        """Takes what an endpoint states of the rate that it takes.
+
+        Returns:
+            What held before, where the limit has changed; otherwise None.
+        """
+        return self._context.rate_limits.hear(endpoint, limit)
+
+    def rate_limit(self, endpoint: ids.EndpointId) -> messages.RateLimit | None:
+        """Returns the limit that an endpoint states; None without one."""
+        return self._context.rate_limits.limit(endpoint)
+
     def set_leaving(self, endpoint: ids.EndpointId, leaving: bool) -> None:
         """Takes the platform's or a peer's word that an endpoint leaves."""
         self._roster.set_leaving(endpoint, leaving)
--- a/cardamombarrow/decisions/messages.py
+++ b/cardamombarrow/decisions/messages.py
@@ -20,6 +20,7 @@
     "Placement",
     "Preemption",
     "PromptPart",
+    "RateLimit",
     "Refusal",
     "Running",
 ]
@@ -146,6 +147,20 @@
     measured_at_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RateLimit:
+    """What an answer said of the request rate that its endpoint takes.
+
+    Attributes:
+        per_s: Requests a second from all instances together; None where the
+            endpoint states no limit.
+        heard_s: When the answer came, on this instance's clock.
+    """
+
+    per_s: float | None
+    heard_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class KnownEndpoint:
     """An endpoint that discovery has found.
@@ -262,6 +277,8 @@
         report_age_s: Age of the endpoint's load report; None without one.
         fetch: Where the endpoint gets the prompt's beginning from; None where
             it reads what it does not keep.
+        limit_per_s: Rate limit that the endpoint states; None without one.
+        limit_age_s: How long ago an answer said so; None without one.
     """
 
     request_id: ids.RequestId
@@ -271,6 +288,8 @@
     reason: str
     report_age_s: float | None = None
     fetch: Fetch | None = None
+    limit_per_s: float | None = None
+    limit_age_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cardamombarrow/endpoints/base.py
+++ b/cardamombarrow/endpoints/base.py
@@ -4,6 +4,8 @@
 from collections import abc as collections_abc
 import dataclasses
 import math
+import re
+import time
 import typing
 
 from cardamombarrow.decisions import messages
@@ -11,13 +13,23 @@
 from cardamombarrow.endpoints import http_get
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
+from cardamombarrow.kernel import logs
 
-__all__ = ["CallerWatch", "EndpointKind", "Exchange", "Head", "OutgoingCall"]
+__all__ = [
+    "CallerWatch",
+    "EndpointKind",
+    "Exchange",
+    "Head",
+    "OutgoingCall",
+    "parse_rate_limit",
+]
 
 
 PROBE_TIMEOUT_S = 1.0
 """An endpoint that answers a probe within this is alive."""
 
+_DECIMAL = re.compile(r"\d{1,9}(\.\d{1,9})?")
+
 
 class CallerWatch(abc.ABC):
     """Tells whether the caller is still there."""
@@ -126,6 +138,25 @@
         """Ends the exchange; one that has not finished is cancelled."""
 
 
+def parse_rate_limit(text: str | None) -> messages.RateLimit | None:
+    """Reads the field of an answer that states a rate limit.
+
+    Args:
+        text: Its value, requests a second as a decimal number; None where the
+            answer has no such field, which ends an earlier limit.
+
+    Returns:
+        None where the value can't be read: what was stated before holds.
+    """
+    now_s = time.monotonic()
+    if text is None:
+        return messages.RateLimit(None, now_s)
+    if _DECIMAL.fullmatch(text.strip()) is None:
+        logs.event("rate limit not read", "WARNING", text=text[:32])
+        return None
+    return messages.RateLimit(float(text), now_s)
+
+
 class EndpointKind(abc.ABC):
     """A kind of endpoint; registered in the slot ``endpoint-kind``.
 
@@ -177,6 +208,17 @@
         """Reads the load that an answer tells of its endpoint, if it does."""
         return None
 
+    def rate_limit_in(
+        self, head: Head, call: OutgoingCall
+    ) -> messages.RateLimit | None:
+        """Reads the rate limit that an answer states for its endpoint.
+
+        Returns:
+            None where the answer tells nothing about its endpoint, because
+            another one gave it or it can't be read.
+        """
+        return None
+
     def last_event(self, chunk: bytes) -> str:
         """Returns the id of the last event in a chunk; empty for none."""
         return ""
--- a/cardamombarrow/entry/app.py
+++ b/cardamombarrow/entry/app.py
@@ -108,9 +108,7 @@
     def _on_metrics(
         self, request: wrappers.Request, request_id: ids.RequestId
     ) -> wrappers.Response:
-        text = self._services.metrics.text(
-            self._relaying.held, self._documents.revision
-        )
+        text = self._relaying.metrics_text()
         return wrappers.Response(text, content_type="text/plain; version=0.0.4")
 
     def _on_instance(
--- a/cardamombarrow/entry/broker.py
+++ b/cardamombarrow/entry/broker.py
@@ -10,6 +10,7 @@
 """
 
 from concurrent import futures
+import dataclasses
 
 from cardamombarrow.decisions import messages
 from cardamombarrow.entry import decision_lines
@@ -176,6 +177,7 @@
             ):
                 return True
             if isinstance(decision, messages.Placement):
+                decision = self._with_rate_limit(decision)
                 taken = self._adopt(ticket, answer, decision)
             else:
                 taken = decision.kind in _HONOURED
@@ -216,6 +218,19 @@
             ticket.placed.set_result(placement)
         return adopted
 
+    def _with_rate_limit(
+        self, placement: messages.Placement
+    ) -> messages.Placement:
+        """Adds the limit that this entry knows of, for the log."""
+        limit = self._dispatcher.rate_limit(placement.endpoint)
+        if limit is None:
+            return placement
+        return dataclasses.replace(
+            placement,
+            limit_per_s=limit.per_s,
+            limit_age_s=self._clock.now_s() - limit.heard_s,
+        )
+
     def fall_back(self, request_id: ids.RequestId, reason: str) -> None:
         """Decides here on a request on which the placer has not decided."""
         with self._lock:
--- a/cardamombarrow/entry/decision_lines.py
+++ b/cardamombarrow/entry/decision_lines.py
@@ -57,6 +57,7 @@
             "report_age_s": decision.report_age_s
             and round(decision.report_age_s, 3),
             **_fetch_details(decision.fetch),
+            **_limit_details(decision),
         }
     if isinstance(decision, messages.Refusal):
         return "refuse", {
@@ -80,3 +81,13 @@
         "fetch_tokens": fetch.tokens,
         "fetch_age_s": fetch.age_s and round(fetch.age_s, 3),
     }
+
+
+def _limit_details(placement: messages.Placement) -> dict[str, object]:
+    if placement.limit_per_s is None:
+        return {}
+    return {
+        "limit_per_s": placement.limit_per_s,
+        "limit_age_s": placement.limit_age_s
+        and round(placement.limit_age_s, 3),
+    }
--- a/cardamombarrow/entry/knowing.py
+++ b/cardamombarrow/entry/knowing.py
@@ -13,6 +13,7 @@
 from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import core
 from cardamombarrow.decisions import messages
+from cardamombarrow.decisions import rate_limits as rate_limits_module
 from cardamombarrow.document import schema
 from cardamombarrow.entry import asking as asking_module
 from cardamombarrow.entry import decision_lines
@@ -61,6 +62,7 @@
         domain: ids.DomainId,
         time_source: clock.Clock,
         retries: context_module.RetryBounds | None = None,
+        rate_limits: rate_limits_module.RateLimits | None = None,
         whole_domain: bool = False,
     ):
         self._clock = time_source
@@ -70,6 +72,7 @@
             domain,
             random.Random(),
             retries or context_module.RetryBounds(),
+            rate_limits=rate_limits or rate_limits_module.RateLimits(),
             whole_domain=whole_domain,
         )
         self._asking: asking_module.Asking = asking_module.NobodyAsked()
@@ -115,6 +118,7 @@
                 context.domain,
                 self._clock,
                 context.retries,
+                rate_limits=context.rate_limits,
                 whole_domain=True,
             )
             with self._lock:
@@ -230,6 +234,32 @@
         self.report(endpoint, report)
         self._asking.loaded(endpoint, report)
 
+    def answer_rate_limit(
+        self, endpoint: ids.EndpointId, limit: messages.RateLimit
+    ) -> None:
+        """Takes what an endpoint's answer states of the rate it takes."""
+        self._hear_rate_limit(endpoint, limit, "answer")
+
+    def _hear_rate_limit(
+        self, endpoint: ids.EndpointId, limit: messages.RateLimit, source: str
+    ) -> None:
+        with self._lock:
+            before = self._dispatcher.hear_rate_limit(endpoint, limit)
+        if before is None:
+            return
+        logs.decision(
+            "rate limit",
+            endpoint=endpoint,
+            per_s=limit.per_s,
+            before_per_s=before.per_s,
+            source=source,
+            age_s=round(self._clock.now_s() - limit.heard_s, 3),
+        )
+
+    def rate_limited(self) -> int:
+        """Counts the endpoints that state a rate limit."""
+        return self._context.rate_limits.count()
+
     def set_leaving(self, endpoint: ids.EndpointId, leaving: bool) -> None:
         """Takes the word that an endpoint leaves, or is back."""
         with self._lock:
--- a/cardamombarrow/entry/life.py
+++ b/cardamombarrow/entry/life.py
@@ -183,6 +183,7 @@
         """
         head = exchange.head()
         self._take_load(ticket, head)
+        self._take_rate_limit(ticket, head)
         if self._kind.not_started(head):
             raise errors.EndpointError(
                 errors.ErrorKind.ENDPOINT_REFUSED,
@@ -221,6 +222,14 @@
             endpoint = ticket.placed.result().endpoint
             self._services.broker.answer_load(endpoint, report)
 
+    def _take_rate_limit(
+        self, ticket: ticket_module.Ticket, head: endpoints_base.Head
+    ) -> None:
+        limit = self._kind.rate_limit_in(head, self._outgoing(ticket))
+        if limit is not None:
+            endpoint = ticket.placed.result().endpoint
+            self._services.broker.answer_rate_limit(endpoint, limit)
+
     def _fail(
         self, ticket: ticket_module.Ticket, error: errors.RouterError
     ) -> None:
@@ -249,6 +258,8 @@
 
     def _open(self, ticket: ticket_module.Ticket) -> endpoints_base.Exchange:
         self._progress.sent()
+        if ticket.placed.result().limit_per_s is not None:
+            self._services.metrics.sent_under_limit()
         return self._kind.open(self._outgoing(ticket))
 
     def _outgoing(
--- a/cardamombarrow/entry/metrics.py
+++ b/cardamombarrow/entry/metrics.py
@@ -99,6 +99,7 @@
             collections.Counter()
         )
         self._goodput_tokens = 0
+        self._sent_under_limit = 0
         self.waiting = 0
 
     def wait(self, change: int) -> None:
@@ -143,12 +144,31 @@
         with self._lock:
             self._asked[outcome] += 1
 
-    def text(self, held: int, revision: ids.Revision) -> str:
-        """Returns all of it in the Prometheus text format."""
+    def sent_under_limit(self) -> None:
+        """Counts a request to an endpoint that states a rate limit."""
         with self._lock:
-            return "\n".join(self._lines(held, revision)) + "\n"
+            self._sent_under_limit += 1
+
+    def text(
+        self, held: int, revision: ids.Revision, rate_limited: int = 0
+    ) -> str:
+        """Returns all of it in the Prometheus text format.
+
+        Args:
+            held: Requests that are held now.
+            revision: Revision in force.
+            rate_limited: Endpoints that state a rate limit.
+        """
+        gauges = {
+            "requests_held": held,
+            "requests_waiting": self.waiting,
+            "document_revision": revision,
+            "rate_limited_endpoints": rate_limited,
+        }
+        with self._lock:
+            return "\n".join(self._lines(gauges)) + "\n"
 
-    def _lines(self, held: int, revision: ids.Revision) -> abc.Iterator[str]:
+    def _lines(self, gauges: dict[str, int]) -> abc.Iterator[str]:
         for name, kept in (
             ("first_token_seconds", self._first_token),
             ("total_seconds", self._total),
@@ -173,11 +193,9 @@
         for asked, count in self._asked.items():
             labels = f'outcome="{asked.value}"'
             yield f"{PREFIX}placing_questions_total{{{labels}}} {count}"
-        for name, value in (
-            ("requests_held", held),
-            ("requests_waiting", self.waiting),
-            ("document_revision", revision),
-        ):
+        yield f"# TYPE {PREFIX}sent_under_rate_limit_total counter"
+        yield f"{PREFIX}sent_under_rate_limit_total {self._sent_under_limit}"
+        for name, value in gauges.items():
             yield f"# TYPE {PREFIX}{name} gauge"
             yield f"{PREFIX}{name} {value}"
 
--- a/cardamombarrow/entry/relaying.py
+++ b/cardamombarrow/entry/relaying.py
@@ -50,6 +50,14 @@
         """Requests that are held now."""
         return self._gate.held
 
+    def metrics_text(self) -> str:
+        """Returns what the entry counts, in the Prometheus text format."""
+        return self.services.metrics.text(
+            self.held,
+            self._documents.revision,
+            self.services.broker.rate_limited(),
+        )
+
     def begin(
         self,
         environ: dict[str, typing.Any],
--- a/cardamombarrow/entry/side.py
+++ b/cardamombarrow/entry/side.py
@@ -42,11 +42,9 @@
 
     def _answer(self, path: str) -> wrappers.Response:
         if path == "/metrics":
-            text = self._relaying.services.metrics.text(
-                self._relaying.held, self._documents.revision
-            )
             return wrappers.Response(
-                text, content_type="text/plain; version=0.0.4"
+                self._relaying.metrics_text(),
+                content_type="text/plain; version=0.0.4",
             )
         if path == "/v1/instance":
             return self._instance_answer()
--- a/cardamombarrow/platform/servers.py
+++ b/cardamombarrow/platform/servers.py
@@ -17,6 +17,7 @@
 _ID = "attempt-id"
 _SEAL = "server-seal"
 _NOT_RUN = "not-executed"
+_RATE_LIMIT = "server-limit"
 _OTHER_INSTANCE = 421
 _PROMISES = (408, 429, 503)
 _LEAST_URGENT = 9
@@ -120,6 +121,19 @@
             measured_at_s=time.monotonic(),
         )
 
+    def rate_limit_in(
+        self, head: base.Head, call: base.OutgoingCall
+    ) -> messages.RateLimit | None:
+        """Reads the limit that a server in need names.
+
+        At an address that is in use again another server answers: what it
+        says is not the endpoint's word.
+        """
+        foreign = head.headers.get(_ID) != call.caller_id
+        if foreign or head.status == _OTHER_INSTANCE:
+            return None
+        return base.parse_rate_limit(head.headers.get(_RATE_LIMIT))
+
     def count_tokens(self, chunk: bytes) -> int:
         """Counts nothing: there are no tokens."""
         return 0
--- a/cardamombarrow/platform/tests/test_servers.py
+++ b/cardamombarrow/platform/tests/test_servers.py
@@ -154,3 +154,35 @@
     nine = [(first, second) for second in range(3) for first in range(3)]
     three_by_three = [told[pairs.index(pair)] for pair in nine]
     assert three_by_three == list(range(9))
+
+
+@pytest.mark.parametrize(
+    ("status", "fields", "stated"),
+    [
+        (200, {"server-limit": "1.2"}, 1.2),
+        (503, {"server-limit": "0", "not-executed": "1"}, 0.0),
+        (200, {}, None),
+    ],
+)
+def test_an_answer_states_or_ends_its_server_s_rate_limit(
+    status, fields, stated
+):
+    head = base.Head(status, {**_GOOD, **fields})
+    assert _KIND.rate_limit_in(head, _call()).per_s == stated
+
+
+@pytest.mark.parametrize(
+    ("status", "fields"),
+    [
+        (421, {"server-limit": "1"}),
+        (200, {"server-limit": "1", "attempt-id": "another"}),
+        (200, {"server-limit": "soon"}),
+        (200, {"server-limit": "-1"}),
+        (200, {"server-limit": "nan"}),
+    ],
+)
+def test_another_server_s_word_or_an_unreadable_one_is_no_rate_limit(
+    status, fields
+):
+    head = base.Head(status, {**_GOOD, **fields})
+    assert _KIND.rate_limit_in(head, _call()) is None
