--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -51,7 +51,7 @@
 
     def offer(self, job: messages.Job, now_s: float) -> messages.Refusal | None:
         """Takes an arriving job into the queue, or refuses it at once."""
-        refusal = self._receive(job, now_s)
+        refusal = self._receive(job, now_s) or self._refuse_shut(job)
         if refusal is None:
             backlog = self.backlog(job, now_s)
             refusal = self._refuse(job, backlog, now_s)
@@ -81,6 +81,17 @@
             )
         return self._over_workspace_limit(job)
 
+    def _refuse_shut(self, job: messages.Job) -> messages.Refusal | None:
+        """Refuses a job for which this instance can send nowhere."""
+        if not self._roster.is_shut(job.service):
+            return None
+        return messages.Refusal(
+            job.request_id,
+            errors.ErrorKind.OVERLOADED,
+            "all endpoints state rate limits that another instance spends",
+            RETRY_S,
+        )
+
     def _over_workspace_limit(
         self, job: messages.Job
     ) -> messages.Refusal | None:
@@ -154,10 +165,12 @@
     def may_ask(self, job: messages.Job, now_s: float) -> bool:
         """Tells whether another instance may decide where a job goes.
 
-        One that may have crashed an endpoint has to run alone there, and only
-        this instance knows of it yet.
+        A call that does not stream is decided here, unless an endpoint that
+        could take it states a rate limit. One that may have crashed an
+        endpoint has to run alone there, and only this instance knows of it.
         """
-        return job.streams and not self._policies.quarantine.solo(job, now_s)
+        together = job.streams or self._roster.has_rate_limit(job.service)
+        return together and not self._policies.quarantine.solo(job, now_s)
 
     def announce(
         self, job: messages.Job, now_s: float
@@ -194,6 +207,11 @@
         job = self._asked.pop(request_id, None)
         if job is None:
             return False
+        refusal = self._refuse_shut(job)
+        if refusal is not None:
+            self._waiting.leave(job)
+            self._due.append(refusal)
+            return True
         self._enqueue(job, self.backlog(job, now_s), now_s)
         return True
 
@@ -225,7 +243,10 @@
         Returns:
             The moment, or None while nothing waits.
         """
-        return self._waiting.next_s()
+        due_s = self._waiting.next_s()
+        token_s = self._roster.next_token_s() if len(self._waiting) else None
+        times = [each for each in (due_s, token_s) if each is not None]
+        return min(times, default=None)
 
     def place(self, now_s: float) -> typing.Iterator[messages.Decision]:
         """Yields every decision that is due now."""
@@ -234,6 +255,7 @@
         yield from self._give_up(now_s)
         for job in self._waiting.due_alarms(now_s):
             self._roster.changed.add(job.service)
+        self._roster.due_tokens(now_s)
         room = roster.Room(self._roster, self.backlog, now_s)
         while True:
             job = self._policies.queue.take(room, now_s)
@@ -312,6 +334,7 @@
         choice = self._policies.choice
         state, reason = choice.choose(job, candidates, now_s)
         fetch = choice.fetch(job, state, now_s)
+        self._roster.spend(state, now_s)
         self._run(job, state, now_s)
         limit = self.rate_limit(state.endpoint)
         return messages.Placement(
@@ -346,6 +369,8 @@
         """
         if self._policies.quarantine.refuse(job, now_s) is not None:
             return False
+        if not ask and self._roster.is_shut(job.service):
+            return False
         if not self._policies.retry.may_retry(job, outcome, now_s):
             return False
         self._waiting.enter(job)
@@ -369,6 +394,7 @@
             for state in self._roster.capacities[job.service].local
             if state.endpoint not in job.tried
             and job.request_id not in state.running
+            and self.rate_limit(state.endpoint) is None
         ]
         return bool(others) and self._policies.retry.may_redo(job, now_s)
 
--- a/cardamombarrow/decisions/knowledge.py
+++ b/cardamombarrow/decisions/knowledge.py
@@ -60,14 +60,31 @@
         self._roster.report(endpoint, report)
 
     def hear_rate_limit(
-        self, endpoint: ids.EndpointId, limit: messages.RateLimit
+        self,
+        endpoint: ids.EndpointId,
+        limit: messages.RateLimit,
+        *,
+        first_hand: bool = True,
     ) -> messages.RateLimit | None:
         """Takes what an endpoint states of the rate that it takes.
 
+        Args:
+            endpoint: Who stated it.
+            limit: What it stated.
+            first_hand: Whether this instance had the answer itself.
+
         Returns:
             What held before, where the limit has changed; otherwise None.
         """
-        return self._context.rate_limits.hear(endpoint, limit)
+        limits = self._context.rate_limits
+        before = limits.hear(endpoint, limit, first_hand=first_hand)
+        if before is not None:
+            self._roster.rate_limit_changed(endpoint)
+        return before
+
+    def rate_limit_changed(self, endpoint: ids.EndpointId) -> None:
+        """Looks again at an endpoint's service, as its limit has changed."""
+        self._roster.rate_limit_changed(endpoint)
 
     def rate_limit(self, endpoint: ids.EndpointId) -> messages.RateLimit | None:
         """Returns the limit that an endpoint states; None without one."""
--- a/cardamombarrow/decisions/roster.py
+++ b/cardamombarrow/decisions/roster.py
@@ -6,6 +6,7 @@
 
 from collections import abc
 import dataclasses
+import math
 
 from cardamombarrow.decisions import base
 from cardamombarrow.decisions import capacity as capacity_module
@@ -13,6 +14,7 @@
 from cardamombarrow.decisions import endpoint as endpoint_module
 from cardamombarrow.decisions import messages
 from cardamombarrow.decisions import policies as policies_module
+from cardamombarrow.decisions import rate_limits as rate_limits_module
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import ids
 
@@ -50,6 +52,8 @@
         self.endpoints: dict[ids.EndpointId, endpoint_module.EndpointState] = {}
         self.capacities: dict[ids.ServiceId, capacity_module.Capacity] = {}
         self.changed: set[ids.ServiceId] = set()
+        self._domains: frozenset[ids.DomainId] = frozenset()
+        self._tokens_due_s: dict[ids.ServiceId, float] = {}
 
     def configure(self, document: schema.Document, now_s: float) -> None:
         """Takes a newer document into force.
@@ -114,6 +118,9 @@
             if not state.running:
                 del self.endpoints[endpoint]
                 self._unlisted.discard(endpoint)
+        self._domains = frozenset(
+            state.domain for state in self.endpoints.values()
+        )
         for service in {*document.services, *self.capacities}:
             self._capacity(service, now_s).guess(document.classes)
             self._regroup(service)
@@ -152,7 +159,8 @@
         peers = [p for p in self._peers.values() if p.seen_at_s >= oldest_s]
         for state in self.endpoints.values():
             share = self._share(state, own, peers, now_s)
-            state.share = min(share, self._connections(state.service, share))
+            share = min(share, self._connections(state.service, share))
+            state.share = self._limited_share(state, share)
         for capacity in self.capacities.values():
             capacity.count()
         self.changed.update(self.capacities)
@@ -184,10 +192,101 @@
         if known is None or not known.max_connections:
             return share
         if self._context.whole_domain:
-            domains = {state.domain for state in self.endpoints.values()}
-            return max(known.max_connections // max(len(domains), 1), 1)
+            domains = max(len(self._domains), 1)
+            return max(known.max_connections // domains, 1)
         return self._context.fleet.whole(known.max_connections)
 
+    # -- rate limits that endpoints state -------------------------------------
+
+    def rate_limit_changed(self, endpoint: ids.EndpointId) -> None:
+        """Has the service of an endpoint looked at again."""
+        state = self.endpoints.get(endpoint)
+        if state is not None:
+            self.changed.add(state.service)
+
+    def has_rate_limit(self, service: ids.ServiceId) -> bool:
+        """Tells whether an endpoint that a service may use states a limit."""
+        limits = self._context.rate_limits
+        capacity = self.capacities.get(service)
+        if capacity is None or not limits.count():
+            return False
+        return any(
+            limits.limit(state.endpoint) is not None
+            for state in (*capacity.local, *capacity.remote)
+        )
+
+    def is_shut(self, service: ids.ServiceId) -> bool:
+        """Tells whether all endpoints state limits that others spend."""
+        limits = self._context.rate_limits
+        if limits.is_delegate:
+            return False
+        capacity = self.capacities[service]
+        return all(
+            limits.limit(state.endpoint) is not None
+            for state in (*capacity.local, *capacity.remote)
+        )
+
+    def spend(self, state: endpoint_module.EndpointState, now_s: float) -> None:
+        """Counts a request that is sent to an endpoint against its limit."""
+        rate_per_s = self._rate_per_s(state)
+        if rate_per_s is not None:
+            limits = self._context.rate_limits
+            limits.spend(state.endpoint, rate_per_s, now_s)
+
+    def due_tokens(self, now_s: float) -> None:
+        """Has services looked at for which an endpoint takes a request now."""
+        for service, due_s in list(self._tokens_due_s.items()):
+            if due_s <= now_s:
+                del self._tokens_due_s[service]
+                self.changed.add(service)
+
+    def next_token_s(self) -> float | None:
+        """Returns when the next endpoint takes a request that waits."""
+        return min(self._tokens_due_s.values(), default=None)
+
+    def _rate_per_s(self, state: endpoint_module.EndpointState) -> float | None:
+        limit = self._context.rate_limits.limit(state.endpoint)
+        if limit is None:
+            return None
+        return rate_limits_module.part_per_s(
+            limit.per_s,
+            state.endpoint,
+            state.domain,
+            self._context.domain,
+            self._domains,
+        )
+
+    def _limited_share(
+        self, state: endpoint_module.EndpointState, share: int
+    ) -> int:
+        """Returns the slots that a stated limit keeps in use (Little's law).
+
+        J. D. C. Little, "A Proof for the Queuing Formula: L = lambda W", 1961.
+        """
+        rate_per_s = self._rate_per_s(state)
+        if rate_per_s is None:
+            return share
+        if not self._context.rate_limits.is_delegate:
+            return 0
+        hold_s = self.capacities[state.service].mean_hold_s()
+        return min(share, max(math.ceil(rate_per_s * hold_s), 1))
+
+    def _may_send(
+        self, state: endpoint_module.EndpointState, now_s: float
+    ) -> bool:
+        rate_per_s = self._rate_per_s(state)
+        if rate_per_s is None:
+            return True
+        limits = self._context.rate_limits
+        if not limits.is_delegate:
+            return False
+        ready_s = limits.ready_s(state.endpoint, rate_per_s, now_s)
+        if ready_s <= now_s:
+            return True
+        due_s = self._tokens_due_s.get(state.service, ready_s)
+        self._tokens_due_s[state.service] = min(due_s, ready_s)
+        return False
+
     def report(
         self,
         endpoint: ids.EndpointId,
@@ -292,6 +391,8 @@
             return False
         if not self._policies.choice.available(job, state, now_s):
             return False
+        if not self._may_send(state, now_s):
+            return False
         if solo:
             return not running
         if len(running) != 1:
--- a/cardamombarrow/entry/knowing.py
+++ b/cardamombarrow/entry/knowing.py
@@ -33,6 +33,9 @@
 """
 
 
+_ANSWER = "answer"
+
+
 @dataclasses.dataclass(frozen=True)
 class EndpointView:
     """What one entry believes of an endpoint.
@@ -238,15 +241,29 @@
         self, endpoint: ids.EndpointId, limit: messages.RateLimit
     ) -> None:
         """Takes what an endpoint's answer states of the rate it takes."""
-        self._hear_rate_limit(endpoint, limit, "answer")
+        self._hear_rate_limit(endpoint, limit, _ANSWER)
+
+    def hear_rate_limit(
+        self, endpoint: ids.EndpointId, limit: messages.RateLimit, source: str
+    ) -> bool:
+        """Takes what another instance says of an endpoint's limit.
+
+        Returns:
+            Whether that is news.
+        """
+        return self._hear_rate_limit(endpoint, limit, source)
 
     def _hear_rate_limit(
         self, endpoint: ids.EndpointId, limit: messages.RateLimit, source: str
-    ) -> None:
+    ) -> bool:
         with self._lock:
-            before = self._dispatcher.hear_rate_limit(endpoint, limit)
+            before = self._dispatcher.hear_rate_limit(
+                endpoint, limit, first_hand=source == _ANSWER
+            )
         if before is None:
-            return
+            return False
+        if self._mirror is not None:
+            self._mirror.rate_limit_changed(endpoint)
         logs.decision(
             "rate limit",
             endpoint=endpoint,
@@ -254,7 +271,26 @@
             before_per_s=before.per_s,
             source=source,
             age_s=round(self._clock.now_s() - limit.heard_s, 3),
+            delegate=self._context.rate_limits.is_delegate,
         )
+        return True
+
+    def rate_limit_changed(self, endpoint: ids.EndpointId) -> None:
+        """Looks again at an endpoint whose limit has changed."""
+        with self._lock:
+            self._dispatcher.rate_limit_changed(endpoint)
+
+    def rate_limits_to_tell(self) -> dict[ids.EndpointId, messages.RateLimit]:
+        """Returns what others of the domain are told of endpoints' limits."""
+        return self._context.rate_limits.to_tell(self._clock.now_s())
+
+    def set_delegate(self, is_delegate: bool) -> None:
+        """Learns whether this instance spends its domain's parts of limits."""
+        if self._context.rate_limits.set_delegate(is_delegate):
+            logs.event(
+                "rate limits are spent"
+                + (" here" if is_delegate else " by another instance")
+            )
 
     def rate_limited(self) -> int:
         """Counts the endpoints that state a rate limit."""
--- a/cardamombarrow/gossip/rows.py
+++ b/cardamombarrow/gossip/rows.py
@@ -46,6 +46,9 @@
     LISTED = 7
     """That list as text; one item."""
 
+    RATE_LIMIT = 8
+    """The rate limit that an endpoint stated to it, by endpoint's hash."""
+
 
 Key = tuple[ItemKind, str | int]
 
@@ -84,7 +87,16 @@
     read_s: float
 
 
-Value = float | int | bool | str | messages.LoadReport | InFlight | ListingMark
+Value = (
+    float
+    | int
+    | bool
+    | str
+    | messages.LoadReport
+    | messages.RateLimit
+    | InFlight
+    | ListingMark
+)
 
 
 def endpoint_hash(endpoint: ids.EndpointId) -> int:
--- a/cardamombarrow/peers/gossip_codec.py
+++ b/cardamombarrow/peers/gossip_codec.py
@@ -20,6 +20,9 @@
 
 _MS = 1_000
 
+_ENDED = -1.0
+"""Stands for a rate limit that has ended."""
+
 
 def digest_to_wire(digest: rows.Digest) -> list[gossip_pb2.GossipDigestRow]:
     """Converts a digest."""
@@ -127,6 +130,21 @@
     wire.listed = value or ""
 
 
+def _put_rate_limit(
+    wire: gossip_pb2.GossipRow,
+    name: int,
+    value: messages.RateLimit | None,
+    now_s: float,
+) -> None:
+    if value is None:
+        wire.removed_limits.append(name)
+        return
+    wire.limit_endpoints.append(name)
+    wire.limit_per_s.append(_ENDED if value.per_s is None else value.per_s)
+    age_s = max(0.0, now_s - value.heard_s)
+    wire.limit_age_ms.append(int(age_s * _MS))
+
+
 _ENCODERS = {
     rows.ItemKind.DEMAND: _put_demand,
     rows.ItemKind.IN_FLIGHT: _put_in_flight,
@@ -135,6 +153,7 @@
     rows.ItemKind.REPORT: _put_report,
     rows.ItemKind.LISTING: _put_listing,
     rows.ItemKind.LISTED: _put_listed,
+    rows.ItemKind.RATE_LIMIT: _put_rate_limit,
 }
 
 
@@ -177,9 +196,23 @@
             (kind.LISTING, ""),
             rows.ListingMark(wire.listing_hash, read_s),
         )
+    yield from _rate_limits(wire, now_s)
     yield from _reports(wire, now_s)
 
 
+def _rate_limits(
+    wire: gossip_pb2.GossipRow, now_s: float
+) -> abc.Iterator[tuple[rows.Key, rows.Value | None]]:
+    for endpoint in wire.removed_limits:
+        yield (rows.ItemKind.RATE_LIMIT, endpoint), None
+    columns = zip(wire.limit_endpoints, wire.limit_per_s, wire.limit_age_ms)
+    for endpoint, per_s, age_ms in columns:
+        limit = messages.RateLimit(
+            None if per_s < 0.0 else per_s, now_s - age_ms / _MS
+        )
+        yield (rows.ItemKind.RATE_LIMIT, endpoint), limit
+
+
 def _reports(
     wire: gossip_pb2.GossipRow, now_s: float
 ) -> abc.Iterator[tuple[rows.Key, rows.Value | None]]:
--- a/cardamombarrow/peers/membership.py
+++ b/cardamombarrow/peers/membership.py
@@ -22,6 +22,8 @@
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import logs
+from cardamombarrow.peers import rate_limit_news
+from cardamombarrow.placing import order as order_module
 
 __all__ = ["Membership"]
 
@@ -82,6 +84,7 @@
         self._lock = threading.RLock()
         self._leaving = leaving_module.LeavingView()
         self._reports = _Reports()
+        self._limits = rate_limit_news.RateLimitNews(broker)
         self._members = frozenset((instance,))
         self._endpoints: dict[ids.EndpointId, endpoints_base.EndpointKind] = {}
         self._by_hash: dict[int, ids.EndpointId] = {}
@@ -214,6 +217,7 @@
             self._renew_quarantine(now_s)
             for fingerprint, end_s in self._quarantine.items():
                 items[kind.QUARANTINE, fingerprint] = end_s
+            items.update(self._limits.collect())
         return items
 
     def _collect_listing(self, items: dict[rows.Key, rows.Value]) -> None:
@@ -262,7 +266,8 @@
     def urgent(self) -> bool:
         """Tells whether there is news that can't wait.
 
-        An endpoint leaves, a request is quarantined, or the list was read.
+        An endpoint leaves or states another rate limit, a request is
+        quarantined, or the list was read.
         Without a round at once the word would take some seconds to reach a
         domain of 36 instances, while each goes on sending to the endpoint; and
         those whose list has grown old meanwhile read it themselves: with 12
@@ -275,6 +280,8 @@
             if not self._told_leaving.issuperset(leaving):
                 return True
             known = self._quarantine.keys()
+        if self._limits.is_urgent():
+            return True
         return not known >= self._broker.quarantine_marks().keys()
 
     def on_changes(self, changes: rows.Changes, now_s: float) -> bool:
@@ -297,10 +304,9 @@
                 continue
             elif kind is rows.ItemKind.QUARANTINE:
                 marks[ids.Fingerprint(name)] = value - now_s
-            elif kind is rows.ItemKind.LISTING:
-                news = self._take_listing(value) or news
             else:
-                self._take_knowledge(kind, name, value)
+                told = self._take_knowledge(instance, kind, name, value)
+                news = news or told
         if marks:
             self._broker.merge_quarantine(marks)
         for row in self._table.others():
@@ -308,13 +314,34 @@
                 self._broker.peer(self._demand_of(row))
         return news
 
+    def _take_limit(
+        self,
+        endpoint_hash: int,
+        limit: messages.RateLimit,
+        instance: ids.InstanceId,
+    ) -> bool:
+        endpoint = self.endpoints_by_hash().get(endpoint_hash)
+        if endpoint is None:
+            return False
+        return self._limits.take(endpoint, limit, instance)
+
     def _take_knowledge(
-        self, kind: rows.ItemKind, name: str | int, value: rows.Value
-    ) -> None:
+        self,
+        instance: ids.InstanceId,
+        kind: rows.ItemKind,
+        name: str | int,
+        value: rows.Value,
+    ) -> bool:
+        """Takes an item of a row; returns whether it can't wait for a round."""
+        if kind is rows.ItemKind.LISTING:
+            return self._take_listing(value)
+        if kind is rows.ItemKind.RATE_LIMIT:
+            return self._take_limit(name, value, instance)
         if kind is rows.ItemKind.LISTED:
             self._keep_listed(value)
         elif kind is rows.ItemKind.REPORT:
             self._take_report(name, value)
+        return False
 
     def _take_report(
         self, endpoint_hash: int, report: messages.LoadReport
@@ -354,6 +381,8 @@
     ) -> None:
         """Takes the live instances, and those that are gone."""
         self._members = members | {self._instance}
+        delegate = order_module.first_member(self._members)
+        self._broker.set_delegate(delegate == self._instance)
         for instance in gone:
             self._broker.forget_peer(instance)
             with self._lock:
--- a/cardamombarrow/peers/placing_codec.py
+++ b/cardamombarrow/peers/placing_codec.py
@@ -53,6 +53,7 @@
         may_have_run=job.may_have_run,
         runs=job.runs,
         max_runs=job.max_runs,
+        plain=not job.streams,
     )
 
 
@@ -80,6 +81,7 @@
         may_have_run=wire.may_have_run,
         runs=wire.runs,
         max_runs=wire.max_runs,
+        streams=not wire.plain,
     )
 
 
--- a/cardamombarrow/peers/tests/test_membership.py
+++ b/cardamombarrow/peers/tests/test_membership.py
@@ -29,6 +29,9 @@
     def quarantine_marks(self):
         return {}
 
+    def rate_limits_to_tell(self):
+        return {}
+
     def peer(self, demand):
         """Does nothing."""
 
--- a/cardamombarrow/placing/order.py
+++ b/cardamombarrow/placing/order.py
@@ -18,7 +18,7 @@
 
 from cardamombarrow.kernel import ids
 
-__all__ = ["PAUSE_FIRST_S", "PAUSE_MOST_S", "PlacerOrder"]
+__all__ = ["PAUSE_FIRST_S", "PAUSE_MOST_S", "PlacerOrder", "first_member"]
 
 PAUSE_FIRST_S = 1.0
 """Time for which an instance is avoided after its first failure: about that of
@@ -86,6 +86,11 @@
         self._failed.pop(instance, None)
 
 
+def first_member(members: abc.Iterable[ids.InstanceId]) -> ids.InstanceId:
+    """Returns the member that is asked while none has failed."""
+    return max(members, key=_weight)
+
+
 def _weight(instance: ids.InstanceId) -> bytes:
     text = f"placer\n{instance}"
     return hashlib.blake2b(text.encode(), digest_size=8).digest()
