Spend a stated limit in the endpoint's own domain; refuse what it holds up too long

Found by the process test: a call of a service whose only endpoint stated 0 was held for 16 s; waits for a limit now count in the predicted wait, and a call that it holds up beyond its target is refused at once with the time to come back. Gossip, placing and real processes have their tests.

--- /dev/null
+++ b/benchmarks/rate_limits.py
@@ -0,0 +1,293 @@
+"""Endpoints that state rate limits, and several ways to share one out.
+
+Virtual time: streams arrive at the delegates of several failure domains; from
+a moment on some endpoints state a limit in every answer. Run it with
+``python -m benchmarks.rate_limits``.
+"""
+
+import argparse
+from collections import abc
+import dataclasses
+import heapq
+import itertools
+import random
+import sys
+from unittest import mock
+
+from cardamombarrow.decisions import context as context_module
+from cardamombarrow.decisions import core
+from cardamombarrow.decisions import messages
+from cardamombarrow.decisions import rate_limits
+from cardamombarrow.document import routed
+from cardamombarrow.document import schema
+from cardamombarrow.kernel import ids
+
+__all__ = ["GRACE_S", "WINDOW_S", "Load", "World", "allowed"]
+
+ANSWER_S = 0.3
+HOLD_S = 1.5
+STATED_FROM_S = 8.0
+END_S = 40.0
+TARGET_S = 0.5
+TICK_S = 0.05
+
+WINDOW_S = 4.0
+GRACE_S = 0.5
+"""An instance counts once it has known of a limit for this long."""
+
+_SERVICE = ids.ServiceId("letters")
+_SEEDS = (1, 2, 3)
+
+
+def allowed(limit_per_s: float) -> float:
+    """Returns the requests that an endpoint may get in `WINDOW_S`."""
+    return 1.5 * limit_per_s * WINDOW_S + 5
+
+
+@dataclasses.dataclass(frozen=True)
+class Load:
+    """What is played.
+
+    Attributes:
+        domains: Failure domains.
+        engines: Endpoints without a limit, over all domains.
+        limited: Endpoints that state a limit, over all domains.
+        limit_per_s: That limit.
+        rate_per_s: Requests a second, over all instances.
+    """
+
+    domains: int
+    engines: int
+    limit_per_s: float
+    limited: int = 1
+    rate_per_s: float = 15.0
+
+
+def _document() -> schema.Document:
+    classes = [
+        schema.RequestClass(
+            ids.ClassId("chat"), routed.tier_id(0), TARGET_S, 10.0
+        )
+    ]
+    service = schema.Service(_SERVICE, schema.ServiceKind.ENGINE, 64)
+    return routed.build(
+        routed.Parts(
+            services=[service],
+            routes=[],
+            classes=classes,
+            ranks={"chat": 0},
+            workspaces=[],
+            open_to_all=True,
+            limits=schema.CallerLimits(),
+        )
+    )
+
+
+class World:
+    """The delegates of several domains over one set of endpoints.
+
+    Attributes:
+        counted: Times at which a limited endpoint got a request from an
+            instance that had known of its limit for `GRACE_S`, by endpoint.
+        sent: Requests that limited endpoints got once they stated limits.
+        in_time: Requests whose first event came within the target.
+        refused: Requests that were refused.
+        offered: Requests that arrived.
+    """
+
+    def __init__(self, load: Load, seed: int):
+        self._load = load
+        self._rng = random.Random(seed)
+        self._now_s = 0.0
+        self._heap: list[tuple[float, int, abc.Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._limited = [
+            ids.EndpointId(f"10.0.0.{number}:80#limited")
+            for number in range(load.limited)
+        ]
+        self._knows_from_s: dict[tuple[int, ids.EndpointId], float] = {}
+        self.counted: dict[ids.EndpointId, list[float]] = {
+            endpoint: [] for endpoint in self._limited
+        }
+        self.sent = 0
+        self.in_time = 0
+        self.refused = 0
+        self.offered = 0
+        self._arrived_s: dict[ids.RequestId, float] = {}
+        self._deciders = [
+            self._decider(number, seed) for number in range(load.domains)
+        ]
+
+    def _found(self) -> abc.Iterator[messages.KnownEndpoint]:
+        domains = self._load.domains
+        for number, endpoint in enumerate(self._limited):
+            domain = f"domain-{number % domains}"
+            yield messages.KnownEndpoint(endpoint, _SERVICE, domain, 64)
+        for number in range(self._load.engines):
+            yield messages.KnownEndpoint(
+                f"10.0.1.{number}:80", _SERVICE, f"domain-{number % domains}", 4
+            )
+
+    def _decider(self, number: int, seed: int) -> core.Dispatcher:
+        context = context_module.PolicyContext(
+            _document(),
+            ids.InstanceId(f"entry-{number}"),
+            ids.DomainId(f"domain-{number}"),
+            random.Random(seed * 100 + number),
+            whole_domain=True,
+        )
+        decider = core.Dispatcher(context, 0.0)
+        decider.set_found(tuple(self._found()), 0.0)
+        return decider
+
+    def _at(self, when_s: float, event: abc.Callable[[], None]) -> None:
+        heapq.heappush(self._heap, (when_s, next(self._order), event))
+
+    def run(self) -> "World":
+        """Plays the load to its end."""
+        arrival_s = 0.0
+        while True:
+            arrival_s += self._rng.expovariate(self._load.rate_per_s)
+            if arrival_s >= END_S:
+                break
+            self._at(arrival_s, self._arrive)
+        for number in range(len(self._deciders)):
+            self._at(0.0, lambda number=number: self._tick(number))
+        while self._heap and self._heap[0][0] <= END_S:
+            self._now_s, _, event = heapq.heappop(self._heap)
+            event()
+        return self
+
+    def _tick(self, number: int) -> None:
+        self._deciders[number].refresh_shares(self._now_s)
+        self._pump(number)
+        self._at(self._now_s + TICK_S, lambda: self._tick(number))
+
+    def _arrive(self) -> None:
+        number = self._rng.randrange(len(self._deciders))
+        job = messages.Job(
+            request_id=ids.RequestId(f"r{next(self._order)}"),
+            workspace=ids.WorkspaceId("one"),
+            class_id=ids.ClassId("chat"),
+            service=_SERVICE,
+            model=ids.ModelId("m"),
+            rank=0,
+            arrived_s=self._now_s,
+            target_first_token_s=TARGET_S,
+            deadline_s=self._now_s + 10.0,
+            prompt_tokens=500,
+        )
+        self._arrived_s[job.request_id] = self._now_s
+        self.offered += 1
+        if self._deciders[number].offer(job, self._now_s) is not None:
+            self.refused += 1
+        self._pump(number)
+
+    def _pump(self, number: int) -> None:
+        for decision in list(self._deciders[number].place(self._now_s)):
+            if not isinstance(decision, messages.Placement):
+                self.refused += 1
+                continue
+            if decision.endpoint in self.counted:
+                self._count(number, decision.endpoint)
+            self._at(
+                self._now_s + ANSWER_S,
+                lambda decision=decision: self._answer(number, decision),
+            )
+            self._at(
+                self._now_s + HOLD_S,
+                lambda decision=decision: self._end(number, decision),
+            )
+
+    def _count(self, number: int, endpoint: ids.EndpointId) -> None:
+        self.sent += self._now_s >= STATED_FROM_S
+        known_s = self._knows_from_s.get((number, endpoint), float("inf"))
+        if self._now_s >= known_s + GRACE_S:
+            self.counted[endpoint].append(self._now_s)
+
+    def _answer(self, number: int, decision: messages.Placement) -> None:
+        decider = self._deciders[number]
+        decider.first_token(decision.request_id, self._now_s)
+        waited_s = self._now_s - self._arrived_s[decision.request_id]
+        self.in_time += waited_s <= TARGET_S
+        endpoint = decision.endpoint
+        if endpoint in self.counted and self._now_s >= STATED_FROM_S:
+            stated = messages.RateLimit(self._load.limit_per_s, self._now_s)
+            decider.hear_rate_limit(endpoint, stated)
+            self._knows_from_s.setdefault((number, endpoint), self._now_s)
+
+    def _end(self, number: int, decision: messages.Placement) -> None:
+        outcome = messages.Outcome.DONE
+        self._deciders[number].finish(decision.request_id, outcome, self._now_s)
+        self._pump(number)
+
+    def most_in_window(self) -> int:
+        """Returns the most requests that counted in `WINDOW_S`."""
+        return max(
+            sum(begin_s <= each < begin_s + WINDOW_S for each in times)
+            for times in self.counted.values()
+            for begin_s in times or (0.0,)
+        )
+
+
+_Way = abc.Callable[..., rate_limits.Part]
+
+
+def _shared(home_share: float, domains: int) -> _Way:
+    """Returns the way that shares the rest out evenly to other domains."""
+
+    def part(limit_per_s, endpoint, home, own):
+        others_share = (1.0 - home_share) / (domains - 1)
+        share = home_share if own == home else others_share
+        per_s = rate_limits.PART * limit_per_s * share
+        return rate_limits.Part(max(per_s, rate_limits.PROBES_PER_S))
+
+    return part
+
+
+def _ways(load: Load) -> dict[str, _Way]:
+    """Returns ways to share a limit out, by name."""
+    return {
+        "none": lambda *_: rate_limits.Part(1_000.0),
+        "home domain only (kept)": rate_limits.delegate_part,
+        "half to the home domain": _shared(0.5, load.domains),
+        "even over domains": _shared(1.0 / load.domains, load.domains),
+    }
+
+
+def _row(name: str, load: Load, part: _Way) -> str:
+    with mock.patch.object(rate_limits, "delegate_part", part):
+        worlds = [World(load, seed).run() for seed in _SEEDS]
+    most = max(world.most_in_window() for world in worlds)
+    offered = sum(world.offered for world in worlds)
+    in_time = sum(world.in_time for world in worlds) / offered
+    refused = sum(world.refused for world in worlds) / offered
+    stated = load.limit_per_s * load.limited * (END_S - STATED_FROM_S)
+    used = sum(world.sent for world in worlds) / stated / len(worlds)
+    return (
+        f"| {name} | {load.domains} | {load.limited} "
+        f"| {most} of {allowed(load.limit_per_s):.0f} | {used:.2f} "
+        f"| {in_time:.3f} | {refused:.3f} |"
+    )
+
+
+def main() -> None:
+    """Prints a table of the ways."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--limit-per-s", type=float, default=1.0)
+    limit_per_s = parser.parse_args().limit_per_s
+    lines = [
+        "| way | domains | limited | most in 4 s | used | in time | refused |",
+        "| --- | --- | --- | --- | --- | --- | --- |",
+    ]
+    for domains in (3, 6):
+        for engines, limited in ((2 * domains, 1), (0, 4 * domains)):
+            rate_per_s = engines * 2.5 + 0.9 * limit_per_s * limited
+            load = Load(domains, engines, limit_per_s, limited, rate_per_s)
+            ways = _ways(load).items()
+            lines += [_row(name, load, part) for name, part in ways]
+    sys.stdout.write("\n".join(lines) + "\n")
+
+
+if __name__ == "__main__":
+    main()
--- a/cardamombarrow/decisions/base.py
+++ b/cardamombarrow/decisions/base.py
@@ -349,9 +349,11 @@
         joins_domains: Whether endpoints of other domains are weighed beside
             those of the own one, by what they cost, and not only where the
             own domain has no room.
+        crosses_domains: Whether a job may leave the own domain at all.
     """
 
     joins_domains = False
+    crosses_domains = True
 
     @abc.abstractmethod
     def allow(
--- a/cardamombarrow/decisions/baselines.py
+++ b/cardamombarrow/decisions/baselines.py
@@ -173,6 +173,8 @@
 class NeverSpill(base.Spill):
     """Keeps every job in its own failure domain."""
 
+    crosses_domains = False
+
     def allow(
         self,
         job: messages.Job,
--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -9,6 +9,7 @@
 changed), so that no event costs a pass over all that waits or runs.
 """
 
+import math
 import typing
 
 from cardamombarrow.decisions import context as context_module
@@ -51,7 +52,7 @@
 
     def offer(self, job: messages.Job, now_s: float) -> messages.Refusal | None:
         """Takes an arriving job into the queue, or refuses it at once."""
-        refusal = self._receive(job, now_s) or self._refuse_shut(job)
+        refusal = self._receive(job, now_s)
         if refusal is None:
             backlog = self.backlog(job, now_s)
             refusal = self._refuse(job, backlog, now_s)
@@ -81,17 +82,6 @@
             )
         return self._over_workspace_limit(job)
 
-    def _refuse_shut(self, job: messages.Job) -> messages.Refusal | None:
-        """Refuses a job for which this instance can send nowhere."""
-        if not self._roster.is_shut(job.service):
-            return None
-        return messages.Refusal(
-            job.request_id,
-            errors.ErrorKind.OVERLOADED,
-            "all endpoints state rate limits that another instance spends",
-            RETRY_S,
-        )
-
     def _over_workspace_limit(
         self, job: messages.Job
     ) -> messages.Refusal | None:
@@ -112,7 +102,9 @@
     def _refuse(
         self, job: messages.Job, backlog: messages.Backlog, now_s: float
     ) -> messages.Refusal | None:
-        reason = self._policies.admission.refuse(job, backlog, now_s)
+        reason = _limited(job, backlog)
+        if reason is None:
+            reason = self._policies.admission.refuse(job, backlog, now_s)
         bound = self._policies.admission.waiting_bound()
         if reason is None and len(self._waiting) >= bound:
             reason = self._make_room(job, now_s)
@@ -207,12 +199,14 @@
         job = self._asked.pop(request_id, None)
         if job is None:
             return False
-        refusal = self._refuse_shut(job)
-        if refusal is not None:
-            self._waiting.leave(job)
-            self._due.append(refusal)
+        backlog = self.backlog(job, now_s)
+        reason = _limited(job, backlog)
+        if reason is None:
+            self._enqueue(job, backlog, now_s)
             return True
-        self._enqueue(job, self.backlog(job, now_s), now_s)
+        self._waiting.leave(job)
+        kind = errors.ErrorKind.OVERLOADED
+        self._due.append(self._refusal(job, kind, reason, backlog, now_s))
         return True
 
     def refused_elsewhere(self, request_id: ids.RequestId) -> bool:
@@ -273,6 +267,8 @@
         for job in self._waiting.due_looks(now_s):
             backlog = self.backlog(job, now_s)
             reason = admission.give_up(job, backlog, now_s)
+            if reason is None and math.isinf(backlog.token_wait_s):
+                reason = _limited(job, backlog)
             if reason is None:
                 look_s = admission.look_s(job, backlog, now_s)
                 self._waiting.look_at(job, max(look_s, now_s + LOOK_MIN_S))
@@ -369,7 +365,7 @@
         """
         if self._policies.quarantine.refuse(job, now_s) is not None:
             return False
-        if not ask and self._roster.is_shut(job.service):
+        if not ask and _limited(job, self.backlog(job, now_s)) is not None:
             return False
         if not self._policies.retry.may_retry(job, outcome, now_s):
             return False
@@ -400,6 +396,18 @@
 
     def backlog(self, job: messages.Job, now_s: float) -> messages.Backlog:
         """Returns what stands before a job in its own domain."""
+        ahead = self._policies.queue.jobs_ahead(job)
+        token_wait_s = self._roster.token_wait_s(job.service, ahead, now_s)
         return self._forecast.backlog(
-            job, self._roster.capacities[job.service], now_s
+            job, self._roster.capacities[job.service], token_wait_s, now_s
         )
+
+
+def _limited(job: messages.Job, backlog: messages.Backlog) -> str | None:
+    """Returns why rate limits let a job through too late, or None."""
+    wait_s = backlog.token_wait_s
+    if wait_s <= job.target_first_token_s:
+        return None
+    if math.isinf(wait_s):
+        return "all endpoints state rate limits that another instance spends"
+    return f"rate limits of all endpoints let it through in {wait_s:.2f} s"
--- a/cardamombarrow/decisions/rate_limits.py
+++ b/cardamombarrow/decisions/rate_limits.py
@@ -8,29 +8,29 @@
 What an answer says holds until a later one says otherwise; a newer statement
 of another instance counts like an own one.
 
-Nobody is asked on the way of a request. Each failure domain has a part of the
-limit, and within a domain one instance, its *delegate*, spends that part: the
-first of the members in the order that all of them work out alike. The others
-send nothing to a limited endpoint; what they have for it they hand to the
-delegate, which places for the domain. An instance that is not sure to be the
-delegate does not send, so a lost, frozen or changed delegate leaves a part
-unused for some seconds and never doubles it for long.
-
-A part is a token bucket that starts empty. `PART` of the limit is given out,
-which leaves room for two delegates while views of the members differ. At most
-`MOST_DOMAINS` domains have a part: each may have saved one whole token, and
-the tokens saved together must stay a few.
+Nobody is asked on the way of a request. A limit is spent in the endpoint's own
+failure domain, by one instance, its *delegate*: the first of the members in the
+order that all of them work out alike. The others send nothing to a limited
+endpoint; what they have for it they hand to the delegate, which places for the
+domain. An instance that is not sure to be the delegate does not send, so a
+lost, frozen or changed delegate leaves a limit unused for some seconds and
+never doubles it for long. The delegates of other domains send a probe now and
+then, because an endpoint that nobody asks can't tell that its limit has ended.
+
+A limit is a token bucket that starts empty. `PART` of it is given out, which
+leaves room for probes and for two delegates while views of the members differ.
+A probe that nobody had use for lapses: saved, those of all domains would come
+at once with the next burst.
 """
 
-from collections import abc
 import dataclasses
-import hashlib
 import threading
+import zlib
 
 from cardamombarrow.decisions import messages
 from cardamombarrow.kernel import ids
 
-__all__ = ["RateLimits", "part_per_s"]
+__all__ = ["Part", "RateLimits", "delegate_part"]
 
 LIMITS_KEPT = 1_024
 """Endpoints whose statements are remembered; each start may be another one."""
@@ -38,12 +38,12 @@
 PART = 0.8
 """Part of a stated limit that is used."""
 
-MOST_DOMAINS = 5
-"""Failure domains that share one endpoint's limit."""
+PROBES_PER_S = 1 / 16
+"""Probes that a delegate of another domain sends; under a limit of zero, those
+of the own one, too."""
 
-LEAST_PER_S = 1 / 16
-"""Requests a second of a domain without a part, or under a limit of zero: an
-endpoint that nobody asks can't tell that its limit has ended."""
+PROBE_KEPT_S = 4.0
+"""Time for which a probe that is due may be sent."""
 
 BURST_S = 1.0
 """Time for which an unused part is saved, one whole request at least."""
@@ -54,49 +54,64 @@
 _ROUNDING = 1e-9
 
 
-def part_per_s(
+@dataclasses.dataclass(frozen=True, slots=True)
+class Part:
+    """What one instance may send to an endpoint that states a limit.
+
+    Attributes:
+        per_s: Requests a second.
+        delay_s: Time before the first one is saved for, so that probes of
+            several domains come apart.
+    """
+
+    per_s: float
+    delay_s: float = 0.0
+
+
+def delegate_part(
     limit_per_s: float,
     endpoint: ids.EndpointId,
     home: ids.DomainId,
     own: ids.DomainId,
-    domains: abc.Collection[ids.DomainId],
-) -> float:
-    """Returns how many requests a second a domain may send.
+) -> Part:
+    """Returns what the delegate of a domain may send to an endpoint.
 
     Args:
         limit_per_s: The limit that the endpoint states.
         endpoint: The endpoint.
-        home: Its failure domain, which always has a part.
-        own: The domain whose part is asked for.
-        domains: All domains that may send to it.
+        home: Its failure domain.
+        own: The delegate's.
     """
-    others = sorted(
-        (each for each in {*domains, own} if each != home),
-        key=lambda domain: _weight(endpoint, domain),
-    )
-    sharing = [home, *others][:MOST_DOMAINS]
-    if own not in sharing:
-        return LEAST_PER_S
-    return max(PART * limit_per_s / len(sharing), LEAST_PER_S)
-
-
-def _weight(endpoint: ids.EndpointId, domain: ids.DomainId) -> bytes:
-    text = f"{endpoint}\n{domain}"
-    return hashlib.blake2b(text.encode(), digest_size=8).digest()
+    if own == home:
+        return Part(max(PART * limit_per_s, PROBES_PER_S))
+    phase = zlib.crc32(f"{endpoint}\n{own}".encode()) / (1 << 32)
+    return Part(PROBES_PER_S, phase / PROBES_PER_S)
 
 
 @dataclasses.dataclass(slots=True)
 class _Bucket:
-    """Requests that may be sent, at a moment."""
+    """Requests that may be sent.
 
-    filled_s: float
+    Attributes:
+        since_s: When there were `tokens`.
+    """
+
+    since_s: float
     tokens: float = 0.0
 
-    def fill(self, rate_per_s: float, now_s: float) -> None:
+    def fill(self, rate_per_s: float, now_s: float) -> float:
+        """Returns the tokens that there are now."""
         most = max(rate_per_s * BURST_S, 1.0)
-        past_s = max(now_s - self.filled_s, 0.0)
-        self.tokens = min(self.tokens + rate_per_s * past_s, most)
-        self.filled_s = now_s
+        full_s = self.since_s + (most - self.tokens) / rate_per_s
+        if rate_per_s <= PROBES_PER_S and now_s > full_s + PROBE_KEPT_S:
+            self.since_s, self.tokens = now_s, 0.0
+        past_s = max(now_s - self.since_s, 0.0)
+        return min(self.tokens + rate_per_s * past_s, most)
+
+    def spend(self, rate_per_s: float, now_s: float) -> None:
+        """Takes one token."""
+        self.tokens = self.fill(rate_per_s, now_s) - 1.0
+        self.since_s = now_s
 
 
 class RateLimits:
@@ -110,6 +125,7 @@
         self._lock = threading.Lock()
         self._heard: dict[ids.EndpointId, messages.RateLimit] = {}
         self._first_hand: dict[ids.EndpointId, messages.RateLimit] = {}
+        self._limited: set[ids.EndpointId] = set()
         self._buckets: dict[ids.EndpointId, _Bucket] = {}
         self._is_delegate = True
 
@@ -156,11 +172,15 @@
         else:
             self._first_hand.pop(endpoint, None)
         if limit.per_s is None:
+            self._limited.discard(endpoint)
             self._buckets.pop(endpoint, None)
+        else:
+            self._limited.add(endpoint)
         if len(self._heard) > LIMITS_KEPT:
             oldest = next(iter(self._heard))
             for kept in (self._heard, self._first_hand, self._buckets):
                 kept.pop(oldest, None)
+            self._limited.discard(oldest)
 
     def limit(self, endpoint: ids.EndpointId) -> messages.RateLimit | None:
         """Returns the limit that an endpoint states; None without one."""
@@ -169,8 +189,7 @@
 
     def count(self) -> int:
         """Counts the endpoints that state a limit."""
-        with self._lock:
-            return sum(each.per_s is not None for each in self._heard.values())
+        return len(self._limited)
 
     def to_tell(self, now_s: float) -> dict[ids.EndpointId, messages.RateLimit]:
         """Returns what other instances of the domain are told.
@@ -206,25 +225,22 @@
             return changed
 
     def ready_s(
-        self, endpoint: ids.EndpointId, rate_per_s: float, now_s: float
+        self, endpoint: ids.EndpointId, part: Part, now_s: float
     ) -> float:
         """Returns when a request may be sent; `now_s` where it may now."""
         with self._lock:
-            tokens = self._filled(endpoint, rate_per_s, now_s).tokens
+            bucket = self._bucket(endpoint, part, now_s)
+            tokens = bucket.fill(part.per_s, now_s)
         if tokens >= 1.0 - _ROUNDING:
             return now_s
-        return now_s + (1.0 - tokens) / rate_per_s
+        return max(now_s, bucket.since_s) + (1.0 - tokens) / part.per_s
 
-    def spend(
-        self, endpoint: ids.EndpointId, rate_per_s: float, now_s: float
-    ) -> None:
+    def spend(self, endpoint: ids.EndpointId, part: Part, now_s: float) -> None:
         """Counts a request that is sent; what is overspent is waited for."""
         with self._lock:
-            self._filled(endpoint, rate_per_s, now_s).tokens -= 1.0
+            self._bucket(endpoint, part, now_s).spend(part.per_s, now_s)
 
-    def _filled(
-        self, endpoint: ids.EndpointId, rate_per_s: float, now_s: float
+    def _bucket(
+        self, endpoint: ids.EndpointId, part: Part, now_s: float
     ) -> _Bucket:
-        bucket = self._buckets.setdefault(endpoint, _Bucket(now_s))
-        bucket.fill(rate_per_s, now_s)
-        return bucket
+        return self._buckets.setdefault(endpoint, _Bucket(now_s + part.delay_s))
--- a/cardamombarrow/decisions/roster.py
+++ b/cardamombarrow/decisions/roster.py
@@ -52,7 +52,6 @@
         self.endpoints: dict[ids.EndpointId, endpoint_module.EndpointState] = {}
         self.capacities: dict[ids.ServiceId, capacity_module.Capacity] = {}
         self.changed: set[ids.ServiceId] = set()
-        self._domains: frozenset[ids.DomainId] = frozenset()
         self._tokens_due_s: dict[ids.ServiceId, float] = {}
 
     def configure(self, document: schema.Document, now_s: float) -> None:
@@ -118,9 +117,6 @@
             if not state.running:
                 del self.endpoints[endpoint]
                 self._unlisted.discard(endpoint)
-        self._domains = frozenset(
-            state.domain for state in self.endpoints.values()
-        )
         for service in {*document.services, *self.capacities}:
             self._capacity(service, now_s).guess(document.classes)
             self._regroup(service)
@@ -192,8 +188,8 @@
         if known is None or not known.max_connections:
             return share
         if self._context.whole_domain:
-            domains = max(len(self._domains), 1)
-            return max(known.max_connections // domains, 1)
+            domains = {state.domain for state in self.endpoints.values()}
+            return max(known.max_connections // max(len(domains), 1), 1)
         return self._context.fleet.whole(known.max_connections)
 
     # -- rate limits that endpoints state -------------------------------------
@@ -205,33 +201,61 @@
             self.changed.add(state.service)
 
     def has_rate_limit(self, service: ids.ServiceId) -> bool:
-        """Tells whether an endpoint that a service may use states a limit."""
+        """Tells whether an endpoint of a service states a limit."""
+        return service in self.capacities and bool(self._parts(service))
+
+    def token_wait_s(
+        self, service: ids.ServiceId, ahead: int, now_s: float
+    ) -> float:
+        """Returns how long a job waits until a rate limit lets it through.
+
+        Args:
+            service: The job's service.
+            ahead: Jobs that are served before it.
+            now_s: The time.
+
+        Returns:
+            0 where an endpoint states no limit; infinity where all do and
+            another instance spends them.
+        """
+        parts = self._parts(service)
+        if not parts or len(parts) < len(self._reachable(service)):
+            return 0.0
         limits = self._context.rate_limits
-        capacity = self.capacities.get(service)
-        if capacity is None or not limits.count():
-            return False
-        return any(
-            limits.limit(state.endpoint) is not None
-            for state in (*capacity.local, *capacity.remote)
+        if not limits.is_delegate:
+            return math.inf
+        ready_s = min(
+            limits.ready_s(endpoint, part, now_s)
+            for endpoint, part in parts.items()
         )
+        rate_per_s = sum(part.per_s for part in parts.values())
+        return ready_s - now_s + ahead / rate_per_s
+
+    def _parts(
+        self, service: ids.ServiceId
+    ) -> dict[ids.EndpointId, rate_limits_module.Part]:
+        """Returns what this domain may send to limited endpoints."""
+        if not self._context.rate_limits.count():
+            return {}
+        parts = {
+            state.endpoint: self._part(state)
+            for state in self._reachable(service)
+        }
+        return {name: part for name, part in parts.items() if part is not None}
 
-    def is_shut(self, service: ids.ServiceId) -> bool:
-        """Tells whether all endpoints state limits that others spend."""
-        limits = self._context.rate_limits
-        if limits.is_delegate:
-            return False
+    def _reachable(
+        self, service: ids.ServiceId
+    ) -> list[endpoint_module.EndpointState]:
         capacity = self.capacities[service]
-        return all(
-            limits.limit(state.endpoint) is not None
-            for state in (*capacity.local, *capacity.remote)
-        )
+        if self._policies.spill.crosses_domains:
+            return [*capacity.local, *capacity.remote]
+        return capacity.local
 
     def spend(self, state: endpoint_module.EndpointState, now_s: float) -> None:
         """Counts a request that is sent to an endpoint against its limit."""
-        rate_per_s = self._rate_per_s(state)
-        if rate_per_s is not None:
-            limits = self._context.rate_limits
-            limits.spend(state.endpoint, rate_per_s, now_s)
+        part = self._part(state)
+        if part is not None:
+            self._context.rate_limits.spend(state.endpoint, part, now_s)
 
     def due_tokens(self, now_s: float) -> None:
         """Has services looked at for which an endpoint takes a request now."""
@@ -244,16 +268,14 @@
         """Returns when the next endpoint takes a request that waits."""
         return min(self._tokens_due_s.values(), default=None)
 
-    def _rate_per_s(self, state: endpoint_module.EndpointState) -> float | None:
+    def _part(
+        self, state: endpoint_module.EndpointState
+    ) -> rate_limits_module.Part | None:
         limit = self._context.rate_limits.limit(state.endpoint)
         if limit is None:
             return None
-        return rate_limits_module.part_per_s(
-            limit.per_s,
-            state.endpoint,
-            state.domain,
-            self._context.domain,
-            self._domains,
+        return rate_limits_module.delegate_part(
+            limit.per_s, state.endpoint, state.domain, self._context.domain
         )
 
     def _limited_share(
@@ -263,24 +285,24 @@
 
         J. D. C. Little, "A Proof for the Queuing Formula: L = lambda W", 1961.
         """
-        rate_per_s = self._rate_per_s(state)
-        if rate_per_s is None:
+        part = self._part(state)
+        if part is None:
             return share
         if not self._context.rate_limits.is_delegate:
             return 0
         hold_s = self.capacities[state.service].mean_hold_s()
-        return min(share, max(math.ceil(rate_per_s * hold_s), 1))
+        return min(share, max(math.ceil(part.per_s * hold_s), 1))
 
     def _may_send(
         self, state: endpoint_module.EndpointState, now_s: float
     ) -> bool:
-        rate_per_s = self._rate_per_s(state)
-        if rate_per_s is None:
+        part = self._part(state)
+        if part is None:
             return True
         limits = self._context.rate_limits
         if not limits.is_delegate:
             return False
-        ready_s = limits.ready_s(state.endpoint, rate_per_s, now_s)
+        ready_s = limits.ready_s(state.endpoint, part, now_s)
         if ready_s <= now_s:
             return True
         due_s = self._tokens_due_s.get(state.service, ready_s)
--- a/cardamombarrow/endpoints/base.py
+++ b/cardamombarrow/endpoints/base.py
@@ -213,11 +213,13 @@
     ) -> messages.RateLimit | None:
         """Reads the rate limit that an answer states for its endpoint.
 
+        It stands in ``X-Rate-Limit``, unless a kind says it otherwise.
+
         Returns:
             None where the answer tells nothing about its endpoint, because
             another one gave it or it can't be read.
         """
-        return None
+        return parse_rate_limit(head.headers.get("x-rate-limit"))
 
     def last_event(self, chunk: bytes) -> str:
         """Returns the id of the last event in a chunk; empty for none."""
--- a/cardamombarrow/endpoints/engine.py
+++ b/cardamombarrow/endpoints/engine.py
@@ -53,12 +53,6 @@
         """Engines that resume streams say so in the stream's head."""
         return head.streams and head.headers.get("x-resumable") == "yes"
 
-    def rate_limit_in(
-        self, head: base.Head, call: base.OutgoingCall
-    ) -> messages.RateLimit | None:
-        """Reads ``X-Rate-Limit``, requests a second from all callers."""
-        return base.parse_rate_limit(head.headers.get("x-rate-limit"))
-
     def not_started(self, head: base.Head) -> bool:
         """Engines answer 429 or 503 to what they did not start."""
         return head.status in _NOT_STARTED
--- a/cardamombarrow/peers/tests/test_placing_codec.py
+++ b/cardamombarrow/peers/tests/test_placing_codec.py
@@ -109,3 +109,10 @@
     read = placing_codec.outcome_from_wire
     assert read("done") is messages.Outcome.DONE
     assert read("of tomorrow") is messages.Outcome.FAILED
+
+
+def test_a_plain_call_arrives_as_one():
+    # Guards against a placer that waits for a plain call's first event.
+    job = dataclasses.replace(_JOB, streams=False)
+    sent = placing_codec.job_to_wire(job, 100.25)
+    assert not placing_codec.job_from_wire(sent, 100.25).streams
--- /dev/null
+++ b/cardamombarrow/peers/tests/test_rate_limit_news.py
@@ -0,0 +1,87 @@
+"""Rate limits on their way between the instances of a domain."""
+
+import pytest
+
+from cardamombarrow.decisions import messages
+from cardamombarrow.decisions import rate_limits
+from cardamombarrow.gossip import rows
+from cardamombarrow.kernel import ids
+from cardamombarrow.peers import gossip_codec
+from cardamombarrow.peers import gossip_pb2
+from cardamombarrow.peers import rate_limit_news
+
+_ENDPOINT = ids.EndpointId("10.0.0.1:80")
+_KEY = (rows.ItemKind.RATE_LIMIT, rows.endpoint_hash(_ENDPOINT))
+
+
+def _limit(per_s, heard_s):
+    return messages.RateLimit(per_s, heard_s)
+
+
+class _Broker:
+    """Keeps what it hears, without a dispatcher."""
+
+    def __init__(self):
+        self.limits = rate_limits.RateLimits()
+        self.now_s = 0.0
+
+    def rate_limits_to_tell(self):
+        return self.limits.to_tell(self.now_s)
+
+    def hear_rate_limit(self, endpoint, limit, source):
+        before = self.limits.hear(endpoint, limit, first_hand=False)
+        return before is not None
+
+
+def _sent(items, now_s):
+    """Sends a row's items to an instance whose clock is 1,000 s ahead."""
+    delta = rows.RowDelta(
+        ids.InstanceId("e"), 1, 2, 1, 0.0, rows.Head("a", 1), items
+    )
+    wire = gossip_codec.delta_to_wire(delta, now_s)
+    parsed = gossip_pb2.GossipRow.FromString(wire.SerializeToString())
+    return gossip_codec.delta_from_wire(parsed, now_s + 1_000.0).items
+
+
+@pytest.mark.parametrize("per_s", [0.0, 1.2, None])
+def test_a_limit_and_its_end_arrive_with_their_age(per_s):
+    items = _sent([(_KEY, _limit(per_s, 7.5))], 10.0)
+    assert items == [(_KEY, _limit(per_s, 1_007.5))]
+
+
+def test_a_removed_limit_arrives_as_removed():
+    assert _sent([(_KEY, None)], 10.0) == [(_KEY, None)]
+
+
+def test_a_changed_limit_is_urgent_until_it_was_told():
+    # Guards against the seconds in which all others go on sending.
+    broker = _Broker()
+    news = rate_limit_news.RateLimitNews(broker)
+    assert not news.is_urgent()
+    for per_s in (1.0, 0.5, None):
+        broker.now_s += 1.0
+        broker.limits.hear(_ENDPOINT, _limit(per_s, broker.now_s))
+        assert news.is_urgent()
+        assert news.collect()[_KEY].per_s == per_s
+        assert not news.is_urgent()
+
+
+def test_a_limit_that_is_stated_again_is_seldom_told_again():
+    broker = _Broker()
+    news = rate_limit_news.RateLimitNews(broker)
+    told = set()
+    for step in range(100):
+        broker.now_s = step * 0.1
+        broker.limits.hear(_ENDPOINT, _limit(1.0, broker.now_s))
+        told.add(news.collect()[_KEY].heard_s)
+    assert len(told) <= 100 * 0.1 / rate_limit_news.RENEWAL_S + 1
+
+
+def test_an_older_word_of_another_instance_changes_nothing():
+    broker = _Broker()
+    news = rate_limit_news.RateLimitNews(broker)
+    broker.limits.hear(_ENDPOINT, _limit(None, 5.0))
+    assert news.take(_ENDPOINT, _limit(1.0, 6.0), ids.InstanceId("e"))
+    broker.limits.hear(_ENDPOINT, _limit(None, 7.0))
+    assert not news.take(_ENDPOINT, _limit(1.0, 6.5), ids.InstanceId("e"))
+    assert broker.limits.limit(_ENDPOINT) is None
--- a/tools/standin/engine.py
+++ b/tools/standin/engine.py
@@ -54,6 +54,8 @@
         fail_plain_status: Status with which plain calls end; 0 is none.
         leaving: Shown in the load report.
         resumable: Streams can be resumed with the header X-Resume-Offset.
+        rate_limit: Requests a second from all callers, a decimal number that
+            every answer states; empty states none.
     """
 
     slots: int = 8
@@ -70,6 +72,7 @@
     fail_plain_status: int = 0
     leaving: bool = False
     resumable: bool = False
+    rate_limit: str = ""
 
 
 def _leave_if(gone: Gone) -> None:
@@ -272,8 +275,13 @@
         finally:
             tokens.close()
 
+    def _begin(self, status: int) -> None:
+        self.send_response(status)
+        if self.engine.behaviour.rate_limit:
+            self.send_header("X-Rate-Limit", self.engine.behaviour.rate_limit)
+
     def _stream(self, tokens: typing.Iterator[str]) -> None:
-        self.send_response(200)
+        self._begin(200)
         self.send_header("Content-Type", "text/event-stream")
         if self.engine.behaviour.resumable:
             self.send_header("X-Resumable", "yes")
@@ -304,7 +312,7 @@
         }
         body = json.dumps(content).encode()
         if self.engine.behaviour.short_answer:
-            self.send_response(200)
+            self._begin(200)
             self.send_header("Content-Length", str(len(body)))
             self.end_headers()
             self.wfile.write(body[:-10])
@@ -334,7 +342,7 @@
     def _answer(
         self, status: int, body: bytes, kind: str = "application/json"
     ) -> None:
-        self.send_response(status)
+        self._begin(status)
         self.send_header("Content-Type", kind)
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
