--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -161,7 +161,8 @@
         could take it states a rate limit. One that may have crashed an
         endpoint has to run alone there, and only this instance knows of it.
         """
-        together = job.streams or self._roster.has_rate_limit(job.service)
+        reachable = self._roster.reachable(job.service)
+        together = job.streams or self._roster.tokens.are_needed(reachable)
         return together and not self._policies.quarantine.solo(job, now_s)
 
     def announce(
@@ -238,7 +239,7 @@
             The moment, or None while nothing waits.
         """
         due_s = self._waiting.next_s()
-        token_s = self._roster.next_token_s() if len(self._waiting) else None
+        token_s = self._roster.tokens.next_s() if len(self._waiting) else None
         times = [each for each in (due_s, token_s) if each is not None]
         return min(times, default=None)
 
@@ -249,7 +250,7 @@
         yield from self._give_up(now_s)
         for job in self._waiting.due_alarms(now_s):
             self._roster.changed.add(job.service)
-        self._roster.due_tokens(now_s)
+        self._roster.changed.update(self._roster.tokens.due(now_s))
         room = roster.Room(self._roster, self.backlog, now_s)
         while True:
             job = self._policies.queue.take(room, now_s)
@@ -330,7 +331,7 @@
         choice = self._policies.choice
         state, reason = choice.choose(job, candidates, now_s)
         fetch = choice.fetch(job, state, now_s)
-        self._roster.spend(state, now_s)
+        self._roster.tokens.spend(state, now_s)
         self._run(job, state, now_s)
         limit = self.rate_limit(state.endpoint)
         return messages.Placement(
@@ -397,7 +398,8 @@
     def backlog(self, job: messages.Job, now_s: float) -> messages.Backlog:
         """Returns what stands before a job in its own domain."""
         ahead = self._policies.queue.jobs_ahead(job)
-        token_wait_s = self._roster.token_wait_s(job.service, ahead, now_s)
+        reachable = self._roster.reachable(job.service)
+        token_wait_s = self._roster.tokens.wait_s(reachable, ahead, now_s)
         return self._forecast.backlog(
             job, self._roster.capacities[job.service], token_wait_s, now_s
         )
--- a/cardamombarrow/decisions/roster.py
+++ b/cardamombarrow/decisions/roster.py
@@ -6,7 +6,6 @@
 
 from collections import abc
 import dataclasses
-import math
 
 from cardamombarrow.decisions import base
 from cardamombarrow.decisions import capacity as capacity_module
@@ -14,7 +13,7 @@
 from cardamombarrow.decisions import endpoint as endpoint_module
 from cardamombarrow.decisions import messages
 from cardamombarrow.decisions import policies as policies_module
-from cardamombarrow.decisions import rate_limits as rate_limits_module
+from cardamombarrow.decisions import tokens
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import ids
 
@@ -37,6 +36,7 @@
         endpoints: All known endpoints, also those that take no new work.
         capacities: This instance's slots by service.
         changed: Services where something changed since they were looked at.
+        tokens: What endpoints take that state rate limits.
     """
 
     def __init__(
@@ -52,7 +52,7 @@
         self.endpoints: dict[ids.EndpointId, endpoint_module.EndpointState] = {}
         self.capacities: dict[ids.ServiceId, capacity_module.Capacity] = {}
         self.changed: set[ids.ServiceId] = set()
-        self._tokens_due_s: dict[ids.ServiceId, float] = {}
+        self.tokens = tokens.Tokens(context.rate_limits, context.domain)
 
     def configure(self, document: schema.Document, now_s: float) -> None:
         """Takes a newer document into force.
@@ -156,7 +156,8 @@
         for state in self.endpoints.values():
             share = self._share(state, own, peers, now_s)
             share = min(share, self._connections(state.service, share))
-            state.share = self._limited_share(state, share)
+            capacity = self.capacities[state.service]
+            state.share = self.tokens.share(state, share, capacity)
         for capacity in self.capacities.values():
             capacity.count()
         self.changed.update(self.capacities)
@@ -192,122 +193,22 @@
             return max(known.max_connections // max(len(domains), 1), 1)
         return self._context.fleet.whole(known.max_connections)
 
-    # -- rate limits that endpoints state -------------------------------------
-
-    def rate_limit_changed(self, endpoint: ids.EndpointId) -> None:
-        """Has the service of an endpoint looked at again."""
-        state = self.endpoints.get(endpoint)
-        if state is not None:
-            self.changed.add(state.service)
-
-    def has_rate_limit(self, service: ids.ServiceId) -> bool:
-        """Tells whether an endpoint of a service states a limit."""
-        return service in self.capacities and bool(self._parts(service))
-
-    def token_wait_s(
-        self, service: ids.ServiceId, ahead: int, now_s: float
-    ) -> float:
-        """Returns how long a job waits until a rate limit lets it through.
-
-        Args:
-            service: The job's service.
-            ahead: Jobs that are served before it.
-            now_s: The time.
-
-        Returns:
-            0 where an endpoint states no limit; infinity where all do and
-            another instance spends them.
-        """
-        parts = self._parts(service)
-        if not parts or len(parts) < len(self._reachable(service)):
-            return 0.0
-        limits = self._context.rate_limits
-        if not limits.is_delegate:
-            return math.inf
-        ready_s = min(
-            limits.ready_s(endpoint, part, now_s)
-            for endpoint, part in parts.items()
-        )
-        rate_per_s = sum(part.per_s for part in parts.values())
-        return ready_s - now_s + ahead / rate_per_s
-
-    def _parts(
-        self, service: ids.ServiceId
-    ) -> dict[ids.EndpointId, rate_limits_module.Part]:
-        """Returns what this domain may send to limited endpoints."""
-        if not self._context.rate_limits.count():
-            return {}
-        parts = {
-            state.endpoint: self._part(state)
-            for state in self._reachable(service)
-        }
-        return {name: part for name, part in parts.items() if part is not None}
-
-    def _reachable(
+    def reachable(
         self, service: ids.ServiceId
     ) -> list[endpoint_module.EndpointState]:
-        capacity = self.capacities[service]
+        """Returns the endpoints that could take a job of a service."""
+        capacity = self.capacities.get(service)
+        if capacity is None:
+            return []
         if self._policies.spill.crosses_domains:
             return [*capacity.local, *capacity.remote]
         return capacity.local
 
-    def spend(self, state: endpoint_module.EndpointState, now_s: float) -> None:
-        """Counts a request that is sent to an endpoint against its limit."""
-        part = self._part(state)
-        if part is not None:
-            self._context.rate_limits.spend(state.endpoint, part, now_s)
-
-    def due_tokens(self, now_s: float) -> None:
-        """Has services looked at for which an endpoint takes a request now."""
-        for service, due_s in list(self._tokens_due_s.items()):
-            if due_s <= now_s:
-                del self._tokens_due_s[service]
-                self.changed.add(service)
-
-    def next_token_s(self) -> float | None:
-        """Returns when the next endpoint takes a request that waits."""
-        return min(self._tokens_due_s.values(), default=None)
-
-    def _part(
-        self, state: endpoint_module.EndpointState
-    ) -> rate_limits_module.Part | None:
-        limit = self._context.rate_limits.limit(state.endpoint)
-        if limit is None:
-            return None
-        return rate_limits_module.delegate_part(
-            limit.per_s, state.endpoint, state.domain, self._context.domain
-        )
-
-    def _limited_share(
-        self, state: endpoint_module.EndpointState, share: int
-    ) -> int:
-        """Returns the slots that a stated limit keeps in use (Little's law).
-
-        J. D. C. Little, "A Proof for the Queuing Formula: L = lambda W", 1961.
-        """
-        part = self._part(state)
-        if part is None:
-            return share
-        if not self._context.rate_limits.is_delegate:
-            return 0
-        hold_s = self.capacities[state.service].mean_hold_s()
-        return min(share, max(math.ceil(part.per_s * hold_s), 1))
-
-    def _may_send(
-        self, state: endpoint_module.EndpointState, now_s: float
-    ) -> bool:
-        part = self._part(state)
-        if part is None:
-            return True
-        limits = self._context.rate_limits
-        if not limits.is_delegate:
-            return False
-        ready_s = limits.ready_s(state.endpoint, part, now_s)
-        if ready_s <= now_s:
-            return True
-        due_s = self._tokens_due_s.get(state.service, ready_s)
-        self._tokens_due_s[state.service] = min(due_s, ready_s)
-        return False
+    def rate_limit_changed(self, endpoint: ids.EndpointId) -> None:
+        """Has the service of an endpoint looked at again."""
+        state = self.endpoints.get(endpoint)
+        if state is not None:
+            self.changed.add(state.service)
 
     def report(
         self,
@@ -413,7 +314,7 @@
             return False
         if not self._policies.choice.available(job, state, now_s):
             return False
-        if not self._may_send(state, now_s):
+        if not self.tokens.may_send(state, now_s):
             return False
         if solo:
             return not running
