--- a/benchmarks/rate_limits.py
+++ b/benchmarks/rate_limits.py
@@ -239,7 +239,7 @@
     def part(limit_per_s, endpoint, home, own):
         others_share = (1.0 - home_share) / (domains - 1)
         share = home_share if own == home else others_share
-        per_s = rate_limits.PART * limit_per_s * share
+        per_s = rate_limits.USED_SHARE * limit_per_s * share
         return rate_limits.Part(max(per_s, rate_limits.PROBES_PER_S))
 
     return part
--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -162,7 +162,7 @@
         endpoint has to run alone there, and only this instance knows of it.
         """
         reachable = self._roster.reachable(job.service)
-        together = job.streams or self._roster.tokens.are_needed(reachable)
+        together = job.streams or self._roster.rate_budget.has_limit(reachable)
         return together and not self._policies.quarantine.solo(job, now_s)
 
     def announce(
@@ -238,10 +238,10 @@
         Returns:
             The moment, or None while nothing waits.
         """
-        due_s = self._waiting.next_s()
-        token_s = self._roster.tokens.next_s() if len(self._waiting) else None
-        times = [each for each in (due_s, token_s) if each is not None]
-        return min(times, default=None)
+        times = [self._waiting.next_s()]
+        if len(self._waiting):
+            times.append(self._roster.rate_budget.next_s())
+        return min((each for each in times if each is not None), default=None)
 
     def place(self, now_s: float) -> typing.Iterator[messages.Decision]:
         """Yields every decision that is due now."""
@@ -250,7 +250,7 @@
         yield from self._give_up(now_s)
         for job in self._waiting.due_alarms(now_s):
             self._roster.changed.add(job.service)
-        self._roster.changed.update(self._roster.tokens.due(now_s))
+        self._roster.changed.update(self._roster.rate_budget.due(now_s))
         room = roster.Room(self._roster, self.backlog, now_s)
         while True:
             job = self._policies.queue.take(room, now_s)
@@ -268,7 +268,7 @@
         for job in self._waiting.due_looks(now_s):
             backlog = self.backlog(job, now_s)
             reason = admission.give_up(job, backlog, now_s)
-            if reason is None and math.isinf(backlog.token_wait_s):
+            if reason is None and math.isinf(backlog.limit_wait_s):
                 reason = _limited(job, backlog)
             if reason is None:
                 look_s = admission.look_s(job, backlog, now_s)
@@ -331,7 +331,7 @@
         choice = self._policies.choice
         state, reason = choice.choose(job, candidates, now_s)
         fetch = choice.fetch(job, state, now_s)
-        self._roster.tokens.spend(state, now_s)
+        self._roster.rate_budget.spend(state, now_s)
         self._run(job, state, now_s)
         limit = self.rate_limit(state.endpoint)
         return messages.Placement(
@@ -399,15 +399,15 @@
         """Returns what stands before a job in its own domain."""
         ahead = self._policies.queue.jobs_ahead(job)
         reachable = self._roster.reachable(job.service)
-        token_wait_s = self._roster.tokens.wait_s(reachable, ahead, now_s)
+        limit_wait_s = self._roster.rate_budget.wait_s(reachable, ahead, now_s)
         return self._forecast.backlog(
-            job, self._roster.capacities[job.service], token_wait_s, now_s
+            job, self._roster.capacities[job.service], limit_wait_s, now_s
         )
 
 
 def _limited(job: messages.Job, backlog: messages.Backlog) -> str | None:
     """Returns why rate limits let a job through too late, or None."""
-    wait_s = backlog.token_wait_s
+    wait_s = backlog.limit_wait_s
     if wait_s <= job.target_first_token_s:
         return None
     if math.isinf(wait_s):
--- a/cardamombarrow/decisions/forecast.py
+++ b/cardamombarrow/decisions/forecast.py
@@ -54,7 +54,7 @@
         self,
         job: messages.Job,
         capacity: capacity_module.Capacity,
-        token_wait_s: float,
+        limit_wait_s: float,
         now_s: float,
     ) -> messages.Backlog:
         """Returns what stands before a job.
@@ -62,7 +62,7 @@
         Args:
             job: The job.
             capacity: This instance's slots of its service.
-            token_wait_s: How long rate limits of endpoints hold it up.
+            limit_wait_s: How long rate limits of endpoints hold it up.
             now_s: The time.
         """
         queue = self._policies.queue
@@ -88,8 +88,8 @@
             jobs_ahead=jobs_ahead,
             slots=capacity.slots,
             service_s=hold_s,
-            predicted_wait_s=max(wait_s, token_wait_s),
-            token_wait_s=token_wait_s,
+            predicted_wait_s=max(wait_s, limit_wait_s),
+            limit_wait_s=limit_wait_s,
             first_token_s=capacity.first_token_s,
             tier_waiting=queue.tier_waiting(job),
             oldest_wait_s=queue.oldest_wait_s(job, now_s),
--- a/cardamombarrow/decisions/messages.py
+++ b/cardamombarrow/decisions/messages.py
@@ -222,7 +222,7 @@
         oldest_wait_s: How long the oldest job of its tier has waited.
         returning_s: Time to serve those of its tier that were refused and
             told to come back, less those that had time to be served since.
-        token_wait_s: Part of the predicted wait for which rate limits that
+        limit_wait_s: Part of the predicted wait for which rate limits that
             all endpoints state hold it up; infinity where none is spent here.
         lower_over_reserve: Whether a lower tier runs more than its reserved
             share of these slots.
@@ -236,7 +236,7 @@
     tier_waiting: int = 0
     oldest_wait_s: float = 0.0
     returning_s: float = 0.0
-    token_wait_s: float = 0.0
+    limit_wait_s: float = 0.0
     lower_over_reserve: bool = False
 
 
--- a/cardamombarrow/decisions/tokens.py
+++ b/cardamombarrow/decisions/rate_budget.py
@@ -1,6 +1,6 @@
 """What one dispatcher may send to endpoints that state rate limits.
 
-`rate_limits` keeps the limits and their token buckets for the whole instance;
+`rate_limits` keeps the limits and their buckets for the whole instance;
 here they become slots, waits and wake-ups of one dispatcher.
 """
 
@@ -12,12 +12,12 @@
 from cardamombarrow.decisions import rate_limits
 from cardamombarrow.kernel import ids
 
-__all__ = ["Tokens"]
+__all__ = ["RateBudget"]
 
 _States = abc.Collection[endpoint_module.EndpointState]
 
 
-class Tokens:
+class RateBudget:
     """Requests that limited endpoints take from this dispatcher."""
 
     def __init__(self, limits: rate_limits.RateLimits, domain: ids.DomainId):
@@ -25,7 +25,7 @@
         self._domain = domain
         self._due_s: dict[ids.ServiceId, float] = {}
 
-    def are_needed(self, states: _States) -> bool:
+    def has_limit(self, states: _States) -> bool:
         """Tells whether any of some endpoints states a limit."""
         return bool(self._parts(states))
 
--- a/cardamombarrow/decisions/rate_limits.py
+++ b/cardamombarrow/decisions/rate_limits.py
@@ -17,8 +17,9 @@
 never doubles it for long. The delegates of other domains send a probe now and
 then, because an endpoint that nobody asks can't tell that its limit has ended.
 
-A limit is a token bucket that starts empty. `PART` of it is given out, which
-leaves room for probes and for two delegates while views of the members differ.
+A limit is a token bucket that starts empty. `USED_SHARE` of it is given out,
+which leaves room for probes and for two delegates while views of the members
+differ.
 A probe that nobody had use for lapses: saved, those of all domains would come
 at once with the next burst.
 """
@@ -35,7 +36,7 @@
 LIMITS_KEPT = 1_024
 """Endpoints whose statements are remembered; each start may be another one."""
 
-PART = 0.8
+USED_SHARE = 0.8
 """Part of a stated limit that is used."""
 
 PROBES_PER_S = 1 / 16
@@ -83,7 +84,7 @@
         own: The delegate's.
     """
     if own == home:
-        return Part(max(PART * limit_per_s, PROBES_PER_S))
+        return Part(max(USED_SHARE * limit_per_s, PROBES_PER_S))
     phase = zlib.crc32(f"{endpoint}\n{own}".encode()) / (1 << 32)
     return Part(PROBES_PER_S, phase / PROBES_PER_S)
 
--- a/cardamombarrow/decisions/roster.py
+++ b/cardamombarrow/decisions/roster.py
@@ -13,7 +13,7 @@
 from cardamombarrow.decisions import endpoint as endpoint_module
 from cardamombarrow.decisions import messages
 from cardamombarrow.decisions import policies as policies_module
-from cardamombarrow.decisions import tokens
+from cardamombarrow.decisions import rate_budget
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import ids
 
@@ -36,7 +36,7 @@
         endpoints: All known endpoints, also those that take no new work.
         capacities: This instance's slots by service.
         changed: Services where something changed since they were looked at.
-        tokens: What endpoints take that state rate limits.
+        rate_budget: What endpoints take that state rate limits.
     """
 
     def __init__(
@@ -52,7 +52,9 @@
         self.endpoints: dict[ids.EndpointId, endpoint_module.EndpointState] = {}
         self.capacities: dict[ids.ServiceId, capacity_module.Capacity] = {}
         self.changed: set[ids.ServiceId] = set()
-        self.tokens = tokens.Tokens(context.rate_limits, context.domain)
+        self.rate_budget = rate_budget.RateBudget(
+            context.rate_limits, context.domain
+        )
 
     def configure(self, document: schema.Document, now_s: float) -> None:
         """Takes a newer document into force.
@@ -157,7 +159,7 @@
             share = self._share(state, own, peers, now_s)
             share = min(share, self._connections(state.service, share))
             capacity = self.capacities[state.service]
-            state.share = self.tokens.share(state, share, capacity)
+            state.share = self.rate_budget.share(state, share, capacity)
         for capacity in self.capacities.values():
             capacity.count()
         self.changed.update(self.capacities)
@@ -314,7 +316,7 @@
             return False
         if not self._policies.choice.available(job, state, now_s):
             return False
-        if not self.tokens.may_send(state, now_s):
+        if not self.rate_budget.may_send(state, now_s):
             return False
         if solo:
             return not running
--- a/cardamombarrow/decisions/runs.py
+++ b/cardamombarrow/decisions/runs.py
@@ -61,7 +61,7 @@
         if state is None or job.request_id in self._running:
             return False
         self._waiting.enter(job)
-        self._roster.tokens.spend(state, now_s)
+        self._roster.rate_budget.spend(state, now_s)
         self._policies.choice.placed_elsewhere(job, state, now_s)
         running = self._run(job, state, placed_s)
         if begun:
--- a/cardamombarrow/decisions/tests/test_rate_limits.py
+++ b/cardamombarrow/decisions/tests/test_rate_limits.py
@@ -104,7 +104,7 @@
         for step in range(int((burst_s - begin_s) / 0.5)):
             limits.ready_s(_ONE, part, begin_s + 0.5 * step)
         probes += limits.ready_s(_ONE, part, burst_s) <= burst_s + _WINDOW_S
-    assert probes + 4.0 * rate_limits.PART + 1.0 <= _allowed(1.0)
+    assert probes + 4.0 * rate_limits.USED_SHARE + 1.0 <= _allowed(1.0)
 
 
 def test_an_instance_that_becomes_delegate_begins_with_nothing_saved():
