--- a/cardamombarrow/decisions/rate_limits.py
+++ b/cardamombarrow/decisions/rate_limits.py
@@ -1,9 +1,9 @@
 """Rate limits that endpoints state, and this instance's part of them.
 
-Load pattern answered: an endpoint in need names the requests a second that it
-takes from all instances together, while dozens of instances that each see it
-idle could use it. Without this module every instance goes on by its own
-estimate, and the endpoint gets many times what it can bear.
+Load pattern answered: an overloaded endpoint advertises a rate limit for all of
+its clients combined, while dozens of instances each see it idle. Without this
+module every instance goes on by its own estimate, and the endpoint gets many
+times its limit.
 
 What an answer says holds until a later one says otherwise; a newer statement
 of another instance counts like an own one.
--- a/cardamombarrow/decisions/tests/test_limit_over_domains.py
+++ b/cardamombarrow/decisions/tests/test_limit_over_domains.py
@@ -17,7 +17,7 @@
 def test_placers_of_all_domains_together_keep_a_stated_rate_limit(
     domains, limit_per_s, seed
 ):
-    # Guards against requests placed by cost alone on an endpoint in need.
+    # Guards against placement by cost alone on a rate-limited endpoint.
     load = rate_limits.Load(domains, 4 * domains, limit_per_s)
     world = rate_limits.World(load, seed).run()
     assert world.most_in_window() <= rate_limits.allowed(limit_per_s)
--- a/cardamombarrow/platform/servers.py
+++ b/cardamombarrow/platform/servers.py
@@ -124,7 +124,7 @@
     def rate_limit_in(
         self, head: base.Head, call: base.OutgoingCall
     ) -> messages.RateLimit | None:
-        """Reads the limit that a server in need names.
+        """Reads the request rate limit that the answer advertises.
 
         At an address that is in use again another server answers: what it
         says is not the endpoint's word.
