Read pauses and departures from endpoints' answers, and log them

An answer's load, rate limit, pause (503 with Retry-After) and departure are decoded into one EndpointStatement, in the platform's kinds and in our own. Nothing acts on them yet: the lines tell 'nobody reads it' from 'it is forgotten'.

A load or limit in an answer from another server (421, or another request's id) no longer counts for the endpoint.

--- a/cardamombarrow/decisions/context.py
+++ b/cardamombarrow/decisions/context.py
@@ -5,6 +5,7 @@
 
 from cardamombarrow.decisions import fleet as fleet_module
 from cardamombarrow.decisions import rate_limits as rate_limits_module
+from cardamombarrow.decisions import restrictions as restrictions_module
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import ids
 
@@ -37,6 +38,7 @@
             all policies of an instance.
         rate_limits: The rate limits that endpoints state; shared by all
             dispatchers of an instance.
+        restrictions: The pauses and departures that endpoints state.
         whole_domain: Whether the decisions are made for all instances of the
             domain, and not only for one of several that share it.
     """
@@ -52,4 +54,7 @@
     rate_limits: rate_limits_module.RateLimits = dataclasses.field(
         default_factory=rate_limits_module.RateLimits
     )
+    restrictions: restrictions_module.Restrictions = dataclasses.field(
+        default_factory=restrictions_module.Restrictions
+    )
     whole_domain: bool = False
--- a/cardamombarrow/decisions/messages.py
+++ b/cardamombarrow/decisions/messages.py
@@ -7,9 +7,11 @@
 from cardamombarrow.kernel import ids
 
 __all__ = [
+    "NO_STATEMENT",
     "Backlog",
     "CacheAnnouncement",
     "Decision",
+    "EndpointStatement",
     "Fetch",
     "Job",
     "KnownEndpoint",
@@ -162,6 +164,29 @@
     received_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointStatement:
+    """What an answer states about its endpoint.
+
+    Attributes:
+        load: Its load; None if not stated.
+        rate_limit: Its rate limit, or that it has none; None if the answer
+            can't be read, so that an earlier limit stays in force.
+        pause_s: Time for which this instance should send it nothing, in
+            seconds; 0 for none.
+        leaving: Whether it is about to stop.
+    """
+
+    load: LoadReport | None = None
+    rate_limit: RateLimit | None = None
+    pause_s: float = 0.0
+    leaving: bool = False
+
+
+NO_STATEMENT = EndpointStatement()
+"""Of an answer that says nothing about the endpoint it was requested from."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class KnownEndpoint:
     """An endpoint that discovery has found.
--- a/cardamombarrow/endpoints/base.py
+++ b/cardamombarrow/endpoints/base.py
@@ -4,16 +4,14 @@
 from collections import abc as collections_abc
 import dataclasses
 import math
-import re
-import time
 import typing
 
 from cardamombarrow.decisions import messages
 from cardamombarrow.document import schema
 from cardamombarrow.endpoints import http_get
+from cardamombarrow.endpoints import statements
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
-from cardamombarrow.kernel import logs
 
 __all__ = [
     "CallerWatch",
@@ -21,14 +19,14 @@
     "Exchange",
     "Head",
     "OutgoingCall",
-    "parse_rate_limit",
+    "read_pause",
 ]
 
 
 PROBE_TIMEOUT_S = 1.0
 """Time within which a live endpoint answers a probe."""
 
-_DECIMAL = re.compile(r"\d{1,9}(\.\d{1,9})?")
+_UNAVAILABLE = 503
 
 
 class CallerWatch(abc.ABC):
@@ -141,23 +139,15 @@
         """Ends the exchange; cancels the request if it has not finished."""
 
 
-def parse_rate_limit(text: str | None) -> messages.RateLimit | None:
-    """Parses the header field of an answer with a rate limit.
+def read_pause(head: Head) -> float:
+    """Returns the pause that an answer asks for, in seconds; 0 for none.
 
-    Args:
-        text: Decimal number of requests per second; None if the answer lacks
-            the field, which removes an earlier limit.
-
-    Returns:
-        None if the value is invalid: an earlier limit then stays in force.
+    Only 503 concerns the whole endpoint. ``Retry-After`` of a 429 may concern
+    the quota of one workspace.
     """
-    now_s = time.monotonic()
-    if text is None:
-        return messages.RateLimit(None, now_s)
-    if _DECIMAL.fullmatch(text.strip()) is None:
-        logs.event("rate limit invalid", "WARNING", text=text[:32])
-        return None
-    return messages.RateLimit(float(text), now_s)
+    if head.status != _UNAVAILABLE:
+        return 0.0
+    return statements.parse_pause(head.headers.get("retry-after"))
 
 
 class EndpointKind(abc.ABC):
@@ -207,22 +197,21 @@
             errors.EndpointError: It answers another request, or is damaged.
         """
 
-    def read_load(self, head: Head) -> messages.LoadReport | None:
-        """Reads the endpoint's load from an answer; None if it has none."""
-        return None
-
-    def read_rate_limit(
+    def read_statement(
         self, head: Head, call: OutgoingCall
-    ) -> messages.RateLimit | None:
-        """Reads the endpoint's rate limit from an answer.
+    ) -> messages.EndpointStatement:
+        """Reads what an answer states about its endpoint.
 
-        The header field is ``X-Rate-Limit`` unless a subclass uses another.
-
-        Returns:
-            None if the answer is from another endpoint or can't be read, so
-            that it says nothing about this one.
+        The header fields are ``X-Rate-Limit``, ``X-Leaving`` and, of a 503,
+        ``Retry-After``. Subclasses may use others.
         """
-        return parse_rate_limit(head.headers.get("x-rate-limit"))
+        return messages.EndpointStatement(
+            rate_limit=statements.parse_rate_limit(
+                head.headers.get("x-rate-limit")
+            ),
+            pause_s=read_pause(head),
+            leaving=head.headers.get("x-leaving") == "1",
+        )
 
     def last_event_id(self, chunk: bytes) -> str:
         """Returns the id of the last event in a chunk; empty for none."""
--- /dev/null
+++ b/cardamombarrow/endpoints/statements.py
@@ -0,0 +1,72 @@
+"""Parsers of the header fields in which an endpoint describes itself."""
+
+import datetime
+from email import utils
+import math
+import re
+import time
+
+from cardamombarrow.decisions import messages
+from cardamombarrow.kernel import logs
+
+__all__ = ["MAX_PAUSE_S", "parse_pause", "parse_rate_limit"]
+
+MAX_PAUSE_S = 3_600.0
+"""Upper bound on a stated pause. A clock that is wrong by days would otherwise
+remove an endpoint until the next restart."""
+
+_DECIMAL = re.compile(r"\d{1,9}(\.\d{1,9})?")
+
+
+def parse_rate_limit(text: str | None) -> messages.RateLimit | None:
+    """Parses the header field of an answer with a rate limit.
+
+    Args:
+        text: Decimal number of requests per second; None if the answer lacks
+            the field, which removes an earlier limit.
+
+    Returns:
+        None if the value is invalid: an earlier limit then stays in force.
+    """
+    now_s = time.monotonic()
+    if text is None:
+        return messages.RateLimit(None, now_s)
+    if _DECIMAL.fullmatch(text.strip()) is None:
+        logs.event("rate limit invalid", "WARNING", text=text[:32])
+        return None
+    return messages.RateLimit(float(text), now_s)
+
+
+def parse_pause(text: str | None) -> float:
+    """Parses ``Retry-After`` of an answer that turns a request away.
+
+    Source: RFC 9110, section 10.2.3. A fraction of a second is accepted, too.
+
+    Args:
+        text: Seconds or an HTTP date; None if the answer lacks the field.
+
+    Returns:
+        Seconds, at most `MAX_PAUSE_S`; 0 if the field is missing or invalid.
+    """
+    if text is None:
+        return 0.0
+    text = text.strip()
+    if _DECIMAL.fullmatch(text):
+        pause_s = float(text)
+    else:
+        pause_s = _seconds_until(text)
+    if math.isnan(pause_s) or pause_s > MAX_PAUSE_S:
+        logs.event("retry-after out of range", "WARNING", text=text[:64])
+    return 0.0 if math.isnan(pause_s) else min(pause_s, MAX_PAUSE_S)
+
+
+def _seconds_until(date: str) -> float:
+    """Returns the time until an HTTP date; NaN if it is invalid or past."""
+    try:
+        until = utils.parsedate_to_datetime(date)
+    except (TypeError, ValueError):
+        return math.nan
+    if until.tzinfo is None:
+        until = until.replace(tzinfo=datetime.UTC)
+    left_s = until.timestamp() - time.time()
+    return left_s if left_s > 0.0 else math.nan
--- a/cardamombarrow/entry/broker_base.py
+++ b/cardamombarrow/entry/broker_base.py
@@ -234,18 +234,47 @@
         if self._domain_broker is not None:
             self._domain_broker.report(endpoint, report)
 
-    def answer_load(
-        self, endpoint: ids.EndpointId, report: messages.LoadReport
+    def answer_statement(
+        self,
+        endpoint: ids.EndpointId,
+        statement: messages.EndpointStatement,
+        request_id: ids.RequestId,
     ) -> None:
-        """Records a load report that came with an endpoint's answer."""
-        self.report(endpoint, report)
-        self._remote_placer.load_reported(endpoint, report)
+        """Records what an endpoint states in its answer to a request."""
+        if statement.load is not None:
+            self.report(endpoint, statement.load)
+            self._remote_placer.load_reported(endpoint, statement.load)
+        if statement.rate_limit is not None:
+            self._record_rate_limit(endpoint, statement.rate_limit, _ANSWER)
+        if statement.pause_s > 0.0:
+            self._record_pause(endpoint, statement.pause_s, request_id)
+        if statement.leaving:
+            self._record_departure(endpoint, request_id)
+
+    def _record_pause(
+        self,
+        endpoint: ids.EndpointId,
+        pause_s: float,
+        request_id: ids.RequestId,
+    ) -> None:
+        until_s = self._clock.now_s() + pause_s
+        prolonged = self._context.restrictions.pause(
+            endpoint, until_s, request_id
+        )
+        logs.decision(
+            "pause",
+            endpoint=endpoint,
+            request_id=request_id,
+            pause_s=pause_s,
+            prolonged=prolonged,
+        )
 
-    def answer_rate_limit(
-        self, endpoint: ids.EndpointId, limit: messages.RateLimit
+    def _record_departure(
+        self, endpoint: ids.EndpointId, request_id: ids.RequestId
     ) -> None:
-        """Records the rate limit that an endpoint's answer states."""
-        self._record_rate_limit(endpoint, limit, _ANSWER)
+        now_s = self._clock.now_s()
+        if self._context.restrictions.set_leaving(endpoint, now_s, request_id):
+            logs.decision("departure", endpoint=endpoint, request_id=request_id)
 
     def update_rate_limit(
         self, endpoint: ids.EndpointId, limit: messages.RateLimit, source: str
@@ -302,6 +331,10 @@
         """Counts the endpoints that state a rate limit."""
         return self._context.rate_limits.count()
 
+    def paused(self) -> int:
+        """Counts the endpoints that have asked for a pause."""
+        return len(self._context.restrictions.pauses(self._clock.now_s()))
+
     def set_leaving(self, endpoint: ids.EndpointId, leaving: bool) -> None:
         """Marks an endpoint as leaving, or as available again."""
         with self._lock:
--- a/cardamombarrow/entry/call_runner.py
+++ b/cardamombarrow/entry/call_runner.py
@@ -56,6 +56,7 @@
             self.held,
             self._documents.revision,
             self.services.broker.rate_limited(),
+            self.services.broker.paused(),
         )
 
     def begin(
--- a/cardamombarrow/entry/metrics.py
+++ b/cardamombarrow/entry/metrics.py
@@ -150,7 +150,11 @@
             self._sent_under_limit += 1
 
     def text(
-        self, held: int, revision: ids.Revision, rate_limited: int = 0
+        self,
+        held: int,
+        revision: ids.Revision,
+        rate_limited: int = 0,
+        paused: int = 0,
     ) -> str:
         """Returns all metrics in the Prometheus text format.
 
@@ -158,12 +162,14 @@
             held: Requests held now.
             revision: Revision in force.
             rate_limited: Endpoints that state a rate limit.
+            paused: Endpoints that have asked for a pause.
         """
         gauges = {
             "requests_held": held,
             "requests_waiting": self.waiting,
             "document_revision": revision,
             "rate_limited_endpoints": rate_limited,
+            "paused_endpoints": paused,
         }
         with self._lock:
             return "\n".join(self._lines(gauges)) + "\n"
--- a/cardamombarrow/entry/request_handler.py
+++ b/cardamombarrow/entry/request_handler.py
@@ -188,8 +188,12 @@
         endpoint fails can still be retried.
         """
         head = exchange.head()
-        self._take_load(ticket, head)
-        self._take_rate_limit(ticket, head)
+        outgoing = self._outgoing(ticket)
+        self._services.broker.answer_statement(
+            outgoing.endpoint,
+            self._kind.read_statement(head, outgoing),
+            outgoing.request_id,
+        )
         if self._kind.not_started(head):
             raise errors.EndpointError(
                 errors.ErrorKind.ENDPOINT_REFUSED,
@@ -198,7 +202,7 @@
             )
         if not self._call.streams:
             self._progress.began()
-        self._kind.check(head, self._outgoing(ticket))
+        self._kind.check(head, outgoing)
         if self._kind.is_failure(head) and not self._kind.relays_failures:
             raise answer_stream.failure_of(head)
         if self._relaying and not (head.status == 200 and head.streams):
@@ -220,22 +224,6 @@
             first = next(chunks, b"")
         return _Run(ticket, exchange, head, resumable, first, chunks)
 
-    def _take_load(
-        self, ticket: ticket_module.Ticket, head: endpoints_base.Head
-    ) -> None:
-        report = self._kind.read_load(head)
-        if report is not None:
-            endpoint = ticket.placed.result().endpoint
-            self._services.broker.answer_load(endpoint, report)
-
-    def _take_rate_limit(
-        self, ticket: ticket_module.Ticket, head: endpoints_base.Head
-    ) -> None:
-        limit = self._kind.read_rate_limit(head, self._outgoing(ticket))
-        if limit is not None:
-            endpoint = ticket.placed.result().endpoint
-            self._services.broker.answer_rate_limit(endpoint, limit)
-
     def _fail(
         self, ticket: ticket_module.Ticket, error: errors.RouterError
     ) -> None:
--- a/cardamombarrow/platform/servers.py
+++ b/cardamombarrow/platform/servers.py
@@ -7,6 +7,7 @@
 from cardamombarrow.decisions import messages
 from cardamombarrow.document import from_routes
 from cardamombarrow.endpoints import base
+from cardamombarrow.endpoints import statements
 from cardamombarrow.endpoints import transfer
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
@@ -18,6 +19,7 @@
 _SEAL = "server-seal"
 _NOT_RUN = "not-executed"
 _RATE_LIMIT = "server-limit"
+_LEAVING = "server-leaving"
 _MISDIRECTED = 421
 _NOT_RUN_STATUSES = (408, 429, 503)
 _LOWEST_PRIORITY = 9
@@ -65,7 +67,7 @@
     def poll(
         self, endpoint: ids.EndpointId, timeout_s: float
     ) -> messages.LoadReport | None:
-        """Returns None: the load is read from answers, see `read_load`."""
+        """Returns None: answers contain the load, see `read_statement`."""
         return None
 
     def probe(self, endpoint: ids.EndpointId) -> bool:
@@ -107,31 +109,25 @@
         """Returns True for status 500 and above."""
         return head.status >= 500
 
-    def read_load(self, head: base.Head) -> messages.LoadReport | None:
-        """Reads the numbers of running and waiting requests."""
-        match = _LOAD.fullmatch(head.headers.get("instance-load", ""))
-        if match is None:
-            return None
-        return messages.LoadReport(
-            running=int(match[1]),
-            waiting=int(match[2]),
-            cache_used_share=0.0,
-            leaving=False,
-            measured_at_s=time.monotonic(),
-        )
-
-    def read_rate_limit(
+    def read_statement(
         self, head: base.Head, call: base.OutgoingCall
-    ) -> messages.RateLimit | None:
-        """Reads the request rate limit that the answer advertises.
+    ) -> messages.EndpointStatement:
+        """Reads what an answer states about its server.
 
-        Another server may answer at an address that was reassigned; its limit
-        does not apply to this endpoint and is ignored.
+        Another server may answer at an address that was reassigned; its
+        statement does not apply to this endpoint and is ignored.
         """
         other_request = head.headers.get(_ID) != call.caller_id
         if other_request or head.status == _MISDIRECTED:
-            return None
-        return base.parse_rate_limit(head.headers.get(_RATE_LIMIT))
+            return messages.NO_STATEMENT
+        return messages.EndpointStatement(
+            load=_read_load(head),
+            rate_limit=statements.parse_rate_limit(
+                head.headers.get(_RATE_LIMIT)
+            ),
+            pause_s=base.read_pause(head),
+            leaving=head.headers.get(_LEAVING) == "1",
+        )
 
     def count_tokens(self, chunk: bytes) -> int:
         """Returns 0: answers of plain services have no tokens."""
@@ -169,6 +165,20 @@
         return found[-1].decode("latin-1").strip() if found else ""
 
 
+def _read_load(head: base.Head) -> messages.LoadReport | None:
+    """Reads the numbers of running and waiting requests."""
+    match = _LOAD.fullmatch(head.headers.get("instance-load", ""))
+    if match is None:
+        return None
+    return messages.LoadReport(
+        running=int(match[1]),
+        waiting=int(match[2]),
+        cache_used_share=0.0,
+        leaving=False,
+        measured_at_s=time.monotonic(),
+    )
+
+
 def _priority(rank: int) -> int:
     """Returns the priority that a server gets, 0 (most urgent) to 9.
 
--- a/cardamombarrow/platform/tests/test_servers.py
+++ b/cardamombarrow/platform/tests/test_servers.py
@@ -1,11 +1,14 @@
 """Tests of requests to servers and of the checks of their answers."""
 
+from email import utils
 import itertools
+import time
 
 import pytest
 
 from cardamombarrow.document import from_routes
 from cardamombarrow.endpoints import base
+from cardamombarrow.endpoints import statements
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 from cardamombarrow.platform import caller
@@ -111,12 +114,13 @@
 
 @pytest.mark.parametrize("sent", ["", "1,2", "1,2,x", "-1,2,3"])
 def test_a_load_that_cannot_be_read_is_no_load(sent):
-    head = base.Head(200, {"instance-load": sent})
-    assert _KIND.read_load(head) is None
+    head = base.Head(200, {**_GOOD, "instance-load": sent})
+    assert _KIND.read_statement(head, _call()).load is None
 
 
 def test_a_load_is_read():
-    report = _KIND.read_load(base.Head(200, {"instance-load": "3,1,8"}))
+    head = base.Head(200, {**_GOOD, "instance-load": "3,1,8"})
+    report = _KIND.read_statement(head, _call()).load
     assert (report.running, report.waiting) == (3, 1)
 
 
@@ -166,7 +170,7 @@
     status, fields, stated
 ):
     head = base.Head(status, {**_GOOD, **fields})
-    assert _KIND.read_rate_limit(head, _call()).per_s == stated
+    assert _KIND.read_statement(head, _call()).rate_limit.per_s == stated
 
 
 @pytest.mark.parametrize(
@@ -183,4 +187,56 @@
     status, fields
 ):
     head = base.Head(status, {**_GOOD, **fields})
-    assert _KIND.read_rate_limit(head, _call()) is None
+    assert _KIND.read_statement(head, _call()).rate_limit is None
+
+
+@pytest.mark.parametrize(
+    ("status", "fields", "pause_s"),
+    [
+        (503, {"retry-after": "3"}, 3.0),
+        (503, {"retry-after": "0.25", "not-executed": "1"}, 0.25),
+        (503, {}, 0.0),
+        (200, {"retry-after": "3"}, 0.0),
+        (429, {"retry-after": "3", "not-executed": "1"}, 0.0),
+        (421, {"retry-after": "3"}, 0.0),
+        (503, {"retry-after": "3", "attempt-id": "another"}, 0.0),
+        (503, {"retry-after": "soon"}, 0.0),
+        (503, {"retry-after": "-1"}, 0.0),
+        (503, {"retry-after": ""}, 0.0),
+        (503, {"retry-after": "1, 2"}, 0.0),
+        (503, {"retry-after": "Thu, 01 Jan 1970 00:00:00 GMT"}, 0.0),
+        (503, {"retry-after": "604800"}, statements.MAX_PAUSE_S),
+    ],
+)
+def test_only_a_503_of_the_server_itself_asks_for_a_pause(
+    status, fields, pause_s
+):
+    # Guards against a pause of the wrong server, and against a value that
+    # fails the request or removes the server for days.
+    head = base.Head(status, {**_GOOD, **fields})
+    assert _KIND.read_statement(head, _call()).pause_s == pause_s
+
+
+def test_the_date_in_retry_after_is_the_end_of_the_pause():
+    date = utils.formatdate(time.time() + 30.0, usegmt=True)
+    head = base.Head(503, {**_GOOD, "retry-after": date})
+    assert 25.0 < _KIND.read_statement(head, _call()).pause_s < 31.0
+
+
+@pytest.mark.parametrize(
+    ("status", "fields", "leaving"),
+    [
+        (200, {"server-leaving": "1"}, True),
+        (500, {"server-leaving": "1"}, True),
+        (503, {"server-leaving": "1", "not-executed": "1"}, True),
+        (200, {}, False),
+        (200, {"server-leaving": "0"}, False),
+        (421, {"server-leaving": "1"}, False),
+        (200, {"server-leaving": "1", "attempt-id": "another"}, False),
+    ],
+)
+def test_any_answer_of_the_server_itself_can_state_that_it_leaves(
+    status, fields, leaving
+):
+    head = base.Head(status, {**_GOOD, **fields})
+    assert _KIND.read_statement(head, _call()).leaving is leaving
