--- a/cardamombarrow/tests/test_endpoint_failures.py
+++ b/cardamombarrow/tests/test_endpoint_failures.py
@@ -124,9 +124,25 @@
     )
 
 
+def _log_lines(running) -> list[dict]:
+    return list(map(json.loads, running.log("entry-1").splitlines()))
+
+
 def _broken_connections(running) -> list[dict]:
-    lines = map(json.loads, running.log("entry-1").splitlines())
-    return [line for line in lines if line["event"] == "connection broke"]
+    # Lines are written by a thread of their own, in order: those of requests
+    # that were answered before are complete once a later one is logged.
+    assert _complete(running, "lone", tokens=1).status == 200
+    request_id = _runs(running, "lone")[-1]["request_id"]
+    assert deployment.wait_until(
+        lambda: any(
+            line.get("request_id") == request_id for line in _log_lines(running)
+        )
+    )
+    return [
+        line
+        for line in _log_lines(running)
+        if line["event"] == "connection broke"
+    ]
 
 
 def _wasted_tokens(running) -> int:
