Send nothing to an endpoint in the pause that it asked for

Callers saw nothing worse than a delay: their requests were turned away by a resting endpoint and served elsewhere 0.4 to 0.5 s later, most of a target of 0.8 s.

Cause: Retry-After of an endpoint's answer was relayed and read by nobody. The refusal counted as a failure; after two the endpoint got a probe after 0.5 s, 1 s, 2 s, whatever it had asked for. Ruled out: a pause that is forgotten; nothing held one.

The fix: a pause binds the instance that was told until its latest end, and is asked for where endpoints are chosen, where the placer's decision is applied, and last by the sending thread before the first byte. A request held back there is placed again without a retry or a failure. A paused endpoint has no slots; no probe, poll or cache fetch goes there. The domain's placer leaves it out as well. With all endpoints paused callers are refused at once, with a time after the first pause.

--- a/benchmarks/driver.py
+++ b/benchmarks/driver.py
@@ -40,6 +40,23 @@
 """Time until the caller of a crashing request sends it again."""
 
 
+PAUSE_GRACE_S = 0.5
+"""Time from an endpoint's request for a pause until an entry must comply."""
+
+
+@dataclasses.dataclass
+class _Pause:
+    """A pause that an endpoint has asked of an entry.
+
+    Attributes:
+        sent: Requests that the entry has sent in it.
+    """
+
+    stated_s: float
+    until_s: float
+    sent: int = 0
+
+
 @dataclasses.dataclass
 class Flight:
     """A request in progress at one entry.
@@ -74,6 +91,7 @@
             endpoint: fake_engine.FakeEngine(settings)
             for endpoint, settings in scenario.engines.items()
         }
+        self._pauses: dict[tuple[int, ids.EndpointId], list[_Pause]] = {}
         self._entries = [
             core.Dispatcher(
                 context_module.PolicyContext(
@@ -206,13 +224,13 @@
 
     def _deliver(self, flight: Flight) -> None:
         engine = self._engines[flight.endpoint]
+        self._count_in_pause(flight)
         if engine.is_down(self._now_s):
             self._end(flight, messages.Outcome.NOT_STARTED)
             return
         if engine.is_failing(self._now_s):
-            outcome = messages.Outcome.REFUSED_BY_ENDPOINT
             event_s = self._now_s + engine.settings.fail_after_s
-            self._at(event_s, lambda: self._end(flight, outcome))
+            self._at(event_s, lambda: self._turned_away(flight))
             return
         source = self._engines.get(flight.source)
         if source is not None and source.is_down(self._now_s):
@@ -222,6 +240,34 @@
         if not engine.stepping:
             self._begin_step(flight.endpoint)
 
+    def _turned_away(self, flight: Flight) -> None:
+        """Ends a run that its engine has turned away."""
+        self._result.turned_away += 1
+        endpoint = flight.endpoint
+        pause_s = self._engines[endpoint].settings.pause_s
+        if pause_s:
+            pause = _Pause(self._now_s, self._now_s + pause_s)
+            self._pauses.setdefault((flight.entry, endpoint), []).append(pause)
+            self._pause(flight, endpoint, pause.until_s)
+        self._end(flight, messages.Outcome.REFUSED_BY_ENDPOINT)
+
+    def _pause(
+        self, flight: Flight, endpoint: ids.EndpointId, until_s: float
+    ) -> None:
+        """Has an entry apply a pause."""
+        if self._scenario.pause_scope is scenarios.PauseScope.NOBODY:
+            return
+        entry = self._entries[flight.entry]
+        request_id = flight.job.request_id
+        entry.pause(endpoint, until_s, request_id, self._now_s)
+
+    def _count_in_pause(self, flight: Flight) -> None:
+        for pause in self._pauses.get((flight.entry, flight.endpoint), ()):
+            if pause.stated_s + PAUSE_GRACE_S < self._now_s < pause.until_s:
+                pause.sent += 1
+                most = max(self._result.most_in_pause, pause.sent)
+                self._result.most_in_pause = most
+
     def _record_over_limit(self, endpoint: ids.EndpointId) -> None:
         service = self._scenario.document.services[SERVICE]
         in_flight = sum(f.endpoint == endpoint for f in self._flights.values())
--- a/benchmarks/fake_engine.py
+++ b/benchmarks/fake_engine.py
@@ -37,6 +37,9 @@
             as long; it ends at `slow_until_s`.
         fail_from_s: Start of the time in which every request fails after
             `fail_after_s`; it ends at `fail_until_s`.
+        pause_s: Pause that it asks for when it fails a request; 0 for none.
+        max_requests: Requests that it holds at most; it turns away others and
+            asks for `pause_s`.
         restart_s: Time from a crash until the engine serves again.
     """
 
@@ -56,6 +59,8 @@
     fail_from_s: float = float("inf")
     fail_until_s: float = float("inf")
     fail_after_s: float = 0.005
+    pause_s: float = 0.0
+    max_requests: int = 1_000
     restart_s: float = 3.0
 
     def cost_s(self, prompt_tokens: float, tokens: float) -> float:
@@ -149,7 +154,11 @@
     def is_failing(self, now_s: float) -> bool:
         """Returns whether every request fails after `fail_after_s`."""
         settings = self.settings
-        return settings.fail_from_s <= now_s < settings.fail_until_s
+        held = len(self._waiting) + len(self._batch)
+        return (
+            settings.fail_from_s <= now_s < settings.fail_until_s
+            or held >= settings.max_requests
+        )
 
     def add(
         self,
--- a/benchmarks/placer_driver.py
+++ b/benchmarks/placer_driver.py
@@ -158,6 +158,26 @@
     ) -> None:
         self._preempt(flight)
 
+    def _pause(
+        self,
+        flight: driver.Flight,
+        endpoint: ids.EndpointId,
+        until_s: float,
+    ) -> None:
+        super()._pause(flight, endpoint, until_s)
+        if self._scenario.pause_scope is scenarios.PauseScope.DOMAIN:
+            self._at(
+                self._now_s + driver.LINK_S,
+                lambda: self._pause_at_placer(endpoint, until_s),
+            )
+
+    def _pause_at_placer(
+        self, endpoint: ids.EndpointId, until_s: float
+    ) -> None:
+        if self._placer is not None:
+            no_request = ids.RequestId("")
+            self._placer.pause(endpoint, until_s, no_request, self._now_s)
+
     # -- reports to the placer ------------------------------------------------
 
     def _first_token(self, flight: driver.Flight) -> None:
--- a/benchmarks/scenarios.py
+++ b/benchmarks/scenarios.py
@@ -1,12 +1,21 @@
 """Input of one run of the driver: load, engines and faults."""
 
 import dataclasses
+import enum
 
 from benchmarks import fake_engine
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import ids
 
-__all__ = ["Scenario"]
+__all__ = ["PauseScope", "Scenario"]
+
+
+class PauseScope(enum.Enum):
+    """Who leaves out an endpoint that has asked one entry for a pause."""
+
+    NOBODY = "nobody"
+    ENTRY = "the entry"
+    DOMAIN = "the entry and its placer"
 
 
 @dataclasses.dataclass
@@ -25,6 +34,7 @@
         asked: Whether a placer places the requests of all entries.
         placer_lost_from_s: Start of the time in which the placer is
             unreachable; it ends at `placer_lost_until_s`.
+        pause_scope: Who leaves out an endpoint that asks for a pause.
     """
 
     document: schema.Document
@@ -39,3 +49,4 @@
     asked: bool = False
     placer_lost_from_s: float = float("inf")
     placer_lost_until_s: float = float("inf")
+    pause_scope: PauseScope = PauseScope.DOMAIN
--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -103,7 +103,7 @@
     def _refuse(
         self, job: messages.Job, backlog: messages.Backlog, now_s: float
     ) -> messages.Refusal | None:
-        reason = _rate_limit_reason(job, backlog)
+        reason = _blocked_reason(job, backlog)
         if reason is None:
             reason = self._policies.admission.refuse(job, backlog, now_s)
         bound = self._policies.admission.max_waiting()
@@ -196,6 +196,8 @@
         state = self._roster.endpoints.get(placed.endpoint)
         if state is None or state.leaving:
             return False
+        if self._context.restrictions.is_paused(placed.endpoint, now_s):
+            return False
         job = self._awaiting_remote.pop(request_id)
         self._policies.choice.on_remote_placement(job, state, now_s)
         self._run(job, state, now_s)
@@ -207,7 +209,7 @@
         if job is None:
             return False
         backlog = self.backlog(job, now_s)
-        reason = _rate_limit_reason(job, backlog)
+        reason = _blocked_reason(job, backlog)
         if reason is None:
             self._enqueue(job, backlog, now_s)
             return True
@@ -276,8 +278,10 @@
         for job in self._waiting.due_checks(now_s):
             backlog = self.backlog(job, now_s)
             reason = admission.give_up(job, backlog, now_s)
-            if reason is None and math.isinf(backlog.limit_wait_s):
-                reason = _rate_limit_reason(job, backlog)
+            if reason is None and (
+                backlog.pause_wait_s > 0.0 or math.isinf(backlog.limit_wait_s)
+            ):
+                reason = _blocked_reason(job, backlog)
             if reason is None:
                 next_check_s = admission.next_check_s(job, backlog, now_s)
                 self._waiting.schedule_check(
@@ -316,7 +320,7 @@
             if number < capacity.preempting:
                 continue
             victim = self._policies.preemption.victim(
-                job, capacity.local, now_s
+                job, self._roster.available(capacity.local, now_s), now_s
             )
             if victim is None:
                 return
@@ -356,6 +360,7 @@
             fetch=fetch,
             limit_per_s=limit and limit.per_s,
             limit_age_s=limit and now_s - limit.received_s,
+            paused=tuple(self._roster.paused(job.service, now_s)),
         )
 
     def retry(
@@ -378,7 +383,7 @@
             return False
         if (
             not remote
-            and _rate_limit_reason(job, self.backlog(job, now_s)) is not None
+            and _blocked_reason(job, self.backlog(job, now_s)) is not None
         ):
             return False
         if not self._policies.retry.may_retry(job, outcome, now_s):
@@ -393,6 +398,17 @@
             self._enqueue(job, self.backlog(job, now_s), now_s)
         return True
 
+    def blocked_for_s(self, job: messages.Job, now_s: float) -> float | None:
+        """Returns when a job that all endpoints delay too long should return.
+
+        Returns:
+            Seconds from now; None if the job could be placed in time.
+        """
+        backlog = self.backlog(job, now_s)
+        if _blocked_reason(job, backlog) is None:
+            return None
+        return self._policies.retry.retry_after_s(backlog)
+
     def awaits_remote_placement(self, request_id: ids.RequestId) -> bool:
         """Returns whether a job awaits a remote placement."""
         return request_id in self._awaiting_remote
@@ -405,6 +421,7 @@
             if state.endpoint not in job.tried
             and job.request_id not in state.running
             and self.rate_limit(state.endpoint) is None
+            and not self._context.restrictions.is_paused(state.endpoint, now_s)
         ]
         return bool(others) and self._policies.retry.may_redo(job, now_s)
 
@@ -412,16 +429,23 @@
         """Returns the work ahead of a job in its own domain."""
         ahead = self._policies.queue.jobs_ahead(job)
         reachable = self._roster.reachable(job.service)
-        limit_wait_s = self._roster.rate_budget.wait_s(reachable, ahead, now_s)
+        available = self._roster.available(reachable, now_s)
         return self._forecast.backlog(
-            job, self._roster.capacities[job.service], limit_wait_s, now_s
+            job,
+            self._roster.capacities[job.service],
+            self._roster.rate_budget.wait_s(available, ahead, now_s),
+            self._roster.pause_wait_s(reachable, now_s),
+            now_s,
         )
 
 
-def _rate_limit_reason(
-    job: messages.Job, backlog: messages.Backlog
-) -> str | None:
-    """Returns the reason if rate limits delay a job too long, or None."""
+def _blocked_reason(job: messages.Job, backlog: messages.Backlog) -> str | None:
+    """Returns the reason if endpoints delay a job too long, or None."""
+    if backlog.pause_wait_s > job.target_first_token_s:
+        return (
+            "all endpoints have asked for a pause of "
+            f"{backlog.pause_wait_s:.2f} s more"
+        )
     wait_s = backlog.limit_wait_s
     if wait_s <= job.target_first_token_s:
         return None
--- a/cardamombarrow/decisions/dispatcher_state.py
+++ b/cardamombarrow/decisions/dispatcher_state.py
@@ -90,6 +90,48 @@
         """Returns the rate limit that an endpoint advertises, or None."""
         return self._context.rate_limits.limit(endpoint)
 
+    def pause(
+        self,
+        endpoint: ids.EndpointId,
+        until_s: float,
+        request_id: ids.RequestId,
+        now_s: float,
+    ) -> bool:
+        """Pauses an endpoint; returns whether that prolongs its pause.
+
+        Args:
+            endpoint: The endpoint.
+            until_s: End of the pause.
+            request_id: Request whose answer asked for it; empty if another
+                instance received the answer.
+            now_s: The time.
+        """
+        prolonged = self._context.restrictions.pause(
+            endpoint, until_s, request_id
+        )
+        if prolonged:
+            self._roster.pause(endpoint)
+            self._check_if_none_is_available(endpoint, now_s)
+        return prolonged
+
+    def _check_if_none_is_available(
+        self, endpoint: ids.EndpointId, now_s: float
+    ) -> None:
+        """Schedules a check of the jobs that no endpoint can take now."""
+        state = self._roster.endpoints.get(endpoint)
+        if state is None:
+            return
+        reachable = self._roster.reachable(state.service)
+        if not self._roster.pause_wait_s(reachable, now_s):
+            return
+        for job in self._policies.queue.jobs():
+            if job.service == state.service:
+                self._waiting.schedule_check(job, now_s)
+
+    def may_send(self, endpoint: ids.EndpointId, now_s: float) -> bool:
+        """Returns whether an endpoint accepts requests of this instance."""
+        return not self._context.restrictions.is_paused(endpoint, now_s)
+
     def set_leaving(self, endpoint: ids.EndpointId, leaving: bool) -> None:
         """Sets whether an endpoint is leaving, from the platform or a peer."""
         self._roster.set_leaving(endpoint, leaving)
--- a/cardamombarrow/decisions/engine_caches.py
+++ b/cardamombarrow/decisions/engine_caches.py
@@ -21,8 +21,6 @@
 affinity endpoint, so that the first requests with this prefix go to the same
 endpoint."""
 
-IsSound = abc.Callable[[ids.EndpointId], bool]
-
 
 class EngineCaches:
     """State of the engines' caches with respect to the current job."""
@@ -63,7 +61,7 @@
         job: messages.Job,
         state: endpoint_module.EndpointState,
         affinity: ids.EndpointId | None,
-        is_healthy: IsSound,
+        is_usable: abc.Callable[[ids.EndpointId], bool],
         now_s: float,
     ) -> messages.Fetch | None:
         """Returns where the chosen engine fetches cached parts from.
@@ -72,8 +70,8 @@
             job: The job, which `prepare` has set.
             state: The chosen engine.
             affinity: Affinity endpoint of the prompt's prefix.
-            is_healthy: Returns whether an engine has not failed recently. A
-                fetch from an unresponsive engine would block.
+            is_usable: Returns whether an engine may be the source. A fetch
+                from an unresponsive engine would block.
             now_s: Current time.
         """
         cached_tokens = self._cached_tokens
@@ -88,7 +86,7 @@
                 tokens, self._domains.get(endpoint) == state.domain, endpoint
             )
             for endpoint, tokens in holders.items()
-            if endpoint != state.endpoint and is_healthy(endpoint)
+            if endpoint != state.endpoint and is_usable(endpoint)
         ]
         target_s = job.target_first_token_s
         source = fetching.select_source(own_tokens, sources, target_s)
--- a/cardamombarrow/decisions/failures.py
+++ b/cardamombarrow/decisions/failures.py
@@ -58,7 +58,11 @@
 """Outcomes that count as failures of the endpoint."""
 
 NOT_RECEIVED = frozenset(
-    (messages.Outcome.NOT_STARTED, messages.Outcome.REFUSED_BY_ENDPOINT)
+    (
+        messages.Outcome.NOT_STARTED,
+        messages.Outcome.REFUSED_BY_ENDPOINT,
+        messages.Outcome.WITHHELD,
+    )
 )
 """Outcomes after which the endpoint has not received the request."""
 
--- a/cardamombarrow/decisions/first_event.py
+++ b/cardamombarrow/decisions/first_event.py
@@ -311,8 +311,13 @@
         ):
             return None
         _, affinity = self._considered_affinity
-        is_healthy = self._failures.is_healthy
-        return self._caches.fetch(job, state, affinity, is_healthy, now_s)
+        restrictions = self.context.restrictions
+
+        def is_usable(endpoint: ids.EndpointId) -> bool:
+            is_healthy = self._failures.is_healthy(endpoint)
+            return is_healthy and not restrictions.is_paused(endpoint, now_s)
+
+        return self._caches.fetch(job, state, affinity, is_usable, now_s)
 
     def fetch(
         self,
--- a/cardamombarrow/decisions/forecast.py
+++ b/cardamombarrow/decisions/forecast.py
@@ -54,6 +54,7 @@
         job: messages.Job,
         capacity: capacity_module.Capacity,
         limit_wait_s: float,
+        pause_wait_s: float,
         now_s: float,
     ) -> messages.Backlog:
         """Returns the work ahead of a job.
@@ -62,6 +63,7 @@
             job: The job.
             capacity: This instance's slots of its service.
             limit_wait_s: Delay of the job by rate limits of endpoints.
+            pause_wait_s: Delay of the job by pauses of endpoints.
             now_s: The time.
         """
         queue = self._policies.queue
@@ -87,8 +89,9 @@
             jobs_ahead=jobs_ahead,
             slots=capacity.slots,
             service_s=hold_s,
-            predicted_wait_s=max(wait_s, limit_wait_s),
+            predicted_wait_s=max(wait_s, limit_wait_s, pause_wait_s),
             limit_wait_s=limit_wait_s,
+            pause_wait_s=pause_wait_s,
             first_token_s=capacity.first_token_s,
             tier_waiting=queue.tier_waiting(job),
             oldest_wait_s=queue.oldest_wait_s(job, now_s),
--- a/cardamombarrow/decisions/messages.py
+++ b/cardamombarrow/decisions/messages.py
@@ -35,6 +35,7 @@
     CALLER_GONE = "caller_gone"
     NOT_STARTED = "not_started"
     REFUSED_BY_ENDPOINT = "refused_by_endpoint"
+    WITHHELD = "withheld"
     FAILED = "failed"
     CRASHED = "crashed"
     STALLED = "stalled"
@@ -45,7 +46,16 @@
     @property
     def not_run(self) -> bool:
         """Whether the endpoint certainly did not run the request."""
-        return self in (Outcome.NOT_STARTED, Outcome.REFUSED_BY_ENDPOINT)
+        return self in (
+            Outcome.NOT_STARTED,
+            Outcome.REFUSED_BY_ENDPOINT,
+            Outcome.WITHHELD,
+        )
+
+    @property
+    def says_nothing(self) -> bool:
+        """Whether it says nothing about the endpoint."""
+        return self in (Outcome.PREEMPTED, Outcome.WITHHELD)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -251,6 +261,8 @@
             expected to come back, less those that could be served since.
         limit_wait_s: Part of the predicted wait that is due to rate limits
             of all endpoints; infinite if another instance spends them all.
+        pause_wait_s: Part of the predicted wait that is due to pauses of all
+            endpoints.
         lower_over_reserve: Whether a lower tier runs more than its reserved
             share of these slots.
     """
@@ -264,6 +276,7 @@
     oldest_wait_s: float = 0.0
     returning_s: float = 0.0
     limit_wait_s: float = 0.0
+    pause_wait_s: float = 0.0
     lower_over_reserve: bool = False
 
 
@@ -310,6 +323,7 @@
             reads all that is not in its cache.
         limit_per_s: Rate limit that the endpoint states; None without one.
         limit_age_s: Time since an answer stated it; None without one.
+        paused: Endpoints that were left out because of a pause.
     """
 
     request_id: ids.RequestId
@@ -321,6 +335,7 @@
     fetch: Fetch | None = None
     limit_per_s: float | None = None
     limit_age_s: float | None = None
+    paused: tuple[ids.EndpointId, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cardamombarrow/decisions/retry.py
+++ b/cardamombarrow/decisions/retry.py
@@ -70,7 +70,7 @@
             return False
         if job.max_runs and job.runs >= job.max_runs:
             return False
-        if outcome is messages.Outcome.PREEMPTED:
+        if outcome.says_nothing:
             return True
         return job.attempts < ATTEMPTS and self._spend(job, now_s)
 
@@ -84,7 +84,7 @@
 
     def delay_s(self, job: messages.Job, outcome: messages.Outcome) -> float:
         """Returns a random delay up to the bound of this attempt."""
-        if outcome is messages.Outcome.PREEMPTED:
+        if outcome.says_nothing:
             return 0.0
         bound_s = BACKOFF_FIRST_S * 2 ** max(job.attempts - 1, 0)
         return self.context.rng.uniform(0.0, min(bound_s, BACKOFF_MAX_S))
@@ -93,7 +93,11 @@
         """Returns when the work ahead of the caller should be done."""
         ready_s = backlog.predicted_wait_s + backlog.returning_s
         ready_s = min(max(ready_s, RETRY_AFTER_MIN_S), RETRY_AFTER_MAX_S)
-        return ready_s * self.context.rng.uniform(*SPREAD)
+        earliest, latest = SPREAD
+        if backlog.pause_wait_s > 0.0:
+            # Before the pause ends it would be refused again.
+            earliest = 1.0
+        return ready_s * self.context.rng.uniform(earliest, latest)
 
     def on_finish(self, job: messages.Job, outcome: messages.Outcome) -> None:
         """Adds a success to the budget of its class."""
--- a/cardamombarrow/decisions/roster.py
+++ b/cardamombarrow/decisions/roster.py
@@ -162,7 +162,10 @@
             share = self._share(state, own, peers, now_s)
             share = min(share, self._max_connections(state.service, share))
             capacity = self.capacities[state.service]
-            state.share = self.rate_budget.share(state, share, capacity)
+            if self._is_paused(state, now_s):
+                state.share = 0
+            else:
+                state.share = self.rate_budget.share(state, share, capacity)
         for capacity in self.capacities.values():
             capacity.count()
         self.changed.update(self.capacities)
@@ -209,6 +212,58 @@
             return [*capacity.local, *capacity.remote]
         return capacity.local
 
+    def _is_paused(
+        self, state: endpoint_module.EndpointState, now_s: float
+    ) -> bool:
+        return self._context.restrictions.is_paused(state.endpoint, now_s)
+
+    def available(
+        self,
+        states: abc.Iterable[endpoint_module.EndpointState],
+        now_s: float,
+    ) -> list[endpoint_module.EndpointState]:
+        """Returns those endpoints that have not asked for a pause."""
+        return [state for state in states if not self._is_paused(state, now_s)]
+
+    def paused(
+        self, service: ids.ServiceId, now_s: float
+    ) -> list[ids.EndpointId]:
+        """Returns the reachable endpoints that have asked for a pause."""
+        if not len(self._context.restrictions):
+            return []
+        return [
+            state.endpoint
+            for state in self.reachable(service)
+            if self._is_paused(state, now_s)
+        ]
+
+    def pause_wait_s(
+        self,
+        states: abc.Collection[endpoint_module.EndpointState],
+        now_s: float,
+    ) -> float:
+        """Returns the time until an endpoint's pause ends; 0 if one has none.
+
+        Args:
+            states: The endpoints that could run a job.
+            now_s: The time.
+        """
+        restrictions = self._context.restrictions
+        if not states or not len(restrictions):
+            return 0.0
+        end_s = min(
+            restrictions.of(state.endpoint).paused_until_s for state in states
+        )
+        return max(end_s - now_s, 0.0)
+
+    def pause(self, endpoint: ids.EndpointId) -> None:
+        """Takes away the slots of an endpoint that has asked for a pause."""
+        state = self.endpoints.get(endpoint)
+        if state is not None:
+            state.share = 0
+            self.capacities[state.service].count()
+            self.changed.add(state.service)
+
     def rate_limit_changed(self, endpoint: ids.EndpointId) -> None:
         """Marks the service of an endpoint as changed."""
         state = self.endpoints.get(endpoint)
@@ -293,11 +348,10 @@
         """
         capacity = self.capacities[job.service]
         must_run_alone = self._policies.quarantine.must_run_alone(job, now_s)
-        self._policies.choice.prepare(job, capacity.local, now_s)
+        available = self.available(capacity.local, now_s)
+        self._policies.choice.prepare(job, available, now_s)
         local = [
-            s
-            for s in capacity.local
-            if self._accepts(job, s, must_run_alone, now_s)
+            s for s in available if self._accepts(job, s, must_run_alone, now_s)
         ]
         untried = [s for s in local if s.endpoint not in job.tried]
         if untried or not capacity.remote:
@@ -305,7 +359,7 @@
         ahead = backlog(job, now_s)
         remote = [
             state
-            for state in capacity.remote
+            for state in self.available(capacity.remote, now_s)
             if self._accepts(job, state, must_run_alone, now_s)
             and self._policies.spill.allow(job, state, ahead, now_s)
         ]
--- a/cardamombarrow/decisions/runs.py
+++ b/cardamombarrow/decisions/runs.py
@@ -118,8 +118,10 @@
             self._policies.estimate.learn(job, running.tokens)
             return running.tokens
         self.wasted_tokens += running.tokens
-        if outcome is not messages.Outcome.PREEMPTED:
+        if not outcome.says_nothing:
             job.tried = (*job.tried, running.endpoint)
+        if outcome is messages.Outcome.WITHHELD:
+            job.attempts -= 1
         job.may_have_run = job.may_have_run or not outcome.not_run
         job.runs += not outcome.not_run
         return running.tokens
--- a/cardamombarrow/endpoints/base.py
+++ b/cardamombarrow/endpoints/base.py
@@ -4,6 +4,7 @@
 from collections import abc as collections_abc
 import dataclasses
 import math
+import socket
 import typing
 
 from cardamombarrow.decisions import messages
@@ -19,6 +20,7 @@
     "Exchange",
     "Head",
     "OutgoingCall",
+    "accepts_connections",
     "read_pause",
 ]
 
@@ -55,6 +57,10 @@
         first_byte_limit_s: Longest wait for the head of the answer, if
             `may_redo` returns True.
         may_redo: Returns whether the request can be sent to another endpoint.
+        may_send: Returns whether the endpoint accepts requests of this
+            instance; called right before the request is sent.
+        is_paused: Returns whether the endpoint has asked for a pause, in which
+            it must not get a probe with a request either.
         resume_tokens: Tokens that the caller has already received; the answer
             continues after them.
         resume_after: Id of the last event that the caller has received; empty
@@ -80,6 +86,8 @@
     cancelled: typing.Callable[[], bool]
     first_byte_limit_s: float = math.inf
     may_redo: typing.Callable[[], bool] = lambda: False
+    may_send: typing.Callable[[], bool] = lambda: True
+    is_paused: typing.Callable[[], bool] = lambda: False
     resume_tokens: int = 0
     resume_after: str = ""
     caller_id: str = ""
@@ -139,6 +147,16 @@
         """Ends the exchange; cancels the request if it has not finished."""
 
 
+def accepts_connections(endpoint: ids.EndpointId) -> bool:
+    """Returns whether a new connection is accepted; sends no data on it."""
+    host, _, port = ids.address_of(endpoint).rpartition(":")
+    try:
+        with socket.create_connection((host, int(port)), PROBE_TIMEOUT_S):
+            return True
+    except OSError:
+        return False
+
+
 def read_pause(head: Head) -> float:
     """Returns the pause that an answer asks for, in seconds; 0 for none.
 
--- a/cardamombarrow/endpoints/poller.py
+++ b/cardamombarrow/endpoints/poller.py
@@ -19,8 +19,21 @@
 class Poller(lifecycle.Part):
     """Polls a set of endpoints, each at a fixed interval."""
 
-    def __init__(self, interval_s: float, on_report: OnReport):
+    def __init__(
+        self,
+        interval_s: float,
+        on_report: OnReport,
+        is_paused: abc.Callable[[ids.EndpointId], bool] = lambda _: False,
+    ):
+        """Builds the poller.
+
+        Args:
+            interval_s: Time between two polls of an endpoint.
+            on_report: Called with each report.
+            is_paused: Returns whether an endpoint is to get no request now.
+        """
         self._interval_s = interval_s
+        self._is_paused = is_paused
         self._on_report = on_report
         self._targets: dict[ids.EndpointId, base.EndpointKind] = {}
         self._running: set[ids.EndpointId] = set()
@@ -54,6 +67,8 @@
                 if kind is None:
                     self._running.discard(endpoint)
                     return
+            if self._is_paused(endpoint):
+                continue
             try:
                 report = kind.poll(endpoint, self._interval_s)
             except errors.EndpointError as error:
--- a/cardamombarrow/endpoints/transfer.py
+++ b/cardamombarrow/endpoints/transfer.py
@@ -170,6 +170,12 @@
     def _process_events(
         self, connection: connection_module.Connection, mask: int
     ) -> None:
+        if not connection.sent and not self._call.may_send():
+            raise errors.EndpointError(
+                errors.ErrorKind.ENDPOINT_RESTRICTED,
+                "the endpoint has stated that it wants no request now",
+                sent=False,
+            )
         try:
             connection.handle_events(mask)
         except connection_module.BrokenError as error:
@@ -210,7 +216,9 @@
         # An answer that does not stream sends nothing until it is complete, so
         # only a failed probe ends the wait.
         silent_s = self._silent_s()
-        if not self._probe(self._call.endpoint):
+        call = self._call
+        probe = base.accepts_connections if call.is_paused() else self._probe
+        if not probe(call.endpoint):
             raise self._endpoint_error(
                 errors.ErrorKind.STALLED,
                 f"silent for {silent_s:.1f} s; the endpoint does not answer "
--- a/cardamombarrow/entry/answer_stream.py
+++ b/cardamombarrow/entry/answer_stream.py
@@ -19,6 +19,7 @@
 OUTCOMES = {
     errors.ErrorKind.ENDPOINT_UNREACHED: messages.Outcome.NOT_STARTED,
     errors.ErrorKind.ENDPOINT_REFUSED: messages.Outcome.REFUSED_BY_ENDPOINT,
+    errors.ErrorKind.ENDPOINT_RESTRICTED: messages.Outcome.WITHHELD,
     errors.ErrorKind.ENDPOINT_FAILED: messages.Outcome.CRASHED,
     errors.ErrorKind.ANSWER_CUT: messages.Outcome.CRASHED,
     errors.ErrorKind.STALLED: messages.Outcome.STALLED,
--- a/cardamombarrow/entry/broker.py
+++ b/cardamombarrow/entry/broker.py
@@ -104,6 +104,15 @@
         decision_lines.write(lines)
         return new_ticket
 
+    def blocked_for_s(self, job: messages.Job) -> float | None:
+        """Returns when a failed job should return if no endpoint takes it now.
+
+        Returns:
+            Seconds from now; None if an endpoint would take it.
+        """
+        with self._lock:
+            return self._dispatcher.blocked_for_s(job, self._clock.now_s())
+
     def may_redo(self, job: messages.Job) -> bool:
         """Returns whether a running job could be sent elsewhere now."""
         with self._lock:
@@ -335,7 +344,7 @@
 
 def _not_applied(decision: messages.Decision) -> str:
     if isinstance(decision, messages.Placement):
-        return f"{decision.endpoint} is not available to this entry"
+        return f"{decision.endpoint} takes no request of this entry"
     return f"the placer could not decide: {decision.detail}"
 
 
--- a/cardamombarrow/entry/broker_base.py
+++ b/cardamombarrow/entry/broker_base.py
@@ -257,10 +257,7 @@
         pause_s: float,
         request_id: ids.RequestId,
     ) -> None:
-        until_s = self._clock.now_s() + pause_s
-        prolonged = self._context.restrictions.pause(
-            endpoint, until_s, request_id
-        )
+        prolonged = self._pause(endpoint, pause_s, request_id)
         logs.decision(
             "pause",
             endpoint=endpoint,
@@ -268,6 +265,56 @@
             pause_s=pause_s,
             prolonged=prolonged,
         )
+        if prolonged:
+            self._remote_placer.pause_reported(endpoint, pause_s)
+
+    def _pause(
+        self,
+        endpoint: ids.EndpointId,
+        pause_s: float,
+        request_id: ids.RequestId,
+    ) -> bool:
+        with self._lock:
+            now_s = self._clock.now_s()
+            prolonged = self._dispatcher.pause(
+                endpoint, now_s + pause_s, request_id, now_s
+            )
+            lines = self._run_due()
+        decision_lines.write(lines)
+        return prolonged
+
+    def pause_reported(
+        self,
+        endpoint: ids.EndpointId,
+        pause_s: float,
+        instance: ids.InstanceId,
+    ) -> None:
+        """Records a pause for which an endpoint has asked an entry."""
+        if self._pause(endpoint, pause_s, ids.RequestId("")):
+            logs.decision(
+                "pause",
+                endpoint=endpoint,
+                source=f"instance {instance}",
+                pause_s=round(pause_s, 3),
+            )
+
+    def pauses_left_s(self) -> dict[ids.EndpointId, float]:
+        """Returns the remaining time of each pause, in seconds."""
+        now_s = self._clock.now_s()
+        pauses = self._context.restrictions.pauses(now_s)
+        return {
+            endpoint: until_s - now_s for endpoint, until_s in pauses.items()
+        }
+
+    def may_send(self, endpoint: ids.EndpointId) -> bool:
+        """Returns whether an endpoint accepts requests of this instance."""
+        return self._dispatcher.may_send(endpoint, self._clock.now_s())
+
+    def is_paused(self, endpoint: ids.EndpointId) -> bool:
+        """Returns whether an endpoint has asked for a pause."""
+        return self._context.restrictions.is_paused(
+            endpoint, self._clock.now_s()
+        )
 
     def _record_departure(
         self, endpoint: ids.EndpointId, request_id: ids.RequestId
@@ -333,7 +380,7 @@
 
     def paused(self) -> int:
         """Counts the endpoints that have asked for a pause."""
-        return len(self._context.restrictions.pauses(self._clock.now_s()))
+        return len(self.pauses_left_s())
 
     def set_leaving(self, endpoint: ids.EndpointId, leaving: bool) -> None:
         """Marks an endpoint as leaving, or as available again."""
--- a/cardamombarrow/entry/crash_detector.py
+++ b/cardamombarrow/entry/crash_detector.py
@@ -25,6 +25,10 @@
 """A connection that breaks within this time after a probe that found a crash is
 attributed to the same crash: its thread noticed it late."""
 
+_NOT_SENT_ERRORS = (
+    errors.ErrorKind.ENDPOINT_UNREACHED,
+    errors.ErrorKind.ENDPOINT_RESTRICTED,
+)
 _CRASH_ERRORS = (errors.ErrorKind.ENDPOINT_FAILED, errors.ErrorKind.ANSWER_CUT)
 
 
@@ -65,7 +69,7 @@
         kind: endpoints_base.EndpointKind,
     ) -> None:
         """Handles a failed request; call before its slot is released."""
-        if error.kind is errors.ErrorKind.ENDPOINT_UNREACHED:
+        if error.kind in _NOT_SENT_ERRORS:
             self._on_unreached(endpoint, job)
         elif error.kind in _CRASH_ERRORS and error.connection_broke:
             self._on_broken(endpoint, job, kind)
@@ -103,7 +107,9 @@
         probe: _Probe,
         kind: endpoints_base.EndpointKind,
     ) -> None:
-        crashed = not kind.probe(endpoint)
+        is_paused = self._broker.is_paused(endpoint)
+        check = endpoints_base.accepts_connections if is_paused else kind.probe
+        crashed = not check(endpoint)
         with self._lock:
             suspects = list(probe.suspects.values())
             probe.settled_s = time.monotonic()
--- a/cardamombarrow/entry/decision_lines.py
+++ b/cardamombarrow/entry/decision_lines.py
@@ -58,6 +58,7 @@
             and round(decision.report_age_s, 3),
             **_fetch_details(decision.fetch),
             **_limit_details(decision),
+            **({"paused": decision.paused} if decision.paused else {}),
         }
     if isinstance(decision, messages.Refusal):
         return "refuse", {
--- a/cardamombarrow/entry/peering.py
+++ b/cardamombarrow/entry/peering.py
@@ -274,6 +274,7 @@
         poller = poller_module.Poller(
             self._settings.platform.report_interval_s,
             self.membership.on_report,
+            broker.is_paused,
         )
         peers = self._settings.peers
         address = self._address()
@@ -325,6 +326,7 @@
                     on_answer=broker.on_answer,
                     fall_back=broker.fall_back,
                     count=counts.count_question,
+                    pauses_left_s=broker.pauses_left_s,
                 ),
             )
             broker.set_remote_placer(self._remote_placer)
--- a/cardamombarrow/entry/placer.py
+++ b/cardamombarrow/entry/placer.py
@@ -218,6 +218,15 @@
         """Records the load report that came with an answer to an entry."""
         self._broker.report(endpoint, report)
 
+    def pause_reported(
+        self, owner: Owner, endpoint: ids.EndpointId, pause_s: float
+    ) -> None:
+        """Records that an endpoint has asked an entry for a pause.
+
+        It turns away the requests of the other entries, too.
+        """
+        self._broker.pause_reported(endpoint, pause_s, owner.instance)
+
 
 def _refusal(job: messages.Job, error: BaseException) -> messages.Refusal:
     if not isinstance(error, errors.RefusedError):
--- a/cardamombarrow/entry/remote_placer.py
+++ b/cardamombarrow/entry/remote_placer.py
@@ -49,6 +49,10 @@
     ) -> None:
         """Forwards the load report that came with an endpoint's answer."""
 
+    @abc.abstractmethod
+    def pause_reported(self, endpoint: ids.EndpointId, pause_s: float) -> None:
+        """Reports that an endpoint has asked this entry for a pause."""
+
 
 class NoRemotePlacer(RemotePlacer):
     """No placer: the entry decides by itself."""
@@ -78,3 +82,6 @@
         self, endpoint: ids.EndpointId, report: messages.LoadReport
     ) -> None:
         """Does nothing."""
+
+    def pause_reported(self, endpoint: ids.EndpointId, pause_s: float) -> None:
+        """Does nothing."""
--- a/cardamombarrow/entry/request_handler.py
+++ b/cardamombarrow/entry/request_handler.py
@@ -261,9 +261,10 @@
     ) -> endpoints_base.OutgoingCall:
         call = self._call
         placement = ticket.placed.result()
+        endpoint = placement.endpoint
         return endpoints_base.OutgoingCall(
             request_id=call.job.request_id,
-            endpoint=placement.endpoint,
+            endpoint=endpoint,
             method=call.method,
             path=call.path,
             body=call.body,
@@ -275,6 +276,8 @@
             cancelled=lambda: ticket.preempted is not None,
             first_byte_limit_s=call.first_byte_limit_s,
             may_redo=lambda: self._services.broker.may_redo(call.job),
+            may_send=lambda: self._services.broker.may_send(endpoint),
+            is_paused=lambda: self._services.broker.is_paused(endpoint),
             resume_tokens=self._progress.tokens,
             resume_after=self._last_event or call.resume_after,
             caller_id=call.caller_id,
@@ -292,6 +295,10 @@
             raise error
         new_ticket = self._services.broker.resubmit(ticket, outcome)
         if new_ticket is None:
+            if error.not_run and error.retry_after_s is None:
+                error.retry_after_s = self._services.broker.blocked_for_s(
+                    ticket.job
+                )
             raise error
         return new_ticket
 
--- a/cardamombarrow/kernel/errors.py
+++ b/cardamombarrow/kernel/errors.py
@@ -50,6 +50,7 @@
     CALLER_GONE = "caller_gone"
     ENDPOINT_UNREACHED = "endpoint_unreached"
     ENDPOINT_REFUSED = "endpoint_refused"
+    ENDPOINT_RESTRICTED = "endpoint_restricted"
     ENDPOINT_FAILED = "endpoint_failed"
     ANSWER_CUT = "answer_cut"
     STALLED = "stalled"
@@ -115,6 +116,7 @@
     ErrorKind.CALLER_GONE: _may_have_run(499),
     ErrorKind.ENDPOINT_UNREACHED: _later(503),
     ErrorKind.ENDPOINT_REFUSED: _later(503),
+    ErrorKind.ENDPOINT_RESTRICTED: _later(503),
     ErrorKind.ENDPOINT_FAILED: _may_have_run(502),
     ErrorKind.ANSWER_CUT: _may_have_run(502),
     ErrorKind.STALLED: _may_have_run(504),
--- a/cardamombarrow/peers/placing_client.py
+++ b/cardamombarrow/peers/placing_client.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections import abc
 import dataclasses
+import math
 import time
 
 from cardamombarrow.decisions import messages
@@ -50,6 +51,7 @@
             carries it out.
         fall_back: Decides a request locally; called with the reason.
         count: Counts the outcome of a question.
+        pauses_left_s: Returns the remaining time of each endpoint's pause.
     """
 
     members: abc.Callable[[], dict[ids.InstanceId, str]]
@@ -57,6 +59,7 @@
     on_answer: abc.Callable[[placing_messages.Answer, str, float], bool]
     fall_back: abc.Callable[[ids.RequestId, str], None]
     count: abc.Callable[[placing_messages.QuestionOutcome], None]
+    pauses_left_s: abc.Callable[[], dict[ids.EndpointId, float]] = dict
 
 
 class PlacingClient(remote_placer.RemotePlacer, loop_module.LoopPart):
@@ -118,6 +121,11 @@
         if self._link is not None:
             self._loop.call_soon(lambda: self._loaded(endpoint, report))
 
+    def pause_reported(self, endpoint: ids.EndpointId, pause_s: float) -> None:
+        """Reports that an endpoint has asked this entry for a pause."""
+        if self._link is not None:
+            self._loop.call_soon(lambda: self._paused(endpoint, pause_s))
+
     # -- questions and events, on the loop ------------------------------------
 
     def _ask(self, job: messages.Job, asked_s: float) -> None:
@@ -200,6 +208,15 @@
                 )
             )
 
+    def _paused(self, endpoint: ids.EndpointId, pause_s: float) -> None:
+        if self._link is not None:
+            self._link.send(
+                urgent=True,
+                pause=placing_pb2.EndpointPause(
+                    endpoint=endpoint, left_ms=math.ceil(pause_s * 1_000)
+                ),
+            )
+
     def _on_reply(
         self, link: placing_link.PlacingLink, reply: placing_pb2.PlacingReply
     ) -> None:
@@ -282,6 +299,8 @@
         before, self._link = self._link, link
         for run in self._hooks.runs():
             self._ran(run)
+        for endpoint, left_s in self._hooks.pauses_left_s().items():
+            self._paused(endpoint, left_s)
         logs.event("asks", placer=instance, runs=len(link.reported))
         if before is not None:
             before.close("replaced by another placer", failed=False)
--- a/cardamombarrow/peers/placing_service.py
+++ b/cardamombarrow/peers/placing_service.py
@@ -177,6 +177,12 @@
                 self._placer.load_reported(
                     ids.EndpointId(load.endpoint), report
                 )
+            case "pause":
+                self._placer.pause_reported(
+                    owner,
+                    ids.EndpointId(event.pause.endpoint),
+                    event.pause.left_ms / 1_000,
+                )
 
 
 async def _send_answers(
--- a/cardamombarrow/peers/tests/test_placing.py
+++ b/cardamombarrow/peers/tests/test_placing.py
@@ -86,6 +86,7 @@
                 on_answer=self.broker.on_answer,
                 fall_back=self.broker.fall_back,
                 count=lambda outcome: None,
+                pauses_left_s=self.broker.pauses_left_s,
             ),
         )
 
@@ -384,3 +385,68 @@
                 ids.RequestId(f"r{number}"), messages.Outcome.DONE
             )
         waiting.placed.result(timeout=_LIMIT_S)
+
+
+_PAUSE = messages.EndpointStatement(pause_s=60.0)
+
+
+def _pause_all_but(entry, endpoint):
+    for view in entry.broker.views():
+        if view.service == _SERVICE and view.endpoint != endpoint:
+            entry.broker.answer_statement(
+                view.endpoint, _PAUSE, ids.RequestId("r")
+            )
+
+
+def _one_endpoint(entry):
+    return next(
+        view.endpoint
+        for view in entry.broker.views()
+        if (view.service, view.domain) == (_SERVICE, _DOMAIN)
+    )
+
+
+def _all_but_paused(broker, endpoint):
+    return all(
+        broker.is_paused(view.endpoint) is (view.endpoint != endpoint)
+        for view in broker.views()
+        if view.service == _SERVICE
+    )
+
+
+@pytest.mark.parametrize("when", ["connected", "connected later"])
+def test_the_placer_leaves_out_endpoints_that_asked_an_entry_for_a_pause(
+    entries, when
+):
+    # Guards against one request turned away for each entry of the domain.
+    _wait_connected(entries)
+    first, second = entries
+    domain = first.broker.for_domain()
+    open_endpoint = _one_endpoint(second)
+    if when == "connected later":
+        first.server.stop()
+        _wait_until(lambda: not second.is_connected_to(first))
+        _pause_all_but(second, open_endpoint)
+        first.listen()
+    else:
+        _pause_all_but(second, open_endpoint)
+    _wait_until(lambda: _all_but_paused(domain, open_endpoint))
+    _wait_until(lambda: first.is_connected_to(first))
+    assert not first.broker.pauses_left_s()
+    for number in range(6):
+        _, placement = _place(first, number)
+        assert placement.endpoint == open_endpoint
+
+
+def test_an_entry_does_not_apply_a_placement_that_crosses_a_pause(entries):
+    # Guards against an entry that relies on the placer to know of its pauses.
+    _wait_connected(entries)
+    first, second = entries
+    open_endpoint = _one_endpoint(second)
+    second.broker.set_remote_placer(second.client)
+    second.client.pause_reported = lambda endpoint, pause_s: None
+    _pause_all_but(second, open_endpoint)
+    assert not first.broker.for_domain().pauses_left_s()
+    for number in range(6):
+        _, placement = _place(second, number)
+        assert placement.endpoint == open_endpoint
--- a/cardamombarrow/platform/servers.py
+++ b/cardamombarrow/platform/servers.py
@@ -1,7 +1,6 @@
 """HTTP protocol of the platform's servers."""
 
 import re
-import socket
 import time
 
 from cardamombarrow.decisions import messages
@@ -72,14 +71,7 @@
 
     def probe(self, endpoint: ids.EndpointId) -> bool:
         """Returns whether a new connection is accepted; sends no data on it."""
-        host, _, port = ids.address_of(endpoint).rpartition(":")
-        try:
-            with socket.create_connection(
-                (host, int(port)), base.PROBE_TIMEOUT_S
-            ):
-                return True
-        except OSError:
-            return False
+        return base.accepts_connections(endpoint)
 
     def not_started(self, head: base.Head) -> bool:
         """Returns whether the server states that it did not run the request."""
