Send nothing to an endpoint after it stated its departure

What callers would have seen: requests sent to a server that stops are cut or turned away, and are sent again elsewhere (DRAIN).

Cause: Server-Leaving of an answer was relayed and read by nobody; only the list and polled load reports say that an endpoint leaves, and any of them can take it back.

The fix: a departure binds the instance that relayed it, whatever the list, load reports and other instances say, and is checked where a pause is checked, last before the first byte. The other instances of the domain learn of it by gossip. A request that no endpoint is left for is refused at once, also while it awaits a placement or a retry.

--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -67,14 +67,9 @@
         """Records an arriving job; refuses one that must not run at all."""
         job.expected_tokens = self._policies.estimate.expected_tokens(job)
         self._policies.retry.on_arrival(job, now_s)
-        capacity = self._roster.capacities.get(job.service)
-        if capacity is None or not (capacity.local or capacity.remote):
-            return messages.Refusal(
-                job.request_id,
-                errors.ErrorKind.NO_ENDPOINT,
-                f"no endpoint serves {job.service}",
-                DEFAULT_RETRY_AFTER_S,
-            )
+        refusal = self._check_endpoint(job)
+        if refusal is not None:
+            return refusal
         reason = self._policies.quarantine.refuse(job, now_s)
         if reason is not None:
             return messages.Refusal(
@@ -82,6 +77,17 @@
             )
         return self._check_workspace_limit(job)
 
+    def _check_endpoint(self, job: messages.Job) -> messages.Refusal | None:
+        capacity = self._roster.capacities.get(job.service)
+        if capacity is not None and (capacity.local or capacity.remote):
+            return None
+        return messages.Refusal(
+            job.request_id,
+            errors.ErrorKind.NO_ENDPOINT,
+            f"no endpoint serves {job.service}",
+            DEFAULT_RETRY_AFTER_S,
+        )
+
     def _check_workspace_limit(
         self, job: messages.Job
     ) -> messages.Refusal | None:
@@ -196,7 +202,7 @@
         state = self._roster.endpoints.get(placed.endpoint)
         if state is None or state.leaving:
             return False
-        if self._context.restrictions.is_paused(placed.endpoint, now_s):
+        if not self._context.restrictions.allows(placed.endpoint, now_s):
             return False
         job = self._awaiting_remote.pop(request_id)
         self._policies.choice.on_remote_placement(job, state, now_s)
@@ -208,16 +214,17 @@
         job = self._awaiting_remote.pop(request_id, None)
         if job is None:
             return False
-        backlog = self.backlog(job, now_s)
-        reason = _blocked_reason(job, backlog)
-        if reason is None:
-            self._enqueue(job, backlog, now_s)
-            return True
+        refusal = self._check_endpoint(job)
+        if refusal is None:
+            backlog = self.backlog(job, now_s)
+            reason = _blocked_reason(job, backlog)
+            if reason is None:
+                self._enqueue(job, backlog, now_s)
+                return True
+            kind = errors.ErrorKind.OVERLOADED
+            refusal = self._refusal(job, kind, reason, backlog, now_s)
         self._waiting.leave(job)
-        kind = errors.ErrorKind.OVERLOADED
-        self._pending_refusals.append(
-            self._refusal(job, kind, reason, backlog, now_s)
-        )
+        self._pending_refusals.append(refusal)
         return True
 
     def drop_remote_placement(self, request_id: ids.RequestId) -> bool:
@@ -381,6 +388,8 @@
         """
         if self._policies.quarantine.refuse(job, now_s) is not None:
             return False
+        if self._check_endpoint(job) is not None:
+            return False
         if (
             not remote
             and _blocked_reason(job, self.backlog(job, now_s)) is not None
@@ -404,6 +413,9 @@
         Returns:
             Seconds from now; None if the job could be placed in time.
         """
+        refusal = self._check_endpoint(job)
+        if refusal is not None:
+            return refusal.retry_after_s
         backlog = self.backlog(job, now_s)
         if _blocked_reason(job, backlog) is None:
             return None
@@ -421,7 +433,7 @@
             if state.endpoint not in job.tried
             and job.request_id not in state.running
             and self.rate_limit(state.endpoint) is None
-            and not self._context.restrictions.is_paused(state.endpoint, now_s)
+            and self._context.restrictions.allows(state.endpoint, now_s)
         ]
         return bool(others) and self._policies.retry.may_redo(job, now_s)
 
--- a/cardamombarrow/decisions/dispatcher_state.py
+++ b/cardamombarrow/decisions/dispatcher_state.py
@@ -128,9 +128,27 @@
             if job.service == state.service:
                 self._waiting.schedule_check(job, now_s)
 
+    def depart(
+        self,
+        endpoint: ids.EndpointId,
+        request_id: ids.RequestId,
+        now_s: float,
+    ) -> bool:
+        """Records that an endpoint states its departure to this instance.
+
+        Returns:
+            Whether that is new.
+        """
+        is_new = self._context.restrictions.set_leaving(
+            endpoint, now_s, request_id
+        )
+        if is_new:
+            self._roster.depart(endpoint)
+        return is_new
+
     def may_send(self, endpoint: ids.EndpointId, now_s: float) -> bool:
         """Returns whether an endpoint accepts requests of this instance."""
-        return not self._context.restrictions.is_paused(endpoint, now_s)
+        return self._context.restrictions.allows(endpoint, now_s)
 
     def set_leaving(self, endpoint: ids.EndpointId, leaving: bool) -> None:
         """Sets whether an endpoint is leaving, from the platform or a peer."""
@@ -198,6 +216,10 @@
         self.merge_quarantine(other.quarantine_marks(now_s), now_s)
         self.refresh_shares(now_s)
 
+    def is_leaving(self, state: endpoint_module.EndpointState) -> bool:
+        """Returns whether an endpoint gets no new requests."""
+        return self._roster.is_leaving(state)
+
     def endpoints(self) -> list[endpoint_module.EndpointState]:
         """Returns all known endpoints."""
         return list(self._roster.endpoints.values())
--- a/cardamombarrow/decisions/first_event.py
+++ b/cardamombarrow/decisions/first_event.py
@@ -315,7 +315,7 @@
 
         def is_usable(endpoint: ids.EndpointId) -> bool:
             is_healthy = self._failures.is_healthy(endpoint)
-            return is_healthy and not restrictions.is_paused(endpoint, now_s)
+            return is_healthy and restrictions.allows(endpoint, now_s)
 
         return self._caches.fetch(job, state, affinity, is_usable, now_s)
 
--- a/cardamombarrow/decisions/roster.py
+++ b/cardamombarrow/decisions/roster.py
@@ -49,6 +49,7 @@
         self._policies = policies
         self._peers: dict[ids.InstanceId, messages.PeerDemand] = {}
         self._unlisted: set[ids.EndpointId] = set()
+        self._departed: set[ids.EndpointId] = set()
         self._discovered: tuple[messages.KnownEndpoint, ...] = ()
         self.endpoints: dict[ids.EndpointId, endpoint_module.EndpointState] = {}
         self.capacities: dict[ids.ServiceId, capacity_module.Capacity] = {}
@@ -140,7 +141,9 @@
         open_states = [
             state
             for state in self.endpoints.values()
-            if state.service == service and not state.leaving
+            if state.service == service
+            and not state.leaving
+            and state.endpoint not in self._departed
         ]
         own = self._context.domain
         joins = self._policies.spill.joins_domains
@@ -156,6 +159,7 @@
 
     def refresh_shares(self, own: messages.PeerDemand, now_s: float) -> None:
         """Recomputes this instance's slots on every endpoint."""
+        self._end_departures(now_s)
         oldest_s = now_s - PEER_VIEW_MAX_AGE_S
         peers = [p for p in self._peers.values() if p.seen_at_s >= oldest_s]
         for state in self.endpoints.values():
@@ -170,6 +174,30 @@
             capacity.count()
         self.changed.update(self.capacities)
 
+    def depart(self, endpoint: ids.EndpointId) -> None:
+        """Takes an endpoint out of use that states its departure.
+
+        Unlike `set_leaving`, no other source can undo it.
+        """
+        self._departed.add(endpoint)
+        state = self.endpoints.get(endpoint)
+        if state is not None:
+            self._regroup(state.service)
+
+    def _end_departures(self, now_s: float) -> None:
+        restrictions = self._context.restrictions
+        for endpoint in list(self._departed):
+            if restrictions.is_leaving(endpoint, now_s):
+                continue
+            self._departed.discard(endpoint)
+            state = self.endpoints.get(endpoint)
+            if state is not None:
+                self._regroup(state.service)
+
+    def is_leaving(self, state: endpoint_module.EndpointState) -> bool:
+        """Returns whether an endpoint gets no new requests."""
+        return state.leaving or state.endpoint in self._departed
+
     def _share(
         self,
         state: endpoint_module.EndpointState,
--- a/cardamombarrow/decisions/tests/test_restrictions.py
+++ b/cardamombarrow/decisions/tests/test_restrictions.py
@@ -237,6 +237,60 @@
     assert usable[:2] == [False, True]
 
 
+def _depart(dispatcher, endpoint, now_s=0.0):
+    dispatcher.depart(endpoint, _NO_REQUEST, now_s)
+
+
+def test_no_other_source_puts_a_departed_endpoint_back_into_use(
+    new_dispatcher, new_job, context
+):
+    # Guards against the list or another instance, which may be out of date.
+    dispatcher = new_dispatcher()
+    _depart(dispatcher, _LOCAL[0])
+    dispatcher.set_leaving(_LOCAL[0], True)
+    dispatcher.set_leaving(_LOCAL[0], False)
+    dispatcher.configure(context.document, 1.0)
+    dispatcher.refresh_shares(1.0)
+    for _ in range(8):
+        dispatcher.offer(new_job(arrived_s=1.0), 1.0)
+    assert set(_placed(dispatcher, 1.0)) == {_LOCAL[1]}
+
+
+def test_an_endpoint_without_an_identity_is_used_again_after_its_departure(
+    new_dispatcher, new_job
+):
+    dispatcher = new_dispatcher(slots=1)
+    _depart(dispatcher, _LOCAL[0])
+    returned_s = restrictions_module.DEPARTURE_S
+    for now_s, used in ((returned_s - 1.0, 1), (returned_s, 2)):
+        dispatcher.refresh_shares(now_s)
+        assert dispatcher.backlog(new_job(), now_s).slots == used
+
+
+def test_requests_are_refused_at_once_when_the_last_endpoint_departs(
+    new_dispatcher, new_job
+):
+    # Guards against a departed endpoint that is used because it is the last.
+    dispatcher = new_dispatcher()
+    running = new_job()
+    dispatcher.offer(running, 0.0)
+    list(dispatcher.place(0.0))
+    awaiting = new_job()
+    assert dispatcher.await_remote_placement(awaiting, 0.0) is None
+    for endpoint in (*_LOCAL, _REMOTE):
+        _depart(dispatcher, endpoint)
+    refusal = dispatcher.offer(new_job(), 0.0)
+    assert refusal.kind is errors.ErrorKind.NO_ENDPOINT
+    assert refusal.retry_after_s
+    assert dispatcher.queue_locally(awaiting.request_id, 0.0)
+    (refusal,) = dispatcher.place(0.0)
+    assert refusal.kind is errors.ErrorKind.NO_ENDPOINT
+    outcome = messages.Outcome.WITHHELD
+    dispatcher.finish(running.request_id, outcome, 0.0)
+    assert not dispatcher.retry(running, outcome, 0.0)
+    assert dispatcher.blocked_for_s(running, 0.0)
+
+
 @pytest.mark.parametrize("asked", [False, True], ids=["entries", "placer"])
 def test_engines_that_refuse_all_get_nothing_in_their_pauses(asked):
     # Guards against probes and retries in pauses, with 32 entries under load.
--- a/cardamombarrow/entry/broker_base.py
+++ b/cardamombarrow/entry/broker_base.py
@@ -5,6 +5,7 @@
 """
 
 import abc
+from collections import abc as collections_abc
 import dataclasses
 import random
 import threading
@@ -81,6 +82,9 @@
         self._remote_placer: remote_placer_module.RemotePlacer = (
             remote_placer_module.NoRemotePlacer()
         )
+        self._on_departure: collections_abc.Callable[[ids.EndpointId], None] = (
+            lambda _: None
+        )
         self._domain_broker: BrokerBase | None = None
         self._dispatcher = core.Dispatcher(context, time_source.now_s())
         self._lock = threading.Lock()
@@ -105,6 +109,12 @@
         if self._domain_broker is not None:
             self._domain_broker.stop()
 
+    def set_departure_listener(
+        self, on_departure: collections_abc.Callable[[ids.EndpointId], None]
+    ) -> None:
+        """Sets what is called when an endpoint states its departure."""
+        self._on_departure = on_departure
+
     def set_remote_placer(
         self, remote_placer: remote_placer_module.RemotePlacer
     ) -> None:
@@ -210,7 +220,7 @@
                     endpoint=state.endpoint,
                     service=state.service,
                     domain=state.domain,
-                    leaving=state.leaving,
+                    leaving=self._dispatcher.is_leaving(state),
                     running=len(state.running),
                     share=state.share,
                     report_age_s=None
@@ -319,9 +329,12 @@
     def _record_departure(
         self, endpoint: ids.EndpointId, request_id: ids.RequestId
     ) -> None:
-        now_s = self._clock.now_s()
-        if self._context.restrictions.set_leaving(endpoint, now_s, request_id):
+        with self._lock:
+            now_s = self._clock.now_s()
+            is_new = self._dispatcher.depart(endpoint, request_id, now_s)
+        if is_new:
             logs.decision("departure", endpoint=endpoint, request_id=request_id)
+            self._on_departure(endpoint)
 
     def update_rate_limit(
         self, endpoint: ids.EndpointId, limit: messages.RateLimit, source: str
--- a/cardamombarrow/entry/peering.py
+++ b/cardamombarrow/entry/peering.py
@@ -271,6 +271,7 @@
         self.membership = gossip_bridge_module.GossipBridge(
             self._instance, self._domain, kinds, broker, self._clock
         )
+        broker.set_departure_listener(self.membership.on_departure)
         poller = poller_module.Poller(
             self._settings.platform.report_interval_s,
             self.membership.on_report,
--- a/cardamombarrow/peers/gossip_bridge.py
+++ b/cardamombarrow/peers/gossip_bridge.py
@@ -37,6 +37,7 @@
 _PLATFORM_LIST = "platform list"
 _OWN_REPORT = "own report"
 _SHARED_REPORT = "shared report"
+_ANSWER = "answer"
 _URGENT_KINDS = (
     rows.ItemKind.LEAVING,
     rows.ItemKind.QUARANTINE,
@@ -46,7 +47,7 @@
 
 _LISTING_STAMP = rows.ItemKind.LISTING
 _DEMAND_KINDS = (rows.ItemKind.DEMAND, rows.ItemKind.IN_FLIGHT)
-_OWN_SOURCES = frozenset((_PLATFORM_LIST, _OWN_REPORT))
+_OWN_SOURCES = frozenset((_PLATFORM_LIST, _OWN_REPORT, _ANSWER))
 
 
 def _peer_source(instance: ids.InstanceId) -> str:
@@ -164,6 +165,9 @@
             self._list_hash = rows.endpoint_hash(
                 " ".join(self._sorted_endpoints)
             )
+            for endpoint in self._leaving.reported_by(frozenset((_ANSWER,))):
+                if rows.endpoint_hash(endpoint) not in self._by_hash:
+                    self._leaving.record(endpoint, _ANSWER, False)
             leaving = set(self._leaving.leaving())
         for endpoint in leaving & set(self._by_hash.values()):
             self._broker.set_leaving(endpoint, True)
@@ -192,6 +196,15 @@
         self._update_leaving(endpoint, _SHARED_REPORT, False)
         self._update_leaving(endpoint, _OWN_REPORT, report.leaving)
 
+    def on_departure(self, endpoint: ids.EndpointId) -> None:
+        """Announces an endpoint that stated its departure to this instance.
+
+        Without an identity its successor has the same id; the other instances
+        then rely on load reports.
+        """
+        if ids.identity_of(endpoint):
+            self._update_leaving(endpoint, _ANSWER, True)
+
     def _update_leaving(
         self, endpoint: ids.EndpointId, source: str, leaving: bool
     ) -> None:
--- a/cardamombarrow/peers/tests/test_gossip_bridge.py
+++ b/cardamombarrow/peers/tests/test_gossip_bridge.py
@@ -21,7 +21,14 @@
 
 
 class _Broker:
-    """A broker without demand or state."""
+    """A broker without demand.
+
+    Attributes:
+        leaving: Whether each endpoint leaves.
+    """
+
+    def __init__(self):
+        self.leaving = {}
 
     def demand(self):
         return messages.PeerDemand(ids.InstanceId("e"), {}, {}, 0.0)
@@ -35,13 +42,21 @@
     def update_peer(self, demand):
         """Does nothing."""
 
+    def set_leaving(self, endpoint, leaving):
+        self.leaving[endpoint] = leaving
+
 
 class _Entry:
     """One entry's side of the gossip, with its list of endpoints."""
 
     def __init__(self, name, time_source):
+        self.broker = _Broker()
         self.membership = gossip_bridge_module.GossipBridge(
-            ids.InstanceId(name), ids.DomainId("d"), {}, _Broker(), time_source
+            ids.InstanceId(name),
+            ids.DomainId("d"),
+            {},
+            self.broker,
+            time_source,
         )
         self.table = table_module.Table(
             ids.InstanceId(name), 1, rows.RowHeader("a", 1), time_source.now_s()
@@ -98,3 +113,32 @@
     time_source.advance(1.0)
     assert not reader.send_to(one)
     assert not one.send_to(two)
+
+
+@pytest.mark.parametrize(
+    ("endpoint", "is_announced"), [("a:1#i-1", True), ("a:1", False)]
+)
+def test_a_departure_that_an_answer_states_is_passed_on_at_once(
+    entries, endpoint, is_announced
+):
+    # Guards against requests of other entries to an endpoint that stops.
+    _, (first, second, third) = entries
+    endpoint = ids.EndpointId(endpoint)
+    first.membership.on_departure(endpoint)
+    assert first.membership.has_urgent_changes() is is_announced
+    assert first.send_to(second) is is_announced
+    second.send_to(third)
+    leaving = {endpoint: True} if is_announced else {}
+    assert second.broker.leaving == leaving
+    first.membership.on_listing([(endpoint, False)])
+    first.send_to(second)
+    assert second.broker.leaving == leaving
+
+
+def test_a_departed_endpoint_that_is_no_longer_listed_is_not_announced(entries):
+    # Guards against announcements that accumulate.
+    _, (first, _, _) = entries
+    first.membership.on_departure(ids.EndpointId("a:1#i-1"))
+    first.membership.on_discovered(())
+    kinds = [kind for kind, _ in first.membership.collect(0.0)]
+    assert rows.ItemKind.LEAVING not in kinds
--- a/tools/standin/engine.py
+++ b/tools/standin/engine.py
@@ -56,6 +56,9 @@
         resumable: Whether the header X-Resume-Offset resumes streams.
         rate_limit: Requests per second from all callers, a decimal number that
             every answer states; empty states none.
+        pause: ``Retry-After`` of the 503 that answers every request; empty
+            is none.
+        departure: Whether every answer states that the engine leaves.
     """
 
     slots: int = 8
@@ -73,6 +76,8 @@
     leaving: bool = False
     resumable: bool = False
     rate_limit: str = ""
+    pause: str = ""
+    departure: bool = False
 
 
 def _raise_if_cancelled(is_cancelled: IsCancelled) -> None:
@@ -262,6 +267,8 @@
         if self.engine.behaviour.fail_status:
             self._send_answer(self.engine.behaviour.fail_status, b"{}")
             return
+        if self._turns_away():
+            return
         tokens = self.engine.run(
             self.headers.get("X-Request-Id", ""),
             int(self.headers.get("X-Priority", "0")),
@@ -281,8 +288,13 @@
 
     def _start_answer(self, status: int) -> None:
         self.send_response(status)
-        if self.engine.behaviour.rate_limit:
-            self.send_header("X-Rate-Limit", self.engine.behaviour.rate_limit)
+        behaviour = self.engine.behaviour
+        if behaviour.rate_limit:
+            self.send_header("X-Rate-Limit", behaviour.rate_limit)
+        if behaviour.departure:
+            self.send_header("X-Leaving", "1")
+        if behaviour.pause and status == 503:
+            self.send_header("Retry-After", behaviour.pause)
 
     def _stream(self, tokens: typing.Iterator[str]) -> None:
         self._start_answer(200)
@@ -324,7 +336,22 @@
             return
         self._send_answer(200, body)
 
+    def _turns_away(self) -> bool:
+        """Turns the request away if the engine asks for a pause."""
+        if not self.engine.behaviour.pause:
+            return False
+        record = {
+            "request_id": self.headers.get("X-Request-Id", ""),
+            "at_unix_s": time.time(),
+            "outcome": "turned away",
+        }
+        self.engine.runs.append(record)
+        self._send_answer(503, b"{}")
+        return True
+
     def _call_plain(self, body: bytes) -> None:
+        if self._turns_away():
+            return
         record = {
             "request_id": self.headers.get("X-Request-Id", ""),
             "method": self.command,
