--- a/benchmarks/rate_limits.py
+++ b/benchmarks/rate_limits.py
@@ -114,6 +114,9 @@
         self.refused = 0
         self.offered = 0
         self._arrived_s: dict[ids.RequestId, float] = {}
+        self._rate_limits = [
+            rate_limits.RateLimits() for _ in range(load.domains)
+        ]
         self._dispatchers = [
             self._new_dispatcher(number, seed) for number in range(load.domains)
         ]
@@ -134,6 +137,7 @@
             ids.InstanceId(f"entry-{number}"),
             ids.DomainId(f"domain-{number}"),
             random.Random(seed * 100 + number),
+            rate_limits=self._rate_limits[number],
             whole_domain=True,
         )
         dispatcher = core.Dispatcher(context, 0.0)
@@ -215,7 +219,8 @@
         endpoint = decision.endpoint
         if endpoint in self.counted and self._now_s >= STATED_FROM_S:
             stated = messages.RateLimit(self._load.limit_per_s, self._now_s)
-            dispatcher.update_rate_limit(endpoint, stated)
+            if self._rate_limits[number].update(endpoint, stated):
+                dispatcher.rate_limit_changed(endpoint)
             self._limit_received_s.setdefault((number, endpoint), self._now_s)
 
     def _end(self, number: int, decision: messages.Placement) -> None:
--- a/cardamombarrow/decisions/dispatcher_state.py
+++ b/cardamombarrow/decisions/dispatcher_state.py
@@ -59,29 +59,6 @@
         """Stores an endpoint's load report."""
         self._roster.report(endpoint, report)
 
-    def update_rate_limit(
-        self,
-        endpoint: ids.EndpointId,
-        limit: messages.RateLimit,
-        *,
-        is_direct: bool = True,
-    ) -> messages.RateLimit | None:
-        """Updates the rate limit that an endpoint advertises.
-
-        Args:
-            endpoint: The endpoint.
-            limit: Its limit.
-            is_direct: Whether this instance received the answer itself.
-
-        Returns:
-            The previous limit if it has changed; otherwise None.
-        """
-        limits = self._context.rate_limits
-        before = limits.update(endpoint, limit, is_direct=is_direct)
-        if before is not None:
-            self._roster.rate_limit_changed(endpoint)
-        return before
-
     def rate_limit_changed(self, endpoint: ids.EndpointId) -> None:
         """Updates an endpoint's service after a change of its rate limit."""
         self._roster.rate_limit_changed(endpoint)
--- a/cardamombarrow/decisions/tests/test_rate_limits.py
+++ b/cardamombarrow/decisions/tests/test_rate_limits.py
@@ -131,7 +131,8 @@
 
 def _advertise(dispatcher, endpoints, per_s, now_s=0.0):
     for endpoint in endpoints:
-        dispatcher.update_rate_limit(endpoint, _limit(per_s, now_s))
+        dispatcher._context.rate_limits.update(endpoint, _limit(per_s, now_s))
+        dispatcher.rate_limit_changed(endpoint)
     dispatcher.refresh_shares(now_s)
 
 
--- a/cardamombarrow/entry/broker_base.py
+++ b/cardamombarrow/entry/broker_base.py
@@ -349,12 +349,12 @@
     def _record_rate_limit(
         self, endpoint: ids.EndpointId, limit: messages.RateLimit, source: str
     ) -> bool:
-        with self._lock:
-            before = self._dispatcher.update_rate_limit(
-                endpoint, limit, is_direct=source == _ANSWER
-            )
+        before = self._context.rate_limits.update(
+            endpoint, limit, is_direct=source == _ANSWER
+        )
         if before is None:
             return False
+        self.rate_limit_changed(endpoint)
         if self._domain_broker is not None:
             self._domain_broker.rate_limit_changed(endpoint)
         logs.decision(
