--- a/cardamombarrow/decisions/restrictions.py
+++ b/cardamombarrow/decisions/restrictions.py
@@ -67,6 +67,7 @@
         self._by_endpoint: collections.OrderedDict[
             ids.EndpointId, Restriction
         ] = collections.OrderedDict()
+        self._last_pause_end_s = 0.0
 
     def pause(
         self,
@@ -90,6 +91,7 @@
                 endpoint,
                 Restriction(until_s, known.leaves_until_s, request_id),
             )
+            self._last_pause_end_s = max(self._last_pause_end_s, until_s)
             return True
 
     def set_leaving(
@@ -130,6 +132,10 @@
         """Returns whether an endpoint is to get no request for a while."""
         return self.of(endpoint).paused_until_s > now_s
 
+    def any_paused(self, now_s: float) -> bool:
+        """Returns whether any endpoint may be paused."""
+        return self._last_pause_end_s > now_s
+
     def allows(self, endpoint: ids.EndpointId, now_s: float) -> bool:
         """Returns whether a request may be sent to an endpoint now."""
         return self.of(endpoint).until_s <= now_s
@@ -142,7 +148,3 @@
                 for endpoint, restriction in self._by_endpoint.items()
                 if restriction.paused_until_s > now_s
             }
-
-    def __len__(self) -> int:
-        """Counts the endpoints that have stated anything."""
-        return len(self._by_endpoint)
--- a/cardamombarrow/decisions/roster.py
+++ b/cardamombarrow/decisions/roster.py
@@ -247,17 +247,19 @@
 
     def available(
         self,
-        states: abc.Iterable[endpoint_module.EndpointState],
+        states: list[endpoint_module.EndpointState],
         now_s: float,
     ) -> list[endpoint_module.EndpointState]:
         """Returns those endpoints that have not asked for a pause."""
+        if not self._context.restrictions.any_paused(now_s):
+            return states
         return [state for state in states if not self._is_paused(state, now_s)]
 
     def paused(
         self, service: ids.ServiceId, now_s: float
     ) -> list[ids.EndpointId]:
         """Returns the reachable endpoints that have asked for a pause."""
-        if not len(self._context.restrictions):
+        if not self._context.restrictions.any_paused(now_s):
             return []
         return [
             state.endpoint
@@ -277,7 +279,7 @@
             now_s: The time.
         """
         restrictions = self._context.restrictions
-        if not states or not len(restrictions):
+        if not states or not restrictions.any_paused(now_s):
             return 0.0
         end_s = min(
             restrictions.of(state.endpoint).paused_until_s for state in states
