Recompute slots only while jobs wait, or when one arrives

Each entry recomputed its slots on all endpoints four times a second, also while nothing waited and the placer decided for it. A waiting job still gets slots every 0.25 s; an arriving one finds them at most that old.

--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -48,6 +48,10 @@
         """Returns the queued jobs."""
         return list(self._policies.queue.jobs())
 
+    def has_queued_jobs(self) -> bool:
+        """Returns whether jobs wait for a slot."""
+        return len(self._waiting) > 0
+
     # -- arrival --------------------------------------------------------------
 
     def offer(self, job: messages.Job, now_s: float) -> messages.Refusal | None:
--- a/cardamombarrow/entry/broker.py
+++ b/cardamombarrow/entry/broker.py
@@ -48,6 +48,8 @@
         with self._lock:
             now_s = self._clock.now_s()
             use_placer = self._use_placer(job, now_s)
+            if not use_placer:
+                self._refresh_shares(now_s)
             offer = (
                 self._dispatcher.await_remote_placement
                 if use_placer
@@ -86,6 +88,7 @@
         with self._lock:
             now_s = self._clock.now_s()
             use_placer = self._use_placer(job, now_s)
+            self._refresh_shares(now_s)
             if not self._dispatcher.retry(job, outcome, now_s, use_placer):
                 return None
             self._tickets[job.request_id] = new_ticket
@@ -254,6 +257,7 @@
         """Decides locally on a request on which the placer has not decided."""
         with self._lock:
             now_s = self._clock.now_s()
+            self._refresh_shares(now_s)
             if not self._dispatcher.queue_locally(request_id, now_s):
                 return
             lines = self._run_due()
--- a/cardamombarrow/entry/broker_base.py
+++ b/cardamombarrow/entry/broker_base.py
@@ -7,6 +7,7 @@
 import abc
 from collections import abc as collections_abc
 import dataclasses
+import math
 import random
 import threading
 import time
@@ -27,10 +28,11 @@
 __all__ = ["BrokerBase", "EndpointView"]
 
 SHARE_REFRESH_S = 0.25
-"""Interval at which this instance's slots are recomputed.
+"""Interval at which this instance's slots are recomputed while jobs wait.
 
 Peers' demand and load reports arrive about once a second; four updates in
-that time follow them closely enough.
+that time follow them closely enough. Without waiting jobs the slots are
+recomputed when the next job arrives.
 """
 
 
@@ -90,6 +92,7 @@
         self._lock = threading.Lock()
         self._wake = threading.Condition(self._lock)
         self._wake_s = 0.0
+        self._refreshed_s = -math.inf
         self._stopped = False
         self._tickets: dict[ids.RequestId, ticket_module.Ticket] = {}
         self._thread = threading.Thread(
@@ -146,43 +149,50 @@
         return self._domain_broker
 
     def _run_timer(self) -> None:
-        refresh_at_s = self._clock.now_s()
-        while self._sleep(refresh_at_s):
-            now_s = self._clock.now_s()
-            refresh = now_s >= refresh_at_s
-            if refresh:
-                refresh_at_s = now_s + SHARE_REFRESH_S
+        while self._sleep():
             try:
-                self._look(refresh, now_s)
+                self._look()
             except Exception as error:
                 # Without the timer thread, waiting requests would get no
                 # answer at their deadlines while the entry goes on serving.
                 logs.event("broker timer failed", "ERROR", detail=repr(error))
                 time.sleep(SHARE_REFRESH_S)
 
-    def _look(self, refresh: bool, now_s: float) -> None:
+    def _look(self) -> None:
         with self._lock:
-            if refresh:
-                self._dispatcher.refresh_shares(now_s)
+            self._refresh_shares(self._clock.now_s())
             lines = self._run_due()
         decision_lines.write(lines)
 
-    def _sleep(self, until_s: float) -> bool:
+    def _refresh_shares(self, now_s: float) -> None:
+        """Recomputes this instance's slots if they are out of date."""
+        if now_s >= self._refreshed_s + SHARE_REFRESH_S:
+            self._refreshed_s = now_s
+            self._dispatcher.refresh_shares(now_s)
+
+    def _sleep(self) -> bool:
         """Waits until something is due; returns False once stopped."""
         with self._lock:
             while not self._stopped:
-                due_s = self._dispatcher.next_s()
-                self._wake_s = until_s if due_s is None else min(due_s, until_s)
+                self._wake_s = self._next_s()
                 wait_s = self._wake_s - self._clock.now_s()
                 if wait_s <= 0.0:
                     return True
-                self._wake.wait(wait_s)
+                self._wake.wait(None if math.isinf(wait_s) else wait_s)
             return False
 
+    def _next_s(self) -> float:
+        """Returns when something is due; infinity while nothing waits."""
+        due_s = self._dispatcher.next_s()
+        if due_s is None:
+            return math.inf
+        if self._dispatcher.has_queued_jobs():
+            return min(due_s, self._refreshed_s + SHARE_REFRESH_S)
+        return due_s
+
     def _wake_if_earlier(self) -> None:
         """Wakes the timer if something is due before its next wake-up."""
-        due_s = self._dispatcher.next_s()
-        if due_s is not None and due_s < self._wake_s:
+        if self._next_s() < self._wake_s:
             self._wake.notify()
 
     def configure(self, document: schema.Document) -> None:
@@ -215,6 +225,7 @@
         """Returns the known state of each endpoint, for operators."""
         now_s = self._clock.now_s()
         with self._lock:
+            self._refresh_shares(now_s)
             return [
                 EndpointView(
                     endpoint=state.endpoint,
--- a/cardamombarrow/entry/tests/test_broker.py
+++ b/cardamombarrow/entry/tests/test_broker.py
@@ -157,4 +157,27 @@
         lambda *args: calls.append(args) or look(*args),
     )
     time.sleep(1.0)
-    assert len(calls) <= 1.0 / broker_base.SHARE_REFRESH_S + 1
+    assert len(calls) <= 1
+
+
+def test_slots_are_up_to_date_when_a_job_arrives_after_an_idle_time(broker):
+    # Guards against slots of the time before: nothing recomputes them while
+    # nothing waits.
+    endpoint = broker.views()[0].endpoint
+    broker._dispatcher._roster.endpoints[endpoint].share = 0
+    time.sleep(broker_base.SHARE_REFRESH_S)
+    broker.submit(_job(1))
+    assert broker._dispatcher._roster.endpoints[endpoint].share > 0
+
+
+def test_a_waiting_job_gets_a_slot_that_appears_without_any_event(broker):
+    # Guards against a timer that sleeps while a job waits.
+    held = _fill(broker)
+    states = broker._dispatcher._roster.endpoints.values()
+    limits = broker._dispatcher._policies.limits
+    waiting = broker.submit(_job(1, rank=2))
+    assert not waiting.placed.done()
+    most = 2 * max(len(state.running) for state in states)
+    limits.limit = lambda state, now_s: most
+    assert waiting.placed.result(timeout=_LIMIT_S)
+    assert held
