--- a/benchmarks/rate_limits.py
+++ b/benchmarks/rate_limits.py
@@ -17,7 +17,7 @@
 from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import core
 from cardamombarrow.decisions import messages
-from cardamombarrow.decisions import rate_limits
+from cardamombarrow.decisions.limiting import rate_limits
 from cardamombarrow.document import from_routes
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import ids
--- a/benchmarks/scaling.py
+++ b/benchmarks/scaling.py
@@ -13,7 +13,7 @@
 import dataclasses
 import math
 
-from cardamombarrow.decisions import scaling
+from cardamombarrow.decisions.fleet import scaling
 from cardamombarrow.document import schema
 from cardamombarrow.duties import base
 from cardamombarrow.duties import order_planner
--- a/cardamombarrow/decisions/base.py
+++ b/cardamombarrow/decisions/base.py
@@ -8,10 +8,10 @@
 import abc
 from collections import abc as collections_abc
 
-from cardamombarrow.decisions import capacity as capacity_module
 from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import endpoint as endpoint_module
 from cardamombarrow.decisions import messages
+from cardamombarrow.decisions.limiting import capacity as capacity_module
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import ids
 
--- a/cardamombarrow/decisions/choice.py
+++ b/cardamombarrow/decisions/choosing/choice.py
@@ -20,11 +20,11 @@
 import dataclasses
 
 from cardamombarrow.decisions import context as context_module
-from cardamombarrow.decisions import cost_choice
 from cardamombarrow.decisions import endpoint as endpoint_module
-from cardamombarrow.decisions import failures
 from cardamombarrow.decisions import messages
-from cardamombarrow.decisions import prefixes
+from cardamombarrow.decisions.choosing import cost_choice
+from cardamombarrow.decisions.choosing import prefixes
+from cardamombarrow.decisions.fleet import failures
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import registry
 
--- a/cardamombarrow/decisions/cost_choice.py
+++ b/cardamombarrow/decisions/choosing/cost_choice.py
@@ -12,8 +12,8 @@
 from cardamombarrow.decisions import base
 from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import endpoint as endpoint_module
-from cardamombarrow.decisions import failures
 from cardamombarrow.decisions import messages
+from cardamombarrow.decisions.fleet import failures
 from cardamombarrow.kernel import ids
 
 __all__ = ["LowestCostChoice", "affinity_endpoint"]
--- a/cardamombarrow/decisions/engine_caches.py
+++ b/cardamombarrow/decisions/choosing/engine_caches.py
@@ -8,10 +8,10 @@
 
 from collections import abc
 
-from cardamombarrow.decisions import cache_directory
 from cardamombarrow.decisions import endpoint as endpoint_module
-from cardamombarrow.decisions import fetching
 from cardamombarrow.decisions import messages
+from cardamombarrow.decisions.choosing import cache_directory
+from cardamombarrow.decisions.choosing import fetching
 from cardamombarrow.kernel import ids
 
 __all__ = ["UNREPORTED_CACHED_SHARE", "EngineCaches"]
--- a/cardamombarrow/decisions/first_event.py
+++ b/cardamombarrow/decisions/choosing/first_event.py
@@ -38,15 +38,15 @@
 import dataclasses
 
 from cardamombarrow.decisions import context as context_module
-from cardamombarrow.decisions import cost_choice
 from cardamombarrow.decisions import endpoint as endpoint_module
-from cardamombarrow.decisions import engine_caches
-from cardamombarrow.decisions import engine_latency
-from cardamombarrow.decisions import failures
-from cardamombarrow.decisions import fetching
-from cardamombarrow.decisions import length_partition
 from cardamombarrow.decisions import messages
-from cardamombarrow.decisions import prefill_time
+from cardamombarrow.decisions.choosing import cost_choice
+from cardamombarrow.decisions.choosing import engine_caches
+from cardamombarrow.decisions.choosing import engine_latency
+from cardamombarrow.decisions.choosing import fetching
+from cardamombarrow.decisions.choosing import length_partition
+from cardamombarrow.decisions.choosing import prefill_time
+from cardamombarrow.decisions.fleet import failures
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import registry
--- a/cardamombarrow/decisions/tests/test_cache_directory.py
+++ b/cardamombarrow/decisions/choosing/tests/test_cache_directory.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from cardamombarrow.decisions import cache_directory
 from cardamombarrow.decisions import messages
+from cardamombarrow.decisions.choosing import cache_directory
 from cardamombarrow.kernel import ids
 
 _A, _B = ids.EndpointId("a"), ids.EndpointId("b")
--- a/cardamombarrow/decisions/tests/test_choice.py
+++ b/cardamombarrow/decisions/choosing/tests/test_choice.py
@@ -4,10 +4,10 @@
 
 import pytest
 
-from cardamombarrow.decisions import choice
 from cardamombarrow.decisions import endpoint as endpoint_module
-from cardamombarrow.decisions import failures
 from cardamombarrow.decisions import messages
+from cardamombarrow.decisions.choosing import choice
+from cardamombarrow.decisions.fleet import failures
 from cardamombarrow.kernel import ids
 
 PLUGINS = (choice.TwoCandidatesChoice, choice.LeastFinishChoice)
--- a/cardamombarrow/decisions/tests/test_fetching.py
+++ b/cardamombarrow/decisions/choosing/tests/test_fetching.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from cardamombarrow.decisions import fetching
+from cardamombarrow.decisions.choosing import fetching
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import ids
 
--- a/cardamombarrow/decisions/tests/test_first_event.py
+++ b/cardamombarrow/decisions/choosing/tests/test_first_event.py
@@ -7,11 +7,11 @@
 
 import pytest
 
-from cardamombarrow.decisions import cache_directory
 from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import core
-from cardamombarrow.decisions import first_event
 from cardamombarrow.decisions import messages
+from cardamombarrow.decisions.choosing import cache_directory
+from cardamombarrow.decisions.choosing import first_event
 from cardamombarrow.document import from_routes
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import ids
--- a/cardamombarrow/decisions/tests/test_length_partition.py
+++ b/cardamombarrow/decisions/choosing/tests/test_length_partition.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from cardamombarrow.decisions import length_partition
+from cardamombarrow.decisions.choosing import length_partition
 
 
 def _endpoints(**counts):
--- a/cardamombarrow/decisions/tests/test_spill.py
+++ b/cardamombarrow/decisions/choosing/tests/test_spill.py
@@ -4,7 +4,7 @@
 
 from cardamombarrow.decisions import endpoint as endpoint_module
 from cardamombarrow.decisions import messages
-from cardamombarrow.decisions import spill
+from cardamombarrow.decisions.choosing import spill
 from cardamombarrow.kernel import ids
 
 
--- a/cardamombarrow/decisions/tests/conftest.py
+++ b/cardamombarrow/decisions/conftest.py
@@ -10,7 +10,7 @@
 from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import core
 from cardamombarrow.decisions import messages
-from cardamombarrow.decisions import restrictions
+from cardamombarrow.decisions.limiting import restrictions
 from cardamombarrow.document import parsing
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import ids
--- a/cardamombarrow/decisions/context.py
+++ b/cardamombarrow/decisions/context.py
@@ -3,9 +3,11 @@
 import dataclasses
 import random
 
-from cardamombarrow.decisions import fleet as fleet_module
-from cardamombarrow.decisions import rate_limits as rate_limits_module
-from cardamombarrow.decisions import restrictions as restrictions_module
+from cardamombarrow.decisions.fleet import fleet_share as fleet_module
+from cardamombarrow.decisions.limiting import rate_limits as rate_limits_module
+from cardamombarrow.decisions.limiting import (
+    restrictions as restrictions_module,
+)
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import ids
 
--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -14,10 +14,10 @@
 
 from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import endpoint as endpoint_module
-from cardamombarrow.decisions import forecast
 from cardamombarrow.decisions import messages
-from cardamombarrow.decisions import roster
 from cardamombarrow.decisions import runs
+from cardamombarrow.decisions.fleet import roster
+from cardamombarrow.decisions.queueing import forecast
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 
--- a/cardamombarrow/decisions/dispatcher_state.py
+++ b/cardamombarrow/decisions/dispatcher_state.py
@@ -7,8 +7,8 @@
 from cardamombarrow.decisions import endpoint as endpoint_module
 from cardamombarrow.decisions import messages
 from cardamombarrow.decisions import policies
-from cardamombarrow.decisions import roster
-from cardamombarrow.decisions import waiting
+from cardamombarrow.decisions.fleet import roster
+from cardamombarrow.decisions.queueing import waiting
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import ids
 
--- a/cardamombarrow/decisions/roster.py
+++ b/cardamombarrow/decisions/fleet/roster.py
@@ -8,12 +8,12 @@
 import dataclasses
 
 from cardamombarrow.decisions import base
-from cardamombarrow.decisions import capacity as capacity_module
 from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import endpoint as endpoint_module
 from cardamombarrow.decisions import messages
 from cardamombarrow.decisions import policies as policies_module
-from cardamombarrow.decisions import rate_budget
+from cardamombarrow.decisions.limiting import capacity as capacity_module
+from cardamombarrow.decisions.limiting import rate_budget
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import ids
 
--- a/cardamombarrow/decisions/tests/test_fleet.py
+++ b/cardamombarrow/decisions/fleet/tests/test_fleet_share.py
@@ -7,8 +7,8 @@
 
 from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import core
-from cardamombarrow.decisions import fleet
 from cardamombarrow.decisions import messages
+from cardamombarrow.decisions.fleet import fleet_share as fleet
 from cardamombarrow.decisions.tests import test_plain_calls
 from cardamombarrow.kernel import ids
 
--- a/cardamombarrow/decisions/tests/test_quarantine.py
+++ b/cardamombarrow/decisions/fleet/tests/test_quarantine.py
@@ -5,7 +5,7 @@
 import pytest
 
 from cardamombarrow.decisions import messages
-from cardamombarrow.decisions import quarantine
+from cardamombarrow.decisions.fleet import quarantine
 from cardamombarrow.kernel import ids
 
 ENDPOINT = ids.EndpointId("10.0.0.1:80")
--- a/cardamombarrow/decisions/tests/test_scaling.py
+++ b/cardamombarrow/decisions/fleet/tests/test_scaling.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cardamombarrow.decisions import scaling
+from cardamombarrow.decisions.fleet import scaling
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import ids
 
--- a/cardamombarrow/decisions/limits.py
+++ b/cardamombarrow/decisions/limiting/limits.py
@@ -28,7 +28,7 @@
 from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import endpoint as endpoint_module
 from cardamombarrow.decisions import messages
-from cardamombarrow.decisions import prefixes
+from cardamombarrow.decisions.choosing import prefixes
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import registry
 
--- a/cardamombarrow/decisions/rate_budget.py
+++ b/cardamombarrow/decisions/limiting/rate_budget.py
@@ -7,9 +7,9 @@
 from collections import abc
 import math
 
-from cardamombarrow.decisions import capacity as capacity_module
 from cardamombarrow.decisions import endpoint as endpoint_module
-from cardamombarrow.decisions import rate_limits
+from cardamombarrow.decisions.limiting import capacity as capacity_module
+from cardamombarrow.decisions.limiting import rate_limits
 from cardamombarrow.kernel import ids
 
 __all__ = ["RateBudget"]
--- a/cardamombarrow/decisions/tests/test_limits.py
+++ b/cardamombarrow/decisions/limiting/tests/test_limits.py
@@ -3,8 +3,8 @@
 import pytest
 
 from cardamombarrow.decisions import endpoint as endpoint_module
-from cardamombarrow.decisions import limits
 from cardamombarrow.decisions import messages
+from cardamombarrow.decisions.limiting import limits
 from cardamombarrow.kernel import ids
 
 PLUGINS = (limits.GradientLimits, limits.AimdLimits)
--- a/cardamombarrow/decisions/tests/test_rate_limits.py
+++ b/cardamombarrow/decisions/limiting/tests/test_rate_limits.py
@@ -9,7 +9,7 @@
 from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import core
 from cardamombarrow.decisions import messages
-from cardamombarrow.decisions import rate_limits
+from cardamombarrow.decisions.limiting import rate_limits
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 
--- a/cardamombarrow/decisions/tests/test_restrictions.py
+++ b/cardamombarrow/decisions/limiting/tests/test_restrictions.py
@@ -9,7 +9,9 @@
 from benchmarks import pauses
 from benchmarks import scenarios
 from cardamombarrow.decisions import messages
-from cardamombarrow.decisions import restrictions as restrictions_module
+from cardamombarrow.decisions.limiting import (
+    restrictions as restrictions_module,
+)
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 
--- a/cardamombarrow/decisions/tests/test_shares.py
+++ b/cardamombarrow/decisions/limiting/tests/test_shares.py
@@ -8,7 +8,7 @@
 
 from cardamombarrow.decisions import endpoint as endpoint_module
 from cardamombarrow.decisions import messages
-from cardamombarrow.decisions import shares
+from cardamombarrow.decisions.limiting import shares
 from cardamombarrow.kernel import ids
 
 SERVICE = ids.ServiceId("models")
--- a/cardamombarrow/decisions/policies.py
+++ b/cardamombarrow/decisions/policies.py
@@ -11,17 +11,17 @@
 
 POLICY_MODULES = (
     "cardamombarrow.decisions.baselines",
-    "cardamombarrow.decisions.choice",
-    "cardamombarrow.decisions.first_event",
-    "cardamombarrow.decisions.limits",
-    "cardamombarrow.decisions.spill",
-    "cardamombarrow.decisions.shares",
-    "cardamombarrow.decisions.quarantine",
-    "cardamombarrow.decisions.tiers",
-    "cardamombarrow.decisions.admission",
-    "cardamombarrow.decisions.retry",
-    "cardamombarrow.decisions.preemption",
-    "cardamombarrow.decisions.estimate",
+    "cardamombarrow.decisions.choosing.choice",
+    "cardamombarrow.decisions.choosing.first_event",
+    "cardamombarrow.decisions.limiting.limits",
+    "cardamombarrow.decisions.choosing.spill",
+    "cardamombarrow.decisions.limiting.shares",
+    "cardamombarrow.decisions.fleet.quarantine",
+    "cardamombarrow.decisions.queueing.tiers",
+    "cardamombarrow.decisions.queueing.admission",
+    "cardamombarrow.decisions.queueing.retry",
+    "cardamombarrow.decisions.queueing.preemption",
+    "cardamombarrow.decisions.queueing.estimate",
 )
 """Modules whose import registers the policies."""
 
--- a/cardamombarrow/decisions/forecast.py
+++ b/cardamombarrow/decisions/queueing/forecast.py
@@ -14,9 +14,9 @@
 
 import math
 
-from cardamombarrow.decisions import capacity as capacity_module
 from cardamombarrow.decisions import messages
 from cardamombarrow.decisions import policies as policies_module
+from cardamombarrow.decisions.limiting import capacity as capacity_module
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import ids
 
--- a/cardamombarrow/decisions/preemption.py
+++ b/cardamombarrow/decisions/queueing/preemption.py
@@ -26,10 +26,10 @@
 import math
 
 from cardamombarrow.decisions import base
-from cardamombarrow.decisions import capacity as capacity_module
 from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import endpoint as endpoint_module
 from cardamombarrow.decisions import messages
+from cardamombarrow.decisions.limiting import capacity as capacity_module
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import registry
 
--- a/cardamombarrow/decisions/retry.py
+++ b/cardamombarrow/decisions/queueing/retry.py
@@ -28,8 +28,8 @@
 
 from cardamombarrow.decisions import base
 from cardamombarrow.decisions import context as context_module
-from cardamombarrow.decisions import fleet
 from cardamombarrow.decisions import messages
+from cardamombarrow.decisions.fleet import fleet_share as fleet
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import registry
 
--- a/cardamombarrow/decisions/tests/test_admission.py
+++ b/cardamombarrow/decisions/queueing/tests/test_admission.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from cardamombarrow.decisions import admission
 from cardamombarrow.decisions import messages
+from cardamombarrow.decisions.queueing import admission
 from cardamombarrow.kernel import errors
 
 
--- a/cardamombarrow/decisions/tests/test_estimate.py
+++ b/cardamombarrow/decisions/queueing/tests/test_estimate.py
@@ -5,7 +5,7 @@
 import pytest
 
 from cardamombarrow.decisions import baselines
-from cardamombarrow.decisions import estimate
+from cardamombarrow.decisions.queueing import estimate
 
 
 @pytest.fixture
--- a/cardamombarrow/decisions/tests/test_fairness.py
+++ b/cardamombarrow/decisions/queueing/tests/test_fairness.py
@@ -6,7 +6,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from cardamombarrow.decisions import fairness
+from cardamombarrow.decisions.queueing import fairness
 
 
 def _order(queue: fairness.FairQueue) -> list[str]:
--- a/cardamombarrow/decisions/tests/test_retry.py
+++ b/cardamombarrow/decisions/queueing/tests/test_retry.py
@@ -6,7 +6,7 @@
 import pytest
 
 from cardamombarrow.decisions import messages
-from cardamombarrow.decisions import retry
+from cardamombarrow.decisions.queueing import retry
 
 NOT_STARTED = messages.Outcome.NOT_STARTED
 CRASHED = messages.Outcome.CRASHED
--- a/cardamombarrow/decisions/tests/test_retry_window.py
+++ b/cardamombarrow/decisions/queueing/tests/test_retry_window.py
@@ -6,9 +6,9 @@
 import pytest
 
 from cardamombarrow.decisions import context as context_module
-from cardamombarrow.decisions import fleet
 from cardamombarrow.decisions import messages
-from cardamombarrow.decisions import retry
+from cardamombarrow.decisions.fleet import fleet_share as fleet
+from cardamombarrow.decisions.queueing import retry
 
 _BOUNDS = context_module.RetryBounds(share=0.2, slack=54.0, window_s=10.0)
 
--- a/cardamombarrow/decisions/tiers.py
+++ b/cardamombarrow/decisions/queueing/tiers.py
@@ -34,10 +34,10 @@
 import math
 
 from cardamombarrow.decisions import base
-from cardamombarrow.decisions import capacity as capacity_module
 from cardamombarrow.decisions import context as context_module
-from cardamombarrow.decisions import fairness
 from cardamombarrow.decisions import messages
+from cardamombarrow.decisions.limiting import capacity as capacity_module
+from cardamombarrow.decisions.queueing import fairness
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import registry
--- a/cardamombarrow/decisions/tests/test_others_load.py
+++ b/cardamombarrow/decisions/tests/test_others_load.py
@@ -10,8 +10,8 @@
 from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import core
 from cardamombarrow.decisions import endpoint as endpoint_module
-from cardamombarrow.decisions import length_partition
 from cardamombarrow.decisions import messages
+from cardamombarrow.decisions.choosing import length_partition
 from cardamombarrow.kernel import ids
 
 _PEER = ids.InstanceId("placer of another domain")
--- a/cardamombarrow/duties/runner.py
+++ b/cardamombarrow/duties/runner.py
@@ -5,7 +5,7 @@
 import threading
 import typing
 
-from cardamombarrow.decisions import scaling
+from cardamombarrow.decisions.fleet import scaling
 from cardamombarrow.discovery import base as discovery
 from cardamombarrow.document import schema
 from cardamombarrow.duties import base
--- a/cardamombarrow/entry/broker_base.py
+++ b/cardamombarrow/entry/broker_base.py
@@ -15,7 +15,7 @@
 from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import core
 from cardamombarrow.decisions import messages
-from cardamombarrow.decisions import rate_limits as rate_limits_module
+from cardamombarrow.decisions.limiting import rate_limits as rate_limits_module
 from cardamombarrow.document import schema
 from cardamombarrow.entry import decision_lines
 from cardamombarrow.entry import remote_placer as remote_placer_module
--- a/cardamombarrow/metering/meter.py
+++ b/cardamombarrow/metering/meter.py
@@ -11,7 +11,7 @@
 import dataclasses
 import threading
 
-from cardamombarrow.decisions import prefill_time
+from cardamombarrow.decisions.choosing import prefill_time
 from cardamombarrow.kernel import ids
 
 __all__ = ["DemandTotal", "Meter", "WindowCounts", "window_of"]
--- a/cardamombarrow/peers/tests/test_rate_limit_gossip.py
+++ b/cardamombarrow/peers/tests/test_rate_limit_gossip.py
@@ -3,7 +3,7 @@
 import pytest
 
 from cardamombarrow.decisions import messages
-from cardamombarrow.decisions import rate_limits
+from cardamombarrow.decisions.limiting import rate_limits
 from cardamombarrow.gossip import rows
 from cardamombarrow.kernel import ids
 from cardamombarrow.peers import gossip_codec
