Read load reports with further values, and count what can't be parsed

Placers had no load report of any endpoint where endpoints report a fourth value: the pattern allowed three, and the whole report was dropped without a log line. The new tests of further values failed before. Class: a field that grows is lost silently; every header field of an answer that can't be parsed is now counted and logged once per endpoint and field. The fourth value reaches the placer, and enables the overload controls of its service, which nothing uses yet.

--- a/cardamombarrow/decisions/context.py
+++ b/cardamombarrow/decisions/context.py
@@ -3,6 +3,7 @@
 import dataclasses
 import random
 
+from cardamombarrow.decisions import overload as overload_module
 from cardamombarrow.decisions.fleet import fleet_share as fleet_module
 from cardamombarrow.decisions.limiting import rate_limits as rate_limits_module
 from cardamombarrow.decisions.limiting import (
@@ -41,6 +42,8 @@
         rate_limits: The rate limits that endpoints state; shared by all
             dispatchers of an instance.
         restrictions: The pauses and departures that endpoints state.
+        overload: For which services the overload controls are enabled; shared
+            by all dispatchers of an instance.
         whole_domain: Whether the decisions are made for all instances of the
             domain, and not only for one of several that share it.
     """
@@ -59,4 +62,7 @@
     restrictions: restrictions_module.Restrictions = dataclasses.field(
         default_factory=restrictions_module.Restrictions
     )
+    overload: overload_module.OverloadControl = dataclasses.field(
+        default_factory=overload_module.OverloadControl
+    )
     whole_domain: bool = False
--- a/cardamombarrow/decisions/fleet/roster.py
+++ b/cardamombarrow/decisions/fleet/roster.py
@@ -309,6 +309,8 @@
         state = self.endpoints.get(endpoint)
         if state is not None:
             state.report = report
+            if report.work_time_factor is not None:
+                self._context.overload.record_work_time(state.service)
             if report.leaving and not state.leaving:
                 self.set_leaving(endpoint, True)
 
--- a/cardamombarrow/decisions/messages.py
+++ b/cardamombarrow/decisions/messages.py
@@ -151,6 +151,8 @@
     Attributes:
         measured_at_s: When it was read, on this instance's clock; later
             changes of the load are not included.
+        work_time_factor: How long work takes on its machine at the moment, as
+            a multiple of the usual time; None if not reported.
     """
 
     running: int
@@ -158,6 +160,7 @@
     cache_used_share: float
     leaving: bool
     measured_at_s: float
+    work_time_factor: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -185,12 +188,14 @@
         pause_s: Time for which this instance should send it nothing, in
             seconds; 0 for none.
         leaving: Whether it is about to stop.
+        invalid_fields: Names of the header fields that can't be parsed.
     """
 
     load: LoadReport | None = None
     rate_limit: RateLimit | None = None
     pause_s: float = 0.0
     leaving: bool = False
+    invalid_fields: tuple[str, ...] = ()
 
 
 NO_STATEMENT = EndpointStatement()
--- a/cardamombarrow/endpoints/base.py
+++ b/cardamombarrow/endpoints/base.py
@@ -28,6 +28,7 @@
 PROBE_TIMEOUT_S = 1.0
 """Time within which a live endpoint answers a probe."""
 
+_RATE_LIMIT = "x-rate-limit"
 _UNAVAILABLE = 503
 
 
@@ -223,10 +224,10 @@
         The header fields are ``X-Rate-Limit``, ``X-Leaving`` and, of a 503,
         ``Retry-After``. Subclasses may use others.
         """
+        rate_limit = statements.parse_rate_limit(head.headers.get(_RATE_LIMIT))
         return messages.EndpointStatement(
-            rate_limit=statements.parse_rate_limit(
-                head.headers.get("x-rate-limit")
-            ),
+            rate_limit=rate_limit,
+            invalid_fields=() if rate_limit else (_RATE_LIMIT,),
             pause_s=read_pause(head),
             leaving=head.headers.get("x-leaving") == "1",
         )
--- a/cardamombarrow/endpoints/statements.py
+++ b/cardamombarrow/endpoints/statements.py
@@ -9,13 +9,48 @@
 from cardamombarrow.decisions import messages
 from cardamombarrow.kernel import logs
 
-__all__ = ["MAX_PAUSE_S", "parse_pause", "parse_rate_limit"]
+__all__ = [
+    "MAX_PAUSE_S",
+    "parse_load",
+    "parse_pause",
+    "parse_rate_limit",
+]
 
 MAX_PAUSE_S = 3_600.0
 """Upper bound on a stated pause. A clock that is wrong by days would otherwise
 remove an endpoint until the next restart."""
 
 _DECIMAL = re.compile(r"\d{1,9}(\.\d{1,9})?")
+_LOAD = re.compile(
+    r"(\d{1,6}),(\d{1,6}),(\d{1,6})(?:,(?P<percent>\d{1,6})(?:,.*)?)?"
+)
+
+
+def parse_load(text: str | None) -> messages.LoadReport | None:
+    """Parses an endpoint's report of its load.
+
+    Args:
+        text: Numbers of running and waiting requests and of slots, separated
+            by commas, then optionally how long work takes, in percent of the
+            usual time. Further values are ignored, so that an endpoint that
+            reports more of them does not lose its report. None if the answer
+            lacks the field.
+
+    Returns:
+        None if the field is missing or invalid.
+    """
+    match = _LOAD.fullmatch(text or "")
+    if match is None:
+        return None
+    percent = int(match["percent"] or 0)
+    return messages.LoadReport(
+        running=int(match[1]),
+        waiting=int(match[2]),
+        cache_used_share=0.0,
+        leaving=False,
+        measured_at_s=time.monotonic(),
+        work_time_factor=percent / 100 if percent else None,
+    )
 
 
 def parse_rate_limit(text: str | None) -> messages.RateLimit | None:
@@ -32,7 +67,6 @@
     if text is None:
         return messages.RateLimit(None, now_s)
     if _DECIMAL.fullmatch(text.strip()) is None:
-        logs.event("rate limit invalid", "WARNING", text=text[:32])
         return None
     return messages.RateLimit(float(text), now_s)
 
--- a/cardamombarrow/entry/broker_base.py
+++ b/cardamombarrow/entry/broker_base.py
@@ -5,6 +5,7 @@
 """
 
 import abc
+import collections
 from collections import abc as collections_abc
 import dataclasses
 import math
@@ -15,6 +16,7 @@
 from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import core
 from cardamombarrow.decisions import messages
+from cardamombarrow.decisions import overload as overload_module
 from cardamombarrow.decisions.limiting import rate_limits as rate_limits_module
 from cardamombarrow.document import schema
 from cardamombarrow.entry import decision_lines
@@ -35,6 +37,9 @@
 recomputed when the next job arrives.
 """
 
+MAX_INVALID_LOGGED = 2_048
+"""Pairs of endpoint and field that are remembered as logged: some three fields
+for each endpoint of the largest deployment."""
 
 _ANSWER = "answer"
 
@@ -70,6 +75,7 @@
         retries: context_module.RetryBounds | None = None,
         rate_limits: rate_limits_module.RateLimits | None = None,
         whole_domain: bool = False,
+        overload: overload_module.OverloadControl | None = None,
     ):
         self._clock = time_source
         self._context = context = context_module.PolicyContext(
@@ -79,8 +85,11 @@
             random.Random(),
             retries or context_module.RetryBounds(),
             rate_limits=rate_limits or rate_limits_module.RateLimits(),
+            overload=overload or overload_module.OverloadControl(),
             whole_domain=whole_domain,
         )
+        self._invalid_fields: collections.Counter[str] = collections.Counter()
+        self._invalid_logged: set[tuple[ids.EndpointId, str]] = set()
         self._remote_placer: remote_placer_module.RemotePlacer = (
             remote_placer_module.NoRemotePlacer()
         )
@@ -140,6 +149,7 @@
                 context.retries,
                 rate_limits=context.rate_limits,
                 whole_domain=True,
+                overload=context.overload,
             )
             with self._lock:
                 now_s = self._clock.now_s()
@@ -262,6 +272,8 @@
         request_id: ids.RequestId,
     ) -> None:
         """Records what an endpoint states in its answer to a request."""
+        for field in statement.invalid_fields:
+            self._record_invalid(endpoint, field, request_id)
         if statement.load is not None:
             self.report(endpoint, statement.load)
             self._remote_placer.load_reported(endpoint, statement.load)
@@ -272,6 +284,31 @@
         if statement.leaving:
             self._record_departure(endpoint, request_id)
 
+    def _record_invalid(
+        self, endpoint: ids.EndpointId, field: str, request_id: ids.RequestId
+    ) -> None:
+        """Counts a field that can't be parsed; logs it once per endpoint."""
+        with self._lock:
+            self._invalid_fields[field] += 1
+            logged = self._invalid_logged
+            is_new = (endpoint, field) not in logged
+            if len(logged) >= MAX_INVALID_LOGGED:
+                logged.clear()
+            logged.add((endpoint, field))
+        if is_new:
+            logs.event(
+                "statement invalid",
+                "WARNING",
+                endpoint=endpoint,
+                field=field,
+                request_id=request_id,
+            )
+
+    def invalid_fields(self) -> dict[str, int]:
+        """Returns how many fields of endpoints' answers could not be parsed."""
+        with self._lock:
+            return dict(self._invalid_fields)
+
     def _record_pause(
         self,
         endpoint: ids.EndpointId,
--- a/cardamombarrow/entry/call_runner.py
+++ b/cardamombarrow/entry/call_runner.py
@@ -57,6 +57,7 @@
             self._documents.revision,
             self.services.broker.rate_limited(),
             self.services.broker.paused(),
+            self.services.broker.invalid_fields(),
         )
 
     def begin(
--- a/cardamombarrow/entry/metrics.py
+++ b/cardamombarrow/entry/metrics.py
@@ -155,6 +155,7 @@
         revision: ids.Revision,
         rate_limited: int = 0,
         paused: int = 0,
+        invalid_fields: abc.Mapping[str, int] | None = None,
     ) -> str:
         """Returns all metrics in the Prometheus text format.
 
@@ -163,6 +164,8 @@
             revision: Revision in force.
             rate_limited: Endpoints that state a rate limit.
             paused: Endpoints that have asked for a pause.
+            invalid_fields: Header fields of endpoints' answers that could not
+                be parsed, by name.
         """
         gauges = {
             "requests_held": held,
@@ -172,7 +175,13 @@
             "paused_endpoints": paused,
         }
         with self._lock:
-            return "\n".join(self._lines(gauges)) + "\n"
+            lines = [*self._lines(gauges)]
+        lines.append(f"# TYPE {PREFIX}invalid_statements_total counter")
+        lines += [
+            f'{PREFIX}invalid_statements_total{{field="{name}"}} {count}'
+            for name, count in (invalid_fields or {}).items()
+        ]
+        return "\n".join(lines) + "\n"
 
     def _lines(self, gauges: dict[str, int]) -> abc.Iterator[str]:
         for name, latencies in (
--- a/cardamombarrow/peers/placing_client.py
+++ b/cardamombarrow/peers/placing_client.py
@@ -205,6 +205,9 @@
                     endpoint=endpoint,
                     running=report.running,
                     waiting=report.waiting,
+                    work_time_percent=round(
+                        100 * (report.work_time_factor or 0.0)
+                    ),
                 )
             )
 
--- a/cardamombarrow/peers/placing_service.py
+++ b/cardamombarrow/peers/placing_service.py
@@ -170,8 +170,14 @@
                 self._placer.withdrawn(owner, ids.RequestId(event.withdrawn))
             case "load":
                 load = event.load
+                percent = load.work_time_percent
                 report = messages.LoadReport(
-                    load.running, load.waiting, 0.0, False, now_s
+                    load.running,
+                    load.waiting,
+                    0.0,
+                    False,
+                    now_s,
+                    percent / 100 if percent else None,
                 )
                 self._placer.load_reported(
                     ids.EndpointId(load.endpoint), report
--- a/cardamombarrow/platform/servers.py
+++ b/cardamombarrow/platform/servers.py
@@ -21,7 +21,7 @@
 _LEAVING = "server-leaving"
 _MISDIRECTED = 421
 _NOT_RUN_STATUSES = (408, 429, 503)
-_LOAD = re.compile(r"(\d{1,6}),(\d{1,6}),(\d{1,6})")
+_LOAD = "instance-load"
 _EVENT_ID = re.compile(rb"^id:[ ]?([^\r\n]+)", re.M)
 _EVENT = re.compile(rb"^data:", re.M)
 
@@ -107,13 +107,19 @@
         other_request = head.headers.get(_ID) != call.caller_id
         if other_request or head.status == _MISDIRECTED:
             return messages.NO_STATEMENT
+        sent_load = head.headers.get(_LOAD)
+        load = statements.parse_load(sent_load)
+        rate_limit = statements.parse_rate_limit(head.headers.get(_RATE_LIMIT))
+        invalid = {
+            _LOAD: sent_load is not None and load is None,
+            _RATE_LIMIT: rate_limit is None,
+        }
         return messages.EndpointStatement(
-            load=_read_load(head),
-            rate_limit=statements.parse_rate_limit(
-                head.headers.get(_RATE_LIMIT)
-            ),
+            load=load,
+            rate_limit=rate_limit,
             pause_s=base.read_pause(head),
             leaving=head.headers.get(_LEAVING) == "1",
+            invalid_fields=tuple(each for each in invalid if invalid[each]),
         )
 
     def count_tokens(self, chunk: bytes) -> int:
@@ -152,20 +158,6 @@
         return found[-1].decode("latin-1").strip() if found else ""
 
 
-def _read_load(head: base.Head) -> messages.LoadReport | None:
-    """Reads the numbers of running and waiting requests."""
-    match = _LOAD.fullmatch(head.headers.get("instance-load", ""))
-    if match is None:
-        return None
-    return messages.LoadReport(
-        running=int(match[1]),
-        waiting=int(match[2]),
-        cache_used_share=0.0,
-        leaving=False,
-        measured_at_s=time.monotonic(),
-    )
-
-
 def _priority(rank: int) -> int:
     """Returns the priority that a server gets, 0 (most urgent) to 9.
 
--- a/cardamombarrow/platform/tests/test_servers.py
+++ b/cardamombarrow/platform/tests/test_servers.py
@@ -112,10 +112,34 @@
     assert _KIND.last_event_id(b": comment\n\n") == ""
 
 
-@pytest.mark.parametrize("sent", ["", "1,2", "1,2,x", "-1,2,3"])
+@pytest.mark.parametrize(
+    "sent",
+    ["", "1,2", "1,2,x", "-1,2,3", "1,2,3,-5", "1,2,3,", "9999999,1,1"],
+)
 def test_a_load_that_cannot_be_read_is_no_load(sent):
     head = base.Head(200, {**_GOOD, "instance-load": sent})
-    assert _KIND.read_statement(head, _call()).load is None
+    statement = _KIND.read_statement(head, _call())
+    assert statement.load is None
+    assert statement.invalid_fields == ("instance-load",)
+
+
+def test_a_missing_load_is_not_invalid():
+    statement = _KIND.read_statement(base.Head(200, _GOOD), _call())
+    assert statement.load is None
+    assert statement.invalid_fields == ()
+
+
+@pytest.mark.parametrize(
+    ("sent", "factor"),
+    [("3,1,8,250", 2.5), ("3,1,8,0", None), ("3,1,8,100,7,x", 1.0)],
+)
+def test_a_load_with_further_values_is_read(sent, factor):
+    # Guards against the loss of the whole report, and with it of all reports
+    # of a service, when endpoints add a value.
+    head = base.Head(200, {**_GOOD, "instance-load": sent})
+    report = _KIND.read_statement(head, _call()).load
+    assert (report.running, report.waiting) == (3, 1)
+    assert report.work_time_factor == factor
 
 
 def test_a_load_is_read():
