--- a/cardamombarrow/entry/core.py
+++ b/cardamombarrow/entry/core.py
@@ -6,6 +6,7 @@
 import typing
 
 from cardamombarrow.decisions import context as context_module
+from cardamombarrow.decisions import overload as overload_module
 from cardamombarrow.discovery import base as discovery
 from cardamombarrow.discovery import core as discovery_core
 from cardamombarrow.document import schema
@@ -180,6 +181,9 @@
         context_module.RetryBounds(
             retries.share, retries.slack, retries.window_s
         ),
+        overload=overload_module.OverloadControl(
+            settings.overload.are_enabled()
+        ),
     )
     counts = metrics.Metrics()
     poller = peering.join(kinds, broker, counts)
--- a/cardamombarrow/entry/settings.py
+++ b/cardamombarrow/entry/settings.py
@@ -231,6 +231,27 @@
     )
 
 
+@dataclasses.dataclass(frozen=True)
+class OverloadSettings:
+    """Controls for load above the prefill capacity of the endpoints."""
+
+    enabled: bool = settings.setting(
+        False,
+        help="whether they are enabled for all services; otherwise they are "
+        "for a service whose endpoints report their work time",
+    )
+    terms: tuple[str, ...] = settings.setting(
+        (), help="words by which the platform describes this deployment"
+    )
+    enabled_by: str = settings.setting(
+        "", help="also enables them where `terms` has this word"
+    )
+
+    def are_enabled(self) -> bool:
+        """Returns whether they are enabled for all services."""
+        return self.enabled or self.enabled_by in self.terms
+
+
 @dataclasses.dataclass(frozen=True)
 class EntrySettings:
     """All settings of the role; one INI section each."""
@@ -243,5 +264,6 @@
     document: DocumentSettings
     retries: RetrySettings
     metering: MeteringSettings
+    overload: OverloadSettings
     side: SideSettings
     log: LogSettings
