--- a/cardamombarrow/entry/tests/test_broker.py
+++ b/cardamombarrow/entry/tests/test_broker.py
@@ -1,6 +1,7 @@
 """Threads that wait for a placement, and callers that leave during the wait."""
 
 from concurrent import futures
+import dataclasses
 import random
 import threading
 import time
@@ -181,3 +182,37 @@
     limits.limit = lambda state, now_s: most
     assert waiting.placed.result(timeout=_LIMIT_S)
     assert held
+
+
+def test_invalid_statements_are_counted_and_logged_once_per_endpoint(
+    broker, monkeypatch
+):
+    # Guards against values that are lost silently, and against a log line for
+    # each answer of an endpoint.
+    lines = []
+    monkeypatch.setattr(
+        logs, "event", lambda event, *_, **fields: lines.append((event, fields))
+    )
+    statement = messages.EndpointStatement(invalid_fields=("load",))
+    for endpoint in ("10.0.0.1:80", "10.0.0.1:80", "10.0.0.2:80"):
+        broker.answer_statement(
+            ids.EndpointId(endpoint), statement, ids.RequestId("r1")
+        )
+    assert broker.invalid_fields() == {"load": 3}
+    assert [fields["endpoint"] for _, fields in lines] == [
+        "10.0.0.1:80",
+        "10.0.0.2:80",
+    ]
+
+
+def test_work_time_enables_the_overload_controls_of_its_service(broker):
+    [state, *_] = broker._dispatcher.endpoints()
+    overload = broker._context.overload
+    report = messages.LoadReport(0, 0, 0.0, False, 0.0)
+    broker.report(state.endpoint, report)
+    assert not overload.is_enabled(state.service)
+    broker.report(
+        state.endpoint, dataclasses.replace(report, work_time_factor=1.0)
+    )
+    assert overload.is_enabled(state.service)
+    assert not overload.is_enabled(ids.ServiceId("another"))
