Learn the speed of each endpoint from prompts and reported work times

Cause: the prefill time was learned per service only. On nine simulated engines of 1, 1.3 and 2.5 times the usual time, four of which become four times as slow for 6 s, slow engines got as many prompts as fast ones.

EndpointSpeeds keeps a factor per endpoint; first_event multiplies the prefill time of the service with it for the job's own prompt, the queue and the prompts of other instances, only where the overload controls are enabled.

Ruled out: taking the report as given.

--- a/benchmarks/driver.py
+++ b/benchmarks/driver.py
@@ -20,6 +20,7 @@
 from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import core
 from cardamombarrow.decisions import messages
+from cardamombarrow.decisions import overload
 from cardamombarrow.kernel import ids
 
 __all__ = ["DOMAIN", "LINK_S", "SERVICE", "TICK_S", "Driver", "Flight"]
@@ -99,6 +100,7 @@
                     ids.InstanceId(f"entry-{number}"),
                     DOMAIN,
                     random.Random(seed * 1_000 + number),
+                    overload=overload.OverloadControl(scenario.overload),
                 ),
                 0.0,
             )
@@ -353,6 +355,7 @@
     def _first_token(self, flight: Flight) -> None:
         work = flight.work
         entry = self._entries[flight.entry]
+        self._report_in_response(flight)
         entry.first_token(flight.job.request_id, self._now_s)
         class_result = self._result.classes[work.class_id]
         waited_s = self._now_s - work.arrival_s
@@ -360,6 +363,20 @@
         flight.delivered = True
         work.in_time = waited_s <= flight.job.target_first_token_s
 
+    def _report_in_response(self, flight: Flight) -> None:
+        """Passes the load report of a response on, if it has a work time."""
+        report = self._engines[flight.endpoint].report(self._now_s)
+        if report.work_time_factor is not None:
+            self._receive_report(flight.entry, flight.endpoint, report)
+
+    def _receive_report(
+        self,
+        entry: int,
+        endpoint: ids.EndpointId,
+        report: messages.LoadReport,
+    ) -> None:
+        self._entries[entry].report(endpoint, report)
+
     def _progress(
         self, endpoint: ids.EndpointId, request_id: ids.RequestId, tokens: int
     ) -> None:
@@ -395,8 +412,8 @@
             engine.observe(self._now_s)
             if not engine.is_down(self._now_s):
                 report = engine.report(self._now_s)
-                for entry in self._entries:
-                    entry.report(endpoint, report)
+                for entry in range(len(self._entries)):
+                    self._receive_report(entry, endpoint, report)
 
     def _exchange_initial_demand(self) -> None:
         for entry in range(len(self._entries)):
--- a/benchmarks/fake_engine.py
+++ b/benchmarks/fake_engine.py
@@ -7,13 +7,28 @@
 
 import collections
 import dataclasses
+import enum
 import heapq
 import itertools
 
 from cardamombarrow.decisions import messages
 from cardamombarrow.kernel import ids
 
-__all__ = ["EngineSettings", "FakeEngine", "StepResult", "Work"]
+__all__ = [
+    "EngineSettings",
+    "FakeEngine",
+    "StepResult",
+    "Work",
+    "WorkTime",
+]
+
+
+class WorkTime(enum.Enum):
+    """What an engine reports as its work time."""
+
+    NONE = "nothing"
+    TRUE = "the slowdown at the moment"
+    FALSE = "a constant false value"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -35,6 +50,10 @@
             evicting and recomputing its cache.
         slow_from_s: Start of the time in which steps take `slowdown` times
             as long; it ends at `slow_until_s`.
+        speed_factor: Factor on the length of every step.
+        work_time: What it reports as its work time.
+        work_time_until_s: From then on it reports no work time.
+        false_work_time: Value that `WorkTime.FALSE` reports.
         fail_from_s: Start of the time in which every request fails after
             `fail_after_s`; it ends at `fail_until_s`.
         pause_s: Pause that it asks for when it fails a request; 0 for none.
@@ -56,6 +75,10 @@
     slow_from_s: float = float("inf")
     slow_until_s: float = float("inf")
     slowdown: float = 1.0
+    speed_factor: float = 1.0
+    work_time: WorkTime = WorkTime.NONE
+    work_time_until_s: float = float("inf")
+    false_work_time: float = 1.0
     fail_from_s: float = float("inf")
     fail_until_s: float = float("inf")
     fail_after_s: float = 0.005
@@ -212,6 +235,7 @@
             + settings.over_knee_step_s
             * max(0, len(self._batch) - settings.knee)
         )
+        length_s *= settings.speed_factor
         if settings.slow_from_s <= now_s < settings.slow_until_s:
             length_s *= settings.slowdown
         return length_s
@@ -290,4 +314,17 @@
         history = [item for item in self._history if item[0] <= load_at_s]
         _, running, waiting = (history or [(0.0, 0, 0)])[-1]
         used = running / self.settings.batch
-        return messages.LoadReport(running, waiting, used, False, now_s)
+        return messages.LoadReport(
+            running, waiting, used, False, now_s, self._work_time_factor(now_s)
+        )
+
+    def _work_time_factor(self, now_s: float) -> float | None:
+        """Returns the work time that it reports, or None."""
+        settings = self.settings
+        is_silent = now_s >= settings.work_time_until_s
+        if is_silent or settings.work_time is WorkTime.NONE:
+            return None
+        if settings.work_time is WorkTime.FALSE:
+            return settings.false_work_time
+        is_slow = settings.slow_from_s <= now_s < settings.slow_until_s
+        return settings.slowdown if is_slow else 1.0
--- a/benchmarks/placer_driver.py
+++ b/benchmarks/placer_driver.py
@@ -12,6 +12,7 @@
 from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import core
 from cardamombarrow.decisions import messages
+from cardamombarrow.decisions import overload
 from cardamombarrow.kernel import ids
 
 __all__ = ["PlacerDriver", "make"]
@@ -44,6 +45,7 @@
             driver.DOMAIN,
             random.Random(self._seed * 1_000 - 1),
             whole_domain=True,
+            overload=overload.OverloadControl(self._scenario.overload),
         )
         return core.Dispatcher(context, self._now_s)
 
@@ -180,6 +182,25 @@
 
     # -- reports to the placer ------------------------------------------------
 
+    def _receive_report(
+        self,
+        entry: int,
+        endpoint: ids.EndpointId,
+        report: messages.LoadReport,
+    ) -> None:
+        super()._receive_report(entry, endpoint, report)
+        if report.work_time_factor is not None:
+            self._at(
+                self._now_s + driver.LINK_S,
+                lambda: self._report_to_placer(endpoint, report),
+            )
+
+    def _report_to_placer(
+        self, endpoint: ids.EndpointId, report: messages.LoadReport
+    ) -> None:
+        if self._placer is not None:
+            self._placer.report(endpoint, report)
+
     def _first_token(self, flight: driver.Flight) -> None:
         super()._first_token(flight)
         if self._placer is not None:
--- a/benchmarks/scenarios.py
+++ b/benchmarks/scenarios.py
@@ -35,6 +35,7 @@
         placer_lost_from_s: Start of the time in which the placer is
             unreachable; it ends at `placer_lost_until_s`.
         pause_scope: Who leaves out an endpoint that asks for a pause.
+        overload: Whether the overload controls are enabled by the setting.
     """
 
     document: schema.Document
@@ -50,3 +51,4 @@
     placer_lost_from_s: float = float("inf")
     placer_lost_until_s: float = float("inf")
     pause_scope: PauseScope = PauseScope.DOMAIN
+    overload: bool = False
--- a/cardamombarrow/decisions/base.py
+++ b/cardamombarrow/decisions/base.py
@@ -240,6 +240,16 @@
         """Returns where the endpoint fetches the prompt's prefix from."""
         return None
 
+    def on_report(
+        self,
+        state: endpoint_module.EndpointState,
+        report: messages.LoadReport,
+    ) -> None:
+        """Handles a load report of an endpoint."""
+
+    def on_endpoint_removed(self, endpoint: ids.EndpointId) -> None:
+        """Handles the removal of an endpoint."""
+
     def take_announcements(
         self, now_s: float
     ) -> list[messages.CacheAnnouncement]:
--- a/cardamombarrow/decisions/choosing/first_event.py
+++ b/cardamombarrow/decisions/choosing/first_event.py
@@ -41,6 +41,7 @@
 from cardamombarrow.decisions import endpoint as endpoint_module
 from cardamombarrow.decisions import messages
 from cardamombarrow.decisions.choosing import cost_choice
+from cardamombarrow.decisions.choosing import endpoint_speed
 from cardamombarrow.decisions.choosing import engine_caches
 from cardamombarrow.decisions.choosing import engine_latency
 from cardamombarrow.decisions.choosing import fetching
@@ -136,6 +137,10 @@
         self._latencies: dict[ids.EndpointId, engine_latency.EngineLatency] = {}
         self._prefill_time = prefill_time.PrefillTime()
         self._expected_s: dict[ids.RequestId, float] = {}
+        self._speeds = endpoint_speed.EndpointSpeeds()
+        self._speed_predictions: dict[
+            ids.RequestId, endpoint_speed.Prediction
+        ] = {}
         self._caches = engine_caches.EngineCaches()
         self._fetch: messages.Fetch | None = None
         self._short_request_endpoints: frozenset[ids.EndpointId] = frozenset()
@@ -268,6 +273,9 @@
         return not self._awaits_affinity(job, now_s)
 
     def _awaits_affinity(self, job: messages.Job, now_s: float) -> bool:
+        _, affinity = self._considered_affinity
+        if affinity is not None and self._is_slow(job, affinity, now_s):
+            return False
         recheck_after_s = self.recheck_after_s(job) or 0.0
         return now_s - job.arrived_s < recheck_after_s
 
@@ -287,6 +295,7 @@
         self._expected_s[job.request_id] = self._first_token_s(
             job, state, now_s, has_affinity
         )
+        self._predict_speed(job, state, now_s)
         self._fetch = self._find_fetch(job, state, now_s)
         uncached = self._caches.uncached_tokens(
             job, state.endpoint, has_affinity
@@ -305,7 +314,8 @@
 
         That instance has already set the job's uncached tokens.
         """
-        token_s = self._prefill_time.token_s(state.service)
+        self._predict_speed(job, state, now_s)
+        token_s = self._endpoint_token_s(state, now_s)
         base_s = self._latency(state).base_at(now_s)
         self._expected_s[job.request_id] = (
             base_s
@@ -398,7 +408,7 @@
         is_prefix_cached: bool,
     ) -> float:
         latency = self._latency(state)
-        token_s = self._prefill_time.token_s(state.service)
+        token_s = self._endpoint_token_s(state, now_s)
         uncached = self._caches.uncached_tokens(
             job, state.endpoint, is_prefix_cached
         )
@@ -444,6 +454,85 @@
         reported_prefill_s = state.peer_prefill_s(token_s, now_s)
         return own_prefill_s + reported_prefill_s + max(overdue_s, default=0.0)
 
+    # -- speed of the endpoints -----------------------------------------------
+
+    def _endpoint_token_s(
+        self, state: endpoint_module.EndpointState, now_s: float
+    ) -> float:
+        """Returns the prefill time per token at an endpoint."""
+        token_s = self._prefill_time.token_s(state.service)
+        if not self.context.overload.is_enabled(state.service):
+            return token_s
+        return token_s * self._speeds.factor(state.endpoint, now_s)
+
+    def _is_slow(
+        self, job: messages.Job, endpoint: ids.EndpointId, now_s: float
+    ) -> bool:
+        """Returns whether an endpoint is too slow to be waited for.
+
+        Otherwise long prompts whose affinity endpoint has become slow would be
+        sent there alone, whatever the cost of the others.
+        """
+        if not self.context.overload.is_enabled(job.service):
+            return False
+        factor = self._speeds.factor(endpoint, now_s)
+        return factor > endpoint_speed.SLOW_FACTOR
+
+    def _predict_speed(
+        self,
+        job: messages.Job,
+        state: endpoint_module.EndpointState,
+        now_s: float,
+    ) -> None:
+        """Records the predictions for a prompt that finds no other waiting."""
+        self._speed_predictions.pop(job.request_id, None)
+        is_enabled = self.context.overload.is_enabled(state.service)
+        if is_enabled and job.streams and not state.unread:
+            self._speed_predictions[job.request_id] = self._speeds.predict(
+                state.endpoint, now_s
+            )
+
+    def _learn_prefill(
+        self,
+        state: endpoint_module.EndpointState,
+        request_id: ids.RequestId,
+        observed_token_s: float,
+        now_s: float,
+    ) -> None:
+        """Updates the prefill time of the service and of the endpoint.
+
+        Where speeds are learned, a prompt that waited for others is left out:
+        its time includes the queue and would slow the whole service down.
+        """
+        if not self.context.overload.is_enabled(state.service):
+            self._prefill_time.learn(state.service, observed_token_s)
+            return
+        prediction = self._speed_predictions.pop(request_id, None)
+        if prediction is None:
+            return
+        service_token_s = self._prefill_time.token_s(state.service)
+        self._speeds.learn(
+            state, observed_token_s, service_token_s, now_s, prediction
+        )
+        self._prefill_time.learn(state.service, observed_token_s)
+
+    def on_report(
+        self,
+        state: endpoint_module.EndpointState,
+        report: messages.LoadReport,
+    ) -> None:
+        """Records the work time that an endpoint reports."""
+        self._speeds.report(
+            state.endpoint,
+            state.service,
+            report.work_time_factor,
+            report.measured_at_s,
+        )
+
+    def on_endpoint_removed(self, endpoint: ids.EndpointId) -> None:
+        """Drops the speed of an endpoint."""
+        self._speeds.forget(endpoint)
+
     def _latency(
         self, state: endpoint_module.EndpointState
     ) -> engine_latency.EngineLatency:
@@ -480,9 +569,11 @@
         uncached = running.job.unread_tokens
         if uncached >= prefill_time.MIN_PROMPT_TOKENS:
             prefill_s = took_s - latency.base_s
-            self._prefill_time.learn(state.service, prefill_s / uncached)
+            self._learn_prefill(
+                state, running.job.request_id, prefill_s / uncached, now_s
+            )
             return
-        prefill_s = uncached * self._prefill_time.token_s(state.service)
+        prefill_s = uncached * self._endpoint_token_s(state, now_s)
         base_s = max(took_s - prefill_s, 0.001)
         if base_s < latency.base_s:
             latency.learn_base(base_s, now_s)
@@ -497,6 +588,7 @@
         """Records a failure of the endpoint and drops the request."""
         super().on_finish(state, running, outcome, now_s)
         self._expected_s.pop(running.job.request_id, None)
+        self._speed_predictions.pop(running.job.request_id, None)
         if outcome is messages.Outcome.CRASHED:
             self._caches.directory.remove_engine(state.endpoint)
         elif running.first_token_s is None and outcome in failures.NOT_RECEIVED:
--- a/cardamombarrow/decisions/fleet/roster.py
+++ b/cardamombarrow/decisions/fleet/roster.py
@@ -121,6 +121,7 @@
             if not state.running:
                 del self.endpoints[endpoint]
                 self._unlisted.discard(endpoint)
+                self._policies.choice.on_endpoint_removed(endpoint)
         for service in {*document.services, *self.capacities}:
             self._capacity(service, now_s).set_initial_hold_times(
                 document.classes
@@ -311,6 +312,7 @@
             state.report = report
             if report.work_time_factor is not None:
                 self._context.overload.record_work_time(state.service)
+            self._policies.choice.on_report(state, report)
             if report.leaving and not state.leaving:
                 self.set_leaving(endpoint, True)
 
