Log the speed of the chosen endpoint, and count slow endpoints

Cause: a placement that avoids an endpoint because of its speed could not be explained from the log. place lines get speed_factor and work_time_age_s where the overload controls are enabled; the reason has both for decisions of the placer. Elsewhere the lines are unchanged (test).

--- a/cardamombarrow/decisions/base.py
+++ b/cardamombarrow/decisions/base.py
@@ -247,6 +247,16 @@
     ) -> None:
         """Handles a load report of an endpoint."""
 
+    def speed(
+        self, state: endpoint_module.EndpointState, now_s: float
+    ) -> messages.EndpointSpeed | None:
+        """Returns the speed of an endpoint; None if it is not learned."""
+        return None
+
+    def count_slow_endpoints(self, now_s: float) -> int:
+        """Counts the endpoints that are known to be slow."""
+        return 0
+
     def on_endpoint_removed(self, endpoint: ids.EndpointId) -> None:
         """Handles the removal of an endpoint."""
 
--- a/cardamombarrow/decisions/choosing/first_event.py
+++ b/cardamombarrow/decisions/choosing/first_event.py
@@ -465,6 +465,41 @@
             return token_s
         return token_s * self._speeds.factor(state.endpoint, now_s)
 
+    def speed(
+        self, state: endpoint_module.EndpointState, now_s: float
+    ) -> messages.EndpointSpeed | None:
+        """Returns the speed of an endpoint; None if it is not learned."""
+        if not self.context.overload.is_enabled(state.service):
+            return None
+        return messages.EndpointSpeed(
+            self._speeds.factor(state.endpoint, now_s),
+            self._speeds.report_age_s(state.endpoint, now_s),
+        )
+
+    def count_slow_endpoints(self, now_s: float) -> int:
+        """Counts the endpoints slower than `endpoint_speed.SLOW_FACTOR`."""
+        return self._speeds.count_slower(endpoint_speed.SLOW_FACTOR, now_s)
+
+    def choose(
+        self,
+        job: messages.Job,
+        candidates: list[endpoint_module.EndpointState],
+        now_s: float,
+    ) -> tuple[endpoint_module.EndpointState, str]:
+        """Returns the candidate with the lowest cost.
+
+        The reason includes the speed: it is all that the instance of the
+        request gets to log if another one decides.
+        """
+        state, reason = super().choose(job, candidates, now_s)
+        speed = self.speed(state, now_s)
+        if speed is None:
+            return state, reason
+        reason += f", speed factor {speed.factor:.2f}"
+        if speed.report_age_s is not None:
+            reason += f", work time reported {speed.report_age_s:.2f} s ago"
+        return state, reason
+
     def _is_slow(
         self, job: messages.Job, endpoint: ids.EndpointId, now_s: float
     ) -> bool:
--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -372,6 +372,7 @@
             limit_per_s=limit and limit.per_s,
             limit_age_s=limit and now_s - limit.received_s,
             paused=tuple(self._roster.paused(job.service, now_s)),
+            speed=choice.speed(state, now_s),
         )
 
     def retry(
--- a/cardamombarrow/decisions/dispatcher_state.py
+++ b/cardamombarrow/decisions/dispatcher_state.py
@@ -59,6 +59,10 @@
         """Stores an endpoint's load report."""
         self._roster.report(endpoint, report)
 
+    def count_slow_endpoints(self, now_s: float) -> int:
+        """Counts the endpoints that are known to be slow."""
+        return self._policies.choice.count_slow_endpoints(now_s)
+
     def rate_limit_changed(self, endpoint: ids.EndpointId) -> None:
         """Updates an endpoint's service after a change of its rate limit."""
         self._roster.rate_limit_changed(endpoint)
--- a/cardamombarrow/decisions/messages.py
+++ b/cardamombarrow/decisions/messages.py
@@ -11,6 +11,7 @@
     "Backlog",
     "CacheAnnouncement",
     "Decision",
+    "EndpointSpeed",
     "EndpointStatement",
     "Fetch",
     "Job",
@@ -316,6 +317,19 @@
     age_s: float | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointSpeed:
+    """Speed of an endpoint, as used for a placement.
+
+    Attributes:
+        factor: Factor on the prefill time of its service.
+        report_age_s: Age of its reported work time; None without one.
+    """
+
+    factor: float
+    report_age_s: float | None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Placement:
     """Send this request to this endpoint now.
@@ -329,6 +343,7 @@
         limit_per_s: Rate limit that the endpoint states; None without one.
         limit_age_s: Time since an answer stated it; None without one.
         paused: Endpoints that were left out because of a pause.
+        speed: Speed of the endpoint; None where speeds are not learned.
     """
 
     request_id: ids.RequestId
@@ -341,6 +356,7 @@
     limit_per_s: float | None = None
     limit_age_s: float | None = None
     paused: tuple[ids.EndpointId, ...] = ()
+    speed: EndpointSpeed | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cardamombarrow/entry/broker_base.py
+++ b/cardamombarrow/entry/broker_base.py
@@ -443,6 +443,11 @@
         """Counts the endpoints that have asked for a pause."""
         return len(self.pauses_left_s())
 
+    def slow(self) -> int:
+        """Counts the endpoints that are known to be slow."""
+        with self._lock:
+            return self._dispatcher.count_slow_endpoints(self._clock.now_s())
+
     def set_leaving(self, endpoint: ids.EndpointId, leaving: bool) -> None:
         """Marks an endpoint as leaving, or as available again."""
         with self._lock:
--- a/cardamombarrow/entry/decision_lines.py
+++ b/cardamombarrow/entry/decision_lines.py
@@ -59,6 +59,7 @@
             **_fetch_details(decision.fetch),
             **_limit_details(decision),
             **({"paused": decision.paused} if decision.paused else {}),
+            **_speed_details(decision.speed),
         }
     if isinstance(decision, messages.Refusal):
         return "refuse", {
@@ -84,6 +85,15 @@
     }
 
 
+def _speed_details(speed: messages.EndpointSpeed | None) -> dict[str, object]:
+    if speed is None:
+        return {}
+    return {
+        "speed_factor": round(speed.factor, 3),
+        "work_time_age_s": speed.report_age_s and round(speed.report_age_s, 3),
+    }
+
+
 def _limit_details(placement: messages.Placement) -> dict[str, object]:
     if placement.limit_per_s is None:
         return {}
--- a/cardamombarrow/entry/metrics.py
+++ b/cardamombarrow/entry/metrics.py
@@ -156,6 +156,7 @@
         rate_limited: int = 0,
         paused: int = 0,
         invalid_fields: abc.Mapping[str, int] | None = None,
+        slow: int = 0,
     ) -> str:
         """Returns all metrics in the Prometheus text format.
 
@@ -166,6 +167,7 @@
             paused: Endpoints that have asked for a pause.
             invalid_fields: Header fields of endpoints' answers that could not
                 be parsed, by name.
+            slow: Endpoints whose prefill is known to be slow.
         """
         gauges = {
             "requests_held": held,
@@ -173,6 +175,7 @@
             "document_revision": revision,
             "rate_limited_endpoints": rate_limited,
             "paused_endpoints": paused,
+            "slow_endpoints": slow,
         }
         with self._lock:
             lines = [*self._lines(gauges)]
--- /dev/null
+++ b/cardamombarrow/entry/tests/test_decision_lines.py
@@ -0,0 +1,27 @@
+"""Fields of the log lines of decisions."""
+
+from cardamombarrow.decisions import messages
+from cardamombarrow.entry import decision_lines
+from cardamombarrow.kernel import ids
+
+
+def _fields(speed):
+    placement = messages.Placement(
+        ids.RequestId("r1"), ids.EndpointId("e1"), 0.0, (), "least", speed=speed
+    )
+    return decision_lines._details(placement)[1]
+
+
+def test_place_line_has_the_speed_and_the_age_of_the_work_time():
+    # An operator must see whether a placement used an old or a missing report.
+    fields = _fields(messages.EndpointSpeed(1.23456, 0.45678))
+    assert fields["speed_factor"] == 1.235
+    assert fields["work_time_age_s"] == 0.457
+    fields = _fields(messages.EndpointSpeed(1.0, None))
+    assert fields["work_time_age_s"] is None
+
+
+def test_place_line_without_speeds_is_unchanged():
+    fields = _fields(None)
+    assert "speed_factor" not in fields
+    assert "work_time_age_s" not in fields
--- a/cardamombarrow/entry/tests/test_metrics.py
+++ b/cardamombarrow/entry/tests/test_metrics.py
@@ -69,6 +69,13 @@
     assert seen['cardamombarrow_errors_total{code="bad_request"}'] == 1
 
 
+def test_slow_endpoints_are_reported():
+    # Machines that are busy with other work would otherwise only show as late
+    # first tokens.
+    text = metrics.Metrics().text(0, ids.Revision(1), slow=3)
+    assert "cardamombarrow_slow_endpoints 3\n" in text
+
+
 def test_wasted_tokens_are_reported_by_reason():
     counted = metrics.Metrics()
     counted.count_wasted(messages.Outcome.CRASHED, 40)
--- a/cardamombarrow/placing/tests/test_uneven_engines.py
+++ b/cardamombarrow/placing/tests/test_uneven_engines.py
@@ -42,6 +42,8 @@
         for entry in self.entries:
             uneven_engines.set_speed_source(entry, source)
         self.placed = []
+        self.placements = []
+        self.last_placed_s = 0.0
 
     def _new_placer(self):
         placer = super()._new_placer()
@@ -50,6 +52,8 @@
 
     def _placed(self, flight, placement):
         self.placed.append((self._now_s, flight.work, placement.endpoint))
+        self.placements.append(placement)
+        self.last_placed_s = self._now_s
         super()._placed(flight, placement)
 
 
@@ -182,6 +186,31 @@
     assert all(at_s >= REPLACED_S for at_s in to_new)
 
 
+def test_placements_state_the_speed_and_the_age_of_its_report():
+    # Without its inputs a decision can't be explained from the log.
+    scenario = uneven_engines.scenario(random.Random(0), asked=True)
+    driver = _SpeedDriver(scenario, 0, uneven_engines.SpeedSource.WEIGHTED)
+    driver.run()
+    last = driver.placements[-1]
+    assert last.speed.factor > 0.0
+    assert 0.0 <= last.speed.report_age_s < 5.0
+    assert "speed factor" in last.reason
+    placer = driver._placer
+    assert placer.count_slow_endpoints(driver.last_placed_s) >= 1
+
+
+def test_placements_state_no_speed_where_the_part_is_off():
+    # Log lines of existing deployments must not change.
+    scenario = uneven_engines.scenario(
+        random.Random(0), asked=True, work_time=NO_REPORTS
+    )
+    driver = _SpeedDriver(scenario, 0, uneven_engines.SpeedSource.WEIGHTED)
+    driver.run()
+    assert all(each.speed is None for each in driver.placements)
+    assert all("speed" not in each.reason for each in driver.placements)
+    assert driver._placer.count_slow_endpoints(driver.last_placed_s) == 0
+
+
 def test_predictions_of_ended_requests_are_dropped():
     # State per request must not grow without bound.
     scenario = uneven_engines.scenario(random.Random(0), asked=True)
