Learn the speed also from prompts placed before the first load report

Cause: where reports enable the part, the first one arrives with the first response. Prompts placed ahead of it were not learned from, and a slow affinity endpoint that is never empty afterwards was not known as slow. Ruled out: the weighting of reports (the learned factor alone showed the same loss).

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -13,6 +13,7 @@
 from benchmarks import patterns
 from benchmarks import placer_driver
 from benchmarks import results
+from benchmarks import uneven_engines
 from cardamombarrow.document import schema
 
 __all__ = ["BASELINE", "main", "run"]
@@ -30,7 +31,11 @@
     estimate="mean",
 )
 
-_ALL_PATTERNS = {**patterns.PATTERNS, **many_entries.PATTERNS}
+_ALL_PATTERNS = {
+    **patterns.PATTERNS,
+    **many_entries.PATTERNS,
+    **uneven_engines.PATTERNS,
+}
 
 _HEADER = (
     "| policies | class | offered | completed | in time | bound | refusals "
--- a/benchmarks/uneven_engines.py
+++ b/benchmarks/uneven_engines.py
@@ -3,8 +3,12 @@
 The requests are those of `many_entries`, at a rate that fits the engines. The
 engines take 1, 1.3 or 2.5 times the usual time; some of them become slower for
 seconds and report it as their work time.
+
+``python -m benchmarks.uneven_engines`` compares what the speed of an endpoint
+may be taken from.
 """
 
+import argparse
 from collections import abc
 import dataclasses
 import enum
@@ -15,6 +19,8 @@
 from benchmarks import fake_engine
 from benchmarks import many_entries
 from benchmarks import patterns
+from benchmarks import placer_driver
+from benchmarks import results
 from benchmarks import scenarios
 from cardamombarrow.decisions import core
 from cardamombarrow.decisions.choosing import endpoint_speed
@@ -22,10 +28,10 @@
 
 __all__ = [
     "PATTERNS",
+    "SpeedDriver",
     "SpeedSource",
-    "engine_settings",
+    "main",
     "scenario",
-    "set_speed_source",
 ]
 
 ENGINES = 9
@@ -74,12 +80,27 @@
 }
 
 
-def set_speed_source(dispatcher: core.Dispatcher, source: SpeedSource) -> None:
-    """Replaces what a dispatcher's choice takes the speeds from."""
-    dispatcher._policies.choice._speeds = _SPEEDS[source]()
+class SpeedDriver(placer_driver.PlacerDriver):
+    """A driver whose dispatchers take speeds from one source."""
+
+    def __init__(
+        self, scenario: scenarios.Scenario, seed: int, source: SpeedSource
+    ):
+        self._source = source
+        super().__init__(scenario, seed)
+        for entry in self.entries:
+            self._set_source(entry)
+
+    def _new_placer(self) -> core.Dispatcher:
+        placer = super()._new_placer()
+        self._set_source(placer)
+        return placer
+
+    def _set_source(self, dispatcher: core.Dispatcher) -> None:
+        dispatcher._policies.choice._speeds = _SPEEDS[self._source]()
 
 
-def engine_settings(
+def _engine_settings(
     number: int, slow_engines: int, work_time: fake_engine.WorkTime
 ) -> fake_engine.EngineSettings:
     """Returns the settings of one engine.
@@ -131,7 +152,7 @@
     """
     endpoints = many_entries.ENDPOINTS[:engines]
     settings = {
-        endpoint: engine_settings(number, slow_engines, work_time)
+        endpoint: _engine_settings(number, slow_engines, work_time)
         for number, endpoint in enumerate(endpoints)
     }
     for number, false_work_time in (false_work_times or {}).items():
@@ -177,3 +198,47 @@
         ),
     )
 }
+
+
+def _result(
+    source: SpeedSource | None, seed: int, options: argparse.Namespace
+) -> results.Result:
+    """Runs a seed; without a source the part is off."""
+    work_time = fake_engine.WorkTime.TRUE
+    if source is None:
+        work_time = fake_engine.WorkTime.NONE
+    compared = scenario(
+        random.Random(seed),
+        options.engines,
+        work_time=work_time,
+        load=options.load,
+        burst=options.burst,
+        asked=True,
+        overload=source is not None,
+    )
+    if source is None:
+        return placer_driver.PlacerDriver(compared, seed).run()
+    return SpeedDriver(compared, seed, source).run()
+
+
+def main() -> None:
+    """Prints the share of first events in time by source and class."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=5)
+    parser.add_argument("--engines", type=int, default=ENGINES)
+    parser.add_argument("--load", type=float, default=LOAD)
+    parser.add_argument("--burst", type=float, default=BURST)
+    options = parser.parse_args()
+    for source in (None, *SpeedSource):
+        runs = [_result(source, seed, options) for seed in range(options.seeds)]
+        name = "off" if source is None else source.value
+        for class_id in runs[0].classes:
+            rows = [run.classes[class_id] for run in runs]
+            in_time = sum(row.attained for row in rows)
+            share = in_time / sum(row.offered for row in rows)
+            worst_s = max(row.worst_wait_s for row in rows)
+            print(f"| {name} | {class_id} | {share:.3f} | {worst_s:.1f} s |")
+
+
+if __name__ == "__main__":
+    main()
--- a/cardamombarrow/decisions/choosing/first_event.py
+++ b/cardamombarrow/decisions/choosing/first_event.py
@@ -519,10 +519,14 @@
         state: endpoint_module.EndpointState,
         now_s: float,
     ) -> None:
-        """Records the predictions for a prompt that finds no other waiting."""
+        """Records the predictions for a prompt that finds no other waiting.
+
+        They are also recorded where speeds are not learned yet: the first
+        report arrives with the first response, and without that prompt an
+        endpoint that is never empty afterwards would not be known as slow.
+        """
         self._speed_predictions.pop(job.request_id, None)
-        is_enabled = self.context.overload.is_enabled(state.service)
-        if is_enabled and job.streams and not state.unread:
+        if job.streams and not state.unread:
             self._speed_predictions[job.request_id] = self._speeds.predict(
                 state.endpoint, now_s
             )
--- a/cardamombarrow/placing/tests/test_uneven_engines.py
+++ b/cardamombarrow/placing/tests/test_uneven_engines.py
@@ -36,23 +36,15 @@
 REMOVED_S = 24.0
 
 
-class _SpeedDriver(placer_driver.PlacerDriver):
-    """A driver whose dispatchers take speeds from one source."""
+class _SpeedDriver(uneven_engines.SpeedDriver):
+    """Records the placements."""
 
     def __init__(self, scenario, seed, source):
-        self._source = source
-        super().__init__(scenario, seed)
-        for entry in self.entries:
-            uneven_engines.set_speed_source(entry, source)
+        super().__init__(scenario, seed, source)
         self.placed = []
         self.placements = []
         self.last_placed_s = 0.0
 
-    def _new_placer(self):
-        placer = super()._new_placer()
-        uneven_engines.set_speed_source(placer, self._source)
-        return placer
-
     def _placed(self, flight, placement):
         self.placed.append((self._now_s, flight.work, placement.endpoint))
         self.placements.append(placement)
