--- a/cardamombarrow/placing/tests/test_uneven_engines.py
+++ b/cardamombarrow/placing/tests/test_uneven_engines.py
@@ -26,30 +26,29 @@
 """Minimum share of first events in time."""
 
 NO_REPORTS = fake_engine.WorkTime.NONE
-FALSE_WORK_TIMES = {0: 8.0, 3: 8.0, 6: 8.0}
+TOO_HIGH = {0: 8.0, 3: 8.0, 6: 8.0}
 """The fastest three of nine engines report to be the slowest."""
 
+TOO_LOW = {2: 0.25, 5: 0.25, 8: 0.25}
+"""The slowest three of nine engines report to be the fastest."""
+
 REPLACED_S = 14.0
 REMOVED_S = 24.0
 
 
-class _SpeedDriver(placer_driver.PlacerDriver):
-    """A driver whose dispatchers take speeds from one source."""
+class _SpeedDriver(uneven_engines.SpeedDriver):
+    """Records the placements."""
 
     def __init__(self, scenario, seed, source):
-        self._source = source
-        super().__init__(scenario, seed)
-        for entry in self.entries:
-            uneven_engines.set_speed_source(entry, source)
+        super().__init__(scenario, seed, source)
         self.placed = []
-
-    def _new_placer(self):
-        placer = super()._new_placer()
-        uneven_engines.set_speed_source(placer, self._source)
-        return placer
+        self.placements = []
+        self.last_placed_s = 0.0
 
     def _placed(self, flight, placement):
         self.placed.append((self._now_s, flight.work, placement.endpoint))
+        self.placements.append(placement)
+        self.last_placed_s = self._now_s
         super()._placed(flight, placement)
 
 
@@ -69,13 +68,13 @@
     return sum(r.attained for r in rows) / sum(r.offered for r in rows)
 
 
-def _run_with_false_reports(source):
+def _run_with_false_reports(source, false_work_times):
     results = []
     for seed in SEEDS:
         scenario = uneven_engines.scenario(
             random.Random(seed),
             asked=True,
-            false_work_times=FALSE_WORK_TIMES,
+            false_work_times=false_work_times,
         )
         results.append(_SpeedDriver(scenario, seed, source).run())
     return results
@@ -116,13 +115,21 @@
     assert _share(with_speeds, summary) >= _share(without, summary) + 0.05
 
 
-def test_false_reports_are_not_followed():
-    # Three fast engines always report the highest work time. Believed, they
-    # would idle for good. The true reports of the other engines must not make
-    # these be believed either.
-    weighted = _run_with_false_reports(uneven_engines.SpeedSource.WEIGHTED)
-    as_given = _run_with_false_reports(uneven_engines.SpeedSource.REPORT)
+@pytest.mark.parametrize("false_work_times", [TOO_HIGH, TOO_LOW])
+def test_false_reports_are_not_followed(false_work_times):
+    # Three engines always report a false work time. The true reports of the
+    # other engines must not make these be believed.
+    weighted = _run_with_false_reports(
+        uneven_engines.SpeedSource.WEIGHTED, false_work_times
+    )
     assert _share(weighted, many_entries.SUMMARY) >= MIN_SHARE
+
+
+def test_false_reports_taken_as_given_leave_fast_engines_idle():
+    # Shows that the reports of the test above are harmful.
+    as_given = _run_with_false_reports(
+        uneven_engines.SpeedSource.REPORT, TOO_HIGH
+    )
     assert _share(as_given, many_entries.SUMMARY) < MIN_SHARE - 0.1
 
 
@@ -182,6 +189,31 @@
     assert all(at_s >= REPLACED_S for at_s in to_new)
 
 
+def test_placements_state_the_speed_and_the_age_of_its_report():
+    # Without its inputs a decision can't be explained from the log.
+    scenario = uneven_engines.scenario(random.Random(0), asked=True)
+    driver = _SpeedDriver(scenario, 0, uneven_engines.SpeedSource.WEIGHTED)
+    driver.run()
+    last = driver.placements[-1]
+    assert last.speed.factor > 0.0
+    assert 0.0 <= last.speed.report_age_s < 5.0
+    assert "speed factor" in last.reason
+    placer = driver._placer
+    assert placer.count_slow_endpoints(driver.last_placed_s) >= 1
+
+
+def test_placements_state_no_speed_where_the_part_is_off():
+    # Log lines of existing deployments must not change.
+    scenario = uneven_engines.scenario(
+        random.Random(0), asked=True, work_time=NO_REPORTS
+    )
+    driver = _SpeedDriver(scenario, 0, uneven_engines.SpeedSource.WEIGHTED)
+    driver.run()
+    assert all(each.speed is None for each in driver.placements)
+    assert all("speed" not in each.reason for each in driver.placements)
+    assert driver._placer.count_slow_endpoints(driver.last_placed_s) == 0
+
+
 def test_predictions_of_ended_requests_are_dropped():
     # State per request must not grow without bound.
     scenario = uneven_engines.scenario(random.Random(0), asked=True)
