Bound the prefill at an endpoint in seconds under overload

Cause: an endpoint got up to 8 long prompts, up to 2.7 s of prefill while their prefixes are cold. They waited inside the engine, where an instance can't order them, and the prompts of the middle stream waited behind them.

Where the overload controls are enabled, a prompt goes to an endpoint while the prompts there that are at least as urgent, without the one in prefill, take less than 0.16 s (a round trip to another region and a report). The prompt in prefill is not counted, so that the bound opens with a first token and needs no timer. The part of the other placers' prompts that is as urgent is estimated by the ranks of their requests, since only the sum is reported.

benchmarks/overload_order.py replays a burst of 2.6 times of the long stream on 5 engines with cold caches in one domain with a placer. The simulated engine can prefill by rank and preempt by rank; without the latter urgent requests waited for a place in a batch of 16, which real engines don't have them do.

--- a/benchmarks/driver.py
+++ b/benchmarks/driver.py
@@ -20,6 +20,7 @@
 from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import core
 from cardamombarrow.decisions import messages
+from cardamombarrow.decisions import overload
 from cardamombarrow.kernel import ids
 
 __all__ = ["DOMAIN", "LINK_S", "SERVICE", "TICK_S", "Driver", "Flight"]
@@ -30,9 +31,6 @@
 GOSSIP_S = 1.0
 REPORT_S = 1.0
 LINK_S = 0.001
-CALLER_TRIES = 4
-"""Most times a caller sends a request that is refused with a retry time."""
-
 CRASHER_TRIES = 8
 """Most times a caller sends a crashing request, whatever the error."""
 
@@ -99,6 +97,7 @@
                     ids.InstanceId(f"entry-{number}"),
                     DOMAIN,
                     random.Random(seed * 1_000 + number),
+                    overload=overload.OverloadControl(scenario.overload),
                 ),
                 0.0,
             )
@@ -186,12 +185,24 @@
         work = flight.work
         del self._flights[flight.job.request_id]
         self._result.classes[work.class_id].refusals += 1
-        if refusal.retry_after_s is None or work.tries >= CALLER_TRIES:
+        if not self._will_resend(flight, refusal):
+            work.refused_s = self._now_s
             self._record_wait(work)
             return
         resend_s = self._now_s + refusal.retry_after_s
         self._at(resend_s, lambda: self._arrive(work))
 
+    def _will_resend(self, flight: Flight, refusal: messages.Refusal) -> bool:
+        if refusal.retry_after_s is None:
+            return False
+        if flight.work.tries >= self._scenario.caller_tries:
+            return False
+        share = self._scenario.retry_share
+        if share is None:
+            return True
+        left_s = flight.job.deadline_s - self._now_s
+        return refusal.retry_after_s <= share * left_s
+
     def _record_wait(self, work: fake_engine.Work) -> None:
         class_result = self._result.classes[work.class_id]
         waited_s = self._now_s - work.arrival_s
@@ -302,7 +313,7 @@
         class_result = self._result.classes[flight.work.class_id]
         class_result.completed += 1
         class_result.windows[int(self._now_s / results.WINDOW_S)] += 1
-        if getattr(flight.work, "in_time", False):
+        if flight.work.in_time:
             class_result.attained += 1
         if self._now_s <= self._scenario.duration_s:
             self._result.useful_s += self._cost_s(flight)
@@ -358,6 +369,7 @@
         waited_s = self._now_s - work.arrival_s
         class_result.worst_wait_s = max(class_result.worst_wait_s, waited_s)
         flight.delivered = True
+        work.answered_s = self._now_s
         work.in_time = waited_s <= flight.job.target_first_token_s
 
     def _progress(
--- a/benchmarks/fake_engine.py
+++ b/benchmarks/fake_engine.py
@@ -26,6 +26,9 @@
         prefill_s_per_token: Time to prefill one prompt token.
         prefill_chunk_tokens: Most prompt tokens prefilled in one step.
         batch: Most requests in the batch; others wait in the engine, by rank.
+        preempts: Whether more urgent prompts of the batch are prefilled first,
+            and not in the order in which they entered it, and a more urgent
+            request takes the place of a less urgent one in a full batch.
         cache_tokens: Size of the prefix cache.
         fetch_share: Time to fetch a token's cache from another engine, as a
             part of the time to prefill it.
@@ -48,6 +51,7 @@
     prefill_s_per_token: float = 0.0001
     prefill_chunk_tokens: int = 512
     batch: int = 8
+    preempts: bool = False
     cache_tokens: int = 6_000
     fetch_share: float = 0.03
     knee: int = 1_000
@@ -80,6 +84,9 @@
         prefix_tokens: Length of the prompt prefix that `prefix_key` names.
         parts: Names and lengths of the prompt's parts, if the caller sends
             them; the last one belongs to this request alone.
+        in_time: Whether the first token came within the target.
+        answered_s: When the first token came, or None.
+        refused_s: When the last answer came, if it was a refusal.
         crashes: Whether an engine that runs the request crashes.
         tries: How often the caller has sent the request.
     """
@@ -94,6 +101,9 @@
     crashes: bool = False
     tries: int = 0
     parts: tuple[tuple[str, int], ...] = ()
+    in_time: bool = False
+    answered_s: float | None = None
+    refused_s: float | None = None
 
     @property
     def shared_parts(self) -> tuple[tuple[str, int], ...]:
@@ -200,7 +210,7 @@
         settings = self.settings
         chunk_left = settings.prefill_chunk_tokens
         self._prefilling.clear()
-        for request_id, sequence in self._batch.items():
+        for request_id, sequence in self._prefill_order():
             if sequence.prefill_left and chunk_left:
                 chunk = min(chunk_left, sequence.prefill_left)
                 self._prefilling[request_id] = chunk
@@ -216,8 +226,14 @@
             length_s *= settings.slowdown
         return length_s
 
+    def _prefill_order(self) -> list[tuple[ids.RequestId, _Sequence]]:
+        order = list(self._batch.items())
+        if self.settings.preempts:
+            order.sort(key=lambda item: item[1].job.rank)
+        return order
+
     def _admit(self) -> None:
-        while self._waiting and len(self._batch) < self.settings.batch:
+        while self._waiting and self._has_place(self._waiting[0][0]):
             sequence = heapq.heappop(self._waiting)[2]
             request_id = sequence.job.request_id
             if request_id in self._cancelled:
@@ -226,6 +242,27 @@
             self._begin(sequence)
             self._batch[request_id] = sequence
 
+    def _has_place(self, rank: int) -> bool:
+        """Returns whether a request of a rank may enter the batch.
+
+        If the batch is full, that of the least urgent request in it is
+        vacated, preferably of one without tokens; it is prefilled again.
+        """
+        if len(self._batch) < self.settings.batch:
+            return True
+        if not self.settings.preempts:
+            return False
+        last = max(
+            reversed(self._batch.values()),
+            key=lambda sequence: (sequence.job.rank, -sequence.tokens),
+        )
+        if last.job.rank <= rank:
+            return False
+        del self._batch[last.job.request_id]
+        item = (last.job.rank, next(self._order), last)
+        heapq.heappush(self._waiting, item)
+        return True
+
     def _begin(self, sequence: _Sequence) -> None:
         """Splits a prompt into cached, fetched and remaining tokens."""
         work = sequence.work
@@ -265,7 +302,8 @@
                 if sequence.prefill_left:
                     continue
                 self._cache_prefix(sequence.work)
-                result.first.append(request_id)
+                if not sequence.tokens:
+                    result.first.append(request_id)
             sequence.tokens += 1
             result.progress.append((request_id, sequence.tokens))
             if sequence.tokens >= sequence.work.answer_tokens:
--- /dev/null
+++ b/benchmarks/overload_order.py
@@ -0,0 +1,311 @@
+"""A burst of long prompts on engines with cold caches, with a placer.
+
+Prefill, not slots, is the bottleneck: while the shared prefixes are cold, the
+burst needs more prefill than the engines have, and far less once they are warm.
+Callers that are refused come back once, at the time that they are given.
+
+``python -m benchmarks.overload_order`` prints a row per variant and class.
+"""
+
+import argparse
+from collections import abc
+import dataclasses
+import math
+import random
+
+from benchmarks import driver
+from benchmarks import fake_engine
+from benchmarks import placer_driver
+from benchmarks import scenarios
+from cardamombarrow.document import from_routes
+from cardamombarrow.document import schema
+from cardamombarrow.kernel import ids
+
+__all__ = [
+    "BURST_S",
+    "LONG",
+    "MIDDLE",
+    "SHORT",
+    "Counts",
+    "burst_counts",
+    "run",
+    "scenario",
+]
+
+ENTRIES = 8
+ENGINES = 5
+SLOTS = 16
+DURATION_S = 14.0
+BURST_S = (0.5, 8.0)
+BURST_FACTOR = 2.6
+WORKSPACES = 40
+
+LONG = ids.ClassId("long")
+MIDDLE = ids.ClassId("middle")
+SHORT = ids.ClassId("short")
+
+ENDPOINTS = tuple(
+    ids.EndpointId(f"10.10.2.{n}:8000") for n in range(11, 11 + ENGINES)
+)
+
+ENGINE = fake_engine.EngineSettings(
+    base_step_s=0.002,
+    step_s_per_sequence=0.0002,
+    prefill_s_per_token=1.0 / 49_600,
+    prefill_chunk_tokens=2_048,
+    batch=SLOTS,
+    preempts=True,
+    cache_tokens=484_358,
+    fetch_share=0.12,
+    report_lag_s=0.3,
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class _Kind:
+    """One stream of requests.
+
+    Attributes:
+        rate_per_s: Arrivals for the engines of this scenario.
+        prefixes: Number of distinct shared prefixes.
+        limit_s: Time after which the caller has no use for an answer.
+    """
+
+    class_id: ids.ClassId
+    rank: int
+    rate_per_s: float
+    prefixes: int
+    shared_tokens: int
+    own_tokens: int
+    answer_tokens: int
+    target_s: float
+    limit_s: float
+    pause_s: float
+
+
+KINDS = (
+    _Kind(LONG, 2, 7.53, 73, 13_300, 3_720, 120, 2.563, 10.253, 1.0),
+    _Kind(MIDDLE, 1, 4.4, 20, 6_300, 2_890, 51, 0.845, 6.335, 0.4),
+    _Kind(SHORT, 0, 4.44, 10, 350, 1_110, 171, 0.526, 12.628, 0.25),
+)
+
+
+def _document(policies: schema.Policies) -> schema.Document:
+    tiers = {
+        ids.TierId(f"rank-{each.rank}"): schema.Tier(
+            ids.TierId(f"rank-{each.rank}"),
+            each.rank,
+            from_routes.RESERVED_SHARE if each.rank else 0.0,
+        )
+        for each in KINDS
+    }
+    classes = {
+        each.class_id: schema.RequestClass(
+            each.class_id,
+            ids.TierId(f"rank-{each.rank}"),
+            each.target_s,
+            each.limit_s,
+            expected_tokens=each.answer_tokens,
+        )
+        for each in KINDS
+    }
+    routes = {
+        ids.RouteId(each.class_id): schema.Route(
+            route=ids.RouteId(each.class_id),
+            host="router.example",
+            path_prefix=f"/{each.class_id}/",
+            class_id=each.class_id,
+            services={driver.SERVICE: 1.0},
+            max_attempts=2,
+            anonymous=True,
+            resumable=False,
+            streams=True,
+            longest_pause_s=each.pause_s,
+        )
+        for each in KINDS
+    }
+    service = schema.Service(
+        driver.SERVICE,
+        schema.ServiceKind.ENGINE,
+        slots_per_endpoint=SLOTS,
+        cache_token_bytes=327_680,
+        cache_link_mbit_per_s=1_000_000.0,
+        endpoints={driver.DOMAIN: ENDPOINTS},
+    )
+    workspaces = {
+        name: schema.Workspace(name, (), tuple(classes))
+        for name in (ids.WorkspaceId(f"w{n}") for n in range(WORKSPACES))
+    }
+    return schema.Document(
+        tiers,
+        classes,
+        workspaces,
+        {service.service: service},
+        {},
+        {},
+        policies,
+        routes=routes,
+    )
+
+
+def _works(rng: random.Random, load: float) -> list[fake_engine.Work]:
+    works = [work for kind in KINDS for work in _stream(rng, kind, load)]
+    return sorted(works, key=lambda work: work.arrival_s)
+
+
+def _stream(
+    rng: random.Random, kind: _Kind, load: float
+) -> abc.Iterator[fake_engine.Work]:
+    now_s = 0.0
+    number = 0
+    while True:
+        in_burst = BURST_S[0] <= now_s < BURST_S[1]
+        factor = BURST_FACTOR if in_burst and kind.class_id == LONG else 1.0
+        now_s += rng.expovariate(kind.rate_per_s * load * factor)
+        if now_s >= DURATION_S:
+            return
+        prefix = f"{kind.class_id}-{rng.randrange(kind.prefixes)}"
+        own = max(round(kind.own_tokens * rng.lognormvariate(-0.125, 0.5)), 50)
+        answer = kind.answer_tokens * rng.lognormvariate(-0.18, 0.6)
+        yield fake_engine.Work(
+            class_id=kind.class_id,
+            workspace=ids.WorkspaceId(f"w{rng.randrange(WORKSPACES)}"),
+            arrival_s=now_s,
+            prompt_tokens=kind.shared_tokens + own,
+            answer_tokens=max(math.ceil(answer), 3),
+            prefix_key=prefix,
+            prefix_tokens=kind.shared_tokens,
+            parts=(
+                (prefix, kind.shared_tokens),
+                (f"{kind.class_id}-own-{number}", own),
+            ),
+        )
+        number += 1
+
+
+def scenario(
+    seed: int,
+    overload: bool,
+    load: float = 1.0,
+    policies: schema.Policies = from_routes.POLICIES,
+    **fields: object,
+) -> scenarios.Scenario:
+    """Returns a scenario; equal seeds and loads give equal requests.
+
+    Args:
+        seed: Of the requests.
+        overload: Whether the overload controls are enabled.
+        load: Factor of the usual arrival rate.
+        policies: The policies in force.
+        fields: Further fields of the scenario.
+    """
+    return scenarios.Scenario(
+        _document(policies),
+        dict.fromkeys(ENDPOINTS, ENGINE),
+        _works(random.Random(seed), load),
+        DURATION_S,
+        entry_weights=(1.0,) * ENTRIES,
+        gossip_delay_s=1.5,
+        drain_s=15.0,
+        overload=overload,
+        caller_tries=2,
+        retry_share=1.0 / 3.0,
+        **{"asked": True, **fields},
+    )
+
+
+@dataclasses.dataclass
+class Counts:
+    """Requests of one class that arrived in the burst.
+
+    Attributes:
+        offered: All requests.
+        in_time: First token within the target, counted from the first send.
+        late: First token after the target.
+        refused: The last answer was a refusal.
+        failed: Neither a first token nor a refusal.
+        longest_s: Longest time from the first send to the first token or the
+            last refusal.
+        fewest_in_time_share: Lowest share in time among the seconds of the
+            burst.
+    """
+
+    offered: int = 0
+    in_time: int = 0
+    late: int = 0
+    refused: int = 0
+    failed: int = 0
+    longest_s: float = 0.0
+    fewest_in_time_share: float = 1.0
+
+
+def burst_counts(
+    works: abc.Iterable[fake_engine.Work],
+) -> dict[ids.ClassId, Counts]:
+    """Returns the counts by class of the requests sent in the burst."""
+    counts = {each.class_id: Counts() for each in KINDS}
+    seconds: dict[tuple[ids.ClassId, int], list[bool]] = {}
+    for work in works:
+        if not BURST_S[0] <= work.arrival_s < BURST_S[1]:
+            continue
+        _count(counts[work.class_id], work)
+        second = int(work.arrival_s - BURST_S[0])
+        key = (work.class_id, second)
+        seconds.setdefault(key, []).append(work.in_time)
+    for (class_id, _), in_time in seconds.items():
+        share = sum(in_time) / len(in_time)
+        row = counts[class_id]
+        row.fewest_in_time_share = min(row.fewest_in_time_share, share)
+    return counts
+
+
+def _count(row: Counts, work: fake_engine.Work) -> None:
+    row.offered += 1
+    row.in_time += work.in_time
+    row.late += work.answered_s is not None and not work.in_time
+    row.refused += work.refused_s is not None
+    row.failed += work.answered_s is None and work.refused_s is None
+    ended_s = work.answered_s if work.refused_s is None else work.refused_s
+    if ended_s is not None:
+        row.longest_s = max(row.longest_s, ended_s - work.arrival_s)
+
+
+def run(
+    seed: int, overload: bool, **fields: object
+) -> dict[ids.ClassId, Counts]:
+    """Runs the scenario and returns the counts of the burst by class."""
+    built = scenario(seed, overload, **fields)
+    placer_driver.make(built, seed).run()
+    return burst_counts(built.works)
+
+
+def main() -> None:
+    """Prints a row per variant and class, summed over the seeds."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=5)
+    parser.add_argument("--load", type=float, default=1.0)
+    options = parser.parse_args()
+    print("| overload | class | offered | in time | late | refused | failed |")
+    print("|---|---|---|---|---|---|---|")
+    for overload in (False, True):
+        runs = [
+            run(seed, overload, load=options.load)
+            for seed in range(options.seeds)
+        ]
+        for kind in KINDS:
+            rows = [each[kind.class_id] for each in runs]
+            sums = [
+                sum(getattr(row, name) for row in rows)
+                for name in ("offered", "in_time", "late", "refused", "failed")
+            ]
+            cells = " | ".join(str(each) for each in sums)
+            longest_s = max(row.longest_s for row in rows)
+            fewest = min(row.fewest_in_time_share for row in rows)
+            print(
+                f"| {overload} | {kind.class_id} | {cells} | "
+                f"{longest_s:.2f} | {fewest:.2f} |"
+            )
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/placer_driver.py
+++ b/benchmarks/placer_driver.py
@@ -12,6 +12,7 @@
 from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import core
 from cardamombarrow.decisions import messages
+from cardamombarrow.decisions import overload
 from cardamombarrow.kernel import ids
 
 __all__ = ["PlacerDriver", "make"]
@@ -43,6 +44,7 @@
             ids.InstanceId("entry-0"),
             driver.DOMAIN,
             random.Random(self._seed * 1_000 - 1),
+            overload=overload.OverloadControl(self._scenario.overload),
             whole_domain=True,
         )
         return core.Dispatcher(context, self._now_s)
--- a/benchmarks/scenarios.py
+++ b/benchmarks/scenarios.py
@@ -35,6 +35,12 @@
         placer_lost_from_s: Start of the time in which the placer is
             unreachable; it ends at `placer_lost_until_s`.
         pause_scope: Who leaves out an endpoint that asks for a pause.
+        overload: Whether the overload controls are enabled.
+        caller_tries: Most times a caller sends a request that is refused with a
+            retry time.
+        retry_share: Most time until a retry, as a share of the time that the
+            caller has left; callers give up a request that should wait longer.
+            None for any time.
     """
 
     document: schema.Document
@@ -50,3 +56,6 @@
     placer_lost_from_s: float = float("inf")
     placer_lost_until_s: float = float("inf")
     pause_scope: PauseScope = PauseScope.DOMAIN
+    overload: bool = False
+    caller_tries: int = 4
+    retry_share: float | None = None
--- a/cardamombarrow/decisions/choosing/first_event.py
+++ b/cardamombarrow/decisions/choosing/first_event.py
@@ -45,6 +45,7 @@
 from cardamombarrow.decisions.choosing import engine_latency
 from cardamombarrow.decisions.choosing import fetching
 from cardamombarrow.decisions.choosing import length_partition
+from cardamombarrow.decisions.choosing import prefill_bound
 from cardamombarrow.decisions.choosing import prefill_time
 from cardamombarrow.decisions.fleet import failures
 from cardamombarrow.document import schema
@@ -249,12 +250,24 @@
         if not job.prompt_tokens:
             return super().available(job, state, now_s)
         is_long = self._is_long(job)
-        if state.unread >= self._queue_limits.max_queued(is_long):
+        if not self._is_within_bound(job, state, now_s):
             return False
         if not super().available(job, state, now_s):
             return False
         return not is_long or self._is_affinity_wait_over(job, state, now_s)
 
+    def _is_within_bound(
+        self,
+        job: messages.Job,
+        state: endpoint_module.EndpointState,
+        now_s: float,
+    ) -> bool:
+        if self.context.overload.is_enabled(job.service):
+            token_s = self._prefill_time.token_s(state.service)
+            return prefill_bound.is_open(state, job, token_s, now_s)
+        max_queued = self._queue_limits.max_queued(self._is_long(job))
+        return state.unread < max_queued
+
     def _is_affinity_wait_over(
         self,
         job: messages.Job,
