Put late jobs behind those that can be in time under overload

Cause: in order of deadlines the job that goes first has waited longest.

Where the overload controls are enabled, a job that would be next but whose first token is expected after its target goes behind those of its tier that can be in time, in order of arrival. Its workspace is charged as before. The expectation is the prefill of what no endpoint has cached, behind the shortest queue (at most 50 ms old). Only jobs that would be next are examined.

--- a/cardamombarrow/decisions/base.py
+++ b/cardamombarrow/decisions/base.py
@@ -54,6 +54,14 @@
     ) -> list[endpoint_module.EndpointState]:
         """Returns endpoints with a slot that the job may take."""
 
+    def is_late(self, job: messages.Job) -> bool:
+        """Returns whether a job can no longer meet its target."""
+        return False
+
+    def orders_late_jobs(self, service: ids.ServiceId) -> bool:
+        """Returns whether late jobs of a service go behind the others."""
+        return False
+
     def services(self) -> collections_abc.Iterable[ids.ServiceId] | None:
         """Returns the services with changes; None means all services."""
         return None
@@ -223,6 +231,21 @@
     ) -> tuple[endpoint_module.EndpointState, str]:
         """Returns one of the candidates (never empty) and the reason."""
 
+    def expected_first_token_s(
+        self,
+        job: messages.Job,
+        states: list[endpoint_module.EndpointState],
+        now_s: float,
+    ) -> float:
+        """Returns the least time to the first token of a job placed now.
+
+        Args:
+            job: The job.
+            states: The endpoints that could take it.
+            now_s: Current time.
+        """
+        return 0.0
+
     def on_remote_placement(
         self,
         job: messages.Job,
--- a/cardamombarrow/decisions/choosing/first_event.py
+++ b/cardamombarrow/decisions/choosing/first_event.py
@@ -36,6 +36,7 @@
 
 from collections import abc as collections_abc
 import dataclasses
+import math
 
 from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import endpoint as endpoint_module
@@ -117,6 +118,10 @@
 """Penalty for an endpoint that has to preempt a request: a long prompt is
 prefilled twice."""
 
+LEAST_WAIT_AGE_S = 0.05
+"""Time for which the least wait at an endpoint is used again; a fraction of the
+shortest target."""
+
 PER_REQUEST_S = 0.001
 """Added for each running request, because they share the engine's speed."""
 
@@ -147,6 +152,9 @@
             None,
         )
         self._prepared_is_long: tuple[messages.Job | None, bool] = None, False
+        self._least_waits: dict[
+            tuple[ids.ServiceId, int], tuple[float, float]
+        ] = {}
         self._shortest_pause_s = _shortest_pause_s(context.document)
         self._queue_limits = (
             DOMAIN_QUEUE_LIMITS if context.whole_domain else OWN_QUEUE_LIMITS
@@ -308,6 +316,51 @@
         job.unread_tokens = max(uncached - fetched, 0.0)
         self._caches.record_sent(job, state.endpoint, now_s)
 
+    def expected_first_token_s(
+        self,
+        job: messages.Job,
+        states: list[endpoint_module.EndpointState],
+        now_s: float,
+    ) -> float:
+        """Returns the least time to the first token of a job placed now.
+
+        This is the prefill of what no endpoint has cached, behind the shortest
+        queue; a fetch takes far less.
+        """
+        if not job.prompt_tokens:
+            return 0.0
+        token_s = self._prefill_time.token_s(job.service)
+        cached = self._caches.directory.cached_prefix_tokens(job, now_s)
+        uncached = job.prompt_tokens - max(cached.values(), default=0)
+        return self._least_wait_s(job, states, now_s) + uncached * token_s
+
+    def _least_wait_s(
+        self,
+        job: messages.Job,
+        states: list[endpoint_module.EndpointState],
+        now_s: float,
+    ) -> float:
+        """Returns the least wait, at most `LEAST_WAIT_AGE_S` old.
+
+        A job may be examined at each event; with hundreds of endpoints that
+        would take longer than the decisions.
+        """
+        key = job.service, job.rank
+        known_s, wait_s = self._least_waits.get(key, (-math.inf, 0.0))
+        if now_s - known_s < LEAST_WAIT_AGE_S:
+            return wait_s
+        token_s = self._prefill_time.token_s(job.service)
+        wait_s = min(
+            (
+                self._latency(state).base_at(now_s)
+                + prefill_bound.prefill_ahead_s(state, job, token_s, now_s)
+                for state in states
+            ),
+            default=0.0,
+        )
+        self._least_waits[key] = now_s, wait_s
+        return wait_s
+
     def on_remote_placement(
         self,
         job: messages.Job,
--- a/cardamombarrow/decisions/fleet/roster.py
+++ b/cardamombarrow/decisions/fleet/roster.py
@@ -14,6 +14,7 @@
 from cardamombarrow.decisions import policies as policies_module
 from cardamombarrow.decisions.limiting import capacity as capacity_module
 from cardamombarrow.decisions.limiting import rate_budget
+from cardamombarrow.decisions.queueing import lateness
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import ids
 
@@ -38,6 +39,7 @@
         capacities: This instance's slots by service.
         changed: Services with changes since their last check.
         rate_budget: The rates that may be sent to endpoints with rate limits.
+        lateness: Predicts whether jobs can still meet their targets.
     """
 
     def __init__(
@@ -57,6 +59,7 @@
         self.rate_budget = rate_budget.RateBudget(
             context.rate_limits, context.domain
         )
+        self.lateness = lateness.Lateness(self._expected_first_token_s)
 
     def configure(self, document: schema.Document, now_s: float) -> None:
         """Applies a newer document.
@@ -367,6 +370,14 @@
             self._context.instance, demand, in_flight, now_s
         )
 
+    def orders_late_jobs(self, service: ids.ServiceId) -> bool:
+        """Returns whether late jobs of a service go behind the others."""
+        return self._context.overload.is_enabled(service)
+
+    def _expected_first_token_s(self, job: messages.Job, now_s: float) -> float:
+        states = self.available(self.capacities[job.service].local, now_s)
+        return self._policies.choice.expected_first_token_s(job, states, now_s)
+
     def candidates(
         self, job: messages.Job, backlog: BacklogFunction, now_s: float
     ) -> list[endpoint_module.EndpointState]:
@@ -472,6 +483,14 @@
             else self.candidates(job)
         )
 
+    def is_late(self, job: messages.Job) -> bool:
+        """Returns whether a job can no longer meet its target."""
+        return self._roster.lateness.is_late(job, self._now_s)
+
+    def orders_late_jobs(self, service: ids.ServiceId) -> bool:
+        """Returns whether late jobs of a service go behind the others."""
+        return self._roster.orders_late_jobs(service)
+
     def services(self) -> list[ids.ServiceId]:
         """Returns the services with changes."""
         return list(self._roster.changed)
--- a/cardamombarrow/decisions/queueing/fairness.py
+++ b/cardamombarrow/decisions/queueing/fairness.py
@@ -18,6 +18,13 @@
 length of a job is not known when it is served. Removing a job costs O(log n) in
 the number of workspaces with jobs; idle workspaces cost nothing.
 
+Where the overload controls are enabled, a job that can no longer meet its
+target (see `lateness`) goes behind those of its tier that can, in order of
+arrival. It is charged to the same credit of its workspace, so that a workspace
+gains nothing by being late. In a burst that lasts, late jobs would get nothing
+until they are refused; after `IN_TIME_PER_LATE` jobs in time the late one that
+arrived first goes next, unless its workspace is suspended.
+
 The quantum follows the mean estimated length in this tier, so that a round is
 about one job per workspace; a smaller one only adds rounds, a larger one lets
 a hot workspace send several jobs in a row.
@@ -37,26 +44,49 @@
 QUANTUM_WEIGHT = 0.05
 """Weight of one pushed job in the mean length that sets the quantum."""
 
+IN_TIME_PER_LATE = 7
+"""Jobs in time that are served in a row while late ones wait."""
+
 DEBT_MAX_ROUNDS = 100
 """Maximum rounds that a workspace is suspended, even for an endless answer."""
 
 
+IsLate = abc.Callable[[messages.Job], bool]
+
+
 class _Entry:
-    """A queued job in its workspace's heap; `job` is None once removed."""
+    """A queued job in its workspace's heap; `job` is None once removed.
+
+    Attributes:
+        is_late: Whether it goes behind the jobs that can be in time.
+        due_s: Time by which entries that are equally late are ordered.
+    """
 
-    __slots__ = ("due_s", "flow", "job", "number", "position")
+    __slots__ = ("due_s", "flow", "is_late", "job", "number", "position")
 
     def __init__(
-        self, job: messages.Job, flow: "_Flow", number: int, position: int
+        self,
+        job: messages.Job,
+        flow: "_Flow",
+        number: int,
+        position: int,
+        is_late: bool = False,
     ):
         self.job: messages.Job | None = job
         self.flow = flow
         self.number = number
         self.position = position
-        self.due_s = job.arrived_s + job.target_first_token_s
+        self.is_late = is_late
+        self.due_s = job.arrived_s
+        if not is_late:
+            self.due_s += job.target_first_token_s
 
     def __lt__(self, other: "_Entry") -> bool:
-        return (self.due_s, self.number) < (other.due_s, other.number)
+        return (self.is_late, self.due_s, self.number) < (
+            other.is_late,
+            other.due_s,
+            other.number,
+        )
 
 
 class _Flow:
@@ -113,6 +143,10 @@
         self._numbers = itertools.count()
         self._round = 0
         self._quantum = FIRST_QUANTUM_TOKENS
+        self._is_late: IsLate | None = None
+        self._late: list[_Entry] = []
+        self._in_time_in_a_row = 0
+        self._skips_turn = False
         self.active = 0
 
     def __len__(self) -> int:
@@ -123,6 +157,23 @@
         """Returns whether a job is queued here."""
         return request_id in self.entries
 
+    def set_lateness(self, is_late: IsLate | None) -> None:
+        """Sets how to examine the jobs that would be next.
+
+        Args:
+            is_late: Returns whether a job can no longer meet its target; None
+                to put no further jobs behind.
+        """
+        self._is_late = is_late
+        self._skips_turn = False
+
+    def skip_turn(self) -> None:
+        """Leaves out the turn of a late job until a job has been taken.
+
+        Without this a late job that fits no free slot would hold up the others.
+        """
+        self._skips_turn = True
+
     def jobs(self) -> list[messages.Job]:
         """Returns all queued jobs, in arbitrary order."""
         return [e.job for e in self.entries.values() if e.job is not None]
@@ -163,8 +214,10 @@
         entry = self._next()
         if entry is None or entry.job is None:
             return None
-        heapq.heappop(self._eligible)
-        heapq.heappop(entry.flow.heap)
+        self._count_turn(entry)
+        if self._eligible[0] is entry:
+            heapq.heappop(self._eligible)
+            heapq.heappop(entry.flow.heap)
         del self.entries[entry.job.request_id]
         job = self._detach(entry)
         entry.flow.credit -= _cost(job)
@@ -193,7 +246,7 @@
 
     def hide(self) -> _Entry | None:
         """Hides the next job from `peek` and `pop`; it stays counted."""
-        entry = self._next()
+        entry = self._next_in_order()
         if entry is not None:
             heapq.heappop(self._eligible)
             heapq.heappop(entry.flow.heap)
@@ -248,19 +301,71 @@
         return job
 
     def _next(self) -> _Entry | None:
+        """Returns the late entry whose turn it is, or the next in order."""
+        entry = self._next_in_order()
+        if entry is None or entry.is_late or self._skips_turn:
+            return entry
+        return self._late_in_turn() or entry
+
+    def _count_turn(self, taken: _Entry) -> None:
+        self._skips_turn = False
+        if taken.is_late or not self._late:
+            self._in_time_in_a_row = 0
+        else:
+            self._in_time_in_a_row += 1
+
+    def _late_in_turn(self) -> _Entry | None:
+        if self._in_time_in_a_row < IN_TIME_PER_LATE:
+            return None
+        self._drop_ended_late()
+        if not self._late or self._late[0].flow.ready_round > self._round:
+            return None
+        return self._late[0]
+
+    def _drop_ended_late(self) -> None:
+        while self._late and self._late[0].job is None:
+            heapq.heappop(self._late)
+
+    def _next_in_order(self) -> _Entry | None:
         """Returns the earliest entry among workspaces with credit."""
         while self.entries:
             while self._eligible:
                 entry = self._eligible[0]
-                if self._is_current(entry):
+                if not self._is_current(entry):
+                    heapq.heappop(self._eligible)
+                elif self._has_become_late(entry):
+                    self._put_behind(entry)
+                else:
                     return entry
-                heapq.heappop(self._eligible)
             if not self._suspended:
                 break
             self._round = max(self._round, self._suspended[0][0])
             self._start_round()
         return None
 
+    def _has_become_late(self, entry: _Entry) -> bool:
+        if self._is_late is None or entry.is_late or entry.job is None:
+            return False
+        return self._is_late(entry.job)
+
+    def _put_behind(self, entry: _Entry) -> None:
+        """Puts a job behind those that can be in time.
+
+        A new entry replaces the old one, whose place in the heaps may not
+        change.
+        """
+        job, flow = entry.job, entry.flow
+        assert job is not None
+        entry.job = None
+        late = _Entry(job, flow, next(self._numbers), flow.pushed, is_late=True)
+        flow.pushed += 1
+        flow.taken += 1
+        self.entries[job.request_id] = late
+        heapq.heappush(flow.heap, late)
+        self._push_head(flow)
+        self._drop_ended_late()
+        heapq.heappush(self._late, late)
+
     def _is_current(self, entry: _Entry) -> bool:
         flow = entry.flow
         return flow.ready_round <= self._round and flow.head() is entry
--- a/cardamombarrow/decisions/queueing/tiers.py
+++ b/cardamombarrow/decisions/queueing/tiers.py
@@ -98,9 +98,17 @@
         slots = capacity.slots
         reserved = {rank: share * slots for rank, share in shares.items()}
         self._accrue_credits(reserved, now_s)
+        orders_late = free_slots.orders_late_jobs(capacity.service)
+        for rank in waiting:
+            self.tiers[rank].set_lateness(
+                free_slots.is_late if orders_late else None
+            )
         taken = self._take_by_priority(
             waiting, free_slots, capacity, reserved, now_s
         )
+        for rank in waiting:
+            # The time of these slots has passed for any later call.
+            self.tiers[rank].set_lateness(None)
         self._save_contention(capacity.held, taken)
         return taken
 
@@ -135,6 +143,7 @@
             return self._pop(tier)
         if not capacity.has_free():
             return None
+        tier.skip_turn()
         return self._take_past_blocked(tier, free_slots)
 
     def _take_past_blocked(
