Predict the wait from the prefill ahead under overload

Cause: the wait is predicted from slots, which are free while prefill is short. Late requests were given up at twice their target (5.1 of 10.25 s), or, with 64 slots, at their deadline with a retry-after of a second, and returned to the same queue.

Where the overload controls are enabled, the wait of a prompt also counts the uncached tokens ahead of it in the queue (a shared prefix once), by the part of the prefill rate that this instance's prompts have. An arriving job is refused if it is late and predicted to start too late to end by its deadline, with the predicted wait as retry-after; never while more than one job of a lower tier waits or a lower tier runs more than its share. Waiting jobs are given up at their latest start only. place lines state the prefill ahead at the endpoint and whether the job is late; refuse lines the wait and the part that is prefill.

The unread prompts of an endpoint are kept separately, so that the bound does not iterate over all running requests.

Disabled, nothing changes.

--- a/benchmarks/driver.py
+++ b/benchmarks/driver.py
@@ -147,6 +147,7 @@
         if not work.tries:
             class_result.offered += 1
         work.tries += 1
+        work.sent_s = self._now_s
         weights = self._scenario.entry_weights
         entry = self._rng.choices(range(len(weights)), weights)[0]
         job = self._job(work)
--- a/benchmarks/fake_engine.py
+++ b/benchmarks/fake_engine.py
@@ -84,6 +84,7 @@
         prefix_tokens: Length of the prompt prefix that `prefix_key` names.
         parts: Names and lengths of the prompt's parts, if the caller sends
             them; the last one belongs to this request alone.
+        sent_s: When the caller sent it last.
         in_time: Whether the first token came within the target.
         answered_s: When the first token came, or None.
         refused_s: When the last answer came, if it was a refusal.
@@ -101,6 +102,7 @@
     crashes: bool = False
     tries: int = 0
     parts: tuple[tuple[str, int], ...] = ()
+    sent_s: float = 0.0
     in_time: bool = False
     answered_s: float | None = None
     refused_s: float | None = None
--- a/benchmarks/overload_order.py
+++ b/benchmarks/overload_order.py
@@ -9,14 +9,23 @@
 
 import argparse
 from collections import abc
+import contextlib
 import dataclasses
 import math
 import random
+from unittest import mock
 
 from benchmarks import driver
 from benchmarks import fake_engine
 from benchmarks import placer_driver
 from benchmarks import scenarios
+from cardamombarrow.decisions import core
+from cardamombarrow.decisions import messages
+from cardamombarrow.decisions.choosing import prefill_bound
+from cardamombarrow.decisions.fleet import roster
+from cardamombarrow.decisions.queueing import admission
+from cardamombarrow.decisions.queueing import fairness
+from cardamombarrow.decisions.queueing import prefill_forecast
 from cardamombarrow.document import from_routes
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import ids
@@ -90,7 +99,7 @@
 )
 
 
-def _document(policies: schema.Policies) -> schema.Document:
+def _document(policies: schema.Policies, slots: int) -> schema.Document:
     tiers = {
         ids.TierId(f"rank-{each.rank}"): schema.Tier(
             ids.TierId(f"rank-{each.rank}"),
@@ -127,7 +136,7 @@
     service = schema.Service(
         driver.SERVICE,
         schema.ServiceKind.ENGINE,
-        slots_per_endpoint=SLOTS,
+        slots_per_endpoint=slots,
         cache_token_bytes=327_680,
         cache_link_mbit_per_s=1_000_000.0,
         endpoints={driver.DOMAIN: ENDPOINTS},
@@ -188,6 +197,7 @@
     overload: bool,
     load: float = 1.0,
     policies: schema.Policies = from_routes.POLICIES,
+    slots: int = SLOTS,
     **fields: object,
 ) -> scenarios.Scenario:
     """Returns a scenario; equal seeds and loads give equal requests.
@@ -197,11 +207,12 @@
         overload: Whether the overload controls are enabled.
         load: Factor of the usual arrival rate.
         policies: The policies in force.
+        slots: Concurrent requests of an engine.
         fields: Further fields of the scenario.
     """
     return scenarios.Scenario(
-        _document(policies),
-        dict.fromkeys(ENDPOINTS, ENGINE),
+        _document(policies, slots),
+        dict.fromkeys(ENDPOINTS, dataclasses.replace(ENGINE, batch=slots)),
         _works(random.Random(seed), load),
         DURATION_S,
         entry_weights=(1.0,) * ENTRIES,
@@ -226,7 +237,8 @@
         failed: Neither a first token nor a refusal.
         longest_s: Longest time from the first send to the first token or the
             last refusal.
-        fewest_in_time_share: Lowest share in time among the seconds of the
+        longest_send_s: The same from the last send.
+        lowest_in_time_share: Lowest share in time among the seconds of the
             burst.
     """
 
@@ -236,7 +248,8 @@
     refused: int = 0
     failed: int = 0
     longest_s: float = 0.0
-    fewest_in_time_share: float = 1.0
+    longest_send_s: float = 0.0
+    lowest_in_time_share: float = 1.0
 
 
 def burst_counts(
@@ -255,7 +268,7 @@
     for (class_id, _), in_time in seconds.items():
         share = sum(in_time) / len(in_time)
         row = counts[class_id]
-        row.fewest_in_time_share = min(row.fewest_in_time_share, share)
+        row.lowest_in_time_share = min(row.lowest_in_time_share, share)
     return counts
 
 
@@ -268,6 +281,7 @@
     ended_s = work.answered_s if work.refused_s is None else work.refused_s
     if ended_s is not None:
         row.longest_s = max(row.longest_s, ended_s - work.arrival_s)
+        row.longest_send_s = max(row.longest_send_s, ended_s - work.sent_s)
 
 
 def run(
@@ -279,31 +293,96 @@
     return burst_counts(built.works)
 
 
+_NO_ORDER = (roster.Roster, "orders_late_jobs", lambda self, service: False)
+_NO_FORECAST = (
+    prefill_forecast.PrefillForecast,
+    "wait_s",
+    lambda self, job, now_s: 0.0,
+)
+_OLD_ADMISSION = (
+    core.Dispatcher,
+    "_with_prefill",
+    lambda self, job, backlog, now_s: backlog,
+)
+
+
+def _refuse_all(
+    self: admission.PredictedWaitAdmission,
+    job: messages.Job,
+    backlog: messages.Backlog,
+    now_s: float,
+) -> str | None:
+    """Refuses by the predicted wait whether or not a job can be in time."""
+    backlog = dataclasses.replace(backlog, is_late=True)
+    return _REFUSE(self, job, backlog, now_s)
+
+
+_REFUSE = admission.PredictedWaitAdmission.refuse
+_REFUSE_ALL = (admission.PredictedWaitAdmission, "refuse", _refuse_all)
+_NO_TURNS = (fairness, "IN_TIME_PER_LATE", math.inf)
+
+
+def _bound(bound_s: float) -> tuple[object, str, object]:
+    return (prefill_bound, "BOUND_S", bound_s)
+
+
+VARIANTS = {
+    "number of prompts": (False, ()),
+    "bound in seconds": (True, (_NO_ORDER, _OLD_ADMISSION)),
+    "late jobs behind": (True, (_OLD_ADMISSION,)),
+    "with admission": (True, ()),
+    "with admission, no turns of late jobs": (True, (_NO_TURNS,)),
+    "with admission, late jobs not behind": (True, (_NO_ORDER,)),
+    "with admission, without the prefill ahead": (True, (_NO_FORECAST,)),
+    "with admission, all arrivals by the wait": (True, (_REFUSE_ALL,)),
+    "with admission, bound 0 s": (True, (_bound(1e-9),)),
+    "with admission, bound 0.05 s": (True, (_bound(0.05),)),
+    "with admission, bound 0.3 s": (True, (_bound(0.3),)),
+    "with admission, bound 0.6 s": (True, (_bound(0.6),)),
+}
+"""Whether the overload controls are enabled, and what is replaced, by name."""
+
+_COLUMNS = ("offered", "in_time", "late", "refused", "failed")
+
+
+def _run_variant(
+    name: str, seeds: int, load: float, slots: int
+) -> list[dict[ids.ClassId, Counts]]:
+    overload, replaced = VARIANTS[name]
+    with contextlib.ExitStack() as stack:
+        for owner, attribute, value in replaced:
+            stack.enter_context(mock.patch.object(owner, attribute, value))
+        return [
+            run(seed, overload, load=load, slots=slots) for seed in range(seeds)
+        ]
+
+
 def main() -> None:
     """Prints a row per variant and class, summed over the seeds."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", type=int, default=5)
     parser.add_argument("--load", type=float, default=1.0)
+    parser.add_argument("--slots", type=int, default=SLOTS)
     options = parser.parse_args()
-    print("| overload | class | offered | in time | late | refused | failed |")
-    print("|---|---|---|---|---|---|---|")
-    for overload in (False, True):
-        runs = [
-            run(seed, overload, load=options.load)
-            for seed in range(options.seeds)
-        ]
+    print(
+        "| variant | class | offered | in time | late | refused | failed "
+        "| longest s | lowest share in time in a second |"
+    )
+    print("|---" * 9 + "|")
+    for name in VARIANTS:
+        runs = _run_variant(name, options.seeds, options.load, options.slots)
         for kind in KINDS:
             rows = [each[kind.class_id] for each in runs]
-            sums = [
-                sum(getattr(row, name) for row in rows)
-                for name in ("offered", "in_time", "late", "refused", "failed")
-            ]
-            cells = " | ".join(str(each) for each in sums)
+            cells = " | ".join(
+                str(sum(getattr(row, column) for row in rows))
+                for column in _COLUMNS
+            )
             longest_s = max(row.longest_s for row in rows)
-            fewest = min(row.fewest_in_time_share for row in rows)
+            lowest = min(row.lowest_in_time_share for row in rows)
             print(
-                f"| {overload} | {kind.class_id} | {cells} | "
-                f"{longest_s:.2f} | {fewest:.2f} |"
+                f"| {name} | {kind.class_id} | {cells} "
+                f"| {longest_s:.2f} | {lowest:.2f} |",
+                flush=True,
             )
 
 
--- a/cardamombarrow/decisions/base.py
+++ b/cardamombarrow/decisions/base.py
@@ -7,6 +7,7 @@
 
 import abc
 from collections import abc as collections_abc
+import math
 
 from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import endpoint as endpoint_module
@@ -108,6 +109,19 @@
         """Counts the other queued jobs of a job's tier and service."""
         return self.jobs_ahead(job)
 
+    def lower_waiting(self, job: messages.Job) -> int:
+        """Counts the queued jobs of lower tiers than a job's."""
+        return 0
+
+    def share_ahead(self, job: messages.Job, is_late: bool) -> float:
+        """Returns the share of the jobs of a job's tier that precede it.
+
+        Args:
+            job: The job, which need not be queued.
+            is_late: Whether it can no longer meet its target.
+        """
+        return 1.0
+
     def oldest_wait_s(self, job: messages.Job, now_s: float) -> float:
         """Returns how long the next job of the same tier has waited."""
         return 0.0
@@ -246,6 +260,34 @@
         """
         return 0.0
 
+    def uncached_tokens(self, job: messages.Job, now_s: float) -> float:
+        """Returns the prompt tokens of a job that no endpoint has cached."""
+        return 0.0
+
+    def prefill_ahead_s(
+        self,
+        job: messages.Job,
+        state: endpoint_module.EndpointState,
+        now_s: float,
+    ) -> float:
+        """Returns the prefill at an endpoint that would precede a job."""
+        return 0.0
+
+    def prefill_tokens_per_s(
+        self,
+        job: messages.Job,
+        states: list[endpoint_module.EndpointState],
+        now_s: float,
+    ) -> float:
+        """Returns the prefill rate that this instance has for a job.
+
+        Args:
+            job: The job.
+            states: The endpoints that could take it.
+            now_s: Current time.
+        """
+        return math.inf
+
     def on_remote_placement(
         self,
         job: messages.Job,
--- a/cardamombarrow/decisions/choosing/first_event.py
+++ b/cardamombarrow/decisions/choosing/first_event.py
@@ -119,8 +119,8 @@
 prefilled twice."""
 
 LEAST_WAIT_AGE_S = 0.05
-"""Time for which the least wait at an endpoint is used again; a fraction of the
-shortest target."""
+"""Time for which the least wait at an endpoint and the prefill rate of all
+endpoints are used again; a fraction of the shortest target."""
 
 PER_REQUEST_S = 0.001
 """Added for each running request, because they share the engine's speed."""
@@ -155,6 +155,7 @@
         self._least_waits: dict[
             tuple[ids.ServiceId, int], tuple[float, float]
         ] = {}
+        self._prefill_rates: dict[ids.ServiceId, tuple[float, float]] = {}
         self._shortest_pause_s = _shortest_pause_s(context.document)
         self._queue_limits = (
             DOMAIN_QUEUE_LIMITS if context.whole_domain else OWN_QUEUE_LIMITS
@@ -330,9 +331,47 @@
         if not job.prompt_tokens:
             return 0.0
         token_s = self._prefill_time.token_s(job.service)
+        prefill_s = self.uncached_tokens(job, now_s) * token_s
+        return self._least_wait_s(job, states, now_s) + prefill_s
+
+    def prefill_ahead_s(
+        self,
+        job: messages.Job,
+        state: endpoint_module.EndpointState,
+        now_s: float,
+    ) -> float:
+        """Returns the prefill at an endpoint that would precede a job."""
+        token_s = self._prefill_time.token_s(state.service)
+        return prefill_bound.prefill_ahead_s(state, job, token_s, now_s)
+
+    def uncached_tokens(self, job: messages.Job, now_s: float) -> float:
+        """Returns the prompt tokens of a job that no endpoint has cached."""
         cached = self._caches.directory.cached_prefix_tokens(job, now_s)
-        uncached = job.prompt_tokens - max(cached.values(), default=0)
-        return self._least_wait_s(job, states, now_s) + uncached * token_s
+        return float(job.prompt_tokens - max(cached.values(), default=0))
+
+    def prefill_tokens_per_s(
+        self,
+        job: messages.Job,
+        states: list[endpoint_module.EndpointState],
+        now_s: float,
+    ) -> float:
+        """Returns the part of the endpoints' prefill rate that is this one's.
+
+        It is the part that its own prompts have of those in prefill there.
+        """
+        key = job.service
+        known_s, per_s = self._prefill_rates.get(key, (-math.inf, 0.0))
+        if now_s - known_s < LEAST_WAIT_AGE_S:
+            return per_s
+        token_s = self._prefill_time.token_s(job.service)
+        own_s = peer_s = 0.0
+        for state in states:
+            own_s += token_s * state.own_load(now_s).unread_tokens
+            peer_s += state.peer_prefill_s(token_s, now_s)
+        share = own_s / (own_s + peer_s) if own_s and peer_s else 1.0
+        per_s = share * len(states) / token_s
+        self._prefill_rates[key] = now_s, per_s
+        return per_s
 
     def _least_wait_s(
         self,
--- a/cardamombarrow/decisions/choosing/prefill_bound.py
+++ b/cardamombarrow/decisions/choosing/prefill_bound.py
@@ -76,19 +76,13 @@
         token_s: Prefill time per token at this endpoint.
         now_s: Current time.
     """
-    in_prefill_s = 0.0
-    first_placed_s = None
-    total_s = 0.0
-    for running in state.running.values():
-        if running.first_token_s is not None or running.job.rank > job.rank:
-            continue
-        prefill_s = max(running.job.unread_tokens * token_s, MIN_PROMPT_S)
-        total_s += prefill_s
-        if first_placed_s is None or running.placed_s < first_placed_s:
-            first_placed_s = running.placed_s
-            in_prefill_s = prefill_s
-    reported_s = _reported_s(state, job, token_s, now_s)
-    return total_s - in_prefill_s + reported_s
+    prefills_s = (
+        max(running.job.unread_tokens * token_s, MIN_PROMPT_S)
+        for running in state.own_unread.values()
+        if running.job.rank <= job.rank
+    )
+    next(prefills_s, None)  # The first one is in prefill.
+    return sum(prefills_s) + _reported_s(state, job, token_s, now_s)
 
 
 def _reported_s(
--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -9,6 +9,7 @@
 services with changes), so that no event iterates over all jobs.
 """
 
+import dataclasses
 import math
 import typing
 
@@ -18,6 +19,7 @@
 from cardamombarrow.decisions import runs
 from cardamombarrow.decisions.fleet import roster
 from cardamombarrow.decisions.queueing import forecast
+from cardamombarrow.decisions.queueing import prefill_forecast
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 
@@ -40,6 +42,10 @@
     def __init__(self, context: context_module.PolicyContext, now_s: float):
         super().__init__(context, now_s)
         self._forecast = forecast.Forecast(self._policies)
+        self._prefill = prefill_forecast.PrefillForecast(
+            self._roster.prefill_tokens_per_s,
+            self._share_ahead,
+        )
         self._awaiting_remote: dict[ids.RequestId, messages.Job] = {}
         self._pending_refusals: list[messages.Refusal] = []
         self.preemptions = 0
@@ -136,6 +142,7 @@
         evicted = self._policies.queue.evict(job)
         if evicted is None:
             return f"{len(self._waiting)} requests are already waiting"
+        self._prefill.remove(evicted.request_id, placed=False)
         self._waiting.leave(evicted)
         self._pending_refusals.append(
             self._refusal(
@@ -152,6 +159,9 @@
         self, job: messages.Job, backlog: messages.Backlog, now_s: float
     ) -> None:
         self._policies.queue.push(job, now_s)
+        if self._context.overload.is_enabled(job.service):
+            uncached = self._policies.choice.uncached_tokens(job, now_s)
+            self._prefill.add(job, uncached)
         self._waiting.add_queued(job)
         self._roster.changed.add(job.service)
         next_check_s = self._policies.admission.next_check_s(
@@ -246,6 +256,7 @@
         if self.drop_remote_placement(request_id):
             return True
         job = self._policies.queue.remove(request_id)
+        self._prefill.remove(request_id, placed=False)
         if job is None:
             job = self._waiting.remove_delayed(request_id)
         if job is None:
@@ -300,6 +311,7 @@
                 )
                 continue
             self._policies.queue.remove(job.request_id)
+            self._prefill.remove(job.request_id, placed=False)
             self._waiting.leave(job)
             yield self._refusal(
                 job, errors.ErrorKind.QUEUE_TIMEOUT, reason, backlog, now_s
@@ -353,8 +365,13 @@
         now_s: float,
     ) -> messages.Placement:
         self._waiting.remove_queued(job)
+        self._prefill.remove(job.request_id, placed=True)
         choice = self._policies.choice
         state, reason = choice.choose(job, candidates, now_s)
+        if self._context.overload.is_enabled(job.service):
+            ahead_s = choice.prefill_ahead_s(job, state, now_s)
+            late = ", late" if self._roster.lateness.is_late(job, now_s) else ""
+            reason = f"{reason}, {ahead_s:.3f} s of prefill ahead{late}"
         fetch = choice.fetch(job, state, now_s)
         self._roster.rate_budget.spend(state, now_s)
         self._run(job, state, now_s)
@@ -446,13 +463,36 @@
         ahead = self._policies.queue.jobs_ahead(job)
         reachable = self._roster.reachable(job.service)
         available = self._roster.available(reachable, now_s)
-        return self._forecast.backlog(
+        backlog = self._forecast.backlog(
             job,
             self._roster.capacities[job.service],
             self._roster.rate_budget.wait_s(available, ahead, now_s),
             self._roster.pause_wait_s(reachable, now_s),
             now_s,
         )
+        if not job.prompt_tokens:
+            # Slots limit calls without a prompt, as without the controls.
+            return backlog
+        if not self._context.overload.is_enabled(job.service):
+            return backlog
+        return self._with_prefill(job, backlog, now_s)
+
+    def _share_ahead(self, job: messages.Job, now_s: float) -> float:
+        is_late = self._roster.lateness.is_late(job, now_s)
+        return self._policies.queue.share_ahead(job, is_late)
+
+    def _with_prefill(
+        self, job: messages.Job, backlog: messages.Backlog, now_s: float
+    ) -> messages.Backlog:
+        """Adds what the overload controls predict."""
+        prefill_wait_s = self._prefill.wait_s(job, now_s)
+        return dataclasses.replace(
+            backlog,
+            predicted_wait_s=max(backlog.predicted_wait_s, prefill_wait_s),
+            prefill_wait_s=prefill_wait_s,
+            lower_waiting=self._policies.queue.lower_waiting(job) > 1,
+            is_late=self._roster.lateness.is_late(job, now_s),
+        )
 
 
 def _blocked_reason(job: messages.Job, backlog: messages.Backlog) -> str | None:
--- a/cardamombarrow/decisions/endpoint.py
+++ b/cardamombarrow/decisions/endpoint.py
@@ -23,6 +23,8 @@
         unread: Requests on it without a first token, other instances'
             included.
         peer_running: Requests on it that other instances reported.
+        own_unread: This instance's requests on it without a first token, in
+            the order in which they were placed.
     """
 
     endpoint: ids.EndpointId
@@ -40,20 +42,27 @@
     )
     unread: int = 0
     peer_running: int = 0
+    own_unread: dict[ids.RequestId, messages.Running] = dataclasses.field(
+        default_factory=dict
+    )
 
     def add(self, running: messages.Running) -> None:
         """Adds a request of this instance."""
         self.running[running.job.request_id] = running
-        self.unread += running.first_token_s is None
+        if running.first_token_s is None:
+            self.unread += 1
+            self.own_unread[running.job.request_id] = running
 
     def set_first_token(self, running: messages.Running, now_s: float) -> None:
         """Records the first token of a request of this instance."""
         self.unread -= running.first_token_s is None
+        self.own_unread.pop(running.job.request_id, None)
         running.first_token_s = now_s
 
     def remove(self, request_id: ids.RequestId) -> None:
         """Removes a request of this instance."""
         running = self.running.pop(request_id)
+        self.own_unread.pop(request_id, None)
         self.unread -= running.first_token_s is None
 
     def set_peer_load(
--- a/cardamombarrow/decisions/fleet/roster.py
+++ b/cardamombarrow/decisions/fleet/roster.py
@@ -374,6 +374,11 @@
         """Returns whether late jobs of a service go behind the others."""
         return self._context.overload.is_enabled(service)
 
+    def prefill_tokens_per_s(self, job: messages.Job, now_s: float) -> float:
+        """Returns the prefill rate that this instance has for a job."""
+        states = self.available(self.reachable(job.service), now_s)
+        return self._policies.choice.prefill_tokens_per_s(job, states, now_s)
+
     def _expected_first_token_s(self, job: messages.Job, now_s: float) -> float:
         states = self.available(self.capacities[job.service].local, now_s)
         return self._policies.choice.expected_first_token_s(job, states, now_s)
--- a/cardamombarrow/decisions/messages.py
+++ b/cardamombarrow/decisions/messages.py
@@ -270,6 +270,11 @@
             endpoints.
         lower_over_reserve: Whether a lower tier runs more than its reserved
             share of these slots.
+        prefill_wait_s: Part of the predicted wait that is due to the prefill
+            ahead; None where the overload controls are not enabled.
+        lower_waiting: Whether more than one job of a lower tier waits.
+        is_late: Whether the job can no longer meet its target; only predicted
+            where the overload controls are enabled.
     """
 
     jobs_ahead: int
@@ -283,6 +288,9 @@
     limit_wait_s: float = 0.0
     pause_wait_s: float = 0.0
     lower_over_reserve: bool = False
+    prefill_wait_s: float | None = None
+    lower_waiting: bool = False
+    is_late: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cardamombarrow/decisions/queueing/admission.py
+++ b/cardamombarrow/decisions/queueing/admission.py
@@ -21,6 +21,16 @@
 at a growing rate once the oldest request of a tier has waited above a part of
 its target for an interval. `docs/decisions/queue.md` compares both.
 
+Where the overload controls are enabled, prefill is expected to be short and not
+slots, and late jobs wait behind those in time (`lateness`). Then the predicted
+wait also counts the prefill ahead (`prefill_forecast`), and an arriving job is
+refused if it is late and predicted to start too late to end by its deadline.
+One that can be in time overtakes the late ones; refused by their number, it
+would be refused in their favour. Refusing all that will be late would waste the
+capacity that is left behind a burst, so waiting jobs are given up at their
+latest start only. A tier is not refused while more than one job of a lower tier
+waits, whose callers may allow more time.
+
 A waiting job is given up as soon as it can no longer meet its deadline, or
 when its first token is predicted far beyond its target; it is answered
 immediately.
@@ -104,6 +114,8 @@
         """Refuses a job whose first token is predicted too late."""
         if backlog.lower_over_reserve or not backlog.tier_waiting:
             return None
+        if backlog.prefill_wait_s is not None:
+            return _beyond_limit(job, backlog, now_s)
         return _too_late(job, backlog, ARRIVAL_FACTOR, now_s)
 
     def give_up(
@@ -120,6 +132,8 @@
             return reason
         if not backlog.tier_waiting or job.attempts:
             return None
+        if backlog.prefill_wait_s is not None:
+            return None
         return _too_late(job, backlog, WAITING_FACTOR, now_s)
 
     def next_check_s(
@@ -184,6 +198,22 @@
     return job.deadline_s - min(backlog.service_s, MAX_SERVICE_SHARE * total_s)
 
 
+def _beyond_limit(
+    job: messages.Job, backlog: messages.Backlog, now_s: float
+) -> str | None:
+    """Returns the reason if a job is predicted to start too late to end."""
+    if backlog.lower_waiting or not backlog.is_late:
+        return None
+    left_s = _latest_start_s(job, backlog) - now_s
+    if backlog.predicted_wait_s <= left_s:
+        return None
+    return (
+        f"a wait of {backlog.predicted_wait_s:.2f} s is predicted, of which "
+        f"{backlog.prefill_wait_s:.2f} s for the prefill ahead; "
+        f"{left_s:.2f} s are left until it can no longer end in time"
+    )
+
+
 def _too_late(
     job: messages.Job,
     backlog: messages.Backlog,
--- a/cardamombarrow/decisions/queueing/fairness.py
+++ b/cardamombarrow/decisions/queueing/fairness.py
@@ -133,6 +133,7 @@
     Attributes:
         entries: The queued jobs by id; empty while nothing waits.
         active: Number of workspaces with queued jobs.
+        late: Number of queued jobs that are behind those in time.
     """
 
     def __init__(self):
@@ -148,6 +149,7 @@
         self._in_time_in_a_row = 0
         self._skips_turn = False
         self.active = 0
+        self.late = 0
 
     def __len__(self) -> int:
         """Counts the queued jobs."""
@@ -274,6 +276,16 @@
         overtaking_jobs = rounds_left * others
         return min(queued, earlier + (earlier + 1) * others) + overtaking_jobs
 
+    def share_ahead(self, job: messages.Job, is_late: bool) -> float:
+        """Returns the share of the jobs of this tier before a job, 0 to 1.
+
+        Args:
+            job: The job, which need not be queued.
+            is_late: Whether it can no longer meet its target.
+        """
+        most = len(self.entries) - (0 if is_late else self.late)
+        return min(self.position(job), most) / max(len(self.entries), 1)
+
     def longest(self) -> messages.Job | None:
         """Returns the last job of the workspace with the most jobs."""
         if not self.entries:
@@ -294,6 +306,7 @@
         job = entry.job
         assert job is not None
         entry.job = None
+        self.late -= entry.is_late
         entry.flow.live -= 1
         entry.flow.taken += 1
         if not entry.flow.live:
@@ -360,6 +373,7 @@
         late = _Entry(job, flow, next(self._numbers), flow.pushed, is_late=True)
         flow.pushed += 1
         flow.taken += 1
+        self.late += 1
         self.entries[job.request_id] = late
         heapq.heappush(flow.heap, late)
         self._push_head(flow)
--- a/cardamombarrow/decisions/queueing/tests/test_lateness.py
+++ b/cardamombarrow/decisions/queueing/tests/test_lateness.py
@@ -173,6 +173,6 @@
         roster.Roster, "orders_late_jobs", lambda self, service: False
     )
     off = _runs(seeds, load=1.3)
-    assert min(row.fewest_in_time_share for row in off) == 0.0
-    assert min(row.fewest_in_time_share for row in on) > 0.0
+    assert min(row.lowest_in_time_share for row in off) == 0.0
+    assert min(row.lowest_in_time_share for row in on) > 0.0
     assert sum(row.in_time for row in on) > sum(row.in_time for row in off)
--- a/cardamombarrow/decisions/queueing/tiers.py
+++ b/cardamombarrow/decisions/queueing/tiers.py
@@ -326,6 +326,21 @@
         tier = queue.tiers.get(job.rank) if queue else None
         return len(tier) - (job.request_id in tier) if tier else 0
 
+    def lower_waiting(self, job: messages.Job) -> int:
+        """Counts the queued jobs of lower tiers than a job's."""
+        queue = self._services.get(job.service)
+        if queue is None:
+            return 0
+        return sum(
+            len(tier) for rank, tier in queue.tiers.items() if rank > job.rank
+        )
+
+    def share_ahead(self, job: messages.Job, is_late: bool) -> float:
+        """Returns the share of the jobs of a job's tier that precede it."""
+        queue = self._services.get(job.service)
+        tier = queue.tiers.get(job.rank) if queue else None
+        return tier.share_ahead(job, is_late) if tier else 0.0
+
     def oldest_wait_s(self, job: messages.Job, now_s: float) -> float:
         """Returns how long the next job of the same tier has waited."""
         queue = self._services.get(job.service)
