--- a/cardamombarrow/decisions/queueing/tests/test_prefill_forecast.py
+++ b/cardamombarrow/decisions/queueing/tests/test_prefill_forecast.py
@@ -142,7 +142,7 @@
 
 
 def test_job_that_can_be_in_time_is_not_refused_for_late_ones(context):
-    # It overtakes the late ones. Refused by the wait of all, 2 to 13 % fewer
+    # It overtakes the late ones. Refused by the wait of all, up to 13 % fewer
     # requests of a burst were in time.
     assert _refuse(context, 20.0, is_late=False) is None
 
