--- a/benchmarks/driver.py
+++ b/benchmarks/driver.py
@@ -31,9 +31,6 @@
 GOSSIP_S = 1.0
 REPORT_S = 1.0
 LINK_S = 0.001
-CALLER_TRIES = 4
-"""Most times a caller sends a request that is refused with a retry time."""
-
 CRASHER_TRIES = 8
 """Most times a caller sends a crashing request, whatever the error."""
 
@@ -150,6 +147,7 @@
         if not work.tries:
             class_result.offered += 1
         work.tries += 1
+        work.sent_s = self._now_s
         weights = self._scenario.entry_weights
         entry = self._rng.choices(range(len(weights)), weights)[0]
         job = self._job(work)
@@ -188,12 +186,24 @@
         work = flight.work
         del self._flights[flight.job.request_id]
         self._result.classes[work.class_id].refusals += 1
-        if refusal.retry_after_s is None or work.tries >= CALLER_TRIES:
+        if not self._will_resend(flight, refusal):
+            work.refused_s = self._now_s
             self._record_wait(work)
             return
         resend_s = self._now_s + refusal.retry_after_s
         self._at(resend_s, lambda: self._arrive(work))
 
+    def _will_resend(self, flight: Flight, refusal: messages.Refusal) -> bool:
+        if refusal.retry_after_s is None:
+            return False
+        if flight.work.tries >= self._scenario.caller_tries:
+            return False
+        share = self._scenario.retry_share
+        if share is None:
+            return True
+        left_s = flight.job.deadline_s - self._now_s
+        return refusal.retry_after_s <= share * left_s
+
     def _record_wait(self, work: fake_engine.Work) -> None:
         class_result = self._result.classes[work.class_id]
         waited_s = self._now_s - work.arrival_s
@@ -304,7 +314,7 @@
         class_result = self._result.classes[flight.work.class_id]
         class_result.completed += 1
         class_result.windows[int(self._now_s / results.WINDOW_S)] += 1
-        if getattr(flight.work, "in_time", False):
+        if flight.work.in_time:
             class_result.attained += 1
         if self._now_s <= self._scenario.duration_s:
             self._result.useful_s += self._cost_s(flight)
@@ -361,6 +371,7 @@
         waited_s = self._now_s - work.arrival_s
         class_result.worst_wait_s = max(class_result.worst_wait_s, waited_s)
         flight.delivered = True
+        work.answered_s = self._now_s
         work.in_time = waited_s <= flight.job.target_first_token_s
 
     def _report_in_response(self, flight: Flight) -> None:
--- a/benchmarks/placer_driver.py
+++ b/benchmarks/placer_driver.py
@@ -44,8 +44,8 @@
             ids.InstanceId("entry-0"),
             driver.DOMAIN,
             random.Random(self._seed * 1_000 - 1),
-            whole_domain=True,
             overload=overload.OverloadControl(self._scenario.overload),
+            whole_domain=True,
         )
         return core.Dispatcher(context, self._now_s)
 
--- a/cardamombarrow/decisions/choosing/first_event.py
+++ b/cardamombarrow/decisions/choosing/first_event.py
@@ -36,6 +36,7 @@
 
 from collections import abc as collections_abc
 import dataclasses
+import math
 
 from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import endpoint as endpoint_module
@@ -46,6 +47,7 @@
 from cardamombarrow.decisions.choosing import engine_latency
 from cardamombarrow.decisions.choosing import fetching
 from cardamombarrow.decisions.choosing import length_partition
+from cardamombarrow.decisions.choosing import prefill_bound
 from cardamombarrow.decisions.choosing import prefill_time
 from cardamombarrow.decisions.fleet import failures
 from cardamombarrow.document import schema
@@ -117,6 +119,10 @@
 """Penalty for an endpoint that has to preempt a request: a long prompt is
 prefilled twice."""
 
+LEAST_WAIT_AGE_S = 0.05
+"""Time for which the least wait at an endpoint and the prefill rate of all
+endpoints are used again; a fraction of the shortest target."""
+
 PER_REQUEST_S = 0.001
 """Added for each running request, because they share the engine's speed."""
 
@@ -151,6 +157,10 @@
             None,
         )
         self._prepared_is_long: tuple[messages.Job | None, bool] = None, False
+        self._least_waits: dict[
+            tuple[ids.ServiceId, int], tuple[float, float]
+        ] = {}
+        self._prefill_rates: dict[ids.ServiceId, tuple[float, float]] = {}
         self._shortest_pause_s = _shortest_pause_s(context.document)
         self._queue_limits = (
             DOMAIN_QUEUE_LIMITS if context.whole_domain else OWN_QUEUE_LIMITS
@@ -254,12 +264,24 @@
         if not job.prompt_tokens:
             return super().available(job, state, now_s)
         is_long = self._is_long(job)
-        if state.unread >= self._queue_limits.max_queued(is_long):
+        if not self._is_within_bound(job, state, now_s):
             return False
         if not super().available(job, state, now_s):
             return False
         return not is_long or self._is_affinity_wait_over(job, state, now_s)
 
+    def _is_within_bound(
+        self,
+        job: messages.Job,
+        state: endpoint_module.EndpointState,
+        now_s: float,
+    ) -> bool:
+        if self.context.overload.is_enabled(job.service):
+            token_s = self._prefill_time.token_s(state.service)
+            return prefill_bound.is_open(state, job, token_s, now_s)
+        max_queued = self._queue_limits.max_queued(self._is_long(job))
+        return state.unread < max_queued
+
     def _is_affinity_wait_over(
         self,
         job: messages.Job,
@@ -304,6 +326,89 @@
         job.unread_tokens = max(uncached - fetched, 0.0)
         self._caches.record_sent(job, state.endpoint, now_s)
 
+    def expected_first_token_s(
+        self,
+        job: messages.Job,
+        states: list[endpoint_module.EndpointState],
+        now_s: float,
+    ) -> float:
+        """Returns the least time to the first token of a job placed now.
+
+        This is the prefill of what no endpoint has cached, behind the shortest
+        queue; a fetch takes far less.
+        """
+        if not job.prompt_tokens:
+            return 0.0
+        token_s = self._prefill_time.token_s(job.service)
+        prefill_s = self.uncached_tokens(job, now_s) * token_s
+        return self._least_wait_s(job, states, now_s) + prefill_s
+
+    def prefill_ahead_s(
+        self,
+        job: messages.Job,
+        state: endpoint_module.EndpointState,
+        now_s: float,
+    ) -> float:
+        """Returns the prefill at an endpoint that would precede a job."""
+        token_s = self._prefill_time.token_s(state.service)
+        return prefill_bound.prefill_ahead_s(state, job, token_s, now_s)
+
+    def uncached_tokens(self, job: messages.Job, now_s: float) -> float:
+        """Returns the prompt tokens of a job that no endpoint has cached."""
+        cached = self._caches.directory.cached_prefix_tokens(job, now_s)
+        return float(job.prompt_tokens - max(cached.values(), default=0))
+
+    def prefill_tokens_per_s(
+        self,
+        job: messages.Job,
+        states: list[endpoint_module.EndpointState],
+        now_s: float,
+    ) -> float:
+        """Returns the part of the endpoints' prefill rate that is this one's.
+
+        It is the part that its own prompts have of those in prefill there.
+        """
+        key = job.service
+        known_s, per_s = self._prefill_rates.get(key, (-math.inf, 0.0))
+        if now_s - known_s < LEAST_WAIT_AGE_S:
+            return per_s
+        token_s = self._prefill_time.token_s(job.service)
+        own_s = peer_s = 0.0
+        for state in states:
+            own_s += token_s * state.own_load(now_s).unread_tokens
+            peer_s += state.peer_prefill_s(token_s, now_s)
+        share = own_s / (own_s + peer_s) if own_s and peer_s else 1.0
+        per_s = share * len(states) / token_s
+        self._prefill_rates[key] = now_s, per_s
+        return per_s
+
+    def _least_wait_s(
+        self,
+        job: messages.Job,
+        states: list[endpoint_module.EndpointState],
+        now_s: float,
+    ) -> float:
+        """Returns the least wait, at most `LEAST_WAIT_AGE_S` old.
+
+        A job may be examined at each event; with hundreds of endpoints that
+        would take longer than the decisions.
+        """
+        key = job.service, job.rank
+        known_s, wait_s = self._least_waits.get(key, (-math.inf, 0.0))
+        if now_s - known_s < LEAST_WAIT_AGE_S:
+            return wait_s
+        token_s = self._prefill_time.token_s(job.service)
+        wait_s = min(
+            (
+                self._latency(state).base_at(now_s)
+                + prefill_bound.prefill_ahead_s(state, job, token_s, now_s)
+                for state in states
+            ),
+            default=0.0,
+        )
+        self._least_waits[key] = now_s, wait_s
+        return wait_s
+
     def on_remote_placement(
         self,
         job: messages.Job,
--- a/cardamombarrow/decisions/queueing/tiers.py
+++ b/cardamombarrow/decisions/queueing/tiers.py
@@ -98,9 +98,17 @@
         slots = capacity.slots
         reserved = {rank: share * slots for rank, share in shares.items()}
         self._accrue_credits(reserved, now_s)
+        orders_late = free_slots.orders_late_jobs(capacity.service)
+        for rank in waiting:
+            self.tiers[rank].set_lateness(
+                free_slots.is_late if orders_late else None
+            )
         taken = self._take_by_priority(
             waiting, free_slots, capacity, reserved, now_s
         )
+        for rank in waiting:
+            # The time of these slots has passed for any later call.
+            self.tiers[rank].set_lateness(None)
         self._save_contention(capacity.held, taken)
         return taken
 
@@ -135,6 +143,7 @@
             return self._pop(tier)
         if not capacity.has_free():
             return None
+        tier.skip_turn()
         return self._take_past_blocked(tier, free_slots)
 
     def _take_past_blocked(
@@ -317,6 +326,21 @@
         tier = queue.tiers.get(job.rank) if queue else None
         return len(tier) - (job.request_id in tier) if tier else 0
 
+    def lower_waiting(self, job: messages.Job) -> int:
+        """Counts the queued jobs of lower tiers than a job's."""
+        queue = self._services.get(job.service)
+        if queue is None:
+            return 0
+        return sum(
+            len(tier) for rank, tier in queue.tiers.items() if rank > job.rank
+        )
+
+    def share_ahead(self, job: messages.Job, is_late: bool) -> float:
+        """Returns the share of the jobs of a job's tier that precede it."""
+        queue = self._services.get(job.service)
+        tier = queue.tiers.get(job.rank) if queue else None
+        return tier.share_ahead(job, is_late) if tier else 0.0
+
     def oldest_wait_s(self, job: messages.Job, now_s: float) -> float:
         """Returns how long the next job of the same tier has waited."""
         queue = self._services.get(job.service)
