--- a/cardamombarrow/decisions/choosing/first_event.py
+++ b/cardamombarrow/decisions/choosing/first_event.py
@@ -639,20 +639,22 @@
     def _learn_prefill(
         self,
         state: endpoint_module.EndpointState,
-        request_id: ids.RequestId,
+        job: messages.Job,
         observed_token_s: float,
         now_s: float,
     ) -> None:
         """Updates the prefill time of the service and of the endpoint.
 
         Where speeds are learned, a prompt that waited for others is left out:
-        its time includes the queue and would slow the whole service down.
+        its time includes the queue and would slow the whole service down. A
+        prompt with cached parts is left out, too: if they have been evicted,
+        its endpoint would look several times as slow.
         """
         if not self.context.overload.is_enabled(state.service):
             self._prefill_time.learn(state.service, observed_token_s)
             return
-        prediction = self._speed_predictions.pop(request_id, None)
-        if prediction is None:
+        prediction = self._speed_predictions.pop(job.request_id, None)
+        if prediction is None or job.unread_tokens < job.prompt_tokens:
             return
         service_token_s = self._prefill_time.token_s(state.service)
         self._speeds.learn(
@@ -713,9 +715,7 @@
         uncached = running.job.unread_tokens
         if uncached >= prefill_time.MIN_PROMPT_TOKENS:
             prefill_s = took_s - latency.base_s
-            self._learn_prefill(
-                state, running.job.request_id, prefill_s / uncached, now_s
-            )
+            self._learn_prefill(state, running.job, prefill_s / uncached, now_s)
             return
         prefill_s = uncached * self._endpoint_token_s(state, now_s)
         base_s = max(took_s - prefill_s, 0.001)
