Test imports of all modules below decisions, not only of its top level

The move into four packages had left the check with the top level, and the shared fixtures outside tests/ failed it: they import document.parsing.

--- a/cardamombarrow/tests/test_imports.py
+++ b/cardamombarrow/tests/test_imports.py
@@ -44,7 +44,9 @@
     allowed = tuple(
         f"cardamombarrow.{name}" for name in _ALLOWED_IMPORTS[subpackage]
     )
-    for path in (_PACKAGE / subpackage).glob("*.py"):
+    for path in (_PACKAGE / subpackage).rglob("*.py"):
+        if "tests" in path.parts:
+            continue
         for package, name in _imported(path):
             if package.startswith("cardamombarrow"):
                 assert f"{package}.{name}".startswith(allowed), path
