A leader that steps down requests a pre-vote at once

Cause: when the messages to a leader are lost and its own arrive, the others follow it until it steps down after 1.2 s, and then wait for a whole election timeout after its last heartbeat.

The pre-vote request tells the same: a member never requests one for a higher term while it leads.

Conclusion: the voters other than the old leader start elections in turn as at a start. A removed leader still leaves the others to their timeouts.

--- a/cardamombarrow/log/core.py
+++ b/cardamombarrow/log/core.py
@@ -118,7 +118,10 @@
             self._leading.become_leader()
         state = self.state
         if state.is_leader:
-            self._leading.tick()
+            if not self._leading.tick() and state.is_voter:
+                # Without this request, the members that still receive its
+                # messages would follow it until their election timeouts.
+                self._election.start()
         elif not state.has_live_leader():
             silent_s = state.now_s - state.leader_contact_s
             if silent_s >= state.timing.election_max_s:
--- a/cardamombarrow/log/election.py
+++ b/cardamombarrow/log/election.py
@@ -28,6 +28,14 @@
             return False
         if state.now_s < state.election_due_s:
             return False
+        return self.start()
+
+    def start(self) -> bool:
+        """Starts an election; returns whether it is won.
+
+        A leader calls it when it steps down: its request tells the other
+        members that they have no leader, see `on_request`.
+        """
         return self._request_votes(pre=True)
 
     def _request_votes(self, pre: bool) -> bool:
@@ -69,6 +77,11 @@
         be one in the candidate's newer membership, and its vote is durable.
         """
         state = self._state
+        has_stepped_down = request.pre and request.term > state.term
+        if source == state.leader and has_stepped_down:
+            # A member that leads requests no pre-vote. The messages to the
+            # old leader may be lost while its own arrive, so it may not win.
+            state.lose_leader()
         has_other_leader = state.has_live_leader() and source != state.leader
         if has_other_leader:
             self._reply(source, request, granted=False)
--- a/cardamombarrow/log/leading.py
+++ b/cardamombarrow/log/leading.py
@@ -93,12 +93,15 @@
         """Time of the next heartbeat."""
         return self._heartbeat_due_s
 
-    def tick(self) -> None:
+    def tick(self) -> bool:
         """Sends heartbeats; steps down without contact to a majority.
 
         A leader without a majority would keep its clients waiting while
         another one is elected on the other side of the partition. Once it has
         stepped down, its status reports that it is isolated.
+
+        Returns:
+            Whether it is still the leader.
         """
         state = self._state
         removed = not state.is_voter and self.may_change()
@@ -106,13 +109,14 @@
             self.reachable_members()
         ):
             state.follow(state.term, membership_module.NO_MEMBER)
-            return
+            return False
         state.redundant = self._is_redundant()
         if state.now_s < self._heartbeat_due_s:
-            return
+            return True
         self._heartbeat_due_s = state.now_s + state.timing.heartbeat_s
         for voter in self._others():
             self._send(voter, self.progress_of(voter), heartbeat=True)
+        return True
 
     def reachable_members(self) -> list[membership_module.VoterId]:
         """Returns this leader and the members with recent contact."""
--- a/cardamombarrow/log/state.py
+++ b/cardamombarrow/log/state.py
@@ -163,11 +163,23 @@
         identity starts an election alone, and the others follow in order if
         it is not running.
         """
-        timing = self.timing
-        voters = sorted(self.log.membership.voter_ids)
+        self.election_due_s = self.now_s + self._turn_delay_s()
+
+    def _turn_delay_s(self) -> float:
+        """Returns this voter's delay if voters start elections in turn."""
+        voters = sorted(self.log.membership.voter_ids - {self.leader})
         position = voters.index(self.me.id) if self.is_voter else len(voters)
-        delay_s = position * timing.start_stagger_s
-        self.election_due_s = self.now_s + timing.start_delay_s + delay_s
+        timing = self.timing
+        return timing.start_delay_s + position * timing.start_stagger_s
+
+    def lose_leader(self) -> None:
+        """Stops following a leader that has stepped down.
+
+        The voters other than the old leader start elections in turn, as at
+        a start, instead of waiting for their election timeouts.
+        """
+        self.election_due_s = self.now_s + self._turn_delay_s()
+        self.leader = membership.NO_MEMBER
 
     def set_candidate_timer(self, lost_rounds: int) -> None:
         """Draws when a candidate without a majority starts a new election.
--- a/cardamombarrow/log/tests/test_core.py
+++ b/cardamombarrow/log/tests/test_core.py
@@ -372,3 +372,35 @@
     for other in "ABC":
         cluster.cut("D", other)
     cluster.run(10)
+
+
+def _takeover_duration(folder, seed, cut):
+    """Returns the time until another member leads after a cut of the leader.
+
+    Args:
+        folder: The folder of the cluster.
+        seed: Its seed.
+        cut: Returns the direction of a lost message to or from the leader.
+    """
+    cluster = simulation.Cluster(folder, ["A", "B", "C"], seed=seed)
+    assert cluster.run_until(lambda: _is_redundant(cluster))
+    old = cluster.leader()
+    cluster.cuts |= {cut(old.name, name) for name in "ABC" if name != old.name}
+    start_s = cluster.now_s
+    assert cluster.run_until(lambda: cluster.leader() not in (None, old))
+    return cluster.now_s - start_s
+
+
+def test_leader_that_hears_no_other_hands_over_when_it_steps_down(tmp_path):
+    # Messages to the leader are lost while its own arrive. It steps down, but
+    # the others followed it until then and waited for a whole election timeout
+    # after its last heartbeat: no leader for 2.4 to 3.4 s.
+    times_s = [
+        _takeover_duration(
+            tmp_path / str(seed), seed, lambda old, other: (other, old)
+        )
+        for seed in range(20)
+    ]
+    limit_s = simulation.TIMING.election_min_s
+    limit_s += simulation.TIMING.start_delay_s
+    assert max(times_s) <= limit_s + 6 * simulation.STEP_S
