Followers start elections in turn and not at random times

Cause: a follower waits 1.2 to 2.2 s, drawn at random, for a silent leader. Without a leader, the others wait for the smallest of the drawn times.

Ruled out: a shorter minimum timeout or shorter heartbeats. The first lets the loss of a heartbeat and one late sync lead to an election, the second wakes idle processes more often.

Conclusion: 1.3 s after its last contact the first voter in order of identity starts, each next one 0.25 s later, at most after 2.2 s.

--- a/cardamombarrow/log/state.py
+++ b/cardamombarrow/log/state.py
@@ -31,11 +31,11 @@
         election_min_s: Minimum election timeout of a follower; also how long
             a leader stays one without contact to a majority. More than three
             round trips between regions (30 ms one way) plus a slow sync.
-        election_max_s: Maximum election timeout. Each timeout is drawn at
-            random, so that two followers rarely become candidates at once.
-        start_delay_s: Time from the start to the first election of the
-            voter that sorts first by identity; the other voters start to
-            listen in the meantime.
+        election_max_s: Maximum election timeout.
+        start_delay_s: Time until the first election of the voter that sorts
+            first by identity, from the start or from the minimum timeout; the
+            other voters start to listen, or miss the leader too, in the
+            meantime.
         start_stagger_s: Added for each further voter in that order. Longer than
             an election takes with 30 ms one way, so that voters that start
             together don't split the vote.
@@ -149,10 +149,14 @@
         return self.role is Role.LEADER
 
     def reset_election_timer(self) -> None:
-        """Draws a random election timeout."""
-        self.election_due_s = self.now_s + self.rng.uniform(
-            self.timing.election_min_s, self.timing.election_max_s
-        )
+        """Sets the election timeout of a follower, in order of identity.
+
+        Random timeouts delay the election by a third of their range on
+        average, and two of them may be so close that the vote is split.
+        """
+        timing = self.timing
+        timeout_s = timing.election_min_s + self._turn_delay_s()
+        self.election_due_s = self.now_s + min(timeout_s, timing.election_max_s)
 
     def set_start_timer(self) -> None:
         """Sets the first election time after a start, in order of identity.
@@ -167,8 +171,10 @@
 
     def _turn_delay_s(self) -> float:
         """Returns this voter's delay if voters start elections in turn."""
-        voters = sorted(self.log.membership.voter_ids - {self.leader})
-        position = voters.index(self.me.id) if self.is_voter else len(voters)
+        others = self.log.membership.voter_ids - {self.me.id, self.leader}
+        position = sum(
+            not self.is_voter or other < self.me.id for other in others
+        )
         timing = self.timing
         return timing.start_delay_s + position * timing.start_stagger_s
 
--- a/cardamombarrow/log/tests/test_core.py
+++ b/cardamombarrow/log/tests/test_core.py
@@ -404,3 +404,35 @@
     limit_s = simulation.TIMING.election_min_s
     limit_s += simulation.TIMING.start_delay_s
     assert max(times_s) <= limit_s + 6 * simulation.STEP_S
+
+
+def test_silent_leader_is_replaced_soon_after_the_minimum_timeout(tmp_path):
+    # No message of the leader arrives any more. With election timeouts drawn
+    # at random, the first of the others started an election up to 0.9 s after
+    # the minimum timeout, and sometimes both at once.
+    times_s = [
+        _takeover_duration(
+            tmp_path / str(seed), seed, lambda old, other: (old, other)
+        )
+        for seed in range(20)
+    ]
+    limit_s = simulation.TIMING.election_min_s
+    limit_s += simulation.TIMING.start_delay_s
+    assert max(times_s) <= limit_s + 4 * simulation.STEP_S
+
+
+def test_second_voter_takes_over_if_the_first_in_order_is_lost_too(tmp_path):
+    # With fixed turns, the voter whose turn is first must not be needed: of
+    # five, the leader and the first of the others are lost together.
+    for seed in range(10):
+        cluster = simulation.Cluster(
+            tmp_path / str(seed), list("ABCDE"), seed=seed
+        )
+        assert cluster.run_until(lambda c=cluster: _is_redundant(c))
+        leader = cluster.leader()
+        first = min(name for name in "ABCDE" if name != leader.name)
+        for lost in (leader, cluster.nodes[first]):
+            lost.crash(1.0)
+        start_s = cluster.now_s
+        assert cluster.run_until(lambda c=cluster: c.leader() is not None)
+        assert cluster.now_s - start_s <= simulation.TIMING.election_max_s
