A leader wakes up in time to step down

Cause: the check for a lost majority ran at heartbeats only, and the last contact is one round trip after a heartbeat, so it took effect at the fourth one after it, 1.6 s, and not after 1.2 s.

Ruled out: shorter heartbeats; they would wake idle processes more often. The new time lies after the next heartbeat while a majority answers, which a test holds.

--- a/cardamombarrow/log/core.py
+++ b/cardamombarrow/log/core.py
@@ -210,7 +210,7 @@
         if self._joining.is_outside:
             return self._joining.next_request_s
         if state.is_leader:
-            return self._leading.heartbeat_due_s
+            return self._leading.next_tick_s
         retry_s = state.now_s + state.timing.retry_s
         if not state.is_voter:
             # The election timer is in the past and advances for voters only;
--- a/cardamombarrow/log/leading.py
+++ b/cardamombarrow/log/leading.py
@@ -20,6 +20,10 @@
 MAX_LAG_ENTRIES = 64
 """A member at most this many entries behind counts as caught up."""
 
+STEP_DOWN_DELAY_S = 0.01
+"""Delay of the check for a lost majority after the time at which a contact is
+too old; the check at exactly this time would still count it."""
+
 
 class Leading:
     """Replicates entries to the members, commits them and checks the quorum."""
@@ -93,6 +97,21 @@
         """Time of the next heartbeat."""
         return self._heartbeat_due_s
 
+    @property
+    def next_tick_s(self) -> float:
+        """Time by which `tick` must be called: a heartbeat or a step-down."""
+        state = self._state
+        voters = state.log.membership.voter_ids
+        needed = state.log.membership.quorum - (state.me.id in voters)
+        if not needed:
+            return self._heartbeat_due_s
+        contacts_s = sorted(
+            self.progress_of(voter).last_contact_s
+            for voter in voters - {state.me.id}
+        )
+        lost_s = contacts_s[-needed] + state.timing.election_min_s
+        return min(self._heartbeat_due_s, lost_s + STEP_DOWN_DELAY_S)
+
     def tick(self) -> bool:
         """Sends heartbeats; steps down without contact to a majority.
 
--- a/cardamombarrow/log/tests/test_core.py
+++ b/cardamombarrow/log/tests/test_core.py
@@ -436,3 +436,29 @@
         start_s = cluster.now_s
         assert cluster.run_until(lambda c=cluster: c.leader() is not None)
         assert cluster.now_s - start_s <= simulation.TIMING.election_max_s
+
+
+def test_leader_wakes_up_in_time_to_step_down(cluster):
+    # A leader without contact to a majority stepped down at its next heartbeat
+    # only, up to 0.4 s after the time at which it had to.
+    core = cluster.leader().runner.core
+    name = cluster.leader().name
+    due_s = core.next_wake_s()
+    assert cluster.run_until(lambda: core.next_wake_s() > due_s)
+    cluster.run(simulation.STEP_S)
+    cluster.cuts |= {(other, name) for other in "ABC" if other != name}
+    lost_s = cluster.now_s
+    while core.state.is_leader:
+        cluster.now_s = core.next_wake_s()
+        cluster.tick(name)
+    silent_s = cluster.now_s - lost_s
+    assert silent_s <= simulation.TIMING.election_min_s + simulation.STEP_S
+
+
+def test_idle_leader_wakes_up_for_heartbeats_only(cluster):
+    # A process must not use more of a core while nothing happens.
+    leader = cluster.leader()
+    for _ in range(40):
+        cluster.run(simulation.STEP_S)
+        core = leader.runner.core
+        assert core.next_wake_s() == core._leading.heartbeat_due_s
