Candidates without a majority draw from separate parts of the range

Conclusion: each voter has its own part of the range by its identity and draws from the first half of it.

--- a/cardamombarrow/log/state.py
+++ b/cardamombarrow/log/state.py
@@ -171,12 +171,13 @@
 
     def _turn_delay_s(self) -> float:
         """Returns this voter's delay if voters start elections in turn."""
-        others = self.log.membership.voter_ids - {self.me.id, self.leader}
-        position = sum(
-            not self.is_voter or other < self.me.id for other in others
-        )
         timing = self.timing
-        return timing.start_delay_s + position * timing.start_stagger_s
+        return timing.start_delay_s + self._turn() * timing.start_stagger_s
+
+    def _turn(self) -> int:
+        """Returns the number of voters that start elections before this one."""
+        others = self.log.membership.voter_ids - {self.me.id, self.leader}
+        return sum(not self.is_voter or other < self.me.id for other in others)
 
     def lose_leader(self) -> None:
         """Stops following a leader that has stepped down.
@@ -195,7 +196,8 @@
         split votes in a row lasted longer than a voter with a lost disk may
         take to rejoin, and the loss of the next disk cost the majority for
         good. Each lost round doubles the wait, up to that of followers,
-        because slow disks and links need longer rounds.
+        because slow disks and links need longer rounds. Each voter draws from
+        its own part of the range, so that two waits are not about the same.
 
         Args:
             lost_rounds: Consecutive rounds that this candidate has lost.
@@ -208,7 +210,11 @@
         max_s = min(
             factor * timing.candidate_retry_max_s, timing.election_max_s
         )
-        self.election_due_s = self.now_s + self.rng.uniform(min_s, max_s)
+        part_s = (max_s - min_s) / len(self.log.membership.voter_ids)
+        min_s += self._turn() * part_s
+        self.election_due_s = self.now_s + self.rng.uniform(
+            min_s, min_s + part_s / 2
+        )
 
     def set_term(self, term: int, vote: membership.VoterId) -> None:
         """Sets term and vote and adds a write that makes them durable."""
--- a/cardamombarrow/log/tests/test_core.py
+++ b/cardamombarrow/log/tests/test_core.py
@@ -148,6 +148,9 @@
     while cluster.leader().name != "D":
         name = cluster.leader().name
         cluster.nodes[name].crash(persisted_share=0.0)
+        # D is the last in the order of elections; another voter would win.
+        cluster.run(simulation.TIMING.election_min_s)
+        cluster.nodes["D"].runner.core.state.election_due_s = cluster.now_s
         assert cluster.run_until(lambda: cluster.leader() is not None)
         cluster.nodes[name].start()
         cluster.run(3)
