A candidate repeats its request to a voter that it hears first

Cause: after a power loss the processes start unevenly. The first one requests votes while the others do not listen yet; the others wait for their turns and the first one for its next round.

Ruled out: shorter rounds, which also split more votes.

Conclusion: one more message for each voter and round, only from candidates.

--- a/cardamombarrow/log/core.py
+++ b/cardamombarrow/log/core.py
@@ -109,6 +109,7 @@
         self._handlers[type(envelope.message)](
             envelope.source, envelope.message
         )
+        self._election.on_contact(envelope.source, envelope.message)
 
     def tick(self, now_s: float) -> None:
         """Handles expired timers; must be called by `next_wake_s`."""
--- a/cardamombarrow/log/election.py
+++ b/cardamombarrow/log/election.py
@@ -20,6 +20,8 @@
         self._state = state
         self._granted: set[membership.VoterId] = set()
         self._lost_rounds = 0
+        self._request: messages.VoteRequest | None = None
+        self._silent: set[membership.VoterId] = set()
 
     def tick(self) -> bool:
         """Starts an election if it is due; returns whether it is won."""
@@ -56,13 +58,29 @@
             state.set_term(state.term + 1, state.me.id)
         self._granted = {state.me.id}
         term = state.term + 1 if pre else state.term
-        request = messages.VoteRequest(
+        self._request = messages.VoteRequest(
             term, pre, state.log.last_index, state.log.last_term
         )
-        for voter in sorted(state.log.membership.voter_ids - {state.me.id}):
-            state.send(voter, request)
+        self._silent = set(state.log.membership.voter_ids - {state.me.id})
+        for voter in sorted(self._silent):
+            state.send(voter, self._request)
         return self._check_majority(pre)
 
+    def on_contact(
+        self, source: membership.VoterId, message: messages.Message
+    ) -> None:
+        """Repeats the request of this round to a voter that is heard first.
+
+        A voter that has just started was not listening when the request was
+        sent. Without the repetition it would be asked in the next round.
+        """
+        if source not in self._silent:
+            return
+        self._silent.discard(source)
+        is_candidate = self._state.role in _CANDIDATE_ROLES
+        if is_candidate and not isinstance(message, messages.VoteReply):
+            self._state.send(source, self._request)
+
     def _check_majority(self, pre: bool) -> bool:
         if not self._state.log.membership.is_majority(self._granted):
             return False
--- a/cardamombarrow/log/tests/test_core.py
+++ b/cardamombarrow/log/tests/test_core.py
@@ -4,6 +4,7 @@
 
 from cardamombarrow.log import membership
 from cardamombarrow.log import messages
+from cardamombarrow.log import state as state_module
 from cardamombarrow.log.tests import simulation
 
 
@@ -465,3 +466,35 @@
         cluster.run(simulation.STEP_S)
         core = leader.runner.core
         assert core.next_wake_s() == core._leading.heartbeat_due_s
+
+
+def _staggered_start_duration(folder, seed):
+    """Returns the time without a leader after a majority has started."""
+    cluster = simulation.Cluster(
+        folder,
+        ["A", "B", "C"],
+        seed=seed,
+        membership_policy=state_module.MembershipPolicy(wanted_voters=3),
+    )
+    assert cluster.run_until(lambda: _is_redundant(cluster))
+    for node in cluster.alive:
+        node.crash(1.0)
+    for name in "AB":
+        cluster.run(0.7)
+        cluster.nodes[name].start()
+    start_s = cluster.now_s
+    assert cluster.run_until(lambda: cluster.leader() is not None)
+    return cluster.now_s - start_s
+
+
+def test_candidate_repeats_its_request_to_a_voter_that_has_just_started(
+    tmp_path,
+):
+    # After a power loss the first process starts earlier than the others and
+    # requests votes before they listen. It did not repeat the requests until
+    # its next round, 0.2 to 0.8 s later, and they waited for their turns.
+    times_s = [
+        _staggered_start_duration(tmp_path / str(seed), seed)
+        for seed in range(20)
+    ]
+    assert max(times_s) <= 5 * simulation.STEP_S
