--- a/benchmarks/recovery.py
+++ b/benchmarks/recovery.py
@@ -310,6 +310,9 @@
     moments = [unix_s - start_unix_s for unix_s, _ in served]
     times["first request served, first entry"] = min(moments)
     times["first request served, last entry"] = max(moments)
+    times["of it after the last process started"] = max(moments) - max(
+        times["control process started"], times["entry process started"]
+    )
     refused = sum(
         count
         for _, statuses in served
