--- a/benchmarks/driver.py
+++ b/benchmarks/driver.py
@@ -97,7 +97,9 @@
                     ids.InstanceId(f"entry-{number}"),
                     DOMAIN,
                     random.Random(seed * 1_000 + number),
-                    overload=overload.OverloadControl(scenario.overload),
+                    overload=overload.OverloadControl(
+                        scenario.overload, scenario.learns_speeds
+                    ),
                 ),
                 0.0,
             )
--- a/benchmarks/placer_driver.py
+++ b/benchmarks/placer_driver.py
@@ -44,7 +44,9 @@
             ids.InstanceId("entry-0"),
             driver.DOMAIN,
             random.Random(self._seed * 1_000 - 1),
-            overload=overload.OverloadControl(self._scenario.overload),
+            overload=overload.OverloadControl(
+                self._scenario.overload, self._scenario.learns_speeds
+            ),
             whole_domain=True,
         )
         return core.Dispatcher(context, self._now_s)
--- a/benchmarks/scenarios.py
+++ b/benchmarks/scenarios.py
@@ -35,7 +35,8 @@
         placer_lost_from_s: Start of the time in which the placer is
             unreachable; it ends at `placer_lost_until_s`.
         pause_scope: Who leaves out an endpoint that asks for a pause.
-        overload: Whether the overload controls are enabled by the setting.
+        overload: Whether requests are ordered by prefill.
+        learns_speeds: Whether speeds are learned without reports, too.
         caller_tries: Most times a caller sends a request that is refused with a
             retry time.
         retry_share: Most time until a retry, as a share of the time that the
@@ -57,5 +58,6 @@
     placer_lost_until_s: float = float("inf")
     pause_scope: PauseScope = PauseScope.DOMAIN
     overload: bool = False
+    learns_speeds: bool = False
     caller_tries: int = 4
     retry_share: float | None = None
--- a/benchmarks/uneven_engines.py
+++ b/benchmarks/uneven_engines.py
@@ -214,7 +214,7 @@
         load=options.load,
         burst=options.burst,
         asked=True,
-        overload=source is not None,
+        learns_speeds=source is not None,
     )
     if source is None:
         return placer_driver.PlacerDriver(compared, seed).run()
--- a/cardamombarrow/decisions/choosing/first_event.py
+++ b/cardamombarrow/decisions/choosing/first_event.py
@@ -276,7 +276,7 @@
         state: endpoint_module.EndpointState,
         now_s: float,
     ) -> bool:
-        if self.context.overload.is_enabled(job.service):
+        if self.context.overload.orders_by_prefill:
             token_s = self._prefill_time.token_s(state.service)
             return prefill_bound.is_open(state, job, token_s, now_s)
         max_queued = self._queue_limits.max_queued(self._is_long(job))
@@ -566,7 +566,7 @@
     ) -> float:
         """Returns the prefill time per token at an endpoint."""
         token_s = self._prefill_time.token_s(state.service)
-        if not self.context.overload.is_enabled(state.service):
+        if not self.context.overload.learns_speeds(state.service):
             return token_s
         return token_s * self._speeds.factor(state.endpoint, now_s)
 
@@ -574,7 +574,7 @@
         self, state: endpoint_module.EndpointState, now_s: float
     ) -> messages.EndpointSpeed | None:
         """Returns the speed of an endpoint; None if it is not learned."""
-        if not self.context.overload.is_enabled(state.service):
+        if not self.context.overload.learns_speeds(state.service):
             return None
         return messages.EndpointSpeed(
             self._speeds.factor(state.endpoint, now_s),
@@ -613,7 +613,7 @@
         Otherwise long prompts whose affinity endpoint has become slow would be
         sent there alone, whatever the cost of the others.
         """
-        if not self.context.overload.is_enabled(job.service):
+        if not self.context.overload.learns_speeds(job.service):
             return False
         factor = self._speeds.factor(endpoint, now_s)
         return factor > endpoint_speed.SLOW_FACTOR
@@ -650,7 +650,7 @@
         prompt with cached parts is left out, too: if they have been evicted,
         its endpoint would look several times as slow.
         """
-        if not self.context.overload.is_enabled(state.service):
+        if not self.context.overload.learns_speeds(state.service):
             self._prefill_time.learn(state.service, observed_token_s)
             return
         prediction = self._speed_predictions.pop(job.request_id, None)
--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -159,7 +159,7 @@
         self, job: messages.Job, backlog: messages.Backlog, now_s: float
     ) -> None:
         self._policies.queue.push(job, now_s)
-        if self._context.overload.is_enabled(job.service):
+        if self._context.overload.orders_by_prefill:
             uncached = self._policies.choice.uncached_tokens(job, now_s)
             self._prefill.add(job, uncached)
         self._waiting.add_queued(job)
@@ -368,7 +368,7 @@
         self._prefill.remove(job.request_id, placed=True)
         choice = self._policies.choice
         state, reason = choice.choose(job, candidates, now_s)
-        if self._context.overload.is_enabled(job.service):
+        if self._context.overload.orders_by_prefill:
             ahead_s = choice.prefill_ahead_s(job, state, now_s)
             late = ", late" if self._roster.lateness.is_late(job, now_s) else ""
             reason = f"{reason}, {ahead_s:.3f} s of prefill ahead{late}"
@@ -474,7 +474,7 @@
         if not job.prompt_tokens:
             # Slots limit calls without a prompt, as without the controls.
             return backlog
-        if not self._context.overload.is_enabled(job.service):
+        if not self._context.overload.orders_by_prefill:
             return backlog
         return self._with_prefill(job, backlog, now_s)
 
--- a/cardamombarrow/decisions/fleet/roster.py
+++ b/cardamombarrow/decisions/fleet/roster.py
@@ -374,7 +374,7 @@
 
     def orders_late_jobs(self, service: ids.ServiceId) -> bool:
         """Returns whether late jobs of a service go behind the others."""
-        return self._context.overload.is_enabled(service)
+        return self._context.overload.orders_by_prefill
 
     def prefill_tokens_per_s(self, job: messages.Job, now_s: float) -> float:
         """Returns the prefill rate that this instance has for a job."""
--- a/cardamombarrow/decisions/overload.py
+++ b/cardamombarrow/decisions/overload.py
@@ -1,10 +1,14 @@
-"""For which services the overload controls are enabled.
+"""Which controls for heavy load are enabled, and for which services.
 
-Load pattern: prefill is short while slots are free, on endpoints that share
-their machines with other work or after shared prefixes have become cold. The
-controls order and hold requests that other deployments send at once, so they
-are enabled only by the setting, or for a service whose endpoints report how
-long work takes on their machines at the moment.
+Load patterns: callers who compete for too little prefill capacity, and
+endpoints of unequal speed that share their machines with other work. The
+controls order requests that other deployments send at once, so each is enabled
+only where it is needed:
+
+- the ordering by prefill (`choosing.prefill_bound`, `queueing.lateness`,
+  `queueing.prefill_forecast`) by a setting;
+- the speed of each endpoint (`choosing.endpoint_speed`) by another setting, or
+  for a service whose endpoints report how long work takes on their machines.
 """
 
 from cardamombarrow.kernel import ids
@@ -13,26 +17,24 @@
 
 
 class OverloadControl:
-    """The services whose overload controls are enabled.
+    """The controls that are enabled.
 
     Attributes:
-        enabled: Whether they are enabled for all services.
+        orders_by_prefill: Whether requests are ordered and refused by the
+            prefill ahead of them.
     """
 
-    def __init__(self, enabled: bool = False):
-        self.enabled = enabled
+    def __init__(
+        self, orders_by_prefill: bool = False, learns_speeds: bool = False
+    ):
+        self.orders_by_prefill = orders_by_prefill
+        self._learns_speeds = learns_speeds
         self._reporting: set[ids.ServiceId] = set()
 
-    def record_work_time(self, service: ids.ServiceId) -> bool:
-        """Records that an endpoint of a service has reported its work time.
-
-        Returns:
-            Whether that enables the controls for the service.
-        """
-        is_new = not self.is_enabled(service)
+    def record_work_time(self, service: ids.ServiceId) -> None:
+        """Records that an endpoint of a service has reported its work time."""
         self._reporting.add(service)
-        return is_new
 
-    def is_enabled(self, service: ids.ServiceId) -> bool:
-        """Returns whether the controls are enabled for a service."""
-        return self.enabled or service in self._reporting
+    def learns_speeds(self, service: ids.ServiceId) -> bool:
+        """Returns whether the speed of each endpoint of a service is used."""
+        return self._learns_speeds or service in self._reporting
--- a/cardamombarrow/entry/core.py
+++ b/cardamombarrow/entry/core.py
@@ -182,7 +182,8 @@
             retries.share, retries.slack, retries.window_s
         ),
         overload=overload_module.OverloadControl(
-            settings.overload.are_enabled()
+            settings.overload.orders_by_prefill(),
+            settings.overload.learns_speeds,
         ),
     )
     counts = metrics.Metrics()
--- a/cardamombarrow/entry/settings.py
+++ b/cardamombarrow/entry/settings.py
@@ -237,18 +237,23 @@
 
     enabled: bool = settings.setting(
         False,
-        help="whether they are enabled for all services; otherwise they are "
-        "for a service whose endpoints report their work time",
+        help="whether requests are ordered and refused by the prefill ahead "
+        "of them",
     )
     terms: tuple[str, ...] = settings.setting(
         (), help="words by which the platform describes this deployment"
     )
     enabled_by: str = settings.setting(
-        "", help="also enables them where `terms` has this word"
+        "", help="also enables it where `terms` has this word"
+    )
+    learns_speeds: bool = settings.setting(
+        False,
+        help="whether the speed of each endpoint is learned and used, also for "
+        "services whose endpoints do not report their work time",
     )
 
-    def are_enabled(self) -> bool:
-        """Returns whether they are enabled for all services."""
+    def orders_by_prefill(self) -> bool:
+        """Returns whether requests are ordered by prefill."""
         return self.enabled or self.enabled_by in self.terms
 
 
--- a/cardamombarrow/entry/tests/test_broker.py
+++ b/cardamombarrow/entry/tests/test_broker.py
@@ -205,14 +205,14 @@
     ]
 
 
-def test_work_time_enables_the_overload_controls_of_its_service(broker):
+def test_work_time_enables_the_use_of_speeds_for_its_service(broker):
     [state, *_] = broker._dispatcher.endpoints()
     overload = broker._context.overload
     report = messages.LoadReport(0, 0, 0.0, False, 0.0)
     broker.report(state.endpoint, report)
-    assert not overload.is_enabled(state.service)
+    assert not overload.learns_speeds(state.service)
     broker.report(
         state.endpoint, dataclasses.replace(report, work_time_factor=1.0)
     )
-    assert overload.is_enabled(state.service)
-    assert not overload.is_enabled(ids.ServiceId("another"))
+    assert overload.learns_speeds(state.service)
+    assert not overload.learns_speeds(ids.ServiceId("another"))
--- a/cardamombarrow/placing/tests/test_uneven_engines.py
+++ b/cardamombarrow/placing/tests/test_uneven_engines.py
@@ -96,7 +96,7 @@
 
 def test_speeds_are_learned_without_reports():
     # The part is enabled by the setting; no engine reports its work time.
-    results = _results(engines=9, work_time=NO_REPORTS, overload=True)
+    results = _results(engines=9, work_time=NO_REPORTS, learns_speeds=True)
     assert _share(results, many_entries.SUMMARY) >= MIN_SHARE
 
 
