--- a/cardamombarrow/decisions/choosing/first_event.py
+++ b/cardamombarrow/decisions/choosing/first_event.py
@@ -123,6 +123,9 @@
 """Time for which the least wait at an endpoint and the prefill rate of all
 endpoints are used again; a fraction of the shortest target."""
 
+MIN_UNCACHED_SHARE = 0.5
+"""Share of a prompt that must not be cached for its prefill time to count."""
+
 PER_REQUEST_S = 0.001
 """Added for each running request, because they share the engine's speed."""
 
@@ -646,15 +649,16 @@
         """Updates the prefill time of the service and of the endpoint.
 
         Where speeds are learned, a prompt that waited for others is left out:
-        its time includes the queue and would slow the whole service down. A
-        prompt with cached parts is left out, too: if they have been evicted,
-        its endpoint would look several times as slow.
+        its time includes the queue and would slow the whole service down. So
+        is a mostly cached prompt: if its parts have been evicted, its endpoint
+        would look several times as slow.
         """
         if not self.context.overload.learns_speeds(state.service):
             self._prefill_time.learn(state.service, observed_token_s)
             return
         prediction = self._speed_predictions.pop(job.request_id, None)
-        if prediction is None or job.unread_tokens < job.prompt_tokens:
+        min_uncached = MIN_UNCACHED_SHARE * job.prompt_tokens
+        if prediction is None or job.unread_tokens < min_uncached:
             return
         service_token_s = self._prefill_time.token_s(state.service)
         self._speeds.learn(
--- a/cardamombarrow/entry/core.py
+++ b/cardamombarrow/entry/core.py
@@ -182,8 +182,7 @@
             retries.share, retries.slack, retries.window_s
         ),
         overload=overload_module.OverloadControl(
-            settings.overload.orders_by_prefill(),
-            settings.overload.learns_speeds,
+            settings.overload.enabled, settings.overload.uses_speeds()
         ),
     )
     counts = metrics.Metrics()
--- a/cardamombarrow/entry/settings.py
+++ b/cardamombarrow/entry/settings.py
@@ -244,7 +244,7 @@
         (), help="words by which the platform describes this deployment"
     )
     enabled_by: str = settings.setting(
-        "", help="also enables it where `terms` has this word"
+        "", help="enables `learns_speeds` where `terms` has this word"
     )
     learns_speeds: bool = settings.setting(
         False,
@@ -252,9 +252,9 @@
         "services whose endpoints do not report their work time",
     )
 
-    def orders_by_prefill(self) -> bool:
-        """Returns whether requests are ordered by prefill."""
-        return self.enabled or self.enabled_by in self.terms
+    def uses_speeds(self) -> bool:
+        """Returns whether speeds are learned for all services."""
+        return self.learns_speeds or self.enabled_by in self.terms
 
 
 @dataclasses.dataclass(frozen=True)
