--- a/cardamombarrow/log/core.py
+++ b/cardamombarrow/log/core.py
@@ -109,7 +109,6 @@
         self._handlers[type(envelope.message)](
             envelope.source, envelope.message
         )
-        self._election.on_contact(envelope.source, envelope.message)
 
     def tick(self, now_s: float) -> None:
         """Handles expired timers; must be called by `next_wake_s`."""
@@ -119,10 +118,7 @@
             self._leading.become_leader()
         state = self.state
         if state.is_leader:
-            if not self._leading.tick() and state.is_voter:
-                # Without this request, the members that still receive its
-                # messages would follow it until their election timeouts.
-                self._election.start()
+            self._leading.tick()
         elif not state.has_live_leader():
             silent_s = state.now_s - state.leader_contact_s
             if silent_s >= state.timing.election_max_s:
@@ -211,7 +207,7 @@
         if self._joining.is_outside:
             return self._joining.next_request_s
         if state.is_leader:
-            return self._leading.next_tick_s
+            return self._leading.heartbeat_due_s
         retry_s = state.now_s + state.timing.retry_s
         if not state.is_voter:
             # The election timer is in the past and advances for voters only;
--- a/cardamombarrow/log/election.py
+++ b/cardamombarrow/log/election.py
@@ -20,8 +20,6 @@
         self._state = state
         self._granted: set[membership.VoterId] = set()
         self._lost_rounds = 0
-        self._request: messages.VoteRequest | None = None
-        self._silent: set[membership.VoterId] = set()
 
     def tick(self) -> bool:
         """Starts an election if it is due; returns whether it is won."""
@@ -30,14 +28,6 @@
             return False
         if state.now_s < state.election_due_s:
             return False
-        return self.start()
-
-    def start(self) -> bool:
-        """Starts an election; returns whether it is won.
-
-        A leader calls it when it steps down: its request tells the other
-        members that they have no leader, see `on_request`.
-        """
         return self._request_votes(pre=True)
 
     def _request_votes(self, pre: bool) -> bool:
@@ -58,29 +48,13 @@
             state.set_term(state.term + 1, state.me.id)
         self._granted = {state.me.id}
         term = state.term + 1 if pre else state.term
-        self._request = messages.VoteRequest(
+        request = messages.VoteRequest(
             term, pre, state.log.last_index, state.log.last_term
         )
-        self._silent = set(state.log.membership.voter_ids - {state.me.id})
-        for voter in sorted(self._silent):
-            state.send(voter, self._request)
+        for voter in sorted(state.log.membership.voter_ids - {state.me.id}):
+            state.send(voter, request)
         return self._check_majority(pre)
 
-    def on_contact(
-        self, source: membership.VoterId, message: messages.Message
-    ) -> None:
-        """Repeats the request of this round to a voter that is heard first.
-
-        A voter that has just started was not listening when the request was
-        sent. Without the repetition it would be asked in the next round.
-        """
-        if source not in self._silent:
-            return
-        self._silent.discard(source)
-        is_candidate = self._state.role in _CANDIDATE_ROLES
-        if is_candidate and not isinstance(message, messages.VoteReply):
-            self._state.send(source, self._request)
-
     def _check_majority(self, pre: bool) -> bool:
         if not self._state.log.membership.is_majority(self._granted):
             return False
@@ -95,11 +69,6 @@
         be one in the candidate's newer membership, and its vote is durable.
         """
         state = self._state
-        has_stepped_down = request.pre and request.term > state.term
-        if source == state.leader and has_stepped_down:
-            # A member that leads requests no pre-vote. The messages to the
-            # old leader may be lost while its own arrive, so it may not win.
-            state.lose_leader()
         has_other_leader = state.has_live_leader() and source != state.leader
         if has_other_leader:
             self._reply(source, request, granted=False)
--- a/cardamombarrow/log/leading.py
+++ b/cardamombarrow/log/leading.py
@@ -20,10 +20,6 @@
 MAX_LAG_ENTRIES = 64
 """A member at most this many entries behind counts as caught up."""
 
-STEP_DOWN_DELAY_S = 0.01
-"""Delay of the check for a lost majority after the time at which a contact is
-too old; the check at exactly this time would still count it."""
-
 
 class Leading:
     """Replicates entries to the members, commits them and checks the quorum."""
@@ -97,30 +93,12 @@
         """Time of the next heartbeat."""
         return self._heartbeat_due_s
 
-    @property
-    def next_tick_s(self) -> float:
-        """Time by which `tick` must be called: a heartbeat or a step-down."""
-        state = self._state
-        voters = state.log.membership.voter_ids
-        needed = state.log.membership.quorum - (state.me.id in voters)
-        if not needed:
-            return self._heartbeat_due_s
-        contacts_s = sorted(
-            self.progress_of(voter).last_contact_s
-            for voter in voters - {state.me.id}
-        )
-        lost_s = contacts_s[-needed] + state.timing.election_min_s
-        return min(self._heartbeat_due_s, lost_s + STEP_DOWN_DELAY_S)
-
-    def tick(self) -> bool:
+    def tick(self) -> None:
         """Sends heartbeats; steps down without contact to a majority.
 
         A leader without a majority would keep its clients waiting while
         another one is elected on the other side of the partition. Once it has
         stepped down, its status reports that it is isolated.
-
-        Returns:
-            Whether it is still the leader.
         """
         state = self._state
         removed = not state.is_voter and self.may_change()
@@ -128,14 +106,13 @@
             self.reachable_members()
         ):
             state.follow(state.term, membership_module.NO_MEMBER)
-            return False
+            return
         state.redundant = self._is_redundant()
         if state.now_s < self._heartbeat_due_s:
-            return True
+            return
         self._heartbeat_due_s = state.now_s + state.timing.heartbeat_s
         for voter in self._others():
             self._send(voter, self.progress_of(voter), heartbeat=True)
-        return True
 
     def reachable_members(self) -> list[membership_module.VoterId]:
         """Returns this leader and the members with recent contact."""
--- a/cardamombarrow/log/state.py
+++ b/cardamombarrow/log/state.py
@@ -31,11 +31,11 @@
         election_min_s: Minimum election timeout of a follower; also how long
             a leader stays one without contact to a majority. More than three
             round trips between regions (30 ms one way) plus a slow sync.
-        election_max_s: Maximum election timeout.
-        start_delay_s: Time until the first election of the voter that sorts
-            first by identity, from the start or from the minimum timeout; the
-            other voters start to listen, or miss the leader too, in the
-            meantime.
+        election_max_s: Maximum election timeout. Each timeout is drawn at
+            random, so that two followers rarely become candidates at once.
+        start_delay_s: Time from the start to the first election of the
+            voter that sorts first by identity; the other voters start to
+            listen in the meantime.
         start_stagger_s: Added for each further voter in that order. Longer than
             an election takes with 30 ms one way, so that voters that start
             together don't split the vote.
@@ -149,14 +149,10 @@
         return self.role is Role.LEADER
 
     def reset_election_timer(self) -> None:
-        """Sets the election timeout of a follower, in order of identity.
-
-        Random timeouts delay the election by a third of their range on
-        average, and two of them may be so close that the vote is split.
-        """
-        timing = self.timing
-        timeout_s = timing.election_min_s + self._turn_delay_s()
-        self.election_due_s = self.now_s + min(timeout_s, timing.election_max_s)
+        """Draws a random election timeout."""
+        self.election_due_s = self.now_s + self.rng.uniform(
+            self.timing.election_min_s, self.timing.election_max_s
+        )
 
     def set_start_timer(self) -> None:
         """Sets the first election time after a start, in order of identity.
@@ -167,26 +163,11 @@
         identity starts an election alone, and the others follow in order if
         it is not running.
         """
-        self.election_due_s = self.now_s + self._turn_delay_s()
-
-    def _turn_delay_s(self) -> float:
-        """Returns this voter's delay if voters start elections in turn."""
         timing = self.timing
-        return timing.start_delay_s + self._turn() * timing.start_stagger_s
-
-    def _turn(self) -> int:
-        """Returns the number of voters that start elections before this one."""
-        others = self.log.membership.voter_ids - {self.me.id, self.leader}
-        return sum(not self.is_voter or other < self.me.id for other in others)
-
-    def lose_leader(self) -> None:
-        """Stops following a leader that has stepped down.
-
-        The voters other than the old leader start elections in turn, as at
-        a start, instead of waiting for their election timeouts.
-        """
-        self.election_due_s = self.now_s + self._turn_delay_s()
-        self.leader = membership.NO_MEMBER
+        voters = sorted(self.log.membership.voter_ids)
+        position = voters.index(self.me.id) if self.is_voter else len(voters)
+        delay_s = position * timing.start_stagger_s
+        self.election_due_s = self.now_s + timing.start_delay_s + delay_s
 
     def set_candidate_timer(self, lost_rounds: int) -> None:
         """Draws when a candidate without a majority starts a new election.
@@ -196,8 +177,7 @@
         split votes in a row lasted longer than a voter with a lost disk may
         take to rejoin, and the loss of the next disk cost the majority for
         good. Each lost round doubles the wait, up to that of followers,
-        because slow disks and links need longer rounds. Each voter draws from
-        its own part of the range, so that two waits are not about the same.
+        because slow disks and links need longer rounds.
 
         Args:
             lost_rounds: Consecutive rounds that this candidate has lost.
@@ -210,11 +190,7 @@
         max_s = min(
             factor * timing.candidate_retry_max_s, timing.election_max_s
         )
-        part_s = (max_s - min_s) / len(self.log.membership.voter_ids)
-        min_s += self._turn() * part_s
-        self.election_due_s = self.now_s + self.rng.uniform(
-            min_s, min_s + part_s / 2
-        )
+        self.election_due_s = self.now_s + self.rng.uniform(min_s, max_s)
 
     def set_term(self, term: int, vote: membership.VoterId) -> None:
         """Sets term and vote and adds a write that makes them durable."""
--- a/cardamombarrow/peers/log_transport.py
+++ b/cardamombarrow/peers/log_transport.py
@@ -117,11 +117,9 @@
                 > SILENCE_TIMEOUT_S
             ):
                 pause_s = RECONNECT_MIN_S
-            # What is queued during the pause is recent and is sent after it: a
-            # vote that was requested in the pause may decide an election.
-            self._queue.clear()
             await asyncio.sleep(random.uniform(RECONNECT_MIN_S / 2, pause_s))
             pause_s = min(pause_s * 2, RECONNECT_MAX_S)
+            self._queue.clear()
 
     async def _run_stream(self, channel: client.Channel) -> None:
         stub = log_grpc.LogStub(channel)
