--- a/cardamombarrow/entry/core.py
+++ b/cardamombarrow/entry/core.py
@@ -182,7 +182,7 @@
             retries.share, retries.slack, retries.window_s
         ),
         overload=overload_module.OverloadControl(
-            settings.overload.enabled, settings.overload.uses_speeds()
+            settings.overload.enabled, settings.overload.learns_speeds
         ),
     )
     counts = metrics.Metrics()
--- a/cardamombarrow/entry/settings.py
+++ b/cardamombarrow/entry/settings.py
@@ -240,22 +240,12 @@
         help="whether requests are ordered and refused by the prefill ahead "
         "of them",
     )
-    terms: tuple[str, ...] = settings.setting(
-        (), help="words by which the platform describes this deployment"
-    )
-    enabled_by: str = settings.setting(
-        "", help="enables `learns_speeds` where `terms` has this word"
-    )
     learns_speeds: bool = settings.setting(
         False,
         help="whether the speed of each endpoint is learned and used, also for "
         "services whose endpoints do not report their work time",
     )
 
-    def uses_speeds(self) -> bool:
-        """Returns whether speeds are learned for all services."""
-        return self.learns_speeds or self.enabled_by in self.terms
-
 
 @dataclasses.dataclass(frozen=True)
 class EntrySettings:
