Hold requests while their shared prefix is in its first prefill

Cause: a prompt counted as cached from the moment it was sent, so requests for a cold prefix were all sent at once and each had the prefix prefilled again. With the overload controls enabled, the placer of a domain counts the prefix as in prefill until the first token and holds the requests that can wait.

Held jobs leave the queue's order: left in the queue, more than four of them at the head of a tier would block the jobs behind them (MAX_SKIPPED).

--- a/benchmarks/driver.py
+++ b/benchmarks/driver.py
@@ -91,6 +91,8 @@
             endpoint: fake_engine.FakeEngine(settings)
             for endpoint, settings in scenario.engines.items()
         }
+        for engine in self._engines.values():
+            engine.fleet = tuple(self._engines.values())
         self._pauses: dict[tuple[int, ids.EndpointId], list[_Pause]] = {}
         self._entries = [
             core.Dispatcher(
@@ -447,6 +449,12 @@
         fetched = sum(e.prompt_tokens_fetched for e in self._engines.values())
         result.cached_share = cached / max(total, 1)
         result.fetched_share = fetched / max(total, 1)
+        result.shared_prefill_tokens = sum(
+            e.prompt_tokens_shared for e in self._engines.values()
+        )
+        result.repeated_prefill_tokens = sum(
+            e.prompt_tokens_repeated for e in self._engines.values()
+        )
         result.harmless_quarantined = len(self._quarantined_harmless())
         bound.set_bounds(result, self._scenario)
         return result
--- a/benchmarks/fake_engine.py
+++ b/benchmarks/fake_engine.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+from collections import abc
 import dataclasses
 import heapq
 import itertools
@@ -126,7 +127,14 @@
 
 
 class FakeEngine:
-    """One simulated engine."""
+    """One simulated engine.
+
+    Attributes:
+        fleet: All engines, to find out whether a prefill is repeated.
+        prompt_tokens_shared: Tokens of shared parts that it prefilled.
+        prompt_tokens_repeated: Those of them that an engine that is up held or
+            was prefilling at that time.
+    """
 
     def __init__(self, settings: EngineSettings):
         self.settings = settings
@@ -135,6 +143,9 @@
         self.prompt_tokens_total = 0
         self.prompt_tokens_cached = 0
         self.prompt_tokens_fetched = 0
+        self.prompt_tokens_shared = 0
+        self.prompt_tokens_repeated = 0
+        self.fleet: abc.Sequence[FakeEngine] = (self,)
         self._order = itertools.count()
         self._waiting: list[tuple[int, int, _Sequence]] = []
         self._batch: dict[ids.RequestId, _Sequence] = {}
@@ -238,10 +249,29 @@
         self.prompt_tokens_total += work.prompt_tokens
         self.prompt_tokens_cached += cached
         self.prompt_tokens_fetched += fetched
+        self._count_prefill(work, cached + fetched)
         remaining = work.prompt_tokens - cached - fetched
         transfer = round(fetched * self.settings.fetch_share)
         sequence.prefill_left = max(remaining + transfer, 1)
 
+    def _count_prefill(self, work: Work, available_tokens: int) -> None:
+        position = 0
+        for name, length in work.shared_parts:
+            if position >= available_tokens:
+                self.prompt_tokens_shared += length
+                if any(engine.has_begun(name) for engine in self.fleet):
+                    self.prompt_tokens_repeated += length
+            position += length
+
+    def has_begun(self, name: str) -> bool:
+        """Returns whether it holds a part or is prefilling it."""
+        return name in self._cache or any(
+            name == part
+            for sequence in self._batch.values()
+            if sequence.prefill_left
+            for part, _ in sequence.work.shared_parts
+        )
+
     def _cached_prefix_tokens(self, work: Work) -> int:
         """Returns the leading tokens of a prompt that are in the cache."""
         tokens = 0
--- a/benchmarks/many_entries.py
+++ b/benchmarks/many_entries.py
@@ -19,7 +19,14 @@
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import ids
 
-__all__ = ["DIGEST", "PATTERNS", "QUESTION", "SUMMARY", "scenario"]
+__all__ = [
+    "DIGEST",
+    "PATTERNS",
+    "QUESTION",
+    "SUMMARY",
+    "document",
+    "scenario",
+]
 
 ENTRIES = 32
 SLOTS = 12
@@ -74,7 +81,8 @@
 )
 
 
-def _document() -> schema.Document:
+def document() -> schema.Document:
+    """Returns classes of three ranks, routes and one service."""
     tiers = {
         ids.TierId(f"rank-{each.rank}"): schema.Tier(
             ids.TierId(f"rank-{each.rank}"),
@@ -178,7 +186,7 @@
         fields: Further fields of the scenario.
     """
     return scenarios.Scenario(
-        _document(),
+        document(),
         dict.fromkeys(ENDPOINTS, ENGINE),
         list(_works(rng, load, burst)),
         DURATION_S,
--- a/benchmarks/results.py
+++ b/benchmarks/results.py
@@ -55,6 +55,9 @@
         best_goodput_share: Upper bound of `goodput_share`.
         cached_share: Part of all prompt tokens found in an engine's cache.
         fetched_share: Part fetched from the cache of another engine.
+        shared_prefill_tokens: Tokens of shared parts that engines prefilled.
+        repeated_prefill_tokens: Those of them that an engine held or was
+            prefilling at that time.
         crashes: Crashes of endpoints.
         harmless_failed: Harmless requests that ended in an error after the
             first crash.
@@ -72,6 +75,8 @@
     best_goodput_share: float = 1.0
     cached_share: float = 0.0
     fetched_share: float = 0.0
+    shared_prefill_tokens: float = 0
+    repeated_prefill_tokens: float = 0
     crashes: float = 0
     harmless_failed: float = 0
     harmless_quarantined: float = 0
--- a/cardamombarrow/decisions/base.py
+++ b/cardamombarrow/decisions/base.py
@@ -54,6 +54,10 @@
     ) -> list[endpoint_module.EndpointState]:
         """Returns endpoints with a slot that the job may take."""
 
+    def is_held(self, job: messages.Job) -> bool:
+        """Returns whether the choice holds a job that has no candidates."""
+        return False
+
     def services(self) -> collections_abc.Iterable[ids.ServiceId] | None:
         """Returns the services with changes; None means all services."""
         return None
@@ -201,6 +205,21 @@
         """
         return states
 
+    def held_until_s(self, job: messages.Job) -> float | None:
+        """Returns until when a job that was just prepared is held.
+
+        A held job is taken out of the queue, so that it does not block the
+        jobs behind it, until that time or until `take_released` returns it.
+
+        Returns:
+            The time; None if the job may be placed.
+        """
+        return None
+
+    def take_released(self) -> list[ids.RequestId]:
+        """Returns the held jobs that may be placed before their time."""
+        return []
+
     def recheck_after_s(self, job: messages.Job) -> float | None:
         """Returns the wait after which `available` may change, or None."""
         return None
@@ -261,6 +280,14 @@
     ) -> None:
         """Handles the first token of a request."""
 
+    def on_prefilled(
+        self,
+        state: endpoint_module.EndpointState,
+        running: messages.Running,
+        now_s: float,
+    ) -> None:
+        """Handles a request of another instance whose first token came."""
+
     def on_finish(
         self,
         state: endpoint_module.EndpointState,
--- a/cardamombarrow/decisions/choosing/engine_caches.py
+++ b/cardamombarrow/decisions/choosing/engine_caches.py
@@ -45,6 +45,10 @@
             if endpoint in self._domains
         }
 
+    def max_cached_tokens(self) -> int:
+        """Returns the length of the longest prefix that an engine holds."""
+        return max(self._cached_tokens.values(), default=0)
+
     def uncached_tokens(
         self, job: messages.Job, endpoint: ids.EndpointId, has_affinity: bool
     ) -> float:
--- a/cardamombarrow/decisions/choosing/first_event.py
+++ b/cardamombarrow/decisions/choosing/first_event.py
@@ -46,6 +46,7 @@
 from cardamombarrow.decisions.choosing import fetching
 from cardamombarrow.decisions.choosing import length_partition
 from cardamombarrow.decisions.choosing import prefill_time
+from cardamombarrow.decisions.choosing import prefix_reads
 from cardamombarrow.decisions.fleet import failures
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import ids
@@ -137,6 +138,16 @@
         self._prefill_time = prefill_time.PrefillTime()
         self._expected_s: dict[ids.RequestId, float] = {}
         self._caches = engine_caches.EngineCaches()
+        self._prefix_reads = prefix_reads.PrefixReads(
+            self._prefill_time,
+            lambda service: fetching.fetch_token_s(
+                self.document.services.get(service)
+            ),
+        )
+        self._held_until_s: tuple[ids.RequestId, float | None] = (
+            ids.RequestId(""),
+            None,
+        )
         self._fetch: messages.Fetch | None = None
         self._short_request_endpoints: frozenset[ids.EndpointId] = frozenset()
         self._considered_affinity: tuple[
@@ -224,10 +235,38 @@
             affinity and affinity.endpoint,
         )
         self._caches.prepare(job, states, now_s)
+        self._hold_for_prefill(job, now_s)
+        if self.held_until_s(job) is not None:
+            return []
         if affinity is None or not self._is_long(job):
             return states
         return [affinity] if self._awaits_affinity(job, now_s) else states
 
+    def _tracks_prefills(self, service: ids.ServiceId) -> bool:
+        """Returns whether requests wait for prefills of their prefix.
+
+        Only the placer of a domain knows which prefixes are in prefill;
+        instances that decide by themselves place at once.
+        """
+        is_enabled = self.context.overload.is_enabled(service)
+        return is_enabled and self.context.whole_domain
+
+    def _hold_for_prefill(self, job: messages.Job, now_s: float) -> None:
+        until_s = None
+        if self._tracks_prefills(job.service):
+            cached_tokens = self._caches.max_cached_tokens()
+            until_s = self._prefix_reads.wait_until_s(job, now_s, cached_tokens)
+        self._held_until_s = job.request_id, until_s
+
+    def held_until_s(self, job: messages.Job) -> float | None:
+        """Returns until when the prepared job waits for a prefill."""
+        request_id, until_s = self._held_until_s
+        return until_s if request_id == job.request_id else None
+
+    def take_released(self) -> list[ids.RequestId]:
+        """Returns the held jobs whose prefill has ended."""
+        return self._prefix_reads.take_released()
+
     def recheck_after_s(self, job: messages.Job) -> float | None:
         """Returns how long a long prompt waits for its affinity endpoint."""
         if not job.prefix_key:
@@ -246,6 +285,8 @@
         engines' memory, evict the shared prefixes that later prompts need, and
         could not be overtaken by a more urgent one.
         """
+        if self.held_until_s(job) is not None:
+            return False
         if not job.prompt_tokens:
             return super().available(job, state, now_s)
         is_long = self._is_long(job)
@@ -293,7 +334,7 @@
         )
         fetched = self._fetch.tokens if self._fetch else 0
         job.unread_tokens = max(uncached - fetched, 0.0)
-        self._caches.record_sent(job, state.endpoint, now_s)
+        self._record_sent(job, state, now_s)
 
     def on_remote_placement(
         self,
@@ -312,7 +353,31 @@
             + self._queue_s(job, state, token_s, now_s)
             + job.unread_tokens * token_s
         )
-        self._caches.record_sent(job, state.endpoint, now_s)
+        self._record_sent(job, state, now_s)
+
+    def _record_sent(
+        self,
+        job: messages.Job,
+        state: endpoint_module.EndpointState,
+        now_s: float,
+    ) -> None:
+        """Records a prompt as cached, or as in prefill until it is cached."""
+        if not self._tracks_prefills(job.service):
+            self._caches.record_sent(job, state.endpoint, now_s)
+            return
+        expected_end_s = now_s + self._expected_s[job.request_id]
+        self._prefix_reads.begin(job, state.endpoint, expected_end_s, now_s)
+
+    def on_prefilled(
+        self,
+        state: endpoint_module.EndpointState,
+        running: messages.Running,
+        now_s: float,
+    ) -> None:
+        """Records the parts of a prompt that was in prefill as cached."""
+        if self._tracks_prefills(state.service):
+            self._caches.record_sent(running.job, state.endpoint, now_s)
+        self._prefix_reads.end(running.job.request_id)
 
     def _find_fetch(
         self,
@@ -471,6 +536,7 @@
         super().on_first_token(state, running, now_s)
         latency = self._latency(state)
         took_s = now_s - running.placed_s
+        self.on_prefilled(state, running, now_s)
         self._caches.record_prefilled(running.job, state.endpoint, now_s)
         if not running.job.streams:
             latency.learn_response(took_s, now_s)
@@ -497,6 +563,9 @@
         """Records a failure of the endpoint and drops the request."""
         super().on_finish(state, running, outcome, now_s)
         self._expected_s.pop(running.job.request_id, None)
+        if outcome is messages.Outcome.DONE:
+            self.on_prefilled(state, running, now_s)
+        self._prefix_reads.end(running.job.request_id)
         if outcome is messages.Outcome.CRASHED:
             self._caches.directory.remove_engine(state.endpoint)
         elif running.first_token_s is None and outcome in failures.NOT_RECEIVED:
--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -46,7 +46,7 @@
 
     def waiting_jobs(self) -> list[messages.Job]:
         """Returns the queued jobs."""
-        return list(self._policies.queue.jobs())
+        return [*self._policies.queue.jobs(), *self._waiting.held_jobs()]
 
     def has_queued_jobs(self) -> bool:
         """Returns whether jobs wait for a slot."""
@@ -133,7 +133,10 @@
         even be read; without the eviction the bound itself would refuse that
         request in favour of a lower tier.
         """
-        evicted = self._policies.queue.evict(job)
+        lowest = max(self._policies.queue.waiting_ranks(job.service), default=0)
+        evicted = self._waiting.evict_held(max(job.rank + 1, lowest))
+        if evicted is None:
+            evicted = self._policies.queue.evict(job)
         if evicted is None:
             return f"{len(self._waiting)} requests are already waiting"
         self._waiting.leave(evicted)
@@ -248,6 +251,8 @@
         job = self._policies.queue.remove(request_id)
         if job is None:
             job = self._waiting.remove_delayed(request_id)
+        if job is None:
+            job = self._waiting.remove_held(request_id)
         if job is None:
             return False
         self._waiting.leave(job)
@@ -268,6 +273,7 @@
         """Yields every decision that is due now."""
         for job in self._waiting.due_delayed(now_s):
             self._enqueue(job, self.backlog(job, now_s), now_s)
+        self._release_held(now_s)
         yield from self._give_up(now_s)
         for job in self._waiting.due_service_checks(now_s):
             self._roster.changed.add(job.service)
@@ -275,15 +281,38 @@
         free_slots = roster.FreeSlots(self._roster, self.backlog, now_s)
         while True:
             job = self._policies.queue.take(free_slots, now_s)
-            if job is None:
+            candidates = free_slots.last(job) if job is not None else []
+            held = free_slots.take_held()
+            self._hold(held, now_s)
+            if job is not None:
+                yield self._place(job, candidates, now_s)
+            elif not held:
                 break
-            yield self._place(job, free_slots.last(job), now_s)
         for service in sorted(self._roster.changed):
             yield from self._preempt(service, now_s)
         self._roster.changed.clear()
         while self._pending_refusals:
             yield self._pending_refusals.pop()
 
+    def _hold(
+        self, held: list[tuple[messages.Job, float]], now_s: float
+    ) -> None:
+        """Takes jobs out of the queue that would block those behind them."""
+        for job, until_s in held:
+            if self._policies.queue.remove(job.request_id) is not None:
+                self._waiting.hold(job, until_s, now_s)
+
+    def _release_held(self, now_s: float) -> None:
+        """Puts held jobs back into the queue."""
+        released = [
+            self._waiting.release(request_id, now_s)
+            for request_id in self._policies.choice.take_released()
+        ]
+        for job in [*released, *self._waiting.due_held(now_s)]:
+            if job is not None:
+                self._policies.queue.push(job, now_s)
+                self._roster.changed.add(job.service)
+
     def _give_up(self, now_s: float) -> typing.Iterator[messages.Refusal]:
         admission = self._policies.admission
         for job in self._waiting.due_checks(now_s):
--- a/cardamombarrow/decisions/fleet/roster.py
+++ b/cardamombarrow/decisions/fleet/roster.py
@@ -400,6 +400,10 @@
             or remote
         )
 
+    def held_until_s(self, job: messages.Job) -> float | None:
+        """Returns until when the job of the last `candidates` is held."""
+        return self._policies.choice.held_until_s(job)
+
     def _accepts(
         self,
         job: messages.Job,
@@ -453,6 +457,7 @@
         self._now_s = now_s
         self._last_job: messages.Job | None = None
         self._last_candidates: list[endpoint_module.EndpointState] = []
+        self._held: dict[ids.RequestId, tuple[messages.Job, float]] = {}
 
     def candidates(
         self, job: messages.Job
@@ -462,8 +467,21 @@
             job, self._backlog, self._now_s
         )
         self._last_job = job
+        if not self._last_candidates:
+            until_s = self._roster.held_until_s(job)
+            if until_s is not None:
+                self._held[job.request_id] = job, until_s
         return self._last_candidates
 
+    def take_held(self) -> list[tuple[messages.Job, float]]:
+        """Returns the jobs found to be held since the last call."""
+        held, self._held = self._held, {}
+        return list(held.values())
+
+    def is_held(self, job: messages.Job) -> bool:
+        """Returns whether the choice holds a job that has no candidates."""
+        return job.request_id in self._held
+
     def last(self, job: messages.Job) -> list[endpoint_module.EndpointState]:
         """Returns the candidates of a job, cached if it was the last one."""
         return (
--- a/cardamombarrow/decisions/messages.py
+++ b/cardamombarrow/decisions/messages.py
@@ -88,6 +88,8 @@
             one belongs to the request or its session.
         unread_tokens: Prompt tokens that are not in the endpoint's cache and
             that it is expected to read; set when the job is placed.
+        held_s: Time for which it has waited for the prefill of its prefix by
+            another request.
         fingerprint: Digest of model and body, for the quarantine.
         repeatable: False if the request may run at most once.
         attempts: How often the job has been placed so far.
@@ -115,6 +117,7 @@
     prefix_key: str = ""
     parts: tuple[PromptPart, ...] = ()
     unread_tokens: float = 0.0
+    held_s: float = 0.0
     fingerprint: ids.Fingerprint | None = None
     repeatable: bool = True
     resumable: bool = False
--- a/cardamombarrow/decisions/queueing/tiers.py
+++ b/cardamombarrow/decisions/queueing/tiers.py
@@ -146,14 +146,17 @@
         this all jobs behind it would wait although slots are free.
         """
         skipped = []
+        blocked = 0
         found = None
-        while len(skipped) < MAX_SKIPPED and len(tier):
+        while blocked < MAX_SKIPPED and len(tier):
             job = tier.peek()
             if job is None:
                 break
             if free_slots.candidates(job):
                 found = self._pop(tier)
                 break
+            # The dispatcher takes a held job out of the queue.
+            blocked += not free_slots.is_held(job)
             skipped.append(tier.hide())
         for entry in skipped:
             if entry is not None:
--- a/cardamombarrow/decisions/queueing/waiting.py
+++ b/cardamombarrow/decisions/queueing/waiting.py
@@ -35,6 +35,8 @@
         self._delayed: dict[ids.RequestId, messages.Job] = {}
         self._delay_ends: list[_Timed] = []
         self._service_checks: list[_Timed] = []
+        self._held: dict[ids.RequestId, tuple[messages.Job, float]] = {}
+        self._hold_ends: list[_Timed] = []
         self._numbers = itertools.count()
 
     def __len__(self) -> int:
@@ -49,6 +51,7 @@
     def leave(self, job: messages.Job) -> None:
         """Uncounts a job that was answered, refused or withdrawn."""
         self._jobs.pop(job.request_id, None)
+        self._held.pop(job.request_id, None)
         self.demand[job.service] -= 1
         self.in_flight[job.workspace] -= 1
         if not self.in_flight[job.workspace]:
@@ -100,6 +103,51 @@
             if self._is_queued(job):
                 yield job
 
+    def hold(self, job: messages.Job, until_s: float, now_s: float) -> None:
+        """Records that a queued job is taken out of the queue's order."""
+        self._held[job.request_id] = job, now_s
+        heapq.heappush(self._hold_ends, (until_s, next(self._numbers), job))
+
+    def release(
+        self, request_id: ids.RequestId, now_s: float
+    ) -> messages.Job | None:
+        """Returns a held job that goes back to the queue, or None."""
+        job, since_s = self._held.pop(request_id, (None, now_s))
+        if job is not None:
+            job.held_s += now_s - since_s
+        return job
+
+    def remove_held(self, request_id: ids.RequestId) -> messages.Job | None:
+        """Removes and returns a held job, or None."""
+        return self._held.pop(request_id, (None,))[0]
+
+    def evict_held(self, min_rank: int) -> messages.Job | None:
+        """Removes and returns the last held job of the lowest tier.
+
+        Args:
+            min_rank: Most urgent rank that may be removed.
+        """
+        jobs = [job for job, _ in self._held.values() if job.rank >= min_rank]
+        if not jobs:
+            return None
+        evicted = max(jobs, key=lambda job: (job.rank, job.arrived_s))
+        return self.remove_held(evicted.request_id)
+
+    def due_held(self, now_s: float) -> abc.Iterator[messages.Job]:
+        """Yields the held jobs whose time has come."""
+        while self._hold_ends and self._hold_ends[0][0] <= now_s:
+            job = heapq.heappop(self._hold_ends)[2]
+            if self._is_held(job):
+                self.release(job.request_id, now_s)
+                yield job
+
+    def held_jobs(self) -> list[messages.Job]:
+        """Returns the held jobs."""
+        return [job for job, _ in self._held.values()]
+
+    def _is_held(self, job: messages.Job) -> bool:
+        return self._held.get(job.request_id, (None,))[0] is job
+
     def next_s(self) -> float | None:
         """Returns the time of the next due event, or None."""
         times = []
@@ -109,6 +157,10 @@
                 heapq.heappop(heap)
             if heap:
                 times.append(heap[0][0])
+        while self._hold_ends and not self._is_held(self._hold_ends[0][2]):
+            heapq.heappop(self._hold_ends)
+        if self._hold_ends:
+            times.append(self._hold_ends[0][0])
         if self._delay_ends:
             times.append(self._delay_ends[0][0])
         return min(times, default=None)
--- a/cardamombarrow/decisions/runs.py
+++ b/cardamombarrow/decisions/runs.py
@@ -67,6 +67,7 @@
         running = self._run(job, state, placed_s)
         if has_first_token:
             state.set_first_token(running, now_s)
+            self._policies.choice.on_prefilled(state, running, now_s)
         return True
 
     def first_token(self, request_id: ids.RequestId, now_s: float) -> None:
