--- a/benchmarks/cold_prefixes.py
+++ b/benchmarks/cold_prefixes.py
@@ -94,6 +94,7 @@
     def __init__(self, scenario: ColdScenario, seed: int):
         super().__init__(scenario, seed)
         self._cold = scenario
+        self._leaving: set[ids.EndpointId] = set()
         self._at(0.0, self._hide_successors)
         for number, pair in enumerate(scenario.replaced):
             release_s = RELEASE_S + 0.5 * number
@@ -128,11 +129,23 @@
     ) -> None:
         self._set_leaving(successor, False)
         self._set_leaving(endpoint, True)
+        # An engine that is about to stop is no longer a source of fetches.
+        leaving = self._engines[endpoint]
+        for engine in self._engines.values():
+            engine.fleet = tuple(e for e in engine.fleet if e is not leaving)
 
     def _set_leaving(self, endpoint: ids.EndpointId, leaving: bool) -> None:
+        change = self._leaving.add if leaving else self._leaving.discard
+        change(endpoint)
         for dispatcher in (*self.entries, self._placer):
-            dispatcher.set_leaving(endpoint, leaving)
-            dispatcher.refresh_shares(self._now_s)
+            if dispatcher is not None:
+                dispatcher.set_leaving(endpoint, leaving)
+                dispatcher.refresh_shares(self._now_s)
+
+    def _restart_placer(self) -> None:
+        super()._restart_placer()
+        for endpoint in list(self._leaving):
+            self._set_leaving(endpoint, True)
 
     def _crash(self, endpoint: ids.EndpointId) -> None:
         was_stepping = self._engines[endpoint].stepping
--- a/benchmarks/fake_engine.py
+++ b/benchmarks/fake_engine.py
@@ -130,9 +130,10 @@
     """One simulated engine.
 
     Attributes:
-        fleet: All engines, to find out whether a prefill is repeated.
+        fleet: The engines in service, to find out whether a prefill is
+            repeated.
         prompt_tokens_shared: Tokens of shared parts that it prefilled.
-        prompt_tokens_repeated: Those of them that an engine that is up held or
+        prompt_tokens_repeated: Those of them that an engine in service held or
             was prefilling at that time.
     """
 
--- a/benchmarks/results.py
+++ b/benchmarks/results.py
@@ -56,8 +56,8 @@
         cached_share: Part of all prompt tokens found in an engine's cache.
         fetched_share: Part fetched from the cache of another engine.
         shared_prefill_tokens: Tokens of shared parts that engines prefilled.
-        repeated_prefill_tokens: Those of them that an engine held or was
-            prefilling at that time.
+        repeated_prefill_tokens: Those of them that an engine in service held
+            or was prefilling at that time.
         crashes: Crashes of endpoints.
         harmless_failed: Harmless requests that ended in an error after the
             first crash.
--- a/cardamombarrow/decisions/choosing/first_event.py
+++ b/cardamombarrow/decisions/choosing/first_event.py
@@ -251,6 +251,17 @@
         is_enabled = self.context.overload.is_enabled(service)
         return is_enabled and self.context.whole_domain
 
+    def _fetches_tracked_prefixes(self, service: ids.ServiceId) -> bool:
+        """Returns whether the wait for a prefill replaces that for affinity.
+
+        While a prefix is in prefill, its requests wait for it. Afterwards any
+        engine fetches it in less time than the affinity endpoint may be busy.
+        """
+        if not self._tracks_prefills(service):
+            return False
+        found = self.document.services.get(service)
+        return fetching.fetch_token_s(found) is not None
+
     def _hold_for_prefill(self, job: messages.Job, now_s: float) -> None:
         until_s = None
         if self._tracks_prefills(job.service):
@@ -309,6 +320,8 @@
         return not self._awaits_affinity(job, now_s)
 
     def _awaits_affinity(self, job: messages.Job, now_s: float) -> bool:
+        if self._fetches_tracked_prefixes(job.service):
+            return False
         recheck_after_s = self.recheck_after_s(job) or 0.0
         return now_s - job.arrived_s < recheck_after_s
 
--- a/cardamombarrow/decisions/choosing/prefix_reads.py
+++ b/cardamombarrow/decisions/choosing/prefix_reads.py
@@ -10,13 +10,12 @@
 A request whose shared prefix is cached nowhere and is in prefill waits for that
 prefill, as long as its own target allows:
 
-- it waits only if the expected end of the prefill, plus the prefill of the rest
-  of its prompt, is within its target;
-- it waits beyond the expected end only while its whole prompt can still be
-  prefilled within its target, in case the first prefill fails;
+- it waits only as long as its whole prompt, and not just the rest, can still be
+  prefilled within its target: the first prefill may fail or take longer, and a
+  wait must not make an urgent request late;
+- it waits only if the prefill is expected to end by then;
 - it does not wait for a prefix whose fetch takes as long as its prefill, or
-  whose prefill is short compared with its target: a first token is reported
-  some milliseconds late, and the wait would cost more than it saves.
+  whose prefill takes less than `MIN_SAVED_S`.
 
 A prefill ends with the first token, the failure or the end of its request. The
 end of a prefill releases all requests that wait for the prefix; those that
@@ -48,8 +47,9 @@
 MAX_PREFILL_S = 10.0
 """Longest prefill that is waited for."""
 
-MIN_SAVED_SHARE = 0.03
-"""Share of its target that a wait has to save a request in prefill time."""
+MIN_SAVED_S = 0.02
+"""Prefill time that a wait has to save. The first token arrives a step of the
+engine and two messages after the prefill, which take about as long."""
 
 MAX_PREFILLS = 2_048
 """Most prefills stored; the oldest is removed first."""
@@ -180,7 +180,7 @@
         if found is not None:
             key, tokens, prefill = found
             if self._is_worth_a_wait(job, tokens - cached_tokens):
-                until_s = self._latest_wait_s(job, tokens, prefill, now_s)
+                until_s = self._latest_wait_s(job, prefill, now_s)
         if until_s is None:
             self.stop_waiting(job.request_id)
             return None
@@ -255,25 +255,17 @@
         saved_s = saved_tokens * self._prefill_time.token_s(job.service)
         fetch_token_s = self._fetch_token_s(job.service) or 0.0
         fetch_s = fetching.LOCAL_START_S + saved_tokens * fetch_token_s
-        min_saved_s = MIN_SAVED_SHARE * job.target_first_token_s
-        return saved_s > max(fetch_s, min_saved_s)
+        return saved_s > max(fetch_s, MIN_SAVED_S)
 
     def _latest_wait_s(
-        self,
-        job: messages.Job,
-        tokens: int,
-        prefill: _Prefill,
-        now_s: float,
+        self, job: messages.Job, prefill: _Prefill, now_s: float
     ) -> float | None:
-        """Returns the end of a wait for a prefix; None if there is no time."""
-        token_s = self._prefill_time.token_s(job.service)
-        due_s = job.arrived_s + job.target_first_token_s
-        latest_rest_s = due_s - (job.prompt_tokens - tokens) * token_s
-        latest_whole_s = due_s - job.prompt_tokens * token_s
-        until_s = max(prefill.expected_end_s, latest_whole_s)
-        if prefill.expected_end_s > latest_rest_s or until_s <= now_s:
+        """Returns the end of a wait for a prefill; None if there is no time."""
+        prompt_s = job.prompt_tokens * self._prefill_time.token_s(job.service)
+        latest_s = job.arrived_s + job.target_first_token_s - prompt_s
+        if max(prefill.expected_end_s, now_s) >= latest_s:
             return None
-        return min(until_s, prefill.latest_end_s)
+        return min(latest_s, prefill.latest_end_s)
 
 
 def _prefixes(job: messages.Job) -> abc.Iterator[tuple[int, int]]:
--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -384,6 +384,8 @@
         self._waiting.remove_queued(job)
         choice = self._policies.choice
         state, reason = choice.choose(job, candidates, now_s)
+        if job.held_s:
+            reason += f", waited {job.held_s:.3f} s for a prefill of its prefix"
         fetch = choice.fetch(job, state, now_s)
         self._roster.rate_budget.spend(state, now_s)
         self._run(job, state, now_s)
--- a/cardamombarrow/decisions/queueing/waiting.py
+++ b/cardamombarrow/decisions/queueing/waiting.py
@@ -130,7 +130,7 @@
         jobs = [job for job, _ in self._held.values() if job.rank >= min_rank]
         if not jobs:
             return None
-        evicted = max(jobs, key=lambda job: (job.rank, job.arrived_s))
+        evicted = max(reversed(jobs), key=lambda job: (job.rank, job.arrived_s))
         return self.remove_held(evicted.request_id)
 
     def due_held(self, now_s: float) -> abc.Iterator[messages.Job]:
