Count requests that waited for a prefill of their prefix

The counter is kept by the dispatcher, also of the placer in this process, and exported as cardamombarrow_waits_for_prefill_total. Without it an operator sees the waits in single place lines only. A count per prefill record was ruled out: it counts a request again for each prefill that it waits for.

--- a/cardamombarrow/decisions/choosing/prefix_reads.py
+++ b/cardamombarrow/decisions/choosing/prefix_reads.py
@@ -75,11 +75,7 @@
 
 
 class PrefixReads:
-    """Prefills in progress and the requests that wait; not thread-safe.
-
-    Attributes:
-        waits: Waits that have begun.
-    """
+    """Prefills in progress and the requests that wait; not thread-safe."""
 
     def __init__(
         self,
@@ -93,7 +89,6 @@
             fetch_token_s: Returns the transfer time per token of a service;
                 None if its engines can't fetch.
         """
-        self.waits = 0
         self._prefill_time = prefill_time
         self._fetch_token_s = fetch_token_s
         self._prefills: dict[ids.RequestId, _Prefill] = {}
@@ -208,7 +203,6 @@
             return False
         self._key_waited_for[request_id] = key
         self._waiting.setdefault(key, {})[request_id] = None
-        self.waits += 1
         return True
 
     def _release(self, key: int) -> None:
--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -35,6 +35,8 @@
 
     Attributes:
         preemptions: Number of preempted requests.
+        waits_for_prefill: Number of requests that waited for a prefill of
+            their prefix by another request.
     """
 
     def __init__(self, context: context_module.PolicyContext, now_s: float):
@@ -43,6 +45,7 @@
         self._awaiting_remote: dict[ids.RequestId, messages.Job] = {}
         self._pending_refusals: list[messages.Refusal] = []
         self.preemptions = 0
+        self.waits_for_prefill = 0
 
     def waiting_jobs(self) -> list[messages.Job]:
         """Returns the queued jobs."""
@@ -300,6 +303,7 @@
         """Takes jobs out of the queue that would block those behind them."""
         for job, until_s in held:
             if self._policies.queue.remove(job.request_id) is not None:
+                self.waits_for_prefill += not job.held_s
                 self._waiting.hold(job, until_s, now_s)
 
     def _release_held(self, now_s: float) -> None:
--- a/cardamombarrow/decisions/tests/test_held_jobs.py
+++ b/cardamombarrow/decisions/tests/test_held_jobs.py
@@ -84,6 +84,7 @@
     reason = placed[jobs[1].request_id].reason
     assert "waited 0.200 s for a prefill of its prefix" in reason
     assert dispatcher.next_s() is None
+    assert dispatcher.waits_for_prefill == 1
 
 
 @pytest.mark.parametrize(
--- a/cardamombarrow/entry/broker_base.py
+++ b/cardamombarrow/entry/broker_base.py
@@ -443,6 +443,13 @@
         """Counts the endpoints that have asked for a pause."""
         return len(self.pauses_left_s())
 
+    def waits_for_prefill(self) -> int:
+        """Counts the requests that waited for a prefill of their prefix."""
+        waits = self._dispatcher.waits_for_prefill
+        if self._domain_broker is not None:
+            waits += self._domain_broker.waits_for_prefill()
+        return waits
+
     def set_leaving(self, endpoint: ids.EndpointId, leaving: bool) -> None:
         """Marks an endpoint as leaving, or as available again."""
         with self._lock:
--- a/cardamombarrow/entry/call_runner.py
+++ b/cardamombarrow/entry/call_runner.py
@@ -58,6 +58,7 @@
             self.services.broker.rate_limited(),
             self.services.broker.paused(),
             self.services.broker.invalid_fields(),
+            self.services.broker.waits_for_prefill(),
         )
 
     def begin(
--- a/cardamombarrow/entry/metrics.py
+++ b/cardamombarrow/entry/metrics.py
@@ -156,6 +156,7 @@
         rate_limited: int = 0,
         paused: int = 0,
         invalid_fields: abc.Mapping[str, int] | None = None,
+        waits_for_prefill: int = 0,
     ) -> str:
         """Returns all metrics in the Prometheus text format.
 
@@ -166,6 +167,8 @@
             paused: Endpoints that have asked for a pause.
             invalid_fields: Header fields of endpoints' answers that could not
                 be parsed, by name.
+            waits_for_prefill: Requests that waited here for a prefill of their
+                prefix by another request.
         """
         gauges = {
             "requests_held": held,
@@ -181,6 +184,10 @@
             f'{PREFIX}invalid_statements_total{{field="{name}"}} {count}'
             for name, count in (invalid_fields or {}).items()
         ]
+        lines += [
+            f"# TYPE {PREFIX}waits_for_prefill_total counter",
+            f"{PREFIX}waits_for_prefill_total {waits_for_prefill}",
+        ]
         return "\n".join(lines) + "\n"
 
     def _lines(self, gauges: dict[str, int]) -> abc.Iterator[str]:
--- a/cardamombarrow/entry/tests/test_metrics.py
+++ b/cardamombarrow/entry/tests/test_metrics.py
@@ -75,3 +75,9 @@
     counted.count_wasted(messages.Outcome.CRASHED, 2)
     name = 'cardamombarrow_wasted_tokens_total{reason="crashed"}'
     assert _read(counted)[name] == 42
+
+
+def test_requests_that_waited_for_a_prefill_are_counted():
+    counted = metrics.Metrics()
+    seen = _samples(counted.text(0, ids.Revision(1), waits_for_prefill=4))
+    assert seen["cardamombarrow_waits_for_prefill_total"] == 4
