--- a/benchmarks/many_entries.py
+++ b/benchmarks/many_entries.py
@@ -15,7 +15,7 @@
 from benchmarks import fake_engine
 from benchmarks import patterns
 from benchmarks import scenarios
-from cardamombarrow.document import from_routes
+from benchmarks import stream_document
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import ids
 
@@ -75,39 +75,6 @@
 
 
 def _document() -> schema.Document:
-    tiers = {
-        ids.TierId(f"rank-{each.rank}"): schema.Tier(
-            ids.TierId(f"rank-{each.rank}"),
-            each.rank,
-            from_routes.RESERVED_SHARE if each.rank else 0.0,
-        )
-        for each in KINDS
-    }
-    classes = {
-        each.class_id: schema.RequestClass(
-            each.class_id,
-            ids.TierId(f"rank-{each.rank}"),
-            each.target_s,
-            each.deadline_s,
-            expected_tokens=each.answer_tokens,
-        )
-        for each in KINDS
-    }
-    routes = {
-        ids.RouteId(each.class_id): schema.Route(
-            route=ids.RouteId(each.class_id),
-            host="router.example",
-            path_prefix=f"/{each.class_id}/",
-            class_id=each.class_id,
-            services={driver.SERVICE: 1.0},
-            max_attempts=2,
-            anonymous=True,
-            resumable=False,
-            streams=True,
-            longest_pause_s=each.pause_s,
-        )
-        for each in KINDS
-    }
     service = schema.Service(
         driver.SERVICE,
         schema.ServiceKind.ENGINE,
@@ -116,20 +83,7 @@
         cache_link_mbit_per_s=320_000.0,
         endpoints={driver.DOMAIN: ENDPOINTS},
     )
-    workspaces = {
-        name: schema.Workspace(name, (), tuple(classes))
-        for name in (ids.WorkspaceId(f"w{n}") for n in range(WORKSPACES))
-    }
-    return schema.Document(
-        tiers,
-        classes,
-        workspaces,
-        {service.service: service},
-        {},
-        {},
-        from_routes.POLICIES,
-        routes=routes,
-    )
+    return stream_document.build(KINDS, service, WORKSPACES)
 
 
 def _works(
--- a/benchmarks/overload_order.py
+++ b/benchmarks/overload_order.py
@@ -19,6 +19,7 @@
 from benchmarks import fake_engine
 from benchmarks import placer_driver
 from benchmarks import scenarios
+from benchmarks import stream_document
 from cardamombarrow.decisions import core
 from cardamombarrow.decisions import messages
 from cardamombarrow.decisions.choosing import prefill_bound
@@ -77,7 +78,7 @@
     Attributes:
         rate_per_s: Arrivals for the engines of this scenario.
         prefixes: Number of distinct shared prefixes.
-        limit_s: Time after which the caller has no use for an answer.
+        deadline_s: Time after which the caller has no use for an answer.
     """
 
     class_id: ids.ClassId
@@ -88,7 +89,7 @@
     own_tokens: int
     answer_tokens: int
     target_s: float
-    limit_s: float
+    deadline_s: float
     pause_s: float
 
 
@@ -100,39 +101,6 @@
 
 
 def _document(policies: schema.Policies, slots: int) -> schema.Document:
-    tiers = {
-        ids.TierId(f"rank-{each.rank}"): schema.Tier(
-            ids.TierId(f"rank-{each.rank}"),
-            each.rank,
-            from_routes.RESERVED_SHARE if each.rank else 0.0,
-        )
-        for each in KINDS
-    }
-    classes = {
-        each.class_id: schema.RequestClass(
-            each.class_id,
-            ids.TierId(f"rank-{each.rank}"),
-            each.target_s,
-            each.limit_s,
-            expected_tokens=each.answer_tokens,
-        )
-        for each in KINDS
-    }
-    routes = {
-        ids.RouteId(each.class_id): schema.Route(
-            route=ids.RouteId(each.class_id),
-            host="router.example",
-            path_prefix=f"/{each.class_id}/",
-            class_id=each.class_id,
-            services={driver.SERVICE: 1.0},
-            max_attempts=2,
-            anonymous=True,
-            resumable=False,
-            streams=True,
-            longest_pause_s=each.pause_s,
-        )
-        for each in KINDS
-    }
     service = schema.Service(
         driver.SERVICE,
         schema.ServiceKind.ENGINE,
@@ -141,20 +109,7 @@
         cache_link_mbit_per_s=1_000_000.0,
         endpoints={driver.DOMAIN: ENDPOINTS},
     )
-    workspaces = {
-        name: schema.Workspace(name, (), tuple(classes))
-        for name in (ids.WorkspaceId(f"w{n}") for n in range(WORKSPACES))
-    }
-    return schema.Document(
-        tiers,
-        classes,
-        workspaces,
-        {service.service: service},
-        {},
-        {},
-        policies,
-        routes=routes,
-    )
+    return stream_document.build(KINDS, service, WORKSPACES, policies)
 
 
 def _works(rng: random.Random, load: float) -> list[fake_engine.Work]:
--- a/cardamombarrow/decisions/queueing/tests/test_prefill_forecast.py
+++ b/cardamombarrow/decisions/queueing/tests/test_prefill_forecast.py
@@ -37,7 +37,7 @@
         rank=rank,
         arrived_s=0.0,
         target_first_token_s=kind.target_s,
-        deadline_s=kind.limit_s,
+        deadline_s=kind.deadline_s,
         prompt_tokens=kind.shared_tokens + kind.own_tokens,
         prefix_key=parts[0].part,
         parts=parts,
@@ -271,12 +271,12 @@
     for counts in on:
         for kind in overload_order.KINDS:
             assert counts[kind.class_id].failed == 0
-            assert counts[kind.class_id].longest_s < kind.limit_s
+            assert counts[kind.class_id].longest_s < kind.deadline_s
     monkeypatch.setattr(
         prefill_forecast.PrefillForecast, "wait_s", lambda *args: 0.0
     )
     without = _burst(overload=True)
-    limit_s = overload_order.KINDS[0].limit_s
+    limit_s = overload_order.KINDS[0].deadline_s
     longest_s = max(each[overload_order.LONG].longest_s for each in without)
     assert longest_s > limit_s
 
@@ -300,5 +300,5 @@
             in_time[overload] += sum(row.in_time for row in counts.values())
     for kind in overload_order.KINDS:
         assert counts[kind.class_id].failed == 0
-        assert counts[kind.class_id].longest_s < kind.limit_s
+        assert counts[kind.class_id].longest_s < kind.deadline_s
     assert in_time[True] > in_time[False]
