--- a/cardamombarrow/entry/core.py
+++ b/cardamombarrow/entry/core.py
@@ -182,7 +182,9 @@
             retries.share, retries.slack, retries.window_s
         ),
         overload=overload_module.OverloadControl(
-            settings.overload.enabled, settings.overload.learns_speeds
+            settings.overload.enabled,
+            settings.overload.learns_speeds,
+            settings.overload.learns_reported_speeds,
         ),
     )
     counts = metrics.Metrics()
--- a/cardamombarrow/entry/settings.py
+++ b/cardamombarrow/entry/settings.py
@@ -242,8 +242,11 @@
     )
     learns_speeds: bool = settings.setting(
         False,
-        help="whether the speed of each endpoint is learned and used, also for "
-        "services whose endpoints do not report their work time",
+        help="whether the speed of each endpoint is learned and used",
+    )
+    learns_reported_speeds: bool = settings.setting(
+        False,
+        help="the same for services whose endpoints report their work time",
     )
 
 
