Log with a refusal how many less urgent requests run

A request that is refused while less urgent ones of its service run was not told apart in the logs from one that is refused because all capacity holds more urgent work. The count compares the tiers of the classes, so that it does not depend on the order that the queue uses.

--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -327,7 +327,27 @@
     ) -> messages.Refusal:
         retry_after_s = self._policies.retry.retry_after_s(backlog)
         self._forecast.record_refusal(job, now_s)
-        return messages.Refusal(job.request_id, kind, reason, retry_after_s)
+        return messages.Refusal(
+            job.request_id,
+            kind,
+            reason,
+            retry_after_s,
+            self._count_less_urgent(job),
+        )
+
+    def _count_less_urgent(self, job: messages.Job) -> int:
+        """Counts the running jobs of a job's service of lower tiers."""
+        document = self._context.document
+        if job.class_id not in document.classes:
+            return 0
+        rank = document.tier_of(job.class_id).rank
+        held = self._roster.capacities[job.service].held_by_class
+        return sum(
+            count
+            for class_id, count in held.items()
+            if class_id in document.classes
+            and document.tier_of(class_id).rank > rank
+        )
 
     def _preempt(
         self, service: ids.ServiceId, now_s: float
--- a/cardamombarrow/decisions/limiting/capacity.py
+++ b/cardamombarrow/decisions/limiting/capacity.py
@@ -48,6 +48,7 @@
         remote: Endpoints of other domains that accept new requests.
         slots: Slots of the local endpoints that this instance may use.
         held: Local and remote slots held, by rank of the tier.
+        held_by_class: The same by class.
         preempting: Preempted requests that have not ended yet.
     """
 
@@ -59,7 +60,7 @@
         self.held: collections.Counter[int] = collections.Counter()
         self.preempting = 0
         self._hold_s: dict[ids.ClassId, float] = {}
-        self._held_by_class: collections.Counter[ids.ClassId] = (
+        self.held_by_class: collections.Counter[ids.ClassId] = (
             collections.Counter()
         )
         self._initial_hold_s: dict[ids.ClassId, float] = {}
@@ -107,7 +108,7 @@
         """Records that a job takes a slot."""
         self._update_use(now_s)
         self.held[job.rank] += 1
-        self._held_by_class[job.class_id] += 1
+        self.held_by_class[job.class_id] += 1
 
     def first_token(self, waited_s: float) -> None:
         """Records the time from a placement to its first token."""
@@ -122,7 +123,7 @@
         self._update_use(now_s)
         job = running.job
         self.held[job.rank] -= 1
-        self._held_by_class[job.class_id] -= 1
+        self.held_by_class[job.class_id] -= 1
         if running.preempted:
             self.preempting -= 1
         if done:
@@ -143,7 +144,7 @@
         """Returns the mean hold time of the running jobs."""
         total = 0
         sum_s = 0.0
-        for class_id, count in self._held_by_class.items():
+        for class_id, count in self.held_by_class.items():
             total += count
             sum_s += count * self.hold_s(class_id)
         if total:
--- a/cardamombarrow/decisions/messages.py
+++ b/cardamombarrow/decisions/messages.py
@@ -369,12 +369,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refusal:
-    """Answer this request now with an error; it has not run."""
+    """Answer this request now with an error; it has not run.
+
+    Attributes:
+        less_urgent_running: Running requests of its service whose class is of a
+            lower tier, as far as the deciding instance placed them.
+    """
 
     request_id: ids.RequestId
     kind: errors.ErrorKind
     detail: str
     retry_after_s: float | None
+    less_urgent_running: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cardamombarrow/decisions/tests/test_dispatcher.py
+++ b/cardamombarrow/decisions/tests/test_dispatcher.py
@@ -153,3 +153,21 @@
         assert sum(demand.values()) == expected
         for state in dispatcher.endpoints():
             assert len(state.running) <= state.share
+
+
+def test_refusal_counts_the_running_requests_of_lower_tiers(
+    new_dispatcher, new_job
+):
+    # Guards against a refusal whose log does not tell that less urgent requests
+    # ran.
+    dispatcher = new_dispatcher(slots=1, preemption="never")
+    for _ in range(2):
+        dispatcher.offer(new_job("letter"), 0.0)
+    assert len(list(dispatcher.place(0.0))) == 2
+    chat = new_job("chat")
+    letter = new_job("letter")
+    for job in (chat, letter):
+        assert dispatcher.offer(job, 0.0) is None
+    refusals = {r.request_id: r for r in dispatcher.place(letter.deadline_s)}
+    assert refusals[chat.request_id].less_urgent_running == 2
+    assert refusals[letter.request_id].less_urgent_running == 0
--- a/cardamombarrow/entry/decision_lines.py
+++ b/cardamombarrow/entry/decision_lines.py
@@ -66,6 +66,7 @@
             "kind": decision.kind.value,
             "reason": decision.detail,
             "retry_after_s": decision.retry_after_s,
+            "less_urgent_running": decision.less_urgent_running,
         }
     return "preempt", {
         "endpoint": decision.endpoint,
--- a/cardamombarrow/entry/tests/test_decision_lines.py
+++ b/cardamombarrow/entry/tests/test_decision_lines.py
@@ -2,6 +2,7 @@
 
 from cardamombarrow.decisions import messages
 from cardamombarrow.entry import decision_lines
+from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 
 
@@ -25,3 +26,14 @@
     fields = _fields(None)
     assert "speed_factor" not in fields
     assert "work_time_age_s" not in fields
+
+
+def test_refuse_line_has_the_less_urgent_requests_that_run():
+    # An operator must see whether a request was refused while less urgent ones
+    # ran.
+    refusal = messages.Refusal(
+        ids.RequestId("r1"), errors.ErrorKind.OVERLOADED, "full", 1.0, 7
+    )
+    name, fields = decision_lines._details(refusal)
+    assert name == "refuse"
+    assert fields["less_urgent_running"] == 7
