--- a/benchmarks/driver.py
+++ b/benchmarks/driver.py
@@ -167,13 +167,14 @@
     def _job(self, work: fake_engine.Work) -> messages.Job:
         document = self._scenario.document
         request_class = document.classes[work.class_id]
+        workspace = document.workspaces[work.workspace]
         return messages.Job(
             request_id=ids.RequestId(f"r{next(self._numbers)}"),
             workspace=work.workspace,
             class_id=work.class_id,
             service=SERVICE,
             model=ids.ModelId("trail-7b"),
-            rank=document.tier_of(work.class_id).rank,
+            rank=document.rank_of(work.class_id, workspace),
             arrived_s=self._now_s,
             target_first_token_s=request_class.target_first_token_s,
             deadline_s=self._now_s + request_class.target_total_s,
--- a/benchmarks/fake_engine.py
+++ b/benchmarks/fake_engine.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+from collections import abc
 import dataclasses
 import enum
 import heapq
@@ -23,6 +24,10 @@
 ]
 
 
+def _same(rank: int) -> int:
+    return rank
+
+
 class WorkTime(enum.Enum):
     """What an engine reports as its work time."""
 
@@ -44,6 +49,8 @@
         preempts: Whether more urgent prompts of the batch are prefilled first,
             and not in the order in which they entered it, and a more urgent
             request takes the place of a less urgent one in a full batch.
+        priority_of: Returns the priority that the engine gets with a request
+            of a rank; it orders requests by it, 0 first.
         cache_tokens: Size of the prefix cache.
         fetch_share: Time to fetch a token's cache from another engine, as a
             part of the time to prefill it.
@@ -71,6 +78,7 @@
     prefill_chunk_tokens: int = 512
     batch: int = 8
     preempts: bool = False
+    priority_of: abc.Callable[[int], int] = _same
     cache_tokens: int = 6_000
     fetch_share: float = 0.03
     knee: int = 1_000
@@ -203,7 +211,14 @@
     ) -> None:
         """Queues a request; `source` is an engine to fetch its prefix from."""
         sequence = _Sequence(job, work, work.prompt_tokens, source)
-        heapq.heappush(self._waiting, (job.rank, next(self._order), sequence))
+        self._push(sequence)
+
+    def _priority(self, sequence: _Sequence) -> int:
+        return self.settings.priority_of(sequence.job.rank)
+
+    def _push(self, sequence: _Sequence) -> None:
+        item = (self._priority(sequence), next(self._order), sequence)
+        heapq.heappush(self._waiting, item)
 
     def cancel(self, request_id: ids.RequestId) -> None:
         """Drops a request; its place is free from the next step on."""
@@ -255,7 +270,7 @@
     def _prefill_order(self) -> list[tuple[ids.RequestId, _Sequence]]:
         order = list(self._batch.items())
         if self.settings.preempts:
-            order.sort(key=lambda item: item[1].job.rank)
+            order.sort(key=lambda item: self._priority(item[1]))
         return order
 
     def _admit(self) -> None:
@@ -268,8 +283,8 @@
             self._begin(sequence)
             self._batch[request_id] = sequence
 
-    def _has_place(self, rank: int) -> bool:
-        """Returns whether a request of a rank may enter the batch.
+    def _has_place(self, priority: int) -> bool:
+        """Returns whether a request of a priority may enter the batch.
 
         If the batch is full, that of the least urgent request in it is
         vacated, preferably of one without tokens; it is prefilled again.
@@ -280,13 +295,12 @@
             return False
         last = max(
             reversed(self._batch.values()),
-            key=lambda sequence: (sequence.job.rank, -sequence.tokens),
+            key=lambda sequence: (self._priority(sequence), -sequence.tokens),
         )
-        if last.job.rank <= rank:
+        if self._priority(last) <= priority:
             return False
         del self._batch[last.job.request_id]
-        item = (last.job.rank, next(self._order), last)
-        heapq.heappush(self._waiting, item)
+        self._push(last)
         return True
 
     def _begin(self, sequence: _Sequence) -> None:
