Serve the route's rank before the workspace's

What callers saw: with one busy workspace of a preferred rank, questions and summaries of all other workspaces were refused while long prompts of that one began. Cause: the queue compared the workspace's rank before the route's. Why it works: a request is behind another route's only if that is more urgent; the workspace decides among requests of one route rank.

--- a/cardamombarrow/document/schema.py
+++ b/cardamombarrow/document/schema.py
@@ -96,9 +96,8 @@
         max_in_flight: Most requests in flight per entry; 0 is no limit.
         weight: Weight of its share of the capacity among the workspaces of a
             class.
-        rank: Its requests are served before those of workspaces of a higher
-            rank, whatever their tiers; within one rank the tier decides.
-            Only in documents built from routes.
+        rank: Within a tier, its requests are served before those of workspaces
+            of a higher rank. Only in documents built from routes.
     """
 
     workspace: ids.WorkspaceId
@@ -288,13 +287,13 @@
 
 
 def rank_pair(workspace: Workspace, rank: int) -> tuple[int, int]:
-    """Returns the ranks that order requests: workspace first, then tier.
+    """Returns the ranks that order requests: tier first, then workspace.
 
     Args:
         workspace: The workspace of the requests.
         rank: The rank of their class's tier.
     """
-    return rank if workspace.rank is None else workspace.rank, rank
+    return rank, rank if workspace.rank is None else workspace.rank
 
 
 @dataclasses.dataclass(frozen=True)
--- a/cardamombarrow/platform/servers.py
+++ b/cardamombarrow/platform/servers.py
@@ -162,8 +162,8 @@
     """Returns the priority that a server gets, 0 (most urgent) to 9.
 
     It is the route's rank. A server preempts running requests by it, and has
-    too few priorities for all pairs of a workspace's and a route's rank: with
+    too few priorities for all pairs of a route's and a workspace's rank: with
     numbers for some of the pairs, others of different routes share one. A
     workspace's rank affects queueing and placement, not which answer is cut.
     """
-    return from_routes.split_rank(rank)[1]
+    return from_routes.split_rank(rank)[0]
