Send full endpoints only the requests for which they preempt

What callers saw: a request of a preferred workspace was sent to an engine whose slots were all taken by requests of the same or a more urgent route, and waited there behind all of them; one that the engine would have preempted for was kept in the queue of the instance. Cause: placement compared the combined rank, engines get the route's rank alone. Class: one order that is evaluated by two parties in two ways. Why it works: placement counts as not preemptible what endpoints get as the same priority.

--- a/cardamombarrow/decisions/endpoint.py
+++ b/cardamombarrow/decisions/endpoint.py
@@ -106,14 +106,20 @@
         )
         return own + max(0, reported - included)
 
-    def count_not_preemptible(self, rank: int) -> int:
-        """Counts the requests on it that a request of a rank can't preempt.
+    def count_not_preemptible(self, last_equal_rank: int) -> int:
+        """Counts the requests on it that a request can't preempt.
 
         An endpoint whose slots are all taken preempts less urgent requests.
+
+        Args:
+            last_equal_rank: The highest rank that the endpoint gets as the
+                same priority as the request's.
         """
-        own = sum(run.job.rank <= rank for run in self.running.values())
+        own = sum(
+            run.job.rank <= last_equal_rank for run in self.running.values()
+        )
         reported = sum(
-            other <= rank
+            other <= last_equal_rank
             for load in self.peer_loads.values()
             for other in load.ranks
         )
--- a/cardamombarrow/decisions/fleet/roster.py
+++ b/cardamombarrow/decisions/fleet/roster.py
@@ -453,7 +453,10 @@
         """
         engine_preempts = self._policies.choice.engine_preempts and job.streams
         if self._context.whole_domain and engine_preempts:
-            return state.count_not_preemptible(job.rank)
+            document = self._context.document
+            return state.count_not_preemptible(
+                document.last_equal_rank(job.rank)
+            )
         return state.total_running
 
 
--- a/cardamombarrow/document/from_routes.py
+++ b/cardamombarrow/document/from_routes.py
@@ -106,6 +106,7 @@
         routes={each.route: each for each in routes},
         limits=parts.limits,
         rank_order=_combined_ranks(parts),
+        ranks_per_priority=LAST_RANK + 1,
     )
     mistakes += [
         f"[{section}]: {reason}"
--- a/cardamombarrow/document/schema.py
+++ b/cardamombarrow/document/schema.py
@@ -303,6 +303,7 @@
     Attributes:
         rank_order: Combined rank by the pair that `rank_pair` returns; empty
             if the tier alone decides.
+        ranks_per_priority: Consecutive ranks that endpoints can't tell apart.
     """
 
     tiers: dict[ids.TierId, Tier]
@@ -318,12 +319,18 @@
     rank_order: dict[tuple[int, int], int] = dataclasses.field(
         default_factory=dict
     )
+    ranks_per_priority: int = 1
 
     def rank_of(self, class_id: ids.ClassId, workspace: Workspace) -> int:
         """Returns the rank of a workspace's requests of a class."""
         rank = self.tier_of(class_id).rank
         return self.rank_order.get(rank_pair(workspace, rank), rank)
 
+    def last_equal_rank(self, rank: int) -> int:
+        """Returns the highest rank with the same priority at endpoints."""
+        first = rank - rank % self.ranks_per_priority
+        return first + self.ranks_per_priority - 1
+
     def tier_of(self, class_id: ids.ClassId) -> Tier:
         """Returns the tier of a class."""
         return self.tiers[self.classes[class_id].tier]
