Reserve slots of lower tiers in the own failure domain only

What callers saw: requests of the second route rank waited at the placer of their domain while long prompts of the third were sent to engines; with enough load they were refused or cut. Cause: placers may use engines of all domains, and the reserved share of a lower tier was a part of all their slots, at each placer. One hundredth of 1,920 slots at six placers is 120 long prompts that may go ahead of urgent ones, more than engines prefill at once. Class: a share of a total that each of several instances takes of the whole. Ruled out: the wait for an affinity endpoint (0.25 s for these), the order of the tiers. Why it works: the parts of all domains add up to the share. One domain: as before.

--- a/cardamombarrow/decisions/fleet/roster.py
+++ b/cardamombarrow/decisions/fleet/roster.py
@@ -136,7 +136,9 @@
     ) -> capacity_module.Capacity:
         capacity = self.capacities.get(service)
         if capacity is None:
-            capacity = capacity_module.Capacity(service, now_s)
+            capacity = capacity_module.Capacity(
+                service, self._context.domain, now_s
+            )
             self.capacities[service] = capacity
         return capacity
 
--- a/cardamombarrow/decisions/limiting/capacity.py
+++ b/cardamombarrow/decisions/limiting/capacity.py
@@ -47,16 +47,23 @@
         local: Endpoints of the own domain that accept new requests.
         remote: Endpoints of other domains that accept new requests.
         slots: Slots of the local endpoints that this instance may use.
+        reservable_slots: Those in the own failure domain. Reserved shares are
+            parts of these: instances of all domains may use the same slots,
+            and each would reserve a part of them.
         held: Local and remote slots held, by rank of the tier.
         held_by_class: The same by class.
         preempting: Preempted requests that have not ended yet.
     """
 
-    def __init__(self, service: ids.ServiceId, now_s: float):
+    def __init__(
+        self, service: ids.ServiceId, domain: ids.DomainId, now_s: float
+    ):
         self.service = service
+        self._domain = domain
         self.local: list[endpoint_module.EndpointState] = []
         self.remote: list[endpoint_module.EndpointState] = []
         self.slots = 0
+        self.reservable_slots = 0
         self.held: collections.Counter[int] = collections.Counter()
         self.preempting = 0
         self._hold_s: dict[ids.ClassId, float] = {}
@@ -79,8 +86,11 @@
         self.count()
 
     def count(self) -> None:
-        """Recomputes `slots` after a change of the shares."""
+        """Recomputes the slots after a change of the shares."""
         self.slots = sum(state.share for state in self.local)
+        self.reservable_slots = sum(
+            state.share for state in self.local if state.domain == self._domain
+        )
 
     def set_initial_hold_times(
         self, classes: dict[ids.ClassId, schema.RequestClass]
@@ -104,6 +114,10 @@
         """Counts the free slots of the local endpoints."""
         return sum(max(s.share - len(s.running), 0) for s in self.local)
 
+    def reserved_slots(self, tier: schema.Tier) -> float:
+        """Returns a tier's reserved part of `reservable_slots`."""
+        return reserved_slots(tier, self.reservable_slots)
+
     def placed(self, job: messages.Job, now_s: float) -> None:
         """Records that a job takes a slot."""
         self._update_use(now_s)
--- a/cardamombarrow/decisions/queueing/forecast.py
+++ b/cardamombarrow/decisions/queueing/forecast.py
@@ -121,7 +121,7 @@
         lower = 0.0
         own = MIN_SLOTS
         for tier in self._tiers():
-            reserved = capacity_module.reserved_slots(tier, capacity.slots)
+            reserved = capacity.reserved_slots(tier)
             if tier.rank == job.rank:
                 own = max(own, reserved)
             elif tier.rank > job.rank and tier.rank in waiting:
@@ -133,8 +133,7 @@
         self, job: messages.Job, capacity: capacity_module.Capacity
     ) -> bool:
         return any(
-            capacity.held[tier.rank]
-            > math.ceil(capacity_module.reserved_slots(tier, capacity.slots))
+            capacity.held[tier.rank] > math.ceil(capacity.reserved_slots(tier))
             for tier in self._tiers()
             if tier.rank > job.rank
         )
--- a/cardamombarrow/decisions/queueing/tiers.py
+++ b/cardamombarrow/decisions/queueing/tiers.py
@@ -95,7 +95,7 @@
         if not waiting and not self._contended:
             self._seen_s = now_s
             return None
-        slots = capacity.slots
+        slots = capacity.reservable_slots
         reserved = {rank: share * slots for rank, share in shares.items()}
         self._accrue_credits(reserved, now_s)
         orders_late = free_slots.orders_late_jobs(capacity.service)
