--- a/benchmarks/uneven_engines.py
+++ b/benchmarks/uneven_engines.py
@@ -97,7 +97,7 @@
         return placer
 
     def _set_source(self, dispatcher: core.Dispatcher) -> None:
-        dispatcher._policies.choice._speeds = _SPEEDS[self._source]()
+        dispatcher._policies.choice._prefill.speeds = _SPEEDS[self._source]()
 
 
 def _engine_settings(
--- a/cardamombarrow/decisions/choosing/first_event.py
+++ b/cardamombarrow/decisions/choosing/first_event.py
@@ -7,22 +7,11 @@
 this module each domain uses its own engines only, and a domain with one engine
 misses every target while engines of other domains are idle.
 
-The expected time is the sum of
-
-- the base latency: the time to first token on an idle endpoint, learned per
-  endpoint; a guess by distance until then;
-- the remaining prefill of the prompts that this instance sent there, and of
-  those that other instances reported;
-- the congestion: how much later than expected the latest first tokens there
-  came, because of other instances' requests or a slow endpoint. It decays
-  within seconds, so that the endpoint is tried again;
-- the prefill of the job's own prompt, less the parts in the endpoint's cache;
-- a penalty for leaving the job's partition (see `length_partition`): the
-  prefill of a long prompt delays the tokens of short answers on the same
-  engine, and a short request is delayed among long prompts.
-
-A call that does not stream has no prompt to prefill: its base latency is the
-median response time of such calls, and one overdue call is ignored.
+The cost is the expected time (`first_token_forecast`), with the prefill of the
+job's own prompt less the parts in the endpoint's cache, plus a penalty for
+leaving the job's partition (see `length_partition`): the prefill of a long
+prompt delays the tokens of short answers on the same engine, and a short
+request is delayed among long prompts.
 
 Cache contents are inferred from what this instance sent there and what other
 instances report (see `cache_directory`); missing parts may be fetched (see
@@ -36,19 +25,17 @@
 
 from collections import abc as collections_abc
 import dataclasses
-import math
 
 from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import endpoint as endpoint_module
 from cardamombarrow.decisions import messages
 from cardamombarrow.decisions.choosing import cost_choice
-from cardamombarrow.decisions.choosing import endpoint_speed
 from cardamombarrow.decisions.choosing import engine_caches
-from cardamombarrow.decisions.choosing import engine_latency
+from cardamombarrow.decisions.choosing import engine_prefill
 from cardamombarrow.decisions.choosing import fetching
+from cardamombarrow.decisions.choosing import first_token_forecast
 from cardamombarrow.decisions.choosing import length_partition
 from cardamombarrow.decisions.choosing import prefill_bound
-from cardamombarrow.decisions.choosing import prefill_time
 from cardamombarrow.decisions.fleet import failures
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import ids
@@ -56,16 +43,6 @@
 
 __all__ = ["FirstEventChoice"]
 
-LOCAL_BASE_S = 0.02
-"""Initial base latency of an endpoint in the own domain."""
-
-REMOTE_BASE_S = 0.15
-"""Initial base latency in another domain: connection setup, request and first
-token at 30 ms each way."""
-
-MAX_ENGINES = 1_024
-"""Endpoints tracked; slightly more than the target size has."""
-
 LONG_PREFILL_SHARE = 0.5
 """A prompt is long when its prefill takes more than this share of the shortest
 pause that any route of the document allows within an answer."""
@@ -119,16 +96,6 @@
 """Penalty for an endpoint that has to preempt a request: a long prompt is
 prefilled twice."""
 
-LEAST_WAIT_AGE_S = 0.05
-"""Time for which the least wait at an endpoint and the prefill rate of all
-endpoints are used again; a fraction of the shortest target."""
-
-MIN_UNCACHED_SHARE = 0.5
-"""Share of a prompt that must not be cached for its prefill time to count."""
-
-PER_REQUEST_S = 0.001
-"""Added for each running request, because they share the engine's speed."""
-
 
 def _shortest_pause_s(document: schema.Document) -> float:
     pauses_s = [r.longest_pause_s for r in document.routes.values()]
@@ -143,13 +110,10 @@
 
     def __init__(self, context: context_module.PolicyContext):
         super().__init__(context)
-        self._latencies: dict[ids.EndpointId, engine_latency.EngineLatency] = {}
-        self._prefill_time = prefill_time.PrefillTime()
-        self._expected_s: dict[ids.RequestId, float] = {}
-        self._speeds = endpoint_speed.EndpointSpeeds()
-        self._speed_predictions: dict[
-            ids.RequestId, endpoint_speed.Prediction
-        ] = {}
+        self._prefill = engine_prefill.EnginePrefill(context.overload)
+        self._forecast = first_token_forecast.FirstTokenForecast(
+            context.domain, self._prefill
+        )
         self._caches = engine_caches.EngineCaches()
         self._fetch: messages.Fetch | None = None
         self._short_request_endpoints: frozenset[ids.EndpointId] = frozenset()
@@ -160,10 +124,6 @@
             None,
         )
         self._prepared_is_long: tuple[messages.Job | None, bool] = None, False
-        self._least_waits: dict[
-            tuple[ids.ServiceId, int], tuple[float, float]
-        ] = {}
-        self._prefill_rates: dict[ids.ServiceId, tuple[float, float]] = {}
         self._shortest_pause_s = _shortest_pause_s(context.document)
         self._queue_limits = (
             DOMAIN_QUEUE_LIMITS if context.whole_domain else OWN_QUEUE_LIMITS
@@ -211,7 +171,9 @@
         return is_long if prepared is job else self._takes_long(job)
 
     def _takes_long(self, job: messages.Job) -> bool:
-        prefill_s = job.prompt_tokens * self._prefill_time.token_s(job.service)
+        prefill_s = job.prompt_tokens * self._prefill.service_token_s(
+            job.service
+        )
         return prefill_s > LONG_PREFILL_SHARE * self._shortest_pause_s
 
     def _partition_penalty_s(
@@ -280,7 +242,7 @@
         now_s: float,
     ) -> bool:
         if self.context.overload.orders_by_prefill:
-            token_s = self._prefill_time.token_s(state.service)
+            token_s = self._prefill.service_token_s(state.service)
             return prefill_bound.is_open(state, job, token_s, now_s)
         max_queued = self._queue_limits.max_queued(self._is_long(job))
         return state.unread < max_queued
@@ -299,7 +261,9 @@
 
     def _awaits_affinity(self, job: messages.Job, now_s: float) -> bool:
         _, affinity = self._considered_affinity
-        if affinity is not None and self._is_slow(job, affinity, now_s):
+        if affinity is not None and self._prefill.is_slow(
+            job.service, affinity, now_s
+        ):
             return False
         recheck_after_s = self.recheck_after_s(job) or 0.0
         return now_s - job.arrived_s < recheck_after_s
@@ -317,14 +281,12 @@
         now_s: float,
     ) -> None:
         """Records the expected first token time and the tokens to prefill."""
-        self._expected_s[job.request_id] = self._first_token_s(
-            job, state, now_s, has_affinity
-        )
-        self._predict_speed(job, state, now_s)
-        self._fetch = self._find_fetch(job, state, now_s)
         uncached = self._caches.uncached_tokens(
             job, state.endpoint, has_affinity
         )
+        self._forecast.record_choice(job, state, uncached, now_s)
+        self._prefill.record_placement(job, state, now_s)
+        self._fetch = self._find_fetch(job, state, now_s)
         fetched = self._fetch.tokens if self._fetch else 0
         job.unread_tokens = max(uncached - fetched, 0.0)
         self._caches.record_sent(job, state.endpoint, now_s)
@@ -335,16 +297,11 @@
         states: list[endpoint_module.EndpointState],
         now_s: float,
     ) -> float:
-        """Returns the least time to the first token of a job placed now.
-
-        This is the prefill of what no endpoint has cached, behind the shortest
-        queue; a fetch takes far less.
-        """
+        """Returns the least time to the first token of a job placed now."""
         if not job.prompt_tokens:
             return 0.0
-        token_s = self._prefill_time.token_s(job.service)
-        prefill_s = self.uncached_tokens(job, now_s) * token_s
-        return self._least_wait_s(job, states, now_s) + prefill_s
+        uncached = self.uncached_tokens(job, now_s)
+        return self._forecast.least_s(job, states, uncached, now_s)
 
     def prefill_ahead_s(
         self,
@@ -353,7 +310,7 @@
         now_s: float,
     ) -> float:
         """Returns the prefill at an endpoint that would precede a job."""
-        token_s = self._prefill_time.token_s(state.service)
+        token_s = self._prefill.service_token_s(state.service)
         return prefill_bound.prefill_ahead_s(state, job, token_s, now_s)
 
     def uncached_tokens(self, job: messages.Job, now_s: float) -> float:
@@ -367,50 +324,8 @@
         states: list[endpoint_module.EndpointState],
         now_s: float,
     ) -> float:
-        """Returns the part of the endpoints' prefill rate that is this one's.
-
-        It is the part that its own prompts have of those in prefill there.
-        """
-        key = job.service
-        known_s, per_s = self._prefill_rates.get(key, (-math.inf, 0.0))
-        if now_s - known_s < LEAST_WAIT_AGE_S:
-            return per_s
-        token_s = self._prefill_time.token_s(job.service)
-        own_s = peer_s = 0.0
-        for state in states:
-            own_s += token_s * state.own_load(now_s).unread_tokens
-            peer_s += state.peer_prefill_s(token_s, now_s)
-        share = own_s / (own_s + peer_s) if own_s and peer_s else 1.0
-        per_s = share * len(states) / token_s
-        self._prefill_rates[key] = now_s, per_s
-        return per_s
-
-    def _least_wait_s(
-        self,
-        job: messages.Job,
-        states: list[endpoint_module.EndpointState],
-        now_s: float,
-    ) -> float:
-        """Returns the least wait, at most `LEAST_WAIT_AGE_S` old.
-
-        A job may be examined at each event; with hundreds of endpoints that
-        would take longer than the decisions.
-        """
-        key = job.service, job.rank
-        known_s, wait_s = self._least_waits.get(key, (-math.inf, 0.0))
-        if now_s - known_s < LEAST_WAIT_AGE_S:
-            return wait_s
-        token_s = self._prefill_time.token_s(job.service)
-        wait_s = min(
-            (
-                self._latency(state).base_at(now_s)
-                + prefill_bound.prefill_ahead_s(state, job, token_s, now_s)
-                for state in states
-            ),
-            default=0.0,
-        )
-        self._least_waits[key] = now_s, wait_s
-        return wait_s
+        """Returns this instance's part of the endpoints' prefill rate."""
+        return self._forecast.prefill_tokens_per_s(job, states, now_s)
 
     def on_remote_placement(
         self,
@@ -422,14 +337,8 @@
 
         That instance has already set the job's uncached tokens.
         """
-        self._predict_speed(job, state, now_s)
-        token_s = self._endpoint_token_s(state, now_s)
-        base_s = self._latency(state).base_at(now_s)
-        self._expected_s[job.request_id] = (
-            base_s
-            + self._queue_s(job, state, token_s, now_s)
-            + job.unread_tokens * token_s
-        )
+        self._prefill.record_placement(job, state, now_s)
+        self._forecast.record_remote_placement(job, state, now_s)
         self._caches.record_sent(job, state.endpoint, now_s)
 
     def _find_fetch(
@@ -440,7 +349,7 @@
     ) -> messages.Fetch | None:
         service = self.document.services.get(job.service)
         fetch_s = fetching.fetch_token_s(service)
-        if fetch_s is None or fetch_s >= self._prefill_time.token_s(
+        if fetch_s is None or fetch_s >= self._prefill.service_token_s(
             job.service
         ):
             return None
@@ -488,7 +397,12 @@
         Failures of the endpoint multiply the cost; see `failures`.
         """
         slowdown = self._failures.slowdown(state.endpoint, now_s)
-        first_token_s = self._first_token_s(job, state, now_s, is_prefix_cached)
+        uncached = self._caches.uncached_tokens(
+            job, state.endpoint, is_prefix_cached
+        )
+        first_token_s = self._forecast.first_token_s(
+            job, state, uncached, now_s
+        )
         penalty_s = self._partition_penalty_s(
             job, state
         ) + self._preemption_penalty_s(state)
@@ -508,85 +422,15 @@
             return PREEMPTION_PENALTY_S
         return 0.0
 
-    def _first_token_s(
-        self,
-        job: messages.Job,
-        state: endpoint_module.EndpointState,
-        now_s: float,
-        is_prefix_cached: bool,
-    ) -> float:
-        latency = self._latency(state)
-        token_s = self._endpoint_token_s(state, now_s)
-        uncached = self._caches.uncached_tokens(
-            job, state.endpoint, is_prefix_cached
-        )
-        waiting = max(state.in_flight - state.configured_slots + 1, 0)
-        base_s = latency.base_at(now_s)
-        return (
-            base_s
-            + self._queue_s(job, state, token_s, now_s)
-            + latency.congestion_at(now_s)
-            + uncached * token_s
-            + PER_REQUEST_S * state.in_flight
-            + waiting * base_s / max(state.configured_slots, 1)
-        )
-
-    def _queue_s(
-        self,
-        job: messages.Job,
-        state: endpoint_module.EndpointState,
-        token_s: float,
-        now_s: float,
-    ) -> float:
-        """Returns the remaining prefill of the prompts there, plus their delay.
-
-        If a first token is overdue, the endpoint is at least that late. A call
-        that does not stream may just be long, so the most overdue one is
-        ignored. Otherwise each call of a second or so sent the calls of that
-        second to other domains, a sixth of all, where the network latency
-        alone takes half of their target.
-        """
-        queued_s = 0.0
-        first_placed_s = now_s
-        overdue_s = [0.0]
-        for running in state.running.values():
-            if running.first_token_s is not None:
-                continue
-            queued_s += running.job.unread_tokens * token_s
-            first_placed_s = min(first_placed_s, running.placed_s)
-            expected_s = self._expected_s.get(running.job.request_id, 0.0)
-            overdue_s.append(now_s - running.placed_s - expected_s)
-        if not job.streams:
-            overdue_s.remove(max(overdue_s))
-        own_prefill_s = max(queued_s - (now_s - first_placed_s), 0.0)
-        reported_prefill_s = state.peer_prefill_s(token_s, now_s)
-        return own_prefill_s + reported_prefill_s + max(overdue_s, default=0.0)
-
-    # -- speed of the endpoints -----------------------------------------------
-
-    def _endpoint_token_s(
-        self, state: endpoint_module.EndpointState, now_s: float
-    ) -> float:
-        """Returns the prefill time per token at an endpoint."""
-        token_s = self._prefill_time.token_s(state.service)
-        if not self.context.overload.learns_speeds(state.service):
-            return token_s
-        return token_s * self._speeds.factor(state.endpoint, now_s)
-
     def speed(
         self, state: endpoint_module.EndpointState, now_s: float
     ) -> messages.EndpointSpeed | None:
         """Returns the speed of an endpoint; None if it is not learned."""
-        if not self.context.overload.learns_speeds(state.service):
-            return None
-        return messages.EndpointSpeed(
-            self._speeds.factor(state.endpoint, now_s),
-            self._speeds.report_age_s(state.endpoint, now_s),
-        )
+        return self._prefill.speed(state, now_s)
 
     def count_slow_endpoints(self, now_s: float) -> int:
         """Counts the endpoints slower than `endpoint_speed.SLOW_FACTOR`."""
-        return self._speeds.count_slower(endpoint_speed.SLOW_FACTOR, now_s)
+        return self._prefill.count_slow(now_s)
 
     def choose(
         self,
@@ -608,95 +452,17 @@
             reason += f", work time reported {speed.report_age_s:.2f} s ago"
         return state, reason
 
-    def _is_slow(
-        self, job: messages.Job, endpoint: ids.EndpointId, now_s: float
-    ) -> bool:
-        """Returns whether an endpoint is too slow to be waited for.
-
-        Otherwise long prompts whose affinity endpoint has become slow would be
-        sent there alone, whatever the cost of the others.
-        """
-        if not self.context.overload.learns_speeds(job.service):
-            return False
-        factor = self._speeds.factor(endpoint, now_s)
-        return factor > endpoint_speed.SLOW_FACTOR
-
-    def _predict_speed(
-        self,
-        job: messages.Job,
-        state: endpoint_module.EndpointState,
-        now_s: float,
-    ) -> None:
-        """Records the predictions for a prompt that finds no other waiting.
-
-        They are also recorded where speeds are not learned yet: the first
-        report arrives with the first response, and without that prompt an
-        endpoint that is never empty afterwards would not be known as slow.
-        """
-        self._speed_predictions.pop(job.request_id, None)
-        if job.streams and not state.unread:
-            self._speed_predictions[job.request_id] = self._speeds.predict(
-                state.endpoint, now_s
-            )
-
-    def _learn_prefill(
-        self,
-        state: endpoint_module.EndpointState,
-        job: messages.Job,
-        observed_token_s: float,
-        now_s: float,
-    ) -> None:
-        """Updates the prefill time of the service and of the endpoint.
-
-        Where speeds are learned, a prompt that waited for others is left out:
-        its time includes the queue and would slow the whole service down. So
-        is a mostly cached prompt: if its parts have been evicted, its endpoint
-        would look several times as slow.
-        """
-        if not self.context.overload.learns_speeds(state.service):
-            self._prefill_time.learn(state.service, observed_token_s)
-            return
-        prediction = self._speed_predictions.pop(job.request_id, None)
-        min_uncached = MIN_UNCACHED_SHARE * job.prompt_tokens
-        if prediction is None or job.unread_tokens < min_uncached:
-            return
-        service_token_s = self._prefill_time.token_s(state.service)
-        self._speeds.learn(
-            state, observed_token_s, service_token_s, now_s, prediction
-        )
-        self._prefill_time.learn(state.service, observed_token_s)
-
     def on_report(
         self,
         state: endpoint_module.EndpointState,
         report: messages.LoadReport,
     ) -> None:
         """Records the work time that an endpoint reports."""
-        self._speeds.report(
-            state.endpoint,
-            state.service,
-            report.work_time_factor,
-            report.measured_at_s,
-        )
+        self._prefill.report(state, report)
 
     def on_endpoint_removed(self, endpoint: ids.EndpointId) -> None:
         """Drops the speed of an endpoint."""
-        self._speeds.forget(endpoint)
-
-    def _latency(
-        self, state: endpoint_module.EndpointState
-    ) -> engine_latency.EngineLatency:
-        latency = self._latencies.get(state.endpoint)
-        if latency is None:
-            is_local = state.domain == self.context.domain
-            latency = engine_latency.EngineLatency(
-                LOCAL_BASE_S if is_local else REMOTE_BASE_S
-            )
-            self._latencies[state.endpoint] = latency
-            if len(self._latencies) > MAX_ENGINES:
-                # Restarted endpoints get new ids and would accumulate.
-                del self._latencies[next(iter(self._latencies))]
-        return latency
+        self._prefill.drop_endpoint(endpoint)
 
     # -- learning ------------------------------------------------------------
 
@@ -708,23 +474,8 @@
     ) -> None:
         """Updates base latency, prefill time and congestion."""
         super().on_first_token(state, running, now_s)
-        latency = self._latency(state)
-        took_s = now_s - running.placed_s
         self._caches.record_prefilled(running.job, state.endpoint, now_s)
-        if not running.job.streams:
-            latency.learn_response(took_s, now_s)
-            return
-        expected_s = self._expected_s.get(running.job.request_id, took_s)
-        latency.learn_delay(max(took_s - expected_s, 0.0), now_s)
-        uncached = running.job.unread_tokens
-        if uncached >= prefill_time.MIN_PROMPT_TOKENS:
-            prefill_s = took_s - latency.base_s
-            self._learn_prefill(state, running.job, prefill_s / uncached, now_s)
-            return
-        prefill_s = uncached * self._endpoint_token_s(state, now_s)
-        base_s = max(took_s - prefill_s, 0.001)
-        if base_s < latency.base_s:
-            latency.learn_base(base_s, now_s)
+        self._forecast.learn(state, running, now_s)
 
     def on_finish(
         self,
@@ -735,8 +486,8 @@
     ) -> None:
         """Records a failure of the endpoint and drops the request."""
         super().on_finish(state, running, outcome, now_s)
-        self._expected_s.pop(running.job.request_id, None)
-        self._speed_predictions.pop(running.job.request_id, None)
+        self._forecast.drop_request(running.job.request_id)
+        self._prefill.drop_request(running.job.request_id)
         if outcome is messages.Outcome.CRASHED:
             self._caches.directory.remove_engine(state.endpoint)
         elif running.first_token_s is None and outcome in failures.NOT_RECEIVED:
--- a/cardamombarrow/decisions/choosing/tests/test_first_event.py
+++ b/cardamombarrow/decisions/choosing/tests/test_first_event.py
@@ -12,6 +12,7 @@
 from cardamombarrow.decisions import messages
 from cardamombarrow.decisions.choosing import cache_directory
 from cardamombarrow.decisions.choosing import first_event
+from cardamombarrow.decisions.choosing import first_token_forecast
 from cardamombarrow.document import from_routes
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import ids
@@ -232,7 +233,7 @@
     if avoided:
         assert simulation.placed["chat"][-1] != best
     else:
-        engine = simulation.choice._latencies[best]
+        engine = simulation.choice._forecast.latencies[best]
         assert engine.congestion_at(2.5 + after_s) < 0.001
 
 
@@ -291,12 +292,12 @@
 def test_state_of_removed_endpoints_is_bounded(monkeypatch):
     # A restarted endpoint gets a new id, so the state of old endpoints would
     # accumulate over months of releases.
-    monkeypatch.setattr(first_event, "MAX_ENGINES", 3)
+    monkeypatch.setattr(first_token_forecast, "MAX_ENGINES", 3)
     simulation = _Simulation()
     for step in range(40):
         simulation.send(0.02 * step, "letter", [], 20_000)
     simulation.advance(5.0)
-    assert len(simulation.choice._latencies) <= 3
+    assert len(simulation.choice._forecast.latencies) <= 3
 
 
 def _shared_prefix_bursts(simulation):
--- a/cardamombarrow/decisions/limiting/tests/test_restrictions.py
+++ b/cardamombarrow/decisions/limiting/tests/test_restrictions.py
@@ -225,7 +225,7 @@
         usable.extend(map(is_usable, _LOCAL))
 
     choice._caches.fetch = fetch
-    choice._prefill_time.token_s = lambda service: 1.0
+    choice._prefill.service_token_s = lambda service: 1.0
     services = {
         name: dataclasses.replace(
             service, cache_token_bytes=1, cache_link_mbit_per_s=1.0
--- a/cardamombarrow/placing/tests/test_uneven_engines.py
+++ b/cardamombarrow/placing/tests/test_uneven_engines.py
@@ -171,7 +171,7 @@
             dispatcher.configure(document, driver._now_s)
 
     def replace():
-        speeds = driver._placer._policies.choice._speeds
+        speeds = driver._placer._policies.choice._prefill.speeds
         factors.append(speeds.factor(old, driver._now_s))
         driver._engines[new] = fake_engine.FakeEngine(many_entries.ENGINE)
         configure()
@@ -183,7 +183,7 @@
     assert factors[0] > endpoint_speed.SLOW_FACTOR
     assert factors[1] == 1.0
     for dispatcher in (driver._placer, *driver.entries):
-        assert old not in dispatcher._policies.choice._speeds._speeds
+        assert old not in dispatcher._policies.choice._prefill.speeds._speeds
     to_new = [at_s for at_s, _, endpoint in driver.placed if endpoint == new]
     assert len(to_new) > 20
     assert all(at_s >= REPLACED_S for at_s in to_new)
@@ -220,4 +220,4 @@
     driver = _SpeedDriver(scenario, 0, uneven_engines.SpeedSource.WEIGHTED)
     driver.run()
     for dispatcher in (driver._placer, *driver.entries):
-        assert not dispatcher._policies.choice._speed_predictions
+        assert not dispatcher._policies.choice._prefill.predictions
