Bound the prompts ahead at an engine by urgency

What callers saw: requests of the first two route ranks waited in the placer, up to their deadlines, while engines were busy with long prompts of the third. Cause: an engine got no further prompt once 8 (long) or 12 (short) waited there for their first token, whoever sent them, although it prefills by priority. A trace of a calm burst shows prompts of the second rank waiting 0.4 to 0.7 s with one endpoint open in 30. Why it works: the bound counts the prompts that are at least as urgent; less urgent ones are prefilled later. The test failed in 2 of 18 cases before.

--- a/cardamombarrow/decisions/choosing/first_event.py
+++ b/cardamombarrow/decisions/choosing/first_event.py
@@ -60,7 +60,8 @@
 
     Attributes:
         max_queued_for_long: A long prompt goes to an endpoint only while fewer
-            known prompts than this wait for their first token there.
+            known prompts, of those at least as urgent, than this wait for their
+            first token there.
         max_queued_for_short: The same for a short prompt.
         long_prompt_penalty_share: Penalty for a long prompt on an endpoint of
             the short-request partition, as a share of its target.
@@ -245,7 +246,11 @@
             token_s = self._prefill.service_token_s(state.service)
             return prefill_bound.is_open(state, job, token_s, now_s)
         max_queued = self._queue_limits.max_queued(self._is_long(job))
-        return state.unread < max_queued
+        if state.unread < max_queued:
+            return True
+        # Less urgent prompts do not delay it: engines prefill by priority.
+        last_equal_rank = self.document.last_equal_rank(job.rank)
+        return state.count_unread(last_equal_rank) < max_queued
 
     def _is_affinity_wait_over(
         self,
--- a/cardamombarrow/decisions/endpoint.py
+++ b/cardamombarrow/decisions/endpoint.py
@@ -125,6 +125,22 @@
         )
         return own + reported
 
+    def count_unread(self, last_equal_rank: int) -> float:
+        """Counts the requests without a first token up to a rank.
+
+        Other instances report only the number over all ranks; the part up to
+        the rank is estimated by the ranks of all their requests.
+        """
+        own = sum(
+            run.job.rank <= last_equal_rank for run in self.own_unread.values()
+        )
+        reported = 0.0
+        for load in self.peer_loads.values():
+            if load.unread and load.ranks:
+                as_urgent = sum(rank <= last_equal_rank for rank in load.ranks)
+                reported += load.unread * as_urgent / len(load.ranks)
+        return own + reported
+
     @property
     def total_running(self) -> int:
         """Requests on it, with those that other instances reported."""
--- a/cardamombarrow/platform/tests/test_urgency.py
+++ b/cardamombarrow/platform/tests/test_urgency.py
@@ -299,3 +299,33 @@
     )
     preempts = _told_priority(job.rank) < _told_priority(running_rank)
     assert is_placed == preempts
+
+
+@pytest.mark.parametrize("size_factor", [1, 3])
+@pytest.mark.parametrize(
+    ("running", "arriving"), list(itertools.product(STREAMS, repeat=2))
+)
+def test_unread_prompts_keep_out_only_less_urgent_and_equal_ones(
+    make, running, arriving, size_factor
+):
+    # Guards against an urgent prompt that waits because engines have enough
+    # less urgent ones to prefill.
+    running, arriving = (
+        dataclasses.replace(
+            each, prompt_tokens=size_factor * each.prompt_tokens
+        )
+        for each in (running, arriving)
+    )
+    document = _document(make, preferred_rank=1)
+    dispatcher = _dispatcher(document)
+    for number in itertools.count():
+        assert (
+            dispatcher.offer(_job(document, number, running, "w1"), 0.0) is None
+        )
+        if not list(dispatcher.place(0.0)):
+            break
+    arriving_job = _job(document, number + 1, arriving, "w2")
+    assert dispatcher.offer(arriving_job, 0.0) is None
+    placed = [decision.request_id for decision in dispatcher.place(0.0)]
+    is_more_urgent = arriving.priority < running.priority
+    assert placed == ([arriving_job.request_id] if is_more_urgent else [])
