Let entries without a placer use the preemption of engines

What callers saw: without a placer (lost, or no answer within 50 ms) an entry refused or gave up urgent requests while its slots held long prompts of a less urgent class: up to 120 of 189 requests of the second route rank in a burst in virtual time. Cause: only placers counted what an engine preempts for a request as available. Why it works: an entry's slots that hold its own less urgent streams are open to an urgent one; the engine chooses whom to preempt. Ruled out: first tokens counted by class (virtual time, no change).

--- a/cardamombarrow/decisions/fleet/roster.py
+++ b/cardamombarrow/decisions/fleet/roster.py
@@ -449,12 +449,11 @@
     ) -> int:
         """Returns the number of slots that a job can't take.
 
-        One instance of several does not know the requests of the others well
-        enough to have one of them preempted. If all requests are known, an
-        urgent one need not wait until a long answer has ended.
+        An engine preempts a less urgent request for a stream, so an urgent one
+        need not wait until a long answer has ended. An instance that does not
+        place for its whole domain knows only its own requests.
         """
-        engine_preempts = self._policies.choice.engine_preempts and job.streams
-        if self._context.whole_domain and engine_preempts:
+        if self._policies.choice.engine_preempts and job.streams:
             document = self._context.document
             return state.count_not_preemptible(
                 document.last_equal_rank(job.rank)
--- a/cardamombarrow/platform/tests/test_urgency.py
+++ b/cardamombarrow/platform/tests/test_urgency.py
@@ -160,7 +160,7 @@
         )
 
 
-class _Driver(placer_driver.PlacerDriver):
+class _SendTimes:
     """Records when each request is first sent to an engine."""
 
     def __init__(self, scenario, seed):
@@ -172,7 +172,15 @@
         super()._deliver(flight)
 
 
-def _run(make, seed, preferred_rank):
+class _EntriesDriver(_SendTimes, driver_module.Driver):
+    """Each entry decides by itself."""
+
+
+class _PlacerDriver(_SendTimes, placer_driver.PlacerDriver):
+    """A placer decides for all entries."""
+
+
+def _run(make, seed, preferred_rank, driver_class=_PlacerDriver, **fields):
     works = list(_works(random.Random(seed)))
     scenario = scenarios.Scenario(
         _document(make, preferred_rank),
@@ -180,11 +188,12 @@
         works,
         DURATION_S,
         entry_weights=(1.0,) * ENTRIES,
-        asked=True,
+        asked=driver_class is _PlacerDriver,
         caller_tries=2,
         retry_share=0.33,
+        **fields,
     )
-    driver = _Driver(scenario, seed)
+    driver = driver_class(scenario, seed)
     driver.run()
     sent_s = [driver.sent_s.get(id(work), math.inf) for work in works]
     return list(zip(works, sent_s, strict=True))
@@ -223,14 +232,7 @@
     return len(passed_over), len(asked)
 
 
-@pytest.mark.parametrize("preferred_rank", PREFERRED_RANKS)
-@pytest.mark.parametrize("seed", SEEDS)
-def test_no_urgent_class_gets_nothing_while_longer_less_urgent_requests_begin(
-    make, seed, preferred_rank
-):
-    # Guards against urgent requests that are refused in a burst while long
-    # prompts of a less urgent class are sent to engines.
-    runs = _run(make, seed, preferred_rank)
+def _check_nothing_passed_over(runs):
     for stream in STREAMS:
         for start_s in range(int(DURATION_S)):
             passed_over, asked = _passed_over(runs, stream, start_s)
@@ -240,6 +242,39 @@
             ), (stream.name, start_s, passed_over, asked)
 
 
+@pytest.mark.parametrize("preferred_rank", PREFERRED_RANKS)
+@pytest.mark.parametrize("seed", SEEDS)
+def test_no_urgent_class_gets_nothing_while_longer_less_urgent_requests_begin(
+    make, seed, preferred_rank
+):
+    # Guards against urgent requests that are refused in a burst while long
+    # prompts of a less urgent class are sent to engines.
+    _check_nothing_passed_over(_run(make, seed, preferred_rank))
+
+
+@pytest.mark.parametrize("preferred_rank", PREFERRED_RANKS)
+@pytest.mark.parametrize("seed", SEEDS)
+def test_entries_without_a_placer_pass_over_no_urgent_class(
+    make, seed, preferred_rank
+):
+    # Guards against urgent requests that are refused by entries whose slots
+    # hold long prompts of a less urgent class.
+    runs = _run(make, seed, preferred_rank, _EntriesDriver)
+    _check_nothing_passed_over(runs)
+
+
+@pytest.mark.parametrize("preferred_rank", PREFERRED_RANKS)
+@pytest.mark.parametrize("seed", SEEDS)
+def test_losing_the_placer_in_a_burst_passes_over_no_urgent_class(
+    make, seed, preferred_rank
+):
+    # Guards against urgent requests that wait until their deadlines after the
+    # placer has returned to engines that the entries have overcommitted.
+    lost = {"placer_lost_from_s": 10.0, "placer_lost_until_s": 16.0}
+    runs = _run(make, seed, preferred_rank, **lost)
+    _check_nothing_passed_over(runs)
+
+
 def _dispatcher(document):
     context = context_module.PolicyContext(
         document,
