Count peers' requests by rank with a binary search

Ranks of a load are sorted by their sender and now at decoding, so that one search replaces a loop over the requests of each peer on each engine.

--- a/benchmarks/fake_engine.py
+++ b/benchmarks/fake_engine.py
@@ -24,7 +24,7 @@
 ]
 
 
-def _same(rank: int) -> int:
+def _identity(rank: int) -> int:
     return rank
 
 
@@ -78,7 +78,7 @@
     prefill_chunk_tokens: int = 512
     batch: int = 8
     preempts: bool = False
-    priority_of: abc.Callable[[int], int] = _same
+    priority_of: abc.Callable[[int], int] = _identity
     cache_tokens: int = 6_000
     fetch_share: float = 0.03
     knee: int = 1_000
--- a/cardamombarrow/decisions/choosing/prefill_bound.py
+++ b/cardamombarrow/decisions/choosing/prefill_bound.py
@@ -100,9 +100,7 @@
     if not state.peer_running:
         return 0.0
     as_urgent = sum(
-        rank <= job.rank
-        for load in state.peer_loads.values()
-        for rank in load.ranks
+        load.count_up_to(job.rank) for load in state.peer_loads.values()
     )
     share = as_urgent / state.peer_running
     return share * state.peer_prefill_s(token_s, now_s)
--- a/cardamombarrow/decisions/endpoint.py
+++ b/cardamombarrow/decisions/endpoint.py
@@ -119,9 +119,8 @@
             run.job.rank <= last_equal_rank for run in self.running.values()
         )
         reported = sum(
-            other <= last_equal_rank
+            load.count_up_to(last_equal_rank)
             for load in self.peer_loads.values()
-            for other in load.ranks
         )
         return own + reported
 
@@ -137,7 +136,7 @@
         reported = 0.0
         for load in self.peer_loads.values():
             if load.unread and load.ranks:
-                as_urgent = sum(rank <= last_equal_rank for rank in load.ranks)
+                as_urgent = load.count_up_to(last_equal_rank)
                 reported += load.unread * as_urgent / len(load.ranks)
         return own + reported
 
--- a/cardamombarrow/decisions/messages.py
+++ b/cardamombarrow/decisions/messages.py
@@ -1,5 +1,6 @@
 """Input and output messages of the scheduling decisions."""
 
+import bisect
 import dataclasses
 import enum
 
@@ -238,7 +239,7 @@
     """The requests of another deciding instance on an endpoint.
 
     Attributes:
-        ranks: The rank of each request.
+        ranks: The rank of each request, in ascending order.
         unread: Number of these requests without a first event.
         unread_tokens: Prompt tokens that the endpoint is expected to read for
             the requests without a first event.
@@ -250,6 +251,10 @@
     unread_tokens: float
     seen_at_s: float
 
+    def count_up_to(self, last_rank: int) -> int:
+        """Counts the requests up to a rank."""
+        return bisect.bisect_right(self.ranks, last_rank)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Backlog:
--- a/cardamombarrow/peers/placing_codec.py
+++ b/cardamombarrow/peers/placing_codec.py
@@ -145,7 +145,10 @@
     """Converts loads back; leaves out endpoints that are not known here."""
     return {
         known[load.endpoint]: messages.PeerLoad(
-            tuple(load.ranks), load.unread, float(load.unread_tokens), now_s
+            tuple(sorted(load.ranks)),
+            load.unread,
+            float(load.unread_tokens),
+            now_s,
         )
         for load in news.loads
         if load.endpoint in known
