Log the fingerprints of suspects and what is quarantined

The lines of a crash name requests. Repeats have other ids, so no line tells whether an instance recognized one, or whether another instance told it.

--- a/cardamombarrow/entry/broker_base.py
+++ b/cardamombarrow/entry/broker_base.py
@@ -471,7 +471,13 @@
         """Records that an endpoint crashed while these jobs ran on it."""
         with self._lock:
             now_s = self._clock.now_s()
+            before = self._dispatcher.quarantine_marks(now_s)
             self._dispatcher.crashed(endpoint, suspects, now_s)
+            after = self._dispatcher.quarantine_marks(now_s)
+        for fingerprint in after.keys() - before.keys():
+            logs.decision(
+                "quarantine", fingerprint=fingerprint, endpoint=endpoint
+            )
 
     def demand(self) -> messages.PeerDemand:
         """Returns this instance's demand, to be gossiped."""
@@ -514,7 +520,16 @@
     def merge_quarantine(self, marks: dict[ids.Fingerprint, float]) -> None:
         """Adds fingerprints that another instance quarantined."""
         with self._lock:
-            self._dispatcher.merge_quarantine(marks, self._clock.now_s())
+            now_s = self._clock.now_s()
+            known = self._dispatcher.quarantine_marks(now_s)
+            self._dispatcher.merge_quarantine(marks, now_s)
+        for fingerprint in marks.keys() - known.keys():
+            logs.decision(
+                "quarantine",
+                fingerprint=fingerprint,
+                source="another instance",
+                left_s=round(marks[fingerprint], 3),
+            )
         if self._domain_broker is not None:
             self._domain_broker.merge_quarantine(marks)
 
--- a/cardamombarrow/entry/crash_detector.py
+++ b/cardamombarrow/entry/crash_detector.py
@@ -120,6 +120,7 @@
             endpoint=endpoint,
             crashed=crashed,
             suspects=[job.request_id for job in suspects],
+            fingerprints=[job.fingerprint for job in suspects],
         )
         if crashed:
             self._broker.crashed(endpoint, suspects)
