Failing test: a request resent through other entries crashes more endpoints

Six entries in three domains, three endpoints that a marked body ends. Once it has crashed three, and 4 s later, each entry gets it twice: five more endpoints crash, where three arrivals are allowed.

--- /dev/null
+++ b/cardamombarrow/tests/test_crashing_requests.py
@@ -0,0 +1,116 @@
+"""A request that crashes what runs it, resent through entries of all domains."""
+
+from concurrent import futures
+import itertools
+import threading
+import time
+
+import pytest
+
+from tools import caller
+from tools import deployment
+
+pytestmark = pytest.mark.process
+
+_DIGEST = "fd501e4e4eabb3b62f313e4d323048dfbddebb4d702c7b63512125b3fa21dd28"
+_DOMAINS = ("a", "b", "c")
+_DOCUMENT = f"""
+[tier:race]
+rank = 0
+[class:booking]
+tier = race
+target_first_token_s = 5
+target_total_s = 10
+[workspace:desk]
+key_sha256 = {_DIGEST}
+classes = booking
+[service:desk]
+kind = plain
+unrepeatable = POST /book
+endpoints.a = 10.0.0.1:80
+endpoints.b = 10.0.0.2:80
+endpoints.c = 10.0.0.3:80
+[owner:operations]
+token_sha256 = {_DIGEST}
+sections = *
+"""
+_MARKER = "standin-crash"
+_CRASHES_BEFORE = 3
+_CONTACT_S = 4.0
+"""Time within which the entries have to know of the crashes."""
+
+_MOST_RETRIES = 3
+"""Retries that may still reach an endpoint after that time."""
+
+_RESTART_S = 0.3
+
+
+class _Restarter:
+    """Restarts endpoints that have crashed, and counts their crashes."""
+
+    def __init__(self, running):
+        self._running = running
+        self._stop = threading.Event()
+        self._thread = threading.Thread(target=self._watch)
+        self.crashes = 0
+
+    def __enter__(self):
+        self._thread.start()
+        return self
+
+    def __exit__(self, *_):
+        self._stop.set()
+        self._thread.join()
+
+    def _watch(self):
+        while not self._stop.wait(0.02):
+            for address in self._running.engines["desk"]:
+                process = self._running.processes[f"engine-{address}"]
+                if process.poll() is None:
+                    continue
+                self.crashes += 1
+                time.sleep(_RESTART_S)
+                self._running.start_engine(address)
+
+
+def _book(url, body, key):
+    return caller.service(url, "desk", "desk/book", body=body, key=key)
+
+
+@pytest.fixture
+def running(tmp_path):
+    plan = deployment.Plan(
+        document=_DOCUMENT,
+        entries={name: [f"{name}-1", f"{name}-2"] for name in _DOMAINS},
+        controls={name: [f"control-{name}"] for name in _DOMAINS},
+        engine_options=("--crash-marker", _MARKER),
+    )
+    with deployment.Deployment(plan, tmp_path) as started:
+        yield started
+
+
+def test_resends_through_other_entries_crash_no_more_endpoints(running):
+    # Guards against each entry, or domain, losing endpoints of its own to a
+    # request that has crashed three.
+    keys = (f"key-{number}" for number in itertools.count())
+    urls = list(running.entries.values())
+    bad = f"book {_MARKER}".encode()
+    with _Restarter(running) as restarter:
+        for url in itertools.cycle(urls):
+            if restarter.crashes >= _CRASHES_BEFORE:
+                break
+            _book(url, bad, next(keys))
+            time.sleep(2 * _RESTART_S)
+        time.sleep(_CONTACT_S)
+        before = restarter.crashes
+        for url in 2 * urls:
+            answer = _book(url, bad, next(keys))
+            assert answer.status != 200
+            time.sleep(2 * _RESTART_S)
+        crashes = restarter.crashes - before
+        with futures.ThreadPoolExecutor(6) as pool:
+            harmless = list(
+                pool.map(lambda url: _book(url, b"ok", next(keys)), urls)
+            )
+    assert crashes <= _MOST_RETRIES
+    assert [answer.status for answer in harmless] == [200] * len(urls)
--- a/tools/standin/engine.py
+++ b/tools/standin/engine.py
@@ -154,6 +154,12 @@
             f"engine:leaving {int(self.behaviour.leaving)}\n"
         )
 
+    def crash_on_marker(self, body: bytes) -> None:
+        """Ends the process if a request is one that crashes it."""
+        marker = self.behaviour.crash_marker.encode()
+        if marker and marker in body:
+            os._exit(70)
+
     def run(
         self,
         request_id: str,
@@ -172,9 +178,7 @@
             "outcome": "running",
         }
         self.runs.append(record)
-        marker = self.behaviour.crash_marker.encode()
-        if marker and marker in body:
-            os._exit(70)
+        self.crash_on_marker(body)
         content = json.loads(body)
         count = min(
             content.get("standin_tokens", self.behaviour.default_tokens),
@@ -352,6 +356,7 @@
     def _call_plain(self, body: bytes) -> None:
         if self._turns_away():
             return
+        self.engine.crash_on_marker(body)
         record = {
             "request_id": self.headers.get("X-Request-Id", ""),
             "method": self.command,
