--- a/cardamombarrow/tests/test_crashing_requests.py
+++ b/cardamombarrow/tests/test_crashing_requests.py
@@ -1,4 +1,4 @@
-"""A request that crashes what runs it, resent through entries of all domains."""
+"""A request that crashes endpoints, resent through entries of all domains."""
 
 from concurrent import futures
 import itertools
