Count the crashes under a request over all entries and domains

Callers saw: a request that had crashed three endpoints was sent to endpoints four times more, and eight ended; of 43 requests of the plain service in 12 s, 23 were refused or failed.

Cause: each entry counted the crashes under its own requests, and quarantined at its second one. The quarantine was gossiped inside the failure domain only. Callers spread repeats over all entries, so each entry and each domain paid for itself. Ruled out: a fingerprint that differs between repeats (in the test the counts of different entries add up now, which needs equal ones).

Now entries report crashes and completions of suspects, by gossip and through the standing links to control processes, and each works the verdict out from all reports. Repeats that wait when the verdict falls are refused; before, they were placed.

--- a/benchmarks/driver.py
+++ b/benchmarks/driver.py
@@ -441,12 +441,15 @@
             return
         demand = self._entries[entry].demand(self._now_s)
         marks = self._entries[entry].quarantine_marks(self._now_s)
+        suspects = self._entries[entry].take_suspect_reports()
         announcements = self._entries[entry].take_cache_announcements(
             self._now_s
         )
         self._at(
             self._now_s + scenario.gossip_delay_s,
-            lambda: self._receive_gossip(entry, demand, marks, announcements),
+            lambda: self._receive_gossip(
+                entry, demand, marks, suspects, announcements
+            ),
         )
 
     def _receive_gossip(
@@ -454,6 +457,7 @@
         entry: int,
         demand: messages.PeerDemand,
         marks: dict[ids.Fingerprint, float],
+        suspects: list[messages.SuspectReport],
         announcements: list[messages.CacheAnnouncement],
     ) -> None:
         demand = dataclasses.replace(demand, seen_at_s=self._now_s)
@@ -461,6 +465,7 @@
             if number != entry:
                 other.update_peer(demand)
                 other.merge_quarantine(marks, self._now_s)
+                other.merge_suspect_reports(suspects, self._now_s)
                 other.merge_cache_announcements(announcements, self._now_s)
 
     # -- results ------------------------------------------------------------
--- a/cardamombarrow/decisions/base.py
+++ b/cardamombarrow/decisions/base.py
@@ -434,6 +434,25 @@
     def merge(self, marks: dict[ids.Fingerprint, float], now_s: float) -> None:
         """Adds fingerprints that another instance quarantined."""
 
+    def reports(self, now_s: float) -> list[messages.SuspectReport]:
+        """Returns the observations of all instances that still count."""
+        return []
+
+    def take_own_reports(self) -> list[messages.SuspectReport]:
+        """Returns the observations made here since the last call."""
+        return []
+
+    def merge_reports(
+        self,
+        reports: collections_abc.Iterable[messages.SuspectReport],
+        now_s: float,
+    ) -> None:
+        """Adds observations of other instances."""
+
+    def suspect_count(self) -> int:
+        """Returns the number of requests that have to run alone."""
+        return 0
+
 
 class Spill(Policy):
     """Decides whether a job may leave its failure domain.
--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -80,12 +80,18 @@
         refusal = self._check_endpoint(job)
         if refusal is not None:
             return refusal
+        refusal = self._check_quarantine(job, now_s)
+        return refusal or self._check_workspace_limit(job)
+
+    def _check_quarantine(
+        self, job: messages.Job, now_s: float
+    ) -> messages.Refusal | None:
         reason = self._policies.quarantine.refuse(job, now_s)
-        if reason is not None:
-            return messages.Refusal(
-                job.request_id, errors.ErrorKind.QUARANTINED, reason, None
-            )
-        return self._check_workspace_limit(job)
+        if reason is None:
+            return None
+        return messages.Refusal(
+            job.request_id, errors.ErrorKind.QUARANTINED, reason, None
+        )
 
     def _check_endpoint(self, job: messages.Job) -> messages.Refusal | None:
         capacity = self._roster.capacities.get(job.service)
@@ -251,6 +257,30 @@
 
     # -- waiting and placing --------------------------------------------------
 
+    def refuse_quarantined(self, now_s: float) -> list[ids.RequestId]:
+        """Refuses the waiting jobs that are quarantined by now.
+
+        `place` yields the refusals.
+
+        Returns:
+            The requests among them that awaited a remote placement.
+        """
+        awaiting_remote = []
+        waiting = [
+            *self._policies.queue.jobs(),
+            *self._waiting.delayed(),
+            *self._awaiting_remote.values(),
+        ]
+        for job in waiting:
+            refusal = self._check_quarantine(job, now_s)
+            if refusal is None:
+                continue
+            if job.request_id in self._awaiting_remote:
+                awaiting_remote.append(job.request_id)
+            self.withdraw(job.request_id)
+            self._pending_refusals.append(refusal)
+        return awaiting_remote
+
     def withdraw(self, request_id: ids.RequestId) -> bool:
         """Removes a waiting job whose caller has disconnected."""
         if self.drop_remote_placement(request_id):
--- a/cardamombarrow/decisions/dispatcher_state.py
+++ b/cardamombarrow/decisions/dispatcher_state.py
@@ -169,6 +169,24 @@
         """Merges fingerprints that another instance quarantined."""
         self._policies.quarantine.merge(marks, now_s)
 
+    def suspect_reports(self, now_s: float) -> list[messages.SuspectReport]:
+        """Returns what all instances have observed of suspects."""
+        return self._policies.quarantine.reports(now_s)
+
+    def take_suspect_reports(self) -> list[messages.SuspectReport]:
+        """Returns this instance's observations since the last call."""
+        return self._policies.quarantine.take_own_reports()
+
+    def merge_suspect_reports(
+        self, reports: abc.Iterable[messages.SuspectReport], now_s: float
+    ) -> None:
+        """Merges other instances' observations of suspects."""
+        self._policies.quarantine.merge_reports(reports, now_s)
+
+    def suspect_count(self) -> int:
+        """Returns the number of requests that have to run alone."""
+        return self._policies.quarantine.suspect_count()
+
     def set_peer_loads(
         self,
         instance: ids.InstanceId,
@@ -195,6 +213,7 @@
         """Copies the state of another dispatcher of the same process."""
         self._roster.copy_from(other._roster, now_s)
         self.merge_quarantine(other.quarantine_marks(now_s), now_s)
+        self.merge_suspect_reports(other.suspect_reports(now_s), now_s)
         self.refresh_shares(now_s)
 
     def is_leaving(self, state: endpoint_module.EndpointState) -> bool:
--- a/cardamombarrow/decisions/messages.py
+++ b/cardamombarrow/decisions/messages.py
@@ -27,6 +27,7 @@
     "RateLimit",
     "Refusal",
     "Running",
+    "SuspectReport",
 ]
 
 
@@ -90,7 +91,8 @@
             one belongs to the request or its session.
         unread_tokens: Prompt tokens that are not in the endpoint's cache and
             that it is expected to read; set when the job is placed.
-        fingerprint: Digest of model and body, for the quarantine.
+        fingerprint: Digest that all repeats of the request have in common,
+            for the quarantine.
         repeatable: False if the request may run at most once.
         attempts: How often the job has been placed so far.
         tried: Endpoints on which it failed.
@@ -128,6 +130,26 @@
     streams: bool = True
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SuspectReport:
+    """An instance's observation of requests that may crash endpoints.
+
+    Attributes:
+        instance: The instance that made the observation.
+        number: Random; identifies the observation among the instance's.
+        fingerprints: The requests.
+        endpoint: The endpoint that crashed while they ran on it; None if they
+            completed.
+        seen_s: Local time of the observation.
+    """
+
+    instance: ids.InstanceId
+    number: int
+    fingerprints: tuple[ids.Fingerprint, ...]
+    endpoint: ids.EndpointId | None
+    seen_s: float
+
+
 @dataclasses.dataclass(slots=True)
 class Running:
     """A job on an endpoint.
--- a/cardamombarrow/decisions/queueing/waiting.py
+++ b/cardamombarrow/decisions/queueing/waiting.py
@@ -82,6 +82,10 @@
         """Removes and returns a delayed job, or None."""
         return self._delayed.pop(request_id, None)
 
+    def delayed(self) -> list[messages.Job]:
+        """Returns the delayed jobs."""
+        return list(self._delayed.values())
+
     def due_delayed(self, now_s: float) -> abc.Iterator[messages.Job]:
         """Yields the jobs whose delay has passed."""
         while self._delay_ends and self._delay_ends[0][0] <= now_s:
--- a/cardamombarrow/entry/broker.py
+++ b/cardamombarrow/entry/broker.py
@@ -159,6 +159,8 @@
         with self._lock:
             lines = self._finish(request_id, outcome)
         decision_lines.write(lines)
+        if outcome is messages.Outcome.DONE:
+            self._share_suspects()
 
     def _finish(
         self, request_id: ids.RequestId, outcome: messages.Outcome
--- a/cardamombarrow/entry/broker_base.py
+++ b/cardamombarrow/entry/broker_base.py
@@ -41,6 +41,9 @@
 """Pairs of endpoint and field that are remembered as logged: some three fields
 for each endpoint of the largest deployment."""
 
+MAX_OWN_SUSPECTS = 128
+"""Reports of suspects that this instance keeps publishing: crashes are rare."""
+
 _ANSWER = "answer"
 
 
@@ -93,6 +96,10 @@
         self._remote_placer: remote_placer_module.RemotePlacer = (
             remote_placer_module.NoRemotePlacer()
         )
+        self._on_suspects: collections_abc.Callable[[], None] = lambda: None
+        self._own_suspects: collections.deque[messages.SuspectReport] = (
+            collections.deque(maxlen=MAX_OWN_SUSPECTS)
+        )
         self._on_departure: collections_abc.Callable[[ids.EndpointId], None] = (
             lambda _: None
         )
@@ -127,6 +134,12 @@
         """Sets what is called when an endpoint states its departure."""
         self._on_departure = on_departure
 
+    def set_suspect_listener(
+        self, on_suspects: collections_abc.Callable[[], None]
+    ) -> None:
+        """Sets what is called when this instance has reports of suspects."""
+        self._on_suspects = on_suspects
+
     def set_remote_placer(
         self, remote_placer: remote_placer_module.RemotePlacer
     ) -> None:
@@ -469,16 +482,74 @@
         self, endpoint: ids.EndpointId, suspects: list[messages.Job]
     ) -> None:
         """Records that an endpoint crashed while these jobs ran on it."""
+        self._update_quarantine(
+            lambda now_s: self._dispatcher.crashed(endpoint, suspects, now_s),
+            f"crash of {endpoint}",
+        )
+        self._share_suspects()
+
+    def _update_quarantine(
+        self, update: collections_abc.Callable[[float], None], source: str
+    ) -> None:
+        """Updates what is quarantined, and refuses what waits of it."""
         with self._lock:
             now_s = self._clock.now_s()
             before = self._dispatcher.quarantine_marks(now_s)
-            self._dispatcher.crashed(endpoint, suspects, now_s)
+            update(now_s)
             after = self._dispatcher.quarantine_marks(now_s)
-        for fingerprint in after.keys() - before.keys():
+            withdrawn: list[ids.RequestId] = []
+            lines: list[decision_lines.DecisionLine] = []
+            if after.keys() - before.keys():
+                withdrawn = self._dispatcher.refuse_quarantined(now_s)
+                lines = self._run_due()
+        for request_id in withdrawn:
+            self._remote_placer.withdraw(request_id)
+        decision_lines.write(lines)
+        for fingerprint in after.keys() ^ before.keys():
+            is_new = fingerprint in after
             logs.decision(
-                "quarantine", fingerprint=fingerprint, endpoint=endpoint
+                "quarantine" if is_new else "quarantine ended",
+                fingerprint=fingerprint,
+                left_s=round(after.get(fingerprint, 0.0), 3),
+                source=source,
             )
 
+    def _share_suspects(self) -> None:
+        """Passes this instance's new reports of suspects on."""
+        with self._lock:
+            reports = self._dispatcher.take_suspect_reports()
+            self._own_suspects.extend(reports)
+        if not reports:
+            return
+        if self._domain_broker is not None:
+            self._domain_broker.merge_suspects(reports)
+        self._on_suspects()
+
+    def own_suspects(self) -> list[messages.SuspectReport]:
+        """Returns this instance's latest reports of suspects."""
+        with self._lock:
+            return list(self._own_suspects)
+
+    def merge_suspects(
+        self, reports: collections_abc.Sequence[messages.SuspectReport]
+    ) -> None:
+        """Adds other instances' reports of suspects."""
+        instances = sorted({report.instance for report in reports})
+        self._update_quarantine(
+            lambda now_s: self._dispatcher.merge_suspect_reports(
+                reports, now_s
+            ),
+            f"reports of {', '.join(instances)}",
+        )
+        if self._domain_broker is not None:
+            self._domain_broker.merge_suspects(reports)
+
+    def suspect_counts(self) -> tuple[int, int]:
+        """Counts the suspects and the quarantined requests."""
+        with self._lock:
+            marks = self._dispatcher.quarantine_marks(self._clock.now_s())
+            return self._dispatcher.suspect_count(), len(marks)
+
     def demand(self) -> messages.PeerDemand:
         """Returns this instance's demand, to be gossiped."""
         with self._lock:
@@ -519,17 +590,10 @@
 
     def merge_quarantine(self, marks: dict[ids.Fingerprint, float]) -> None:
         """Adds fingerprints that another instance quarantined."""
-        with self._lock:
-            now_s = self._clock.now_s()
-            known = self._dispatcher.quarantine_marks(now_s)
-            self._dispatcher.merge_quarantine(marks, now_s)
-        for fingerprint in marks.keys() - known.keys():
-            logs.decision(
-                "quarantine",
-                fingerprint=fingerprint,
-                source="another instance",
-                left_s=round(marks[fingerprint], 3),
-            )
+        self._update_quarantine(
+            lambda now_s: self._dispatcher.merge_quarantine(marks, now_s),
+            "another instance",
+        )
         if self._domain_broker is not None:
             self._domain_broker.merge_quarantine(marks)
 
--- a/cardamombarrow/entry/call_runner.py
+++ b/cardamombarrow/entry/call_runner.py
@@ -52,6 +52,7 @@
 
     def metrics_text(self) -> str:
         """Returns what the entry counts, in the Prometheus text format."""
+        suspects, quarantined = self.services.broker.suspect_counts()
         return self.services.metrics.text(
             self.held,
             self._documents.revision,
@@ -59,6 +60,8 @@
             self.services.broker.paused(),
             self.services.broker.invalid_fields(),
             self.services.broker.slow(),
+            suspects,
+            quarantined,
         )
 
     def begin(
--- a/cardamombarrow/entry/metrics.py
+++ b/cardamombarrow/entry/metrics.py
@@ -157,6 +157,8 @@
         paused: int = 0,
         invalid_fields: abc.Mapping[str, int] | None = None,
         slow: int = 0,
+        suspects: int = 0,
+        quarantined: int = 0,
     ) -> str:
         """Returns all metrics in the Prometheus text format.
 
@@ -168,6 +170,9 @@
             invalid_fields: Header fields of endpoints' answers that could not
                 be parsed, by name.
             slow: Endpoints whose prefill is known to be slow.
+            suspects: Requests that run alone because they were running when an
+                endpoint crashed.
+            quarantined: Requests that are refused because they crash endpoints.
         """
         gauges = {
             "requests_held": held,
@@ -176,6 +181,8 @@
             "rate_limited_endpoints": rate_limited,
             "paused_endpoints": paused,
             "slow_endpoints": slow,
+            "suspect_requests": suspects,
+            "quarantined_requests": quarantined,
         }
         with self._lock:
             lines = [*self._lines(gauges)]
--- a/cardamombarrow/entry/peering.py
+++ b/cardamombarrow/entry/peering.py
@@ -39,6 +39,7 @@
 from cardamombarrow.peers import placing_client
 from cardamombarrow.peers import placing_service
 from cardamombarrow.peers import server as server_module
+from cardamombarrow.peers import suspect_codec
 
 __all__ = ["Peering", "probe_controls"]
 
@@ -56,6 +57,10 @@
 QUERY_TIMEOUT_S = 2.0
 """Longest wait for each source of the first document."""
 
+SUSPECTS_SENT_S = 10.0
+"""How long each report to control contains the same suspects: a broken link is
+replaced within this time."""
+
 BOOT_BYTES = 4
 """Random bytes that distinguish the starts of an entry."""
 
@@ -106,6 +111,7 @@
         self._placer: placer_module.Placer | None = None
         self._load_publisher: load_publisher.LoadPublisher | None = None
         self._found_endpoints: tuple[messages.KnownEndpoint, ...] = ()
+        self._early_suspects: list[messages.SuspectReport] = []
         self._cache_announcement_number = 0
         self.control = control_client.ControlClient(
             self._loop,
@@ -116,6 +122,7 @@
             documents.revision_and_text,
             settings.peers.report_interval_s,
             self._domain,
+            self._on_suspects,
         )
         boot_clock = clock.BootClock()
         self.lease = lease_module.DocumentLease(
@@ -142,7 +149,31 @@
             applied_revision=self._documents.revision,
             address=self._address(),
             places=self._placer is not None and self._placer.owners > 0,
+            suspects=suspect_codec.suspects_to_wire(
+                self._recent_suspects(), self._clock.now_s()
+            ),
+        )
+
+    def _recent_suspects(self) -> list[messages.SuspectReport]:
+        if self._broker is None:
+            return []
+        oldest_s = self._clock.now_s() - SUSPECTS_SENT_S
+        return [
+            report
+            for report in self._broker.own_suspects()
+            if report.seen_s >= oldest_s
+        ]
+
+    def _on_suspects(
+        self, reports: abc.Sequence[control_pb2.SuspectReport]
+    ) -> None:
+        suspects = suspect_codec.suspects_from_wire(
+            reports, self._clock.now_s()
         )
+        if self._broker is not None:
+            self._broker.merge_suspects(suspects)
+        else:
+            self._early_suspects.extend(suspects)
 
     def _address(self) -> str:
         peers = self._settings.peers
@@ -272,6 +303,9 @@
             self._instance, self._domain, kinds, broker, self._clock
         )
         broker.set_departure_listener(self.membership.on_departure)
+        broker.set_suspect_listener(self.control.report_now)
+        if self._early_suspects:
+            broker.merge_suspects(self._early_suspects)
         poller = poller_module.Poller(
             self._settings.platform.report_interval_s,
             self.membership.on_report,
--- a/cardamombarrow/entry/tests/test_broker.py
+++ b/cardamombarrow/entry/tests/test_broker.py
@@ -216,3 +216,31 @@
     )
     assert overload.learns_speeds(state.service)
     assert not overload.learns_speeds(ids.ServiceId("another"))
+
+
+def test_a_waiting_request_is_refused_once_it_is_quarantined(broker):
+    # Guards against a request that waits for a slot, and then crashes another
+    # endpoint, while the other instances already know what it does.
+    held = _fill(broker)
+    fingerprint = ids.Fingerprint("f" * 32)
+    ticket = broker.submit(_job(1, fingerprint=fingerprint))
+    assert not ticket.placed.done()
+    broker.merge_suspects(
+        [
+            messages.SuspectReport(
+                ids.InstanceId(f"entry-{number}"),
+                number,
+                (fingerprint,),
+                ids.EndpointId(f"10.0.0.{number}:80"),
+                time.monotonic(),
+            )
+            for number in (2, 3)
+        ]
+    )
+    error = ticket.placed.exception(timeout=_LIMIT_S)
+    assert error.kind is errors.ErrorKind.QUARANTINED
+    assert error.not_run
+    for each in held:
+        broker.finish(each.job.request_id, messages.Outcome.DONE)
+    assert broker.demand().in_flight == {}
+    assert broker.demand().demand_tokens_per_s == {}
--- a/cardamombarrow/gossip/rows.py
+++ b/cardamombarrow/gossip/rows.py
@@ -49,6 +49,9 @@
     RATE_LIMIT = 8
     """The rate limit that an endpoint stated, by endpoint hash."""
 
+    SUSPECTS = 9
+    """What the instance saw of requests that may crash endpoints, by number."""
+
 
 Key = tuple[ItemKind, str | int]
 
@@ -93,6 +96,7 @@
     | str
     | messages.LoadReport
     | messages.RateLimit
+    | messages.SuspectReport
     | InFlight
     | ListingStamp
 )
--- a/cardamombarrow/peers/cache_announcement_relay.py
+++ b/cardamombarrow/peers/cache_announcement_relay.py
@@ -9,12 +9,11 @@
 All reports are hints: if one is lost, an engine processes the part again.
 """
 
-import collections
 from collections import abc
-import dataclasses
 import random
 
 from cardamombarrow.peers import control_pb2
+from cardamombarrow.peers import recent_items
 
 __all__ = ["CacheAnnouncementRelay"]
 
@@ -32,26 +31,15 @@
 
 MAX_AGE_MS = 60_000
 
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Group:
-    number: int
-    added_s: float
-    instance: str
-    parts: control_pb2.KeptParts
+_Group = recent_items.RecentItem[control_pb2.KeptParts]
 
 
 class CacheAnnouncementRelay:
-    """Recent reports, in the order of arrival.
-
-    Numbers begin at a random value, so that a number of another process, or of
-    this one before a restart, returns all stored reports.
-    """
+    """Recent reports, in the order of arrival."""
 
     def __init__(self, rng: random.Random):
-        self._number = self._first = rng.getrandbits(31) << 32
-        self._groups: collections.deque[_Group] = collections.deque(
-            maxlen=MAX_GROUPS
+        self._groups: recent_items.RecentItems[control_pb2.KeptParts] = (
+            recent_items.RecentItems(REPORT_TTL_S, MAX_GROUPS, rng)
         )
 
     def put(
@@ -69,8 +57,7 @@
             now_s: The current time.
         """
         for parts in reports:
-            self._number += 1
-            self._groups.append(_Group(self._number, now_s, instance, parts))
+            self._groups.add(parts, instance, now_s)
 
     def since(
         self, number: int, instance: str, now_s: float
@@ -83,7 +70,7 @@
             now_s: The current time.
         """
         return self._select(
-            number, now_s, lambda group: group.instance != instance
+            number, now_s, lambda group: group.source != instance
         )
 
     def own_since(
@@ -94,7 +81,7 @@
         Only reports that entries sent here: control processes query each
         other, so relayed reports would circulate between them.
         """
-        return self._select(number, now_s, lambda group: bool(group.instance))
+        return self._select(number, now_s, lambda group: bool(group.source))
 
     def _select(
         self,
@@ -102,26 +89,22 @@
         now_s: float,
         is_wanted: abc.Callable[[_Group], bool],
     ) -> tuple[list[control_pb2.KeptParts], int]:
-        while self._groups and now_s - self._groups[0].added_s > REPORT_TTL_S:
-            self._groups.popleft()
-        if not self._first <= number <= self._number:
-            number = self._first
         reports: list[control_pb2.KeptParts] = []
         left = MAX_PARTS_PER_REPLY
         # The newest first: beyond the limit, the oldest are left out.
-        for group in reversed(self._groups):
-            if group.number <= number or left <= 0:
+        for group in self._groups.newest_since(number, now_s):
+            if left <= 0:
                 break
             if is_wanted(group):
-                left -= len(group.parts.parts)
+                left -= len(group.value.parts)
                 reports.append(_aged(group, now_s))
-        return reports, self._number
+        return reports, self._groups.number
 
 
 def _aged(group: _Group, now_s: float) -> control_pb2.KeptParts:
     """Returns the parts of a group with their current age."""
     parts = control_pb2.KeptParts()
-    parts.CopyFrom(group.parts)
+    parts.CopyFrom(group.value)
     held_ms = int((now_s - group.added_s) * 1_000)
     parts.age_ms = min(parts.age_ms + held_ms, MAX_AGE_MS)
     return parts
--- a/cardamombarrow/peers/control_client.py
+++ b/cardamombarrow/peers/control_client.py
@@ -88,8 +88,12 @@
         in_force: abc.Callable[[], tuple[ids.Revision, str]],
         report_interval_s: float,
         domain: ids.DomainId = ids.DomainId(""),
+        on_suspects: abc.Callable[
+            [abc.Sequence[control_pb2.SuspectReport]], None
+        ] = lambda _: None,
     ):
         self._loop = loop
+        self._on_suspects = on_suspects
         self._domain = domain
         self._domains: dict[str, str] = {}
         self._addresses = list(controls)
@@ -259,6 +263,8 @@
             await stream.send_message(report)
 
     async def _apply(self, message: control_pb2.DocumentMessage) -> None:
+        if message.suspects:
+            await asyncio.to_thread(self._on_suspects, message.suspects)
         if not message.text and not message.changes:
             return
         try:
@@ -288,7 +294,7 @@
         self._on_document(ids.Revision(message.revision), text, message.format)
 
     def report_now(self) -> None:
-        """Sends a report at once, after a new revision is in force."""
+        """Sends a report at once, after a change."""
         self._loop.call(self._set_changed())
 
     async def _set_changed(self) -> None:
--- a/cardamombarrow/peers/control_service.py
+++ b/cardamombarrow/peers/control_service.py
@@ -123,5 +123,9 @@
             request.kept_since, time.monotonic()
         )
         reply.kept.extend(reports)
+        suspects, reply.suspects_number = self.followers.own_suspects(
+            request.suspects_since
+        )
+        reply.suspects.extend(suspects)
         self.collector.fill_reply(request, reply)
         await stream.send_message(reply)
--- a/cardamombarrow/peers/follower_exchange.py
+++ b/cardamombarrow/peers/follower_exchange.py
@@ -123,6 +123,8 @@
         self._table.merge(reply)
         self._cache_announcements.put(reply.kept, "", time.monotonic())
         request.kept_since = reply.kept_number
+        self._table.put_suspects(reply.suspects, "")
+        request.suspects_since = reply.suspects_number
         self._collector.merge_reply(address, asked_s, reply)
         if reply.usage_number:
             request.usage_since = reply.usage_number
--- a/cardamombarrow/peers/followers.py
+++ b/cardamombarrow/peers/followers.py
@@ -10,6 +10,7 @@
 from collections import abc
 import contextlib
 import dataclasses
+import random
 import time
 
 from grpclib import server
@@ -19,6 +20,7 @@
 from cardamombarrow.document import text as text_module
 from cardamombarrow.kernel import ids
 from cardamombarrow.peers import control_pb2
+from cardamombarrow.peers import suspect_relay
 
 __all__ = ["Follower", "Followers"]
 
@@ -66,6 +68,8 @@
         has_quorum: abc.Callable[[], bool],
         domain: ids.DomainId = ids.DomainId(""),
     ):
+        self._suspects = suspect_relay.SuspectRelay(random.Random())
+        self._notifications: set[asyncio.Task[None]] = set()
         self._has_quorum = has_quorum
         self._domain = domain
         self._document = control_pb2.DocumentMessage()
@@ -165,6 +169,31 @@
             and follower.last_report_s >= oldest_s
         )
 
+    def put_suspects(
+        self, reports: abc.Iterable[control_pb2.SuspectReport], source: str
+    ) -> None:
+        """Sends new reports of suspects to every follower.
+
+        Args:
+            reports: The reports.
+            source: The reporting entry; empty for another control process.
+        """
+        if self._suspects.put(reports, source, time.monotonic()):
+            task = asyncio.create_task(self._notify())
+            self._notifications.add(task)
+            task.add_done_callback(self._notifications.discard)
+
+    async def _notify(self) -> None:
+        async with self._changed:
+            self._changed.notify_all()
+
+    def own_suspects(
+        self, number: int
+    ) -> tuple[list[control_pb2.SuspectReport], int]:
+        """Returns the followers' reports after a number, and the next one."""
+        reports = self._suspects.since(number, time.monotonic(), own=True)
+        return reports, self._suspects.number
+
     async def publish(self, accepted: machine.AcceptedDocument) -> None:
         """Sends an accepted document to every follower."""
         revision = accepted.revision
@@ -226,6 +255,7 @@
         if report is None:
             return None
         instance = ids.InstanceId(report.instance)
+        self.put_suspects(report.suspects, instance)
         if report.leaving:
             self._table.pop(instance, None)
         else:
@@ -243,16 +273,25 @@
         return report
 
     async def _send(self, stream: server.Stream, applied: int) -> None:
+        suspects_sent = 0
         while True:
             message = self.update_for(applied)
+            message.suspects.extend(
+                self._suspects.since(suspects_sent, time.monotonic())
+            )
+            suspects_sent = self._suspects.number
             await stream.send_message(message)
             applied = max(applied, message.revision)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(HEARTBEAT_S):
-                    await self._newer_than(applied)
+                    await self._news(applied, suspects_sent)
 
-    async def _newer_than(self, revision: int) -> None:
+    async def _news(self, revision: int, suspects_sent: int) -> None:
+        """Waits for a newer document or more reports of suspects."""
         async with self._changed:
             await self._changed.wait_for(
-                lambda: self._document.revision > revision
+                lambda: (
+                    self._document.revision > revision
+                    or self._suspects.number != suspects_sent
+                )
             )
--- a/cardamombarrow/peers/gossip_bridge.py
+++ b/cardamombarrow/peers/gossip_bridge.py
@@ -23,6 +23,7 @@
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import logs
 from cardamombarrow.peers import rate_limit_gossip
+from cardamombarrow.peers import suspect_gossip
 from cardamombarrow.placing import ranking as ranking_module
 
 __all__ = ["GossipBridge"]
@@ -42,6 +43,7 @@
     rows.ItemKind.LEAVING,
     rows.ItemKind.QUARANTINE,
     rows.ItemKind.LISTED,
+    rows.ItemKind.SUSPECTS,
 )
 """Kinds of items that are passed on at once."""
 
@@ -91,6 +93,7 @@
         self._leaving = leaving_module.LeavingView()
         self._reports = _Reports()
         self._rate_limits = rate_limit_gossip.RateLimitGossip(broker)
+        self._suspects = suspect_gossip.SuspectGossip(broker)
         self._members = frozenset((instance,))
         self._endpoints: dict[ids.EndpointId, endpoints_base.EndpointKind] = {}
         self._by_hash: dict[int, ids.EndpointId] = {}
@@ -244,6 +247,7 @@
             for fingerprint, end_s in self._quarantine.items():
                 items[kind.QUARANTINE, fingerprint] = end_s
             items.update(self._rate_limits.collect())
+            items.update(self._suspects.collect())
         return items
 
     def _collect_listing(self, items: dict[rows.Key, rows.Value]) -> None:
@@ -293,11 +297,11 @@
         """Returns whether changes have to be published at once.
 
         These are a leaving endpoint, a changed rate limit, a quarantined
-        request and a fetched list. The regular rounds take some seconds to
-        reach a domain of 36 instances, during which all keep sending to the
-        endpoint. Instances whose list gets too old meanwhile fetch it
-        themselves: in a domain of 12 entries, three of four fetches were
-        theirs.
+        request, a report of suspects and a fetched list. The regular rounds
+        take some seconds to reach a domain of 36 instances, during which all
+        keep sending to the endpoint. Instances whose list gets too old
+        meanwhile fetch it themselves: in a domain of 12 entries, three of four
+        fetches were theirs.
         """
         if self._has_new_listing():
             return True
@@ -306,7 +310,7 @@
             if not self._published_leaving.issuperset(leaving):
                 return True
             known = self._quarantine.keys()
-        if self._rate_limits.is_urgent():
+        if self._rate_limits.is_urgent() or self._suspects.is_urgent():
             return True
         return not known >= self._broker.quarantine_marks().keys()
 
@@ -369,7 +373,9 @@
             return self._apply_listing(value)
         if kind is rows.ItemKind.RATE_LIMIT:
             return self._apply_rate_limit(name, value, instance)
-        if kind is rows.ItemKind.LISTED:
+        if kind is rows.ItemKind.SUSPECTS:
+            self._broker.merge_suspects([value])
+        elif kind is rows.ItemKind.LISTED:
             self._cache_list_text(value)
         elif kind is rows.ItemKind.REPORT:
             self._apply_report(name, value)
--- a/cardamombarrow/peers/gossip_codec.py
+++ b/cardamombarrow/peers/gossip_codec.py
@@ -10,6 +10,7 @@
 from cardamombarrow.gossip import rows
 from cardamombarrow.kernel import ids
 from cardamombarrow.peers import gossip_pb2
+from cardamombarrow.peers import suspect_codec
 
 __all__ = [
     "delta_from_wire",
@@ -145,6 +146,17 @@
     wire.limit_age_ms.append(int(age_s * _MS))
 
 
+def _put_suspects(
+    wire: gossip_pb2.GossipRow,
+    name: int,
+    value: messages.SuspectReport | None,
+    now_s: float,
+) -> None:
+    # A report ends by its age at each receiver, not when it is removed.
+    if value is not None:
+        wire.suspects.extend(suspect_codec.suspects_to_wire([value], now_s))
+
+
 _ENCODERS = {
     rows.ItemKind.DEMAND: _put_demand,
     rows.ItemKind.IN_FLIGHT: _put_in_flight,
@@ -154,6 +166,7 @@
     rows.ItemKind.LISTING: _put_listing,
     rows.ItemKind.LISTED: _put_listed,
     rows.ItemKind.RATE_LIMIT: _put_rate_limit,
+    rows.ItemKind.SUSPECTS: _put_suspects,
 }
 
 
@@ -196,6 +209,8 @@
             (kind.LISTING, ""),
             rows.ListingStamp(wire.listing_hash, read_s),
         )
+    for report in suspect_codec.suspects_from_wire(wire.suspects, now_s):
+        yield (kind.SUSPECTS, report.number), report
     yield from _rate_limits(wire, now_s)
     yield from _reports(wire, now_s)
 
--- a/cardamombarrow/peers/tests/test_gossip_bridge.py
+++ b/cardamombarrow/peers/tests/test_gossip_bridge.py
@@ -36,6 +36,9 @@
     def quarantine_marks(self):
         return {}
 
+    def own_suspects(self):
+        return []
+
     def rate_limits_to_announce(self):
         return {}
 
--- a/cardamombarrow/tests/test_crashing_requests.py
+++ b/cardamombarrow/tests/test_crashing_requests.py
@@ -2,6 +2,7 @@
 
 from concurrent import futures
 import itertools
+import signal
 import threading
 import time
 
@@ -73,6 +74,10 @@
                 self._running.start_engine(address)
 
 
+def _is_quarantined(answer):
+    return answer.error is not None and answer.error["code"] == "quarantined"
+
+
 def _book(url, body, key):
     return caller.service(url, "desk", "desk/book", body=body, key=key)
 
@@ -114,3 +119,31 @@
             )
     assert crashes <= _MOST_RETRIES
     assert [answer.status for answer in harmless] == [200] * len(urls)
+
+
+def test_a_restarted_entry_knows_of_the_crashes_before_it(running):
+    # Guards against one more endpoint lost with each start of an entry.
+    keys = (f"key-{number}" for number in itertools.count())
+    bad = f"again {_MARKER}".encode()
+    with _Restarter(running) as restarter:
+        urls = itertools.cycle(running.entries.values())
+        while not _is_quarantined(_book(next(urls), bad, next(keys))):
+            time.sleep(2 * _RESTART_S)
+        assert deployment.wait_until(
+            lambda: all(
+                '"decision": "quarantine"' in running.log(name)
+                for name in running.entries
+            )
+        )
+        before = restarter.crashes
+        running.signal("c-1", signal.SIGKILL)
+        running.processes["c-1"].wait()
+        running.start_instance("c-1")
+        running.wait_ready("c-1")
+        assert deployment.wait_until(
+            lambda: _is_quarantined(
+                _book(running.entries["c-1"], bad, next(keys))
+            ),
+            5.0,
+        )
+        assert restarter.crashes == before
