Failing test: callers of entries without a path to endpoints are not served

Five entries in two domains; one, two or all three of a domain lose the paths to all endpoints, by silence or refusal.

--- /dev/null
+++ b/cardamombarrow/tests/test_forwarding.py
@@ -0,0 +1,139 @@
+"""Entries that lose their paths to all endpoints, and to nothing else."""
+
+from concurrent import futures
+import contextlib
+import itertools
+import time
+
+import pytest
+
+from tools import caller
+from tools import deployment
+from tools.standin import cut_links
+
+pytestmark = pytest.mark.process
+
+_DIGEST = "fd501e4e4eabb3b62f313e4d323048dfbddebb4d702c7b63512125b3fa21dd28"
+_DOCUMENT = f"""
+[tier:race]
+rank = 0
+[class:question]
+tier = race
+target_first_token_s = 1
+target_total_s = 8
+[workspace:desk]
+key_sha256 = {_DIGEST}
+classes = question
+[service:engines]
+kind = engine
+endpoints.a = 10.0.0.1:80, 10.0.0.2:80
+endpoints.b = 10.0.0.3:80
+[service:shop]
+kind = plain
+unrepeatable = POST /charge
+endpoints.a = 10.0.0.4:80
+endpoints.b = 10.0.0.5:80
+[model:engines]
+service = engines
+[owner:operations]
+token_sha256 = {_DIGEST}
+sections = *
+"""
+_ENTRIES = {"a": ["a-1", "a-2", "a-3"], "b": ["b-1", "b-2"]}
+_CONTACT_S = 4.0
+"""Time from the cut after which callers have to be served as elsewhere."""
+
+_LOAD_S = 4.0
+_CALL_INTERVAL_S = 0.08
+_ALLOWED_FAILED = 10
+_ALLOWED_FAILED_SHARE = 1 / 50
+_LEAST_RATIO = 2 / 3
+
+
+@pytest.fixture(scope="module")
+def running(tmp_path_factory):
+    plan = deployment.Plan(
+        document=_DOCUMENT,
+        entries=_ENTRIES,
+        controls={"a": ["control-1"]},
+        engine_options=("--token-s", "0.005"),
+        entry_plugins=("tools.standin.cut_links",),
+    )
+    folder = tmp_path_factory.mktemp("forwarding")
+    with deployment.Deployment(plan, folder) as started:
+        yield started
+
+
+@contextlib.contextmanager
+def _cut(running, names, mode):
+    """Cuts entries off from all endpoints."""
+    ports = [
+        address.rpartition(":")[2]
+        for group in running.engines.values()
+        for address in group
+    ]
+    files = [cut_links.cut_file(running.settings_path(n)) for n in names]
+    for file in files:
+        file.write_text("\n".join((mode.value, *ports)))
+    try:
+        yield
+    finally:
+        for file in files:
+            file.unlink()
+
+
+def _send(running, name, number):
+    url = running.entries[name]
+    kind = number % 3
+    if kind == 0:
+        return caller.complete(url, "desk", model="engines", prompt=str(number))
+    if kind == 1:
+        return caller.service(url, "desk", f"shop/stock/{number}", method="GET")
+    return caller.service(
+        url, "desk", "shop/charge", body=b"x", key=f"{name}-{number}"
+    )
+
+
+def _load(running, duration_s, numbers):
+    """Sends first tries to all entries; returns statuses by entry."""
+    names = [name for group in _ENTRIES.values() for name in group]
+    turns = itertools.cycle(names)
+    pending = {name: [] for name in names}
+    end_s = time.monotonic() + duration_s
+    with futures.ThreadPoolExecutor(64) as pool:
+        while time.monotonic() < end_s:
+            name = next(turns)
+            pending[name].append(
+                pool.submit(_send, running, name, next(numbers))
+            )
+            time.sleep(_CALL_INTERVAL_S)
+    return {
+        name: [future.result().status for future in group]
+        for name, group in pending.items()
+    }
+
+
+_numbers = itertools.count()
+
+
+@pytest.mark.parametrize("mode", list(cut_links.CutMode))
+@pytest.mark.parametrize(
+    "cut", [("a-1",), ("a-1", "a-2"), ("a-1", "a-2", "a-3")]
+)
+def test_callers_of_cut_entries_are_served_like_others(running, cut, mode):
+    # Guards against callers that are refused by an entry without a path to any
+    # endpoint while its neighbours serve, also if its whole domain is cut off.
+    with _cut(running, cut, mode):
+        _load(running, _CONTACT_S, _numbers)
+        statuses = _load(running, _LOAD_S, _numbers)
+    served = {True: [], False: []}
+    for name, group in statuses.items():
+        served[name in cut] += [status == 200 for status in group]
+    ratio = {key: sum(each) / len(each) for key, each in served.items()}
+    everyone = served[True] + served[False]
+    failed = len(everyone) - sum(everyone)
+    assert ratio[True] >= _LEAST_RATIO * ratio[False], ratio
+    assert failed <= _ALLOWED_FAILED + _ALLOWED_FAILED_SHARE * len(everyone)
+    # The path is back: no request may be lost on the way to direct ones.
+    statuses = _load(running, 2.0, _numbers)
+    assert {each for group in statuses.values() for each in group} == {200}
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -88,6 +88,7 @@
             `Deployment.proxy`: the document then has the links' addresses,
             with the source ``entries`` and the endpoint's own address as
             the name of the link.
+        entry_plugins: Modules that entries import at the start.
     """
 
     document: str
@@ -100,6 +101,7 @@
     control_extra: str = ""
     proxied: bool = False
     proxied_endpoints: bool = False
+    entry_plugins: tuple[str, ...] = ()
 
 
 class Deployment(contextlib.AbstractContextManager):
@@ -258,8 +260,11 @@
             self._route(name, control) for control in self.controls
         )
         extra_http = self._plan.entry_extra.get("http", "")
+        plugins = ", ".join(self._plan.entry_plugins)
+        extra_instance = f"plugins = {plugins}\n" if plugins else ""
         path.write_text(
             f"[instance]\nid = {name}\ndomain = {domain}\n"
+            f"{extra_instance if role == 'entry' else ''}"
             f"[http]\nport = {url.rpartition(':')[2]}\n"
             f"{extra_http if role == 'entry' else ''}"
             f"[peers]\nsecret = {SECRET}\n"
