Have other entries serve callers of services that can't be reached

Callers saw: entries cut off from all endpoints, and from nothing else, served 2 of 48 first tries, the others 51 of 52.

Cause: an entry judges each endpoint by itself and never its own paths. It goes through the endpoints one by one, the placer of its domain, which reaches them, names them again and again, and there is no other way to serve. Being not ready is not enough: where over half of a domain is cut off, the balancer goes on.

Now an entry notices that no endpoint of a service can be connected, and forwards requests of that service to an entry that reaches them, which serves them as its own; design, ways compared, failures and security: docs/design/forwarding.md.

--- a/cardamombarrow/endpoints/base.py
+++ b/cardamombarrow/endpoints/base.py
@@ -62,6 +62,7 @@
             instance; called right before the request is sent.
         is_paused: Returns whether the endpoint has asked for a pause, in which
             it must not get a probe with a request either.
+        on_connect: Called with whether a new connection was established.
         resume_tokens: Tokens that the caller has already received; the answer
             continues after them.
         resume_after: Id of the last event that the caller has received; empty
@@ -89,6 +90,7 @@
     may_redo: typing.Callable[[], bool] = lambda: False
     may_send: typing.Callable[[], bool] = lambda: True
     is_paused: typing.Callable[[], bool] = lambda: False
+    on_connect: typing.Callable[[bool], None] = lambda _: None
     resume_tokens: int = 0
     resume_after: str = ""
     caller_id: str = ""
--- a/cardamombarrow/endpoints/connection.py
+++ b/cardamombarrow/endpoints/connection.py
@@ -129,6 +129,11 @@
         if mask & ~select.POLLOUT:
             self._receive()
 
+    def is_established(self) -> bool:
+        """Returns whether a connection that polls as writable has succeeded."""
+        code = self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        return not code
+
     def _finish_connect(self) -> None:
         code = self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if code:
--- a/cardamombarrow/endpoints/transfer.py
+++ b/cardamombarrow/endpoints/transfer.py
@@ -60,6 +60,7 @@
         self._connection: connection_module.Connection | None = None
         self._error: str | None = None
         self._accepted = False
+        self._connecting = False
         self._started_s = self._received_s = time.monotonic()
         self._poll = select.poll()
         caller_fd = call.caller.fileno()
@@ -120,8 +121,10 @@
         try:
             if connection is None:
                 address = ids.address_of(call.endpoint)
+                self._connecting = True
                 connection = connection_module.Connection(address)
         except OSError as error:
+            self._record_connect(False)
             raise errors.EndpointError(
                 errors.ErrorKind.ENDPOINT_UNREACHED, str(error), sent=False
             ) from None
@@ -180,9 +183,15 @@
             connection.handle_events(mask)
         except connection_module.BrokenError as error:
             self._error = str(error)
+        self._record_connect(connection.connected)
         if mask & select.POLLIN:
             self._received_s = time.monotonic()
 
+    def _record_connect(self, connected: bool) -> None:
+        if self._connecting:
+            self._connecting = False
+            self._call.on_connect(connected)
+
     def _silent_s(self) -> float:
         if self._error is not None or self._connection.whole:
             return 0.0
@@ -191,6 +200,7 @@
     def _check_connect(self) -> None:
         late = time.monotonic() - self._started_s > CONNECT_TIMEOUT_S
         if late and not self._connection.connected:
+            self._record_connect(False)
             raise errors.EndpointError(
                 errors.ErrorKind.ENDPOINT_UNREACHED,
                 f"not connected within {CONNECT_TIMEOUT_S} s",
--- a/cardamombarrow/entry/broker_base.py
+++ b/cardamombarrow/entry/broker_base.py
@@ -264,6 +264,15 @@
                 for state in self._dispatcher.endpoints()
             ]
 
+    def endpoints_in_use(self) -> dict[ids.ServiceId, list[ids.EndpointId]]:
+        """Returns the endpoints that are not leaving, by service."""
+        found: dict[ids.ServiceId, list[ids.EndpointId]] = {}
+        with self._lock:
+            for state in self._dispatcher.endpoints():
+                if not self._dispatcher.is_leaving(state):
+                    found.setdefault(state.service, []).append(state.endpoint)
+        return found
+
     def has_endpoints(self) -> bool:
         """Returns whether any endpoint is known."""
         with self._lock:
--- a/cardamombarrow/entry/call_runner.py
+++ b/cardamombarrow/entry/call_runner.py
@@ -1,6 +1,7 @@
 """Runs admitted calls and relays their answers, for all applications."""
 
 from collections import abc
+import dataclasses
 import typing
 
 from cardamombarrow.decisions import messages
@@ -12,6 +13,9 @@
 from cardamombarrow.entry import once
 from cardamombarrow.entry import readiness as readiness_module
 from cardamombarrow.entry import request_handler
+from cardamombarrow.forwarding import app as forwarded_app
+from cardamombarrow.forwarding import core as forwarding
+from cardamombarrow.kernel import connection
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 
@@ -24,6 +28,16 @@
 another one."""
 
 
+_NOT_REACHED_ERRORS = (
+    errors.ErrorKind.ENDPOINT_UNREACHED,
+    errors.ErrorKind.NO_ENDPOINT,
+    errors.ErrorKind.OVERLOADED,
+    errors.ErrorKind.QUEUE_TIMEOUT,
+    errors.ErrorKind.STALLED,
+)
+"""Errors of requests that an entry without a path to endpoints can't place."""
+
+
 class CallRunner:
     """Request handling shared by the applications of an entry.
 
@@ -62,6 +76,7 @@
             self.services.broker.slow(),
             suspects,
             quarantined,
+            len(self.services.reachability.cut_off()),
         )
 
     def begin(
@@ -86,6 +101,9 @@
         Raises:
             errors.RouterError: It was refused or failed.
         """
+        call = dataclasses.replace(
+            call, is_forwarded=environ.get(forwarded_app.FORWARDED_KEY, False)
+        )
         try:
             if self._readiness.refusing:
                 # A balancer without another instance goes on sending. A
@@ -96,6 +114,7 @@
                     "this instance is stopping",
                     retry_after_s=DRAINING_RETRY_S,
                 )
+            self._check_forwarded(environ, call)
             self._gate.enter(call.job, self._documents.current().document)
             relay = self._run(environ, call, run)
         except errors.RouterError as error:
@@ -109,6 +128,17 @@
             chunks = iter(list(chunks))
         return request_handler.RelayedAnswer(relay.head, chunks)
 
+    def _check_forwarded(
+        self, environ: dict[str, typing.Any], call: incoming.IncomingCall
+    ) -> None:
+        """Declines a forwarded call of a service that can't be reached."""
+        if not call.is_forwarded:
+            return
+        if self.services.reachability.is_cut_off(call.job.service):
+            reason = f"no endpoint of {call.job.service} can be connected"
+            environ[forwarded_app.DECLINED_KEY] = reason
+            raise errors.RefusedError(errors.ErrorKind.NOT_READY, reason)
+
     def _run(
         self,
         environ: dict[str, typing.Any],
@@ -119,13 +149,53 @@
     ) -> request_handler.RelayedAnswer:
         try:
             watch = caller_module.SocketWatch(environ["werkzeug.socket"])
-            return run(
-                request_handler.RequestHandler(call, watch, self.services)
-            )
+            forwarded = self._forward(environ, call, watch)
+            if forwarded is not None:
+                return forwarded
+            try:
+                return run(
+                    request_handler.RequestHandler(call, watch, self.services)
+                )
+            except errors.RouterError as error:
+                if not _may_run_elsewhere(error, call.job):
+                    raise
+                forwarded = self._forward(environ, call, watch)
+                if forwarded is None:
+                    raise
+                return forwarded
         except BaseException:
             self._gate.leave(call.job)
             raise
 
+    def _forward(
+        self,
+        environ: dict[str, typing.Any],
+        call: incoming.IncomingCall,
+        watch: caller_module.SocketWatch,
+    ) -> request_handler.RelayedAnswer | None:
+        """Has another entry serve a call; None if none is asked or takes it."""
+        service = call.job.service
+        if call.is_forwarded or not self.services.forwarder.is_needed(service):
+            return None
+        received = call.received_body
+        answer = self.services.forwarder.forward(
+            forwarding.ForwardRequest(
+                request_id=call.job.request_id,
+                service=service,
+                method=environ["REQUEST_METHOD"],
+                target=environ["REQUEST_URI"],
+                headers=environ[connection.HEADERS_KEY],
+                body=call.body if received is None else received,
+                arrived_s=call.job.arrived_s,
+                deadline_s=call.job.deadline_s,
+                stall_limit_s=call.stall_limit_s,
+                caller=watch,
+            )
+        )
+        if answer is None:
+            return None
+        return request_handler.RelayedAnswer(answer.head, answer.chunks)
+
     def run_plain(
         self, handler: request_handler.RequestHandler
     ) -> request_handler.RelayedAnswer:
@@ -168,3 +238,10 @@
             if close is not None:
                 close()
             self._gate.leave(job)
+
+
+def _may_run_elsewhere(error: errors.RouterError, job: messages.Job) -> bool:
+    """Returns whether a failed request may be run by another entry."""
+    if error.kind not in _NOT_REACHED_ERRORS:
+        return False
+    return (error.not_run and not job.may_have_run) or job.repeatable
--- a/cardamombarrow/entry/core.py
+++ b/cardamombarrow/entry/core.py
@@ -1,5 +1,6 @@
 """The entry process: connects its parts."""
 
+import dataclasses
 import pathlib
 import random
 import time
@@ -27,6 +28,9 @@
 from cardamombarrow.entry import settings as settings_module
 from cardamombarrow.entry import side as side_module
 from cardamombarrow.entry import startup_app as startup_app_module
+from cardamombarrow.forwarding import app as forwarded_app
+from cardamombarrow.forwarding import core as forwarding
+from cardamombarrow.forwarding import reachability as reachability_module
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import http
 from cardamombarrow.kernel import ids
@@ -142,6 +146,79 @@
     return [server for server in servers if server is not None]
 
 
+def _broker(
+    settings: settings_module.EntrySettings,
+    documents: in_force.DocumentInForce,
+    time_source: clock.Clock,
+) -> broker_module.Broker:
+    retries = settings.retries
+    return broker_module.Broker(
+        documents.current().document,
+        ids.InstanceId(settings.instance.id),
+        ids.DomainId(settings.instance.domain),
+        time_source,
+        context_module.RetryBounds(
+            retries.share, retries.slack, retries.window_s
+        ),
+        overload=overload_module.OverloadControl(
+            settings.overload.enabled,
+            settings.overload.learns_speeds,
+            settings.overload.learns_reported_speeds,
+        ),
+    )
+
+
+def _readiness(
+    source: discovery.Source,
+    broker: broker_module.Broker,
+    peering: peering_module.Peering,
+) -> readiness_module.Readiness:
+    readiness = readiness_module.Readiness()
+    if source.names_endpoints:
+        readiness.add_condition(
+            lambda: None if broker.has_endpoints() else "no endpoint is known"
+        )
+    readiness.add_condition(
+        lambda: (
+            None if peering.lease.is_valid else "the document is unconfirmed"
+        )
+    )
+    return readiness
+
+
+def _forwarder(
+    settings: settings_module.EntrySettings,
+    reachability: reachability_module.Reachability,
+    counts: metrics.Metrics,
+) -> forwarding.Forwarder:
+    address = settings.forwarding.address
+    return forwarding.Forwarder(
+        forwarding.ForwardSettings(settings.peers.secret, address),
+        reachability if address else None,
+        counts.count_forward,
+    )
+
+
+def _forwarding_server(
+    settings: settings_module.EntrySettings,
+    app: typing.Any,
+    decline_reason: typing.Callable[[], str | None],
+) -> list[http.HttpServer]:
+    """Returns the server for requests that other entries forward, if any."""
+    if not settings.forwarding.address:
+        return []
+    served = dataclasses.replace(
+        settings.http,
+        address=settings.forwarding.address,
+        connections=settings.forwarding.connections,
+        tls_certificate="",
+    )
+    forwarded = forwarded_app.ForwardedApp(
+        app, settings.peers.secret, decline_reason
+    )
+    return [http.HttpServer(served, forwarded)]
+
+
 def run(
     settings: settings_module.EntrySettings, path: pathlib.Path | None = None
 ) -> None:
@@ -160,7 +237,6 @@
     kinds = _kinds(settings.calls.protocol)
     source = registry.lookup(discovery.SLOT, settings.platform.discovery)()
     instance = ids.InstanceId(settings.instance.id)
-    domain = ids.DomainId(settings.instance.domain)
     documents = in_force.DocumentInForce()
     time_source = clock.SystemClock()
     peering = peering_module.Peering(settings, documents, time_source)
@@ -172,26 +248,16 @@
         server.start()
     logs.event("entry starting", port=web.port)
     peering.fetch_first_document()
-    retries = settings.retries
-    broker = broker_module.Broker(
-        documents.current().document,
-        instance,
-        domain,
-        time_source,
-        context_module.RetryBounds(
-            retries.share, retries.slack, retries.window_s
-        ),
-        overload=overload_module.OverloadControl(
-            settings.overload.enabled,
-            settings.overload.learns_speeds,
-            settings.overload.learns_reported_speeds,
-        ),
-    )
+    broker = _broker(settings, documents, time_source)
     counts = metrics.Metrics()
     poller = peering.join(kinds, broker, counts)
     ledger = settler.Settler(
         ledger_client.RemoteLedger(peering.control.propose)
     )
+    reachability = reachability_module.Reachability(
+        broker.endpoints_in_use, peering.control.report_now
+    )
+    forwarder = _forwarder(settings, reachability, counts)
     services = request_handler.RequestServices(
         broker,
         ledger,
@@ -200,8 +266,10 @@
         crash_detector.CrashDetector(broker),
         counts,
         peering.meter,
+        reachability,
+        forwarder,
     )
-    readiness = readiness_module.Readiness()
+    readiness = _readiness(source, broker, peering)
     gate = gate_module.Gate(settings.http.connections, random.Random())
     runner = call_runner_module.CallRunner(
         instance, documents, services, gate, readiness
@@ -226,18 +294,19 @@
     )
     if settings.platform.listing_shared:
         peering.membership.share_listing(watch)
-    if source.names_endpoints:
-        readiness.add_condition(
-            lambda: None if broker.has_endpoints() else "no endpoint is known"
-        )
-    readiness.add_condition(
-        lambda: (
-            None if peering.lease.is_valid else "the document is unconfirmed"
-        )
-    )
     watch.refresh()
-    startup.forward_to(
-        _app(settings, documents, runner, readiness, peering.lease)
+    app = _app(settings, documents, runner, readiness, peering.lease)
+    startup.forward_to(app)
+
+    def decline_reason() -> str | None:
+        if reachability.is_cut_off_from_all():
+            return "no endpoint can be connected"
+        return readiness.reason()
+
+    forwarding_server = _forwarding_server(settings, app, decline_reason)
+    peering.set_forwarding(
+        lambda: "" if decline_reason() else settings.forwarding.address,
+        forwarder.set_entries,
     )
     side_startup.forward_to(
         side_module.SideApp(
@@ -245,7 +314,18 @@
         )
     )
     drain = _Drain(readiness, runner, settings.calls)
-    parts = [*side, poller, watch, broker, peering, ledger, web, drain]
+    parts = [
+        *side,
+        poller,
+        watch,
+        broker,
+        peering,
+        ledger,
+        reachability,
+        *forwarding_server,
+        web,
+        drain,
+    ]
     reloader = None
     if path is not None:
         reloader = reloading.Reloader(
--- a/cardamombarrow/entry/incoming.py
+++ b/cardamombarrow/entry/incoming.py
@@ -39,12 +39,14 @@
         streams: Whether the caller asked for server-sent events.
         stall_limit_s: Longest pause within an answer, in seconds.
         version: The model version that was drawn; empty for none.
+        received_body: The body as received; None if `body` is that.
         headers: The caller's headers for the endpoint, unchanged.
         caller_id: The caller's id of the request; empty for none.
         first_byte_limit_s: Longest wait for the head of an answer while the
             request can be sent elsewhere, in seconds.
         resumable: Whether a stream that was cut off may continue elsewhere.
         resume_after: Id of the last event that the caller already has.
+        is_forwarded: Whether another entry forwarded it.
     """
 
     job: messages.Job
@@ -58,11 +60,13 @@
     streams: bool
     stall_limit_s: float
     version: str = ""
+    received_body: bytes | None = None
     headers: tuple[tuple[str, str], ...] = ()
     caller_id: str = ""
     first_byte_limit_s: float = math.inf
     resumable: bool = True
     resume_after: str = ""
+    is_forwarded: bool = False
 
 
 class KeyIndex:
@@ -148,10 +152,15 @@
     call.job.max_tokens = limit
     call.job.streams = bool(content.get("stream"))
     version = _version(model, request_id)
+    received = body
     if version:
         body = json.dumps({**content, "model": version}).encode()
     return dataclasses.replace(
-        call, body=body, version=version, streams=call.job.streams
+        call,
+        body=body,
+        received_body=received,
+        version=version,
+        streams=call.job.streams,
     )
 
 
--- a/cardamombarrow/entry/metrics.py
+++ b/cardamombarrow/entry/metrics.py
@@ -98,6 +98,7 @@
         self._questions: collections.Counter[
             placing_messages.QuestionOutcome
         ] = collections.Counter()
+        self._forwarded: collections.Counter[str] = collections.Counter()
         self._goodput_tokens = 0
         self._sent_under_limit = 0
         self.waiting = 0
@@ -144,6 +145,11 @@
         with self._lock:
             self._questions[outcome] += 1
 
+    def count_forward(self, outcome: str) -> None:
+        """Counts a request that another entry was asked to serve."""
+        with self._lock:
+            self._forwarded[outcome] += 1
+
     def count_sent_under_limit(self) -> None:
         """Counts a request to an endpoint that states a rate limit."""
         with self._lock:
@@ -159,6 +165,7 @@
         slow: int = 0,
         suspects: int = 0,
         quarantined: int = 0,
+        unreachable: int = 0,
     ) -> str:
         """Returns all metrics in the Prometheus text format.
 
@@ -173,6 +180,7 @@
             suspects: Requests that run alone because they were running when an
                 endpoint crashed.
             quarantined: Requests that are refused because they crash endpoints.
+            unreachable: Services of which no endpoint can be connected.
         """
         gauges = {
             "requests_held": held,
@@ -183,6 +191,7 @@
             "slow_endpoints": slow,
             "suspect_requests": suspects,
             "quarantined_requests": quarantined,
+            "unreachable_services": unreachable,
         }
         with self._lock:
             lines = [*self._lines(gauges)]
@@ -218,6 +227,10 @@
         for question_outcome, count in self._questions.items():
             labels = f'outcome="{question_outcome.value}"'
             yield f"{PREFIX}placing_questions_total{{{labels}}} {count}"
+        yield f"# TYPE {PREFIX}forwarded_requests_total counter"
+        for outcome_name, count in self._forwarded.items():
+            labels = f'outcome="{outcome_name}"'
+            yield f"{PREFIX}forwarded_requests_total{{{labels}}} {count}"
         yield f"# TYPE {PREFIX}sent_under_rate_limit_total counter"
         yield f"{PREFIX}sent_under_rate_limit_total {self._sent_under_limit}"
         for name, value in gauges.items():
--- a/cardamombarrow/entry/peering.py
+++ b/cardamombarrow/entry/peering.py
@@ -111,6 +111,10 @@
         self._placer: placer_module.Placer | None = None
         self._load_publisher: load_publisher.LoadPublisher | None = None
         self._found_endpoints: tuple[messages.KnownEndpoint, ...] = ()
+        self._forward_address: abc.Callable[[], str] = lambda: ""
+        self._on_forwarding_entries: abc.Callable[
+            [abc.Iterable[str], abc.Iterable[str]], None
+        ] = lambda near, far: None
         self._early_suspects: list[messages.SuspectReport] = []
         self._cache_announcement_number = 0
         self.control = control_client.ControlClient(
@@ -123,6 +127,7 @@
             settings.peers.report_interval_s,
             self._domain,
             self._on_suspects,
+            self._on_forwarders,
         )
         boot_clock = clock.BootClock()
         self.lease = lease_module.DocumentLease(
@@ -149,6 +154,7 @@
             applied_revision=self._documents.revision,
             address=self._address(),
             places=self._placer is not None and self._placer.owners > 0,
+            forward_address=self._forward_address(),
             suspects=suspect_codec.suspects_to_wire(
                 self._recent_suspects(), self._clock.now_s()
             ),
@@ -175,6 +181,27 @@
         else:
             self._early_suspects.extend(suspects)
 
+    def set_forwarding(
+        self,
+        address: abc.Callable[[], str],
+        on_entries: abc.Callable[[abc.Iterable[str], abc.Iterable[str]], None],
+    ) -> None:
+        """Sets how requests of other entries reach this one.
+
+        Args:
+            address: Returns the address for forwarded requests; empty while
+                this entry takes none.
+            on_entries: Called with the addresses of other entries, those of
+                the own domain and those of others.
+        """
+        self._forward_address = address
+        self._on_forwarding_entries = on_entries
+
+    def _on_forwarders(
+        self, near: abc.Sequence[str], far: abc.Sequence[str]
+    ) -> None:
+        self._on_forwarding_entries(near, far)
+
     def _address(self) -> str:
         peers = self._settings.peers
         return peers.address or f"{peers.host}:{peers.port}"
--- a/cardamombarrow/entry/request_handler.py
+++ b/cardamombarrow/entry/request_handler.py
@@ -19,6 +19,8 @@
 from cardamombarrow.entry import metrics as metrics_module
 from cardamombarrow.entry import progress as progress_module
 from cardamombarrow.entry import ticket as ticket_module
+from cardamombarrow.forwarding import core as forwarding
+from cardamombarrow.forwarding import reachability as reachability_module
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import logs
@@ -44,6 +46,8 @@
 
     Attributes:
         kinds: The endpoint protocol of each kind of service.
+        reachability: Which services can be connected at all.
+        forwarder: Has other entries serve requests of those that can't.
     """
 
     broker: broker_module.Broker
@@ -53,6 +57,14 @@
     crashes: crash_detector_module.CrashDetector
     metrics: metrics_module.Metrics
     meter: meter_module.Meter
+    reachability: reachability_module.Reachability = dataclasses.field(
+        default_factory=lambda: reachability_module.Reachability(dict)
+    )
+    forwarder: forwarding.Forwarder = dataclasses.field(
+        default_factory=lambda: forwarding.Forwarder(
+            forwarding.ForwardSettings()
+        )
+    )
 
 
 @dataclasses.dataclass
@@ -242,6 +254,13 @@
             try:
                 return ticket.placed.result(timeout=CALLER_POLL_S)
             except futures.TimeoutError:
+                if self._may_forward():
+                    self._services.broker.withdraw(ticket)
+                    raise errors.RefusedError(
+                        errors.ErrorKind.ENDPOINT_UNREACHED,
+                        "no endpoint can be connected",
+                        not_run=not ticket.job.may_have_run,
+                    ) from None
                 if self._caller.gone():
                     self._services.broker.withdraw(ticket)
                     raise errors.RefusedError(
@@ -278,6 +297,9 @@
             may_redo=lambda: self._services.broker.may_redo(call.job),
             may_send=lambda: self._services.broker.may_send(endpoint),
             is_paused=lambda: self._services.broker.is_paused(endpoint),
+            on_connect=lambda connected: self._services.reachability.record(
+                call.job.service, endpoint, connected=connected
+            ),
             resume_tokens=self._progress.tokens,
             resume_after=self._last_event or call.resume_after,
             caller_id=call.caller_id,
@@ -287,11 +309,17 @@
             fetch_from=placement.fetch and placement.fetch.source,
         )
 
+    def _may_forward(self) -> bool:
+        """Returns whether another entry may serve the request instead."""
+        return not (
+            self._relaying or self._call.is_forwarded
+        ) and self._services.forwarder.is_needed(self._call.job.service)
+
     def _retry(
         self, ticket: ticket_module.Ticket, error: errors.RouterError
     ) -> ticket_module.Ticket:
         outcome = answer_stream.OUTCOMES[error.kind]
-        if error.kind in _NOT_RETRIED:
+        if error.kind in _NOT_RETRIED or self._may_forward():
             raise error
         new_ticket = self._services.broker.resubmit(ticket, outcome)
         if new_ticket is None:
--- a/cardamombarrow/entry/settings.py
+++ b/cardamombarrow/entry/settings.py
@@ -9,6 +9,7 @@
     "CallSettings",
     "DocumentSettings",
     "EntrySettings",
+    "ForwardingSettings",
     "InstanceSettings",
     "LogSettings",
     "PeerSettings",
@@ -250,6 +251,20 @@
     )
 
 
+@dataclasses.dataclass(frozen=True)
+class ForwardingSettings:
+    """Requests that an entry without a path to endpoints has others serve."""
+
+    address: str = settings.setting(
+        "",
+        help="address host:port at which this entry takes requests of other "
+        "entries; empty neither takes nor forwards any",
+    )
+    connections: int = settings.setting(
+        64, help="forwarded requests served at once", low=1, high=4096
+    )
+
+
 @dataclasses.dataclass(frozen=True)
 class EntrySettings:
     """All settings of the role; one INI section each."""
@@ -263,5 +278,6 @@
     retries: RetrySettings
     metering: MeteringSettings
     overload: OverloadSettings
+    forwarding: ForwardingSettings
     side: SideSettings
     log: LogSettings
--- a/cardamombarrow/peers/control_client.py
+++ b/cardamombarrow/peers/control_client.py
@@ -91,9 +91,13 @@
         on_suspects: abc.Callable[
             [abc.Sequence[control_pb2.SuspectReport]], None
         ] = lambda _: None,
+        on_forwarders: abc.Callable[
+            [abc.Sequence[str], abc.Sequence[str]], None
+        ] = lambda near, far: None,
     ):
         self._loop = loop
         self._on_suspects = on_suspects
+        self._on_forwarders = on_forwarders
         self._domain = domain
         self._domains: dict[str, str] = {}
         self._addresses = list(controls)
@@ -263,6 +267,7 @@
             await stream.send_message(report)
 
     async def _apply(self, message: control_pb2.DocumentMessage) -> None:
+        self._on_forwarders(message.near_forwarders, message.far_forwarders)
         if message.suspects:
             await asyncio.to_thread(self._on_suspects, message.suspects)
         if not message.text and not message.changes:
--- a/cardamombarrow/peers/followers.py
+++ b/cardamombarrow/peers/followers.py
@@ -30,6 +30,13 @@
 FOLLOWER_TIMEOUT_S = 10.0
 """A link that received no report for this long is closed."""
 
+FORWARDER_TTL_S = 4.0
+"""An entry that has not reported for this long gets no forwarded requests."""
+
+MAX_FORWARDERS = 8
+"""Entries of each kind that are named to an entry: others than the few that it
+tries are named a second later."""
+
 CACHED_TEXTS = 4
 """Number of texts that are cached to send only changes. Edits come 41 s apart
 at the target size, so a follower is rarely further behind; if it is, it gets
@@ -49,6 +56,7 @@
         address: Where other entries reach it.
         places: Whether it is the placer of its domain.
         direct: Whether it reports to this process.
+        forward_address: Where it takes forwarded requests; empty for none.
     """
 
     instance: ids.InstanceId
@@ -58,6 +66,7 @@
     address: str = ""
     places: bool = False
     direct: bool = False
+    forward_address: str = ""
 
 
 class Followers:
@@ -114,6 +123,7 @@
                     heard_ago_s=now_s - follower.last_report_s,
                     address=follower.address,
                     places=follower.places,
+                    forward_address=follower.forward_address,
                 )
                 for follower in self.table().values()
                 if follower.direct
@@ -133,6 +143,7 @@
                     now_s - row.heard_ago_s,
                     row.address,
                     row.places,
+                    forward_address=row.forward_address,
                 )
             )
 
@@ -194,6 +205,24 @@
         reports = self._suspects.since(number, time.monotonic(), own=True)
         return reports, self._suspects.number
 
+    def forwarders(self, domain: ids.DomainId) -> tuple[list[str], list[str]]:
+        """Returns where some entries take forwarded requests.
+
+        Returns:
+            Addresses in a domain, and in others.
+        """
+        oldest_s = time.monotonic() - FORWARDER_TTL_S
+        near: list[str] = []
+        far: list[str] = []
+        for follower in self._table.values():
+            if follower.forward_address and follower.last_report_s >= oldest_s:
+                group = near if follower.domain == domain else far
+                group.append(follower.forward_address)
+        return (
+            random.sample(near, min(MAX_FORWARDERS, len(near))),
+            random.sample(far, min(MAX_FORWARDERS, len(far))),
+        )
+
     async def publish(self, accepted: machine.AcceptedDocument) -> None:
         """Sends an accepted document to every follower."""
         revision = accepted.revision
@@ -239,7 +268,11 @@
             # An entry that reconnects mostly has the newest document; which
             # changes are missing is known only after its first report.
             sender = asyncio.create_task(
-                self._send(stream, report.applied_revision)
+                self._send(
+                    stream,
+                    report.applied_revision,
+                    ids.DomainId(report.domain),
+                )
             )
             try:
                 while report is not None:
@@ -268,11 +301,14 @@
                     report.address,
                     report.places,
                     direct=True,
+                    forward_address=report.forward_address,
                 )
             )
         return report
 
-    async def _send(self, stream: server.Stream, applied: int) -> None:
+    async def _send(
+        self, stream: server.Stream, applied: int, domain: ids.DomainId
+    ) -> None:
         suspects_sent = 0
         while True:
             message = self.update_for(applied)
@@ -280,6 +316,9 @@
                 self._suspects.since(suspects_sent, time.monotonic())
             )
             suspects_sent = self._suspects.number
+            near, far = self.forwarders(domain)
+            message.near_forwarders.extend(near)
+            message.far_forwarders.extend(far)
             await stream.send_message(message)
             applied = max(applied, message.revision)
             with contextlib.suppress(TimeoutError):
--- a/cardamombarrow/tests/test_forwarding.py
+++ b/cardamombarrow/tests/test_forwarding.py
@@ -3,10 +3,13 @@
 from concurrent import futures
 import contextlib
 import itertools
+import json
+import signal
 import time
 
 import pytest
 
+from cardamombarrow.endpoints import http_get
 from tools import caller
 from tools import deployment
 from tools.standin import cut_links
@@ -137,3 +140,82 @@
     # The path is back: no request may be lost on the way to direct ones.
     statuses = _load(running, 2.0, _numbers)
     assert {each for group in statuses.values() for each in group} == {200}
+
+
+def _runs(running, service):
+    return [
+        run
+        for address in running.engines[service]
+        for run in json.loads(
+            http_get.fetch(f"http://{address}/standin/runs", timeout_s=5).body
+        )
+    ]
+
+
+def test_an_unrepeatable_call_runs_once_whatever_entry_serves_it(running):
+    # Guards against a charge that the first entry and the one that it was
+    # forwarded to both make.
+    with _cut(running, ("a-1",), cut_links.CutMode.HANG):
+        _load(running, _CONTACT_S, _numbers)
+        bodies = [f"charge-{number}".encode() for number in range(20)]
+        answers = [
+            caller.service(
+                running.entries["a-1"],
+                "desk",
+                "shop/charge",
+                body=body,
+                key=body.decode(),
+            )
+            for body in bodies
+        ]
+        again = [
+            caller.service(
+                running.entries["b-1"],
+                "desk",
+                "shop/charge",
+                body=body,
+                key=body.decode(),
+            )
+            for body in bodies
+        ]
+    assert [answer.status for answer in (*answers, *again)] == [200] * 40
+    ran = [run["body"].encode() for run in _runs(running, "shop")]
+    assert [ran.count(body) for body in bodies] == [1] * len(bodies)
+
+
+def test_a_forwarded_request_ends_when_its_caller_leaves(running):
+    # Guards against engines that go on for callers who have left.
+    with _cut(running, ("a-1",), cut_links.CutMode.REFUSE):
+        _load(running, _CONTACT_S, _numbers)
+        before = len(_runs(running, "engines"))
+        url = running.entries["a-1"]
+        caller.begin_and_leave(url, "desk", model="engines", tokens=2_000)
+        assert deployment.wait_until(
+            lambda: len(_runs(running, "engines")) > before
+        )
+        assert deployment.wait_until(
+            lambda: (
+                "running"
+                not in [run["outcome"] for run in _runs(running, "engines")]
+            ),
+            5.0,
+        )
+
+
+def test_requests_without_a_token_are_refused(running):
+    # Guards against anyone who reaches the port of forwarded requests.
+    address = running.forward_addresses["a-2"]
+    answer = caller.service(f"http://{address}", "desk", "shop/x", method="GET")
+    assert answer.status == 403
+
+
+def test_entries_that_take_over_may_die(running):
+    # Guards against requests that go on to an entry that is gone.
+    with _cut(running, ("a-1", "a-2"), cut_links.CutMode.HANG):
+        _load(running, _CONTACT_S, _numbers)
+        running.signal("a-3", signal.SIGKILL)
+        running.processes["a-3"].wait()
+        answers = [_send(running, "a-1", next(_numbers)) for _ in range(12)]
+        running.start_instance("a-3")
+        running.wait_ready("a-3")
+    assert [answer.status for answer in answers] == [200] * 12
--- a/tools/caller.py
+++ b/tools/caller.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import hashlib
+from http import client
 import json
 import typing
 
@@ -10,6 +11,7 @@
 __all__ = [
     "CallerAnswer",
     "answer_content",
+    "begin_and_leave",
     "complete",
     "completion_body",
     "expected_content",
@@ -83,6 +85,21 @@
     return CallerAnswer(reply.status, reply.body, sent)
 
 
+def begin_and_leave(
+    url: str, workspace: str, *, model: str, tokens: int
+) -> None:
+    """Requests a stream, and closes the connection after its first bytes."""
+    connection = client.HTTPConnection(url.removeprefix("http://"))
+    connection.request(
+        "POST",
+        "/v1/chat/completions",
+        completion_body(model, "", True, tokens),
+        {"Authorization": f"Bearer {workspace}-key"},
+    )
+    connection.getresponse().read(1)
+    connection.close()
+
+
 def service(
     url: str,
     workspace: str,
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -112,6 +112,8 @@
         entries: HTTP addresses by instance id.
         controls: Administration URLs by instance id.
         peers: Direct addresses for other instances, by instance id.
+        forward_addresses: Where entries take forwarded requests, by instance
+            id.
         processes: Every process, by name.
         proxy: Links between the processes, if the plan uses them.
     """
@@ -131,6 +133,7 @@
         self.controls: dict[str, str] = {}
         self.peers: dict[str, str] = {}
         self.processes: dict[str, subprocess.Popen] = {}
+        self.forward_addresses: dict[str, str] = {}
         self.listing_url = ""
         self.proxy = proxy_module.Proxy()
 
@@ -224,11 +227,11 @@
 
     def _write_entries(self) -> None:
         names = [n for group in self._plan.entries.values() for n in group]
-        ports = free_ports(2 * len(names))
-        for name, port in zip(names, ports[: len(names)], strict=True):
-            self.peers[name] = f"127.0.0.1:{port}"
-        for name, port in zip(names, ports[len(names) :], strict=True):
-            self.entries[name] = f"http://127.0.0.1:{port}"
+        ports = iter(free_ports(3 * len(names)))
+        for name in names:
+            self.peers[name] = f"127.0.0.1:{next(ports)}"
+            self.entries[name] = f"http://127.0.0.1:{next(ports)}"
+            self.forward_addresses[name] = f"127.0.0.1:{next(ports)}"
         extra = dict(self._plan.entry_extra)
         extra.setdefault("calls", "drain_notice_s = 0.3\n")
         extra["platform"] = f"listing_url = {self.listing_url}\n" + extra.get(
@@ -242,8 +245,16 @@
             )
             for name in group:
                 seeds = " ".join(self._route(name, other) for other in group)
+                forwarding = (
+                    f"[forwarding]\naddress = {self.forward_addresses[name]}\n"
+                )
                 self._write(
-                    "entry", name, domain, self.entries[name], sections, seeds
+                    "entry",
+                    name,
+                    domain,
+                    self.entries[name],
+                    sections + forwarding,
+                    seeds,
                 )
 
     def _write(
