Keep endpoints that may reject little from falling over

An endpoint can state how many requests a second it may reject for want of room before it falls over. Nobody read that, and each entry or placer went on sending.

Such an endpoint now gets a request only if its last report shows room, and none for a while after each rejection; the pause is told to the failure domain.

--- a/cardamombarrow/decisions/context.py
+++ b/cardamombarrow/decisions/context.py
@@ -6,6 +6,7 @@
 from cardamombarrow.decisions import overload as overload_module
 from cardamombarrow.decisions.fleet import fleet_share as fleet_module
 from cardamombarrow.decisions.limiting import rate_limits as rate_limits_module
+from cardamombarrow.decisions.limiting import rejections as rejections_module
 from cardamombarrow.decisions.limiting import (
     restrictions as restrictions_module,
 )
@@ -41,6 +42,8 @@
             all policies of an instance.
         rate_limits: The rate limits that endpoints state; shared by all
             dispatchers of an instance.
+        rejection_limits: The limits on rejections that endpoints state; shared
+            by all dispatchers of an instance.
         restrictions: The pauses and departures that endpoints state.
         overload: For which services the overload controls are enabled; shared
             by all dispatchers of an instance.
@@ -59,6 +62,9 @@
     rate_limits: rate_limits_module.RateLimits = dataclasses.field(
         default_factory=rate_limits_module.RateLimits
     )
+    rejection_limits: rejections_module.RejectionLimits = dataclasses.field(
+        default_factory=rejections_module.RejectionLimits
+    )
     restrictions: restrictions_module.Restrictions = dataclasses.field(
         default_factory=restrictions_module.Restrictions
     )
--- a/cardamombarrow/decisions/fleet/roster.py
+++ b/cardamombarrow/decisions/fleet/roster.py
@@ -433,9 +433,11 @@
             state.share <= self._unavailable_slots(job, state)
         ):
             return False
-        if not self._policies.choice.available(job, state, now_s):
-            return False
-        if not self.rate_budget.may_send(state, now_s):
+        if not (
+            self._policies.choice.available(job, state, now_s)
+            and self.rate_budget.may_send(state, now_s)
+            and self._context.rejection_limits.has_room(state, now_s)
+        ):
             return False
         if must_run_alone:
             return not running
--- a/cardamombarrow/decisions/messages.py
+++ b/cardamombarrow/decisions/messages.py
@@ -26,6 +26,8 @@
     "PromptPart",
     "RateLimit",
     "Refusal",
+    "RejectionLimit",
+    "RejectionPause",
     "Running",
     "SuspectReport",
 ]
@@ -201,6 +203,31 @@
     received_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RejectionLimit:
+    """How many requests an endpoint may reject for want of room.
+
+    Attributes:
+        per_s: Rejections per second, over all callers, above which the endpoint
+            falls over; None if it states no limit.
+    """
+
+    per_s: float | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RejectionPause:
+    """A pause of an endpoint that has rejected a request.
+
+    Attributes:
+        until_s: Local time at which it ends.
+        limit_per_s: The endpoint's limit on rejections per second.
+    """
+
+    until_s: float
+    limit_per_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndpointStatement:
     """What an answer states about its endpoint.
@@ -212,6 +239,9 @@
         pause_s: Time for which this instance should send it nothing, in
             seconds; 0 for none.
         leaving: Whether it is about to stop.
+        rejection_limit: How many requests it may reject; None if the answer
+            can't be read, so that an earlier limit stays in force.
+        rejected: Whether it rejects the request for want of room.
         invalid_fields: Names of the header fields that can't be parsed.
     """
 
@@ -219,6 +249,8 @@
     rate_limit: RateLimit | None = None
     pause_s: float = 0.0
     leaving: bool = False
+    rejection_limit: RejectionLimit | None = None
+    rejected: bool = False
     invalid_fields: tuple[str, ...] = ()
 
 
--- a/cardamombarrow/endpoints/base.py
+++ b/cardamombarrow/endpoints/base.py
@@ -29,6 +29,7 @@
 """Time within which a live endpoint answers a probe."""
 
 _RATE_LIMIT = "x-rate-limit"
+_REJECTION_LIMIT = "x-rejection-limit"
 _UNAVAILABLE = 503
 
 
@@ -223,13 +224,22 @@
     ) -> messages.EndpointStatement:
         """Reads what an answer states about its endpoint.
 
-        The header fields are ``X-Rate-Limit``, ``X-Leaving`` and, of a 503,
-        ``Retry-After``. Subclasses may use others.
+        The header fields are ``X-Rate-Limit``, ``X-Rejection-Limit``,
+        ``X-Leaving`` and, of a 503, ``Retry-After``. Subclasses may use others.
         """
         rate_limit = statements.parse_rate_limit(head.headers.get(_RATE_LIMIT))
+        rejection_limit = statements.parse_rejection_limit(
+            head.headers.get(_REJECTION_LIMIT)
+        )
+        invalid = {
+            _RATE_LIMIT: rate_limit is None,
+            _REJECTION_LIMIT: rejection_limit is None,
+        }
         return messages.EndpointStatement(
             rate_limit=rate_limit,
-            invalid_fields=() if rate_limit else (_RATE_LIMIT,),
+            rejection_limit=rejection_limit,
+            rejected=head.status == _UNAVAILABLE and self.not_started(head),
+            invalid_fields=tuple(each for each in invalid if invalid[each]),
             pause_s=read_pause(head),
             leaving=head.headers.get("x-leaving") == "1",
         )
--- a/cardamombarrow/endpoints/statements.py
+++ b/cardamombarrow/endpoints/statements.py
@@ -14,6 +14,7 @@
     "parse_load",
     "parse_pause",
     "parse_rate_limit",
+    "parse_rejection_limit",
 ]
 
 MAX_PAUSE_S = 3_600.0
@@ -71,6 +72,23 @@
     return messages.RateLimit(float(text), now_s)
 
 
+def parse_rejection_limit(text: str | None) -> messages.RejectionLimit | None:
+    """Parses the header field of an answer with a limit on rejections.
+
+    Args:
+        text: Decimal number of rejections per second; None if the answer lacks
+            the field, which removes an earlier limit.
+
+    Returns:
+        None if the value is invalid: an earlier limit then stays in force.
+    """
+    if text is None:
+        return messages.RejectionLimit(None)
+    if _DECIMAL.fullmatch(text.strip()) is None:
+        return None
+    return messages.RejectionLimit(float(text))
+
+
 def parse_pause(text: str | None) -> float:
     """Parses ``Retry-After`` of an answer that turns a request away.
 
--- a/cardamombarrow/entry/broker_base.py
+++ b/cardamombarrow/entry/broker_base.py
@@ -18,6 +18,7 @@
 from cardamombarrow.decisions import messages
 from cardamombarrow.decisions import overload as overload_module
 from cardamombarrow.decisions.limiting import rate_limits as rate_limits_module
+from cardamombarrow.decisions.limiting import rejections as rejections_module
 from cardamombarrow.document import schema
 from cardamombarrow.entry import decision_lines
 from cardamombarrow.entry import remote_placer as remote_placer_module
@@ -79,6 +80,7 @@
         rate_limits: rate_limits_module.RateLimits | None = None,
         whole_domain: bool = False,
         overload: overload_module.OverloadControl | None = None,
+        rejection_limits: rejections_module.RejectionLimits | None = None,
     ):
         self._clock = time_source
         self._context = context = context_module.PolicyContext(
@@ -90,7 +92,12 @@
             rate_limits=rate_limits or rate_limits_module.RateLimits(),
             overload=overload or overload_module.OverloadControl(),
             whole_domain=whole_domain,
+            rejection_limits=rejection_limits
+            or rejections_module.RejectionLimits(),
         )
+        self._rejection_pauses: dict[
+            ids.EndpointId, messages.RejectionPause
+        ] = {}
         self._invalid_fields: collections.Counter[str] = collections.Counter()
         self._invalid_logged: set[tuple[ids.EndpointId, str]] = set()
         self._remote_placer: remote_placer_module.RemotePlacer = (
@@ -163,6 +170,7 @@
                 rate_limits=context.rate_limits,
                 whole_domain=True,
                 overload=context.overload,
+                rejection_limits=context.rejection_limits,
             )
             with self._lock:
                 now_s = self._clock.now_s()
@@ -301,11 +309,64 @@
             self._remote_placer.load_reported(endpoint, statement.load)
         if statement.rate_limit is not None:
             self._record_rate_limit(endpoint, statement.rate_limit, _ANSWER)
-        if statement.pause_s > 0.0:
-            self._record_pause(endpoint, statement.pause_s, request_id)
+        if statement.rejection_limit is not None:
+            self._record_rejection_limit(endpoint, statement.rejection_limit)
+        pause_s = statement.pause_s
+        if statement.rejected:
+            pause_s = max(pause_s, self._record_rejection(endpoint))
+        if pause_s > 0.0:
+            self._record_pause(endpoint, pause_s, request_id)
         if statement.leaving:
             self._record_departure(endpoint, request_id)
 
+    def _record_rejection_limit(
+        self, endpoint: ids.EndpointId, limit: messages.RejectionLimit
+    ) -> None:
+        now_s = self._clock.now_s()
+        if self._context.rejection_limits.update(endpoint, limit, now_s):
+            logs.decision(
+                "rejection limit", endpoint=endpoint, per_s=limit.per_s
+            )
+
+    def _record_rejection(self, endpoint: ids.EndpointId) -> float:
+        """Records a rejection; returns the pause after it, in seconds."""
+        limits = self._context.rejection_limits
+        now_s = self._clock.now_s()
+        if not limits.is_stated(endpoint, now_s):
+            return 0.0
+        with self._lock:
+            domains = {each.domain for each in self._dispatcher.endpoints()}
+        pause_s = limits.reject(endpoint, len(domains), now_s)
+        self._rejection_pauses[endpoint] = messages.RejectionPause(
+            now_s + pause_s, limits.limit_per_s(endpoint, now_s)
+        )
+        return pause_s
+
+    def rejection_pauses(
+        self,
+    ) -> dict[ids.EndpointId, messages.RejectionPause]:
+        """Returns the pauses after rejections of this instance's requests."""
+        now_s = self._clock.now_s()
+        for endpoint, pause in list(self._rejection_pauses.items()):
+            if pause.until_s <= now_s:
+                self._rejection_pauses.pop(endpoint, None)
+        return dict(self._rejection_pauses)
+
+    def merge_rejection_pause(
+        self,
+        endpoint: ids.EndpointId,
+        pause: messages.RejectionPause,
+        instance: ids.InstanceId,
+    ) -> None:
+        """Applies the pause after a rejection of another instance's request."""
+        limit = messages.RejectionLimit(pause.limit_per_s)
+        self._record_rejection_limit(endpoint, limit)
+        left_s = pause.until_s - self._clock.now_s()
+        if left_s > 0.0:
+            self.pause_reported(endpoint, left_s, instance)
+            if self._domain_broker is not None:
+                self._domain_broker.pause_reported(endpoint, left_s, instance)
+
     def _record_invalid(
         self, endpoint: ids.EndpointId, field: str, request_id: ids.RequestId
     ) -> None:
@@ -465,6 +526,10 @@
         """Counts the endpoints that have asked for a pause."""
         return len(self.pauses_left_s())
 
+    def brittle(self) -> int:
+        """Counts the endpoints that limit their rejections."""
+        return self._context.rejection_limits.count(self._clock.now_s())
+
     def slow(self) -> int:
         """Counts the endpoints that are known to be slow."""
         with self._lock:
@@ -490,7 +555,15 @@
     def crashed(
         self, endpoint: ids.EndpointId, suspects: list[messages.Job]
     ) -> None:
-        """Records that an endpoint crashed while these jobs ran on it."""
+        """Records that an endpoint crashed while these jobs ran on it.
+
+        One that has fallen over for its rejections makes no job a suspect.
+        """
+        if self._context.rejection_limits.may_have_fallen(
+            endpoint, self._clock.now_s()
+        ):
+            logs.event("endpoint fell over", "WARNING", endpoint=endpoint)
+            return
         self._update_quarantine(
             lambda now_s: self._dispatcher.crashed(endpoint, suspects, now_s),
             f"crash of {endpoint}",
--- a/cardamombarrow/entry/call_runner.py
+++ b/cardamombarrow/entry/call_runner.py
@@ -77,6 +77,7 @@
             suspects,
             quarantined,
             len(self.services.reachability.cut_off()),
+            self.services.broker.brittle(),
         )
 
     def begin(
--- a/cardamombarrow/entry/metrics.py
+++ b/cardamombarrow/entry/metrics.py
@@ -166,6 +166,7 @@
         suspects: int = 0,
         quarantined: int = 0,
         unreachable: int = 0,
+        brittle: int = 0,
     ) -> str:
         """Returns all metrics in the Prometheus text format.
 
@@ -180,6 +181,7 @@
             suspects: Requests that run alone because they were running when an
                 endpoint crashed.
             quarantined: Requests that are refused because they crash endpoints.
+            brittle: Endpoints that limit their rejections.
             unreachable: Services of which no endpoint can be connected.
         """
         gauges = {
@@ -192,6 +194,7 @@
             "suspect_requests": suspects,
             "quarantined_requests": quarantined,
             "unreachable_services": unreachable,
+            "rejection_limited_endpoints": brittle,
         }
         with self._lock:
             lines = [*self._lines(gauges)]
--- a/cardamombarrow/gossip/rows.py
+++ b/cardamombarrow/gossip/rows.py
@@ -52,6 +52,9 @@
     SUSPECTS = 9
     """What the instance saw of requests that may crash endpoints, by number."""
 
+    REJECTION_PAUSE = 10
+    """The pause after a rejection of its request, by endpoint hash."""
+
 
 Key = tuple[ItemKind, str | int]
 
@@ -96,6 +99,7 @@
     | str
     | messages.LoadReport
     | messages.RateLimit
+    | messages.RejectionPause
     | messages.SuspectReport
     | InFlight
     | ListingStamp
--- a/cardamombarrow/peers/gossip_bridge.py
+++ b/cardamombarrow/peers/gossip_bridge.py
@@ -23,6 +23,7 @@
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import logs
 from cardamombarrow.peers import rate_limit_gossip
+from cardamombarrow.peers import rejection_gossip
 from cardamombarrow.peers import suspect_gossip
 from cardamombarrow.placing import ranking as ranking_module
 
@@ -44,6 +45,7 @@
     rows.ItemKind.QUARANTINE,
     rows.ItemKind.LISTED,
     rows.ItemKind.SUSPECTS,
+    rows.ItemKind.REJECTION_PAUSE,
 )
 """Kinds of items that are passed on at once."""
 
@@ -94,6 +96,7 @@
         self._reports = _Reports()
         self._rate_limits = rate_limit_gossip.RateLimitGossip(broker)
         self._suspects = suspect_gossip.SuspectGossip(broker)
+        self._rejections = rejection_gossip.RejectionGossip(broker)
         self._members = frozenset((instance,))
         self._endpoints: dict[ids.EndpointId, endpoints_base.EndpointKind] = {}
         self._by_hash: dict[int, ids.EndpointId] = {}
@@ -248,6 +251,7 @@
                 items[kind.QUARANTINE, fingerprint] = end_s
             items.update(self._rate_limits.collect())
             items.update(self._suspects.collect())
+            items.update(self._rejections.collect())
         return items
 
     def _collect_listing(self, items: dict[rows.Key, rows.Value]) -> None:
@@ -310,7 +314,10 @@
             if not self._published_leaving.issuperset(leaving):
                 return True
             known = self._quarantine.keys()
-        if self._rate_limits.is_urgent() or self._suspects.is_urgent():
+        if any(
+            each.is_urgent()
+            for each in (self._rate_limits, self._suspects, self._rejections)
+        ):
             return True
         return not known >= self._broker.quarantine_marks().keys()
 
@@ -373,7 +380,11 @@
             return self._apply_listing(value)
         if kind is rows.ItemKind.RATE_LIMIT:
             return self._apply_rate_limit(name, value, instance)
-        if kind is rows.ItemKind.SUSPECTS:
+        if kind is rows.ItemKind.REJECTION_PAUSE:
+            endpoint = self.endpoints_by_hash().get(name)
+            if endpoint is not None:
+                self._broker.merge_rejection_pause(endpoint, value, instance)
+        elif kind is rows.ItemKind.SUSPECTS:
             self._broker.merge_suspects([value])
         elif kind is rows.ItemKind.LISTED:
             self._cache_list_text(value)
--- a/cardamombarrow/peers/gossip_codec.py
+++ b/cardamombarrow/peers/gossip_codec.py
@@ -157,6 +157,20 @@
         wire.suspects.extend(suspect_codec.suspects_to_wire([value], now_s))
 
 
+def _put_rejection_pause(
+    wire: gossip_pb2.GossipRow,
+    name: int,
+    value: messages.RejectionPause | None,
+    now_s: float,
+) -> None:
+    # A pause ends by itself at each receiver.
+    if value is not None:
+        wire.rejecting_endpoints.append(name)
+        left_s = max(0.0, value.until_s - now_s)
+        wire.rejection_pause_left_ms.append(int(left_s * _MS))
+        wire.rejection_limit_per_s.append(value.limit_per_s)
+
+
 _ENCODERS = {
     rows.ItemKind.DEMAND: _put_demand,
     rows.ItemKind.IN_FLIGHT: _put_in_flight,
@@ -167,6 +181,7 @@
     rows.ItemKind.LISTED: _put_listed,
     rows.ItemKind.RATE_LIMIT: _put_rate_limit,
     rows.ItemKind.SUSPECTS: _put_suspects,
+    rows.ItemKind.REJECTION_PAUSE: _put_rejection_pause,
 }
 
 
@@ -211,6 +226,14 @@
         )
     for report in suspect_codec.suspects_from_wire(wire.suspects, now_s):
         yield (kind.SUSPECTS, report.number), report
+    pauses = zip(
+        wire.rejecting_endpoints,
+        wire.rejection_pause_left_ms,
+        wire.rejection_limit_per_s,
+    )
+    for endpoint_hash, left_ms, limit_per_s in pauses:
+        pause = messages.RejectionPause(now_s + left_ms / _MS, limit_per_s)
+        yield (kind.REJECTION_PAUSE, endpoint_hash), pause
     yield from _rate_limits(wire, now_s)
     yield from _reports(wire, now_s)
 
--- a/cardamombarrow/peers/tests/test_gossip_bridge.py
+++ b/cardamombarrow/peers/tests/test_gossip_bridge.py
@@ -39,6 +39,9 @@
     def own_suspects(self):
         return []
 
+    def rejection_pauses(self):
+        return {}
+
     def rate_limits_to_announce(self):
         return {}
 
--- a/cardamombarrow/platform/servers.py
+++ b/cardamombarrow/platform/servers.py
@@ -19,6 +19,10 @@
 _NOT_RUN = "not-executed"
 _RATE_LIMIT = "server-limit"
 _LEAVING = "server-leaving"
+_REJECTION_LIMIT = "server-brittle"
+"""Rejections a second for want of room above which a server falls over."""
+
+_UNAVAILABLE = 503
 _MISDIRECTED = 421
 _NOT_RUN_STATUSES = (408, 429, 503)
 _LOAD = "instance-load"
@@ -110,13 +114,19 @@
         sent_load = head.headers.get(_LOAD)
         load = statements.parse_load(sent_load)
         rate_limit = statements.parse_rate_limit(head.headers.get(_RATE_LIMIT))
+        rejection_limit = statements.parse_rejection_limit(
+            head.headers.get(_REJECTION_LIMIT)
+        )
         invalid = {
             _LOAD: sent_load is not None and load is None,
             _RATE_LIMIT: rate_limit is None,
+            _REJECTION_LIMIT: rejection_limit is None,
         }
         return messages.EndpointStatement(
             load=load,
             rate_limit=rate_limit,
+            rejection_limit=rejection_limit,
+            rejected=head.status == _UNAVAILABLE and _NOT_RUN in head.headers,
             pause_s=base.read_pause(head),
             leaving=head.headers.get(_LEAVING) == "1",
             invalid_fields=tuple(each for each in invalid if invalid[each]),
--- a/cardamombarrow/platform/tests/test_servers.py
+++ b/cardamombarrow/platform/tests/test_servers.py
@@ -254,3 +254,37 @@
 ):
     head = base.Head(status, {**_GOOD, **fields})
     assert _KIND.read_statement(head, _call()).leaving is leaving
+
+
+@pytest.mark.parametrize(
+    ("status", "fields", "per_s", "rejected"),
+    [
+        (200, {"server-brittle": "3"}, 3.0, False),
+        (503, {"server-brittle": "3", "not-executed": "1"}, 3.0, True),
+        (429, {"server-brittle": "3", "not-executed": "1"}, 3.0, False),
+        (503, {"server-brittle": "0"}, 0.0, False),
+        (200, {}, None, False),
+    ],
+)
+def test_an_answer_states_how_much_its_server_may_reject(
+    status, fields, per_s, rejected
+):
+    # Guards against a server that falls over because nobody reads its warning.
+    statement = _KIND.read_statement(
+        base.Head(status, {**_GOOD, **fields}), _call()
+    )
+    assert statement.rejection_limit.per_s == per_s
+    assert statement.rejected is rejected
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"server-brittle": "many"},
+        {"server-brittle": "-1"},
+        {"server-brittle": "3", "attempt-id": "another"},
+    ],
+)
+def test_an_unreadable_or_another_servers_warning_changes_nothing(fields):
+    head = base.Head(200, {**_GOOD, **fields})
+    assert _KIND.read_statement(head, _call()).rejection_limit is None
--- a/tools/standin/engine.py
+++ b/tools/standin/engine.py
@@ -59,6 +59,10 @@
         pause: ``Retry-After`` of the 503 that answers every request; empty
             is none.
         departure: Whether every answer states that the engine leaves.
+        waiting_room: Requests that may wait for a slot; more are rejected. -1
+            is no bound.
+        rejection_limit: Rejections a second, stated by every answer, above
+            which the process ends; 0 is none.
     """
 
     slots: int = 8
@@ -78,6 +82,8 @@
     rate_limit: str = ""
     pause: str = ""
     departure: bool = False
+    waiting_room: int = -1
+    rejection_limit: int = 0
 
 
 def _raise_if_cancelled(is_cancelled: IsCancelled) -> None:
@@ -131,6 +137,7 @@
         self.loaded_models = engine_models.EngineModels()
         self.runs: list[dict[str, typing.Any]] = []
         self.tokens = 0
+        self._rejected_s: list[float] = []
         self._reports: list[tuple[float, int, int]] = []
         threading.Thread(target=self._observe, daemon=True).start()
 
@@ -154,6 +161,22 @@
             f"engine:leaving {int(self.behaviour.leaving)}\n"
         )
 
+    def rejects(self) -> bool:
+        """Returns whether a request finds no room; ends after too many."""
+        behaviour = self.behaviour
+        if behaviour.waiting_room < 0:
+            return False
+        taken = self.batch.running + self.batch.waiting
+        if taken < behaviour.slots + behaviour.waiting_room:
+            return False
+        now_s = time.monotonic()
+        self._rejected_s = [
+            each for each in self._rejected_s if now_s - each < 1.0
+        ] + [now_s]
+        if 0 < behaviour.rejection_limit < len(self._rejected_s):
+            os._exit(71)
+        return True
+
     def crash_on_marker(self, body: bytes) -> None:
         """Ends the process if a request is one that crashes it."""
         marker = self.behaviour.crash_marker.encode()
@@ -273,6 +296,9 @@
             return
         if self._turns_away():
             return
+        if self.engine.rejects():
+            self._send_answer(503, b"{}")
+            return
         tokens = self.engine.run(
             self.headers.get("X-Request-Id", ""),
             int(self.headers.get("X-Priority", "0")),
@@ -295,6 +321,10 @@
         behaviour = self.engine.behaviour
         if behaviour.rate_limit:
             self.send_header("X-Rate-Limit", behaviour.rate_limit)
+        if behaviour.rejection_limit:
+            self.send_header(
+                "X-Rejection-Limit", str(behaviour.rejection_limit)
+            )
         if behaviour.departure:
             self.send_header("X-Leaving", "1")
         if behaviour.pause and status == 503:
