Let resumable streams outlast a silence of a second

A sound endpoint may say nothing for a second and go on. Its streams were resumed elsewhere after 0.8 s: a second run of each, all at once. test_stall_limit failed before with 0.8 and 1.2 s limits for the pauses in use.

--- a/cardamombarrow/entry/routed.py
+++ b/cardamombarrow/entry/routed.py
@@ -48,7 +48,9 @@
 """Multiple of its longest pause after which a silent stream is resumed
 elsewhere: callers wait for eight."""
 
-STALL_MIN_S = 0.8
+STALL_MIN_S = 1.5
+"""Sound endpoints may be silent for about a second; their callers wait for two
+at least."""
 
 SUFFIX_BYTES = 3
 """Random bytes that distinguish requests with the same caller-given id."""
