--- a/cardamombarrow/tests/test_crashing_requests.py
+++ b/cardamombarrow/tests/test_crashing_requests.py
@@ -3,7 +3,6 @@
 from concurrent import futures
 import itertools
 import signal
-import threading
 import time
 
 import pytest
@@ -46,34 +45,6 @@
 _RESTART_S = 0.3
 
 
-class _Restarter:
-    """Restarts endpoints that have crashed, and counts their crashes."""
-
-    def __init__(self, running):
-        self._running = running
-        self._stop = threading.Event()
-        self._thread = threading.Thread(target=self._watch)
-        self.crashes = 0
-
-    def __enter__(self):
-        self._thread.start()
-        return self
-
-    def __exit__(self, *_):
-        self._stop.set()
-        self._thread.join()
-
-    def _watch(self):
-        while not self._stop.wait(0.02):
-            for address in self._running.engines["desk"]:
-                process = self._running.processes[f"engine-{address}"]
-                if process.poll() is None:
-                    continue
-                self.crashes += 1
-                time.sleep(_RESTART_S)
-                self._running.start_engine(address)
-
-
 def _is_quarantined(answer):
     return answer.error is not None and answer.error["code"] == "quarantined"
 
@@ -100,19 +71,19 @@
     keys = (f"key-{number}" for number in itertools.count())
     urls = list(running.entries.values())
     bad = f"book {_MARKER}".encode()
-    with _Restarter(running) as restarter:
+    with deployment.EngineRestarter(running, "desk", _RESTART_S) as restarter:
         for url in itertools.cycle(urls):
-            if restarter.crashes >= _CRASHES_BEFORE:
+            if restarter.count >= _CRASHES_BEFORE:
                 break
             _book(url, bad, next(keys))
             time.sleep(2 * _RESTART_S)
         time.sleep(_CONTACT_S)
-        before = restarter.crashes
+        before = restarter.count
         for url in 2 * urls:
             answer = _book(url, bad, next(keys))
             assert answer.status != 200
             time.sleep(2 * _RESTART_S)
-        crashes = restarter.crashes - before
+        crashes = restarter.count - before
         with futures.ThreadPoolExecutor(6) as pool:
             harmless = list(
                 pool.map(lambda url: _book(url, b"ok", next(keys)), urls)
@@ -125,7 +96,7 @@
     # Guards against one more endpoint lost with each start of an entry.
     keys = (f"key-{number}" for number in itertools.count())
     bad = f"again {_MARKER}".encode()
-    with _Restarter(running) as restarter:
+    with deployment.EngineRestarter(running, "desk", _RESTART_S) as restarter:
         urls = itertools.cycle(running.entries.values())
         while not _is_quarantined(_book(next(urls), bad, next(keys))):
             time.sleep(2 * _RESTART_S)
@@ -135,7 +106,7 @@
                 for name in running.entries
             )
         )
-        before = restarter.crashes
+        before = restarter.count
         running.signal("c-1", signal.SIGKILL)
         running.processes["c-1"].wait()
         running.start_instance("c-1")
@@ -146,4 +117,4 @@
             ),
             5.0,
         )
-        assert restarter.crashes == before
+        assert restarter.count == before
--- a/cardamombarrow/tests/test_rejection_limits.py
+++ b/cardamombarrow/tests/test_rejection_limits.py
@@ -2,7 +2,6 @@
 
 from concurrent import futures
 import itertools
-import threading
 import time
 
 import pytest
@@ -65,39 +64,15 @@
         yield started
 
 
-class _Falls:
-    """Counts engines that have ended, and restarts them."""
-
-    def __init__(self, running):
-        self._running = running
-        self._stop = threading.Event()
-        self._thread = threading.Thread(target=self._watch)
-        self.count = 0
-
-    def __enter__(self):
-        self._thread.start()
-        return self
-
-    def __exit__(self, *_):
-        self._stop.set()
-        self._thread.join()
-
-    def _watch(self):
-        while not self._stop.wait(0.02):
-            for address in self._running.engines["engines"]:
-                process = self._running.processes[f"engine-{address}"]
-                if process.poll() is not None:
-                    self.count += 1
-                    time.sleep(_RESTART_S)
-                    self._running.start_engine(address)
-
-
 def test_engines_under_more_load_than_they_have_room_for_stay_up(running):
     # Guards against engines that fall over because each entry, or placer, goes
     # on sending to one that rejects the requests of all.
     urls = itertools.cycle(running.entries.values())
     numbers = itertools.count()
-    with _Falls(running) as falls, futures.ThreadPoolExecutor(256) as pool:
+    with (
+        deployment.EngineRestarter(running, "engines", _RESTART_S) as falls,
+        futures.ThreadPoolExecutor(256) as pool,
+    ):
         pending = []
         end_s = time.monotonic() + _LOAD_S
         while time.monotonic() < end_s:
