--- a/cardamombarrow/entry/broker.py
+++ b/cardamombarrow/entry/broker.py
@@ -13,7 +13,7 @@
 import dataclasses
 
 from cardamombarrow.decisions import messages
-from cardamombarrow.entry import broker_base
+from cardamombarrow.entry import broker_quarantine
 from cardamombarrow.entry import decision_lines
 from cardamombarrow.entry import ticket as ticket_module
 from cardamombarrow.kernel import errors
@@ -34,7 +34,7 @@
 the state of the placer, so the request is decided locally instead."""
 
 
-class Broker(broker_base.BrokerBase):
+class Broker(broker_quarantine.QuarantineBroker):
     """A dispatcher shared by the request threads of an entry."""
 
     def submit(self, job: messages.Job) -> ticket_module.Ticket:
--- /dev/null
+++ b/cardamombarrow/entry/broker_quarantine.py
@@ -0,0 +1,128 @@
+"""Requests that crash endpoints: what this entry saw and others reported."""
+
+import collections
+from collections import abc as collections_abc
+import typing
+
+from cardamombarrow.decisions import messages
+from cardamombarrow.entry import broker_statements
+from cardamombarrow.entry import decision_lines
+from cardamombarrow.kernel import ids
+from cardamombarrow.kernel import logs
+
+__all__ = ["QuarantineBroker"]
+
+MAX_OWN_SUSPECTS = 128
+"""Reports of suspects that this instance keeps publishing: crashes are rare."""
+
+
+class QuarantineBroker(broker_statements.StatementBroker):
+    """A broker that shares crashes and refuses what has caused them."""
+
+    def __init__(self, *args: typing.Any, **kwargs: typing.Any):
+        """Builds the broker; see `broker_base.BrokerBase`."""
+        super().__init__(*args, **kwargs)
+        self._on_suspects: collections_abc.Callable[[], None] = lambda: None
+        self._own_suspects: collections.deque[messages.SuspectReport] = (
+            collections.deque(maxlen=MAX_OWN_SUSPECTS)
+        )
+
+    def set_suspect_listener(
+        self, on_suspects: collections_abc.Callable[[], None]
+    ) -> None:
+        """Sets what is called when this instance has reports of suspects."""
+        self._on_suspects = on_suspects
+
+    def crashed(
+        self, endpoint: ids.EndpointId, suspects: list[messages.Job]
+    ) -> None:
+        """Records that an endpoint crashed while these jobs ran on it.
+
+        One that has fallen over for its rejections makes no job a suspect.
+        """
+        if self._context.rejection_limits.may_have_fallen(
+            endpoint, self._clock.now_s()
+        ):
+            logs.event("endpoint fell over", "WARNING", endpoint=endpoint)
+            return
+        self._update_quarantine(
+            lambda now_s: self._dispatcher.crashed(endpoint, suspects, now_s),
+            f"crash of {endpoint}",
+        )
+        self._share_suspects()
+
+    def _update_quarantine(
+        self, update: collections_abc.Callable[[float], None], source: str
+    ) -> None:
+        """Updates what is quarantined, and refuses what waits of it."""
+        with self._lock:
+            now_s = self._clock.now_s()
+            before = self._dispatcher.quarantine_marks(now_s)
+            update(now_s)
+            after = self._dispatcher.quarantine_marks(now_s)
+            withdrawn: list[ids.RequestId] = []
+            lines: list[decision_lines.DecisionLine] = []
+            if after.keys() - before.keys():
+                withdrawn = self._dispatcher.refuse_quarantined(now_s)
+                lines = self._run_due()
+        for request_id in withdrawn:
+            self._remote_placer.withdraw(request_id)
+        decision_lines.write(lines)
+        for fingerprint in after.keys() ^ before.keys():
+            is_new = fingerprint in after
+            logs.decision(
+                "quarantine" if is_new else "quarantine ended",
+                fingerprint=fingerprint,
+                left_s=round(after.get(fingerprint, 0.0), 3),
+                source=source,
+            )
+
+    def _share_suspects(self) -> None:
+        """Passes this instance's new reports of suspects on."""
+        with self._lock:
+            reports = self._dispatcher.take_suspect_reports()
+            self._own_suspects.extend(reports)
+        if not reports:
+            return
+        if self._domain_broker is not None:
+            self._domain_broker.merge_suspects(reports)
+        self._on_suspects()
+
+    def own_suspects(self) -> list[messages.SuspectReport]:
+        """Returns this instance's latest reports of suspects."""
+        with self._lock:
+            return list(self._own_suspects)
+
+    def merge_suspects(
+        self, reports: collections_abc.Sequence[messages.SuspectReport]
+    ) -> None:
+        """Adds other instances' reports of suspects."""
+        instances = sorted({report.instance for report in reports})
+        self._update_quarantine(
+            lambda now_s: self._dispatcher.merge_suspect_reports(
+                reports, now_s
+            ),
+            f"reports of {', '.join(instances)}",
+        )
+        if self._domain_broker is not None:
+            self._domain_broker.merge_suspects(reports)
+
+    def suspect_counts(self) -> tuple[int, int]:
+        """Counts the suspects and the quarantined requests."""
+        with self._lock:
+            marks = self._dispatcher.quarantine_marks(self._clock.now_s())
+            return self._dispatcher.suspect_count(), len(marks)
+
+    def quarantine_marks(self) -> dict[ids.Fingerprint, float]:
+        """Returns quarantined fingerprints and their seconds left."""
+        with self._lock:
+            return self._dispatcher.quarantine_marks(self._clock.now_s())
+
+    def merge_quarantine(self, marks: dict[ids.Fingerprint, float]) -> None:
+        """Adds fingerprints that another instance quarantined."""
+        self._update_quarantine(
+            lambda now_s: self._dispatcher.merge_quarantine(marks, now_s),
+            "another instance",
+        )
+        if self._domain_broker is not None:
+            self._domain_broker.merge_quarantine(marks)
