Drop the failures of endpoints when the path to them is back

The failures were those of the path; the entry now forgets them when an endpoint of the service connects again. test_requests_go_to_endpoints_at_once_when_the_path_is_back brings it about.

--- a/cardamombarrow/decisions/base.py
+++ b/cardamombarrow/decisions/base.py
@@ -312,6 +312,9 @@
     ) -> None:
         """Handles a load report of an endpoint."""
 
+    def on_reachable(self, endpoint: ids.EndpointId) -> None:
+        """Handles the end of a time in which no endpoint could be reached."""
+
     def speed(
         self, state: endpoint_module.EndpointState, now_s: float
     ) -> messages.EndpointSpeed | None:
--- a/cardamombarrow/decisions/choosing/cost_choice.py
+++ b/cardamombarrow/decisions/choosing/cost_choice.py
@@ -116,6 +116,10 @@
 
     # -- learning ------------------------------------------------------------
 
+    def on_reachable(self, endpoint: ids.EndpointId) -> None:
+        """Drops the endpoint's failures, which were those of the path."""
+        self._failures.forget(endpoint)
+
     def on_first_token(
         self,
         state: endpoint_module.EndpointState,
--- a/cardamombarrow/decisions/dispatcher_state.py
+++ b/cardamombarrow/decisions/dispatcher_state.py
@@ -220,6 +220,12 @@
         """Returns whether an endpoint gets no new requests."""
         return self._roster.is_leaving(state)
 
+    def reachable_again(self, service: ids.ServiceId) -> None:
+        """Drops the failures of a service's endpoints: they had no path."""
+        for state in self._roster.reachable(service):
+            self._policies.choice.on_reachable(state.endpoint)
+        self._roster.changed.add(service)
+
     def reachable_endpoints(
         self,
     ) -> dict[ids.ServiceId, list[ids.EndpointId]]:
--- a/cardamombarrow/decisions/fleet/failures.py
+++ b/cardamombarrow/decisions/fleet/failures.py
@@ -153,6 +153,10 @@
         if counts_for_probation and record.consecutive == FAILURES_TO_PROBATION:
             record.probe_at_s = now_s + FIRST_PROBE_S
 
+    def forget(self, endpoint: ids.EndpointId) -> None:
+        """Drops the failures of an endpoint that were not its own."""
+        self._records.pop(endpoint, None)
+
     def _record(self, endpoint: ids.EndpointId, now_s: float) -> _FailureRecord:
         record = self._records.setdefault(endpoint, _FailureRecord(now_s))
         if len(self._records) > MAX_RECORDS:
--- a/cardamombarrow/entry/broker_base.py
+++ b/cardamombarrow/entry/broker_base.py
@@ -243,6 +243,15 @@
         with self._lock:
             return self._dispatcher.reachable_endpoints()
 
+    def reachable_again(self, service: ids.ServiceId) -> None:
+        """Drops the failures of endpoints that this entry could not connect."""
+        with self._lock:
+            self._dispatcher.reachable_again(service)
+            lines = self._run_due()
+        decision_lines.write(lines)
+        if self._domain_broker is not None:
+            self._domain_broker.reachable_again(service)
+
     def has_endpoints(self) -> bool:
         """Returns whether any endpoint is known."""
         with self._lock:
--- a/cardamombarrow/entry/core.py
+++ b/cardamombarrow/entry/core.py
@@ -186,6 +186,17 @@
     return readiness
 
 
+def _reachability(
+    broker: broker_module.Broker, peering: peering_module.Peering
+) -> reachability_module.Reachability:
+    def on_change(service: ids.ServiceId, is_cut_off: bool) -> None:
+        peering.control.report_now()
+        if not is_cut_off:
+            broker.reachable_again(service)
+
+    return reachability_module.Reachability(broker.endpoints_in_use, on_change)
+
+
 def _forwarder(
     settings: settings_module.EntrySettings,
     reachability: reachability_module.Reachability,
@@ -199,6 +210,20 @@
     )
 
 
+def _decline_reason(
+    reachability: reachability_module.Reachability,
+    readiness: readiness_module.Readiness,
+) -> typing.Callable[[], str | None]:
+    """Returns a function that tells why forwarded requests are declined."""
+
+    def reason() -> str | None:
+        if reachability.is_cut_off_from_all():
+            return "no endpoint can be connected"
+        return readiness.reason()
+
+    return reason
+
+
 def _forwarding_server(
     settings: settings_module.EntrySettings,
     app: typing.Any,
@@ -254,9 +279,7 @@
     ledger = settler.Settler(
         ledger_client.RemoteLedger(peering.control.propose)
     )
-    reachability = reachability_module.Reachability(
-        broker.endpoints_in_use, peering.control.report_now
-    )
+    reachability = _reachability(broker, peering)
     forwarder = _forwarder(settings, reachability, counts)
     services = request_handler.RequestServices(
         broker,
@@ -297,12 +320,7 @@
     watch.refresh()
     app = _app(settings, documents, runner, readiness, peering.lease)
     startup.forward_to(app)
-
-    def decline_reason() -> str | None:
-        if reachability.is_cut_off_from_all():
-            return "no endpoint can be connected"
-        return readiness.reason()
-
+    decline_reason = _decline_reason(reachability, readiness)
     forwarding_server = _forwarding_server(settings, app, decline_reason)
     peering.set_forwarding(
         lambda: "" if decline_reason() else settings.forwarding.address,
--- a/cardamombarrow/entry/tests/test_broker.py
+++ b/cardamombarrow/entry/tests/test_broker.py
@@ -244,3 +244,23 @@
         broker.finish(each.job.request_id, messages.Outcome.DONE)
     assert broker.demand().in_flight == {}
     assert broker.demand().demand_tokens_per_s == {}
+
+
+def test_requests_go_to_endpoints_at_once_when_the_path_is_back(broker):
+    # Guards against requests that wait, or are refused, for the backoff of
+    # endpoints which failed while this entry reached none of them.
+    service = ids.ServiceId("report-writer")
+    number = 0
+    for _ in range(6):
+        for _ in broker.endpoints_in_use()[service]:
+            number += 1
+            try:
+                ticket = broker.submit(_job(number))
+                ticket.placed.result(timeout=0.05)
+            except (errors.RefusedError, futures.TimeoutError):
+                continue
+            broker.finish(ticket.job.request_id, messages.Outcome.NOT_STARTED)
+    waiting = broker.submit(_job(1_000))
+    assert not waiting.placed.done()
+    broker.reachable_again(service)
+    assert waiting.placed.result(timeout=_LIMIT_S)
--- a/cardamombarrow/forwarding/reachability.py
+++ b/cardamombarrow/forwarding/reachability.py
@@ -36,6 +36,7 @@
 """Time between two tries while no endpoint is reachable."""
 
 Connects = abc.Callable[[abc.Sequence[ids.EndpointId], float], bool]
+OnChange = abc.Callable[[ids.ServiceId, bool], None]
 Endpoints = abc.Callable[
     [], abc.Mapping[ids.ServiceId, abc.Sequence[ids.EndpointId]]
 ]
@@ -92,14 +93,14 @@
     def __init__(
         self,
         endpoints: Endpoints,
-        on_change: abc.Callable[[], None] = lambda: None,
+        on_change: OnChange = lambda service, is_cut_off: None,
         connects: Connects = any_connects,
     ):
         """Builds the detector.
 
         Args:
             endpoints: Returns the endpoints in use, by service.
-            on_change: Called when the state of a service changes.
+            on_change: Called with a service and whether it is cut off now.
             connects: Returns whether one of some endpoints accepts a connection
                 within a time, in seconds.
         """
@@ -177,7 +178,7 @@
             service=service,
             after_s=round(time.monotonic() - state.cut_off_s, 3),
         )
-        self._on_change()
+        self._on_change(service, False)
 
     def _watch(self) -> None:
         while (suspected := self._wait()) is not None:
@@ -219,4 +220,4 @@
         logs.event(
             "endpoints unreachable", "WARNING", service=service, failed=failed
         )
-        self._on_change()
+        self._on_change(service, True)
