Let requests wait for endpoints that are down for all entries

Seen while reading the change: with all endpoints of a service down, each entry takes itself for cut off, and its waiting requests were taken out of the queue to be forwarded, declined by all and refused.

A request that waits or has failed is forwarded only once another entry has served one of the service; new ones try at once, as before. The new test failed before. Requests that may run again are also forwarded if their connection fell silent.

--- a/cardamombarrow/entry/call_runner.py
+++ b/cardamombarrow/entry/call_runner.py
@@ -28,16 +28,6 @@
 another one."""
 
 
-_NOT_REACHED_ERRORS = (
-    errors.ErrorKind.ENDPOINT_UNREACHED,
-    errors.ErrorKind.NO_ENDPOINT,
-    errors.ErrorKind.OVERLOADED,
-    errors.ErrorKind.QUEUE_TIMEOUT,
-    errors.ErrorKind.STALLED,
-)
-"""Errors of requests that an entry without a path to endpoints can't place."""
-
-
 class CallRunner:
     """Request handling shared by the applications of an entry.
 
@@ -74,10 +64,10 @@
             self.services.broker.paused(),
             self.services.broker.invalid_fields(),
             self.services.broker.slow(),
-            suspects,
-            quarantined,
-            len(self.services.reachability.cut_off()),
-            self.services.broker.brittle(),
+            suspects=suspects,
+            quarantined=quarantined,
+            unreachable=len(self.services.reachability.cut_off()),
+            brittle=self.services.broker.brittle(),
         )
 
     def begin(
@@ -158,7 +148,10 @@
                     request_handler.RequestHandler(call, watch, self.services)
                 )
             except errors.RouterError as error:
-                if not _may_run_elsewhere(error, call.job):
+                is_proven = self.services.forwarder.is_proven(call.job.service)
+                if not is_proven or not request_handler.may_run_elsewhere(
+                    error, call.job
+                ):
                     raise
                 forwarded = self._forward(environ, call, watch)
                 if forwarded is None:
@@ -239,10 +232,3 @@
             if close is not None:
                 close()
             self._gate.leave(job)
-
-
-def _may_run_elsewhere(error: errors.RouterError, job: messages.Job) -> bool:
-    """Returns whether a failed request may be run by another entry."""
-    if error.kind not in _NOT_REACHED_ERRORS:
-        return False
-    return (error.not_run and not job.may_have_run) or job.repeatable
--- a/cardamombarrow/entry/request_handler.py
+++ b/cardamombarrow/entry/request_handler.py
@@ -27,7 +27,12 @@
 from cardamombarrow.ledger import client as ledger_client
 from cardamombarrow.metering import meter as meter_module
 
-__all__ = ["RelayedAnswer", "RequestHandler", "RequestServices"]
+__all__ = [
+    "RelayedAnswer",
+    "RequestHandler",
+    "RequestServices",
+    "may_run_elsewhere",
+]
 
 CALLER_POLL_S = 0.25
 """Interval at which a waiting caller's connection is checked."""
@@ -39,6 +44,22 @@
 _NOT_RETRIED = (errors.ErrorKind.CALLER_GONE, errors.ErrorKind.DEADLINE)
 """Errors after which a request is not retried."""
 
+_NOT_REACHED_ERRORS = (
+    errors.ErrorKind.ENDPOINT_UNREACHED,
+    errors.ErrorKind.NO_ENDPOINT,
+    errors.ErrorKind.OVERLOADED,
+    errors.ErrorKind.QUEUE_TIMEOUT,
+)
+"""Errors of requests that an entry without a path to endpoints can't place."""
+
+_UNANSWERED_ERRORS = (
+    *_NOT_REACHED_ERRORS,
+    errors.ErrorKind.ENDPOINT_FAILED,
+    errors.ErrorKind.CONNECTION_SILENT,
+    errors.ErrorKind.STALLED,
+)
+"""Errors of requests on connections that have lost their path."""
+
 
 @dataclasses.dataclass(frozen=True)
 class RequestServices:
@@ -98,6 +119,16 @@
     settled: bool = False
 
 
+def may_run_elsewhere(error: errors.RouterError, job: messages.Job) -> bool:
+    """Returns whether another entry may run a request that has failed here.
+
+    No part of an answer may have been relayed yet.
+    """
+    if error.not_run and not job.may_have_run:
+        return error.kind in _NOT_REACHED_ERRORS
+    return job.repeatable and error.kind in _UNANSWERED_ERRORS
+
+
 class RequestHandler:
     """One request from admission to settlement."""
 
@@ -311,15 +342,17 @@
 
     def _may_forward(self) -> bool:
         """Returns whether another entry may serve the request instead."""
-        return not (
-            self._relaying or self._call.is_forwarded
-        ) and self._services.forwarder.is_needed(self._call.job.service)
+        if self._relaying or self._call.is_forwarded:
+            return False
+        return self._services.forwarder.is_proven(self._call.job.service)
 
     def _retry(
         self, ticket: ticket_module.Ticket, error: errors.RouterError
     ) -> ticket_module.Ticket:
         outcome = answer_stream.OUTCOMES[error.kind]
-        if error.kind in _NOT_RETRIED or self._may_forward():
+        if error.kind in _NOT_RETRIED:
+            raise error
+        if self._may_forward() and may_run_elsewhere(error, ticket.job):
             raise error
         new_ticket = self._services.broker.resubmit(ticket, outcome)
         if new_ticket is None:
--- a/cardamombarrow/forwarding/core.py
+++ b/cardamombarrow/forwarding/core.py
@@ -35,6 +35,10 @@
 MAX_TRIES = 3
 """Entries that are asked to take one request."""
 
+PROVEN_S = 5.0
+"""How long it is known, after an entry has taken a request, that the endpoints
+are reachable from there."""
+
 DECLINED_S = 1.0
 """How long an entry that has declined gets no more requests of the service."""
 
@@ -46,6 +50,8 @@
 """The other entry notices a silent endpoint itself; a longer silence is that of
 the entry or its link."""
 
+_SERVER_ERROR = 500
+
 _HOP_BY_HOP = frozenset(
     (
         "connection",
@@ -144,6 +150,7 @@
         self._lock = threading.Lock()
         self._near: tuple[str, ...] = ()
         self._far: tuple[str, ...] = ()
+        self._taken_s: dict[ids.ServiceId, float] = {}
         self._declined_s: dict[tuple[str, ids.ServiceId], float] = {}
 
     def set_entries(
@@ -168,6 +175,17 @@
             and bool(self._near or self._far)
         )
 
+    def is_proven(self, service: ids.ServiceId) -> bool:
+        """Returns whether another entry was seen to reach a service.
+
+        If all endpoints of a service are down, a request that already waits
+        here goes on waiting for them.
+        """
+        taken_s = self._taken_s.get(service)
+        if taken_s is None or time.monotonic() - taken_s > PROVEN_S:
+            return False
+        return self.is_needed(service)
+
     def forward(self, request: ForwardRequest) -> ForwardedAnswer | None:
         """Has another entry serve a request.
 
@@ -229,6 +247,8 @@
             self._log(request, address, "declined", head.headers[DECLINED])
             return None
         self._log(request, address, "taken", f"status {head.status}")
+        if head.status < _SERVER_ERROR:
+            self._taken_s[request.service] = time.monotonic()
         return ForwardedAnswer(head, _relay(exchange))
 
     def _log(
--- a/cardamombarrow/tests/test_forwarding.py
+++ b/cardamombarrow/tests/test_forwarding.py
@@ -219,3 +219,25 @@
         running.start_instance("a-3")
         running.wait_ready("a-3")
     assert [answer.status for answer in answers] == [200] * 12
+
+
+def test_requests_wait_for_endpoints_that_are_down_for_all_entries(running):
+    # Guards against refusing all callers at once while a service is down: no
+    # other entry reaches it either, and it returns in time for many.
+    _load(running, 3.0, _numbers)
+    addresses = running.engines["shop"]
+    for address in addresses:
+        running.signal(f"engine-{address}", signal.SIGKILL)
+        running.processes[f"engine-{address}"].wait()
+    names = [name for group in _ENTRIES.values() for name in group]
+    with futures.ThreadPoolExecutor(32) as pool:
+        pending = []
+        for number in range(20):
+            pending.append(
+                pool.submit(_send, running, names[number % 5], 3 * number + 1)
+            )
+            time.sleep(0.1)
+        for address in addresses:
+            running.start_engine(address)
+        statuses = [future.result().status for future in pending]
+    assert statuses.count(200) >= len(statuses) / 4, statuses
