--- a/cardamombarrow/tests/test_forwarding.py
+++ b/cardamombarrow/tests/test_forwarding.py
@@ -1,7 +1,6 @@
 """Entries that lose their paths to all endpoints, and to nothing else."""
 
 from concurrent import futures
-import contextlib
 import itertools
 import json
 import signal
@@ -11,38 +10,12 @@
 
 from cardamombarrow.endpoints import http_get
 from tools import caller
+from tools import cut_off
 from tools import deployment
 from tools.standin import cut_links
 
 pytestmark = pytest.mark.process
 
-_DIGEST = "fd501e4e4eabb3b62f313e4d323048dfbddebb4d702c7b63512125b3fa21dd28"
-_DOCUMENT = f"""
-[tier:race]
-rank = 0
-[class:question]
-tier = race
-target_first_token_s = 1
-target_total_s = 8
-[workspace:desk]
-key_sha256 = {_DIGEST}
-classes = question
-[service:engines]
-kind = engine
-endpoints.a = 10.0.0.1:80, 10.0.0.2:80
-endpoints.b = 10.0.0.3:80
-[service:shop]
-kind = plain
-unrepeatable = POST /charge
-endpoints.a = 10.0.0.4:80
-endpoints.b = 10.0.0.5:80
-[model:engines]
-service = engines
-[owner:operations]
-token_sha256 = {_DIGEST}
-sections = *
-"""
-_ENTRIES = {"a": ["a-1", "a-2", "a-3"], "b": ["b-1", "b-2"]}
 _CONTACT_S = 4.0
 """Time from the cut after which callers have to be served as elsewhere."""
 
@@ -55,51 +28,14 @@
 
 @pytest.fixture(scope="module")
 def running(tmp_path_factory):
-    plan = deployment.Plan(
-        document=_DOCUMENT,
-        entries=_ENTRIES,
-        controls={"a": ["control-1"]},
-        engine_options=("--token-s", "0.005"),
-        entry_plugins=("tools.standin.cut_links",),
-    )
     folder = tmp_path_factory.mktemp("forwarding")
-    with deployment.Deployment(plan, folder) as started:
+    with deployment.Deployment(cut_off.plan(), folder) as started:
         yield started
 
 
-@contextlib.contextmanager
-def _cut(running, names, mode):
-    """Cuts entries off from all endpoints."""
-    ports = [
-        address.rpartition(":")[2]
-        for group in running.engines.values()
-        for address in group
-    ]
-    files = [cut_links.cut_file(running.settings_path(n)) for n in names]
-    for file in files:
-        file.write_text("\n".join((mode.value, *ports)))
-    try:
-        yield
-    finally:
-        for file in files:
-            file.unlink()
-
-
-def _send(running, name, number):
-    url = running.entries[name]
-    kind = number % 3
-    if kind == 0:
-        return caller.complete(url, "desk", model="engines", prompt=str(number))
-    if kind == 1:
-        return caller.service(url, "desk", f"shop/stock/{number}", method="GET")
-    return caller.service(
-        url, "desk", "shop/charge", body=b"x", key=f"{name}-{number}"
-    )
-
-
 def _load(running, duration_s, numbers):
     """Sends first tries to all entries; returns statuses by entry."""
-    names = [name for group in _ENTRIES.values() for name in group]
+    names = [name for group in cut_off.ENTRIES.values() for name in group]
     turns = itertools.cycle(names)
     pending = {name: [] for name in names}
     end_s = time.monotonic() + duration_s
@@ -107,7 +43,7 @@
         while time.monotonic() < end_s:
             name = next(turns)
             pending[name].append(
-                pool.submit(_send, running, name, next(numbers))
+                pool.submit(cut_off.send, running, name, next(numbers))
             )
             time.sleep(_CALL_INTERVAL_S)
     return {
@@ -126,7 +62,7 @@
 def test_callers_of_cut_entries_are_served_like_others(running, cut, mode):
     # Guards against callers that are refused by an entry without a path to any
     # endpoint while its neighbours serve, also if its whole domain is cut off.
-    with _cut(running, cut, mode):
+    with cut_off.cut(running, cut, mode):
         _load(running, _CONTACT_S, _numbers)
         statuses = _load(running, _LOAD_S, _numbers)
     served = {True: [], False: []}
@@ -155,7 +91,7 @@
 def test_an_unrepeatable_call_runs_once_whatever_entry_serves_it(running):
     # Guards against a charge that the first entry and the one that it was
     # forwarded to both make.
-    with _cut(running, ("a-1",), cut_links.CutMode.HANG):
+    with cut_off.cut(running, ("a-1",), cut_links.CutMode.HANG):
         _load(running, _CONTACT_S, _numbers)
         bodies = [f"charge-{number}".encode() for number in range(20)]
         answers = [
@@ -185,7 +121,7 @@
 
 def test_a_forwarded_request_ends_when_its_caller_leaves(running):
     # Guards against engines that go on for callers who have left.
-    with _cut(running, ("a-1",), cut_links.CutMode.REFUSE):
+    with cut_off.cut(running, ("a-1",), cut_links.CutMode.REFUSE):
         _load(running, _CONTACT_S, _numbers)
         before = len(_runs(running, "engines"))
         url = running.entries["a-1"]
@@ -211,11 +147,13 @@
 
 def test_entries_that_take_over_may_die(running):
     # Guards against requests that go on to an entry that is gone.
-    with _cut(running, ("a-1", "a-2"), cut_links.CutMode.HANG):
+    with cut_off.cut(running, ("a-1", "a-2"), cut_links.CutMode.HANG):
         _load(running, _CONTACT_S, _numbers)
         running.signal("a-3", signal.SIGKILL)
         running.processes["a-3"].wait()
-        answers = [_send(running, "a-1", next(_numbers)) for _ in range(12)]
+        answers = [
+            cut_off.send(running, "a-1", next(_numbers)) for _ in range(12)
+        ]
         running.start_instance("a-3")
         running.wait_ready("a-3")
     assert [answer.status for answer in answers] == [200] * 12
@@ -229,12 +167,14 @@
     for address in addresses:
         running.signal(f"engine-{address}", signal.SIGKILL)
         running.processes[f"engine-{address}"].wait()
-    names = [name for group in _ENTRIES.values() for name in group]
+    names = [name for group in cut_off.ENTRIES.values() for name in group]
     with futures.ThreadPoolExecutor(32) as pool:
         pending = []
         for number in range(20):
             pending.append(
-                pool.submit(_send, running, names[number % 5], 3 * number + 1)
+                pool.submit(
+                    cut_off.send, running, names[number % 5], 3 * number + 1
+                )
             )
             time.sleep(0.1)
         for address in addresses:
--- a/tools/standin/cut_links.py
+++ b/tools/standin/cut_links.py
@@ -56,9 +56,13 @@
 
     def route(address):
         """Returns the address to use instead; None refuses."""
-        if not path.exists() or not isinstance(address, tuple):
+        if not isinstance(address, tuple):
+            return address
+        try:
+            mode, *ports = path.read_text().split()
+        except (FileNotFoundError, ValueError):
+            # No cut, or one that is being written.
             return address
-        mode, *ports = path.read_text().split()
         if str(address[1]) not in ports:
             return address
         if CutMode(mode) is CutMode.REFUSE:
