--- a/cardamombarrow/decisions/fleet/crash_evidence.py
+++ b/cardamombarrow/decisions/fleet/crash_evidence.py
@@ -76,6 +76,10 @@
         self._crashes_of: dict[ids.Fingerprint, list[_Crash]] = {}
         self._completed_s: dict[ids.Fingerprint, float] = {}
 
+    def __bool__(self) -> bool:
+        """Returns whether a request was running at a crash that counts."""
+        return bool(self._crashes_of)
+
     def reports(self, now_s: float) -> list[messages.SuspectReport]:
         """Returns all reports that still count."""
         self._expire(now_s)
--- a/cardamombarrow/decisions/fleet/quarantine.py
+++ b/cardamombarrow/decisions/fleet/quarantine.py
@@ -53,7 +53,9 @@
 
     def must_run_alone(self, job: messages.Job, now_s: float) -> bool:
         """Returns whether a job is a suspect."""
-        return self._evidence.is_suspect(job.fingerprint, now_s)
+        return bool(self._evidence) and self._evidence.is_suspect(
+            job.fingerprint, now_s
+        )
 
     def suspect_count(self) -> int:
         """Returns the number of requests that have to run alone."""
--- a/cardamombarrow/entry/broker_quarantine.py
+++ b/cardamombarrow/entry/broker_quarantine.py
@@ -90,6 +90,8 @@
 
     def own_suspects(self) -> list[messages.SuspectReport]:
         """Returns this instance's latest reports of suspects."""
+        if not self._own_suspects:
+            return []
         with self._lock:
             return list(self._own_suspects)
 
--- a/cardamombarrow/entry/broker_statements.py
+++ b/cardamombarrow/entry/broker_statements.py
@@ -91,6 +91,8 @@
         self,
     ) -> dict[ids.EndpointId, messages.RejectionPause]:
         """Returns the pauses after rejections of this instance's requests."""
+        if not self._rejection_pauses:
+            return {}
         now_s = self._clock.now_s()
         for endpoint, pause in list(self._rejection_pauses.items()):
             if pause.until_s <= now_s:
