--- a/tools/standin/cut_links.py
+++ b/tools/standin/cut_links.py
@@ -1,7 +1,7 @@
 """Plug-in for tests that cuts an entry off from its endpoints.
 
 While the file ``<settings>.cut`` beside the entry's settings file exists, new
-connections to the ports that it lists hang, are refused, or are reset; see
+connections to the ports that it lists hang or are refused; see
 `CutMode`. Other connections work.
 """
 
