Look up a limit on rejections, and a connection's error, in one place each

Three methods of RejectionLimits repeated the test whether the limit still holds, and the new is_established read the socket's error beside _finish_connect. No behaviour changes.

--- a/cardamombarrow/decisions/limiting/rejections.py
+++ b/cardamombarrow/decisions/limiting/rejections.py
@@ -80,8 +80,14 @@
 
     def is_stated(self, endpoint: ids.EndpointId, now_s: float) -> bool:
         """Returns whether an endpoint limits its rejections."""
+        return self._stated(endpoint, now_s) is not None
+
+    def _stated(self, endpoint: ids.EndpointId, now_s: float) -> _State | None:
+        """Returns the state of an endpoint whose limit still holds."""
         state = self._by_endpoint.get(endpoint)
-        return state is not None and now_s - state.stated_s < STATEMENT_S
+        if state is None or now_s - state.stated_s >= STATEMENT_S:
+            return None
+        return state
 
     def reject(
         self, endpoint: ids.EndpointId, parties: int, now_s: float
@@ -98,8 +104,8 @@
             it states no limit.
         """
         with self._lock:
-            state = self._by_endpoint.get(endpoint)
-            if state is None or now_s - state.stated_s >= STATEMENT_S:
+            state = self._stated(endpoint, now_s)
+            if state is None:
                 return 0.0
             state.rejected_s = now_s
             if state.per_s <= 0.0:
@@ -126,10 +132,8 @@
 
     def limit_per_s(self, endpoint: ids.EndpointId, now_s: float) -> float:
         """Returns the limit of an endpoint; infinity if it states none."""
-        state = self._by_endpoint.get(endpoint)
-        if state is None or now_s - state.stated_s >= STATEMENT_S:
-            return math.inf
-        return state.per_s
+        state = self._stated(endpoint, now_s)
+        return math.inf if state is None else state.per_s
 
     def may_have_fallen(self, endpoint: ids.EndpointId, now_s: float) -> bool:
         """Returns whether rejections may be why an endpoint has ended."""
--- a/cardamombarrow/endpoints/connection.py
+++ b/cardamombarrow/endpoints/connection.py
@@ -131,11 +131,13 @@
 
     def is_established(self) -> bool:
         """Returns whether a connection that polls as writable has succeeded."""
-        code = self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        return not code
+        return not self._connect_error()
+
+    def _connect_error(self) -> int:
+        return self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
 
     def _finish_connect(self) -> None:
-        code = self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        code = self._connect_error()
         if code:
             raise BrokenError(f"not connected: {os.strerror(code)}")
         self.connected = True
