Log what is spent of the bound on retries; count arrivals at the endpoints

The users saw BUDGET broken twice on real processes, without logs. A retry line did not say how much of the bound over all entries was spent, and a retry that was refused left no line, so a restarted entry, a forwarded request and retries within the bound looked alike.

--- a/cardamombarrow/decisions/base.py
+++ b/cardamombarrow/decisions/base.py
@@ -401,6 +401,10 @@
         """Returns whether a run that is cancelled now could be retried."""
         return False
 
+    def use(self, job: messages.Job, now_s: float) -> messages.RetryUse | None:
+        """Returns what is used of the bound on retries of a job's service."""
+        return None
+
     def on_arrival(self, job: messages.Job, now_s: float) -> None:
         """Handles the arrival of a request."""
 
--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -479,6 +479,12 @@
             self._enqueue(job, self.backlog(job, now_s), now_s)
         return True
 
+    def retry_use(
+        self, job: messages.Job, now_s: float
+    ) -> messages.RetryUse | None:
+        """Returns what is used of the bound on retries of a job's service."""
+        return self._policies.retry.use(job, now_s)
+
     def blocked_for_s(self, job: messages.Job, now_s: float) -> float | None:
         """Returns when a job that all endpoints delay too long should return.
 
--- a/cardamombarrow/decisions/messages.py
+++ b/cardamombarrow/decisions/messages.py
@@ -28,6 +28,7 @@
     "Refusal",
     "RejectionLimit",
     "RejectionPause",
+    "RetryUse",
     "Running",
     "SuspectReport",
 ]
@@ -353,6 +354,19 @@
     is_late: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryUse:
+    """How much of its part of a bound on retries an instance has used.
+
+    Attributes:
+        spent: Retries to the service in the present window.
+        allowed: Retries that the instance may send in it.
+    """
+
+    spent: int
+    allowed: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CacheAnnouncement:
     """Prompt parts that an engine has cached, sent to other instances.
--- a/cardamombarrow/decisions/queueing/retry.py
+++ b/cardamombarrow/decisions/queueing/retry.py
@@ -118,10 +118,16 @@
         self._arrivals.append(now_s)
         self._expire(now_s)
 
-    def allows(self, share: float, slack: float, now_s: float) -> bool:
+    def use(
+        self, share: float, slack: float, now_s: float
+    ) -> messages.RetryUse:
         self._expire(now_s)
         allowed = share * len(self._arrivals) + slack
-        return len(self._retries) + 1 <= allowed
+        return messages.RetryUse(len(self._retries), allowed)
+
+    def allows(self, share: float, slack: float, now_s: float) -> bool:
+        use = self.use(share, slack, now_s)
+        return use.spent + 1 <= use.allowed
 
     def spend(self, share: float, slack: float, now_s: float) -> bool:
         if not self.allows(share, slack, now_s):
@@ -181,6 +187,10 @@
             return False
         return self._window(job).allows(*self._part(), now_s)
 
+    def use(self, job: messages.Job, now_s: float) -> messages.RetryUse:
+        """Returns what is used of this instance's part of the bound."""
+        return self._window(job).use(*self._part(), now_s)
+
     def on_arrival(self, job: messages.Job, now_s: float) -> None:
         """Adds a request to the window of its service."""
         self._window(job).record_arrival(now_s)
--- a/cardamombarrow/entry/broker.py
+++ b/cardamombarrow/entry/broker.py
@@ -89,23 +89,21 @@
             now_s = self._clock.now_s()
             use_placer = self._use_placer(job, now_s)
             self._refresh_shares(now_s)
-            if not self._dispatcher.retry(job, outcome, now_s, use_placer):
-                return None
-            self._tickets[job.request_id] = new_ticket
-            attempts = job.attempts
-            if self._dispatcher.awaits_remote_placement(job.request_id):
-                self._remote_placer.ask(job)
-            lines = self._run_due()
-            self._wake_if_earlier()
-        logs.decision(
-            "retry",
-            request_id=job.request_id,
-            outcome=outcome.value,
-            attempts=attempts,
-            tried=job.tried,
-        )
+            allowed = self._dispatcher.retry(job, outcome, now_s, use_placer)
+            use = self._dispatcher.retry_use(job, now_s)
+            retry_line = decision_lines.RetryLine(
+                job, outcome, allowed, job.attempts, use
+            )
+            lines = []
+            if allowed:
+                self._tickets[job.request_id] = new_ticket
+                if self._dispatcher.awaits_remote_placement(job.request_id):
+                    self._remote_placer.ask(job)
+                lines = self._run_due()
+                self._wake_if_earlier()
+        decision_lines.write_retry(retry_line)
         decision_lines.write(lines)
-        return new_ticket
+        return new_ticket if allowed else None
 
     def blocked_for_s(self, job: messages.Job) -> float | None:
         """Returns when a failed job should return if no endpoint takes it now.
--- a/cardamombarrow/entry/decision_lines.py
+++ b/cardamombarrow/entry/decision_lines.py
@@ -10,7 +10,7 @@
 from cardamombarrow.decisions import messages
 from cardamombarrow.kernel import logs
 
-__all__ = ["DecisionLine", "write"]
+__all__ = ["DecisionLine", "RetryLine", "write", "write_retry"]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -29,6 +29,38 @@
     asked_s: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryLine:
+    """Whether a failed request is retried, to be logged.
+
+    Attributes:
+        outcome: How its last run ended.
+        attempts: How often it was placed so far.
+        use: What is used of the bound on retries; None if there is none.
+    """
+
+    job: messages.Job
+    outcome: messages.Outcome
+    allowed: bool
+    attempts: int
+    use: messages.RetryUse | None
+
+
+def write_retry(line: RetryLine) -> None:
+    """Writes a line for a decision on a retry."""
+    use = line.use
+    bound = {"spent": use.spent, "most": round(use.allowed, 2)} if use else {}
+    logs.decision(
+        "retry" if line.allowed else "no retry",
+        request_id=line.job.request_id,
+        service=line.job.service,
+        outcome=line.outcome.value,
+        attempts=line.attempts,
+        tried=line.job.tried,
+        **bound,
+    )
+
+
 def write(lines: abc.Iterable[DecisionLine]) -> None:
     """Writes a line for each decision."""
     for line in lines:
--- a/cardamombarrow/entry/metrics.py
+++ b/cardamombarrow/entry/metrics.py
@@ -99,6 +99,7 @@
             placing_messages.QuestionOutcome
         ] = collections.Counter()
         self._forwarded: collections.Counter[str] = collections.Counter()
+        self._retries: collections.Counter[bool] = collections.Counter()
         self._goodput_tokens = 0
         self._sent_under_limit = 0
         self.waiting = 0
@@ -150,6 +151,11 @@
         with self._lock:
             self._forwarded[outcome] += 1
 
+    def count_retry(self, *, allowed: bool) -> None:
+        """Counts a failed request that is retried, or must not be."""
+        with self._lock:
+            self._retries[allowed] += 1
+
     def count_sent_under_limit(self) -> None:
         """Counts a request to an endpoint that states a rate limit."""
         with self._lock:
@@ -234,6 +240,10 @@
         for outcome_name, count in self._forwarded.items():
             labels = f'outcome="{outcome_name}"'
             yield f"{PREFIX}forwarded_requests_total{{{labels}}} {count}"
+        yield f"# TYPE {PREFIX}retries_total counter"
+        for allowed, count in self._retries.items():
+            labels = f'decision="{_RETRY[allowed]}"'
+            yield f"{PREFIX}retries_total{{{labels}}} {count}"
         yield f"# TYPE {PREFIX}sent_under_rate_limit_total counter"
         yield f"{PREFIX}sent_under_rate_limit_total {self._sent_under_limit}"
         for name, value in gauges.items():
@@ -241,4 +251,5 @@
             yield f"{PREFIX}{name} {value}"
 
 
+_RETRY = {True: "allowed", False: "refused"}
 _TARGET = {True: "met", False: "missed"}
--- a/cardamombarrow/entry/request_handler.py
+++ b/cardamombarrow/entry/request_handler.py
@@ -217,7 +217,7 @@
         error = answer_stream.failure_of(run.head)
         outcome = messages.Outcome.FAILURE_ANSWERED
         self._settle(ticket, error, outcome)
-        new_ticket = self._services.broker.resubmit(ticket, outcome)
+        new_ticket = self._resubmit(ticket, outcome)
         if new_ticket is None:
             run.settled = True
         return new_ticket
@@ -354,7 +354,7 @@
             raise error
         if self._may_forward() and may_run_elsewhere(error, ticket.job):
             raise error
-        new_ticket = self._services.broker.resubmit(ticket, outcome)
+        new_ticket = self._resubmit(ticket, outcome)
         if new_ticket is None:
             if error.not_run and error.retry_after_s is None:
                 error.retry_after_s = self._services.broker.blocked_for_s(
@@ -363,6 +363,13 @@
             raise error
         return new_ticket
 
+    def _resubmit(
+        self, ticket: ticket_module.Ticket, outcome: messages.Outcome
+    ) -> ticket_module.Ticket | None:
+        new_ticket = self._services.broker.resubmit(ticket, outcome)
+        self._services.metrics.count_retry(allowed=new_ticket is not None)
+        return new_ticket
+
     def _relay(self, run: _Run) -> abc.Iterator[bytes]:
         try:
             while True:
--- a/tools/standin/engine.py
+++ b/tools/standin/engine.py
@@ -14,11 +14,13 @@
 import itertools
 import json
 import os
+import random
 import select
 import threading
 import time
 import typing
 
+from tools import arrivals
 from tools.standin import engine_models
 
 __all__ = ["Behaviour", "Engine", "main"]
@@ -63,6 +65,9 @@
             is no bound.
         rejection_limit: Rejections a second, stated by every answer, above
             which the process ends; 0 is none.
+        fail_share: Share of the requests that get `fail_status`.
+        arrivals: File to which every request is appended; see
+            `tools.arrivals`. Empty is none.
     """
 
     slots: int = 8
@@ -84,6 +89,8 @@
     departure: bool = False
     waiting_room: int = -1
     rejection_limit: int = 0
+    fail_share: float = 1.0
+    arrivals: str = ""
 
 
 def _raise_if_cancelled(is_cancelled: IsCancelled) -> None:
@@ -177,6 +184,17 @@
             os._exit(71)
         return True
 
+    def record_arrival(self, port: int, body: bytes) -> None:
+        """Appends a request to the file of arrivals."""
+        if self.behaviour.arrivals:
+            arrivals.append(self.behaviour.arrivals, port, body)
+
+    def fails(self) -> bool:
+        """Returns whether a request gets `fail_status`."""
+        if not self.behaviour.fail_status:
+            return False
+        return random.random() < self.behaviour.fail_share
+
     def crash_on_marker(self, body: bytes) -> None:
         """Ends the process if a request is one that crashes it."""
         marker = self.behaviour.crash_marker.encode()
@@ -291,7 +309,8 @@
         return bool(poll.poll(0))
 
     def _completion(self, body: bytes) -> None:
-        if self.engine.behaviour.fail_status:
+        self._record_arrival(body)
+        if self.engine.fails():
             self._send_answer(self.engine.behaviour.fail_status, b"{}")
             return
         if self._turns_away():
@@ -383,7 +402,11 @@
         self._send_answer(503, b"{}")
         return True
 
+    def _record_arrival(self, body: bytes) -> None:
+        self.engine.record_arrival(self.server.server_address[1], body)
+
     def _call_plain(self, body: bytes) -> None:
+        self._record_arrival(body)
         if self._turns_away():
             return
         self.engine.crash_on_marker(body)
