Give a started entry no slack for retries until a window has passed

Callers' failing requests were retried more often than the bound over all entries allows: after each start an entry spent its whole part of the slack again, sized for a guessed number of entries, because its window is in memory.

A part that grows linearly from the start can add up to twice the bound. What the previous process spent, told by others, is lost with a process that is killed before it tells.

--- a/cardamombarrow/decisions/context.py
+++ b/cardamombarrow/decisions/context.py
@@ -1,6 +1,7 @@
 """The configuration and shared state passed to every policy."""
 
 import dataclasses
+import math
 import random
 
 from cardamombarrow.decisions import overload as overload_module
@@ -47,6 +48,8 @@
         restrictions: The pauses and departures that endpoints state.
         overload: For which services the overload controls are enabled; shared
             by all dispatchers of an instance.
+        started_s: When this instance started; a previous process with its id
+            may have used its parts of bounds until then.
         whole_domain: Whether the decisions are made for all instances of the
             domain, and not only for one of several that share it.
     """
@@ -71,4 +74,5 @@
     overload: overload_module.OverloadControl = dataclasses.field(
         default_factory=overload_module.OverloadControl
     )
+    started_s: float = -math.inf
     whole_domain: bool = False
--- a/cardamombarrow/decisions/queueing/retry.py
+++ b/cardamombarrow/decisions/queueing/retry.py
@@ -151,6 +151,9 @@
     bound: the share of its own requests, and the slack divided by the number
     of instances. The parts add up to the bound, even while the instances are
     partitioned; see `fleet`.
+
+    An instance that has just started takes no part of the slack for one window:
+    the process before it may have used that part.
     """
 
     def __init__(self, context: context_module.PolicyContext):
@@ -158,15 +161,15 @@
         self._windows: dict[ids.ServiceId, _Window] = {}
 
     def _spend(self, job: messages.Job, now_s: float) -> bool:
-        return self._window(job).spend(*self._part(), now_s)
+        return self._window(job).spend(*self._part(now_s), now_s)
 
-    def _part(self) -> tuple[float, float]:
+    def _part(self, now_s: float) -> tuple[float, float]:
         """Returns this instance's part of the share and the slack."""
         bounds = self.context.retries
-        return (
-            fleet.MARGIN * bounds.share,
-            self.context.fleet.part_of(bounds.slack),
-        )
+        share = fleet.MARGIN * bounds.share
+        if now_s < self.context.started_s + bounds.window_s:
+            return share, 0.0
+        return share, self.context.fleet.part_of(bounds.slack)
 
     def delay_s(self, job: messages.Job, outcome: messages.Outcome) -> float:
         """Returns no delay for the first retry, and a backoff for later ones.
@@ -185,11 +188,11 @@
             return False
         if job.max_runs and job.runs + 1 >= job.max_runs:
             return False
-        return self._window(job).allows(*self._part(), now_s)
+        return self._window(job).allows(*self._part(now_s), now_s)
 
     def use(self, job: messages.Job, now_s: float) -> messages.RetryUse:
         """Returns what is used of this instance's part of the bound."""
-        return self._window(job).use(*self._part(), now_s)
+        return self._window(job).use(*self._part(now_s), now_s)
 
     def on_arrival(self, job: messages.Job, now_s: float) -> None:
         """Adds a request to the window of its service."""
--- a/cardamombarrow/decisions/queueing/tests/test_retry_window.py
+++ b/cardamombarrow/decisions/queueing/tests/test_retry_window.py
@@ -102,3 +102,54 @@
     (policy,) = _instances(context, 1)
     job = new_job(deadline_s=60.0, attempts=1, **fields)
     assert policy.may_redo(job, 1.0) is allowed
+
+
+def _most_retries_over_the_bound(times_s, arrived_s):
+    worst = -_BOUNDS.slack
+    for end_s in times_s:
+        begin_s = end_s - _BOUNDS.window_s
+        retried = sum(begin_s < each <= end_s for each in times_s)
+        arrived = sum(begin_s < each <= end_s for each in arrived_s)
+        worst = max(worst, retried - _BOUNDS.share * arrived - _BOUNDS.slack)
+    return worst
+
+
+@pytest.mark.parametrize("restarts", [1, 2, 4])
+@pytest.mark.parametrize("per_s", [5, 15, 40])
+@pytest.mark.parametrize("seed", range(3))
+def test_restarted_instances_do_not_spend_the_slack_again(
+    context, new_job, restarts, per_s, seed
+):
+    # Guards against a full part of the slack after each start of an entry.
+    rng = random.Random(seed)
+    policies = _instances(context, 7)
+    arrived_s, retried_s = [], []
+    for step in range(30 * per_s):
+        now_s = step / per_s
+        for number, policy in enumerate(policies):
+            if rng.random() < restarts / _BOUNDS.window_s / per_s:
+                started = dataclasses.replace(policy.context, started_s=now_s)
+                policies[number] = retry.WindowRetry(started)
+        policy = rng.choice(policies)
+        job = new_job(arrived_s=now_s, deadline_s=now_s + 60.0)
+        policy.on_arrival(job, now_s)
+        arrived_s.append(now_s)
+        for attempt in range(1, 4):
+            job.attempts = attempt
+            outcome = messages.Outcome.FAILURE_ANSWERED
+            if policy.may_retry(job, outcome, now_s):
+                retried_s.append(now_s)
+    assert retried_s
+    assert _most_retries_over_the_bound(retried_s, arrived_s) <= 0.0
+
+
+def test_restarted_instance_gets_its_part_of_the_slack_after_a_window(
+    context, new_job
+):
+    (policy,) = _instances(context, 1)
+    started = dataclasses.replace(policy.context, started_s=100.0)
+    policy = retry.WindowRetry(started)
+    job = new_job(deadline_s=200.0, attempts=1)
+    outcome = messages.Outcome.CRASHED
+    assert not policy.may_retry(job, outcome, 109.9)
+    assert policy.may_retry(job, outcome, 110.0)
--- a/cardamombarrow/entry/broker_base.py
+++ b/cardamombarrow/entry/broker_base.py
@@ -81,6 +81,7 @@
             retries or context_module.RetryBounds(),
             rate_limits=rate_limits or rate_limits_module.RateLimits(),
             overload=overload or overload_module.OverloadControl(),
+            started_s=time_source.now_s(),
             whole_domain=whole_domain,
             rejection_limits=rejection_limits
             or rejections_module.RejectionLimits(),
