Forward a request's attempts and runs, and spend a retry for it

A request that had failed at an endpoint and was then forwarded, because its entry had lost its paths, ran once more without a retry being spent; the other entry counted it as a new request, which raised its bound, and let it run as often again as its route allows.

The forwarding entry spends the retry from the window in which the request was counted; its attempts and runs go with the request, and what callers state in these header fields is dropped.

--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -479,6 +479,20 @@
             self._enqueue(job, self.backlog(job, now_s), now_s)
         return True
 
+    def may_forward(self, job: messages.Job, now_s: float) -> bool:
+        """Returns whether another instance may run a failed job.
+
+        Takes a retry from the bound if an endpoint may have received it.
+        """
+        if not job.received:
+            return True
+        outcome = (
+            messages.Outcome.FAILED
+            if job.may_have_run
+            else messages.Outcome.REFUSED_BY_ENDPOINT
+        )
+        return self._policies.retry.may_retry(job, outcome, now_s)
+
     def retry_use(
         self, job: messages.Job, now_s: float
     ) -> messages.RetryUse | None:
--- a/cardamombarrow/decisions/messages.py
+++ b/cardamombarrow/decisions/messages.py
@@ -58,6 +58,11 @@
             Outcome.WITHHELD,
         )
 
+    @property
+    def not_received(self) -> bool:
+        """Whether the request certainly did not arrive at the endpoint."""
+        return self in (Outcome.NOT_STARTED, Outcome.WITHHELD)
+
     @property
     def says_nothing(self) -> bool:
         """Whether it says nothing about the endpoint."""
@@ -99,6 +104,7 @@
         repeatable: False if the request may run at most once.
         attempts: How often the job has been placed so far.
         tried: Endpoints on which it failed.
+        received: Whether an endpoint may have received an earlier attempt.
         may_have_run: Whether an earlier attempt may have run.
         runs: Number of attempts that may have run.
         max_runs: Maximum number of endpoints that may run it; 0 leaves it to
@@ -127,6 +133,7 @@
     resumable: bool = False
     attempts: int = 0
     tried: tuple[ids.EndpointId, ...] = ()
+    received: bool = False
     may_have_run: bool = False
     runs: int = 0
     max_runs: int = 0
--- a/cardamombarrow/decisions/queueing/retry.py
+++ b/cardamombarrow/decisions/queueing/retry.py
@@ -195,7 +195,12 @@
         return self._window(job).use(*self._part(now_s), now_s)
 
     def on_arrival(self, job: messages.Job, now_s: float) -> None:
-        """Adds a request to the window of its service."""
+        """Adds a request to the window of its service.
+
+        One that another entry has sent before is in the window there.
+        """
+        if job.attempts:
+            return
         self._window(job).record_arrival(now_s)
 
     def _window(self, job: messages.Job) -> _Window:
--- a/cardamombarrow/decisions/runs.py
+++ b/cardamombarrow/decisions/runs.py
@@ -122,6 +122,7 @@
             job.tried = (*job.tried, running.endpoint)
         if outcome is messages.Outcome.WITHHELD:
             job.attempts -= 1
+        job.received = job.received or not outcome.not_received
         job.may_have_run = job.may_have_run or not outcome.not_run
         job.runs += not outcome.not_run
         return running.tokens
--- a/cardamombarrow/decisions/tests/test_dispatcher.py
+++ b/cardamombarrow/decisions/tests/test_dispatcher.py
@@ -171,3 +171,38 @@
     refusals = {r.request_id: r for r in dispatcher.place(letter.deadline_s)}
     assert refusals[chat.request_id].less_urgent_running == 2
     assert refusals[letter.request_id].less_urgent_running == 0
+
+
+@pytest.mark.parametrize(
+    ("outcome", "max_runs", "allowed", "spent"),
+    [
+        (messages.Outcome.NOT_STARTED, 1, True, 0),
+        (messages.Outcome.REFUSED_BY_ENDPOINT, 1, True, 1),
+        (messages.Outcome.CRASHED, 2, True, 1),
+        (messages.Outcome.CRASHED, 1, False, 0),
+    ],
+)
+def test_forwarding_a_failed_request_spends_a_retry_once_it_was_received(
+    new_dispatcher, new_job, outcome, max_runs, allowed, spent
+):
+    # Guards against requests that run again at another instance beyond the
+    # bounds on retries and on runs.
+    dispatcher = new_dispatcher(retry="window")
+    job = new_job(max_runs=max_runs)
+    dispatcher.offer(job, 0.0)
+    list(dispatcher.place(0.0))
+    dispatcher.finish(job.request_id, outcome, 0.1)
+    assert dispatcher.may_forward(job, 0.1) is allowed
+    assert dispatcher.retry_use(job, 0.1).spent == spent
+
+
+def test_forwarded_request_counts_as_one_request(new_dispatcher, new_job):
+    # Guards against a bound on retries that grows with each instance that a
+    # request passes.
+    dispatcher = new_dispatcher(retry="window")
+    job = new_job()
+    before = dispatcher.retry_use(job, 0.0).allowed
+    dispatcher.offer(new_job(attempts=1), 0.0)
+    assert dispatcher.retry_use(job, 0.0).allowed == before
+    dispatcher.offer(job, 0.0)
+    assert dispatcher.retry_use(job, 0.0).allowed > before
--- a/cardamombarrow/entry/broker.py
+++ b/cardamombarrow/entry/broker.py
@@ -105,6 +105,20 @@
         decision_lines.write(lines)
         return new_ticket if allowed else None
 
+    def may_forward(self, job: messages.Job) -> bool:
+        """Returns whether another instance may run a failed job."""
+        with self._lock:
+            now_s = self._clock.now_s()
+            allowed = self._dispatcher.may_forward(job, now_s)
+            use = self._dispatcher.retry_use(job, now_s)
+        if job.received:
+            decision_lines.write_retry(
+                decision_lines.RetryLine(
+                    job, messages.Outcome.FAILED, allowed, job.attempts, use
+                )
+            )
+        return allowed
+
     def blocked_for_s(self, job: messages.Job) -> float | None:
         """Returns when a failed job should return if no endpoint takes it now.
 
--- a/cardamombarrow/entry/call_runner.py
+++ b/cardamombarrow/entry/call_runner.py
@@ -92,9 +92,9 @@
         Raises:
             errors.RouterError: It was refused or failed.
         """
-        call = dataclasses.replace(
-            call, is_forwarded=environ.get(forwarded_app.FORWARDED_KEY, False)
-        )
+        history = environ.get(forwarded_app.FORWARDED_KEY)
+        if history is not None:
+            call = _with_history(call, history)
         try:
             if self._readiness.refusing:
                 # A balancer without another instance goes on sending. A
@@ -153,6 +153,8 @@
                     error, call.job
                 ):
                     raise
+                if not self.services.broker.may_forward(call.job):
+                    raise
                 forwarded = self._forward(environ, call, watch)
                 if forwarded is None:
                     raise
@@ -184,6 +186,8 @@
                 deadline_s=call.job.deadline_s,
                 stall_limit_s=call.stall_limit_s,
                 caller=watch,
+                attempts=call.job.attempts,
+                runs=call.job.runs,
             )
         )
         if answer is None:
@@ -232,3 +236,17 @@
             if close is not None:
                 close()
             self._gate.leave(job)
+
+
+def _with_history(
+    call: incoming.IncomingCall, history: forwarded_app.History
+) -> incoming.IncomingCall:
+    """Returns a forwarded call whose job goes on where another entry ended."""
+    job = dataclasses.replace(
+        call.job,
+        attempts=history.attempts,
+        runs=history.runs,
+        may_have_run=history.runs > 0,
+        received=history.attempts > 0,
+    )
+    return dataclasses.replace(call, job=job, is_forwarded=True)
--- a/cardamombarrow/forwarding/app.py
+++ b/cardamombarrow/forwarding/app.py
@@ -1,6 +1,7 @@
 """The WSGI application that takes requests forwarded by other entries."""
 
 from collections import abc
+import dataclasses
 import threading
 import typing
 
@@ -10,22 +11,42 @@
 from cardamombarrow.kernel import logs
 from cardamombarrow.peers import secret as secret_module
 
-__all__ = ["DECLINED_KEY", "FORWARDED_KEY", "ForwardedApp"]
+__all__ = ["DECLINED_KEY", "FORWARDED_KEY", "ForwardedApp", "History"]
 
 FORWARDED_KEY = "cardamombarrow.forwarded"
-"""Environment key that is set for forwarded requests, which are not forwarded
+"""Environment key of a forwarded request's `History`; it is not forwarded
 again."""
 
 DECLINED_KEY = "cardamombarrow.declined"
 """Environment key that the application for callers sets, before it answers, if
 it has not taken a forwarded request: the reason."""
 
-MAX_ELAPSED_S = 60.0
+MAX_ELAPSED_MS = 60_000
 
-_INTERNAL = (core.ELAPSED_MS, secret_module.HEADER)
+MAX_ATTEMPTS = 1_000
+
+_INTERNAL = (
+    core.ATTEMPTS,
+    core.ELAPSED_MS,
+    core.RUNS,
+    secret_module.HEADER,
+)
 _StartResponse = abc.Callable[..., object]
 
 
+@dataclasses.dataclass(frozen=True)
+class History:
+    """What other entries have done with a request.
+
+    Attributes:
+        attempts: How often it was sent to endpoints.
+        runs: How many of them may have run it.
+    """
+
+    attempts: int = 0
+    runs: int = 0
+
+
 class ForwardedApp:
     """Passes forwarded requests to the application for callers."""
 
@@ -76,8 +97,12 @@
                 reason,
                 (core.DECLINED, reason),
             )
-        environ[FORWARDED_KEY] = True
-        environ[connection.ARRIVED_KEY] -= _elapsed_s(internal)
+        environ[FORWARDED_KEY] = History(
+            _number(internal, core.ATTEMPTS, MAX_ATTEMPTS),
+            _number(internal, core.RUNS, MAX_ATTEMPTS),
+        )
+        elapsed_ms = _number(internal, core.ELAPSED_MS, MAX_ELAPSED_MS)
+        environ[connection.ARRIVED_KEY] -= elapsed_ms / 1_000
         environ[connection.HEADERS_KEY] = tuple(
             each for each in fields if each[0].lower() not in _INTERNAL
         )
@@ -103,12 +128,13 @@
             return self._guard.rejection_reason(token, scope)
 
 
-def _elapsed_s(internal: dict[str, str]) -> float:
+def _number(internal: dict[str, str], name: str, most: int) -> int:
+    """Returns the number in a header field, 0 if there is none."""
     try:
-        elapsed_s = int(internal.get(core.ELAPSED_MS, "0")) / 1_000
+        number = int(internal.get(name, "0"))
     except ValueError:
-        return 0.0
-    return min(max(elapsed_s, 0.0), MAX_ELAPSED_S)
+        return 0
+    return min(max(number, 0), most)
 
 
 def _answer(
--- a/cardamombarrow/forwarding/core.py
+++ b/cardamombarrow/forwarding/core.py
@@ -17,8 +17,10 @@
 from cardamombarrow.peers import secret as secret_module
 
 __all__ = [
+    "ATTEMPTS",
     "DECLINED",
     "ELAPSED_MS",
+    "RUNS",
     "ForwardRequest",
     "ForwardSettings",
     "ForwardedAnswer",
@@ -29,6 +31,12 @@
 ELAPSED_MS = "x-cardamombarrow-elapsed-ms"
 """Header field of a forwarded request: time since its arrival, in ms."""
 
+ATTEMPTS = "x-cardamombarrow-attempts"
+"""Header field of a forwarded request: how often it was sent to endpoints."""
+
+RUNS = "x-cardamombarrow-runs"
+"""Header field of a forwarded request: how many of them may have run it."""
+
 DECLINED = "x-cardamombarrow-declined"
 """Header field of the answer of an entry that has not taken a request."""
 
@@ -63,7 +71,9 @@
         "trailer",
         "transfer-encoding",
         "upgrade",
+        ATTEMPTS,
         ELAPSED_MS,
+        RUNS,
         secret_module.HEADER,
     )
 )
@@ -81,6 +91,8 @@
         deadline_s: Monotonic time by which its answer must end.
         stall_limit_s: Silence after which an endpoint counts as stalled.
         caller: Watch on the caller's connection.
+        attempts: How often it was sent to endpoints.
+        runs: How many of them may have run it.
     """
 
     request_id: ids.RequestId
@@ -93,6 +105,8 @@
     deadline_s: float
     stall_limit_s: float
     caller: endpoints_base.CallerWatch
+    attempts: int = 0
+    runs: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -265,6 +279,7 @@
             to=address,
             outcome=outcome,
             detail=detail,
+            attempts=request.attempts,
             elapsed_s=round(time.monotonic() - request.arrived_s, 4),
         )
 
@@ -280,6 +295,8 @@
         ]
         headers += [
             (ELAPSED_MS, f"{elapsed_ms:.0f}"),
+            (ATTEMPTS, str(request.attempts)),
+            (RUNS, str(request.runs)),
             (
                 secret_module.HEADER,
                 secret_module.token(self._settings.secret, scope, time.time()),
--- a/cardamombarrow/forwarding/tests/test_forwarded_app.py
+++ b/cardamombarrow/forwarding/tests/test_forwarded_app.py
@@ -134,6 +134,21 @@
     assert environ[connection.ARRIVED_KEY] <= now_s - _ELAPSED_S + 0.5
 
 
+def test_a_request_arrives_with_its_attempts(entries):
+    # Guards against a request that may run as often again at another entry,
+    # and against callers who state attempts of their own.
+    forged = ((core.ATTEMPTS, "9"), (core.RUNS, "9"))
+    answer = _forwarder([entries[0].address]).forward(
+        _request(headers=forged, attempts=2, runs=1)
+    )
+    assert b"".join(answer.chunks) == b"onetwo"
+    (environ,) = entries[0].app.environs
+    history = app_module.History(attempts=2, runs=1)
+    assert environ[app_module.FORWARDED_KEY] == history
+    names = {name.lower() for name, _ in environ[connection.HEADERS_KEY]}
+    assert not names & {core.ATTEMPTS, core.RUNS}
+
+
 def test_an_entry_that_declines_or_is_gone_is_passed_over(entries):
     # Guards against callers who are refused though another entry serves.
     first, second = entries
--- a/cardamombarrow/tests/test_retry_bounds.py
+++ b/cardamombarrow/tests/test_retry_bounds.py
@@ -1,6 +1,7 @@
 """Bounds on retries over all entries, while entries restart and are cut off."""
 
 from concurrent import futures
+import dataclasses
 import itertools
 import random
 import signal
@@ -12,7 +13,10 @@
 from cardamombarrow.kernel import errors
 from tools import arrivals
 from tools import caller
+from tools import cut_off
 from tools import deployment
+from tools.standin import control
+from tools.standin import cut_links
 
 pytestmark = pytest.mark.process
 
@@ -112,7 +116,6 @@
 def test_restarted_entries_spend_the_slack_of_retries_once(tmp_path):
     # Guards against entries that spend a whole part of the bound after each
     # start.
-    rng = random.Random(1)
     with deployment.Deployment(_plan(tmp_path), tmp_path) as running:
         load = _Load(running)
         with futures.ThreadPoolExecutor(_CALLERS + len(_NAMES)) as pool:
@@ -132,3 +135,71 @@
                 task.result()
     found = arrivals.read(tmp_path / "arrivals")
     assert arrivals.most_excess_retries(found, load.sent_s, _BOUND) <= 0.0
+
+
+_IN_FLIGHT = 12
+_PREFILL_S_PER_TOKEN = 0.2
+_NO_RETRIES = arrivals.RetryBound(share=0.0, slack=0.0, window_s=10.0)
+
+
+def _cut_plan(folder):
+    plan = cut_off.plan()
+    return dataclasses.replace(
+        plan,
+        document=plan.document.replace(
+            "kind = engine", "kind = engine\nslots_per_endpoint = 100"
+        )
+        + "[policies]\nretry = window\n",
+        engine_options=("--arrivals", str(folder / "arrivals")),
+        entry_extra={
+            "retries": f"share = {_NO_RETRIES.share}\n"
+            f"slack = {_NO_RETRIES.slack}\n",
+        },
+    )
+
+
+def _complete(running, number):
+    return caller.complete(
+        running.entries["a-1"],
+        "desk",
+        model="engines",
+        prompt=str(number),
+        stream=False,
+    )
+
+
+def _set_engines(running, **behaviour):
+    for address in running.engines["engines"]:
+        control.set_behaviour(address, **behaviour)
+
+
+def test_forwarded_requests_are_retried_within_the_bound(tmp_path):
+    # Guards against requests that run once more at another entry, without a
+    # retry being spent, after they have failed at one that is cut off.
+    path = tmp_path / "arrivals"
+    with (
+        deployment.Deployment(_cut_plan(tmp_path), tmp_path) as running,
+        futures.ThreadPoolExecutor(_IN_FLIGHT) as pool,
+    ):
+        _set_engines(running, prefill_s_per_token=_PREFILL_S_PER_TOKEN)
+        pending = [
+            pool.submit(_complete, running, number)
+            for number in range(_IN_FLIGHT)
+        ]
+        assert deployment.wait_until(
+            lambda: len(arrivals.read(path)) == _IN_FLIGHT
+        )
+        _set_engines(running, prefill_s_per_token=0.0)
+        with cut_off.cut(running, ("a-1",), cut_links.CutMode.REFUSE):
+            numbers = itertools.count(_IN_FLIGHT)
+            # Another entry serves one, so that it is known to reach endpoints.
+            assert deployment.wait_until(
+                lambda: _complete(running, next(numbers)).status == 200
+            )
+            assert not any(each.done() for each in pending)
+            _set_engines(running, cut_after_tokens=1)
+            for each in pending:
+                each.result()
+        assert "forward" in running.log("a-1")
+    found = arrivals.read(path)
+    assert arrivals.most_excess_retries(found, [], _NO_RETRIES) <= 0.0
