Take preempted requests from the bound on retries

A preempted run that had not begun to answer was sent again without a retry being spent, though it arrives at an endpoint once more: a burst of urgent requests could exceed the bound over all entries.

The retry is taken when the run is preempted, here or by the placer, and without one it is not preempted.

--- a/cardamombarrow/decisions/base.py
+++ b/cardamombarrow/decisions/base.py
@@ -401,6 +401,10 @@
         """Returns whether a run that is cancelled now could be retried."""
         return False
 
+    def reserve(self, job: messages.Job, now_s: float) -> bool:
+        """Takes the retry of a run that is to be preempted, if there is one."""
+        return True
+
     def use(self, job: messages.Job, now_s: float) -> messages.RetryUse | None:
         """Returns what is used of the bound on retries of a job's service."""
         return None
--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -397,6 +397,9 @@
             )
             if victim is None:
                 return
+            requeue = victim.first_token_s is None
+            if requeue and not self.reserve_retry(victim.job, now_s):
+                return
             victim.preempted = True
             capacity.preempting += 1
             self.preemptions += 1
@@ -404,7 +407,7 @@
                 request_id=victim.job.request_id,
                 endpoint=victim.endpoint,
                 wasted_tokens=victim.tokens,
-                requeue=victim.first_token_s is None,
+                requeue=requeue,
                 reason=f"preempted by {job.request_id} of rank {job.rank}",
             )
 
@@ -479,6 +482,10 @@
             self._enqueue(job, self.backlog(job, now_s), now_s)
         return True
 
+    def reserve_retry(self, job: messages.Job, now_s: float) -> bool:
+        """Takes the retry of a run that is to be preempted, if there is one."""
+        return self._policies.retry.reserve(job, now_s)
+
     def may_forward(self, job: messages.Job, now_s: float) -> bool:
         """Returns whether another instance may run a failed job.
 
--- a/cardamombarrow/decisions/queueing/retry.py
+++ b/cardamombarrow/decisions/queueing/retry.py
@@ -152,6 +152,9 @@
     of instances. The parts add up to the bound, even while the instances are
     partitioned; see `fleet`.
 
+    A run that is preempted before its first token takes its retry when it is
+    preempted, so that preemptions end with the bound.
+
     An instance that has just started takes no part of the slack for one window:
     the process before it may have used that part.
     """
@@ -160,6 +163,10 @@
         super().__init__(context)
         self._windows: dict[ids.ServiceId, _Window] = {}
 
+    def reserve(self, job: messages.Job, now_s: float) -> bool:
+        """Takes a retry from this instance's part of the bound."""
+        return self._spend(job, now_s)
+
     def _spend(self, job: messages.Job, now_s: float) -> bool:
         return self._window(job).spend(*self._part(now_s), now_s)
 
--- a/cardamombarrow/decisions/queueing/tests/test_preemption.py
+++ b/cardamombarrow/decisions/queueing/tests/test_preemption.py
@@ -88,3 +88,29 @@
     dispatcher.offer(new_job("letter"), 0.0)
     dispatcher.refresh_shares(3.9)
     assert _preempted(dispatcher, 3.9) == []
+
+
+def test_preempted_requests_are_sent_again_within_the_bound_on_retries(
+    new_dispatcher, new_job
+):
+    # Guards against a burst of urgent requests whose preempted victims arrive
+    # at endpoints again beyond the bound over all instances.
+    dispatcher = new_dispatcher(preemption="least-progress", retry="window")
+    jobs = {}
+    for number in range(16):
+        jobs[f"letter-{number}"] = job = new_job(
+            "letter", request_id=f"letter-{number}"
+        )
+        assert dispatcher.offer(job, 0.0) is None
+    assert len(list(dispatcher.place(0.0))) == 16
+    for _ in range(16):
+        dispatcher.offer(new_job("chat", 1.0), 1.0)
+    resent = 0
+    for now_s in (1.7, 1.8, 1.9, 2.0, 2.1, 2.2, 2.3, 2.4):
+        dispatcher.refresh_shares(now_s)
+        for name in _preempted(dispatcher, now_s):
+            outcome = messages.Outcome.PREEMPTED
+            dispatcher.finish(name, outcome, now_s)
+            resent += dispatcher.retry(jobs[name], outcome, now_s)
+    use = dispatcher.retry_use(new_job("letter"), 2.4)
+    assert 0 < resent == use.spent <= use.allowed
--- a/cardamombarrow/entry/broker.py
+++ b/cardamombarrow/entry/broker.py
@@ -205,7 +205,7 @@
         with self._lock:
             ticket = self._tickets.get(answer.request_id)
             if isinstance(decision, messages.Preemption):
-                if ticket is not None:
+                if ticket is not None and self._may_preempt(ticket, decision):
                     ticket.preempt(decision)
                 return True
             if ticket is None or not self._dispatcher.awaits_remote_placement(
@@ -238,6 +238,15 @@
             self.fall_back(answer.request_id, _not_applied(decision))
         return applied
 
+    def _may_preempt(
+        self, ticket: ticket_module.Ticket, decision: messages.Preemption
+    ) -> bool:
+        """Returns whether a preempted run can be sent again, or has begun."""
+        if not decision.requeue:
+            return True
+        now_s = self._clock.now_s()
+        return self._dispatcher.reserve_retry(ticket.job, now_s)
+
     def _adopt(
         self,
         ticket: ticket_module.Ticket,
