Give a restarted control process all known reports of crashes

A request that had crashed endpoints and was quarantined everywhere could crash two more at each entry that started after the control processes had: entries send a report for ten seconds, control processes keep reports in memory and pass on to one another only those of their own followers, and gossip carries an instance's own.

Evidence: test_control_processes_and_entries_restarted_in_turn_know_of_crashes (three control processes restarted in turn, then both entries of each domain; real processes) failed before: a started entry knew of no crash. The first message of an entry on a link now contains all reports that it knows; relays drop those that they have. If all processes lose power at the same moment, the reports are gone.

--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -80,7 +80,7 @@
         loop,
         tuple(running.peers[name] for name in NAMES),
         deployment.SECRET,
-        control_pb2.AppliedReport,
+        lambda first: control_pb2.AppliedReport(),
         lambda *_: None,
         lambda: (ids.Revision(0), ""),
         1.0,
--- a/cardamombarrow/entry/broker_quarantine.py
+++ b/cardamombarrow/entry/broker_quarantine.py
@@ -95,6 +95,11 @@
         with self._lock:
             return list(self._own_suspects)
 
+    def known_suspects(self) -> list[messages.SuspectReport]:
+        """Returns all instances' reports of suspects that still count."""
+        with self._lock:
+            return self._dispatcher.suspect_reports(self._clock.now_s())
+
     def merge_suspects(
         self, reports: collections_abc.Sequence[messages.SuspectReport]
     ) -> None:
--- a/cardamombarrow/entry/peering.py
+++ b/cardamombarrow/entry/peering.py
@@ -40,6 +40,7 @@
 from cardamombarrow.peers import placing_service
 from cardamombarrow.peers import server as server_module
 from cardamombarrow.peers import suspect_codec
+from cardamombarrow.peers import suspect_relay
 
 __all__ = ["Peering", "probe_controls"]
 
@@ -147,7 +148,14 @@
             boot_clock,
         )
 
-    def _report(self) -> control_pb2.AppliedReport:
+    def _report(self, first: bool) -> control_pb2.AppliedReport:
+        """Returns the report to control.
+
+        The first one on a link has all known reports of suspects: the control
+        process may have restarted, and others only pass on those of their own
+        followers.
+        """
+        suspects = self._known_suspects() if first else self._recent_suspects()
         return control_pb2.AppliedReport(
             instance=self._instance,
             domain=self._domain,
@@ -156,10 +164,15 @@
             places=self._placer is not None and self._placer.owners > 0,
             forward_address=self._forward_address(),
             suspects=suspect_codec.suspects_to_wire(
-                self._recent_suspects(), self._clock.now_s()
+                suspects, self._clock.now_s()
             ),
         )
 
+    def _known_suspects(self) -> list[messages.SuspectReport]:
+        if self._broker is None:
+            return self._early_suspects
+        return self._broker.known_suspects()[-suspect_relay.MAX_REPORTS :]
+
     def _recent_suspects(self) -> list[messages.SuspectReport]:
         if self._broker is None:
             return []
--- a/cardamombarrow/peers/control_client.py
+++ b/cardamombarrow/peers/control_client.py
@@ -83,7 +83,7 @@
         loop: loop_module.LoopThread,
         controls: tuple[str, ...],
         secret: str,
-        report: abc.Callable[[], control_pb2.AppliedReport],
+        report: abc.Callable[[bool], control_pb2.AppliedReport],
         on_document: abc.Callable[[ids.Revision, str, str], object],
         in_force: abc.Callable[[], tuple[ids.Revision, str]],
         report_interval_s: float,
@@ -95,6 +95,22 @@
             [abc.Sequence[str], abc.Sequence[str]], None
         ] = lambda near, far: None,
     ):
+        """Builds a client.
+
+        Args:
+            loop: The thread on which it runs.
+            controls: Addresses of control processes.
+            secret: Shared secret of all instances.
+            report: Returns this entry's report; called with whether it is the
+                first one on a link.
+            on_document: Called with revision, text and format of a document.
+            in_force: Returns revision and text of the document in force.
+            report_interval_s: Time between two reports.
+            domain: Failure domain of this entry.
+            on_suspects: Called with other entries' reports of suspects.
+            on_forwarders: Called with the addresses of entries that take
+                forwarded requests, in the own domain and in others.
+        """
         self._loop = loop
         self._on_suspects = on_suspects
         self._on_forwarders = on_forwarders
@@ -238,7 +254,7 @@
         quorum_s = loop.time()
         async with asyncio.timeout(SILENCE_TIMEOUT_S) as silence:
             async with self._stub(address).Follow.open() as stream:
-                await stream.send_message(self._report())
+                await stream.send_message(self._report(True))
                 sender = asyncio.create_task(self._send_reports(stream))
                 try:
                     while message := await stream.recv_message():
@@ -262,7 +278,7 @@
                 async with asyncio.timeout(self._report_interval_s):
                     await self._changed.wait()
             self._changed.clear()
-            report = self._report()
+            report = self._report(False)
             report.leaving = self._stopping
             await stream.send_message(report)
 
--- a/cardamombarrow/peers/suspect_relay.py
+++ b/cardamombarrow/peers/suspect_relay.py
@@ -3,7 +3,9 @@
 Each entry sends its reports to the control process that it follows, which
 passes them on at once to its other followers; the other control processes
 query it once a second. A request that crashes its endpoint is therefore known
-in all domains within two seconds.
+in all domains within two seconds. The first message of an entry on a link
+contains all reports that it knows, so that a control process that has restarted
+gets them back.
 
 Reports are sent more than once, and identified by instance and number.
 """
@@ -14,7 +16,7 @@
 from cardamombarrow.peers import control_pb2
 from cardamombarrow.peers import recent_items
 
-__all__ = ["SuspectRelay"]
+__all__ = ["MAX_REPORTS", "SuspectRelay"]
 
 REPORT_TTL_S = 600.0
 """How long a report is relayed: an entry that starts gets all that count."""
--- a/cardamombarrow/peers/tests/test_control_client.py
+++ b/cardamombarrow/peers/tests/test_control_client.py
@@ -58,7 +58,9 @@
         loop,
         tuple(f"127.0.0.1:{port}" for port in ports),
         _SECRET,
-        lambda: control_pb2.AppliedReport(instance="entry-1", domain="near"),
+        lambda first: control_pb2.AppliedReport(
+            instance="entry-1", domain="near"
+        ),
         lambda *_: True,
         lambda: (ids.Revision(0), ""),
         0.2,
--- a/cardamombarrow/tests/test_crashing_requests.py
+++ b/cardamombarrow/tests/test_crashing_requests.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from cardamombarrow.entry import peering
 from tools import caller
 from tools import deployment
 
@@ -118,3 +119,44 @@
             5.0,
         )
         assert restarter.count == before
+
+
+def _restart(running, names):
+    for name in names:
+        running.signal(name, signal.SIGKILL)
+        running.processes[name].wait()
+    for name in names:
+        running.start_instance(name)
+    for name in names:
+        running.wait_ready(name)
+
+
+def test_control_processes_and_entries_restarted_in_turn_know_of_crashes(
+    running,
+):
+    # Guards against a request that crashes endpoints again once all control
+    # processes, and then the entries of each domain, have restarted.
+    keys = (f"key-{number}" for number in itertools.count())
+    bad = f"turn {_MARKER}".encode()
+    with deployment.EngineRestarter(running, "desk", _RESTART_S) as restarter:
+        urls = itertools.cycle(running.entries.values())
+        while not _is_quarantined(_book(next(urls), bad, next(keys))):
+            time.sleep(2 * _RESTART_S)
+        time.sleep(peering.SUSPECTS_SENT_S + 1.0)
+        before = restarter.count
+        for name in running.controls:
+            _restart(running, [name])
+        for domain in _DOMAINS:
+            names = [f"{domain}-1", f"{domain}-2"]
+            _restart(running, names)
+            for name in names:
+                assert deployment.wait_until(
+                    lambda name=name: (
+                        '"decision": "quarantine"'
+                        in running.log(name).rpartition("entry starting")[2]
+                    ),
+                    _CONTACT_S,
+                )
+                answer = _book(running.entries[name], bad, next(keys))
+                assert _is_quarantined(answer)
+        assert restarter.count == before
