Write a time left once there is a connection

Endpoints were given the time that connecting took, up to half a second, on top of what was left of the caller's limit; a forwarded request lost its time on the way to the other entry in the same way. Header fields are now written when a connection is established. The new test in test_transfer.py pins the order.

--- a/cardamombarrow/endpoints/connection.py
+++ b/cardamombarrow/endpoints/connection.py
@@ -122,8 +122,6 @@
         Raises:
             BrokenError: The connection failed.
         """
-        if not self.connected:
-            self._finish_connect()
         if self._unsent and not mask & select.POLLIN:
             self._send()
         if mask & ~select.POLLOUT:
@@ -136,7 +134,12 @@
     def _connect_error(self) -> int:
         return self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
 
-    def _finish_connect(self) -> None:
+    def finish_connect(self) -> None:
+        """Completes connecting; call once the socket polls as writable.
+
+        Raises:
+            BrokenError: It is not connected.
+        """
         code = self._connect_error()
         if code:
             raise BrokenError(f"not connected: {os.strerror(code)}")
--- a/cardamombarrow/endpoints/engine.py
+++ b/cardamombarrow/endpoints/engine.py
@@ -32,7 +32,7 @@
         ]
         if call.resume_tokens:
             headers.append(("X-Resume-Offset", str(call.resume_tokens)))
-        return transfer.HttpExchange(call, headers, self.probe)
+        return transfer.HttpExchange(call, lambda: headers, self.probe)
 
     def poll(
         self, endpoint: ids.EndpointId, timeout_s: float
--- a/cardamombarrow/endpoints/plain.py
+++ b/cardamombarrow/endpoints/plain.py
@@ -20,7 +20,7 @@
             ("Content-Type", call.content_type),
             ("X-Request-Id", call.request_id),
         ]
-        return transfer.HttpExchange(call, headers, self.probe)
+        return transfer.HttpExchange(call, lambda: headers, self.probe)
 
     def poll(
         self, endpoint: ids.EndpointId, timeout_s: float
--- a/cardamombarrow/endpoints/tests/test_pool.py
+++ b/cardamombarrow/endpoints/tests/test_pool.py
@@ -110,7 +110,7 @@
             cancelled=lambda: False,
             repeatable=repeatable,
         )
-        exchange = transfer.HttpExchange(call, [], lambda _: True, self.pool)
+        exchange = transfer.HttpExchange(call, list, lambda _: True, self.pool)
         try:
             exchange.head()
             body = b"".join(exchange.chunks())
--- a/cardamombarrow/endpoints/tests/test_transfer.py
+++ b/cardamombarrow/endpoints/tests/test_transfer.py
@@ -47,7 +47,7 @@
 
 
 def _error(call):
-    exchange = transfer.HttpExchange(call, [], lambda endpoint: True)
+    exchange = transfer.HttpExchange(call, list, lambda endpoint: True)
     try:
         with pytest.raises(errors.EndpointError) as caught:
             exchange.head()
@@ -109,7 +109,7 @@
                 endpoint=ids.endpoint_id(address, "i-1"),
                 may_send=may_send,
             ),
-            [],
+            list,
             lambda endpoint: True,
         )
         connection = exchange._connect()
@@ -134,7 +134,7 @@
         dataclasses.replace(
             call, stall_limit_s=0.1, is_paused=lambda: is_paused
         ),
-        [],
+        list,
         lambda endpoint: probes.append(endpoint) or True,
     )
     with pytest.raises(errors.EndpointError):
@@ -158,3 +158,26 @@
     time.sleep(0.2)
     poller.stop()
     assert bool(polls) is not is_paused
+
+
+def test_header_fields_are_written_once_there_is_a_connection(call):
+    # Guards against endpoints that are given the time that connecting took.
+    states = []
+
+    def headers():
+        states.append(exchange._connection.connected)
+        return []
+
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        address = f"127.0.0.1:{server.getsockname()[1]}"
+        exchange = transfer.HttpExchange(
+            dataclasses.replace(call, endpoint=ids.endpoint_id(address, "i-1")),
+            headers,
+            lambda endpoint: True,
+        )
+        connection = exchange._connect()
+        assert not states
+        while not connection.sent:
+            exchange._step()
+        exchange.close()
+    assert states == [True]
--- a/cardamombarrow/endpoints/transfer.py
+++ b/cardamombarrow/endpoints/transfer.py
@@ -41,7 +41,7 @@
     def __init__(
         self,
         call: base.OutgoingCall,
-        headers: list[tuple[str, str]],
+        headers: abc.Callable[[], list[tuple[str, str]]],
         probe: abc.Callable[[ids.EndpointId], bool],
         pool: pool_module.Pool = POOL,
     ):
@@ -49,7 +49,8 @@
 
         Args:
             call: The request.
-            headers: Its header fields, without those for framing.
+            headers: Returns its header fields, without those for framing. It is
+                called once there is a connection: a time left is exact then.
             probe: Returns whether an endpoint answers on a new connection.
             pool: Pool of idle connections.
         """
@@ -129,18 +130,23 @@
                 errors.ErrorKind.ENDPOINT_UNREACHED, str(error), sent=False
             ) from None
         self._connection = connection
+        if connection.connected:
+            self._start_request(connection)
+        self._poll.register(connection.fileno(), connection.events)
+        return connection
+
+    def _start_request(self, connection: connection_module.Connection) -> None:
+        call = self._call
         connection.start_request(
             call.method, call.path, self._fields(), call.body
         )
-        self._poll.register(connection.fileno(), connection.events)
-        return connection
 
     def _fields(self) -> list[tuple[str, str]]:
         """Returns the header fields, including those for framing."""
         call = self._call
         fields = [
             (name, value)
-            for name, value in self._headers
+            for name, value in self._headers()
             if name.lower() != "content-length"
         ]
         if not any(name.lower() == "host" for name, _ in fields):
@@ -180,6 +186,9 @@
                 sent=False,
             )
         try:
+            if not connection.connected:
+                connection.finish_connect()
+                self._start_request(connection)
             connection.handle_events(mask)
         except connection_module.BrokenError as error:
             self._error = str(error)
--- a/cardamombarrow/forwarding/core.py
+++ b/cardamombarrow/forwarding/core.py
@@ -283,9 +283,7 @@
             elapsed_s=round(time.monotonic() - request.arrived_s, 4),
         )
 
-    def _exchange(
-        self, request: ForwardRequest, address: str
-    ) -> transfer.HttpExchange:
+    def _headers(self, request: ForwardRequest) -> list[tuple[str, str]]:
         elapsed_ms = (time.monotonic() - request.arrived_s) * 1_000
         scope = token_scope(request.method, request.target)
         headers = [
@@ -293,7 +291,8 @@
             for name, value in request.headers
             if name.lower() not in _HOP_BY_HOP
         ]
-        headers += [
+        return [
+            *headers,
             (ELAPSED_MS, f"{elapsed_ms:.0f}"),
             (ATTEMPTS, str(request.attempts)),
             (RUNS, str(request.runs)),
@@ -302,6 +301,10 @@
                 secret_module.token(self._settings.secret, scope, time.time()),
             ),
         ]
+
+    def _exchange(
+        self, request: ForwardRequest, address: str
+    ) -> transfer.HttpExchange:
         call = endpoints_base.OutgoingCall(
             request_id=request.request_id,
             endpoint=ids.EndpointId(address),
@@ -316,7 +319,10 @@
             cancelled=lambda: False,
         )
         return transfer.HttpExchange(
-            call, headers, endpoints_base.accepts_connections, self._pool
+            call,
+            lambda: self._headers(request),
+            endpoints_base.accepts_connections,
+            self._pool,
         )
 
 
--- a/cardamombarrow/platform/servers.py
+++ b/cardamombarrow/platform/servers.py
@@ -39,8 +39,9 @@
 
     def open(self, call: base.OutgoingCall) -> base.Exchange:
         """Prepares a request to one server."""
-        headers = self.request_headers(call)
-        return transfer.HttpExchange(call, headers, self.probe)
+        return transfer.HttpExchange(
+            call, lambda: self.request_headers(call), self.probe
+        )
 
     def request_headers(self, call: base.OutgoingCall) -> list[tuple[str, str]]:
         """Returns the header fields of a request that is sent now.
