Tell every entry how many share the global bounds

Parts of bounds over all entries (retries, connections) were sized for a guessed number of ten entries where no confirmations of the document are configured, and for a second after a start where they are, because the count in the first confirmation was dropped: twelve or more entries exceed the bounds.

Control processes now send the count with every message to a follower, and one that arrives before an entry has joined is kept. Found by reading; the test in test_control_client.py has twelve entries on loopback and no confirmations, to which no count was sent before.

--- a/cardamombarrow/entry/peering.py
+++ b/cardamombarrow/entry/peering.py
@@ -3,6 +3,7 @@
 import collections
 from collections import abc
 from concurrent import futures
+import math
 import secrets
 import time
 
@@ -62,6 +63,10 @@
 """How long each report to control contains the same suspects: a broken link is
 replaced within this time."""
 
+ENTRY_COUNT_INTERVAL_S = 0.9
+"""Shortest time between two counts of entries that are applied: a part of a
+global bound grows by a hundredth at most with each."""
+
 BOOT_BYTES = 4
 """Random bytes that distinguish the starts of an entry."""
 
@@ -117,6 +122,8 @@
             [abc.Iterable[str], abc.Iterable[str]], None
         ] = lambda near, far: None
         self._early_suspects: list[messages.SuspectReport] = []
+        self._early_entry_count = 0
+        self._counted_s = -math.inf
         self._cache_announcement_number = 0
         self.control = control_client.ControlClient(
             self._loop,
@@ -129,6 +136,7 @@
             self._domain,
             self._on_suspects,
             self._on_forwarders,
+            self._on_entry_count,
         )
         boot_clock = clock.BootClock()
         self.lease = lease_module.DocumentLease(
@@ -194,6 +202,19 @@
         else:
             self._early_suspects.extend(suspects)
 
+    def _on_entry_count(self, count: int) -> None:
+        """Applies the number of entries that share the global bounds.
+
+        Called on the loop thread.
+        """
+        if self._broker is None:
+            self._early_entry_count = count
+            return
+        now_s = self._clock.now_s()
+        if now_s >= self._counted_s + ENTRY_COUNT_INTERVAL_S:
+            self._counted_s = now_s
+            self._broker.set_instances(count)
+
     def set_forwarding(
         self,
         address: abc.Callable[[], str],
@@ -275,8 +296,8 @@
             self.control.addresses()
         ):
             self.control.set_controls(tuple(reply.controls))
+        self._on_entry_count(max(reply.entry_count, 1))
         if self._broker is not None:
-            self._broker.set_instances(max(reply.entry_count, 1))
             self._cache_announcement_number = reply.kept_number
             known = self.membership.endpoints_by_hash()
             self._broker.merge_cache_announcements(
@@ -346,6 +367,8 @@
         broker.set_suspect_listener(self.control.report_now)
         if self._early_suspects:
             broker.merge_suspects(self._early_suspects)
+        if self._early_entry_count:
+            broker.set_instances(self._early_entry_count)
         poller = poller_module.Poller(
             self._settings.platform.report_interval_s,
             self.membership.on_report,
--- a/cardamombarrow/peers/control_client.py
+++ b/cardamombarrow/peers/control_client.py
@@ -94,6 +94,7 @@
         on_forwarders: abc.Callable[
             [abc.Sequence[str], abc.Sequence[str]], None
         ] = lambda near, far: None,
+        on_entry_count: abc.Callable[[int], None] = lambda count: None,
     ):
         """Builds a client.
 
@@ -110,10 +111,12 @@
             on_suspects: Called with other entries' reports of suspects.
             on_forwarders: Called with the addresses of entries that take
                 forwarded requests, in the own domain and in others.
+            on_entry_count: Called with the number of entries of all domains.
         """
         self._loop = loop
         self._on_suspects = on_suspects
         self._on_forwarders = on_forwarders
+        self._on_entry_count = on_entry_count
         self._domain = domain
         self._domains: dict[str, str] = {}
         self._addresses = list(controls)
@@ -284,6 +287,8 @@
 
     async def _apply(self, message: control_pb2.DocumentMessage) -> None:
         self._on_forwarders(message.near_forwarders, message.far_forwarders)
+        if message.entry_count:
+            self._on_entry_count(message.entry_count)
         if message.suspects:
             await asyncio.to_thread(self._on_suspects, message.suspects)
         if not message.text and not message.changes:
--- a/cardamombarrow/peers/followers.py
+++ b/cardamombarrow/peers/followers.py
@@ -336,6 +336,7 @@
             near, far = self.forwarders(domain)
             message.near_forwarders.extend(near)
             message.far_forwarders.extend(far)
+            message.entry_count = self.count_recent()
             await stream.send_message(message)
             applied = max(applied, message.revision)
             with contextlib.suppress(TimeoutError):
--- a/cardamombarrow/peers/tests/test_control_client.py
+++ b/cardamombarrow/peers/tests/test_control_client.py
@@ -74,3 +74,32 @@
     client.stop()
     for control in (near, far):
         control.stop()
+
+
+def test_followers_learn_how_many_entries_share_the_bounds(loop):
+    # Guards against parts of global bounds that are sized for a guessed number
+    # of entries where no confirmations of the document are asked for.
+    port = deployment.free_ports(1)[0]
+    control = _Control(loop, port, "near")
+    counts = []
+    clients = [
+        control_client.ControlClient(
+            loop,
+            (f"127.0.0.1:{port}",),
+            _SECRET,
+            lambda first, name=f"entry-{number}": control_pb2.AppliedReport(
+                instance=name, domain="near"
+            ),
+            lambda *_: True,
+            lambda: (ids.Revision(0), ""),
+            0.2,
+            on_entry_count=counts.append,
+        )
+        for number in range(12)
+    ]
+    for client in clients:
+        client.start()
+    assert deployment.wait_until(lambda: 12 in counts)
+    for client in clients:
+        client.stop()
+    control.stop()
