--- a/tools/arrivals.py
+++ b/tools/arrivals.py
@@ -32,11 +32,13 @@
         at_s: Unix time.
         port: Port of the endpoint.
         digest: SHA-256 of the body, in hexadecimal.
+        request_id: Id that the entry gave it.
     """
 
     at_s: float
     port: int
     digest: str
+    request_id: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -59,9 +61,9 @@
     return hashlib.sha256(body).hexdigest()
 
 
-def append(path: str, port: int, body: bytes) -> None:
+def append(path: str, port: int, body: bytes, request_id: str = "") -> None:
     """Appends an arrival to a file that several processes write."""
-    arrival = Arrival(time.time(), port, body_digest(body))
+    arrival = Arrival(time.time(), port, body_digest(body), request_id)
     line = json.dumps(dataclasses.asdict(arrival)) + "\n"
     descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND)
     try:
--- a/tools/standin/engine.py
+++ b/tools/standin/engine.py
@@ -184,21 +184,24 @@
             os._exit(71)
         return True
 
-    def record_arrival(self, port: int, body: bytes) -> None:
+    def record_arrival(self, port: int, body: bytes, request_id: str) -> None:
         """Appends a request to the file of arrivals."""
         if self.behaviour.arrivals:
-            arrivals.append(self.behaviour.arrivals, port, body)
+            arrivals.append(self.behaviour.arrivals, port, body, request_id)
 
-    def fails(self) -> bool:
+    def fails(self, body: bytes) -> bool:
         """Returns whether a request gets `fail_status`."""
-        if not self.behaviour.fail_status:
+        if not self.behaviour.fail_status or self._is_crashing(body):
             return False
         return random.random() < self.behaviour.fail_share
 
+    def _is_crashing(self, body: bytes) -> bool:
+        marker = self.behaviour.crash_marker.encode()
+        return bool(marker) and marker in body
+
     def crash_on_marker(self, body: bytes) -> None:
         """Ends the process if a request is one that crashes it."""
-        marker = self.behaviour.crash_marker.encode()
-        if marker and marker in body:
+        if self._is_crashing(body):
             os._exit(70)
 
     def run(
@@ -310,7 +313,7 @@
 
     def _completion(self, body: bytes) -> None:
         self._record_arrival(body)
-        if self.engine.fails():
+        if self.engine.fails(body):
             self._send_answer(self.engine.behaviour.fail_status, b"{}")
             return
         if self._turns_away():
@@ -403,7 +406,9 @@
         return True
 
     def _record_arrival(self, body: bytes) -> None:
-        self.engine.record_arrival(self.server.server_address[1], body)
+        port = self.server.server_address[1]
+        request_id = self.headers.get("X-Request-Id", "")
+        self.engine.record_arrival(port, body, request_id)
 
     def _call_plain(self, body: bytes) -> None:
         self._record_arrival(body)
