Count a retry from when it is sent

A retry was counted when it was allowed; one that then waited for a slot longer than the window was forgotten before it arrived, and those of two windows could be sent together.

A retry that waits stays counted until its request is placed or its deadline has passed.

--- a/cardamombarrow/decisions/base.py
+++ b/cardamombarrow/decisions/base.py
@@ -401,6 +401,9 @@
         """Returns whether a run that is cancelled now could be retried."""
         return False
 
+    def on_place(self, job: messages.Job, now_s: float) -> None:
+        """Handles the placement of a request."""
+
     def reserve(self, job: messages.Job, now_s: float) -> bool:
         """Takes the retry of a run that is to be preempted, if there is one."""
         return True
--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -498,7 +498,10 @@
             if job.may_have_run
             else messages.Outcome.REFUSED_BY_ENDPOINT
         )
-        return self._policies.retry.may_retry(job, outcome, now_s)
+        allowed = self._policies.retry.may_retry(job, outcome, now_s)
+        if allowed:
+            self._policies.retry.on_place(job, now_s)
+        return allowed
 
     def retry_use(
         self, job: messages.Job, now_s: float
--- a/cardamombarrow/decisions/queueing/retry.py
+++ b/cardamombarrow/decisions/queueing/retry.py
@@ -107,12 +107,16 @@
 
 
 class _Window:
-    """Arrivals and retries of one service within a sliding window."""
+    """Arrivals and retries of one service within a sliding window.
+
+    A retry is counted from when it is allowed until a window after it was sent.
+    """
 
     def __init__(self, window_s: float):
         self._window_s = window_s
         self._arrivals: collections.deque[float] = collections.deque()
-        self._retries: collections.deque[float] = collections.deque()
+        self._sent: collections.deque[float] = collections.deque()
+        self._deadlines_s: dict[ids.RequestId, float] = {}
 
     def record_arrival(self, now_s: float) -> None:
         self._arrivals.append(now_s)
@@ -123,22 +127,33 @@
     ) -> messages.RetryUse:
         self._expire(now_s)
         allowed = share * len(self._arrivals) + slack
-        return messages.RetryUse(len(self._retries), allowed)
+        spent = len(self._sent) + len(self._deadlines_s)
+        return messages.RetryUse(spent, allowed)
 
     def allows(self, share: float, slack: float, now_s: float) -> bool:
         use = self.use(share, slack, now_s)
         return use.spent + 1 <= use.allowed
 
-    def spend(self, share: float, slack: float, now_s: float) -> bool:
+    def spend(
+        self, job: messages.Job, share: float, slack: float, now_s: float
+    ) -> bool:
         if not self.allows(share, slack, now_s):
             return False
-        self._retries.append(now_s)
+        self.record_sent(job.request_id, now_s)
+        self._deadlines_s[job.request_id] = job.deadline_s
         return True
 
+    def record_sent(self, request_id: ids.RequestId, now_s: float) -> None:
+        if self._deadlines_s.pop(request_id, None) is not None:
+            self._sent.append(now_s)
+
     def _expire(self, now_s: float) -> None:
-        for times in (self._arrivals, self._retries):
+        for times in (self._arrivals, self._sent):
             while times and times[0] <= now_s - self._window_s:
                 times.popleft()
+        for request_id, deadline_s in list(self._deadlines_s.items()):
+            if deadline_s <= now_s:
+                del self._deadlines_s[request_id]
 
 
 @registry.plugin("retry", "window")
@@ -168,7 +183,7 @@
         return self._spend(job, now_s)
 
     def _spend(self, job: messages.Job, now_s: float) -> bool:
-        return self._window(job).spend(*self._part(now_s), now_s)
+        return self._window(job).spend(job, *self._part(now_s), now_s)
 
     def _part(self, now_s: float) -> tuple[float, float]:
         """Returns this instance's part of the share and the slack."""
@@ -197,6 +212,10 @@
             return False
         return self._window(job).allows(*self._part(now_s), now_s)
 
+    def on_place(self, job: messages.Job, now_s: float) -> None:
+        """Counts a retry from now on, if this is one."""
+        self._window(job).record_sent(job.request_id, now_s)
+
     def use(self, job: messages.Job, now_s: float) -> messages.RetryUse:
         """Returns what is used of this instance's part of the bound."""
         return self._window(job).use(*self._part(now_s), now_s)
--- a/cardamombarrow/decisions/queueing/tests/test_retry_window.py
+++ b/cardamombarrow/decisions/queueing/tests/test_retry_window.py
@@ -153,3 +153,26 @@
     outcome = messages.Outcome.CRASHED
     assert not policy.may_retry(job, outcome, 109.9)
     assert policy.may_retry(job, outcome, 110.0)
+
+
+def test_retries_that_had_to_wait_count_from_when_they_are_sent(
+    new_dispatcher, new_job
+):
+    # Guards against retries of two windows that wait for slots and are then
+    # sent together.
+    dispatcher = new_dispatcher(slots=4, retry="window", preemption="never")
+    failed = messages.Outcome.FAILED
+    blockers = [new_job(deadline_s=90.0) for _ in range(8)]
+    for job in blockers:
+        dispatcher.offer(job, 0.0)
+    assert len(list(dispatcher.place(0.0))) == len(blockers)
+    most = dispatcher.retry_use(new_job(), 0.0).allowed
+    allowed = 0
+    for now_s in (1.0, 12.0):
+        jobs = [new_job(attempts=1, deadline_s=90.0) for _ in range(8)]
+        allowed += sum(dispatcher.retry(job, failed, now_s) for job in jobs)
+    for job in blockers:
+        dispatcher.finish(job.request_id, messages.Outcome.DONE, 13.0)
+    sent = list(dispatcher.place(13.0))
+    spent = dispatcher.retry_use(new_job(), 13.0).spent
+    assert 0 < len(sent) == allowed == spent <= most
--- a/cardamombarrow/decisions/runs.py
+++ b/cardamombarrow/decisions/runs.py
@@ -36,6 +36,7 @@
         placed_s: float,
     ) -> messages.Running:
         job.attempts += 1
+        self._policies.retry.on_place(job, placed_s)
         running = messages.Running(job, state.endpoint, placed_s)
         state.add(running)
         self._running[job.request_id] = running
