Share the deployment of failing engines and the restart of an instance among tests

The soak's check of retries after crashes counts an entry as undisturbed by the spans of its restarts and freezes, and of those of control; being cut off from the endpoints no longer excuses one.

--- a/cardamombarrow/tests/test_crashing_requests.py
+++ b/cardamombarrow/tests/test_crashing_requests.py
@@ -108,10 +108,7 @@
             )
         )
         before = restarter.count
-        running.signal("c-1", signal.SIGKILL)
-        running.processes["c-1"].wait()
-        running.start_instance("c-1")
-        running.wait_ready("c-1")
+        running.restart("c-1", signal.SIGKILL)
         assert deployment.wait_until(
             lambda: _is_quarantined(
                 _book(running.entries["c-1"], bad, next(keys))
@@ -121,7 +118,7 @@
         assert restarter.count == before
 
 
-def _restart(running, names):
+def _restart_together(running, names):
     for name in names:
         running.signal(name, signal.SIGKILL)
         running.processes[name].wait()
@@ -145,10 +142,10 @@
         time.sleep(peering.SUSPECTS_SENT_S + 1.0)
         before = restarter.count
         for name in running.controls:
-            _restart(running, [name])
+            running.restart(name, signal.SIGKILL)
         for domain in _DOMAINS:
             names = [f"{domain}-1", f"{domain}-2"]
-            _restart(running, names)
+            _restart_together(running, names)
             for name in names:
                 assert deployment.wait_until(
                     lambda name=name: (
--- a/cardamombarrow/tests/test_forwarding_soak.py
+++ b/cardamombarrow/tests/test_forwarding_soak.py
@@ -129,11 +129,7 @@
         with_notice = rng.random() < 0.5
         try:
             number = signal.SIGTERM if with_notice else signal.SIGKILL
-            self._running.signal(name, number)
-            self._running.processes[name].wait()
-            time.sleep(rng.uniform(0.0, 1.0))
-            self._running.start_instance(name)
-            self._running.wait_ready(name)
+            self._running.restart(name, number, rng.uniform(0.0, 1.0))
         finally:
             self._locks[name].release()
 
--- a/cardamombarrow/tests/test_retry_bounds.py
+++ b/cardamombarrow/tests/test_retry_bounds.py
@@ -15,66 +15,21 @@
 from tools import caller
 from tools import cut_off
 from tools import deployment
+from tools import failing_engines
 from tools.standin import control
 from tools.standin import cut_links
 
 pytestmark = pytest.mark.process
 
-_DIGEST = "fd501e4e4eabb3b62f313e4d323048dfbddebb4d702c7b63512125b3fa21dd28"
-_DOCUMENT = f"""
-[tier:race]
-rank = 0
-[class:question]
-tier = race
-target_first_token_s = 2
-target_total_s = 8
-[workspace:desk]
-key_sha256 = {_DIGEST}
-classes = question
-[service:engines]
-kind = engine
-slots_per_endpoint = 100
-endpoints.a = 10.0.0.1:80, 10.0.0.2:80, 10.0.0.3:80, 10.0.0.4:80
-endpoints.b = 10.0.0.5:80, 10.0.0.6:80, 10.0.0.7:80, 10.0.0.8:80
-[model:engines]
-service = engines
-[policies]
-retry = window
-choice = round-robin
-admission = bounded
-[owner:operations]
-token_sha256 = {_DIGEST}
-sections = *
-"""
 _ENTRIES = {"a": ["a-1", "a-2", "a-3"], "b": ["b-1", "b-2"]}
 _NAMES = [name for group in _ENTRIES.values() for name in group]
 _BOUND = arrivals.RetryBound(share=0.05, slack=60.0, window_s=10.0)
+_ENGINES = failing_engines.FailingEngines(_BOUND, fail_share=0.8)
 _CALLERS = 24
 _PAUSE_S = 0.2
 _LOAD_S = 16.0
 
 
-def _plan(folder):
-    return deployment.Plan(
-        document=_DOCUMENT,
-        entries=_ENTRIES,
-        controls={"a": ["control-1"]},
-        engine_options=(
-            "--fail-status",
-            "500",
-            "--fail-share",
-            "0.8",
-            "--arrivals",
-            str(folder / "arrivals"),
-        ),
-        entry_extra={
-            "retries": f"share = {_BOUND.share}\nslack = {_BOUND.slack}\n"
-            f"window_s = {_BOUND.window_s}\n",
-            "document": "confirmed_within_s = 3.5\n",
-        },
-    )
-
-
 class _Load:
     """Callers that each send one request after the other."""
 
@@ -92,7 +47,7 @@
                 caller.complete(
                     url,
                     "desk",
-                    model="engines",
+                    model=failing_engines.SERVICE,
                     prompt=str(next(self._numbers)),
                     tokens=1,
                 )
@@ -107,16 +62,14 @@
 def _restart(running, name, stop, rng):
     while not stop.wait(rng.uniform(0.5, 2.0)):
         number = rng.choice((signal.SIGKILL, signal.SIGTERM))
-        running.signal(name, number)
-        running.processes[name].wait()
-        running.start_instance(name)
-        running.wait_ready(name)
+        running.restart(name, number)
 
 
 def test_restarted_entries_spend_the_slack_of_retries_once(tmp_path):
     # Guards against entries that spend a whole part of the bound after each
     # start.
-    with deployment.Deployment(_plan(tmp_path), tmp_path) as running:
+    plan = _ENGINES.plan(tmp_path, _ENTRIES, {"a": ["control-1"]})
+    with deployment.Deployment(plan, tmp_path) as running:
         load = _Load(running)
         with futures.ThreadPoolExecutor(_CALLERS + len(_NAMES)) as pool:
             tasks = [
@@ -133,7 +86,7 @@
             load.stop()
             for task in tasks:
                 task.result()
-    found = arrivals.read(tmp_path / "arrivals")
+    found = _ENGINES.arrivals(tmp_path)
     assert arrivals.most_excess_retries(found, load.sent_s, _BOUND) <= 0.0
 
 
--- a/cardamombarrow/tests/test_retry_soak.py
+++ b/cardamombarrow/tests/test_retry_soak.py
@@ -6,6 +6,7 @@
 """
 
 from concurrent import futures
+import contextlib
 import dataclasses
 import itertools
 import os
@@ -22,40 +23,14 @@
 from tools import caller
 from tools import cut_off
 from tools import deployment
+from tools import failing_engines
 from tools.standin import cut_links
 
 pytestmark = pytest.mark.process
 
 _FIRST, _, _LAST = os.environ.get("SOAK_SEEDS", "1:2").partition(":")
 _SEEDS = range(int(_FIRST), int(_LAST))
-_DIGEST = "fd501e4e4eabb3b62f313e4d323048dfbddebb4d702c7b63512125b3fa21dd28"
 _MARKER = "standin-crash"
-_DOCUMENT = f"""
-[tier:race]
-rank = 0
-[class:question]
-tier = race
-target_first_token_s = 2
-target_total_s = 6
-[workspace:desk]
-key_sha256 = {_DIGEST}
-classes = question
-[service:engines]
-kind = engine
-slots_per_endpoint = 60
-endpoints.a = 10.0.0.1:80, 10.0.0.2:80
-endpoints.b = 10.0.0.3:80, 10.0.0.4:80
-endpoints.c = 10.0.0.5:80, 10.0.0.6:80
-[model:engines]
-service = engines
-[policies]
-retry = window
-choice = round-robin
-admission = bounded
-[owner:operations]
-token_sha256 = {_DIGEST}
-sections = *
-"""
 _ENTRIES = {
     "a": ["a-1", "a-2", "a-3"],
     "b": ["b-1", "b-2"],
@@ -65,6 +40,9 @@
 _CONTROLS = {"a": ["control-a"], "b": ["control-b"], "c": ["control-c"]}
 _CONTROL_NAMES = [name for group in _CONTROLS.values() for name in group]
 _BOUND = arrivals.RetryBound(share=0.01, slack=100.0, window_s=20.0)
+_ENGINES = failing_engines.FailingEngines(
+    _BOUND, fail_share=0.8, crash_marker=_MARKER
+)
 _CALLERS = 16
 _DISRUPTIONS_AT_ONCE = 7
 _CHAOS_S = 10.0
@@ -88,6 +66,15 @@
     request_id: str
 
 
+@dataclasses.dataclass(frozen=True)
+class _Disruption:
+    """A restart or freeze of a process, in Unix time."""
+
+    name: str
+    begin_s: float
+    end_s: float
+
+
 class _Soak:
     """Callers and disruptions of one run.
 
@@ -95,7 +82,7 @@
         sent_s: When callers sent their requests.
         bodies: The requests that crash endpoints.
         crashes: Their calls that were answered.
-        disrupted_s: When each process was disrupted last, so far.
+        disruptions: The restarts and freezes.
     """
 
     def __init__(self, running, seed):
@@ -109,11 +96,13 @@
         self._numbers = itertools.count()
         self.sent_s: list[float] = []
         self.bodies = [
-            caller.completion_body("engines", f"{_MARKER} {n}", False, 1)
+            caller.completion_body(
+                failing_engines.SERVICE, f"{_MARKER} {n}", False, 1
+            )
             for n in range(_CRASHING)
         ]
         self.crashes: list[_Crash] = []
-        self.disrupted_s: list[tuple[str, float]] = []
+        self.disruptions: list[_Disruption] = []
 
     def run(self):
         """Plays the whole soak."""
@@ -141,7 +130,7 @@
         return caller.complete(
             self._running.entries[name],
             "desk",
-            model="engines",
+            model=failing_engines.SERVICE,
             prompt=prompt,
             stream=False,
             tokens=1,
@@ -168,8 +157,6 @@
                 request_id = answer.error["request_id"]
                 self.crashes.append(_Crash(name, request_id))
 
-    # -- disruptions ----------------------------------------------------------
-
     def _disrupt(self, rng, _):
         while not self._stop.is_set():
             if not self._chaos.wait(0.1):
@@ -180,97 +167,65 @@
             )
             disruption(rng)
 
+    @contextlib.contextmanager
     def _disrupted(self, name):
-        self.disrupted_s.append((name, time.time()))
-
-    def _restart(self, rng):
-        names = _CONTROL_NAMES if rng.random() < 0.2 else _NAMES
-        name = rng.choice(names)
+        """Holds a process for one disruption; yields False if it is held."""
         if not self._locks[name].acquire(blocking=False):
+            yield False
             return
+        begin_s = time.time()
         try:
-            number = rng.choice((signal.SIGTERM, signal.SIGKILL))
-            self._running.signal(name, number)
-            self._running.processes[name].wait()
-            time.sleep(rng.uniform(0.0, 0.5))
-            self._running.start_instance(name)
-            self._running.wait_ready(name)
+            yield True
         finally:
-            self._disrupted(name)
+            self.disruptions.append(_Disruption(name, begin_s, time.time()))
             self._locks[name].release()
 
+    def _restart(self, rng):
+        names = _CONTROL_NAMES if rng.random() < 0.2 else _NAMES
+        name = rng.choice(names)
+        with self._disrupted(name) as is_free:
+            if is_free:
+                number = rng.choice((signal.SIGTERM, signal.SIGKILL))
+                self._running.restart(name, number, rng.uniform(0.0, 0.5))
+
     def _freeze(self, rng):
         name = rng.choice((*_NAMES, *_CONTROL_NAMES))
-        if not self._locks[name].acquire(blocking=False):
-            return
-        try:
-            self._running.signal(name, signal.SIGSTOP)
-            time.sleep(rng.uniform(0.2, 1.5))
-        finally:
-            self._running.signal(name, signal.SIGCONT)
-            self._disrupted(name)
-            self._locks[name].release()
+        with self._disrupted(name) as is_free:
+            if is_free:
+                self._running.signal(name, signal.SIGSTOP)
+                time.sleep(rng.uniform(0.2, 1.5))
+                self._running.signal(name, signal.SIGCONT)
 
     def _cut(self, rng):
         names = rng.sample(_NAMES, rng.randrange(1, 5))
         mode = rng.choice(list(cut_links.CutMode))
         with cut_off.cut(self._running, names, mode):
             time.sleep(rng.uniform(0.5, 3.0))
-        for name in names:
-            self._disrupted(name)
-
-    # -- what is counted ------------------------------------------------------
 
     def was_in_touch(self, name, at_s):
-        """Returns whether an entry was undisturbed for the contact time."""
+        """Returns whether an entry and control were undisturbed for a time."""
         return not any(
-            at_s - _CONTACT_S < when_s and other in (name, *_CONTROL_NAMES)
-            for other, when_s in self.disrupted_s
-            if when_s <= at_s
-        ) and not any(
-            when_s > at_s and other == name and self._in_chaos(at_s)
-            for other, when_s in self.disrupted_s
+            each.name in (name, *_CONTROL_NAMES)
+            and each.begin_s <= at_s
+            and at_s - _CONTACT_S < each.end_s
+            for each in self.disruptions
         )
 
-    def _in_chaos(self, at_s):
-        return (at_s - self.sent_s[0]) % (_CHAOS_S + _CALM_S) < _CHAOS_S
-
-
-def _plan(folder):
-    return deployment.Plan(
-        document=_DOCUMENT,
-        entries=_ENTRIES,
-        controls=_CONTROLS,
-        engine_options=(
-            "--fail-status",
-            "500",
-            "--fail-share",
-            "0.8",
-            "--crash-marker",
-            _MARKER,
-            "--arrivals",
-            str(folder / "arrivals"),
-        ),
-        entry_extra={
-            "retries": f"share = {_BOUND.share}\nslack = {_BOUND.slack}\n"
-            f"window_s = {_BOUND.window_s}\n",
-            "document": "confirmed_within_s = 3.5\n",
-        },
-        entry_plugins=("tools.standin.cut_links",),
-    )
-
 
 @pytest.mark.parametrize("seed", _SEEDS)
 def test_retries_stay_within_their_bounds_during_a_soak(tmp_path, seed):
     # Guards against retries beyond the bound over all entries, beyond those
     # of one request, and of requests that have crashed three endpoints.
+    plan = _ENGINES.plan(tmp_path, _ENTRIES, _CONTROLS)
     with (
-        deployment.Deployment(_plan(tmp_path), tmp_path) as running,
-        deployment.EngineRestarter(running, "engines", _ENGINE_DOWN_S),
+        deployment.Deployment(plan, tmp_path) as running,
+        deployment.EngineRestarter(
+            running, failing_engines.SERVICE, _ENGINE_DOWN_S
+        ),
     ):
         soak = _Soak(running, seed)
         soak.run()
-    found = arrivals.read(tmp_path / "arrivals")
+    found = _ENGINES.arrivals(tmp_path)
     crashing = {arrivals.body_digest(body) for body in soak.bodies}
     attempts = [_by_attempt(each, crashing) for each in found]
     excess = arrivals.most_excess_retries(attempts, soak.sent_s, _BOUND)
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -308,6 +308,22 @@
                 env={**os.environ, "PYTHONUNBUFFERED": "1"},
             )
 
+    def restart(
+        self, name: str, number: signal.Signals, down_s: float = 0.0
+    ) -> None:
+        """Ends an instance by a signal, starts it again, and waits for it.
+
+        Args:
+            name: The instance.
+            number: The signal.
+            down_s: Time from its end to the start, in seconds.
+        """
+        self.signal(name, number)
+        self.processes[name].wait()
+        time.sleep(down_s)
+        self.start_instance(name)
+        self.wait_ready(name)
+
     def wait_ready(self, name: str) -> None:
         """Waits until an instance is ready.
 
