--- a/tools/standin/control.py
+++ b/tools/standin/control.py
@@ -11,7 +11,7 @@
 
 
 def set_behaviour(address: str, **behaviour: typing.Any) -> None:
-    """Changes fields of an engine's `engine.Behaviour`."""
+    """Changes fields of an engine's `engine_behaviour.Behaviour`."""
     http_get.fetch(
         f"http://{address}/standin/behaviour",
         timeout_s=TIMEOUT_S,
--- a/tools/standin/engine.py
+++ b/tools/standin/engine.py
@@ -9,9 +9,7 @@
 import argparse
 import dataclasses
 import hashlib
-import heapq
 from http import server
-import itertools
 import json
 import os
 import random
@@ -21,9 +19,11 @@
 import typing
 
 from tools import arrivals
+from tools.standin import engine_batch
+from tools.standin import engine_behaviour
 from tools.standin import engine_models
 
-__all__ = ["Behaviour", "Engine", "main"]
+__all__ = ["Engine", "main"]
 
 REPORT_TICK_S = 0.05
 
@@ -37,110 +37,17 @@
 IsCancelled = typing.Callable[[], bool]
 
 
-@dataclasses.dataclass
-class Behaviour:
-    """How the engine behaves; every field can be changed at run time.
-
-    Attributes:
-        slots: Requests in one batch; more wait by priority.
-        token_s: Time between two tokens of one request.
-        prefill_s_per_token: Time to the first token per prompt token.
-        default_tokens: Length of an answer if the request sets none.
-        report_lag_s: Age of the load report.
-        stall_after_tokens: Token at which streams stall; 0 is never.
-        cut_after_tokens: Token at which connections are closed; 0 is never.
-        crash_marker: A body that contains it ends the process; empty is none.
-        cut_at_start: Whether connections are closed before the first token.
-        short_answer: Whether a JSON answer ends before its stated length.
-        fail_status: Status of the answer to every completion; 0 is none.
-        fail_plain_status: Status of the answers to plain calls; 0 is none.
-        leaving: Whether the load report says that the engine leaves.
-        resumable: Whether the header X-Resume-Offset resumes streams.
-        rate_limit: Requests per second from all callers, a decimal number that
-            every answer states; empty states none.
-        pause: ``Retry-After`` of the 503 that answers every request; empty
-            is none.
-        departure: Whether every answer states that the engine leaves.
-        waiting_room: Requests that may wait for a slot; more are rejected. -1
-            is no bound.
-        rejection_limit: Rejections a second, stated by every answer, above
-            which the process ends; 0 is none.
-        fail_share: Share of the requests that get `fail_status`.
-        arrivals: File to which every request is appended; see
-            `tools.arrivals`. Empty is none.
-    """
-
-    slots: int = 8
-    token_s: float = 0.01
-    prefill_s_per_token: float = 0.0
-    default_tokens: int = 20
-    report_lag_s: float = 0.5
-    stall_after_tokens: int = 0
-    cut_after_tokens: int = 0
-    crash_marker: str = ""
-    cut_at_start: bool = False
-    short_answer: bool = False
-    fail_status: int = 0
-    fail_plain_status: int = 0
-    leaving: bool = False
-    resumable: bool = False
-    rate_limit: str = ""
-    pause: str = ""
-    departure: bool = False
-    waiting_room: int = -1
-    rejection_limit: int = 0
-    fail_share: float = 1.0
-    arrivals: str = ""
-
-
 def _raise_if_cancelled(is_cancelled: IsCancelled) -> None:
     if is_cancelled():
         raise ConnectionAbortedError("cancelled")
 
 
-class _Batch:
-    """Slots of the batch; waiting requests enter by priority, then age."""
-
-    def __init__(self, behaviour: Behaviour):
-        self._behaviour = behaviour
-        self._lock = threading.Condition()
-        self._order = itertools.count()
-        self._waiting: list[tuple[int, int]] = []
-        self.running = 0
-
-    @property
-    def waiting(self) -> int:
-        """Number of requests that wait for a slot."""
-        return len(self._waiting)
-
-    def enter(self, rank: int) -> None:
-        """Waits for a slot."""
-        with self._lock:
-            entry = (rank, next(self._order))
-            heapq.heappush(self._waiting, entry)
-            self._lock.wait_for(
-                lambda: (
-                    self._waiting[0] == entry
-                    and self.running < self._behaviour.slots
-                )
-            )
-            heapq.heappop(self._waiting)
-            self.running += 1
-            self._lock.notify_all()
-
-    def leave(self) -> None:
-        """Frees the slot."""
-        with self._lock:
-            self.running -= 1
-            self._lock.notify_all()
-
-
 class Engine:
     """State of one stand-in engine."""
 
-    def __init__(self, behaviour: Behaviour):
+    def __init__(self, behaviour: engine_behaviour.Behaviour):
         self.behaviour = behaviour
-        self.batch = _Batch(behaviour)
+        self.batch = engine_batch.Batch(behaviour)
         self.loaded_models = engine_models.EngineModels()
         self.runs: list[dict[str, typing.Any]] = []
         self.tokens = 0
@@ -452,7 +359,7 @@
     """Runs one stand-in; options are the fields of `Behaviour`."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--port", type=int, required=True)
-    for field in dataclasses.fields(Behaviour):
+    for field in dataclasses.fields(engine_behaviour.Behaviour):
         name = "--" + field.name.replace("_", "-")
         if field.type is bool:
             parser.add_argument(name, action="store_true")
@@ -460,9 +367,8 @@
             parser.add_argument(name, type=field.type, default=field.default)
     options = vars(parser.parse_args())
     port = options.pop("port")
-    handler = type(
-        "Handler", (_Handler,), {"engine": Engine(Behaviour(**options))}
-    )
+    engine = Engine(engine_behaviour.Behaviour(**options))
+    handler = type("Handler", (_Handler,), {"engine": engine})
     _Server(("127.0.0.1", port), handler).serve_forever()
 
 
