--- a/cardamombarrow/tests/test_crashing_requests.py
+++ b/cardamombarrow/tests/test_crashing_requests.py
@@ -10,6 +10,7 @@
 from cardamombarrow.entry import peering
 from tools import caller
 from tools import deployment
+from tools import engine_restarter
 
 pytestmark = pytest.mark.process
 
@@ -72,7 +73,9 @@
     keys = (f"key-{number}" for number in itertools.count())
     urls = list(running.entries.values())
     bad = f"book {_MARKER}".encode()
-    with deployment.EngineRestarter(running, "desk", _RESTART_S) as restarter:
+    with engine_restarter.EngineRestarter(
+        running, "desk", _RESTART_S
+    ) as restarter:
         for url in itertools.cycle(urls):
             if restarter.count >= _CRASHES_BEFORE:
                 break
@@ -97,7 +100,9 @@
     # Guards against one more endpoint lost with each start of an entry.
     keys = (f"key-{number}" for number in itertools.count())
     bad = f"again {_MARKER}".encode()
-    with deployment.EngineRestarter(running, "desk", _RESTART_S) as restarter:
+    with engine_restarter.EngineRestarter(
+        running, "desk", _RESTART_S
+    ) as restarter:
         urls = itertools.cycle(running.entries.values())
         while not _is_quarantined(_book(next(urls), bad, next(keys))):
             time.sleep(2 * _RESTART_S)
@@ -135,7 +140,9 @@
     # processes, and then the entries of each domain, have restarted.
     keys = (f"key-{number}" for number in itertools.count())
     bad = f"turn {_MARKER}".encode()
-    with deployment.EngineRestarter(running, "desk", _RESTART_S) as restarter:
+    with engine_restarter.EngineRestarter(
+        running, "desk", _RESTART_S
+    ) as restarter:
         urls = itertools.cycle(running.entries.values())
         while not _is_quarantined(_book(next(urls), bad, next(keys))):
             time.sleep(2 * _RESTART_S)
--- a/cardamombarrow/tests/test_rejection_limits.py
+++ b/cardamombarrow/tests/test_rejection_limits.py
@@ -8,6 +8,7 @@
 
 from tools import caller
 from tools import deployment
+from tools import engine_restarter
 
 pytestmark = pytest.mark.process
 
@@ -70,7 +71,9 @@
     urls = itertools.cycle(running.entries.values())
     numbers = itertools.count()
     with (
-        deployment.EngineRestarter(running, "engines", _RESTART_S) as falls,
+        engine_restarter.EngineRestarter(
+            running, "engines", _RESTART_S
+        ) as falls,
         futures.ThreadPoolExecutor(256) as pool,
     ):
         pending = []
--- a/cardamombarrow/tests/test_retry_soak.py
+++ b/cardamombarrow/tests/test_retry_soak.py
@@ -23,6 +23,7 @@
 from tools import caller
 from tools import cut_off
 from tools import deployment
+from tools import engine_restarter
 from tools import failing_engines
 from tools.standin import cut_links
 
@@ -219,7 +220,7 @@
     plan = _ENGINES.plan(tmp_path, _ENTRIES, _CONTROLS)
     with (
         deployment.Deployment(plan, tmp_path) as running,
-        deployment.EngineRestarter(
+        engine_restarter.EngineRestarter(
             running, failing_engines.SERVICE, _ENGINE_DOWN_S
         ),
     ):
--- a/tools/cut_off.py
+++ b/tools/cut_off.py
@@ -7,7 +7,7 @@
 from tools import deployment
 from tools.standin import cut_links
 
-__all__ = ["ENTRIES", "cut", "plan", "send"]
+__all__ = ["ENTRIES", "cut", "cut_ports", "plan", "send"]
 
 _DIGEST = "fd501e4e4eabb3b62f313e4d323048dfbddebb4d702c7b63512125b3fa21dd28"
 _DOCUMENT = f"""
@@ -58,13 +58,25 @@
 ) -> abc.Iterator[None]:
     """Cuts entries off from all endpoints."""
     ports = [
-        address.rpartition(":")[2]
+        int(address.rpartition(":")[2])
         for group in running.engines.values()
         for address in group
     ]
+    with cut_ports(running, names, mode, ports):
+        yield
+
+
+@contextlib.contextmanager
+def cut_ports(
+    running: deployment.Deployment,
+    names: abc.Iterable[str],
+    mode: cut_links.CutMode,
+    ports: abc.Iterable[int],
+) -> abc.Iterator[None]:
+    """Cuts entries off from some ports."""
     files = [cut_links.cut_file(running.settings_path(n)) for n in names]
     for file in files:
-        file.write_text("\n".join((mode.value, *ports)))
+        file.write_text("\n".join((mode.value, *map(str, ports))))
     try:
         yield
     finally:
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -14,7 +14,6 @@
 import socket
 import subprocess
 import sys
-import threading
 import time
 import typing
 
@@ -25,7 +24,6 @@
 
 __all__ = [
     "Deployment",
-    "EngineRestarter",
     "Plan",
     "free_ports",
     "wait_until",
@@ -33,7 +31,6 @@
 
 SECRET = "loopback-secret-of-the-stand-in-deployment"
 START_TIMEOUT_S = 30.0
-WATCH_INTERVAL_S = 0.02
 FIRST_PORT = 10_000
 LAST_PORT = 32_000
 """The ports lie below the range of ephemeral ports."""
@@ -97,6 +94,10 @@
             with the source ``entries`` and the endpoint's own address as
             the name of the link.
         entry_plugins: Modules that entries import at the start.
+        control_plugins: Modules that control processes import at the start.
+        configuration: Configuration in the platform's format, which is sent to
+            a control process in place of `document`; empty for none.
+        listing_url: The platform's list; empty for a stand-in of it.
     """
 
     document: str
@@ -110,6 +111,9 @@
     proxied: bool = False
     proxied_endpoints: bool = False
     entry_plugins: tuple[str, ...] = ()
+    control_plugins: tuple[str, ...] = ()
+    configuration: str = ""
+    listing_url: str = ""
 
 
 class Deployment(contextlib.AbstractContextManager):
@@ -142,6 +146,7 @@
         self.peers: dict[str, str] = {}
         self.processes: dict[str, subprocess.Popen] = {}
         self.forward_addresses: dict[str, str] = {}
+        self._ready_urls: dict[str, str] = {}
         self.listing_url = ""
         self.proxy = proxy_module.Proxy()
 
@@ -167,13 +172,31 @@
         self._write_entries()
         for name in self._settings:
             self.start_instance(name)
+        if self._plan.configuration:
+            self._put_configuration()
         for name in self._settings:
             self.wait_ready(name)
 
+    def _put_configuration(self) -> None:
+        url = next(iter(self.controls.values())) + "/configuration"
+        body = self._plan.configuration.encode()
+
+        def is_accepted() -> bool:
+            try:
+                reply = http_get.fetch(
+                    url, timeout_s=5, method="PUT", body=body
+                )
+            except errors.EndpointError:
+                return False
+            return reply.status == 200
+
+        if not wait_until(is_accepted):
+            raise RuntimeError("the configuration was not accepted")
+
     def _start_standins(self) -> str:
         text = self._plan.document
-        services = parsing.parse(text).services.values()
-        for service in services if self._plan.standins else ():
+        services = parsing.parse(text).services if self._plan.standins else {}
+        for service in services.values():
             listed = [e for group in service.endpoints.values() for e in group]
             ports = free_ports(len(listed))
             addresses = [f"127.0.0.1:{port}" for port in ports]
@@ -181,6 +204,9 @@
             for endpoint, address in zip(listed, addresses, strict=True):
                 text = text.replace(endpoint, self._endpoint_route(address))
                 self.start_engine(address)
+        self.listing_url = self._plan.listing_url
+        if self.listing_url:
+            return text
         port = free_ports(1)[0]
         self.listing_url = f"http://127.0.0.1:{port}/v1/listing"
         module = ("-m", "tools.standin.platform_list")
@@ -225,9 +251,10 @@
                 voters = " ".join(
                     f"{other}={self._route(name, other)}" for other in names
                 )
+                first = self._plan.document and f"first_document = {document}\n"
                 state = (
                     f"[state]\nfolder = {self._folder / name}\n"
-                    f"voters = {voters}\nfirst_document = {document}\n"
+                    f"voters = {voters}\n{first}"
                 ) + self._plan.control_extra.format(
                     platform=self.listing_url.removesuffix("/v1/listing")
                 )
@@ -235,11 +262,12 @@
 
     def _write_entries(self) -> None:
         names = [n for group in self._plan.entries.values() for n in group]
-        ports = iter(free_ports(3 * len(names)))
+        ports = iter(free_ports(4 * len(names)))
         for name in names:
             self.peers[name] = f"127.0.0.1:{next(ports)}"
             self.entries[name] = f"http://127.0.0.1:{next(ports)}"
             self.forward_addresses[name] = f"127.0.0.1:{next(ports)}"
+            self._ready_urls[name] = f"http://127.0.0.1:{next(ports)}"
         extra = dict(self._plan.entry_extra)
         extra.setdefault("calls", "drain_notice_s = 0.3\n")
         extra["platform"] = f"listing_url = {self.listing_url}\n" + extra.get(
@@ -253,15 +281,17 @@
             )
             for name in group:
                 seeds = " ".join(self._route(name, other) for other in group)
-                forwarding = (
+                ready = self._ready_urls[name].removeprefix("http://")
+                addresses = (
                     f"[forwarding]\naddress = {self.forward_addresses[name]}\n"
+                    f"[side]\nready = {ready}\n"
                 )
                 self._write(
                     "entry",
                     name,
                     domain,
                     self.entries[name],
-                    sections + forwarding,
+                    sections + addresses,
                     seeds,
                 )
 
@@ -279,11 +309,15 @@
             self._route(name, control) for control in self.controls
         )
         extra_http = self._plan.entry_extra.get("http", "")
-        plugins = ", ".join(self._plan.entry_plugins)
+        plugins = ", ".join(
+            self._plan.entry_plugins
+            if role == "entry"
+            else self._plan.control_plugins
+        )
         extra_instance = f"plugins = {plugins}\n" if plugins else ""
         path.write_text(
             f"[instance]\nid = {name}\ndomain = {domain}\n"
-            f"{extra_instance if role == 'entry' else ''}"
+            f"{extra_instance}"
             f"[http]\nport = {url.rpartition(':')[2]}\n"
             f"{extra_http if role == 'entry' else ''}"
             f"[peers]\nsecret = {SECRET}\n"
@@ -331,8 +365,11 @@
             RuntimeError: It did not start in time.
         """
         role, _ = self._settings[name]
-        urls = self.entries if role == "entry" else self.controls
-        path = "/readyz" if role == "entry" else "/healthz"
+        urls = self._ready_urls if role == "entry" else self.controls
+        if role == "entry":
+            path = "/readyz"
+        else:
+            path = "/configuration" if self._plan.configuration else "/healthz"
 
         def answers() -> bool:
             try:
@@ -376,45 +413,3 @@
                 process.kill()
                 process.wait()
         self.proxy.close()
-
-
-class EngineRestarter(contextlib.AbstractContextManager):
-    """Restarts the stand-ins of a service that have ended, and counts them.
-
-    Attributes:
-        count: How many have ended so far.
-    """
-
-    def __init__(self, running: Deployment, service: str, down_s: float):
-        """Builds a restarter, which works while its context is open.
-
-        Args:
-            running: The deployment.
-            service: The service.
-            down_s: Time from an end to the restart, in seconds.
-        """
-        self._running = running
-        self._service = service
-        self._down_s = down_s
-        self._stop = threading.Event()
-        self._thread = threading.Thread(target=self._watch)
-        self.count = 0
-
-    def __enter__(self) -> "EngineRestarter":
-        """Starts watching."""
-        self._thread.start()
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        """Stops watching."""
-        self._stop.set()
-        self._thread.join()
-
-    def _watch(self) -> None:
-        while not self._stop.wait(WATCH_INTERVAL_S):
-            for address in self._running.engines[self._service]:
-                process = self._running.processes[f"engine-{address}"]
-                if process.poll() is not None:
-                    self.count += 1
-                    time.sleep(self._down_s)
-                    self._running.start_engine(address)
