Let a new entry use its part of the slack for retries at once

The bound only needs it of entries whose earlier process may have used the part. Control tells an entry that it is new: the process founds the log or has run for a minute, and no process of the entry has reported or left.

--- a/cardamombarrow/control/core.py
+++ b/cardamombarrow/control/core.py
@@ -97,7 +97,9 @@
         log: base.Log,
         log_service: log_transport.LogService,
         state: _PublishingState,
+        founds: bool,
     ):
+        self._founds = founds
         self._log_service = log_service
         self._loop = loop
         self._settings = settings
@@ -134,6 +136,7 @@
             self._log,
             lambda: self._state.document.accepted,
             ids.DomainId(self._settings.instance.domain),
+            founds=self._founds,
         )
         self._server = server.Server([service, self._log_service])
         service.collector.set_window_length(self._settings.duties.window_s)
@@ -265,6 +268,13 @@
     return listed
 
 
+def _founds(settings: settings_module.ControlSettings) -> bool:
+    """Returns whether this process founds the log, and has none yet."""
+    config = _member_config(settings)
+    is_empty = not config.folder.exists() or not any(config.folder.iterdir())
+    return config.is_founder and is_empty
+
+
 def _open_log(
     settings: settings_module.ControlSettings,
     state: _PublishingState,
@@ -364,8 +374,9 @@
     transport = log_transport.LogTransport(
         loop, settings.peers.secret, log_service, _listed_voters(settings)
     )
+    founds = _founds(settings)
     log = _open_log(settings, state, transport)
-    peers = _PeerServer(loop, settings, log, log_service, state)
+    peers = _PeerServer(loop, settings, log, log_service, state, founds)
     web = http.HttpServer(
         settings.http, _operator_app(settings, log, state, peers)
     )
--- a/cardamombarrow/decisions/dispatcher_state.py
+++ b/cardamombarrow/decisions/dispatcher_state.py
@@ -47,6 +47,10 @@
         """Sets how many instances share the limits on the whole fleet."""
         self._context.fleet.update_instances(count)
 
+    def set_new(self) -> None:
+        """Records that no earlier process of this instance used its parts."""
+        self._context.fleet.is_new = True
+
     def refresh_shares(self, now_s: float) -> None:
         """Recomputes this instance's slots on every endpoint."""
         self._roster.refresh_shares(self.demand(now_s), now_s)
--- a/cardamombarrow/decisions/fleet/fleet_share.py
+++ b/cardamombarrow/decisions/fleet/fleet_share.py
@@ -33,9 +33,14 @@
     """Computes this instance's part of bounds over all instances.
 
     Each instance has one object, shared by all users of such bounds.
+
+    Attributes:
+        is_new: Whether it is known that no earlier process of this instance has
+            used its parts.
     """
 
     def __init__(self):
+        self.is_new = False
         self._instances = GUESSED_INSTANCES
 
     def update_instances(self, count: int) -> None:
--- a/cardamombarrow/decisions/queueing/retry.py
+++ b/cardamombarrow/decisions/queueing/retry.py
@@ -170,8 +170,8 @@
     A run that is preempted before its first token takes its retry when it is
     preempted, so that preemptions end with the bound.
 
-    An instance that has just started takes no part of the slack for one window:
-    the process before it may have used that part.
+    An instance that has just started takes no part of the slack for one window,
+    unless it is new: the process before it may have used that part.
     """
 
     def __init__(self, context: context_module.PolicyContext):
@@ -189,7 +189,8 @@
         """Returns this instance's part of the share and the slack."""
         bounds = self.context.retries
         share = fleet.MARGIN * bounds.share
-        if now_s < self.context.started_s + bounds.window_s:
+        is_settled = now_s >= self.context.started_s + bounds.window_s
+        if not is_settled and not self.context.fleet.is_new:
             return share, 0.0
         return share, self.context.fleet.part_of(bounds.slack)
 
--- a/cardamombarrow/entry/broker_base.py
+++ b/cardamombarrow/entry/broker_base.py
@@ -219,6 +219,11 @@
         with self._lock:
             self._dispatcher.set_instances(count)
 
+    def set_new(self) -> None:
+        """Records that no earlier process of this instance used its parts."""
+        with self._lock:
+            self._dispatcher.set_new()
+
     def views(self) -> list[EndpointView]:
         """Returns the known state of each endpoint, for operators."""
         now_s = self._clock.now_s()
--- a/cardamombarrow/entry/peering.py
+++ b/cardamombarrow/entry/peering.py
@@ -123,6 +123,7 @@
         ] = lambda near, far: None
         self._early_suspects: list[messages.SuspectReport] = []
         self._early_entry_count = 0
+        self._is_new = False
         self._counted_s = -math.inf
         self._cache_announcement_number = 0
         self.control = control_client.ControlClient(
@@ -137,6 +138,7 @@
             self._on_suspects,
             self._on_forwarders,
             self._on_entry_count,
+            self._on_new,
         )
         boot_clock = clock.BootClock()
         self.lease = lease_module.DocumentLease(
@@ -202,6 +204,15 @@
         else:
             self._early_suspects.extend(suspects)
 
+    def _on_new(self) -> None:
+        """Records that this entry had no process before; on the loop thread."""
+        if self._is_new:
+            return
+        self._is_new = True
+        logs.event("new entry")
+        if self._broker is not None:
+            self._broker.set_new()
+
     def _on_entry_count(self, count: int) -> None:
         """Applies the number of entries that share the global bounds.
 
@@ -367,6 +378,8 @@
         broker.set_suspect_listener(self.control.report_now)
         if self._early_suspects:
             broker.merge_suspects(self._early_suspects)
+        if self._is_new:
+            broker.set_new()
         if self._early_entry_count:
             broker.set_instances(self._early_entry_count)
         poller = poller_module.Poller(
--- a/cardamombarrow/peers/control_client.py
+++ b/cardamombarrow/peers/control_client.py
@@ -95,6 +95,7 @@
             [abc.Sequence[str], abc.Sequence[str]], None
         ] = lambda near, far: None,
         on_entry_count: abc.Callable[[int], None] = lambda count: None,
+        on_new: abc.Callable[[], None] = lambda: None,
     ):
         """Builds a client.
 
@@ -112,11 +113,13 @@
             on_forwarders: Called with the addresses of entries that take
                 forwarded requests, in the own domain and in others.
             on_entry_count: Called with the number of entries of all domains.
+            on_new: Called if this entry had no process before.
         """
         self._loop = loop
         self._on_suspects = on_suspects
         self._on_forwarders = on_forwarders
         self._on_entry_count = on_entry_count
+        self._on_new = on_new
         self._domain = domain
         self._domains: dict[str, str] = {}
         self._addresses = list(controls)
@@ -287,6 +290,8 @@
 
     async def _apply(self, message: control_pb2.DocumentMessage) -> None:
         self._on_forwarders(message.near_forwarders, message.far_forwarders)
+        if message.is_new:
+            self._on_new()
         if message.entry_count:
             self._on_entry_count(message.entry_count)
         if message.suspects:
--- a/cardamombarrow/peers/control_service.py
+++ b/cardamombarrow/peers/control_service.py
@@ -42,6 +42,8 @@
         log: base.Log,
         accepted: abc.Callable[[], machine.AcceptedDocument],
         domain: ids.DomainId = ids.DomainId(""),
+        *,
+        founds: bool = False,
     ):
         self._log = log
         self._accepted = accepted
@@ -51,7 +53,7 @@
         )
         self.collector = metering_collector.MeteringCollector()
         self.followers = followers_module.Followers(
-            lambda: log.status().has_quorum, domain
+            lambda: log.status().has_quorum, domain, founds=founds
         )
 
     async def Propose(self, stream: server.Stream) -> None:  # noqa: N802
--- a/cardamombarrow/peers/followers.py
+++ b/cardamombarrow/peers/followers.py
@@ -42,6 +42,10 @@
 at the target size, so a follower is rarely further behind; if it is, it gets
 the whole text. Four texts take 2.1 MB there."""
 
+MEMORY_S = 60.0
+"""After this time without an entry, a control process takes it for a new one: a
+window of the bounds that an earlier process of the entry may have used."""
+
 FOLLOWER_TTL_S = 3_600.0
 """How long an instance that disappeared without notice is listed: it may be
 alive and cut off, with an old document in force."""
@@ -76,7 +80,18 @@
         self,
         has_quorum: abc.Callable[[], bool],
         domain: ids.DomainId = ids.DomainId(""),
+        *,
+        founds: bool = False,
     ):
+        """Builds an empty table.
+
+        Args:
+            has_quorum: Returns whether there is a leader with a majority.
+            domain: Failure domain of this process.
+            founds: Whether there was no log before this process.
+        """
+        self._knows_all_s = time.monotonic() + (0.0 if founds else MEMORY_S)
+        self._left_s: dict[ids.InstanceId, float] = {}
         self._suspects = suspect_relay.SuspectRelay(random.Random())
         self._forwarders: dict[ids.DomainId, list[str]] = {}
         self._forwarders_until_s = 0.0
@@ -154,6 +169,15 @@
         if known is None or follower.last_report_s > known.last_report_s:
             self._table[follower.instance] = follower
 
+    def _is_new(self, instance: ids.InstanceId) -> bool:
+        """Returns whether no process of an entry has reported before."""
+        now_s = time.monotonic()
+        for left, left_s in list(self._left_s.items()):
+            if now_s - left_s > MEMORY_S:
+                del self._left_s[left]
+        is_known = instance in self._table or instance in self._left_s
+        return now_s >= self._knows_all_s and not is_known
+
     def count_recent(self) -> int:
         """Counts the entries of all domains that reported recently."""
         oldest_s = time.monotonic() - FOLLOWER_TIMEOUT_S
@@ -282,6 +306,8 @@
             report = await self._receive(stream)
             if report is None:
                 return
+            is_new = self._is_new(ids.InstanceId(report.instance))
+            self._apply(report)
             # An entry that reconnects mostly has the newest document; which
             # changes are missing is known only after its first report.
             sender = asyncio.create_task(
@@ -289,11 +315,12 @@
                     stream,
                     report.applied_revision,
                     ids.DomainId(report.domain),
+                    is_new,
                 )
             )
             try:
-                while report is not None:
-                    report = await self._receive(stream)
+                while (report := await self._receive(stream)) is not None:
+                    self._apply(report)
             finally:
                 sender.cancel()
 
@@ -301,12 +328,13 @@
         self, stream: server.Stream
     ) -> control_pb2.AppliedReport | None:
         async with asyncio.timeout(FOLLOWER_TIMEOUT_S):
-            report = await stream.recv_message()
-        if report is None:
-            return None
+            return await stream.recv_message()
+
+    def _apply(self, report: control_pb2.AppliedReport) -> None:
         instance = ids.InstanceId(report.instance)
         self.put_suspects(report.suspects, instance)
         if report.leaving:
+            self._left_s[instance] = time.monotonic()
             self._table.pop(instance, None)
         else:
             self._update(
@@ -321,10 +349,13 @@
                     forward_address=report.forward_address,
                 )
             )
-        return report
 
     async def _send(
-        self, stream: server.Stream, applied: int, domain: ids.DomainId
+        self,
+        stream: server.Stream,
+        applied: int,
+        domain: ids.DomainId,
+        is_new: bool,
     ) -> None:
         suspects_sent = 0
         while True:
@@ -337,6 +368,7 @@
             message.near_forwarders.extend(near)
             message.far_forwarders.extend(far)
             message.entry_count = self.count_recent()
+            message.is_new = is_new
             await stream.send_message(message)
             applied = max(applied, message.revision)
             with contextlib.suppress(TimeoutError):
--- a/cardamombarrow/peers/tests/test_followers.py
+++ b/cardamombarrow/peers/tests/test_followers.py
@@ -104,3 +104,22 @@
     domains = [each.partition(":")[0] for each in far]
     assert domains.count("south") == domains.count("west")
     assert table.forwarders("elsewhere")[0] == []
+
+
+def _report(instance, *, leaving=False):
+    return control_pb2.AppliedReport(
+        instance=instance, domain="north", leaving=leaving
+    )
+
+
+def test_an_entry_is_new_only_if_control_can_tell():
+    # Guards against a started entry that takes its part of a bound for unused
+    # though the process before it may have used it.
+    founding = followers.Followers(lambda: True, founds=True)
+    assert founding._is_new("entry-1")
+    founding._apply(_report("entry-1"))
+    assert not founding._is_new("entry-1")
+    founding._apply(_report("entry-1", leaving=True))
+    assert not founding._is_new("entry-1")
+    restarted = followers.Followers(lambda: True)
+    assert not restarted._is_new("entry-1")
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -24,6 +24,7 @@
 
 __all__ = [
     "Deployment",
+    "Edition",
     "Plan",
     "free_ports",
     "wait_until",
@@ -72,6 +73,14 @@
     return False
 
 
+@dataclasses.dataclass(frozen=True)
+class Edition:
+    """A document in another format, and the path at which control takes it."""
+
+    path: str
+    text: str
+
+
 @dataclasses.dataclass
 class Plan:
     """Processes to start, and their settings.
@@ -95,8 +104,8 @@
             the name of the link.
         entry_plugins: Modules that entries import at the start.
         control_plugins: Modules that control processes import at the start.
-        configuration: Configuration in the platform's format, which is sent to
-            a control process in place of `document`; empty for none.
+        edition: Document that is sent to a control process in place of
+            `document`; None for none.
         listing_url: The platform's list; empty for a stand-in of it.
     """
 
@@ -112,7 +121,7 @@
     proxied_endpoints: bool = False
     entry_plugins: tuple[str, ...] = ()
     control_plugins: tuple[str, ...] = ()
-    configuration: str = ""
+    edition: Edition | None = None
     listing_url: str = ""
 
 
@@ -172,14 +181,14 @@
         self._write_entries()
         for name in self._settings:
             self.start_instance(name)
-        if self._plan.configuration:
-            self._put_configuration()
+        if self._plan.edition is not None:
+            self._put(self._plan.edition)
         for name in self._settings:
             self.wait_ready(name)
 
-    def _put_configuration(self) -> None:
-        url = next(iter(self.controls.values())) + "/configuration"
-        body = self._plan.configuration.encode()
+    def _put(self, edition: Edition) -> None:
+        url = next(iter(self.controls.values())) + edition.path
+        body = edition.text.encode()
 
         def is_accepted() -> bool:
             try:
@@ -191,7 +200,7 @@
             return reply.status == 200
 
         if not wait_until(is_accepted):
-            raise RuntimeError("the configuration was not accepted")
+            raise RuntimeError("the document was not accepted")
 
     def _start_standins(self) -> str:
         text = self._plan.document
@@ -366,10 +375,9 @@
         """
         role, _ = self._settings[name]
         urls = self._ready_urls if role == "entry" else self.controls
-        if role == "entry":
-            path = "/readyz"
-        else:
-            path = "/configuration" if self._plan.configuration else "/healthz"
+        path = "/readyz" if role == "entry" else "/healthz"
+        if role == "control" and self._plan.edition is not None:
+            path = self._plan.edition.path
 
         def answers() -> bool:
             try:
