Never let an answer that was broken off look complete

Callers got a 200 with its seal, framed as complete, for a stream whose endpoint had crashed.

- An answer without a length or chunks ends with its connection, and a process that exits closes its connections in order. h11 calls such an answer whole, the kind of the platform's engines took every stream for whole, and the half event was passed on with a last chunk behind it; a resumable stream was not resumed.
- A caller of HTTP/1.0 gets no chunks.
Every cut, also one that was noticed, ended its connection in order, and so did the end of a killed entry.

Ruled out: a cut that is lost between two entries (it arrives; the first entry then failed like any other).

endpoints.answer_body decides now whether an answer is whole, for all kinds and for forwarded answers: its framing, the end of its last event, an end mark where the kind has one. Only complete events are relayed, so that all streams end between events. While an answer's end is the end of its connection, closing the connection resets it.

The same class: event lines that end with CR or CRLF were buffered to the end of a resumable stream, and their ids were not found. A resumed answer bears no length any more: that of its first endpoint need not hold. A line 'cut' says why, how the endpoint framed the answer and which HTTP version the caller speaks.

--- a/cardamombarrow/endpoints/base.py
+++ b/cardamombarrow/endpoints/base.py
@@ -31,6 +31,7 @@
 _RATE_LIMIT = "x-rate-limit"
 _REJECTION_LIMIT = "x-rejection-limit"
 _UNAVAILABLE = 503
+_FRAMING = {"content-length", "transfer-encoding"}
 
 
 class CallerWatch(abc.ABC):
@@ -116,6 +117,17 @@
             "text/event-stream"
         )
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether the body's end is marked; otherwise the connection ends."""
+        return bool(_FRAMING & self.headers.keys())
+
+    def without_length(self) -> "Head":
+        """Returns the head of an answer whose length may change."""
+        headers = {**self.headers}
+        headers.pop("content-length", None)
+        return dataclasses.replace(self, headers=headers)
+
 
 class Exchange(abc.ABC):
     """A request to an endpoint. Used by one thread; must be closed."""
@@ -268,6 +280,6 @@
         """Reads the token count from the end of an answer; 0 if it has none."""
         return 0
 
-    @abc.abstractmethod
-    def is_whole(self, head: Head, tail: bytes) -> bool:
-        """Returns whether a streamed answer with this end is complete."""
+    def ends_stream(self, tail: bytes) -> bool:
+        """Returns whether a stream with this end is complete."""
+        return True
--- a/cardamombarrow/endpoints/engine.py
+++ b/cardamombarrow/endpoints/engine.py
@@ -32,7 +32,9 @@
         ]
         if call.resume_tokens:
             headers.append(("X-Resume-Offset", str(call.resume_tokens)))
-        return transfer.HttpExchange(call, lambda: headers, self.probe)
+        return transfer.HttpExchange(
+            call, lambda: headers, self.probe, ends_stream=self.ends_stream
+        )
 
     def poll(
         self, endpoint: ids.EndpointId, timeout_s: float
@@ -70,7 +72,7 @@
         found = _USAGE.findall(tail)
         return int(found[-1]) if found else 0
 
-    def is_whole(self, head: base.Head, tail: bytes) -> bool:
+    def ends_stream(self, tail: bytes) -> bool:
         """Returns whether the stream ends with the ``[DONE]`` event."""
         return tail.rstrip().endswith(_DONE)
 
--- a/cardamombarrow/endpoints/plain.py
+++ b/cardamombarrow/endpoints/plain.py
@@ -39,7 +39,3 @@
     def count_tokens(self, chunk: bytes) -> int:
         """Returns 0: answers of plain services have no tokens."""
         return 0
-
-    def is_whole(self, head: base.Head, tail: bytes) -> bool:
-        """Returns True: `transfer` has checked the HTTP framing already."""
-        return True
--- a/cardamombarrow/endpoints/transfer.py
+++ b/cardamombarrow/endpoints/transfer.py
@@ -12,6 +12,7 @@
 import select
 import time
 
+from cardamombarrow.endpoints import answer_body
 from cardamombarrow.endpoints import base
 from cardamombarrow.endpoints import connection as connection_module
 from cardamombarrow.endpoints import pool as pool_module
@@ -44,6 +45,7 @@
         headers: abc.Callable[[], list[tuple[str, str]]],
         probe: abc.Callable[[ids.EndpointId], bool],
         pool: pool_module.Pool = POOL,
+        ends_stream: abc.Callable[[bytes], bool] = lambda tail: True,
     ):
         """Prepares an exchange.
 
@@ -53,11 +55,13 @@
                 called once there is a connection: a time left is exact then.
             probe: Returns whether an endpoint answers on a new connection.
             pool: Pool of idle connections.
+            ends_stream: Returns whether a stream with this end is complete.
         """
         self._call = call
         self._headers = headers
         self._probe = probe
         self._pool = pool
+        self._ends_stream = ends_stream
         self._connection: connection_module.Connection | None = None
         self._error: str | None = None
         self._accepted = False
@@ -88,12 +92,18 @@
         """Yields the body; data that is available together is one chunk."""
         connection = self._connection
         assert connection is not None, "call head first"
+        assert connection.head is not None, "call head first"
         self._received_s = time.monotonic()
+        body = answer_body.AnswerBody(connection.head, self._ends_stream)
         while True:
             data = connection.take_body()
             if data:
-                yield data
+                complete = body.feed(data)
+                if complete:
+                    yield complete
             elif connection.whole:
+                if self._call.method != "HEAD" and (rest := body.finish()):
+                    yield rest
                 return
             elif self._error is not None:
                 raise self._failure()
--- a/cardamombarrow/entry/answer_stream.py
+++ b/cardamombarrow/entry/answer_stream.py
@@ -1,16 +1,12 @@
 """Buffering of relayed answers, and the outcomes of runs."""
 
-from collections import abc
-
 from cardamombarrow.decisions import messages
 from cardamombarrow.endpoints import base as endpoints_base
 from cardamombarrow.kernel import errors
 
 __all__ = [
     "BUFFERED_ANSWER_BYTES",
-    "EVENT_END",
     "OUTCOMES",
-    "complete_events",
     "failure_of",
     "is_buffered",
     "outcome_of",
@@ -29,9 +25,6 @@
     errors.ErrorKind.PREEMPTED: messages.Outcome.PREEMPTED,
 }
 
-
-EVENT_END = b"\n\n"
-
 BUFFERED_ANSWER_BYTES = 65_536
 """Answers with an announced length up to this are read completely before any
 of it is sent: one that is cut off can then be retried, or is reported as a
@@ -61,18 +54,3 @@
         and length.isdigit()
         and int(length) <= BUFFERED_ANSWER_BYTES
     )
-
-
-def complete_events(chunks: abc.Iterator[bytes]) -> abc.Iterator[bytes]:
-    """Yields only complete events; buffers a partial one.
-
-    A resumed stream continues with a complete event. If part of an event had
-    been relayed before the cut, the caller would read both as one event.
-    """
-    partial = b""
-    for chunk in chunks:
-        whole, end, partial = (partial + chunk).rpartition(EVENT_END)
-        if end:
-            yield whole + end
-    if partial:
-        yield partial
--- a/cardamombarrow/entry/call_runner.py
+++ b/cardamombarrow/entry/call_runner.py
@@ -18,6 +18,7 @@
 from cardamombarrow.kernel import connection
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
+from cardamombarrow.kernel import logs
 
 __all__ = ["CallRunner"]
 
@@ -111,7 +112,7 @@
         except errors.RouterError as error:
             error.class_id = call.job.class_id
             raise
-        chunks = self._chunks(relay, call.job, sends_error_event)
+        chunks = self._chunks(environ, relay, call.job, sends_error_event)
         method = environ["REQUEST_METHOD"]
         if relay.head.status in NO_BODY_STATUSES or method == "HEAD":
             # werkzeug neither iterates nor closes the body of these answers:
@@ -218,6 +219,7 @@
 
     def _chunks(
         self,
+        environ: dict[str, typing.Any],
         relay: request_handler.RelayedAnswer,
         job: messages.Job,
         sends_error_event: bool,
@@ -226,9 +228,17 @@
             yield from relay.chunks
         except errors.RouterError as error:
             self.services.metrics.count_error(error.kind, job.class_id)
+            logs.decision(
+                "cut",
+                request_id=job.request_id,
+                kind=error.kind.value,
+                detail=error.detail,
+                caller_protocol=environ["SERVER_PROTOCOL"],
+                framed=relay.head.is_framed,
+            )
             if not (relay.head.streams and sends_error_event):
-                # The caller detects the cut by a missing last chunk or by
-                # fewer bytes than announced.
+                # The caller detects the cut by a missing last chunk, by fewer
+                # bytes than announced or by a reset of the connection.
                 raise
             yield answers.error_event(error, job.request_id)
         finally:
--- a/cardamombarrow/entry/request_handler.py
+++ b/cardamombarrow/entry/request_handler.py
@@ -38,8 +38,8 @@
 """Interval at which a waiting caller's connection is checked."""
 
 TAIL_BYTES = 512
-"""Size of the answer's tail that is buffered to determine whether the answer is
-complete and how many tokens it had."""
+"""Size of the answer's tail that is buffered to determine how many tokens it
+had."""
 
 _NOT_RETRIED = (errors.ErrorKind.CALLER_GONE, errors.ErrorKind.DEADLINE)
 """Errors after which a request is not retried."""
@@ -165,7 +165,8 @@
         ticket = self._services.broker.submit(self._call.job)
         run = self._begin(ticket)
         self._relaying = True
-        return RelayedAnswer(run.head, self._relay(run))
+        head = run.head.without_length() if run.resumable else run.head
+        return RelayedAnswer(head, self._relay(run))
 
     def _begin(self, ticket: ticket_module.Ticket) -> _Run:
         """Runs a placed or waiting job until an answer begins."""
@@ -259,8 +260,6 @@
         )
         ticket.job.resumable = resumable
         chunks = exchange.chunks()
-        if resumable:
-            chunks = answer_stream.complete_events(chunks)
         if answer_stream.is_buffered(head) or self._kind.is_failure(head):
             first = b"".join(chunks)
         else:
@@ -428,13 +427,6 @@
                     )
                 broker.progress(request_id, progress.tokens)
                 yield chunk
-            if run.head.streams and not self._kind.is_whole(run.head, tail):
-                raise errors.EndpointError(
-                    errors.ErrorKind.ANSWER_CUT,
-                    "the stream ended early",
-                    sent=True,
-                    delivered=True,
-                )
             progress.tokens = progress.tokens or self._kind.tokens_at_end(tail)
             broker.progress(request_id, progress.tokens)
             failure = None
--- a/cardamombarrow/entry/tests/test_endpoint_restrictions.py
+++ b/cardamombarrow/entry/tests/test_endpoint_restrictions.py
@@ -129,9 +129,6 @@
     def count_tokens(self, chunk):
         return chunk.count(b"data")
 
-    def is_whole(self, head, tail):
-        return True
-
 
 class _PlacerOf(remote_placer.NoRemotePlacer):
     """A placer that places every request on the same endpoint."""
--- a/cardamombarrow/kernel/connection.py
+++ b/cardamombarrow/kernel/connection.py
@@ -16,6 +16,7 @@
 import json
 import socket
 import ssl
+import struct
 import time
 import typing
 
@@ -116,13 +117,20 @@
 
 
 class _AnswerWriter:
-    """Writes head and body; sends the head with the first chunk."""
+    """Writes head and body; sends the head with the first chunk.
+
+    Attributes:
+        started: Whether the head was sent.
+        ends_by_close: Whether the end of the connection is still needed to
+            mark the end of the answer.
+    """
 
     def __init__(self, handler: "Handler"):
         self._handler = handler
         self._head: tuple[str, list[tuple[str, str]]] | None = None
         self._chunked = False
         self.started = False
+        self.ends_by_close = False
 
     def start(
         self,
@@ -149,6 +157,9 @@
             self.write(b"")
         if self._chunked:
             self._handler.send(b"0\r\n\r\n")
+        if self.ends_by_close:
+            self._handler.reset_at_close(enabled=False)
+            self.ends_by_close = False
 
     def _begin(self) -> bytes:
         assert self._head is not None, "no status was set"
@@ -156,12 +167,18 @@
         code, _, reason = status_text.partition(" ")
         self.started = True
         names = {name.lower() for name, _ in headers}
-        self._chunked = (
+        unknown_length = (
             "content-length" not in names
             and int(code) not in _NO_BODY_STATUSES
             and self._handler.command != "HEAD"
-            and self._handler.request_version >= "HTTP/1.1"
         )
+        self._chunked = (
+            unknown_length and self._handler.request_version >= "HTTP/1.1"
+        )
+        if unknown_length and not self._chunked:
+            # Also if this process is killed, the caller sees a reset.
+            self._handler.reset_at_close(enabled=True)
+            self.ends_by_close = True
         lines = [f"HTTP/1.1 {code} {reason}"]
         lines += [f"{name}: {value}" for name, value in headers]
         if self._chunked:
@@ -209,6 +226,11 @@
         self.connection.sendall(data)
         self._set_non_blocking()
 
+    def reset_at_close(self, *, enabled: bool) -> None:
+        """Sets whether closing the connection resets it."""
+        linger = struct.pack("ii", enabled, 0)
+        self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     def _set_non_blocking(self) -> None:
         # A socket with a timeout polls in a system call of its own before each
         # write, though the buffer nearly always has room. TLS needs the poll.
@@ -315,8 +337,8 @@
         except OSError as error:
             self.log("info", "the caller disconnected: %s", error)
         except errors.RouterError as error:
-            # The last chunk or some of the announced bytes are missing, so the
-            # caller sees that the answer is incomplete.
+            # The last chunk or some of the announced bytes are missing, or the
+            # connection is reset, so the caller sees that it is incomplete.
             self.log("info", "the answer was cut off: %s", error)
         except Exception as error:
             logs.event("http", "ERROR", detail=repr(error))
@@ -328,7 +350,9 @@
                         "see the log of this instance",
                     ),
                 )
-        if body.left_bytes > 0:
+        if writer.ends_by_close:
+            self.connection.close()
+        elif body.left_bytes > 0:
             self._linger()
 
     def _relay(
--- a/cardamombarrow/kernel/errors.py
+++ b/cardamombarrow/kernel/errors.py
@@ -179,7 +179,6 @@
 
     Attributes:
         sent: Whether any byte of the request may have reached the endpoint.
-        delivered: Whether any byte of the answer went to the caller.
         connection_broke: Whether the connection broke, as it does if the
             endpoint crashes.
     """
@@ -190,7 +189,6 @@
         detail: str,
         *,
         sent: bool,
-        delivered: bool = False,
         connection_broke: bool = False,
         retry_after_s: float | None = None,
     ):
@@ -201,7 +199,6 @@
             not_run=not sent or ANSWERS[kind].not_run,
         )
         self.sent = sent
-        self.delivered = delivered
         self.connection_broke = connection_broke
 
 
--- a/cardamombarrow/platform/servers.py
+++ b/cardamombarrow/platform/servers.py
@@ -26,8 +26,8 @@
 _MISDIRECTED = 421
 _NOT_RUN_STATUSES = (408, 429, 503)
 _LOAD = "instance-load"
-_EVENT_ID = re.compile(rb"^id:[ ]?([^\r\n]+)", re.M)
-_EVENT = re.compile(rb"^data:", re.M)
+_EVENT_ID = re.compile(rb"(?:\A|[\r\n])id:[ ]?([^\r\n]+)")
+_EVENT = re.compile(rb"(?:\A|[\r\n])data:")
 
 
 @registry.plugin("endpoint-kind", "platform.plain")
@@ -137,10 +137,6 @@
         """Returns 0: answers of plain services have no tokens."""
         return 0
 
-    def is_whole(self, head: base.Head, tail: bytes) -> bool:
-        """Returns True: `transfer` has checked the HTTP framing already."""
-        return True
-
 
 @registry.plugin("endpoint-kind", "platform.engine")
 class PlatformEngine(PlatformKind):
--- a/cardamombarrow/platform/tests/test_answer_ends.py
+++ b/cardamombarrow/platform/tests/test_answer_ends.py
@@ -11,7 +11,9 @@
 import pytest
 
 from cardamombarrow.platform.tests import standin_streams as standin
+from tools import cut_off
 from tools import deployment
+from tools.standin import cut_links
 
 pytestmark = pytest.mark.process
 
@@ -26,6 +28,12 @@
     if ending is not standin.Ending.WHOLE
     and not (framing is _CLOSE and ending is standin.Ending.FRAMED_IN_EVENT)
 ]
+_NOTICEABLE_CUTS = [
+    each
+    for each in _CUTS
+    # A stream without other framing is whole here.
+    if each != (_CLOSE, standin.Ending.CLOSED_BETWEEN_EVENTS)
+]
 
 
 def _configuration(service=standin.SERVICE):
@@ -96,6 +104,7 @@
                 plugins + name
                 for name in ("caller", "configuration", "listing", "servers")
             ),
+            "tools.standin.cut_links",
         ),
         entry_extra={
             "calls": "protocol = platform\ndrain_notice_s = 0.3\n",
@@ -117,7 +126,7 @@
     for number in range(3):
         servers.start(f"i-{number}")
     folder = tmp_path_factory.mktemp("ends")
-    plan = _plan(servers.listing_url, {"a": ["a-1"]})
+    plan = _plan(servers.listing_url, {"a": ["a-1", "a-2"]})
     with deployment.Deployment(plan, folder) as started:
         yield started
 
@@ -187,12 +196,7 @@
 @pytest.mark.parametrize("version", ["1.0", "1.1"])
 @pytest.mark.parametrize(
     ("framing", "ending"),
-    [
-        each
-        for each in _CUTS
-        # A stream without other framing is whole here.
-        if each != (_CLOSE, standin.Ending.CLOSED_BETWEEN_EVENTS)
-    ],
+    _NOTICEABLE_CUTS,
 )
 def test_an_answer_that_broke_off_does_not_look_complete(
     running, servers, ending, framing, version
@@ -266,14 +270,56 @@
         assert b"v1/3" not in received
 
 
+@pytest.fixture(scope="module")
+def forwarding(running, servers):
+    """The deployment while entry a-1 has another one serve its callers."""
+    answer = standin.Answer()
+    servers.script = lambda received: answer
+    refuse = cut_links.CutMode.REFUSE
+    with cut_off.cut_ports(running, ["a-1"], refuse, list(servers.listed)):
+
+        def is_forwarded():
+            _call(running, "once", "1.1")
+            return '"outcome": "taken"' in running.log("a-1")
+
+        assert deployment.wait_until(is_forwarded)
+        yield running
+
+
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+@pytest.mark.parametrize(("framing", "ending"), _NOTICEABLE_CUTS)
+def test_a_forwarded_answer_that_broke_off_does_not_look_complete(
+    forwarding, servers, framing, ending, version
+):
+    # Guards against a cut that is lost between two entries.
+    answer = standin.Answer(framing, ending, _EVENTS, _SENT)
+    servers.script = lambda received: answer
+    seen = _call(forwarding, "once", version)
+    assert seen.status in (0, 200, 502, 504)
+    if seen.status == 200:
+        assert not seen.looks_complete
+        assert _whole().startswith(seen.body)
+
+
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+@pytest.mark.parametrize("framing", standin.Framing)
+def test_a_whole_forwarded_stream_reaches_its_caller_whole(
+    forwarding, servers, framing, version
+):
+    answer = standin.Answer(framing)
+    servers.script = lambda received: answer
+    seen = _call(forwarding, "once", version)
+    assert seen == _Seen(200, _whole(), looks_complete=True)
+
+
 @pytest.mark.parametrize("version", ["1.0", "1.1"])
 def test_the_end_of_a_process_does_not_end_an_answer(running, servers, version):
     # Guards against answers that look complete since their entry was killed.
     answer = standin.Answer(pause_s=0.3)
     servers.script = lambda received: answer
-    caller = _open(running, "once", version)
+    caller = _open(running, "once", version, "a-2")
     time.sleep(0.8)
-    running.restart("a-1", signal.SIGKILL)
+    running.restart("a-2", signal.SIGKILL)
     seen = _read(caller)
     assert seen.status == 200
     assert not seen.looks_complete
