Do not use a load report that was broken off

The class of the incident of broken-off answers, elsewhere: a report in the Prometheus text format whose connection ended early was read with the numbers that were left, 1 in place of 12, or 0 for a missing one. The format ends each line with a line feed.

--- a/cardamombarrow/endpoints/engine.py
+++ b/cardamombarrow/endpoints/engine.py
@@ -49,6 +49,12 @@
                 f"/metrics answered {reply.status}",
                 sent=True,
             )
+        if not reply.body.endswith(b"\n"):
+            raise errors.EndpointError(
+                errors.ErrorKind.ANSWER_CUT,
+                "/metrics does not end with a line end",
+                sent=True,
+            )
         return parse_report(reply.body.decode(), time.monotonic())
 
     def resumable(self, head: base.Head) -> bool:
