Streams over two software versions: a test that fails

On real processes, with servers of two versions, the test fails on the current code: within one answer, over tries of a caller whose entry was killed, and for a stream that nobody knows.

--- /dev/null
+++ b/cardamombarrow/platform/tests/stream_client.py
@@ -0,0 +1,228 @@
+"""A deployment in front of scripted servers, and a client of it, for tests."""
+
+import dataclasses
+import itertools
+import json
+import re
+import socket
+
+from cardamombarrow.platform.tests import standin_streams as standin
+from tools import deployment
+
+__all__ = [
+    "EVENTS",
+    "LIMIT_MS",
+    "Attempt",
+    "Seen",
+    "open_stream",
+    "plan",
+    "read",
+]
+
+LIMIT_MS = 4_000
+EVENTS = 6
+"""Events of a whole stream."""
+
+_EVENT = re.compile(rb"data: (\w+)/(\d+)\s\s")
+_LENGTH = re.compile(rb"content-length: *(\d+)", re.I)
+
+
+def _configuration() -> dict[str, object]:
+    route = {
+        "host": "one.example",
+        "routeKind": "streaming",
+        "timeoutMs": LIMIT_MS,
+        "latencyGoalMs": 500,
+        "itlTargetMs": 500,
+        "priority": 0,
+        "service": standin.SERVICE,
+        "maxAttempts": 3,
+        "anonymous": True,
+        "sticky": False,
+    }
+    names = {"once": False, "again": True}
+    return {
+        "version": 7,
+        "routes": [
+            {
+                **route,
+                "name": name,
+                "pathPrefix": f"/{name}/",
+                "resumable": resumable,
+            }
+            for name, resumable in names.items()
+        ],
+        "services": [
+            {
+                "name": standin.SERVICE,
+                "healthPath": "/healthz",
+                "maxConns": 400,
+                "protocol": "h1",
+                "tls": False,
+                "engine": {
+                    "slots": 64,
+                    "kvCapacity": 100_000,
+                    "models": [{"name": "m"}],
+                },
+            }
+        ],
+        "limits": {
+            "maxHeaderBytes": 16_384,
+            "maxBodyBytes": 65_536,
+            "headerTimeoutMs": 3_000,
+            "idleTimeoutMs": 15_000,
+        },
+    }
+
+
+def plan(listing_url: str, entries: dict[str, list[str]]) -> deployment.Plan:
+    """Returns a plan with a route that resumes streams and one that doesn't.
+
+    Args:
+        listing_url: The list of servers.
+        entries: Instance ids of entries by failure domain.
+    """
+    plugins = "cardamombarrow.platform."
+    return deployment.Plan(
+        document="",
+        standins=False,
+        entries=entries,
+        controls={"a": ["control-1"]},
+        edition=deployment.Edition(
+            "/configuration", json.dumps(_configuration())
+        ),
+        listing_url=listing_url,
+        control_extra="[operators]\nprotocol = platform\n",
+        control_plugins=tuple(
+            plugins + name for name in ("configuration", "operator")
+        ),
+        entry_plugins=(
+            *(
+                plugins + name
+                for name in ("caller", "configuration", "listing", "servers")
+            ),
+            "tools.standin.cut_links",
+        ),
+        entry_extra={
+            "calls": "protocol = platform\ndrain_notice_s = 0.3\n",
+            "document": "confirmed_within_s = 3.5\n",
+            "platform": "discovery = platform\nlisting_interval_s = 0.3\n",
+            "retries": "share = 1.0\nslack = 1000\n",
+        },
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class Seen:
+    """An answer as its caller sees it."""
+
+    status: int
+    body: bytes
+    looks_complete: bool
+
+    @property
+    def events(self) -> list[tuple[str, int]]:
+        """Version and number of each complete event."""
+        found = _EVENT.findall(self.body)
+        return [(version.decode(), int(number)) for version, number in found]
+
+
+@dataclasses.dataclass(frozen=True)
+class Attempt:
+    """A caller's request for a stream.
+
+    Attributes:
+        resumes: Attempt that brought the first event; empty for a new stream.
+        last_event: Number of the last event that the caller has.
+    """
+
+    attempt: str
+    route: str
+    resumes: str = ""
+    last_event: int = 0
+
+    @classmethod
+    def new(cls, route: str) -> "Attempt":
+        """Returns the first attempt at a stream."""
+        return cls(f"{next(_ATTEMPTS):08x}", route)
+
+    def again(self, last_event: int) -> "Attempt":
+        """Returns an attempt that goes on after an event."""
+        if not last_event:
+            return Attempt.new(self.route)
+        return dataclasses.replace(
+            self,
+            attempt=f"{next(_ATTEMPTS):08x}",
+            resumes=self.resumes or self.attempt,
+            last_event=last_event,
+        )
+
+
+_ATTEMPTS = itertools.count(1)
+
+
+def open_stream(
+    running: deployment.Deployment,
+    attempt: Attempt,
+    version: str = "1.1",
+    name: str = "a-1",
+) -> socket.socket:
+    """Sends a request for a stream to an entry.
+
+    Args:
+        running: The deployment.
+        attempt: The request.
+        version: HTTP version of the caller.
+        name: The entry.
+    """
+    host, _, port = running.entries[name].removeprefix("http://").partition(":")
+    caller = socket.create_connection((host, int(port)), timeout=10)
+    fields = [
+        "Host: one.example",
+        f"Attempt-Id: {attempt.attempt}",
+        "Model-Name: m",
+        f"Token-Count: 10,{EVENTS}",
+        f"Deadline-Ms: {LIMIT_MS}",
+        "Content-Length: 0",
+    ]
+    if attempt.last_event:
+        fields.append(f"Last-Event-Id: {attempt.last_event}")
+    if attempt.resumes:
+        fields.append(f"Resumes: {attempt.resumes}")
+    head = [f"POST /{attempt.route}/x HTTP/{version}", *fields, "", ""]
+    caller.sendall("\r\n".join(head).encode())
+    return caller
+
+
+def read(caller: socket.socket) -> Seen:
+    """Reads an answer to its end."""
+    raw, reset = b"", False
+    with caller:
+        try:
+            while data := caller.recv(65_536):
+                raw += data
+        except ConnectionResetError:
+            reset = True
+    head, _, body = raw.partition(b"\r\n\r\n")
+    if not head:
+        return Seen(0, b"", False)
+    status = int(head.split(b" ")[1])
+    length = _LENGTH.search(head)
+    if length:
+        return Seen(status, body, len(body) == int(length[1]))
+    if b"chunked" not in head.lower():
+        return Seen(status, body, not reset)
+    content, whole = _content(body)
+    return Seen(status, content, whole)
+
+
+def _content(body: bytes) -> tuple[bytes, bool]:
+    """Returns the content of chunks, and whether the last one is there."""
+    content = b""
+    while b"\r\n" in body:
+        size, _, body = body.partition(b"\r\n")
+        if not int(size, 16):
+            return content, True
+        content += body[: int(size, 16)]
+        body = body[int(size, 16) + 2 :]
+    return content, False
--- /dev/null
+++ b/cardamombarrow/platform/tests/test_software_versions.py
@@ -0,0 +1,182 @@
+"""Streams in front of servers of two software versions, on real processes."""
+
+import contextlib
+import itertools
+import signal
+import socket
+import time
+
+import pytest
+
+from cardamombarrow.platform.tests import standin_streams as standin
+from cardamombarrow.platform.tests import stream_client
+from tools import deployment
+
+pytestmark = pytest.mark.process
+
+_STREAMS = 24
+_PAUSE_S = 0.25
+_CUT_AFTER = 2
+_VERSIONS = ("v1", "v2")
+_LISTED_S = 1.2
+"""Time in which all entries have read the list."""
+
+_LEAST_SHARE = 0.5
+"""Least share of streams that go on, while all new ones begin."""
+
+_identities = itertools.count(1)
+
+
+@pytest.fixture(scope="module")
+def servers():
+    with standin.Servers(lambda received: standin.Answer()) as started:
+        yield started
+
+
+@pytest.fixture(scope="module")
+def running(servers, tmp_path_factory):
+    _start(servers, ("v1",))
+    folder = tmp_path_factory.mktemp("versions")
+    plan = stream_client.plan(
+        servers.listing_url, {"a": ["a-1", "a-2"], "b": ["b-1", "b-2"]}
+    )
+    with deployment.Deployment(plan, folder) as started:
+        yield started
+
+
+def _start(servers, versions):
+    return [
+        servers.start(f"i-{next(_identities)}", version=version)
+        for version in versions
+    ]
+
+
+def _replace(servers, versions):
+    """Replaces all servers."""
+    before = list(servers.listed.values())
+    started = _start(servers, versions)
+    for listed in before:
+        servers.crash(listed)
+    time.sleep(_LISTED_S)
+    return started
+
+
+def _paced(received):
+    return standin.Answer(pause_s=_PAUSE_S)
+
+
+def _begin(running, count, name="a-1"):
+    attempts = [stream_client.Attempt.new("again") for _ in range(count)]
+    return [
+        (each, stream_client.open_stream(running, each, name=name))
+        for each in attempts
+    ]
+
+
+def _versions(*answers):
+    return {version for seen in answers for version, _ in seen.events}
+
+
+def _numbers(*answers):
+    return [number for seen in answers for _, number in seen.events]
+
+
+def test_a_stream_goes_on_at_the_version_that_began_it(running, servers):
+    # Guards against a stream whose events two software versions wrote.
+    _replace(servers, 2 * _VERSIONS)
+    cut = standin.Answer(
+        ending=standin.Ending.RESET_IN_EVENT, sent=_CUT_AFTER, pause_s=_PAUSE_S
+    )
+    servers.script = lambda received: (
+        _paced(received) if received.last_event else cut
+    )
+    for _, caller in _begin(running, _STREAMS):
+        seen = stream_client.read(caller)
+        assert len(_versions(seen)) == 1
+        assert seen.looks_complete
+        assert _numbers(seen) == list(range(1, stream_client.EVENTS + 1))
+
+
+def test_a_stream_is_cut_off_if_no_server_of_its_version_is_left(
+    running, servers
+):
+    # Guards against another version's events where nothing else is left.
+    (first,) = _replace(servers, ("v1",))
+    servers.script = _paced
+    begun = _begin(running, 8)
+    _start(servers, ("v2", "v2"))
+    time.sleep(_LISTED_S)
+    servers.crash(first)
+    for _, caller in begun:
+        seen = stream_client.read(caller)
+        assert _versions(seen) <= {"v1"}
+        assert not seen.looks_complete
+
+
+def _go_on(running, attempt, before, name):
+    """Takes a stream up again at an entry; returns what the caller sees."""
+    last = max(_numbers(before), default=0)
+    return stream_client.read(
+        stream_client.open_stream(running, attempt.again(last), name=name)
+    )
+
+
+@pytest.mark.parametrize("killed", ["a-1", "a-2", "b-1"])
+def test_streams_of_a_killed_entry_go_on_at_their_version(
+    running, servers, killed
+):
+    # Guards against a caller that comes back at an entry that does not know
+    # which software version began its stream.
+    _replace(servers, 2 * _VERSIONS)
+    servers.script = _paced
+    begun = _begin(running, _STREAMS, killed)
+    time.sleep(2.5 * _PAUSE_S)
+    running.signal(killed, signal.SIGKILL)
+    running.processes[killed].wait()
+    first = [stream_client.read(caller) for _, caller in begun]
+    others = itertools.cycle(sorted({"a-1", "a-2", "b-1", "b-2"} - {killed}))
+    went_on = 0
+    try:
+        for (attempt, _), before in zip(begun, first, strict=True):
+            assert before.events
+            after = _go_on(running, attempt, before, next(others))
+            assert len(_versions(before, after)) == 1
+            numbers = _numbers(before, after)
+            assert numbers == list(range(1, len(numbers) + 1))
+            went_on += after.looks_complete and after.status == 200
+    finally:
+        running.start_instance(killed)
+        running.wait_ready(killed)
+    assert went_on >= _LEAST_SHARE * _STREAMS
+
+
+def test_a_restarted_entry_knows_the_streams_that_others_began(
+    running, servers
+):
+    # Guards against an entry that forgets with its process.
+    _replace(servers, 2 * _VERSIONS)
+    servers.script = _paced
+    begun = _begin(running, _STREAMS, "a-2")
+    time.sleep(1.5 * _PAUSE_S)
+    for _, caller in begun:
+        with contextlib.suppress(OSError):
+            caller.shutdown(socket.SHUT_WR)
+    first = [stream_client.read(caller) for _, caller in begun]
+    running.restart("a-1", signal.SIGKILL)
+    went_on = 0
+    for (attempt, _), before in zip(begun, first, strict=True):
+        after = _go_on(running, attempt, before, "a-1")
+        assert len(_versions(before, after)) == 1
+        went_on += after.looks_complete and after.status == 200
+    assert went_on >= _LEAST_SHARE * _STREAMS
+
+
+def test_a_stream_that_nobody_knows_is_not_resumed(running, servers):
+    # Guards against a guess where two software versions serve.
+    _replace(servers, 2 * _VERSIONS)
+    servers.script = lambda received: standin.Answer()
+    servers.received.clear()
+    unknown = stream_client.Attempt.new("again").again(2)
+    seen = stream_client.read(stream_client.open_stream(running, unknown))
+    assert seen.status == 503
+    assert not [each for each in servers.received if each.last_event]
