Resume a stream within one answer only at the version that began it

Callers got streams with events of two software versions of a service: an entry that resumed a broken stream placed the rest like any request, on any endpoint. The version in the platform's list was dropped when the list was decoded, so that no placement could know it (record: began at v1.2, went on at v1.1 of the same entry's choice).

The list's version goes along with an endpoint to every dispatcher, the placer's too. The first event binds a job to the version of its endpoint; from then on only endpoints of that version are candidates, also for preemption and for moving a late request. A placement by another instance is checked again by the entry that carries it out, for placers of earlier builds. Where no endpoint of the version is left, a job is refused at once, and one that waits as soon as it is checked; its caller sees a cut stream.

Ruled out: a version that is looked up for the wrong endpoint; an endpoint's id has its identity, which the endpoint itself checks.

--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -95,12 +95,16 @@
 
     def _check_endpoint(self, job: messages.Job) -> messages.Refusal | None:
         capacity = self._roster.capacities.get(job.service)
-        if capacity is not None and (capacity.local or capacity.remote):
+        known = [] if capacity is None else [*capacity.local, *capacity.remote]
+        if roster.with_required_software(job, known):
             return None
+        reason = f"no endpoint serves {job.service}"
+        if known:
+            reason = f"{reason} with software {job.required_software!r}"
         return messages.Refusal(
             job.request_id,
             errors.ErrorKind.NO_ENDPOINT,
-            f"no endpoint serves {job.service}",
+            reason,
             DEFAULT_RETRY_AFTER_S,
         )
 
@@ -222,6 +226,8 @@
         state = self._roster.endpoints.get(placed.endpoint)
         if state is None or state.leaving:
             return False
+        if not self._awaiting_remote[request_id].may_run_on(state.software):
+            return False
         if not self._context.restrictions.allows(placed.endpoint, now_s):
             return False
         job = self._awaiting_remote.pop(request_id)
@@ -334,6 +340,9 @@
                 backlog.pause_wait_s > 0.0 or math.isinf(backlog.limit_wait_s)
             ):
                 reason = _blocked_reason(job, backlog)
+            gone = self._check_endpoint(job)
+            if reason is None and gone is not None:
+                reason = gone.detail
             if reason is None:
                 next_check_s = admission.next_check_s(job, backlog, now_s)
                 self._waiting.schedule_check(
@@ -393,7 +402,11 @@
             if number < capacity.preempting:
                 continue
             victim = self._policies.preemption.victim(
-                job, self._roster.available(capacity.local, now_s), now_s
+                job,
+                self._roster.available(
+                    roster.with_required_software(job, capacity.local), now_s
+                ),
+                now_s,
             )
             if victim is None:
                 return
@@ -533,6 +546,7 @@
             state
             for state in self._roster.capacities[job.service].local
             if state.endpoint not in job.tried
+            and job.may_run_on(state.software)
             and job.request_id not in state.running
             and self.rate_limit(state.endpoint) is None
             and self._context.restrictions.allows(state.endpoint, now_s)
--- a/cardamombarrow/decisions/dispatcher_state.py
+++ b/cardamombarrow/decisions/dispatcher_state.py
@@ -43,6 +43,11 @@
         self._roster.set_discovered(found, now_s)
         self.refresh_shares(now_s)
 
+    def software_of(self, endpoint: ids.EndpointId) -> ids.SoftwareVersion:
+        """Returns the software version of an endpoint; empty if unknown."""
+        state = self._roster.endpoints.get(endpoint)
+        return ids.UNKNOWN_SOFTWARE if state is None else state.software
+
     def set_instances(self, count: int) -> None:
         """Sets how many instances share the limits on the whole fleet."""
         self._context.fleet.update_instances(count)
--- a/cardamombarrow/decisions/endpoint.py
+++ b/cardamombarrow/decisions/endpoint.py
@@ -14,6 +14,7 @@
 
     Attributes:
         configured_slots: Most concurrent requests, from the document.
+        software: Version of its software; empty if unknown.
         leaving: Whether it gets no new requests.
         running: This instance's requests on it; changed by `add` and `remove`.
         share: Its slots that this instance may use now.
@@ -31,6 +32,7 @@
     service: ids.ServiceId
     domain: ids.DomainId
     configured_slots: int
+    software: ids.SoftwareVersion = ids.UNKNOWN_SOFTWARE
     leaving: bool = False
     running: dict[ids.RequestId, messages.Running] = dataclasses.field(
         default_factory=dict
--- a/cardamombarrow/decisions/fleet/roster.py
+++ b/cardamombarrow/decisions/fleet/roster.py
@@ -18,7 +18,12 @@
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import ids
 
-__all__ = ["BacklogFunction", "FreeSlots", "Roster"]
+__all__ = [
+    "BacklogFunction",
+    "FreeSlots",
+    "Roster",
+    "with_required_software",
+]
 
 PEER_VIEW_MAX_AGE_S = 600.0
 """A peer without news for this long no longer counts.
@@ -31,6 +36,15 @@
 BacklogFunction = abc.Callable[[messages.Job, float], messages.Backlog]
 
 
+def with_required_software(
+    job: messages.Job, states: list[endpoint_module.EndpointState]
+) -> list[endpoint_module.EndpointState]:
+    """Returns the endpoints whose software may run a job."""
+    if job.required_software is None:
+        return states
+    return [state for state in states if job.may_run_on(state.software)]
+
+
 class Roster:
     """The endpoints, this instance's slots on them, and its peers.
 
@@ -110,10 +124,15 @@
             state = self.endpoints.get(endpoint)
             if state is None:
                 self.endpoints[endpoint] = endpoint_module.EndpointState(
-                    endpoint, known.service, known.domain, known.slots
+                    endpoint,
+                    known.service,
+                    known.domain,
+                    known.slots,
+                    known.software,
                 )
             else:
                 state.configured_slots = known.slots
+                state.software = known.software
                 if endpoint in self._unlisted:
                     state.leaving = False
         self._unlisted -= set(listed)
@@ -397,7 +416,9 @@
         """
         capacity = self.capacities[job.service]
         must_run_alone = self._policies.quarantine.must_run_alone(job, now_s)
-        available = self.available(capacity.local, now_s)
+        available = self.available(
+            with_required_software(job, capacity.local), now_s
+        )
         considered = self._policies.choice.prepare(job, available, now_s)
         local = [
             s
@@ -410,7 +431,9 @@
         ahead = backlog(job, now_s)
         remote = [
             state
-            for state in self.available(capacity.remote, now_s)
+            for state in self.available(
+                with_required_software(job, capacity.remote), now_s
+            )
             if self._accepts(job, state, must_run_alone, now_s)
             and self._policies.spill.allow(job, state, ahead, now_s)
         ]
--- a/cardamombarrow/decisions/messages.py
+++ b/cardamombarrow/decisions/messages.py
@@ -111,6 +111,8 @@
             the policy.
         streams: Whether tokens arrive one by one; otherwise the first byte
             of the answer arrives with its last.
+        required_software: The only software version that may run it: the one
+            that wrote the stream's first event. None for any.
     """
 
     request_id: ids.RequestId
@@ -138,6 +140,11 @@
     runs: int = 0
     max_runs: int = 0
     streams: bool = True
+    required_software: ids.SoftwareVersion | None = None
+
+    def may_run_on(self, software: ids.SoftwareVersion) -> bool:
+        """Returns whether a software version may run it."""
+        return self.required_software in (None, software)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -272,12 +279,14 @@
 
     Attributes:
         slots: Maximum concurrent requests; 0 leaves it to the document.
+        software: Version of its software; empty if unknown.
     """
 
     endpoint: ids.EndpointId
     service: ids.ServiceId
     domain: ids.DomainId
     slots: int = 0
+    software: ids.SoftwareVersion = ids.UNKNOWN_SOFTWARE
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cardamombarrow/discovery/base.py
+++ b/cardamombarrow/discovery/base.py
@@ -39,6 +39,8 @@
         slots: Maximum number of concurrent requests; 0 if the list does not
             contain it.
         spot: Whether the platform may reclaim the endpoint.
+        software: Version of its software; empty if the list does not contain
+            it.
     """
 
     endpoint: ids.EndpointId
@@ -47,6 +49,7 @@
     domain: ids.DomainId = UNKNOWN_DOMAIN
     slots: int = 0
     spot: bool = False
+    software: ids.SoftwareVersion = ids.UNKNOWN_SOFTWARE
 
 
 class Source(abc.ABC):
@@ -73,7 +76,14 @@
 def to_text(items: list[ListedEndpoint]) -> str:
     """Serializes a list; the text does not depend on the order of items."""
     raw = sorted(
-        [item.endpoint, item.state.value, item.service, item.domain, item.slots]
+        [
+            item.endpoint,
+            item.state.value,
+            item.service,
+            item.domain,
+            item.slots,
+            item.software,
+        ]
         for item in items
     )
     return json.dumps(raw, separators=(",", ":"))
@@ -93,8 +103,12 @@
                 ids.ServiceId(service),
                 ids.DomainId(domain),
                 slots,
+                # Instances of earlier builds do not send it.
+                software=ids.SoftwareVersion(software[0] if software else ""),
+            )
+            for endpoint, state, service, domain, slots, *software in (
+                json.loads(text)
             )
-            for endpoint, state, service, domain, slots in json.loads(text)
         ]
     except TypeError as error:
         raise ValueError(f"not a list of endpoints: {error!r}") from None
--- a/cardamombarrow/entry/broker_base.py
+++ b/cardamombarrow/entry/broker_base.py
@@ -249,6 +249,11 @@
         with self._lock:
             return self._dispatcher.reachable_endpoints()
 
+    def software_of(self, endpoint: ids.EndpointId) -> ids.SoftwareVersion:
+        """Returns the software version of an endpoint; empty if unknown."""
+        with self._lock:
+            return self._dispatcher.software_of(endpoint)
+
     def reachable_again(self, service: ids.ServiceId) -> None:
         """Drops the failures of endpoints that this entry could not connect."""
         with self._lock:
--- a/cardamombarrow/entry/peering.py
+++ b/cardamombarrow/entry/peering.py
@@ -492,7 +492,11 @@
             return
         found = tuple(
             messages.KnownEndpoint(
-                item.endpoint, item.service, item.domain, item.slots
+                item.endpoint,
+                item.service,
+                item.domain,
+                item.slots,
+                item.software,
             )
             for item in items
         )
--- a/cardamombarrow/entry/request_handler.py
+++ b/cardamombarrow/entry/request_handler.py
@@ -398,6 +398,8 @@
             request_id=self._call.job.request_id,
             tokens=self._progress.tokens,
             reason=error.detail,
+            endpoint=resumed.ticket.placed.result().endpoint,
+            software=self._call.job.required_software,
         )
         return resumed
 
@@ -416,6 +418,7 @@
         try:
             for chunk in itertools.chain(first, run.rest):
                 if progress.first_token_s is None:
+                    self._require_software(run)
                     progress.first_piece(run.ticket.job)
                     broker.first_token(request_id)
                 progress.add_piece()
@@ -441,6 +444,17 @@
             else:
                 self._fail(run.ticket, failure)
 
+    def _require_software(self, run: _Run) -> None:
+        """Binds a stream to the software version that wrote its first event.
+
+        Events of different versions do not fit together, and endpoints do not
+        check which version wrote the ones before.
+        """
+        job = run.ticket.job
+        if run.head.streams and job.required_software is None:
+            endpoint = run.ticket.placed.result().endpoint
+            job.required_software = self._services.broker.software_of(endpoint)
+
     def _settle(
         self,
         ticket: ticket_module.Ticket,
--- a/cardamombarrow/kernel/ids.py
+++ b/cardamombarrow/kernel/ids.py
@@ -4,6 +4,7 @@
 import typing
 
 __all__ = [
+    "UNKNOWN_SOFTWARE",
     "ClassId",
     "DomainId",
     "EditId",
@@ -16,6 +17,7 @@
     "Revision",
     "RouteId",
     "ServiceId",
+    "SoftwareVersion",
     "TierId",
     "WorkspaceId",
     "address_of",
@@ -37,8 +39,12 @@
 OwnerId = typing.NewType("OwnerId", str)
 EditId = typing.NewType("EditId", str)
 Fingerprint = typing.NewType("Fingerprint", str)
+SoftwareVersion = typing.NewType("SoftwareVersion", str)
 Revision = typing.NewType("Revision", int)
 
+UNKNOWN_SOFTWARE = SoftwareVersion("")
+"""Version of an endpoint's software where no list states it."""
+
 
 def new_request_id() -> RequestId:
     """Returns a request id of 96 random bits, unique among instances."""
--- a/cardamombarrow/peers/placing_codec.py
+++ b/cardamombarrow/peers/placing_codec.py
@@ -55,6 +55,7 @@
         runs=job.runs,
         max_runs=job.max_runs,
         plain=not job.streams,
+        required_software=job.required_software,
     )
 
 
@@ -83,6 +84,9 @@
         runs=wire.runs,
         max_runs=wire.max_runs,
         streams=not wire.plain,
+        required_software=ids.SoftwareVersion(wire.required_software)
+        if wire.HasField("required_software")
+        else None,
     )
 
 
--- a/cardamombarrow/platform/listing.py
+++ b/cardamombarrow/platform/listing.py
@@ -17,6 +17,8 @@
 MAX_PAGES = 200
 """Guards against a list whose next-page tokens never end."""
 
+_NAMES = ("id", "address", "service", "zone", "version")
+
 _STATES = {
     "ready": base.ListedState.LIVE,
     "draining": base.ListedState.LEAVING,
@@ -43,13 +45,13 @@
 def _entry(item: typing.Any) -> base.ListedEndpoint | None:
     if not isinstance(item, dict):
         return None
-    names = [item.get(key) for key in ("id", "address", "service", "zone")]
+    names = [item.get(key) for key in _NAMES]
     state = item.get("state")
     if not all(isinstance(name, str) and name for name in names):
         return None
     if not isinstance(state, str) or state not in _STATES:
         return None
-    identity, address, service, zone = names
+    identity, address, service, zone, software = names
     host, _, port = address.rpartition(":")
     if not host or not port.isdigit():
         return None
@@ -61,6 +63,7 @@
         ids.DomainId(zone),
         slots if type(slots) is int and slots > 0 else 0,
         item.get("spot") is True,
+        ids.SoftwareVersion(software),
     )
 
 
--- a/cardamombarrow/platform/tests/standin_server.py
+++ b/cardamombarrow/platform/tests/standin_server.py
@@ -69,6 +69,7 @@
                 "service": SERVICE,
                 "address": f"127.0.0.1:{port}",
                 "zone": "a",
+                "version": "v1",
                 "slots": SLOTS,
                 "state": "ready",
             }
--- a/cardamombarrow/platform/tests/test_listing.py
+++ b/cardamombarrow/platform/tests/test_listing.py
@@ -12,6 +12,7 @@
     "service": "letters",
     "address": "10.0.0.9:8080",
     "zone": "accra-osu",
+    "version": "v1.2",
     "slots": 64,
     "state": "ready",
     "id": "i-7f",
@@ -32,6 +33,7 @@
             ids.ServiceId("letters"),
             ids.DomainId("accra-osu"),
             64,
+            software=ids.SoftwareVersion("v1.2"),
         )
     ]
 
@@ -44,6 +46,8 @@
         {"address": "10.0.0.9"},
         {"address": "10.0.0.9:port"},
         {"zone": ""},
+        {"version": None},
+        {"version": 2},
         {"service": []},
         {"state": "asleep"},
         {"state": ["ready"]},
