Resume a stream at any entry only at the version that began it

Callers that took up a stream at another entry got events of another software version: entries placed it like any request. What began a stream was known to the entry that relayed it, at best, and that may be dead.

Each entry keeps the origin (service and version) of the streams of late, under a key of workspace and attempt (resumption.core). While a service has several versions, it tells its domain's placer with the events that it sends there anyway; the placer passes them on to all entries in batches of 50 ms, and to the placers of other domains. An entry that starts, or takes over as placer, gets the table of another one. A stream that is not known goes on only if its service had one version for as long as streams are kept, and if the entry can know that; otherwise its caller gets 503 and may ask elsewhere. Two streams of the same key with different origins are both refused. A stream of a split route goes on at the service that began it.

Ruled out: an owner chosen by a hash of the attempt (entries that are restarted move owners, and each stream costs messages of its own).

--- a/benchmarks/placing_cost.py
+++ b/benchmarks/placing_cost.py
@@ -25,6 +25,7 @@
 from cardamombarrow.peers import placing_service
 from cardamombarrow.peers import server as server_module
 from cardamombarrow.placing import ranking as ranking_module
+from cardamombarrow.resumption import core as resumption
 from tools import deployment
 
 __all__ = ["main"]
@@ -43,6 +44,7 @@
             driver.DOMAIN,
             clock.SystemClock(),
         )
+        origins = resumption.StreamOrigins(clock.SystemClock())
         self.loop = loop_module.LoopThread()
         placer = placer_module.Placer(
             self.broker.for_domain, self.loop.call_soon
@@ -53,7 +55,7 @@
             host,
             int(port),
             SECRET,
-            [placing_service.PlacingService(placer, dict)],
+            [placing_service.PlacingService(placer, dict, origins)],
         )
         self.client = placing_client.PlacingClient(
             self.loop,
@@ -66,6 +68,7 @@
                 fall_back=self.broker.fall_back,
                 count=lambda outcome: None,
             ),
+            origins,
         )
 
     def start(self) -> None:
--- a/cardamombarrow/entry/core.py
+++ b/cardamombarrow/entry/core.py
@@ -291,6 +291,7 @@
         peering.meter,
         reachability,
         forwarder,
+        peering.origins,
     )
     readiness = _readiness(source, broker, peering)
     gate = gate_module.Gate(settings.http.connections, random.Random())
@@ -301,6 +302,12 @@
     def apply(applied: in_force.AppliedDocument) -> None:
         broker.configure(applied.document)
         peering.membership.on_document(applied.document)
+        peering.origins.set_longest_answer_s(
+            max(
+                each.target_total_s
+                for each in applied.document.classes.values()
+            )
+        )
 
     documents.add_listener(apply)
     apply(documents.current())
--- a/cardamombarrow/entry/incoming.py
+++ b/cardamombarrow/entry/incoming.py
@@ -47,6 +47,8 @@
         resumable: Whether a stream that was cut off may continue elsewhere.
         resume_after: Id of the last event that the caller already has.
         is_forwarded: Whether another entry forwarded it.
+        stream_key: Key under which callers resume its stream; None if they
+            can't.
     """
 
     job: messages.Job
@@ -67,6 +69,7 @@
     resumable: bool = True
     resume_after: str = ""
     is_forwarded: bool = False
+    stream_key: int | None = None
 
 
 class KeyIndex:
--- a/cardamombarrow/entry/metrics.py
+++ b/cardamombarrow/entry/metrics.py
@@ -14,6 +14,7 @@
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 from cardamombarrow.placing import messages as placing_messages
+from cardamombarrow.resumption import core as resumption
 
 __all__ = ["Metrics"]
 
@@ -99,6 +100,9 @@
             placing_messages.QuestionOutcome
         ] = collections.Counter()
         self._forwarded: collections.Counter[str] = collections.Counter()
+        self._resumptions: collections.Counter[resumption.Resolution] = (
+            collections.Counter()
+        )
         self._retries: collections.Counter[bool] = collections.Counter()
         self._goodput_tokens = 0
         self._sent_under_limit = 0
@@ -151,6 +155,11 @@
         with self._lock:
             self._forwarded[outcome] += 1
 
+    def count_resumption(self, resolution: resumption.Resolution) -> None:
+        """Counts a stream that its caller resumes."""
+        with self._lock:
+            self._resumptions[resolution] += 1
+
     def count_retry(self, *, allowed: bool) -> None:
         """Counts a failed request that is retried, or must not be."""
         with self._lock:
@@ -211,6 +220,12 @@
         ]
         return "\n".join(lines) + "\n"
 
+    def _resumption_lines(self) -> abc.Iterator[str]:
+        yield f"# TYPE {PREFIX}stream_resumptions_total counter"
+        for resolution, count in self._resumptions.items():
+            labels = f'origin="{resolution.value}"'
+            yield f"{PREFIX}stream_resumptions_total{{{labels}}} {count}"
+
     def _lines(self, gauges: dict[str, int]) -> abc.Iterator[str]:
         for name, latencies in (
             ("first_token_seconds", self._first_token),
@@ -240,6 +255,7 @@
         for outcome_name, count in self._forwarded.items():
             labels = f'outcome="{outcome_name}"'
             yield f"{PREFIX}forwarded_requests_total{{{labels}}} {count}"
+        yield from self._resumption_lines()
         yield f"# TYPE {PREFIX}retries_total counter"
         for allowed, count in self._retries.items():
             labels = f'decision="{_RETRY[allowed]}"'
--- a/cardamombarrow/entry/peering.py
+++ b/cardamombarrow/entry/peering.py
@@ -42,6 +42,7 @@
 from cardamombarrow.peers import server as server_module
 from cardamombarrow.peers import suspect_codec
 from cardamombarrow.peers import suspect_relay
+from cardamombarrow.resumption import core as resumption
 
 __all__ = ["Peering", "probe_controls"]
 
@@ -95,6 +96,7 @@
         lease: The age of the last confirmation of the document.
         time: The time agreed with the control processes.
         meter: Counts usage by workspace.
+        origins: Which software versions began the streams of late.
     """
 
     def __init__(
@@ -140,6 +142,7 @@
             self._on_entry_count,
             self._on_new,
         )
+        self.origins = resumption.StreamOrigins(time_source)
         boot_clock = clock.BootClock()
         self.lease = lease_module.DocumentLease(
             settings.document.confirmed_within_s, boot_clock
@@ -210,6 +213,7 @@
             return
         self._is_new = True
         logs.event("new entry")
+        self.origins.set_complete()
         if self._broker is not None:
             self._broker.set_new()
 
@@ -413,6 +417,7 @@
             peers.secret,
             placer.own_loads,
             lambda: placer.owners > 0,
+            self.origins,
         )
         self._server = server_module.PeerServer(
             self._loop,
@@ -422,7 +427,7 @@
             [
                 self._node,
                 placing_service.PlacingService(
-                    placer, self.membership.endpoints_by_hash
+                    placer, self.membership.endpoints_by_hash, self.origins
                 ),
             ],
         )
@@ -439,6 +444,7 @@
                     count=counts.count_question,
                     pauses_left_s=broker.pauses_left_s,
                 ),
+                self.origins,
             )
             broker.set_remote_placer(self._remote_placer)
         return poller
@@ -505,6 +511,7 @@
             logs.decision(
                 "endpoints", endpoints=[each.endpoint for each in found]
             )
+            self.origins.set_listed(found)
             self._broker.set_discovered(found)
             self.membership.on_discovered(found)
 
--- a/cardamombarrow/entry/protocol.py
+++ b/cardamombarrow/entry/protocol.py
@@ -40,6 +40,8 @@
         most_tokens: Maximum length of the answer; 0 if not given.
         parts: The prompt's parts, in order.
         resume_after: Id of the last event that the caller already has.
+        resumes: The caller's id of the request that brought the stream's first
+            event; empty if not given.
     """
 
     caller_id: str
@@ -51,6 +53,7 @@
     most_tokens: int = 0
     parts: tuple[messages.PromptPart, ...] = ()
     resume_after: str = ""
+    resumes: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
--- a/cardamombarrow/entry/request_handler.py
+++ b/cardamombarrow/entry/request_handler.py
@@ -26,6 +26,7 @@
 from cardamombarrow.kernel import logs
 from cardamombarrow.ledger import client as ledger_client
 from cardamombarrow.metering import meter as meter_module
+from cardamombarrow.resumption import core as resumption
 
 __all__ = [
     "RelayedAnswer",
@@ -69,6 +70,7 @@
         kinds: The endpoint protocol of each kind of service.
         reachability: Which services can be connected at all.
         forwarder: Has other entries serve requests of those that can't.
+        origins: Which software versions began the streams of late.
     """
 
     broker: broker_module.Broker
@@ -86,6 +88,9 @@
             forwarding.ForwardSettings()
         )
     )
+    origins: resumption.StreamOrigins = dataclasses.field(
+        default_factory=lambda: resumption.StreamOrigins(clock.SystemClock())
+    )
 
 
 @dataclasses.dataclass
@@ -451,9 +456,14 @@
         check which version wrote the ones before.
         """
         job = run.ticket.job
-        if run.head.streams and job.required_software is None:
+        if not run.head.streams:
+            return
+        if job.required_software is None:
             endpoint = run.ticket.placed.result().endpoint
             job.required_software = self._services.broker.software_of(endpoint)
+        if self._call.stream_key is not None:
+            origin = resumption.Origin(job.service, job.required_software)
+            self._services.origins.add_own(self._call.stream_key, origin)
 
     def _settle(
         self,
--- a/cardamombarrow/entry/routed.py
+++ b/cardamombarrow/entry/routed.py
@@ -25,10 +25,12 @@
 from cardamombarrow.entry import protocol as protocol_module
 from cardamombarrow.entry import routes
 from cardamombarrow.entry import startup_hold
+from cardamombarrow.entry import stream_resumer
 from cardamombarrow.kernel import connection
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import logs
+from cardamombarrow.resumption import core as resumption
 
 __all__ = ["RoutedApp"]
 
@@ -75,6 +77,10 @@
         self._protocol = protocol
         self._lease = lease
         self._rng = rng
+        services = runner.services
+        self._resumer = stream_resumer.StreamResumer(
+            services.origins, services.metrics.count_resumption
+        )
 
     def __call__(
         self, environ: dict[str, typing.Any], start_response: _StartResponse
@@ -217,12 +223,19 @@
     ) -> incoming.IncomingCall:
         document = applied.document
         request_class = document.classes[route.class_id]
-        name = routes.draw_service(route, self._rng.random())
-        service = document.services[name]
         arrived_s = environ[connection.ARRIVED_KEY]
         limit_s = request_class.target_total_s
         if parsed_headers.limit_s is not None:
             limit_s = min(limit_s, parsed_headers.limit_s)
+        origin = self._resumer.origin(
+            parsed_headers, route, workspace, request_id, limit_s
+        )
+        name = (
+            routes.draw_service(route, self._rng.random())
+            if origin is None
+            else origin.service
+        )
+        service = document.services[name]
         rank = document.rank_of(request_class.class_id, workspace)
         method, target = environ["REQUEST_METHOD"], environ["REQUEST_URI"]
         digest = _digest(workspace, method, target, body)
@@ -244,6 +257,7 @@
             repeatable=request_class.repeatable,
             max_runs=route.max_attempts,
             streams=route.streams,
+            required_software=None if origin is None else origin.software,
         )
         return incoming.IncomingCall(
             job=job,
@@ -261,6 +275,7 @@
             caller_id=parsed_headers.caller_id,
             resumable=route.resumable,
             resume_after=parsed_headers.resume_after,
+            stream_key=_stream_key(route, workspace, parsed_headers),
         )
 
 
@@ -326,6 +341,19 @@
     return hashlib.sha256(head + body).hexdigest()
 
 
+def _stream_key(
+    route: schema.Route,
+    workspace: schema.Workspace,
+    parsed_headers: protocol_module.ParsedHeaders,
+) -> int | None:
+    if not (route.streams and route.resumable):
+        return None
+    begun_by = parsed_headers.resumes
+    if not (begun_by and parsed_headers.resume_after):
+        begun_by = parsed_headers.caller_id
+    return resumption.stream_key(workspace.workspace, begun_by)
+
+
 def _prefix_key(parsed_headers: protocol_module.ParsedHeaders) -> str:
     """Returns a key for the prompt prefix that requests may share.
 
--- a/cardamombarrow/kernel/errors.py
+++ b/cardamombarrow/kernel/errors.py
@@ -45,6 +45,7 @@
     PREEMPTED = "preempted"
     QUARANTINED = "quarantined"
     NO_ENDPOINT = "no_endpoint"
+    STREAM_UNKNOWN = "stream_unknown"
     DRAINING = "draining"
     NOT_READY = "not_ready"
     CALLER_GONE = "caller_gone"
@@ -111,6 +112,7 @@
     ErrorKind.PREEMPTED: Answer(503, not_run=False, retryable=True),
     ErrorKind.QUARANTINED: _never(422),
     ErrorKind.NO_ENDPOINT: _later(503),
+    ErrorKind.STREAM_UNKNOWN: _later(503),
     ErrorKind.DRAINING: _later(503),
     ErrorKind.NOT_READY: _later(503),
     ErrorKind.CALLER_GONE: _may_have_run(499),
--- a/cardamombarrow/peers/load_publisher.py
+++ b/cardamombarrow/peers/load_publisher.py
@@ -20,9 +20,11 @@
 from cardamombarrow.kernel import logs
 from cardamombarrow.peers import control_client
 from cardamombarrow.peers import loop as loop_module
+from cardamombarrow.peers import origin_codec
 from cardamombarrow.peers import placing_codec
 from cardamombarrow.peers import placing_grpc
 from cardamombarrow.peers import secret as secret_module
+from cardamombarrow.resumption import core as resumption
 
 __all__ = ["KEEPALIVE_S", "LoadPublisher"]
 
@@ -37,6 +39,10 @@
 
 RETRY_S = 1.0
 
+MAX_ORIGINS = 20
+"""Most origins of streams in one message, the newest ones: each is passed on to
+all entries of the other domain, whose callers rarely resume it there."""
+
 IDLE_CHECK_S = 0.5
 """Time between two checks of whether this instance is a placer."""
 
@@ -76,12 +82,14 @@
         secret: str,
         own_loads: abc.Callable[[], _Loads],
         places: abc.Callable[[], bool],
+        origins: resumption.StreamOrigins,
     ):
         super().__init__(loop)
         self._instance = instance
         self._secret = secret
         self._own_loads = own_loads
         self._places = places
+        self._origins = origins
         self._placers: frozenset[str] = frozenset()
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._loads: _Loads = {}
@@ -124,6 +132,7 @@
     async def _publish(self, stream: client.Stream) -> None:
         sent: _Loads = {}
         sent_s = time.monotonic()
+        number = 0
         # grpclib opens a stream with the first message; nothing can be read
         # before that.
         hello = placing_codec.loads_to_wire(self._instance, {})
@@ -135,10 +144,17 @@
                 loads = self._loads
                 updates = changed(sent, loads)
                 now_s = time.monotonic()
-                if updates or now_s - sent_s >= KEEPALIVE_S:
-                    await stream.send_message(
-                        placing_codec.loads_to_wire(self._instance, updates)
+                records, number = self._origins.since(
+                    number, resumption.Source.DOMAIN
+                )
+                if updates or records or now_s - sent_s >= KEEPALIVE_S:
+                    news = placing_codec.loads_to_wire(self._instance, updates)
+                    news.origins.extend(
+                        origin_codec.origins_to_wire(
+                            records[:MAX_ORIGINS], now_s
+                        )
                     )
+                    await stream.send_message(news)
                     sent, sent_s = loads, now_s
                 await asyncio.sleep(INTERVAL_S)
         finally:
--- a/cardamombarrow/peers/placing_client.py
+++ b/cardamombarrow/peers/placing_client.py
@@ -16,11 +16,13 @@
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import logs
 from cardamombarrow.peers import loop as loop_module
+from cardamombarrow.peers import origin_codec
 from cardamombarrow.peers import placing_codec
 from cardamombarrow.peers import placing_link
 from cardamombarrow.peers import placing_pb2
 from cardamombarrow.placing import messages as placing_messages
 from cardamombarrow.placing import ranking as ranking_module
+from cardamombarrow.resumption import core as resumption
 
 __all__ = ["ANSWER_TIMEOUT_S", "ClientHooks", "PlacingClient"]
 
@@ -71,8 +73,10 @@
         instance: ids.InstanceId,
         secret: str,
         hooks: ClientHooks,
+        origins: resumption.StreamOrigins,
     ):
         super().__init__(loop)
+        self._origins = origins
         self._instance = instance
         self._secret = secret
         self._hooks = hooks
@@ -223,6 +227,8 @@
     def _on_reply(
         self, link: placing_link.PlacingLink, reply: placing_pb2.PlacingReply
     ) -> None:
+        if link.instance != self._instance:
+            self._take_origins(link, reply)
         for answer in placing_codec.answers_from_wire(reply):
             link.timeouts_in_a_row = 0
             if isinstance(answer, placing_messages.Queued):
@@ -232,6 +238,20 @@
             else:
                 self._on_decision(link, answer)
 
+    def _take_origins(
+        self, link: placing_link.PlacingLink, reply: placing_pb2.PlacingReply
+    ) -> None:
+        if reply.origins:
+            self._origins.merge(
+                origin_codec.origins_from_wire(
+                    reply.origins, time.monotonic(), resumption.Source.DOMAIN
+                )
+            )
+        if reply.origins_complete:
+            self._origins.set_complete()
+        if reply.wants_origins:
+            link.send_all_origins()
+
     def _on_waiting(
         self, link: placing_link.PlacingLink, request_id: ids.RequestId
     ) -> None:
@@ -268,6 +288,7 @@
             self._order.set_members(members)
             now_s = time.monotonic()
             if self._link is not None:
+                self._link.send_new_origins()
                 self._link.check_silence(now_s)
             first = self._order.first(now_s)
             if first is None or first not in members:
@@ -291,7 +312,7 @@
         would lose the working one.
         """
         link = placing_link.PlacingLink(
-            instance, self._on_reply, self._on_closed
+            instance, self._on_reply, self._on_closed, self._origins
         )
         hello = placing_pb2.PlacingRequest(
             instance=self._instance, epoch=time.time_ns()
--- a/cardamombarrow/peers/placing_link.py
+++ b/cardamombarrow/peers/placing_link.py
@@ -11,10 +11,12 @@
 from cardamombarrow.decisions import messages
 from cardamombarrow.kernel import ids
 from cardamombarrow.peers import control_client
+from cardamombarrow.peers import origin_codec
 from cardamombarrow.peers import placing_grpc
 from cardamombarrow.peers import placing_pb2
 from cardamombarrow.peers import placing_service
 from cardamombarrow.peers import secret as secret_module
+from cardamombarrow.resumption import core as resumption
 
 __all__ = ["KEEPALIVE_S", "PlacingLink", "Question"]
 
@@ -66,6 +68,7 @@
         instance: ids.InstanceId,
         on_reply: OnReply,
         on_closed: abc.Callable[["PlacingLink"], None],
+        origins: resumption.StreamOrigins,
     ):
         self.instance = instance
         self.questions: dict[ids.RequestId, Question] = {}
@@ -75,6 +78,9 @@
         self.failed = False
         self._on_reply = on_reply
         self._on_closed = on_closed
+        self._origins = origins
+        self._origins_number = 0
+        self._farthest = resumption.Source.OWN
         self._ready = asyncio.Event()
         self._received_s = time.monotonic()
         self._next = placing_pb2.PlacingRequest()
@@ -118,6 +124,28 @@
         if now_s - self._received_s > limit_s:
             self.close("silent")
 
+    def send_all_origins(self) -> None:
+        """Sends the origins of all known streams, also of other entries."""
+        self._origins_number = 0
+        self._farthest = resumption.Source.OTHER_DOMAIN
+        self._wake.set()
+
+    def send_new_origins(self) -> None:
+        """Sends the origins of streams that are not sent yet, if any."""
+        if self._origins.number > self._origins_number:
+            self._wake.set()
+
+    def _add_origins(self, message: placing_pb2.PlacingRequest) -> None:
+        records, self._origins_number = self._origins.since(
+            self._origins_number, self._farthest
+        )
+        if self._farthest is not resumption.Source.OWN:
+            self._farthest = resumption.Source.OWN
+            message.origins_complete = self._origins.is_complete
+        message.origins.extend(
+            origin_codec.origins_to_wire(records, time.monotonic())
+        )
+
     def send(self, *, urgent: bool = False, **event: object) -> None:
         """Sends an event, at once if urgent, else with the next batch."""
         self._next.events.append(placing_pb2.PlacingEvent(**event))
@@ -163,6 +191,7 @@
                 self._batch_timer.cancel()
                 self._batch_timer = None
             message, self._next = self._next, placing_pb2.PlacingRequest()
+            self._add_origins(message)
             try:
                 await stream.send_message(message)
             except control_client.LINK_ERRORS as error:
--- a/cardamombarrow/peers/placing_service.py
+++ b/cardamombarrow/peers/placing_service.py
@@ -15,10 +15,12 @@
 from cardamombarrow.decisions import messages
 from cardamombarrow.entry import placer as placer_module
 from cardamombarrow.kernel import ids
+from cardamombarrow.peers import origin_codec
 from cardamombarrow.peers import placing_codec
 from cardamombarrow.peers import placing_grpc
 from cardamombarrow.peers import placing_pb2
 from cardamombarrow.placing import messages as placing_messages
+from cardamombarrow.resumption import core as resumption
 
 __all__ = [
     "ENTRY_TIMEOUT_S",
@@ -43,6 +45,10 @@
 every `load_publisher.KEEPALIVE_S`. Its loads are outdated by then."""
 
 
+ORIGINS_DELAY_S = 0.05
+"""Maximum delay of the origins of streams, to send them in batches."""
+
+
 class _AnswerQueue:
     """Answers that wait to be sent on one stream."""
 
@@ -51,6 +57,13 @@
             placing_messages.Answer | placing_messages.Queued
         ] = []
         self._wake = asyncio.Event()
+        self._timer: asyncio.TimerHandle | None = None
+
+    def wake_soon(self) -> None:
+        """Sends a message within `ORIGINS_DELAY_S`."""
+        if self._timer is None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(ORIGINS_DELAY_S, self._wake.set)
 
     def put(
         self, answer: placing_messages.Answer | placing_messages.Queued
@@ -65,6 +78,9 @@
             async with asyncio.timeout(timeout_s):
                 await self._wake.wait()
         self._wake.clear()
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
         answers, self._answers = self._answers, []
         return placing_codec.answers_to_wire(answers)
 
@@ -76,15 +92,19 @@
         self,
         placer: placer_module.Placer,
         endpoints: abc.Callable[[], abc.Mapping[int, ids.EndpointId]],
+        origins: resumption.StreamOrigins,
     ):
         """Creates the service.
 
         Args:
             placer: Decides the placements.
             endpoints: Returns the known endpoints by their hashes.
+            origins: The origins of streams that this instance knows.
         """
         self._placer = placer
         self._endpoints = endpoints
+        self._origins = origins
+        self._queues: set[_AnswerQueue] = set()
         self._load_streams: dict[ids.InstanceId, server.Stream] = {}
 
     async def Place(self, stream: server.Stream) -> None:  # noqa: N802
@@ -98,18 +118,62 @@
         )
         if owner is None:
             return
-        sender = asyncio.create_task(_send_answers(stream, queue, owner))
+        sender = asyncio.create_task(self._send_answers(stream, queue, owner))
+        self._queues.add(queue)
         try:
             with contextlib.suppress(TimeoutError):
                 message = first
                 while message is not None:
+                    self._merge_origins(
+                        message.origins, resumption.Source.DOMAIN
+                    )
+                    if message.origins_complete:
+                        self._origins.set_complete()
                     self._apply_events(owner, message)
                     async with asyncio.timeout(ENTRY_TIMEOUT_S):
                         message = await stream.recv_message()
         finally:
             sender.cancel()
+            self._queues.discard(queue)
             self._placer.leave(owner)
 
+    def _merge_origins(
+        self,
+        groups: abc.Sequence[placing_pb2.StreamOrigins],
+        nearest: resumption.Source,
+    ) -> None:
+        if not groups:
+            return
+        self._origins.merge(
+            origin_codec.origins_from_wire(groups, time.monotonic(), nearest)
+        )
+        for queue in self._queues:
+            queue.wake_soon()
+
+    async def _send_answers(
+        self,
+        stream: server.Stream,
+        queue: _AnswerQueue,
+        owner: placer_module.Owner,
+    ) -> None:
+        # The entry sends no questions before the first message from here.
+        reply = placing_pb2.PlacingReply(
+            wants_origins=not self._origins.is_complete
+        )
+        number = 0
+        while True:
+            reply.origins_complete = self._origins.is_complete
+            records, number = self._origins.since(
+                number, resumption.Source.OTHER_DOMAIN
+            )
+            reply.origins.extend(
+                origin_codec.origins_to_wire(records, time.monotonic())
+            )
+            await stream.send_message(reply)
+            reply = await queue.take(
+                KEEPALIVE_BUSY_S if owner.tickets else KEEPALIVE_IDLE_S
+            )
+
     async def Tell(self, stream: server.Stream) -> None:  # noqa: N802
         """Receives the loads of another domain's placer until it times out."""
         instance = ids.InstanceId("")
@@ -129,6 +193,9 @@
                             news, self._endpoints(), time.monotonic()
                         ),
                     )
+                    self._merge_origins(
+                        news.origins, resumption.Source.OTHER_DOMAIN
+                    )
                     await stream.send_message(placing_pb2.LoadPulse())
         finally:
             # A placer that reconnected has sent its loads again over the new
@@ -188,13 +255,3 @@
                     ids.EndpointId(event.pause.endpoint),
                     event.pause.left_ms / 1_000,
                 )
-
-
-async def _send_answers(
-    stream: server.Stream, queue: _AnswerQueue, owner: placer_module.Owner
-) -> None:
-    # The entry sends no questions before the first message from here.
-    await stream.send_message(placing_pb2.PlacingReply())
-    while True:
-        keepalive_s = KEEPALIVE_BUSY_S if owner.tickets else KEEPALIVE_IDLE_S
-        await stream.send_message(await queue.take(keepalive_s))
--- a/cardamombarrow/peers/tests/test_load_publisher.py
+++ b/cardamombarrow/peers/tests/test_load_publisher.py
@@ -7,12 +7,14 @@
 
 from cardamombarrow.decisions import messages
 from cardamombarrow.gossip import rows
+from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import ids
 from cardamombarrow.peers import load_publisher
 from cardamombarrow.peers import loop as loop_module
 from cardamombarrow.peers import placing_codec
 from cardamombarrow.peers import placing_service
 from cardamombarrow.peers import server as server_module
+from cardamombarrow.resumption import core as resumption
 from tools import deployment
 from tools import proxy
 
@@ -87,7 +89,9 @@
     port = deployment.free_ports(1)[0]
     placer = _Placer()
     known = {rows.endpoint_hash(each): each for each in (_ONE, _TWO)}
-    service = placing_service.PlacingService(placer, lambda: known)
+    service = placing_service.PlacingService(
+        placer, lambda: known, resumption.StreamOrigins(clock.SystemClock())
+    )
     server = server_module.PeerServer(
         loop, "127.0.0.1", port, _SECRET, [service]
     )
@@ -102,7 +106,12 @@
     loads = {_ONE: _load(2)}
     placing = [True]
     made = load_publisher.LoadPublisher(
-        loop, _SENDER, _SECRET, lambda: dict(loads), lambda: placing[0]
+        loop,
+        _SENDER,
+        _SECRET,
+        lambda: dict(loads),
+        lambda: placing[0],
+        resumption.StreamOrigins(clock.SystemClock()),
     )
     made.loads, made.placing = loads, placing
     made.start()
@@ -167,7 +176,9 @@
     # are sent, so a full engine would look idle from then on.
     placer = _Placer()
     known = {rows.endpoint_hash(_ONE): _ONE}
-    service = placing_service.PlacingService(placer, lambda: known)
+    service = placing_service.PlacingService(
+        placer, lambda: known, resumption.StreamOrigins(clock.SystemClock())
+    )
     news = placing_codec.loads_to_wire(_SENDER, {_ONE: _load(2)})
 
     async def run():
--- a/cardamombarrow/peers/tests/test_placing.py
+++ b/cardamombarrow/peers/tests/test_placing.py
@@ -21,6 +21,7 @@
 from cardamombarrow.peers import placing_service
 from cardamombarrow.peers import server as server_module
 from cardamombarrow.placing import ranking as ranking_module
+from cardamombarrow.resumption import core as resumption
 from tools import deployment
 from tools import proxy
 
@@ -74,7 +75,10 @@
         self.placer = placer_module.Placer(
             self.broker.for_domain, self.loop.call_soon
         )
-        self.services = [placing_service.PlacingService(self.placer, dict)]
+        self.origins = resumption.StreamOrigins(clock.SystemClock())
+        self.services = [
+            placing_service.PlacingService(self.placer, dict, self.origins)
+        ]
         self.server = None
         self.client = placing_client.PlacingClient(
             self.loop,
@@ -88,6 +92,7 @@
                 count=lambda outcome: None,
                 pauses_left_s=self.broker.pauses_left_s,
             ),
+            self.origins,
         )
 
     def start(self) -> None:
--- a/cardamombarrow/platform/caller.py
+++ b/cardamombarrow/platform/caller.py
@@ -58,6 +58,7 @@
     "model-name",
     "token-count",
     "prefix-hash",
+    "resumes",
 )
 
 _ID = re.compile(r"[!-~]{1,128}")
@@ -98,6 +99,7 @@
             most_tokens=int(counts[1]),
             parts=_parts(found.get("prefix-hash", "")),
             resume_after=found.get("last-event-id", ""),
+            resumes=found.get("resumes", ""),
         )
 
     def answer_headers(self, headers: dict[str, str]) -> protocol.Headers:
--- a/cardamombarrow/platform/tests/stream_client.py
+++ b/cardamombarrow/platform/tests/stream_client.py
@@ -146,6 +146,11 @@
         """Returns the first attempt at a stream."""
         return cls(f"{next(_ATTEMPTS):08x}", route)
 
+    @property
+    def path(self) -> str:
+        """The path of all attempts at the stream."""
+        return f"/{self.route}/{self.resumes or self.attempt}"
+
     def again(self, last_event: int) -> "Attempt":
         """Returns an attempt that goes on after an event."""
         if not last_event:
@@ -189,7 +194,7 @@
         fields.append(f"Last-Event-Id: {attempt.last_event}")
     if attempt.resumes:
         fields.append(f"Resumes: {attempt.resumes}")
-    head = [f"POST /{attempt.route}/x HTTP/{version}", *fields, "", ""]
+    head = [f"POST {attempt.path} HTTP/{version}", *fields, "", ""]
     caller.sendall("\r\n".join(head).encode())
     return caller
 
--- a/cardamombarrow/platform/tests/test_software_versions.py
+++ b/cardamombarrow/platform/tests/test_software_versions.py
@@ -15,6 +15,7 @@
 pytestmark = pytest.mark.process
 
 _STREAMS = 24
+_ROUNDS = 6
 _PAUSE_S = 0.25
 _CUT_AFTER = 2
 _VERSIONS = ("v1", "v2")
@@ -90,11 +91,12 @@
     servers.script = lambda received: (
         _paced(received) if received.last_event else cut
     )
-    for _, caller in _begin(running, _STREAMS):
-        seen = stream_client.read(caller)
-        assert len(_versions(seen)) == 1
-        assert seen.looks_complete
-        assert _numbers(seen) == list(range(1, stream_client.EVENTS + 1))
+    for _ in range(_ROUNDS):
+        for _, caller in _begin(running, _STREAMS // _ROUNDS):
+            seen = stream_client.read(caller)
+            assert len(_versions(seen)) == 1
+            assert seen.looks_complete
+            assert _numbers(seen) == list(range(1, stream_client.EVENTS + 1))
 
 
 def test_a_stream_is_cut_off_if_no_server_of_its_version_is_left(
@@ -113,12 +115,35 @@
         assert not seen.looks_complete
 
 
-def _go_on(running, attempt, before, name):
-    """Takes a stream up again at an entry; returns what the caller sees."""
-    last = max(_numbers(before), default=0)
-    return stream_client.read(
-        stream_client.open_stream(running, attempt.again(last), name=name)
-    )
+def _share_that_goes_on(running, begun, names):
+    """Has all callers take up their streams at once, at these entries.
+
+    Returns:
+        The share of streams that reach their ends.
+    """
+    entries = itertools.cycle(names)
+    resumed = []
+    for attempt, caller in begun:
+        before = stream_client.read(caller)
+        if before.events:
+            again = attempt.again(max(_numbers(before)))
+            resumed.append(
+                (
+                    before,
+                    stream_client.open_stream(
+                        running, again, name=next(entries)
+                    ),
+                )
+            )
+    assert len(resumed) > len(begun) / 2
+    went_on = 0
+    for before, caller in resumed:
+        after = stream_client.read(caller)
+        assert len(_versions(before, after)) == 1
+        numbers = _numbers(before, after)
+        assert numbers == list(range(1, len(numbers) + 1))
+        went_on += after.looks_complete and after.status == 200
+    return went_on / len(resumed)
 
 
 @pytest.mark.parametrize("killed", ["a-1", "a-2", "b-1"])
@@ -133,21 +158,12 @@
     time.sleep(2.5 * _PAUSE_S)
     running.signal(killed, signal.SIGKILL)
     running.processes[killed].wait()
-    first = [stream_client.read(caller) for _, caller in begun]
-    others = itertools.cycle(sorted({"a-1", "a-2", "b-1", "b-2"} - {killed}))
-    went_on = 0
     try:
-        for (attempt, _), before in zip(begun, first, strict=True):
-            assert before.events
-            after = _go_on(running, attempt, before, next(others))
-            assert len(_versions(before, after)) == 1
-            numbers = _numbers(before, after)
-            assert numbers == list(range(1, len(numbers) + 1))
-            went_on += after.looks_complete and after.status == 200
+        others = sorted({"a-1", "a-2", "b-1", "b-2"} - {killed})
+        assert _share_that_goes_on(running, begun, others) >= _LEAST_SHARE
     finally:
         running.start_instance(killed)
         running.wait_ready(killed)
-    assert went_on >= _LEAST_SHARE * _STREAMS
 
 
 def test_a_restarted_entry_knows_the_streams_that_others_began(
@@ -157,18 +173,12 @@
     _replace(servers, 2 * _VERSIONS)
     servers.script = _paced
     begun = _begin(running, _STREAMS, "a-2")
-    time.sleep(1.5 * _PAUSE_S)
+    time.sleep(2.5 * _PAUSE_S)
     for _, caller in begun:
         with contextlib.suppress(OSError):
             caller.shutdown(socket.SHUT_WR)
-    first = [stream_client.read(caller) for _, caller in begun]
     running.restart("a-1", signal.SIGKILL)
-    went_on = 0
-    for (attempt, _), before in zip(begun, first, strict=True):
-        after = _go_on(running, attempt, before, "a-1")
-        assert len(_versions(before, after)) == 1
-        went_on += after.looks_complete and after.status == 200
-    assert went_on >= _LEAST_SHARE * _STREAMS
+    assert _share_that_goes_on(running, begun, ["a-1"]) >= _LEAST_SHARE
 
 
 def test_a_stream_that_nobody_knows_is_not_resumed(running, servers):
--- /dev/null
+++ b/cardamombarrow/resumption/tests/test_core.py
@@ -0,0 +1,264 @@
+"""Tests of the origins of streams."""
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from cardamombarrow.decisions import messages
+from cardamombarrow.kernel import clock
+from cardamombarrow.kernel import ids
+from cardamombarrow.peers import origin_codec
+from cardamombarrow.peers import placing_pb2
+from cardamombarrow.resumption import core
+
+_SERVICE = ids.ServiceId("letters")
+_LONGEST_S = 15.0
+_RETENTION_S = _LONGEST_S + core.RETENTION_MARGIN_S
+_OLD, _NEW = (
+    core.Origin(_SERVICE, ids.SoftwareVersion(name)) for name in ("v1", "v2")
+)
+
+
+def _found(*origins):
+    return [
+        messages.KnownEndpoint(
+            ids.EndpointId(f"10.0.0.{number}:80"),
+            origin.service,
+            ids.DomainId("a"),
+            software=origin.software,
+        )
+        for number, origin in enumerate(origins)
+    ]
+
+
+class _Instance:
+    def __init__(self, time_source, *, is_complete=True):
+        self.origins = core.StreamOrigins(time_source)
+        self.origins.set_longest_answer_s(_LONGEST_S)
+        if is_complete:
+            self.origins.set_complete()
+
+    def resolve(self, key, services=(_SERVICE,)):
+        return self.origins.resolve(key, services, 0.0)
+
+
+@pytest.fixture
+def time_source():
+    return clock.ManualClock(100.0)
+
+
+@pytest.fixture
+def instance(time_source):
+    return _Instance(time_source)
+
+
+def test_the_key_of_a_stream_belongs_to_one_workspace():
+    # Guards against a caller that resumes the stream of another workspace.
+    keys = {
+        core.stream_key(ids.WorkspaceId(workspace), attempt)
+        for workspace, attempt in (("a", "1"), ("b", "1"), ("a", "2"))
+    }
+    assert len(keys) == 3
+
+
+def test_a_stream_goes_on_at_what_began_it(instance):
+    instance.origins.set_listed(_found(_OLD, _NEW))
+    instance.origins.add_own(1, _OLD)
+    resolved = instance.resolve(1)
+    assert resolved.resolution is core.Resolution.KNOWN
+    assert resolved.origin == _OLD
+    assert resolved.source is core.Source.OWN
+
+
+@pytest.mark.parametrize("key", [None, 7])
+def test_an_unknown_stream_is_not_guessed(instance, key):
+    # Guards against a stream that goes on at another version than its own.
+    instance.origins.set_listed(_found(_OLD, _NEW))
+    assert instance.resolve(key).resolution is core.Resolution.UNKNOWN
+
+
+@pytest.mark.parametrize("key", [None, 7])
+def test_an_unknown_stream_goes_on_where_there_is_one_version(instance, key):
+    # Guards against streams that are refused although nothing can be mixed.
+    instance.origins.set_listed(_found(_NEW, _NEW))
+    resolved = instance.resolve(key)
+    assert resolved.resolution is core.Resolution.ONLY_VERSION
+    assert resolved.origin == _NEW
+
+
+def test_a_version_that_has_just_gone_may_have_begun_a_stream(
+    instance, time_source
+):
+    # Guards against streams of the old version right after a rollout.
+    instance.origins.set_listed(_found(_OLD, _NEW))
+    instance.origins.set_listed(_found(_NEW))
+    time_source.advance(_RETENTION_S - 0.1)
+    assert instance.resolve(7).origin is None
+    time_source.advance(0.2)
+    assert instance.resolve(7).origin == _NEW
+
+
+def test_a_process_that_has_just_started_does_not_know_the_past(time_source):
+    # Guards against an entry that takes the version that it sees for the only
+    # one, since the other one went before its start.
+    fresh = _Instance(time_source, is_complete=False)
+    fresh.origins.set_listed(_found(_NEW))
+    assert fresh.resolve(7).origin is None
+    time_source.advance(_RETENTION_S)
+    assert fresh.resolve(7).origin == _NEW
+
+
+def test_two_streams_with_the_same_key_are_both_refused(instance):
+    # Guards against callers with the same key that use the same id.
+    instance.origins.set_listed(_found(_OLD, _NEW))
+    instance.origins.add_own(1, _OLD)
+    instance.origins.add_own(1, _NEW)
+    instance.origins.add_own(1, _NEW)
+    assert instance.resolve(1).resolution is core.Resolution.CONFLICTING
+
+
+def test_a_stream_that_is_resumed_is_kept(instance, time_source):
+    instance.origins.set_listed(_found(_OLD, _NEW))
+    for _ in range(4):
+        instance.origins.add_own(1, _OLD)
+        time_source.advance(0.6 * _RETENTION_S)
+        assert instance.resolve(1).origin == _OLD
+    time_source.advance(_RETENTION_S)
+    assert instance.resolve(1).origin is None
+    assert not len(instance.origins)
+
+
+def test_the_number_of_streams_is_bounded(instance, monkeypatch):
+    # Guards against callers that fill the memory of all entries.
+    monkeypatch.setattr(core, "MAX_STREAMS", 10)
+    instance.origins.set_listed(_found(_OLD, _NEW))
+    for key in range(100):
+        instance.origins.add_own(key, _OLD)
+    assert len(instance.origins) == 10
+    assert instance.resolve(99).origin == _OLD
+    assert instance.resolve(1).origin is None
+
+
+def test_nothing_is_told_while_there_is_one_version(instance):
+    instance.origins.set_listed(_found(_OLD))
+    for key in range(20):
+        instance.origins.add_own(key, _OLD)
+    told, number = instance.origins.since(0, core.Source.OTHER_DOMAIN)
+    assert not told
+    instance.origins.set_listed(_found(_OLD, _NEW))
+    told, number = instance.origins.since(number, core.Source.OTHER_DOMAIN)
+    assert {record.key for record in told} == set(range(20))
+    told, _ = instance.origins.since(number, core.Source.OTHER_DOMAIN)
+    assert not told
+
+
+def test_only_near_streams_are_told_if_asked(instance):
+    instance.origins.set_listed(_found(_OLD, _NEW))
+    for key, source in enumerate(core.Source):
+        instance.origins.merge([core.Record(key, _OLD, 100.0, source)])
+    for source in core.Source:
+        told, _ = instance.origins.since(0, source)
+        assert {record.key for record in told} == set(range(source + 1))
+
+
+def _tell(sender, receiver, now_s, nearest=core.Source.DOMAIN):
+    records, _ = sender.since(0, core.Source.OTHER_DOMAIN)
+    message = placing_pb2.PlacingReply(
+        origins=origin_codec.origins_to_wire(records, now_s)
+    )
+    received = placing_pb2.PlacingReply.FromString(message.SerializeToString())
+    receiver.merge(
+        origin_codec.origins_from_wire(received.origins, now_s, nearest)
+    )
+
+
+_STEPS = strategies.lists(
+    strategies.one_of(
+        strategies.tuples(
+            strategies.just("begin"),
+            strategies.integers(0, 2),
+            strategies.integers(0, 8),
+            strategies.sampled_from([_OLD, _NEW]),
+        ),
+        strategies.tuples(
+            strategies.just("tell"),
+            strategies.integers(0, 2),
+            strategies.integers(0, 2),
+        ),
+        strategies.tuples(
+            strategies.just("list"),
+            strategies.integers(0, 2),
+            strategies.sampled_from([(_OLD,), (_NEW,), (_OLD, _NEW)]),
+        ),
+        strategies.tuples(
+            strategies.just("wait"), strategies.floats(0.1, _RETENTION_S)
+        ),
+        strategies.tuples(
+            strategies.just("restart"), strategies.integers(0, 2)
+        ),
+    ),
+    max_size=60,
+)
+
+
+class _Instances:
+    """Three instances that begin streams, tell each other, and restart."""
+
+    def __init__(self):
+        self.time_source = clock.ManualClock(100.0)
+        self.begun = {}
+        self.all = [self._start() for _ in range(3)]
+
+    def _start(self):
+        return _Instance(self.time_source, is_complete=False)
+
+    def begin(self, index, key, origin):
+        if key not in self.begun:
+            self.begun[key] = origin, self.time_source.now_s()
+            self.all[index].origins.add_own(key, origin)
+
+    def tell(self, sender, receiver):
+        now_s = self.time_source.now_s()
+        _tell(self.all[sender].origins, self.all[receiver].origins, now_s)
+
+    def list(self, index, origins):
+        self.all[index].origins.set_listed(_found(*origins))
+
+    def wait(self, time_s):
+        self.time_source.advance(time_s)
+
+    def restart(self, index):
+        self.all[index] = self._start()
+
+    def check(self):
+        now_s = self.time_source.now_s()
+        for instance in self.all:
+            for key, (origin, begun_s) in self.begun.items():
+                resolved = instance.resolve(key)
+                if resolved.resolution is core.Resolution.KNOWN:
+                    assert resolved.origin == origin
+                    age_s = pytest.approx(now_s - begun_s, abs=0.01)
+                    assert resolved.age_s == age_s
+
+
+@hypothesis.given(_STEPS)
+@hypothesis.settings(max_examples=400)
+def test_no_instance_names_another_origin_than_the_stream_has(steps):
+    # Guards against mixed streams, whatever was told, lost or forgotten.
+    instances = _Instances()
+    for name, *arguments in steps:
+        getattr(instances, name)(*arguments)
+        instances.check()
+
+
+def test_conflicts_and_other_domains_survive_the_wire(time_source):
+    sender, receiver = _Instance(time_source), _Instance(time_source)
+    for each in (sender, receiver):
+        each.origins.set_listed(_found(_OLD, _NEW))
+    sender.origins.add_own(1, _OLD)
+    sender.origins.add_own(1, _NEW)
+    other = core.Source.OTHER_DOMAIN
+    sender.origins.merge([core.Record(2, _NEW, 99.0, other)])
+    _tell(sender.origins, receiver.origins, 100.0)
+    assert receiver.resolve(1).resolution is core.Resolution.CONFLICTING
+    assert receiver.resolve(2).source is other
