--- a/cardamombarrow/peers/placing_service.py
+++ b/cardamombarrow/peers/placing_service.py
@@ -45,7 +45,7 @@
 every `load_publisher.KEEPALIVE_S`. Its loads are outdated by then."""
 
 
-ORIGINS_DELAY_S = 0.05
+ORIGINS_DELAY_S = 0.1
 """Maximum delay of the origins of streams, to send them in batches."""
 
 
@@ -56,14 +56,13 @@
         self._answers: list[
             placing_messages.Answer | placing_messages.Queued
         ] = []
+        self._origins: list[placing_pb2.StreamOrigins] = []
         self._wake = asyncio.Event()
-        self._timer: asyncio.TimerHandle | None = None
 
-    def wake_soon(self) -> None:
-        """Sends a message within `ORIGINS_DELAY_S`."""
-        if self._timer is None:
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(ORIGINS_DELAY_S, self._wake.set)
+    def put_origins(self, origins: list[placing_pb2.StreamOrigins]) -> None:
+        """Adds origins of streams."""
+        self._origins += origins
+        self._wake.set()
 
     def put(
         self, answer: placing_messages.Answer | placing_messages.Queued
@@ -78,11 +77,11 @@
             async with asyncio.timeout(timeout_s):
                 await self._wake.wait()
         self._wake.clear()
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
         answers, self._answers = self._answers, []
-        return placing_codec.answers_to_wire(answers)
+        origins, self._origins = self._origins, []
+        reply = placing_codec.answers_to_wire(answers)
+        reply.origins.extend(origins)
+        return reply
 
 
 class PlacingService(placing_grpc.PlacingBase):
@@ -104,6 +103,8 @@
         self._placer = placer
         self._endpoints = endpoints
         self._origins = origins
+        self._origins_number = 0
+        self._origins_timer: asyncio.TimerHandle | None = None
         self._queues: set[_AnswerQueue] = set()
         self._load_streams: dict[ids.InstanceId, server.Stream] = {}
 
@@ -118,8 +119,8 @@
         )
         if owner is None:
             return
-        sender = asyncio.create_task(self._send_answers(stream, queue, owner))
         self._queues.add(queue)
+        sender = asyncio.create_task(self._send_answers(stream, queue, owner))
         try:
             with contextlib.suppress(TimeoutError):
                 message = first
@@ -147,8 +148,28 @@
         self._origins.merge(
             origin_codec.origins_from_wire(groups, time.monotonic(), nearest)
         )
-        for queue in self._queues:
-            queue.wake_soon()
+        if self._origins_timer is None:
+            self._origins_timer = asyncio.get_running_loop().call_later(
+                ORIGINS_DELAY_S, self._pass_on_origins
+            )
+
+    def _pass_on_origins(self) -> None:
+        """Sends new origins to all entries; they are encoded only once."""
+        self._origins_timer = None
+        origins, self._origins_number = self._origins_since(
+            self._origins_number
+        )
+        for queue in self._queues if origins else ():
+            queue.put_origins(origins)
+
+    def _origins_since(
+        self, number: int
+    ) -> tuple[list[placing_pb2.StreamOrigins], int]:
+        records, number = self._origins.since(
+            number, resumption.Source.OTHER_DOMAIN
+        )
+        now_s = time.monotonic()
+        return origin_codec.origins_to_wire(records, now_s), number
 
     async def _send_answers(
         self,
@@ -157,18 +178,12 @@
         owner: placer_module.Owner,
     ) -> None:
         # The entry sends no questions before the first message from here.
+        known, _ = self._origins_since(0)
         reply = placing_pb2.PlacingReply(
-            wants_origins=not self._origins.is_complete
+            origins=known, wants_origins=not self._origins.is_complete
         )
-        number = 0
         while True:
             reply.origins_complete = self._origins.is_complete
-            records, number = self._origins.since(
-                number, resumption.Source.OTHER_DOMAIN
-            )
-            reply.origins.extend(
-                origin_codec.origins_to_wire(records, time.monotonic())
-            )
             await stream.send_message(reply)
             reply = await queue.take(
                 KEEPALIVE_BUSY_S if owner.tickets else KEEPALIVE_IDLE_S
