Send no empty messages about streams that other entries began

A placer's link woke each 0.2 s while any stream of the domain was new, also with nothing of its own to tell.

--- a/cardamombarrow/peers/placing_link.py
+++ b/cardamombarrow/peers/placing_link.py
@@ -131,9 +131,16 @@
         self._wake.set()
 
     def send_new_origins(self) -> None:
-        """Sends the origins of streams that are not sent yet, if any."""
-        if self._origins.number > self._origins_number:
+        """Sends the origins of streams that are not sent yet, if any.
+
+        Usually they go along with other events; only a service that gets a
+        second version makes older ones new.
+        """
+        new, number = self._origins.since(self._origins_number, self._farthest)
+        if new:
             self._wake.set()
+        else:
+            self._origins_number = number
 
     def _add_origins(self, message: placing_pb2.PlacingRequest) -> None:
         records, self._origins_number = self._origins.since(
--- a/cardamombarrow/resumption/core.py
+++ b/cardamombarrow/resumption/core.py
@@ -183,11 +183,6 @@
             self._is_complete = True
             self._changed.notify_all()
 
-    @property
-    def number(self) -> int:
-        """The number of the last change of a record."""
-        return self._number
-
     @property
     def is_complete(self) -> bool:
         """Whether all recent streams of the domain are known."""
