Let an unrepeatable request probe an endpoint if no other one comes

An endpoint on probation took only requests that may be repeated, so nothing ever probed it, and the service stayed down for good. Ruled out: the placer that is stuck (it refused in time), and the versions (no request named one).

A due probe waits 8 s, the longest time between probes, for a request that may be repeated; then any request is one. test_probes.py failed before for requests that may run once; that a fresh probe is not spent on one stays checked.

--- a/cardamombarrow/decisions/choosing/cost_choice.py
+++ b/cardamombarrow/decisions/choosing/cost_choice.py
@@ -68,13 +68,15 @@
     ) -> bool:
         """Returns whether an endpoint may get a job now.
 
-        An endpoint on probation gets one job per probe, and only one that may
+        An endpoint on probation gets one job per probe, preferably one that may
         be repeated.
         """
         if not self._failures.is_on_probation(state.endpoint):
             return True
-        due = self._failures.is_probe_due(state.endpoint, now_s)
-        return due and not state.running and job.repeatable
+        due = self._failures.is_probe_due(
+            state.endpoint, now_s, repeatable=job.repeatable
+        )
+        return due and not state.running
 
     def choose(
         self,
--- a/cardamombarrow/decisions/fleet/failures.py
+++ b/cardamombarrow/decisions/fleet/failures.py
@@ -40,6 +40,9 @@
 MAX_PROBE_S = 8.0
 """Time to the first probe, doubled after each failed one, and its maximum."""
 
+UNREPEATABLE_PROBE_DELAY_S = MAX_PROBE_S
+"""Time for which a due probe waits for a request that may be repeated."""
+
 MAX_RECORDS = 1_024
 """Maximum number of records; an endpoint may have a new id at each start."""
 
@@ -116,9 +119,16 @@
         record = self._records.get(endpoint)
         return record is not None and record.on_probation
 
-    def is_probe_due(self, endpoint: ids.EndpointId, now_s: float) -> bool:
-        """Returns whether an endpoint on probation may get a request."""
-        return now_s >= self._records[endpoint].probe_at_s
+    def is_probe_due(
+        self, endpoint: ids.EndpointId, now_s: float, *, repeatable: bool
+    ) -> bool:
+        """Returns whether an endpoint on probation may get a request.
+
+        A request that must not run twice would be lost with the endpoint. It
+        is a probe only if no other one came in time.
+        """
+        delay_s = 0.0 if repeatable else UNREPEATABLE_PROBE_DELAY_S
+        return now_s >= self._records[endpoint].probe_at_s + delay_s
 
     def record_probe(self, endpoint: ids.EndpointId, now_s: float) -> None:
         """Records a probe and sets the time of the next one."""
