Look for an endpoint of a job without copying all of them; drop an unused hook

Each arrival and each check of a waiting job copied the endpoints of its service, 640 at the target size, to see whether one may run it; the search ends at the first one now. EndpointKind.ends_stream was called by nobody: the one kind with a last event passes its own function to the exchange. Behaviour is the same. Unit tests of decisions, endpoints, entry, peers and resumption, test_answer_ends and test_software_versions passed.

--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -95,11 +95,15 @@
 
     def _check_endpoint(self, job: messages.Job) -> messages.Refusal | None:
         capacity = self._roster.capacities.get(job.service)
-        known = [] if capacity is None else [*capacity.local, *capacity.remote]
-        if roster.with_required_software(job, known):
+        groups = () if capacity is None else (capacity.local, capacity.remote)
+        if any(
+            job.may_run_on(state.software)
+            for group in groups
+            for state in group
+        ):
             return None
         reason = f"no endpoint serves {job.service}"
-        if known:
+        if any(groups):
             reason = f"{reason} with software {job.required_software!r}"
         return messages.Refusal(
             job.request_id,
--- a/cardamombarrow/endpoints/base.py
+++ b/cardamombarrow/endpoints/base.py
@@ -279,7 +279,3 @@
     def tokens_at_end(self, tail: bytes) -> int:
         """Reads the token count from the end of an answer; 0 if it has none."""
         return 0
-
-    def ends_stream(self, tail: bytes) -> bool:
-        """Returns whether a stream with this end is complete."""
-        return True
