Log which suspects had begun and the shared parts of their prompts

The lines name requests and fingerprints, which differ each time, so it could not be told whether the requests have anything in common, or whether reports get lost. `connection broke` now has the age of each suspect's first token and the parts of its prompt that others may share; `endpoint_crashes_total` counts crashes. No decision changes.

--- a/cardamombarrow/decisions/choosing/engine_caches.py
+++ b/cardamombarrow/decisions/choosing/engine_caches.py
@@ -111,7 +111,7 @@
         self, job: messages.Job, endpoint: ids.EndpointId, now_s: float
     ) -> None:
         """Queues a prefilled prompt for announcement to other instances."""
-        for key in _keys(job.parts[:-1]):
+        for key in _keys(job.shared_parts):
             self.directory.announce(key, endpoint, now_s)
 
     def remove_sent(self, job: messages.Job, endpoint: ids.EndpointId) -> None:
@@ -121,7 +121,7 @@
 
 
 def _shared_tokens(job: messages.Job) -> int:
-    return sum(part.tokens for part in job.parts[:-1])
+    return sum(part.tokens for part in job.shared_parts)
 
 
 def _keys(parts: abc.Iterable[messages.PromptPart]) -> abc.Iterator[int]:
--- a/cardamombarrow/decisions/messages.py
+++ b/cardamombarrow/decisions/messages.py
@@ -109,6 +109,8 @@
         runs: Number of attempts that may have run.
         max_runs: Maximum number of endpoints that may run it; 0 leaves it to
             the policy.
+        first_token_s: When the first token of the present run arrived; None
+            before that.
         streams: Whether tokens arrive one by one; otherwise the first byte
             of the answer arrives with its last.
         required_software: The only software version that may run it: the one
@@ -139,9 +141,15 @@
     may_have_run: bool = False
     runs: int = 0
     max_runs: int = 0
+    first_token_s: float | None = None
     streams: bool = True
     required_software: ids.SoftwareVersion | None = None
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """The parts of its prompt that other requests may share."""
+        return self.parts[:-1]
+
     def may_run_on(self, software: ids.SoftwareVersion) -> bool:
         """Returns whether a software version may run it."""
         return self.required_software in (None, software)
--- a/cardamombarrow/decisions/queueing/prefill_forecast.py
+++ b/cardamombarrow/decisions/queueing/prefill_forecast.py
@@ -116,7 +116,7 @@
             job: The job.
             uncached_tokens: Its tokens that no endpoint has cached.
         """
-        shared = sum(part.tokens for part in job.parts[:-1])
+        shared = sum(part.tokens for part in job.shared_parts)
         own = max(job.prompt_tokens - shared, 0)
         queued = _Queued(
             job.rank,
--- a/cardamombarrow/decisions/runs.py
+++ b/cardamombarrow/decisions/runs.py
@@ -36,6 +36,7 @@
         placed_s: float,
     ) -> messages.Running:
         job.attempts += 1
+        job.first_token_s = None
         self._policies.retry.on_place(job, placed_s)
         running = messages.Running(job, state.endpoint, placed_s)
         state.add(running)
@@ -78,6 +79,7 @@
         self._roster.changed.add(running.job.service)
         state = self._roster.endpoints[running.endpoint]
         state.set_first_token(running, now_s)
+        running.job.first_token_s = now_s
         capacity = self._roster.capacities[state.service]
         capacity.first_token(now_s - running.placed_s)
         self._policies.limits.on_first_token(state, running, now_s)
--- a/cardamombarrow/entry/broker_base.py
+++ b/cardamombarrow/entry/broker_base.py
@@ -289,6 +289,10 @@
         if self._domain_broker is not None:
             self._domain_broker.set_leaving(endpoint, leaving)
 
+    def now_s(self) -> float:
+        """Returns the time by which decisions are made."""
+        return self._clock.now_s()
+
     def in_flight(self, endpoint: ids.EndpointId) -> list[messages.Job]:
         """Returns the jobs that run on an endpoint now."""
         with self._lock:
--- a/cardamombarrow/entry/core.py
+++ b/cardamombarrow/entry/core.py
@@ -286,7 +286,7 @@
         ledger,
         kinds,
         time_source,
-        crash_detector.CrashDetector(broker),
+        crash_detector.CrashDetector(broker, counts),
         counts,
         peering.meter,
         reachability,
--- a/cardamombarrow/entry/crash_detector.py
+++ b/cardamombarrow/entry/crash_detector.py
@@ -15,6 +15,7 @@
 from cardamombarrow.decisions import messages
 from cardamombarrow.endpoints import base as endpoints_base
 from cardamombarrow.entry import broker as broker_module
+from cardamombarrow.entry import metrics as metrics_module
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import logs
@@ -37,11 +38,13 @@
 
     Attributes:
         suspects: The requests that were in flight, by id.
+        broke_s: When the first connection broke.
         settled: Resolves with whether the endpoint crashed.
         settled_s: When the probe ended; None before.
     """
 
-    def __init__(self, suspects: list[messages.Job]):
+    def __init__(self, suspects: list[messages.Job], broke_s: float):
+        self.broke_s = broke_s
         self.suspects = {job.request_id: job for job in suspects}
         self.settled: futures.Future[bool] = futures.Future()
         self.settled_s: float | None = None
@@ -56,8 +59,11 @@
 class CrashDetector:
     """Probes endpoints after broken connections, one probe per endpoint."""
 
-    def __init__(self, broker: broker_module.Broker):
+    def __init__(
+        self, broker: broker_module.Broker, metrics: metrics_module.Metrics
+    ):
         self._broker = broker
+        self._metrics = metrics
         self._lock = threading.Lock()
         self._probes: dict[ids.EndpointId, _Probe] = {}
 
@@ -93,7 +99,9 @@
             probe = self._probes.get(endpoint)
             first = probe is None or not probe.covers(time.monotonic())
             if first:
-                probe = _Probe(self._broker.in_flight(endpoint))
+                probe = _Probe(
+                    self._broker.in_flight(endpoint), self._broker.now_s()
+                )
                 self._probes[endpoint] = probe
             probe.suspects[job.request_id] = job
         if first:
@@ -121,6 +129,16 @@
             crashed=crashed,
             suspects=[job.request_id for job in suspects],
             fingerprints=[job.fingerprint for job in suspects],
+            first_token_ages_s=[
+                None
+                if job.first_token_s is None
+                else round(probe.broke_s - job.first_token_s, 3)
+                for job in suspects
+            ],
+            shared_parts=[
+                [part.part for part in job.shared_parts] for job in suspects
+            ],
         )
         if crashed:
+            self._metrics.count_crash()
             self._broker.crashed(endpoint, suspects)
--- a/cardamombarrow/entry/metrics.py
+++ b/cardamombarrow/entry/metrics.py
@@ -104,6 +104,7 @@
             collections.Counter()
         )
         self._retries: collections.Counter[bool] = collections.Counter()
+        self._crashes = 0
         self._goodput_tokens = 0
         self._sent_under_limit = 0
         self.waiting = 0
@@ -165,6 +166,11 @@
         with self._lock:
             self._retries[allowed] += 1
 
+    def count_crash(self) -> None:
+        """Counts an endpoint that crashed under requests of this entry."""
+        with self._lock:
+            self._crashes += 1
+
     def count_sent_under_limit(self) -> None:
         """Counts a request to an endpoint that states a rate limit."""
         with self._lock:
@@ -260,6 +266,8 @@
         for allowed, count in self._retries.items():
             labels = f'decision="{_RETRY[allowed]}"'
             yield f"{PREFIX}retries_total{{{labels}}} {count}"
+        yield f"# TYPE {PREFIX}endpoint_crashes_total counter"
+        yield f"{PREFIX}endpoint_crashes_total {self._crashes}"
         yield f"# TYPE {PREFIX}sent_under_rate_limit_total counter"
         yield f"{PREFIX}sent_under_rate_limit_total {self._sent_under_limit}"
         for name, value in gauges.items():
