Requests that share a deadly part: a test that fails

Seven entries in three domains, six servers that end as they begin an answer to a request with one part and come back under new identities; the requests all differ, sound ones share the caller and the other parts.

--- a/cardamombarrow/entry/tests/test_endpoint_restrictions.py
+++ b/cardamombarrow/entry/tests/test_endpoint_restrictions.py
@@ -188,9 +188,7 @@
             None,
             {schema.ServiceKind.ENGINE: self.endpoints},
             clock.SystemClock(),
-            crash_detector.CrashDetector(
-                self.broker, metrics_module.Metrics()
-            ),
+            crash_detector.CrashDetector(self.broker, metrics_module.Metrics()),
             metrics_module.Metrics(),
             meter_module.Meter(0.0, time.time),
         )
--- a/cardamombarrow/platform/tests/standin_streams.py
+++ b/cardamombarrow/platform/tests/standin_streams.py
@@ -94,6 +94,7 @@
         line_end: Line end within events.
         status: Its status; any but 200 has no events.
         content_type: Its content type.
+        on_begun: Called when the head has been sent.
     """
 
     framing: Framing = Framing.CHUNKED
@@ -104,6 +105,7 @@
     line_end: bytes = b"\n"
     status: int = 200
     content_type: str = "text/event-stream"
+    on_begun: abc.Callable[[], None] = lambda: None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -115,6 +117,7 @@
         version: Version of the server's software.
         last_event: Number of the event after which the stream goes on.
         headers: All header fields, names in lower case.
+        at_s: When it arrived, monotonic.
     """
 
     identity: str
@@ -123,6 +126,7 @@
     target: str
     last_event: int
     headers: dict[str, str]
+    at_s: float
 
 
 @dataclasses.dataclass
@@ -304,6 +308,7 @@
         first.split(" ")[1],
         int(headers.get("last-event-id", "0")),
         headers,
+        time.monotonic(),
     )
 
 
@@ -335,6 +340,7 @@
     elif answer.framing is Framing.CHUNKED:
         head.append("Transfer-Encoding: chunked")
     connection.sendall("\r\n".join([*head, "", ""]).encode())
+    answer.on_begun()
     for piece in pieces:
         time.sleep(answer.pause_s)
         if answer.framing is Framing.CHUNKED:
--- a/cardamombarrow/platform/tests/stream_client.py
+++ b/cardamombarrow/platform/tests/stream_client.py
@@ -26,6 +26,8 @@
 EVENTS = 6
 """Events of a whole stream."""
 
+PART_TOKENS = 50
+
 _EVENT = re.compile(rb"data: (\w+)/(\d+)\s\s")
 _LENGTH = re.compile(rb"content-length: *(\d+)", re.I)
 
@@ -110,17 +112,19 @@
     Attributes:
         resumes: Attempt that brought the first event; empty for a new stream.
         last_event: Number of the last event that the caller has.
+        parts: Ids of the parts of its prompt.
     """
 
     attempt: str
     route: str
     resumes: str = ""
     last_event: int = 0
+    parts: tuple[str, ...] = ()
 
     @classmethod
-    def new(cls, route: str) -> "Attempt":
+    def new(cls, route: str, parts: tuple[str, ...] = ()) -> "Attempt":
         """Returns the first attempt at a stream."""
-        return cls(f"{next(_ATTEMPTS):08x}", route)
+        return cls(f"{next(_ATTEMPTS):08x}", route, parts=parts)
 
     @property
     def path(self) -> str:
@@ -166,6 +170,9 @@
         f"Deadline-Ms: {LIMIT_MS}",
         "Content-Length: 0",
     ]
+    if attempt.parts:
+        listed = ",".join(f"{part}:{PART_TOKENS}" for part in attempt.parts)
+        fields.append(f"Prefix-Hash: {listed}")
     if attempt.last_event:
         fields.append(f"Last-Event-Id: {attempt.last_event}")
     if attempt.resumes:
