Quarantine parts of prompts that crash endpoints

Callers saw one endpoint end after the other: requests with one part in their prompts, all different, each ended one or two.

Reports of crashes now have the parts of the requests that had not begun their answers, and entries report answers that have begun for parts at two crashes or more. Each entry works the verdict out from all reports: a part is a culprit after three crashes of two requests or more, at two moments or more, with no answer since; parts that only come together are one culprit. Requests that hold it are refused (503, not run, with a time to come back); one instance tries one again after 30 s, then four times as late. Answers, not the number of requests, clear a part, so that what the sound requests share stays in use.

Ruled out: reports that get lost (each crash was seen and reported by all entries with requests there), crashes taken for answers (every break had crashed: true).

--- a/cardamombarrow/decisions/base.py
+++ b/cardamombarrow/decisions/base.py
@@ -12,6 +12,7 @@
 from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import endpoint as endpoint_module
 from cardamombarrow.decisions import messages
+from cardamombarrow.decisions.fleet import part_evidence
 from cardamombarrow.decisions.limiting import capacity as capacity_module
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import ids
@@ -436,11 +437,33 @@
         """Returns whether a job may only run alone on an endpoint."""
         return False
 
+    def retry_after_s(self, job: messages.Job, now_s: float) -> float | None:
+        """Returns when a refused job may be run again; None if unknown."""
+        return None
+
+    def on_first_token(self, job: messages.Job, now_s: float) -> None:
+        """Handles the first token of a request."""
+
     def on_finish(
         self, job: messages.Job, outcome: messages.Outcome, now_s: float
     ) -> None:
         """Handles the end of a request."""
 
+    def review(self, now_s: float) -> None:
+        """Revises what is blocked, as far as time alone changes it."""
+
+    def next_review_s(self) -> float:
+        """Returns when `review` has to be called; infinity for never."""
+        return math.inf
+
+    def culprits(self) -> tuple[part_evidence.Culprit, ...]:
+        """Returns the parts of prompts that are quarantined."""
+        return ()
+
+    def accused_count(self) -> int:
+        """Counts the parts of prompts that are accused of several crashes."""
+        return 0
+
     def marks(self, now_s: float) -> dict[ids.Fingerprint, float]:
         """Returns quarantined fingerprints and their remaining seconds."""
         return {}
--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -90,7 +90,10 @@
         if reason is None:
             return None
         return messages.Refusal(
-            job.request_id, errors.ErrorKind.QUARANTINED, reason, None
+            job.request_id,
+            errors.ErrorKind.QUARANTINED,
+            reason,
+            self._policies.quarantine.retry_after_s(job, now_s),
         )
 
     def _check_endpoint(self, job: messages.Job) -> messages.Refusal | None:
--- a/cardamombarrow/decisions/dispatcher_state.py
+++ b/cardamombarrow/decisions/dispatcher_state.py
@@ -7,6 +7,7 @@
 from cardamombarrow.decisions import endpoint as endpoint_module
 from cardamombarrow.decisions import messages
 from cardamombarrow.decisions import policies
+from cardamombarrow.decisions.fleet import part_evidence
 from cardamombarrow.decisions.fleet import roster
 from cardamombarrow.decisions.queueing import waiting
 from cardamombarrow.document import schema
@@ -192,6 +193,22 @@
         """Merges other instances' observations of suspects."""
         self._policies.quarantine.merge_reports(reports, now_s)
 
+    def review_quarantine(self, now_s: float) -> None:
+        """Revises what is quarantined, as far as time alone changes it."""
+        self._policies.quarantine.review(now_s)
+
+    def next_quarantine_review_s(self) -> float:
+        """Returns when `review_quarantine` is due; infinity for never."""
+        return self._policies.quarantine.next_review_s()
+
+    def culprits(self) -> tuple[part_evidence.Culprit, ...]:
+        """Returns the parts of prompts that are quarantined."""
+        return self._policies.quarantine.culprits()
+
+    def accused_count(self) -> int:
+        """Counts the parts of prompts that are accused of several crashes."""
+        return self._policies.quarantine.accused_count()
+
     def suspect_count(self) -> int:
         """Returns the number of requests that have to run alone."""
         return self._policies.quarantine.suspect_count()
--- a/cardamombarrow/decisions/fleet/crash_evidence.py
+++ b/cardamombarrow/decisions/fleet/crash_evidence.py
@@ -4,16 +4,18 @@
 may arrive at any instance, so the observations of all are combined: a request
 is a culprit if it was running at two crashes and no other suspect was running
 at all of these. Its crashes are then explained, and the requests that ran
-beside it are no longer suspects.
+beside it are no longer suspects. A crash is also explained by a part of a
+prompt that is a culprit.
 
 Reports may arrive in any order, late and more than once; the verdict is worked
 out again from all of them, so that a late report can revise it.
 """
 
-import dataclasses
+from collections import abc
 import math
 
 from cardamombarrow.decisions import messages
+from cardamombarrow.decisions.fleet import part_evidence
 from cardamombarrow.kernel import ids
 
 __all__ = ["CrashEvidence"]
@@ -36,28 +38,6 @@
 MAX_COMPLETED = 4_096
 
 
-@dataclasses.dataclass(eq=False, slots=True)
-class _Crash:
-    """One crash of an endpoint.
-
-    Attributes:
-        reports: The reports about it, of different instances.
-        suspects: The requests that were running and have not completed since.
-        explained: Whether a culprit was running.
-    """
-
-    reports: list[messages.SuspectReport]
-    suspects: set[ids.Fingerprint] = dataclasses.field(default_factory=set)
-    explained: bool = False
-
-    def is_reported_by(self, report: messages.SuspectReport) -> bool:
-        """Returns whether another instance's report is about this crash."""
-        first = self.reports[0]
-        return abs(first.seen_s - report.seen_s) < SAME_CRASH_S and all(
-            each.instance != report.instance for each in self.reports
-        )
-
-
 class CrashEvidence:
     """Reports of crashes and completions, and the verdict from them.
 
@@ -65,15 +45,17 @@
 
     Attributes:
         culprits: The requests that explain crashes.
+        parts: The same for parts of prompts.
     """
 
     def __init__(self):
         self.culprits: set[ids.Fingerprint] = set()
+        self.parts = part_evidence.PartEvidence()
         self._reports: dict[
             tuple[ids.InstanceId, int], messages.SuspectReport
         ] = {}
-        self._crashes_at: dict[ids.EndpointId, list[_Crash]] = {}
-        self._crashes_of: dict[ids.Fingerprint, list[_Crash]] = {}
+        self._crashes_at: dict[ids.EndpointId, list[part_evidence.Crash]] = {}
+        self._crashes_of: dict[ids.Fingerprint, list[part_evidence.Crash]] = {}
         self._completed_s: dict[ids.Fingerprint, float] = {}
 
     def __bool__(self) -> bool:
@@ -121,8 +103,26 @@
         if len(self._reports) > MAX_REPORTS:
             self._remove(next(iter(self._reports)))
         if report.endpoint is None:
-            return self._complete(report)
-        return self._record(report, report.endpoint)
+            self.parts.add_answer(report.answered, report.seen_s)
+            changed = self._complete(report)
+        else:
+            changed = self._record(report, report.endpoint)
+        return changed | self.review(now_s)
+
+    def review(self, now_s: float) -> set[ids.Fingerprint]:
+        """Revises the verdict on parts, as far as time alone changes it.
+
+        Returns:
+            The requests about which the verdict may have changed.
+        """
+        before = _crashes_of(self.parts.culprits)
+        self.parts.judge(now_s)
+        after = _crashes_of(self.parts.culprits)
+        beside: set[ids.Fingerprint] = set()
+        for crash in before ^ after:
+            crash.has_culprit_part = crash in after
+            beside |= crash.suspects
+        return self._judge(beside)
 
     def forget(self, fingerprint: ids.Fingerprint) -> None:
         """Drops all evidence about a request."""
@@ -134,6 +134,8 @@
         self, report: messages.SuspectReport, endpoint: ids.EndpointId
     ) -> set[ids.Fingerprint]:
         crash = self._find_crash(report, endpoint)
+        for fingerprint, parts in zip(report.fingerprints, report.parts):
+            self.parts.add_crash(crash, fingerprint, parts)
         for fingerprint in report.fingerprints:
             completed_s = self._completed_s.get(fingerprint, -math.inf)
             if report.seen_s > completed_s:
@@ -145,13 +147,13 @@
 
     def _find_crash(
         self, report: messages.SuspectReport, endpoint: ids.EndpointId
-    ) -> _Crash:
+    ) -> part_evidence.Crash:
         crashes = self._crashes_at.setdefault(endpoint, [])
         for crash in crashes[-LATEST_CRASHES:]:
-            if crash.is_reported_by(report):
+            if _is_about(report, crash):
                 crash.reports.append(report)
                 return crash
-        crashes.append(_Crash([report]))
+        crashes.append(part_evidence.Crash([report]))
         return crashes[-1]
 
     def _complete(self, report: messages.SuspectReport) -> set[ids.Fingerprint]:
@@ -199,7 +201,10 @@
                 self.culprits.add(fingerprint)
         for fingerprint in (*repeated, *changed):
             for crash in self._crashes_of.get(fingerprint, ()):
-                crash.explained = not crash.suspects.isdisjoint(self.culprits)
+                crash.explained = (
+                    crash.has_culprit_part
+                    or not crash.suspects.isdisjoint(self.culprits)
+                )
         return set(repeated)
 
     def _connected(self, changed: set[ids.Fingerprint]) -> set[ids.Fingerprint]:
@@ -219,7 +224,7 @@
         crashes = [
             crash
             for crash in self._crashes_of[fingerprint]
-            if not crash.suspects & self.culprits
+            if not crash.has_culprit_part and not crash.suspects & self.culprits
         ]
         if len(crashes) < CRASHES_OF_CULPRIT:
             return False
@@ -243,6 +248,7 @@
                 crash.reports.remove(report)
                 return
             crashes.remove(crash)
+            self.parts.remove_crash(crash)
             for fingerprint in crash.suspects:
                 self._crashes_of[fingerprint].remove(crash)
                 if not self._crashes_of[fingerprint]:
@@ -250,3 +256,19 @@
             break
         if not crashes:
             self._crashes_at.pop(report.endpoint, None)
+
+
+def _is_about(
+    report: messages.SuspectReport, crash: part_evidence.Crash
+) -> bool:
+    """Returns whether another instance's report is about this crash."""
+    first = crash.reports[0]
+    return abs(first.seen_s - report.seen_s) < SAME_CRASH_S and all(
+        each.instance != report.instance for each in crash.reports
+    )
+
+
+def _crashes_of(
+    culprits: abc.Iterable[part_evidence.Culprit],
+) -> set[part_evidence.Crash]:
+    return {crash for culprit in culprits for crash in culprit.crashes}
--- a/cardamombarrow/decisions/fleet/quarantine.py
+++ b/cardamombarrow/decisions/fleet/quarantine.py
@@ -1,24 +1,29 @@
 """Quarantine of requests that crash endpoints.
 
 Load pattern: one request crashes each engine that runs it, and its caller
-resends it through any entry. Without this module one caller repeatedly takes
-down every engine of all domains, together with the other requests on them.
+resends it through any entry; or many requests do that share a part of their
+prompts. Without this module they repeatedly take down every engine of all
+domains, together with the other requests on them.
 
 All requests on an engine that crashes are suspects, most of them harmless. A
 suspect runs alone from then on (`must_run_alone`): if it completes, it is
 cleared. One that explains two crashes on its own is quarantined for a time;
-`crash_evidence` combines what all instances have seen.
+`crash_evidence` combines what all instances have seen. Requests that hold a
+part that crashes engines (`part_evidence`) are refused, but for a trial by one
+instance from time to time.
 
 The quarantine outlasts a caller's resends, and is short enough that a fixed
 engine serves the same body again. The tables are bounded and drop the oldest.
 """
 
 from collections import abc
+import dataclasses
 
 from cardamombarrow.decisions import base
 from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import messages
 from cardamombarrow.decisions.fleet import crash_evidence
+from cardamombarrow.decisions.fleet import part_evidence
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import registry
 
@@ -28,6 +33,51 @@
 MAX_FINGERPRINTS = 4_096
 _NUMBER_BITS = 63
 
+SETTLED_S = 0.3
+"""Time after its first token from which an answer counts as begun: an endpoint
+may end a moment after it has sent one."""
+
+MAX_REPORT_DELAY_S = 0.4
+"""Longest random delay of a report that parts are answered: most instances
+hear of another's report in that time and send none."""
+
+MIN_RETRY_AFTER_S = 1.0
+
+TRIAL_TIMEOUT_S = 30.0
+"""Time after which a trial that has not ended is given up."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _BegunAnswer:
+    """A running answer to a request with accused parts.
+
+    Attributes:
+        report_s: When it is reported if it still runs.
+    """
+
+    parts: tuple[ids.PartKey, ...]
+    first_token_s: float
+    report_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Trial:
+    """A request with a culprit that is run to see if it still crashes.
+
+    Attributes:
+        until_s: When another one may be tried.
+    """
+
+    request_id: ids.RequestId
+    until_s: float
+
+
+def _has_begun(job: messages.Job, now_s: float) -> bool:
+    """Returns whether a job's answer has begun for certain."""
+    return (
+        job.first_token_s is not None and now_s - job.first_token_s >= SETTLED_S
+    )
+
 
 @registry.plugin("quarantine", "crashes")
 class CrashQuarantine(base.Quarantine):
@@ -39,9 +89,14 @@
         self._own_reports: list[messages.SuspectReport] = []
         self._until_s: dict[ids.Fingerprint, float] = {}
         self._blamed: set[ids.Fingerprint] = set()
+        self._begun: dict[ids.RequestId, _BegunAnswer] = {}
+        self._trials: dict[frozenset[ids.PartKey], _Trial] = {}
 
     def refuse(self, job: messages.Job, now_s: float) -> str | None:
         """Returns why a quarantined job must not run, or None."""
+        return self._refuse_request(job, now_s) or self._refuse_part(job, now_s)
+
+    def _refuse_request(self, job: messages.Job, now_s: float) -> str | None:
         until_s = self._until_s.get(job.fingerprint)
         if until_s is None:
             return None
@@ -51,11 +106,66 @@
         left_s = until_s - now_s
         return f"it crashed endpoints; quarantined for {left_s:.0f} s more"
 
+    def _refuse_part(self, job: messages.Job, now_s: float) -> str | None:
+        culprit = self._culprit(job)
+        if culprit is None or self._try(culprit, job, now_s):
+            return None
+        names = [
+            each.part
+            for each, key in zip(
+                job.shared_parts, part_evidence.part_keys(job), strict=True
+            )
+            if key in culprit.parts
+        ]
+        return (
+            f"requests with {' and '.join(names)} in their prompts have "
+            f"crashed {len(culprit.crashes)} endpoints"
+        )
+
+    def _culprit(self, job: messages.Job) -> part_evidence.Culprit | None:
+        parts = self._evidence.parts
+        if not parts.culprits or not job.parts:
+            return None
+        return parts.culprit(part_evidence.part_keys(job))
+
+    def _try(
+        self, culprit: part_evidence.Culprit, job: messages.Job, now_s: float
+    ) -> bool:
+        """Returns whether a job is the one that may run as a trial."""
+        trial = self._trials.get(culprit.parts)
+        if trial is not None and now_s < trial.until_s:
+            return trial.request_id == job.request_id
+        if (
+            now_s < culprit.trial_s
+            or self.context.instance != culprit.witness
+            or self.context.whole_domain
+        ):
+            return False
+        self._trials[culprit.parts] = _Trial(
+            job.request_id, now_s + TRIAL_TIMEOUT_S
+        )
+        return True
+
+    def retry_after_s(self, job: messages.Job, now_s: float) -> float | None:
+        """Returns when a quarantined job may be run again."""
+        until_s = self._until_s.get(job.fingerprint)
+        if until_s is None:
+            culprit = self._culprit(job)
+            if culprit is None:
+                return None
+            until_s = culprit.trial_s
+        return max(until_s - now_s, MIN_RETRY_AFTER_S)
+
     def must_run_alone(self, job: messages.Job, now_s: float) -> bool:
         """Returns whether a job is a suspect."""
-        return bool(self._evidence) and self._evidence.is_suspect(
-            job.fingerprint, now_s
-        )
+        if not self._evidence:
+            return False
+        if self._evidence.is_suspect(job.fingerprint, now_s):
+            return True
+        parts = self._evidence.parts
+        if not parts or not job.parts:
+            return False
+        return parts.is_accused(part_evidence.part_keys(job))
 
     def suspect_count(self) -> int:
         """Returns the number of requests that have to run alone."""
@@ -68,44 +178,120 @@
         now_s: float,
     ) -> None:
         """Records a crash; quarantines a job that now explains two."""
-        fingerprints = {job.fingerprint for job in suspects} - {None}
-        if fingerprints:
-            self._observe(tuple(sorted(fingerprints)), endpoint, now_s)
+        jobs = {job.fingerprint: job for job in suspects if job.fingerprint}
+        if not jobs:
+            return
+        fingerprints = tuple(sorted(jobs))
+        parts = tuple(
+            ()
+            if _has_begun(jobs[fingerprint], now_s)
+            else part_evidence.part_keys(jobs[fingerprint])
+            for fingerprint in fingerprints
+        )
+        self._observe(
+            fingerprints, now_s, now_s, endpoint=endpoint, parts=parts
+        )
+
+    def on_first_token(self, job: messages.Job, now_s: float) -> None:
+        """Prepares to report that accused parts are answered."""
+        self._report_answers(now_s)
+        watched = self._watched(job)
+        if watched:
+            delay_s = self.context.rng.uniform(0.0, MAX_REPORT_DELAY_S)
+            self._begun[job.request_id] = _BegunAnswer(
+                watched, now_s, now_s + SETTLED_S + delay_s
+            )
 
     def on_finish(
         self, job: messages.Job, outcome: messages.Outcome, now_s: float
     ) -> None:
         """Clears a suspect whose answer completed."""
-        if outcome is messages.Outcome.DONE and self.must_run_alone(job, now_s):
-            self._observe((job.fingerprint,), None, now_s)
+        begun = self._begun.pop(job.request_id, None)
+        self._end_trial(job)
+        if outcome is not messages.Outcome.DONE:
+            return
+        if begun is not None:
+            self._report_answer(begun, now_s)
+        if self._evidence and self._evidence.is_suspect(job.fingerprint, now_s):
+            self._observe((job.fingerprint,), now_s, now_s)
+
+    def _end_trial(self, job: messages.Job) -> None:
+        for parts, trial in list(self._trials.items()):
+            if trial.request_id == job.request_id:
+                del self._trials[parts]
+
+    def _watched(self, job: messages.Job) -> tuple[ids.PartKey, ...]:
+        parts = self._evidence.parts
+        if not parts or not job.parts:
+            return ()
+        return parts.watched(part_evidence.part_keys(job))
+
+    def _report_answers(self, now_s: float) -> None:
+        """Reports the answers that have gone on long enough."""
+        for request_id, begun in list(self._begun.items()):
+            if now_s >= begun.report_s:
+                del self._begun[request_id]
+                self._report_answer(begun, now_s)
+
+    def _report_answer(self, begun: "_BegunAnswer", now_s: float) -> None:
+        answered = self._evidence.parts.watched(begun.parts)
+        if answered:
+            self._observe((), begun.first_token_s, now_s, answered=answered)
 
     def _observe(
         self,
         fingerprints: tuple[ids.Fingerprint, ...],
-        endpoint: ids.EndpointId | None,
+        seen_s: float,
         now_s: float,
+        *,
+        endpoint: ids.EndpointId | None = None,
+        parts: tuple[tuple[ids.PartKey, ...], ...] = (),
+        answered: tuple[ids.PartKey, ...] = (),
     ) -> None:
         report = messages.SuspectReport(
             self.context.instance,
             self.context.rng.getrandbits(_NUMBER_BITS),
             fingerprints,
             endpoint,
-            now_s,
+            seen_s,
+            parts,
+            answered,
         )
         self._own_reports.append(report)
         self._apply(report, now_s)
 
+    def review(self, now_s: float) -> None:
+        """Reports answers that are due, and revises the verdict on parts."""
+        self._report_answers(now_s)
+        self._update(self._evidence.review(now_s), now_s)
+
+    def next_review_s(self) -> float:
+        """Returns when `review` has to be called; infinity for never."""
+        due_s = [begun.report_s for begun in self._begun.values()]
+        return min([self._evidence.parts.due_s, *due_s])
+
+    def culprits(self) -> tuple[part_evidence.Culprit, ...]:
+        """Returns the parts of prompts that are quarantined."""
+        return self._evidence.parts.culprits
+
+    def accused_count(self) -> int:
+        """Counts the parts of prompts that are accused of several crashes."""
+        return self._evidence.parts.count_accused()
+
     def _apply(self, report: messages.SuspectReport, now_s: float) -> None:
-        for fingerprint in self._evidence.add(report, now_s):
+        self._update(self._evidence.add(report, now_s), now_s)
+        if report.endpoint is None:
+            for fingerprint in report.fingerprints:
+                self._end(fingerprint)
+
+    def _update(self, changed: set[ids.Fingerprint], now_s: float) -> None:
+        for fingerprint in changed:
             is_culprit = fingerprint in self._evidence.culprits
             if is_culprit and fingerprint not in self._blamed:
                 self._blamed.add(fingerprint)
                 self._quarantine(fingerprint, now_s + QUARANTINE_S)
             elif not is_culprit and fingerprint in self._blamed:
                 self._end(fingerprint)
-        if report.endpoint is None:
-            for fingerprint in report.fingerprints:
-                self._end(fingerprint)
 
     def _quarantine(self, fingerprint: ids.Fingerprint, until_s: float) -> None:
         longest_s = max(until_s, self._until_s.pop(fingerprint, until_s))
--- a/cardamombarrow/decisions/runs.py
+++ b/cardamombarrow/decisions/runs.py
@@ -84,6 +84,7 @@
         capacity.first_token(now_s - running.placed_s)
         self._policies.limits.on_first_token(state, running, now_s)
         self._policies.choice.on_first_token(state, running, now_s)
+        self._policies.quarantine.on_first_token(running.job, now_s)
 
     def progress(self, request_id: ids.RequestId, tokens: int) -> None:
         """Records how many tokens of a running job were relayed so far."""
--- a/cardamombarrow/entry/broker.py
+++ b/cardamombarrow/entry/broker.py
@@ -158,6 +158,9 @@
             self._dispatcher.first_token(request_id, self._clock.now_s())
             self._remote_placer.first_token_received(request_id)
             lines = self._run_due()
+            self._wake_if_earlier()
+            reports = self._take_suspects()
+        self._share_suspects(reports)
         decision_lines.write(lines)
 
     def progress(self, request_id: ids.RequestId, tokens: int) -> None:
@@ -170,9 +173,9 @@
         """Releases the slot of a placed job."""
         with self._lock:
             lines = self._finish(request_id, outcome)
+            reports = self._take_suspects()
         decision_lines.write(lines)
-        if outcome is messages.Outcome.DONE:
-            self._share_suspects()
+        self._share_suspects(reports)
 
     def _finish(
         self, request_id: ids.RequestId, outcome: messages.Outcome
--- a/cardamombarrow/entry/call_runner.py
+++ b/cardamombarrow/entry/call_runner.py
@@ -57,7 +57,6 @@
 
     def metrics_text(self) -> str:
         """Returns what the entry counts, in the Prometheus text format."""
-        suspects, quarantined = self.services.broker.suspect_counts()
         return self.services.metrics.text(
             self.held,
             self._documents.revision,
@@ -65,8 +64,7 @@
             self.services.broker.paused(),
             self.services.broker.invalid_fields(),
             self.services.broker.slow(),
-            suspects=suspects,
-            quarantined=quarantined,
+            suspects=self.services.broker.suspect_counts(),
             unreachable=len(self.services.reachability.cut_off()),
             brittle=self.services.broker.brittle(),
         )
--- a/cardamombarrow/entry/crash_detector.py
+++ b/cardamombarrow/entry/crash_detector.py
@@ -141,4 +141,4 @@
         )
         if crashed:
             self._metrics.count_crash()
-            self._broker.crashed(endpoint, suspects)
+            self._broker.crashed(endpoint, suspects, probe.broke_s)
--- a/cardamombarrow/entry/metrics.py
+++ b/cardamombarrow/entry/metrics.py
@@ -34,6 +34,8 @@
 }
 """Errors that do not count as a missed target."""
 
+_NO_SUSPECTS = messages.SuspectCounts()
+
 
 class _Latency:
     """Latencies of one kind and class.
@@ -184,8 +186,7 @@
         paused: int = 0,
         invalid_fields: abc.Mapping[str, int] | None = None,
         slow: int = 0,
-        suspects: int = 0,
-        quarantined: int = 0,
+        suspects: messages.SuspectCounts = _NO_SUSPECTS,
         unreachable: int = 0,
         brittle: int = 0,
     ) -> str:
@@ -199,9 +200,7 @@
             invalid_fields: Header fields of endpoints' answers that could not
                 be parsed, by name.
             slow: Endpoints whose prefill is known to be slow.
-            suspects: Requests that run alone because they were running when an
-                endpoint crashed.
-            quarantined: Requests that are refused because they crash endpoints.
+            suspects: What may crash endpoints, or does.
             brittle: Endpoints that limit their rejections.
             unreachable: Services of which no endpoint can be connected.
         """
@@ -212,8 +211,10 @@
             "rate_limited_endpoints": rate_limited,
             "paused_endpoints": paused,
             "slow_endpoints": slow,
-            "suspect_requests": suspects,
-            "quarantined_requests": quarantined,
+            "suspect_requests": suspects.requests,
+            "quarantined_requests": suspects.quarantined_requests,
+            "suspect_prompt_parts": suspects.parts,
+            "quarantined_prompt_parts": suspects.quarantined_parts,
             "unreachable_services": unreachable,
             "rejection_limited_endpoints": brittle,
         }
--- a/cardamombarrow/kernel/ids.py
+++ b/cardamombarrow/kernel/ids.py
@@ -13,6 +13,7 @@
     "InstanceId",
     "ModelId",
     "OwnerId",
+    "PartKey",
     "RequestId",
     "Revision",
     "RouteId",
@@ -39,6 +40,7 @@
 OwnerId = typing.NewType("OwnerId", str)
 EditId = typing.NewType("EditId", str)
 Fingerprint = typing.NewType("Fingerprint", str)
+PartKey = typing.NewType("PartKey", int)
 SoftwareVersion = typing.NewType("SoftwareVersion", str)
 Revision = typing.NewType("Revision", int)
 
--- a/cardamombarrow/peers/suspect_codec.py
+++ b/cardamombarrow/peers/suspect_codec.py
@@ -25,6 +25,10 @@
             fingerprints=report.fingerprints,
             endpoint=report.endpoint or "",
             age_ms=int(max(0.0, now_s - report.seen_s) * _MS),
+            parts=[
+                control_pb2.PromptParts(parts=parts) for parts in report.parts
+            ],
+            answered_parts=report.answered,
         )
         for report in reports
     ]
@@ -41,6 +45,10 @@
             fingerprints=tuple(map(ids.Fingerprint, report.fingerprints)),
             endpoint=ids.EndpointId(report.endpoint) or None,
             seen_s=now_s - report.age_ms / _MS,
+            parts=tuple(
+                tuple(map(ids.PartKey, each.parts)) for each in report.parts
+            ),
+            answered=tuple(map(ids.PartKey, report.answered_parts)),
         )
         for report in wire
     ]
--- a/cardamombarrow/peers/tests/test_suspect_relay.py
+++ b/cardamombarrow/peers/tests/test_suspect_relay.py
@@ -100,13 +100,17 @@
 
 
 @pytest.mark.parametrize("endpoint", ["10.0.0.1:80#i-1", None])
-def test_reports_are_the_same_after_the_wire(endpoint):
+@pytest.mark.parametrize("parts", [(), ((1, (1 << 64) - 1), ())])
+@pytest.mark.parametrize("answered", [(), (3, 4)])
+def test_reports_are_the_same_after_the_wire(endpoint, parts, answered):
     report = messages.SuspectReport(
         ids.InstanceId("entry-1"),
         (1 << 63) - 1,
         (ids.Fingerprint("a"), ids.Fingerprint("b")),
         endpoint and ids.EndpointId(endpoint),
         _NOW_S - 2.0,
+        parts,
+        answered,
     )
     wire = suspect_codec.suspects_to_wire([report], _NOW_S)
     assert suspect_codec.suspects_from_wire(wire, _NOW_S) == [report]
