Try accused parts one at a time, and cancel what has not begun

Parts at the same crashes are one culprit now: what holds only one of them goes on. Verdicts come 2 s after the first crash instead of 2.5 s after the second.

--- a/cardamombarrow/decisions/base.py
+++ b/cardamombarrow/decisions/base.py
@@ -460,7 +460,7 @@
         """Returns the parts of prompts that are quarantined."""
         return ()
 
-    def accused_count(self) -> int:
+    def accused_count(self, now_s: float) -> int:
         """Counts the parts of prompts that are accused of several crashes."""
         return 0
 
--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -48,6 +48,7 @@
         )
         self._awaiting_remote: dict[ids.RequestId, messages.Job] = {}
         self._pending_refusals: list[messages.Refusal] = []
+        self._pending_cancellations: list[messages.Preemption] = []
         self.preemptions = 0
 
     def waiting_jobs(self) -> list[messages.Job]:
@@ -273,7 +274,8 @@
     def refuse_quarantined(self, now_s: float) -> list[ids.RequestId]:
         """Refuses the waiting jobs that are quarantined by now.
 
-        `place` yields the refusals.
+        Runs whose answers have not begun are cancelled before they crash their
+        endpoints, too. `place` yields the refusals and cancellations.
 
         Returns:
             The requests among them that awaited a remote placement.
@@ -292,8 +294,31 @@
                 awaiting_remote.append(job.request_id)
             self.withdraw(job.request_id)
             self._pending_refusals.append(refusal)
+        self._cancel_quarantined(now_s)
         return awaiting_remote
 
+    def _cancel_quarantined(self, now_s: float) -> None:
+        if self._context.whole_domain:
+            # The instances that sent these requests cancel them.
+            return
+        for running in self._running.values():
+            if running.first_token_s is not None or running.preempted:
+                continue
+            refusal = self._check_quarantine(running.job, now_s)
+            if refusal is None:
+                continue
+            running.preempted = True
+            self._roster.capacities[running.job.service].preempting += 1
+            self._pending_cancellations.append(
+                messages.Preemption(
+                    request_id=running.job.request_id,
+                    endpoint=running.endpoint,
+                    wasted_tokens=running.tokens,
+                    requeue=False,
+                    reason=refusal.detail,
+                )
+            )
+
     def withdraw(self, request_id: ids.RequestId) -> bool:
         """Removes a waiting job whose caller has disconnected."""
         if self.drop_remote_placement(request_id):
@@ -337,6 +362,8 @@
         self._roster.changed.clear()
         while self._pending_refusals:
             yield self._pending_refusals.pop()
+        while self._pending_cancellations:
+            yield self._pending_cancellations.pop()
 
     def _give_up(self, now_s: float) -> typing.Iterator[messages.Refusal]:
         admission = self._policies.admission
--- a/cardamombarrow/decisions/dispatcher_state.py
+++ b/cardamombarrow/decisions/dispatcher_state.py
@@ -205,9 +205,9 @@
         """Returns the parts of prompts that are quarantined."""
         return self._policies.quarantine.culprits()
 
-    def accused_count(self) -> int:
+    def accused_count(self, now_s: float) -> int:
         """Counts the parts of prompts that are accused of several crashes."""
-        return self._policies.quarantine.accused_count()
+        return self._policies.quarantine.accused_count(now_s)
 
     def suspect_count(self) -> int:
         """Returns the number of requests that have to run alone."""
--- a/cardamombarrow/decisions/fleet/part_evidence.py
+++ b/cardamombarrow/decisions/fleet/part_evidence.py
@@ -11,9 +11,10 @@
 crashes, of different requests and at different moments: endpoints of a rack
 that fail together accuse every part in use there.
 
-Of parts accused by the same crashes, those that only come together are one
-culprit, which a request has to hold as a whole. The verdict depends only on the
-crashes and answers, so that all instances that know the same agree.
+Parts accused by the same crashes are one culprit, which a request has to hold
+as a whole: requests with some of them go on, and are answered or crash another
+endpoint. The verdict depends only on the crashes and answers, so that all
+instances that know the same agree.
 """
 
 from collections import abc
@@ -29,21 +30,15 @@
 
 CRASHES_OF_CULPRIT = 3
 
-CRASHES_OF_ANY = 5
-"""Crashes after which parts that can't be told apart are all culprits."""
-
 REQUESTS_OF_CULPRIT = 2
 """A single request that crashes endpoints is no evidence against its parts."""
 
-CRASHES_WATCHED = 2
-"""Crashes from which on instances report answers that clear a part."""
-
 MIN_SPAN_S = 1.0
 """Least time between the first and the last crash of a culprit."""
 
-WATCH_S = 2.5
-"""Least time from the crash at which a part becomes watched to its verdict: an
-answer anywhere has to be reported to all domains before."""
+WATCH_S = 2.0
+"""Least time from the first crash to a verdict: an answer anywhere has to be
+reported to all domains before."""
 
 TRIAL_AFTER_S = 30.0
 """Time from the last crash until one request with a culprit is tried."""
@@ -112,14 +107,13 @@
 
     Attributes:
         crashes: The crashes that accuse them, in order of time.
-        trial_s: When one request with them may be tried again.
-        witness: The instance that tries it.
+        trial_s: When one request with them may be tried again, by the witness
+            of the last crash.
     """
 
     parts: frozenset[ids.PartKey]
     crashes: tuple[Crash, ...]
     trial_s: float
-    witness: ids.InstanceId
 
 
 class PartEvidence:
@@ -182,21 +176,33 @@
         return tuple(
             part
             for part in parts
-            if part in self._accused
-            and len(self._crashes(part)) >= CRASHES_WATCHED
+            if part in self._accused and self._crashes(part)
         )
 
-    def is_accused(self, parts: abc.Iterable[ids.PartKey]) -> bool:
-        """Returns whether a part has as many crashes as a culprit."""
-        return any(
-            part in self._accused
-            and len(self._crashes(part)) >= CRASHES_OF_CULPRIT
-            for part in parts
+    def most_accused(
+        self, parts: abc.Iterable[ids.PartKey], now_s: float
+    ) -> ids.PartKey | None:
+        """Returns the accused part with the most crashes; None without one."""
+        accused = [part for part in parts if self._is_accused(part, now_s)]
+        return max(
+            accused,
+            key=lambda part: (len(self._crashes(part)), part),
+            default=None,
         )
 
-    def count_accused(self) -> int:
-        """Counts the parts that have as many crashes as a culprit."""
-        return sum(self.is_accused((part,)) for part in self._accused)
+    def count_accused(self, now_s: float) -> int:
+        """Counts the parts that are accused."""
+        return sum(self._is_accused(part, now_s) for part in self._accused)
+
+    def _is_accused(self, part: ids.PartKey, now_s: float) -> bool:
+        """Returns whether a part lacks only crashes at another moment."""
+        if len(self._accused.get(part, ())) < CRASHES_OF_CULPRIT:
+            return False
+        crashes = self._crashes(part)
+        return (
+            len(crashes) >= CRASHES_OF_CULPRIT
+            and now_s >= crashes[0].seen_s + WATCH_S
+        )
 
     def culprit(self, parts: abc.Collection[ids.PartKey]) -> Culprit | None:
         """Returns a culprit that a request with these parts holds."""
@@ -230,12 +236,12 @@
                 continue
             explained |= crashes
             if self._is_proven(part, now_s):
-                equal = [
+                equal = frozenset(
                     each
                     for each in ranked
                     if crashes_of[each] == crashes_of[part]
-                ]
-                culprits += self._separate(part, equal)
+                )
+                culprits.append(_culprit(equal, self._crashes(part)))
         self.culprits = tuple(culprits)
 
     def _crashes(self, part: ids.PartKey) -> list[Crash]:
@@ -259,36 +265,16 @@
         )
         if len(requests) < REQUESTS_OF_CULPRIT:
             return False
-        watched_s = crashes[CRASHES_WATCHED - 1].seen_s + WATCH_S
+        watched_s = crashes[0].seen_s + WATCH_S
         if now_s < watched_s:
             self.due_s = min(self.due_s, watched_s)
             return False
         return True
 
-    def _separate(
-        self, part: ids.PartKey, equal: list[ids.PartKey]
-    ) -> list[Culprit]:
-        """Returns the culprits among parts that the same crashes accuse."""
-        crashes = self._crashes(part)
-        together = [
-            each
-            for each in equal
-            if all(
-                self._accused[each][crash] == self._accused[part][crash]
-                for crash in crashes
-            )
-        ]
-        if len(together) == len(equal):
-            return [_culprit(frozenset(together), crashes)]
-        if len(crashes) < CRASHES_OF_ANY:
-            return []
-        return [_culprit(frozenset((each,)), crashes) for each in equal]
-
 
 def _culprit(parts: frozenset[ids.PartKey], crashes: list[Crash]) -> Culprit:
     wait_s = TRIAL_AFTER_S
     for before, crash in itertools.pairwise(crashes):
         if crash.seen_s - before.seen_s >= TRIAL_GAP_S:
             wait_s = min(wait_s * TRIAL_FACTOR, MAX_TRIAL_AFTER_S)
-    last = crashes[-1]
-    return Culprit(parts, tuple(crashes), last.seen_s + wait_s, last.witness)
+    return Culprit(parts, tuple(crashes), crashes[-1].seen_s + wait_s)
--- a/cardamombarrow/decisions/fleet/quarantine.py
+++ b/cardamombarrow/decisions/fleet/quarantine.py
@@ -10,7 +10,8 @@
 cleared. One that explains two crashes on its own is quarantined for a time;
 `crash_evidence` combines what all instances have seen. Requests that hold a
 part that crashes engines (`part_evidence`) are refused, but for a trial by one
-instance from time to time.
+instance from time to time. While a part is accused, but not yet found guilty,
+each instance tries one request with it at a time.
 
 The quarantine outlasts a caller's resends, and is short enough that a fixed
 engine serves the same body again. The tables are bounded and drop the oldest.
@@ -43,7 +44,7 @@
 
 MIN_RETRY_AFTER_S = 1.0
 
-TRIAL_TIMEOUT_S = 30.0
+TRIAL_TIMEOUT_S = 3.0
 """Time after which a trial that has not ended is given up."""
 
 
@@ -72,6 +73,12 @@
     until_s: float
 
 
+def _names(job: messages.Job, parts: frozenset[ids.PartKey]) -> str:
+    keys = part_evidence.part_keys(job)
+    named = zip(job.shared_parts, keys, strict=True)
+    return " and ".join(each.part for each, key in named if key in parts)
+
+
 def _has_begun(job: messages.Job, now_s: float) -> bool:
     """Returns whether a job's answer has begun for certain."""
     return (
@@ -107,54 +114,71 @@
         return f"it crashed endpoints; quarantined for {left_s:.0f} s more"
 
     def _refuse_part(self, job: messages.Job, now_s: float) -> str | None:
-        culprit = self._culprit(job)
-        if culprit is None or self._try(culprit, job, now_s):
+        parts = self._evidence.parts
+        if not parts or not job.parts:
+            return None
+        keys = part_evidence.part_keys(job)
+        culprit = parts.culprit(keys)
+        if culprit is not None:
+            return self._refuse_culprit(job, culprit, now_s)
+        part = parts.most_accused(keys, now_s)
+        if part is None:
+            return None
+        accused = frozenset((part,))
+        if self._try(accused, job, now_s):
             return None
-        names = [
-            each.part
-            for each, key in zip(
-                job.shared_parts, part_evidence.part_keys(job), strict=True
-            )
-            if key in culprit.parts
-        ]
         return (
-            f"requests with {' and '.join(names)} in their prompts have "
-            f"crashed {len(culprit.crashes)} endpoints"
+            f"another request with {_names(job, accused)} in its prompt is "
+            f"tried first: it may crash endpoints"
         )
 
-    def _culprit(self, job: messages.Job) -> part_evidence.Culprit | None:
-        parts = self._evidence.parts
-        if not parts.culprits or not job.parts:
+    def _refuse_culprit(
+        self, job: messages.Job, culprit: part_evidence.Culprit, now_s: float
+    ) -> str | None:
+        may_begin = (
+            now_s >= culprit.trial_s
+            and self.context.instance == culprit.crashes[-1].witness
+            and not self.context.whole_domain
+        )
+        if self._try(culprit.parts, job, now_s, may_begin=may_begin):
             return None
-        return parts.culprit(part_evidence.part_keys(job))
+        return (
+            f"requests with {_names(job, culprit.parts)} in their prompts have "
+            f"crashed {len(culprit.crashes)} endpoints"
+        )
 
     def _try(
-        self, culprit: part_evidence.Culprit, job: messages.Job, now_s: float
+        self,
+        parts: frozenset[ids.PartKey],
+        job: messages.Job,
+        now_s: float,
+        *,
+        may_begin: bool = True,
     ) -> bool:
         """Returns whether a job is the one that may run as a trial."""
-        trial = self._trials.get(culprit.parts)
+        trial = self._trials.get(parts)
         if trial is not None and now_s < trial.until_s:
             return trial.request_id == job.request_id
-        if (
-            now_s < culprit.trial_s
-            or self.context.instance != culprit.witness
-            or self.context.whole_domain
-        ):
-            return False
-        self._trials[culprit.parts] = _Trial(
-            job.request_id, now_s + TRIAL_TIMEOUT_S
-        )
-        return True
+        if may_begin:
+            until_s = now_s + TRIAL_TIMEOUT_S
+            self._trials[parts] = _Trial(job.request_id, until_s)
+        return may_begin
 
     def retry_after_s(self, job: messages.Job, now_s: float) -> float | None:
-        """Returns when a quarantined job may be run again."""
+        """Returns when a quarantined job may be run again.
+
+        The longer a part is quarantined, the less likely is the verdict to be
+        revised by an answer that has yet to be reported.
+        """
         until_s = self._until_s.get(job.fingerprint)
-        if until_s is None:
-            culprit = self._culprit(job)
-            if culprit is None:
-                return None
-            until_s = culprit.trial_s
-        return max(until_s - now_s, MIN_RETRY_AFTER_S)
+        if until_s is not None:
+            return until_s - now_s
+        keys = part_evidence.part_keys(job)
+        culprit = self._evidence.parts.culprit(keys)
+        if culprit is None:
+            return MIN_RETRY_AFTER_S
+        quiet_s = now_s - culprit.crashes[-1].seen_s
+        return max(min(quiet_s, culprit.trial_s - now_s), MIN_RETRY_AFTER_S)
 
     def must_run_alone(self, job: messages.Job, now_s: float) -> bool:
         """Returns whether a job is a suspect."""
@@ -165,7 +189,8 @@
         parts = self._evidence.parts
         if not parts or not job.parts:
             return False
-        return parts.is_accused(part_evidence.part_keys(job))
+        keys = part_evidence.part_keys(job)
+        return parts.most_accused(keys, now_s) is not None
 
     def suspect_count(self) -> int:
         """Returns the number of requests that have to run alone."""
@@ -274,9 +299,9 @@
         """Returns the parts of prompts that are quarantined."""
         return self._evidence.parts.culprits
 
-    def accused_count(self) -> int:
+    def accused_count(self, now_s: float) -> int:
         """Counts the parts of prompts that are accused of several crashes."""
-        return self._evidence.parts.count_accused()
+        return self._evidence.parts.count_accused(now_s)
 
     def _apply(self, report: messages.SuspectReport, now_s: float) -> None:
         self._update(self._evidence.add(report, now_s), now_s)
--- a/cardamombarrow/decisions/fleet/tests/test_part_evidence.py
+++ b/cardamombarrow/decisions/fleet/tests/test_part_evidence.py
@@ -190,7 +190,7 @@
     due_s = _crash_often(policy, new_job, "dead")
     policy.review(due_s)
     (culprit,) = policy.culprits()
-    assert culprit.witness == context.instance
+    assert culprit.crashes[-1].witness == context.instance
     trial_s = culprit.trial_s
     assert _is_refused(policy, new_job, trial_s - 0.1, "dead")
     trial = _job(new_job, "dead")
@@ -217,15 +217,19 @@
     )
 
 
-def test_nothing_is_reported_about_answers_before_parts_are_accused(
+def test_answers_are_reported_once_after_each_crash_and_never_without(
     policy, new_job
 ):
-    # Guards against messages and state while no endpoint crashes, or one does.
-    _crash(policy, _NOW_S, _job(new_job, "part"))
-    policy.take_own_reports()
+    # Guards against messages and state while no endpoint crashes.
     for number in range(10):
         _answer(policy, _job(new_job, "part"), _NOW_S + number)
     assert policy.take_own_reports() == []
+    _crash(policy, _NOW_S + 20.0, _job(new_job, "part"))
+    policy.take_own_reports()
+    for number in range(10):
+        _answer(policy, _job(new_job, "part"), _NOW_S + 21.0 + number)
+    (report,) = policy.take_own_reports()
+    assert report.seen_s == _NOW_S + 21.0
     assert policy.next_review_s() == float("inf")
 
 
--- a/cardamombarrow/entry/broker_quarantine.py
+++ b/cardamombarrow/entry/broker_quarantine.py
@@ -159,11 +159,12 @@
     def suspect_counts(self) -> messages.SuspectCounts:
         """Counts what is suspected and what is quarantined."""
         with self._lock:
-            marks = self._dispatcher.quarantine_marks(self._clock.now_s())
+            now_s = self._clock.now_s()
+            marks = self._dispatcher.quarantine_marks(now_s)
             return messages.SuspectCounts(
                 self._dispatcher.suspect_count(),
                 len(marks),
-                self._dispatcher.accused_count(),
+                self._dispatcher.accused_count(now_s),
                 len(self._dispatcher.culprits()),
             )
 
@@ -206,6 +207,6 @@
         ],
         requests=len(set().union(*(c.suspects for c in culprit.crashes))),
         trial_in_s=round(culprit.trial_s - now_s, 3),
-        trial_by=culprit.witness,
+        trial_by=culprit.crashes[-1].witness,
         source=source,
     )
