Soak of parts that crash servers, while entries end and domains are cut off

The checker sees requests at the servers and answers at the callers, and which entry each request was sent to.

The first trial comes after 60 s now: an endpoint lost with all that runs on it is dear, and a part is seldom found guilty wrongly.

--- a/cardamombarrow/decisions/fleet/part_evidence.py
+++ b/cardamombarrow/decisions/fleet/part_evidence.py
@@ -40,7 +40,7 @@
 """Least time from the first crash to a verdict: an answer anywhere has to be
 reported to all domains before."""
 
-TRIAL_AFTER_S = 30.0
+TRIAL_AFTER_S = 60.0
 """Time from the last crash until one request with a culprit is tried."""
 
 TRIAL_FACTOR = 4.0
--- a/cardamombarrow/decisions/fleet/tests/part_world.py
+++ b/cardamombarrow/decisions/fleet/tests/part_world.py
@@ -17,7 +17,7 @@
 from cardamombarrow.decisions.fleet import quarantine
 from cardamombarrow.kernel import ids
 
-__all__ = ["DEADLY", "DOMAINS", "SUBJECTS", "Load", "World"]
+__all__ = ["CONTACT_S", "Arrival", "Load", "World"]
 
 DOMAINS = ("a", "a", "a", "b", "b", "c", "c")
 DEADLY = "dead"
@@ -37,6 +37,8 @@
 """Time that a request may wait for an endpoint."""
 
 MAX_ATTEMPTS = 2
+CONTACT_S = 4.0
+CRASHES_BEFORE = 5
 
 
 @dataclasses.dataclass
@@ -66,6 +68,18 @@
     rack_s: tuple[float, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True)
+class Arrival:
+    """A deadly request that reaches an endpoint.
+
+    Attributes:
+        domain: The failure domain of the entry that sent it.
+    """
+
+    at_s: float
+    domain: ids.DomainId
+
+
 @dataclasses.dataclass
 class _Request:
     job: messages.Job
@@ -88,7 +102,7 @@
 
     Attributes:
         crashes: Times at which deadly requests ended endpoints, by part.
-        arrivals: Times at which deadly requests reached endpoints, by part.
+        arrivals: Deadly requests that reached endpoints, by part.
         sound: Sound requests.
         refused: Sound requests that were refused by a quarantine.
     """
@@ -120,7 +134,7 @@
         self.crashes: dict[str, list[float]] = {
             each: [] for each in load.deadly
         }
-        self.arrivals: dict[str, list[float]] = {
+        self.arrivals: dict[str, list[Arrival]] = {
             each: [] for each in load.deadly
         }
         self.sound: list[_Request] = []
@@ -241,7 +255,8 @@
         end_s = first_token_s + self._rng.uniform(*ANSWER_S)
         if not request.is_sound:
             end_s = first_token_s + CRASH_AFTER_S
-            self.arrivals[self._part(request)].append(now_s)
+            arrival = Arrival(now_s, ids.DomainId(DOMAINS[request.entry]))
+            self.arrivals[self._part(request)].append(arrival)
         self._runs[number].append(_Run(request, first_token_s, end_s))
 
     def _part(self, request: _Request) -> str:
@@ -315,6 +330,20 @@
             _, _, entry, reports = heapq.heappop(self._messages)
             self.policies[entry].merge_reports(reports, now_s)
 
+    def late_arrivals(self, part: str) -> int:
+        """Counts arrivals long enough after the fifth crash.
+
+        Entries that are cut off can't know of it.
+        """
+        crashes = sorted(self.crashes[part])
+        if len(crashes) < CRASHES_BEFORE:
+            return 0
+        known_s = crashes[CRASHES_BEFORE - 1] + CONTACT_S
+        return sum(
+            each.at_s > known_s and each.domain != self._load.cut_domain
+            for each in self.arrivals[part]
+        )
+
     def share_begun(self, from_s: float, to_s: float) -> float:
         """Returns the share of sound requests begun at the first attempt."""
         sent = [each for each in self.sound if from_s <= each.sent_s < to_s]
--- a/cardamombarrow/platform/tests/crashing_servers.py
+++ b/cardamombarrow/platform/tests/crashing_servers.py
@@ -7,6 +7,7 @@
 
 from collections import abc
 from concurrent import futures
+import contextlib
 import dataclasses
 import itertools
 import random
@@ -17,7 +18,7 @@
 from cardamombarrow.platform.tests import stream_client
 from tools import deployment
 
-__all__ = ["Begun", "CrashingServers", "Traffic", "parts_of"]
+__all__ = ["Crash", "CrashingServers", "Sent", "Traffic", "parts_of"]
 
 DOWN_S = 1.2
 """Time from the end of a server until it is back under a new identity."""
@@ -111,9 +112,9 @@
     return [each.partition(":")[0] for each in listed.split(",")][:-1]
 
 
-@dataclasses.dataclass(frozen=True)
-class Begun:
-    """A sound request's first try.
+@dataclasses.dataclass
+class Sent:
+    """A request that a caller has sent.
 
     Attributes:
         at_s: When it was sent.
@@ -123,44 +124,49 @@
 
     at_s: float
     entry: str
-    begun: bool
+    begun: bool = False
 
 
 class Traffic:
     """Sends requests to all entries.
 
     Attributes:
-        sound: First tries of sound requests, in order of their ends.
+        sound: Sound requests, in the order in which they were sent.
+        deadly: The others, by the ids of their attempts.
     """
 
     def __init__(self, running: deployment.Deployment, seed: int):
-        self.sound: list[Begun] = []
+        self.sound: list[Sent] = []
+        self.deadly: dict[str, Sent] = {}
         self._running = running
         self._names = list(running.entries)
         self._rng = random.Random(seed)
         self._numbers = itertools.count()
 
-    def _call(self, name: str, parts: tuple[str, ...]) -> bool:
+    def _attempt(self, parts: abc.Iterable[str]) -> stream_client.Attempt:
         own = f"c{next(self._numbers):x}"
-        attempt = stream_client.Attempt.new("once", (*parts, own))
-        try:
+        return stream_client.Attempt.new("once", (*parts, own))
+
+    def _call(self, attempt: stream_client.Attempt, sent: Sent) -> None:
+        with contextlib.suppress(OSError):
             caller = stream_client.open_stream(
-                self._running, attempt, name=name
+                self._running, attempt, name=sent.entry
             )
-            return bool(stream_client.read(caller).events)
-        except OSError:
-            return False
+            sent.begun = bool(stream_client.read(caller).events)
 
-    def _call_sound(self) -> None:
-        name = self._rng.choice(self._names)
+    def _begin_sound(self) -> tuple[stream_client.Attempt, Sent]:
+        sent = Sent(time.monotonic(), self._rng.choice(self._names))
+        self.sound.append(sent)
         parts = self._rng.choice(FIRST_PARTS), self._rng.choice(SUBJECTS)
-        at_s = time.monotonic()
-        self.sound.append(Begun(at_s, name, self._call(name, parts)))
+        return self._attempt(parts), sent
 
-    def _call_deadly(self, part: str) -> None:
-        others = [self._rng.choice(FIRST_PARTS), self._rng.choice(SUBJECTS)]
-        others.insert(self._rng.randrange(3), part)
-        self._call(self._rng.choice(self._names), tuple(others))
+    def _begin_deadly(self, part: str) -> tuple[stream_client.Attempt, Sent]:
+        sent = Sent(time.monotonic(), self._rng.choice(self._names))
+        parts = [self._rng.choice(FIRST_PARTS), self._rng.choice(SUBJECTS)]
+        parts.insert(self._rng.randrange(3), part)
+        attempt = self._attempt(parts)
+        self.deadly[attempt.attempt] = sent
+        return attempt, sent
 
     def run(
         self,
@@ -177,14 +183,29 @@
                 total_per_s = sound_per_s + deadly_per_s
                 time.sleep(self._rng.expovariate(total_per_s))
                 if self._rng.random() * total_per_s < sound_per_s:
-                    pending.append(pool.submit(self._call_sound))
+                    begun = self._begin_sound()
                 else:
-                    part = self._rng.choice(deadly)
-                    pending.append(pool.submit(self._call_deadly, part))
+                    begun = self._begin_deadly(self._rng.choice(deadly))
+                pending.append(pool.submit(self._call, *begun))
             for each in pending:
                 each.result()
 
-    def share_begun(self, from_s: float, to_s: float) -> tuple[int, float]:
-        """Returns how many sound requests were sent, and the share begun."""
-        found = [each for each in self.sound if from_s <= each.at_s < to_s]
+    def share_begun(
+        self,
+        from_s: float,
+        to_s: float,
+        counts: abc.Callable[[Sent], bool] = lambda sent: True,
+    ) -> tuple[int, float]:
+        """Returns how many sound requests were sent, and the share begun.
+
+        Args:
+            from_s: Begin of the time in which they were sent.
+            to_s: End of it.
+            counts: Returns whether a request counts.
+        """
+        found = [
+            each
+            for each in self.sound
+            if from_s <= each.at_s < to_s and counts(each)
+        ]
         return len(found), sum(e.begun for e in found) / max(len(found), 1)
