--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 generate:
 	test -x build/generate/bin/python || $(PYTHON) -m venv build/generate
 	build/generate/bin/pip install --quiet -r requirements-generate.txt
-	PATH=$$PWD/build/generate/bin:$$PATH build/generate/bin/python -m grpc_tools.protoc -I . --python_out=. --grpclib_python_out=. cardamombarrow/peers/*.proto
+	PATH=$$PWD/build/generate/bin:$$PATH build/generate/bin/python -m grpc_tools.protoc -I . --python_out=. --grpclib_python_out=. cardamombarrow/peers/*/*.proto
 
 clean:
 	rm -rf build dist run .pytest_cache .ruff_cache
--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -23,9 +23,9 @@
 from cardamombarrow.kernel import ids
 from cardamombarrow.ledger import client as ledger_client
 from cardamombarrow.ledger import machine
-from cardamombarrow.peers import control_client
-from cardamombarrow.peers import control_pb2
 from cardamombarrow.peers import loop as loop_module
+from cardamombarrow.peers.control import client as control_client
+from cardamombarrow.peers.control import control_pb2
 from tools import deployment
 
 __all__ = ["main"]
--- a/benchmarks/document_cost.py
+++ b/benchmarks/document_cost.py
@@ -12,7 +12,7 @@
 
 from cardamombarrow.document import parsing
 from cardamombarrow.document import text as text_module
-from cardamombarrow.peers import control_pb2
+from cardamombarrow.peers.control import control_pb2
 
 __all__ = ["document_of", "main"]
 
--- a/benchmarks/gossip.py
+++ b/benchmarks/gossip.py
@@ -26,11 +26,11 @@
 from cardamombarrow.gossip import table as table_module
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import ids
-from cardamombarrow.peers import control_pb2
-from cardamombarrow.peers import gossip_node
-from cardamombarrow.peers import gossip_pb2
 from cardamombarrow.peers import loop as loop_module
 from cardamombarrow.peers import server as server_module
+from cardamombarrow.peers.control import control_pb2
+from cardamombarrow.peers.gossip import gossip_pb2
+from cardamombarrow.peers.gossip import node as gossip_node
 from tools import deployment
 
 __all__ = ["main"]
--- a/benchmarks/placing_cost.py
+++ b/benchmarks/placing_cost.py
@@ -21,9 +21,9 @@
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import logs
 from cardamombarrow.peers import loop as loop_module
-from cardamombarrow.peers import placing_client
-from cardamombarrow.peers import placing_service
 from cardamombarrow.peers import server as server_module
+from cardamombarrow.peers.placing import client as placing_client
+from cardamombarrow.peers.placing import service as placing_service
 from cardamombarrow.placing import ranking as ranking_module
 from cardamombarrow.resumption import core as resumption
 from tools import deployment
--- a/cardamombarrow/admin/app.py
+++ b/cardamombarrow/admin/app.py
@@ -23,9 +23,9 @@
 from cardamombarrow.ledger import client as ledger_client
 from cardamombarrow.log import base
 from cardamombarrow.log import membership
-from cardamombarrow.peers import codec
-from cardamombarrow.peers import control_pb2
-from cardamombarrow.peers import followers
+from cardamombarrow.peers.control import codec
+from cardamombarrow.peers.control import control_pb2
+from cardamombarrow.peers.control import followers
 
 __all__ = ["AdminApp"]
 
--- a/cardamombarrow/admin/editions.py
+++ b/cardamombarrow/admin/editions.py
@@ -17,8 +17,8 @@
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import logs
 from cardamombarrow.log import base
-from cardamombarrow.peers import codec
-from cardamombarrow.peers import control_pb2
+from cardamombarrow.peers.control import codec
+from cardamombarrow.peers.control import control_pb2
 
 __all__ = ["SLOT", "Editions", "OperatorApp"]
 
--- a/cardamombarrow/admin/tests/test_app.py
+++ b/cardamombarrow/admin/tests/test_app.py
@@ -12,8 +12,8 @@
 from cardamombarrow.document import formats
 from cardamombarrow.document import machine
 from cardamombarrow.log import base
-from cardamombarrow.peers import codec
-from cardamombarrow.peers import control_pb2
+from cardamombarrow.peers.control import codec
+from cardamombarrow.peers.control import control_pb2
 
 
 class _LaggingLog(base.Log):
--- a/cardamombarrow/control/core.py
+++ b/cardamombarrow/control/core.py
@@ -35,14 +35,14 @@
 from cardamombarrow.log import state as log_state
 from cardamombarrow.log import storage
 from cardamombarrow.orders import runner
-from cardamombarrow.peers import control_pb2
-from cardamombarrow.peers import control_service
-from cardamombarrow.peers import follower_exchange
-from cardamombarrow.peers import followers as followers_module
-from cardamombarrow.peers import log_transport
 from cardamombarrow.peers import loop as loop_module
-from cardamombarrow.peers import metering_collector
 from cardamombarrow.peers import secret as secret_module
+from cardamombarrow.peers.control import control_pb2
+from cardamombarrow.peers.control import follower_exchange
+from cardamombarrow.peers.control import followers as followers_module
+from cardamombarrow.peers.control import metering_collector
+from cardamombarrow.peers.control import service as control_service
+from cardamombarrow.peers.log import transport as log_transport
 
 __all__ = ["run"]
 
--- a/cardamombarrow/control/state.py
+++ b/cardamombarrow/control/state.py
@@ -9,9 +9,9 @@
 from cardamombarrow.ledger import machine as ledger_machine
 from cardamombarrow.log import base
 from cardamombarrow.orders import machine as orders_machine
-from cardamombarrow.peers import codec
-from cardamombarrow.peers import control_pb2
-from cardamombarrow.peers import packing
+from cardamombarrow.peers.control import codec
+from cardamombarrow.peers.control import control_pb2
+from cardamombarrow.peers.control import packing
 
 __all__ = ["NO_DOCUMENT", "ControlState"]
 
--- a/cardamombarrow/duties/lease.py
+++ b/cardamombarrow/duties/lease.py
@@ -12,8 +12,8 @@
 from cardamombarrow.kernel import logs
 from cardamombarrow.log import base as log_base
 from cardamombarrow.orders import machine
-from cardamombarrow.peers import committing
-from cardamombarrow.peers import control_pb2
+from cardamombarrow.peers.control import committing
+from cardamombarrow.peers.control import control_pb2
 
 __all__ = ["DutiesLease"]
 
--- a/cardamombarrow/duties/runner.py
+++ b/cardamombarrow/duties/runner.py
@@ -21,8 +21,8 @@
 from cardamombarrow.kernel import logs
 from cardamombarrow.log import base as log_base
 from cardamombarrow.metering import tables
-from cardamombarrow.peers import committing
-from cardamombarrow.peers import control_pb2
+from cardamombarrow.peers.control import committing
+from cardamombarrow.peers.control import control_pb2
 
 __all__ = ["DutiesRunner", "MeteringView", "Sources"]
 
--- a/cardamombarrow/entry/in_force.py
+++ b/cardamombarrow/entry/in_force.py
@@ -12,7 +12,7 @@
 from cardamombarrow.entry import routes as routes_module
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import logs
-from cardamombarrow.peers import control_pb2
+from cardamombarrow.peers.control import control_pb2
 
 __all__ = ["AppliedDocument", "DocumentInForce", "fetch_first"]
 
--- a/cardamombarrow/entry/peering.py
+++ b/cardamombarrow/entry/peering.py
@@ -28,20 +28,22 @@
 from cardamombarrow.metering import agreed_time
 from cardamombarrow.metering import meter as meter_module
 from cardamombarrow.metering import tables
-from cardamombarrow.peers import cache_announcement_codec
-from cardamombarrow.peers import confirmation_loop as confirmation_loop_module
-from cardamombarrow.peers import control_client
-from cardamombarrow.peers import control_pb2
-from cardamombarrow.peers import gossip_bridge as gossip_bridge_module
-from cardamombarrow.peers import gossip_node
-from cardamombarrow.peers import load_publisher
 from cardamombarrow.peers import loop as loop_module
-from cardamombarrow.peers import metering_collector
-from cardamombarrow.peers import placing_client
-from cardamombarrow.peers import placing_service
 from cardamombarrow.peers import server as server_module
-from cardamombarrow.peers import suspect_codec
-from cardamombarrow.peers import suspect_relay
+from cardamombarrow.peers.control import cache_announcement_codec
+from cardamombarrow.peers.control import client as control_client
+from cardamombarrow.peers.control import (
+    confirmation_loop as confirmation_loop_module,
+)
+from cardamombarrow.peers.control import control_pb2
+from cardamombarrow.peers.control import metering_collector
+from cardamombarrow.peers.control import suspect_codec
+from cardamombarrow.peers.control import suspect_relay
+from cardamombarrow.peers.gossip import bridge as gossip_bridge_module
+from cardamombarrow.peers.gossip import node as gossip_node
+from cardamombarrow.peers.placing import client as placing_client
+from cardamombarrow.peers.placing import load_publisher
+from cardamombarrow.peers.placing import service as placing_service
 from cardamombarrow.resumption import core as resumption
 
 __all__ = ["Peering", "probe_controls"]
--- a/cardamombarrow/entry/tests/test_peering.py
+++ b/cardamombarrow/entry/tests/test_peering.py
@@ -4,7 +4,7 @@
 import threading
 
 from cardamombarrow.entry import peering
-from cardamombarrow.peers import control_pb2
+from cardamombarrow.peers.control import control_pb2
 
 
 def _answered(message):
--- a/cardamombarrow/ledger/client.py
+++ b/cardamombarrow/ledger/client.py
@@ -8,8 +8,8 @@
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 from cardamombarrow.ledger import machine
-from cardamombarrow.peers import codec
-from cardamombarrow.peers import control_pb2
+from cardamombarrow.peers.control import codec
+from cardamombarrow.peers.control import control_pb2
 
 __all__ = ["LedgerClient", "RemoteLedger", "ledger_key"]
 
--- a/cardamombarrow/log/codec.py
+++ b/cardamombarrow/log/codec.py
@@ -5,7 +5,7 @@
 
 from cardamombarrow.log import membership as membership_module
 from cardamombarrow.log import messages
-from cardamombarrow.peers import log_pb2
+from cardamombarrow.peers.log import log_pb2
 
 __all__ = [
     "entry_from_wire",
--- a/cardamombarrow/log/storage.py
+++ b/cardamombarrow/log/storage.py
@@ -29,7 +29,7 @@
 from cardamombarrow.log import membership as membership_module
 from cardamombarrow.log import messages
 from cardamombarrow.log import state as state_module
-from cardamombarrow.peers import log_pb2
+from cardamombarrow.peers.log import log_pb2
 
 __all__ = ["Batch", "CorruptError", "FileData", "Storage", "batches"]
 
--- a/cardamombarrow/orders/runner.py
+++ b/cardamombarrow/orders/runner.py
@@ -15,8 +15,8 @@
 from cardamombarrow.orders import lease as lease_module
 from cardamombarrow.orders import machine
 from cardamombarrow.orders import plan
-from cardamombarrow.peers import committing
-from cardamombarrow.peers import control_pb2
+from cardamombarrow.peers.control import committing
+from cardamombarrow.peers.control import control_pb2
 
 __all__ = ["OrdersRunner"]
 
--- /dev/null
+++ b/cardamombarrow/peers/control/__init__.py
@@ -0,0 +1,1 @@
+"""The links to control processes, and those between them."""
--- a/cardamombarrow/peers/cache_announcement_codec.py
+++ b/cardamombarrow/peers/control/cache_announcement_codec.py
@@ -5,7 +5,7 @@
 from cardamombarrow.decisions import messages
 from cardamombarrow.gossip import rows
 from cardamombarrow.kernel import ids
-from cardamombarrow.peers import control_pb2
+from cardamombarrow.peers.control import control_pb2
 
 __all__ = ["cache_announcements_from_wire", "cache_announcements_to_wire"]
 
--- a/cardamombarrow/peers/cache_announcement_relay.py
+++ b/cardamombarrow/peers/control/cache_announcement_relay.py
@@ -12,8 +12,8 @@
 from collections import abc
 import random
 
-from cardamombarrow.peers import control_pb2
-from cardamombarrow.peers import recent_items
+from cardamombarrow.peers.control import control_pb2
+from cardamombarrow.peers.control import recent_items
 
 __all__ = ["CacheAnnouncementRelay"]
 
--- a/cardamombarrow/peers/control_client.py
+++ b/cardamombarrow/peers/control/client.py
@@ -19,11 +19,11 @@
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import lifecycle
 from cardamombarrow.kernel import logs
-from cardamombarrow.peers import codec
-from cardamombarrow.peers import control_grpc
-from cardamombarrow.peers import control_pb2
 from cardamombarrow.peers import loop as loop_module
 from cardamombarrow.peers import secret as secret_module
+from cardamombarrow.peers.control import codec
+from cardamombarrow.peers.control import control_grpc
+from cardamombarrow.peers.control import control_pb2
 
 __all__ = ["LINK_ERRORS", "ControlClient", "StaleBaseError"]
 
--- a/cardamombarrow/peers/codec.py
+++ b/cardamombarrow/peers/control/codec.py
@@ -4,8 +4,8 @@
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 from cardamombarrow.ledger import machine as ledger_machine
-from cardamombarrow.peers import control_pb2
-from cardamombarrow.peers import packing
+from cardamombarrow.peers.control import control_pb2
+from cardamombarrow.peers.control import packing
 
 __all__ = [
     "claim_from_wire",
--- a/cardamombarrow/peers/committing.py
+++ b/cardamombarrow/peers/control/committing.py
@@ -4,8 +4,8 @@
 
 from cardamombarrow.kernel import errors
 from cardamombarrow.log import base
-from cardamombarrow.peers import codec
-from cardamombarrow.peers import control_pb2
+from cardamombarrow.peers.control import codec
+from cardamombarrow.peers.control import control_pb2
 
 __all__ = ["COMMIT_TIMEOUT_S", "commit"]
 
--- a/cardamombarrow/peers/confirmation_loop.py
+++ b/cardamombarrow/peers/control/confirmation_loop.py
@@ -13,9 +13,9 @@
 
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import logs
-from cardamombarrow.peers import control_client
-from cardamombarrow.peers import control_pb2
 from cardamombarrow.peers import loop as loop_module
+from cardamombarrow.peers.control import client as control_client
+from cardamombarrow.peers.control import control_pb2
 
 __all__ = ["ConfirmationLoop"]
 
--- a/cardamombarrow/peers/follower_exchange.py
+++ b/cardamombarrow/peers/control/follower_exchange.py
@@ -11,14 +11,14 @@
 from grpclib import client
 
 from cardamombarrow.kernel import clock
-from cardamombarrow.peers import cache_announcement_relay
-from cardamombarrow.peers import control_client
-from cardamombarrow.peers import control_grpc
-from cardamombarrow.peers import control_pb2
-from cardamombarrow.peers import followers as followers_module
 from cardamombarrow.peers import loop as loop_module
-from cardamombarrow.peers import metering_collector
 from cardamombarrow.peers import secret as secret_module
+from cardamombarrow.peers.control import cache_announcement_relay
+from cardamombarrow.peers.control import client as control_client
+from cardamombarrow.peers.control import control_grpc
+from cardamombarrow.peers.control import control_pb2
+from cardamombarrow.peers.control import followers as followers_module
+from cardamombarrow.peers.control import metering_collector
 
 __all__ = ["FollowerExchange"]
 
--- a/cardamombarrow/peers/followers.py
+++ b/cardamombarrow/peers/control/followers.py
@@ -19,8 +19,8 @@
 from cardamombarrow.document import machine
 from cardamombarrow.document import text as text_module
 from cardamombarrow.kernel import ids
-from cardamombarrow.peers import control_pb2
-from cardamombarrow.peers import suspect_relay
+from cardamombarrow.peers.control import control_pb2
+from cardamombarrow.peers.control import suspect_relay
 
 __all__ = ["Follower", "Followers"]
 
--- a/cardamombarrow/peers/metering_collector.py
+++ b/cardamombarrow/peers/control/metering_collector.py
@@ -13,7 +13,7 @@
 from cardamombarrow.metering import agreed_time
 from cardamombarrow.metering import meter
 from cardamombarrow.metering import tables
-from cardamombarrow.peers import control_pb2
+from cardamombarrow.peers.control import control_pb2
 
 __all__ = ["MeteringCollector", "demand_to_wire", "usage_to_wire"]
 
--- a/cardamombarrow/peers/control_service.py
+++ b/cardamombarrow/peers/control/service.py
@@ -11,13 +11,13 @@
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 from cardamombarrow.log import base
-from cardamombarrow.peers import cache_announcement_relay
-from cardamombarrow.peers import codec
-from cardamombarrow.peers import confirmation_batcher as batcher_module
-from cardamombarrow.peers import control_grpc
-from cardamombarrow.peers import control_pb2
-from cardamombarrow.peers import followers as followers_module
-from cardamombarrow.peers import metering_collector
+from cardamombarrow.peers.control import cache_announcement_relay
+from cardamombarrow.peers.control import codec
+from cardamombarrow.peers.control import confirmation_batcher as batcher_module
+from cardamombarrow.peers.control import control_grpc
+from cardamombarrow.peers.control import control_pb2
+from cardamombarrow.peers.control import followers as followers_module
+from cardamombarrow.peers.control import metering_collector
 
 __all__ = ["ControlService"]
 
--- a/cardamombarrow/peers/suspect_codec.py
+++ b/cardamombarrow/peers/control/suspect_codec.py
@@ -7,7 +7,7 @@
 
 from cardamombarrow.decisions import messages
 from cardamombarrow.kernel import ids
-from cardamombarrow.peers import control_pb2
+from cardamombarrow.peers.control import control_pb2
 
 __all__ = ["suspects_from_wire", "suspects_to_wire"]
 
--- a/cardamombarrow/peers/suspect_relay.py
+++ b/cardamombarrow/peers/control/suspect_relay.py
@@ -13,8 +13,8 @@
 from collections import abc
 import random
 
-from cardamombarrow.peers import control_pb2
-from cardamombarrow.peers import recent_items
+from cardamombarrow.peers.control import control_pb2
+from cardamombarrow.peers.control import recent_items
 
 __all__ = ["MAX_REPORTS", "SuspectRelay"]
 
--- a/cardamombarrow/peers/tests/test_cache_announcement_relay.py
+++ b/cardamombarrow/peers/control/tests/test_cache_announcement_relay.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from cardamombarrow.peers import cache_announcement_relay
-from cardamombarrow.peers import control_pb2
+from cardamombarrow.peers.control import cache_announcement_relay
+from cardamombarrow.peers.control import control_pb2
 
 
 @pytest.fixture
--- a/cardamombarrow/peers/tests/test_control_client.py
+++ b/cardamombarrow/peers/control/tests/test_client.py
@@ -5,11 +5,11 @@
 from cardamombarrow.control import state
 from cardamombarrow.kernel import ids
 from cardamombarrow.log import local
-from cardamombarrow.peers import control_client
-from cardamombarrow.peers import control_pb2
-from cardamombarrow.peers import control_service
 from cardamombarrow.peers import loop as loop_module
 from cardamombarrow.peers import server as server_module
+from cardamombarrow.peers.control import client as control_client
+from cardamombarrow.peers.control import control_pb2
+from cardamombarrow.peers.control import service as control_service
 from tools import deployment
 
 _SECRET = "a-secret-of-the-tests"
--- a/cardamombarrow/peers/tests/test_confirmation_batcher.py
+++ b/cardamombarrow/peers/control/tests/test_confirmation_batcher.py
@@ -5,7 +5,7 @@
 
 from cardamombarrow.kernel import errors
 from cardamombarrow.log import local
-from cardamombarrow.peers import confirmation_batcher
+from cardamombarrow.peers.control import confirmation_batcher
 
 
 class _Log(local.LocalLog):
--- a/cardamombarrow/peers/tests/test_followers.py
+++ b/cardamombarrow/peers/control/tests/test_followers.py
@@ -6,8 +6,8 @@
 
 from cardamombarrow.document import machine
 from cardamombarrow.document import text
-from cardamombarrow.peers import control_pb2
-from cardamombarrow.peers import followers
+from cardamombarrow.peers.control import control_pb2
+from cardamombarrow.peers.control import followers
 
 
 @pytest.fixture
--- a/cardamombarrow/peers/tests/test_packing.py
+++ b/cardamombarrow/peers/control/tests/test_packing.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies
 import pytest
 
-from cardamombarrow.peers import packing
+from cardamombarrow.peers.control import packing
 
 
 @hypothesis.given(strategies.text())
--- a/cardamombarrow/peers/tests/test_suspect_relay.py
+++ b/cardamombarrow/peers/control/tests/test_suspect_relay.py
@@ -8,12 +8,12 @@
 from cardamombarrow.decisions import messages
 from cardamombarrow.gossip import rows
 from cardamombarrow.kernel import ids
-from cardamombarrow.peers import control_pb2
-from cardamombarrow.peers import followers
-from cardamombarrow.peers import gossip_codec
-from cardamombarrow.peers import gossip_pb2
-from cardamombarrow.peers import suspect_codec
-from cardamombarrow.peers import suspect_relay
+from cardamombarrow.peers.control import control_pb2
+from cardamombarrow.peers.control import followers
+from cardamombarrow.peers.control import suspect_codec
+from cardamombarrow.peers.control import suspect_relay
+from cardamombarrow.peers.gossip import codec as gossip_codec
+from cardamombarrow.peers.gossip import gossip_pb2
 
 _NOW_S = 50.0
 _PROMPT_S = 0.5
--- /dev/null
+++ b/cardamombarrow/peers/gossip/__init__.py
@@ -0,0 +1,1 @@
+"""The links between the entries of a failure domain."""
--- a/cardamombarrow/peers/gossip_bridge.py
+++ b/cardamombarrow/peers/gossip/bridge.py
@@ -22,9 +22,9 @@
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import logs
-from cardamombarrow.peers import rate_limit_gossip
-from cardamombarrow.peers import rejection_gossip
-from cardamombarrow.peers import suspect_gossip
+from cardamombarrow.peers.gossip import rate_limits as rate_limit_gossip
+from cardamombarrow.peers.gossip import rejections as rejection_gossip
+from cardamombarrow.peers.gossip import suspects as suspect_gossip
 from cardamombarrow.placing import ranking as ranking_module
 
 __all__ = ["GossipBridge"]
--- a/cardamombarrow/peers/gossip_codec.py
+++ b/cardamombarrow/peers/gossip/codec.py
@@ -9,8 +9,8 @@
 from cardamombarrow.decisions import messages
 from cardamombarrow.gossip import rows
 from cardamombarrow.kernel import ids
-from cardamombarrow.peers import gossip_pb2
-from cardamombarrow.peers import suspect_codec
+from cardamombarrow.peers.control import suspect_codec
+from cardamombarrow.peers.gossip import gossip_pb2
 
 __all__ = [
     "delta_from_wire",
--- a/cardamombarrow/peers/gossip_node.py
+++ b/cardamombarrow/peers/gossip/node.py
@@ -19,13 +19,13 @@
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import logs
-from cardamombarrow.peers import control_client
-from cardamombarrow.peers import control_pb2
-from cardamombarrow.peers import gossip_codec
-from cardamombarrow.peers import gossip_grpc
-from cardamombarrow.peers import gossip_pb2
 from cardamombarrow.peers import loop as loop_module
 from cardamombarrow.peers import secret as secret_module
+from cardamombarrow.peers.control import client as control_client
+from cardamombarrow.peers.control import control_pb2
+from cardamombarrow.peers.gossip import codec as gossip_codec
+from cardamombarrow.peers.gossip import gossip_grpc
+from cardamombarrow.peers.gossip import gossip_pb2
 
 __all__ = ["GossipHooks", "GossipNode", "GossipSettings", "fetch_document"]
 
--- a/cardamombarrow/peers/tests/test_gossip_bridge.py
+++ b/cardamombarrow/peers/gossip/tests/test_bridge.py
@@ -10,7 +10,7 @@
 from cardamombarrow.gossip import table as table_module
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import ids
-from cardamombarrow.peers import gossip_bridge as gossip_bridge_module
+from cardamombarrow.peers.gossip import bridge as gossip_bridge_module
 
 _LISTED = [base.ListedEndpoint(ids.EndpointId("a:1"), base.ListedState.LIVE)]
 
--- a/cardamombarrow/peers/tests/test_gossip_node.py
+++ b/cardamombarrow/peers/gossip/tests/test_node.py
@@ -7,10 +7,10 @@
 from cardamombarrow.gossip import rows
 from cardamombarrow.gossip import table as table_module
 from cardamombarrow.kernel import clock
-from cardamombarrow.peers import control_pb2
-from cardamombarrow.peers import gossip_node
 from cardamombarrow.peers import loop as loop_module
 from cardamombarrow.peers import server as server_module
+from cardamombarrow.peers.control import control_pb2
+from cardamombarrow.peers.gossip import node as gossip_node
 from tools import deployment
 
 _SECRET = "a-secret-of-the-tests"
--- a/cardamombarrow/peers/tests/test_rate_limit_gossip.py
+++ b/cardamombarrow/peers/gossip/tests/test_rate_limits.py
@@ -6,9 +6,9 @@
 from cardamombarrow.decisions.limiting import rate_limits
 from cardamombarrow.gossip import rows
 from cardamombarrow.kernel import ids
-from cardamombarrow.peers import gossip_codec
-from cardamombarrow.peers import gossip_pb2
-from cardamombarrow.peers import rate_limit_gossip
+from cardamombarrow.peers.gossip import codec as gossip_codec
+from cardamombarrow.peers.gossip import gossip_pb2
+from cardamombarrow.peers.gossip import rate_limits as rate_limit_gossip
 
 _ENDPOINT = ids.EndpointId("10.0.0.1:80")
 _KEY = (rows.ItemKind.RATE_LIMIT, rows.endpoint_hash(_ENDPOINT))
--- /dev/null
+++ b/cardamombarrow/peers/log/__init__.py
@@ -0,0 +1,1 @@
+"""The links between control processes, for the replicated log."""
--- a/cardamombarrow/peers/log_transport.py
+++ b/cardamombarrow/peers/log/transport.py
@@ -19,11 +19,11 @@
 from cardamombarrow.log import driver
 from cardamombarrow.log import membership
 from cardamombarrow.log import messages
-from cardamombarrow.peers import control_client
-from cardamombarrow.peers import log_grpc
-from cardamombarrow.peers import log_pb2
 from cardamombarrow.peers import loop as loop_module
 from cardamombarrow.peers import secret as secret_module
+from cardamombarrow.peers.control import client as control_client
+from cardamombarrow.peers.log import log_grpc
+from cardamombarrow.peers.log import log_pb2
 
 __all__ = ["LogService", "LogTransport"]
 
--- /dev/null
+++ b/cardamombarrow/peers/placing/__init__.py
@@ -0,0 +1,1 @@
+"""The links to the placer of a failure domain, and between placers."""
--- a/cardamombarrow/peers/placing_client.py
+++ b/cardamombarrow/peers/placing/client.py
@@ -16,10 +16,10 @@
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import logs
 from cardamombarrow.peers import loop as loop_module
-from cardamombarrow.peers import origin_codec
-from cardamombarrow.peers import placing_codec
-from cardamombarrow.peers import placing_link
-from cardamombarrow.peers import placing_pb2
+from cardamombarrow.peers.placing import codec as placing_codec
+from cardamombarrow.peers.placing import link as placing_link
+from cardamombarrow.peers.placing import origin_codec
+from cardamombarrow.peers.placing import placing_pb2
 from cardamombarrow.placing import messages as placing_messages
 from cardamombarrow.placing import ranking as ranking_module
 from cardamombarrow.resumption import core as resumption
--- a/cardamombarrow/peers/placing_codec.py
+++ b/cardamombarrow/peers/placing/codec.py
@@ -10,7 +10,7 @@
 from cardamombarrow.gossip import rows
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
-from cardamombarrow.peers import placing_pb2
+from cardamombarrow.peers.placing import placing_pb2
 from cardamombarrow.placing import messages as placing_messages
 
 __all__ = [
--- a/cardamombarrow/peers/placing_link.py
+++ b/cardamombarrow/peers/placing/link.py
@@ -10,12 +10,12 @@
 
 from cardamombarrow.decisions import messages
 from cardamombarrow.kernel import ids
-from cardamombarrow.peers import control_client
-from cardamombarrow.peers import origin_codec
-from cardamombarrow.peers import placing_grpc
-from cardamombarrow.peers import placing_pb2
-from cardamombarrow.peers import placing_service
 from cardamombarrow.peers import secret as secret_module
+from cardamombarrow.peers.control import client as control_client
+from cardamombarrow.peers.placing import origin_codec
+from cardamombarrow.peers.placing import placing_grpc
+from cardamombarrow.peers.placing import placing_pb2
+from cardamombarrow.peers.placing import service as placing_service
 from cardamombarrow.resumption import core as resumption
 
 __all__ = ["KEEPALIVE_S", "PlacingLink", "Question"]
--- a/cardamombarrow/peers/load_publisher.py
+++ b/cardamombarrow/peers/placing/load_publisher.py
@@ -18,12 +18,12 @@
 from cardamombarrow.decisions import messages
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import logs
-from cardamombarrow.peers import control_client
 from cardamombarrow.peers import loop as loop_module
-from cardamombarrow.peers import origin_codec
-from cardamombarrow.peers import placing_codec
-from cardamombarrow.peers import placing_grpc
 from cardamombarrow.peers import secret as secret_module
+from cardamombarrow.peers.control import client as control_client
+from cardamombarrow.peers.placing import codec as placing_codec
+from cardamombarrow.peers.placing import origin_codec
+from cardamombarrow.peers.placing import placing_grpc
 from cardamombarrow.resumption import core as resumption
 
 __all__ = ["KEEPALIVE_S", "LoadPublisher"]
--- a/cardamombarrow/peers/origin_codec.py
+++ b/cardamombarrow/peers/placing/origin_codec.py
@@ -3,7 +3,7 @@
 from collections import abc
 
 from cardamombarrow.kernel import ids
-from cardamombarrow.peers import placing_pb2
+from cardamombarrow.peers.placing import placing_pb2
 from cardamombarrow.resumption import core as resumption
 
 __all__ = ["origins_from_wire", "origins_to_wire"]
--- a/cardamombarrow/peers/placing_service.py
+++ b/cardamombarrow/peers/placing/service.py
@@ -15,10 +15,10 @@
 from cardamombarrow.decisions import messages
 from cardamombarrow.entry import placer as placer_module
 from cardamombarrow.kernel import ids
-from cardamombarrow.peers import origin_codec
-from cardamombarrow.peers import placing_codec
-from cardamombarrow.peers import placing_grpc
-from cardamombarrow.peers import placing_pb2
+from cardamombarrow.peers.placing import codec as placing_codec
+from cardamombarrow.peers.placing import origin_codec
+from cardamombarrow.peers.placing import placing_grpc
+from cardamombarrow.peers.placing import placing_pb2
 from cardamombarrow.placing import messages as placing_messages
 from cardamombarrow.resumption import core as resumption
 
--- a/cardamombarrow/peers/tests/test_placing_codec.py
+++ b/cardamombarrow/peers/placing/tests/test_codec.py
@@ -7,8 +7,8 @@
 from cardamombarrow.decisions import messages
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
-from cardamombarrow.peers import placing_codec
-from cardamombarrow.peers import placing_pb2
+from cardamombarrow.peers.placing import codec as placing_codec
+from cardamombarrow.peers.placing import placing_pb2
 from cardamombarrow.placing import messages as placing_messages
 
 _ID = ids.RequestId("r1")
--- a/cardamombarrow/peers/tests/test_load_publisher.py
+++ b/cardamombarrow/peers/placing/tests/test_load_publisher.py
@@ -9,11 +9,11 @@
 from cardamombarrow.gossip import rows
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import ids
-from cardamombarrow.peers import load_publisher
 from cardamombarrow.peers import loop as loop_module
-from cardamombarrow.peers import placing_codec
-from cardamombarrow.peers import placing_service
 from cardamombarrow.peers import server as server_module
+from cardamombarrow.peers.placing import codec as placing_codec
+from cardamombarrow.peers.placing import load_publisher
+from cardamombarrow.peers.placing import service as placing_service
 from cardamombarrow.resumption import core as resumption
 from tools import deployment
 from tools import proxy
--- a/cardamombarrow/peers/tests/test_placing.py
+++ b/cardamombarrow/peers/placing/tests/test_placing.py
@@ -15,11 +15,11 @@
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 from cardamombarrow.peers import loop as loop_module
-from cardamombarrow.peers import placing_client
-from cardamombarrow.peers import placing_grpc
-from cardamombarrow.peers import placing_pb2
-from cardamombarrow.peers import placing_service
 from cardamombarrow.peers import server as server_module
+from cardamombarrow.peers.placing import client as placing_client
+from cardamombarrow.peers.placing import placing_grpc
+from cardamombarrow.peers.placing import placing_pb2
+from cardamombarrow.peers.placing import service as placing_service
 from cardamombarrow.placing import ranking as ranking_module
 from cardamombarrow.resumption import core as resumption
 from tools import deployment
--- a/cardamombarrow/peers/tests/test_secret.py
+++ b/cardamombarrow/peers/tests/test_secret.py
@@ -10,10 +10,10 @@
 
 from cardamombarrow.document import machine
 from cardamombarrow.log import local
-from cardamombarrow.peers import control_grpc
-from cardamombarrow.peers import control_pb2
-from cardamombarrow.peers import control_service
 from cardamombarrow.peers import secret
+from cardamombarrow.peers.control import control_grpc
+from cardamombarrow.peers.control import control_pb2
+from cardamombarrow.peers.control import service as control_service
 
 _METHOD = "/service/Method"
 
--- a/cardamombarrow/resumption/tests/test_core.py
+++ b/cardamombarrow/resumption/tests/test_core.py
@@ -7,8 +7,8 @@
 from cardamombarrow.decisions import messages
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import ids
-from cardamombarrow.peers import origin_codec
-from cardamombarrow.peers import placing_pb2
+from cardamombarrow.peers.placing import origin_codec
+from cardamombarrow.peers.placing import placing_pb2
 from cardamombarrow.resumption import core
 
 _SERVICE = ids.ServiceId("letters")
