Remember digests of prompt parts, and drop trials that were given up

A request costs 15 us while a part is quarantined, most of it digests of its parts. Trials of parts that never ended stayed in the table for good. The trial of a culprit is given up after 30 s in place of 3 s: a long prompt takes more, and a second trial would cost a second endpoint.

--- a/cardamombarrow/decisions/fleet/part_evidence.py
+++ b/cardamombarrow/decisions/fleet/part_evidence.py
@@ -19,6 +19,7 @@
 
 from collections import abc
 import dataclasses
+import functools
 import hashlib
 import itertools
 import math
@@ -48,26 +49,32 @@
 TRIAL_GAP_S = 20.0
 """Least time between crashes of which the second ended a trial."""
 
+MAX_KEYS = 4_096
+"""Parts whose digests are remembered."""
+
 MAX_ANSWERED = 4_096
 """Parts of which the last answer is remembered."""
 
 _DIGEST_BYTES = 8
 
 
+@functools.lru_cache(MAX_KEYS)
+def _part_key(
+    service: ids.ServiceId, model: ids.ModelId, part: str
+) -> ids.PartKey:
+    digest = hashlib.blake2b(
+        f"{service}\n{model}\n{part}".encode(), digest_size=_DIGEST_BYTES
+    )
+    return ids.PartKey(int.from_bytes(digest.digest()))
+
+
 def part_keys(job: messages.Job) -> tuple[ids.PartKey, ...]:
     """Returns digests of the parts that a job shares with others.
 
     A part that crashes one model's endpoints may be harmless to another's.
     """
-    head = f"{job.service}\n{job.model}\n"
     return tuple(
-        ids.PartKey(
-            int.from_bytes(
-                hashlib.blake2b(
-                    f"{head}{each.part}".encode(), digest_size=_DIGEST_BYTES
-                ).digest()
-            )
-        )
+        _part_key(job.service, job.model, each.part)
         for each in job.shared_parts
     )
 
--- a/cardamombarrow/decisions/fleet/quarantine.py
+++ b/cardamombarrow/decisions/fleet/quarantine.py
@@ -44,13 +44,17 @@
 
 MIN_RETRY_AFTER_S = 1.0
 
-TRIAL_TIMEOUT_S = 3.0
-"""Time after which a trial that has not ended is given up."""
+ACCUSED_TIMEOUT_S = 3.0
+"""Time after which the trial of an accused part that has not ended is given up:
+sound requests may be waiting for it."""
+
+CULPRIT_TIMEOUT_S = 30.0
+"""The same for the trial of a culprit."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _BegunAnswer:
-    """A running answer to a request with accused parts.
+    """A running answer to a request with parts that were at a crash.
 
     Attributes:
         report_s: When it is reported if it still runs.
@@ -63,7 +67,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Trial:
-    """A request with a culprit that is run to see if it still crashes.
+    """A request that is run to see if its parts crash endpoints.
 
     Attributes:
         until_s: When another one may be tried.
@@ -73,22 +77,9 @@
     until_s: float
 
 
-def _names(job: messages.Job, parts: frozenset[ids.PartKey]) -> str:
-    keys = part_evidence.part_keys(job)
-    named = zip(job.shared_parts, keys, strict=True)
-    return " and ".join(each.part for each, key in named if key in parts)
-
-
-def _has_begun(job: messages.Job, now_s: float) -> bool:
-    """Returns whether a job's answer has begun for certain."""
-    return (
-        job.first_token_s is not None and now_s - job.first_token_s >= SETTLED_S
-    )
-
-
 @registry.plugin("quarantine", "crashes")
 class CrashQuarantine(base.Quarantine):
-    """Quarantines a request that alone explains two crashes."""
+    """Quarantines requests, and parts of prompts, that explain crashes."""
 
     def __init__(self, context: context_module.PolicyContext):
         super().__init__(context)
@@ -125,7 +116,9 @@
         if part is None:
             return None
         accused = frozenset((part,))
-        if self._try(accused, job, now_s):
+        if self._is_trial(accused, job, now_s) or self._begin_trial(
+            accused, job, now_s, ACCUSED_TIMEOUT_S
+        ):
             return None
         return (
             f"another request with {_names(job, accused)} in its prompt is "
@@ -135,34 +128,50 @@
     def _refuse_culprit(
         self, job: messages.Job, culprit: part_evidence.Culprit, now_s: float
     ) -> str | None:
+        if self._is_trial(culprit.parts, job, now_s):
+            return None
         may_begin = (
             now_s >= culprit.trial_s
             and self.context.instance == culprit.crashes[-1].witness
             and not self.context.whole_domain
         )
-        if self._try(culprit.parts, job, now_s, may_begin=may_begin):
+        if may_begin and self._begin_trial(
+            culprit.parts, job, now_s, CULPRIT_TIMEOUT_S
+        ):
             return None
         return (
             f"requests with {_names(job, culprit.parts)} in their prompts have "
             f"crashed {len(culprit.crashes)} endpoints"
         )
 
-    def _try(
+    def _is_trial(
+        self, parts: frozenset[ids.PartKey], job: messages.Job, now_s: float
+    ) -> bool:
+        """Returns whether a job is the one that runs to try some parts."""
+        trial = self._trials.get(parts)
+        return (
+            trial is not None
+            and now_s < trial.until_s
+            and trial.request_id == job.request_id
+        )
+
+    def _begin_trial(
         self,
         parts: frozenset[ids.PartKey],
         job: messages.Job,
         now_s: float,
-        *,
-        may_begin: bool = True,
+        timeout_s: float,
     ) -> bool:
-        """Returns whether a job is the one that may run as a trial."""
-        trial = self._trials.get(parts)
-        if trial is not None and now_s < trial.until_s:
-            return trial.request_id == job.request_id
-        if may_begin:
-            until_s = now_s + TRIAL_TIMEOUT_S
-            self._trials[parts] = _Trial(job.request_id, until_s)
-        return may_begin
+        """Has a job run to try some parts, unless another one does."""
+        self._trials = {
+            each: trial
+            for each, trial in self._trials.items()
+            if now_s < trial.until_s
+        }
+        if parts in self._trials:
+            return False
+        self._trials[parts] = _Trial(job.request_id, now_s + timeout_s)
+        return True
 
     def retry_after_s(self, job: messages.Job, now_s: float) -> float | None:
         """Returns when a quarantined job may be run again.
@@ -366,3 +375,16 @@
         """Adds observations of other instances."""
         for report in reports:
             self._apply(report, now_s)
+
+
+def _names(job: messages.Job, parts: frozenset[ids.PartKey]) -> str:
+    keys = part_evidence.part_keys(job)
+    named = zip(job.shared_parts, keys, strict=True)
+    return " and ".join(each.part for each, key in named if key in parts)
+
+
+def _has_begun(job: messages.Job, now_s: float) -> bool:
+    """Returns whether a job's answer has begun for certain."""
+    return (
+        job.first_token_s is not None and now_s - job.first_token_s >= SETTLED_S
+    )
