--- a/cardamombarrow/decisions/fleet/tests/test_part_evidence.py
+++ b/cardamombarrow/decisions/fleet/tests/test_part_evidence.py
@@ -88,6 +88,18 @@
     assert not _is_refused(policy, new_job, due_s, "popular", "other")
 
 
+def test_answers_before_the_crashes_clear_nothing(policy, new_job):
+    # Guards against a part that served well for hours, and is deadly since the
+    # endpoints have other software.
+    for number in range(5):
+        _crash(policy, _NOW_S + number, _job(new_job, "part"))
+        _answer(policy, _job(new_job, "part"), _NOW_S + number + 0.5)
+    from_s = _NOW_S + 10.0
+    for number in range(3):
+        _crash(policy, from_s + number * _GAP_S, _job(new_job, "part"))
+    assert _is_refused(policy, new_job, from_s + 3 * _GAP_S, "part")
+
+
 def test_a_request_whose_answer_had_begun_accuses_nothing(policy, new_job):
     # Guards against accusing the streams that ran beside the culprit.
     for number in range(6):
--- a/cardamombarrow/entry/tests/test_broker.py
+++ b/cardamombarrow/entry/tests/test_broker.py
@@ -9,6 +9,7 @@
 import pytest
 
 from cardamombarrow.decisions import messages
+from cardamombarrow.decisions.fleet import part_evidence
 from cardamombarrow.document import parsing
 from cardamombarrow.entry import broker as broker_module
 from cardamombarrow.entry import broker_base
@@ -246,6 +247,56 @@
     assert broker.demand().demand_tokens_per_s == {}
 
 
+def _parts(*names: str) -> tuple[messages.PromptPart, ...]:
+    return tuple(messages.PromptPart(name, 10) for name in names)
+
+
+def _report_crashes(broker, *ages_s: float) -> None:
+    """Reports crashes under requests of other entries with the part "dead"."""
+    now_s = time.monotonic()
+    (part,) = part_evidence.part_keys(_job(0, parts=_parts("dead", "own")))
+    broker.merge_suspects(
+        [
+            messages.SuspectReport(
+                ids.InstanceId(f"entry-{number}"),
+                number,
+                (ids.Fingerprint(f"{number:032x}"),),
+                ids.EndpointId(f"10.0.0.{number}:80"),
+                now_s - age_s,
+                parts=((part,),),
+            )
+            for number, age_s in enumerate(ages_s, start=2)
+        ]
+    )
+
+
+def test_a_verdict_on_a_part_stops_what_waits_and_what_has_not_begun(broker):
+    # Guards against requests with a deadly part that are sent, or crash their
+    # endpoint, after the verdict; the last of it is only a matter of time.
+    running = broker.submit(_job(1, parts=_parts("dead", "own-1")))
+    begun = broker.submit(_job(2, parts=_parts("dead", "own-2")))
+    broker.first_token(begun.job.request_id)
+    held = _fill(broker)
+    waiting = broker.submit(_job(3, parts=_parts("dead", "own-3")))
+    sound = broker.submit(_job(4, parts=_parts("alive", "own-4")))
+    age_s = part_evidence.WATCH_S - 0.2
+    _report_crashes(broker, age_s, age_s - 0.6, age_s - 1.2)
+    assert not waiting.placed.done()
+    error = waiting.placed.exception(timeout=_LIMIT_S)
+    assert error.kind is errors.ErrorKind.QUARANTINED
+    assert error.not_run
+    assert error.retry_after_s >= 1.0
+    assert running.preempted is not None
+    assert not running.preempted.requeue
+    assert begun.preempted is None
+    assert not sound.placed.done()
+    broker.withdraw(sound)
+    for each in (running, begun, *held):
+        broker.finish(each.job.request_id, messages.Outcome.PREEMPTED)
+    assert broker.demand().in_flight == {}
+    assert broker.submit(_job(5, parts=_parts("alive", "own-5"))).placed.done()
+
+
 def test_requests_go_to_endpoints_at_once_when_the_path_is_back(broker):
     # Guards against requests that wait, or are refused, for the backoff of
     # endpoints which failed while this entry reached none of them.
