Part arriving jobs from the dispatcher; gauges as one value; one disruptor for soaks

core.py had 639 lines: what arrives, is refused or queued stands in arrivals.py now (moves only). Metrics.text took ten arguments, Gauges is one. The soaks of versions and of crashing parts disturbed entries by the same code twice; the version soak now calls an entry in touch by the same spans, which is as strict.

--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -9,30 +9,24 @@
 services with changes), so that no event iterates over all jobs.
 """
 
-import dataclasses
 import math
 import typing
 
+from cardamombarrow.decisions import arrivals
 from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import endpoint as endpoint_module
 from cardamombarrow.decisions import messages
-from cardamombarrow.decisions import runs
 from cardamombarrow.decisions.fleet import roster
-from cardamombarrow.decisions.queueing import forecast
-from cardamombarrow.decisions.queueing import prefill_forecast
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 
 __all__ = ["Dispatcher"]
 
-DEFAULT_RETRY_AFTER_S = 1.0
-"""Retry-after of refusals that are not due to load."""
-
 MIN_CHECK_INTERVAL_S = 0.05
 """Minimum time between two checks of a waiting job."""
 
 
-class Dispatcher(runs.Runs):
+class Dispatcher(arrivals.Arrivals):
     """All decisions of one instance.
 
     Attributes:
@@ -41,13 +35,7 @@
 
     def __init__(self, context: context_module.PolicyContext, now_s: float):
         super().__init__(context, now_s)
-        self._forecast = forecast.Forecast(self._policies)
-        self._prefill = prefill_forecast.PrefillForecast(
-            self._roster.prefill_tokens_per_s,
-            self._share_ahead,
-        )
         self._awaiting_remote: dict[ids.RequestId, messages.Job] = {}
-        self._pending_refusals: list[messages.Refusal] = []
         self._pending_cancellations: list[messages.Preemption] = []
         self.preemptions = 0
 
@@ -59,140 +47,6 @@
         """Returns whether jobs wait for a slot."""
         return len(self._waiting) > 0
 
-    # -- arrival --------------------------------------------------------------
-
-    def offer(self, job: messages.Job, now_s: float) -> messages.Refusal | None:
-        """Queues an arriving job, or refuses it at once."""
-        refusal = self._receive(job, now_s)
-        if refusal is None:
-            backlog = self.backlog(job, now_s)
-            refusal = self._refuse(job, backlog, now_s)
-        if refusal is None:
-            self._waiting.enter(job)
-            self._enqueue(job, backlog, now_s)
-        return refusal
-
-    def _receive(
-        self, job: messages.Job, now_s: float
-    ) -> messages.Refusal | None:
-        """Records an arriving job; refuses one that must not run at all."""
-        job.expected_tokens = self._policies.estimate.expected_tokens(job)
-        self._policies.retry.on_arrival(job, now_s)
-        refusal = self._check_endpoint(job)
-        if refusal is not None:
-            return refusal
-        refusal = self._check_quarantine(job, now_s)
-        return refusal or self._check_workspace_limit(job)
-
-    def _check_quarantine(
-        self, job: messages.Job, now_s: float
-    ) -> messages.Refusal | None:
-        reason = self._policies.quarantine.refuse(job, now_s)
-        if reason is None:
-            return None
-        return messages.Refusal(
-            job.request_id,
-            errors.ErrorKind.QUARANTINED,
-            reason,
-            self._policies.quarantine.retry_after_s(job, now_s),
-        )
-
-    def _check_endpoint(self, job: messages.Job) -> messages.Refusal | None:
-        capacity = self._roster.capacities.get(job.service)
-        groups = () if capacity is None else (capacity.local, capacity.remote)
-        if any(
-            job.may_run_on(state.software)
-            for group in groups
-            for state in group
-        ):
-            return None
-        reason = f"no endpoint serves {job.service}"
-        if any(groups):
-            reason = f"{reason} with software {job.required_software!r}"
-        return messages.Refusal(
-            job.request_id,
-            errors.ErrorKind.NO_ENDPOINT,
-            reason,
-            DEFAULT_RETRY_AFTER_S,
-        )
-
-    def _check_workspace_limit(
-        self, job: messages.Job
-    ) -> messages.Refusal | None:
-        if self._context.whole_domain:
-            # The limit is per instance; the sending one has checked it.
-            return None
-        workspace = self._context.document.workspaces.get(job.workspace)
-        most = workspace.max_in_flight if workspace else 0
-        if not most or self._waiting.in_flight[job.workspace] < most:
-            return None
-        return messages.Refusal(
-            job.request_id,
-            errors.ErrorKind.WORKSPACE_LIMIT,
-            f"workspace {job.workspace} is at its limit of "
-            f"{most} concurrent requests",
-            DEFAULT_RETRY_AFTER_S,
-        )
-
-    def _refuse(
-        self, job: messages.Job, backlog: messages.Backlog, now_s: float
-    ) -> messages.Refusal | None:
-        reason = _blocked_reason(job, backlog)
-        if reason is None:
-            reason = self._policies.admission.refuse(job, backlog, now_s)
-        bound = self._policies.admission.max_waiting()
-        if reason is None and len(self._waiting) >= bound:
-            reason = self._make_room(job, now_s)
-        if reason is None:
-            return None
-        return self._refusal(
-            job, errors.ErrorKind.OVERLOADED, reason, backlog, now_s
-        )
-
-    def _make_room(self, job: messages.Job, now_s: float) -> str | None:
-        """Evicts a waiting job of a lower tier, or returns why it cannot.
-
-        Each waiting request holds a thread of the entry. Without the bound a
-        burst would take all threads, and a request of a higher tier would not
-        even be read; without the eviction the bound itself would refuse that
-        request in favour of a lower tier.
-        """
-        evicted = self._policies.queue.evict(job)
-        if evicted is None:
-            return f"{len(self._waiting)} requests are already waiting"
-        self._prefill.remove(evicted.request_id, placed=False)
-        self._waiting.leave(evicted)
-        self._pending_refusals.append(
-            self._refusal(
-                evicted,
-                errors.ErrorKind.OVERLOADED,
-                f"evicted from the queue by a request of tier rank {job.rank}",
-                self.backlog(evicted, now_s),
-                now_s,
-            )
-        )
-        return None
-
-    def _enqueue(
-        self, job: messages.Job, backlog: messages.Backlog, now_s: float
-    ) -> None:
-        self._policies.queue.push(job, now_s)
-        if self._context.overload.orders_by_prefill:
-            uncached = self._policies.choice.uncached_tokens(job, now_s)
-            self._prefill.add(job, uncached)
-        self._waiting.add_queued(job)
-        self._roster.changed.add(job.service)
-        next_check_s = self._policies.admission.next_check_s(
-            job, backlog, now_s
-        )
-        self._waiting.schedule_check(job, next_check_s)
-        preemption_check_s = self._policies.preemption.preemption_check_s(job)
-        if preemption_check_s is not None:
-            self._waiting.schedule_service_check(job, preemption_check_s)
-        recheck_after_s = self._policies.choice.recheck_after_s(job)
-        if recheck_after_s is not None:
-            self._waiting.schedule_service_check(job, now_s + recheck_after_s)
-
     # -- placement by another instance ----------------------------------------
 
     def may_place_remotely(self, job: messages.Job, now_s: float) -> bool:
@@ -251,7 +105,7 @@
         refusal = self._check_endpoint(job)
         if refusal is None:
             backlog = self.backlog(job, now_s)
-            reason = _blocked_reason(job, backlog)
+            reason = arrivals.blocked_reason(job, backlog)
             if reason is None:
                 self._enqueue(job, backlog, now_s)
                 return True
@@ -373,7 +227,7 @@
             if reason is None and (
                 backlog.pause_wait_s > 0.0 or math.isinf(backlog.limit_wait_s)
             ):
-                reason = _blocked_reason(job, backlog)
+                reason = arrivals.blocked_reason(job, backlog)
             gone = self._check_endpoint(job)
             if reason is None and gone is not None:
                 reason = gone.detail
@@ -390,38 +244,6 @@
                 job, errors.ErrorKind.QUEUE_TIMEOUT, reason, backlog, now_s
             )
 
-    def _refusal(
-        self,
-        job: messages.Job,
-        kind: errors.ErrorKind,
-        reason: str,
-        backlog: messages.Backlog,
-        now_s: float,
-    ) -> messages.Refusal:
-        retry_after_s = self._policies.retry.retry_after_s(backlog)
-        self._forecast.record_refusal(job, now_s)
-        return messages.Refusal(
-            job.request_id,
-            kind,
-            reason,
-            retry_after_s,
-            self._count_less_urgent(job),
-        )
-
-    def _count_less_urgent(self, job: messages.Job) -> int:
-        """Counts the running jobs of a job's service of lower tiers."""
-        document = self._context.document
-        if job.class_id not in document.classes:
-            return 0
-        rank = document.tier_of(job.class_id).rank
-        held = self._roster.capacities[job.service].held_by_class
-        return sum(
-            count
-            for class_id, count in held.items()
-            if class_id in document.classes
-            and document.tier_of(class_id).rank > rank
-        )
-
     def _preempt(
         self, service: ids.ServiceId, now_s: float
     ) -> typing.Iterator[messages.Preemption]:
@@ -514,7 +336,8 @@
             return False
         if (
             not remote
-            and _blocked_reason(job, self.backlog(job, now_s)) is not None
+            and arrivals.blocked_reason(job, self.backlog(job, now_s))
+            is not None
         ):
             return False
         if not self._policies.retry.may_retry(job, outcome, now_s):
@@ -566,7 +389,7 @@
         if refusal is not None:
             return refusal.retry_after_s
         backlog = self.backlog(job, now_s)
-        if _blocked_reason(job, backlog) is None:
+        if arrivals.blocked_reason(job, backlog) is None:
             return None
         return self._policies.retry.retry_after_s(backlog)
 
@@ -586,54 +409,3 @@
             and self._context.restrictions.allows(state.endpoint, now_s)
         ]
         return bool(others) and self._policies.retry.may_redo(job, now_s)
-
-    def backlog(self, job: messages.Job, now_s: float) -> messages.Backlog:
-        """Returns the work ahead of a job in its own domain."""
-        ahead = self._policies.queue.jobs_ahead(job)
-        reachable = self._roster.reachable(job.service)
-        available = self._roster.available(reachable, now_s)
-        backlog = self._forecast.backlog(
-            job,
-            self._roster.capacities[job.service],
-            self._roster.rate_budget.wait_s(available, ahead, now_s),
-            self._roster.pause_wait_s(reachable, now_s),
-            now_s,
-        )
-        if not job.prompt_tokens:
-            # Slots limit calls without a prompt, as without the controls.
-            return backlog
-        if not self._context.overload.orders_by_prefill:
-            return backlog
-        return self._with_prefill(job, backlog, now_s)
-
-    def _share_ahead(self, job: messages.Job, now_s: float) -> float:
-        is_late = self._roster.lateness.is_late(job, now_s)
-        return self._policies.queue.share_ahead(job, is_late)
-
-    def _with_prefill(
-        self, job: messages.Job, backlog: messages.Backlog, now_s: float
-    ) -> messages.Backlog:
-        """Adds what the overload controls predict."""
-        prefill_wait_s = self._prefill.wait_s(job, now_s)
-        return dataclasses.replace(
-            backlog,
-            predicted_wait_s=max(backlog.predicted_wait_s, prefill_wait_s),
-            prefill_wait_s=prefill_wait_s,
-            lower_waiting=self._policies.queue.lower_waiting(job) > 1,
-            is_late=self._roster.lateness.is_late(job, now_s),
-        )
-
-
-def _blocked_reason(job: messages.Job, backlog: messages.Backlog) -> str | None:
-    """Returns the reason if endpoints delay a job too long, or None."""
-    if backlog.pause_wait_s > job.target_first_token_s:
-        return (
-            "all endpoints have asked for a pause of "
-            f"{backlog.pause_wait_s:.2f} s more"
-        )
-    wait_s = backlog.limit_wait_s
-    if wait_s <= job.target_first_token_s:
-        return None
-    if math.isinf(wait_s):
-        return "the rate limits of all endpoints are used by another instance"
-    return f"rate limits of all endpoints delay it by {wait_s:.2f} s"
--- a/cardamombarrow/entry/call_runner.py
+++ b/cardamombarrow/entry/call_runner.py
@@ -10,6 +10,7 @@
 from cardamombarrow.entry import gate as gate_module
 from cardamombarrow.entry import in_force
 from cardamombarrow.entry import incoming
+from cardamombarrow.entry import metrics
 from cardamombarrow.entry import once
 from cardamombarrow.entry import readiness as readiness_module
 from cardamombarrow.entry import request_handler
@@ -57,16 +58,19 @@
 
     def metrics_text(self) -> str:
         """Returns what the entry counts, in the Prometheus text format."""
+        broker = self.services.broker
         return self.services.metrics.text(
-            self.held,
-            self._documents.revision,
-            self.services.broker.rate_limited(),
-            self.services.broker.paused(),
-            self.services.broker.invalid_fields(),
-            self.services.broker.slow(),
-            suspects=self.services.broker.suspect_counts(),
-            unreachable=len(self.services.reachability.cut_off()),
-            brittle=self.services.broker.brittle(),
+            metrics.Gauges(
+                held=self.held,
+                revision=self._documents.revision,
+                rate_limited=broker.rate_limited(),
+                paused=broker.paused(),
+                invalid_fields=broker.invalid_fields(),
+                slow=broker.slow(),
+                suspects=broker.suspect_counts(),
+                unreachable=len(self.services.reachability.cut_off()),
+                brittle=broker.brittle(),
+            )
         )
 
     def begin(
--- a/cardamombarrow/entry/metrics.py
+++ b/cardamombarrow/entry/metrics.py
@@ -6,6 +6,7 @@
 
 import collections
 from collections import abc
+import dataclasses
 import threading
 
 from hdrh import histogram
@@ -16,7 +17,7 @@
 from cardamombarrow.placing import messages as placing_messages
 from cardamombarrow.resumption import core as resumption
 
-__all__ = ["Metrics"]
+__all__ = ["Gauges", "Metrics"]
 
 HIGHEST_MS = 3_600_000
 SIGNIFICANT_DIGITS = 2
@@ -34,7 +35,37 @@
 }
 """Errors that do not count as a missed target."""
 
-_NO_SUSPECTS = messages.SuspectCounts()
+
+@dataclasses.dataclass(frozen=True)
+class Gauges:
+    """What an entry's parts count at the moment.
+
+    Attributes:
+        held: Requests held now.
+        revision: Revision in force.
+        rate_limited: Endpoints that state a rate limit.
+        paused: Endpoints that have asked for a pause.
+        invalid_fields: Header fields of endpoints' answers that could not be
+            parsed, by name.
+        slow: Endpoints whose prefill is known to be slow.
+        suspects: What may crash endpoints, or does.
+        unreachable: Services of which no endpoint can be connected.
+        brittle: Endpoints that limit their rejections.
+    """
+
+    held: int
+    revision: ids.Revision
+    rate_limited: int = 0
+    paused: int = 0
+    invalid_fields: abc.Mapping[str, int] = dataclasses.field(
+        default_factory=dict
+    )
+    slow: int = 0
+    suspects: messages.SuspectCounts = dataclasses.field(
+        default_factory=messages.SuspectCounts
+    )
+    unreachable: int = 0
+    brittle: int = 0
 
 
 class _Latency:
@@ -178,52 +209,28 @@
         with self._lock:
             self._sent_under_limit += 1
 
-    def text(
-        self,
-        held: int,
-        revision: ids.Revision,
-        rate_limited: int = 0,
-        paused: int = 0,
-        invalid_fields: abc.Mapping[str, int] | None = None,
-        slow: int = 0,
-        suspects: messages.SuspectCounts = _NO_SUSPECTS,
-        unreachable: int = 0,
-        brittle: int = 0,
-    ) -> str:
-        """Returns all metrics in the Prometheus text format.
-
-        Args:
-            held: Requests held now.
-            revision: Revision in force.
-            rate_limited: Endpoints that state a rate limit.
-            paused: Endpoints that have asked for a pause.
-            invalid_fields: Header fields of endpoints' answers that could not
-                be parsed, by name.
-            slow: Endpoints whose prefill is known to be slow.
-            suspects: What may crash endpoints, or does.
-            brittle: Endpoints that limit their rejections.
-            unreachable: Services of which no endpoint can be connected.
-        """
-        gauges = {
-            "requests_held": held,
+    def text(self, gauges: Gauges) -> str:
+        """Returns all metrics in the Prometheus text format."""
+        values = {
+            "requests_held": gauges.held,
             "requests_waiting": self.waiting,
-            "document_revision": revision,
-            "rate_limited_endpoints": rate_limited,
-            "paused_endpoints": paused,
-            "slow_endpoints": slow,
-            "suspect_requests": suspects.requests,
-            "quarantined_requests": suspects.quarantined_requests,
-            "suspect_prompt_parts": suspects.parts,
-            "quarantined_prompt_parts": suspects.quarantined_parts,
-            "unreachable_services": unreachable,
-            "rejection_limited_endpoints": brittle,
+            "document_revision": gauges.revision,
+            "rate_limited_endpoints": gauges.rate_limited,
+            "paused_endpoints": gauges.paused,
+            "slow_endpoints": gauges.slow,
+            "suspect_requests": gauges.suspects.requests,
+            "quarantined_requests": gauges.suspects.quarantined_requests,
+            "suspect_prompt_parts": gauges.suspects.parts,
+            "quarantined_prompt_parts": gauges.suspects.quarantined_parts,
+            "unreachable_services": gauges.unreachable,
+            "rejection_limited_endpoints": gauges.brittle,
         }
         with self._lock:
-            lines = [*self._lines(gauges)]
+            lines = [*self._lines(values)]
         lines.append(f"# TYPE {PREFIX}invalid_statements_total counter")
         lines += [
             f'{PREFIX}invalid_statements_total{{field="{name}"}} {count}'
-            for name, count in (invalid_fields or {}).items()
+            for name, count in gauges.invalid_fields.items()
         ]
         return "\n".join(lines) + "\n"
 
--- a/cardamombarrow/entry/tests/test_metrics.py
+++ b/cardamombarrow/entry/tests/test_metrics.py
@@ -32,7 +32,7 @@
 
 
 def _read(counted: metrics.Metrics) -> dict[str, float]:
-    return _samples(counted.text(3, ids.Revision(7)))
+    return _samples(counted.text(metrics.Gauges(3, ids.Revision(7))))
 
 
 def test_latency_and_attainment_are_reported_by_class():
@@ -72,7 +72,7 @@
 def test_slow_endpoints_are_reported():
     # Machines that are busy with other work would otherwise only show as late
     # first tokens.
-    text = metrics.Metrics().text(0, ids.Revision(1), slow=3)
+    text = metrics.Metrics().text(metrics.Gauges(0, ids.Revision(1), slow=3))
     assert "cardamombarrow_slow_endpoints 3\n" in text
 
 
--- a/cardamombarrow/platform/tests/test_crashing_parts_soak.py
+++ b/cardamombarrow/platform/tests/test_crashing_parts_soak.py
@@ -10,13 +10,12 @@
 import contextlib
 import os
 import random
-import signal
-import threading
 import time
 
 import pytest
 
 from cardamombarrow.platform.tests import crashing_servers
+from cardamombarrow.platform.tests import disruptions
 from cardamombarrow.platform.tests import stream_client
 from tools import deployment
 
@@ -29,7 +28,6 @@
     "b": ["b-1", "b-2"],
     "c": ["c-1", "c-2"],
 }
-_NAMES = [name for group in _ENTRIES.values() for name in group]
 _ZONES = ("a", "a", "b", "b", "c", "c")
 _DEADLY = ("dead1", "dead2")
 _CONTACT_S = 4.0
@@ -44,84 +42,37 @@
 _DISRUPTIONS_AT_ONCE = 2
 
 
-class _Disruptions:
-    """Ends, freezes and cuts at random, and the times in which they last."""
-
-    def __init__(self, running, seed):
-        self._running = running
-        self._rng = random.Random(seed)
-        self._stop = threading.Event()
-        self._locks = {name: threading.Lock() for name in _NAMES}
-        self._cut_lock = threading.Lock()
-        self._spans: dict[str, list[list[float]]] = {n: [] for n in _NAMES}
-
-    @contextlib.contextmanager
-    def going_on(self):
-        """Disturbs entries while the context is open."""
-        with futures.ThreadPoolExecutor(_DISRUPTIONS_AT_ONCE + 1) as pool:
-            tasks = _DISRUPTIONS_AT_ONCE * [self._disturb] + [self._cut]
-            pending = [
-                pool.submit(task, random.Random(self._rng.random()))
-                for task in tasks
-            ]
-            try:
-                yield
-            finally:
-                self._stop.set()
-            for each in pending:
-                each.result()
-
-    def is_in_touch(self, name, at_s):
-        """Returns whether an entry was undisturbed for long enough."""
-        return all(
-            not start_s <= at_s <= end_s + _CONTACT_S
-            for start_s, end_s in self._spans[name]
-        )
-
-    @contextlib.contextmanager
-    def _span(self, names):
-        spans = []
-        for name in names:
-            spans.append([time.monotonic(), float("inf")])
-            self._spans[name].append(spans[-1])
-        yield
-        for span in spans:
-            span[1] = time.monotonic()
-
-    def _disturb(self, rng):
-        while not self._stop.wait(rng.uniform(1.0, 4.0)):
-            name = rng.choice(_NAMES)
-            if not self._locks[name].acquire(blocking=False):
-                continue
-            with contextlib.ExitStack() as stack:
-                stack.callback(self._locks[name].release)
-                stack.enter_context(self._span([name]))
-                self._disturb_one(rng, name)
-
-    def _disturb_one(self, rng, name):
-        kind = rng.choice(("kill", "kill", "stop", "freeze"))
-        if kind == "freeze":
-            self._running.signal(name, signal.SIGSTOP)
-            time.sleep(rng.uniform(0.3, 1.5))
-            self._running.signal(name, signal.SIGCONT)
-        elif kind == "kill":
-            down_s = rng.uniform(0.0, 1.0)
-            self._running.restart(name, signal.SIGKILL, down_s)
-        else:
-            self._running.restart(name, signal.SIGTERM)
-
-    def _cut(self, rng):
-        while not self._stop.wait(rng.uniform(4.0, 8.0)):
-            domain = rng.choice(list(_ENTRIES))
-            inside = {*_ENTRIES[domain], f"control-{domain}"}
-            outside = {*_NAMES, *self._running.controls} - inside
-            links = self._running.proxy.between(inside, outside)
-            with self._span(_ENTRIES[domain]):
-                for link in links:
-                    link.cut()
-                time.sleep(rng.uniform(2.0, 5.0))
-                for link in links:
-                    link.restore()
+@contextlib.contextmanager
+def _going_on(disturbed, seed):
+    """Disturbs entries and cuts off domains while the context is open."""
+    rng = random.Random(seed)
+    tasks = _DISRUPTIONS_AT_ONCE * [disturbed.disturb]
+    tasks.append(lambda of_cuts: _cut(disturbed, of_cuts))
+    with futures.ThreadPoolExecutor(len(tasks)) as pool:
+        pending = [
+            pool.submit(task, random.Random(rng.random())) for task in tasks
+        ]
+        try:
+            yield
+        finally:
+            disturbed.stopped.set()
+        for each in pending:
+            each.result()
+
+
+def _cut(disturbed, rng):
+    running = disturbed.running
+    while not disturbed.stopped.wait(rng.uniform(4.0, 8.0)):
+        domain = rng.choice(list(_ENTRIES))
+        inside = {*_ENTRIES[domain], f"control-{domain}"}
+        outside = {*running.entries, *running.controls} - inside
+        links = running.proxy.between(inside, outside)
+        with disturbed.span(_ENTRIES[domain]):
+            for link in links:
+                link.cut()
+            time.sleep(rng.uniform(2.0, 5.0))
+            for link in links:
+                link.restore()
 
 
 @pytest.mark.parametrize("seed", _SEEDS)
@@ -134,16 +85,16 @@
     plan.proxied = True
     with servers, deployment.Deployment(plan, tmp_path) as running:
         traffic = crashing_servers.Traffic(running, seed)
-        disruptions = _Disruptions(running, seed)
+        disturbed = disruptions.EntryDisruptions(running, _CONTACT_S)
         start_s = time.monotonic()
         traffic.run(_CALM_S, _SOUND_PER_S)
         calm_s = time.monotonic()
-        with disruptions.going_on():
+        with _going_on(disturbed, seed):
             traffic.run(_RUN_S, _SOUND_PER_S, _DEADLY_PER_S, _DEADLY)
         end_s = time.monotonic()
 
     def in_touch(sent):
-        return disruptions.is_in_touch(sent.entry, sent.at_s)
+        return disturbed.is_in_touch(sent.entry, sent.at_s)
 
     last_s = calm_s
     late = {}
--- a/cardamombarrow/platform/tests/test_version_soak.py
+++ b/cardamombarrow/platform/tests/test_version_soak.py
@@ -6,16 +6,15 @@
 """
 
 from concurrent import futures
-import contextlib
 import dataclasses
 import os
 import random
-import signal
 import threading
 import time
 
 import pytest
 
+from cardamombarrow.platform.tests import disruptions
 from cardamombarrow.platform.tests import standin_streams as standin
 from cardamombarrow.platform.tests import stream_client
 from tools import deployment
@@ -77,11 +76,10 @@
         self.mixed: list[list[tuple[str, int]]] = []
         self.broken: list[list[tuple[str, int]]] = []
         self._running: deployment.Deployment | None = None
+        self._disturbed: disruptions.EntryDisruptions | None = None
         self._servers = servers
         self._rng = random.Random(seed)
         self._stop = threading.Event()
-        self._locks = {name: threading.Lock() for name in _NAMES}
-        self._disturbed_s = dict.fromkeys(_NAMES, 0.0)
         self._identity = 0
 
     def start_servers(self):
@@ -96,7 +94,10 @@
 
     def run(self, running):
         self._running = running
-        tasks = _CALLERS * [self._call] + _DISRUPTIONS_AT_ONCE * [self._disturb]
+        disturbed = disruptions.EntryDisruptions(running, _CONTACT_S)
+        self._disturbed = disturbed
+        tasks = _CALLERS * [self._call]
+        tasks += _DISRUPTIONS_AT_ONCE * [disturbed.disturb]
         with futures.ThreadPoolExecutor(len(tasks) + 1) as pool:
             pending = [
                 pool.submit(task, random.Random(self._rng.random()))
@@ -105,6 +106,7 @@
             pending.append(pool.submit(self._roll))
             time.sleep(_RUN_S)
             self._stop.set()
+            disturbed.stopped.set()
             for each in pending:
                 each.result()
 
@@ -140,38 +142,6 @@
             self._stop.wait(_LISTED_S)
         self._servers.crash(listed)
 
-    # -- entries ---------------------------------------------------------------
-
-    def _disturb(self, rng):
-        while not self._stop.wait(rng.uniform(1.0, 4.0)):
-            name = rng.choice(_NAMES)
-            if not self._locks[name].acquire(blocking=False):
-                continue
-            with contextlib.ExitStack() as stack:
-                stack.callback(self._locks[name].release)
-                stack.callback(self._mark, name)
-                self._mark(name)
-                self._disturb_one(rng, name)
-
-    def _mark(self, name):
-        self._disturbed_s[name] = time.monotonic()
-
-    def _disturb_one(self, rng, name):
-        kind = rng.choice(("kill", "kill", "stop", "freeze"))
-        if kind == "freeze":
-            self._running.signal(name, signal.SIGSTOP)
-            time.sleep(rng.uniform(0.3, 1.5))
-            self._running.signal(name, signal.SIGCONT)
-        elif kind == "kill":
-            down_s = rng.uniform(0.0, 1.0)
-            self._running.restart(name, signal.SIGKILL, down_s)
-        else:
-            self._running.restart(name, signal.SIGTERM)
-
-    def _is_in_touch(self, name):
-        calm_s = time.monotonic() - self._disturbed_s[name]
-        return calm_s > _CONTACT_S and not self._locks[name].locked()
-
     # -- callers ---------------------------------------------------------------
 
     def _call(self, rng):
@@ -190,7 +160,7 @@
             self._check(events)
 
     def _try(self, attempt, name):
-        in_touch = self._is_in_touch(name)
+        in_touch = self._disturbed.is_in_touch(name, time.monotonic())
         try:
             with stream_client.open_stream(
                 self._running, attempt, name=name
@@ -199,7 +169,7 @@
         except OSError:
             time.sleep(0.05)
             return stream_client.Seen(0, b"", False)
-        if in_touch and self._is_in_touch(name):
+        if in_touch and self._disturbed.is_in_touch(name, time.monotonic()):
             went_on = bool(seen.events)
             self.tries.append(_Try(bool(attempt.resumes), went_on))
         return seen
