Part what control tells an entry from its links

peering.py kept early suspects, the count of entries and whether the entry is new as three fields and six methods beside its links; ControlNews holds them until the broker exists. Moves only; one test reads its constant there.

--- a/cardamombarrow/entry/peering.py
+++ b/cardamombarrow/entry/peering.py
@@ -3,7 +3,6 @@
 import collections
 from collections import abc
 from concurrent import futures
-import math
 import secrets
 import time
 
@@ -13,6 +12,7 @@
 from cardamombarrow.endpoints import base as endpoints_base
 from cardamombarrow.endpoints import poller as poller_module
 from cardamombarrow.entry import broker as broker_module
+from cardamombarrow.entry import control_news
 from cardamombarrow.entry import in_force
 from cardamombarrow.entry import lease as lease_module
 from cardamombarrow.entry import metrics as metrics_module
@@ -37,8 +37,6 @@
 )
 from cardamombarrow.peers.control import control_pb2
 from cardamombarrow.peers.control import metering_collector
-from cardamombarrow.peers.control import suspect_codec
-from cardamombarrow.peers.control import suspect_relay
 from cardamombarrow.peers.gossip import bridge as gossip_bridge_module
 from cardamombarrow.peers.gossip import node as gossip_node
 from cardamombarrow.peers.placing import client as placing_client
@@ -62,14 +60,6 @@
 QUERY_TIMEOUT_S = 2.0
 """Longest wait for each source of the first document."""
 
-SUSPECTS_SENT_S = 10.0
-"""How long each report to control contains the same suspects: a broken link is
-replaced within this time."""
-
-ENTRY_COUNT_INTERVAL_S = 0.9
-"""Shortest time between two counts of entries that are applied: a part of a
-global bound grows by a hundredth at most with each."""
-
 BOOT_BYTES = 4
 """Random bytes that distinguish the starts of an entry."""
 
@@ -125,11 +115,9 @@
         self._on_forwarding_entries: abc.Callable[
             [abc.Iterable[str], abc.Iterable[str]], None
         ] = lambda near, far: None
-        self._early_suspects: list[messages.SuspectReport] = []
-        self._early_entry_count = 0
-        self._is_new = False
-        self._counted_s = -math.inf
         self._cache_announcement_number = 0
+        self.origins = resumption.StreamOrigins(time_source)
+        self._news = control_news.ControlNews(time_source, self.origins)
         self.control = control_client.ControlClient(
             self._loop,
             settings.peers.control_addresses(),
@@ -139,12 +127,11 @@
             documents.revision_and_text,
             settings.peers.report_interval_s,
             self._domain,
-            self._on_suspects,
+            self._news.on_suspects,
             self._on_forwarders,
-            self._on_entry_count,
-            self._on_new,
+            self._news.on_entry_count,
+            self._news.on_new,
         )
-        self.origins = resumption.StreamOrigins(time_source)
         boot_clock = clock.BootClock()
         self.lease = lease_module.DocumentLease(
             settings.document.confirmed_within_s, boot_clock
@@ -170,7 +157,6 @@
         process may have restarted, and others only pass on those of their own
         followers.
         """
-        suspects = self._known_suspects() if first else self._recent_suspects()
         return control_pb2.AppliedReport(
             instance=self._instance,
             domain=self._domain,
@@ -178,59 +164,8 @@
             address=self._address(),
             places=self._placer is not None and self._placer.owners > 0,
             forward_address=self._forward_address(),
-            suspects=suspect_codec.suspects_to_wire(
-                suspects, self._clock.now_s()
-            ),
-        )
-
-    def _known_suspects(self) -> list[messages.SuspectReport]:
-        if self._broker is None:
-            return self._early_suspects
-        return self._broker.known_suspects()[-suspect_relay.MAX_REPORTS :]
-
-    def _recent_suspects(self) -> list[messages.SuspectReport]:
-        if self._broker is None:
-            return []
-        oldest_s = self._clock.now_s() - SUSPECTS_SENT_S
-        return [
-            report
-            for report in self._broker.own_suspects()
-            if report.seen_s >= oldest_s
-        ]
-
-    def _on_suspects(
-        self, reports: abc.Sequence[control_pb2.SuspectReport]
-    ) -> None:
-        suspects = suspect_codec.suspects_from_wire(
-            reports, self._clock.now_s()
+            suspects=self._news.suspects(all_known=first),
         )
-        if self._broker is not None:
-            self._broker.merge_suspects(suspects)
-        else:
-            self._early_suspects.extend(suspects)
-
-    def _on_new(self) -> None:
-        """Records that this entry had no process before; on the loop thread."""
-        if self._is_new:
-            return
-        self._is_new = True
-        logs.event("new entry")
-        self.origins.set_complete()
-        if self._broker is not None:
-            self._broker.set_new()
-
-    def _on_entry_count(self, count: int) -> None:
-        """Applies the number of entries that share the global bounds.
-
-        Called on the loop thread.
-        """
-        if self._broker is None:
-            self._early_entry_count = count
-            return
-        now_s = self._clock.now_s()
-        if now_s >= self._counted_s + ENTRY_COUNT_INTERVAL_S:
-            self._counted_s = now_s
-            self._broker.set_instances(count)
 
     def set_forwarding(
         self,
@@ -382,12 +317,7 @@
         )
         broker.set_departure_listener(self.membership.on_departure)
         broker.set_suspect_listener(self.control.report_now)
-        if self._early_suspects:
-            broker.merge_suspects(self._early_suspects)
-        if self._is_new:
-            broker.set_new()
-        if self._early_entry_count:
-            broker.set_instances(self._early_entry_count)
+        self._news.join(broker)
         poller = poller_module.Poller(
             self._settings.platform.report_interval_s,
             self.membership.on_report,
--- a/cardamombarrow/tests/test_crashing_requests.py
+++ b/cardamombarrow/tests/test_crashing_requests.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from cardamombarrow.entry import peering
+from cardamombarrow.entry import control_news
 from tools import caller
 from tools import deployment
 from tools import engine_restarter
@@ -146,7 +146,7 @@
         urls = itertools.cycle(running.entries.values())
         while not _is_quarantined(_book(next(urls), bad, next(keys))):
             time.sleep(2 * _RESTART_S)
-        time.sleep(peering.SUSPECTS_SENT_S + 1.0)
+        time.sleep(control_news.SUSPECTS_SENT_S + 1.0)
         before = restarter.count
         for name in running.controls:
             running.restart(name, signal.SIGKILL)
