Confirmations: call what was moved, and log tasks that fail

Entries refused everything as out of date 3.5 s after their start: the parting of ControlNews left one call of a method that had moved, in the reply to each confirmation, and the task of the confirmations ended without a line. A standing task that ends by an error now writes `task failed`, with a test.

--- a/cardamombarrow/entry/peering.py
+++ b/cardamombarrow/entry/peering.py
@@ -248,7 +248,7 @@
             self.control.addresses()
         ):
             self.control.set_controls(tuple(reply.controls))
-        self._on_entry_count(max(reply.entry_count, 1))
+        self._news.on_entry_count(max(reply.entry_count, 1))
         if self._broker is not None:
             self._cache_announcement_number = reply.kept_number
             known = self.membership.endpoints_by_hash()
--- a/cardamombarrow/peers/loop.py
+++ b/cardamombarrow/peers/loop.py
@@ -15,6 +15,7 @@
 import typing
 
 from cardamombarrow.kernel import lifecycle
+from cardamombarrow.kernel import logs
 
 __all__ = ["LoopPart", "LoopThread"]
 
@@ -97,6 +98,20 @@
     def start(self) -> None:
         """Starts the task."""
         self._task = self._loop.call(self._run())
+        self._task.add_done_callback(self._log_failure)
+
+    def _log_failure(self, task: futures.Future[None]) -> None:
+        """Logs why a task has ended that should have run on."""
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None:
+            logs.event(
+                "task failed",
+                "ERROR",
+                part=type(self).__name__,
+                detail=repr(error),
+            )
 
     def stop(self) -> None:
         """Cancels the task."""
