One way to cancel a run; crashes of a part in order once a verdict

Cancelling quarantined runs marked and counted a run as the preemption for a waiting one does; both call the same method now. The verdict on parts sorted the crashes of each part up to three times; it does so once. No change of behaviour: tests of decisions and entry pass, and test_crashing_parts (chunked) on real processes (5 crashes, none late).

--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -161,18 +161,27 @@
             refusal = self._check_quarantine(running.job, now_s)
             if refusal is None:
                 continue
-            running.preempted = True
-            self._roster.capacities[running.job.service].preempting += 1
             self._pending_cancellations.append(
-                messages.Preemption(
-                    request_id=running.job.request_id,
-                    endpoint=running.endpoint,
-                    wasted_tokens=running.tokens,
-                    requeue=False,
-                    reason=refusal.detail,
-                )
+                self._cancel(running, requeue=False, reason=refusal.detail)
             )
 
+    def _cancel(
+        self, running: messages.Running, *, requeue: bool, reason: str
+    ) -> messages.Preemption:
+        """Marks a run as preempted, and returns what its entry is told.
+
+        A preempted request holds its slot until it has ended.
+        """
+        running.preempted = True
+        self._roster.capacities[running.job.service].preempting += 1
+        return messages.Preemption(
+            request_id=running.job.request_id,
+            endpoint=running.endpoint,
+            wasted_tokens=running.tokens,
+            requeue=requeue,
+            reason=reason,
+        )
+
     def withdraw(self, request_id: ids.RequestId) -> bool:
         """Removes a waiting job whose caller has disconnected."""
         if self.drop_remote_placement(request_id):
@@ -269,13 +278,9 @@
             requeue = victim.first_token_s is None
             if requeue and not self.reserve_retry(victim.job, now_s):
                 return
-            victim.preempted = True
-            capacity.preempting += 1
             self.preemptions += 1
-            yield messages.Preemption(
-                request_id=victim.job.request_id,
-                endpoint=victim.endpoint,
-                wasted_tokens=victim.tokens,
+            yield self._cancel(
+                victim,
                 requeue=requeue,
                 reason=f"preempted by {job.request_id} of rank {job.rank}",
             )
--- a/cardamombarrow/decisions/fleet/part_evidence.py
+++ b/cardamombarrow/decisions/fleet/part_evidence.py
@@ -227,11 +227,12 @@
             return
         self._changed = False
         self.due_s = math.inf
-        crashes_of = {
-            part: frozenset(self._crashes(part))
+        in_order = {
+            part: self._crashes(part)
             for part, crashes in self._accused.items()
             if len(crashes) >= CRASHES_OF_CULPRIT
         }
+        crashes_of = {part: frozenset(each) for part, each in in_order.items()}
         ranked = sorted(
             crashes_of, key=lambda part: (-len(crashes_of[part]), part)
         )
@@ -242,13 +243,13 @@
             if len(crashes) < CRASHES_OF_CULPRIT:
                 continue
             explained |= crashes
-            if self._is_proven(part, now_s):
+            if self._is_proven(part, in_order[part], now_s):
                 equal = frozenset(
                     each
                     for each in ranked
                     if crashes_of[each] == crashes_of[part]
                 )
-                culprits.append(_culprit(equal, self._crashes(part)))
+                culprits.append(_culprit(equal, in_order[part]))
         self.culprits = tuple(culprits)
 
     def _crashes(self, part: ids.PartKey) -> list[Crash]:
@@ -263,8 +264,9 @@
             key=lambda crash: crash.seen_s,
         )
 
-    def _is_proven(self, part: ids.PartKey, now_s: float) -> bool:
-        crashes = self._crashes(part)
+    def _is_proven(
+        self, part: ids.PartKey, crashes: list[Crash], now_s: float
+    ) -> bool:
         if crashes[-1].seen_s - crashes[0].seen_s < MIN_SPAN_S:
             return False
         requests = set().union(
