--- a/review/stand/balancer.py
+++ b/review/stand/balancer.py
@@ -12,11 +12,7 @@
 
 
 class Balancer:
-    """Asks every entry once a second whether it is ready.
-
-    Attributes:
-        checks: Lines on the answers that changed, for the record.
-    """
+    """Asks every entry once a second whether it is ready."""
 
     def __init__(self, fleet: machines.Fleet):
         """Starts to ask the fleet's entries."""
--- a/review/stand/machines.py
+++ b/review/stand/machines.py
@@ -191,7 +191,7 @@
         settings = self._folder / f"{name}.ini"
         template_path = ROOT / self._commands[machine.role]["template"]
         text = template.render(template_path.read_text(), self._fields(machine))
-        # Two processes of one host can't share the fixed metrics port.
+        # The metrics port is fixed and may be in use by another run.
         settings.write_text(text.replace(":9464", f":{self._metrics_port}"))
         run = [
             str(settings) if each.endswith("/node.json") else each
