Log which check refuses a request, and what fills a control process

Lines of refusals named a kind, which several checks share, and nothing told what a control process held. Change: refusals name their check, how long the request had waited and when a less urgent one was last placed, also those that the placer makes; refusals_total counts them. Failed confirmations name the control process and the reason. Control processes count documents sent by way, and log their memory as it grows with what they hold. Result: the unit tests of decisions, entry, placing, peers, kernel and control passed.

--- a/cardamombarrow/control/core.py
+++ b/cardamombarrow/control/core.py
@@ -27,6 +27,7 @@
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import lifecycle
 from cardamombarrow.kernel import logs
+from cardamombarrow.kernel import memory
 from cardamombarrow.kernel import registry
 from cardamombarrow.kernel import reloading
 from cardamombarrow.log import base
@@ -41,6 +42,7 @@
 from cardamombarrow.peers.control import follower_exchange
 from cardamombarrow.peers.control import followers as followers_module
 from cardamombarrow.peers.control import metering_collector
+from cardamombarrow.peers.control import sends as sends_module
 from cardamombarrow.peers.control import service as control_service
 from cardamombarrow.peers.log import transport as log_transport
 
@@ -173,6 +175,12 @@
             demand=metered.demand.all(now_s),
         )
 
+    @property
+    def sends(self) -> sends_module.DocumentSends | None:
+        """Counts of the documents sent to entries; None before the start."""
+        service = self._state.service
+        return None if service is None else service.followers.sends
+
     @property
     def followers(
         self,
@@ -323,6 +331,21 @@
     return app_class(editions.Editions(log, state))
 
 
+def _held_bytes(
+    log: driver.ReplicatedLog,
+    state: _PublishingState,
+    peers: _PeerServer,
+) -> dict[str, int]:
+    """Returns what grows with the document and its readers."""
+    sends = peers.sends
+    return {
+        "document_bytes": len(state.document.text),
+        "documents_sending_bytes": 0 if sends is None else sends.pending_bytes,
+        "log_bytes": log.held_bytes(),
+        "followers": len(peers.followers),
+    }
+
+
 def _duties(
     settings: settings_module.ControlSettings,
     log: base.Log,
@@ -380,7 +403,8 @@
     web = http.HttpServer(
         settings.http, _operator_app(settings, log, state, peers)
     )
-    parts: list[lifecycle.Part] = [loop, peers, _LogLifecycle(log)]
+    watch = memory.MemoryWatch(lambda: _held_bytes(log, state, peers))
+    parts: list[lifecycle.Part] = [watch, loop, peers, _LogLifecycle(log)]
     if settings.state.first_document:
         first_text = pathlib.Path(settings.state.first_document).read_text()
         parsing.parse(first_text)
@@ -399,7 +423,8 @@
         parts.append(duties)
         orders = duties.orders
     side = http.side_server(
-        settings.side.metrics, metrics.MetricsApp(log, state, orders)
+        settings.side.metrics,
+        metrics.MetricsApp(log, state, orders, lambda: peers.sends),
     )
     parts += [web] if side is None else [web, side]
     reloader = None
--- a/cardamombarrow/control/metrics.py
+++ b/cardamombarrow/control/metrics.py
@@ -11,7 +11,9 @@
 from werkzeug import wrappers
 
 from cardamombarrow.control import state as state_module
+from cardamombarrow.kernel import memory
 from cardamombarrow.log import base
+from cardamombarrow.peers.control import sends as sends_module
 
 __all__ = ["MetricsApp"]
 
@@ -28,6 +30,9 @@
         log: base.Log,
         state: state_module.ControlState,
         orders: abc.Callable[[], list[dict[str, typing.Any]]] = list,
+        sends: abc.Callable[[], sends_module.DocumentSends | None] = (
+            lambda: None
+        ),
     ):
         """Builds the application.
 
@@ -35,10 +40,12 @@
             log: The log of this process.
             state: The replicated state of this process.
             orders: Returns the endpoints that this process has ordered.
+            sends: Returns the counts of documents sent; None before the start.
         """
         self._log = log
         self._state = state
         self._orders = orders
+        self._sends = sends
 
     def __call__(
         self, environ: dict[str, typing.Any], start_response: typing.Any
@@ -86,6 +93,7 @@
             ("log_voters", len(status.voters)),
             ("document_revision", accepted.revision),
             ("document_number", accepted.number),
+            ("resident_memory_bytes", memory.resident_bytes()),
             ("duties_fencing", self._state.duties.holder_state.holder.fencing),
             (
                 "usage_reports_open",
@@ -94,5 +102,19 @@
         ):
             yield f"# TYPE {PREFIX}{name} gauge"
             yield f"{PREFIX}{name} {value}"
+        sends = self._sends()
+        counts = {} if sends is None else sends.counts()
+        yield f"# TYPE {PREFIX}document_bytes_sent_total counter"
+        for way, count in counts.items():
+            yield (
+                f'{PREFIX}document_bytes_sent_total{{way="{way.value}"}} '
+                f"{count.size_bytes}"
+            )
+        yield f"# TYPE {PREFIX}documents_sent_total counter"
+        for way, count in counts.items():
+            yield (
+                f'{PREFIX}documents_sent_total{{way="{way.value}"}} '
+                f"{count.messages}"
+            )
         yield f"# TYPE {PREFIX}log_wakeups_total counter"
         yield f"{PREFIX}log_wakeups_total {status.wakeups}"
--- a/cardamombarrow/decisions/arrivals.py
+++ b/cardamombarrow/decisions/arrivals.py
@@ -66,6 +66,7 @@
             errors.ErrorKind.QUARANTINED,
             reason,
             self._policies.quarantine.retry_after_s(job, now_s),
+            check=errors.RefusalCheck.QUARANTINE,
         )
 
     def _check_endpoint(self, job: messages.Job) -> messages.Refusal | None:
@@ -85,6 +86,7 @@
             errors.ErrorKind.NO_ENDPOINT,
             reason,
             DEFAULT_RETRY_AFTER_S,
+            check=errors.RefusalCheck.ENDPOINTS,
         )
 
     def _check_workspace_limit(
@@ -103,22 +105,25 @@
             f"workspace {job.workspace} is at its limit of "
             f"{most} concurrent requests",
             DEFAULT_RETRY_AFTER_S,
+            check=errors.RefusalCheck.WORKSPACE_LIMIT,
         )
 
     def _refuse(
         self, job: messages.Job, backlog: messages.Backlog, now_s: float
     ) -> messages.Refusal | None:
+        check = errors.RefusalCheck.ENDPOINT_PAUSES
         reason = blocked_reason(job, backlog)
         if reason is None:
+            check = errors.RefusalCheck.ADMISSION
             reason = self._policies.admission.refuse(job, backlog, now_s)
         bound = self._policies.admission.max_waiting()
         if reason is None and len(self._waiting) >= bound:
+            check = errors.RefusalCheck.QUEUE_LENGTH
             reason = self._make_room(job, now_s)
         if reason is None:
             return None
-        return self._refusal(
-            job, errors.ErrorKind.OVERLOADED, reason, backlog, now_s
-        )
+        kind = errors.ErrorKind.OVERLOADED
+        return self._refusal(job, kind, check, reason, backlog, now_s)
 
     def _make_room(self, job: messages.Job, now_s: float) -> str | None:
         """Evicts a waiting job of a lower tier, or returns why it cannot.
@@ -137,6 +142,7 @@
             self._refusal(
                 evicted,
                 errors.ErrorKind.OVERLOADED,
+                errors.RefusalCheck.EVICTION,
                 f"evicted from the queue by a request of tier rank {job.rank}",
                 self.backlog(evicted, now_s),
                 now_s,
@@ -168,6 +174,7 @@
         self,
         job: messages.Job,
         kind: errors.ErrorKind,
+        check: errors.RefusalCheck,
         reason: str,
         backlog: messages.Backlog,
         now_s: float,
@@ -180,6 +187,8 @@
             reason,
             retry_after_s,
             self._count_less_urgent(job),
+            check,
+            self.less_urgent_start_age_s(job.service, job.class_id, now_s),
         )
 
     def _count_less_urgent(self, job: messages.Job) -> int:
--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -109,8 +109,14 @@
             if reason is None:
                 self._enqueue(job, backlog, now_s)
                 return True
-            kind = errors.ErrorKind.OVERLOADED
-            refusal = self._refusal(job, kind, reason, backlog, now_s)
+            refusal = self._refusal(
+                job,
+                errors.ErrorKind.OVERLOADED,
+                errors.RefusalCheck.ENDPOINT_PAUSES,
+                reason,
+                backlog,
+                now_s,
+            )
         self._waiting.leave(job)
         self._pending_refusals.append(refusal)
         return True
@@ -250,7 +256,12 @@
             self._prefill.remove(job.request_id, placed=False)
             self._waiting.leave(job)
             yield self._refusal(
-                job, errors.ErrorKind.QUEUE_TIMEOUT, reason, backlog, now_s
+                job,
+                errors.ErrorKind.QUEUE_TIMEOUT,
+                errors.RefusalCheck.WAITING,
+                reason,
+                backlog,
+                now_s,
             )
 
     def _preempt(
--- a/cardamombarrow/decisions/messages.py
+++ b/cardamombarrow/decisions/messages.py
@@ -494,6 +494,9 @@
     Attributes:
         less_urgent_running: Running requests of its service whose class is of a
             lower tier, as far as the deciding instance placed them.
+        check: The check that refused it.
+        less_urgent_start_age_s: Time since the last less urgent request of its
+            service was placed, in seconds; None if none was.
     """
 
     request_id: ids.RequestId
@@ -501,6 +504,8 @@
     detail: str
     retry_after_s: float | None
     less_urgent_running: int = 0
+    check: errors.RefusalCheck = errors.RefusalCheck.UNKNOWN
+    less_urgent_start_age_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cardamombarrow/decisions/runs.py
+++ b/cardamombarrow/decisions/runs.py
@@ -8,6 +8,7 @@
 from cardamombarrow.decisions import dispatcher_state
 from cardamombarrow.decisions import endpoint as endpoint_module
 from cardamombarrow.decisions import messages
+from cardamombarrow.decisions import start_times
 from cardamombarrow.kernel import ids
 
 __all__ = ["Runs"]
@@ -23,6 +24,7 @@
     def __init__(self, context: context_module.PolicyContext, now_s: float):
         super().__init__(context, now_s)
         self._running: dict[ids.RequestId, messages.Running] = {}
+        self._start_times = start_times.StartTimes()
         self.wasted_tokens = 0
 
     def runs(self) -> list[messages.Running]:
@@ -39,6 +41,7 @@
         job.first_token_s = None
         self._policies.retry.on_place(job, placed_s)
         running = messages.Running(job, state.endpoint, placed_s)
+        self._start_times.record(self._context.document, job, placed_s)
         state.add(running)
         self._running[job.request_id] = running
         self._roster.capacities[state.service].placed(job, placed_s)
@@ -46,6 +49,18 @@
             self._policies.spill.on_place(job, state, placed_s)
         return running
 
+    def less_urgent_start_age_s(
+        self, service: ids.ServiceId, class_id: ids.ClassId, now_s: float
+    ) -> float | None:
+        """Returns the time since a less urgent request was last placed.
+
+        Returns:
+            Seconds; None if none was placed, or the class is unknown.
+        """
+        return self._start_times.less_urgent_age_s(
+            self._context.document, service, class_id, now_s
+        )
+
     def add_remote_run(
         self,
         job: messages.Job,
--- a/cardamombarrow/entry/broker.py
+++ b/cardamombarrow/entry/broker.py
@@ -65,7 +65,7 @@
                     self._wake_if_earlier()
         if refusal is not None:
             decision_lines.write([decision_lines.DecisionLine(job, refusal)])
-            raise _refused(job, refusal)
+            raise ticket_module.JobRefusedError(job, refusal)
         decision_lines.write(lines)
         return ticket
 
@@ -128,6 +128,15 @@
         with self._lock:
             return self._dispatcher.blocked_for_s(job, self._clock.now_s())
 
+    def less_urgent_start_age_s(
+        self, service: ids.ServiceId, class_id: ids.ClassId
+    ) -> float | None:
+        """Returns the time since a less urgent request was last placed."""
+        with self._lock:
+            return self._dispatcher.less_urgent_start_age_s(
+                service, class_id, self._clock.now_s()
+            )
+
     def may_redo(self, job: messages.Job) -> bool:
         """Returns whether a running job could be sent elsewhere now."""
         with self._lock:
@@ -223,7 +232,7 @@
                 if applied:
                     self._dispatcher.drop_remote_placement(answer.request_id)
                     del self._tickets[answer.request_id]
-                    ticket.placed.set_exception(_refused(ticket.job, decision))
+                    ticket.refuse(decision)
             if applied:
                 lines = [
                     decision_lines.DecisionLine(
@@ -358,7 +367,7 @@
                 ticket.placed.set_result(decision)
             elif isinstance(decision, messages.Refusal):
                 del self._tickets[decision.request_id]
-                ticket.placed.set_exception(_refused(ticket.job, decision))
+                ticket.refuse(decision)
             else:
                 ticket.preempt(decision)
         return lines
@@ -376,16 +385,3 @@
     if isinstance(decision, messages.Placement):
         return f"{decision.endpoint} takes no request of this entry"
     return f"the placer could not decide: {decision.detail}"
-
-
-def _refused(
-    job: messages.Job, refusal: messages.Refusal
-) -> errors.RefusedError:
-    # A job that is refused while it waits for another attempt may have run
-    # before; only a refusal during the first wait means "not run".
-    return errors.RefusedError(
-        refusal.kind,
-        refusal.detail,
-        retry_after_s=refusal.retry_after_s,
-        not_run=not job.may_have_run,
-    )
--- a/cardamombarrow/entry/call_runner.py
+++ b/cardamombarrow/entry/call_runner.py
@@ -107,6 +107,7 @@
                     errors.ErrorKind.DRAINING,
                     "this instance is stopping",
                     retry_after_s=DRAINING_RETRY_S,
+                    check=errors.RefusalCheck.DRAINING,
                 )
             self._check_forwarded(environ, call)
             self._gate.enter(call.job, self._documents.current().document)
@@ -131,7 +132,11 @@
         if self.services.reachability.is_cut_off(call.job.service):
             reason = f"no endpoint of {call.job.service} can be connected"
             environ[forwarded_app.DECLINED_KEY] = reason
-            raise errors.RefusedError(errors.ErrorKind.NOT_READY, reason)
+            raise errors.RefusedError(
+                errors.ErrorKind.NOT_READY,
+                reason,
+                check=errors.RefusalCheck.FORWARDED_SERVICE,
+            )
 
     def _run(
         self,
--- a/cardamombarrow/entry/decision_lines.py
+++ b/cardamombarrow/entry/decision_lines.py
@@ -99,6 +99,9 @@
             "reason": decision.detail,
             "retry_after_s": decision.retry_after_s,
             "less_urgent_running": decision.less_urgent_running,
+            "check": decision.check.value,
+            "less_urgent_start_age_s": decision.less_urgent_start_age_s
+            and round(decision.less_urgent_start_age_s, 3),
         }
     return "preempt", {
         "endpoint": decision.endpoint,
--- a/cardamombarrow/entry/gate.py
+++ b/cardamombarrow/entry/gate.py
@@ -61,6 +61,7 @@
             if self._held >= bound:
                 raise self._refusal(
                     errors.ErrorKind.OVERLOADED,
+                    errors.RefusalCheck.HELD_REQUESTS,
                     f"{self._held} requests are held; the tier's limit is "
                     f"{bound}",
                 )
@@ -68,6 +69,7 @@
             if limit and in_flight >= limit:
                 raise self._refusal(
                     errors.ErrorKind.WORKSPACE_LIMIT,
+                    errors.RefusalCheck.WORKSPACE_LIMIT,
                     f"{in_flight} requests of the workspace are held",
                 )
             self._held += 1
@@ -90,8 +92,11 @@
         return max(1, int(share * self._connections))
 
     def _refusal(
-        self, kind: errors.ErrorKind, detail: str
+        self, kind: errors.ErrorKind, check: errors.RefusalCheck, detail: str
     ) -> errors.RefusedError:
         return errors.RefusedError(
-            kind, detail, retry_after_s=self._rng.uniform(*RETRY_AFTER_S)
+            kind,
+            detail,
+            retry_after_s=self._rng.uniform(*RETRY_AFTER_S),
+            check=check,
         )
--- a/cardamombarrow/entry/metrics.py
+++ b/cardamombarrow/entry/metrics.py
@@ -14,6 +14,7 @@
 from cardamombarrow.decisions import messages
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
+from cardamombarrow.kernel import memory
 from cardamombarrow.placing import messages as placing_messages
 from cardamombarrow.resumption import core as resumption
 
@@ -137,6 +138,9 @@
             collections.Counter()
         )
         self._retries: collections.Counter[bool] = collections.Counter()
+        self._refusals: collections.Counter[
+            tuple[errors.RefusalCheck, bool]
+        ] = collections.Counter()
         self._crashes = 0
         self._goodput_tokens = 0
         self._sent_under_limit = 0
@@ -204,6 +208,19 @@
         with self._lock:
             self._crashes += 1
 
+    def count_refusal(
+        self, check: errors.RefusalCheck, *, less_urgent_began: bool
+    ) -> None:
+        """Counts a refusal.
+
+        Args:
+            check: The check that refused the request.
+            less_urgent_began: Whether a less urgent request was placed while
+                the refused one waited.
+        """
+        with self._lock:
+            self._refusals[check, less_urgent_began] += 1
+
     def count_sent_under_limit(self) -> None:
         """Counts a request to an endpoint that states a rate limit."""
         with self._lock:
@@ -224,6 +241,7 @@
             "quarantined_prompt_parts": gauges.suspects.quarantined_parts,
             "unreachable_services": gauges.unreachable,
             "rejection_limited_endpoints": gauges.brittle,
+            "resident_memory_bytes": memory.resident_bytes(),
         }
         with self._lock:
             lines = [*self._lines(values)]
@@ -240,6 +258,12 @@
             labels = f'origin="{resolution.value}"'
             yield f"{PREFIX}stream_resumptions_total{{{labels}}} {count}"
 
+    def _refusal_lines(self) -> abc.Iterator[str]:
+        yield f"# TYPE {PREFIX}refusals_total counter"
+        for (check, began), count in self._refusals.items():
+            labels = f'check="{check.value}",less_urgent="{_BEGAN[began]}"'
+            yield f"{PREFIX}refusals_total{{{labels}}} {count}"
+
     def _lines(self, gauges: dict[str, int]) -> abc.Iterator[str]:
         for name, latencies in (
             ("first_token_seconds", self._first_token),
@@ -274,6 +298,7 @@
         for allowed, count in self._retries.items():
             labels = f'decision="{_RETRY[allowed]}"'
             yield f"{PREFIX}retries_total{{{labels}}} {count}"
+        yield from self._refusal_lines()
         yield f"# TYPE {PREFIX}endpoint_crashes_total counter"
         yield f"{PREFIX}endpoint_crashes_total {self._crashes}"
         yield f"# TYPE {PREFIX}sent_under_rate_limit_total counter"
@@ -283,5 +308,6 @@
             yield f"{PREFIX}{name} {value}"
 
 
+_BEGAN = {True: "began", False: "none"}
 _RETRY = {True: "allowed", False: "refused"}
 _TARGET = {True: "met", False: "missed"}
--- a/cardamombarrow/entry/placer.py
+++ b/cardamombarrow/entry/placer.py
@@ -116,6 +116,7 @@
                 errors.ErrorKind.NOT_READY,
                 f"{len(owner.tickets)} requests of the entry are at the placer",
                 None,
+                check=errors.RefusalCheck.PLACER,
             )
         else:
             try:
@@ -229,10 +230,16 @@
 
 
 def _refusal(job: messages.Job, error: BaseException) -> messages.Refusal:
+    if isinstance(error, ticket_module.JobRefusedError):
+        return error.refusal
     if not isinstance(error, errors.RefusedError):
         return messages.Refusal(
             job.request_id, errors.ErrorKind.NOT_READY, repr(error), None
         )
     return messages.Refusal(
-        job.request_id, error.kind, error.detail, error.retry_after_s
+        job.request_id,
+        error.kind,
+        error.detail,
+        error.retry_after_s,
+        check=error.check,
     )
--- a/cardamombarrow/entry/request_handler.py
+++ b/cardamombarrow/entry/request_handler.py
@@ -295,6 +295,7 @@
                         errors.ErrorKind.ENDPOINT_UNREACHED,
                         "no endpoint can be connected",
                         not_run=not ticket.job.may_have_run,
+                        check=errors.RefusalCheck.REACHABILITY,
                     ) from None
                 if self._caller.gone():
                     self._services.broker.withdraw(ticket)
--- a/cardamombarrow/entry/routed.py
+++ b/cardamombarrow/entry/routed.py
@@ -26,6 +26,7 @@
 from cardamombarrow.entry import routes
 from cardamombarrow.entry import startup_hold
 from cardamombarrow.entry import stream_resumer
+from cardamombarrow.entry import ticket
 from cardamombarrow.kernel import connection
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
@@ -99,15 +100,32 @@
             failure = error
         except Exception as error:
             failure = answers.internal_error(error, request_id)
-        return self._refuse(failure, request_id, start_response)
+        return self._refuse(failure, request_id, environ, start_response)
 
     def _refuse(
         self,
         error: errors.RouterError,
         request_id: ids.RequestId,
+        environ: dict[str, typing.Any],
         start_response: _StartResponse,
     ) -> abc.Iterable[bytes]:
-        self._runner.services.metrics.count_error(error.kind, error.class_id)
+        metrics = self._runner.services.metrics
+        metrics.count_error(error.kind, error.class_id)
+        urgency: dict[str, object] = {}
+        if error.check is not errors.RefusalCheck.UNKNOWN:
+            start_age_s = self._less_urgent_start_age_s(environ, error)
+            waited_s = (
+                self._runner.services.time_source.now_s()
+                - environ[connection.ARRIVED_KEY]
+            )
+            began = start_age_s is not None and start_age_s <= waited_s
+            metrics.count_refusal(error.check, less_urgent_began=began)
+            urgency = {
+                "check": error.check.value,
+                "waited_s": round(waited_s, 3),
+                "less_urgent_start_age_s": start_age_s
+                and round(start_age_s, 3),
+            }
         answer = self._protocol.error(error, request_id)
         logs.decision(
             "answer",
@@ -119,6 +137,7 @@
             retry_after_s=error.retry_after_s,
             revision=self._documents.revision,
             document_age_s=round(self._lease.age_s, 3),
+            **urgency,
         )
         start_response(
             f"{answer.status} {_REASONS.get(answer.status, '')}",
@@ -126,6 +145,33 @@
         )
         return [answer.body]
 
+    def _less_urgent_start_age_s(
+        self, environ: dict[str, typing.Any], error: errors.RouterError
+    ) -> float | None:
+        """Returns the time since a less urgent request was placed.
+
+        It is looked up by the document in force also for requests that are
+        refused because that document may be out of date.
+        """
+        if isinstance(error, ticket.JobRefusedError):
+            return error.refusal.less_urgent_start_age_s
+        route = self._route(environ)
+        if route is None:
+            return None
+        broker = self._runner.services.broker
+        ages_s = [
+            broker.less_urgent_start_age_s(service, route.class_id)
+            for service in route.services
+        ]
+        return min((each for each in ages_s if each is not None), default=None)
+
+    def _route(self, environ: dict[str, typing.Any]) -> schema.Route | None:
+        if not self._documents.revision:
+            return None
+        path = environ["REQUEST_URI"].partition("?")[0]
+        host = environ.get("HTTP_HOST", "")
+        return self._documents.current().routes.match(host, path)
+
     def _serve(
         self,
         environ: dict[str, typing.Any],
@@ -172,12 +218,17 @@
             self._hold(environ, parsed_headers, request_id)
         if not self._documents.revision:
             reason = "no document is in force yet"
+            check = errors.RefusalCheck.DOCUMENT_MISSING
         elif not self._lease.is_valid:
             reason = "the document in force may be out of date"
+            check = errors.RefusalCheck.DOCUMENT_UNCONFIRMED
         else:
             return self._documents.current()
         raise errors.RefusedError(
-            errors.ErrorKind.NOT_READY, reason, retry_after_s=NOT_READY_RETRY_S
+            errors.ErrorKind.NOT_READY,
+            reason,
+            retry_after_s=NOT_READY_RETRY_S,
+            check=check,
         )
 
     def _hold(
--- a/cardamombarrow/entry/startup_app.py
+++ b/cardamombarrow/entry/startup_app.py
@@ -61,5 +61,6 @@
             errors.ErrorKind.NOT_READY,
             "no document is in force yet",
             retry_after_s=RETRY_AFTER_S,
+            check=errors.RefusalCheck.DOCUMENT_MISSING,
         )
         return answers.error_response(error, ids.new_request_id())
--- a/cardamombarrow/entry/tests/test_decision_lines.py
+++ b/cardamombarrow/entry/tests/test_decision_lines.py
@@ -32,8 +32,16 @@
     # An operator must see whether a request was refused while less urgent ones
     # ran.
     refusal = messages.Refusal(
-        ids.RequestId("r1"), errors.ErrorKind.OVERLOADED, "full", 1.0, 7
+        ids.RequestId("r1"),
+        errors.ErrorKind.OVERLOADED,
+        "full",
+        1.0,
+        7,
+        errors.RefusalCheck.ADMISSION,
+        0.12345,
     )
     name, fields = decision_lines._details(refusal)
     assert name == "refuse"
     assert fields["less_urgent_running"] == 7
+    assert fields["check"] == "admission"
+    assert fields["less_urgent_start_age_s"] == 0.123
--- a/cardamombarrow/entry/tests/test_metrics.py
+++ b/cardamombarrow/entry/tests/test_metrics.py
@@ -82,3 +82,17 @@
     counted.count_wasted(messages.Outcome.CRASHED, 2)
     name = 'cardamombarrow_wasted_tokens_total{reason="crashed"}'
     assert _read(counted)[name] == 42
+
+
+def test_refusals_are_counted_by_check_and_by_less_urgent_starts():
+    # An operator must see which check refuses requests regardless of urgency.
+    counted = metrics.Metrics()
+    check = errors.RefusalCheck.DOCUMENT_UNCONFIRMED
+    counted.count_refusal(check, less_urgent_began=True)
+    counted.count_refusal(check, less_urgent_began=True)
+    counted.count_refusal(check, less_urgent_began=False)
+    name = "cardamombarrow_refusals_total"
+    labels = 'check="document_unconfirmed"'
+    samples = _read(counted)
+    assert samples[f'{name}{{{labels},less_urgent="began"}}'] == 2
+    assert samples[f'{name}{{{labels},less_urgent="none"}}'] == 1
--- a/cardamombarrow/entry/ticket.py
+++ b/cardamombarrow/entry/ticket.py
@@ -5,8 +5,29 @@
 import dataclasses
 
 from cardamombarrow.decisions import messages
+from cardamombarrow.kernel import errors
 
-__all__ = ["Ticket"]
+__all__ = ["JobRefusedError", "Ticket"]
+
+
+class JobRefusedError(errors.RefusedError):
+    """A dispatcher refused a job.
+
+    Attributes:
+        refusal: Its decision.
+    """
+
+    def __init__(self, job: messages.Job, refusal: messages.Refusal):
+        # A job that is refused while it waits for another attempt may have run
+        # before; only a refusal during the first wait means "not run".
+        super().__init__(
+            refusal.kind,
+            refusal.detail,
+            retry_after_s=refusal.retry_after_s,
+            not_run=not job.may_have_run,
+            check=refusal.check,
+        )
+        self.refusal = refusal
 
 
 @dataclasses.dataclass
@@ -24,6 +45,10 @@
     preempted: messages.Preemption | None = None
     on_preempted: abc.Callable[[messages.Preemption], None] | None = None
 
+    def refuse(self, refusal: messages.Refusal) -> None:
+        """Fails the placement with a refusal."""
+        self.placed.set_exception(JobRefusedError(self.job, refusal))
+
     def preempt(self, preemption: messages.Preemption) -> None:
         """Preempts the running request."""
         self.preempted = preemption
--- a/cardamombarrow/kernel/errors.py
+++ b/cardamombarrow/kernel/errors.py
@@ -17,6 +17,7 @@
     "ConfigError",
     "EndpointError",
     "ErrorKind",
+    "RefusalCheck",
     "RefusedError",
     "RouterError",
     "UnavailableError",
@@ -64,6 +65,27 @@
     INTERNAL = "internal"
 
 
+class RefusalCheck(enum.Enum):
+    """The check that refused a request, for logs and metrics."""
+
+    UNKNOWN = "unknown"
+    DOCUMENT_MISSING = "document_missing"
+    DOCUMENT_UNCONFIRMED = "document_unconfirmed"
+    DRAINING = "draining"
+    FORWARDED_SERVICE = "forwarded_service"
+    HELD_REQUESTS = "held_requests"
+    WORKSPACE_LIMIT = "workspace_limit"
+    ENDPOINTS = "endpoints"
+    QUARANTINE = "quarantine"
+    ENDPOINT_PAUSES = "endpoint_pauses"
+    ADMISSION = "admission"
+    QUEUE_LENGTH = "queue_length"
+    EVICTION = "eviction"
+    WAITING = "waiting"
+    PLACER = "placer"
+    REACHABILITY = "reachability"
+
+
 @dataclasses.dataclass(frozen=True)
 class Answer:
     """The answer to one kind of failure.
@@ -142,6 +164,7 @@
         not_run: Whether the request certainly did not run; overrides the
             table's `not_run` if passed to the constructor.
         class_id: The class of the failed request, or None if unknown.
+        check: The check that refused the request.
     """
 
     def __init__(
@@ -151,12 +174,14 @@
         *,
         retry_after_s: float | None = None,
         not_run: bool | None = None,
+        check: RefusalCheck = RefusalCheck.UNKNOWN,
     ):
         super().__init__(f"{kind.value}: {detail}")
         self.kind = kind
         self.detail = detail
         self.retry_after_s = retry_after_s
         self.class_id: ids.ClassId | None = None
+        self.check = check
         self._not_run = not_run
 
     @property
--- /dev/null
+++ b/cardamombarrow/kernel/memory.py
@@ -0,0 +1,71 @@
+"""Resident memory of this process.
+
+A process that exceeds its memory limit is killed without a word. `MemoryWatch`
+therefore logs, while the memory grows, what the process holds.
+"""
+
+from collections import abc
+import os
+import pathlib
+import threading
+
+from cardamombarrow.kernel import lifecycle
+from cardamombarrow.kernel import logs
+
+__all__ = ["MemoryWatch", "resident_bytes"]
+
+CHECK_INTERVAL_S = 0.25
+STEP_BYTES = 16_000_000
+"""Growth above the highest logged value at which the next line is written."""
+
+_STATM = pathlib.Path("/proc/self/statm")
+_PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+
+def resident_bytes() -> int:
+    """Returns the resident set size; 0 where the system does not tell it.
+
+    Source: ``/proc/self/statm``, proc(5).
+    """
+    try:
+        return int(_STATM.read_text().split()[1]) * _PAGE_BYTES
+    except (OSError, ValueError, IndexError):
+        return 0
+
+
+class MemoryWatch(lifecycle.Part):
+    """Thread that logs the growth of the resident memory."""
+
+    def __init__(self, held: abc.Callable[[], dict[str, int]]):
+        """Builds the watch.
+
+        Args:
+            held: Returns sizes of what the process holds, by field name.
+        """
+        self._held = held
+        self._logged_bytes = 0
+        self._stop = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name="memory", daemon=True
+        )
+
+    def start(self) -> None:
+        """Starts the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stops the thread."""
+        self._stop.set()
+        self._thread.join()
+
+    def _run(self) -> None:
+        while not self._stop.wait(CHECK_INTERVAL_S):
+            self.check()
+
+    def check(self) -> None:
+        """Writes a line if the memory has grown by `STEP_BYTES`."""
+        current_bytes = resident_bytes()
+        if current_bytes < self._logged_bytes + STEP_BYTES:
+            return
+        self._logged_bytes = current_bytes
+        logs.event("memory grew", resident_bytes=current_bytes, **self._held())
--- a/cardamombarrow/log/entries.py
+++ b/cardamombarrow/log/entries.py
@@ -46,6 +46,11 @@
         """Term of the last entry."""
         return self._entries[-1].term if self._entries else self.base_term
 
+    @property
+    def held_bytes(self) -> int:
+        """Size of the entries' data in memory."""
+        return sum(len(entry.data) for entry in list(self._entries))
+
     @property
     def membership(self) -> membership_module.Membership:
         """The newest membership, committed or not.
--- a/cardamombarrow/peers/control/client.py
+++ b/cardamombarrow/peers/control/client.py
@@ -364,13 +364,28 @@
         Returns:
             The reply; None if there is none in time.
         """
+        loop = asyncio.get_running_loop()
+        begin_s = loop.time()
+        detail = "no majority confirmed it in time"
+        reply = None
         try:
             async with asyncio.timeout(timeout_s):
-                return await self._stub(address).Confirm(request)
-        except LINK_ERRORS:
+                reply = await self._stub(address).Confirm(request)
+        except LINK_ERRORS as error:
+            detail = repr(error)
             if address != self._followed:
                 self._disconnect(address)
-            return None
+        if reply is None or not reply.confirmed:
+            logs.event(
+                "confirmation failed",
+                "WARNING",
+                address=address,
+                detail=detail,
+                elapsed_s=round(loop.time() - begin_s, 3),
+                is_followed=address == self._followed,
+                applied_revision=request.applied_revision,
+            )
+        return reply
 
     # -- commands ----------------------------------------------------------
 
--- a/cardamombarrow/peers/control/followers.py
+++ b/cardamombarrow/peers/control/followers.py
@@ -20,6 +20,7 @@
 from cardamombarrow.document import text as text_module
 from cardamombarrow.kernel import ids
 from cardamombarrow.peers.control import control_pb2
+from cardamombarrow.peers.control import sends as sends_module
 from cardamombarrow.peers.control import suspect_relay
 
 __all__ = ["Follower", "Followers"]
@@ -74,7 +75,11 @@
 
 
 class Followers:
-    """All known entries; runs on the loop thread."""
+    """All known entries; runs on the loop thread.
+
+    Attributes:
+        sends: Counts of the documents that are sent to entries.
+    """
 
     def __init__(
         self,
@@ -103,6 +108,7 @@
         self._changes: dict[int, dict[str, str] | None] = {}
         self._changed = asyncio.Condition()
         self._table: dict[ids.InstanceId, Follower] = {}
+        self.sends = sends_module.DocumentSends()
 
     def document(self) -> control_pb2.DocumentMessage:
         """Returns the newest accepted document known here."""
@@ -369,7 +375,8 @@
             message.far_forwarders.extend(far)
             message.entry_count = self.count_recent()
             message.is_new = is_new
-            await stream.send_message(message)
+            with self.sends.sending(sends_module.Way.FOLLOW, message):
+                await stream.send_message(message)
             applied = max(applied, message.revision)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(HEARTBEAT_S):
--- a/cardamombarrow/peers/control/service.py
+++ b/cardamombarrow/peers/control/service.py
@@ -18,6 +18,7 @@
 from cardamombarrow.peers.control import control_pb2
 from cardamombarrow.peers.control import followers as followers_module
 from cardamombarrow.peers.control import metering_collector
+from cardamombarrow.peers.control import sends as sends_module
 
 __all__ = ["ControlService"]
 
@@ -85,7 +86,8 @@
         document = self.followers.document()
         if request.brief:
             document.text = ""
-        await stream.send_message(document)
+        with self.followers.sends.sending(sends_module.Way.QUERY, document):
+            await stream.send_message(document)
 
     async def Confirm(self, stream: server.Stream) -> None:  # noqa: N802
         """Answers with the newest revision, confirmed by a majority."""
@@ -115,7 +117,10 @@
             reply.kept.extend(reports)
             reply.unix_s = self.collector.unix_s()
             reply.boot = self.collector.boot
-        await stream.send_message(reply)
+        with self.followers.sends.sending(
+            sends_module.Way.CONFIRM, reply.document
+        ):
+            await stream.send_message(reply)
 
     async def Followers(self, stream: server.Stream) -> None:  # noqa: N802
         """Answers with the known entries and the data that they reported."""
--- a/cardamombarrow/peers/placing/codec.py
+++ b/cardamombarrow/peers/placing/codec.py
@@ -207,6 +207,11 @@
         kind=refusal.kind.value,
         detail=refusal.detail,
         retry_after_ms=_ms(refusal.retry_after_s or 0.0),
+        check=refusal.check.value,
+        less_urgent_running=refusal.less_urgent_running,
+        less_urgent_start_age_ms=None
+        if refusal.less_urgent_start_age_s is None
+        else _ms(refusal.less_urgent_start_age_s),
     )
 
 
@@ -264,6 +269,22 @@
     except ValueError:
         kind = errors.ErrorKind.NOT_READY
     retry_after_s = wire.retry_after_ms / 1_000
+    age_s = None
+    if wire.HasField("less_urgent_start_age_ms"):
+        age_s = wire.less_urgent_start_age_ms / 1_000
     return messages.Refusal(
-        ids.RequestId(wire.request_id), kind, wire.detail, retry_after_s or None
+        ids.RequestId(wire.request_id),
+        kind,
+        wire.detail,
+        retry_after_s or None,
+        wire.less_urgent_running,
+        _check_from_wire(wire.check),
+        age_s,
     )
+
+
+def _check_from_wire(value: str) -> errors.RefusalCheck:
+    try:
+        return errors.RefusalCheck(value)
+    except ValueError:
+        return errors.RefusalCheck.UNKNOWN
--- a/cardamombarrow/peers/placing/tests/test_codec.py
+++ b/cardamombarrow/peers/placing/tests/test_codec.py
@@ -87,6 +87,17 @@
         placing_messages.Answer(
             messages.Refusal(_ID, errors.ErrorKind.QUARANTINED, "bad", None)
         ),
+        placing_messages.Answer(
+            messages.Refusal(
+                _ID,
+                errors.ErrorKind.OVERLOADED,
+                "full",
+                1.5,
+                7,
+                errors.RefusalCheck.ADMISSION,
+                0.25,
+            )
+        ),
         placing_messages.Answer(
             messages.Preemption(_ID, ids.EndpointId(""), 0, True, "gives way")
         ),
