Send documents packed, and only where the text is needed

Callers saw: 503 for urgent requests at most entries for seconds after a document with 1,400 routes more, while less urgent ones began at the others. Cause: the whole text went to each entry from the control process that it follows and again with each reply to its questions for a confirmation, over links of 5 Mbit/s; a starting entry fetched it from every control process only to learn which is near. Replies took longer than entries wait, and the copies in control processes exceeded their memory. Change: documents are packed once per revision and sent packed to receivers that read it (takes_packed), by control processes and by entries; first queries and gossip rounds leave the text out.

--- a/benchmarks/gossip.py
+++ b/benchmarks/gossip.py
@@ -145,8 +145,11 @@
                 has_urgent_changes=lambda: False,
                 on_changes=lambda changes, now_s: False,
                 on_members=lambda members, gone: None,
-                document=lambda: control_pb2.DocumentMessage(revision=1),
-                on_document=lambda revision, text, format_name: None,
+                revision=lambda: ids.Revision(1),
+                document=lambda takes_packed: control_pb2.DocumentMessage(
+                    revision=1
+                ),
+                on_document=lambda message: None,
             ),
             clock.SystemClock(),
         )
--- a/cardamombarrow/control/state.py
+++ b/cardamombarrow/control/state.py
@@ -3,6 +3,7 @@
 import json
 
 from cardamombarrow.document import machine as document_machine
+from cardamombarrow.document import packing
 from cardamombarrow.duties import machine as duties_machine
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
@@ -11,7 +12,6 @@
 from cardamombarrow.orders import machine as orders_machine
 from cardamombarrow.peers.control import codec
 from cardamombarrow.peers.control import control_pb2
-from cardamombarrow.peers.control import packing
 
 __all__ = ["NO_DOCUMENT", "ControlState"]
 
--- a/cardamombarrow/control/tests/test_state.py
+++ b/cardamombarrow/control/tests/test_state.py
@@ -6,8 +6,8 @@
 
 from cardamombarrow.control import state
 from cardamombarrow.document import formats
+from cardamombarrow.document import packing
 from cardamombarrow.peers.control import control_pb2
-from cardamombarrow.peers.control import packing
 
 
 def _state(text):
--- a/cardamombarrow/document/machine.py
+++ b/cardamombarrow/document/machine.py
@@ -15,10 +15,12 @@
 import collections
 import dataclasses
 import enum
+import functools
 import hashlib
 import json
 
 from cardamombarrow.document import formats
+from cardamombarrow.document import packing
 from cardamombarrow.document import parsing
 from cardamombarrow.document import schema
 from cardamombarrow.document import text as text_module
@@ -185,6 +187,11 @@
     format: str = formats.SECTIONS
     number: int = 0
 
+    @functools.cached_property
+    def packed_text(self) -> bytes:
+        """The text, packed once for all receivers; see `packing`."""
+        return packing.pack(self.text)
+
 
 class DocumentState:
     """The accepted document and the state that validates changes to it.
--- a/cardamombarrow/peers/control/packing.py
+++ b/cardamombarrow/document/packing.py
@@ -1,9 +1,10 @@
-"""Compression of texts that are sent between control processes.
+"""Compression of texts that are sent between instances.
 
 A document with many routes repeats the same names. Each edition is sent from
-the control process that received it to the leader and from there to all
-others; uncompressed, this takes more traffic between regions than all other
-messages of a control process together.
+the control process that received it to the leader, from there to all others,
+and to every entry. Uncompressed, it takes more traffic between regions than all
+other messages of a control process together, occupies the link of an entry for
+seconds, and each copy that waits for a slow link takes memory of its sender.
 """
 
 import zlib
--- a/cardamombarrow/peers/control/tests/test_packing.py
+++ b/cardamombarrow/document/tests/test_packing.py
@@ -1,4 +1,4 @@
-"""Compression of texts that are sent between control processes."""
+"""Compression of texts that are sent between instances."""
 
 import zlib
 
@@ -6,7 +6,7 @@
 from hypothesis import strategies
 import pytest
 
-from cardamombarrow.peers.control import packing
+from cardamombarrow.document import packing
 
 
 @hypothesis.given(strategies.text())
--- a/cardamombarrow/entry/in_force.py
+++ b/cardamombarrow/entry/in_force.py
@@ -7,12 +7,14 @@
 import time
 
 from cardamombarrow.document import formats
+from cardamombarrow.document import machine
 from cardamombarrow.document import schema
 from cardamombarrow.entry import incoming
 from cardamombarrow.entry import routes as routes_module
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import logs
 from cardamombarrow.peers.control import control_pb2
+from cardamombarrow.peers.control import document_codec
 
 __all__ = ["AppliedDocument", "DocumentInForce", "fetch_first"]
 
@@ -25,18 +27,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class AppliedDocument:
-    """One parsed revision of the document.
+    """One parsed revision of the document."""
 
-    Attributes:
-        format: The plug-in that parsed the text.
-    """
-
-    revision: ids.Revision
-    text: str
+    accepted: machine.AcceptedDocument
     document: schema.Document
     keys: incoming.KeyIndex
     routes: routes_module.RouteIndex
-    format: str = formats.SECTIONS
+
+    @property
+    def revision(self) -> ids.Revision:
+        """Its number."""
+        return self.accepted.revision
 
 
 class DocumentInForce:
@@ -78,9 +79,8 @@
             document = formats.parse(format_name, text)
             keys = incoming.KeyIndex(document)
             routes = routes_module.RouteIndex(document)
-            self._applied = AppliedDocument(
-                revision, text, document, keys, routes, format_name
-            )
+            accepted = machine.AcceptedDocument(revision, text, format_name)
+            self._applied = AppliedDocument(accepted, document, keys, routes)
             for listener in self._listeners:
                 listener(self._applied)
         self._first.set()
@@ -92,7 +92,7 @@
         with self._lock:
             if self._applied is None:
                 return ids.Revision(0), ""
-            return self._applied.revision, self._applied.text
+            return self._applied.revision, self._applied.accepted.text
 
     def wait_first(self, timeout_s: float) -> bool:
         """Waits until a document is in force; returns whether there is one."""
@@ -135,12 +135,17 @@
     start_s = time.monotonic()
     while time.monotonic() - start_s < timeout_s:
         messages = [future.result() for future in query()]
-        found = [message for message in messages if message and message.text]
+        found = [
+            message
+            for message in messages
+            if message and document_codec.has_text(message)
+        ]
         certain = any(message.has_quorum for message in found)
         waited = time.monotonic() - start_s >= NO_QUORUM_WAIT_S
         if found and (certain or waited):
             best = max(found, key=lambda message: message.revision)
-            documents.offer(ids.Revision(best.revision), best.text, best.format)
+            text = document_codec.text_from_wire(best)
+            documents.offer(ids.Revision(best.revision), text, best.format)
             return True
         time.sleep(QUERY_INTERVAL_S)
     return documents.revision > 0
--- a/cardamombarrow/entry/peering.py
+++ b/cardamombarrow/entry/peering.py
@@ -36,6 +36,7 @@
     confirmation_loop as confirmation_loop_module,
 )
 from cardamombarrow.peers.control import control_pb2
+from cardamombarrow.peers.control import document_codec
 from cardamombarrow.peers.control import metering_collector
 from cardamombarrow.peers.gossip import bridge as gossip_bridge_module
 from cardamombarrow.peers.gossip import node as gossip_node
@@ -164,6 +165,7 @@
             address=self._address(),
             places=self._placer is not None and self._placer.owners > 0,
             forward_address=self._forward_address(),
+            takes_packed=True,
             suspects=self._news.suspects(all_known=first),
         )
 
@@ -203,6 +205,7 @@
             instance=self._instance,
             domain=self._domain,
             applied_revision=self._documents.revision,
+            takes_packed=True,
             kept=cache_announcement_codec.cache_announcements_to_wire(
                 cache_changes
             ),
@@ -239,9 +242,8 @@
         if reply.unix_s:
             self.time.synchronize(reply.unix_s)
         document = reply.document
-        if document.text:
-            revision = ids.Revision(document.revision)
-            self._take_document(revision, document.text, document.format)
+        if document_codec.has_text(document):
+            self._take_document(document)
         if self._documents.revision >= document.revision:
             self.lease.confirm(asked_s)
         if reply.controls and set(reply.controls) != set(
@@ -273,7 +275,9 @@
         """
         self._loop.start()
         if self.lease.max_age_s:
-            probe_controls(lambda: self.control.documents(QUERY_TIMEOUT_S))
+            probe_controls(
+                lambda: self.control.documents(QUERY_TIMEOUT_S, brief=True)
+            )
             self.control.start()
             self._confirmation_loop.start()
             while not self._documents.wait_first(FIRST_DOCUMENT_TIMEOUT_S):
@@ -387,27 +391,25 @@
             has_urgent_changes=self.membership.has_urgent_changes,
             on_changes=self.membership.on_changes,
             on_members=self.membership.on_members,
+            revision=lambda: self._documents.revision,
             document=self._document,
             on_document=self._take_document,
         )
 
-    def _document(self) -> control_pb2.DocumentMessage:
+    def _document(self, takes_packed: bool) -> control_pb2.DocumentMessage:
         if not self._documents.revision:
             return control_pb2.DocumentMessage()
-        current = self._documents.current()
-        return control_pb2.DocumentMessage(
-            revision=current.revision,
-            text=current.text,
-            format=current.format,
+        return document_codec.document_to_wire(
+            self._documents.current().accepted, takes_packed=takes_packed
         )
 
-    def _take_document(
-        self, revision: ids.Revision, text: str, format_name: str
-    ) -> None:
+    def _take_document(self, message: control_pb2.DocumentMessage) -> None:
+        revision = ids.Revision(message.revision)
         try:
-            taken = self._documents.offer(revision, text, format_name)
-        except errors.RouterError as error:
-            logs.event("document not taken", "ERROR", detail=error.detail)
+            text = document_codec.text_from_wire(message)
+            taken = self._documents.offer(revision, text, message.format)
+        except (errors.RouterError, ValueError) as error:
+            logs.event("document not taken", "ERROR", detail=str(error))
             return
         if taken:
             logs.event("document from another entry", revision=revision)
--- a/cardamombarrow/peers/control/client.py
+++ b/cardamombarrow/peers/control/client.py
@@ -24,6 +24,7 @@
 from cardamombarrow.peers.control import codec
 from cardamombarrow.peers.control import control_grpc
 from cardamombarrow.peers.control import control_pb2
+from cardamombarrow.peers.control import document_codec
 
 __all__ = ["LINK_ERRORS", "ControlClient", "StaleBaseError"]
 
@@ -176,7 +177,7 @@
         self._addresses = remaining + added or self._addresses
         for address in added:
             # The reply contains the failure domain of the control process.
-            await self._document(address, ATTEMPT_TIMEOUT_S)
+            await self._document(address, ATTEMPT_TIMEOUT_S, brief=True)
 
     def _prefer_own_domain(self, address: str, domain: str) -> None:
         """Moves control processes of the own domain to the front.
@@ -296,19 +297,19 @@
             self._on_entry_count(message.entry_count)
         if message.suspects:
             await asyncio.to_thread(self._on_suspects, message.suspects)
-        if not message.text and not message.changes:
+        if not document_codec.has_text(message) and not message.changes:
             return
         try:
             # Parsing would block the event loop and all other links.
             await asyncio.to_thread(self._apply_document, message)
-        except errors.RouterError as error:
+        except (errors.RouterError, ValueError) as error:
             # Control processes of a later version may accept a document that
             # this entry can't parse. The previous one stays in force.
-            logs.event("document not taken", "ERROR", detail=error.detail)
+            logs.event("document not taken", "ERROR", detail=str(error))
         self._changed.set()
 
     def _apply_document(self, message: control_pb2.DocumentMessage) -> None:
-        text = message.text
+        text = document_codec.text_from_wire(message)
         if message.changes:
             revision, base = self._in_force()
             if revision >= message.revision:
@@ -332,18 +333,23 @@
         self._changed.set()
 
     def documents(
-        self, timeout_s: float
+        self, timeout_s: float, *, brief: bool = False
     ) -> list[futures.Future[control_pb2.DocumentMessage | None]]:
-        """Requests the newest document from each control process."""
+        """Requests the newest document from each control process.
+
+        Args:
+            timeout_s: Longest wait, in seconds.
+            brief: Whether the text is left out.
+        """
         return [
-            self._loop.call(self._document(address, timeout_s))
+            self._loop.call(self._document(address, timeout_s, brief=brief))
             for address in self._addresses
         ]
 
     async def _document(
         self, address: str, timeout_s: float, *, brief: bool = False
     ) -> control_pb2.DocumentMessage | None:
-        request = control_pb2.DocumentRequest(brief=brief)
+        request = control_pb2.DocumentRequest(brief=brief, takes_packed=True)
         try:
             async with asyncio.timeout(timeout_s):
                 message = await self._stub(address).Document(request)
--- a/cardamombarrow/peers/control/codec.py
+++ b/cardamombarrow/peers/control/codec.py
@@ -1,11 +1,11 @@
 """Conversion between the messages of the state machines and protobuf."""
 
 from cardamombarrow.document import machine as document_machine
+from cardamombarrow.document import packing
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 from cardamombarrow.ledger import machine as ledger_machine
 from cardamombarrow.peers.control import control_pb2
-from cardamombarrow.peers.control import packing
 
 __all__ = [
     "claim_from_wire",
--- a/cardamombarrow/peers/control/followers.py
+++ b/cardamombarrow/peers/control/followers.py
@@ -20,6 +20,7 @@
 from cardamombarrow.document import text as text_module
 from cardamombarrow.kernel import ids
 from cardamombarrow.peers.control import control_pb2
+from cardamombarrow.peers.control import document_codec
 from cardamombarrow.peers.control import sends as sends_module
 from cardamombarrow.peers.control import suspect_relay
 
@@ -103,22 +104,33 @@
         self._notifications: set[asyncio.Task[None]] = set()
         self._has_quorum = has_quorum
         self._domain = domain
-        self._document = control_pb2.DocumentMessage()
+        self._accepted = machine.AcceptedDocument(ids.Revision(0), "", "")
         self._texts: dict[int, str] = {}
         self._changes: dict[int, dict[str, str] | None] = {}
         self._changed = asyncio.Condition()
         self._table: dict[ids.InstanceId, Follower] = {}
         self.sends = sends_module.DocumentSends()
 
-    def document(self) -> control_pb2.DocumentMessage:
-        """Returns the newest accepted document known here."""
-        return control_pb2.DocumentMessage(
-            revision=self._document.revision,
-            text=self._document.text,
-            format=self._document.format,
+    def document(
+        self, *, brief: bool = False, takes_packed: bool = False
+    ) -> control_pb2.DocumentMessage:
+        """Returns the newest accepted document known here.
+
+        Args:
+            brief: Whether the text is left out.
+            takes_packed: Whether the receiver reads packed texts.
+        """
+        message = control_pb2.DocumentMessage(
+            revision=self._accepted.revision,
+            format=self._accepted.format,
             has_quorum=self._has_quorum(),
             domain=self._domain,
         )
+        if not brief:
+            document_codec.set_text(
+                message, self._accepted, takes_packed=takes_packed
+            )
+        return message
 
     def table(self) -> dict[ids.InstanceId, Follower]:
         """Returns the entries that report to any control process."""
@@ -274,12 +286,8 @@
         """Sends an accepted document to every follower."""
         revision = accepted.revision
         async with self._changed:
-            if revision > self._document.revision:
-                self._document = control_pb2.DocumentMessage(
-                    revision=revision,
-                    text=accepted.text,
-                    format=accepted.format,
-                )
+            if revision > self._accepted.revision:
+                self._accepted = accepted
                 if formats.is_sectioned(accepted.format):
                     self._texts[revision] = accepted.text
                 for old in sorted(self._texts)[:-CACHED_TEXTS]:
@@ -287,11 +295,12 @@
                 self._changes.clear()
                 self._changed.notify_all()
 
-    def update_for(self, applied: int) -> control_pb2.DocumentMessage:
+    def update_for(
+        self, applied: int, *, takes_packed: bool = False
+    ) -> control_pb2.DocumentMessage:
         """Returns the update for a follower: nothing, changes or the text."""
-        message = self.document()
+        message = self.document(brief=True)
         if message.revision <= applied:
-            message.text = ""
             return message
         if applied not in self._changes:
             base = self._texts.get(applied)
@@ -301,9 +310,12 @@
             )
         changes = self._changes[applied]
         if changes:
-            message.text = ""
             message.base_revision = applied
             message.changes.update(changes)
+        else:
+            document_codec.set_text(
+                message, self._accepted, takes_packed=takes_packed
+            )
         return message
 
     async def serve(self, stream: server.Stream) -> None:
@@ -316,14 +328,7 @@
             self._apply(report)
             # An entry that reconnects mostly has the newest document; which
             # changes are missing is known only after its first report.
-            sender = asyncio.create_task(
-                self._send(
-                    stream,
-                    report.applied_revision,
-                    ids.DomainId(report.domain),
-                    is_new,
-                )
-            )
+            sender = asyncio.create_task(self._send(stream, report, is_new))
             try:
                 while (report := await self._receive(stream)) is not None:
                     self._apply(report)
@@ -359,13 +364,14 @@
     async def _send(
         self,
         stream: server.Stream,
-        applied: int,
-        domain: ids.DomainId,
+        report: control_pb2.AppliedReport,
         is_new: bool,
     ) -> None:
+        applied = report.applied_revision
+        domain = ids.DomainId(report.domain)
         suspects_sent = 0
         while True:
-            message = self.update_for(applied)
+            message = self.update_for(applied, takes_packed=report.takes_packed)
             message.suspects.extend(
                 self._suspects.since(suspects_sent, time.monotonic())
             )
@@ -387,7 +393,7 @@
         async with self._changed:
             await self._changed.wait_for(
                 lambda: (
-                    self._document.revision > revision
+                    self._accepted.revision > revision
                     or self._suspects.number != suspects_sent
                 )
             )
--- a/cardamombarrow/peers/control/sends.py
+++ b/cardamombarrow/peers/control/sends.py
@@ -7,6 +7,7 @@
 import enum
 
 from cardamombarrow.peers.control import control_pb2
+from cardamombarrow.peers.control import document_codec
 
 __all__ = ["DocumentSends", "SendCounts", "Way"]
 
@@ -45,7 +46,7 @@
         self, way: Way, message: control_pb2.DocumentMessage
     ) -> abc.Iterator[None]:
         """Counts a message while it is sent, if it has a document."""
-        if not message.text and not message.changes:
+        if not document_codec.has_text(message) and not message.changes:
             yield
             return
         size_bytes = message.ByteSize()
--- a/cardamombarrow/peers/control/service.py
+++ b/cardamombarrow/peers/control/service.py
@@ -16,6 +16,7 @@
 from cardamombarrow.peers.control import confirmation_batcher as batcher_module
 from cardamombarrow.peers.control import control_grpc
 from cardamombarrow.peers.control import control_pb2
+from cardamombarrow.peers.control import document_codec
 from cardamombarrow.peers.control import followers as followers_module
 from cardamombarrow.peers.control import metering_collector
 from cardamombarrow.peers.control import sends as sends_module
@@ -83,9 +84,9 @@
     async def Document(self, stream: server.Stream) -> None:  # noqa: N802
         """Answers with the newest accepted document."""
         request = await stream.recv_message()
-        document = self.followers.document()
-        if request.brief:
-            document.text = ""
+        document = self.followers.document(
+            brief=request.brief, takes_packed=request.takes_packed
+        )
         with self.followers.sends.sending(sends_module.Way.QUERY, document):
             await stream.send_message(document)
 
@@ -103,7 +104,10 @@
             newer = accepted.revision > request.applied_revision
             reply.document.revision = accepted.revision
             reply.document.format = accepted.format
-            reply.document.text = accepted.text if newer else ""
+            if newer:
+                document_codec.set_text(
+                    reply.document, accepted, takes_packed=request.takes_packed
+                )
             domain = ids.DomainId(request.domain)
             reply.controls.extend(self._log.addresses())
             reply.entry_count = self.followers.count_recent()
--- a/cardamombarrow/peers/control/tests/test_suspect_relay.py
+++ b/cardamombarrow/peers/control/tests/test_suspect_relay.py
@@ -77,18 +77,15 @@
     async def run():
         table = followers.Followers(lambda: True)
         early, late = _Stream(), _Stream()
-        tasks = [
-            asyncio.create_task(table._send(early, 0, ids.DomainId("a"), False))
-        ]
+        report = control_pb2.AppliedReport(domain="a")
+        tasks = [asyncio.create_task(table._send(early, report, False))]
         await asyncio.sleep(0.01)
         table.put_suspects([_wire(1)], "entry-1")
         async with asyncio.timeout(_PROMPT_S):
             while not early.received:
                 await asyncio.sleep(0.01)
         table.put_suspects([_wire(2)], "")
-        tasks.append(
-            asyncio.create_task(table._send(late, 0, ids.DomainId("a"), False))
-        )
+        tasks.append(asyncio.create_task(table._send(late, report, False)))
         async with asyncio.timeout(_PROMPT_S):
             while len(early.received) < 2 or len(late.received) < 2:
                 await asyncio.sleep(0.01)
--- a/cardamombarrow/peers/gossip/node.py
+++ b/cardamombarrow/peers/gossip/node.py
@@ -92,7 +92,9 @@
             them. Returns whether to pass them on at once.
         on_members: Called when the live instances have changed, with all live
             instances and those that are gone.
-        document: Returns the document in force.
+        revision: Returns the revision of the document in force.
+        document: Returns the document in force, packed for receivers that
+            read packed texts.
         on_document: Called with a newer document; runs in a thread.
     """
 
@@ -102,8 +104,9 @@
     on_members: abc.Callable[
         [frozenset[ids.InstanceId], list[ids.InstanceId]], None
     ]
-    document: abc.Callable[[], control_pb2.DocumentMessage]
-    on_document: abc.Callable[[ids.Revision, str, str], object]
+    revision: abc.Callable[[], ids.Revision]
+    document: abc.Callable[[bool], control_pb2.DocumentMessage]
+    on_document: abc.Callable[[control_pb2.DocumentMessage], object]
 
 
 class _Partner:
@@ -204,7 +207,7 @@
         self._wake.clear()
 
     async def _round(self, now_s: float) -> None:
-        revision = ids.Revision(self._hooks.document().revision)
+        revision = self._hooks.revision()
         head = rows.RowHeader(self._settings.address, revision, self._left)
         self.table.update(head, self._hooks.collect(now_s), now_s)
         gone = self.table.expire(now_s)
@@ -342,8 +345,9 @@
 
     async def Document(self, stream: server.Stream) -> None:  # noqa: N802
         """Answers with the document in force."""
-        await stream.recv_message()
-        await stream.send_message(self._hooks.document())
+        request = await stream.recv_message()
+        document = self._hooks.document(request.takes_packed)
+        await stream.send_message(document)
 
     async def _pull_newer(self, revision: ids.Revision) -> None:
         newer = [
@@ -361,12 +365,7 @@
             row = max(newer, key=lambda each: each.head.applied_revision)
             message = await self.fetch(self._address(row))
             if message is not None:
-                await asyncio.to_thread(
-                    self._hooks.on_document,
-                    ids.Revision(message.revision),
-                    message.text,
-                    message.format,
-                )
+                await asyncio.to_thread(self._hooks.on_document, message)
 
     async def fetch(self, address: str) -> control_pb2.DocumentMessage | None:
         """Fetches the document of an instance; None if it doesn't answer."""
@@ -381,7 +380,7 @@
     try:
         async with asyncio.timeout(timeout_s):
             return await gossip_grpc.GossipStub(channel).Document(
-                control_pb2.DocumentRequest()
+                control_pb2.DocumentRequest(takes_packed=True)
             )
     except control_client.LINK_ERRORS:
         return None
--- a/cardamombarrow/peers/gossip/tests/test_node.py
+++ b/cardamombarrow/peers/gossip/tests/test_node.py
@@ -32,7 +32,8 @@
             has_urgent_changes=lambda: False,
             on_changes=self._on_changes,
             on_members=lambda members, gone: self.gone.extend(gone),
-            document=lambda: self.document,
+            revision=lambda: self.document.revision,
+            document=lambda takes_packed: self.document,
             on_document=self._on_document,
         )
         time_source = clock.SystemClock()
@@ -56,10 +57,8 @@
             self.received[instance, key] = value
         return bool(changes.items)
 
-    def _on_document(self, revision, text, format_name):
-        self.document = control_pb2.DocumentMessage(
-            revision=revision, text=text
-        )
+    def _on_document(self, message):
+        self.document = message
 
     def members(self):
         return {row.instance for row in self.node.table.live()}
