Derive how long a confirmation is valid from the bound on removed keys

Callers saw: refusals at entries that were about to confirm their document. Cause: confirmations were valid for a fixed 3.5 s. After the loss of the log's leader the next one takes up to 2.2 s, and with the second between two confirmations and an attempt at a dead control process a confirmation is up to 5 s old. Removed keys have to be refused after 5 s. Change: [document] revoked_within_ms; a confirmation is valid for it less 0.5 s.

--- a/cardamombarrow/entry/peering.py
+++ b/cardamombarrow/entry/peering.py
@@ -135,7 +135,7 @@
         )
         boot_clock = clock.BootClock()
         self.lease = lease_module.DocumentLease(
-            settings.document.confirmed_within_s, boot_clock
+            settings.document.max_age_s, boot_clock
         )
         self._usage_number = 0
         self._boot = secrets.token_hex(BOOT_BYTES)
--- a/cardamombarrow/entry/settings.py
+++ b/cardamombarrow/entry/settings.py
@@ -129,6 +129,10 @@
     )
 
 
+REVOCATION_MARGIN_S = 0.5
+"""Time for which a request may be on its way to the check of its key."""
+
+
 @dataclasses.dataclass(frozen=True)
 class DocumentSettings:
     """Requirements on the confirmation of the document."""
@@ -142,6 +146,23 @@
         low=0.0,
         high=3600.0,
     )
+    revoked_within_ms: int = settings.setting(
+        0,
+        unit="ms",
+        help="time after which every entry must refuse a removed key; where "
+        "set, it replaces `confirmed_within_s`, less "
+        f"{REVOCATION_MARGIN_S} s",
+        low=0,
+        high=3_600_000,
+    )
+
+    @property
+    def max_age_s(self) -> float:
+        """Maximum age of the last confirmation, in seconds; 0 for no bound."""
+        if not self.revoked_within_ms:
+            return self.confirmed_within_s
+        allowed_s = self.revoked_within_ms / 1_000
+        return max(allowed_s - REVOCATION_MARGIN_S, allowed_s / 2)
 
 
 @dataclasses.dataclass(frozen=True)
