--- a/cardamombarrow/entry/tests/test_lease.py
+++ b/cardamombarrow/entry/tests/test_lease.py
@@ -1,6 +1,9 @@
 """How long a document counts as confirmed."""
 
+import pytest
+
 from cardamombarrow.entry import lease as lease_module
+from cardamombarrow.entry import settings
 from cardamombarrow.kernel import clock
 
 
@@ -28,3 +31,20 @@
 
 def test_without_a_bound_a_domain_that_is_cut_off_continues_to_serve():
     assert lease_module.DocumentLease(0.0, clock.ManualClock()).is_valid
+
+
+@pytest.mark.parametrize(
+    ("fields", "max_age_s"),
+    [
+        ({"confirmed_within_s": 3.5}, 3.5),
+        ({"confirmed_within_s": 3.5, "revoked_within_ms": 5_000}, 4.5),
+        ({"revoked_within_ms": 600}, 0.3),
+        ({}, 0.0),
+    ],
+)
+def test_a_confirmation_ends_before_removed_keys_must_be_refused(
+    fields, max_age_s
+):
+    # A longer validity serves requests with removed keys, a shorter one refuses
+    # requests while the log elects a leader.
+    assert settings.DocumentSettings(**fields).max_age_s == max_age_s
--- a/cardamombarrow/peers/control/tests/test_followers.py
+++ b/cardamombarrow/peers/control/tests/test_followers.py
@@ -7,6 +7,7 @@
 from cardamombarrow.document import machine
 from cardamombarrow.document import text
 from cardamombarrow.peers.control import control_pb2
+from cardamombarrow.peers.control import document_codec
 from cardamombarrow.peers.control import followers
 
 
@@ -44,6 +45,15 @@
     assert table.update_for(applied).text == texts[9]
 
 
+def test_a_follower_that_reads_packed_texts_gets_one(published):
+    # A text with many routes occupied the link of each entry for seconds.
+    table, texts = published
+    message = table.update_for(0, takes_packed=True)
+    assert not message.text
+    assert document_codec.text_from_wire(message) == texts[9]
+    assert len(message.packed_text) < len(texts[9]) / 2
+
+
 @pytest.mark.parametrize("applied", [9, 12])
 def test_an_up_to_date_follower_gets_no_document(published, applied):
     table, _ = published
--- a/tools/tests/test_proxy.py
+++ b/tools/tests/test_proxy.py
@@ -92,3 +92,15 @@
             _echoes(old)
         with _connect(link) as new:
             assert _echoes(new)
+
+
+def test_bandwidth_delays_bytes_in_each_direction(link):
+    link.bytes_per_s = 50_000.0
+    with _connect(link) as connection:
+        connection.settimeout(5.0)
+        start_s = time.monotonic()
+        connection.sendall(b"x" * 10_000)
+        received = 0
+        while received < 10_000:
+            received += len(connection.recv(65_536))
+        assert time.monotonic() - start_s >= 0.2
