Part entry/ by job

Cause: 37 flat modules. Change: frontend/ (callers: protocols, routes, answers), requests/ (one request from admission to settlement), placement/ (broker, placer, tickets) and documents/ (the document in force and its confirmation); core, settings, metrics, readiness and peering stay. Modules moved, imports and pages follow, no logic. Result: the linter, and the tests of entry, peers, placing, forwarding, tools, imports and callers pass.

--- a/benchmarks/placer_driver.py
+++ b/benchmarks/placer_driver.py
@@ -1,7 +1,7 @@
 """The driver with a placer, which places the requests of all entries.
 
-As in `entry.broker`, entries place requests themselves while the placer is
-unreachable, and report their running requests when it returns.
+As in `entry.placement.broker`, entries place requests themselves while the
+placer is unreachable, and report their running requests when it returns.
 """
 
 import dataclasses
--- a/benchmarks/placing_cost.py
+++ b/benchmarks/placing_cost.py
@@ -15,8 +15,8 @@
 from benchmarks import driver
 from benchmarks import many_entries
 from cardamombarrow.decisions import messages
-from cardamombarrow.entry import broker as broker_module
-from cardamombarrow.entry import placer as placer_module
+from cardamombarrow.entry.placement import broker as broker_module
+from cardamombarrow.entry.placement import placer as placer_module
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import logs
--- a/cardamombarrow/endpoints/tests/test_endless_bytes.py
+++ b/cardamombarrow/endpoints/tests/test_endless_bytes.py
@@ -11,7 +11,7 @@
 from cardamombarrow.endpoints import engine
 from cardamombarrow.endpoints import http_get
 from cardamombarrow.endpoints import plain
-from cardamombarrow.entry import answer_stream
+from cardamombarrow.entry.requests import answer_stream
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import memory
--- a/cardamombarrow/entry/core.py
+++ b/cardamombarrow/entry/core.py
@@ -12,22 +12,22 @@
 from cardamombarrow.discovery import core as discovery_core
 from cardamombarrow.document import schema
 from cardamombarrow.endpoints import base as endpoints_base
-from cardamombarrow.entry import app as app_module
-from cardamombarrow.entry import broker as broker_module
-from cardamombarrow.entry import call_runner as call_runner_module
-from cardamombarrow.entry import crash_detector
-from cardamombarrow.entry import gate as gate_module
-from cardamombarrow.entry import in_force
-from cardamombarrow.entry import lease as lease_module
 from cardamombarrow.entry import metrics
 from cardamombarrow.entry import peering as peering_module
-from cardamombarrow.entry import protocol as protocol_module
 from cardamombarrow.entry import readiness as readiness_module
-from cardamombarrow.entry import request_handler
-from cardamombarrow.entry import routed
 from cardamombarrow.entry import settings as settings_module
-from cardamombarrow.entry import side as side_module
-from cardamombarrow.entry import startup_app as startup_app_module
+from cardamombarrow.entry.documents import in_force
+from cardamombarrow.entry.documents import lease as lease_module
+from cardamombarrow.entry.frontend import app as app_module
+from cardamombarrow.entry.frontend import protocol as protocol_module
+from cardamombarrow.entry.frontend import routed
+from cardamombarrow.entry.frontend import side as side_module
+from cardamombarrow.entry.frontend import startup_app as startup_app_module
+from cardamombarrow.entry.placement import broker as broker_module
+from cardamombarrow.entry.requests import call_runner as call_runner_module
+from cardamombarrow.entry.requests import crash_detector
+from cardamombarrow.entry.requests import gate as gate_module
+from cardamombarrow.entry.requests import request_handler
 from cardamombarrow.forwarding import app as forwarded_app
 from cardamombarrow.forwarding import core as forwarding
 from cardamombarrow.forwarding import reachability as reachability_module
--- /dev/null
+++ b/cardamombarrow/entry/documents/__init__.py
@@ -0,0 +1,1 @@
+"""The document in force, its confirmation, and news with it."""
--- a/cardamombarrow/entry/control_news.py
+++ b/cardamombarrow/entry/documents/control_news.py
@@ -8,7 +8,7 @@
 import math
 
 from cardamombarrow.decisions import messages
-from cardamombarrow.entry import broker as broker_module
+from cardamombarrow.entry.placement import broker as broker_module
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import logs
 from cardamombarrow.peers.control import control_pb2
--- a/cardamombarrow/entry/in_force.py
+++ b/cardamombarrow/entry/documents/in_force.py
@@ -9,8 +9,8 @@
 from cardamombarrow.document import formats
 from cardamombarrow.document import machine
 from cardamombarrow.document import schema
-from cardamombarrow.entry import incoming
-from cardamombarrow.entry import routes as routes_module
+from cardamombarrow.entry.frontend import incoming
+from cardamombarrow.entry.frontend import routes as routes_module
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import logs
 from cardamombarrow.peers.control import control_pb2
--- a/cardamombarrow/entry/tests/test_lease.py
+++ b/cardamombarrow/entry/documents/tests/test_lease.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from cardamombarrow.entry import lease as lease_module
 from cardamombarrow.entry import settings
+from cardamombarrow.entry.documents import lease as lease_module
 from cardamombarrow.kernel import clock
 
 
--- /dev/null
+++ b/cardamombarrow/entry/frontend/__init__.py
@@ -0,0 +1,1 @@
+"""Callers: protocols, routes, and answers that need no request handler."""
--- a/cardamombarrow/entry/app.py
+++ b/cardamombarrow/entry/frontend/app.py
@@ -7,11 +7,11 @@
 from werkzeug import routing
 from werkzeug import wrappers
 
-from cardamombarrow.entry import answers
-from cardamombarrow.entry import call_runner as call_runner_module
-from cardamombarrow.entry import in_force
-from cardamombarrow.entry import incoming
 from cardamombarrow.entry import readiness as readiness_module
+from cardamombarrow.entry.documents import in_force
+from cardamombarrow.entry.frontend import answers
+from cardamombarrow.entry.frontend import incoming
+from cardamombarrow.entry.requests import call_runner as call_runner_module
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 
--- a/cardamombarrow/entry/routed.py
+++ b/cardamombarrow/entry/frontend/routed.py
@@ -16,17 +16,17 @@
 from cardamombarrow.decisions import messages
 from cardamombarrow.document import schema
 from cardamombarrow.endpoints import base as endpoints_base
-from cardamombarrow.entry import answers
-from cardamombarrow.entry import call_runner as call_runner_module
-from cardamombarrow.entry import caller as caller_module
-from cardamombarrow.entry import in_force
-from cardamombarrow.entry import incoming
-from cardamombarrow.entry import lease as lease_module
-from cardamombarrow.entry import protocol as protocol_module
-from cardamombarrow.entry import routes
-from cardamombarrow.entry import startup_hold
-from cardamombarrow.entry import stream_resumer
-from cardamombarrow.entry import ticket
+from cardamombarrow.entry.documents import in_force
+from cardamombarrow.entry.documents import lease as lease_module
+from cardamombarrow.entry.frontend import answers
+from cardamombarrow.entry.frontend import caller as caller_module
+from cardamombarrow.entry.frontend import incoming
+from cardamombarrow.entry.frontend import protocol as protocol_module
+from cardamombarrow.entry.frontend import routes
+from cardamombarrow.entry.frontend import startup_hold
+from cardamombarrow.entry.frontend import stream_resumer
+from cardamombarrow.entry.placement import ticket
+from cardamombarrow.entry.requests import call_runner as call_runner_module
 from cardamombarrow.kernel import connection
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
--- a/cardamombarrow/entry/side.py
+++ b/cardamombarrow/entry/frontend/side.py
@@ -7,10 +7,10 @@
 
 from werkzeug import wrappers
 
-from cardamombarrow.entry import call_runner as call_runner_module
-from cardamombarrow.entry import in_force
-from cardamombarrow.entry import lease as lease_module
 from cardamombarrow.entry import readiness as readiness_module
+from cardamombarrow.entry.documents import in_force
+from cardamombarrow.entry.documents import lease as lease_module
+from cardamombarrow.entry.requests import call_runner as call_runner_module
 from cardamombarrow.kernel import ids
 
 __all__ = ["SideApp"]
--- a/cardamombarrow/entry/startup_app.py
+++ b/cardamombarrow/entry/frontend/startup_app.py
@@ -11,7 +11,7 @@
 
 from werkzeug import wrappers
 
-from cardamombarrow.entry import answers
+from cardamombarrow.entry.frontend import answers
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 
--- a/cardamombarrow/entry/stream_resumer.py
+++ b/cardamombarrow/entry/frontend/stream_resumer.py
@@ -3,7 +3,7 @@
 from collections import abc
 
 from cardamombarrow.document import schema
-from cardamombarrow.entry import protocol as protocol_module
+from cardamombarrow.entry.frontend import protocol as protocol_module
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import logs
--- a/cardamombarrow/entry/tests/test_incoming.py
+++ b/cardamombarrow/entry/frontend/tests/test_incoming.py
@@ -8,7 +8,7 @@
 from werkzeug import wrappers
 
 from cardamombarrow.document import parsing
-from cardamombarrow.entry import incoming
+from cardamombarrow.entry.frontend import incoming
 from cardamombarrow.kernel import ids
 
 
--- a/cardamombarrow/entry/tests/test_routes.py
+++ b/cardamombarrow/entry/frontend/tests/test_routes.py
@@ -5,7 +5,7 @@
 import pytest
 
 from cardamombarrow.document import schema
-from cardamombarrow.entry import routes
+from cardamombarrow.entry.frontend import routes
 
 
 def _route(name, host, prefix, services=None):
--- a/cardamombarrow/entry/tests/test_stall_limit.py
+++ b/cardamombarrow/entry/frontend/tests/test_stall_limit.py
@@ -3,7 +3,7 @@
 import pytest
 
 from cardamombarrow.document import schema
-from cardamombarrow.entry import routed
+from cardamombarrow.entry.frontend import routed
 from cardamombarrow.kernel import ids
 
 _SOUND_SILENCE_S = 1.2
--- a/cardamombarrow/entry/tests/test_startup_hold.py
+++ b/cardamombarrow/entry/frontend/tests/test_startup_hold.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from cardamombarrow.entry import lease as lease_module
-from cardamombarrow.entry import startup_app
-from cardamombarrow.entry import startup_hold
+from cardamombarrow.entry.documents import lease as lease_module
+from cardamombarrow.entry.frontend import startup_app
+from cardamombarrow.entry.frontend import startup_hold
 from cardamombarrow.kernel import clock
 
 
--- a/cardamombarrow/entry/peering.py
+++ b/cardamombarrow/entry/peering.py
@@ -11,13 +11,13 @@
 from cardamombarrow.document import schema
 from cardamombarrow.endpoints import base as endpoints_base
 from cardamombarrow.endpoints import poller as poller_module
-from cardamombarrow.entry import broker as broker_module
-from cardamombarrow.entry import control_news
-from cardamombarrow.entry import in_force
-from cardamombarrow.entry import lease as lease_module
 from cardamombarrow.entry import metrics as metrics_module
-from cardamombarrow.entry import placer as placer_module
 from cardamombarrow.entry import settings as settings_module
+from cardamombarrow.entry.documents import control_news
+from cardamombarrow.entry.documents import in_force
+from cardamombarrow.entry.documents import lease as lease_module
+from cardamombarrow.entry.placement import broker as broker_module
+from cardamombarrow.entry.placement import placer as placer_module
 from cardamombarrow.gossip import rows
 from cardamombarrow.gossip import table as table_module
 from cardamombarrow.kernel import clock
--- a/cardamombarrow/entry/broker.py
+++ b/cardamombarrow/entry/placement/broker.py
@@ -13,9 +13,9 @@
 import dataclasses
 
 from cardamombarrow.decisions import messages
-from cardamombarrow.entry import broker_quarantine
-from cardamombarrow.entry import decision_lines
-from cardamombarrow.entry import ticket as ticket_module
+from cardamombarrow.entry.placement import broker_quarantine
+from cardamombarrow.entry.placement import decision_lines
+from cardamombarrow.entry.placement import ticket as ticket_module
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import logs
--- a/cardamombarrow/entry/broker_base.py
+++ b/cardamombarrow/entry/placement/broker_base.py
@@ -19,9 +19,9 @@
 from cardamombarrow.decisions.limiting import rate_limits as rate_limits_module
 from cardamombarrow.decisions.limiting import rejections as rejections_module
 from cardamombarrow.document import schema
-from cardamombarrow.entry import decision_lines
-from cardamombarrow.entry import remote_placer as remote_placer_module
-from cardamombarrow.entry import ticket as ticket_module
+from cardamombarrow.entry.placement import decision_lines
+from cardamombarrow.entry.placement import remote_placer as remote_placer_module
+from cardamombarrow.entry.placement import ticket as ticket_module
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import lifecycle
--- a/cardamombarrow/entry/broker_quarantine.py
+++ b/cardamombarrow/entry/placement/broker_quarantine.py
@@ -6,8 +6,8 @@
 
 from cardamombarrow.decisions import messages
 from cardamombarrow.decisions.fleet import part_evidence
-from cardamombarrow.entry import broker_statements
-from cardamombarrow.entry import decision_lines
+from cardamombarrow.entry.placement import broker_statements
+from cardamombarrow.entry.placement import decision_lines
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import logs
 
--- a/cardamombarrow/entry/broker_statements.py
+++ b/cardamombarrow/entry/placement/broker_statements.py
@@ -5,8 +5,8 @@
 import typing
 
 from cardamombarrow.decisions import messages
-from cardamombarrow.entry import broker_base
-from cardamombarrow.entry import decision_lines
+from cardamombarrow.entry.placement import broker_base
+from cardamombarrow.entry.placement import decision_lines
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import logs
 
--- a/cardamombarrow/entry/placer.py
+++ b/cardamombarrow/entry/placement/placer.py
@@ -8,8 +8,8 @@
 from collections import abc
 
 from cardamombarrow.decisions import messages
-from cardamombarrow.entry import broker as broker_module
-from cardamombarrow.entry import ticket as ticket_module
+from cardamombarrow.entry.placement import broker as broker_module
+from cardamombarrow.entry.placement import ticket as ticket_module
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import logs
--- a/cardamombarrow/entry/tests/test_broker.py
+++ b/cardamombarrow/entry/placement/tests/test_broker.py
@@ -11,9 +11,9 @@
 from cardamombarrow.decisions import messages
 from cardamombarrow.decisions.fleet import part_evidence
 from cardamombarrow.document import parsing
-from cardamombarrow.entry import broker as broker_module
-from cardamombarrow.entry import broker_base
-from cardamombarrow.entry import ticket as ticket_module
+from cardamombarrow.entry.placement import broker as broker_module
+from cardamombarrow.entry.placement import broker_base
+from cardamombarrow.entry.placement import ticket as ticket_module
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
--- a/cardamombarrow/entry/tests/test_decision_lines.py
+++ b/cardamombarrow/entry/placement/tests/test_decision_lines.py
@@ -1,7 +1,7 @@
 """Fields of the log lines of decisions."""
 
 from cardamombarrow.decisions import messages
-from cardamombarrow.entry import decision_lines
+from cardamombarrow.entry.placement import decision_lines
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 
--- a/cardamombarrow/entry/tests/test_endpoint_restrictions.py
+++ b/cardamombarrow/entry/placement/tests/test_endpoint_restrictions.py
@@ -10,12 +10,12 @@
 from cardamombarrow.document import parsing
 from cardamombarrow.document import schema
 from cardamombarrow.endpoints import base as endpoints_base
-from cardamombarrow.entry import broker as broker_module
-from cardamombarrow.entry import crash_detector
-from cardamombarrow.entry import incoming
 from cardamombarrow.entry import metrics as metrics_module
-from cardamombarrow.entry import remote_placer
-from cardamombarrow.entry import request_handler
+from cardamombarrow.entry.frontend import incoming
+from cardamombarrow.entry.placement import broker as broker_module
+from cardamombarrow.entry.placement import remote_placer
+from cardamombarrow.entry.requests import crash_detector
+from cardamombarrow.entry.requests import request_handler
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
--- /dev/null
+++ b/cardamombarrow/entry/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Handling of one request, from admission to settlement."""
--- a/cardamombarrow/entry/call_runner.py
+++ b/cardamombarrow/entry/requests/call_runner.py
@@ -5,15 +5,15 @@
 import typing
 
 from cardamombarrow.decisions import messages
-from cardamombarrow.entry import answers
-from cardamombarrow.entry import caller as caller_module
-from cardamombarrow.entry import gate as gate_module
-from cardamombarrow.entry import in_force
-from cardamombarrow.entry import incoming
 from cardamombarrow.entry import metrics
-from cardamombarrow.entry import once
 from cardamombarrow.entry import readiness as readiness_module
-from cardamombarrow.entry import request_handler
+from cardamombarrow.entry.documents import in_force
+from cardamombarrow.entry.frontend import answers
+from cardamombarrow.entry.frontend import caller as caller_module
+from cardamombarrow.entry.frontend import incoming
+from cardamombarrow.entry.requests import gate as gate_module
+from cardamombarrow.entry.requests import once
+from cardamombarrow.entry.requests import request_handler
 from cardamombarrow.forwarding import app as forwarded_app
 from cardamombarrow.forwarding import core as forwarding
 from cardamombarrow.kernel import connection
--- a/cardamombarrow/entry/crash_detector.py
+++ b/cardamombarrow/entry/requests/crash_detector.py
@@ -14,8 +14,8 @@
 
 from cardamombarrow.decisions import messages
 from cardamombarrow.endpoints import base as endpoints_base
-from cardamombarrow.entry import broker as broker_module
 from cardamombarrow.entry import metrics as metrics_module
+from cardamombarrow.entry.placement import broker as broker_module
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import logs
--- a/cardamombarrow/entry/once.py
+++ b/cardamombarrow/entry/requests/once.py
@@ -10,8 +10,8 @@
 import time
 
 from cardamombarrow.endpoints import base as endpoints_base
-from cardamombarrow.entry import incoming
-from cardamombarrow.entry import request_handler
+from cardamombarrow.entry.frontend import incoming
+from cardamombarrow.entry.requests import request_handler
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import logs
--- a/cardamombarrow/entry/request_handler.py
+++ b/cardamombarrow/entry/requests/request_handler.py
@@ -12,13 +12,15 @@
 from cardamombarrow.decisions import messages
 from cardamombarrow.document import schema
 from cardamombarrow.endpoints import base as endpoints_base
-from cardamombarrow.entry import answer_stream
-from cardamombarrow.entry import broker as broker_module
-from cardamombarrow.entry import crash_detector as crash_detector_module
-from cardamombarrow.entry import incoming
 from cardamombarrow.entry import metrics as metrics_module
-from cardamombarrow.entry import progress as progress_module
-from cardamombarrow.entry import ticket as ticket_module
+from cardamombarrow.entry.frontend import incoming
+from cardamombarrow.entry.placement import broker as broker_module
+from cardamombarrow.entry.placement import ticket as ticket_module
+from cardamombarrow.entry.requests import answer_stream
+from cardamombarrow.entry.requests import (
+    crash_detector as crash_detector_module,
+)
+from cardamombarrow.entry.requests import progress as progress_module
 from cardamombarrow.forwarding import core as forwarding
 from cardamombarrow.forwarding import reachability as reachability_module
 from cardamombarrow.kernel import clock
--- a/cardamombarrow/entry/tests/test_gate.py
+++ b/cardamombarrow/entry/requests/tests/test_gate.py
@@ -7,7 +7,7 @@
 
 from cardamombarrow.decisions import messages
 from cardamombarrow.document import parsing
-from cardamombarrow.entry import gate as gate_module
+from cardamombarrow.entry.requests import gate as gate_module
 from cardamombarrow.kernel import ids
 
 
--- a/cardamombarrow/peers/control/confirmation_loop.py
+++ b/cardamombarrow/peers/control/confirmation_loop.py
@@ -3,7 +3,7 @@
 Receiving no update does not prove that there is none: a broken link or a
 control process that lags behind looks the same. The entry therefore requests
 confirmations, and a control process replies after a majority has confirmed
-its state. `entry.lease` evaluates the replies.
+its state. `entry.documents.lease` evaluates the replies.
 """
 
 import asyncio
--- a/cardamombarrow/peers/gossip/bridge.py
+++ b/cardamombarrow/peers/gossip/bridge.py
@@ -14,7 +14,7 @@
 from cardamombarrow.document import schema
 from cardamombarrow.endpoints import base as endpoints_base
 from cardamombarrow.endpoints import poller as poller_module
-from cardamombarrow.entry import broker as broker_module
+from cardamombarrow.entry.placement import broker as broker_module
 from cardamombarrow.gossip import leaving as leaving_module
 from cardamombarrow.gossip import rendezvous
 from cardamombarrow.gossip import rows
--- a/cardamombarrow/peers/gossip/rejections.py
+++ b/cardamombarrow/peers/gossip/rejections.py
@@ -1,7 +1,7 @@
 """Sharing of pauses after rejections between the instances of a domain."""
 
 from cardamombarrow.decisions import messages
-from cardamombarrow.entry import broker as broker_module
+from cardamombarrow.entry.placement import broker as broker_module
 from cardamombarrow.gossip import rows
 from cardamombarrow.kernel import ids
 
--- a/cardamombarrow/peers/gossip/suspects.py
+++ b/cardamombarrow/peers/gossip/suspects.py
@@ -1,6 +1,6 @@
 """Sharing of reports of suspects between the instances of a domain."""
 
-from cardamombarrow.entry import broker as broker_module
+from cardamombarrow.entry.placement import broker as broker_module
 from cardamombarrow.gossip import rows
 
 __all__ = ["SuspectGossip"]
--- a/cardamombarrow/peers/placing/client.py
+++ b/cardamombarrow/peers/placing/client.py
@@ -12,7 +12,7 @@
 import time
 
 from cardamombarrow.decisions import messages
-from cardamombarrow.entry import remote_placer
+from cardamombarrow.entry.placement import remote_placer
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import logs
 from cardamombarrow.peers import loop as loop_module
--- a/cardamombarrow/peers/placing/service.py
+++ b/cardamombarrow/peers/placing/service.py
@@ -13,7 +13,7 @@
 from grpclib import server
 
 from cardamombarrow.decisions import messages
-from cardamombarrow.entry import placer as placer_module
+from cardamombarrow.entry.placement import placer as placer_module
 from cardamombarrow.kernel import ids
 from cardamombarrow.peers.placing import codec as placing_codec
 from cardamombarrow.peers.placing import origin_codec
--- a/cardamombarrow/peers/placing/tests/test_placing.py
+++ b/cardamombarrow/peers/placing/tests/test_placing.py
@@ -9,8 +9,8 @@
 
 from cardamombarrow.decisions import messages
 from cardamombarrow.document import parsing
-from cardamombarrow.entry import broker as broker_module
-from cardamombarrow.entry import placer as placer_module
+from cardamombarrow.entry.placement import broker as broker_module
+from cardamombarrow.entry.placement import placer as placer_module
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
--- a/cardamombarrow/platform/caller.py
+++ b/cardamombarrow/platform/caller.py
@@ -3,8 +3,8 @@
 import re
 
 from cardamombarrow.decisions import messages
-from cardamombarrow.entry import answers
-from cardamombarrow.entry import protocol
+from cardamombarrow.entry.frontend import answers
+from cardamombarrow.entry.frontend import protocol
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import registry
--- a/cardamombarrow/tests/test_crashing_requests.py
+++ b/cardamombarrow/tests/test_crashing_requests.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from cardamombarrow.entry import control_news
+from cardamombarrow.entry.documents import control_news
 from tools import caller
 from tools import deployment
 from tools import engine_restarter
