Leave out the text of a control process that has no document yet

Cause: an empty text that is packed has bytes, so an entry that asked a control process before its first document parsed nothing and ended. Result: the tests of those modules and of peers/control pass.

--- a/cardamombarrow/peers/control/document_codec.py
+++ b/cardamombarrow/peers/control/document_codec.py
@@ -13,8 +13,11 @@
     *,
     takes_packed: bool,
 ) -> None:
-    """Sets the whole text, packed if the receiver reads it."""
-    if takes_packed:
+    """Sets the whole text, packed if the receiver reads it.
+
+    Without a text, nothing is set: an empty text that is packed has bytes.
+    """
+    if takes_packed and accepted.text:
         message.packed_text = accepted.packed_text
     else:
         message.text = accepted.text
--- a/cardamombarrow/peers/control/tests/test_followers.py
+++ b/cardamombarrow/peers/control/tests/test_followers.py
@@ -54,6 +54,12 @@
     assert len(message.packed_text) < len(texts[9]) / 2
 
 
+def test_a_control_process_without_a_document_sends_no_text():
+    # Guards against entries that end at the start because they parse nothing.
+    message = followers.Followers(lambda: True).document(takes_packed=True)
+    assert not document_codec.has_text(message)
+
+
 @pytest.mark.parametrize("applied", [9, 12])
 def test_an_up_to_date_follower_gets_no_document(published, applied):
     table, _ = published
