Count the rule on urgency in one place

Cause: test_urgency.py and urgency_rule.py counted the same rule, each with its own bounds of the same value. Change: test_urgency.py calls urgency_rule; windows, bounds and the count are the same.

--- a/cardamombarrow/platform/tests/test_urgency.py
+++ b/cardamombarrow/platform/tests/test_urgency.py
@@ -24,6 +24,7 @@
 from cardamombarrow.kernel import ids
 from cardamombarrow.platform import configuration
 from cardamombarrow.platform import servers
+from cardamombarrow.platform.tests import urgency_rule
 
 SEEDS = (0, 1, 2)
 ENTRIES = 16
@@ -32,14 +33,6 @@
 BURST_S = (8.0, 18.0)
 RATE_PER_S = 40.0
 BURST_FACTOR = 3.0
-WINDOW_S = 5.0
-
-MIN_PASSED_OVER = 10
-MAX_PASSED_OVER_SHARE = 1 / 12
-SIZE_FACTOR = 2.0
-"""In a window, not this many requests of a class and not more than this share
-get nothing while less urgent ones of over `SIZE_FACTOR` times their size begin.
-"""
 
 PREFERRED = "w0"
 PREFERRED_SHARE = 0.4
@@ -199,47 +192,21 @@
     return list(zip(works, sent_s, strict=True))
 
 
-def _passed_over(runs, stream, start_s):
-    """Returns how many requests of a class were passed over in a window.
-
-    Returns:
-        The requests that got nothing although a less urgent one of over
-        `SIZE_FACTOR` times their size was sent to an engine later in the
-        window, and all requests of the class in the window.
-    """
-    end_s = start_s + WINDOW_S
-    less_urgent = [s.name for s in STREAMS if s.priority > stream.priority]
-    begun = [
-        (sent_s, work.prompt_tokens)
-        for work, sent_s in runs
-        if work.class_id in less_urgent and start_s <= sent_s < end_s
-    ]
-    asked = [
-        work
-        for work, _ in runs
-        if work.class_id == stream.name and start_s <= work.arrival_s < end_s
-    ]
-    passed_over = [
-        work
-        for work in asked
-        if work.answered_s is None
-        and any(
-            sent_s > work.arrival_s
-            and tokens > SIZE_FACTOR * work.prompt_tokens
-            for sent_s, tokens in begun
-        )
-    ]
-    return len(passed_over), len(asked)
+def _request(work, sent_s):
+    (stream,) = (each for each in STREAMS if each.name == work.class_id)
+    return urgency_rule.Request(
+        stream.name,
+        stream.priority,
+        work.prompt_tokens,
+        work.arrival_s,
+        sent_s,
+        work.answered_s is not None,
+    )
 
 
 def _check_nothing_passed_over(runs):
-    for stream in STREAMS:
-        for start_s in range(int(DURATION_S)):
-            passed_over, asked = _passed_over(runs, stream, start_s)
-            assert (
-                passed_over < MIN_PASSED_OVER
-                or passed_over <= MAX_PASSED_OVER_SHARE * asked
-            ), (stream.name, start_s, passed_over, asked)
+    requests = [_request(work, sent_s) for work, sent_s in runs]
+    assert not urgency_rule.find_violations(requests, range(int(DURATION_S)))
 
 
 @pytest.mark.parametrize("preferred_rank", PREFERRED_RANKS)
