Run background tasks again after an error

Its log: task failed, ConfirmationLoop, 'NoneType' object has no attribute 'endpoints_by_hash'. A reply that arrived while the entry joined the gossip found the broker set and the membership not yet, and the error ended the task for good. Ruled out: links and the log, since the eight other entries refused nothing.

The membership is set before the broker, and a task that has failed is logged, counted (task_failures_total) and run again; so are the tasks per peer, and following, which also ended (ValueError) when the followed control process had left the list.

Threads are not covered.

--- a/cardamombarrow/entry/metrics.py
+++ b/cardamombarrow/entry/metrics.py
@@ -15,6 +15,7 @@
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import memory
+from cardamombarrow.kernel import task_failures
 from cardamombarrow.placing import messages as placing_messages
 from cardamombarrow.resumption import core as resumption
 
@@ -245,6 +246,11 @@
         }
         with self._lock:
             lines = [*self._lines(values)]
+        lines.append(f"# TYPE {PREFIX}task_failures_total counter")
+        lines += [
+            f'{PREFIX}task_failures_total{{task="{name}"}} {count}'
+            for name, count in task_failures.counts().items()
+        ]
         lines.append(f"# TYPE {PREFIX}invalid_statements_total counter")
         lines += [
             f'{PREFIX}invalid_statements_total{{field="{name}"}} {count}'
--- a/cardamombarrow/entry/peering.py
+++ b/cardamombarrow/entry/peering.py
@@ -315,7 +315,6 @@
             broker: The broker whose state is exchanged with other instances.
             counts: Where questions to the placer are counted.
         """
-        self._broker = broker
         self.membership = gossip_bridge_module.GossipBridge(
             self._instance, self._domain, kinds, broker, self._clock
         )
@@ -331,6 +330,9 @@
         address = self._address()
         table = table_module.Table(
             self._instance,
+        # Replies of control processes arrive meanwhile; handling them with the
+        # broker requires the membership.
+        self._broker = broker
             time.time_ns() // 1_000_000,
             rows.RowHeader(address, self._documents.revision),
             self._clock.now_s(),
--- a/cardamombarrow/peers/control/client.py
+++ b/cardamombarrow/peers/control/client.py
@@ -140,8 +140,8 @@
     def start(self) -> None:
         """Starts following."""
         self._tasks = [
-            self._loop.call(self._follow_forever()),
-            self._loop.call(self._watch_own_domain()),
+            self._loop.call(loop_module.supervise(run.__name__, run))
+            for run in (self._follow_forever, self._watch_own_domain)
         ]
 
     def stop(self) -> None:
@@ -223,8 +223,9 @@
                 )
             self._followed = ""
             self._disconnect(address)
-            self._addresses.remove(address)
-            self._addresses.append(address)
+            if address in self._addresses:
+                self._addresses.remove(address)
+                self._addresses.append(address)
             if self._own_control in self._addresses:
                 self._addresses.remove(self._own_control)
                 self._addresses.insert(0, self._own_control)
--- a/cardamombarrow/peers/control/follower_exchange.py
+++ b/cardamombarrow/peers/control/follower_exchange.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections import abc
+import functools
 import time
 
 from grpclib import client
@@ -74,7 +75,10 @@
                     tasks.pop(address).cancel()
                 for address in wanted - set(tasks):
                     tasks[address] = asyncio.create_task(
-                        self._poll_forever(address)
+                        loop_module.supervise(
+                            "_poll_forever",
+                            functools.partial(self._poll_forever, address),
+                        )
                     )
                 await asyncio.sleep(INTERVAL_S)
         finally:
--- a/cardamombarrow/peers/control/tests/test_client.py
+++ b/cardamombarrow/peers/control/tests/test_client.py
@@ -76,6 +76,34 @@
         control.stop()
 
 
+def test_an_entry_follows_on_after_its_control_process_left_the_list(loop):
+    # Guards against an entry that gets no documents any more, because the
+    # control process that it followed had been replaced when its link broke.
+    ports = deployment.free_ports(2)
+    old = _Control(loop, ports[0], "near")
+    new = _Control(loop, ports[1], "near")
+    client = control_client.ControlClient(
+        loop,
+        (old.address,),
+        _SECRET,
+        lambda first: control_pb2.AppliedReport(
+            instance="entry-1", domain="near"
+        ),
+        lambda *_: True,
+        lambda: (ids.Revision(0), ""),
+        0.2,
+        ids.DomainId("near"),
+    )
+    client.start()
+    assert deployment.wait_until(lambda: old.follows("entry-1"))
+    client.set_controls((new.address,))
+    assert deployment.wait_until(lambda: client.addresses() == [new.address])
+    old.stop()
+    assert deployment.wait_until(lambda: new.follows("entry-1"))
+    client.stop()
+    new.stop()
+
+
 def test_followers_learn_how_many_entries_share_the_bounds(loop):
     # Guards against parts of global bounds that are sized for a guessed number
     # of entries where no confirmations of the document are asked for.
--- a/cardamombarrow/peers/loop.py
+++ b/cardamombarrow/peers/loop.py
@@ -15,9 +15,12 @@
 import typing
 
 from cardamombarrow.kernel import lifecycle
-from cardamombarrow.kernel import logs
+from cardamombarrow.kernel import task_failures
 
-__all__ = ["LoopPart", "LoopThread"]
+__all__ = ["LoopPart", "LoopThread", "supervise"]
+
+RESTART_PAUSE_S = 0.2
+"""Time between the failure of a task and its next run."""
 
 _T = typing.TypeVar("_T")
 
@@ -88,6 +91,26 @@
                 )
 
 
+async def supervise(
+    name: str,
+    run: collections_abc.Callable[
+        [], collections_abc.Coroutine[typing.Any, typing.Any, None]
+    ],
+) -> None:
+    """Runs a background task; runs it again after an error.
+
+    Args:
+        name: Name of the task in log lines and metrics.
+        run: Returns a new run of the task.
+    """
+    while True:
+        try:
+            return await run()
+        except Exception as error:
+            task_failures.record(name, error)
+        await asyncio.sleep(RESTART_PAUSE_S)
+
+
 class LoopPart(lifecycle.Part):
     """A part that consists of one task on the loop."""
 
@@ -97,21 +120,7 @@
 
     def start(self) -> None:
         """Starts the task."""
-        self._task = self._loop.call(self._run())
-        self._task.add_done_callback(self._log_failure)
-
-    def _log_failure(self, task: futures.Future[None]) -> None:
-        """Logs why a task has ended that should have run on."""
-        if task.cancelled():
-            return
-        error = task.exception()
-        if error is not None:
-            logs.event(
-                "task failed",
-                "ERROR",
-                part=type(self).__name__,
-                detail=repr(error),
-            )
+        self._task = self._loop.call(supervise(type(self).__name__, self._run))
 
     def stop(self) -> None:
         """Cancels the task."""
@@ -119,4 +128,4 @@
 
     @abc.abstractmethod
     async def _run(self) -> None:
-        """Runs until it is cancelled."""
+        """Runs until it is cancelled; called again after an error."""
--- a/cardamombarrow/peers/placing/load_publisher.py
+++ b/cardamombarrow/peers/placing/load_publisher.py
@@ -11,6 +11,7 @@
 
 import asyncio
 from collections import abc
+import functools
 import time
 
 from grpclib import client
@@ -107,12 +108,15 @@
                     self._tasks.pop(address).cancel()
                 for address in wanted - set(self._tasks):
                     self._tasks[address] = asyncio.create_task(
-                        self._publish_forever(address)
+                        loop_module.supervise(
+                            "_publish_forever",
+                            functools.partial(self._publish_forever, address),
+                        )
                     )
                 await asyncio.sleep(INTERVAL_S if wanted else IDLE_CHECK_S)
         finally:
-            for task in self._tasks.values():
-                task.cancel()
+            while self._tasks:
+                self._tasks.popitem()[1].cancel()
 
     async def _publish_forever(self, address: str) -> None:
         while True:
