Ask several control processes for a confirmation at a time

Cause, from the log lines of the entries: control processes were asked one after the other, each for up to 1 s, and the age of the confirmation counted from the first question, so it arrived 3 of its 4.5 s old; and each reply had the text that the followed process was sending over the same link at that moment. Ruled out: elections (0.05 s each in the log), the engines, the dispatcher (no other check refused).

The next process is asked after 0.4 s while earlier ones are waited for, and the age counts from the request that was answered. Replies leave the text out while a followed process sends it; a confirmation of a newer document counts once that document is in force.

--- a/cardamombarrow/entry/frontend/tests/test_startup_hold.py
+++ b/cardamombarrow/entry/frontend/tests/test_startup_hold.py
@@ -8,6 +8,7 @@
 from cardamombarrow.entry.frontend import startup_app
 from cardamombarrow.entry.frontend import startup_hold
 from cardamombarrow.kernel import clock
+from cardamombarrow.kernel import ids
 
 
 @pytest.mark.parametrize(
@@ -46,7 +47,7 @@
     callers = [threading.Thread(target=request) for _ in range(5)]
     for caller in callers:
         caller.start()
-    lease.confirm(time_source.now_s())
+    lease.confirm(time_source.now_s(), ids.Revision(0))
     for caller in callers:
         caller.join()
     assert served == [True] * 5
--- a/cardamombarrow/entry/peering.py
+++ b/cardamombarrow/entry/peering.py
@@ -61,6 +61,10 @@
 QUERY_TIMEOUT_S = 2.0
 """Longest wait for each source of the first document."""
 
+TEXT_WAIT_S = 1.5
+"""How long a newer document may take to arrive by the followed link before its
+text is requested with a confirmation."""
+
 BOOT_BYTES = 4
 """Random bytes that distinguish the starts of an entry."""
 
@@ -137,7 +141,10 @@
         self.lease = lease_module.DocumentLease(
             settings.document.max_age_s, boot_clock
         )
-        self._usage_number = 0
+        documents.add_listener(
+            lambda applied: self.lease.put_in_force(applied.revision)
+        )
+        self._usage_numbers: dict[str, int] = {}
         self._boot = secrets.token_hex(BOOT_BYTES)
         self.time = agreed_time.AgreedTime(boot_clock)
         self.meter = meter_module.Meter(
@@ -195,7 +202,7 @@
         return peers.address or f"{peers.host}:{peers.port}"
 
     def _confirm_request(self, address: str) -> control_pb2.ConfirmRequest:
-        usage, self._usage_number = self.meter.unconfirmed(address)
+        usage, self._usage_numbers[address] = self.meter.unconfirmed(address)
         cache_changes = (
             []
             if self._broker is None
@@ -206,6 +213,8 @@
             domain=self._domain,
             applied_revision=self._documents.revision,
             takes_packed=True,
+            brief=self.control.is_following
+            and self.lease.behind_s < TEXT_WAIT_S,
             kept=cache_announcement_codec.cache_announcements_to_wire(
                 cache_changes
             ),
@@ -238,14 +247,15 @@
     def _on_confirmed(
         self, address: str, asked_s: float, reply: control_pb2.ConfirmReply
     ) -> None:
-        self.meter.acknowledge(address, reply.boot, self._usage_number)
+        self.meter.acknowledge(
+            address, reply.boot, self._usage_numbers[address]
+        )
         if reply.unix_s:
             self.time.synchronize(reply.unix_s)
         document = reply.document
         if document_codec.has_text(document):
             self._take_document(document)
-        if self._documents.revision >= document.revision:
-            self.lease.confirm(asked_s)
+        self.lease.confirm(asked_s, ids.Revision(document.revision))
         if reply.controls and set(reply.controls) != set(
             self.control.addresses()
         ):
@@ -320,6 +330,9 @@
         )
         broker.set_departure_listener(self.membership.on_departure)
         broker.set_suspect_listener(self.control.report_now)
+        # Replies of control processes arrive meanwhile; handling them with the
+        # broker requires the membership.
+        self._broker = broker
         self._news.join(broker)
         poller = poller_module.Poller(
             self._settings.platform.report_interval_s,
@@ -330,9 +343,6 @@
         address = self._address()
         table = table_module.Table(
             self._instance,
-        # Replies of control processes arrive meanwhile; handling them with the
-        # broker requires the membership.
-        self._broker = broker
             time.time_ns() // 1_000_000,
             rows.RowHeader(address, self._documents.revision),
             self._clock.now_s(),
--- a/cardamombarrow/peers/control/client.py
+++ b/cardamombarrow/peers/control/client.py
@@ -167,6 +167,11 @@
         """Returns the addresses of control processes, best one first."""
         return list(self._addresses)
 
+    @property
+    def is_following(self) -> bool:
+        """Whether a control process sends accepted documents."""
+        return bool(self._followed)
+
     def set_controls(self, controls: tuple[str, ...]) -> None:
         """Replaces the list of control processes; thread-safe."""
         self._loop.call(self._set_controls(controls))
--- a/cardamombarrow/peers/control/confirmation_loop.py
+++ b/cardamombarrow/peers/control/confirmation_loop.py
@@ -10,6 +10,7 @@
 from collections import abc
 from concurrent import futures
 import contextlib
+import dataclasses
 
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import logs
@@ -24,9 +25,13 @@
 
 RETRY_S = 0.2
 
-ATTEMPT_TIMEOUT_S = 1.0
-"""Maximum wait for one control process: above a round of the log with a slow
-disk, and short enough that another one can be tried within the bound."""
+NEXT_AFTER_S = 0.4
+"""Time without a reply after which the next control process is also asked:
+above a round of the log with a slow disk."""
+
+ATTEMPT_TIMEOUT_S = 2.0
+"""Maximum wait for one control process: a reply that takes as long as an
+election still leaves time within the shortest bound in use."""
 
 FLUSH_TIMEOUT_S = 0.3
 """Maximum wait when stopping: the request arrives long before its reply."""
@@ -34,6 +39,20 @@
 OnReply = abc.Callable[[str, float, control_pb2.ConfirmReply], None]
 
 
+@dataclasses.dataclass(frozen=True)
+class _Confirmation:
+    """A reply that confirms a document.
+
+    Attributes:
+        address: The control process that sent it.
+        asked_s: When it was requested.
+    """
+
+    address: str
+    asked_s: float
+    reply: control_pb2.ConfirmReply
+
+
 class ConfirmationLoop(loop_module.LoopPart):
     """Requests confirmations; one task on the loop."""
 
@@ -62,34 +81,63 @@
         self._clock = time_source
 
     async def _run(self) -> None:
-        confirmed = False
+        was_confirmed = False
         while True:
-            asked_s = self._clock.now_s()
-            address, reply = await self._confirm_once()
-            if confirmed != (reply is not None):
-                confirmed = reply is not None
+            begin_s = self._clock.now_s()
+            found = await self._confirm_once()
+            if was_confirmed != (found is not None):
+                was_confirmed = found is not None
                 logs.event(
-                    "document confirmed" if confirmed else "document in doubt",
-                    "INFO" if confirmed else "WARNING",
+                    "document confirmed" if found else "document in doubt",
+                    "INFO" if found else "WARNING",
                     asked=self._control.addresses(),
                 )
-            if reply is None:
+            if found is None:
                 await asyncio.sleep(RETRY_S)
                 continue
-            await asyncio.to_thread(self._on_reply, address, asked_s, reply)
-            elapsed_s = self._clock.now_s() - asked_s
+            await asyncio.to_thread(
+                self._on_reply, found.address, found.asked_s, found.reply
+            )
+            elapsed_s = self._clock.now_s() - begin_s
             await asyncio.sleep(max(INTERVAL_S - elapsed_s, RETRY_S))
 
-    async def _confirm_once(
-        self,
-    ) -> tuple[str, control_pb2.ConfirmReply | None]:
-        for address in self._control.addresses():
-            reply = await self._control.confirm(
-                self._request(address), address, ATTEMPT_TIMEOUT_S
-            )
-            if reply is not None and reply.confirmed:
-                return address, reply
-        return "", None
+    async def _confirm_once(self) -> _Confirmation | None:
+        """Asks one control process after another until one confirms.
+
+        Those that have not replied yet continue to be waited for, so that a
+        control process that restarts does not delay the others' replies.
+        """
+        attempts: set[asyncio.Task[_Confirmation | None]] = set()
+        addresses = iter(self._control.addresses())
+        try:
+            while True:
+                address = next(addresses, None)
+                if address is not None:
+                    attempts.add(asyncio.create_task(self._ask(address)))
+                if not attempts:
+                    return None
+                done, attempts = await asyncio.wait(
+                    attempts,
+                    timeout=None if address is None else NEXT_AFTER_S,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                for attempt in done:
+                    if attempt.result() is not None:
+                        return attempt.result()
+        finally:
+            for attempt in attempts:
+                attempt.cancel()
+
+    async def _ask(self, address: str) -> _Confirmation | None:
+        # A change that is accepted before the request arrives is covered, so
+        # waits for other control processes must not count.
+        asked_s = self._clock.now_s()
+        reply = await self._control.confirm(
+            self._request(address), address, ATTEMPT_TIMEOUT_S
+        )
+        if reply is None or not reply.confirmed:
+            return None
+        return _Confirmation(address, asked_s, reply)
 
     def flush(self) -> None:
         """Sends a last request when stopping, to report the latest usage."""
--- a/cardamombarrow/peers/control/service.py
+++ b/cardamombarrow/peers/control/service.py
@@ -101,10 +101,10 @@
         if await self._batcher.confirm():
             reply.confirmed = True
             accepted = self._accepted()
-            newer = accepted.revision > request.applied_revision
+            is_newer = accepted.revision > request.applied_revision
             reply.document.revision = accepted.revision
             reply.document.format = accepted.format
-            if newer:
+            if is_newer and not request.brief:
                 document_codec.set_text(
                     reply.document, accepted, takes_packed=request.takes_packed
                 )
