Read the entries of the list of servers one by one and strictly

Cause: a page was decoded as a whole, and an entry's fields were checked in part. A configuration with NaN or Infinity was acknowledged and failed each request of its route.

Pages are parsed strictly. If that fails, items are split at the brackets and parsed one by one; a page without balanced brackets is still refused as a whole, and the list before holds. All fields that the platform states are required with their types and ranges; entries left out are logged by reason when their number changes. msgspec (Raw items) was tried in place of the splitting: NaN, control characters, lone surrogates and deep nesting in one item failed the whole page there.

Red before: test_foreign_entries (entries never ready after the restart), test_listing.

--- a/cardamombarrow/platform/configuration.py
+++ b/cardamombarrow/platform/configuration.py
@@ -5,7 +5,6 @@
 """
 
 import hashlib
-import json
 import typing
 
 from cardamombarrow.document import formats
@@ -15,6 +14,7 @@
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import logs
 from cardamombarrow.kernel import registry
+from cardamombarrow.platform import json_text
 
 __all__ = ["NAME", "ConfigurationFormat", "version_of"]
 
@@ -69,7 +69,7 @@
 
 def _load(text: str) -> dict[str, typing.Any]:
     try:
-        raw = json.loads(text)
+        raw = json_text.load(text)
     except ValueError as error:
         raise errors.ConfigError([f"not JSON: {error}"]) from None
     if not isinstance(raw, dict):
--- a/cardamombarrow/platform/listing.py
+++ b/cardamombarrow/platform/listing.py
@@ -1,6 +1,8 @@
 """The platform's list of servers."""
 
-import json
+import collections
+import dataclasses
+import enum
 import typing
 from urllib import parse
 
@@ -8,9 +10,11 @@
 from cardamombarrow.endpoints import http_get
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
+from cardamombarrow.kernel import logs
 from cardamombarrow.kernel import registry
+from cardamombarrow.platform import json_text
 
-__all__ = ["PlatformList", "read_page"]
+__all__ = ["Mistake", "Page", "PlatformList", "read_page"]
 
 FETCH_TIMEOUT_S = 1.5
 
@@ -25,57 +29,130 @@
 }
 
 
-def read_page(body: bytes) -> tuple[list[base.ListedEndpoint], str]:
-    """Reads one page; entries that can't be read are skipped.
+MAX_NAME_CHARS = 1_000
 
-    Returns:
-        The servers, and the token of the next page; empty on the last one.
+MAX_PORT_CHARS = 5
 
-    Raises:
-        ValueError: The body is not a page of the list.
+MAX_SLOTS = 1_000_000
+
+
+class Mistake(enum.Enum):
+    """Why an entry of the list names no server to use."""
+
+    NOT_JSON = "not_json"
+    NOT_AN_OBJECT = "not_an_object"
+    NAME = "name"
+    ADDRESS = "address"
+    STATE = "state"
+    SLOTS = "slots"
+    COLD = "cold"
+    SPOT = "spot"
+    DUPLICATE = "duplicate"
+
+
+class _EntryError(ValueError):
+    """An entry can't be used."""
+
+    def __init__(self, mistake: Mistake):
+        super().__init__(mistake.value)
+        self.mistake = mistake
+
+
+@dataclasses.dataclass(frozen=True)
+class Page:
+    """One page of the list.
+
+    Attributes:
+        listed: The servers.
+        next_token: Token of the next page; empty on the last one.
+        mistakes: How many entries were left out, by reason.
     """
-    raw = json.loads(body)
-    if not isinstance(raw, dict) or not isinstance(raw.get("instances"), list):
-        raise ValueError("not a page of the list of servers")
-    token = raw.get("nextToken")
-    listed = [_entry(item) for item in raw["instances"]]
-    return [each for each in listed if each is not None], token or ""
+
+    listed: tuple[base.ListedEndpoint, ...]
+    next_token: str
+    mistakes: collections.Counter[Mistake]
 
 
-def _entry(item: typing.Any) -> base.ListedEndpoint | None:
+def read_page(body: bytes) -> Page:
+    """Reads one page; entries that can't be read are left out.
+
+    Raises:
+        ValueError: The body is not a page of the list.
+    """
+    raw, items, damaged = json_text.load_array_member(body, "instances")
+    token = raw.get("nextToken") or ""
+    if not isinstance(token, str):
+        raise ValueError("nextToken: not a text")
+    mistakes = collections.Counter({Mistake.NOT_JSON: len(damaged)})
+    listed: dict[ids.EndpointId, base.ListedEndpoint] = {}
+    for item in items:
+        try:
+            entry = _entry(item)
+            if listed.setdefault(entry.endpoint, entry) is not entry:
+                raise _EntryError(Mistake.DUPLICATE)
+        except _EntryError as error:
+            mistakes[error.mistake] += 1
+    return Page(tuple(listed.values()), token, +mistakes)
+
+
+def _entry(item: typing.Any) -> base.ListedEndpoint:
     if not isinstance(item, dict):
-        return None
-    names = [item.get(key) for key in _NAMES]
+        raise _EntryError(Mistake.NOT_AN_OBJECT)
+    identity, address, service, zone, software = (
+        _name(item.get(key)) for key in _NAMES
+    )
+    host, _, port = address.rpartition(":")
+    is_port = port.isdecimal() and 0 < int(port[:MAX_PORT_CHARS]) < 65_536
+    if not (host and is_port and len(port) <= MAX_PORT_CHARS):
+        raise _EntryError(Mistake.ADDRESS)
+    if not (identity.isascii() and address.isascii()):
+        # Both are sent in headers.
+        raise _EntryError(Mistake.NAME)
     state = item.get("state")
-    if not all(isinstance(name, str) and name for name in names):
-        return None
     if not isinstance(state, str) or state not in _STATES:
-        return None
-    identity, address, service, zone, software = names
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdigit():
-        return None
+        raise _EntryError(Mistake.STATE)
     slots = item.get("slots")
+    if type(slots) is not int or not 0 < slots <= MAX_SLOTS:
+        raise _EntryError(Mistake.SLOTS)
+    cold_ms = item.get("coldRemainingMs")
+    if type(cold_ms) not in (int, float) or cold_ms < 0:
+        raise _EntryError(Mistake.COLD)
+    spot = item.get("spot", False)
+    if not isinstance(spot, bool):
+        raise _EntryError(Mistake.SPOT)
     return base.ListedEndpoint(
         ids.endpoint_id(address, identity),
         _STATES[state],
         ids.ServiceId(service),
         ids.DomainId(zone),
-        slots if type(slots) is int and slots > 0 else 0,
-        item.get("spot") is True,
+        slots,
+        spot,
         ids.SoftwareVersion(software),
     )
 
 
+def _name(value: typing.Any) -> str:
+    """Returns a name that can be logged."""
+    if not isinstance(value, str) or not 0 < len(value) <= MAX_NAME_CHARS:
+        raise _EntryError(Mistake.NAME)
+    if not value.isprintable():
+        raise _EntryError(Mistake.NAME)
+    return value
+
+
 @registry.plugin(base.SLOT, "platform")
 class PlatformList(base.Source):
     """A list that is fetched page by page."""
 
     names_endpoints = True
 
+    def __init__(self):
+        self._mistakes: collections.Counter[Mistake] = collections.Counter()
+
     def fetch(self, url: str) -> list[base.ListedEndpoint]:
         """Reads all pages; see `base.Source`."""
         listed: list[base.ListedEndpoint] = []
+        mistakes: collections.Counter[Mistake] = collections.Counter()
         token = ""
         for _ in range(MAX_PAGES):
             query = f"?{parse.urlencode({'pageToken': token})}" if token else ""
@@ -86,8 +163,21 @@
                     f"{url} answered {reply.status}",
                     sent=True,
                 )
-            page, token = read_page(reply.body)
-            listed += page
+            page = read_page(reply.body)
+            listed += page.listed
+            mistakes += page.mistakes
+            token = page.next_token
             if not token:
+                self._log_changes(mistakes)
                 return listed
         raise ValueError("the list of servers has too many pages")
+
+    def _log_changes(self, mistakes: collections.Counter[Mistake]) -> None:
+        """Logs the entries that are left out, when their number changes."""
+        if mistakes != self._mistakes:
+            self._mistakes = mistakes
+            logs.event(
+                "listed entries left out",
+                "WARNING" if mistakes else "INFO",
+                **{each.value: count for each, count in mistakes.items()},
+            )
--- a/cardamombarrow/platform/tests/standin_server.py
+++ b/cardamombarrow/platform/tests/standin_server.py
@@ -71,6 +71,7 @@
                 "zone": "a",
                 "version": "v1",
                 "slots": SLOTS,
+                "coldRemainingMs": 0,
                 "state": "ready",
             }
             for port in self.ports
--- a/cardamombarrow/platform/tests/standin_streams.py
+++ b/cardamombarrow/platform/tests/standin_streams.py
@@ -129,6 +129,10 @@
     at_s: float
 
 
+UNLISTED = "unlisted"
+"""State of a server that the list leaves out."""
+
+
 @dataclasses.dataclass
 class Listed:
     """A server, as its platform lists it."""
@@ -161,6 +165,7 @@
         script: Returns the answer to a request.
         listed: The servers by port.
         received: All requests, in order.
+        foreign: Entries of the list by another writer, as they are sent.
         listing_url: URL of the list.
     """
 
@@ -168,6 +173,7 @@
         self.script = script
         self.listed: dict[int, Listed] = {}
         self.received: list[Received] = []
+        self.foreign: list[bytes] = []
         self._listeners: dict[int, socket.socket] = {}
         self._open: dict[int, set[socket.socket]] = {}
         self._lock = threading.Lock()
@@ -266,11 +272,14 @@
                 "zone": each.zone,
                 "version": each.version,
                 "slots": SLOTS,
+                "coldRemainingMs": 0,
                 "state": each.state,
             }
             for each in list(self.listed.values())
+            if each.state != UNLISTED
         ]
-        body = json.dumps({"instances": instances, "nextToken": None}).encode()
+        entries = [*self.foreign, *(json.dumps(i).encode() for i in instances)]
+        body = b'{"instances":[%b],"nextToken":null}' % b",".join(entries)
         connection.sendall(
             b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
             b"Connection: close\r\nContent-Length: %d\r\n\r\n%b"
--- a/cardamombarrow/platform/tests/test_configuration.py
+++ b/cardamombarrow/platform/tests/test_configuration.py
@@ -169,3 +169,15 @@
     # its time limit.
     text = make["configuration"](routes=[make["route"](routeKind="idempotent")])
     assert _FORMAT.parse(text).classes["letter"].expected_tokens == 1
+
+
+@pytest.mark.parametrize("number", ["NaN", "Infinity", "-Infinity", "1e400"])
+def test_a_number_that_json_does_not_have_makes_it_unreadable(make, number):
+    # Guards against a configuration that is acknowledged and fails each
+    # request of a route.
+    text = make["configuration"]().replace("5000", number)
+    assert number in text
+    with pytest.raises(errors.ConfigError, match="not JSON"):
+        configuration.version_of(text)
+    with pytest.raises(errors.ConfigError, match="not JSON"):
+        _FORMAT.parse(text)
