--- a/cardamombarrow/platform/tests/test_foreign_entries.py
+++ b/cardamombarrow/platform/tests/test_foreign_entries.py
@@ -12,7 +12,7 @@
 pytestmark = pytest.mark.process
 
 _RUN_S = 2.0
-_EACH_PER_S = 4.0
+_EACH_PER_S = 30.0
 
 
 def _foreign(port: int) -> list[bytes]:
@@ -50,7 +50,7 @@
 def test_foreign_entries_hide_no_server_and_name_none(tmp_path):
     # Guards against processes that know no server after a restart of all, and
     # against requests to a server that only an unreadable entry names.
-    with standin.Servers(lambda _: standin.Answer()) as servers:
+    with standin.Servers(lambda _: standin.Answer(pause_s=0.05)) as servers:
         for number in range(2):
             servers.start(f"own-{number}")
         strange = servers.start("foreign", state=standin.UNLISTED)
