Tell other domains which version began the streams of a lone entry

Cause: entries tell other domains through their domain's placer, and an entry alone in its domain asks no placer, so nobody published what it began; it was not named as a placer either, so others told it nothing.

An entry that has been alone for a second counts as its domain's representative: it publishes, and others publish to it. Origins beyond the limit of a message wait for the next ones, at most 500.

--- a/cardamombarrow/entry/peering.py
+++ b/cardamombarrow/entry/peering.py
@@ -65,6 +65,10 @@
 """How long a newer document may take to arrive by the followed link before its
 text is requested with a confirmation."""
 
+ALONE_AFTER_S = 1.0
+"""Time without other entries of the domain after which this one counts as the
+only one: an entry that starts has not found the others yet."""
+
 BOOT_BYTES = 4
 """Random bytes that distinguish the starts of an entry."""
 
@@ -115,6 +119,7 @@
         self._remote_placer: placing_client.PlacingClient | None = None
         self._placer: placer_module.Placer | None = None
         self._load_publisher: load_publisher.LoadPublisher | None = None
+        self._alone_since_s = time_source.now_s()
         self._found_endpoints: tuple[messages.KnownEndpoint, ...] = ()
         self._forward_address: abc.Callable[[], str] = lambda: ""
         self._on_forwarding_entries: abc.Callable[
@@ -170,12 +175,25 @@
             domain=self._domain,
             applied_revision=self._documents.revision,
             address=self._address(),
-            places=self._placer is not None and self._placer.owners > 0,
+            places=self._places(),
             forward_address=self._forward_address(),
             takes_packed=True,
             suspects=self._news.suspects(all_known=first),
         )
 
+    def _places(self) -> bool:
+        """Returns whether this entry represents its domain to others.
+
+        It does as the placer and as the only entry, which asks no placer.
+        """
+        if self._placer is None or self._node is None:
+            return False
+        now_s = self._clock.now_s()
+        if len(self._node.addresses()) > 1:
+            self._alone_since_s = now_s
+        is_alone = now_s - self._alone_since_s >= ALONE_AFTER_S
+        return is_alone or self._placer.owners > 0
+
     def set_forwarding(
         self,
         address: abc.Callable[[], str],
@@ -364,7 +382,7 @@
             self._instance,
             peers.secret,
             placer.own_loads,
-            lambda: placer.owners > 0,
+            self._places,
             self.origins,
         )
         self._server = server_module.PeerServer(
--- a/cardamombarrow/peers/placing/load_publisher.py
+++ b/cardamombarrow/peers/placing/load_publisher.py
@@ -44,6 +44,9 @@
 """Most origins of streams in one message, the newest ones: each is passed on to
 all entries of the other domain, whose callers rarely resume it there."""
 
+MAX_ORIGINS_WAITING = 500
+"""Most origins that wait for later messages; the oldest ones are left out."""
+
 IDLE_CHECK_S = 0.5
 """Time between two checks of whether this instance is a placer."""
 
@@ -137,6 +140,7 @@
         sent: _Loads = {}
         sent_s = time.monotonic()
         number = 0
+        waiting: list[resumption.Record] = []
         # grpclib opens a stream with the first message; nothing can be read
         # before that.
         hello = placing_codec.loads_to_wire(self._instance, {})
@@ -151,13 +155,15 @@
                 records, number = self._origins.since(
                     number, resumption.Source.DOMAIN
                 )
-                if updates or records or now_s - sent_s >= KEEPALIVE_S:
+                waiting = [*records, *waiting][:MAX_ORIGINS_WAITING]
+                if updates or waiting or now_s - sent_s >= KEEPALIVE_S:
                     news = placing_codec.loads_to_wire(self._instance, updates)
                     news.origins.extend(
                         origin_codec.origins_to_wire(
-                            records[:MAX_ORIGINS], now_s
+                            waiting[:MAX_ORIGINS], now_s
                         )
                     )
+                    del waiting[:MAX_ORIGINS]
                     await stream.send_message(news)
                     sent, sent_s = loads, now_s
                 await asyncio.sleep(INTERVAL_S)
--- a/cardamombarrow/platform/tests/test_software_versions.py
+++ b/cardamombarrow/platform/tests/test_software_versions.py
@@ -45,6 +45,18 @@
         yield started
 
 
+@pytest.fixture(scope="module")
+def with_lone_entry(servers, tmp_path_factory):
+    """A deployment whose first failure domain has a single entry."""
+    _start(servers, ("v1",))
+    folder = tmp_path_factory.mktemp("lone")
+    plan = stream_client.plan(
+        servers.listing_url, {"a": ["a-1"], "b": ["b-1", "b-2"]}
+    )
+    with deployment.Deployment(plan, folder) as started:
+        yield started
+
+
 def _start(servers, versions):
     return [
         servers.start(f"i-{next(_identities)}", version=version)
@@ -166,6 +178,33 @@
         running.wait_ready(killed)
 
 
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGKILL])
+@pytest.mark.parametrize(
+    ("ended", "others"), [("a-1", ["b-1", "b-2"]), ("b-1", ["a-1"])]
+)
+def test_streams_go_on_in_the_domain_of_a_lone_entry_and_from_there(
+    with_lone_entry, servers, ended, others, number
+):
+    # Guards against streams whose software version only the single entry of a
+    # failure domain knows, and against such an entry that knows no others.
+    running = with_lone_entry
+    _replace(servers, 2 * _VERSIONS)
+    servers.script = _paced
+    begun = _begin(running, _STREAMS, ended)
+    time.sleep(2.5 * _PAUSE_S)
+    running.signal(ended, number)
+    time.sleep(0.1)
+    for _, caller in begun:
+        with contextlib.suppress(OSError):
+            caller.shutdown(socket.SHUT_WR)
+    try:
+        assert _share_that_goes_on(running, begun, others) >= _LEAST_SHARE
+    finally:
+        running.processes[ended].wait()
+        running.start_instance(ended)
+        running.wait_ready(ended)
+
+
 def test_a_restarted_entry_knows_the_streams_that_others_began(
     running, servers
 ):
