Pass on the streams that entries of a second placer have begun

Cause: the placer that it asked instead told its own placer only what it had begun itself.

Such a placer passes on what the entries that ask it have told it. The link to itself leaves that out.

Red before, green after: test_placing, a domain of four entries of which one asks another placer.

--- a/cardamombarrow/peers/placing/client.py
+++ b/cardamombarrow/peers/placing/client.py
@@ -312,7 +312,14 @@
         would lose the working one.
         """
         link = placing_link.PlacingLink(
-            instance, self._on_reply, self._on_closed, self._origins
+            instance,
+            self._on_reply,
+            self._on_closed,
+            self._origins,
+            # Entries that have left the placer may ask this one instead.
+            resumption.Source.OWN
+            if instance == self._instance
+            else resumption.Source.ASKING,
         )
         hello = placing_pb2.PlacingRequest(
             instance=self._instance, epoch=time.time_ns()
--- a/cardamombarrow/peers/placing/link.py
+++ b/cardamombarrow/peers/placing/link.py
@@ -69,6 +69,7 @@
         on_reply: OnReply,
         on_closed: abc.Callable[["PlacingLink"], None],
         origins: resumption.StreamOrigins,
+        farthest: resumption.Source,
     ):
         self.instance = instance
         self.questions: dict[ids.RequestId, Question] = {}
@@ -80,7 +81,7 @@
         self._on_closed = on_closed
         self._origins = origins
         self._origins_number = 0
-        self._farthest = resumption.Source.OWN
+        self._usual_farthest = self._farthest = farthest
         self._ready = asyncio.Event()
         self._received_s = time.monotonic()
         self._next = placing_pb2.PlacingRequest()
@@ -146,8 +147,8 @@
         records, self._origins_number = self._origins.since(
             self._origins_number, self._farthest
         )
-        if self._farthest is not resumption.Source.OWN:
-            self._farthest = resumption.Source.OWN
+        if self._farthest is not self._usual_farthest:
+            self._farthest = self._usual_farthest
             message.origins_complete = self._origins.is_complete
         message.origins.extend(
             origin_codec.origins_to_wire(records, time.monotonic())
--- a/cardamombarrow/peers/placing/service.py
+++ b/cardamombarrow/peers/placing/service.py
@@ -126,7 +126,7 @@
                 message = first
                 while message is not None:
                     self._merge_origins(
-                        message.origins, resumption.Source.DOMAIN
+                        message.origins, resumption.Source.ASKING
                     )
                     if message.origins_complete:
                         self._origins.set_complete()
--- a/cardamombarrow/peers/placing/tests/test_placing.py
+++ b/cardamombarrow/peers/placing/tests/test_placing.py
@@ -146,22 +146,35 @@
     return job
 
 
-@pytest.fixture
-def entries(kandula_text):
-    """Two entries that know each other; the first one is the placer."""
+def _made(kandula_text, count):
     document = parsing.parse(kandula_text)
-    made = [_Entry(f"entry-{number}", document) for number in (1, 2)]
+    made = [_Entry(f"entry-{n + 1}", document) for n in range(count)]
     order = ranking_module.PlacerRanking()
     order.set_members([each.name for each in made])
     made.sort(key=lambda each: each.name != order.first(0.0))
     members = {each.name: each.address for each in made}
     for each in made:
         each.members = members
-        each.start()
-    yield made
+    return made
+
+
+@contextlib.contextmanager
+def _started(made):
     for each in made:
-        with contextlib.suppress(Exception):
-            each.stop()
+        each.start()
+    try:
+        yield made
+    finally:
+        for each in made:
+            with contextlib.suppress(Exception):
+                each.stop()
+
+
+@pytest.fixture
+def entries(kandula_text):
+    """Two entries that know each other; the first one is the placer."""
+    with _started(_made(kandula_text, 2)) as started:
+        yield started
 
 
 def _wait_connected(entries) -> None:
@@ -455,3 +468,28 @@
     for number in range(6):
         _, placement = _place(second, number)
         assert placement.endpoint == open_endpoint
+
+
+def test_streams_of_an_entry_that_has_left_the_placer_are_known(kandula_text):
+    # Guards against streams of a killed entry that nobody in its domain can
+    # resume, because it asked another placer than the others did.
+    made = _made(kandula_text, 4)
+    placer, others = made[0], made[1:]
+    without = {each.name: each.address for each in others}
+    order = ranking_module.PlacerRanking()
+    order.set_members(without)
+    others.sort(key=lambda each: each.name != order.first(0.0))
+    second, third, apart = others
+    apart.members = without
+    with _started(made):
+        _wait_until(
+            lambda: all(
+                each.is_connected_to(placer) for each in (placer, second, third)
+            )
+        )
+        _wait_until(lambda: apart.is_connected_to(second))
+        for key, software in enumerate(("v1", "v2")):
+            origin = resumption.Origin(_SERVICE, ids.SoftwareVersion(software))
+            apart.origins.add_own(key, origin)
+        for each in made:
+            _wait_until(lambda each=each: len(each.origins) == 2)
--- a/cardamombarrow/resumption/core.py
+++ b/cardamombarrow/resumption/core.py
@@ -39,11 +39,15 @@
 
 
 class Source(enum.IntEnum):
-    """Who began a stream, the nearest first."""
+    """Who began a stream, the nearest first.
+
+    `ASKING` are entries that ask this one as their placer.
+    """
 
     OWN = 0
-    DOMAIN = 1
-    OTHER_DOMAIN = 2
+    ASKING = 1
+    DOMAIN = 2
+    OTHER_DOMAIN = 3
 
 
 class Resolution(enum.Enum):
