End an answer with its own error if no endpoint can resume it

The end of a resumed stream raised KeyError in place of the error if no endpoint was found in time (queue_timeout), so that its tokens were not counted as wasted and the log named the wrong cause; callers saw the same cut. Cause: the table of outcomes had only the kinds that endpoints raise.

--- a/cardamombarrow/entry/requests/answer_stream.py
+++ b/cardamombarrow/entry/requests/answer_stream.py
@@ -9,14 +9,13 @@
 __all__ = [
     "BUFFERED_ANSWER_BYTES",
     "MAX_FAILURE_BYTES",
-    "OUTCOMES",
     "failure_body",
     "failure_of",
     "is_buffered",
     "outcome_of",
 ]
 
-OUTCOMES = {
+_OUTCOMES = {
     errors.ErrorKind.ENDPOINT_UNREACHED: messages.Outcome.NOT_STARTED,
     errors.ErrorKind.ENDPOINT_REFUSED: messages.Outcome.REFUSED_BY_ENDPOINT,
     errors.ErrorKind.ENDPOINT_RESTRICTED: messages.Outcome.WITHHELD,
@@ -68,8 +67,14 @@
 
 
 def outcome_of(error: errors.RouterError | None) -> messages.Outcome:
-    """Returns the outcome of a run that ended with an error, or with none."""
-    return messages.Outcome.DONE if error is None else OUTCOMES[error.kind]
+    """Returns the outcome of a run that ended with an error, or with none.
+
+    Errors of other kinds are those of a run that was to resume an answer and
+    never began; the answer has failed.
+    """
+    if error is None:
+        return messages.Outcome.DONE
+    return _OUTCOMES.get(error.kind, messages.Outcome.FAILED)
 
 
 def is_buffered(head: endpoints_base.Head) -> bool:
--- a/cardamombarrow/entry/requests/request_handler.py
+++ b/cardamombarrow/entry/requests/request_handler.py
@@ -358,7 +358,7 @@
     def _retry(
         self, ticket: ticket_module.Ticket, error: errors.RouterError
     ) -> ticket_module.Ticket:
-        outcome = answer_stream.OUTCOMES[error.kind]
+        outcome = answer_stream.outcome_of(error)
         if error.kind in _NOT_RETRIED:
             raise error
         if self._may_forward() and may_run_elsewhere(error, ticket.job):
@@ -390,7 +390,7 @@
         except errors.RouterError as error:
             # Until here a resumed run could still have used these tokens.
             self._services.metrics.count_wasted(
-                answer_stream.OUTCOMES[error.kind], self._progress.tokens
+                answer_stream.outcome_of(error), self._progress.tokens
             )
             raise
         except GeneratorExit:
