Bound the memory that large request bodies take together

An entry whose callers send many large bodies at once was killed at its memory limit with all that it held: 90 callers with 4,000,000 bytes each, peak 419 MB of 300 (test_body_memory on the code before). Bodies were read as soon as they came, one copy or more each.

Bodies over 64 KiB reserve their size before they are read, the most urgent first, and hold it until the answer ends; a request that waits for a quarter of its time gets 503, not run, with a time to return.

--- a/cardamombarrow/entry/core.py
+++ b/cardamombarrow/entry/core.py
@@ -31,11 +31,13 @@
 from cardamombarrow.forwarding import app as forwarded_app
 from cardamombarrow.forwarding import core as forwarding
 from cardamombarrow.forwarding import reachability as reachability_module
+from cardamombarrow.kernel import byte_budget
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import http
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import lifecycle
 from cardamombarrow.kernel import logs
+from cardamombarrow.kernel import memory
 from cardamombarrow.kernel import registry
 from cardamombarrow.kernel import reloading
 from cardamombarrow.ledger import client as ledger_client
@@ -125,6 +127,7 @@
         registry.lookup(protocol_module.SLOT, protocol)(),
         lease,
         random.Random(),
+        byte_budget.ByteBudget(settings.calls.large_bodies_bytes),
     )
 
 
@@ -256,7 +259,7 @@
     Raises:
         errors.UnavailableError: No instance provided a document in time.
     """
-    lifecycle.ignore_hangup()
+    memory.return_large_buffers()
     logs.configure(settings.log.level, "entry", settings.instance.id)
     registry.load(*ENDPOINT_MODULES, *settings.instance.plugins)
     kinds = _kinds(settings.calls.protocol)
--- a/cardamombarrow/entry/frontend/routed.py
+++ b/cardamombarrow/entry/frontend/routed.py
@@ -27,6 +27,7 @@
 from cardamombarrow.entry.frontend import stream_resumer
 from cardamombarrow.entry.placement import ticket
 from cardamombarrow.entry.requests import call_runner as call_runner_module
+from cardamombarrow.kernel import byte_budget
 from cardamombarrow.kernel import connection
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
@@ -55,6 +56,15 @@
 """Sound endpoints may be silent for about a second; their callers wait for two
 at least."""
 
+LARGE_BODY_BYTES = 65_536
+"""Bodies up to this are read without a reservation: the number of connections
+bounds what they take."""
+
+BODY_WAIT_SHARE = 0.25
+"""Maximum share of a request's time for which it waits to send its body."""
+
+BODY_RETRY_S = 1.0
+
 SUFFIX_BYTES = 3
 """Random bytes that distinguish requests with the same caller-given id."""
 
@@ -62,6 +72,33 @@
 _REASONS = {status.value: status.phrase for status in http.HTTPStatus}
 
 
+class _ReservedBody:
+    """The chunks of an answer; releases its request's body at their end."""
+
+    def __init__(
+        self,
+        chunks: abc.Iterable[bytes],
+        budget: byte_budget.ByteBudget,
+        reserved_bytes: int,
+    ):
+        self._chunks = chunks
+        self._budget = budget
+        self._reserved_bytes = reserved_bytes
+
+    def __iter__(self) -> abc.Iterator[bytes]:
+        return iter(self._chunks)
+
+    def close(self) -> None:
+        """Ends the answer; see PEP 3333."""
+        try:
+            close = getattr(self._chunks, "close", None)
+            if close is not None:
+                close()
+        finally:
+            self._budget.release(self._reserved_bytes)
+            self._reserved_bytes = 0
+
+
 class RoutedApp:
     """Serves callers by routes; see PEP 3333."""
 
@@ -72,12 +109,14 @@
         protocol: protocol_module.CallerProtocol,
         lease: lease_module.DocumentLease,
         rng: random.Random,
+        large_bodies: byte_budget.ByteBudget,
     ):
         self._documents = documents
         self._runner = runner
         self._protocol = protocol
         self._lease = lease
         self._rng = rng
+        self._large_bodies = large_bodies
         services = runner.services
         self._resumer = stream_resumer.StreamResumer(
             services.origins, services.metrics.count_resumption
@@ -188,18 +227,64 @@
                 errors.ErrorKind.NOT_FOUND, "no route for this host and path"
             )
         workspace = _workspace(route, parsed_headers, applied)
-        body = _read_body(environ, applied.document.limits)
-        call = self._call(
-            environ, parsed_headers, request_id, applied, route, workspace, body
-        )
-        relay = self._runner.begin(
-            environ, call, self._runner.run_plain, sends_error_event=False
+        reserved_bytes = self._reserve_body(
+            environ, parsed_headers, applied.document, route, workspace
         )
-        start_response(
-            _status_line(relay.head),
-            list(self._protocol.answer_headers(relay.head.headers)),
+        try:
+            body = _read_body(environ, applied.document.limits)
+            call = self._call(
+                environ,
+                parsed_headers,
+                request_id,
+                applied,
+                route,
+                workspace,
+                body,
+            )
+            relay = self._runner.begin(
+                environ, call, self._runner.run_plain, sends_error_event=False
+            )
+            start_response(
+                _status_line(relay.head),
+                list(self._protocol.answer_headers(relay.head.headers)),
+            )
+        except BaseException:
+            self._large_bodies.release(reserved_bytes)
+            raise
+        if not reserved_bytes:
+            return relay.chunks
+        return _ReservedBody(relay.chunks, self._large_bodies, reserved_bytes)
+
+    def _reserve_body(
+        self,
+        environ: dict[str, typing.Any],
+        parsed_headers: protocol_module.ParsedHeaders,
+        document: schema.Document,
+        route: schema.Route,
+        workspace: schema.Workspace,
+    ) -> int:
+        """Waits until a large body may be read; returns its reserved bytes.
+
+        Raises:
+            errors.RefusedError: Others take the memory for too long.
+        """
+        size_bytes = _announced_bytes(environ, document.limits)
+        if size_bytes <= LARGE_BODY_BYTES:
+            return 0
+        limit_s = document.classes[route.class_id].target_total_s
+        if parsed_headers.limit_s is not None:
+            limit_s = min(limit_s, parsed_headers.limit_s)
+        rank = document.rank_of(route.class_id, workspace)
+        if self._large_bodies.reserve(
+            size_bytes, rank, BODY_WAIT_SHARE * limit_s
+        ):
+            return size_bytes
+        raise errors.RefusedError(
+            errors.ErrorKind.NOT_READY,
+            "large bodies of other requests take the memory",
+            retry_after_s=BODY_RETRY_S,
+            check=errors.RefusalCheck.BODY_MEMORY,
         )
-        return relay.chunks
 
     def _confirmed(
         self,
@@ -385,6 +470,17 @@
     return incoming.read_body(request)
 
 
+def _announced_bytes(
+    environ: dict[str, typing.Any], limits: schema.CallerLimits
+) -> int:
+    """Returns the size of a body, at most the limit; without one the limit."""
+    if environ.get("wsgi.input_terminated"):
+        return limits.body_bytes
+    length = environ.get("CONTENT_LENGTH") or "0"
+    is_number = length.isascii() and length.isdigit()
+    return min(int(length), limits.body_bytes) if is_number else 0
+
+
 def _digest(
     workspace: schema.Workspace, method: str, target: str, body: bytes
 ) -> str:
--- a/cardamombarrow/entry/settings.py
+++ b/cardamombarrow/entry/settings.py
@@ -182,6 +182,14 @@
         low=1_000,
         high=1_000_000_000,
     )
+    large_bodies_bytes: int = settings.setting(
+        24_000_000,
+        unit="bytes",
+        help="maximum size of all request bodies over 64 KiB together, of "
+        "callers that send requests by route; others wait and are then refused",
+        low=1_000_000,
+        high=1_000_000_000,
+    )
     drain_most_s: float = settings.setting(
         30.0,
         unit="s",
--- a/cardamombarrow/kernel/errors.py
+++ b/cardamombarrow/kernel/errors.py
@@ -84,6 +84,7 @@
     WAITING = "waiting"
     PLACER = "placer"
     REACHABILITY = "reachability"
+    BODY_MEMORY = "body_memory"
 
 
 @dataclasses.dataclass(frozen=True)
--- a/cardamombarrow/platform/tests/standin_streams.py
+++ b/cardamombarrow/platform/tests/standin_streams.py
@@ -293,6 +293,7 @@
         if listed is None:
             return
         received = _parse(raw, listed)
+        _read_body(connection, raw, received)
         self.received.append(received)
         expected = received.headers.get("expect-instance", listed.identity)
         if expected != listed.identity:
@@ -321,6 +322,18 @@
     )
 
 
+def _read_body(
+    connection: socket.socket, raw: bytes, received: Received
+) -> None:
+    left = int(received.headers.get("content-length", "0"))
+    left -= len(raw.partition(b"\r\n\r\n")[2])
+    while left > 0:
+        data = connection.recv(min(left, HEAD_BYTES))
+        if not data:
+            return
+        left -= len(data)
+
+
 def _send(connection: socket.socket, received: Received, answer: Answer):
     head = [
         f"HTTP/1.1 {answer.status} Scripted",
