--- a/cardamombarrow/control/core.py
+++ b/cardamombarrow/control/core.py
@@ -388,7 +388,7 @@
         errors.ConfigError: The settings, the first document or the data
             folder are not valid.
     """
-    lifecycle.ignore_hangup()
+    memory.return_large_buffers()
     logs.configure(settings.log.level, "control", settings.instance.id)
     registry.load(*DUTY_MODULES, *settings.instance.plugins)
     loop = loop_module.LoopThread()
--- a/cardamombarrow/kernel/lifecycle.py
+++ b/cardamombarrow/kernel/lifecycle.py
@@ -8,7 +8,7 @@
 
 from cardamombarrow.kernel import logs
 
-__all__ = ["Part", "Process", "ignore_hangup"]
+__all__ = ["Part", "Process"]
 
 
 class Part(abc.ABC):
@@ -23,15 +23,6 @@
         """Stops the part; returns once it has finished."""
 
 
-def ignore_hangup() -> None:
-    """Ignores SIGHUP until `Process` handles it.
-
-    By default SIGHUP ends a process: one sent after a change of the settings
-    file, to a process that is still starting, would kill it.
-    """
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
-
-
 SIGNAL_POLL_S = 0.5
 """Longest delay of a signal that does not wake the main thread.
 
--- a/cardamombarrow/kernel/memory.py
+++ b/cardamombarrow/kernel/memory.py
@@ -5,6 +5,7 @@
 """
 
 from collections import abc
+import ctypes
 import os
 import pathlib
 import threading
@@ -12,12 +13,16 @@
 from cardamombarrow.kernel import lifecycle
 from cardamombarrow.kernel import logs
 
-__all__ = ["MemoryWatch", "resident_bytes"]
+__all__ = ["MemoryWatch", "resident_bytes", "return_large_buffers"]
 
 CHECK_INTERVAL_S = 0.25
 STEP_BYTES = 16_000_000
 """Growth above the highest logged value at which the next line is written."""
 
+MAPPED_BYTES = 262_144
+"""Smallest buffer that is mapped by itself."""
+
+_M_MMAP_THRESHOLD = -3
 _STATM = pathlib.Path("/proc/self/statm")
 _PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
@@ -33,6 +38,19 @@
         return 0
 
 
+def return_large_buffers() -> None:
+    """Has the allocator return large buffers to the system when freed.
+
+    glibc stops doing so for buffers up to the largest one that was freed, and
+    keeps them in an arena for each of many threads instead.
+
+    Source: mallopt(3), ``M_MMAP_THRESHOLD``.
+    """
+    mallopt = getattr(ctypes.CDLL(None), "mallopt", None)
+    if mallopt is not None:
+        mallopt(_M_MMAP_THRESHOLD, MAPPED_BYTES)
+
+
 class MemoryWatch(lifecycle.Part):
     """Thread that logs the growth of the resident memory."""
 
