Run background threads again after an error

supervised_thread logs and counts as tasks on the loop do (task_failures_total) and runs them again. The log's own threads end the process as before; accepting connections and writing log lines stay as they are.

--- a/cardamombarrow/control/core.py
+++ b/cardamombarrow/control/core.py
@@ -21,6 +21,7 @@
 from cardamombarrow.duties import base as duties_base
 from cardamombarrow.duties import lease as lease_module
 from cardamombarrow.duties import runner as duties_runner
+from cardamombarrow.kernel import background
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import http
@@ -213,9 +214,7 @@
         self._state = state
         self._text = text
         self._stopped = threading.Event()
-        self._thread = threading.Thread(
-            target=self._run, name="first-document", daemon=True
-        )
+        self._thread = background.supervised_thread(self._run, "first-document")
 
     def start(self) -> None:
         """Starts waiting for the log to have a leader."""
--- a/cardamombarrow/control/metrics.py
+++ b/cardamombarrow/control/metrics.py
@@ -11,8 +11,8 @@
 from werkzeug import wrappers
 
 from cardamombarrow.control import state as state_module
+from cardamombarrow.kernel import background
 from cardamombarrow.kernel import memory
-from cardamombarrow.kernel import task_failures
 from cardamombarrow.log import base
 from cardamombarrow.peers.control import sends as sends_module
 
@@ -104,7 +104,7 @@
             yield f"# TYPE {PREFIX}{name} gauge"
             yield f"{PREFIX}{name} {value}"
         yield f"# TYPE {PREFIX}task_failures_total counter"
-        for name, count in task_failures.counts().items():
+        for name, count in background.failure_counts().items():
             yield f'{PREFIX}task_failures_total{{task="{name}"}} {count}'
         sends = self._sends()
         counts = {} if sends is None else sends.counts()
--- a/cardamombarrow/discovery/core.py
+++ b/cardamombarrow/discovery/core.py
@@ -11,6 +11,7 @@
 import threading
 
 from cardamombarrow.discovery import base
+from cardamombarrow.kernel import background
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import lifecycle
@@ -96,9 +97,7 @@
         self._read_s = float("-inf")
         self._last_fetched: tuple[str, float] | None = None
         self._stop = threading.Event()
-        self._thread = threading.Thread(
-            target=self._run, name="listing", daemon=True
-        )
+        self._thread = background.supervised_thread(self._run, "listing")
 
     def start(self) -> None:
         """Starts polling, if a URL is set."""
--- a/cardamombarrow/duties/runner.py
+++ b/cardamombarrow/duties/runner.py
@@ -14,6 +14,7 @@
 from cardamombarrow.duties import order_planner as order_planner_module
 from cardamombarrow.duties import settings as settings_module
 from cardamombarrow.duties import windows
+from cardamombarrow.kernel import background
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
@@ -105,9 +106,7 @@
         self._listed_at_s = float("-inf")
         self._called_at_s = float("-inf")
         self._stop = threading.Event()
-        self._thread = threading.Thread(
-            target=self._run, name="duties", daemon=True
-        )
+        self._thread = background.supervised_thread(self._run, "duties")
 
     def start(self) -> None:
         """Starts the thread."""
--- a/cardamombarrow/entry/metrics.py
+++ b/cardamombarrow/entry/metrics.py
@@ -12,10 +12,10 @@
 from hdrh import histogram
 
 from cardamombarrow.decisions import messages
+from cardamombarrow.kernel import background
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import memory
-from cardamombarrow.kernel import task_failures
 from cardamombarrow.placing import messages as placing_messages
 from cardamombarrow.resumption import core as resumption
 
@@ -249,7 +249,7 @@
         lines.append(f"# TYPE {PREFIX}task_failures_total counter")
         lines += [
             f'{PREFIX}task_failures_total{{task="{name}"}} {count}'
-            for name, count in task_failures.counts().items()
+            for name, count in background.failure_counts().items()
         ]
         lines.append(f"# TYPE {PREFIX}invalid_statements_total counter")
         lines += [
--- a/cardamombarrow/entry/placement/broker_base.py
+++ b/cardamombarrow/entry/placement/broker_base.py
@@ -22,6 +22,7 @@
 from cardamombarrow.entry.placement import decision_lines
 from cardamombarrow.entry.placement import remote_placer as remote_placer_module
 from cardamombarrow.entry.placement import ticket as ticket_module
+from cardamombarrow.kernel import background
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import lifecycle
@@ -97,9 +98,7 @@
         self._refreshed_s = -math.inf
         self._stopped = False
         self._tickets: dict[ids.RequestId, ticket_module.Ticket] = {}
-        self._thread = threading.Thread(
-            target=self._run_timer, name="broker", daemon=True
-        )
+        self._thread = background.supervised_thread(self._run_timer, "broker")
 
     def start(self) -> None:
         """Starts the timer."""
--- a/cardamombarrow/forwarding/reachability.py
+++ b/cardamombarrow/forwarding/reachability.py
@@ -14,6 +14,7 @@
 import time
 
 from cardamombarrow.endpoints import connection as connection_module
+from cardamombarrow.kernel import background
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import lifecycle
 from cardamombarrow.kernel import logs
@@ -110,9 +111,7 @@
         self._changed = threading.Condition()
         self._services: dict[ids.ServiceId, _Service] = {}
         self._stopped = False
-        self._thread = threading.Thread(
-            target=self._watch, name="reachability", daemon=True
-        )
+        self._thread = background.supervised_thread(self._watch, "reachability")
 
     def is_cut_off(self, service: ids.ServiceId) -> bool:
         """Returns whether no endpoint of a service can be connected."""
--- a/cardamombarrow/kernel/memory.py
+++ b/cardamombarrow/kernel/memory.py
@@ -10,6 +10,7 @@
 import pathlib
 import threading
 
+from cardamombarrow.kernel import background
 from cardamombarrow.kernel import lifecycle
 from cardamombarrow.kernel import logs
 
@@ -63,9 +64,7 @@
         self._held = held
         self._logged_bytes = 0
         self._stop = threading.Event()
-        self._thread = threading.Thread(
-            target=self._run, name="memory", daemon=True
-        )
+        self._thread = background.supervised_thread(self._run, "memory")
 
     def start(self) -> None:
         """Starts the thread."""
--- a/cardamombarrow/ledger/settler.py
+++ b/cardamombarrow/ledger/settler.py
@@ -10,6 +10,7 @@
 import threading
 import time
 
+from cardamombarrow.kernel import background
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import lifecycle
 from cardamombarrow.kernel import logs
@@ -47,9 +48,7 @@
             collections.deque(maxlen=MAX_PENDING)
         )
         self._stop = threading.Event()
-        self._thread = threading.Thread(
-            target=self._run, name="settler", daemon=True
-        )
+        self._thread = background.supervised_thread(self._run, "settler")
 
     def claim(self, key: str, claim: machine.Claim) -> machine.Verdict:
         """See `client.LedgerClient.claim`."""
--- a/cardamombarrow/orders/runner.py
+++ b/cardamombarrow/orders/runner.py
@@ -5,6 +5,7 @@
 import threading
 
 from cardamombarrow.document import schema
+from cardamombarrow.kernel import background
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
@@ -43,9 +44,7 @@
         self._lease: lease_module.Lease | None = None
         self._rate: tuple[float, plan.LoadRate] | None = None
         self._stop = threading.Event()
-        self._thread = threading.Thread(
-            target=self._run, name="orders", daemon=True
-        )
+        self._thread = background.supervised_thread(self._run, "orders")
 
     def start(self) -> None:
         """Starts the thread."""
--- a/cardamombarrow/peers/loop.py
+++ b/cardamombarrow/peers/loop.py
@@ -14,14 +14,11 @@
 import threading
 import typing
 
+from cardamombarrow.kernel import background
 from cardamombarrow.kernel import lifecycle
-from cardamombarrow.kernel import task_failures
 
 __all__ = ["LoopPart", "LoopThread", "supervise"]
 
-RESTART_PAUSE_S = 0.2
-"""Time between the failure of a task and its next run."""
-
 _T = typing.TypeVar("_T")
 
 
@@ -107,8 +104,8 @@
         try:
             return await run()
         except Exception as error:
-            task_failures.record(name, error)
-        await asyncio.sleep(RESTART_PAUSE_S)
+            background.record_failure(name, error)
+        await asyncio.sleep(background.RESTART_PAUSE_S)
 
 
 class LoopPart(lifecycle.Part):
--- a/cardamombarrow/peers/tests/test_loop.py
+++ b/cardamombarrow/peers/tests/test_loop.py
@@ -3,8 +3,8 @@
 import asyncio
 import threading
 
+from cardamombarrow.kernel import background
 from cardamombarrow.kernel import logs
-from cardamombarrow.kernel import task_failures
 from cardamombarrow.peers import loop as loop_module
 
 
@@ -38,7 +38,7 @@
         logged[event] = (level, fields)
 
     monkeypatch.setattr(logs, "event", record)
-    before = task_failures.counts().get("_Failing", 0)
+    before = background.failure_counts().get("_Failing", 0)
     loop = loop_module.LoopThread()
     loop.start()
     try:
@@ -51,4 +51,4 @@
     level, fields = logged["task failed"]
     assert level == "ERROR"
     assert fields == {"part": "_Failing", "detail": "ValueError('broken')"}
-    assert task_failures.counts()["_Failing"] == before + 1
+    assert background.failure_counts()["_Failing"] == before + 1
