--- a/cardamombarrow/entry/frontend/routed.py
+++ b/cardamombarrow/entry/frontend/routed.py
@@ -11,8 +11,6 @@
 import secrets
 import typing
 
-from werkzeug import wrappers
-
 from cardamombarrow.decisions import messages
 from cardamombarrow.document import schema
 from cardamombarrow.endpoints import base as endpoints_base
@@ -22,6 +20,7 @@
 from cardamombarrow.entry.frontend import caller as caller_module
 from cardamombarrow.entry.frontend import incoming
 from cardamombarrow.entry.frontend import protocol as protocol_module
+from cardamombarrow.entry.frontend import request_body
 from cardamombarrow.entry.frontend import routes
 from cardamombarrow.entry.frontend import startup_hold
 from cardamombarrow.entry.frontend import stream_resumer
@@ -56,15 +55,6 @@
 """Sound endpoints may be silent for about a second; their callers wait for two
 at least."""
 
-LARGE_BODY_BYTES = 65_536
-"""Bodies up to this are read without a reservation: the number of connections
-bounds what they take."""
-
-BODY_WAIT_SHARE = 0.25
-"""Maximum share of a request's time for which it waits to send its body."""
-
-BODY_RETRY_S = 1.0
-
 SUFFIX_BYTES = 3
 """Random bytes that distinguish requests with the same caller-given id."""
 
@@ -72,33 +62,6 @@
 _REASONS = {status.value: status.phrase for status in http.HTTPStatus}
 
 
-class _ReservedBody:
-    """The chunks of an answer; releases its request's body at their end."""
-
-    def __init__(
-        self,
-        chunks: abc.Iterable[bytes],
-        budget: byte_budget.ByteBudget,
-        reserved_bytes: int,
-    ):
-        self._chunks = chunks
-        self._budget = budget
-        self._reserved_bytes = reserved_bytes
-
-    def __iter__(self) -> abc.Iterator[bytes]:
-        return iter(self._chunks)
-
-    def close(self) -> None:
-        """Ends the answer; see PEP 3333."""
-        try:
-            close = getattr(self._chunks, "close", None)
-            if close is not None:
-                close()
-        finally:
-            self._budget.release(self._reserved_bytes)
-            self._reserved_bytes = 0
-
-
 class RoutedApp:
     """Serves callers by routes; see PEP 3333."""
 
@@ -227,11 +190,17 @@
                 errors.ErrorKind.NOT_FOUND, "no route for this host and path"
             )
         workspace = _workspace(route, parsed_headers, applied)
-        reserved_bytes = self._reserve_body(
-            environ, parsed_headers, applied.document, route, workspace
+        document = applied.document
+        limit_s = _limit_s(document.classes[route.class_id], parsed_headers)
+        reservation = request_body.reserve(
+            environ,
+            document.limits,
+            self._large_bodies,
+            document.rank_of(route.class_id, workspace),
+            limit_s,
         )
         try:
-            body = _read_body(environ, applied.document.limits)
+            body = request_body.read(environ, document.limits)
             call = self._call(
                 environ,
                 parsed_headers,
@@ -249,42 +218,9 @@
                 list(self._protocol.answer_headers(relay.head.headers)),
             )
         except BaseException:
-            self._large_bodies.release(reserved_bytes)
+            reservation.release()
             raise
-        if not reserved_bytes:
-            return relay.chunks
-        return _ReservedBody(relay.chunks, self._large_bodies, reserved_bytes)
-
-    def _reserve_body(
-        self,
-        environ: dict[str, typing.Any],
-        parsed_headers: protocol_module.ParsedHeaders,
-        document: schema.Document,
-        route: schema.Route,
-        workspace: schema.Workspace,
-    ) -> int:
-        """Waits until a large body may be read; returns its reserved bytes.
-
-        Raises:
-            errors.RefusedError: Others take the memory for too long.
-        """
-        size_bytes = _announced_bytes(environ, document.limits)
-        if size_bytes <= LARGE_BODY_BYTES:
-            return 0
-        limit_s = document.classes[route.class_id].target_total_s
-        if parsed_headers.limit_s is not None:
-            limit_s = min(limit_s, parsed_headers.limit_s)
-        rank = document.rank_of(route.class_id, workspace)
-        if self._large_bodies.reserve(
-            size_bytes, rank, BODY_WAIT_SHARE * limit_s
-        ):
-            return size_bytes
-        raise errors.RefusedError(
-            errors.ErrorKind.NOT_READY,
-            "large bodies of other requests take the memory",
-            retry_after_s=BODY_RETRY_S,
-            check=errors.RefusalCheck.BODY_MEMORY,
-        )
+        return reservation.release_after(relay.chunks)
 
     def _confirmed(
         self,
@@ -360,9 +296,7 @@
         document = applied.document
         request_class = document.classes[route.class_id]
         arrived_s = environ[connection.ARRIVED_KEY]
-        limit_s = request_class.target_total_s
-        if parsed_headers.limit_s is not None:
-            limit_s = min(limit_s, parsed_headers.limit_s)
+        limit_s = _limit_s(request_class, parsed_headers)
         origin = self._resumer.origin(
             parsed_headers, route, workspace, request_id, limit_s
         )
@@ -415,6 +349,15 @@
         )
 
 
+def _limit_s(
+    request_class: schema.RequestClass,
+    parsed_headers: protocol_module.ParsedHeaders,
+) -> float:
+    if parsed_headers.limit_s is None:
+        return request_class.target_total_s
+    return min(request_class.target_total_s, parsed_headers.limit_s)
+
+
 def _stall_limit_s(route: schema.Route, service: schema.Service) -> float:
     if not (route.resumable and route.longest_pause_s):
         return service.stall_limit_s
@@ -457,30 +400,6 @@
     return workspace
 
 
-def _read_body(
-    environ: dict[str, typing.Any], limits: schema.CallerLimits
-) -> bytes:
-    if environ[connection.HEAD_BYTES_KEY] > limits.header_bytes:
-        raise errors.RefusedError(
-            errors.ErrorKind.HEADERS_TOO_LARGE,
-            f"the header fields are over {limits.header_bytes} bytes",
-        )
-    request = wrappers.Request(environ)
-    request.max_content_length = limits.body_bytes
-    return incoming.read_body(request)
-
-
-def _announced_bytes(
-    environ: dict[str, typing.Any], limits: schema.CallerLimits
-) -> int:
-    """Returns the size of a body, at most the limit; without one the limit."""
-    if environ.get("wsgi.input_terminated"):
-        return limits.body_bytes
-    length = environ.get("CONTENT_LENGTH") or "0"
-    is_number = length.isascii() and length.isdigit()
-    return min(int(length), limits.body_bytes) if is_number else 0
-
-
 def _digest(
     workspace: schema.Workspace, method: str, target: str, body: bytes
 ) -> str:
