Wait until streams have begun before servers or entries end

test_a_stream_is_cut_off_if_no_server_of_its_version_is_left failed when one of eight streams had begun late, at a v2 server: that breaks no rule, and its check stays as it was. Tests of this file now wait until a server runs each stream; before, they waited a fixed time.

--- a/cardamombarrow/platform/tests/test_software_versions.py
+++ b/cardamombarrow/platform/tests/test_software_versions.py
@@ -86,6 +86,14 @@
     ]
 
 
+def _wait_begun(servers, begun):
+    """Waits until a server runs each stream: a late one begins elsewhere."""
+    attempts = {each.attempt for each, _ in begun}
+    assert deployment.wait_until(
+        lambda: attempts <= {each.attempt for each in servers.received}
+    )
+
+
 def _versions(*answers):
     return {version for seen in answers for version, _ in seen.events}
 
@@ -118,6 +126,7 @@
     (first,) = _replace(servers, ("v1",))
     servers.script = lambda received: standin.Answer(pause_s=2 * _PAUSE_S)
     begun = _begin(running, 8)
+    _wait_begun(servers, begun)
     _start(servers, ("v2", "v2"))
     time.sleep(_LISTED_S)
     servers.crash(first)
@@ -167,6 +176,7 @@
     _replace(servers, 2 * _VERSIONS)
     servers.script = _paced
     begun = _begin(running, _STREAMS, killed)
+    _wait_begun(servers, begun)
     time.sleep(2.5 * _PAUSE_S)
     running.signal(killed, signal.SIGKILL)
     running.processes[killed].wait()
@@ -191,6 +201,7 @@
     _replace(servers, 2 * _VERSIONS)
     servers.script = _paced
     begun = _begin(running, _STREAMS, ended)
+    _wait_begun(servers, begun)
     time.sleep(2.5 * _PAUSE_S)
     running.signal(ended, number)
     time.sleep(0.1)
@@ -212,6 +223,7 @@
     _replace(servers, 2 * _VERSIONS)
     servers.script = _paced
     begun = _begin(running, _STREAMS, "a-2")
+    _wait_begun(servers, begun)
     time.sleep(2.5 * _PAUSE_S)
     for _, caller in begun:
         with contextlib.suppress(OSError):
