--- a/cardamombarrow/peers/control/tests/test_client.py
+++ b/cardamombarrow/peers/control/tests/test_client.py
@@ -40,6 +40,21 @@
         self._server.stop()
 
 
+def _client(loop, *addresses):
+    return control_client.ControlClient(
+        loop,
+        addresses,
+        _SECRET,
+        lambda first: control_pb2.AppliedReport(
+            instance="entry-1", domain="near"
+        ),
+        lambda *_: True,
+        lambda: (ids.Revision(0), ""),
+        0.2,
+        ids.DomainId("near"),
+    )
+
+
 @pytest.fixture
 def loop():
     thread = loop_module.LoopThread()
@@ -54,18 +69,7 @@
     # one, it would get every document from another region.
     ports = deployment.free_ports(2)
     far = _Control(loop, ports[0], "far")
-    client = control_client.ControlClient(
-        loop,
-        tuple(f"127.0.0.1:{port}" for port in ports),
-        _SECRET,
-        lambda first: control_pb2.AppliedReport(
-            instance="entry-1", domain="near"
-        ),
-        lambda *_: True,
-        lambda: (ids.Revision(0), ""),
-        0.2,
-        ids.DomainId("near"),
-    )
+    client = _client(loop, *(f"127.0.0.1:{port}" for port in ports))
     client.start()
     assert deployment.wait_until(lambda: far.follows("entry-1"))
     near = _Control(loop, ports[1], "near")
@@ -82,18 +86,7 @@
     ports = deployment.free_ports(2)
     old = _Control(loop, ports[0], "near")
     new = _Control(loop, ports[1], "near")
-    client = control_client.ControlClient(
-        loop,
-        (old.address,),
-        _SECRET,
-        lambda first: control_pb2.AppliedReport(
-            instance="entry-1", domain="near"
-        ),
-        lambda *_: True,
-        lambda: (ids.Revision(0), ""),
-        0.2,
-        ids.DomainId("near"),
-    )
+    client = _client(loop, old.address)
     client.start()
     assert deployment.wait_until(lambda: old.follows("entry-1"))
     client.set_controls((new.address,))
