Deny nobody while a newer document is known

An entry whose confirmation names a newer document than its own knows that it may be wrong, so it answers 503, not run, with a time to return, until that document is in force. An entry that has not heard of it yet still denies: the age of its confirmation bounds that.

--- a/cardamombarrow/entry/frontend/routed.py
+++ b/cardamombarrow/entry/frontend/routed.py
@@ -186,10 +186,14 @@
         path = target.partition("?")[0]
         route = applied.routes.match(environ.get("HTTP_HOST", ""), path)
         if route is None:
-            raise errors.RefusedError(
+            raise self._denial(
                 errors.ErrorKind.NOT_FOUND, "no route for this host and path"
             )
         workspace = _workspace(route, parsed_headers, applied)
+        if workspace is None:
+            raise self._denial(
+                errors.ErrorKind.UNAUTHENTICATED, "missing or unknown key"
+            )
         document = applied.document
         limit_s = _limit_s(document.classes[route.class_id], parsed_headers)
         reservation = request_body.reserve(
@@ -222,6 +226,22 @@
             raise
         return reservation.release_after(relay.chunks)
 
+    def _denial(
+        self, kind: errors.ErrorKind, detail: str
+    ) -> errors.RefusedError:
+        """Returns why the document in force does not allow a request.
+
+        While a newer document is known that has not arrived, it may allow it.
+        """
+        if not self._lease.behind_s:
+            return errors.RefusedError(kind, detail)
+        return errors.RefusedError(
+            errors.ErrorKind.NOT_READY,
+            f"{detail}, but a newer document is on its way",
+            retry_after_s=NOT_READY_RETRY_S,
+            check=errors.RefusalCheck.DOCUMENT_OUTDATED,
+        )
+
     def _confirmed(
         self,
         environ: dict[str, typing.Any],
@@ -387,17 +407,10 @@
     route: schema.Route,
     parsed_headers: protocol_module.ParsedHeaders,
     applied: in_force.AppliedDocument,
-) -> schema.Workspace:
+) -> schema.Workspace | None:
     if route.anonymous:
         return applied.document.workspaces[schema.ANONYMOUS_WORKSPACE]
-    workspace = (
-        applied.keys.find(parsed_headers.key) if parsed_headers.key else None
-    )
-    if workspace is None:
-        raise errors.RefusedError(
-            errors.ErrorKind.UNAUTHENTICATED, "missing or unknown key"
-        )
-    return workspace
+    return applied.keys.find(parsed_headers.key) if parsed_headers.key else None
 
 
 def _digest(
--- a/cardamombarrow/kernel/errors.py
+++ b/cardamombarrow/kernel/errors.py
@@ -71,6 +71,7 @@
     UNKNOWN = "unknown"
     DOCUMENT_MISSING = "document_missing"
     DOCUMENT_UNCONFIRMED = "document_unconfirmed"
+    DOCUMENT_OUTDATED = "document_outdated"
     DRAINING = "draining"
     FORWARDED_SERVICE = "forwarded_service"
     HELD_REQUESTS = "held_requests"
