Match a request's route in one place

Serving a request and logging its refusal each had their own lines for the same lookup. No change of behaviour; tests of the entry, test_caller, test_path and the linter passed.

--- a/cardamombarrow/entry/frontend/routed.py
+++ b/cardamombarrow/entry/frontend/routed.py
@@ -157,7 +157,9 @@
         """
         if isinstance(error, ticket.JobRefusedError):
             return error.refusal.less_urgent_start_age_s
-        route = self._route(environ)
+        if not self._documents.revision:
+            return None
+        route = _match(self._documents.current(), environ)
         if route is None:
             return None
         broker = self._runner.services.broker
@@ -167,13 +169,6 @@
         ]
         return min((each for each in ages_s if each is not None), default=None)
 
-    def _route(self, environ: dict[str, typing.Any]) -> schema.Route | None:
-        if not self._documents.revision:
-            return None
-        path = environ["REQUEST_URI"].partition("?")[0]
-        host = environ.get("HTTP_HOST", "")
-        return self._documents.current().routes.match(host, path)
-
     def _serve(
         self,
         environ: dict[str, typing.Any],
@@ -182,9 +177,7 @@
         request_id: ids.RequestId,
     ) -> abc.Iterable[bytes]:
         applied = self._confirmed(environ, parsed_headers, request_id)
-        target = environ["REQUEST_URI"]
-        path = target.partition("?")[0]
-        route = applied.routes.match(environ.get("HTTP_HOST", ""), path)
+        route = _match(applied, environ)
         if route is None:
             raise self._denial(
                 errors.ErrorKind.NOT_FOUND, "no route for this host and path"
@@ -369,6 +362,13 @@
         )
 
 
+def _match(
+    applied: in_force.AppliedDocument, environ: dict[str, typing.Any]
+) -> schema.Route | None:
+    path = environ["REQUEST_URI"].partition("?")[0]
+    return applied.routes.match(environ.get("HTTP_HOST", ""), path)
+
+
 def _limit_s(
     request_class: schema.RequestClass,
     parsed_headers: protocol_module.ParsedHeaders,
