Write the metric of failed tasks in one place

Entries and control processes each formatted the same lines. The lines are the same; tests of the entry, control, kernel and the linter passed.

--- a/cardamombarrow/control/metrics.py
+++ b/cardamombarrow/control/metrics.py
@@ -103,9 +103,7 @@
         ):
             yield f"# TYPE {PREFIX}{name} gauge"
             yield f"{PREFIX}{name} {value}"
-        yield f"# TYPE {PREFIX}task_failures_total counter"
-        for name, count in background.failure_counts().items():
-            yield f'{PREFIX}task_failures_total{{task="{name}"}} {count}'
+        yield from background.metric_lines(PREFIX)
         sends = self._sends()
         counts = {} if sends is None else sends.counts()
         yield f"# TYPE {PREFIX}document_bytes_sent_total counter"
--- a/cardamombarrow/entry/metrics.py
+++ b/cardamombarrow/entry/metrics.py
@@ -246,11 +246,7 @@
         }
         with self._lock:
             lines = [*self._lines(values)]
-        lines.append(f"# TYPE {PREFIX}task_failures_total counter")
-        lines += [
-            f'{PREFIX}task_failures_total{{task="{name}"}} {count}'
-            for name, count in background.failure_counts().items()
-        ]
+        lines += background.metric_lines(PREFIX)
         lines.append(f"# TYPE {PREFIX}invalid_statements_total counter")
         lines += [
             f'{PREFIX}invalid_statements_total{{field="{name}"}} {count}'
--- a/cardamombarrow/kernel/background.py
+++ b/cardamombarrow/kernel/background.py
@@ -10,6 +10,7 @@
 __all__ = [
     "RESTART_PAUSE_S",
     "failure_counts",
+    "metric_lines",
     "record_failure",
     "supervised_thread",
 ]
@@ -39,6 +40,17 @@
         return dict(_failures)
 
 
+def metric_lines(prefix: str) -> abc.Iterator[str]:
+    """Yields the number of failures in the Prometheus text format.
+
+    Args:
+        prefix: Prefix of the metric's name.
+    """
+    yield f"# TYPE {prefix}task_failures_total counter"
+    for name, count in failure_counts().items():
+        yield f'{prefix}task_failures_total{{task="{name}"}} {count}'
+
+
 def supervised_thread(
     run: abc.Callable[[], None], name: str
 ) -> threading.Thread:
