Test of early hangups: start from the default handler

The script now sets the default first. The cases that must ignore the signal are stricter for it: an inherited handler no longer passes them.

--- a/cardamombarrow/tests/test_early_hangup.py
+++ b/cardamombarrow/tests/test_early_hangup.py
@@ -7,6 +7,7 @@
 
 _PRINT_HANDLER = """
 import signal, sys, types
+signal.signal(signal.SIGHUP, signal.SIG_DFL)
 def run(arguments):
     print(signal.getsignal(signal.SIGHUP).name)
 cli = types.ModuleType("cardamombarrow.cli")
