Log which versions may have begun an unknown stream, and why that is known

The resumption line did not tell a stream that goes on at the only version in service from one whose other candidates were forgotten. It now has the candidates and whether the table counts as complete.

--- a/cardamombarrow/entry/frontend/stream_resumer.py
+++ b/cardamombarrow/entry/frontend/stream_resumer.py
@@ -105,4 +105,8 @@
         software=None if origin is None else origin.software,
         source=None if source is None else source.name.lower(),
         age_s=None if resolved.age_s is None else round(resolved.age_s, 3),
+        candidates=sorted(
+            f"{each.service} {each.software}" for each in resolved.candidates
+        ),
+        complete=resolved.is_complete,
     )
--- a/cardamombarrow/resumption/core.py
+++ b/cardamombarrow/resumption/core.py
@@ -94,12 +94,16 @@
         origin: None if it can't be determined.
         source: Who began the stream; None if unknown.
         age_s: Time since its first event; None if unknown.
+        candidates: What may have begun an unknown stream.
+        is_complete: Whether nothing else may have.
     """
 
     resolution: Resolution
     origin: Origin | None = None
     source: Source | None = None
     age_s: float | None = None
+    candidates: frozenset[Origin] = frozenset()
+    is_complete: bool = False
 
 
 def stream_key(workspace: ids.WorkspaceId, attempt: str) -> int:
@@ -338,9 +342,16 @@
                 now_s - record.begun_s,
             )
         origin = self._only_origin(services)
-        if origin is None:
-            return Resolved(Resolution.UNKNOWN)
-        return Resolved(Resolution.ONLY_VERSION, origin)
+        return Resolved(
+            Resolution.UNKNOWN if origin is None else Resolution.ONLY_VERSION,
+            origin,
+            candidates=frozenset(
+                each
+                for each in self._served.origins()
+                if each.service in services
+            ),
+            is_complete=self.is_complete,
+        )
 
     def _only_origin(
         self, services: abc.Collection[ids.ServiceId]
