Test streams over software versions after kills of all kinds

Callers come back until their own limits, and a checker compares what each got over all its tries with what the servers wrote. Callers' limits are longer or shorter than their route's; entries, control processes, the list, limits and weights are disturbed while a version gives way to another one.

Existing callers of the stand-in and of the plan's builder see no change; the deployment can hold an instance back.

--- a/cardamombarrow/platform/tests/standin_streams.py
+++ b/cardamombarrow/platform/tests/standin_streams.py
@@ -4,6 +4,7 @@
 answer is framed and how it ends. Every request is recorded.
 """
 
+import collections
 from collections import abc
 import contextlib
 import dataclasses
@@ -25,6 +26,7 @@
     "Listed",
     "Received",
     "Servers",
+    "Written",
     "event",
     "reset",
 ]
@@ -32,6 +34,7 @@
 SERVICE = "letters"
 SLOTS = 64
 HEAD_BYTES = 65_536
+LISTING_STEP_S = 0.05
 
 
 class Framing(enum.Enum):
@@ -129,6 +132,21 @@
     at_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class Written:
+    """An event that a server has sent.
+
+    Attributes:
+        attempt: The attempt that it answers.
+        service: Service of the server.
+    """
+
+    attempt: str
+    service: str
+    version: str
+    number: int
+
+
 UNLISTED = "unlisted"
 """State of a server that the list leaves out."""
 
@@ -165,7 +183,10 @@
         script: Returns the answer to a request.
         listed: The servers by port.
         received: All requests, in order.
+        written: All events that were sent, in order.
         foreign: Entries of the list by another writer, as they are sent.
+        damaged: Identities of servers whose entries of the list can't be read.
+        listing_lag_s: Time by which the list lags behind.
         listing_url: URL of the list.
     """
 
@@ -173,7 +194,13 @@
         self.script = script
         self.listed: dict[int, Listed] = {}
         self.received: list[Received] = []
+        self.written: list[Written] = []
         self.foreign: list[bytes] = []
+        self.damaged: set[str] = set()
+        self.listing_lag_s = 0.0
+        self._listings: collections.deque[tuple[float, bytes]] = (
+            collections.deque()
+        )
         self._listeners: dict[int, socket.socket] = {}
         self._open: dict[int, set[socket.socket]] = {}
         self._lock = threading.Lock()
@@ -264,6 +291,41 @@
         self, connection: socket.socket, port: int, raw: bytes
     ) -> None:
         del port, raw
+        body = self._listing()
+        if self.listing_lag_s:
+            body = self._listing_of(time.monotonic() - self.listing_lag_s)
+        connection.sendall(
+            b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+            b"Connection: close\r\nContent-Length: %d\r\n\r\n%b"
+            % (len(body), body)
+        )
+
+    @contextlib.contextmanager
+    def lagging(self, lag_s: float) -> abc.Iterator[None]:
+        """Has the list lag while the context is open."""
+        stopped = threading.Event()
+        self._listings.append((time.monotonic(), self._listing()))
+        self.listing_lag_s = lag_s
+        thread = threading.Thread(target=self._record_listings, args=(stopped,))
+        thread.start()
+        try:
+            yield
+        finally:
+            self.listing_lag_s = 0.0
+            stopped.set()
+            thread.join()
+
+    def _record_listings(self, stopped: threading.Event) -> None:
+        while not stopped.wait(LISTING_STEP_S):
+            self._listings.append((time.monotonic(), self._listing()))
+
+    def _listing_of(self, at_s: float) -> bytes:
+        """Returns the newest list of a time or before, or the oldest one."""
+        listings = list(self._listings)
+        before = [body for recorded_s, body in listings if recorded_s <= at_s]
+        return before[-1] if before else listings[0][1]
+
+    def _listing(self) -> bytes:
         instances = [
             {
                 "id": each.identity,
@@ -278,13 +340,11 @@
             for each in list(self.listed.values())
             if each.state != UNLISTED
         ]
+        for each in instances:
+            if each["id"] in self.damaged:
+                each["slots"] = str(SLOTS)
         entries = [*self.foreign, *(json.dumps(i).encode() for i in instances)]
-        body = b'{"instances":[%b],"nextToken":null}' % b",".join(entries)
-        connection.sendall(
-            b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-            b"Connection: close\r\nContent-Length: %d\r\n\r\n%b"
-            % (len(body), body)
-        )
+        return b'{"instances":[%b],"nextToken":null}' % b",".join(entries)
 
     def _answer_request(
         self, connection: socket.socket, port: int, raw: bytes
@@ -302,7 +362,12 @@
                 b"Connection: close\r\nContent-Length: 0\r\n\r\n"
             )
             return
-        _send(connection, received, self.script(received))
+        for number in _send(connection, received, self.script(received)):
+            self.written.append(
+                Written(
+                    received.attempt, listed.service, received.version, number
+                )
+            )
 
 
 def _parse(raw: bytes, listed: Listed) -> Received:
@@ -334,7 +399,10 @@
         left -= len(data)
 
 
-def _send(connection: socket.socket, received: Received, answer: Answer):
+def _send(
+    connection: socket.socket, received: Received, answer: Answer
+) -> abc.Iterator[int]:
+    """Sends an answer; returns the number of each event just before it."""
     head = [
         f"HTTP/1.1 {answer.status} Scripted",
         f"Attempt-Id: {received.attempt}",
@@ -363,8 +431,9 @@
         head.append("Transfer-Encoding: chunked")
     connection.sendall("\r\n".join([*head, "", ""]).encode())
     answer.on_begun()
-    for piece in pieces:
+    for number, piece in enumerate(pieces, received.last_event + 1):
         time.sleep(answer.pause_s)
+        yield number
         if answer.framing is Framing.CHUNKED:
             piece = b"%x\r\n%b\r\n" % (len(piece), piece)
         connection.sendall(piece)
--- a/cardamombarrow/platform/tests/stream_client.py
+++ b/cardamombarrow/platform/tests/stream_client.py
@@ -1,5 +1,6 @@
 """A deployment in front of scripted servers, and a client of it, for tests."""
 
+from collections import abc
 import dataclasses
 import itertools
 import re
@@ -12,11 +13,16 @@
 __all__ = [
     "EVENTS",
     "LIMIT_MS",
+    "MAX_HEADER_BYTES",
+    "ROUTES",
     "Attempt",
+    "Route",
     "Seen",
     "call",
     "check_cut",
+    "configuration",
     "open_stream",
+    "parse",
     "plan",
     "read",
     "whole",
@@ -28,75 +34,116 @@
 
 PART_TOKENS = 50
 
+MAX_HEADER_BYTES = 16_384
+
 _EVENT = re.compile(rb"data: (\w+)/(\d+)\s\s")
 _LENGTH = re.compile(rb"content-length: *(\d+)", re.I)
+_RETRY_AFTER = re.compile(rb"retry-after: *([\d.]+)", re.I)
+
+
+@dataclasses.dataclass(frozen=True)
+class Route:
+    """A route of streams.
+
+    Attributes:
+        services: The services that serve it, by weight.
+    """
+
+    name: str
+    resumable: bool = True
+    limit_ms: int = LIMIT_MS
+    services: tuple[tuple[str, int], ...] = ((standin.SERVICE, 1),)
+
+
+ROUTES = (Route("once", resumable=False), Route("again"))
+
+
+def configuration(
+    routes: abc.Sequence[Route] = ROUTES, version: int = 7
+) -> dict[str, object]:
+    """Returns a configuration with these routes, and with their services."""
+    names = {name: None for each in routes for name, _ in each.services}
+    return {
+        "version": version,
+        "routes": [_route(each) for each in routes],
+        "services": [_service(name) for name in names],
+        "limits": {
+            "maxHeaderBytes": MAX_HEADER_BYTES,
+            "maxBodyBytes": 65_536,
+            "headerTimeoutMs": 3_000,
+            "idleTimeoutMs": 15_000,
+        },
+    }
 
 
-def _configuration() -> dict[str, object]:
-    route = {
+def _route(route: Route) -> dict[str, object]:
+    served: dict[str, object] = {"service": route.services[0][0]}
+    if len(route.services) > 1:
+        split = [
+            {"service": name, "weight": weight}
+            for name, weight in route.services
+        ]
+        served = {"split": split}
+    return {
         "host": "one.example",
         "routeKind": "streaming",
-        "timeoutMs": LIMIT_MS,
+        "timeoutMs": route.limit_ms,
         "latencyGoalMs": 500,
         "itlTargetMs": 500,
         "priority": 0,
-        "service": standin.SERVICE,
+        **served,
         "maxAttempts": 3,
         "anonymous": True,
         "sticky": False,
+        "name": route.name,
+        "pathPrefix": f"/{route.name}/",
+        "resumable": route.resumable,
     }
-    names = {"once": False, "again": True}
+
+
+def _service(name: str) -> dict[str, object]:
     return {
-        "version": 7,
-        "routes": [
-            {
-                **route,
-                "name": name,
-                "pathPrefix": f"/{name}/",
-                "resumable": resumable,
-            }
-            for name, resumable in names.items()
-        ],
-        "services": [
-            {
-                "name": standin.SERVICE,
-                "healthPath": "/healthz",
-                "maxConns": 400,
-                "protocol": "h1",
-                "tls": False,
-                "engine": {
-                    "slots": 64,
-                    "kvCapacity": 100_000,
-                    "models": [{"name": "m"}],
-                },
-            }
-        ],
-        "limits": {
-            "maxHeaderBytes": 16_384,
-            "maxBodyBytes": 65_536,
-            "headerTimeoutMs": 3_000,
-            "idleTimeoutMs": 15_000,
+        "name": name,
+        "healthPath": "/healthz",
+        "maxConns": 400,
+        "protocol": "h1",
+        "tls": False,
+        "engine": {
+            "slots": 64,
+            "kvCapacity": 100_000,
+            "models": [{"name": "m"}],
         },
     }
 
 
-def plan(listing_url: str, entries: dict[str, list[str]]) -> deployment.Plan:
-    """Returns a plan with a route that resumes streams and one that doesn't.
+def plan(
+    listing_url: str,
+    entries: dict[str, list[str]],
+    routes: abc.Sequence[Route] = ROUTES,
+) -> deployment.Plan:
+    """Returns a plan with routes that resume streams, and such that don't.
 
     Args:
         listing_url: The list of servers.
         entries: Instance ids of entries by failure domain.
+        routes: The routes of its first configuration.
     """
-    return platform_plan.plan(_configuration(), listing_url, entries)
+    return platform_plan.plan(configuration(routes), listing_url, entries)
 
 
 @dataclasses.dataclass(frozen=True)
 class Seen:
-    """An answer as its caller sees it."""
+    """An answer as its caller sees it.
+
+    Attributes:
+        status: Its status; 0 without a head.
+        retry_after_s: When the caller should come back; None if not said.
+    """
 
     status: int
     body: bytes
     looks_complete: bool
+    retry_after_s: float | None = None
 
     @property
     def events(self) -> list[tuple[str, int]]:
@@ -113,6 +160,7 @@
         resumes: Attempt that brought the first event; empty for a new stream.
         last_event: Number of the last event that the caller has.
         parts: Ids of the parts of its prompt.
+        limit_ms: Time for which the caller waits.
     """
 
     attempt: str
@@ -120,6 +168,7 @@
     resumes: str = ""
     last_event: int = 0
     parts: tuple[str, ...] = ()
+    limit_ms: int = LIMIT_MS
 
     @classmethod
     def new(cls, route: str, parts: tuple[str, ...] = ()) -> "Attempt":
@@ -134,7 +183,9 @@
     def again(self, last_event: int) -> "Attempt":
         """Returns an attempt that goes on after an event."""
         if not last_event:
-            return Attempt.new(self.route)
+            return dataclasses.replace(
+                Attempt.new(self.route), limit_ms=self.limit_ms
+            )
         return dataclasses.replace(
             self,
             attempt=f"{next(_ATTEMPTS):08x}",
@@ -167,7 +218,7 @@
         f"Attempt-Id: {attempt.attempt}",
         "Model-Name: m",
         f"Token-Count: 10,{EVENTS}",
-        f"Deadline-Ms: {LIMIT_MS}",
+        f"Deadline-Ms: {attempt.limit_ms}",
         "Content-Length: 0",
     ]
     if attempt.parts:
@@ -191,17 +242,30 @@
                 raw += data
         except ConnectionResetError:
             reset = True
+    return parse(raw, reset)
+
+
+def parse(raw: bytes, is_broken: bool) -> Seen:
+    """Returns what a caller has got.
+
+    Args:
+        raw: All bytes.
+        is_broken: Whether the connection was reset, or given up.
+    """
     head, _, body = raw.partition(b"\r\n\r\n")
     if not head:
         return Seen(0, b"", False)
     status = int(head.split(b" ")[1])
+    wait = _RETRY_AFTER.search(head)
+    retry_s = None if wait is None else float(wait[1])
     length = _LENGTH.search(head)
     if length:
-        return Seen(status, body, len(body) == int(length[1]))
+        whole = len(body) == int(length[1])
+        return Seen(status, body, whole, retry_s)
     if b"chunked" not in head.lower():
-        return Seen(status, body, not reset)
+        return Seen(status, body, not is_broken, retry_s)
     content, whole = _content(body)
-    return Seen(status, content, whole)
+    return Seen(status, content, whole, retry_s)
 
 
 def _content(body: bytes) -> tuple[bytes, bool]:
--- a/cardamombarrow/platform/tests/urgent_traffic.py
+++ b/cardamombarrow/platform/tests/urgent_traffic.py
@@ -145,6 +145,10 @@
     def send(self, more_routes: int, timeout_s: float = 6.0) -> bool:
         """Sends one with more routes; returns whether it was acknowledged."""
         body = json.dumps(configuration(next(self._versions), more_routes))
+        return self.send_text(body, timeout_s)
+
+    def send_text(self, body: str, timeout_s: float = 6.0) -> bool:
+        """Sends a configuration; returns whether it was acknowledged."""
         end_s = time.monotonic() + timeout_s
         for url in itertools.cycle(self._running.controls.values()):
             if time.monotonic() > end_s:
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -113,6 +113,7 @@
         edition: Document that is sent to a control process in place of
             `document`; None for none.
         listing_url: The platform's list; empty for a stand-in of it.
+        held_back: Instances that do not start with the others.
     """
 
     document: str
@@ -130,6 +131,7 @@
     control_plugins: tuple[str, ...] = ()
     edition: Edition | None = None
     listing_url: str = ""
+    held_back: frozenset[str] = frozenset()
 
 
 class Deployment(contextlib.AbstractContextManager):
@@ -186,11 +188,14 @@
         document.write_text(text)
         self._write_controls(document)
         self._write_entries()
-        for name in self._settings:
+        started = [
+            name for name in self._settings if name not in self._plan.held_back
+        ]
+        for name in started:
             self.start_instance(name)
         if self._plan.edition is not None:
             self._put(self._plan.edition)
-        for name in self._settings:
+        for name in started:
             self.wait_ready(name)
 
     def _put(self, edition: Edition) -> None:
@@ -384,22 +389,20 @@
         Raises:
             RuntimeError: It did not start in time.
         """
+        if not wait_until(lambda: self.is_ready(name)):
+            raise RuntimeError(f"{name} did not start:\n{self.log(name)}")
+
+    def is_ready(self, name: str) -> bool:
+        """Returns whether an instance says that it is ready."""
         role, _ = self._settings[name]
         urls = self._ready_urls if role == "entry" else self.controls
         path = "/readyz" if role == "entry" else "/healthz"
         if role == "control" and self._plan.edition is not None:
             path = self._plan.edition.path
-
-        def answers() -> bool:
-            try:
-                return (
-                    http_get.fetch(urls[name] + path, timeout_s=1).status == 200
-                )
-            except errors.EndpointError:
-                return False
-
-        if not wait_until(answers):
-            raise RuntimeError(f"{name} did not start:\n{self.log(name)}")
+        try:
+            return http_get.fetch(urls[name] + path, timeout_s=1).status == 200
+        except errors.EndpointError:
+            return False
 
     def settings_path(self, name: str) -> pathlib.Path:
         """Returns the settings file of an instance."""
