Tell control what has open streams; resume an unknown one only by that

What callers saw: after all entries were lost at once, streams that they resumed went on at another software version than the one that had begun them, with status 200. Without any loss, the same happened to callers who wait longer than their class allows.

Cause: an entry took the only version that it knew for the only one there had been once it had run for the longest limit of the document in force and 5 s, or as soon as control called it new. Both say nothing of the streams of others: a caller names its own limit, which may be longer, a document may lower a limit while streams of the longer one are open, and an entry that never ran before knows nothing of what lost ones began. Versions and origins were forgotten after the same time. A class that moves to another service left the former one's streams to the new one.

Class of fault: an absence of knowledge taken for knowledge, after a time that follows from settings and not from what is waited for.

Now a record lasts until its caller's own limit; entries report to control, for each class, service and version, until when streams are open, and control tells entries that start. An unknown stream goes on only if this leaves a single origin, and only while news come in. A process that has been told nothing concludes nothing for 600 s.

--- a/cardamombarrow/entry/documents/control_news.py
+++ b/cardamombarrow/entry/documents/control_news.py
@@ -12,6 +12,7 @@
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import logs
 from cardamombarrow.peers.control import control_pb2
+from cardamombarrow.peers.control import open_streams_codec
 from cardamombarrow.peers.control import suspect_codec
 from cardamombarrow.peers.control import suspect_relay
 from cardamombarrow.resumption import core as resumption
@@ -94,15 +95,53 @@
             return
         self._is_new = True
         logs.event("new entry")
-        self._origins.set_complete()
         if self._broker is not None:
             self._broker.set_new()
 
+    def on_open_streams(
+        self, received: abc.Sequence[control_pb2.OpenStreams], are_all: bool
+    ) -> None:
+        """Applies what has open streams."""
+        items = list(
+            open_streams_codec.open_streams_from_wire(
+                received, self._clock.now_s()
+            )
+        )
+        if are_all and not self._origins.knows_open_streams():
+            logs.event(
+                "open streams known",
+                versions=sorted(
+                    {
+                        f"{group.origin.service} {group.origin.software}"
+                        for group, _ in items
+                    }
+                ),
+            )
+        self._origins.merge_open_streams(items, are_all=are_all)
+
+    def add_open_streams(
+        self, report: control_pb2.AppliedReport, *, first: bool
+    ) -> None:
+        """Adds to a report what control does not know yet of open streams.
+
+        Args:
+            report: The report.
+            first: Whether it is the first one on a link.
+        """
+        streams = self._origins.take_report(first=first)
+        report.open_streams.extend(
+            open_streams_codec.open_streams_to_wire(
+                streams.items, self._clock.now_s()
+            )
+        )
+        report.knows_open_streams = streams.are_all
+
     def on_entry_count(self, count: int) -> None:
         """Applies the number of entries that share the global bounds.
 
-        Called on the loop thread.
+        Called on the loop thread, with each message of control.
         """
+        self._origins.touch()
         if self._broker is None:
             self._early_entry_count = count
             return
--- a/cardamombarrow/entry/frontend/incoming.py
+++ b/cardamombarrow/entry/frontend/incoming.py
@@ -49,6 +49,7 @@
         is_forwarded: Whether another entry forwarded it.
         stream_key: Key under which callers resume its stream; None if they
             can't.
+        stream_until_s: Monotonic time until which they may.
     """
 
     job: messages.Job
@@ -70,6 +71,7 @@
     resume_after: str = ""
     is_forwarded: bool = False
     stream_key: int | None = None
+    stream_until_s: float | None = None
 
 
 class KeyIndex:
--- a/cardamombarrow/entry/frontend/routed.py
+++ b/cardamombarrow/entry/frontend/routed.py
@@ -359,6 +359,9 @@
             resumable=route.resumable,
             resume_after=parsed_headers.resume_after,
             stream_key=_stream_key(route, workspace, parsed_headers),
+            stream_until_s=_stream_until_s(
+                request_class, parsed_headers, arrived_s
+            ),
         )
 
 
@@ -378,6 +381,19 @@
     return min(request_class.target_total_s, parsed_headers.limit_s)
 
 
+def _stream_until_s(
+    request_class: schema.RequestClass,
+    parsed_headers: protocol_module.ParsedHeaders,
+    arrived_s: float,
+) -> float:
+    """Returns until when a caller may resume a stream.
+
+    A caller may wait longer than its class allows one attempt to last.
+    """
+    limit_s = max(request_class.target_total_s, parsed_headers.limit_s or 0.0)
+    return arrived_s + limit_s + resumption.RETENTION_MARGIN_S
+
+
 def _stall_limit_s(route: schema.Route, service: schema.Service) -> float:
     if not (route.resumable and route.longest_pause_s):
         return service.stall_limit_s
--- a/cardamombarrow/entry/frontend/stream_resumer.py
+++ b/cardamombarrow/entry/frontend/stream_resumer.py
@@ -68,7 +68,10 @@
         if headers.resumes:
             key = resumption.stream_key(workspace.workspace, headers.resumes)
         resolved = self._origins.resolve(
-            key, services, min(MAX_WAIT_S, WAIT_SHARE * limit_s)
+            key,
+            services,
+            min(MAX_WAIT_S, WAIT_SHARE * limit_s),
+            route.class_id,
         )
         self._count(resolved.resolution)
         _log(resolved, headers, request_id)
--- a/cardamombarrow/entry/peering.py
+++ b/cardamombarrow/entry/peering.py
@@ -141,7 +141,9 @@
             self._on_forwarders,
             self._news.on_entry_count,
             self._news.on_new,
+            self._news.on_open_streams,
         )
+        self.origins.set_report_listener(self.control.report_now)
         boot_clock = clock.BootClock()
         self.lease = lease_module.DocumentLease(
             settings.document.max_age_s, boot_clock
@@ -170,7 +172,7 @@
         process may have restarted, and others only pass on those of their own
         followers.
         """
-        return control_pb2.AppliedReport(
+        report = control_pb2.AppliedReport(
             instance=self._instance,
             domain=self._domain,
             applied_revision=self._documents.revision,
@@ -180,6 +182,8 @@
             takes_packed=True,
             suspects=self._news.suspects(all_known=first),
         )
+        self._news.add_open_streams(report, first=first)
+        return report
 
     def _places(self) -> bool:
         """Returns whether this entry represents its domain to others.
@@ -460,6 +464,7 @@
         )
         if not names_endpoints:
             return
+        self.origins.touch()
         found = tuple(
             messages.KnownEndpoint(
                 item.endpoint,
--- a/cardamombarrow/entry/requests/request_handler.py
+++ b/cardamombarrow/entry/requests/request_handler.py
@@ -468,7 +468,12 @@
             job.required_software = self._services.broker.software_of(endpoint)
         if self._call.stream_key is not None:
             origin = resumption.Origin(job.service, job.required_software)
-            self._services.origins.add_own(self._call.stream_key, origin)
+            self._services.origins.add_own(
+                self._call.stream_key,
+                origin,
+                self._call.stream_until_s,
+                job.class_id,
+            )
 
     def _settle(
         self,
--- a/cardamombarrow/peers/control/client.py
+++ b/cardamombarrow/peers/control/client.py
@@ -97,6 +97,9 @@
         ] = lambda near, far: None,
         on_entry_count: abc.Callable[[int], None] = lambda count: None,
         on_new: abc.Callable[[], None] = lambda: None,
+        on_open_streams: abc.Callable[
+            [abc.Sequence[control_pb2.OpenStreams], bool], None
+        ] = lambda received, are_all: None,
     ):
         """Builds a client.
 
@@ -115,12 +118,15 @@
                 forwarded requests, in the own domain and in others.
             on_entry_count: Called with the number of entries of all domains.
             on_new: Called if this entry had no process before.
+            on_open_streams: Called with open streams, and whether no others
+                are open.
         """
         self._loop = loop
         self._on_suspects = on_suspects
         self._on_forwarders = on_forwarders
         self._on_entry_count = on_entry_count
         self._on_new = on_new
+        self._on_open_streams = on_open_streams
         self._domain = domain
         self._domains: dict[str, str] = {}
         self._addresses = list(controls)
@@ -299,6 +305,10 @@
         self._on_forwarders(message.near_forwarders, message.far_forwarders)
         if message.is_new:
             self._on_new()
+        if message.open_streams or message.knows_open_streams:
+            self._on_open_streams(
+                message.open_streams, message.knows_open_streams
+            )
         if message.entry_count:
             self._on_entry_count(message.entry_count)
         if message.suspects:
--- a/cardamombarrow/peers/control/followers.py
+++ b/cardamombarrow/peers/control/followers.py
@@ -21,6 +21,7 @@
 from cardamombarrow.kernel import ids
 from cardamombarrow.peers.control import control_pb2
 from cardamombarrow.peers.control import document_codec
+from cardamombarrow.peers.control import open_streams_relay
 from cardamombarrow.peers.control import sends as sends_module
 from cardamombarrow.peers.control import suspect_relay
 
@@ -98,6 +99,9 @@
         """
         self._knows_all_s = time.monotonic() + (0.0 if founds else MEMORY_S)
         self._left_s: dict[ids.InstanceId, float] = {}
+        self._open_streams = open_streams_relay.OpenStreamsRelay(
+            time.monotonic(), founds=founds
+        )
         self._suspects = suspect_relay.SuspectRelay(random.Random())
         self._forwarders: dict[ids.DomainId, list[str]] = {}
         self._forwarders_until_s = 0.0
@@ -149,7 +153,7 @@
         because the process that they last reported to may be gone.
         """
         now_s = time.monotonic()
-        return control_pb2.FollowersReply(
+        reply = control_pb2.FollowersReply(
             rows=[
                 control_pb2.FollowerRow(
                     instance=follower.instance,
@@ -165,10 +169,13 @@
                 or now_s - follower.last_report_s > FOLLOWER_TIMEOUT_S
             ]
         )
+        self._open_streams.fill_reply(reply, now_s)
+        return reply
 
     def merge(self, reply: control_pb2.FollowersReply) -> None:
         """Applies the newer reports that another control process has."""
         now_s = time.monotonic()
+        self._put_open_streams(reply)
         for row in reply.rows:
             self._update(
                 Follower(
@@ -234,9 +241,19 @@
             source: The reporting entry; empty for another control process.
         """
         if self._suspects.put(reports, source, time.monotonic()):
-            task = asyncio.create_task(self._notify())
-            self._notifications.add(task)
-            task.add_done_callback(self._notifications.discard)
+            self._notify_soon()
+
+    def _put_open_streams(
+        self,
+        message: control_pb2.AppliedReport | control_pb2.FollowersReply,
+    ) -> None:
+        if self._open_streams.put(message, time.monotonic()):
+            self._notify_soon()
+
+    def _notify_soon(self) -> None:
+        task = asyncio.create_task(self._notify())
+        self._notifications.add(task)
+        task.add_done_callback(self._notifications.discard)
 
     async def _notify(self) -> None:
         async with self._changed:
@@ -344,6 +361,7 @@
     def _apply(self, report: control_pb2.AppliedReport) -> None:
         instance = ids.InstanceId(report.instance)
         self.put_suspects(report.suspects, instance)
+        self._put_open_streams(report)
         if report.leaving:
             self._left_s[instance] = time.monotonic()
             self._table.pop(instance, None)
@@ -370,12 +388,16 @@
         applied = report.applied_revision
         domain = ids.DomainId(report.domain)
         suspects_sent = 0
+        open_streams_sent = open_streams_relay.Sent()
         while True:
             message = self.update_for(applied, takes_packed=report.takes_packed)
             message.suspects.extend(
                 self._suspects.since(suspects_sent, time.monotonic())
             )
             suspects_sent = self._suspects.number
+            open_streams_sent = self._open_streams.fill(
+                message, open_streams_sent, time.monotonic()
+            )
             near, far = self.forwarders(domain)
             message.near_forwarders.extend(near)
             message.far_forwarders.extend(far)
@@ -386,14 +408,22 @@
             applied = max(applied, message.revision)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(HEARTBEAT_S):
-                    await self._news(applied, suspects_sent)
+                    await self._news(applied, suspects_sent, open_streams_sent)
 
-    async def _news(self, revision: int, suspects_sent: int) -> None:
-        """Waits for a newer document or more reports of suspects."""
+    async def _news(
+        self,
+        revision: int,
+        suspects_sent: int,
+        open_streams_sent: open_streams_relay.Sent,
+    ) -> None:
+        """Waits for a newer document, reports of suspects, or a new version."""
         async with self._changed:
             await self._changed.wait_for(
                 lambda: (
                     self._accepted.revision > revision
                     or self._suspects.number != suspects_sent
+                    or self._open_streams.is_news(
+                        open_streams_sent, time.monotonic()
+                    )
                 )
             )
--- a/cardamombarrow/peers/placing/origin_codec.py
+++ b/cardamombarrow/peers/placing/origin_codec.py
@@ -1,6 +1,7 @@
 """Conversion between the origins of streams and protobuf."""
 
 from collections import abc
+import itertools
 
 from cardamombarrow.kernel import ids
 from cardamombarrow.peers.placing import placing_pb2
@@ -30,6 +31,7 @@
             groups[origin, other_domain] = group
         group.streams.append(record.key)
         group.age_ms.append(round(max(now_s - record.begun_s, 0.0) * 1_000))
+        group.left_s.append(int(max(record.until_s - now_s, 0.0)))
     return list(groups.values())
 
 
@@ -52,10 +54,16 @@
         source = (
             resumption.Source.OTHER_DOMAIN if group.other_domain else nearest
         )
-        for key, age_ms in zip(group.streams, group.age_ms, strict=False):
+        for key, age_ms, left_s in zip(
+            group.streams,
+            group.age_ms,
+            group.left_s or itertools.repeat(None),
+            strict=False,
+        ):
             yield resumption.Record(
                 key,
                 None if group.conflicting else origin,
                 now_s - age_ms / 1_000,
                 source,
+                None if left_s is None else now_s + left_s,
             )
--- a/cardamombarrow/resumption/core.py
+++ b/cardamombarrow/resumption/core.py
@@ -5,7 +5,6 @@
 event has arrived. Nothing is told of services with a single version.
 """
 
-import collections
 from collections import abc
 import dataclasses
 import enum
@@ -15,6 +14,9 @@
 from cardamombarrow.decisions import messages
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import ids
+from cardamombarrow.resumption import candidates as candidates_module
+from cardamombarrow.resumption import open_streams
+from cardamombarrow.resumption import table
 
 __all__ = [
     "Origin",
@@ -27,29 +29,17 @@
 ]
 
 RETENTION_MARGIN_S = 5.0
-"""Time beyond the longest answer for which a stream's origin is kept: callers
-resume a stream within the time limit of its first attempt."""
+"""Time beyond its caller's limit for which a stream's origin is kept."""
 
-MAX_RETENTION_S = 120.0
+UNKNOWN_LIFETIME_S = 120.0
+"""Time for which streams are kept whose callers' limits are not known."""
 
-MAX_STREAMS = 50_000
-"""Most streams that are kept, in some 12 MB; the oldest ones go first."""
+EXTENSION_STEP_S = 1.0
+"""Shortest extension of a stream that is told to other instances."""
 
 _KEY_BYTES = 8
 
 
-class Source(enum.IntEnum):
-    """Who began a stream, the nearest first.
-
-    `ASKING` are entries that ask this one as their placer.
-    """
-
-    OWN = 0
-    ASKING = 1
-    DOMAIN = 2
-    OTHER_DOMAIN = 3
-
-
 class Resolution(enum.Enum):
     """How the software of a resumed stream was determined."""
 
@@ -59,31 +49,9 @@
     CONFLICTING = "conflicting"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Origin:
-    """What wrote the first event of a stream."""
-
-    service: ids.ServiceId
-    software: ids.SoftwareVersion
-
-
-@dataclasses.dataclass(slots=True)
-class Record:
-    """The origin of one stream.
-
-    Attributes:
-        key: See `stream_key`.
-        origin: None if two streams with this key have different ones.
-        begun_s: Local time of its first event.
-        source: Who began it.
-        number: Increases with each change of any record.
-    """
-
-    key: int
-    origin: Origin | None
-    begun_s: float
-    source: Source
-    number: int = 0
+Origin = open_streams.Origin
+Record = table.Record
+Source = table.Source
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -121,69 +89,39 @@
     return int.from_bytes(digest, "big")
 
 
-class _ServedVersions:
-    """The software versions that serve each service, or did so recently."""
-
-    def __init__(self):
-        self._listed: dict[ids.ServiceId, set[ids.SoftwareVersion]] = {}
-        self._delisted_s: dict[Origin, float] = {}
-
-    def set_listed(
-        self, found: abc.Iterable[messages.KnownEndpoint], now_s: float
-    ) -> None:
-        """Sets the endpoints that are listed now."""
-        listed: dict[ids.ServiceId, set[ids.SoftwareVersion]] = {}
-        for each in found:
-            listed.setdefault(each.service, set()).add(each.software)
-        for service, versions in self._listed.items():
-            for version in versions - listed.get(service, set()):
-                self._delisted_s[Origin(service, version)] = now_s
-        self._listed = listed
-
-    def drop_before(self, oldest_s: float) -> None:
-        """Forgets the versions that were delisted before a time."""
-        for origin, delisted_s in list(self._delisted_s.items()):
-            if delisted_s < oldest_s:
-                del self._delisted_s[origin]
-
-    def origins(self) -> set[Origin]:
-        """Returns all versions of all services that are not forgotten."""
-        listed = {
-            Origin(service, version)
-            for service, versions in self._listed.items()
-            for version in versions
-        }
-        return listed | self._delisted_s.keys()
-
-
 class StreamOrigins:
-    """The origins of the streams of the last seconds; thread-safe."""
+    """The origins of the streams that are still open; thread-safe."""
 
     def __init__(self, time_source: clock.Clock):
         self._clock = time_source
         self._changed = threading.Condition()
-        self._records: dict[int, Record] = {}
-        self._log: collections.deque[tuple[int, int]] = collections.deque()
-        self._number = 0
-        self._retention_s = MAX_RETENTION_S
+        self._table = table.StreamTable()
         self._started_s = time_source.now_s()
         self._is_complete = False
-        self._served = _ServedVersions()
-        self._recorded: collections.Counter[Origin] = collections.Counter()
+        self._candidates = candidates_module.Candidates(
+            self._started_s, UNKNOWN_LIFETIME_S
+        )
+        self._on_unreported: abc.Callable[[], None] = lambda: None
         self._mixed: set[ids.ServiceId] = set()
 
+    def set_report_listener(self, listener: abc.Callable[[], None]) -> None:
+        """Sets what is called when `take_report` has news for control."""
+        self._on_unreported = listener
+
     def set_longest_answer_s(self, longest_s: float) -> None:
         """Sets the longest time that an answer may take."""
         with self._changed:
-            self._retention_s = min(
-                longest_s + RETENTION_MARGIN_S, MAX_RETENTION_S
-            )
+            self._candidates.lifetime_s = longest_s + RETENTION_MARGIN_S
 
     def set_listed(self, found: abc.Iterable[messages.KnownEndpoint]) -> None:
         """Sets the endpoints that are listed now."""
         with self._changed:
-            self._served.set_listed(found, self._clock.now_s())
-            self._update_mixed()
+            now_s = self._clock.now_s()
+            listed = {Origin(each.service, each.software) for each in found}
+            has_new = self._candidates.set_listed(listed, now_s)
+            self._update_mixed(now_s)
+        if has_new:
+            self._on_unreported()
 
     def set_complete(self) -> None:
         """Records that all recent streams of the domain are known."""
@@ -193,16 +131,83 @@
 
     @property
     def is_complete(self) -> bool:
-        """Whether all recent streams of the domain are known."""
+        """Whether all recent streams of the domain are known.
+
+        If not, other entries are asked for theirs. Which versions may have
+        begun a stream does not follow from it.
+        """
         if self._is_complete:
             return True
-        return self._clock.now_s() - self._started_s >= self._retention_s
+        return self._clock.now_s() - self._started_s >= (
+            self._candidates.lifetime_s
+        )
+
+    # -- what may have begun open streams --------------------------------------
+
+    def touch(self) -> None:
+        """Records that news of other instances have arrived."""
+        with self._changed:
+            self._candidates.touch(self._clock.now_s())
+
+    def merge_open_streams(
+        self, items: abc.Iterable[open_streams.GroupEnd], *, are_all: bool
+    ) -> None:
+        """Records what has open streams, as control knows it.
+
+        Args:
+            items: Groups of streams, and until when they are open.
+            are_all: Whether no other group has open streams.
+        """
+        with self._changed:
+            self._candidates.merge(items, are_all=are_all)
+            self._update_mixed(self._clock.now_s())
+            self._changed.notify_all()
+
+    def knows_open_streams(self) -> bool:
+        """Returns whether everything with open streams is known."""
+        with self._changed:
+            return self._candidates.are_all(self._clock.now_s())
+
+    def take_report(self, *, first: bool) -> open_streams.Report:
+        """Returns what control does not know yet of open streams.
+
+        Args:
+            first: Whether it is the first report on a link.
+        """
+        with self._changed:
+            return self._candidates.take_report(
+                self._clock.now_s(), first=first
+            )
 
     # -- changes ---------------------------------------------------------------
 
-    def add_own(self, key: int, origin: Origin) -> None:
-        """Records a stream whose first event has just arrived."""
-        self.merge([Record(key, origin, self._clock.now_s(), Source.OWN)])
+    def add_own(
+        self,
+        key: int,
+        origin: Origin,
+        until_s: float | None = None,
+        class_id: ids.ClassId = open_streams.ANY_CLASS,
+    ) -> None:
+        """Records a stream whose first event has just arrived.
+
+        Args:
+            key: See `stream_key`.
+            origin: What wrote the event.
+            until_s: Local time until which its caller may resume it; None if
+                not known.
+            class_id: Its class.
+        """
+        now_s = self._clock.now_s()
+        if until_s is None:
+            until_s = now_s + self._candidates.lifetime_s
+        until_s = min(until_s, now_s + open_streams.LONGEST_STREAM_S)
+        with self._changed:
+            is_reported = self._candidates.add_own(
+                open_streams.StreamGroup(class_id, origin), until_s
+            )
+        self.merge([Record(key, origin, now_s, Source.OWN, until_s)])
+        if not is_reported:
+            self._on_unreported()
 
     def merge(self, records: abc.Iterable[Record]) -> None:
         """Records streams that this or other instances began."""
@@ -210,68 +215,37 @@
             now_s = self._clock.now_s()
             for record in records:
                 self._merge(record, now_s)
-            self._drop_old(now_s)
-            self._update_mixed()
+            self._table.drop_ended(now_s)
+            self._update_mixed(now_s)
             self._changed.notify_all()
 
     def _merge(self, record: Record, now_s: float) -> None:
-        if now_s - record.begun_s >= self._retention_s:
+        if record.until_s is None:
+            record.until_s = record.begun_s + self._candidates.lifetime_s
+        if now_s >= record.until_s:
             return
-        known = self._records.get(record.key)
+        if record.origin is not None:
+            self._candidates.extend(record.origin, record.until_s)
+        known = self._table.get(record.key)
         if known is None:
-            self._add(record)
-        elif known.origin is None:
+            self._table.add(record)
             return
-        elif known.origin != record.origin:
-            self._recorded[known.origin] -= 1
+        if known.origin is not None and known.origin != record.origin:
             known.origin = None
-            self._append(known)
-        elif record.begun_s - known.begun_s > self._retention_s / 2:
-            # A stream that was resumed has to be kept longer.
-            known.begun_s = record.begun_s
-            self._append(known)
-
-    def _add(self, record: Record) -> None:
-        self._records[record.key] = record
-        if record.origin is not None:
-            self._recorded[record.origin] += 1
-        self._append(record)
-
-    def _append(self, record: Record) -> None:
-        self._number += 1
-        record.number = self._number
-        self._log.append((self._number, record.key))
-
-    def _drop_old(self, now_s: float) -> None:
-        oldest_s = now_s - self._retention_s
-        while self._log:
-            number, key = self._log[0]
-            record = self._records.get(key)
-            if record is not None and record.number == number:
-                if record.begun_s > oldest_s and (
-                    len(self._records) <= MAX_STREAMS
-                ):
-                    return
-                del self._records[key]
-                if record.origin is not None:
-                    self._recorded[record.origin] -= 1
-            self._log.popleft()
-
-    def _update_mixed(self) -> None:
+            self._table.append(known)
+        if record.until_s - known.until_s > EXTENSION_STEP_S:
+            self._table.extend(known, record.until_s)
+
+    def _update_mixed(self, now_s: float) -> None:
         """Numbers the streams of services anew that got a second version."""
-        self._served.drop_before(self._clock.now_s() - self._retention_s)
-        recorded = {origin for origin, count in self._recorded.items() if count}
-        versions = collections.Counter(
-            origin.service for origin in self._served.origins() | recorded
-        )
-        mixed = {service for service, count in versions.items() if count > 1}
+        mixed = self._candidates.mixed(now_s)
         new = mixed - self._mixed
         self._mixed = mixed
         if not new:
             return
-        for record in list(self._records.values()):
+        for record in self._table.values():
             if record.origin is not None and record.origin.service in new:
-                self._append(record)
+                self._table.append(record)
 
     # -- queries ---------------------------------------------------------------
 
@@ -284,19 +258,18 @@
 
         Returns:
             Changed records of services with several versions, and the number
-            for the next call.
+            for the next call. While it is not known what has open streams, any
+            service may have several.
         """
         with self._changed:
-            found = []
-            for position, key in reversed(self._log):
-                if position <= number:
-                    break
-                record = self._records.get(key)
-                if record is None or record.number != position:
-                    continue
-                if record.source <= farthest and self._is_needed(record):
-                    found.append(dataclasses.replace(record))
-            return found, self._number
+            tells_all = not self._candidates.are_all(self._clock.now_s())
+            found = [
+                dataclasses.replace(record)
+                for record in self._table.since(number)
+                if record.source <= farthest
+                and (tells_all or self._is_needed(record))
+            ]
+            return found, self._table.number
 
     def _is_needed(self, record: Record) -> bool:
         return record.origin is None or record.origin.service in self._mixed
@@ -306,6 +279,7 @@
         key: int | None,
         services: abc.Collection[ids.ServiceId],
         timeout_s: float,
+        class_id: ids.ClassId = open_streams.ANY_CLASS,
     ) -> Resolved:
         """Determines what has to resume a stream.
 
@@ -313,24 +287,29 @@
             key: The stream; None if its caller does not name it.
             services: The services that may serve the request.
             timeout_s: Longest wait for news of a stream that is not known.
+            class_id: Class of the request.
         """
         with self._changed:
-            self._drop_old(self._clock.now_s())
-            self._update_mixed()
+            now_s = self._clock.now_s()
+            self._table.drop_ended(now_s)
+            self._update_mixed(now_s)
             self._changed.wait_for(
                 lambda: (
-                    self._resolve(key, services).resolution
+                    self._resolve(key, services, class_id).resolution
                     is not Resolution.UNKNOWN
                 ),
                 timeout_s,
             )
-            return self._resolve(key, services)
+            return self._resolve(key, services, class_id)
 
     def _resolve(
-        self, key: int | None, services: abc.Collection[ids.ServiceId]
+        self,
+        key: int | None,
+        services: abc.Collection[ids.ServiceId],
+        class_id: ids.ClassId,
     ) -> Resolved:
         now_s = self._clock.now_s()
-        record = None if key is None else self._records.get(key)
+        record = None if key is None else self._table.get(key)
         if record is not None:
             resolution = Resolution.KNOWN
             if record.origin is None:
@@ -341,32 +320,21 @@
                 record.source,
                 now_s - record.begun_s,
             )
-        origin = self._only_origin(services)
+        candidates = self._candidates.of_class(class_id, services, now_s)
+        are_all = self._candidates.are_all(now_s)
+        origin = None
+        if are_all and len(candidates) == 1:
+            (origin,) = candidates
+        elif are_all and not candidates and len(services) == 1:
+            (service,) = services
+            origin = Origin(service, ids.UNKNOWN_SOFTWARE)
         return Resolved(
             Resolution.UNKNOWN if origin is None else Resolution.ONLY_VERSION,
             origin,
-            candidates=frozenset(
-                each
-                for each in self._served.origins()
-                if each.service in services
-            ),
-            is_complete=self.is_complete,
+            candidates=candidates,
+            is_complete=are_all,
         )
 
-    def _only_origin(
-        self, services: abc.Collection[ids.ServiceId]
-    ) -> Origin | None:
-        """Returns the only possible origin of any recent stream, or None."""
-        if len(services) != 1 or not self.is_complete:
-            return None
-        (service,) = services
-        if service in self._mixed:
-            return None
-        for origin in self._served.origins():
-            if origin.service == service:
-                return origin
-        return Origin(service, ids.UNKNOWN_SOFTWARE)
-
     def __len__(self) -> int:
         """Returns the number of streams that are kept."""
-        return len(self._records)
+        return len(self._table)
--- /dev/null
+++ b/cardamombarrow/resumption/open_streams.py
@@ -0,0 +1,150 @@
+"""Which software versions may have begun streams that are still open.
+
+A stream is open until its caller's time limit: until then the caller may resume
+it at any entry. Entries and control processes share, for the streams of each
+class that a version of a service began, until when the last of them is open.
+This outlives the entries that began the streams and costs nothing per stream.
+"""
+
+from collections import abc
+import dataclasses
+import math
+
+from cardamombarrow.kernel import ids
+
+__all__ = [
+    "ANY_CLASS",
+    "LONGEST_STREAM_S",
+    "GroupEnd",
+    "OpenStreams",
+    "Origin",
+    "Report",
+    "ReportedStreams",
+    "StreamGroup",
+]
+
+LONGEST_STREAM_S = 600.0
+"""Time after which no caller resumes a stream, whatever limit it has stated.
+An instance that has run for this long knows all open streams by itself."""
+
+MAX_GROUPS = 4_096
+"""Most groups of streams. A list of endpoints that names so many versions has
+mistakes, and each instance would send all of them to others."""
+
+REPORT_AHEAD_S = 5.0
+"""How far beyond the last open stream a report reaches, so that steady traffic
+needs one report of each group in this time."""
+
+ANY_CLASS = ids.ClassId("")
+"""Class of streams whose class is not known."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Origin:
+    """What wrote the first event of a stream."""
+
+    service: ids.ServiceId
+    software: ids.SoftwareVersion
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamGroup:
+    """The streams of a class that one version of a service began."""
+
+    class_id: ids.ClassId
+    origin: Origin
+
+
+GroupEnd = tuple[StreamGroup, float]
+"""A group, and the local time until which one of its streams is open."""
+
+
+class OpenStreams:
+    """Until when the last stream of each group is open.
+
+    Attributes:
+        number: Increases when a group without open streams gets one.
+    """
+
+    def __init__(self):
+        self.number = 0
+        self._until_s: dict[StreamGroup, float] = {}
+        self._overflow_until_s = -math.inf
+
+    def extend(self, group: StreamGroup, until_s: float) -> None:
+        """Records that a group has an open stream until a time."""
+        known_s = self._until_s.get(group)
+        if known_s is not None:
+            self._until_s[group] = max(known_s, until_s)
+        elif len(self._until_s) < MAX_GROUPS:
+            self._until_s[group] = until_s
+            self.number += 1
+        else:
+            self._overflow_until_s = max(self._overflow_until_s, until_s)
+
+    def items(self, now_s: float) -> list[GroupEnd]:
+        """Returns the groups with open streams, and until when."""
+        for group, until_s in list(self._until_s.items()):
+            if until_s <= now_s:
+                del self._until_s[group]
+        return list(self._until_s.items())
+
+    def has_all(self, now_s: float) -> bool:
+        """Returns whether no group was left out for want of room."""
+        return now_s >= self._overflow_until_s
+
+
+@dataclasses.dataclass(frozen=True)
+class Report:
+    """What an entry reports to control of open streams.
+
+    Attributes:
+        items: Groups, and until when their streams are open.
+        are_all: Whether no other group has open streams.
+    """
+
+    items: tuple[GroupEnd, ...]
+    are_all: bool
+
+
+class ReportedStreams:
+    """What an entry has told the control process that it follows."""
+
+    def __init__(self):
+        self._until_s: dict[StreamGroup, float] = {}
+        self._told_all = False
+
+    def covers(self, group: StreamGroup, until_s: float) -> bool:
+        """Returns whether control knows of a stream that is open so long."""
+        return until_s <= self._until_s.get(group, -math.inf)
+
+    def take(
+        self,
+        own: abc.Iterable[GroupEnd],
+        known: abc.Iterable[GroupEnd],
+        *,
+        first: bool,
+        knows_all: bool,
+    ) -> Report:
+        """Returns what to report now.
+
+        Args:
+            own: The groups of this entry's streams.
+            known: All known groups with open streams.
+            first: Whether another control process gets the report.
+            knows_all: Whether `known` has all of them.
+        """
+        if first:
+            self._until_s.clear()
+            self._told_all = False
+        due = [
+            (group, until_s + REPORT_AHEAD_S)
+            for group, until_s in own
+            if not self.covers(group, until_s + REPORT_AHEAD_S / 2)
+        ]
+        self._until_s.update(due)
+        tells_all = knows_all and not self._told_all
+        self._told_all = self._told_all or knows_all
+        if first or tells_all:
+            due += known
+        return Report(tuple(due), tells_all)
--- a/cardamombarrow/resumption/tests/test_core.py
+++ b/cardamombarrow/resumption/tests/test_core.py
@@ -9,7 +9,10 @@
 from cardamombarrow.kernel import ids
 from cardamombarrow.peers.placing import origin_codec
 from cardamombarrow.peers.placing import placing_pb2
+from cardamombarrow.resumption import candidates
 from cardamombarrow.resumption import core
+from cardamombarrow.resumption import open_streams
+from cardamombarrow.resumption import table
 
 _SERVICE = ids.ServiceId("letters")
 _LONGEST_S = 15.0
@@ -31,16 +34,28 @@
     ]
 
 
+def _group(origin, class_id=open_streams.ANY_CLASS):
+    return open_streams.StreamGroup(class_id, origin)
+
+
 class _Instance:
     def __init__(self, time_source, *, is_complete=True):
         self.origins = core.StreamOrigins(time_source)
         self.origins.set_longest_answer_s(_LONGEST_S)
         if is_complete:
             self.origins.set_complete()
+            self.origins.merge_open_streams((), are_all=True)
 
     def resolve(self, key, services=(_SERVICE,)):
         return self.origins.resolve(key, services, 0.0)
 
+    def run(self, time_source, time_s):
+        """Lets time pass in which news of other instances arrive."""
+        end_s = time_source.now_s() + time_s
+        while (left_s := end_s - time_source.now_s()) > 1e-6:
+            time_source.advance(min(left_s, 1.0))
+            self.origins.touch()
+
 
 @pytest.fixture
 def time_source():
@@ -92,9 +107,68 @@
     # Guards against streams of the old version right after a rollout.
     instance.origins.set_listed(_found(_OLD, _NEW))
     instance.origins.set_listed(_found(_NEW))
-    time_source.advance(_RETENTION_S - 0.1)
+    instance.run(time_source, _RETENTION_S - 0.1)
+    assert instance.resolve(7).origin is None
+    instance.run(time_source, 0.2)
+    assert instance.resolve(7).origin == _NEW
+
+
+def test_a_stream_outlives_the_limit_of_its_class(instance, time_source):
+    # Guards against a version and its streams that are forgotten while callers
+    # with limits of their own still resume them.
+    limit_s = 3 * _RETENTION_S
+    instance.origins.set_listed(_found(_OLD))
+    instance.origins.add_own(1, _OLD, time_source.now_s() + limit_s)
+    instance.origins.set_listed(_found(_NEW))
+    instance.run(time_source, limit_s - 0.1)
+    assert instance.resolve(1).origin == _OLD
+    assert instance.resolve(7).origin is None
+    instance.run(time_source, 0.2)
+    assert instance.resolve(7).origin == _NEW
+
+
+def test_a_lower_limit_of_the_document_ends_no_stream(instance, time_source):
+    # Guards against streams that begin before a document shortens their class.
+    instance.origins.set_listed(_found(_OLD, _NEW))
+    instance.origins.add_own(1, _OLD, time_source.now_s() + _LONGEST_S)
+    instance.origins.set_longest_answer_s(1.0)
+    instance.origins.set_listed(_found(_NEW))
+    instance.run(time_source, _LONGEST_S - 0.1)
+    assert instance.resolve(1).origin == _OLD
+    assert instance.resolve(7).origin is None
+
+
+def test_an_entry_that_stood_still_does_not_know_what_others_began(
+    instance, time_source
+):
+    # Guards against an entry that takes its old list for the present one.
+    instance.origins.set_listed(_found(_NEW))
+    time_source.advance(candidates.SILENCE_S)
+    assert instance.resolve(7).origin is None
+    instance.origins.touch()
+    assert instance.resolve(7).origin is None
+    instance.origins.merge_open_streams((), are_all=True)
+    assert instance.resolve(7).origin == _NEW
+
+
+def test_a_full_table_of_versions_shows_no_only_one(instance, time_source):
+    # Guards against versions that are left out and taken for absent.
+    ends_s = time_source.now_s() + 1.0
+    many = [
+        (
+            _group(core.Origin(_SERVICE, ids.SoftwareVersion(str(number)))),
+            ends_s,
+        )
+        for number in range(open_streams.MAX_GROUPS)
+    ]
+    instance.origins.set_listed(_found(_NEW))
+    instance.origins.merge_open_streams(many, are_all=True)
+    instance.origins.merge_open_streams(
+        [(_group(_OLD), ends_s + 1.0)], are_all=True
+    )
+    instance.run(time_source, 1.5)
     assert instance.resolve(7).origin is None
-    time_source.advance(0.2)
+    instance.run(time_source, 1.0)
     assert instance.resolve(7).origin == _NEW
 
 
@@ -104,7 +178,9 @@
     fresh = _Instance(time_source, is_complete=False)
     fresh.origins.set_listed(_found(_NEW))
     assert fresh.resolve(7).origin is None
-    time_source.advance(_RETENTION_S)
+    fresh.run(time_source, _RETENTION_S)
+    assert fresh.resolve(7).origin is None
+    fresh.run(time_source, open_streams.LONGEST_STREAM_S)
     assert fresh.resolve(7).origin == _NEW
 
 
@@ -130,7 +206,7 @@
 
 def test_the_number_of_streams_is_bounded(instance, monkeypatch):
     # Guards against callers that fill the memory of all entries.
-    monkeypatch.setattr(core, "MAX_STREAMS", 10)
+    monkeypatch.setattr(table, "MAX_STREAMS", 10)
     instance.origins.set_listed(_found(_OLD, _NEW))
     for key in range(100):
         instance.origins.add_own(key, _OLD)
