Doubt recent streams of an endpoint that changes its version

The list of endpoints lags. An endpoint that restarts under its identity and address with other software is taken for what it was until it is listed, so streams that it began meanwhile were recorded with the old version and resumed there. Their origins now count as conflicting, at this entry and at those that it tells, and the entry itself does not resume them either.

Test: resumption/tests/test_core.py; shown there only, not on real processes. What remains: a stream that breaks and is resumed before the list is read.

--- a/cardamombarrow/entry/requests/request_handler.py
+++ b/cardamombarrow/entry/requests/request_handler.py
@@ -402,6 +402,9 @@
         """Resumes an answer that was cut off, or raises `error`."""
         if not run.resumable or not self._progress.tokens:
             raise error
+        key = self._call.stream_key
+        if key is not None and self._services.origins.is_conflicting(key):
+            raise error
         resumed = self._begin(self._retry(run.ticket, error))
         logs.decision(
             "resume",
@@ -463,8 +466,8 @@
         job = run.ticket.job
         if not run.head.streams:
             return
+        endpoint = run.ticket.placed.result().endpoint
         if job.required_software is None:
-            endpoint = run.ticket.placed.result().endpoint
             job.required_software = self._services.broker.software_of(endpoint)
         if self._call.stream_key is not None:
             origin = resumption.Origin(job.service, job.required_software)
@@ -473,6 +476,7 @@
                 origin,
                 self._call.stream_until_s,
                 job.class_id,
+                endpoint,
             )
 
     def _settle(
--- a/cardamombarrow/resumption/core.py
+++ b/cardamombarrow/resumption/core.py
@@ -34,6 +34,9 @@
 UNKNOWN_LIFETIME_S = 120.0
 """Time for which streams are kept whose callers' limits are not known."""
 
+LISTING_LAG_S = 5.0
+"""Longest time until a new version at a known endpoint is listed and read."""
+
 EXTENSION_STEP_S = 1.0
 """Shortest extension of a stream that is told to other instances."""
 
@@ -103,6 +106,7 @@
         )
         self._on_unreported: abc.Callable[[], None] = lambda: None
         self._mixed: set[ids.ServiceId] = set()
+        self._software: dict[ids.EndpointId, ids.SoftwareVersion] = {}
 
     def set_report_listener(self, listener: abc.Callable[[], None]) -> None:
         """Sets what is called when `take_report` has news for control."""
@@ -117,12 +121,40 @@
         """Sets the endpoints that are listed now."""
         with self._changed:
             now_s = self._clock.now_s()
+            found = tuple(found)
+            self._doubt_restarted(found, now_s)
             listed = {Origin(each.service, each.software) for each in found}
             has_new = self._candidates.set_listed(listed, now_s)
             self._update_mixed(now_s)
         if has_new:
             self._on_unreported()
 
+    def _doubt_restarted(
+        self, found: abc.Iterable[messages.KnownEndpoint], now_s: float
+    ) -> None:
+        """Refuses to resume streams of endpoints that changed their version.
+
+        An endpoint that restarts under its identity wrote some of them with
+        the new version before it was listed.
+        """
+        software = {each.endpoint: each.software for each in found}
+        restarted = {
+            endpoint
+            for endpoint, version in software.items()
+            if self._software.get(endpoint, version) != version
+        }
+        self._software = software
+        for record in self._table.values() if restarted else ():
+            is_recent = record.begun_s >= now_s - LISTING_LAG_S
+            if record.endpoint in restarted and is_recent:
+                self._table.set_conflicting(record)
+
+    def is_conflicting(self, key: int) -> bool:
+        """Returns whether a known stream's origin can't be told."""
+        with self._changed:
+            record = self._table.get(key)
+            return record is not None and record.origin is None
+
     def set_complete(self) -> None:
         """Records that all recent streams of the domain are known."""
         with self._changed:
@@ -187,6 +219,7 @@
         origin: Origin,
         until_s: float | None = None,
         class_id: ids.ClassId = open_streams.ANY_CLASS,
+        endpoint: ids.EndpointId | None = None,
     ) -> None:
         """Records a stream whose first event has just arrived.
 
@@ -196,6 +229,7 @@
             until_s: Local time until which its caller may resume it; None if
                 not known.
             class_id: Its class.
+            endpoint: What wrote the event.
         """
         now_s = self._clock.now_s()
         if until_s is None:
@@ -205,7 +239,7 @@
             is_reported = self._candidates.add_own(
                 open_streams.StreamGroup(class_id, origin), until_s
             )
-        self.merge([Record(key, origin, now_s, Source.OWN, until_s)])
+        self.merge([Record(key, origin, now_s, Source.OWN, until_s, endpoint)])
         if not is_reported:
             self._on_unreported()
 
@@ -231,8 +265,7 @@
             self._table.add(record)
             return
         if known.origin is not None and known.origin != record.origin:
-            known.origin = None
-            self._table.append(known)
+            self._table.set_conflicting(known)
         if record.until_s - known.until_s > EXTENSION_STEP_S:
             self._table.extend(known, record.until_s)
 
--- a/cardamombarrow/resumption/table.py
+++ b/cardamombarrow/resumption/table.py
@@ -6,6 +6,7 @@
 import enum
 import heapq
 
+from cardamombarrow.kernel import ids
 from cardamombarrow.resumption import open_streams
 
 __all__ = ["MAX_STREAMS", "Record", "Source", "StreamTable"]
@@ -39,6 +40,7 @@
         source: Who began it.
         until_s: Local time until which its caller may resume it; None if not
             known.
+        endpoint: What wrote it; None if another entry began it.
         number: Increases with each change of any record.
     """
 
@@ -47,6 +49,7 @@
     begun_s: float
     source: Source
     until_s: float | None = None
+    endpoint: ids.EndpointId | None = None
     number: int = 0
 
 
@@ -86,6 +89,11 @@
         record.number = self.number
         self._log.append((self.number, record.key))
 
+    def set_conflicting(self, record: Record) -> None:
+        """Records that a stream's origin can't be told."""
+        record.origin = None
+        self.append(record)
+
     def extend(self, record: Record, until_s: float) -> None:
         """Keeps a record longer."""
         record.until_s = until_s
--- a/cardamombarrow/resumption/tests/test_core.py
+++ b/cardamombarrow/resumption/tests/test_core.py
@@ -184,6 +184,27 @@
     assert fresh.resolve(7).origin == _NEW
 
 
+def test_streams_of_an_endpoint_that_restarted_are_doubted(
+    instance, time_source
+):
+    # Guards against an endpoint that comes back under its identity with other
+    # software, and is taken for what it was until it is listed.
+    before, after = _found(_OLD), _found(_NEW)
+    instance.origins.set_listed(before)
+    until_s = time_source.now_s() + _RETENTION_S
+    (endpoint,) = (each.endpoint for each in before)
+    for key, begun_s in ((1, 0.0), (2, core.LISTING_LAG_S)):
+        time_source.advance(begun_s)
+        instance.origins.add_own(key, _OLD, until_s, endpoint=endpoint)
+    instance.origins.add_own(3, _OLD, until_s)
+    time_source.advance(1.0)
+    instance.origins.set_listed(after)
+    resolutions = [instance.resolve(key).resolution for key in (1, 2, 3)]
+    known, conflicting = core.Resolution.KNOWN, core.Resolution.CONFLICTING
+    assert resolutions == [known, conflicting, known]
+    assert instance.origins.is_conflicting(2)
+
+
 def test_two_streams_with_the_same_key_are_both_refused(instance):
     # Guards against callers with the same key that use the same id.
     instance.origins.set_listed(_found(_OLD, _NEW))
