Part the search for free slots from the roster

`fleet/roster.py` held two jobs: the view of endpoints and peers, and which of their slots a job may take at one time. The second one moves to `fleet/free_slots.py`, into the class that the queue asks.

Behaviour is unchanged: the same checks run in the same order.

--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -16,7 +16,7 @@
 from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import endpoint as endpoint_module
 from cardamombarrow.decisions import messages
-from cardamombarrow.decisions.fleet import roster
+from cardamombarrow.decisions.fleet import free_slots as free_slots_module
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 
@@ -220,7 +220,9 @@
         for job in self._waiting.due_service_checks(now_s):
             self._roster.changed.add(job.service)
         self._roster.changed.update(self._roster.rate_budget.due(now_s))
-        free_slots = roster.FreeSlots(self._roster, self.backlog, now_s)
+        free_slots = free_slots_module.FreeSlots(
+            self._context, self._policies, self._roster, self.backlog, now_s
+        )
         while True:
             job = self._policies.queue.take(free_slots, now_s)
             if job is None:
@@ -280,7 +282,10 @@
             victim = self._policies.preemption.victim(
                 job,
                 self._roster.available(
-                    roster.with_required_software(job, capacity.local), now_s
+                    free_slots_module.with_required_software(
+                        job, capacity.local
+                    ),
+                    now_s,
                 ),
                 now_s,
             )
