Part remote placements and retries from the dispatcher

`decisions/core.py` held placing and preempting, the jobs that another instance places, and the retries of failed jobs. The latter two move to base classes in modules of their own, as `arrivals` and `runs` already are.

--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -4,6 +4,11 @@
 jobs in the queue's order while slots are free, and picks an endpoint for each.
 The entry wraps one dispatcher in a lock; benchmarks drive it in virtual time.
 
+Its base classes hold the other parts, each in a module of its own:
+`dispatcher_state` the inputs, `runs` the requests on endpoints, `arrivals` the
+checks of an arriving job, `remote_placements` the jobs that another instance
+places, `retries` what happens to a failed one.
+
 The inputs of the decisions are updated incrementally by each event
 (`capacity`, the heap of times at which a waiting job must be checked, the
 services with changes), so that no event iterates over all jobs.
@@ -16,6 +21,7 @@
 from cardamombarrow.decisions import context as context_module
 from cardamombarrow.decisions import endpoint as endpoint_module
 from cardamombarrow.decisions import messages
+from cardamombarrow.decisions import retries
 from cardamombarrow.decisions.fleet import free_slots as free_slots_module
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
@@ -26,7 +32,7 @@
 """Minimum time between two checks of a waiting job."""
 
 
-class Dispatcher(arrivals.Arrivals):
+class Dispatcher(retries.Retries):
     """All decisions of one instance.
 
     Attributes:
@@ -35,7 +41,6 @@
 
     def __init__(self, context: context_module.PolicyContext, now_s: float):
         super().__init__(context, now_s)
-        self._awaiting_remote: dict[ids.RequestId, messages.Job] = {}
         self._pending_cancellations: list[messages.Preemption] = []
         self.preemptions = 0
 
@@ -47,90 +52,6 @@
         """Returns whether jobs wait for a slot."""
         return len(self._waiting) > 0
 
-    # -- placement by another instance ----------------------------------------
-
-    def may_place_remotely(self, job: messages.Job, now_s: float) -> bool:
-        """Returns whether another instance may place a job.
-
-        A call that does not stream is placed locally, unless an endpoint that
-        could take it states a rate limit. A job that may have crashed an
-        endpoint is also placed locally: it has to run alone, and only this
-        instance records that.
-        """
-        reachable = self._roster.reachable(job.service)
-        is_remote = job.streams or self._roster.rate_budget.has_limit(reachable)
-        return is_remote and not self._policies.quarantine.must_run_alone(
-            job, now_s
-        )
-
-    def await_remote_placement(
-        self, job: messages.Job, now_s: float
-    ) -> messages.Refusal | None:
-        """Records an arriving job that another instance will place."""
-        refusal = self._receive(job, now_s)
-        if refusal is None:
-            self._waiting.enter(job)
-            self._awaiting_remote[job.request_id] = job
-        return refusal
-
-    def apply_remote_placement(
-        self,
-        request_id: ids.RequestId,
-        placed: messages.Placement,
-        now_s: float,
-    ) -> bool:
-        """Applies another instance's placement of a job.
-
-        Returns:
-            False if the endpoint takes no work as far as this instance knows;
-            the job goes on awaiting a placement.
-        """
-        state = self._roster.endpoints.get(placed.endpoint)
-        if state is None or state.leaving:
-            return False
-        if not self._awaiting_remote[request_id].may_run_on(state.software):
-            return False
-        if not self._context.restrictions.allows(placed.endpoint, now_s):
-            return False
-        job = self._awaiting_remote.pop(request_id)
-        self._policies.choice.on_remote_placement(job, state, now_s)
-        self._run(job, state, now_s)
-        return True
-
-    def queue_locally(self, request_id: ids.RequestId, now_s: float) -> bool:
-        """Queues or refuses a job locally that awaited a remote placement."""
-        job = self._awaiting_remote.pop(request_id, None)
-        if job is None:
-            return False
-        refusal = self._check_endpoint(job)
-        if refusal is None:
-            backlog = self.backlog(job, now_s)
-            reason = arrivals.blocked_reason(job, backlog)
-            if reason is None:
-                self._enqueue(job, backlog, now_s)
-                return True
-            refusal = self._refusal(
-                job,
-                errors.ErrorKind.OVERLOADED,
-                errors.RefusalCheck.ENDPOINT_PAUSES,
-                reason,
-                backlog,
-                now_s,
-            )
-        self._waiting.leave(job)
-        self._pending_refusals.append(refusal)
-        return True
-
-    def drop_remote_placement(self, request_id: ids.RequestId) -> bool:
-        """Removes a job that awaits a remote placement."""
-        job = self._awaiting_remote.pop(request_id, None)
-        if job is None:
-            return False
-        self._waiting.leave(job)
-        return True
-
-    # -- waiting and placing --------------------------------------------------
-
     def refuse_quarantined(self, now_s: float) -> list[ids.RequestId]:
         """Refuses the waiting jobs that are quarantined by now.
 
@@ -334,99 +255,3 @@
             paused=tuple(self._roster.paused(job.service, now_s)),
             speed=choice.speed(state, now_s),
         )
-
-    def retry(
-        self,
-        job: messages.Job,
-        outcome: messages.Outcome,
-        now_s: float,
-        remote: bool = False,
-    ) -> bool:
-        """Queues a failed job again, if a retry is allowed and useful.
-
-        Args:
-            job: The job.
-            outcome: How its last run ended.
-            now_s: The time.
-            remote: If the retry needs no delay, have another instance place the
-                job instead of queueing it; see `awaits_remote_placement`.
-        """
-        if self._policies.quarantine.refuse(job, now_s) is not None:
-            return False
-        if self._check_endpoint(job) is not None:
-            return False
-        if (
-            not remote
-            and arrivals.blocked_reason(job, self.backlog(job, now_s))
-            is not None
-        ):
-            return False
-        if not self._policies.retry.may_retry(job, outcome, now_s):
-            return False
-        self._waiting.enter(job)
-        delay_s = self._policies.retry.delay_s(job, outcome)
-        if delay_s > 0.0:
-            self._waiting.delay(job, now_s + delay_s)
-        elif remote:
-            self._awaiting_remote[job.request_id] = job
-        else:
-            self._enqueue(job, self.backlog(job, now_s), now_s)
-        return True
-
-    def reserve_retry(self, job: messages.Job, now_s: float) -> bool:
-        """Takes the retry of a run that is to be preempted, if there is one."""
-        return self._policies.retry.reserve(job, now_s)
-
-    def may_forward(self, job: messages.Job, now_s: float) -> bool:
-        """Returns whether another instance may run a failed job.
-
-        Takes a retry from the bound if an endpoint may have received it.
-        """
-        if not job.received:
-            return True
-        outcome = (
-            messages.Outcome.FAILED
-            if job.may_have_run
-            else messages.Outcome.REFUSED_BY_ENDPOINT
-        )
-        allowed = self._policies.retry.may_retry(job, outcome, now_s)
-        if allowed:
-            self._policies.retry.on_place(job, now_s)
-        return allowed
-
-    def retry_use(
-        self, job: messages.Job, now_s: float
-    ) -> messages.RetryUse | None:
-        """Returns what is used of the bound on retries of a job's service."""
-        return self._policies.retry.use(job, now_s)
-
-    def blocked_for_s(self, job: messages.Job, now_s: float) -> float | None:
-        """Returns when a job that all endpoints delay too long should return.
-
-        Returns:
-            Seconds from now; None if the job could be placed in time.
-        """
-        refusal = self._check_endpoint(job)
-        if refusal is not None:
-            return refusal.retry_after_s
-        backlog = self.backlog(job, now_s)
-        if arrivals.blocked_reason(job, backlog) is None:
-            return None
-        return self._policies.retry.retry_after_s(backlog)
-
-    def awaits_remote_placement(self, request_id: ids.RequestId) -> bool:
-        """Returns whether a job awaits a remote placement."""
-        return request_id in self._awaiting_remote
-
-    def may_redo(self, job: messages.Job, now_s: float) -> bool:
-        """Returns whether a running job could be moved to another endpoint."""
-        others = [
-            state
-            for state in self._roster.capacities[job.service].local
-            if state.endpoint not in job.tried
-            and job.may_run_on(state.software)
-            and job.request_id not in state.running
-            and self.rate_limit(state.endpoint) is None
-            and self._context.restrictions.allows(state.endpoint, now_s)
-        ]
-        return bool(others) and self._policies.retry.may_redo(job, now_s)
