Make repeated logic of benchmarks and waiting jobs one

The streams of two benchmarks share a dataclass, patterns with their own policies share a constructor, and the three heaps of waiting jobs one loop over what is due. Two tests of the retry window share the loop in which a job fails each time; they assert what they did.

--- a/benchmarks/many_entries.py
+++ b/benchmarks/many_entries.py
@@ -47,30 +47,20 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class _Kind:
+class _Kind(stream_document.Stream):
     """One kind of request.
 
     Attributes:
         weight: Relative rate of arrivals.
-        shared_tokens: Mean length of the shared prefix.
-        own_tokens: Mean length of the rest of the prompt.
     """
 
-    class_id: ids.ClassId
-    rank: int
     weight: float
-    shared_tokens: int
-    own_tokens: int
-    answer_tokens: int
-    target_s: float
-    deadline_s: float
-    pause_s: float
 
 
 KINDS = (
-    _Kind(DIGEST, 2, 64.0, 13_300, 3_720, 120, 2.06, 12.4, 0.6),
-    _Kind(SUMMARY, 1, 50.0, 6_300, 2_890, 51, 0.845, 6.3, 0.25),
-    _Kind(QUESTION, 0, 45.0, 350, 1_110, 171, 0.526, 12.6, 0.15),
+    _Kind(DIGEST, 2, 13_300, 3_720, 120, 2.06, 12.4, 0.6, weight=64.0),
+    _Kind(SUMMARY, 1, 6_300, 2_890, 51, 0.845, 6.3, 0.25, weight=50.0),
+    _Kind(QUESTION, 0, 350, 1_110, 171, 0.526, 12.6, 0.15, weight=45.0),
 )
 
 
@@ -117,8 +107,8 @@
 
 def scenario(
     rng: random.Random,
-    load: float,
-    burst: float,
+    load: float = 1.0,
+    burst: float = 4.0,
     entries: int = ENTRIES,
     **fields: object,
 ) -> scenarios.Scenario:
@@ -143,20 +133,14 @@
     )
 
 
-def _pattern(name: str, **fields: object) -> patterns.Pattern:
-    def build(rng, policies):
-        return scenario(rng, 1.0, 4.0, **fields)
-
-    return patterns.Pattern(name, (), build)
-
-
 PATTERNS = {
     pattern.name: pattern
     for pattern in (
-        _pattern("many-entries"),
-        _pattern("many-entries-asked", asked=True),
-        _pattern(
+        patterns.with_own_policies("many-entries", scenario),
+        patterns.with_own_policies("many-entries-asked", scenario, asked=True),
+        patterns.with_own_policies(
             "many-entries-asked-lost",
+            scenario,
             asked=True,
             placer_lost_from_s=12.0,
             placer_lost_until_s=20.0,
--- a/benchmarks/overload_order.py
+++ b/benchmarks/overload_order.py
@@ -72,31 +72,22 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class _Kind:
+class _Kind(stream_document.Stream):
     """One stream of requests.
 
     Attributes:
         rate_per_s: Arrivals for the engines of this scenario.
         prefixes: Number of distinct shared prefixes.
-        deadline_s: Time after which the caller has no use for an answer.
     """
 
-    class_id: ids.ClassId
-    rank: int
     rate_per_s: float
     prefixes: int
-    shared_tokens: int
-    own_tokens: int
-    answer_tokens: int
-    target_s: float
-    deadline_s: float
-    pause_s: float
 
 
 KINDS = (
-    _Kind(LONG, 2, 7.53, 73, 13_300, 3_720, 120, 2.563, 10.253, 1.0),
-    _Kind(MIDDLE, 1, 4.4, 20, 6_300, 2_890, 51, 0.845, 6.335, 0.4),
-    _Kind(SHORT, 0, 4.44, 10, 350, 1_110, 171, 0.526, 12.628, 0.25),
+    _Kind(LONG, 2, 13_300, 3_720, 120, 2.563, 10.253, 1.0, 7.53, 73),
+    _Kind(MIDDLE, 1, 6_300, 2_890, 51, 0.845, 6.335, 0.4, 4.4, 20),
+    _Kind(SHORT, 0, 350, 1_110, 171, 0.526, 12.628, 0.25, 4.44, 10),
 )
 
 
--- a/benchmarks/patterns.py
+++ b/benchmarks/patterns.py
@@ -11,7 +11,7 @@
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import ids
 
-__all__ = ["PATTERNS", "Pattern"]
+__all__ = ["PATTERNS", "Pattern", "with_own_policies"]
 
 CHAT = ids.ClassId("family-chat")
 DESK = ids.ClassId("records-summary")
@@ -166,6 +166,15 @@
     build: Build
 
 
+def with_own_policies(
+    name: str,
+    scenario: abc.Callable[..., scenarios.Scenario],
+    **fields: object,
+) -> Pattern:
+    """Returns a pattern whose scenario sets the policies, with its fields."""
+    return Pattern(name, (), lambda rng, _: scenario(rng, **fields))
+
+
 def _low_burst(rng, policies):
     works = _mixed(rng, 0.5, 0.5, 0.5)
     works += _arrivals(rng, LETTER, 6.0, 10.0, 40.0)
--- a/benchmarks/stream_document.py
+++ b/benchmarks/stream_document.py
@@ -1,7 +1,7 @@
 """Documents of scenarios whose classes are streams on one service."""
 
 from collections import abc
-import typing
+import dataclasses
 
 from cardamombarrow.document import from_routes
 from cardamombarrow.document import schema
@@ -10,19 +10,26 @@
 __all__ = ["Stream", "build"]
 
 
-class Stream(typing.Protocol):
+@dataclasses.dataclass(frozen=True)
+class Stream:
     """One class of streamed requests.
 
     Attributes:
+        shared_tokens: Mean length of the shared prefix.
+        own_tokens: Mean length of the rest of the prompt.
         answer_tokens: Mean length of the answer.
+        target_s: Target time to the first event.
+        deadline_s: Time after which the caller has no use for an answer.
         pause_s: Longest allowed pause within an answer.
     """
 
     class_id: ids.ClassId
     rank: int
+    shared_tokens: int
+    own_tokens: int
+    answer_tokens: int
     target_s: float
     deadline_s: float
-    answer_tokens: int
     pause_s: float
 
 
--- a/benchmarks/uneven_engines.py
+++ b/benchmarks/uneven_engines.py
@@ -179,19 +179,13 @@
     return dataclasses.replace(base, document=document, engines=settings)
 
 
-def _pattern(name: str, **fields: object) -> patterns.Pattern:
-    def build(rng, policies):
-        return scenario(rng, **fields)
-
-    return patterns.Pattern(name, (), build)
-
-
 PATTERNS = {
     pattern.name: pattern
     for pattern in (
-        _pattern("uneven-engines", asked=True),
-        _pattern(
+        patterns.with_own_policies("uneven-engines", scenario, asked=True),
+        patterns.with_own_policies(
             "uneven-engines-lost",
+            scenario,
             asked=True,
             placer_lost_from_s=12.0,
             placer_lost_until_s=20.0,
--- a/cardamombarrow/decisions/queueing/tests/test_retry_window.py
+++ b/cardamombarrow/decisions/queueing/tests/test_retry_window.py
@@ -27,6 +27,17 @@
     return policies
 
 
+def _count_retries(policy, job, now_s):
+    """Counts the retries of a job that arrives now and fails each time."""
+    policy.on_arrival(job, now_s)
+    retries = 0
+    for attempt in range(1, 4):
+        job.attempts = attempt
+        outcome = messages.Outcome.FAILURE_ANSWERED
+        retries += policy.may_retry(job, outcome, now_s)
+    return retries
+
+
 @pytest.mark.parametrize("count", [1, 7, 80])
 @pytest.mark.parametrize("per_s", [5, 50, 500])
 def test_retries_of_all_instances_stay_within_the_bound(
@@ -42,13 +53,8 @@
         now_s = step / per_s
         policy = rng.choice(policies)
         job = new_job(arrived_s=now_s, deadline_s=now_s + 60.0)
-        policy.on_arrival(job, now_s)
         arrivals.append(now_s)
-        for attempt in range(1, 4):
-            job.attempts = attempt
-            outcome = messages.Outcome.FAILURE_ANSWERED
-            if policy.may_retry(job, outcome, now_s):
-                retries.append(now_s)
+        retries += [now_s] * _count_retries(policy, job, now_s)
     assert retries
     for begin_s in range(20):
         window = range(begin_s, begin_s + 10)
@@ -132,13 +138,8 @@
                 policies[number] = retry.WindowRetry(started)
         policy = rng.choice(policies)
         job = new_job(arrived_s=now_s, deadline_s=now_s + 60.0)
-        policy.on_arrival(job, now_s)
         arrived_s.append(now_s)
-        for attempt in range(1, 4):
-            job.attempts = attempt
-            outcome = messages.Outcome.FAILURE_ANSWERED
-            if policy.may_retry(job, outcome, now_s):
-                retried_s.append(now_s)
+        retried_s += [now_s] * _count_retries(policy, job, now_s)
     assert retried_s
     assert _most_retries_over_the_bound(retried_s, arrived_s) <= 0.0
 
--- a/cardamombarrow/decisions/queueing/waiting.py
+++ b/cardamombarrow/decisions/queueing/waiting.py
@@ -68,10 +68,7 @@
 
     def due_checks(self, now_s: float) -> abc.Iterator[messages.Job]:
         """Yields the jobs that still wait and whose check is due."""
-        while self._checks and self._checks[0][0] <= now_s:
-            job = heapq.heappop(self._checks)[2]
-            if self._is_queued(job):
-                yield job
+        return filter(self._is_queued, _pop_due(self._checks, now_s))
 
     def delay(self, job: messages.Job, ready_s: float) -> None:
         """Delays a job before it is queued."""
@@ -88,8 +85,7 @@
 
     def due_delayed(self, now_s: float) -> abc.Iterator[messages.Job]:
         """Yields the jobs whose delay has passed."""
-        while self._delay_ends and self._delay_ends[0][0] <= now_s:
-            job = heapq.heappop(self._delay_ends)[2]
+        for job in _pop_due(self._delay_ends, now_s):
             if self._delayed.pop(job.request_id, None) is not None:
                 yield job
 
@@ -99,10 +95,7 @@
 
     def due_service_checks(self, now_s: float) -> abc.Iterator[messages.Job]:
         """Yields the jobs that still wait and whose service check is due."""
-        while self._service_checks and self._service_checks[0][0] <= now_s:
-            job = heapq.heappop(self._service_checks)[2]
-            if self._is_queued(job):
-                yield job
+        return filter(self._is_queued, _pop_due(self._service_checks, now_s))
 
     def next_s(self) -> float | None:
         """Returns the time of the next due event, or None."""
@@ -119,3 +112,8 @@
 
     def _is_queued(self, job: messages.Job) -> bool:
         return self._jobs.get(job.request_id) is job
+
+
+def _pop_due(heap: list[_Timed], now_s: float) -> abc.Iterator[messages.Job]:
+    while heap and heap[0][0] <= now_s:
+        yield heapq.heappop(heap)[2]
