Split long functions and reword comments of the decisions

The wait, the returning jobs, the reason to give a job up, the engines that may hold a prefix, and two builders of benchmark documents are functions of their own. Comments that told how a bound was chosen give the reason instead; `GUESSED_INSTANCES` and `REPORT_S` take plainer names. No name or text that leaves the process changes.

--- a/benchmarks/patterns.py
+++ b/benchmarks/patterns.py
@@ -56,19 +56,13 @@
 Build = abc.Callable[[random.Random, schema.Policies], scenarios.Scenario]
 
 
-def _document(
-    policies: schema.Policies, link_mbit_per_s: float
-) -> schema.Document:
-    tiers = {
-        ids.TierId(name): schema.Tier(ids.TierId(name), rank)
-        for rank, name in enumerate(("family", "arranger", "letters"))
-    }
+def _classes() -> dict[ids.ClassId, schema.RequestClass]:
     rows = (
         (CHAT, "family", 0.92, 15.0),
         (DESK, "arranger", 5.0, 60.0),
         (LETTER, "letters", 30.0, 120.0),
     )
-    classes = {
+    return {
         name: schema.RequestClass(
             name,
             ids.TierId(tier),
@@ -78,6 +72,16 @@
         )
         for name, tier, first_s, total_s in rows
     }
+
+
+def _document(
+    policies: schema.Policies, link_mbit_per_s: float
+) -> schema.Document:
+    tiers = {
+        ids.TierId(name): schema.Tier(ids.TierId(name), rank)
+        for rank, name in enumerate(("family", "arranger", "letters"))
+    }
+    classes = _classes()
     workspaces = {
         ids.WorkspaceId(f"w{n}"): schema.Workspace(
             ids.WorkspaceId(f"w{n}"), (), tuple(classes)
--- a/benchmarks/uneven_engines.py
+++ b/benchmarks/uneven_engines.py
@@ -24,6 +24,7 @@
 from benchmarks import scenarios
 from cardamombarrow.decisions import core
 from cardamombarrow.decisions.choosing import endpoint_speed
+from cardamombarrow.document import schema
 from cardamombarrow.kernel import ids
 
 __all__ = [
@@ -156,10 +157,9 @@
         for number, endpoint in enumerate(endpoints)
     }
     for number, false_work_time in (false_work_times or {}).items():
-        settings[endpoints[number]] = dataclasses.replace(
-            settings[endpoints[number]],
-            work_time=fake_engine.WorkTime.FALSE,
-            false_work_time=false_work_time,
+        endpoint = endpoints[number]
+        settings[endpoint] = _with_false_work_time(
+            settings[endpoint], false_work_time
         )
     speed = sum(1.0 / each.speed_factor for each in settings.values())
     base = many_entries.scenario(
@@ -169,14 +169,28 @@
         ENTRIES,
         **fields,
     )
+    document = _with_endpoints(base.document, endpoints)
+    return dataclasses.replace(base, document=document, engines=settings)
+
+
+def _with_false_work_time(
+    settings: fake_engine.EngineSettings, false_work_time: float
+) -> fake_engine.EngineSettings:
+    return dataclasses.replace(
+        settings,
+        work_time=fake_engine.WorkTime.FALSE,
+        false_work_time=false_work_time,
+    )
+
+
+def _with_endpoints(
+    document: schema.Document, endpoints: tuple[ids.EndpointId, ...]
+) -> schema.Document:
     service = dataclasses.replace(
-        base.document.services[driver.SERVICE],
+        document.services[driver.SERVICE],
         endpoints={driver.DOMAIN: endpoints},
     )
-    document = dataclasses.replace(
-        base.document, services={driver.SERVICE: service}
-    )
-    return dataclasses.replace(base, document=document, engines=settings)
+    return dataclasses.replace(document, services={driver.SERVICE: service})
 
 
 PATTERNS = {
--- a/cardamombarrow/decisions/choosing/endpoint_speed.py
+++ b/cardamombarrow/decisions/choosing/endpoint_speed.py
@@ -41,8 +41,8 @@
 MIN_FACTOR = 0.25
 MAX_FACTOR = 8.0
 """Limits of observed, reported and resulting factors. At the upper one the
-prefill of a long prompt alone (17,000 tokens, 20 us each) exceeds its target of
-2 to 2.6 s, so that larger values would not change a decision."""
+prefill of a long prompt alone exceeds its target, so that larger values would
+not change a decision."""
 
 PRIOR_OBSERVATIONS = 1.0
 """Weight of the factor 1, in observations."""
--- a/cardamombarrow/decisions/choosing/engine_caches.py
+++ b/cardamombarrow/decisions/choosing/engine_caches.py
@@ -76,16 +76,11 @@
         """
         cached_tokens = self._cached_tokens
         own_tokens = cached_tokens.get(state.endpoint, 0)
-        holders = dict(cached_tokens)
-        if not cached_tokens and affinity is not None:
-            # No holder is known, but requests sent to the affinity endpoint
-            # within the last second or two may not have been reported yet.
-            holders[affinity] = _shared_tokens(job)
         sources = [
             fetching.FetchSource(
                 tokens, self._domains.get(endpoint) == state.domain, endpoint
             )
-            for endpoint, tokens in holders.items()
+            for endpoint, tokens in self._holders(job, affinity).items()
             if endpoint != state.endpoint and is_usable(endpoint)
         ]
         target_s = job.target_first_token_s
@@ -100,6 +95,16 @@
             None if last_used_s is None else now_s - last_used_s,
         )
 
+    def _holders(
+        self, job: messages.Job, affinity: ids.EndpointId | None
+    ) -> dict[ids.EndpointId, int]:
+        """Returns the cached prefix tokens by engine that may hold any."""
+        if self._cached_tokens or affinity is None:
+            return self._cached_tokens
+        # No holder is known, but requests sent to the affinity endpoint
+        # within the last second or two may not have been reported yet.
+        return {affinity: _shared_tokens(job)}
+
     def record_sent(
         self, job: messages.Job, endpoint: ids.EndpointId, now_s: float
     ) -> None:
--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -161,14 +161,7 @@
         admission = self._policies.admission
         for job in self._waiting.due_checks(now_s):
             backlog = self.backlog(job, now_s)
-            reason = admission.give_up(job, backlog, now_s)
-            if reason is None and (
-                backlog.pause_wait_s > 0.0 or math.isinf(backlog.limit_wait_s)
-            ):
-                reason = arrivals.blocked_reason(job, backlog)
-            gone = self._check_endpoint(job)
-            if reason is None and gone is not None:
-                reason = gone.detail
+            reason = self._give_up_reason(job, backlog, now_s)
             if reason is None:
                 next_check_s = admission.next_check_s(job, backlog, now_s)
                 self._waiting.schedule_check(
@@ -187,6 +180,20 @@
                 now_s,
             )
 
+    def _give_up_reason(
+        self, job: messages.Job, backlog: messages.Backlog, now_s: float
+    ) -> str | None:
+        """Returns why a waiting job is given up, or None if it may wait."""
+        reason = self._policies.admission.give_up(job, backlog, now_s)
+        if reason is None and (
+            backlog.pause_wait_s > 0.0 or math.isinf(backlog.limit_wait_s)
+        ):
+            reason = arrivals.blocked_reason(job, backlog)
+        if reason is not None:
+            return reason
+        refusal = self._check_endpoint(job)
+        return None if refusal is None else refusal.detail
+
     def _preempt(
         self, service: ids.ServiceId, now_s: float
     ) -> typing.Iterator[messages.Preemption]:
--- a/cardamombarrow/decisions/fleet/fleet_share.py
+++ b/cardamombarrow/decisions/fleet/fleet_share.py
@@ -11,7 +11,7 @@
 each received count, once a second. Without new counts it stays.
 
 Only `MARGIN` of a bound is used, because the counts of an instance differ by
-milliseconds from those of an observer. `GUESSED_INSTANCES` is somewhat more
+milliseconds from those of an observer. `ASSUMED_INSTANCES` is somewhat more
 than a small deployment has.
 """
 
@@ -22,7 +22,7 @@
 MARGIN = 0.8
 """Share of a bound over all instances that is used."""
 
-GUESSED_INSTANCES = 10.0
+ASSUMED_INSTANCES = 10.0
 """Number of instances assumed until the first count is received."""
 
 INSTANCES_DECAY = 0.99
@@ -41,7 +41,7 @@
 
     def __init__(self):
         self.is_new = False
-        self._instances = GUESSED_INSTANCES
+        self._instances = ASSUMED_INSTANCES
 
     def update_instances(self, count: int) -> None:
         """Updates the number of instances, this one included."""
--- a/cardamombarrow/decisions/fleet/quarantine.py
+++ b/cardamombarrow/decisions/fleet/quarantine.py
@@ -46,7 +46,7 @@
 
 ACCUSED_TIMEOUT_S = 3.0
 """Time after which the trial of an accused part that has not ended is given up:
-sound requests may be waiting for it."""
+harmless requests may be waiting for it."""
 
 CULPRIT_TIMEOUT_S = 30.0
 """The same for the trial of a culprit."""
--- a/cardamombarrow/decisions/limiting/limits.py
+++ b/cardamombarrow/decisions/limiting/limits.py
@@ -60,15 +60,16 @@
 TOLERANCE = 4.0
 """Ratio of mean to minimum time up to which there is no congestion.
 
-Prompts that are read in one step add up: at 2 the limits were cut in patterns
-with long shared prompts, and prefixes were moved off the engines that had them
-cached.
+Prompts that are prefilled in one step add up: a lower ratio would cut the
+limits under long shared prompts and move prefixes off the engines that cache
+them.
 """
 
 TOKEN_TIME_TOLERANCE = 2.5
 """The same for the time per token.
 
-A full batch doubles it, and a long prompt that is read in between adds more.
+A full batch doubles it, and a long prompt that is prefilled in between adds
+more.
 """
 
 MIN_GRADIENT = 0.5
--- a/cardamombarrow/decisions/limiting/rejections.py
+++ b/cardamombarrow/decisions/limiting/rejections.py
@@ -26,13 +26,13 @@
 """How long a limit holds after the last answer that states it."""
 
 FALL_S = 3.0
-"""Time after a rejection in which the endpoint's end is put down to it."""
+"""Time after a rejection in which the endpoint's end is attributed to it."""
 
 PAUSE_FACTOR = 2.0
 """Requests that may be on their way to an endpoint when it rejects one."""
 
-REPORT_S = 2.0
-"""How long a load report tells whether there is room."""
+MAX_REPORT_AGE_S = 2.0
+"""Maximum age of a load report that shows whether there is room."""
 
 USED_SHARE = 0.8
 """Share of an endpoint's slots that is used while it limits its rejections."""
@@ -124,7 +124,7 @@
         if not self._by_endpoint or not self.is_stated(state.endpoint, now_s):
             return True
         report = state.report
-        if report is None or now_s - report.measured_at_s > REPORT_S:
+        if report is None or now_s - report.measured_at_s > MAX_REPORT_AGE_S:
             # The answer to this request will contain a new report.
             return not state.running
         slots = max(1, int(USED_SHARE * state.configured_slots))
--- a/cardamombarrow/decisions/messages/endpoints.py
+++ b/cardamombarrow/decisions/messages/endpoints.py
@@ -101,7 +101,7 @@
 
 
 NO_STATEMENT = EndpointStatement()
-"""Of an answer that says nothing about the endpoint it was requested from."""
+"""The statement of an answer that says nothing about its endpoint."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cardamombarrow/decisions/queueing/forecast.py
+++ b/cardamombarrow/decisions/queueing/forecast.py
@@ -70,21 +70,8 @@
         slots = self._usable_slots(job, capacity, now_s)
         hold_s = capacity.hold_s(job.class_id)
         jobs_ahead = queue.jobs_ahead(job)
-        free = capacity.free()
-        wait_s = 0.0
-        if jobs_ahead >= free:
-            wait_s = queue.work_ahead_s(job, capacity) / slots
-        if not free:
-            next_s = capacity.mean_hold_s() / max(capacity.slots, 1)
-            wait_s += max(next_s, hold_s / slots)
-        returning = self._returning.setdefault(
-            (job.service, job.rank), _ReturningJobs()
-        )
-        returning_jobs = returning.update(now_s)
-        # While the tier's slots are full no returning job is served: counting
-        # them as served would make the next retry-after times too short.
-        spare = max(slots - capacity.mean_use_of(job.rank, now_s), 0.0)
-        returning.drain_per_s = spare / max(hold_s, 1e-3)
+        wait_s = self._wait_s(job, capacity, jobs_ahead, slots)
+        returning_jobs = self._returning_jobs(job, capacity, slots, now_s)
         return messages.Backlog(
             jobs_ahead=jobs_ahead,
             slots=capacity.slots,
@@ -99,6 +86,42 @@
             lower_over_reserve=self._lower_over_reserve(job, capacity),
         )
 
+    def _wait_s(
+        self,
+        job: messages.Job,
+        capacity: capacity_module.Capacity,
+        jobs_ahead: int,
+        slots: float,
+    ) -> float:
+        """Returns the wait that follows from the queue and the slots."""
+        free = capacity.free()
+        wait_s = 0.0
+        if jobs_ahead >= free:
+            wait_s = self._policies.queue.work_ahead_s(job, capacity) / slots
+        if not free:
+            next_s = capacity.mean_hold_s() / max(capacity.slots, 1)
+            wait_s += max(next_s, capacity.hold_s(job.class_id) / slots)
+        return wait_s
+
+    def _returning_jobs(
+        self,
+        job: messages.Job,
+        capacity: capacity_module.Capacity,
+        slots: float,
+        now_s: float,
+    ) -> float:
+        """Returns the number of refused jobs of a job's tier to return."""
+        returning = self._returning.setdefault(
+            (job.service, job.rank), _ReturningJobs()
+        )
+        jobs = returning.update(now_s)
+        # While the tier's slots are full no returning job is served: counting
+        # them as served would make the next retry-after times too short.
+        spare = max(slots - capacity.mean_use_of(job.rank, now_s), 0.0)
+        hold_s = capacity.hold_s(job.class_id)
+        returning.drain_per_s = spare / max(hold_s, 1e-3)
+        return jobs
+
     def record_refusal(self, job: messages.Job, now_s: float) -> None:
         """Records a refused job, which is expected to return."""
         returning = self._returning.setdefault(
