--- a/benchmarks/patterns.py
+++ b/benchmarks/patterns.py
@@ -11,7 +11,7 @@
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import ids
 
-__all__ = ["PATTERNS", "Pattern"]
+__all__ = ["PATTERNS", "Pattern", "with_own_policies"]
 
 CHAT = ids.ClassId("family-chat")
 DESK = ids.ClassId("records-summary")
@@ -56,19 +56,13 @@
 Build = abc.Callable[[random.Random, schema.Policies], scenarios.Scenario]
 
 
-def _document(
-    policies: schema.Policies, link_mbit_per_s: float
-) -> schema.Document:
-    tiers = {
-        ids.TierId(name): schema.Tier(ids.TierId(name), rank)
-        for rank, name in enumerate(("family", "arranger", "letters"))
-    }
+def _classes() -> dict[ids.ClassId, schema.RequestClass]:
     rows = (
         (CHAT, "family", 0.92, 15.0),
         (DESK, "arranger", 5.0, 60.0),
         (LETTER, "letters", 30.0, 120.0),
     )
-    classes = {
+    return {
         name: schema.RequestClass(
             name,
             ids.TierId(tier),
@@ -78,6 +72,16 @@
         )
         for name, tier, first_s, total_s in rows
     }
+
+
+def _document(
+    policies: schema.Policies, link_mbit_per_s: float
+) -> schema.Document:
+    tiers = {
+        ids.TierId(name): schema.Tier(ids.TierId(name), rank)
+        for rank, name in enumerate(("family", "arranger", "letters"))
+    }
+    classes = _classes()
     workspaces = {
         ids.WorkspaceId(f"w{n}"): schema.Workspace(
             ids.WorkspaceId(f"w{n}"), (), tuple(classes)
@@ -166,6 +170,15 @@
     build: Build
 
 
+def with_own_policies(
+    name: str,
+    scenario: abc.Callable[..., scenarios.Scenario],
+    **fields: object,
+) -> Pattern:
+    """Returns a pattern whose scenario sets the policies, with its fields."""
+    return Pattern(name, (), lambda rng, _: scenario(rng, **fields))
+
+
 def _low_burst(rng, policies):
     works = _mixed(rng, 0.5, 0.5, 0.5)
     works += _arrivals(rng, LETTER, 6.0, 10.0, 40.0)
