Break off answers whose endpoint's process was killed

Callers got a stream, or another answer, that looked complete and lacked its rest: where an answer has neither a length nor chunks, the system closes the connections of a killed process in order, which is also how such an answer ends.

An answer that only the end of its connection marks is now followed by one connection to the endpoint. If that is refused, no process listens there: the answer was broken off, and is resumed where it may be. A single connection does not show it: the system may close the listening socket after the others.

Silence shows nothing. Endpoints that are known to leave may end with their last answer; what can be resumed goes on in that case, too.

--- a/cardamombarrow/decisions/dispatcher_state.py
+++ b/cardamombarrow/decisions/dispatcher_state.py
@@ -246,6 +246,11 @@
         """Returns whether an endpoint gets no new requests."""
         return self._roster.is_leaving(state)
 
+    def may_exit(self, endpoint: ids.EndpointId) -> bool:
+        """Returns whether an endpoint is leaving, or is no longer known."""
+        state = self._roster.endpoints.get(endpoint)
+        return state is None or self._roster.is_leaving(state)
+
     def reachable_again(self, service: ids.ServiceId) -> None:
         """Drops the failures of a service's endpoints: they had no path."""
         for state in self._roster.reachable(service):
--- a/cardamombarrow/endpoints/base.py
+++ b/cardamombarrow/endpoints/base.py
@@ -4,7 +4,9 @@
 from collections import abc as collections_abc
 import dataclasses
 import math
+import select
 import socket
+import time
 import typing
 
 from cardamombarrow.decisions import messages
@@ -22,12 +24,24 @@
     "OutgoingCall",
     "accepts_connections",
     "read_pause",
+    "refuses_connections",
 ]
 
 
 PROBE_TIMEOUT_S = 1.0
 """Time within which a live endpoint answers a probe."""
 
+REFUSAL_TIMEOUT_S = 0.15
+"""Time within which the refusal of a connection arrives: some round trips
+between regions."""
+
+EXIT_S = 0.05
+"""Time within which all sockets of a process that has ended are closed. Some
+systems close the one that listens last."""
+
+EXIT_TRIES = 3
+"""Most connections for one `refuses_connections`."""
+
 _RATE_LIMIT = "x-rate-limit"
 _REJECTION_LIMIT = "x-rejection-limit"
 _UNAVAILABLE = 503
@@ -64,6 +78,8 @@
             instance; called right before the request is sent.
         is_paused: Returns whether the endpoint has asked for a pause, in which
             it must not get a probe with a request either.
+        may_exit: Returns whether the endpoint's process may end although its
+            answers are complete.
         on_connect: Called with whether a new connection was established.
         resume_tokens: Tokens that the caller has already received; the answer
             continues after them.
@@ -92,6 +108,7 @@
     may_redo: typing.Callable[[], bool] = lambda: False
     may_send: typing.Callable[[], bool] = lambda: True
     is_paused: typing.Callable[[], bool] = lambda: False
+    may_exit: typing.Callable[[], bool] = lambda: False
     on_connect: typing.Callable[[bool], None] = lambda _: None
     resume_tokens: int = 0
     resume_after: str = ""
@@ -173,6 +190,38 @@
         return False
 
 
+def refuses_connections(endpoint: ids.EndpointId) -> bool:
+    """Returns whether no process listens at an endpoint's address.
+
+    Silence and other errors may be those of the path and show nothing. A
+    connection to a process that is just ending may be accepted by the system
+    and end at once, or get no reply; another one is tried then.
+    """
+    host, _, port = ids.address_of(endpoint).rpartition(":")
+    end_s = time.monotonic() + EXIT_S
+    for _ in range(EXIT_TRIES):
+        try:
+            with socket.create_connection(
+                (host, int(port)), REFUSAL_TIMEOUT_S
+            ) as opened:
+                if not _ends_by(opened, end_s):
+                    return False
+        except ConnectionRefusedError:
+            return True
+        except (ConnectionResetError, TimeoutError):
+            continue
+        except OSError:
+            return False
+    return False
+
+
+def _ends_by(opened: socket.socket, end_s: float) -> bool:
+    """Returns whether a connection ends before a monotonic time."""
+    poll = select.poll()
+    poll.register(opened, select.POLLIN)
+    return bool(poll.poll(max(end_s - time.monotonic(), 0.0) * 1_000))
+
+
 def read_pause(head: Head) -> float:
     """Returns the pause that an answer asks for, in seconds; 0 for none.
 
--- a/cardamombarrow/endpoints/connection.py
+++ b/cardamombarrow/endpoints/connection.py
@@ -41,6 +41,7 @@
         sent: Whether any byte of the current request was sent.
         head: Status and headers of the answer, once received.
         whole: Whether the whole answer was received.
+        ended_by_close: Whether only the end of the connection marked its end.
         idle_since_s: End of its last answer; set by the pool.
     """
 
@@ -64,6 +65,7 @@
         self.sent = False
         self.head: base.Head | None = None
         self.whole = False
+        self.ended_by_close = False
         self.idle_since_s = 0.0
         code = self._socket.connect_ex((host, int(port)))
         if code not in (0, errno.EINPROGRESS):
@@ -165,6 +167,7 @@
         try:
             self._http.receive_data(data)
             self._take_events()
+            self.ended_by_close = self.whole and not data
         except h11.RemoteProtocolError as error:
             raise BrokenError(f"invalid HTTP answer: {error}") from None
 
--- a/cardamombarrow/endpoints/transfer.py
+++ b/cardamombarrow/endpoints/transfer.py
@@ -45,7 +45,7 @@
         headers: abc.Callable[[], list[tuple[str, str]]],
         probe: abc.Callable[[ids.EndpointId], bool],
         pool: pool_module.Pool = POOL,
-        ends_stream: abc.Callable[[bytes], bool] = lambda tail: True,
+        ends_stream: abc.Callable[[bytes], bool] | None = None,
     ):
         """Prepares an exchange.
 
@@ -55,7 +55,8 @@
                 called once there is a connection: a time left is exact then.
             probe: Returns whether an endpoint answers on a new connection.
             pool: Pool of idle connections.
-            ends_stream: Returns whether a stream with this end is complete.
+            ends_stream: Returns whether a stream with this end is complete;
+                None if its end shows nothing.
         """
         self._call = call
         self._headers = headers
@@ -94,7 +95,9 @@
         assert connection is not None, "call head first"
         assert connection.head is not None, "call head first"
         self._received_s = time.monotonic()
-        body = answer_body.AnswerBody(connection.head, self._ends_stream)
+        body = answer_body.AnswerBody(
+            connection.head, self._ends_stream or (lambda tail: True)
+        )
         while True:
             data = connection.take_body()
             if data:
@@ -102,7 +105,11 @@
                 if complete:
                     yield complete
             elif connection.whole:
-                if self._call.method != "HEAD" and (rest := body.finish()):
+                if self._call.method == "HEAD":
+                    return
+                rest = body.finish()
+                self._check_exit(connection)
+                if rest:
                     yield rest
                 return
             elif self._error is not None:
@@ -267,6 +274,26 @@
                 "connection, so this one went silent",
             )
 
+    def _check_exit(self, connection: connection_module.Connection) -> None:
+        """Checks that a process still stands behind an answer that has ended.
+
+        The connections of a process that is killed are closed in order, which
+        is also how an answer without a length or chunks ends.
+        """
+        head = connection.head
+        assert head is not None, "the answer has ended"
+        has_end_mark = head.streams and self._ends_stream is not None
+        if not connection.ended_by_close or has_end_mark:
+            return
+        call = self._call
+        if not call.may_exit() and base.refuses_connections(call.endpoint):
+            raise errors.EndpointError(
+                errors.ErrorKind.ANSWER_CUT,
+                "the connection ended, and the endpoint refuses a new one",
+                sent=True,
+                connection_broke=True,
+            )
+
     def _failure(self) -> errors.EndpointError:
         text = self._error or "no answer"
         if not self._connection.sent:
--- a/cardamombarrow/entry/placement/broker_base.py
+++ b/cardamombarrow/entry/placement/broker_base.py
@@ -253,6 +253,11 @@
         with self._lock:
             return self._dispatcher.software_of(endpoint)
 
+    def may_exit(self, endpoint: ids.EndpointId) -> bool:
+        """Returns whether an endpoint is leaving, or is no longer known."""
+        with self._lock:
+            return self._dispatcher.may_exit(endpoint)
+
     def reachable_again(self, service: ids.ServiceId) -> None:
         """Drops the failures of endpoints that this entry could not connect."""
         with self._lock:
--- a/cardamombarrow/entry/requests/request_handler.py
+++ b/cardamombarrow/entry/requests/request_handler.py
@@ -337,6 +337,7 @@
             may_redo=lambda: self._services.broker.may_redo(call.job),
             may_send=lambda: self._services.broker.may_send(endpoint),
             is_paused=lambda: self._services.broker.is_paused(endpoint),
+            may_exit=lambda: self._may_exit(ticket),
             on_connect=lambda connected: self._services.reachability.record(
                 call.job.service, endpoint, connected=connected
             ),
@@ -349,6 +350,17 @@
             fetch_from=placement.fetch and placement.fetch.source,
         )
 
+    def _may_exit(self, ticket: ticket_module.Ticket) -> bool:
+        """Returns whether the endpoint may have ended after its answer.
+
+        An endpoint that leaves ends its process in order. It may also be killed
+        at the end of its time; what can be resumed goes on in either case.
+        """
+        endpoint = ticket.placed.result().endpoint
+        return not ticket.job.resumable and self._services.broker.may_exit(
+            endpoint
+        )
+
     def _may_forward(self) -> bool:
         """Returns whether another entry may serve the request instead."""
         if self._relaying or self._call.is_forwarded:
--- a/cardamombarrow/platform/tests/stream_client.py
+++ b/cardamombarrow/platform/tests/stream_client.py
@@ -182,9 +182,14 @@
     return caller
 
 
-def read(caller: socket.socket) -> Seen:
-    """Reads an answer to its end."""
-    raw, reset = b"", False
+def read(caller: socket.socket, received: bytes = b"") -> Seen:
+    """Reads an answer to its end.
+
+    Args:
+        caller: The connection.
+        received: What was read of it before.
+    """
+    raw, reset = received, False
     with caller:
         try:
             while data := caller.recv(65_536):
