Join runs of a stream only where they follow each other

Callers got events twice, or a stream with a hole, with an end that looked complete: an entry relayed whatever a resumed run sent. An endpoint that ignores Last-Event-Id, or counts otherwise, repeated events or left some out. A stream whose last event had no id (none, an empty one, none that is a number) went on after an earlier event, or from its beginning.

Ids are increasing numbers. What was relayed now tells which number has to come next, and a run that begins with another one is given up before any of it is relayed: another endpoint may serve it, else the answer is broken off. Ids with gaps only have to increase.

The test of the last id in a chunk now compares the ids of all events in it.

--- a/cardamombarrow/endpoints/base.py
+++ b/cardamombarrow/endpoints/base.py
@@ -241,10 +241,13 @@
             answers contain the load.
         relays_failures: Whether its failure answers are relayed to the caller
             if the request can't be redone.
+        has_event_ids: Whether the events of its streams have increasing
+            numbers as ids, after which a stream goes on.
     """
 
     polled = True
     relays_failures = False
+    has_event_ids = False
 
     @abc.abstractmethod
     def open(self, call: OutgoingCall) -> Exchange:
@@ -305,9 +308,9 @@
             leaving=head.headers.get("x-leaving") == "1",
         )
 
-    def last_event_id(self, chunk: bytes) -> str:
-        """Returns the id of the last event in a chunk; empty for none."""
-        return ""
+    def event_ids(self, chunk: bytes) -> list[str]:
+        """Returns the ids of the events in a chunk; empty for none."""
+        return []
 
     @abc.abstractmethod
     def not_started(self, head: Head) -> bool:
--- a/cardamombarrow/entry/requests/request_handler.py
+++ b/cardamombarrow/entry/requests/request_handler.py
@@ -12,6 +12,7 @@
 from cardamombarrow.decisions import messages
 from cardamombarrow.document import schema
 from cardamombarrow.endpoints import base as endpoints_base
+from cardamombarrow.endpoints import event_order
 from cardamombarrow.entry import metrics as metrics_module
 from cardamombarrow.entry.frontend import incoming
 from cardamombarrow.entry.placement import broker as broker_module
@@ -152,7 +153,7 @@
         self._progress = progress_module.Progress(
             call.job, services.time_source, services.meter
         )
-        self._last_event = ""
+        self._order = event_order.EventOrder(call.resume_after)
         self._relaying = False
 
     def left_s(self) -> float:
@@ -273,8 +274,25 @@
             first = b"".join(chunks)
         else:
             first = next(chunks, b"")
+        if resumable:
+            self._order.begin_run()
+            self._check_order(self._kind.event_ids(first))
         return _Run(ticket, exchange, head, resumable, first, chunks)
 
+    def _check_order(self, event_ids: list[str]) -> None:
+        """Checks that events go on where the ones before them ended.
+
+        Raises:
+            errors.EndpointError: They do not.
+        """
+        if not self._order.follows(event_ids):
+            raise errors.EndpointError(
+                errors.ErrorKind.ENDPOINT_FAILED,
+                f"the stream goes on with event {event_ids[0]!r} after "
+                f"{self._order.last_id!r}",
+                sent=True,
+            )
+
     def _fail(
         self, ticket: ticket_module.Ticket, error: errors.RouterError
     ) -> None:
@@ -342,7 +360,7 @@
                 call.job.service, endpoint, connected=connected
             ),
             resume_tokens=self._progress.tokens,
-            resume_after=self._last_event or call.resume_after,
+            resume_after=self._order.last_id,
             caller_id=call.caller_id,
             workspace=call.job.workspace,
             headers=call.headers,
@@ -414,6 +432,8 @@
         """Resumes an answer that was cut off, or raises `error`."""
         if not run.resumable or not self._progress.tokens:
             raise error
+        if self._kind.has_event_ids and not self._order.can_go_on:
+            raise error
         resumed = self._begin(self._retry(run.ticket, error))
         logs.decision(
             "resume",
@@ -439,6 +459,10 @@
         first = [run.first] if run.first else []
         try:
             for chunk in itertools.chain(first, run.rest):
+                if run.resumable:
+                    event_ids = self._kind.event_ids(chunk)
+                    self._check_order(event_ids)
+                    self._order.add(event_ids)
                 if progress.first_token_s is None:
                     self._require_software(run)
                     progress.first_piece(run.ticket.job)
@@ -446,10 +470,6 @@
                 progress.add_piece()
                 tail = (tail + chunk)[-TAIL_BYTES:]
                 progress.tokens += self._kind.count_tokens(chunk)
-                if run.resumable:
-                    self._last_event = (
-                        self._kind.last_event_id(chunk) or self._last_event
-                    )
                 broker.progress(request_id, progress.tokens)
                 yield chunk
             progress.tokens = progress.tokens or self._kind.tokens_at_end(tail)
--- a/cardamombarrow/platform/servers.py
+++ b/cardamombarrow/platform/servers.py
@@ -26,7 +26,8 @@
 _MISDIRECTED = 421
 _NOT_RUN_STATUSES = (408, 429, 503)
 _LOAD = "instance-load"
-_EVENT_ID = re.compile(rb"(?:\A|[\r\n])id:[ ]?([^\r\n]+)")
+_EVENT_END = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2,}")
+_EVENT_ID = re.compile(rb"(?:\A|[\r\n])id(?::[ ]?([^\r\n]*))?(?=[\r\n]|\Z)")
 _EVENT = re.compile(rb"(?:\A|[\r\n])data:")
 
 
@@ -142,6 +143,8 @@
 class PlatformEngine(PlatformKind):
     """A model engine with priorities and streams of events with ids."""
 
+    has_event_ids = True
+
     def _extra_headers(self, call: base.OutgoingCall) -> list[tuple[str, str]]:
         headers = [("Request-Priority", str(_priority(call.rank)))]
         if call.resume_after:
@@ -159,10 +162,16 @@
         """Counts events."""
         return len(_EVENT.findall(chunk))
 
-    def last_event_id(self, chunk: bytes) -> str:
-        """Returns the id of the last event in a chunk."""
-        found = _EVENT_ID.findall(chunk)
-        return found[-1].decode("latin-1").strip() if found else ""
+    def event_ids(self, chunk: bytes) -> list[str]:
+        """Returns the ids of the events in a chunk; empty for none."""
+        found = []
+        for event in _EVENT_END.split(chunk):
+            fields = _EVENT_ID.findall(event)
+            if fields:
+                found.append(fields[-1].decode("latin-1").strip())
+            elif _EVENT.search(event):
+                found.append("")
+        return found
 
 
 def _priority(rank: int) -> int:
--- a/cardamombarrow/platform/tests/standin_streams.py
+++ b/cardamombarrow/platform/tests/standin_streams.py
@@ -94,6 +94,7 @@
         line_end: Line end within events.
         status: Its status; any but 200 has no events.
         content_type: Its content type.
+        pieces: Its body as it is sent, instead of events; None for events.
         on_begun: Called when the head has been sent.
     """
 
@@ -105,6 +106,7 @@
     line_end: bytes = b"\n"
     status: int = 200
     content_type: str = "text/event-stream"
+    pieces: tuple[bytes, ...] | None = None
     on_begun: abc.Callable[[], None] = lambda: None
 
 
@@ -316,12 +318,17 @@
         listed.version,
         headers.get("attempt-id", ""),
         first.split(" ")[1],
-        int(headers.get("last-event-id", "0")),
+        _number(headers.get("last-event-id", "0")),
         headers,
         time.monotonic(),
     )
 
 
+def _number(text: str) -> int:
+    """Returns a number; 0 for other texts."""
+    return int(text) if text.isdecimal() else 0
+
+
 def _read_body(
     connection: socket.socket, raw: bytes, received: Received
 ) -> None:
@@ -334,6 +341,16 @@
         left -= len(data)
 
 
+def _pieces(received: Received, answer: Answer) -> list[bytes]:
+    """Returns the pieces of a whole answer."""
+    if answer.pieces is not None:
+        return list(answer.pieces)
+    return [
+        event(number, received.version, answer.line_end)
+        for number in range(received.last_event + 1, answer.events + 1)
+    ]
+
+
 def _send(connection: socket.socket, received: Received, answer: Answer):
     head = [
         f"HTTP/1.1 {answer.status} Scripted",
@@ -341,16 +358,13 @@
         f"Server-Seal: {received.identity}",
         f"Content-Type: {answer.content_type}",
     ]
-    pieces = [
-        event(number, received.version, answer.line_end)
-        for number in range(received.last_event + 1, answer.events + 1)
-    ]
+    pieces = _pieces(received, answer)
     if answer.status != 200:
         pieces = []
         head.append("Not-Executed: 1")
     length = sum(map(len, pieces))
     whole = answer.ending is Ending.WHOLE
-    if not whole:
+    if not whole and answer.pieces is None:
         half = event(answer.sent + 1, received.version, answer.line_end)[:7]
         pieces = pieces[: answer.sent - received.last_event]
         if answer.ending.cuts_event:
--- a/cardamombarrow/platform/tests/test_servers.py
+++ b/cardamombarrow/platform/tests/test_servers.py
@@ -105,11 +105,11 @@
     assert _KIND.not_started(base.Head(status, headers)) is not_started
 
 
-def test_events_are_counted_and_the_last_id_is_found():
+def test_events_are_counted_and_their_ids_are_found():
     chunk = b"id: 4\ndata: a\n\nid: 5\ndata: b\n\n"
     assert _KIND.count_tokens(chunk) == 2
-    assert _KIND.last_event_id(chunk) == "5"
-    assert _KIND.last_event_id(b": comment\n\n") == ""
+    assert _KIND.event_ids(chunk) == ["4", "5"]
+    assert _KIND.event_ids(b": comment\n\n") == []
 
 
 @pytest.mark.parametrize(
