Go on with a stream that ends its silence while it is checked

Callers lost streams, and others were run once more elsewhere, though their endpoint went on while the entry asked it over a new connection: the time since the last bytes was compared with 0, which it exceeds right after them, too.

A stream that sends an event during the check was given up as silent in test_a_stream_that_goes_on_while_it_is_checked_is_not_given_up. Now it counts whether bytes came after the check.

--- a/cardamombarrow/endpoints/tests/test_transfer.py
+++ b/cardamombarrow/endpoints/tests/test_transfer.py
@@ -181,3 +181,41 @@
             exchange._step()
         exchange.close()
     assert states == [True]
+
+
+def test_a_stream_that_goes_on_while_it_is_checked_is_not_given_up(call):
+    # Guards against streams that break off though their endpoint goes on.
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        address = f"127.0.0.1:{server.getsockname()[1]}"
+
+        def probe(endpoint):
+            accepted.sendall(b"data: b\n\n")
+            return True
+
+        exchange = transfer.HttpExchange(
+            dataclasses.replace(
+                call,
+                endpoint=ids.endpoint_id(address, "i-1"),
+                deadline_s=time.monotonic() + 20.0,
+                first_byte_limit_s=20.0,
+                stall_limit_s=0.3,
+            ),
+            list,
+            probe,
+        )
+        connection = exchange._connect()
+        while not connection.sent:
+            exchange._step()
+        accepted, _ = server.accept()
+        with accepted:
+            accepted.recv(1_000)
+            accepted.sendall(
+                b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                b"Content-Length: 27\r\n\r\ndata: a\n\n"
+            )
+            while connection.head is None:
+                exchange._step()
+            assert b"".join(exchange.chunks()) == (
+                b"data: a\n\ndata: b\n\ndata: b\n\n"
+            )
+        exchange.close()
--- a/cardamombarrow/endpoints/transfer.py
+++ b/cardamombarrow/endpoints/transfer.py
@@ -266,8 +266,11 @@
         silent_s = self._silent_s()
         head = self._connection.head
         self._check_alive()
+        checked_s = self._received_s
         self._step()
-        if self._silent_s() > 0 and head is not None and head.streams:
+        if self._received_s > checked_s or self._silent_s() == 0.0:
+            return
+        if head is not None and head.streams:
             raise self._endpoint_error(
                 errors.ErrorKind.CONNECTION_SILENT,
                 f"silent for {silent_s:.1f} s; the endpoint answers a new "
