Take a stream of comments for no whole stream

A stream without a length and chunks whose endpoint exits after a comment that keeps the connection alive looked complete to callers, without any event: the check for a first event counted comments. All 3 cases of test_a_stream_without_framing_that_has_only_comments_is_not_whole failed before.

--- a/cardamombarrow/endpoints/answer_body.py
+++ b/cardamombarrow/endpoints/answer_body.py
@@ -39,6 +39,7 @@
         self._ends_stream = ends_stream
         self._events = event_stream.EventSplitter() if head.streams else None
         self._tail = b""
+        self._has_event = False
 
     def feed(self, data: bytes) -> bytes:
         """Returns the bytes that may be relayed now.
@@ -57,6 +58,7 @@
             raise _cut(
                 f"an event is over {event_stream.MAX_EVENT_BYTES} bytes"
             ) from None
+        self._has_event = self._has_event or event_stream.has_event(complete)
         self._tail = (self._tail + complete)[-TAIL_BYTES:]
         return complete
 
@@ -74,7 +76,7 @@
         closed = not self._head.is_framed
         if self._events.inside_event:
             raise _cut("the stream ended inside an event", closed)
-        if closed and not self._tail:
+        if closed and not self._has_event:
             raise _cut("the stream ended before its first event", closed)
         if not self._ends_stream(self._tail):
             raise _cut("the stream ended early", closed)
--- a/cardamombarrow/endpoints/event_stream.py
+++ b/cardamombarrow/endpoints/event_stream.py
@@ -6,7 +6,12 @@
 
 import re
 
-__all__ = ["MAX_EVENT_BYTES", "EventSplitter", "OversizedEventError"]
+__all__ = [
+    "MAX_EVENT_BYTES",
+    "EventSplitter",
+    "OversizedEventError",
+    "has_event",
+]
 
 MAX_EVENT_BYTES = 262_144
 """Maximum size of an incomplete event that is buffered, for each of up to some
@@ -23,6 +28,11 @@
     """An event is over `MAX_EVENT_BYTES`."""
 
 
+def has_event(data: bytes) -> bool:
+    """Returns whether a part of a stream is more than comments."""
+    return _NO_EVENT.fullmatch(data) is None
+
+
 class EventSplitter:
     """Separates complete events from the beginning of the next one.
 
@@ -62,4 +72,4 @@
 
         Empty lines and comments between events are not part of one.
         """
-        return _NO_EVENT.fullmatch(self.partial) is None
+        return has_event(self.partial)
--- a/cardamombarrow/endpoints/tests/test_event_stream.py
+++ b/cardamombarrow/endpoints/tests/test_event_stream.py
@@ -94,3 +94,12 @@
         return
     with pytest.raises(errors.EndpointError):
         body.finish()
+
+
+@pytest.mark.parametrize("data", [b": hello\n\n", b"\n\n", b":\r\r: x\r\r"])
+def test_a_stream_without_framing_that_has_only_comments_is_not_whole(data):
+    # Guards against an endpoint that exits after a comment that keeps alive.
+    body = answer_body.AnswerBody(base.Head(200, _STREAM))
+    body.feed(data)
+    with pytest.raises(errors.EndpointError):
+        body.finish()
