--- a/cardamombarrow/platform/tests/standin_streams.py
+++ b/cardamombarrow/platform/tests/standin_streams.py
@@ -90,7 +90,8 @@
     Attributes:
         events: Events of a whole stream.
         sent: Events that are sent in full.
-        pause_s: Time before each event.
+        pause_s: Time before each event, or before one of them.
+        pause_at: Index of the piece before which it pauses; None for all.
         line_end: Line end within events.
         status: Its status; any but 200 has no events.
         content_type: Its content type.
@@ -103,6 +104,7 @@
     events: int = 6
     sent: int = 6
     pause_s: float = 0.0
+    pause_at: int | None = None
     line_end: bytes = b"\n"
     status: int = 200
     content_type: str = "text/event-stream"
@@ -351,6 +353,17 @@
     ]
 
 
+def _send_pieces(
+    connection: socket.socket, answer: Answer, pieces: list[bytes]
+) -> None:
+    for index, piece in enumerate(pieces):
+        if answer.pause_at in (None, index):
+            time.sleep(answer.pause_s)
+        if answer.framing is Framing.CHUNKED:
+            piece = b"%x\r\n%b\r\n" % (len(piece), piece)
+        connection.sendall(piece)
+
+
 def _send(connection: socket.socket, received: Received, answer: Answer):
     head = [
         f"HTTP/1.1 {answer.status} Scripted",
@@ -377,11 +390,7 @@
         head.append("Transfer-Encoding: chunked")
     connection.sendall("\r\n".join([*head, "", ""]).encode())
     answer.on_begun()
-    for piece in pieces:
-        time.sleep(answer.pause_s)
-        if answer.framing is Framing.CHUNKED:
-            piece = b"%x\r\n%b\r\n" % (len(piece), piece)
-        connection.sendall(piece)
+    _send_pieces(connection, answer, pieces)
     if answer.framing is Framing.CHUNKED and is_framed:
         connection.sendall(b"0\r\n\r\n")
     if answer.ending.resets:
