Believe "not run" only of the request that it names

A request that must not run twice did: a server whose late, second answer to an earlier request says that it has not run (503 or 421) sent it on a kept connection, where the next request's answer was due. The entry read this statement before it compared the ids, took the request for not run, and sent it again while the server ran it.

An answer with the id of another request now fails as such, whatever it states.

--- a/cardamombarrow/endpoints/base.py
+++ b/cardamombarrow/endpoints/base.py
@@ -312,6 +312,13 @@
         """Returns the ids of the events in a chunk; empty for none."""
         return []
 
+    def answers_other(self, head: Head, call: OutgoingCall) -> bool:
+        """Returns whether an answer says that it is another request's.
+
+        What it states does not concern this request then.
+        """
+        return False
+
     @abc.abstractmethod
     def not_started(self, head: Head) -> bool:
         """Returns whether the answer states that the request did not run."""
--- a/cardamombarrow/entry/requests/request_handler.py
+++ b/cardamombarrow/entry/requests/request_handler.py
@@ -246,7 +246,9 @@
             self._kind.read_statement(head, outgoing),
             outgoing.request_id,
         )
-        if self._kind.not_started(head):
+        if self._kind.not_started(head) and not self._kind.answers_other(
+            head, outgoing
+        ):
             raise errors.EndpointError(
                 errors.ErrorKind.ENDPOINT_REFUSED,
                 f"the endpoint answered {head.status}",
--- a/cardamombarrow/platform/servers.py
+++ b/cardamombarrow/platform/servers.py
@@ -74,6 +74,10 @@
         """Returns whether a new connection is accepted; sends no data on it."""
         return base.accepts_connections(endpoint)
 
+    def answers_other(self, head: base.Head, call: base.OutgoingCall) -> bool:
+        """Returns whether an answer has the id of another request."""
+        return head.headers.get(_ID, call.caller_id) != call.caller_id
+
     def not_started(self, head: base.Head) -> bool:
         """Returns whether the server states that it did not run the request."""
         return _NOT_RUN in head.headers or head.status == _MISDIRECTED
--- a/cardamombarrow/platform/tests/test_servers.py
+++ b/cardamombarrow/platform/tests/test_servers.py
@@ -288,3 +288,13 @@
 def test_an_unreadable_or_another_servers_warning_changes_nothing(fields):
     head = base.Head(200, {**_GOOD, **fields})
     assert _KIND.read_statement(head, _call()).rejection_limit is None
+
+
+@pytest.mark.parametrize(
+    ("headers", "other"),
+    [(_GOOD, False), ({}, False), ({"attempt-id": "other"}, True)],
+)
+def test_only_another_id_shows_the_answer_of_another_request(headers, other):
+    # Guards against the late rejection of an earlier request on a connection,
+    # after which this one would run twice.
+    assert _KIND.answers_other(base.Head(503, headers), _call()) is other
