--- a/cardamombarrow/platform/tests/standin_streams.py
+++ b/cardamombarrow/platform/tests/standin_streams.py
@@ -93,10 +93,12 @@
     Attributes:
         events: Events of a whole stream.
         sent: Events that are sent in full.
-        pause_s: Time before each event.
+        pause_s: Time before each event, or before one of them.
+        pause_at: Index of the piece before which it pauses; None for all.
         line_end: Line end within events.
         status: Its status; any but 200 has no events.
         content_type: Its content type.
+        pieces: Its body as it is sent, instead of events; None for events.
         on_begun: Called when the head has been sent.
     """
 
@@ -105,9 +107,11 @@
     events: int = 6
     sent: int = 6
     pause_s: float = 0.0
+    pause_at: int | None = None
     line_end: bytes = b"\n"
     status: int = 200
     content_type: str = "text/event-stream"
+    pieces: tuple[bytes, ...] | None = None
     on_begun: abc.Callable[[], None] = lambda: None
 
 
@@ -381,12 +385,17 @@
         listed.version,
         headers.get("attempt-id", ""),
         first.split(" ")[1],
-        int(headers.get("last-event-id", "0")),
+        _number(headers.get("last-event-id", "0")),
         headers,
         time.monotonic(),
     )
 
 
+def _number(text: str) -> int:
+    """Returns a number; 0 for other texts."""
+    return int(text) if text.isdecimal() else 0
+
+
 def _read_body(
     connection: socket.socket, raw: bytes, received: Received
 ) -> None:
@@ -399,6 +408,29 @@
         left -= len(data)
 
 
+def _pieces(received: Received, answer: Answer) -> list[bytes]:
+    """Returns the pieces of a whole answer."""
+    if answer.pieces is not None:
+        return list(answer.pieces)
+    return [
+        event(number, received.version, answer.line_end)
+        for number in range(received.last_event + 1, answer.events + 1)
+    ]
+
+
+def _send_pieces(
+    connection: socket.socket, answer: Answer, pieces: list[bytes]
+) -> abc.Iterator[int]:
+    """Sends pieces; returns the index of each just before it."""
+    for index, piece in enumerate(pieces):
+        if answer.pause_at in (None, index):
+            time.sleep(answer.pause_s)
+        yield index
+        if answer.framing is Framing.CHUNKED:
+            piece = b"%x\r\n%b\r\n" % (len(piece), piece)
+        connection.sendall(piece)
+
+
 def _send(
     connection: socket.socket, received: Received, answer: Answer
 ) -> abc.Iterator[int]:
@@ -409,16 +441,13 @@
         f"Server-Seal: {received.identity}",
         f"Content-Type: {answer.content_type}",
     ]
-    pieces = [
-        event(number, received.version, answer.line_end)
-        for number in range(received.last_event + 1, answer.events + 1)
-    ]
+    pieces = _pieces(received, answer)
     if answer.status != 200:
         pieces = []
         head.append("Not-Executed: 1")
     length = sum(map(len, pieces))
     whole = answer.ending is Ending.WHOLE
-    if not whole:
+    if not whole and answer.pieces is None:
         half = event(answer.sent + 1, received.version, answer.line_end)[:7]
         pieces = pieces[: answer.sent - received.last_event]
         if answer.ending.cuts_event:
@@ -431,12 +460,8 @@
         head.append("Transfer-Encoding: chunked")
     connection.sendall("\r\n".join([*head, "", ""]).encode())
     answer.on_begun()
-    for number, piece in enumerate(pieces, received.last_event + 1):
-        time.sleep(answer.pause_s)
-        yield number
-        if answer.framing is Framing.CHUNKED:
-            piece = b"%x\r\n%b\r\n" % (len(piece), piece)
-        connection.sendall(piece)
+    for index in _send_pieces(connection, answer, pieces):
+        yield received.last_event + 1 + index
     if answer.framing is Framing.CHUNKED and is_framed:
         connection.sendall(b"0\r\n\r\n")
     if answer.ending.resets:
--- a/cardamombarrow/platform/tests/test_servers.py
+++ b/cardamombarrow/platform/tests/test_servers.py
@@ -105,11 +105,11 @@
     assert _KIND.not_started(base.Head(status, headers)) is not_started
 
 
-def test_events_are_counted_and_the_last_id_is_found():
+def test_events_are_counted_and_their_ids_are_found():
     chunk = b"id: 4\ndata: a\n\nid: 5\ndata: b\n\n"
     assert _KIND.count_tokens(chunk) == 2
-    assert _KIND.last_event_id(chunk) == "5"
-    assert _KIND.last_event_id(b": comment\n\n") == ""
+    assert _KIND.event_ids(chunk) == ["4", "5"]
+    assert _KIND.event_ids(b": comment\n\n") == []
 
 
 @pytest.mark.parametrize(
@@ -288,3 +288,13 @@
 def test_an_unreadable_or_another_servers_warning_changes_nothing(fields):
     head = base.Head(200, {**_GOOD, **fields})
     assert _KIND.read_statement(head, _call()).rejection_limit is None
+
+
+@pytest.mark.parametrize(
+    ("headers", "other"),
+    [(_GOOD, False), ({}, False), ({"attempt-id": "other"}, True)],
+)
+def test_only_another_id_shows_the_answer_of_another_request(headers, other):
+    # Guards against the late rejection of an earlier request on a connection,
+    # after which this one would run twice.
+    assert _KIND.answers_other(base.Head(503, headers), _call()) is other
