Send nothing that can't be answered before a stop ends

What callers saw: around a planned stop under load, requests that waited for a place were placed late and cut at the kill without an answer, among them ones that must not run twice; those that never got a place were cut as well. The same happened to requests that were sent again, and to streams that were resumed, late in the grace.

Cause: a stopping entry refused new requests only. What it held went on waiting, retrying and resuming until the process was killed.

Evidence, on the code before with drain_most_s = 7, killed after 8 s: of 12 requests of 2 s that waited for two places, 6 were cut at 8.01 s, 2 of them sent at 6.0 s and 4 never. Killed after 3 s: 6 of 12. Streams of two entries in one domain: 5 of 6 of the leaving placer's were cut, and 1 of 6 when the other one left. A request refused by its endpoint 5.5 s after the signal was sent to another one and cut, on both routes; a stream that broke then was resumed and cut. Slow bodies, and entries that leave together or one after the other, behaved well before; their tests hold that.

Why this works: `decisions/draining.py` allows a send only if the answer is expected in time, by the last runs of the class, and refuses what waits once it is not expected to be placed in time, or after a quarter of its caller's time.

The schedule follows the new setting [calls] grace_s, which the platform's template fills in; without it a stop is as before.

A test's stand-in server can now work before it answers and tell its slots.

--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -409,6 +409,18 @@
             return None
         return self._policies.retry.retry_after_s(backlog)
 
+    def known_backlog(
+        self, job: messages.Job, now_s: float
+    ) -> messages.Backlog | None:
+        """Returns the work ahead of a job; None if no endpoint serves it.
+
+        Jobs that another instance is to place are not in the queue; they are
+        expected to wait for the next free slot.
+        """
+        if self._check_endpoint(job) is not None:
+            return None
+        return self.backlog(job, now_s)
+
     def awaits_remote_placement(self, request_id: ids.RequestId) -> bool:
         """Returns whether a job awaits a remote placement."""
         return request_id in self._awaiting_remote
--- a/cardamombarrow/entry/core.py
+++ b/cardamombarrow/entry/core.py
@@ -7,6 +7,7 @@
 import typing
 
 from cardamombarrow.decisions import context as context_module
+from cardamombarrow.decisions import draining
 from cardamombarrow.decisions import overload as overload_module
 from cardamombarrow.discovery import base as discovery
 from cardamombarrow.discovery import core as discovery_core
@@ -28,6 +29,7 @@
 from cardamombarrow.entry.requests import crash_detector
 from cardamombarrow.entry.requests import gate as gate_module
 from cardamombarrow.entry.requests import request_handler
+from cardamombarrow.entry.requests import stop_guard
 from cardamombarrow.forwarding import app as forwarded_app
 from cardamombarrow.forwarding import core as forwarding
 from cardamombarrow.forwarding import reachability as reachability_module
@@ -70,11 +72,11 @@
         self,
         readiness: readiness_module.Readiness,
         runner: call_runner_module.CallRunner,
-        calls: settings_module.CallSettings,
+        schedule: draining.DrainSchedule,
     ):
         self._readiness = readiness
         self._runner = runner
-        self._calls = calls
+        self._schedule = schedule
 
     def start(self) -> None:
         """Does nothing."""
@@ -82,17 +84,26 @@
     def stop(self) -> None:
         """Becomes unready, waits, refuses, and waits for running requests."""
         begin_s = time.monotonic()
+        self._runner.services.stop_guard.begin(self._schedule)
         self._readiness.draining = True
-        notice_s = self._calls.drain_notice_s
+        notice_s = self._schedule.notice_s
         logs.event("draining", notice_s=notice_s, held=self._runner.held)
         time.sleep(notice_s)
         self._readiness.refusing = True
         logs.event("refusing", held=self._runner.held)
-        end_s = begin_s + self._calls.drain_most_s
+        end_s = begin_s + self._schedule.port_s
         while self._runner.held and time.monotonic() < end_s:
             time.sleep(DRAIN_POLL_S)
 
 
+def _drain_schedule(
+    calls: settings_module.CallSettings,
+) -> draining.DrainSchedule:
+    return draining.DrainSchedule.within(
+        calls.grace_s, calls.drain_notice_s, calls.drain_most_s
+    )
+
+
 def _kinds(
     protocol: str,
 ) -> dict[schema.ServiceKind, endpoints_base.EndpointKind]:
@@ -295,6 +306,7 @@
         reachability,
         forwarder,
         peering.origins,
+        stop_guard.StopGuard(time_source),
     )
     readiness = _readiness(source, broker, peering)
     gate = gate_module.Gate(settings.http.connections, random.Random())
@@ -341,7 +353,7 @@
             instance, documents, runner, readiness, peering.lease
         )
     )
-    drain = _Drain(readiness, runner, settings.calls)
+    drain = _Drain(readiness, runner, _drain_schedule(settings.calls))
     parts = [
         *side,
         poller,
--- a/cardamombarrow/entry/placement/broker.py
+++ b/cardamombarrow/entry/placement/broker.py
@@ -128,6 +128,11 @@
         with self._lock:
             return self._dispatcher.blocked_for_s(job, self._clock.now_s())
 
+    def backlog(self, job: messages.Job) -> messages.Backlog | None:
+        """Returns the work ahead of a job; None if no endpoint serves it."""
+        with self._lock:
+            return self._dispatcher.known_backlog(job, self._clock.now_s())
+
     def less_urgent_start_age_s(
         self, service: ids.ServiceId, class_id: ids.ClassId
     ) -> float | None:
--- a/cardamombarrow/entry/requests/call_runner.py
+++ b/cardamombarrow/entry/requests/call_runner.py
@@ -14,6 +14,7 @@
 from cardamombarrow.entry.requests import gate as gate_module
 from cardamombarrow.entry.requests import once
 from cardamombarrow.entry.requests import request_handler
+from cardamombarrow.entry.requests import stop_guard
 from cardamombarrow.forwarding import app as forwarded_app
 from cardamombarrow.forwarding import core as forwarding
 from cardamombarrow.kernel import connection
@@ -25,10 +26,6 @@
 
 NO_BODY_STATUSES = (204, 304)
 
-DRAINING_RETRY_S = 0.3
-"""Retry delay of callers that reach a stopping instance: enough time to reach
-another one."""
-
 
 class CallRunner:
     """Request handling shared by the applications of an entry.
@@ -106,9 +103,11 @@
                 raise errors.RefusedError(
                     errors.ErrorKind.DRAINING,
                     "this instance is stopping",
-                    retry_after_s=DRAINING_RETRY_S,
+                    retry_after_s=stop_guard.DRAINING_RETRY_S,
                     check=errors.RefusalCheck.DRAINING,
                 )
+            if not self.services.stop_guard.may_send(call.job):
+                raise self.services.stop_guard.refusal(call.job)
             self._check_forwarded(environ, call)
             self._gate.enter(call.job, self._documents.current().document)
             relay = self._run(environ, call, run)
@@ -156,6 +155,8 @@
                     request_handler.RequestHandler(call, watch, self.services)
                 )
             except errors.RouterError as error:
+                if not self.services.stop_guard.may_send(call.job):
+                    raise
                 is_proven = self.services.forwarder.is_proven(call.job.service)
                 if not is_proven or not request_handler.may_run_elsewhere(
                     error, call.job
--- a/cardamombarrow/entry/requests/progress.py
+++ b/cardamombarrow/entry/requests/progress.py
@@ -38,6 +38,18 @@
         """Time since the request arrived, in seconds."""
         return self._clock.now_s() - self._job.arrived_s
 
+    @property
+    def run_s(self) -> float:
+        """Time since the request was last sent, in seconds."""
+        return self.age_s - self._sent_s
+
+    @property
+    def relayed_s(self) -> float:
+        """Time since the first piece of the answer, in seconds."""
+        if self.first_token_s is None:
+            return 0.0
+        return self.age_s - self.first_token_s
+
     def record_sent(self) -> None:
         """Records that the request is now sent to an endpoint."""
         self._sent_s = self.age_s
--- a/cardamombarrow/entry/requests/request_handler.py
+++ b/cardamombarrow/entry/requests/request_handler.py
@@ -21,6 +21,7 @@
     crash_detector as crash_detector_module,
 )
 from cardamombarrow.entry.requests import progress as progress_module
+from cardamombarrow.entry.requests import stop_guard as stop_guard_module
 from cardamombarrow.forwarding import core as forwarding
 from cardamombarrow.forwarding import reachability as reachability_module
 from cardamombarrow.kernel import clock
@@ -73,6 +74,7 @@
         reachability: Which services can be connected at all.
         forwarder: Has other entries serve requests of those that can't.
         origins: Which software versions began the streams of late.
+        stop_guard: What may still be sent once the process is being stopped.
     """
 
     broker: broker_module.Broker
@@ -93,6 +95,9 @@
     origins: resumption.StreamOrigins = dataclasses.field(
         default_factory=lambda: resumption.StreamOrigins(clock.SystemClock())
     )
+    stop_guard: stop_guard_module.StopGuard = dataclasses.field(
+        default_factory=lambda: stop_guard_module.StopGuard(clock.SystemClock())
+    )
 
 
 @dataclasses.dataclass
@@ -183,6 +188,7 @@
                 self._wait(ticket)
             finally:
                 self._services.metrics.add_waiting(-1)
+            self._check_stop(ticket)
             try:
                 exchange = self._open(ticket)
             except BaseException:
@@ -212,6 +218,28 @@
                     return run
                 ticket = new_ticket
 
+    def _check_stop(self, ticket: ticket_module.Ticket) -> None:
+        """Releases the slot of a request that must not be sent any more.
+
+        Raises:
+            errors.RefusedError: The process ends before its answer is expected.
+        """
+        if not self._may_send():
+            self._services.broker.finish(
+                ticket.job.request_id, messages.Outcome.WITHHELD
+            )
+            raise self._services.stop_guard.refusal(ticket.job)
+
+    def _may_send(self) -> bool:
+        return self._services.stop_guard.may_send(
+            self._call.job, self._progress.relayed_s
+        )
+
+    def _may_redo(self) -> bool:
+        return self._may_send() and self._services.broker.may_redo(
+            self._call.job
+        )
+
     def _retry_failure(self, run: _Run) -> ticket_module.Ticket | None:
         """Queues a request again after a failure answer of its endpoint.
 
@@ -293,6 +321,11 @@
             try:
                 return ticket.placed.result(timeout=CALLER_POLL_S)
             except futures.TimeoutError:
+                if not self._may_wait(ticket.job):
+                    self._services.broker.withdraw(ticket)
+                    raise self._services.stop_guard.refusal(
+                        ticket.job
+                    ) from None
                 if self._may_forward():
                     self._services.broker.withdraw(ticket)
                     raise errors.RefusedError(
@@ -309,6 +342,13 @@
                         not_run=not ticket.job.may_have_run,
                     ) from None
 
+    def _may_wait(self, job: messages.Job) -> bool:
+        guard = self._services.stop_guard
+        if not guard.is_ending:
+            return True
+        backlog = self._services.broker.backlog(job)
+        return backlog is not None and guard.may_wait(job, backlog)
+
     def _open(self, ticket: ticket_module.Ticket) -> endpoints_base.Exchange:
         self._progress.record_sent()
         if ticket.placed.result().limit_per_s is not None:
@@ -334,7 +374,7 @@
             caller=self._caller,
             cancelled=lambda: ticket.preempted is not None,
             first_byte_limit_s=call.first_byte_limit_s,
-            may_redo=lambda: self._services.broker.may_redo(call.job),
+            may_redo=self._may_redo,
             may_send=lambda: self._services.broker.may_send(endpoint),
             is_paused=lambda: self._services.broker.is_paused(endpoint),
             on_connect=lambda connected: self._services.reachability.record(
@@ -366,16 +406,21 @@
         new_ticket = self._resubmit(ticket, outcome)
         if new_ticket is None:
             if error.not_run and error.retry_after_s is None:
-                error.retry_after_s = self._services.broker.blocked_for_s(
-                    ticket.job
-                )
+                error.retry_after_s = self._retry_after_s(ticket.job)
             raise error
         return new_ticket
 
+    def _retry_after_s(self, job: messages.Job) -> float | None:
+        if self._services.stop_guard.is_ending:
+            return stop_guard_module.DRAINING_RETRY_S
+        return self._services.broker.blocked_for_s(job)
+
     def _resubmit(
         self, ticket: ticket_module.Ticket, outcome: messages.Outcome
     ) -> ticket_module.Ticket | None:
-        new_ticket = self._services.broker.resubmit(ticket, outcome)
+        new_ticket = None
+        if self._may_send():
+            new_ticket = self._services.broker.resubmit(ticket, outcome)
         self._services.metrics.count_retry(allowed=new_ticket is not None)
         return new_ticket
 
@@ -483,6 +528,7 @@
         progress = self._progress
         first_s, age_s = progress.first_token_s, progress.age_s
         if error is None:
+            self._services.stop_guard.run_times.record(job, progress.run_s)
             self._services.metrics.count_answer(
                 job, first_s or age_s, age_s, progress.tokens
             )
--- a/cardamombarrow/entry/settings.py
+++ b/cardamombarrow/entry/settings.py
@@ -190,11 +190,19 @@
         low=1_000_000,
         high=1_000_000_000,
     )
+    grace_s: float = settings.setting(
+        0.0,
+        unit="s",
+        help="time from SIGTERM until the platform kills the process; requests "
+        "that can't be answered by then are refused. 0 if it is not killed",
+        low=0.0,
+        high=3600.0,
+    )
     drain_most_s: float = settings.setting(
         30.0,
         unit="s",
-        help="maximum time after SIGTERM in which running requests are "
-        "completed; new callers get a refusal",
+        help="maximum time after SIGTERM in which the port stays open for "
+        "running requests; new callers get a refusal. `grace_s` replaces it",
         low=0.0,
         high=600.0,
     )
@@ -202,7 +210,7 @@
         5.0,
         unit="s",
         help="time after SIGTERM in which new requests are still accepted, "
-        "until the balancer has noticed",
+        "until the balancer has noticed; at most a third of `grace_s`",
         low=0.0,
         high=600.0,
     )
--- a/cardamombarrow/platform/tests/standin_streams.py
+++ b/cardamombarrow/platform/tests/standin_streams.py
@@ -95,6 +95,7 @@
         status: Its status; any but 200 has no events.
         content_type: Its content type.
         on_begun: Called when the head has been sent.
+        work_s: Time before the head.
     """
 
     framing: Framing = Framing.CHUNKED
@@ -106,6 +107,7 @@
     status: int = 200
     content_type: str = "text/event-stream"
     on_begun: abc.Callable[[], None] = lambda: None
+    work_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -143,6 +145,7 @@
     zone: str = "a"
     state: str = "ready"
     service: str = SERVICE
+    slots: int = SLOTS
 
 
 def event(number: int, version: str, line_end: bytes = b"\n") -> bytes:
@@ -185,7 +188,7 @@
         for port in list(self._listeners):
             self._close(port)
 
-    def start(self, identity: str, **fields: str) -> Listed:
+    def start(self, identity: str, **fields: str | int) -> Listed:
         """Starts a server and lists it."""
         port = self._listen(self._answer_request)
         listed = Listed(identity, port, **fields)
@@ -271,7 +274,7 @@
                 "address": f"127.0.0.1:{each.port}",
                 "zone": each.zone,
                 "version": each.version,
-                "slots": SLOTS,
+                "slots": each.slots,
                 "coldRemainingMs": 0,
                 "state": each.state,
             }
@@ -361,6 +364,7 @@
         head.append(f"Content-Length: {length}")
     elif answer.framing is Framing.CHUNKED:
         head.append("Transfer-Encoding: chunked")
+    time.sleep(answer.work_s)
     connection.sendall("\r\n".join([*head, "", ""]).encode())
     answer.on_begun()
     for piece in pieces:
