Answer what is at work before a stopping entry is killed

What callers saw: a request that an endpoint was still at work on at the end of the grace of a planned stop ended with a closed connection, also where another entry served it.

Cause: the entry waited for the endpoint until it was killed.

Evidence, on the code before: two requests that were sent before the signal and take 16 s were cut at 8.01 s; of 24 requests that a leaving entry had forwarded, 12 were cut at 8.02 s.

Why this works: an exchange whose answer has not begun ends 0.4 s before the kill, and its caller gets an error that promises nothing (504). An answer that has begun goes on until the kill: it could only be cut off.

--- a/cardamombarrow/decisions/draining.py
+++ b/cardamombarrow/decisions/draining.py
@@ -19,9 +19,11 @@
 slowly, the predicted wait is longer by the same factor.
 
 `END_MARGIN_S` covers a signal that is noticed half a second late, and another
-half a second for answers that take longer than expected. `NOTICE_SHARE` keeps
-most of a short grace for the answers; callers that a balancer still sends are
-then refused.
+half a second for answers that take longer than expected. Requests that are
+still unanswered get an error `ERROR_MARGIN_S` before the end: later ones would
+not be written before the process is killed, and earlier ones would replace
+answers that are about to come. `NOTICE_SHARE` keeps most of a short grace for
+the answers; callers that a balancer still sends are then refused.
 """
 
 import collections
@@ -38,6 +40,9 @@
 END_MARGIN_S = 1.0
 """Time before the end of the grace at which the last answers are expected."""
 
+ERROR_MARGIN_S = 0.4
+"""Time before the end of the grace at which unanswered requests fail."""
+
 MIN_END_SHARE = 0.5
 """Least share of the grace in which requests are served."""
 
@@ -60,11 +65,13 @@
         port_s: The port is open until then, while requests are held.
         end_s: Requests are sent if their answers are expected by then; infinity
             if the process is not killed.
+        error_s: Requests that have no answer by then fail.
     """
 
     notice_s: float
     port_s: float
     end_s: float = math.inf
+    error_s: float = math.inf
 
     @classmethod
     def within(
@@ -82,7 +89,8 @@
             return cls(notice_s, port_s)
         end_s = max(grace_s - END_MARGIN_S, MIN_END_SHARE * grace_s)
         notice_s = min(notice_s, NOTICE_SHARE * grace_s)
-        return cls(notice_s, end_s, end_s)
+        error_s = max(grace_s - ERROR_MARGIN_S, end_s)
+        return cls(notice_s, end_s, end_s, error_s)
 
 
 class RunTimes:
@@ -114,7 +122,12 @@
 
 
 class Draining:
-    """Decides for a stop that has begun."""
+    """Decides for a stop that has begun.
+
+    Attributes:
+        error_s: When requests that have no answer fail, on the clock of the
+            jobs; infinity for never.
+    """
 
     def __init__(
         self, schedule: DrainSchedule, begin_s: float, run_times: RunTimes
@@ -126,6 +139,7 @@
             begin_s: When it begins, on the clock of the jobs.
             run_times: How long requests run.
         """
+        self.error_s = begin_s + schedule.error_s
         self._end_s = begin_s + schedule.end_s
         self._refuse_s = begin_s + schedule.notice_s
         self._run_times = run_times
--- a/cardamombarrow/decisions/tests/test_draining.py
+++ b/cardamombarrow/decisions/tests/test_draining.py
@@ -47,7 +47,7 @@
 def test_every_step_of_a_schedule_is_within_the_grace(grace_s):
     # Guards against a schedule for one grace that exceeds a shorter one.
     schedule = draining.DrainSchedule.within(grace_s, NOTICE_S, 30.0)
-    steps = (0.0, schedule.notice_s, schedule.end_s, grace_s)
+    steps = (0.0, schedule.notice_s, schedule.end_s, schedule.error_s, grace_s)
     assert list(steps) == sorted(set(steps))
     assert schedule.notice_s <= NOTICE_S
     assert schedule.port_s == schedule.end_s
@@ -57,7 +57,7 @@
     # Guards against requests that are refused or fail long before the kill.
     schedule = draining.DrainSchedule.within(30.0, NOTICE_S, 30.0)
     assert schedule.notice_s == NOTICE_S
-    assert schedule.end_s == 29.0
+    assert (schedule.end_s, schedule.error_s) == (29.0, 29.6)
 
 
 def test_without_a_grace_nothing_ends():
@@ -66,6 +66,7 @@
     job = _job(repeatable=False, deadline_s=math.inf, class_id="unknown")
     assert stop.may_send(job, BEGIN_S + 1_000.0)
     assert stop.may_wait(job, _backlog(1_000.0), BEGIN_S + 1_000.0)
+    assert math.isinf(stop.error_s)
 
 
 @pytest.mark.parametrize("repeatable", [False, True])
--- a/cardamombarrow/endpoints/base.py
+++ b/cardamombarrow/endpoints/base.py
@@ -75,6 +75,8 @@
         repeatable: Whether the request may run twice.
         fetch_from: Engine from which the endpoint may fetch the cache of the
             prompt's prefix; None for none.
+        ends_s: Returns the monotonic time at which this instance ends the
+            exchange; infinity for none.
     """
 
     request_id: ids.RequestId
@@ -100,6 +102,7 @@
     headers: tuple[tuple[str, str], ...] = ()
     repeatable: bool = False
     fetch_from: ids.EndpointId | None = None
+    ends_s: typing.Callable[[], float] = lambda: math.inf
 
 
 @dataclasses.dataclass(frozen=True)
--- a/cardamombarrow/endpoints/transfer.py
+++ b/cardamombarrow/endpoints/transfer.py
@@ -72,6 +72,13 @@
         if caller_fd >= 0:
             self._poll.register(caller_fd, select.POLLRDHUP)
 
+    @property
+    def has_head(self) -> bool:
+        """Whether status and headers have arrived."""
+        return self._connection is not None and (
+            self._connection.head is not None
+        )
+
     # -- the exchange ------------------------------------------------------
 
     def head(self) -> base.Head:
@@ -173,11 +180,17 @@
             raise self._endpoint_error(
                 errors.ErrorKind.DEADLINE, "the answer did not end in time"
             )
+        ends_s = call.ends_s()
+        if now_s >= ends_s:
+            raise self._endpoint_error(
+                errors.ErrorKind.DEADLINE,
+                "this instance stops before the answer",
+            )
         if call.cancelled():
             raise errors.RefusedError(
                 errors.ErrorKind.PREEMPTED, "preempted by a higher tier"
             )
-        wait_s = min(WAIT_SLICE_S, call.deadline_s - now_s)
+        wait_s = min(WAIT_SLICE_S, call.deadline_s - now_s, ends_s - now_s)
         self._poll.modify(connection.fileno(), connection.events)
         for fd, mask in self._poll.poll(wait_s * 1_000):
             if fd == call.caller.fileno():
--- a/cardamombarrow/entry/requests/call_runner.py
+++ b/cardamombarrow/entry/requests/call_runner.py
@@ -197,6 +197,7 @@
                 caller=watch,
                 attempts=call.job.attempts,
                 runs=call.job.runs,
+                ends_s=self.services.stop_guard.ends_s,
             )
         )
         if answer is None:
--- a/cardamombarrow/entry/requests/request_handler.py
+++ b/cardamombarrow/entry/requests/request_handler.py
@@ -8,6 +8,7 @@
 from concurrent import futures
 import dataclasses
 import itertools
+import math
 
 from cardamombarrow.decisions import messages
 from cardamombarrow.document import schema
@@ -387,8 +388,15 @@
             headers=call.headers,
             repeatable=call.job.repeatable,
             fetch_from=placement.fetch and placement.fetch.source,
+            ends_s=self._ends_s,
         )
 
+    def _ends_s(self) -> float:
+        # An answer that has begun can only be cut off, so it may go on.
+        if self._relaying:
+            return math.inf
+        return self._services.stop_guard.ends_s()
+
     def _may_forward(self) -> bool:
         """Returns whether another entry may serve the request instead."""
         if self._relaying or self._call.is_forwarded:
--- a/cardamombarrow/entry/requests/stop_guard.py
+++ b/cardamombarrow/entry/requests/stop_guard.py
@@ -1,5 +1,7 @@
 """Keeps an entry that is being stopped from sending requests too late."""
 
+import math
+
 from cardamombarrow.decisions import draining
 from cardamombarrow.decisions import messages
 from cardamombarrow.kernel import clock
@@ -35,6 +37,11 @@
         """Whether the process is about to be killed."""
         return self._draining is not None and self._draining.is_bounded
 
+    def ends_s(self) -> float:
+        """Returns when unanswered requests fail; infinity for never."""
+        stop = self._draining
+        return math.inf if stop is None else stop.error_s
+
     def may_send(self, job: messages.Job, done_s: float = 0.0) -> bool:
         """Returns whether a request may be sent now.
 
--- a/cardamombarrow/forwarding/core.py
+++ b/cardamombarrow/forwarding/core.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import dataclasses
+import math
 import random
 import threading
 import time
@@ -93,6 +94,8 @@
         caller: Watch on the caller's connection.
         attempts: How often it was sent to endpoints.
         runs: How many of them may have run it.
+        ends_s: Returns the monotonic time by which its answer must begin;
+            infinity for no limit.
     """
 
     request_id: ids.RequestId
@@ -107,6 +110,7 @@
     caller: endpoints_base.CallerWatch
     attempts: int = 0
     runs: int = 0
+    ends_s: abc.Callable[[], float] = lambda: math.inf
 
 
 @dataclasses.dataclass(frozen=True)
@@ -305,6 +309,9 @@
     def _exchange(
         self, request: ForwardRequest, address: str
     ) -> transfer.HttpExchange:
+        def ends_s() -> float:
+            return math.inf if exchange.has_head else request.ends_s()
+
         call = endpoints_base.OutgoingCall(
             request_id=request.request_id,
             endpoint=ids.EndpointId(address),
@@ -317,13 +324,15 @@
             stall_limit_s=STALL_FACTOR * request.stall_limit_s + STALL_EXTRA_S,
             caller=request.caller,
             cancelled=lambda: False,
+            ends_s=ends_s,
         )
-        return transfer.HttpExchange(
+        exchange = transfer.HttpExchange(
             call,
             lambda: self._headers(request),
             endpoints_base.accepts_connections,
             self._pool,
         )
+        return exchange
 
 
 def _relay(exchange: transfer.HttpExchange) -> abc.Iterator[bytes]:
--- a/cardamombarrow/platform/tests/test_late_in_grace.py
+++ b/cardamombarrow/platform/tests/test_late_in_grace.py
@@ -16,7 +16,9 @@
 
 from cardamombarrow.platform.tests import platform_plan
 from cardamombarrow.platform.tests import standin_streams as standin
+from tools import cut_off
 from tools import deployment
+from tools.standin import cut_links
 
 pytestmark = pytest.mark.process
 
@@ -388,6 +390,65 @@
         assert len(servers.received) == before + 1 + goes_on
 
 
+@pytest.mark.parametrize("leaving", ["a-1"])
+def test_forwarded_requests_are_answered_when_an_entry_leaves(
+    servers, tmp_path, leaving
+):
+    # Guards against requests that wait at another entry than their callers'
+    # and are cut, or fail as if they had run, when either of the two ends.
+    servers.start("i-1", slots=4)
+    names = ["a-1", "a-2", "a-3"]
+    plan = _plan(servers.listing_url, {"a": names})
+    refuse = cut_links.CutMode.REFUSE
+    with (
+        deployment.Deployment(plan, tmp_path) as running,
+        cut_off.cut_ports(running, ["a-1"], refuse, list(servers.listed)),
+        futures.ThreadPoolExecutor(32) as executor,
+    ):
+        servers.script = lambda received: _call_work(0.1)
+
+        def is_forwarded() -> bool:
+            taken = '"outcome": "taken"' in running.log("a-1")
+            return _send(running, "a-1", "again").status == 200 and taken
+
+        assert deployment.wait_until(is_forwarded)
+        _warm_up(servers, running, executor, names, _call_work(2.0))
+        before = len(servers.received)
+        sent = [
+            executor.submit(_send, running, name, route)
+            for route in ("once", "again") * 7
+            for name in ("a-1", "a-2")
+        ]
+        assert deployment.wait_until(lambda: len(servers.received) > before)
+        stop = _Stop(running, leaving)
+        stop.kill()
+        outcomes = [each.result() for each in sent]
+        _check(servers, stop, outcomes)
+
+
+def test_requests_that_are_at_work_get_an_error_before_the_kill(
+    servers, tmp_path
+):
+    # Guards against requests that run to the end of the grace and are cut
+    # without an answer.
+    servers.start("i-1")
+    plan = _plan(servers.listing_url, {"a": ["a-1"]})
+    with (
+        deployment.Deployment(plan, tmp_path) as running,
+        futures.ThreadPoolExecutor(32) as executor,
+    ):
+        servers.script = lambda received: _call_work(2 * GRACE_S)
+        sent = [
+            executor.submit(_send, running, "a-1", route) for route in _KINDS
+        ]
+        assert deployment.wait_until(lambda: len(servers.received) == 2)
+        stop = _Stop(running, "a-1")
+        stop.kill()
+        outcomes = [each.result() for each in sent]
+        _check(servers, stop, outcomes)
+        assert {each.status for each in outcomes} == {504}
+
+
 def test_bodies_that_come_slowly_are_refused_late_in_the_grace(
     servers, tmp_path
 ):
