Have another entry take what a leaving one has not run

What callers saw: requests that another entry had forwarded to one that was stopped failed with 502 at its end, or were refused, though none had run and a third entry could have served them.

Cause: an entry that leaves declines forwarded requests that arrive, but not those that wait there already.

Why this works: a forwarded request that is refused because of the stop and has not run is marked as declined, and its entry asks another one.

--- a/cardamombarrow/entry/requests/call_runner.py
+++ b/cardamombarrow/entry/requests/call_runner.py
@@ -113,6 +113,8 @@
             relay = self._run(environ, call, run)
         except errors.RouterError as error:
             error.class_id = call.job.class_id
+            if call.is_forwarded:
+                _decline_if_draining(environ, error)
             raise
         chunks = self._chunks(environ, relay, call.job, sends_error_event)
         method = environ["REQUEST_METHOD"]
@@ -257,6 +259,14 @@
             self._gate.leave(job)
 
 
+def _decline_if_draining(
+    environ: dict[str, typing.Any], error: errors.RouterError
+) -> None:
+    """Has the forwarding entry ask another one; this one has not run it."""
+    if error.kind is errors.ErrorKind.DRAINING and error.not_run:
+        environ[forwarded_app.DECLINED_KEY] = error.detail
+
+
 def _with_history(
     call: incoming.IncomingCall, history: forwarded_app.History
 ) -> incoming.IncomingCall:
--- a/cardamombarrow/platform/tests/test_late_in_grace.py
+++ b/cardamombarrow/platform/tests/test_late_in_grace.py
@@ -390,7 +390,7 @@
         assert len(servers.received) == before + 1 + goes_on
 
 
-@pytest.mark.parametrize("leaving", ["a-1"])
+@pytest.mark.parametrize("leaving", ["a-1", "a-2"])
 def test_forwarded_requests_are_answered_when_an_entry_leaves(
     servers, tmp_path, leaving
 ):
@@ -424,6 +424,8 @@
         stop.kill()
         outcomes = [each.result() for each in sent]
         _check(servers, stop, outcomes)
+        if leaving == "a-2":
+            assert {each.status for each in outcomes[::2]} == {200}
 
 
 def test_requests_that_are_at_work_get_an_error_before_the_kill(
