--- a/cardamombarrow/platform/tests/standin_streams.py
+++ b/cardamombarrow/platform/tests/standin_streams.py
@@ -100,6 +100,7 @@
         content_type: Its content type.
         pieces: Its body as it is sent, instead of events; None for events.
         on_begun: Called when the head has been sent.
+        work_s: Time before the head.
     """
 
     framing: Framing = Framing.CHUNKED
@@ -113,6 +114,7 @@
     content_type: str = "text/event-stream"
     pieces: tuple[bytes, ...] | None = None
     on_begun: abc.Callable[[], None] = lambda: None
+    work_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -165,6 +167,7 @@
     zone: str = "a"
     state: str = "ready"
     service: str = SERVICE
+    slots: int = SLOTS
 
 
 def event(number: int, version: str, line_end: bytes = b"\n") -> bytes:
@@ -216,7 +219,7 @@
         for port in list(self._listeners):
             self._close(port)
 
-    def start(self, identity: str, **fields: str) -> Listed:
+    def start(self, identity: str, **fields: str | int) -> Listed:
         """Starts a server and lists it."""
         port = self._listen(self._answer_request)
         listed = Listed(identity, port, **fields)
@@ -337,7 +340,7 @@
                 "address": f"127.0.0.1:{each.port}",
                 "zone": each.zone,
                 "version": each.version,
-                "slots": SLOTS,
+                "slots": each.slots,
                 "coldRemainingMs": 0,
                 "state": each.state,
             }
@@ -458,6 +461,7 @@
         head.append(f"Content-Length: {length}")
     elif answer.framing is Framing.CHUNKED:
         head.append("Transfer-Encoding: chunked")
+    time.sleep(answer.work_s)
     connection.sendall("\r\n".join([*head, "", ""]).encode())
     answer.on_begun()
     for index in _send_pieces(connection, answer, pieces):
