--- a/cardamombarrow/platform/tests/test_versions_after_kills.py
+++ b/cardamombarrow/platform/tests/test_versions_after_kills.py
@@ -36,6 +36,9 @@
     limit_ms=10_000,
     services=((standin.SERVICE, 50), (_OTHER_SERVICE, 50)),
 )
+_CONTROL_MEMORY_S = 62.0
+"""Time after which control processes know which entries have never run."""
+
 _STREAMS = 36
 _PAUSE_S = 0.25
 _BEGUN_S = 2 * _PAUSE_S
@@ -190,6 +193,7 @@
 def test_a_new_entry_starts_after_all_others_died(scene):
     # Guards against an entry that takes its empty table for complete because
     # it had no process before, though others began streams and died.
+    time.sleep(_CONTROL_MEMORY_S)
     scene.begin([*_NAMES, _NEW])
     scene.replace()
     scene.kill()
