--- a/cardamombarrow/platform/tests/standin_streams.py
+++ b/cardamombarrow/platform/tests/standin_streams.py
@@ -98,6 +98,7 @@
         status: Its status; any but 200 has no events.
         content_type: Its content type.
         on_begun: Called when the head has been sent.
+        hold: Called with the number of each event before it is sent.
     """
 
     framing: Framing = Framing.CHUNKED
@@ -109,6 +110,7 @@
     status: int = 200
     content_type: str = "text/event-stream"
     on_begun: abc.Callable[[], None] = lambda: None
+    hold: abc.Callable[[int], None] = lambda number: None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -441,6 +443,7 @@
     answer.on_begun()
     for number, piece in enumerate(pieces, received.last_event + 1):
         time.sleep(answer.pause_s)
+        answer.hold(number)
         yield number
         if answer.framing is Framing.CHUNKED:
             piece = b"%x\r\n%b\r\n" % (len(piece), piece)
--- a/cardamombarrow/platform/tests/test_versions_after_kills.py
+++ b/cardamombarrow/platform/tests/test_versions_after_kills.py
@@ -9,6 +9,7 @@
 import itertools
 import json
 import signal
+import threading
 import time
 
 import pytest
@@ -42,7 +43,11 @@
 _STREAMS = 36
 _PAUSE_S = 0.25
 _BEGUN_S = 2 * _PAUSE_S
-"""Time in which some, not all, events of a stream arrive."""
+"""Time in which the events arrive that are sent before the disruption."""
+
+_HELD_AFTER = 2
+_HELD_S = 10.0
+"""Longest time for which the other events wait for the disruption."""
 
 _LISTED_S = 1.2
 """Time in which all entries have read the list."""
@@ -72,9 +77,9 @@
         super().__init__()
         self._numbers = itertools.count(1)
         self._limits = limits
-        self.servers = self.enter_context(
-            standin.Servers(lambda received: standin.Answer(pause_s=_PAUSE_S))
-        )
+        self._disturbed = threading.Event()
+        answer = standin.Answer(pause_s=_PAUSE_S, hold=self._hold)
+        self.servers = self.enter_context(standin.Servers(lambda _: answer))
         for service in (standin.SERVICE, _OTHER_SERVICE):
             self.start("v1", service)
         entries = {**_ENTRIES, "b": [*_ENTRIES["b"], _NEW]}
@@ -88,6 +93,10 @@
             returning_callers.Callers(self.running, self.servers)
         )
 
+    def _hold(self, number):
+        if number > _HELD_AFTER:
+            self._disturbed.wait(_HELD_S)
+
     def start(self, version, service=standin.SERVICE, state="ready"):
         """Starts two servers."""
         for _ in range(2):
@@ -150,8 +159,11 @@
 
     def check(self):
         """Checks all streams after their callers are done."""
+        self._disturbed.set()
         self.callers.finish()
         print(self.callers.summary(), self.callers.faults())
+        resumed = [each for each in self.callers.streams if each.resumptions]
+        assert len(resumed) > _STREAMS / 2
         assert not self.callers.faults()
 
 
