--- a/cardamombarrow/platform/tests/standin_streams.py
+++ b/cardamombarrow/platform/tests/standin_streams.py
@@ -101,6 +101,7 @@
         pieces: Its body as it is sent, instead of events; None for events.
         on_begun: Called when the head has been sent.
         work_s: Time before the head.
+        hold: Called with the number of each event before it is sent.
     """
 
     framing: Framing = Framing.CHUNKED
@@ -115,6 +116,7 @@
     pieces: tuple[bytes, ...] | None = None
     on_begun: abc.Callable[[], None] = lambda: None
     work_s: float = 0.0
+    hold: abc.Callable[[int], None] = lambda number: None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -231,6 +233,12 @@
         self.listed.pop(listed.port, None)
         self._close(listed.port)
 
+    def restart(self, listed: Listed, version: str) -> None:
+        """Has a server come back under its identity with other software."""
+        self._close(listed.port)
+        listed.version = version
+        self._listen(self._answer_request, listed.port)
+
     def _close(self, port: int) -> None:
         listener = self._listeners.pop(port, None)
         if listener is None:
@@ -245,9 +253,11 @@
                 connection.shutdown(socket.SHUT_RDWR)
 
     def _listen(
-        self, answer: abc.Callable[[socket.socket, int, bytes], None]
+        self,
+        answer: abc.Callable[[socket.socket, int, bytes], None],
+        port: int = 0,
     ) -> int:
-        listener = socket.create_server(("127.0.0.1", 0), backlog=256)
+        listener = socket.create_server(("127.0.0.1", port), backlog=256)
         port = listener.getsockname()[1]
         self._listeners[port] = listener
         self._open[port] = set()
@@ -465,7 +475,9 @@
     connection.sendall("\r\n".join([*head, "", ""]).encode())
     answer.on_begun()
     for index in _send_pieces(connection, answer, pieces):
-        yield received.last_event + 1 + index
+        number = received.last_event + 1 + index
+        answer.hold(number)
+        yield number
     if answer.framing is Framing.CHUNKED and is_framed:
         connection.sendall(b"0\r\n\r\n")
     if answer.ending.resets:
--- a/cardamombarrow/platform/tests/test_versions_after_kills.py
+++ b/cardamombarrow/platform/tests/test_versions_after_kills.py
@@ -9,6 +9,7 @@
 import itertools
 import json
 import signal
+import threading
 import time
 
 import pytest
@@ -36,10 +37,17 @@
     limit_ms=10_000,
     services=((standin.SERVICE, 50), (_OTHER_SERVICE, 50)),
 )
+_CONTROL_MEMORY_S = 62.0
+"""Time after which control processes know which entries have never run."""
+
 _STREAMS = 36
 _PAUSE_S = 0.25
 _BEGUN_S = 2 * _PAUSE_S
-"""Time in which some, not all, events of a stream arrive."""
+"""Time in which the events arrive that are sent before the disruption."""
+
+_HELD_AFTER = 2
+_HELD_S = 10.0
+"""Longest time for which the other events wait for the disruption."""
 
 _LISTED_S = 1.2
 """Time in which all entries have read the list."""
@@ -69,9 +77,9 @@
         super().__init__()
         self._numbers = itertools.count(1)
         self._limits = limits
-        self.servers = self.enter_context(
-            standin.Servers(lambda received: standin.Answer(pause_s=_PAUSE_S))
-        )
+        self._disturbed = threading.Event()
+        answer = standin.Answer(pause_s=_PAUSE_S, hold=self._hold)
+        self.servers = self.enter_context(standin.Servers(lambda _: answer))
         for service in (standin.SERVICE, _OTHER_SERVICE):
             self.start("v1", service)
         entries = {**_ENTRIES, "b": [*_ENTRIES["b"], _NEW]}
@@ -85,6 +93,10 @@
             returning_callers.Callers(self.running, self.servers)
         )
 
+    def _hold(self, number):
+        if number > _HELD_AFTER:
+            self._disturbed.wait(_HELD_S)
+
     def start(self, version, service=standin.SERVICE, state="ready"):
         """Starts two servers."""
         for _ in range(2):
@@ -147,8 +159,11 @@
 
     def check(self):
         """Checks all streams after their callers are done."""
+        self._disturbed.set()
         self.callers.finish()
         print(self.callers.summary(), self.callers.faults())
+        resumed = [each for each in self.callers.streams if each.resumptions]
+        assert len(resumed) > _STREAMS / 2
         assert not self.callers.faults()
 
 
@@ -190,6 +205,7 @@
 def test_a_new_entry_starts_after_all_others_died(scene):
     # Guards against an entry that takes its empty table for complete because
     # it had no process before, though others began streams and died.
+    time.sleep(_CONTROL_MEMORY_S)
     scene.begin([*_NAMES, _NEW])
     scene.replace()
     scene.kill()
@@ -322,6 +338,17 @@
         scene.check()
 
 
+@_limited(_WITHIN)
+def test_servers_come_back_under_their_identities_with_other_software(scene):
+    # Guards against streams that go on at an endpoint whose version has changed
+    # since the list was read.
+    with scene.servers.lagging(2.0):
+        scene.begin()
+        for each in list(scene.servers.listed.values()):
+            scene.servers.restart(each, "v2")
+        scene.check()
+
+
 @_limited(_LONGER, _WITHIN)
 def test_a_part_of_the_list_is_unreadable_while_entries_start(scene):
     # Guards against entries that miss a version because its servers' entries
