Tell followers only changed groups of open streams, and doubt more

Any open group of a service that serves the request is a candidate now, and streams that can't be resumed are reported as well. Control tells the ends of groups ahead, and each change once. - Control vouched without a quorum, and after 600 s without reports. - The first message after a silence was doubted; its news were applied before it counted as news. - A list of versions too long for an entry's own table, callers without a limit, versions that leave before an entry was told of all.

--- a/cardamombarrow/entry/frontend/routed.py
+++ b/cardamombarrow/entry/frontend/routed.py
@@ -32,6 +32,7 @@
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import logs
 from cardamombarrow.resumption import core as resumption
+from cardamombarrow.resumption import open_streams
 
 __all__ = ["RoutedApp"]
 
@@ -361,7 +362,9 @@
             stream_key=_stream_key(route, workspace, parsed_headers),
             stream_until_s=_stream_until_s(
                 request_class, parsed_headers, arrived_s
-            ),
+            )
+            if route.streams
+            else None,
         )
 
 
@@ -390,7 +393,10 @@
 
     A caller may wait longer than its class allows one attempt to last.
     """
-    limit_s = max(request_class.target_total_s, parsed_headers.limit_s or 0.0)
+    limit_s = parsed_headers.limit_s
+    if limit_s is None:
+        limit_s = open_streams.LONGEST_STREAM_S
+    limit_s = max(request_class.target_total_s, limit_s)
     return arrived_s + limit_s + resumption.RETENTION_MARGIN_S
 
 
--- a/cardamombarrow/entry/requests/request_handler.py
+++ b/cardamombarrow/entry/requests/request_handler.py
@@ -556,7 +556,7 @@
         endpoint = run.ticket.placed.result().endpoint
         if job.required_software is None:
             job.required_software = self._services.broker.software_of(endpoint)
-        if self._call.stream_key is not None:
+        if self._call.stream_until_s is not None:
             origin = resumption.Origin(job.service, job.required_software)
             self._services.origins.add_own(
                 self._call.stream_key,
--- a/cardamombarrow/peers/control/client.py
+++ b/cardamombarrow/peers/control/client.py
@@ -305,12 +305,13 @@
         self._on_forwarders(message.near_forwarders, message.far_forwarders)
         if message.is_new:
             self._on_new()
+        # Records that news have come, without which they would be doubted.
+        if message.entry_count:
+            self._on_entry_count(message.entry_count)
         if message.open_streams or message.knows_open_streams:
             self._on_open_streams(
                 message.open_streams, message.knows_open_streams
             )
-        if message.entry_count:
-            self._on_entry_count(message.entry_count)
         if message.suspects:
             await asyncio.to_thread(self._on_suspects, message.suspects)
         if not document_codec.has_text(message) and not message.changes:
--- a/cardamombarrow/peers/control/followers.py
+++ b/cardamombarrow/peers/control/followers.py
@@ -100,7 +100,7 @@
         self._knows_all_s = time.monotonic() + (0.0 if founds else MEMORY_S)
         self._left_s: dict[ids.InstanceId, float] = {}
         self._open_streams = open_streams_relay.OpenStreamsRelay(
-            time.monotonic(), founds=founds
+            founds=founds, has_quorum=has_quorum
         )
         self._suspects = suspect_relay.SuspectRelay(random.Random())
         self._forwarders: dict[ids.DomainId, list[str]] = {}
--- a/cardamombarrow/peers/control/open_streams_relay.py
+++ b/cardamombarrow/peers/control/open_streams_relay.py
@@ -6,6 +6,7 @@
 that began streams are gone.
 """
 
+from collections import abc
 import dataclasses
 import math
 
@@ -16,39 +17,52 @@
 __all__ = ["OpenStreamsRelay", "Sent"]
 
 
+AHEAD_S = 15.0
+"""How far beyond the end of a group's last open stream followers are told, so
+that steady traffic needs one message for each group in this time."""
+
+
 @dataclasses.dataclass(frozen=True)
 class Sent:
     """What a follower was sent last.
 
     Attributes:
-        number: Number of the last new group.
+        number: Number of the last change.
         are_all: Whether it was told that these are all.
-        sent_s: Local time of the message.
     """
 
-    number: int = -1
+    number: int = 0
     are_all: bool = False
-    sent_s: float = -math.inf
 
 
 class OpenStreamsRelay:
     """The open streams of all entries; runs on a control process's loop."""
 
-    def __init__(self, now_s: float, *, founds: bool):
+    def __init__(
+        self,
+        *,
+        founds: bool,
+        has_quorum: abc.Callable[[], bool] = lambda: True,
+    ):
         """Builds an empty relay.
 
         Args:
-            now_s: The local time.
             founds: Whether no entry has run before this process.
+            has_quorum: Returns whether this process is not cut off from most
+                others, which may have been told more.
         """
         self._open = open_streams.OpenStreams()
-        self._started_s = now_s
+        self._told: dict[open_streams.StreamGroup, tuple[float, int]] = {}
+        self._number = 0
+        self._urgent_number = 0
         self._was_told_all = founds
+        self._has_quorum = has_quorum
 
     def _are_all(self, now_s: float) -> bool:
-        return self._open.has_all(now_s) and (
+        return (
             self._was_told_all
-            or now_s - self._started_s >= open_streams.LONGEST_STREAM_S
+            and self._open.has_all(now_s)
+            and self._has_quorum()
         )
 
     def put(
@@ -57,35 +71,50 @@
         now_s: float,
     ) -> bool:
         """Takes a report; returns whether followers need to know at once."""
-        before = self._open.number, self._are_all(now_s)
+        before = self._urgent_number, self._are_all(now_s)
         for group, until_s in open_streams_codec.open_streams_from_wire(
             message.open_streams, now_s
         ):
             self._open.extend(group, until_s)
+            self._tell(group, until_s, now_s)
         self._was_told_all = self._was_told_all or message.knows_open_streams
-        return before != (self._open.number, self._are_all(now_s))
+        return before != (self._urgent_number, self._are_all(now_s))
+
+    def _tell(
+        self, group: open_streams.StreamGroup, until_s: float, now_s: float
+    ) -> None:
+        told_s, _ = self._told.get(group, (-math.inf, 0))
+        if until_s <= told_s:
+            return
+        self._number += 1
+        if told_s <= now_s:
+            self._urgent_number = self._number
+        self._told[group] = until_s + AHEAD_S, self._number
 
     def is_news(self, sent: Sent, now_s: float) -> bool:
-        """Returns whether a follower lacks a group."""
-        return (sent.number, sent.are_all) != (
-            self._open.number,
-            self._are_all(now_s),
+        """Returns whether a follower needs to know something at once."""
+        return (
+            sent.number < self._urgent_number
+            or sent.are_all != self._are_all(now_s)
         )
 
     def fill(
         self, message: control_pb2.DocumentMessage, sent: Sent, now_s: float
     ) -> Sent:
-        """Adds what a follower lacks to a message; returns what it has then.
-
-        While a service has several versions, the ends of their streams are sent
-        again as often as entries report them.
-        """
-        items = self._open.items(now_s)
-        is_due = now_s - sent.sent_s >= open_streams.REPORT_AHEAD_S
-        if not self.is_news(sent, now_s) and not (is_due and _is_mixed(items)):
+        """Adds what a follower lacks to a message; returns what it has then."""
+        now_sent = Sent(self._number, self._are_all(now_s))
+        if now_sent == sent:
             return sent
+        ended = [g for g, (end_s, _) in self._told.items() if end_s <= now_s]
+        for group in ended:
+            del self._told[group]
+        items = [
+            (group, end_s)
+            for group, (end_s, number) in self._told.items()
+            if number > sent.number
+        ]
         self._fill(message, items, now_s)
-        return Sent(self._open.number, self._are_all(now_s), now_s)
+        return now_sent
 
     def fill_reply(
         self, reply: control_pb2.FollowersReply, now_s: float
@@ -103,8 +132,3 @@
             open_streams_codec.open_streams_to_wire(items, now_s)
         )
         message.knows_open_streams = self._are_all(now_s)
-
-
-def _is_mixed(items: list[open_streams.GroupEnd]) -> bool:
-    origins = {group.origin for group, _ in items}
-    return len(origins) > len({origin.service for origin in origins})
--- a/cardamombarrow/peers/control/tests/test_open_streams.py
+++ b/cardamombarrow/peers/control/tests/test_open_streams.py
@@ -74,9 +74,7 @@
 
 
 def _relay(time_source, *, founds=False):
-    return open_streams_relay.OpenStreamsRelay(
-        time_source.now_s(), founds=founds
-    )
+    return open_streams_relay.OpenStreamsRelay(founds=founds)
 
 
 @pytest.fixture
@@ -97,7 +95,7 @@
     started.list(_NEW)
     started.receive()
     assert started.resolve_unknown().origin is None
-    for _ in range(5):
+    for _ in range(10):
         time_source.advance(5.0)
         started.receive()
     assert started.resolve_unknown().origin == _NEW
@@ -120,6 +118,61 @@
     assert started.resolve_unknown(ids.ClassId("digest")).origin == _OLD
 
 
+def test_a_class_that_is_renamed_keeps_its_streams(time_source):
+    # Guards against a route that gets another name while its streams are open.
+    relay = _relay(time_source, founds=True)
+    lost = _Entry(time_source, relay)
+    until_s = time_source.now_s() + 25.0
+    lost.origins.add_own(1, _OLD, until_s, ids.ClassId("letter"))
+    lost.report()
+    started = _Entry(time_source, relay)
+    started.list(_NEW)
+    started.receive()
+    assert started.resolve_unknown(ids.ClassId("note")).origin is None
+
+
+def test_streams_that_could_not_be_resumed_may_be_later(time_source):
+    # Guards against a document that lets callers resume streams that are open.
+    relay = _relay(time_source, founds=True)
+    lost = _Entry(time_source, relay)
+    until_s = time_source.now_s() + 25.0
+    lost.origins.add_own(None, _OLD, until_s, ids.ClassId("letter"))
+    lost.report()
+    started = _Entry(time_source, relay)
+    started.list(_NEW)
+    started.receive()
+    assert started.resolve_unknown(ids.ClassId("letter")).origin is None
+
+
+def test_a_control_process_without_a_quorum_vouches_for_nothing(time_source):
+    # Guards against one that was cut off, and tells old knowledge as all.
+    relay = open_streams_relay.OpenStreamsRelay(
+        founds=True, has_quorum=lambda: False
+    )
+    entry = _Entry(time_source, relay)
+    entry.list(_NEW)
+    entry.receive()
+    assert entry.resolve_unknown().origin is None
+
+
+def test_a_follower_gets_only_what_has_changed(time_source):
+    # Guards against messages that grow with the number of classes.
+    relay = _relay(time_source, founds=True)
+    entry, other = (_Entry(time_source, relay) for _ in range(2))
+    sent = open_streams_relay.Sent()
+    for number in range(100):
+        until_s = time_source.now_s() + 15.0
+        entry.origins.add_own(
+            number, _OLD, until_s, ids.ClassId(f"class-{number}")
+        )
+        entry.report()
+        message = control_pb2.DocumentMessage()
+        sent = relay.fill(message, sent, time_source.now_s())
+        assert len(message.open_streams) == 1
+    other.receive()
+    assert len(other.origins.take_report(first=True).items) == 100
+
+
 def test_streams_of_lost_entries_go_on_where_there_is_one_version(time_source):
     # Guards against callers that are refused although nothing can be mixed.
     relay = _relay(time_source, founds=True)
@@ -267,6 +320,14 @@
 
 
 @hypothesis.given(_STEPS)
+@hypothesis.example(
+    [
+        ("begin", 0, _OLD, 1.0),
+        ("begin", 0, _OLD, 7.0),
+        ("wait", 6.0),
+        ("list", 1, (_NEW,)),
+    ]
+)
 @hypothesis.settings(max_examples=400, deadline=None)
 def test_no_entry_takes_another_version_for_the_only_one(steps):
     # Guards against streams of two versions, whoever starts, stands still or
--- a/cardamombarrow/resumption/candidates.py
+++ b/cardamombarrow/resumption/candidates.py
@@ -13,6 +13,8 @@
 entry has not been told of: it was cut off or stood still. Control has closed a
 link that was silent for so long, and tells everything again on the next one."""
 
+_LONGEST_S = open_streams.LONGEST_STREAM_S
+
 
 class Candidates:
     """Versions that are listed, or may have open streams; not thread-safe."""
@@ -44,9 +46,9 @@
         """Returns whether nothing else has open streams."""
         if now_s - self._news_s >= SILENCE_S or not self._open.has_all(now_s):
             return False
-        return self._was_told_all or (
-            now_s - self._since_s >= open_streams.LONGEST_STREAM_S
-        )
+        if not self._own.has_all(now_s):
+            return False
+        return self._was_told_all or (now_s - self._since_s >= _LONGEST_S)
 
     def of_class(
         self,
@@ -63,13 +65,12 @@
             now_s: The local time.
         """
         found = {each for each in self._listed if each.service in services}
-        for group, _ in self._open.items(now_s):
-            is_near = (
-                group.class_id == open_streams.ANY_CLASS
-                and group.origin.service in services
-            )
-            if is_near or group.class_id == class_id:
-                found.add(group.origin)
+        # Its class may have had another name when it began.
+        found.update(
+            group.origin
+            for group, _ in self._open.items(now_s)
+            if group.class_id == class_id or group.origin.service in services
+        )
         return frozenset(found)
 
     def mixed(self, now_s: float) -> set[ids.ServiceId]:
@@ -95,9 +96,11 @@
         """Sets the listed versions; returns whether there are new ones."""
         new = listed - self._listed
         end_s = now_s + self.lifetime_s
-        # Entries that have the previous list may still begin streams.
+        # Entries that have the previous list may still begin streams, and only
+        # control knows how long theirs are open.
+        gone_s = end_s if self._was_told_all else now_s + _LONGEST_S
         for origin in self._listed - listed:
-            self._open.extend(_unclassed(origin), end_s)
+            self._open.extend(_unclassed(origin), gone_s)
         for origin in new:
             self._own.extend(_unclassed(origin), end_s)
         self._listed = listed
--- a/cardamombarrow/resumption/core.py
+++ b/cardamombarrow/resumption/core.py
@@ -215,7 +215,7 @@
 
     def add_own(
         self,
-        key: int,
+        key: int | None,
         origin: Origin,
         until_s: float | None = None,
         class_id: ids.ClassId = open_streams.ANY_CLASS,
@@ -224,7 +224,8 @@
         """Records a stream whose first event has just arrived.
 
         Args:
-            key: See `stream_key`.
+            key: See `stream_key`; None if no caller may resume it. A document
+                may allow that later.
             origin: What wrote the event.
             until_s: Local time until which its caller may resume it; None if
                 not known.
@@ -239,7 +240,10 @@
             is_reported = self._candidates.add_own(
                 open_streams.StreamGroup(class_id, origin), until_s
             )
-        self.merge([Record(key, origin, now_s, Source.OWN, until_s, endpoint)])
+        if key is not None:
+            self.merge(
+                [Record(key, origin, now_s, Source.OWN, until_s, endpoint)]
+            )
         if not is_reported:
             self._on_unreported()
 
--- a/cardamombarrow/resumption/open_streams.py
+++ b/cardamombarrow/resumption/open_streams.py
@@ -27,7 +27,7 @@
 """Time after which no caller resumes a stream, whatever limit it has stated.
 An instance that has run for this long knows all open streams by itself."""
 
-MAX_GROUPS = 4_096
+MAX_GROUPS = 16_384
 """Most groups of streams. A list of endpoints that names so many versions has
 mistakes, and each instance would send all of them to others."""
 
