Close idle connections to endpoints without another request

Connections that were kept after an answer were closed only when a later request looked for one. An entry without requests held them for as long as the endpoint did, and an endpoint in trouble could go on sending on them.

A thread that sleeps while no connection is idle closes them in time.

--- a/cardamombarrow/endpoints/pool.py
+++ b/cardamombarrow/endpoints/pool.py
@@ -18,16 +18,21 @@
 import threading
 
 from cardamombarrow.endpoints import connection
+from cardamombarrow.kernel import background
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import ids
+from cardamombarrow.kernel import lifecycle
 
-__all__ = ["Pool"]
+__all__ = ["IdleCloser", "Pool"]
 
 KEEP_ALIVE_SHARE = 0.5
 UNREPEATABLE_IDLE_S = 1.0
 REPEATABLE_IDLE_S = 4.0
 MAX_IDLE = 3
 
+CLOSE_INTERVAL_S = 1.0
+"""Time between two checks for connections that were idle for too long."""
+
 
 class Pool:
     """Idle connections by endpoint; used by all threads.
@@ -46,6 +51,7 @@
         self._clock = time_source
         self._lock = threading.Lock()
         self._idle: dict[ids.EndpointId, list[connection.Connection]] = {}
+        self._has_idle = threading.Event()
 
     def take(
         self, endpoint: ids.EndpointId, *, repeatable: bool
@@ -80,6 +86,22 @@
                 return
             used.idle_since_s = self._clock.now_s()
             idle.append(used)
+            self._has_idle.set()
+
+    def wait_for_idle(self) -> None:
+        """Returns once it has connections, or `wake` is called."""
+        self._has_idle.wait()
+
+    def wake(self) -> None:
+        """Ends `wait_for_idle`."""
+        self._has_idle.set()
+
+    def close_old(self) -> None:
+        """Closes the connections that no request may use any more."""
+        with self._lock:
+            self._close_old(self._clock.now_s())
+            if not self._idle:
+                self._has_idle.clear()
 
     def _close_old(self, now_s: float) -> None:
         for endpoint, idle in list(self._idle.items()):
@@ -93,3 +115,31 @@
             KEEP_ALIVE_SHARE * idle.keep_alive_s, REPEATABLE_IDLE_S
         )
         return now_s - idle.idle_since_s > max_idle_s
+
+
+class IdleCloser(lifecycle.Part):
+    """Thread that closes old connections of a pool also without requests.
+
+    An endpoint in trouble may send on an idle connection without end.
+    """
+
+    def __init__(self, pool: Pool):
+        self._pool = pool
+        self._stop = threading.Event()
+        self._thread = background.supervised_thread(self._run, "idle closer")
+
+    def start(self) -> None:
+        """Starts the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stops the thread."""
+        self._stop.set()
+        self._pool.wake()
+        self._thread.join()
+
+    def _run(self) -> None:
+        while not self._stop.is_set():
+            self._pool.wait_for_idle()
+            if not self._stop.wait(CLOSE_INTERVAL_S):
+                self._pool.close_old()
--- a/cardamombarrow/endpoints/tests/test_pool.py
+++ b/cardamombarrow/endpoints/tests/test_pool.py
@@ -250,3 +250,20 @@
         each.join()
     idle = sum(len(each) for each in env.pool._idle.values())
     assert 1 <= idle <= pool_module.MAX_IDLE
+
+
+def test_a_connection_is_closed_in_time_without_another_request(world):
+    # Guards against an endpoint that sends without end on an idle connection.
+    env = world(_REUSABLE + b"ab")
+    closer = pool_module.IdleCloser(env.pool)
+    closer.start()
+    env.send()
+    env.clock.advance(pool_module.REPEATABLE_IDLE_S + 0.1)
+    assert env.endpoint.wait_closed() == 1
+    closer.stop()
+
+
+def test_the_thread_that_closes_connections_stops_without_any(world):
+    closer = pool_module.IdleCloser(world().pool)
+    closer.start()
+    closer.stop()
--- a/cardamombarrow/entry/core.py
+++ b/cardamombarrow/entry/core.py
@@ -12,6 +12,8 @@
 from cardamombarrow.discovery import core as discovery_core
 from cardamombarrow.document import schema
 from cardamombarrow.endpoints import base as endpoints_base
+from cardamombarrow.endpoints import pool as pool_module
+from cardamombarrow.endpoints import transfer
 from cardamombarrow.entry import metrics
 from cardamombarrow.entry import peering as peering_module
 from cardamombarrow.entry import readiness as readiness_module
@@ -344,6 +346,7 @@
     drain = _Drain(readiness, runner, settings.calls)
     parts = [
         *side,
+        pool_module.IdleCloser(transfer.POOL),
         poller,
         watch,
         broker,
