Count interim answers towards the size of a head

An endpoint that sent interim answers (1xx) without end was read at full speed until the deadline of the request, since the parser's limit is for each of them.

Evidence: the new case of test_endless_bytes failed on the code before: 22 MB were read in 30 s. All bytes before the head now share its limit of 128 KiB.

--- a/cardamombarrow/endpoints/connection.py
+++ b/cardamombarrow/endpoints/connection.py
@@ -59,6 +59,7 @@
         )
         self._unsent = memoryview(b"")
         self._chunks: collections.deque[bytes] = collections.deque()
+        self._head_bytes = 0
         self._request_cut = False
         self.connected = False
         self.sent = False
@@ -167,6 +168,11 @@
             self._take_events()
         except h11.RemoteProtocolError as error:
             raise BrokenError(f"invalid HTTP answer: {error}") from None
+        if self.head is None:
+            # The parser's limit is for each interim answer (1xx).
+            self._head_bytes += len(data)
+            if self._head_bytes > HEAD_LIMIT_BYTES:
+                raise BrokenError(f"a head of over {HEAD_LIMIT_BYTES} bytes")
 
     def _take_events(self) -> None:
         while True:
@@ -233,6 +239,7 @@
         """Prepares for the next request after a complete exchange."""
         self._http.start_next_cycle()
         self._chunks.clear()
+        self._head_bytes = 0
         self.head = None
         self.whole = self.sent = False
 
--- a/cardamombarrow/endpoints/tests/test_endless_bytes.py
+++ b/cardamombarrow/endpoints/tests/test_endless_bytes.py
@@ -35,6 +35,7 @@
 HEADS = {
     "no status line": (b"", b"x" * _FILLER),
     "fields": (_OK, b"X-Filler: " + b"x" * 1_000 + b"\r\n"),
+    "interim answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 2_600),
     "one field": (_OK + b"X-Filler: ", b"x" * _FILLER),
     "chunk size": (_CHUNKED, b"0" * _FILLER),
     "chunk extension": (_CHUNKED + b"5;", b"x" * _FILLER),
