Bound what an instance holds of incomplete answers of endpoints

Heads, events and failure answers without end were bounded for each connection (128 KiB, 256 KiB, 1 MiB), not for the process. An entry that had called several endpoints in trouble could exceed its memory limit, and the requests of all its other callers would have ended with it.

What such buffers hold together is counted and bounded by 4 MiB. A buffer may grow only to the size of what is left, so that the largest are cut first and those of sound endpoints still fit. Bodies of small chunks are collected in one buffer, since a list of them takes a multiple of their size.

--- a/cardamombarrow/endpoints/answer_body.py
+++ b/cardamombarrow/endpoints/answer_body.py
@@ -40,6 +40,11 @@
         self._events = event_stream.EventSplitter() if head.streams else None
         self._tail = b""
 
+    @property
+    def held_bytes(self) -> int:
+        """Size of the incomplete event that is buffered."""
+        return 0 if self._events is None else len(self._events.partial)
+
     def feed(self, data: bytes) -> bytes:
         """Returns the bytes that may be relayed now.
 
--- a/cardamombarrow/endpoints/connection.py
+++ b/cardamombarrow/endpoints/connection.py
@@ -4,7 +4,6 @@
 caller, and calls the connection when its socket is ready.
 """
 
-import collections
 from collections import abc
 import errno
 import os
@@ -41,6 +40,8 @@
         sent: Whether any byte of the current request was sent.
         head: Status and headers of the answer, once received.
         whole: Whether the whole answer was received.
+        unparsed_bytes: Size of the part of the answer that is buffered until
+            more is received: of a head, a chunk's size or trailers.
         idle_since_s: End of its last answer; set by the pool.
     """
 
@@ -58,13 +59,14 @@
             h11.CLIENT, max_incomplete_event_size=HEAD_LIMIT_BYTES
         )
         self._unsent = memoryview(b"")
-        self._chunks: collections.deque[bytes] = collections.deque()
+        self._body = bytearray()
         self._head_bytes = 0
         self._request_cut = False
         self.connected = False
         self.sent = False
         self.head: base.Head | None = None
         self.whole = False
+        self.unparsed_bytes = 0
         self.idle_since_s = 0.0
         code = self._socket.connect_ex((host, int(port)))
         if code not in (0, errno.EINPROGRESS):
@@ -165,7 +167,10 @@
             raise BrokenError(f"connection lost: {error}") from None
         try:
             self._http.receive_data(data)
-            self._take_events()
+            if self._take_events():
+                self.unparsed_bytes = len(self._http.trailing_data[0])
+            else:
+                self.unparsed_bytes += len(data)
         except h11.RemoteProtocolError as error:
             raise BrokenError(f"invalid HTTP answer: {error}") from None
         if self.head is None:
@@ -174,9 +179,14 @@
             if self._head_bytes > HEAD_LIMIT_BYTES:
                 raise BrokenError(f"a head of over {HEAD_LIMIT_BYTES} bytes")
 
-    def _take_events(self) -> None:
+    def _take_events(self) -> bool:
+        """Takes what was received; returns False if it was no whole part."""
+        found = False
         while True:
             event = self._http.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return found
+            found = True
             if isinstance(event, h11.Response):
                 self.head = base.Head(
                     event.status_code,
@@ -192,17 +202,22 @@
                 self._request_cut = bool(self._unsent)
                 self._unsent = memoryview(b"")
             elif isinstance(event, h11.Data):
-                self._chunks.append(bytes(event.data))
+                self._body += event.data
             elif isinstance(event, h11.EndOfMessage):
                 self.whole = True
-                return
+                return found
             elif not isinstance(event, h11.InformationalResponse):
-                return
+                return found
+
+    @property
+    def has_body(self) -> bool:
+        """Whether a part of the body was received that was not taken yet."""
+        return bool(self._body)
 
     def take_body(self) -> bytes:
         """Returns the received part of the body that was not taken yet."""
-        data = b"".join(self._chunks)
-        self._chunks.clear()
+        data = bytes(self._body)
+        self._body.clear()
         return data
 
     @property
@@ -238,8 +253,8 @@
     def reset(self) -> None:
         """Prepares for the next request after a complete exchange."""
         self._http.start_next_cycle()
-        self._chunks.clear()
-        self._head_bytes = 0
+        self._body.clear()
+        self._head_bytes = self.unparsed_bytes = 0
         self.head = None
         self.whole = self.sent = False
 
--- a/cardamombarrow/endpoints/tests/test_endless_bytes.py
+++ b/cardamombarrow/endpoints/tests/test_endless_bytes.py
@@ -13,6 +13,7 @@
 from cardamombarrow.endpoints import plain
 from cardamombarrow.entry.requests import answer_stream
 from cardamombarrow.kernel import errors
+from cardamombarrow.kernel import held_bytes
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import memory
 from cardamombarrow.platform import servers
@@ -190,6 +191,7 @@
     taken = itertools.count()
     chunks = (b"x" * _FILLER for _ in taken)
     with pytest.raises(errors.EndpointError) as caught:
-        answer_stream.failure_body(chunks)
+        held = held_bytes.HeldBytes().buffer()
+        answer_stream.failure_body(chunks, held)
     assert caught.value.kind is errors.ErrorKind.ANSWER_CUT
     assert next(taken) * _FILLER < MOST_BYTES
--- a/cardamombarrow/endpoints/transfer.py
+++ b/cardamombarrow/endpoints/transfer.py
@@ -18,6 +18,7 @@
 from cardamombarrow.endpoints import pool as pool_module
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import errors
+from cardamombarrow.kernel import held_bytes
 from cardamombarrow.kernel import ids
 
 __all__ = ["POOL", "HttpExchange"]
@@ -66,6 +67,7 @@
         self._error: str | None = None
         self._accepted = False
         self._connecting = False
+        self._held = held_bytes.ENDPOINT_BYTES.buffer()
         self._started_s = self._received_s = time.monotonic()
         self._poll = select.poll()
         caller_fd = call.caller.fileno()
@@ -82,6 +84,7 @@
             if self._error is not None:
                 raise self._failure()
             self._step()
+            self._check_held(connection.unparsed_bytes)
             self._check_connect()
             self._check_first_byte()
             if self._silent_s() > self._call.stall_limit_s:
@@ -99,6 +102,7 @@
             data = connection.take_body()
             if data:
                 complete = body.feed(data)
+                self._check_held(connection.unparsed_bytes + body.held_bytes)
                 if complete:
                     yield complete
             elif connection.whole:
@@ -109,6 +113,7 @@
                 raise self._failure()
             else:
                 self._step()
+                self._check_held(connection.unparsed_bytes + body.held_bytes)
                 if self._silent_s() > self._call.stall_limit_s:
                     self._check_stall()
 
@@ -118,6 +123,7 @@
 
     def close(self) -> None:
         """Ends the exchange; cancels the request if it has not finished."""
+        self._held.release()
         connection, self._connection = self._connection, None
         if connection is None:
             return
@@ -216,6 +222,16 @@
             return 0.0
         return time.monotonic() - self._received_s
 
+    def _check_held(self, size_bytes: int) -> None:
+        if not self._held.resize(size_bytes):
+            raise self._endpoint_error(
+                errors.ErrorKind.ENDPOINT_FAILED
+                if self._connection.head is None
+                else errors.ErrorKind.ANSWER_CUT,
+                f"{size_bytes} bytes without the end of a head or an event, "
+                "and too many are held for all answers",
+            )
+
     def _check_connect(self) -> None:
         late = time.monotonic() - self._started_s > CONNECT_TIMEOUT_S
         if late and not self._connection.connected:
--- a/cardamombarrow/entry/requests/answer_stream.py
+++ b/cardamombarrow/entry/requests/answer_stream.py
@@ -5,6 +5,7 @@
 from cardamombarrow.decisions import messages
 from cardamombarrow.endpoints import base as endpoints_base
 from cardamombarrow.kernel import errors
+from cardamombarrow.kernel import held_bytes
 
 __all__ = [
     "BUFFERED_ANSWER_BYTES",
@@ -12,6 +13,7 @@
     "failure_body",
     "failure_of",
     "is_buffered",
+    "joined",
     "outcome_of",
 ]
 
@@ -39,21 +41,40 @@
 request can be retried. Faulty endpoints may send without end."""
 
 
-def failure_body(chunks: abc.Iterable[bytes]) -> bytes:
+def failure_body(
+    chunks: abc.Iterable[bytes], held: held_bytes.HeldBuffer
+) -> bytes:
     """Returns the whole body of a failure answer.
 
+    Args:
+        chunks: The body.
+        held: Counts the body's size.
+
     Raises:
-        errors.EndpointError: It is over `MAX_FAILURE_BYTES`.
+        errors.EndpointError: It is over `MAX_FAILURE_BYTES`, or too many bytes
+            are held.
     """
     body = bytearray()
+    try:
+        for chunk in chunks:
+            body += chunk
+            if len(body) > MAX_FAILURE_BYTES or not held.resize(len(body)):
+                raise errors.EndpointError(
+                    errors.ErrorKind.ANSWER_CUT,
+                    f"a failure answer of {len(body)} bytes or more",
+                    sent=True,
+                )
+    except BaseException:
+        held.release()
+        raise
+    return bytes(body)
+
+
+def joined(chunks: abc.Iterable[bytes]) -> bytes:
+    """Returns a body; a list of small chunks would take a multiple of it."""
+    body = bytearray()
     for chunk in chunks:
         body += chunk
-        if len(body) > MAX_FAILURE_BYTES:
-            raise errors.EndpointError(
-                errors.ErrorKind.ANSWER_CUT,
-                f"a failure answer is over {MAX_FAILURE_BYTES} bytes",
-                sent=True,
-            )
     return bytes(body)
 
 
--- a/cardamombarrow/entry/requests/request_handler.py
+++ b/cardamombarrow/entry/requests/request_handler.py
@@ -25,6 +25,7 @@
 from cardamombarrow.forwarding import reachability as reachability_module
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import errors
+from cardamombarrow.kernel import held_bytes
 from cardamombarrow.kernel import logs
 from cardamombarrow.ledger import client as ledger_client
 from cardamombarrow.metering import meter as meter_module
@@ -154,6 +155,7 @@
         )
         self._last_event = ""
         self._relaying = False
+        self._held = held_bytes.ENDPOINT_BYTES.buffer()
 
     def left_s(self) -> float:
         """Returns the time until the request's deadline, in seconds."""
@@ -228,6 +230,8 @@
         new_ticket = self._resubmit(ticket, outcome)
         if new_ticket is None:
             run.settled = True
+        else:
+            self._held.release()
         return new_ticket
 
     def _first_piece(
@@ -268,9 +272,9 @@
         ticket.job.resumable = resumable
         chunks = exchange.chunks()
         if self._kind.is_failure(head):
-            first = answer_stream.failure_body(chunks)
+            first = answer_stream.failure_body(chunks, self._held)
         elif answer_stream.is_buffered(head):
-            first = b"".join(chunks)
+            first = answer_stream.joined(chunks)
         else:
             first = next(chunks, b"")
         return _Run(ticket, exchange, head, resumable, first, chunks)
@@ -415,7 +419,10 @@
 
     def _relay_run(self, run: _Run) -> abc.Iterator[bytes]:
         if run.settled:
-            yield run.first
+            try:
+                yield run.first
+            finally:
+                self._held.release()
             return
         request_id = run.ticket.job.request_id
         broker = self._services.broker
--- a/cardamombarrow/kernel/memory.py
+++ b/cardamombarrow/kernel/memory.py
@@ -23,7 +23,12 @@
 MAPPED_BYTES = 262_144
 """Smallest buffer that is mapped by itself."""
 
+ARENAS = 2
+"""Most arenas of the allocator. Each keeps freed buffers that others can't use,
+and threads that hold the interpreter's lock rarely wait for one."""
+
 _M_MMAP_THRESHOLD = -3
+_M_ARENA_MAX = -8
 _STATM = pathlib.Path("/proc/self/statm")
 _PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
@@ -45,11 +50,12 @@
     glibc stops doing so for buffers up to the largest one that was freed, and
     keeps them in an arena for each of many threads instead.
 
-    Source: mallopt(3), ``M_MMAP_THRESHOLD``.
+    Source: mallopt(3), ``M_MMAP_THRESHOLD`` and ``M_ARENA_MAX``.
     """
     mallopt = getattr(ctypes.CDLL(None), "mallopt", None)
     if mallopt is not None:
         mallopt(_M_MMAP_THRESHOLD, MAPPED_BYTES)
+        mallopt(_M_ARENA_MAX, ARENAS)
 
 
 class MemoryWatch(lifecycle.Part):
--- a/cardamombarrow/platform/tests/stream_client.py
+++ b/cardamombarrow/platform/tests/stream_client.py
@@ -1,9 +1,11 @@
 """A deployment in front of scripted servers, and a client of it, for tests."""
 
+from collections import abc
 import dataclasses
 import itertools
 import re
 import socket
+import types
 
 from cardamombarrow.platform.tests import platform_plan
 from cardamombarrow.platform.tests import standin_streams as standin
@@ -32,7 +34,7 @@
 _LENGTH = re.compile(rb"content-length: *(\d+)", re.I)
 
 
-def _configuration() -> dict[str, object]:
+def _configuration(others: abc.Mapping[str, bool]) -> dict[str, object]:
     route = {
         "host": "one.example",
         "routeKind": "streaming",
@@ -40,12 +42,11 @@
         "latencyGoalMs": 500,
         "itlTargetMs": 500,
         "priority": 0,
-        "service": standin.SERVICE,
         "maxAttempts": 3,
         "anonymous": True,
         "sticky": False,
     }
-    names = {"once": False, "again": True}
+    names = {"once": False, "again": True, **others}
     return {
         "version": 7,
         "routes": [
@@ -53,13 +54,14 @@
                 **route,
                 "name": name,
                 "pathPrefix": f"/{name}/",
+                "service": name if name in others else standin.SERVICE,
                 "resumable": resumable,
             }
             for name, resumable in names.items()
         ],
         "services": [
             {
-                "name": standin.SERVICE,
+                "name": name,
                 "healthPath": "/healthz",
                 "maxConns": 400,
                 "protocol": "h1",
@@ -70,6 +72,7 @@
                     "models": [{"name": "m"}],
                 },
             }
+            for name in (standin.SERVICE, *others)
         ],
         "limits": {
             "maxHeaderBytes": 16_384,
@@ -80,14 +83,20 @@
     }
 
 
-def plan(listing_url: str, entries: dict[str, list[str]]) -> deployment.Plan:
+def plan(
+    listing_url: str,
+    entries: dict[str, list[str]],
+    others: abc.Mapping[str, bool] = types.MappingProxyType({}),
+) -> deployment.Plan:
     """Returns a plan with a route that resumes streams and one that doesn't.
 
     Args:
         listing_url: The list of servers.
         entries: Instance ids of entries by failure domain.
+        others: Further routes, each to a service of its name, and whether they
+            resume streams.
     """
-    return platform_plan.plan(_configuration(), listing_url, entries)
+    return platform_plan.plan(_configuration(others), listing_url, entries)
 
 
 @dataclasses.dataclass(frozen=True)
