Bound the size of the list of servers over all its pages

Each page was bounded by 8 MiB and their number by 200, so a faulty list could bring 1.6 GB, all of which was parsed and kept. An entry that reads it would exceed its memory limit.

Evidence: the new test, a list of pages of 1 MB with a token on each, failed on the code before, which read 200 pages, 200 MB. All pages together may now have 16 MiB, one page 4 MiB; a longer list is not used, as one of too many pages was before.

--- a/cardamombarrow/platform/listing.py
+++ b/cardamombarrow/platform/listing.py
@@ -21,6 +21,12 @@
 MAX_PAGES = 200
 """Guards against a list whose next-page tokens never end."""
 
+MAX_PAGE_BYTES = 4_194_304
+"""Maximum size of a page; its parsed form takes a multiple of it."""
+
+MAX_LIST_BYTES = 16_777_216
+"""Maximum size of all pages together, several tens of thousands of servers."""
+
 _NAMES = ("id", "address", "service", "zone", "version")
 
 _STATES = {
@@ -154,9 +160,17 @@
         listed: list[base.ListedEndpoint] = []
         mistakes: collections.Counter[Mistake] = collections.Counter()
         token = ""
+        list_bytes = 0
         for _ in range(MAX_PAGES):
             query = f"?{parse.urlencode({'pageToken': token})}" if token else ""
-            reply = http_get.fetch(url + query, timeout_s=FETCH_TIMEOUT_S)
+            reply = http_get.fetch(
+                url + query,
+                timeout_s=FETCH_TIMEOUT_S,
+                max_bytes=MAX_PAGE_BYTES,
+            )
+            list_bytes += len(reply.body)
+            if list_bytes > MAX_LIST_BYTES:
+                break
             if reply.status != 200:
                 raise errors.EndpointError(
                     errors.ErrorKind.ENDPOINT_FAILED,
@@ -170,7 +184,7 @@
             if not token:
                 self._log_changes(mistakes)
                 return listed
-        raise ValueError("the list of servers has too many pages")
+        raise ValueError("the list of servers is too long")
 
     def _log_changes(self, mistakes: collections.Counter[Mistake]) -> None:
         """Logs the entries that are left out, when their number changes."""
--- a/cardamombarrow/platform/tests/test_listing.py
+++ b/cardamombarrow/platform/tests/test_listing.py
@@ -8,6 +8,7 @@
 import pytest
 
 from cardamombarrow.discovery import base
+from cardamombarrow.endpoints import http_get
 from cardamombarrow.kernel import ids
 from cardamombarrow.platform import listing
 
@@ -22,6 +23,7 @@
     "id": "i-7f",
 }
 _SOUND = "10.0.0.9:8080#i-7f"
+_MOST_LIST_BYTES = 64_000_000
 _DEEP = "[" * 10_000 + "]" * 10_000
 
 
@@ -197,3 +199,19 @@
     assert [each.endpoint for each in page.listed] == list(
         dict.fromkeys(f"{each['address']}#{each['id']}" for each in sound)
     )
+
+
+def test_a_list_without_end_is_given_up_before_it_fills_memory(monkeypatch):
+    # Guards against pages that are each small enough and never end.
+    body = _page({**_ENTRY, "zone": "a" * 1_000_000}, token="next")
+    fetched = []
+
+    def fetch(url, *, timeout_s, max_bytes=http_get.MAX_REPLY_BYTES):
+        fetched.append(url)
+        assert len(body) < max_bytes
+        return http_get.Reply(200, body)
+
+    monkeypatch.setattr(http_get, "fetch", fetch)
+    with pytest.raises(ValueError, match="list of servers"):
+        listing.PlatformList().fetch("http://10.0.0.1/instances")
+    assert len(fetched) * len(body) < _MOST_LIST_BYTES
