Treat a stream that brings only comments as a silent one

Any byte counted as progress, so a stream of comments, empty lines or blocks without data was relayed at full speed until the deadline of its request. Its caller never got an event, was not moved to another endpoint, and the flood took processor time from other callers of the entry.

Only a part of an event with data is progress now. Where it may be resumed, it goes on elsewhere; if it brought no event, it begins anew, also at another software version, as nothing of it was relayed. First event, longest pause and version are taken from events only. A stream without framing that is closed after comments was broken off.

The time in which a caller reads slowly does not count as silence, and an event that arrives during the probe ends it: the slice of waiting after the probe had no effect before, and a stream was cut though it went on in time.

--- a/cardamombarrow/endpoints/answer_body.py
+++ b/cardamombarrow/endpoints/answer_body.py
@@ -39,11 +39,20 @@
         self._ends_stream = ends_stream
         self._events = event_stream.EventSplitter() if head.streams else None
         self._tail = b""
+        self._has_event = False
+
+    @property
+    def progressed(self) -> bool:
+        """Whether the bytes that were fed last bring the answer forward.
+
+        Comments and empty lines keep a connection open and do not.
+        """
+        return self._events is None or self._events.progressed
 
     @property
     def held_bytes(self) -> int:
         """Size of the incomplete event that is buffered."""
-        return 0 if self._events is None else len(self._events.partial)
+        return 0 if self._events is None else self._events.partial_bytes
 
     def feed(self, data: bytes) -> bytes:
         """Returns the bytes that may be relayed now.
@@ -60,9 +69,10 @@
             complete = self._events.feed(data)
         except event_stream.OversizedEventError:
             raise _cut(
-                f"an event is over {event_stream.MAX_EVENT_BYTES} bytes"
+                f"over {event_stream.MAX_EVENT_BYTES} bytes without an event"
             ) from None
         self._tail = (self._tail + complete)[-TAIL_BYTES:]
+        self._has_event = self._has_event or self._events.progressed
         return complete
 
     def finish(self) -> bytes:
@@ -79,7 +89,7 @@
         closed = not self._head.is_framed
         if self._events.inside_event:
             raise _cut("the stream ended inside an event", closed)
-        if closed and not self._tail:
+        if closed and not self._has_event:
             raise _cut("the stream ended before its first event", closed)
         if not self._ends_stream(self._tail):
             raise _cut("the stream ended early", closed)
--- a/cardamombarrow/endpoints/tests/test_endless_bytes.py
+++ b/cardamombarrow/endpoints/tests/test_endless_bytes.py
@@ -44,6 +44,9 @@
 }
 STREAMS = {
     "event": (_STREAM + b"\r\n", b"x" * _FILLER),
+    "comments": (_STREAM + b"\r\n", b": x\n\n" * 13_000),
+    "blank lines": (_STREAM + b"\r\n", b"\n" * _FILLER),
+    "blocks without data": (_STREAM + b"\r\n", b"retry: 1\n\n" * 6_500),
     "event of short lines": (_STREAM + b"\r\n", b"data: x\n" * 8_192),
     "chunked event": (_CHUNKED, b"10000\r\n" + b"x" * 65_536 + b"\r\n"),
 }
--- a/cardamombarrow/endpoints/tests/test_event_stream.py
+++ b/cardamombarrow/endpoints/tests/test_event_stream.py
@@ -61,6 +61,55 @@
     assert not splitter.inside_event
 
 
+@pytest.mark.parametrize("line_end", _LINE_ENDS)
+@pytest.mark.parametrize(
+    ("lines", "has_event"),
+    [
+        ((b": idle", b"", b""), False),
+        ((b"", b"", b""), False),
+        ((b"id: 7", b"", b""), False),
+        ((b": data: no", b"", b""), False),
+        ((b"data: a", b"", b""), True),
+        ((b"data", b"", b""), True),
+        ((b": idle", b"", b"event: a", b"data:b", b"", b""), True),
+        ((b"data: a begin", b"", b"", b": idle", b"", b""), True),
+    ],
+)
+@pytest.mark.parametrize("piece_bytes", [1, 1_000])
+def test_only_data_brings_a_stream_forward(
+    line_end, lines, has_event, piece_bytes
+):
+    # Guards against comments that are taken for the progress of an answer.
+    stream = line_end.join(lines)
+    splitter = event_stream.EventSplitter()
+    progressed, passed = False, b""
+    for begin in range(0, len(stream), piece_bytes):
+        passed += splitter.feed(stream[begin : begin + piece_bytes])
+        progressed = progressed or splitter.progressed
+    assert progressed is has_event
+    assert event_stream.has_event(passed) is has_event
+
+
+def test_comments_between_events_are_passed_on_without_limit(monkeypatch):
+    # Guards against a long answer that is cut for all of its keep-alives.
+    monkeypatch.setattr(event_stream, "MAX_EVENT_BYTES", 100)
+    splitter = event_stream.EventSplitter()
+    passed = [
+        splitter.feed(each)
+        for _ in range(50)
+        for each in (b": idle\n\n", b"data: a\n\n")
+    ]
+    assert b"".join(passed).count(b": idle\n\n") == 50
+
+
+def test_a_stream_of_comments_that_is_closed_is_not_whole():
+    # Guards against an endpoint that exits before its first event.
+    body = answer_body.AnswerBody(base.Head(200, _STREAM))
+    body.feed(b": idle\n\n")
+    with pytest.raises(errors.EndpointError):
+        body.finish()
+
+
 def test_an_event_without_an_end_is_not_buffered_without_limit(monkeypatch):
     # Guards against a faulty endpoint that fills the memory of an entry.
     monkeypatch.setattr(event_stream, "MAX_EVENT_BYTES", 100)
--- a/cardamombarrow/endpoints/tests/test_transfer.py
+++ b/cardamombarrow/endpoints/tests/test_transfer.py
@@ -1,7 +1,9 @@
 """Tests of exchanges with endpoints that don't answer or want no request."""
 
+import contextlib
 import dataclasses
 import socket
+import threading
 import time
 
 import pytest
@@ -143,6 +145,112 @@
     assert bool(probes) is not is_paused
 
 
+_STREAM = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+_EVENT = b"data: a\n\n"
+_COMMENT = b": idle\n\n"
+
+
+@pytest.fixture
+def stream(call):
+    """Returns a function that reads a stream of pieces with pauses."""
+
+    def read(pieces, *, stall_limit_s, read_s=0.0):
+        def send():
+            accepted, _ = server.accept()
+            with accepted, contextlib.suppress(OSError):
+                accepted.recv(1_000)
+                accepted.sendall(_STREAM)
+                for pause_s, piece in pieces:
+                    time.sleep(pause_s)
+                    accepted.sendall(piece)
+
+        received = b""
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            address = f"127.0.0.1:{server.getsockname()[1]}"
+            threading.Thread(target=send, daemon=True).start()
+            exchange = transfer.HttpExchange(
+                dataclasses.replace(
+                    call,
+                    endpoint=ids.endpoint_id(address, "i-1"),
+                    deadline_s=time.monotonic() + 30.0,
+                    stall_limit_s=stall_limit_s,
+                ),
+                list,
+                lambda endpoint: True,
+            )
+            with contextlib.closing(exchange):
+                exchange.head()
+                try:
+                    for chunk in exchange.chunks():
+                        received += chunk
+                        time.sleep(read_s)
+                except errors.EndpointError as error:
+                    return received, error.kind
+        return received, None
+
+    return read
+
+
+@pytest.mark.parametrize("begun", [b"", _EVENT])
+@pytest.mark.parametrize("filler", [_COMMENT, b"\n", b"id: 1\n\n"])
+def test_a_stream_that_brings_only_comments_is_given_up(stream, begun, filler):
+    # Guards against a caller that waits until its deadline, though the request
+    # could be resumed elsewhere.
+    pieces = [(0.0, begun), *[(0.1, filler)] * 100]
+    received, kind = stream(pieces, stall_limit_s=1.0)
+    assert kind is errors.ErrorKind.CONNECTION_SILENT
+    assert received.startswith(begun + filler)
+
+
+def test_comments_between_events_are_relayed(stream):
+    # Guards against a sound stream that is cut for its keep-alives.
+    pieces = [(0.2, _COMMENT), (0.2, _EVENT)] * 8
+    received, kind = stream(pieces, stall_limit_s=2.0)
+    assert kind is None
+    assert received == 8 * (_COMMENT + _EVENT)
+
+
+def test_a_caller_that_reads_slowly_is_not_the_silence_of_the_endpoint(stream):
+    # Guards against a sound stream that is cut since its caller was slow.
+    pieces = [(0.0, _EVENT), (0.0, _COMMENT), (0.5, _EVENT)]
+    received, kind = stream(pieces, stall_limit_s=0.4, read_s=0.6)
+    assert kind is None
+    assert received == _EVENT + _COMMENT + _EVENT
+
+
+def test_an_event_that_arrives_during_the_probe_ends_the_silence(call):
+    # Guards against a stream that is cut though its endpoint went on in time.
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        address = f"127.0.0.1:{server.getsockname()[1]}"
+        accepted = []
+
+        def probe(endpoint):
+            accepted[0].sendall(_EVENT)
+            accepted[0].close()
+            return True
+
+        exchange = transfer.HttpExchange(
+            dataclasses.replace(
+                call,
+                endpoint=ids.endpoint_id(address, "i-1"),
+                deadline_s=time.monotonic() + 30.0,
+                stall_limit_s=0.3,
+            ),
+            list,
+            probe,
+        )
+        with contextlib.closing(exchange):
+            connection = exchange._connect()
+            while not connection.sent:
+                exchange._step()
+            accepted.append(server.accept()[0])
+            accepted[0].recv(1_000)
+            accepted[0].sendall(_STREAM)
+            while connection.head is None:
+                exchange._step()
+            assert b"".join(exchange.chunks()) == _EVENT
+
+
 @pytest.mark.parametrize("is_paused", [False, True])
 def test_a_paused_endpoint_is_not_polled(is_paused):
     polls = []
--- a/cardamombarrow/endpoints/transfer.py
+++ b/cardamombarrow/endpoints/transfer.py
@@ -67,8 +67,9 @@
         self._error: str | None = None
         self._accepted = False
         self._connecting = False
+        self._stalled_s: float | None = None
         self._held = held_bytes.ENDPOINT_BYTES.buffer()
-        self._started_s = self._received_s = time.monotonic()
+        self._started_s = self._progress_s = time.monotonic()
         self._poll = select.poll()
         caller_fd = call.caller.fileno()
         if caller_fd >= 0:
@@ -78,12 +79,13 @@
 
     def head(self) -> base.Head:
         """Sends the request and waits for status and headers."""
-        self._started_s = self._received_s = time.monotonic()
+        self._started_s = self._progress_s = time.monotonic()
         connection = self._connect()
         while connection.head is None:
             if self._error is not None:
                 raise self._failure()
-            self._step()
+            if self._step():
+                self._progress_s = time.monotonic()
             self._check_held(connection.unparsed_bytes)
             self._check_connect()
             self._check_first_byte()
@@ -96,15 +98,23 @@
         connection = self._connection
         assert connection is not None, "call head first"
         assert connection.head is not None, "call head first"
-        self._received_s = time.monotonic()
+        self._progress_s = time.monotonic()
         body = answer_body.AnswerBody(connection.head, self._ends_stream)
         while True:
             data = connection.take_body()
             if data:
                 complete = body.feed(data)
                 self._check_held(connection.unparsed_bytes + body.held_bytes)
+                if body.progressed:
+                    self._progress_s = time.monotonic()
+                    self._stalled_s = None
+                else:
+                    self._check_stall()
                 if complete:
+                    yielded_s = time.monotonic()
                     yield complete
+                    # A caller that reads slowly is not the endpoint's silence.
+                    self._progress_s += time.monotonic() - yielded_s
             elif connection.whole:
                 if self._call.method != "HEAD" and (rest := body.finish()):
                     yield rest
@@ -114,7 +124,7 @@
             else:
                 self._step()
                 self._check_held(connection.unparsed_bytes + body.held_bytes)
-                if self._silent_s() > self._call.stall_limit_s:
+                if not connection.has_body:
                     self._check_stall()
 
     def release(self) -> None:
@@ -171,7 +181,8 @@
             fields.append(("Content-Length", str(len(call.body))))
         return fields
 
-    def _step(self) -> None:
+    def _step(self) -> bool:
+        """Waits for the endpoint; returns whether it has sent anything."""
         now_s = time.monotonic()
         call, connection = self._call, self._connection
         assert connection is not None
@@ -185,12 +196,15 @@
             )
         wait_s = min(WAIT_SLICE_S, call.deadline_s - now_s)
         self._poll.modify(connection.fileno(), connection.events)
+        received = False
         for fd, mask in self._poll.poll(wait_s * 1_000):
             if fd == call.caller.fileno():
                 raise errors.RefusedError(
                     errors.ErrorKind.CALLER_GONE, "the caller left"
                 )
             self._process_events(connection, mask)
+            received = bool(mask & select.POLLIN)
+        return received
 
     def _process_events(
         self, connection: connection_module.Connection, mask: int
@@ -209,8 +223,6 @@
         except connection_module.BrokenError as error:
             self._error = str(error)
         self._record_connect(connection.connected)
-        if mask & select.POLLIN:
-            self._received_s = time.monotonic()
 
     def _record_connect(self, connected: bool) -> None:
         if self._connecting:
@@ -220,7 +232,7 @@
     def _silent_s(self) -> float:
         if self._error is not None or self._connection.whole:
             return 0.0
-        return time.monotonic() - self._received_s
+        return time.monotonic() - self._progress_s
 
     def _check_held(self, size_bytes: int) -> None:
         if not self._held.resize(size_bytes):
@@ -269,19 +281,29 @@
                 f"silent for {silent_s:.1f} s; the endpoint does not answer "
                 "a new connection either",
             )
-        self._received_s = time.monotonic()
+        self._progress_s = time.monotonic()
 
     def _check_stall(self) -> None:
+        """Gives up a stream that has brought no event for the stall limit.
+
+        What arrives while the endpoint is probed still counts: one more slice
+        is waited for.
+        """
+        limit_s = self._call.stall_limit_s
         silent_s = self._silent_s()
-        head = self._connection.head
-        self._check_alive()
-        self._step()
-        if self._silent_s() > 0 and head is not None and head.streams:
+        if silent_s <= limit_s:
+            return
+        if self._stalled_s is not None:
             raise self._endpoint_error(
                 errors.ErrorKind.CONNECTION_SILENT,
-                f"silent for {silent_s:.1f} s; the endpoint answers a new "
-                "connection, so this one went silent",
+                f"no event for {self._stalled_s:.1f} s; the endpoint answers "
+                "a new connection, so this one stalled",
             )
+        self._check_alive()
+        head = self._connection.head
+        if head is not None and head.streams:
+            self._stalled_s = silent_s
+            self._progress_s -= max(limit_s - WAIT_SLICE_S, 0.0)
 
     def _failure(self) -> errors.EndpointError:
         text = self._error or "no answer"
--- a/cardamombarrow/entry/requests/request_handler.py
+++ b/cardamombarrow/entry/requests/request_handler.py
@@ -12,6 +12,7 @@
 from cardamombarrow.decisions import messages
 from cardamombarrow.document import schema
 from cardamombarrow.endpoints import base as endpoints_base
+from cardamombarrow.endpoints import event_stream
 from cardamombarrow.entry import metrics as metrics_module
 from cardamombarrow.entry.frontend import incoming
 from cardamombarrow.entry.placement import broker as broker_module
@@ -403,8 +404,13 @@
             raise
 
     def _resume(self, run: _Run, error: errors.RouterError) -> _Run:
-        """Resumes an answer that was cut off, or raises `error`."""
-        if not run.resumable or not self._progress.tokens:
+        """Resumes an answer that was cut off, or raises `error`.
+
+        One that has brought no event yet begins anew.
+        """
+        progress = self._progress
+        has_events = progress.first_token_s is not None
+        if not run.resumable or (has_events and not progress.tokens):
             raise error
         resumed = self._begin(self._retry(run.ticket, error))
         logs.decision(
@@ -434,11 +440,12 @@
         first = [run.first] if run.first else []
         try:
             for chunk in itertools.chain(first, run.rest):
-                if progress.first_token_s is None:
-                    self._require_software(run)
-                    progress.first_piece(run.ticket.job)
-                    broker.first_token(request_id)
-                progress.add_piece()
+                if not run.head.streams or event_stream.has_event(chunk):
+                    if progress.first_token_s is None:
+                        self._require_software(run)
+                        progress.first_piece(run.ticket.job)
+                        broker.first_token(request_id)
+                    progress.add_piece()
                 tail = (tail + chunk)[-TAIL_BYTES:]
                 progress.tokens += self._kind.count_tokens(chunk)
                 if run.resumable:
--- a/cardamombarrow/platform/tests/test_endless_answers.py
+++ b/cardamombarrow/platform/tests/test_endless_answers.py
@@ -34,6 +34,7 @@
 _SERVERS = 16
 """Servers that hold answers of the large forms."""
 
+_RESUMED_CALLS = 24
 _UNREAD = ("comments", "length", "chunks", "event")
 _RESUMED = ("interim-answers", "event", "comments-after-event", "failure")
 _ROUTES = {
@@ -197,3 +198,34 @@
     # Guards against bytes that are bounded in each connection, and still end
     # the process where several hundred of them are held.
     _check(running, endless, f"{form}-many", form, _MANY_CALLERS)
+
+
+@pytest.mark.parametrize("form", ["comments", "dripping-comments"])
+def test_a_stream_that_brings_only_comments_goes_on_elsewhere(
+    endless, tmp_path, form
+):
+    # Guards against callers that get comments until their time is over.
+    with standin.Servers(
+        lambda received: standin.Answer(pause_s=0.1)
+    ) as servers:
+        for number in range(2):
+            servers.start(f"i-{number}")
+        servers.listed[endless[0]] = standin.Listed("endless", endless[0])
+        plan = stream_client.plan(servers.listing_url, {"a": ["a-1"]})
+        with (
+            deployment.Deployment(plan, tmp_path) as running,
+            futures.ThreadPoolExecutor(_RESUMED_CALLS) as pool,
+        ):
+            pending = [
+                pool.submit(stream_client.call, running, f"again/{form}", "1.1")
+                for _ in range(_RESUMED_CALLS)
+            ]
+            seen = [each.result() for each in pending]
+    whole = stream_client.whole()
+    print(sum(each.body != whole for each in seen), "of", len(seen), "resumed")
+    assert any(each.body != whole for each in seen)
+    for each in seen:
+        assert each.status == 200
+        assert each.looks_complete
+        assert each.body.endswith(whole)
+        assert not each.body.removesuffix(whole).replace(b": x\n\n", b"")
