--- a/cardamombarrow/endpoints/answer_body.py
+++ b/cardamombarrow/endpoints/answer_body.py
@@ -41,6 +41,19 @@
         self._tail = b""
         self._has_event = False
 
+    @property
+    def progressed(self) -> bool:
+        """Whether the bytes that were fed last bring the answer forward.
+
+        Comments and empty lines keep a connection open and do not.
+        """
+        return self._events is None or self._events.progressed
+
+    @property
+    def held_bytes(self) -> int:
+        """Size of the incomplete event that is buffered."""
+        return 0 if self._events is None else self._events.partial_bytes
+
     def feed(self, data: bytes) -> bytes:
         """Returns the bytes that may be relayed now.
 
@@ -56,10 +69,11 @@
             complete = self._events.feed(data)
         except event_stream.OversizedEventError:
             raise _cut(
-                f"an event is over {event_stream.MAX_EVENT_BYTES} bytes"
+                f"over {event_stream.MAX_EVENT_BYTES} bytes without an event"
             ) from None
         self._has_event = self._has_event or event_stream.has_event(complete)
         self._tail = (self._tail + complete)[-TAIL_BYTES:]
+        self._has_event = self._has_event or self._events.progressed
         return complete
 
     def finish(self) -> bytes:
--- a/cardamombarrow/endpoints/tests/test_endless_bytes.py
+++ b/cardamombarrow/endpoints/tests/test_endless_bytes.py
@@ -13,6 +13,7 @@
 from cardamombarrow.endpoints import plain
 from cardamombarrow.entry.requests import answer_stream
 from cardamombarrow.kernel import errors
+from cardamombarrow.kernel import held_bytes
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import memory
 from cardamombarrow.platform import servers
@@ -35,6 +36,7 @@
 HEADS = {
     "no status line": (b"", b"x" * _FILLER),
     "fields": (_OK, b"X-Filler: " + b"x" * 1_000 + b"\r\n"),
+    "interim answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 2_600),
     "one field": (_OK + b"X-Filler: ", b"x" * _FILLER),
     "chunk size": (_CHUNKED, b"0" * _FILLER),
     "chunk extension": (_CHUNKED + b"5;", b"x" * _FILLER),
@@ -42,6 +44,9 @@
 }
 STREAMS = {
     "event": (_STREAM + b"\r\n", b"x" * _FILLER),
+    "comments": (_STREAM + b"\r\n", b": x\n\n" * 13_000),
+    "blank lines": (_STREAM + b"\r\n", b"\n" * _FILLER),
+    "blocks without data": (_STREAM + b"\r\n", b"retry: 1\n\n" * 6_500),
     "event of short lines": (_STREAM + b"\r\n", b"data: x\n" * 8_192),
     "chunked event": (_CHUNKED, b"10000\r\n" + b"x" * 65_536 + b"\r\n"),
 }
@@ -189,6 +194,7 @@
     taken = itertools.count()
     chunks = (b"x" * _FILLER for _ in taken)
     with pytest.raises(errors.EndpointError) as caught:
-        answer_stream.failure_body(chunks)
+        held = held_bytes.HeldBytes().buffer()
+        answer_stream.failure_body(chunks, held)
     assert caught.value.kind is errors.ErrorKind.ANSWER_CUT
     assert next(taken) * _FILLER < MOST_BYTES
--- a/cardamombarrow/entry/requests/request_handler.py
+++ b/cardamombarrow/entry/requests/request_handler.py
@@ -14,6 +14,7 @@
 from cardamombarrow.document import schema
 from cardamombarrow.endpoints import base as endpoints_base
 from cardamombarrow.endpoints import event_order
+from cardamombarrow.endpoints import event_stream
 from cardamombarrow.entry import metrics as metrics_module
 from cardamombarrow.entry.frontend import incoming
 from cardamombarrow.entry.placement import broker as broker_module
@@ -28,6 +29,7 @@
 from cardamombarrow.forwarding import reachability as reachability_module
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import errors
+from cardamombarrow.kernel import held_bytes
 from cardamombarrow.kernel import logs
 from cardamombarrow.ledger import client as ledger_client
 from cardamombarrow.metering import meter as meter_module
@@ -161,6 +163,7 @@
         )
         self._order = event_order.EventOrder(call.resume_after)
         self._relaying = False
+        self._held = held_bytes.ENDPOINT_BYTES.buffer()
 
     def left_s(self) -> float:
         """Returns the time until the request's deadline, in seconds."""
@@ -258,6 +261,8 @@
         new_ticket = self._resubmit(ticket, outcome)
         if new_ticket is None:
             run.settled = True
+        else:
+            self._held.release()
         return new_ticket
 
     def _first_piece(
@@ -300,9 +305,9 @@
         ticket.job.resumable = resumable
         chunks = exchange.chunks()
         if self._kind.is_failure(head):
-            first = answer_stream.failure_body(chunks)
+            first = answer_stream.failure_body(chunks, self._held)
         elif answer_stream.is_buffered(head):
-            first = b"".join(chunks)
+            first = answer_stream.joined(chunks)
         else:
             first = next(chunks, b"")
         if resumable:
@@ -483,14 +488,23 @@
             self._services.metrics.count_wasted(outcome, self._progress.tokens)
             raise
 
-    def _resume(self, run: _Run, error: errors.RouterError) -> _Run:
-        """Resumes an answer that was cut off, or raises `error`."""
-        if not run.resumable or not self._progress.tokens:
-            raise error
-        if self._kind.has_event_ids and not self._order.can_go_on:
-            raise error
+    def _has_known_place(self) -> bool:
+        """Returns whether it is known after which event the stream goes on."""
         key = self._call.stream_key
         if key is not None and self._services.origins.is_conflicting(key):
+            return False
+        return self._order.can_go_on or not self._kind.has_event_ids
+
+    def _resume(self, run: _Run, error: errors.RouterError) -> _Run:
+        """Resumes an answer that was cut off, or raises `error`.
+
+        One that has brought no event yet begins anew.
+        """
+        progress = self._progress
+        has_events = progress.first_token_s is not None
+        if not run.resumable or (has_events and not progress.tokens):
+            raise error
+        if has_events and not self._has_known_place():
             raise error
         resumed = self._begin(self._retry(run.ticket, error))
         logs.decision(
@@ -505,7 +519,10 @@
 
     def _relay_run(self, run: _Run) -> abc.Iterator[bytes]:
         if run.settled:
-            yield run.first
+            try:
+                yield run.first
+            finally:
+                self._held.release()
             return
         request_id = run.ticket.job.request_id
         broker = self._services.broker
@@ -521,11 +538,12 @@
                     event_ids = self._kind.event_ids(chunk)
                     self._check_order(event_ids)
                     self._order.add(event_ids)
-                if progress.first_token_s is None:
-                    self._require_software(run)
-                    progress.first_piece(run.ticket.job)
-                    broker.first_token(request_id)
-                progress.add_piece()
+                if not run.head.streams or event_stream.has_event(chunk):
+                    if progress.first_token_s is None:
+                        self._require_software(run)
+                        progress.first_piece(run.ticket.job)
+                        broker.first_token(request_id)
+                    progress.add_piece()
                 tail = (tail + chunk)[-TAIL_BYTES:]
                 progress.tokens += self._kind.count_tokens(chunk)
                 broker.progress(request_id, progress.tokens)
