Part the length partition from the choice by first event

`choosing/first_event.py` also decided which prompts are long, which endpoints they should go to and what leaving the partition costs. This moves to the class `LengthPartition` beside the function that computes the partition.

--- a/cardamombarrow/decisions/choosing/first_event.py
+++ b/cardamombarrow/decisions/choosing/first_event.py
@@ -43,16 +43,6 @@
 
 __all__ = ["FirstEventChoice"]
 
-LONG_PREFILL_SHARE = 0.5
-"""A prompt is long when its prefill takes more than this share of the shortest
-pause that any route of the document allows within an answer."""
-
-DEFAULT_PAUSE_S = 0.2
-"""Shortest allowed pause if no route sets one."""
-
-SHORT_REQUEST_PENALTY_S = 0.3
-"""Penalty for a short request on an endpoint of the long-prompt partition."""
-
 
 @dataclasses.dataclass(frozen=True)
 class _QueueLimits:
@@ -98,11 +88,6 @@
 prefilled twice."""
 
 
-def _shortest_pause_s(document: schema.Document) -> float:
-    pauses_s = [r.longest_pause_s for r in document.routes.values()]
-    return min(filter(None, pauses_s), default=DEFAULT_PAUSE_S)
-
-
 @registry.plugin("choice", "first-event")
 class FirstEventChoice(cost_choice.LowestCostChoice):
     """Lowest expected time to first token among all candidates."""
@@ -117,18 +102,20 @@
         )
         self._caches = engine_caches.EngineCaches()
         self._fetch: messages.Fetch | None = None
-        self._short_request_endpoints: frozenset[ids.EndpointId] = frozenset()
         self._considered_affinity: tuple[
             ids.RequestId, ids.EndpointId | None
         ] = (
             ids.RequestId(""),
             None,
         )
-        self._prepared_is_long: tuple[messages.Job | None, bool] = None, False
-        self._shortest_pause_s = _shortest_pause_s(context.document)
         self._queue_limits = (
             DOMAIN_QUEUE_LIMITS if context.whole_domain else OWN_QUEUE_LIMITS
         )
+        self._partition = length_partition.LengthPartition(
+            context.document,
+            self._prefill,
+            self._queue_limits.long_prompt_penalty_share,
+        )
 
     def _compared_candidates(
         self, candidates: list[endpoint_module.EndpointState]
@@ -141,54 +128,12 @@
         candidates: list[endpoint_module.EndpointState],
         now_s: float,
     ) -> endpoint_module.EndpointState | None:
-        partition = self._partition(job, candidates)
+        partition = self._partition.select(job, candidates)
         if not job.prefix_key:
             return None
         candidates = partition or candidates
         return cost_choice.affinity_endpoint(job.prefix_key, candidates)
 
-    def _partition(
-        self,
-        job: messages.Job,
-        candidates: list[endpoint_module.EndpointState],
-    ) -> list[endpoint_module.EndpointState]:
-        """Returns the candidates in the partition of the job."""
-        if not job.prompt_tokens:
-            return candidates
-        self._short_request_endpoints = (
-            length_partition.short_request_endpoints(
-                (state.domain, state.endpoint) for state in candidates
-            )
-        )
-        is_long = self._is_long(job)
-        return [
-            state
-            for state in candidates
-            if (state.endpoint in self._short_request_endpoints) is not is_long
-        ]
-
-    def _is_long(self, job: messages.Job) -> bool:
-        prepared, is_long = self._prepared_is_long
-        return is_long if prepared is job else self._takes_long(job)
-
-    def _takes_long(self, job: messages.Job) -> bool:
-        prefill_s = job.prompt_tokens * self._prefill.service_token_s(
-            job.service
-        )
-        return prefill_s > LONG_PREFILL_SHARE * self._shortest_pause_s
-
-    def _partition_penalty_s(
-        self, job: messages.Job, state: endpoint_module.EndpointState
-    ) -> float:
-        if not job.prompt_tokens or not self._short_request_endpoints:
-            return 0.0
-        is_for_short = state.endpoint in self._short_request_endpoints
-        if self._is_long(job):
-            target_s = job.target_first_token_s
-            share = self._queue_limits.long_prompt_penalty_share
-            return share * target_s if is_for_short else 0.0
-        return 0.0 if is_for_short else SHORT_REQUEST_PENALTY_S
-
     def prepare(
         self,
         job: messages.Job,
@@ -196,7 +141,7 @@
         now_s: float,
     ) -> list[endpoint_module.EndpointState]:
         """Looks up the affinity endpoint and the cached parts of a job."""
-        self._prepared_is_long = job, self._takes_long(job)
+        self._partition.prepare(job)
         affinity = (
             self._affinity_endpoint(job, states, now_s) if states else None
         )
@@ -205,7 +150,7 @@
             affinity and affinity.endpoint,
         )
         self._caches.prepare(job, states, now_s)
-        if affinity is None or not self._is_long(job):
+        if affinity is None or not self._partition.is_long(job):
             return states
         return [affinity] if self._awaits_affinity(job, now_s) else states
 
@@ -229,7 +174,7 @@
         """
         if not job.prompt_tokens:
             return super().available(job, state, now_s)
-        is_long = self._is_long(job)
+        is_long = self._partition.is_long(job)
         if not self._is_within_bound(job, state, now_s):
             return False
         if not super().available(job, state, now_s):
@@ -245,7 +190,7 @@
         if self.context.overload.orders_by_prefill:
             token_s = self._prefill.service_token_s(state.service)
             return prefill_bound.is_open(state, job, token_s, now_s)
-        max_queued = self._queue_limits.max_queued(self._is_long(job))
+        max_queued = self._queue_limits.max_queued(self._partition.is_long(job))
         if state.unread < max_queued:
             return True
         # Less urgent prompts do not delay it: engines prefill by priority.
@@ -276,7 +221,7 @@
     def configure(self, document: schema.Document) -> None:
         """Applies the shortest pause of a newer document."""
         super().configure(document)
-        self._shortest_pause_s = _shortest_pause_s(document)
+        self._partition.configure(document)
 
     def _record_choice(
         self,
@@ -408,7 +353,7 @@
         first_token_s = self._forecast.first_token_s(
             job, state, uncached, now_s
         )
-        penalty_s = self._partition_penalty_s(
+        penalty_s = self._partition.penalty_s(
             job, state
         ) + self._preemption_penalty_s(state)
         return slowdown * (first_token_s + penalty_s)
--- a/cardamombarrow/decisions/choosing/length_partition.py
+++ b/cardamombarrow/decisions/choosing/length_partition.py
@@ -22,12 +22,26 @@
 import functools
 import zlib
 
+from cardamombarrow.decisions import endpoint as endpoint_module
+from cardamombarrow.decisions import messages
+from cardamombarrow.decisions.choosing import engine_prefill
+from cardamombarrow.document import schema
 from cardamombarrow.kernel import ids
 
-__all__ = ["SHORT_REQUEST_SHARE", "short_request_endpoints"]
+__all__ = ["SHORT_REQUEST_SHARE", "LengthPartition", "short_request_endpoints"]
 
 SHORT_REQUEST_SHARE = 0.35
 
+LONG_PREFILL_SHARE = 0.5
+"""A prompt is long when its prefill takes more than this share of the shortest
+pause that any route of the document allows within an answer."""
+
+DEFAULT_PAUSE_S = 0.2
+"""Shortest allowed pause if no route sets one."""
+
+SHORT_REQUEST_PENALTY_S = 0.3
+"""Penalty for a short request on an endpoint of the long-prompt partition."""
+
 _DomainEndpoints = tuple[tuple[ids.DomainId, ids.EndpointId], ...]
 
 
@@ -66,3 +80,83 @@
 
 def _hash(endpoint: ids.EndpointId) -> int:
     return zlib.crc32(endpoint.encode())
+
+
+class LengthPartition:
+    """The partition of each job, and the penalty for leaving it."""
+
+    def __init__(
+        self,
+        document: schema.Document,
+        prefill: engine_prefill.EnginePrefill,
+        long_prompt_penalty_share: float,
+    ):
+        """Initialises the partition.
+
+        Args:
+            document: The document in force.
+            prefill: Prefill times of the services.
+            long_prompt_penalty_share: Penalty for a long prompt on an endpoint
+                of the short-request partition, as a share of its target.
+        """
+        self._prefill = prefill
+        self._long_prompt_penalty_share = long_prompt_penalty_share
+        self._short_request_endpoints: frozenset[ids.EndpointId] = frozenset()
+        self._prepared: tuple[messages.Job | None, bool] = None, False
+        self.configure(document)
+
+    def configure(self, document: schema.Document) -> None:
+        """Applies the shortest pause of a newer document."""
+        pauses_s = [r.longest_pause_s for r in document.routes.values()]
+        self._shortest_pause_s = min(
+            filter(None, pauses_s), default=DEFAULT_PAUSE_S
+        )
+
+    def prepare(self, job: messages.Job) -> None:
+        """Caches the length of a job until another one is prepared."""
+        self._prepared = job, self._takes_long(job)
+
+    def is_long(self, job: messages.Job) -> bool:
+        """Returns whether a job has a long prompt."""
+        prepared, is_long = self._prepared
+        return is_long if prepared is job else self._takes_long(job)
+
+    def _takes_long(self, job: messages.Job) -> bool:
+        prefill_s = job.prompt_tokens * self._prefill.service_token_s(
+            job.service
+        )
+        return prefill_s > LONG_PREFILL_SHARE * self._shortest_pause_s
+
+    def select(
+        self,
+        job: messages.Job,
+        candidates: list[endpoint_module.EndpointState],
+    ) -> list[endpoint_module.EndpointState]:
+        """Returns the candidates in the partition of the job.
+
+        Later penalties refer to the partition of these candidates.
+        """
+        if not job.prompt_tokens:
+            return candidates
+        self._short_request_endpoints = short_request_endpoints(
+            (state.domain, state.endpoint) for state in candidates
+        )
+        is_long = self.is_long(job)
+        return [
+            state
+            for state in candidates
+            if (state.endpoint in self._short_request_endpoints) is not is_long
+        ]
+
+    def penalty_s(
+        self, job: messages.Job, state: endpoint_module.EndpointState
+    ) -> float:
+        """Returns the penalty for an endpoint outside the job's partition."""
+        if not job.prompt_tokens or not self._short_request_endpoints:
+            return 0.0
+        is_for_short = state.endpoint in self._short_request_endpoints
+        if self.is_long(job):
+            target_s = job.target_first_token_s
+            share = self._long_prompt_penalty_share
+            return share * target_s if is_for_short else 0.0
+        return 0.0 if is_for_short else SHORT_REQUEST_PENALTY_S
