Forget how long runs of classes took that are gone

What operators would see: an entry's memory grows with each document that renames classes, since the last runs of every class were kept.

Why this works: at most 256 classes are kept, and the least recently seen one is removed first.

--- a/cardamombarrow/decisions/draining.py
+++ b/cardamombarrow/decisions/draining.py
@@ -55,6 +55,10 @@
 
 RECENT_RUNS = 16
 
+MAX_CLASSES = 256
+"""Most classes whose runs are kept; the least recently seen are removed first.
+Documents may rename their classes all day long."""
+
 
 @dataclasses.dataclass(frozen=True)
 class DrainSchedule:
@@ -106,11 +110,13 @@
         """Records a run that has been answered in full."""
         key = (job.service, job.class_id)
         with self._lock:
-            runs_s = self._runs_s.get(key)
+            runs_s = self._runs_s.pop(key, None)
             if runs_s is None:
                 runs_s = collections.deque(maxlen=RECENT_RUNS)
-                self._runs_s[key] = runs_s
             runs_s.append(run_s)
+            self._runs_s[key] = runs_s
+            if len(self._runs_s) > MAX_CLASSES:
+                del self._runs_s[next(iter(self._runs_s))]
 
     def expected_s(self, job: messages.Job) -> float:
         """Returns how long a job is expected to run."""
--- a/cardamombarrow/decisions/tests/test_draining.py
+++ b/cardamombarrow/decisions/tests/test_draining.py
@@ -92,6 +92,18 @@
     assert stop.may_send(_job(repeatable=False), BEGIN_S + 2.0)
 
 
+def test_only_classes_that_were_not_seen_lately_are_forgotten():
+    # Guards against memory that grows with each document that renames classes,
+    # and against a class in use that is forgotten for their sake.
+    run_times = draining.RunTimes()
+    for number in range(2 * draining.MAX_CLASSES):
+        run_times.record(_job(), RUN_S)
+        run_times.record(_job(class_id=f"renamed-{number}"), RUN_S)
+    unknown = _job(repeatable=False, class_id="renamed-0")
+    assert run_times.expected_s(_job(repeatable=False)) == RUN_S
+    assert math.isinf(run_times.expected_s(unknown))
+
+
 def test_an_unrepeatable_request_of_unknown_length_may_take_all_its_time():
     # Guards against the first request of a class that is sent too late.
     stop = _draining(runs_s=())
