Test kills as the first streams begin, and an entry that wakes

All entries are killed 0, 0.05 and 0.2 s after the first events of a version's first streams; with one of the three control processes, 0.1 s after those that a single entry began. An entry that was frozen for 2.5 s or 6 s while another version arrived is the first that callers come back to.

--- a/cardamombarrow/platform/tests/returning_callers.py
+++ b/cardamombarrow/platform/tests/returning_callers.py
@@ -245,17 +245,30 @@
         self._pool.shutdown()
 
     def begin(
-        self, route: str, limit_s: float, count: int, names: abc.Sequence[str]
+        self,
+        route: str,
+        limit_s: float,
+        count: int,
+        names: abc.Sequence[str],
+        rotates: bool = True,
     ) -> list[Stream]:
         """Has callers ask for streams, at these entries in turn.
 
+        Args:
+            route: The route.
+            limit_s: Time for which each caller waits.
+            count: The number of callers.
+            names: The entries.
+            rotates: Whether each caller starts at another one; otherwise all
+                start at the first.
+
         Returns:
             The streams, once a server has sent an event of each.
         """
         begun = [Stream(route, limit_s) for _ in range(count)]
         self.streams += begun
         for number, stream in enumerate(begun):
-            first = number % len(names)
+            first = number % len(names) if rotates else 0
             turn = itertools.cycle([*names[first:], *names[:first]])
             self._pending.append(
                 self._pool.submit(take, self._running, stream, turn)
--- a/cardamombarrow/platform/tests/test_versions_after_kills.py
+++ b/cardamombarrow/platform/tests/test_versions_after_kills.py
@@ -45,6 +45,9 @@
 _BEGUN_S = 2 * _PAUSE_S
 """Time in which the events arrive that are sent before the disruption."""
 
+_RETURNED_S = 0.5
+"""Time in which callers come back after their connections broke."""
+
 _HELD_AFTER = 2
 _HELD_S = 10.0
 """Longest time for which the other events wait for the disruption."""
@@ -131,11 +134,19 @@
         self.crash(old)
         self.start(new)
 
-    def begin(self, names=_NAMES):
-        """Has callers begin streams, and waits until they have some events."""
+    def begin(self, names=_NAMES, begun_s=_BEGUN_S, rotates=True):
+        """Has callers begin streams, and waits until they have some events.
+
+        Args:
+            names: The entries that they ask in turn.
+            begun_s: Time after the first event of the last stream.
+            rotates: Whether they start at several entries.
+        """
         limits = self._limits
-        self.callers.begin(limits.route.name, limits.caller_s, _STREAMS, names)
-        time.sleep(_BEGUN_S)
+        self.callers.begin(
+            limits.route.name, limits.caller_s, _STREAMS, names, rotates
+        )
+        time.sleep(begun_s)
 
     def configure(self, route):
         """Has control accept a configuration with this route."""
@@ -273,6 +284,28 @@
     scene.check()
 
 
+@_limited(_WITHIN)
+@pytest.mark.parametrize("begun_s", [0.0, 0.05, 0.2])
+def test_all_entries_die_as_the_first_streams_begin(scene, begun_s):
+    # Guards against streams that nobody has been told of when all entries die.
+    scene.begin(begun_s=begun_s)
+    scene.replace()
+    scene.kill()
+    scene.start_processes()
+    scene.check()
+
+
+@_limited(_WITHIN)
+@pytest.mark.parametrize("control", [name for (name,) in _CONTROLS.values()])
+def test_an_entry_and_a_control_process_die_as_streams_begin(scene, control):
+    # Guards against streams that only one control process has been told of.
+    scene.begin(["a-1"], begun_s=0.1)
+    scene.replace()
+    scene.kill([control, *_NAMES])
+    scene.start_processes([control, *_NAMES])
+    scene.check()
+
+
 @_limited(_LONGER, _WITHIN)
 def test_control_processes_die_before_all_entries(scene):
     # Guards against control processes that have forgotten which entries ran
@@ -395,3 +428,26 @@
     scene.configure(stream_client.Route("split", True, 3_000, ((left, 1),)))
     scene.start_processes()
     scene.check()
+
+
+@_limited(_WITHIN)
+@pytest.mark.parametrize("frozen_s", [2.5, 6.0])
+def test_a_frozen_entry_wakes_after_another_version_has_arrived(
+    scene, frozen_s
+):
+    # Guards against an entry that resumes a stream by what it knew before it
+    # was frozen: the only version then was another one.
+    scene.running.signal("b-1", signal.SIGSTOP)
+    old = list(scene.servers.listed.values())
+    for each in old:
+        each.state = "draining"
+    scene.start("v2")
+    time.sleep(_LISTED_S)
+    scene.begin(["a-1", "b-1"], begun_s=frozen_s, rotates=False)
+    for each in old:
+        each.state = "ready"
+    scene.kill(["a-1"])
+    time.sleep(_RETURNED_S)
+    scene.running.signal("b-1", signal.SIGCONT)
+    scene.start_processes(["a-1"])
+    scene.check()
