Refuse a waiting request as not run though it is placed just then

What callers saw: at a planned stop, a request that had not been sent got 502 in place of 503 if it was placed as it was being refused.

Cause: a placed job that is withdrawn counts as run, and the refusal was built after that.

The race is not brought about by a test of its own.

The test's callers also try again when a connection is reset without an answer: one crossed the close of the port (seen once, not sent to a server). A request that has been read ends with a close and still counts as cut.

--- a/cardamombarrow/entry/requests/request_handler.py
+++ b/cardamombarrow/entry/requests/request_handler.py
@@ -323,10 +323,11 @@
                 return ticket.placed.result(timeout=CALLER_POLL_S)
             except futures.TimeoutError:
                 if not self._may_wait(ticket.job):
+                    # A job that is placed just now counts as run once it is
+                    # withdrawn, though it has not been sent.
+                    refusal = self._services.stop_guard.refusal(ticket.job)
                     self._services.broker.withdraw(ticket)
-                    raise self._services.stop_guard.refusal(
-                        ticket.job
-                    ) from None
+                    raise refusal from None
                 if self._may_forward():
                     self._services.broker.withdraw(ticket)
                     raise errors.RefusedError(
