--- a/cardamombarrow/platform/tests/conftest.py
+++ b/cardamombarrow/platform/tests/conftest.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from cardamombarrow.platform.tests import version_scene
+
 
 def service(name="letters", **changes):
     """Returns an engine service."""
@@ -52,3 +54,11 @@
 def make():
     """The builders of this module, by name."""
     return globals()
+
+
+@pytest.fixture
+def scene(tmp_path, request):
+    with version_scene.Scene(
+        tmp_path, getattr(request, "param", version_scene.LONGER)
+    ) as started:
+        yield started
