--- a/cardamombarrow/resumption/candidates.py
+++ b/cardamombarrow/resumption/candidates.py
@@ -13,8 +13,6 @@
 entry has not been told of: it was cut off or stood still. Control has closed a
 link that was silent for so long, and tells everything again on the next one."""
 
-_LONGEST_S = open_streams.LONGEST_STREAM_S
-
 
 class Candidates:
     """Versions that are listed, or may have open streams; not thread-safe."""
@@ -48,7 +46,9 @@
             return False
         if not self._own.has_all(now_s):
             return False
-        return self._was_told_all or (now_s - self._since_s >= _LONGEST_S)
+        return self._was_told_all or (
+            now_s - self._since_s >= open_streams.LONGEST_STREAM_S
+        )
 
     def of_class(
         self,
@@ -98,7 +98,9 @@
         end_s = now_s + self.lifetime_s
         # Entries that have the previous list may still begin streams, and only
         # control knows how long theirs are open.
-        gone_s = end_s if self._was_told_all else now_s + _LONGEST_S
+        gone_s = now_s + open_streams.LONGEST_STREAM_S
+        if self._was_told_all:
+            gone_s = end_s
         for origin in self._listed - listed:
             self._open.extend(_unclassed(origin), gone_s)
         for origin in new:
