--- a/cardamombarrow/peers/control/open_streams_relay.py
+++ b/cardamombarrow/peers/control/open_streams_relay.py
@@ -87,10 +87,19 @@
         if until_s <= told_s:
             return
         self._number += 1
+        if len(self._told) > open_streams.MAX_GROUPS:
+            self._drop_ended(now_s)
         if told_s <= now_s:
             self._urgent_number = self._number
+        # Inserted last, so that the order is that of the numbers.
+        self._told.pop(group, None)
         self._told[group] = until_s + AHEAD_S, self._number
 
+    def _drop_ended(self, now_s: float) -> None:
+        self._told = {
+            group: told for group, told in self._told.items() if told[0] > now_s
+        }
+
     def is_news(self, sent: Sent, now_s: float) -> bool:
         """Returns whether a follower needs to know something at once."""
         return (
@@ -105,14 +114,11 @@
         now_sent = Sent(self._number, self._are_all(now_s))
         if now_sent == sent:
             return sent
-        ended = [g for g, (end_s, _) in self._told.items() if end_s <= now_s]
-        for group in ended:
-            del self._told[group]
-        items = [
-            (group, end_s)
-            for group, (end_s, number) in self._told.items()
-            if number > sent.number
-        ]
+        items = []
+        for group, (end_s, number) in reversed(self._told.items()):
+            if number <= sent.number:
+                break
+            items.append((group, end_s))
         self._fill(message, items, now_s)
         return now_sent
 
--- a/cardamombarrow/resumption/open_streams.py
+++ b/cardamombarrow/resumption/open_streams.py
@@ -31,7 +31,7 @@
 """Most groups of streams. A list of endpoints that names so many versions has
 mistakes, and each instance would send all of them to others."""
 
-REPORT_AHEAD_S = 5.0
+REPORT_AHEAD_S = 15.0
 """How far beyond the last open stream a report reaches, so that steady traffic
 needs one report of each group in this time."""
 
