--- a/benchmarks/open_streams.py
+++ b/benchmarks/open_streams.py
@@ -1,8 +1,9 @@
 """Cost of telling what has open streams.
 
 ``python -m benchmarks.open_streams`` prints, for steady traffic with one
-version of each service, the bytes that an entry sends to and gets from its control
-process, and the processor time of that process, by the number of classes.
+version of each service, the bytes that an entry sends to and gets from its
+control process, and the processor time of that process, by the number of
+classes.
 """
 
 import random
