Bound what a control process tells of open streams; drop dead state

Groups that find no room in the table of open streams were still kept to be told to followers, so that table had no bound, and was scanned with each report once it was large. A count of new groups had no reader left, and each chunk of a stream was searched for an event a second time, by a line that a merge left behind. Followers get no groups that have ended.

Found by reading; no failure was seen. Tests of resumption, peers/control and endpoints pass.

--- a/cardamombarrow/endpoints/answer_body.py
+++ b/cardamombarrow/endpoints/answer_body.py
@@ -71,7 +71,6 @@
             raise _cut(
                 f"over {event_stream.MAX_EVENT_BYTES} bytes without an event"
             ) from None
-        self._has_event = self._has_event or event_stream.has_event(complete)
         self._tail = (self._tail + complete)[-TAIL_BYTES:]
         self._has_event = self._has_event or self._events.progressed
         return complete
--- a/cardamombarrow/peers/control/open_streams_relay.py
+++ b/cardamombarrow/peers/control/open_streams_relay.py
@@ -75,8 +75,8 @@
         for group, until_s in open_streams_codec.open_streams_from_wire(
             message.open_streams, now_s
         ):
-            self._open.extend(group, until_s)
-            self._tell(group, until_s, now_s)
+            if self._open.extend(group, until_s):
+                self._tell(group, until_s, now_s)
         self._was_told_all = self._was_told_all or message.knows_open_streams
         return before != (self._urgent_number, self._are_all(now_s))
 
@@ -118,7 +118,8 @@
         for group, (end_s, number) in reversed(self._told.items()):
             if number <= sent.number:
                 break
-            items.append((group, end_s))
+            if end_s > now_s:
+                items.append((group, end_s))
         self._fill(message, items, now_s)
         return now_sent
 
--- a/cardamombarrow/resumption/open_streams.py
+++ b/cardamombarrow/resumption/open_streams.py
@@ -60,27 +60,24 @@
 
 
 class OpenStreams:
-    """Until when the last stream of each group is open.
-
-    Attributes:
-        number: Increases when a group without open streams gets one.
-    """
+    """Until when the last stream of each group is open."""
 
     def __init__(self):
-        self.number = 0
         self._until_s: dict[StreamGroup, float] = {}
         self._overflow_until_s = -math.inf
 
-    def extend(self, group: StreamGroup, until_s: float) -> None:
-        """Records that a group has an open stream until a time."""
-        known_s = self._until_s.get(group)
-        if known_s is not None:
-            self._until_s[group] = max(known_s, until_s)
-        elif len(self._until_s) < MAX_GROUPS:
-            self._until_s[group] = until_s
-            self.number += 1
-        else:
+    def extend(self, group: StreamGroup, until_s: float) -> bool:
+        """Records that a group has an open stream until a time.
+
+        Returns:
+            Whether there was room for the group.
+        """
+        known_s = self._until_s.get(group, -math.inf)
+        if group not in self._until_s and len(self._until_s) >= MAX_GROUPS:
             self._overflow_until_s = max(self._overflow_until_s, until_s)
+            return False
+        self._until_s[group] = max(known_s, until_s)
+        return True
 
     def items(self, now_s: float) -> list[GroupEnd]:
         """Returns the groups with open streams, and until when."""
