--- a/cardamombarrow/platform/tests/conftest.py
+++ b/cardamombarrow/platform/tests/conftest.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from cardamombarrow.platform.tests import standin_streams as standin
 from cardamombarrow.platform.tests import version_scene
 
 
@@ -62,3 +63,10 @@
         tmp_path, getattr(request, "param", version_scene.LONGER)
     ) as started:
         yield started
+
+
+@pytest.fixture(scope="module")
+def servers():
+    """Servers that answer whole streams until a test scripts them."""
+    with standin.Servers(lambda received: standin.Answer()) as started:
+        yield started
--- a/cardamombarrow/platform/tests/test_answer_ends.py
+++ b/cardamombarrow/platform/tests/test_answer_ends.py
@@ -15,12 +15,6 @@
 _CLOSE = standin.Framing.CLOSE
 
 
-@pytest.fixture(scope="module")
-def servers():
-    with standin.Servers(lambda received: standin.Answer()) as started:
-        yield started
-
-
 @pytest.fixture(scope="module")
 def running(servers, tmp_path_factory):
     for number in range(3):
--- a/cardamombarrow/platform/tests/test_event_ids.py
+++ b/cardamombarrow/platform/tests/test_event_ids.py
@@ -12,12 +12,6 @@
 _CUT = standin.Ending.RESET_BETWEEN_EVENTS
 
 
-@pytest.fixture(scope="module")
-def servers():
-    with standin.Servers(lambda received: standin.Answer()) as started:
-        yield started
-
-
 @pytest.fixture(scope="module")
 def running(servers, tmp_path_factory):
     for number in range(3):
--- a/cardamombarrow/platform/tests/test_killed_servers.py
+++ b/cardamombarrow/platform/tests/test_killed_servers.py
@@ -16,12 +16,6 @@
 """Time in which all entries have read the list."""
 
 
-@pytest.fixture(scope="module")
-def servers():
-    with standin.Servers(lambda received: standin.Answer()) as started:
-        yield started
-
-
 @pytest.fixture(scope="module")
 def running(servers, tmp_path_factory):
     folder = tmp_path_factory.mktemp("killed")
--- a/cardamombarrow/platform/tests/test_overlapping_runs.py
+++ b/cardamombarrow/platform/tests/test_overlapping_runs.py
@@ -22,12 +22,6 @@
 _numbers = itertools.count(1)
 
 
-@pytest.fixture(scope="module")
-def servers():
-    with standin.Servers(lambda received: standin.Answer()) as started:
-        yield started
-
-
 @pytest.fixture(scope="module")
 def running(servers, tmp_path_factory):
     servers.start("i-0")
--- a/cardamombarrow/platform/tests/test_software_versions.py
+++ b/cardamombarrow/platform/tests/test_software_versions.py
@@ -28,12 +28,6 @@
 _identities = itertools.count(1)
 
 
-@pytest.fixture(scope="module")
-def servers():
-    with standin.Servers(lambda received: standin.Answer()) as started:
-        yield started
-
-
 @pytest.fixture(scope="module")
 def running(servers, tmp_path_factory):
     _start(servers, ("v1",))
