--- a/cardamombarrow/decisions/fleet/tests/test_parts_over_domains.py
+++ b/cardamombarrow/decisions/fleet/tests/test_parts_over_domains.py
@@ -3,14 +3,12 @@
 `PART_SEEDS=FIRST:LAST` plays other seeds than the short run.
 """
 
-import os
-
 import pytest
 
 from cardamombarrow.decisions.fleet.tests import part_world
+from tools import soak
 
-_FIRST, _, _LAST = os.environ.get("PART_SEEDS", "0:2").partition(":")
-_SEEDS = range(int(_FIRST), int(_LAST))
+_SEEDS = soak.seeds("0:2", "PART_SEEDS")
 _MOST_ARRIVALS = 3
 _LEAST_RATIO = 0.9
 _RUN_S = 45.0
--- a/cardamombarrow/platform/tests/test_growing_documents.py
+++ b/cardamombarrow/platform/tests/test_growing_documents.py
@@ -9,7 +9,6 @@
 from concurrent import futures
 import contextlib
 import itertools
-import os
 import random
 import signal
 import threading
@@ -21,11 +20,11 @@
 from cardamombarrow.platform.tests import urgency_rule
 from cardamombarrow.platform.tests import urgent_traffic
 from tools import deployment
+from tools import soak
 
 pytestmark = pytest.mark.process
 
-_FIRST, _, _LAST = os.environ.get("SOAK_SEEDS", "1:2").partition(":")
-_SEEDS = range(int(_FIRST), int(_LAST))
+_SEEDS = soak.seeds("1:2")
 _ZONES = ("a", "b", "c")
 _ENTRIES = {zone: [f"{zone}-{n}" for n in range(3)] for zone in _ZONES}
 _CONTROLS = {
--- a/cardamombarrow/platform/tests/test_late_in_grace.py
+++ b/cardamombarrow/platform/tests/test_late_in_grace.py
@@ -3,7 +3,9 @@
 The platform stops an entry by SIGTERM and kills it at the end of its grace.
 """
 
+from collections import abc
 from concurrent import futures
+import contextlib
 import dataclasses
 import itertools
 import re
@@ -238,6 +240,19 @@
         yield started
 
 
+@contextlib.contextmanager
+def _deployed(
+    servers, folder, names=("a-1",), kinds=_KINDS, grace_s=GRACE_S
+) -> abc.Iterator[tuple[deployment.Deployment, futures.Executor]]:
+    """Runs entries of one domain, and threads for their callers."""
+    plan = _plan(servers.listing_url, {"a": list(names)}, kinds, grace_s)
+    with (
+        deployment.Deployment(plan, folder) as running,
+        futures.ThreadPoolExecutor(32) as executor,
+    ):
+        yield running, executor
+
+
 @pytest.mark.parametrize("grace_s", [3.0, GRACE_S])
 def test_requests_that_wait_are_not_cut_at_the_end_of_the_grace(
     servers, tmp_path, grace_s
@@ -246,11 +261,7 @@
     # killed, or that are sent when their answers can't come in time any more.
     servers.start("i-1", slots=2)
     work_s = grace_s / 4
-    plan = _plan(servers.listing_url, {"a": ["a-1"]}, grace_s=grace_s)
-    with (
-        deployment.Deployment(plan, tmp_path) as running,
-        futures.ThreadPoolExecutor(32) as executor,
-    ):
+    with _deployed(servers, tmp_path, grace_s=grace_s) as (running, executor):
         answer = _call_work(work_s)
         _warm_up(servers, running, executor, ["a-1"], answer)
         before = len(servers.received)
@@ -281,11 +292,7 @@
     # entry's or another's, and are cut when either of the two ends.
     servers.start("i-1", slots=2)
     names = ["a-1", "a-2"]
-    plan = _plan(servers.listing_url, {"a": names}, _STREAMS)
-    with (
-        deployment.Deployment(plan, tmp_path) as running,
-        futures.ThreadPoolExecutor(32) as executor,
-    ):
+    with _deployed(servers, tmp_path, names, _STREAMS) as (running, executor):
 
         def placers() -> list[str]:
             joined = "entry joined placer"
@@ -324,11 +331,7 @@
     # Guards against a retry late in the grace that is cut at its end.
     servers.start("i-1")
     servers.start("i-2")
-    plan = _plan(servers.listing_url, {"a": ["a-1"]})
-    with (
-        deployment.Deployment(plan, tmp_path) as running,
-        futures.ThreadPoolExecutor(32) as executor,
-    ):
+    with _deployed(servers, tmp_path) as (running, executor):
         _warm_up(servers, running, executor, ["a-1"], _call_work(3.0))
         before = len(servers.received)
 
@@ -359,13 +362,9 @@
     # Guards against a stream that is resumed late in the grace and cut again.
     servers.start("i-1")
     servers.start("i-2")
-    plan = _plan(servers.listing_url, {"a": ["a-1"]}, _STREAMS)
     chunked = standin.Framing.CHUNKED
     whole = standin.Answer(chunked, events=6, pause_s=0.5)
-    with (
-        deployment.Deployment(plan, tmp_path) as running,
-        futures.ThreadPoolExecutor(32) as executor,
-    ):
+    with _deployed(servers, tmp_path, kinds=_STREAMS) as (running, executor):
         _warm_up(servers, running, executor, ["a-1"], whole)
         before = len(servers.received)
 
@@ -401,12 +400,10 @@
     # and are cut, or fail as if they had run, when either of the two ends.
     servers.start("i-1", slots=4)
     names = ["a-1", "a-2", "a-3"]
-    plan = _plan(servers.listing_url, {"a": names})
     refuse = cut_links.CutMode.REFUSE
     with (
-        deployment.Deployment(plan, tmp_path) as running,
+        _deployed(servers, tmp_path, names) as (running, executor),
         cut_off.cut_ports(running, ["a-1"], refuse, list(servers.listed)),
-        futures.ThreadPoolExecutor(32) as executor,
     ):
         servers.script = lambda received: _call_work(0.1)
 
@@ -437,11 +434,7 @@
     # Guards against requests that run to the end of the grace and are cut
     # without an answer.
     servers.start("i-1")
-    plan = _plan(servers.listing_url, {"a": ["a-1"]})
-    with (
-        deployment.Deployment(plan, tmp_path) as running,
-        futures.ThreadPoolExecutor(32) as executor,
-    ):
+    with _deployed(servers, tmp_path) as (running, executor):
         servers.script = lambda received: _call_work(2 * GRACE_S)
         sent = [
             executor.submit(_send, running, "a-1", route) for route in _KINDS
@@ -460,11 +453,7 @@
     # Guards against a request that began before the refusals, whose body
     # arrives after them and that is then sent to an endpoint.
     servers.start("i-1")
-    plan = _plan(servers.listing_url, {"a": ["a-1"]})
-    with (
-        deployment.Deployment(plan, tmp_path) as running,
-        futures.ThreadPoolExecutor(32) as executor,
-    ):
+    with _deployed(servers, tmp_path) as (running, executor):
         _warm_up(servers, running, executor, ["a-1"], _call_work(0.5))
         stop = _Stop(running, "a-1")
         sent = [
@@ -487,11 +476,7 @@
     # the first one and cuts at the end of its grace.
     servers.start("i-1", slots=4)
     names = ["a-1", "a-2"]
-    plan = _plan(servers.listing_url, {"a": names})
-    with (
-        deployment.Deployment(plan, tmp_path) as running,
-        futures.ThreadPoolExecutor(32) as executor,
-    ):
+    with _deployed(servers, tmp_path, names) as (running, executor):
         _warm_up(servers, running, executor, names, _call_work(1.0))
         end_s = time.monotonic() + 1.0 + apart_s + GRACE_S
         outcomes: list[Outcome] = []
@@ -528,11 +513,7 @@
 def test_signals_in_series_change_nothing(servers, tmp_path):
     # Guards against a second signal that restarts the stop or ends it early.
     servers.start("i-1", slots=2)
-    plan = _plan(servers.listing_url, {"a": ["a-1"]})
-    with (
-        deployment.Deployment(plan, tmp_path) as running,
-        futures.ThreadPoolExecutor(32) as executor,
-    ):
+    with _deployed(servers, tmp_path) as (running, executor):
         _warm_up(servers, running, executor, ["a-1"], _call_work(2.0))
         before = len(servers.received)
         sent = [
--- a/cardamombarrow/platform/tests/test_version_soak.py
+++ b/cardamombarrow/platform/tests/test_version_soak.py
@@ -7,7 +7,6 @@
 
 from concurrent import futures
 import dataclasses
-import os
 import random
 import threading
 import time
@@ -18,11 +17,11 @@
 from cardamombarrow.platform.tests import standin_streams as standin
 from cardamombarrow.platform.tests import stream_client
 from tools import deployment
+from tools import soak
 
 pytestmark = pytest.mark.process
 
-_FIRST, _, _LAST = os.environ.get("SOAK_SEEDS", "1:2").partition(":")
-_SEEDS = range(int(_FIRST), int(_LAST))
+_SEEDS = soak.seeds("1:2")
 _ENTRIES = {
     "a": ["a-1", "a-2", "a-3"],
     "b": ["b-1", "b-2"],
--- a/cardamombarrow/platform/tests/test_version_soak_overlapping.py
+++ b/cardamombarrow/platform/tests/test_version_soak_overlapping.py
@@ -10,7 +10,6 @@
 import dataclasses
 import itertools
 import json
-import os
 import random
 import threading
 import time
@@ -23,11 +22,11 @@
 from cardamombarrow.platform.tests import stream_client
 from cardamombarrow.platform.tests import urgent_traffic
 from tools import deployment
+from tools import soak
 
 pytestmark = pytest.mark.process
 
-_FIRST, _, _LAST = os.environ.get("SOAK_SEEDS", "1:2").partition(":")
-_SEEDS = range(int(_FIRST), int(_LAST))
+_SEEDS = soak.seeds("1:2")
 _ENTRIES = {
     "a": ["a-1", "a-2", "a-3"],
     "b": ["b-1", "b-2"],
--- a/cardamombarrow/tests/test_forwarding_soak.py
+++ b/cardamombarrow/tests/test_forwarding_soak.py
@@ -7,7 +7,6 @@
 import dataclasses
 import itertools
 import json
-import os
 import random
 import signal
 import threading
@@ -20,12 +19,12 @@
 from tools import caller
 from tools import cut_off
 from tools import deployment
+from tools import soak
 from tools.standin import cut_links
 
 pytestmark = pytest.mark.process
 
-_FIRST, _, _LAST = os.environ.get("SOAK_SEEDS", "1:3").partition(":")
-_SEEDS = range(int(_FIRST), int(_LAST))
+_SEEDS = soak.seeds("1:3")
 _CALLERS = 10
 _DISRUPTIONS_AT_ONCE = 3
 _SOAK_S = 20.0
--- a/cardamombarrow/tests/test_retry_soak.py
+++ b/cardamombarrow/tests/test_retry_soak.py
@@ -9,7 +9,6 @@
 import contextlib
 import dataclasses
 import itertools
-import os
 import random
 import signal
 import threading
@@ -25,12 +24,12 @@
 from tools import deployment
 from tools import engine_restarter
 from tools import failing_engines
+from tools import soak
 from tools.standin import cut_links
 
 pytestmark = pytest.mark.process
 
-_FIRST, _, _LAST = os.environ.get("SOAK_SEEDS", "1:2").partition(":")
-_SEEDS = range(int(_FIRST), int(_LAST))
+_SEEDS = soak.seeds("1:2")
 _MARKER = "standin-crash"
 _ENTRIES = {
     "a": ["a-1", "a-2", "a-3"],
