Half a head is no answer to a short request

A call to the platform whose answer broke off within its head counted as taken: a usage report was settled and never sent again, though the platform may not have it; an order to an engine counted as accepted; `probe` took an endpoint for alive. The operator's client stopped at the first control process with a message about JSON instead of asking the next.

Cause: libcurl (8.23.0) reports success for a connection that ends after the status line, within or after any header field, with a body of no bytes. That holds for interim answers too, whose status (100) passed for the final one. `http_get.fetch` returned that as a complete answer.

Fix: `fetch` requires the line that ends the final head. libcurl also hands over the first byte of a halved "\r\n", so the line has to be whole.

--- a/cardamombarrow/endpoints/http_get.py
+++ b/cardamombarrow/endpoints/http_get.py
@@ -11,6 +11,8 @@
 """Maximum size of an answer's body, twice that of a submitted document. Faulty
 servers may send without end."""
 
+_HEAD_ENDS = (b"\r\n", b"\n")
+
 
 @dataclasses.dataclass(frozen=True)
 class Reply:
@@ -20,6 +22,30 @@
     body: bytes
 
 
+class _HeadWatch:
+    """Watches for the end of a head.
+
+    libcurl reports success if a connection ends after a status line, even if
+    the rest of the head is missing.
+
+    Attributes:
+        complete: Whether the head of the final answer has ended.
+    """
+
+    def __init__(self):
+        self._is_interim = False
+        self.complete = False
+
+    def feed(self, line: bytes) -> None:
+        """Takes a line of a head, or of the trailers that follow a body."""
+        if self.complete:
+            return
+        if line.startswith(b"HTTP/"):
+            self._is_interim = line.partition(b" ")[2].startswith(b"1")
+        elif line in _HEAD_ENDS:
+            self.complete = not self._is_interim
+
+
 def fetch(
     url: str,
     *,
@@ -41,6 +67,7 @@
     import pycurl
 
     buffer = io.BytesIO()
+    head = _HeadWatch()
 
     def write(data: bytes) -> int:
         # Any other number than that of the bytes ends the transfer.
@@ -59,9 +86,16 @@
         easy.setopt(pycurl.NOPROXY, "*")
         easy.setopt(pycurl.TIMEOUT_MS, round(timeout_s * 1_000))
         easy.setopt(pycurl.WRITEFUNCTION, write)
+        easy.setopt(pycurl.HEADERFUNCTION, head.feed)
         if ca_file:
             easy.setopt(pycurl.CAINFO, ca_file)
         easy.perform()
+        if not head.complete:
+            raise errors.EndpointError(
+                errors.ErrorKind.ENDPOINT_FAILED,
+                f"{url}: the connection ended within the head",
+                sent=True,
+            )
         return Reply(easy.getinfo(pycurl.RESPONSE_CODE), buffer.getvalue())
     except pycurl.error as error:
         sent = easy.getinfo(pycurl.REQUEST_SIZE) > 0
