Refuse JSON that is nested over 100 deep, whatever the stack

Operators could get one configuration accepted by one control process and refused by another: how deeply a text may be nested depended on the calls on the stack of the thread that parsed it, because only the interpreter's recursion limit bounded it.

--- a/cardamombarrow/platform/json_text.py
+++ b/cardamombarrow/kernel/json_text.py
@@ -1,7 +1,8 @@
-"""Strict parsing of the platform's JSON, also of arrays with damaged items.
+"""Strict parsing of JSON, also of arrays with damaged items.
 
 JSON as of RFC 8259: `NaN`, infinite numbers and bytes that are not UTF-8 are
-errors.
+errors. Every text from outside the process is parsed here, because the
+standard library's reader raises `RecursionError`, which is no `ValueError`.
 """
 
 import json
@@ -9,7 +10,12 @@
 import re
 import typing
 
-__all__ = ["load", "load_array_member"]
+__all__ = ["MAX_DEPTH", "load", "load_array_member"]
+
+MAX_DEPTH = 100
+"""Most arrays and objects within each other. The interpreter's own limit
+depends on the stack of the caller: of two control processes, one could accept
+a document that the other refuses."""
 
 _TOKEN = re.compile(r'"(?:[^"\\]|\\.)*"|[\[\]{},]', re.DOTALL)
 _MEMBER = re.compile(r'\s*("(?:[^"\\]|\\.)*")\s*:(.*)', re.DOTALL)
@@ -24,11 +30,13 @@
     try:
         if isinstance(text, bytes):
             text = text.decode()
-        return json.loads(
+        value = json.loads(
             text, parse_constant=_refuse_constant, parse_float=_finite
         )
     except RecursionError:
         raise ValueError("nested too deeply") from None
+    _check_depth(value)
+    return value
 
 
 def load_array_member(
@@ -109,6 +117,21 @@
     return [*parts, last] if parts or last.strip() else []
 
 
+def _check_depth(value: typing.Any) -> None:
+    level = [value] if isinstance(value, (dict, list)) else []
+    for _ in range(MAX_DEPTH):
+        if not level:
+            return
+        level = [
+            child
+            for each in level
+            for child in (each.values() if isinstance(each, dict) else each)
+            if isinstance(child, (dict, list))
+        ]
+    if level:
+        raise ValueError("nested too deeply")
+
+
 def _refuse_constant(name: str) -> typing.NoReturn:
     raise ValueError(f"{name} is not a JSON number")
 
--- a/cardamombarrow/platform/configuration.py
+++ b/cardamombarrow/platform/configuration.py
@@ -12,9 +12,9 @@
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
+from cardamombarrow.kernel import json_text
 from cardamombarrow.kernel import logs
 from cardamombarrow.kernel import registry
-from cardamombarrow.platform import json_text
 
 __all__ = ["NAME", "ConfigurationFormat", "version_of"]
 
--- a/cardamombarrow/platform/listing.py
+++ b/cardamombarrow/platform/listing.py
@@ -10,9 +10,9 @@
 from cardamombarrow.endpoints import http_get
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
+from cardamombarrow.kernel import json_text
 from cardamombarrow.kernel import logs
 from cardamombarrow.kernel import registry
-from cardamombarrow.platform import json_text
 
 __all__ = ["Mistake", "Page", "PlatformList", "read_page"]
 
