Leave out odd items of an endpoint list that another entry sends

An entry that got a list by gossip used whatever it contained, or lost the list: a port of 70000 or a host that is no host became an endpoint to connect to, slots of 1e999 became infinite, a list of arrays became an unhashable endpoint id, and a text that is nested deeply raised RecursionError, which nothing caught, into the task that exchanges gossip.

from_text only unpacked what json.loads returned. An item that is not valid is left out and logged when that changes. A text without any valid item is still refused as a whole.

The list of the platform now also leaves out hosts with spaces, brackets or labels of over 63 characters, and addresses that are not ASCII count as such and not as names.

--- a/cardamombarrow/discovery/core.py
+++ b/cardamombarrow/discovery/core.py
@@ -6,6 +6,7 @@
 fetching entry or the gossip delays the list by at most the maximum age.
 """
 
+import collections
 from collections import abc
 import dataclasses
 import threading
@@ -60,6 +61,8 @@
         return cls(min(interval_s, max_age_s / STALE_FACTOR), max_age_s)
 
 
+MAX_LOGGED_REASONS = 10
+
 OnListing = abc.Callable[[list[base.ListedEndpoint]], None]
 
 
@@ -93,6 +96,7 @@
         self._clock = time_source
         self._is_reader = is_reader
         self._unavailable = False
+        self._left_out: collections.Counter[str] = collections.Counter()
         self._lock = threading.Lock()
         self._read_s = float("-inf")
         self._last_fetched: tuple[str, float] | None = None
@@ -124,11 +128,13 @@
         Returns:
             Whether the list is newer than the own one.
         """
+        mistakes: list[str] = []
         try:
-            items = base.from_text(text)
+            items = base.from_text(text, mistakes.append)
         except ValueError as error:
             logs.event("endpoint list rejected", "ERROR", detail=str(error))
             return False
+        self._log_left_out(collections.Counter(mistakes))
         is_newer = read_s - self._read_s > MIN_NEWER_S
         self._apply(items, read_s)
         return is_newer
@@ -179,6 +185,17 @@
         )
         return self._is_reader() and now_s - own_s >= self._schedule.interval_s
 
+    def _log_left_out(self, mistakes: collections.Counter[str]) -> None:
+        """Logs the items of a received list that are left out, on changes."""
+        if mistakes != self._left_out:
+            self._left_out = mistakes
+            logs.event(
+                "received endpoints left out",
+                "WARNING" if mistakes else "INFO",
+                reasons=dict(mistakes.most_common(MAX_LOGGED_REASONS)),
+                count=mistakes.total(),
+            )
+
     def _log_availability(self, problem: str | None) -> None:
         """Logs when the list becomes unavailable or available again."""
         if problem is None and self._unavailable:
--- a/cardamombarrow/discovery/tests/test_core.py
+++ b/cardamombarrow/discovery/tests/test_core.py
@@ -1,5 +1,6 @@
 """A list of endpoints that is polled and shared by gossip."""
 
+import json
 import time
 
 import pytest
@@ -9,6 +10,7 @@
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
+from cardamombarrow.kernel.tests import odd_values
 
 
 class _Source(base.Source):
@@ -164,3 +166,40 @@
 def test_a_text_that_is_not_a_list_is_rejected(text):
     with pytest.raises(ValueError):
         base.from_text(text)
+
+
+_VALUES = ["10.0.0.9:80#i", "live", "s", "d", 4, "v1"]
+_ODD_ITEMS = [
+    *odd_values.JSON_VALUES,
+    *(
+        json.dumps(_VALUES).replace(json.dumps(value), text)
+        for value in ("10.0.0.9:80#i", "live", "s", "d", "v1")
+        for text in odd_values.JSON_VALUES
+        if text != '""' or value in ("10.0.0.9:80#i", "live")
+    ),
+    *(
+        json.dumps([*_VALUES[:4], "SLOTS"]).replace('"SLOTS"', text)
+        for text in odd_values.JSON_VALUES
+    ),
+    *(json.dumps([each, *_VALUES[1:]]) for each in odd_values.ADDRESSES),
+    json.dumps(_VALUES[:4]),
+]
+
+
+@pytest.mark.parametrize("item", _ODD_ITEMS, ids=lambda item: ascii(item)[:40])
+def test_an_odd_item_of_a_received_list_is_left_out(item):
+    # Guards against entries that lose the whole list of another entry, or use
+    # an endpoint that no socket can connect to, because of one odd item.
+    sound = json.dumps(["10.0.0.8:80", "live", "s", "d", 4, "v1"])
+    applied = []
+    watch = _watch(_Source(_LISTED), applied.append, 60.0)
+    assert watch.receive(f"[{item},{sound}]", 1.0)
+    assert [[each.endpoint for each in listed] for listed in applied] == [
+        ["10.0.0.8:80"]
+    ]
+
+
+def test_of_two_received_items_for_one_endpoint_the_first_is_used():
+    second = [*_VALUES[:4], 9]
+    (item,) = base.from_text(json.dumps([_VALUES, second]))
+    assert item.slots == 4
--- a/cardamombarrow/kernel/json_text.py
+++ b/cardamombarrow/kernel/json_text.py
@@ -10,7 +10,7 @@
 import re
 import typing
 
-__all__ = ["MAX_DEPTH", "load", "load_array_member"]
+__all__ = ["MAX_DEPTH", "load", "load_array", "load_array_member"]
 
 MAX_DEPTH = 100
 """Most arrays and objects within each other. The interpreter's own limit
@@ -39,6 +39,24 @@
     return value
 
 
+def load_array(text: str) -> tuple[list[typing.Any], list[str]]:
+    """Parses an array whose items may be damaged.
+
+    Returns:
+        The valid items, and for each of the others why it is not valid.
+
+    Raises:
+        ValueError: It is not an array.
+    """
+    try:
+        items = load(text)
+    except ValueError:
+        return _load_items(text)
+    if not isinstance(items, list):
+        raise ValueError("not an array")
+    return items, []
+
+
 def load_array_member(
     body: bytes, name: str
 ) -> tuple[dict[str, typing.Any], list[typing.Any], list[str]]:
@@ -76,13 +94,7 @@
         members[load(found[1])] = found[2]
     if name not in members:
         raise ValueError(f"not an object with an array {name!r}")
-    parts = _split(members.pop(name), "[]")
-    items, mistakes = [], []
-    for part in parts:
-        try:
-            items.append(load(part.encode(errors="surrogateescape")))
-        except ValueError as error:
-            mistakes.append(str(error))
+    items, mistakes = _load_items(members.pop(name))
     others = {
         member: load(text.encode(errors="surrogateescape"))
         for member, text in members.items()
@@ -90,6 +102,16 @@
     return others, items, mistakes
 
 
+def _load_items(text: str) -> tuple[list[typing.Any], list[str]]:
+    items, mistakes = [], []
+    for part in _split(text, "[]"):
+        try:
+            items.append(load(part.encode(errors="surrogateescape")))
+        except ValueError as error:
+            mistakes.append(str(error))
+    return items, mistakes
+
+
 def _split(text: str, brackets: str) -> list[str]:
     """Returns the items of an array, or the members of an object, as text.
 
--- a/cardamombarrow/platform/listing.py
+++ b/cardamombarrow/platform/listing.py
@@ -8,6 +8,7 @@
 
 from cardamombarrow.discovery import base
 from cardamombarrow.endpoints import http_get
+from cardamombarrow.kernel import addresses
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import json_text
@@ -35,13 +36,6 @@
 }
 
 
-MAX_NAME_CHARS = 1_000
-
-MAX_PORT_CHARS = 5
-
-MAX_SLOTS = 1_000_000
-
-
 class Mistake(enum.Enum):
     """Why an entry of the list names no server to use."""
 
@@ -107,18 +101,16 @@
     identity, address, service, zone, software = (
         _name(item.get(key)) for key in _NAMES
     )
-    host, _, port = address.rpartition(":")
-    is_port = port.isdecimal() and 0 < int(port[:MAX_PORT_CHARS]) < 65_536
-    if not (host and is_port and len(port) <= MAX_PORT_CHARS):
+    if not addresses.is_valid(address):
         raise _EntryError(Mistake.ADDRESS)
-    if not (identity.isascii() and address.isascii()):
-        # Both are sent in headers.
+    if not identity.isascii():
+        # It is sent in headers.
         raise _EntryError(Mistake.NAME)
     state = item.get("state")
     if not isinstance(state, str) or state not in _STATES:
         raise _EntryError(Mistake.STATE)
     slots = item.get("slots")
-    if type(slots) is not int or not 0 < slots <= MAX_SLOTS:
+    if not base.is_slots(slots):
         raise _EntryError(Mistake.SLOTS)
     cold_ms = item.get("coldRemainingMs")
     if type(cold_ms) not in (int, float) or cold_ms < 0:
@@ -138,10 +130,7 @@
 
 
 def _name(value: typing.Any) -> str:
-    """Returns a name that can be logged."""
-    if not isinstance(value, str) or not 0 < len(value) <= MAX_NAME_CHARS:
-        raise _EntryError(Mistake.NAME)
-    if not value.isprintable():
+    if not base.is_name(value):
         raise _EntryError(Mistake.NAME)
     return value
 
