Fail with OSError on a channel to a text that is no address

Addresses of entries and control processes come from the others. With one that no socket can connect to (no port, a port of 70000, a label of over 63 characters), secret.channel raised ValueError or the connection OverflowError or UnicodeError. None of these counts as a broken link, so the task that follows a control process tried the same address for ever instead of the next one, and the link to a member of the log ended.

--- a/cardamombarrow/peers/secret.py
+++ b/cardamombarrow/peers/secret.py
@@ -21,6 +21,9 @@
 from grpclib import const
 from grpclib import events
 from grpclib import exceptions
+from grpclib import protocol
+
+from cardamombarrow.kernel import addresses
 
 __all__ = [
     "HEADER",
@@ -59,12 +62,14 @@
 def channel(address: str, secret: str) -> client.Channel:
     """Returns a channel that adds a token to each request.
 
+    Addresses come from other instances. A channel to a text that is no address
+    fails with `OSError` when it connects, as one to an instance that is gone.
+
     Args:
         address: ``host:port`` of the other instance.
         secret: The shared secret.
     """
-    host, _, port = address.rpartition(":")
-    result = client.Channel(host, int(port))
+    result = _Channel(address)
 
     async def sign(event: events.SendRequest) -> None:
         event.metadata[HEADER] = token(secret, event.method_name, time.time())
@@ -73,6 +78,19 @@
     return result
 
 
+class _Channel(client.Channel):
+    def __init__(self, address: str):
+        self._is_valid = addresses.is_valid(address)
+        super().__init__(
+            *(addresses.split(address) if self._is_valid else ("", 0))
+        )
+
+    async def __connect__(self) -> protocol.H2Protocol:
+        if not self._is_valid:
+            raise OSError("not an address")
+        return await super().__connect__()
+
+
 class Guard:
     """Checks tokens and stores the nonces of the time window."""
 
--- a/cardamombarrow/peers/tests/test_secret.py
+++ b/cardamombarrow/peers/tests/test_secret.py
@@ -9,6 +9,7 @@
 import pytest
 
 from cardamombarrow.document import machine
+from cardamombarrow.kernel.tests import odd_values
 from cardamombarrow.log import local
 from cardamombarrow.peers import secret
 from cardamombarrow.peers.control import control_grpc
@@ -98,3 +99,19 @@
 @pytest.mark.parametrize("shown_secret", [None, "wrong-secret-0123"])
 def test_a_server_rejects_requests_without_the_secret(shown_secret):
     asyncio.run(_propose(shown_secret))
+
+
+@pytest.mark.parametrize("address", odd_values.ADDRESSES, ids=ascii)
+def test_a_channel_to_no_address_fails_like_one_to_a_lost_instance(address):
+    # Guards against tasks that end, or try the same instance for ever, because
+    # another one told an address that no socket can connect to.
+    async def request():
+        channel = secret.channel(address, "right-secret-0123")
+        try:
+            stub = control_grpc.ControlStub(channel)
+            await stub.Followers(control_pb2.FollowersRequest())
+        finally:
+            channel.close()
+
+    with pytest.raises(OSError):
+        asyncio.run(request())
