Ignore a Retry-After whose date has numbers out of range

The field now counts as invalid. 4 of the 11 dates of the new test failed before; the other parsers of header fields passed all values.

--- a/cardamombarrow/endpoints/statements.py
+++ b/cardamombarrow/endpoints/statements.py
@@ -116,7 +116,7 @@
     """Returns the time until an HTTP date; NaN if it is invalid or past."""
     try:
         until = utils.parsedate_to_datetime(date)
-    except (TypeError, ValueError):
+    except (OverflowError, TypeError, ValueError):
         return math.nan
     if until.tzinfo is None:
         until = until.replace(tzinfo=datetime.UTC)
