Go on polling an endpoint after an odd load report

One load report with a number like 1e999 or -, bytes that are not UTF-8, or an error in what the report is passed to, ended the task that polls the endpoint: it was polled no more until the entry was started again, with no log line. NaN counted as 0, so that the engine looked idle.

A sample that is used and is no number from 0 to 2^32-1 now makes the report a failed one; any other error is counted as a failed task and the endpoint polled again.

--- a/cardamombarrow/endpoints/engine.py
+++ b/cardamombarrow/endpoints/engine.py
@@ -1,5 +1,6 @@
 """Model engines: OpenAI-compatible HTTP, SSE, Prometheus load metrics."""
 
+import math
 import re
 import time
 
@@ -16,9 +17,12 @@
 MAX_REPORT_BYTES = 1_048_576
 """Maximum size of a load report; many are read at once."""
 
-_SAMPLE = re.compile(r"^engine:(\w+)(?:\{[^}]*\})?\s+([0-9.eE+-]+)", re.M)
+MAX_COUNT = 2**32 - 1
+"""Highest number in a report; the fields of messages hold no higher one."""
+
+_SAMPLE = re.compile(r"^engine:(\w+)(?:\{[^}]*\})?\s+(\S+)", re.M)
 _NOT_STARTED = (429, 503)
-_USAGE = re.compile(rb'"completion_tokens":\s*(\d+)')
+_USAGE = re.compile(rb'"completion_tokens":\s*(\d{1,9})(?!\d)')
 _DONE = b"data: [DONE]"
 
 
@@ -60,7 +64,14 @@
                 "/metrics does not end with a line end",
                 sent=True,
             )
-        return parse_report(reply.body.decode(), time.monotonic())
+        try:
+            return parse_report(reply.body.decode(), time.monotonic())
+        except ValueError as error:
+            raise errors.EndpointError(
+                errors.ErrorKind.ENDPOINT_FAILED,
+                f"/metrics can't be read: {error}",
+                sent=True,
+            ) from None
 
     def resumable(self, head: base.Head) -> bool:
         """Returns whether a stream states in its header to be resumable."""
@@ -89,12 +100,23 @@
 
 
 def parse_report(text: str, now_s: float) -> messages.LoadReport:
-    """Reads a load report in the Prometheus text format."""
-    samples = {name: float(value) for name, value in _SAMPLE.findall(text)}
+    """Reads a load report in the Prometheus text format.
+
+    Raises:
+        ValueError: A sample that is used is no number, or out of range.
+    """
+    samples = dict(_SAMPLE.findall(text))
     return messages.LoadReport(
-        running=int(samples.get("num_requests_running", 0)),
-        waiting=int(samples.get("num_requests_waiting", 0)),
-        cache_used_share=samples.get("cache_usage_share", 0.0),
-        leaving=bool(samples.get("leaving", 0)),
+        running=int(_value(samples, "num_requests_running")),
+        waiting=int(_value(samples, "num_requests_waiting")),
+        cache_used_share=_value(samples, "cache_usage_share"),
+        leaving=bool(_value(samples, "leaving")),
         measured_at_s=now_s,
     )
+
+
+def _value(samples: dict[str, str], name: str) -> float:
+    value = float(samples.get(name, 0))
+    if not (math.isfinite(value) and 0.0 <= value <= MAX_COUNT):
+        raise ValueError(f"{name} is out of range")
+    return value
--- a/cardamombarrow/endpoints/poller.py
+++ b/cardamombarrow/endpoints/poller.py
@@ -6,6 +6,7 @@
 
 from cardamombarrow.decisions import messages
 from cardamombarrow.endpoints import base
+from cardamombarrow.kernel import background
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import lifecycle
@@ -71,6 +72,8 @@
                 continue
             try:
                 report = kind.poll(endpoint, self._interval_s)
+                if report is not None:
+                    self._on_report(endpoint, report)
             except errors.EndpointError as error:
                 logs.event(
                     "load report failed",
@@ -78,6 +81,6 @@
                     endpoint=endpoint,
                     detail=error.detail,
                 )
-                continue
-            if report is not None:
-                self._on_report(endpoint, report)
+            except Exception as error:
+                # The endpoint would never be polled again if this task ended.
+                background.record_failure("poll", error)
