Ask a majority of control before an unknown stream goes on

Callers saw streams with events of two software versions: an entry that was stopped or cut off for some seconds, while endpoints of another version joined, resumed streams that others had begun there at the version it knew.

Cause: Candidates.are_all took what an entry knew for complete as long as the last news of any kind were younger than 12 s. A version that had begun streams since was missing from it, however short the pause.

Why the fix works: the first event of a group (class, service, version), or of a stream that outlives what was stored, goes out once a majority of the control processes has stored the group. An unknown stream with at most one candidate is decided by a round trip that began after the attempt arrived, to a majority of control processes that still have all that they stored. The majorities share a member. Nothing is concluded from knowledge of any age. A control process that has restarted answers for all only once enough others have told it what it had stored; its word and an entry's word alone no longer suffice.

Steady traffic waits for nothing: what is stored reaches 15 s ahead. Attempts share round trips. Without an acknowledgement the event goes out after 0.3 s (0.05 s while control is out of reach), with a log line and a counter.

--- a/cardamombarrow/entry/frontend/stream_resumer.py
+++ b/cardamombarrow/entry/frontend/stream_resumer.py
@@ -112,4 +112,10 @@
             f"{each.service} {each.software}" for each in resolved.candidates
         ),
         complete=resolved.is_complete,
+        control_round=None
+        if resolved.round_result is None
+        else resolved.round_result.value,
+        waited_s=round(resolved.waited_s, 3),
+        list_age_s=round(resolved.list_age_s, 3),
+        news_age_s=round(resolved.news_age_s, 3),
     )
--- a/cardamombarrow/entry/metrics.py
+++ b/cardamombarrow/entry/metrics.py
@@ -143,6 +143,7 @@
             tuple[errors.RefusalCheck, bool]
         ] = collections.Counter()
         self._crashes = 0
+        self._unacknowledged_streams = 0
         self._goodput_tokens = 0
         self._sent_under_limit = 0
         self.waiting = 0
@@ -199,6 +200,11 @@
         with self._lock:
             self._resumptions[resolution] += 1
 
+    def count_unacknowledged_stream(self) -> None:
+        """Counts a stream whose origin control had not stored in time."""
+        with self._lock:
+            self._unacknowledged_streams += 1
+
     def count_retry(self, *, allowed: bool) -> None:
         """Counts a failed request that is retried, or must not be."""
         with self._lock:
@@ -259,6 +265,11 @@
         for resolution, count in self._resumptions.items():
             labels = f'origin="{resolution.value}"'
             yield f"{PREFIX}stream_resumptions_total{{{labels}}} {count}"
+        yield f"# TYPE {PREFIX}unacknowledged_streams_total counter"
+        yield (
+            f"{PREFIX}unacknowledged_streams_total "
+            f"{self._unacknowledged_streams}"
+        )
 
     def _refusal_lines(self) -> abc.Iterator[str]:
         yield f"# TYPE {PREFIX}refusals_total counter"
--- a/cardamombarrow/entry/peering.py
+++ b/cardamombarrow/entry/peering.py
@@ -38,6 +38,7 @@
 from cardamombarrow.peers.control import control_pb2
 from cardamombarrow.peers.control import document_codec
 from cardamombarrow.peers.control import metering_collector
+from cardamombarrow.peers.control import open_streams_rounds
 from cardamombarrow.peers.gossip import bridge as gossip_bridge_module
 from cardamombarrow.peers.gossip import node as gossip_node
 from cardamombarrow.peers.placing import client as placing_client
@@ -142,8 +143,18 @@
             self._news.on_entry_count,
             self._news.on_new,
             self._news.on_open_streams,
+            self.origins.doubt,
         )
         self.origins.set_report_listener(self.control.report_now)
+        self.origins.set_round_starter(
+            open_streams_rounds.OpenStreamsRounds(
+                self._loop,
+                self.control,
+                self._instance,
+                self.origins,
+                time_source,
+            ).begin
+        )
         boot_clock = clock.BootClock()
         self.lease = lease_module.DocumentLease(
             settings.document.max_age_s, boot_clock
@@ -464,7 +475,7 @@
         )
         if not names_endpoints:
             return
-        self.origins.touch()
+        self.origins.touch_list()
         found = tuple(
             messages.KnownEndpoint(
                 item.endpoint,
--- a/cardamombarrow/entry/requests/request_handler.py
+++ b/cardamombarrow/entry/requests/request_handler.py
@@ -34,6 +34,7 @@
 from cardamombarrow.ledger import client as ledger_client
 from cardamombarrow.metering import meter as meter_module
 from cardamombarrow.resumption import core as resumption
+from cardamombarrow.resumption import open_streams
 
 __all__ = [
     "RelayedAnswer",
@@ -577,13 +578,30 @@
             job.required_software = self._services.broker.software_of(endpoint)
         if self._call.stream_until_s is not None:
             origin = resumption.Origin(job.service, job.required_software)
-            self._services.origins.add_own(
+            begun = self._services.origins.add_own(
                 self._call.stream_key,
                 origin,
                 self._call.stream_until_s,
                 job.class_id,
                 endpoint,
             )
+            self._wait_acknowledged(begun)
+
+    def _wait_acknowledged(self, begun: open_streams.GroupEnd) -> None:
+        """Holds the first event back until control has stored its origin."""
+        origins = self._services.origins
+        if origins.wait_acknowledged(begun, max(self.left_s(), 0.0)):
+            return
+        self._services.metrics.count_unacknowledged_stream()
+        group, until_s = begun
+        logs.decision(
+            "unacknowledged_stream",
+            request_id=self._call.job.request_id,
+            class_id=group.class_id,
+            service=group.origin.service,
+            software=group.origin.software,
+            open_s=round(until_s - self._services.time_source.now_s(), 3),
+        )
 
     def _settle(
         self,
--- a/cardamombarrow/peers/control/client.py
+++ b/cardamombarrow/peers/control/client.py
@@ -100,6 +100,7 @@
         on_open_streams: abc.Callable[
             [abc.Sequence[control_pb2.OpenStreams], bool], None
         ] = lambda received, are_all: None,
+        on_silence: abc.Callable[[], None] = lambda: None,
     ):
         """Builds a client.
 
@@ -120,6 +121,8 @@
             on_new: Called if this entry had no process before.
             on_open_streams: Called with open streams, and whether no others
                 are open.
+            on_silence: Called when a link is closed that was silent, so that
+                what was sent on it may be lost.
         """
         self._loop = loop
         self._on_suspects = on_suspects
@@ -127,6 +130,7 @@
         self._on_entry_count = on_entry_count
         self._on_new = on_new
         self._on_open_streams = on_open_streams
+        self._on_silence = on_silence
         self._domain = domain
         self._domains: dict[str, str] = {}
         self._addresses = list(controls)
@@ -232,6 +236,8 @@
                     address=address,
                     detail=repr(error),
                 )
+                if isinstance(error, TimeoutError):
+                    self._on_silence()
             self._followed = ""
             self._disconnect(address)
             if address in self._addresses:
@@ -410,6 +416,30 @@
             )
         return reply
 
+    async def open_streams(
+        self,
+        request: control_pb2.OpenStreamsRequest,
+        address: str,
+        timeout_s: float,
+    ) -> control_pb2.OpenStreamsReply | None:
+        """Exchanges open streams with one control process, on the loop.
+
+        Returns:
+            The reply; None if there is none in time, or if the control process
+            is of a version that does not answer.
+        """
+        stub = self._stub(address)
+        channel = self._channels[address]
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await stub.OpenStreams(request)
+        except LINK_ERRORS as error:
+            is_answered = isinstance(error, exceptions.GRPCError)
+            is_current = self._channels.get(address) is channel
+            if address != self._followed and is_current and not is_answered:
+                self._disconnect(address)
+            return None
+
     # -- commands ----------------------------------------------------------
 
     def propose(
--- a/cardamombarrow/peers/control/control_grpc.py
+++ b/cardamombarrow/peers/control/control_grpc.py
@@ -34,6 +34,10 @@
     async def Followers(self, stream: 'grpclib.server.Stream[cardamombarrow.peers.control.control_pb2.FollowersRequest, cardamombarrow.peers.control.control_pb2.FollowersReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def OpenStreams(self, stream: 'grpclib.server.Stream[cardamombarrow.peers.control.control_pb2.OpenStreamsRequest, cardamombarrow.peers.control.control_pb2.OpenStreamsReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/cardamombarrow.peers.Control/Propose': grpclib.const.Handler(
@@ -66,6 +70,12 @@
                 cardamombarrow.peers.control.control_pb2.FollowersRequest,
                 cardamombarrow.peers.control.control_pb2.FollowersReply,
             ),
+            '/cardamombarrow.peers.Control/OpenStreams': grpclib.const.Handler(
+                self.OpenStreams,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                cardamombarrow.peers.control.control_pb2.OpenStreamsRequest,
+                cardamombarrow.peers.control.control_pb2.OpenStreamsReply,
+            ),
         }
 
 
@@ -102,3 +112,9 @@
             cardamombarrow.peers.control.control_pb2.FollowersRequest,
             cardamombarrow.peers.control.control_pb2.FollowersReply,
         )
+        self.OpenStreams = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/cardamombarrow.peers.Control/OpenStreams',
+            cardamombarrow.peers.control.control_pb2.OpenStreamsRequest,
+            cardamombarrow.peers.control.control_pb2.OpenStreamsReply,
+        )
--- a/cardamombarrow/peers/control/follower_exchange.py
+++ b/cardamombarrow/peers/control/follower_exchange.py
@@ -93,8 +93,10 @@
                 await asyncio.sleep(INTERVAL_S)
                 request.wants_usage = self._leads()
                 asked_s = self._boot_clock.now_s()
+                asked_monotonic_s = time.monotonic()
                 reply = await self._request_followers(channel, request)
                 if reply is not None:
+                    self._table.merge(reply, address, asked_monotonic_s)
                     self._apply(address, request, asked_s, reply)
                 else:
                     # The link may be silent: use a new connection for the
@@ -124,7 +126,6 @@
         reply: control_pb2.FollowersReply,
     ) -> None:
         """Applies a reply and sets its numbers in the next request."""
-        self._table.merge(reply)
         self._cache_announcements.put(reply.kept, "", time.monotonic())
         request.kept_since = reply.kept_number
         self._table.put_suspects(reply.suspects, "")
--- a/cardamombarrow/peers/control/followers.py
+++ b/cardamombarrow/peers/control/followers.py
@@ -10,6 +10,7 @@
 from collections import abc
 import contextlib
 import dataclasses
+import math
 import random
 import time
 
@@ -89,6 +90,8 @@
         domain: ids.DomainId = ids.DomainId(""),
         *,
         founds: bool = False,
+        count_controls: abc.Callable[[], int] = lambda: 1,
+        instance: str = "",
     ):
         """Builds an empty table.
 
@@ -96,11 +99,17 @@
             has_quorum: Returns whether there is a leader with a majority.
             domain: Failure domain of this process.
             founds: Whether there was no log before this process.
+            count_controls: Returns the number of control processes.
+            instance: Id of this process.
         """
         self._knows_all_s = time.monotonic() + (0.0 if founds else MEMORY_S)
         self._left_s: dict[ids.InstanceId, float] = {}
         self._open_streams = open_streams_relay.OpenStreamsRelay(
-            founds=founds, has_quorum=has_quorum
+            founds=founds,
+            has_quorum=has_quorum,
+            count_controls=count_controls,
+            started_s=time.monotonic(),
+            instance=instance,
         )
         self._suspects = suspect_relay.SuspectRelay(random.Random())
         self._forwarders: dict[ids.DomainId, list[str]] = {}
@@ -172,10 +181,22 @@
         self._open_streams.fill_reply(reply, now_s)
         return reply
 
-    def merge(self, reply: control_pb2.FollowersReply) -> None:
-        """Applies the newer reports that another control process has."""
+    def merge(
+        self,
+        reply: control_pb2.FollowersReply,
+        source: str = "",
+        asked_s: float = -math.inf,
+    ) -> None:
+        """Applies the newer reports that another control process has.
+
+        Args:
+            reply: Its answer.
+            source: Its address.
+            asked_s: Monotonic time at which it was asked.
+        """
         now_s = time.monotonic()
-        self._put_open_streams(reply)
+        if self._open_streams.put_reply(reply, source, asked_s, now_s):
+            self._notify_soon()
         for row in reply.rows:
             self._update(
                 Follower(
@@ -243,12 +264,14 @@
         if self._suspects.put(reports, source, time.monotonic()):
             self._notify_soon()
 
-    def _put_open_streams(
-        self,
-        message: control_pb2.AppliedReport | control_pb2.FollowersReply,
-    ) -> None:
-        if self._open_streams.put(message, time.monotonic()):
+    def exchange_open_streams(
+        self, request: control_pb2.OpenStreamsRequest
+    ) -> control_pb2.OpenStreamsReply:
+        """Stores an entry's open streams, and returns those of all."""
+        now_s = time.monotonic()
+        if self._open_streams.put_request(request, now_s):
             self._notify_soon()
+        return self._open_streams.reply(request, now_s)
 
     def _notify_soon(self) -> None:
         task = asyncio.create_task(self._notify())
@@ -361,7 +384,8 @@
     def _apply(self, report: control_pb2.AppliedReport) -> None:
         instance = ids.InstanceId(report.instance)
         self.put_suspects(report.suspects, instance)
-        self._put_open_streams(report)
+        if self._open_streams.put_report(report, time.monotonic()):
+            self._notify_soon()
         if report.leaving:
             self._left_s[instance] = time.monotonic()
             self._table.pop(instance, None)
--- a/cardamombarrow/peers/control/open_streams_relay.py
+++ b/cardamombarrow/peers/control/open_streams_relay.py
@@ -1,9 +1,8 @@
 """Relays which software versions have open streams.
 
-Entries report the versions that began their streams. A control process passes
-them on to its followers, and the other control processes query it. An entry
-that starts therefore knows what may have begun a stream, also if all entries
-that began streams are gone.
+Entries report the versions that began their streams: to the control process
+that they follow, and to all before the first event of a new version goes out. A
+control process passes them on to its followers, and the others query it.
 """
 
 from collections import abc
@@ -12,6 +11,7 @@
 
 from cardamombarrow.peers.control import control_pb2
 from cardamombarrow.peers.control import open_streams_codec
+from cardamombarrow.peers.control import open_streams_recovery
 from cardamombarrow.resumption import open_streams
 
 __all__ = ["OpenStreamsRelay", "Sent"]
@@ -43,6 +43,9 @@
         *,
         founds: bool,
         has_quorum: abc.Callable[[], bool] = lambda: True,
+        count_controls: abc.Callable[[], int] = lambda: 1,
+        started_s: float = 0.0,
+        instance: str = "",
     ):
         """Builds an empty relay.
 
@@ -50,35 +53,92 @@
             founds: Whether no entry has run before this process.
             has_quorum: Returns whether this process is not cut off from most
                 others, which may have been told more.
+            count_controls: Returns the number of control processes.
+            started_s: When this process started.
+            instance: Its id.
         """
         self._open = open_streams.OpenStreams()
         self._told: dict[open_streams.StreamGroup, tuple[float, int]] = {}
         self._number = 0
         self._urgent_number = 0
-        self._was_told_all = founds
+        self._recovery = open_streams_recovery.Recovery(
+            started_s, founds=founds
+        )
         self._has_quorum = has_quorum
+        self._count_controls = count_controls
+        self._instance = instance
 
     def _are_all(self, now_s: float) -> bool:
+        # Without a quorum the number of control processes may be an old one.
         return (
-            self._was_told_all
+            self._has_quorum()
             and self._open.has_all(now_s)
-            and self._has_quorum()
+            and self._recovery.is_complete(now_s, self._count_controls())
         )
 
-    def put(
+    def put_report(
+        self, report: control_pb2.AppliedReport, now_s: float
+    ) -> bool:
+        """Takes an entry's report.
+
+        Returns:
+            Whether followers need to know at once.
+        """
+        before = self._urgent_number, self._are_all(now_s)
+        self._put(report.open_streams, now_s)
+        if report.knows_open_streams:
+            self._recovery.add_entry()
+        return before != (self._urgent_number, self._are_all(now_s))
+
+    def put_reply(
         self,
-        message: control_pb2.AppliedReport | control_pb2.FollowersReply,
+        reply: control_pb2.FollowersReply,
+        source: str,
+        asked_s: float,
         now_s: float,
     ) -> bool:
-        """Takes a report; returns whether followers need to know at once."""
+        """Takes an answer of another control process.
+
+        Args:
+            reply: The answer.
+            source: The other control process.
+            asked_s: When it was asked.
+            now_s: The local time.
+
+        Returns:
+            Whether followers need to know at once.
+        """
         before = self._urgent_number, self._are_all(now_s)
+        self._put(reply.open_streams, now_s)
+        # A process that is listed under another address asks itself, too.
+        if not reply.instance or reply.instance != self._instance:
+            self._recovery.add(
+                open_streams_recovery.Word(
+                    source, asked_s, reply.knows_open_streams
+                )
+            )
+        return before != (self._urgent_number, self._are_all(now_s))
+
+    def put_request(
+        self, request: control_pb2.OpenStreamsRequest, now_s: float
+    ) -> bool:
+        """Stores an entry's streams before their first events go out.
+
+        Returns:
+            Whether followers need to know at once.
+        """
+        before = self._urgent_number
+        self._put(request.open_streams, now_s)
+        return before != self._urgent_number
+
+    def _put(
+        self, received: abc.Iterable[control_pb2.OpenStreams], now_s: float
+    ) -> None:
         for group, until_s in open_streams_codec.open_streams_from_wire(
-            message.open_streams, now_s
+            received, now_s
         ):
             if self._open.extend(group, until_s):
                 self._tell(group, until_s, now_s)
-        self._was_told_all = self._was_told_all or message.knows_open_streams
-        return before != (self._urgent_number, self._are_all(now_s))
 
     def _tell(
         self, group: open_streams.StreamGroup, until_s: float, now_s: float
@@ -127,11 +187,27 @@
         self, reply: control_pb2.FollowersReply, now_s: float
     ) -> None:
         """Adds all open streams to a reply to another control process."""
+        reply.instance = self._instance
         self._fill(reply, self._open.items(now_s), now_s)
 
+    def reply(
+        self, request: control_pb2.OpenStreamsRequest, now_s: float
+    ) -> control_pb2.OpenStreamsReply:
+        """Returns the answer to an entry's request."""
+        reply = control_pb2.OpenStreamsReply(
+            instance=self._instance,
+            has_quorum=self._has_quorum(),
+            control_count=self._count_controls(),
+        )
+        items = self._open.items(now_s) if request.wants_all else []
+        self._fill(reply, items, now_s)
+        return reply
+
     def _fill(
         self,
-        message: control_pb2.DocumentMessage | control_pb2.FollowersReply,
+        message: control_pb2.DocumentMessage
+        | control_pb2.FollowersReply
+        | control_pb2.OpenStreamsReply,
         items: list[open_streams.GroupEnd],
         now_s: float,
     ) -> None:
--- a/cardamombarrow/peers/control/service.py
+++ b/cardamombarrow/peers/control/service.py
@@ -55,7 +55,11 @@
         )
         self.collector = metering_collector.MeteringCollector()
         self.followers = followers_module.Followers(
-            lambda: log.status().has_quorum, domain, founds=founds
+            lambda: log.status().has_quorum,
+            domain,
+            founds=founds,
+            count_controls=lambda: len(log.addresses()),
+            instance=log.status().voter,
         )
 
     async def Propose(self, stream: server.Stream) -> None:  # noqa: N802
@@ -140,3 +144,8 @@
         reply.suspects.extend(suspects)
         self.collector.fill_reply(request, reply)
         await stream.send_message(reply)
+
+    async def OpenStreams(self, stream: server.Stream) -> None:  # noqa: N802
+        """Stores an entry's open streams and answers with those of all."""
+        request = await stream.recv_message()
+        await stream.send_message(self.followers.exchange_open_streams(request))
--- a/cardamombarrow/resumption/candidates.py
+++ b/cardamombarrow/resumption/candidates.py
@@ -9,9 +9,9 @@
 __all__ = ["Candidates"]
 
 SILENCE_S = 12.0
-"""Time without news after which other versions may have begun streams that this
-entry has not been told of: it was cut off or stood still. Control has closed a
-link that was silent for so long, and tells everything again on the next one."""
+"""Time without news after which this entry does not tell others that it knows
+all open streams: it was cut off or stood still. Control has closed a link that
+was silent for so long, and tells everything again on the next one."""
 
 
 class Candidates:
@@ -26,25 +26,45 @@
                 are not known.
         """
         self.lifetime_s = lifetime_s
-        self._since_s = self._news_s = now_s
+        self._since_s = self._news_s = self._listed_s = now_s
         self._was_told_all = False
         self._listed: set[open_streams.Origin] = set()
         self._open = open_streams.OpenStreams()
         self._own = open_streams.OpenStreams()
         self._reported = open_streams.ReportedStreams()
+        self._acknowledged = open_streams.AcknowledgedStreams()
 
     def touch(self, now_s: float) -> None:
         """Records that news of other instances have arrived."""
         if now_s - self._news_s >= SILENCE_S:
-            self._was_told_all = False
-            self._since_s = now_s
+            self.doubt(now_s)
         self._news_s = now_s
 
+    def touch_list(self, now_s: float) -> None:
+        """Records that the list has been read."""
+        self.touch(now_s)
+        self._listed_s = now_s
+
+    def doubt(self, now_s: float) -> None:
+        """Records that news may have been lost on the way."""
+        self._was_told_all = False
+        self._since_s = now_s
+
+    def ages_s(self, now_s: float) -> tuple[float, float]:
+        """Returns the ages of the list and of the last news of any kind."""
+        return now_s - self._listed_s, now_s - self._news_s
+
+    def has_room(self, now_s: float) -> bool:
+        """Returns whether no group was left out for want of room."""
+        return self._open.has_all(now_s) and self._own.has_all(now_s)
+
     def are_all(self, now_s: float) -> bool:
-        """Returns whether nothing else has open streams."""
-        if now_s - self._news_s >= SILENCE_S or not self._open.has_all(now_s):
-            return False
-        if not self._own.has_all(now_s):
+        """Returns whether nothing else had open streams lately.
+
+        Others may have begun some since: a single stream must not be resumed
+        by it.
+        """
+        if now_s - self._news_s >= SILENCE_S or not self.has_room(now_s):
             return False
         return self._was_told_all or (
             now_s - self._since_s >= open_streams.LONGEST_STREAM_S
@@ -118,6 +138,26 @@
         self._own.extend(group, until_s)
         return self._reported.covers(group, until_s)
 
+    def is_acknowledged(
+        self, group: open_streams.StreamGroup, until_s: float
+    ) -> bool:
+        """Returns whether a majority of the control processes knows."""
+        return self._acknowledged.covers(group, until_s)
+
+    def is_due(self, group: open_streams.StreamGroup, until_s: float) -> bool:
+        """Returns whether a majority should be told (again) of a group."""
+        return self._acknowledged.is_due(group, until_s)
+
+    def unacknowledged(self, now_s: float) -> tuple[open_streams.GroupEnd, ...]:
+        """Returns what a majority of the control processes is to store."""
+        return self._acknowledged.due(self._own.items(now_s))
+
+    def acknowledge(
+        self, items: abc.Iterable[open_streams.GroupEnd], now_s: float
+    ) -> None:
+        """Records what a majority has stored in one round trip."""
+        self._acknowledged.add(items, now_s)
+
     def merge(
         self, items: abc.Iterable[open_streams.GroupEnd], *, are_all: bool
     ) -> None:
--- a/cardamombarrow/resumption/core.py
+++ b/cardamombarrow/resumption/core.py
@@ -10,12 +10,14 @@
 import enum
 import hashlib
 import threading
+import time
 
 from cardamombarrow.decisions import messages
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import ids
 from cardamombarrow.resumption import candidates as candidates_module
 from cardamombarrow.resumption import open_streams
+from cardamombarrow.resumption import rounds
 from cardamombarrow.resumption import table
 
 __all__ = [
@@ -40,6 +42,14 @@
 EXTENSION_STEP_S = 1.0
 """Shortest extension of a stream that is told to other instances."""
 
+ACKNOWLEDGEMENT_WAIT_S = 0.3
+"""Longest wait of a first event until a majority of the control processes has
+stored what began it: some round trips between regions."""
+
+OUT_OF_TOUCH_WAIT_S = 0.05
+"""The same after a round trip that reached no majority: an entry that is cut
+off from control goes on serving."""
+
 _KEY_BYTES = 8
 
 
@@ -67,6 +77,11 @@
         age_s: Time since its first event; None if unknown.
         candidates: What may have begun an unknown stream.
         is_complete: Whether nothing else may have.
+        round_result: Result of the last round trip to control that was made
+            for it; None for none.
+        waited_s: Time until it was decided.
+        list_age_s: Time since the list was read.
+        news_age_s: Time since the last news of other instances.
     """
 
     resolution: Resolution
@@ -75,6 +90,10 @@
     age_s: float | None = None
     candidates: frozenset[Origin] = frozenset()
     is_complete: bool = False
+    round_result: rounds.RoundResult | None = None
+    waited_s: float = 0.0
+    list_age_s: float = 0.0
+    news_age_s: float = 0.0
 
 
 def stream_key(workspace: ids.WorkspaceId, attempt: str) -> int:
@@ -105,6 +124,8 @@
             self._started_s, UNKNOWN_LIFETIME_S
         )
         self._on_unreported: abc.Callable[[], None] = lambda: None
+        self._begin_round: rounds.BeginRound | None = None
+        self._is_in_touch = True
         self._mixed: set[ids.ServiceId] = set()
         self._software: dict[ids.EndpointId, ids.SoftwareVersion] = {}
 
@@ -112,6 +133,13 @@
         """Sets what is called when `take_report` has news for control."""
         self._on_unreported = listener
 
+    def set_round_starter(self, begin: rounds.BeginRound) -> None:
+        """Sets what makes round trips to the control processes.
+
+        Without it, no unknown stream is resumed.
+        """
+        self._begin_round = begin
+
     def set_longest_answer_s(self, longest_s: float) -> None:
         """Sets the longest time that an answer may take."""
         with self._changed:
@@ -128,6 +156,12 @@
             self._update_mixed(now_s)
         if has_new:
             self._on_unreported()
+            self._store_own()
+
+    def _store_own(self) -> None:
+        """Has the control processes store what they have not acknowledged."""
+        if self._begin_round is not None:
+            self._begin_round(False)
 
     def _doubt_restarted(
         self, found: abc.Iterable[messages.KnownEndpoint], now_s: float
@@ -181,6 +215,53 @@
         with self._changed:
             self._candidates.touch(self._clock.now_s())
 
+    def touch_list(self) -> None:
+        """Records that the list has been read."""
+        with self._changed:
+            self._candidates.touch_list(self._clock.now_s())
+
+    def doubt(self) -> None:
+        """Records that news of control may have been lost on the way."""
+        with self._changed:
+            self._candidates.doubt(self._clock.now_s())
+
+    def unacknowledged(self) -> tuple[open_streams.GroupEnd, ...]:
+        """Returns what a majority of the control processes is to store."""
+        with self._changed:
+            return self._candidates.unacknowledged(self._clock.now_s())
+
+    def acknowledge(self, stored: abc.Iterable[open_streams.GroupEnd]) -> None:
+        """Records what a majority of the control processes has stored.
+
+        Args:
+            stored: What they were sent in one round trip.
+        """
+        with self._changed:
+            self._candidates.acknowledge(stored, self._clock.now_s())
+            self._changed.notify_all()
+
+    def end_round(
+        self,
+        ended: rounds.Round,
+        result: rounds.RoundResult,
+        known: abc.Iterable[open_streams.GroupEnd],
+    ) -> None:
+        """Applies what a round trip to the control processes has brought.
+
+        Args:
+            ended: The round trip; it is done on return.
+            result: Its result.
+            known: What has open streams, as those that answered know it.
+        """
+        with self._changed:
+            self._is_in_touch = result is not rounds.RoundResult.NO_MAJORITY
+            self._candidates.merge(
+                known, are_all=result is rounds.RoundResult.ALL_KNOWN
+            )
+            self._update_mixed(self._clock.now_s())
+            ended.set_result(result)
+            self._changed.notify_all()
+
     def merge_open_streams(
         self, items: abc.Iterable[open_streams.GroupEnd], *, are_all: bool
     ) -> None:
@@ -196,7 +277,7 @@
             self._changed.notify_all()
 
     def knows_open_streams(self) -> bool:
-        """Returns whether everything with open streams is known."""
+        """Returns whether everything that had open streams lately is known."""
         with self._changed:
             return self._candidates.are_all(self._clock.now_s())
 
@@ -220,7 +301,7 @@
         until_s: float | None = None,
         class_id: ids.ClassId = open_streams.ANY_CLASS,
         endpoint: ids.EndpointId | None = None,
-    ) -> None:
+    ) -> open_streams.GroupEnd:
         """Records a stream whose first event has just arrived.
 
         Args:
@@ -231,21 +312,66 @@
                 not known.
             class_id: Its class.
             endpoint: What wrote the event.
+
+        Returns:
+            What the control processes have to store; see `wait_acknowledged`.
         """
         now_s = self._clock.now_s()
         if until_s is None:
             until_s = now_s + self._candidates.lifetime_s
         until_s = min(until_s, now_s + open_streams.LONGEST_STREAM_S)
+        group = open_streams.StreamGroup(class_id, origin)
         with self._changed:
-            is_reported = self._candidates.add_own(
-                open_streams.StreamGroup(class_id, origin), until_s
-            )
+            is_reported = self._candidates.add_own(group, until_s)
+            is_due = self._candidates.is_due(group, until_s)
         if key is not None:
             self.merge(
                 [Record(key, origin, now_s, Source.OWN, until_s, endpoint)]
             )
         if not is_reported:
             self._on_unreported()
+        if is_due:
+            self._store_own()
+        return group, until_s
+
+    def wait_acknowledged(
+        self, begun: open_streams.GroupEnd, limit_s: float
+    ) -> bool:
+        """Waits until a majority of the control processes has stored a group.
+
+        Callers resume a stream only after its first event. While that is held
+        back, no other entry needs to know what began the stream.
+
+        Args:
+            begun: What `add_own` has returned.
+            limit_s: Longest wait.
+
+        Returns:
+            Whether it has been stored.
+        """
+        group, until_s = begun
+        with self._changed:
+            if self._candidates.is_acknowledged(group, until_s):
+                return True
+            wait_s = ACKNOWLEDGEMENT_WAIT_S
+            if not self._is_in_touch:
+                wait_s = OUT_OF_TOUCH_WAIT_S
+        if self._begin_round is None:
+            return False
+        end_s = time.monotonic() + min(wait_s, limit_s)
+        while (left_s := end_s - time.monotonic()) > 0:
+            storing = self._begin_round(False)
+            with self._changed:
+                self._changed.wait_for(
+                    lambda each=storing: (
+                        each.done()
+                        or self._candidates.is_acknowledged(group, until_s)
+                    ),
+                    left_s,
+                )
+                if self._candidates.is_acknowledged(group, until_s):
+                    return True
+        return False
 
     def merge(self, records: abc.Iterable[Record]) -> None:
         """Records streams that this or other instances began."""
@@ -320,32 +446,51 @@
     ) -> Resolved:
         """Determines what has to resume a stream.
 
+        An unknown one goes on at the only version that may have begun it, by
+        what the control processes answer to a question that was asked after
+        this call.
+
         Args:
             key: The stream; None if its caller does not name it.
             services: The services that may serve the request.
             timeout_s: Longest wait for news of a stream that is not known.
             class_id: Class of the request.
         """
-        with self._changed:
-            now_s = self._clock.now_s()
-            self._table.drop_ended(now_s)
-            self._update_mixed(now_s)
-            self._changed.wait_for(
-                lambda: (
-                    self._resolve(key, services, class_id).resolution
-                    is not Resolution.UNKNOWN
-                ),
-                timeout_s,
-            )
-            return self._resolve(key, services, class_id)
+        begun_s = time.monotonic()
+        barrier = rounds.Barrier(self._begin_round)
+        while True:
+            barrier.take()
+            with self._changed:
+                resolved = self._resolve(key, services, class_id, barrier)
+            waited_s = time.monotonic() - begun_s
+            left_s = timeout_s - waited_s
+            is_unknown = resolved.resolution is Resolution.UNKNOWN
+            # With several candidates the answer could not differ.
+            may_differ = is_unknown and len(resolved.candidates) <= 1
+            if may_differ and (left_s > 0 or not barrier.has_begun):
+                barrier.begin()
+            if not is_unknown or (left_s <= 0 and not barrier.is_done):
+                return dataclasses.replace(resolved, waited_s=waited_s)
+            with self._changed:
+                self._changed.wait_for(
+                    lambda: self._is_known(key) or barrier.is_done,
+                    max(left_s, 0.0),
+                )
+
+    def _is_known(self, key: int | None) -> bool:
+        return key is not None and self._table.get(key) is not None
 
     def _resolve(
         self,
         key: int | None,
         services: abc.Collection[ids.ServiceId],
         class_id: ids.ClassId,
+        barrier: rounds.Barrier,
     ) -> Resolved:
         now_s = self._clock.now_s()
+        self._table.drop_ended(now_s)
+        self._update_mixed(now_s)
+        list_age_s, news_age_s = self._candidates.ages_s(now_s)
         record = None if key is None else self._table.get(key)
         if record is not None:
             resolution = Resolution.KNOWN
@@ -356,9 +501,12 @@
                 record.origin,
                 record.source,
                 now_s - record.begun_s,
+                round_result=barrier.result,
+                list_age_s=list_age_s,
+                news_age_s=news_age_s,
             )
         candidates = self._candidates.of_class(class_id, services, now_s)
-        are_all = self._candidates.are_all(now_s)
+        are_all = barrier.has_passed and self._candidates.has_room(now_s)
         origin = None
         if are_all and len(candidates) == 1:
             (origin,) = candidates
@@ -370,6 +518,9 @@
             origin,
             candidates=candidates,
             is_complete=are_all,
+            round_result=barrier.result,
+            list_age_s=list_age_s,
+            news_age_s=news_age_s,
         )
 
     def __len__(self) -> int:
--- a/cardamombarrow/resumption/open_streams.py
+++ b/cardamombarrow/resumption/open_streams.py
@@ -15,6 +15,7 @@
 __all__ = [
     "ANY_CLASS",
     "LONGEST_STREAM_S",
+    "AcknowledgedStreams",
     "GroupEnd",
     "OpenStreams",
     "Origin",
@@ -33,7 +34,7 @@
 
 REPORT_AHEAD_S = 15.0
 """How far beyond the last open stream a report reaches, so that steady traffic
-needs one report of each group in this time."""
+needs one report of each group in half of this time, and waits for none."""
 
 ANY_CLASS = ids.ClassId("")
 """Class of streams whose class is not known."""
@@ -145,3 +146,45 @@
         if first or tells_all:
             due += known
         return Report(tuple(due), tells_all)
+
+
+class AcknowledgedStreams:
+    """What a majority of the control processes has stored."""
+
+    def __init__(self):
+        self._until_s: dict[StreamGroup, float] = {}
+
+    def covers(self, group: StreamGroup, until_s: float) -> bool:
+        """Returns whether a stream that is open so long has been stored."""
+        return until_s <= self._until_s.get(group, -math.inf)
+
+    def is_due(self, group: StreamGroup, until_s: float) -> bool:
+        """Returns whether a group should be stored again."""
+        return not self.covers(group, until_s + REPORT_AHEAD_S / 2)
+
+    def due(self, own: abc.Iterable[GroupEnd]) -> tuple[GroupEnd, ...]:
+        """Returns what is to be stored now.
+
+        Args:
+            own: The groups of this entry's streams.
+        """
+        return tuple(
+            (group, until_s + REPORT_AHEAD_S)
+            for group, until_s in own
+            if self.is_due(group, until_s)
+        )
+
+    def add(self, items: abc.Iterable[GroupEnd], now_s: float) -> None:
+        """Records what a majority has stored in one round trip.
+
+        Acknowledgements of several round trips do not add up: a control process
+        may have restarted between them, and have lost what it stored.
+        """
+        self._until_s = {
+            group: until_s
+            for group, until_s in self._until_s.items()
+            if until_s > now_s
+        }
+        for group, until_s in items:
+            known_s = self._until_s.get(group, -math.inf)
+            self._until_s[group] = max(known_s, until_s)
