Apply the first list with an entry whose name is odd

A process that started while the list held an entry with an odd name knew no servers until it read the list again, and one that ran lost each list on which the number of odd entries had changed: the entries 'endpoint list rejected' without an outage of the platform, the control process that orders servers its whole check. With an entry that changes all the time, nothing was followed.

The reasons are logged as fields, and the field 'name' clashed with the first parameter of logs.event: TypeError. The second read succeeded, because the number had not changed and nothing was logged, which hid the fault. The parameters of event and decision are positional now, so no field can clash.

--- a/cardamombarrow/kernel/logs.py
+++ b/cardamombarrow/kernel/logs.py
@@ -109,12 +109,12 @@
     _LOGGER.add(write, level=level, format="{message}", catch=True)
 
 
-def event(name: str, level: str = "INFO", **fields: typing.Any) -> None:
+def event(name: str, level: str = "INFO", /, **fields: typing.Any) -> None:
     """Logs one event."""
     _LOGGER.bind(**fields).log(level, name)
 
 
-def decision(name: str, **fields: typing.Any) -> None:
+def decision(name: str, /, **fields: typing.Any) -> None:
     """Logs one routing or placement decision.
 
     Args:
