Count what is left out of lists and gossip

Operators had only a log line for odd entries. The counter items_left_out_total, by source and reason, is among the metrics of entries and control processes; it grows with each read that leaves something out.

--- a/cardamombarrow/control/metrics.py
+++ b/cardamombarrow/control/metrics.py
@@ -12,6 +12,7 @@
 
 from cardamombarrow.control import state as state_module
 from cardamombarrow.kernel import background
+from cardamombarrow.kernel import left_out
 from cardamombarrow.kernel import memory
 from cardamombarrow.log import base
 from cardamombarrow.peers.control import sends as sends_module
@@ -104,6 +105,7 @@
             yield f"# TYPE {PREFIX}{name} gauge"
             yield f"{PREFIX}{name} {value}"
         yield from background.metric_lines(PREFIX)
+        yield from left_out.metric_lines(PREFIX)
         sends = self._sends()
         counts = {} if sends is None else sends.counts()
         yield f"# TYPE {PREFIX}document_bytes_sent_total counter"
--- a/cardamombarrow/discovery/base.py
+++ b/cardamombarrow/discovery/base.py
@@ -42,6 +42,9 @@
     LEAVING = "leaving"
 
 
+_STATES = frozenset(each.value for each in ListedState)
+
+
 @dataclasses.dataclass(frozen=True)
 class ListedEndpoint:
     """One endpoint in a list.
@@ -176,6 +179,8 @@
         raise ValueError("software")
     if not (is_slots(slots) or (type(slots) is int and slots == 0)):
         raise ValueError("slots")
+    if not isinstance(state, str) or state not in _STATES:
+        raise ValueError("state")
     return ListedEndpoint(
         ids.EndpointId(endpoint),
         ListedState(state),
--- a/cardamombarrow/discovery/core.py
+++ b/cardamombarrow/discovery/core.py
@@ -15,6 +15,7 @@
 from cardamombarrow.kernel import background
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import errors
+from cardamombarrow.kernel import left_out
 from cardamombarrow.kernel import lifecycle
 from cardamombarrow.kernel import logs
 
@@ -187,6 +188,7 @@
 
     def _log_left_out(self, mistakes: collections.Counter[str]) -> None:
         """Logs the items of a received list that are left out, on changes."""
+        left_out.record("received_list", "invalid", mistakes.total())
         if mistakes != self._left_out:
             self._left_out = mistakes
             logs.event(
--- a/cardamombarrow/entry/metrics.py
+++ b/cardamombarrow/entry/metrics.py
@@ -15,6 +15,7 @@
 from cardamombarrow.kernel import background
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
+from cardamombarrow.kernel import left_out
 from cardamombarrow.kernel import memory
 from cardamombarrow.placing import messages as placing_messages
 from cardamombarrow.resumption import core as resumption
@@ -247,6 +248,7 @@
         with self._lock:
             lines = [*self._lines(values)]
         lines += background.metric_lines(PREFIX)
+        lines += left_out.metric_lines(PREFIX)
         lines.append(f"# TYPE {PREFIX}invalid_statements_total counter")
         lines += [
             f'{PREFIX}invalid_statements_total{{field="{name}"}} {count}'
--- a/cardamombarrow/entry/tests/test_metrics.py
+++ b/cardamombarrow/entry/tests/test_metrics.py
@@ -8,6 +8,7 @@
 from cardamombarrow.entry import metrics
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
+from cardamombarrow.kernel import left_out
 
 
 def _job(class_id: str) -> messages.Job:
@@ -96,3 +97,13 @@
     samples = _read(counted)
     assert samples[f'{name}{{{labels},less_urgent="began"}}'] == 2
     assert samples[f'{name}{{{labels},less_urgent="none"}}'] == 1
+
+
+def test_items_that_are_left_out_are_counted_by_source_and_reason():
+    # An operator must see odd entries of a list without reading log lines.
+    left_out.record("test", "odd", 2)
+    left_out.record("test", "odd")
+    name = "cardamombarrow_items_left_out_total"
+    assert (
+        _read(metrics.Metrics())[f'{name}{{source="test",reason="odd"}}'] == 3
+    )
--- a/cardamombarrow/peers/gossip/node.py
+++ b/cardamombarrow/peers/gossip/node.py
@@ -19,6 +19,7 @@
 from cardamombarrow.kernel import addresses
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import ids
+from cardamombarrow.kernel import left_out
 from cardamombarrow.kernel import logs
 from cardamombarrow.peers import loop as loop_module
 from cardamombarrow.peers import secret as secret_module
@@ -333,6 +334,7 @@
             try:
                 delta = gossip_codec.delta_from_wire(row, now_s)
             except ValueError as error:
+                left_out.record("gossip", "row")
                 logs.event(
                     "gossip row left out",
                     "DEBUG",
