Use the sound entries of a page with one that never closes

While another writer's entry had brackets or quotes that were not closed, or the token of the next page was odd, no list was applied: new servers got no requests and draining ones were not seen, on any page. A token that was an empty array or object counted as the last page, so that the servers of all later pages were gone; one that led back was followed 200 times in a row; and a server listed on two pages in two states went out of use and back with each read.

Where a page is no JSON, the entry after a damaged one is now taken to start at the next object behind a comma, and the token is looked for outside the array.

--- a/cardamombarrow/kernel/json_text.py
+++ b/cardamombarrow/kernel/json_text.py
@@ -10,14 +10,29 @@
 import re
 import typing
 
-__all__ = ["MAX_DEPTH", "load", "load_array", "load_array_member"]
+__all__ = [
+    "MAX_DEPTH",
+    "load",
+    "load_array",
+    "load_array_member",
+    "salvage_array_member",
+]
 
 MAX_DEPTH = 100
 """Most arrays and objects within each other. The interpreter's own limit
 depends on the stack of the caller: of two control processes, one could accept
 a document that the other refuses."""
 
+MAX_SALVAGED_CHARS = 65_536
+"""Longest item that is looked for behind a damaged one."""
+
+MAX_SALVAGES = 1_000
+"""Damaged items after which no further one is looked for."""
+
 _TOKEN = re.compile(r'"(?:[^"\\]|\\.)*"|[\[\]{},]', re.DOTALL)
+_NEXT_OBJECT = re.compile(r",\s*(?=\{)")
+_SEPARATOR = re.compile(r"\s*,\s*")
+_END = re.compile(r"\s*\]\s*(?:,\s*\"|\}\s*\Z)")
 _MEMBER = re.compile(r'\s*("(?:[^"\\]|\\.)*")\s*:(.*)', re.DOTALL)
 
 
@@ -83,6 +98,62 @@
     return raw, items, []
 
 
+def salvage_array_member(
+    body: bytes, name: str
+) -> tuple[str, list[typing.Any], list[str]]:
+    """Parses the objects of an array in a text that is not JSON.
+
+    Behind an item whose brackets or quotes are not closed, the next item is
+    taken to start at the next object that follows a comma. An object within an
+    array of the damaged item can be mistaken for an item.
+
+    Args:
+        body: The object.
+        name: Name of the member that is an array.
+
+    Returns:
+        The text before and after the array, the valid items, and for each
+        damaged one why it is not valid.
+
+    Raises:
+        ValueError: There is no such array.
+    """
+    text = body.decode(errors="surrogateescape")
+    start = re.search(rf'"{re.escape(name)}"\s*:\s*\[\s*', text)
+    if start is None:
+        raise ValueError(f"not an object with an array {name!r}")
+    items, mistakes = [], []
+    position = start.end()
+    while not _END.match(text, position):
+        try:
+            item, end = _load_at(text, position)
+            separator = _SEPARATOR.match(text, end)
+            if separator is None and not _END.match(text, end):
+                # Also an item that has swallowed the following ones.
+                raise ValueError("an item is not followed by another")
+            items.append(item)
+            position = separator.end() if separator is not None else end
+        except ValueError as error:
+            mistakes.append(str(error))
+            following = _NEXT_OBJECT.search(text, position)
+            if following is None or len(mistakes) > MAX_SALVAGES:
+                break
+            position = following.end()
+    outside = text[: start.start()] + text[text.rfind("]") + 1 :]
+    return outside, items, mistakes
+
+
+def _load_at(text: str, position: int) -> tuple[typing.Any, int]:
+    """Parses the value at a position; returns it and the position behind."""
+    part = text[position : position + MAX_SALVAGED_CHARS]
+    try:
+        value, length = _DECODER.raw_decode(part)
+    except RecursionError:
+        raise ValueError("nested too deeply") from None
+    _check_depth(value)
+    return value, position + length
+
+
 def _load_parts(
     body: bytes, name: str
 ) -> tuple[dict[str, typing.Any], list[typing.Any], list[str]]:
@@ -163,3 +234,8 @@
     if math.isinf(number):
         raise ValueError(f"{text[:20]} is too large")
     return number
+
+
+_DECODER = json.JSONDecoder(
+    parse_constant=_refuse_constant, parse_float=_finite
+)
