--- a/cardamombarrow/platform/tests/standin_streams.py
+++ b/cardamombarrow/platform/tests/standin_streams.py
@@ -15,6 +15,7 @@
 import struct
 import threading
 import time
+import urllib.parse
 
 __all__ = [
     "CUTS",
@@ -194,6 +195,8 @@
         received: All requests, in order.
         written: All events that were sent, in order.
         foreign: Entries of the list by another writer, as they are sent.
+        foreign_page: Number of the page that holds them, from 0.
+        page_size: Servers on each page of the list; 0 for a single page.
         damaged: Identities of servers whose entries of the list can't be read.
         listing_lag_s: Time by which the list lags behind.
         listing_url: URL of the list.
@@ -205,6 +208,8 @@
         self.received: list[Received] = []
         self.written: list[Written] = []
         self.foreign: list[bytes] = []
+        self.foreign_page = 0
+        self.page_size = 0
         self.damaged: set[str] = set()
         self.listing_lag_s = 0.0
         self._listings: collections.deque[tuple[float, bytes]] = (
@@ -307,8 +312,10 @@
     def _answer_listing(
         self, connection: socket.socket, port: int, raw: bytes
     ) -> None:
-        del port, raw
-        body = self._listing()
+        del port
+        query = urllib.parse.urlsplit(raw.split(b" ", 2)[1].decode()).query
+        (page,) = urllib.parse.parse_qs(query).get("pageToken", ["0"])
+        body = self._listing(int(page))
         if self.listing_lag_s:
             body = self._listing_of(time.monotonic() - self.listing_lag_s)
         connection.sendall(
@@ -342,7 +349,7 @@
         before = [body for recorded_s, body in listings if recorded_s <= at_s]
         return before[-1] if before else listings[0][1]
 
-    def _listing(self) -> bytes:
+    def _listing(self, page: int = 0) -> bytes:
         instances = [
             {
                 "id": each.identity,
@@ -360,8 +367,18 @@
         for each in instances:
             if each["id"] in self.damaged:
                 each["slots"] = str(SLOTS)
-        entries = [*self.foreign, *(json.dumps(i).encode() for i in instances)]
-        return b'{"instances":[%b],"nextToken":null}' % b",".join(entries)
+        following = b"null"
+        if self.page_size:
+            start = page * self.page_size
+            if start + self.page_size < len(instances):
+                following = b'"%d"' % (page + 1)
+            instances = instances[start : start + self.page_size]
+        foreign = self.foreign if page == self.foreign_page else []
+        entries = [*foreign, *(json.dumps(each).encode() for each in instances)]
+        return b'{"instances":[%b],"nextToken":%b}' % (
+            b",".join(entries),
+            following,
+        )
 
     def _answer_request(
         self, connection: socket.socket, port: int, raw: bytes
