Cut numbers of requests to the fields of placing messages

A request whose Token-Count says 4,294,967,296 or more (12 digits are allowed), or whose time left is over 24 days, could not be asked about at the instance that places: protobuf raised ValueError in the loop's callback, the question was lost, and the request waited for its time-out. Such numbers are cut to the range of their field. 7 of the 8 cases of test_codec failed before.

--- a/cardamombarrow/peers/placing/codec.py
+++ b/cardamombarrow/peers/placing/codec.py
@@ -26,8 +26,19 @@
 ]
 
 
+_MAX_MS = 2**31 - 1
+"""Longest time that all fields of messages hold."""
+
+_MAX_COUNT = 2**32 - 1
+
+
 def _ms(time_s: float) -> int:
-    return round(time_s * 1_000)
+    return round(min(max(time_s * 1_000, -_MAX_MS), _MAX_MS))
+
+
+def _count(number: int) -> int:
+    """Returns a number that a caller states, cut to the range of a field."""
+    return min(number, _MAX_COUNT)
 
 
 def job_to_wire(job: messages.Job, now_s: float) -> placing_pb2.PlacingJob:
@@ -42,11 +53,11 @@
         age_ms=_ms(now_s - job.arrived_s),
         left_ms=_ms(job.deadline_s - now_s),
         target_first_token_ms=_ms(job.target_first_token_s),
-        prompt_tokens=job.prompt_tokens,
-        max_tokens=job.max_tokens,
+        prompt_tokens=_count(job.prompt_tokens),
+        max_tokens=_count(job.max_tokens),
         prefix_key=job.prefix_key,
         parts=[part.part for part in job.parts],
-        part_tokens=[part.tokens for part in job.parts],
+        part_tokens=[_count(part.tokens) for part in job.parts],
         fingerprint=job.fingerprint or "",
         repeatable=job.repeatable,
         attempts=job.attempts,
