Refuse configurations whose values no message can hold

An operator who sent a version of 2^63 or more, or a time of 4,000 digits, got a 500 for ever and not a 400. A priority out of range, a negative objective or a name with a lone surrogate was accepted and then failed wherever it was passed on: in gossip, in placing, in metrics. A mistake that names such a service could not be sent as the answer.

Numbers have to lie from 0 to 10^12, integers to 2^53 (ranks and attempts to 2^16, slots to 10^6), a version in 64 bits; texts must be writable as UTF-8. A number given as text or as true is no longer taken for a number.

--- a/cardamombarrow/platform/configuration.py
+++ b/cardamombarrow/platform/configuration.py
@@ -25,15 +25,33 @@
 _KINDS = (_IDEMPOTENT, _STREAMING, "non_idempotent")
 
 
+MAX_INTEGER = 2**53
+"""Highest integer; JSON numbers above it lose digits with many writers."""
+
+MAX_NUMBER = 1e12
+
+MAX_RANK = 2**16
+
+MAX_ATTEMPTS = 2**16
+
+MAX_SLOTS = 1_000_000
+
+MAX_MISTAKE_CHARS = 200
+
+_VERSIONS = range(-(2**63), 2**63)
+
+
 def version_of(text: str) -> int:
     """Returns the version number in a configuration.
 
     Raises:
-        errors.ConfigError: It is missing or not an integer.
+        errors.ConfigError: It is missing or not an integer of 64 bits.
     """
     version = _load(text).get("version")
     if not _is_integer(version):
         raise errors.ConfigError(["version: not an integer"])
+    if version not in _VERSIONS:
+        raise errors.ConfigError(["version: out of range"])
     return version
 
 
@@ -111,7 +129,8 @@
             try:
                 result.append(read(item))
             except (KeyError, TypeError, ValueError, AttributeError) as error:
-                self.mistakes.append(f"{self._location}: {error!r}")
+                mistake = f"{self._location}: {error!r}"
+                self.mistakes.append(mistake[:MAX_MISTAKE_CHARS])
         return result
 
     def service(self, raw: dict[str, typing.Any]) -> schema.Service:
@@ -123,14 +142,17 @@
                 from_routes.DEFAULT_PLAIN_SLOTS,
             )
         else:
-            kind, slots = schema.ServiceKind.ENGINE, int(engine["slots"])
+            kind, slots = (
+                schema.ServiceKind.ENGINE,
+                _integer(engine["slots"], MAX_SLOTS),
+            )
         return schema.Service(
             service=ids.ServiceId(_text(raw["name"])),
             kind=kind,
             slots_per_endpoint=slots,
-            max_connections=int(raw.get("maxConns", 0)),
-            cache_token_bytes=int((engine or {}).get("kvTokenBytes", 0)),
-            cache_link_mbit_per_s=float((engine or {}).get("linkMbps", 0.0)),
+            max_connections=_integer(raw.get("maxConns", 0)),
+            cache_token_bytes=_integer((engine or {}).get("kvTokenBytes", 0)),
+            cache_link_mbit_per_s=_number((engine or {}).get("linkMbps", 0.0)),
             scaling=_scaling(raw.get("scaling")),
         )
 
@@ -148,11 +170,10 @@
             raise ValueError("timeoutMs must be greater than 0")
         target_s = _number(raw.get("latencyGoalMs") or raw["timeoutMs"]) / 1_000
         class_id = ids.ClassId(name)
+        rank = _integer(raw.get("priority", from_routes.LAST_RANK), MAX_RANK)
         request_class = schema.RequestClass(
             class_id=class_id,
-            tier=from_routes.tier_id(
-                int(raw.get("priority", from_routes.LAST_RANK))
-            ),
+            tier=from_routes.tier_id(rank),
             target_first_token_s=min(target_s, timeout_s),
             target_total_s=timeout_s,
             repeatable=kind == _IDEMPOTENT or resumable,
@@ -164,17 +185,13 @@
             path_prefix=_text(raw["pathPrefix"]),
             class_id=class_id,
             services=_services(raw),
-            max_attempts=int(raw.get("maxAttempts", 1)),
+            max_attempts=_integer(raw.get("maxAttempts", 1), MAX_ATTEMPTS),
             anonymous=bool(raw.get("anonymous", False)),
             resumable=resumable,
             streams=kind == _STREAMING,
             longest_pause_s=_number(raw.get("itlTargetMs") or 0) / 1_000,
         )
-        return (
-            route,
-            request_class,
-            int(raw.get("priority", from_routes.LAST_RANK)),
-        )
+        return route, request_class, rank
 
     def workspace(self, raw: dict[str, typing.Any]) -> schema.Workspace:
         """Reads a tenant."""
@@ -186,7 +203,7 @@
                 for key in raw["apiKeys"]
             ),
             classes=(),
-            rank=None if priority is None else int(priority),
+            rank=None if priority is None else _integer(priority, MAX_RANK),
         )
 
     def limits(self, raw: dict[str, typing.Any]) -> schema.CallerLimits:
@@ -194,10 +211,12 @@
         default = schema.CallerLimits()
         try:
             return schema.CallerLimits(
-                header_bytes=int(
+                header_bytes=_integer(
                     raw.get("maxHeaderBytes", default.header_bytes)
                 ),
-                body_bytes=int(raw.get("maxBodyBytes", default.body_bytes)),
+                body_bytes=_integer(
+                    raw.get("maxBodyBytes", default.body_bytes)
+                ),
                 header_timeout_s=_number(raw["headerTimeoutMs"]) / 1_000
                 if "headerTimeoutMs" in raw
                 else default.header_timeout_s,
@@ -206,7 +225,7 @@
                 else default.idle_timeout_s,
             )
         except (TypeError, ValueError, AttributeError) as error:
-            self.mistakes.append(f"limits: {error!r}")
+            self.mistakes.append(f"limits: {error!r}"[:MAX_MISTAKE_CHARS])
             return default
 
 
@@ -221,20 +240,28 @@
         return None
     try:
         scaling = schema.Scaling(
-            least=int(raw["min"]),
-            most=int(raw["max"]),
+            least=_integer(raw["min"]),
+            most=_integer(raw["max"]),
             boot_s=_number(raw.get("bootS", 0)),
             spot_price=_number(raw.get("spotPrice", 0)),
             prices={
-                ids.DomainId(zone): _number(price)
+                ids.DomainId(_text(zone)): _number(price)
                 for zone, price in raw["zonePrices"].items()
             },
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
-        logs.event("scaling not read", "WARNING", detail=repr(error))
+        logs.event(
+            "scaling not read",
+            "WARNING",
+            detail=repr(error)[:MAX_MISTAKE_CHARS],
+        )
         return None
     if not (0 <= scaling.least <= scaling.most and scaling.prices):
-        logs.event("scaling bounds invalid", "WARNING", detail=str(raw))
+        logs.event(
+            "scaling bounds invalid",
+            "WARNING",
+            detail=str(raw)[:MAX_MISTAKE_CHARS],
+        )
         return None
     return scaling
 
@@ -253,12 +280,42 @@
 
 
 def _text(value: typing.Any) -> str:
+    """Returns a text that messages and headers can hold.
+
+    Raises:
+        TypeError: It is no text.
+        ValueError: It has lone surrogates.
+    """
     if not isinstance(value, str):
         raise TypeError(f"{value!r} is not text")
+    value.encode()
     return value
 
 
+def _integer(value: typing.Any, most: int = MAX_INTEGER) -> int:
+    """Returns an integer from 0 to `most`; a fraction is cut off.
+
+    Raises:
+        TypeError: It is no number.
+        ValueError: It is out of range.
+    """
+    number = int(_number(value)) if isinstance(value, float) else value
+    if not _is_integer(number):
+        raise TypeError(f"{value!r} is not a number")
+    if not 0 <= number <= most:
+        raise ValueError("a number is out of range")
+    return number
+
+
 def _number(value: typing.Any) -> float:
+    """Returns a number from 0 to `MAX_NUMBER`.
+
+    Raises:
+        TypeError: It is no number.
+        ValueError: It is out of range.
+    """
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise TypeError(f"{value!r} is not a number")
+    if not 0 <= value <= MAX_NUMBER:
+        raise ValueError("a number is out of range")
     return float(value)
--- a/cardamombarrow/platform/tests/test_configuration.py
+++ b/cardamombarrow/platform/tests/test_configuration.py
@@ -1,8 +1,16 @@
 """Tests of the conversion of configurations to documents."""
 
+import json
+
 import pytest
 
+from cardamombarrow.decisions import messages
+from cardamombarrow.document import machine
 from cardamombarrow.kernel import errors
+from cardamombarrow.kernel import ids
+from cardamombarrow.kernel.tests import odd_values
+from cardamombarrow.peers.control import codec
+from cardamombarrow.peers.placing import codec as placing_codec
 from cardamombarrow.platform import configuration
 
 _FORMAT = configuration.ConfigurationFormat()
@@ -181,3 +189,66 @@
         configuration.version_of(text)
     with pytest.raises(errors.ConfigError, match="not JSON"):
         _FORMAT.parse(text)
+
+
+def _members(value, path=()):
+    """Yields the path of each value that is no object or array."""
+    if isinstance(value, dict | list):
+        items = value.items() if isinstance(value, dict) else enumerate(value)
+        for key, each in items:
+            yield from _members(each, (*path, key))
+    else:
+        yield path
+
+
+def _with(text, path, odd):
+    raw = json.loads(text)
+    inner = raw
+    for key in path[:-1]:
+        inner = inner[key]
+    inner[path[-1]] = "ODD"
+    return json.dumps(raw).replace('"ODD"', odd)
+
+
+@pytest.mark.parametrize("odd", odd_values.JSON_VALUES, ids=lambda t: t[:12])
+def test_an_odd_value_is_refused_or_can_be_passed_on(make, odd):
+    # Guards against configurations that are answered with an error of the
+    # process, or taken although no message can hold their values.
+    text = make["configuration"]()
+    for path in _members(json.loads(text)):
+        changed = _with(text, path, odd)
+        try:
+            number = configuration.version_of(changed)
+            document = _FORMAT.parse(changed)
+        except errors.ConfigError as error:
+            assert str(error).encode(), path
+            assert all(len(each) < 3_000 for each in error.mistakes), path
+            continue
+        edition = machine.Edition(number, changed, configuration.NAME)
+        assert codec.edition_to_wire(edition).SerializeToString()
+        for route in document.routes.values():
+            assert placing_codec.job_to_wire(_job(document, route), 5.0)
+
+
+def _job(document, route):
+    request_class = document.classes[route.class_id]
+    workspace = next(reversed(document.workspaces.values()))
+    return messages.Job(
+        request_id=ids.RequestId("r"),
+        workspace=workspace.workspace,
+        class_id=route.class_id,
+        service=next(iter(route.services)),
+        model=ids.ModelId(""),
+        rank=document.rank_of(route.class_id, workspace),
+        arrived_s=0.0,
+        target_first_token_s=request_class.target_first_token_s,
+        deadline_s=request_class.target_total_s,
+        max_runs=route.max_attempts,
+    )
+
+
+def test_a_mistake_names_a_service_that_no_answer_can_hold(make):
+    text = make["configuration"](routes=[make["route"](service="\ud800")])
+    with pytest.raises(errors.ConfigError) as caught:
+        _FORMAT.parse(text)
+    assert str(caught.value).encode()
