Gossip: drop no instance for one's own standstill

An entry that goes on after 10 s or more took itself for the only one of its domain until the next rounds: it would use the whole of each endpoint's slots and of the global bounds, ask no placer, and report to control at once that it represents its domain (the time for which it counts as alone had passed while it stood still).

Cause: a row's age is the time since it was refreshed, and the first thing that an entry does after a standstill is a round, which drops rows over 10 s old. The rows that arrived meanwhile are still in its sockets.

Evidence: test_node.py, a node of three whose loop is blocked for one and a half times the age of death: it drops both others, and the one that lives besides the one that died; with the change none and only the dead one.

Why it works: a round that is over a second late, or lasts longer than its time-outs, shows that the process stood still. It then drops nothing for 6 s, in which all rows arrive. What died meanwhile is dropped after that. Ruled out: raising the refresh times by the standstill, since they are passed on to others as ages.

--- a/cardamombarrow/peers/gossip/node.py
+++ b/cardamombarrow/peers/gossip/node.py
@@ -57,12 +57,22 @@
 be gone without closing it, and connections would accumulate. With 36 instances
 a stream is used every 35 s on average."""
 
+LATE_S = 1.0
+"""Delay of a round from which this process itself stood still."""
+
+RETURN_S = 6.0
+"""Time after it in which no instance is dropped: the rows of all of them arrive
+within about 6 rounds."""
+
 PULL_GRACE_S = 1.0
 """How long to wait for a newer document from a control process before it is
 fetched from another instance."""
 
 PULL_TIMEOUT_S = 5.0
 
+ROUND_TIMEOUT_S = EXCHANGE_TIMEOUT_S + PULL_TIMEOUT_S
+"""Longest time that a round takes while its process runs."""
+
 
 @dataclasses.dataclass(frozen=True)
 class GossipSettings:
@@ -151,6 +161,7 @@
         self._seed_of: dict[ids.InstanceId, str] = {}
         self._members: frozenset[ids.InstanceId] = frozenset()
         self._next_seed_s = 0.0
+        self._drops_from_s = 0.0
         self._newer_since_s: float | None = None
         self._left = False
         self._urgent = False
@@ -189,10 +200,26 @@
     async def _run(self) -> None:
         next_s = self._clock.now_s()
         while True:
-            await self._round(self._clock.now_s())
-            next_s = max(next_s + INTERVAL_S, self._clock.now_s())
+            begin_s = self._clock.now_s()
+            self._note_delay(begin_s - next_s, begin_s)
+            await self._round(begin_s)
+            now_s = self._clock.now_s()
+            self._note_delay(now_s - begin_s - ROUND_TIMEOUT_S, now_s)
+            next_s = max(next_s + INTERVAL_S, now_s)
             await self._pause(next_s)
 
+    def _note_delay(self, delay_s: float, now_s: float) -> None:
+        """Keeps all instances for a while after this process stood still.
+
+        It could not receive their rows meanwhile. Without them it would take
+        itself for the only instance of its domain.
+        """
+        if delay_s > LATE_S:
+            self._drops_from_s = now_s + RETURN_S
+            logs.event(
+                "process stood still", "WARNING", delay_s=round(delay_s, 3)
+            )
+
     async def _pause(self, until_s: float) -> None:
         await asyncio.sleep(MIN_ROUND_GAP_S)
         while (left_s := until_s - self._clock.now_s()) > 0:
@@ -210,7 +237,7 @@
         revision = self._hooks.revision()
         head = rows.RowHeader(self._settings.address, revision, self._left)
         self.table.update(head, self._hooks.collect(now_s), now_s)
-        gone = self.table.expire(now_s)
+        gone = self.table.expire(now_s) if now_s >= self._drops_from_s else []
         self._update_members(gone)
         addresses = self._choose_partners(now_s)
         await asyncio.gather(*(self._exchange(each) for each in addresses))
--- a/cardamombarrow/peers/gossip/tests/test_node.py
+++ b/cardamombarrow/peers/gossip/tests/test_node.py
@@ -1,6 +1,7 @@
 """Gossip nodes over loopback: joining, changes, documents, failures."""
 
 import contextlib
+import time
 
 import pytest
 
@@ -60,6 +61,13 @@
     def _on_document(self, message):
         self.document = message
 
+    def now_s(self):
+        return self.node._clock.now_s()
+
+    def stand_still(self, for_s):
+        """Blocks its loop."""
+        self.loop.call_soon(lambda: time.sleep(for_s))
+
     def members(self):
         return {row.instance for row in self.node.table.live()}
 
@@ -75,6 +83,7 @@
     """Starts nodes with the first one as their seed, and short intervals."""
     monkeypatch.setattr(gossip_node, "INTERVAL_S", 0.1)
     monkeypatch.setattr(gossip_node, "PULL_GRACE_S", 0.2)
+    monkeypatch.setattr(gossip_node, "RETURN_S", 0.6)
     monkeypatch.setattr(table_module, "DEAD_AGE_S", 2.0)
     with contextlib.ExitStack() as stack:
 
@@ -137,3 +146,26 @@
     nodes[1].document = control_pb2.DocumentMessage(revision=7, text="seven")
     assert deployment.wait_until(lambda: nodes[0].document.revision == 7)
     assert nodes[0].document.text == "seven"
+
+
+def test_a_node_that_stood_still_drops_no_others(start):
+    # Guards against an instance that takes its own standstill for the end of
+    # all others: alone, it would use the whole of every endpoint.
+    nodes = start(3)
+    assert _all_connected(nodes)
+    stopped = nodes[0]
+    stopped.stand_still(1.5 * table_module.DEAD_AGE_S)
+    time.sleep(2.5 * table_module.DEAD_AGE_S)
+    assert not stopped.gone
+    assert _all_connected(nodes)
+
+
+def test_an_instance_that_died_during_a_standstill_is_dropped(start):
+    # Guards against an instance that never drops others once it stood still.
+    nodes = start(3)
+    assert _all_connected(nodes)
+    stopped, gone = nodes[0], nodes.pop()
+    stopped.stand_still(1.5 * table_module.DEAD_AGE_S)
+    gone.vanish()
+    assert deployment.wait_until(lambda: "entry-2" in stopped.gone)
+    assert stopped.gone == ["entry-2"]
