Gossip: count the time that rows waited in a socket

What callers saw: not observed from outside; the window is the few milliseconds between a reply and the rows that answer it, once a second. An entry that is stopped in it takes the rows up when it goes on: a list of endpoints that was read before the standstill counts as read just now, and lists that others read afterwards are left aside as older, until the next interval or the greatest age of a list; load reports, pauses and limits count as new.

Cause: ages are sent relative to the sending, and were applied relative to the reading, however long a message lay in the socket.

Evidence: test_rows_that_waited_in_a_socket_are_as_old_as_they_are, a node that blocks for 1.0 s after each of its replies: the list of its partner was taken to be read 1.0 s later than it was (1738.797 for 1737.796); with the change it is not later.

Why it works: rows come only in answer to a digest, so they are taken to have been sent when it was sent; a message on its way can't be older. The error is one round trip, towards the older.

--- a/cardamombarrow/peers/gossip/codec.py
+++ b/cardamombarrow/peers/gossip/codec.py
@@ -185,18 +185,27 @@
 }
 
 
-def delta_from_wire(wire: gossip_pb2.GossipRow, now_s: float) -> rows.RowDelta:
-    """Converts a row's delta back."""
+def delta_from_wire(
+    wire: gossip_pb2.GossipRow, now_s: float, waited_s: float = 0.0
+) -> rows.RowDelta:
+    """Converts a row's delta back.
+
+    Args:
+        wire: The delta.
+        now_s: The current time.
+        waited_s: Longest time for which it may have been on its way.
+    """
+    sent_s = now_s - waited_s
     return rows.RowDelta(
         instance=ids.InstanceId(wire.instance),
         incarnation=wire.incarnation,
         version=wire.version,
         since=wire.since,
-        age_s=wire.age_ms / _MS,
+        age_s=wire.age_ms / _MS + waited_s,
         head=rows.RowHeader(
             wire.address, ids.Revision(wire.applied_revision), wire.left
         ),
-        items=list(_items(wire, now_s)),
+        items=list(_items(wire, sent_s)),
     )
 
 
--- a/cardamombarrow/peers/gossip/node.py
+++ b/cardamombarrow/peers/gossip/node.py
@@ -292,13 +292,14 @@
 
     async def _exchange_rows(self, partner: _Partner, address: str) -> None:
         stream = await partner.stream()
+        asked_s = self._clock.now_s()
         await stream.send_message(self._message(self.table.digest()))
         reply = await stream.recv_message()
         if reply is None:
             raise ConnectionError("the gossip stream ended")
         if address in self._seeds:
             self._seed_of[ids.InstanceId(reply.instance)] = address
-        if not self._accept(reply):
+        if not self._accept(reply, asked_s):
             return
         answer = self._message()
         self._add_rows(answer, gossip_codec.digest_from_wire(reply.digest))
@@ -325,9 +326,16 @@
             for delta in self.table.deltas(known, now_s)
         )
 
-    def _accept(self, message: gossip_pb2.GossipMessage) -> bool:
+    def _accept(
+        self, message: gossip_pb2.GossipMessage, asked_s: float
+    ) -> bool:
         """Applies the rows of a message.
 
+        Args:
+            message: The message, which may have waited in a socket.
+            asked_s: When it was asked for. The ages that it states may count
+                from then.
+
         Returns:
             False if the message is from another failure domain or from this
             instance itself.
@@ -343,7 +351,11 @@
             )
             return False
         now_s = self._clock.now_s()
-        deltas = [gossip_codec.delta_from_wire(r, now_s) for r in message.rows]
+        waited_s = now_s - asked_s
+        deltas = [
+            gossip_codec.delta_from_wire(row, now_s, waited_s)
+            for row in message.rows
+        ]
         changes = self.table.apply(deltas, now_s)
         if changes.refreshed or changes.items:
             self._update_members(changes.left)
@@ -357,12 +369,15 @@
             await self._serve(stream)
 
     async def _serve(self, stream: server.Stream) -> None:
+        replied_s = self._clock.now_s()
         while True:
             async with asyncio.timeout(IDLE_TIMEOUT_S):
                 message = await stream.recv_message()
-            if message is None or not self._accept(message):
+            # Rows come only in answer to a reply.
+            if message is None or not self._accept(message, replied_s):
                 return
             if message.digest:
+                replied_s = self._clock.now_s()
                 known = gossip_codec.digest_from_wire(message.digest)
                 reply = self._message(self.table.digest())
                 self._add_rows(reply, known)
--- a/cardamombarrow/peers/gossip/tests/test_node.py
+++ b/cardamombarrow/peers/gossip/tests/test_node.py
@@ -68,6 +68,16 @@
         """Blocks its loop."""
         self.loop.call_soon(lambda: time.sleep(for_s))
 
+    def stand_still_after_replies(self, for_s):
+        """Blocks its loop after each reply, before what follows is read."""
+        add_rows = self.node._add_rows
+
+        def add_and_stop(message, known):
+            add_rows(message, known)
+            self.stand_still(for_s)
+
+        self.node._add_rows = add_and_stop
+
     def members(self):
         return {row.instance for row in self.node.table.live()}
 
@@ -169,3 +179,17 @@
     gone.vanish()
     assert deployment.wait_until(lambda: "entry-2" in stopped.gone)
     assert stopped.gone == ["entry-2"]
+
+
+def test_rows_that_waited_in_a_socket_are_as_old_as_they_are(start):
+    # Guards against an instance that stood still and takes a list that was read
+    # before for newer than all that are read afterwards.
+    first, second = start(2)
+    assert _all_connected([first, second])
+    key = (rows.ItemKind.LISTING, "")
+    first.node._choose_partners = lambda now_s: []
+    first.stand_still_after_replies(1.0)
+    read_s = second.now_s()
+    second.items = {key: rows.ListingStamp(7, read_s)}
+    assert deployment.wait_until(lambda: ("entry-1", key) in first.received)
+    assert first.received["entry-1", key].read_s < read_s + 0.5
