Orders: let the lease run out while the machine is suspended

What callers saw: not observed; found by reading. A control process whose machine was suspended (a paused or migrated virtual machine) and that goes on would send orders under a lease that had ended meanwhile, beside those of the next holder. Engines that do not check tokens carry out both.

Cause: the lease was measured on CLOCK_MONOTONIC, which stands still during a suspension.

A suspension of a real machine was not tried. A process that is only stopped was right before: both clocks go on.

Why it works: the age of the renewal now counts the suspension, and is checked with each order just before it is sent.

--- a/cardamombarrow/control/core.py
+++ b/cardamombarrow/control/core.py
@@ -374,6 +374,20 @@
     )
 
 
+def _orders_runner(
+    settings: settings_module.ControlSettings,
+    log: base.Log,
+    state: _PublishingState,
+) -> runner.OrdersRunner:
+    # The lease goes on to run out while the machine is suspended.
+    return runner.OrdersRunner(
+        ids.InstanceId(settings.instance.id),
+        log,
+        lambda: _accepted_document(state),
+        clock.BootClock(),
+    )
+
+
 def run(
     settings: settings_module.ControlSettings, path: pathlib.Path | None = None
 ) -> None:
@@ -408,14 +422,7 @@
         first_text = pathlib.Path(settings.state.first_document).read_text()
         parsing.parse(first_text)
         parts.append(_FirstDocument(log, state, first_text))
-    parts.append(
-        runner.OrdersRunner(
-            ids.InstanceId(settings.instance.id),
-            log,
-            lambda: _accepted_document(state),
-            clock.SystemClock(),
-        )
-    )
+    parts.append(_orders_runner(settings, log, state))
     orders = list
     if settings.duties.is_enabled:
         duties = _duties(settings, log, state, peers)
--- a/cardamombarrow/orders/lease.py
+++ b/cardamombarrow/orders/lease.py
@@ -5,7 +5,7 @@
 other. So a holder sends only within `LEASE_S` of the time at which it
 *requested* its last renewal, less a margin for the transfer of the order. A new
 holder sends nothing until `LEASE_S` after it has acquired the lease. Each
-measures on its own monotonic clock, so wall clocks do not matter; the margin
+measures on its own clock since boot, so wall clocks do not matter; the margin
 covers clocks that run at different speeds.
 
 Remaining risk: an order that the network delays for longer than
