--- a/cardamombarrow/platform/tests/standin_streams.py
+++ b/cardamombarrow/platform/tests/standin_streams.py
@@ -139,6 +139,13 @@
     headers: dict[str, str]
     at_s: float
 
+    @property
+    def is_run(self) -> bool:
+        """Whether it named the server that received it, or none."""
+        return self.headers.get("expect-instance", self.identity) == (
+            self.identity
+        )
+
 
 @dataclasses.dataclass(frozen=True)
 class Written:
@@ -221,9 +228,17 @@
         for port in list(self._listeners):
             self._close(port)
 
-    def start(self, identity: str, **fields: str | int) -> Listed:
-        """Starts a server and lists it."""
-        port = self._listen(self._answer_request)
+    def start(
+        self, identity: str, port: int = 0, **fields: str | int
+    ) -> Listed:
+        """Starts a server and lists it.
+
+        Args:
+            identity: Its identity.
+            port: The port of one that has ended; 0 for a free one.
+            **fields: Other fields of its entry.
+        """
+        port = self._listen(self._answer_request, port)
         listed = Listed(identity, port, **fields)
         self.listed[port] = listed
         return listed
@@ -372,8 +387,7 @@
         received = _parse(raw, listed)
         _read_body(connection, raw, received)
         self.received.append(received)
-        expected = received.headers.get("expect-instance", listed.identity)
-        if expected != listed.identity:
+        if not received.is_run:
             connection.sendall(
                 b"HTTP/1.1 421 Misdirected\r\nNot-Executed: 1\r\n"
                 b"Connection: close\r\nContent-Length: 0\r\n\r\n"
--- a/cardamombarrow/platform/tests/stream_client.py
+++ b/cardamombarrow/platform/tests/stream_client.py
@@ -161,6 +161,7 @@
         last_event: Number of the last event that the caller has.
         parts: Ids of the parts of its prompt.
         limit_ms: Time for which the caller waits.
+        key: The caller's key; empty for none.
     """
 
     attempt: str
@@ -169,6 +170,7 @@
     last_event: int = 0
     parts: tuple[str, ...] = ()
     limit_ms: int = LIMIT_MS
+    key: str = ""
 
     @classmethod
     def new(cls, route: str, parts: tuple[str, ...] = ()) -> "Attempt":
@@ -228,6 +230,8 @@
         fields.append(f"Last-Event-Id: {attempt.last_event}")
     if attempt.resumes:
         fields.append(f"Resumes: {attempt.resumes}")
+    if attempt.key:
+        fields.append(f"Authorization: Token {attempt.key}")
     head = [f"POST {attempt.path} HTTP/{version}", *fields, "", ""]
     caller.sendall("\r\n".join(head).encode())
     return caller
