--- a/cardamombarrow/peers/gossip/node.py
+++ b/cardamombarrow/peers/gossip/node.py
@@ -59,12 +59,22 @@
 be gone without closing it, and connections would accumulate. With 36 instances
 a stream is used every 35 s on average."""
 
+LATE_S = 1.0
+"""Delay of a round from which this process itself stood still."""
+
+RETURN_S = 6.0
+"""Time after it in which no instance is dropped: the rows of all of them arrive
+within about 6 rounds."""
+
 PULL_GRACE_S = 1.0
 """How long to wait for a newer document from a control process before it is
 fetched from another instance."""
 
 PULL_TIMEOUT_S = 5.0
 
+ROUND_TIMEOUT_S = EXCHANGE_TIMEOUT_S + PULL_TIMEOUT_S
+"""Longest time that a round takes while its process runs."""
+
 
 @dataclasses.dataclass(frozen=True)
 class GossipSettings:
@@ -153,6 +163,7 @@
         self._seed_of: dict[ids.InstanceId, str] = {}
         self._members: frozenset[ids.InstanceId] = frozenset()
         self._next_seed_s = 0.0
+        self._drops_from_s = 0.0
         self._newer_since_s: float | None = None
         self._left = False
         self._urgent = False
@@ -191,10 +202,26 @@
     async def _run(self) -> None:
         next_s = self._clock.now_s()
         while True:
-            await self._round(self._clock.now_s())
-            next_s = max(next_s + INTERVAL_S, self._clock.now_s())
+            begin_s = self._clock.now_s()
+            self._note_delay(begin_s - next_s, begin_s)
+            await self._round(begin_s)
+            now_s = self._clock.now_s()
+            self._note_delay(now_s - begin_s - ROUND_TIMEOUT_S, now_s)
+            next_s = max(next_s + INTERVAL_S, now_s)
             await self._pause(next_s)
 
+    def _note_delay(self, delay_s: float, now_s: float) -> None:
+        """Keeps all instances for a while after this process stood still.
+
+        It could not receive their rows meanwhile. Without them it would take
+        itself for the only instance of its domain.
+        """
+        if delay_s > LATE_S:
+            self._drops_from_s = now_s + RETURN_S
+            logs.event(
+                "process stood still", "WARNING", delay_s=round(delay_s, 3)
+            )
+
     async def _pause(self, until_s: float) -> None:
         await asyncio.sleep(MIN_ROUND_GAP_S)
         while (left_s := until_s - self._clock.now_s()) > 0:
@@ -212,7 +239,7 @@
         revision = self._hooks.revision()
         head = rows.RowHeader(self._settings.address, revision, self._left)
         self.table.update(head, self._hooks.collect(now_s), now_s)
-        gone = self.table.expire(now_s)
+        gone = self.table.expire(now_s) if now_s >= self._drops_from_s else []
         self._update_members(gone)
         addresses = self._choose_partners(now_s)
         await asyncio.gather(*(self._exchange(each) for each in addresses))
@@ -268,13 +295,14 @@
 
     async def _exchange_rows(self, partner: _Partner, address: str) -> None:
         stream = await partner.stream()
+        asked_s = self._clock.now_s()
         await stream.send_message(self._message(self.table.digest()))
         reply = await stream.recv_message()
         if reply is None:
             raise ConnectionError("the gossip stream ended")
         if address in self._seeds:
             self._seed_of[ids.InstanceId(reply.instance)] = address
-        if not self._accept(reply):
+        if not self._accept(reply, asked_s):
             return
         answer = self._message()
         self._add_rows(answer, gossip_codec.digest_from_wire(reply.digest))
@@ -301,9 +329,16 @@
             for delta in self.table.deltas(known, now_s)
         )
 
-    def _accept(self, message: gossip_pb2.GossipMessage) -> bool:
+    def _accept(
+        self, message: gossip_pb2.GossipMessage, asked_s: float
+    ) -> bool:
         """Applies the rows of a message.
 
+        Args:
+            message: The message, which may have waited in a socket.
+            asked_s: When it was asked for. The ages that it states may count
+                from then.
+
         Returns:
             False if the message is from another failure domain or from this
             instance itself.
@@ -319,7 +354,8 @@
             )
             return False
         now_s = self._clock.now_s()
-        changes = self.table.apply(self._deltas(message, now_s), now_s)
+        deltas = self._deltas(message, now_s, waited_s=now_s - asked_s)
+        changes = self.table.apply(deltas, now_s)
         if changes.refreshed or changes.items:
             self._update_members(changes.left)
             if self._hooks.on_changes(changes, now_s):
@@ -327,12 +363,12 @@
         return True
 
     def _deltas(
-        self, message: gossip_pb2.GossipMessage, now_s: float
+        self, message: gossip_pb2.GossipMessage, now_s: float, waited_s: float
     ) -> abc.Iterator[rows.RowDelta]:
         """Yields the rows of a message; odd ones are left out."""
         for row in message.rows:
             try:
-                delta = gossip_codec.delta_from_wire(row, now_s)
+                delta = gossip_codec.delta_from_wire(row, now_s, waited_s)
             except ValueError as error:
                 left_out.record("gossip", "row")
                 logs.event(
@@ -351,12 +387,15 @@
             await self._serve(stream)
 
     async def _serve(self, stream: server.Stream) -> None:
+        replied_s = self._clock.now_s()
         while True:
             async with asyncio.timeout(IDLE_TIMEOUT_S):
                 message = await stream.recv_message()
-            if message is None or not self._accept(message):
+            # Rows come only in answer to a reply.
+            if message is None or not self._accept(message, replied_s):
                 return
             if message.digest:
+                replied_s = self._clock.now_s()
                 known = gossip_codec.digest_from_wire(message.digest)
                 reply = self._message(self.table.digest())
                 self._add_rows(reply, known)
--- a/cardamombarrow/peers/gossip/tests/test_node.py
+++ b/cardamombarrow/peers/gossip/tests/test_node.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import math
+import time
 
 import pytest
 
@@ -65,6 +66,23 @@
     def _on_document(self, message):
         self.document = message
 
+    def now_s(self):
+        return self.node._clock.now_s()
+
+    def stand_still(self, for_s):
+        """Blocks its loop."""
+        self.loop.call_soon(lambda: time.sleep(for_s))
+
+    def stand_still_after_replies(self, for_s):
+        """Blocks its loop after each reply, before what follows is read."""
+        add_rows = self.node._add_rows
+
+        def add_and_stop(message, known):
+            add_rows(message, known)
+            self.stand_still(for_s)
+
+        self.node._add_rows = add_and_stop
+
     def members(self):
         return {row.instance for row in self.node.table.live()}
 
@@ -80,6 +98,7 @@
     """Starts nodes with the first one as their seed, and short intervals."""
     monkeypatch.setattr(gossip_node, "INTERVAL_S", 0.1)
     monkeypatch.setattr(gossip_node, "PULL_GRACE_S", 0.2)
+    monkeypatch.setattr(gossip_node, "RETURN_S", 0.6)
     monkeypatch.setattr(table_module, "DEAD_AGE_S", 2.0)
     with contextlib.ExitStack() as stack:
 
@@ -208,7 +227,8 @@
     )
 
     async def accept():
-        return nodes[0].node._accept(message)
+        node = nodes[0].node
+        return node._accept(message, nodes[0].now_s())
 
     assert nodes[0].loop.call(accept()).result(timeout=5)
     key = (rows.ItemKind.LEAVING, "10.0.0.9:8000")
@@ -244,3 +264,40 @@
         (kind.REJECTION_PAUSE, 3),
         (kind.RATE_LIMIT, 3),
     ]
+
+
+def test_a_node_that_stood_still_drops_no_others(start):
+    # Guards against an instance that takes its own standstill for the end of
+    # all others: alone, it would use the whole of every endpoint.
+    nodes = start(3)
+    assert _all_connected(nodes)
+    stopped = nodes[0]
+    stopped.stand_still(1.5 * table_module.DEAD_AGE_S)
+    time.sleep(2.5 * table_module.DEAD_AGE_S)
+    assert not stopped.gone
+    assert _all_connected(nodes)
+
+
+def test_an_instance_that_died_during_a_standstill_is_dropped(start):
+    # Guards against an instance that never drops others once it stood still.
+    nodes = start(3)
+    assert _all_connected(nodes)
+    stopped, gone = nodes[0], nodes.pop()
+    stopped.stand_still(1.5 * table_module.DEAD_AGE_S)
+    gone.vanish()
+    assert deployment.wait_until(lambda: "entry-2" in stopped.gone)
+    assert stopped.gone == ["entry-2"]
+
+
+def test_rows_that_waited_in_a_socket_are_as_old_as_they_are(start):
+    # Guards against an instance that stood still and takes a list that was read
+    # before for newer than all that are read afterwards.
+    first, second = start(2)
+    assert _all_connected([first, second])
+    key = (rows.ItemKind.LISTING, "")
+    first.node._choose_partners = lambda now_s: []
+    first.stand_still_after_replies(1.0)
+    read_s = second.now_s()
+    second.items = {key: rows.ListingStamp(7, read_s)}
+    assert deployment.wait_until(lambda: ("entry-1", key) in first.received)
+    assert first.received["entry-1", key].read_s < read_s + 0.5
