Say in a request's last line what it waited for

What callers saw: no answer by their limit. The request's only line was `answer`, 499 `caller_gone`, `not_run` true, with no placement before it and no reason. `not_run` is true with that kind only for a caller that leaves during the wait for a placement; nothing told which endpoint kept the request waiting. A refusal at the deadline ("it can no longer be answered by its deadline") gave no reason either.

Cause: the dispatcher knows, per endpoint, only that it does not accept a job.

Now that check returns the cause, and the state of a wait (its stage, endpoints by cause, jobs ahead and waiting) stands in `answer`, and in `refuse` of a waiting request. One line per request as before; causes are worked out once, when the wait ends. `answer` always has `waited_s`. A forwarded request whose caller leaves has a line `forward` with `abandoned`; it had none.

Tests of decisions, entry, forwarding, placing and kernel pass.

--- a/cardamombarrow/decisions/base/choice.py
+++ b/cardamombarrow/decisions/base/choice.py
@@ -35,6 +35,10 @@
         """
         return states
 
+    def is_on_probation(self, state: endpoint_module.EndpointState) -> bool:
+        """Returns whether an endpoint gets probes only, after failures."""
+        return False
+
     def recheck_after_s(self, job: messages.Job) -> float | None:
         """Returns the wait after which `available` may change, or None."""
         return None
--- a/cardamombarrow/decisions/choosing/cost_choice.py
+++ b/cardamombarrow/decisions/choosing/cost_choice.py
@@ -60,6 +60,10 @@
     ) -> None:
         """Records the chosen endpoint, before the job is placed."""
 
+    def is_on_probation(self, state: endpoint_module.EndpointState) -> bool:
+        """Returns whether an endpoint gets probes only, after failures."""
+        return self._failures.is_on_probation(state.endpoint)
+
     def available(
         self,
         job: messages.Job,
@@ -71,7 +75,7 @@
         An endpoint on probation gets one job per probe, preferably one that may
         be repeated.
         """
-        if not self._failures.is_on_probation(state.endpoint):
+        if not self.is_on_probation(state):
             return True
         due = self._failures.is_probe_due(
             state.endpoint, now_s, repeatable=job.repeatable
@@ -111,7 +115,7 @@
         now_s: float,
     ) -> endpoint_module.EndpointState | None:
         for state in candidates:
-            if self._failures.is_on_probation(state.endpoint):
+            if self.is_on_probation(state):
                 self._failures.record_probe(state.endpoint, now_s)
                 return state
         return None
--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -14,6 +14,8 @@
 services with changes), so that no event iterates over all jobs.
 """
 
+from collections import abc
+import dataclasses
 import math
 import typing
 
@@ -141,9 +143,7 @@
         for job in self._waiting.due_service_checks(now_s):
             self._roster.changed.add(job.service)
         self._roster.changed.update(self._roster.rate_budget.due(now_s))
-        free_slots = free_slots_module.FreeSlots(
-            self._context, self._policies, self._roster, self.backlog, now_s
-        )
+        free_slots = self._free_slots(now_s)
         while True:
             job = self._policies.queue.take(free_slots, now_s)
             if job is None:
@@ -157,6 +157,25 @@
         while self._pending_cancellations:
             yield self._pending_cancellations.pop()
 
+    def _free_slots(self, now_s: float) -> free_slots_module.FreeSlots:
+        return free_slots_module.FreeSlots(
+            self._context, self._policies, self._roster, self.backlog, now_s
+        )
+
+    def wait_state(self, job: messages.Job, now_s: float) -> messages.WaitState:
+        """Returns the state in which a job waits."""
+        causes: abc.Mapping[messages.WaitCause, int] = {}
+        jobs_ahead = 0
+        if self.awaits_remote_placement(job.request_id):
+            stage = messages.WaitStage.PLACER
+        elif self._waiting.is_delayed(job.request_id):
+            stage = messages.WaitStage.RETRY_DELAY
+        else:
+            stage = messages.WaitStage.QUEUE
+            causes = self._free_slots(now_s).wait_causes(job)
+            jobs_ahead = self._policies.queue.jobs_ahead(job)
+        return messages.WaitState(stage, causes, jobs_ahead, len(self._waiting))
+
     def _give_up(self, now_s: float) -> typing.Iterator[messages.Refusal]:
         admission = self._policies.admission
         for job in self._waiting.due_checks(now_s):
@@ -168,10 +187,11 @@
                     job, max(next_check_s, now_s + MIN_CHECK_INTERVAL_S)
                 )
                 continue
+            wait = self.wait_state(job, now_s)
             self._policies.queue.remove(job.request_id)
             self._prefill.remove(job.request_id, placed=False)
             self._waiting.leave(job)
-            yield self._refusal(
+            refusal = self._refusal(
                 job,
                 errors.ErrorKind.QUEUE_TIMEOUT,
                 errors.RefusalCheck.WAITING,
@@ -179,6 +199,7 @@
                 backlog,
                 now_s,
             )
+            yield dataclasses.replace(refusal, wait=wait)
 
     def _give_up_reason(
         self, job: messages.Job, backlog: messages.Backlog, now_s: float
--- a/cardamombarrow/decisions/fleet/free_slots.py
+++ b/cardamombarrow/decisions/fleet/free_slots.py
@@ -1,5 +1,6 @@
 """The slots that are free at one time, and which jobs may take them."""
 
+import collections
 from collections import abc
 
 from cardamombarrow.decisions import base
@@ -108,31 +109,81 @@
             or remote
         )
 
+    def wait_causes(
+        self, job: messages.Job
+    ) -> abc.Mapping[messages.WaitCause, int]:
+        """Counts the endpoints of a job by the cause for which it waits."""
+        now_s = self._now_s
+        capacity = self._roster.capacities.get(job.service)
+        if capacity is None:
+            return {}
+        must_run_alone = self._policies.quarantine.must_run_alone(job, now_s)
+        considered = self._policies.choice.prepare(
+            job, self._roster.available(capacity.local, now_s), now_s
+        )
+        causes: collections.Counter[messages.WaitCause] = collections.Counter()
+        for state in (*capacity.local, *capacity.remote):
+            cause = messages.WaitCause.TURN
+            if not job.may_run_on(state.software):
+                cause = messages.WaitCause.SOFTWARE
+            elif not self._roster.available([state], now_s):
+                cause = messages.WaitCause.PAUSE
+            elif state in capacity.remote and not self._policies.spill.allow(
+                job, state, self._backlog(job, now_s), now_s
+            ):
+                cause = messages.WaitCause.OTHER_DOMAIN
+            elif state in capacity.local and state not in considered:
+                cause = messages.WaitCause.PREFILL
+            else:
+                cause = self._block(job, state, must_run_alone) or cause
+            causes[cause] += 1
+        return causes
+
     def _accepts(
         self,
         job: messages.Job,
         state: endpoint_module.EndpointState,
         must_run_alone: bool,
     ) -> bool:
-        now_s = self._now_s
-        running = state.running
+        return self._block(job, state, must_run_alone) is None
+
+    def _block(
+        self,
+        job: messages.Job,
+        state: endpoint_module.EndpointState,
+        must_run_alone: bool,
+    ) -> messages.WaitCause | None:
+        """Returns why an endpoint does not accept a job now, or None."""
         # Counting what a job can't preempt is only needed on a full endpoint.
         if state.share <= state.total_running and (
             state.share <= self._unavailable_slots(job, state)
         ):
-            return False
-        if not (
-            self._policies.choice.available(job, state, now_s)
-            and self._roster.rate_budget.may_send(state, now_s)
-            and self._context.rejection_limits.has_room(state, now_s)
-        ):
-            return False
+            return messages.WaitCause.SLOT
+        if not self._policies.choice.available(job, state, self._now_s):
+            return (
+                messages.WaitCause.PROBATION
+                if self._policies.choice.is_on_probation(state)
+                else messages.WaitCause.PREFILL
+            )
+        if not self._roster.rate_budget.may_send(state, self._now_s):
+            return messages.WaitCause.RATE_LIMIT
+        if not self._context.rejection_limits.has_room(state, self._now_s):
+            return messages.WaitCause.REJECTION_LIMIT
+        if self._has_companion(state, must_run_alone):
+            return messages.WaitCause.RUNS_ALONE
+        return None
+
+    def _has_companion(
+        self, state: endpoint_module.EndpointState, must_run_alone: bool
+    ) -> bool:
+        """Returns whether a job would run beside one, and may not."""
+        running = state.running
         if must_run_alone:
-            return not running
+            return bool(running)
         if len(running) != 1:
-            return True
+            return False
         only = next(iter(running.values())).job
-        return not self._policies.quarantine.must_run_alone(only, now_s)
+        return self._policies.quarantine.must_run_alone(only, self._now_s)
 
     def _unavailable_slots(
         self, job: messages.Job, state: endpoint_module.EndpointState
--- a/cardamombarrow/decisions/messages/__init__.py
+++ b/cardamombarrow/decisions/messages/__init__.py
@@ -1,7 +1,8 @@
 """Input and output messages of the scheduling decisions.
 
 `jobs`, `endpoints`, `peers` and `suspects` are inputs; `decision` has what is
-decided on a request. `runs` and `backlog` describe running and waiting work.
+decided on a request. `runs`, `backlog` and `waits` describe running and waiting
+work.
 All names are reached through this package.
 """
 
@@ -12,6 +13,7 @@
 from cardamombarrow.decisions.messages import peers
 from cardamombarrow.decisions.messages import runs
 from cardamombarrow.decisions.messages import suspects
+from cardamombarrow.decisions.messages import waits
 
 __all__ = [
     "NO_STATEMENT",
@@ -38,6 +40,9 @@
     "Running",
     "SuspectCounts",
     "SuspectReport",
+    "WaitCause",
+    "WaitStage",
+    "WaitState",
 ]
 
 Backlog = backlog.Backlog
@@ -64,3 +69,6 @@
 Running = runs.Running
 SuspectCounts = suspects.SuspectCounts
 SuspectReport = suspects.SuspectReport
+WaitCause = waits.WaitCause
+WaitStage = waits.WaitStage
+WaitState = waits.WaitState
--- a/cardamombarrow/decisions/messages/decision.py
+++ b/cardamombarrow/decisions/messages/decision.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from cardamombarrow.decisions.messages import endpoints
+from cardamombarrow.decisions.messages import waits
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 
@@ -65,6 +66,7 @@
         check: The check that refused it.
         less_urgent_start_age_s: Time since the last less urgent request of its
             service was placed, in seconds; None if none was.
+        wait: The state in which it waited; None if it was refused on arrival.
     """
 
     request_id: ids.RequestId
@@ -74,6 +76,7 @@
     less_urgent_running: int = 0
     check: errors.RefusalCheck = errors.RefusalCheck.UNKNOWN
     less_urgent_start_age_s: float | None = None
+    wait: waits.WaitState | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cardamombarrow/decisions/queueing/waiting.py
+++ b/cardamombarrow/decisions/queueing/waiting.py
@@ -79,6 +79,10 @@
         """Removes and returns a delayed job, or None."""
         return self._delayed.pop(request_id, None)
 
+    def is_delayed(self, request_id: ids.RequestId) -> bool:
+        """Returns whether a job is delayed before it is queued."""
+        return request_id in self._delayed
+
     def delayed(self) -> list[messages.Job]:
         """Returns the delayed jobs."""
         return list(self._delayed.values())
--- a/cardamombarrow/entry/frontend/routed.py
+++ b/cardamombarrow/entry/frontend/routed.py
@@ -114,18 +114,17 @@
     ) -> abc.Iterable[bytes]:
         metrics = self._runner.services.metrics
         metrics.count_error(error.kind, error.class_id)
+        waited_s = (
+            self._runner.services.time_source.now_s()
+            - environ[connection.ARRIVED_KEY]
+        )
         urgency: dict[str, object] = {}
         if error.check is not errors.RefusalCheck.UNKNOWN:
             start_age_s = self._less_urgent_start_age_s(environ, error)
-            waited_s = (
-                self._runner.services.time_source.now_s()
-                - environ[connection.ARRIVED_KEY]
-            )
             began = start_age_s is not None and start_age_s <= waited_s
             metrics.count_refusal(error.check, less_urgent_began=began)
             urgency = {
                 "check": error.check.value,
-                "waited_s": round(waited_s, 3),
                 "less_urgent_start_age_s": start_age_s
                 and round(start_age_s, 3),
             }
@@ -140,7 +139,9 @@
             retry_after_s=error.retry_after_s,
             revision=self._documents.revision,
             document_age_s=round(self._lease.age_s, 3),
+            waited_s=round(waited_s, 3),
             **urgency,
+            **error.wait_fields,
         )
         start_response(
             f"{answer.status} {_REASONS.get(answer.status, '')}",
--- a/cardamombarrow/entry/placement/broker.py
+++ b/cardamombarrow/entry/placement/broker.py
@@ -147,17 +147,27 @@
         with self._lock:
             return self._dispatcher.may_redo(job, self._clock.now_s())
 
-    def withdraw(self, ticket: ticket_module.Ticket) -> None:
+    def withdraw(
+        self, ticket: ticket_module.Ticket
+    ) -> messages.WaitState | None:
         """Withdraws a job whose caller left while waiting for a placement.
 
         The caller may leave at the moment the job is placed. Decisions are
         carried out under the lock, so the job is either still waiting or its
         future is resolved. A placed job is finished here; otherwise its slot
         would stay taken until a restart.
+
+        Returns:
+            The state in which it waited; None if it did not wait any more.
         """
         lines: list[decision_lines.DecisionLine] = []
+        wait = None
         with self._lock:
             request_id = ticket.job.request_id
+            if not ticket.placed.done():
+                wait = self._dispatcher.wait_state(
+                    ticket.job, self._clock.now_s()
+                )
             if self._dispatcher.awaits_remote_placement(request_id):
                 self._remote_placer.withdraw(request_id)
             if self._dispatcher.withdraw(request_id):
@@ -165,6 +175,7 @@
             elif not ticket.placed.exception(timeout=0):
                 lines = self._finish(request_id, messages.Outcome.CALLER_GONE)
         decision_lines.write(lines)
+        return wait
 
     def first_token(self, request_id: ids.RequestId) -> None:
         """Records that a request's first token has arrived."""
--- a/cardamombarrow/entry/placement/decision_lines.py
+++ b/cardamombarrow/entry/placement/decision_lines.py
@@ -102,6 +102,7 @@
             "check": decision.check.value,
             "less_urgent_start_age_s": decision.less_urgent_start_age_s
             and round(decision.less_urgent_start_age_s, 3),
+            **({} if decision.wait is None else decision.wait.fields()),
         }
     return "preempt", {
         "endpoint": decision.endpoint,
--- a/cardamombarrow/entry/placement/tests/test_broker.py
+++ b/cardamombarrow/entry/placement/tests/test_broker.py
@@ -107,6 +107,21 @@
         held.append(ticket)
 
 
+def test_a_withdrawn_job_tells_what_it_waited_for(broker):
+    # Guards against a caller that leaves unplaced, and no line says why.
+    held = _fill(broker)
+    ticket = broker.submit(_job(1, rank=2))
+    assert not ticket.placed.done()
+    wait = broker.withdraw(ticket)
+    assert wait.stage is messages.WaitStage.QUEUE
+    assert set(wait.causes) <= {
+        messages.WaitCause.SLOT,
+        messages.WaitCause.OTHER_DOMAIN,
+    }
+    assert wait.causes[messages.WaitCause.SLOT]
+    assert broker.withdraw(held[0]) is None
+
+
 def test_deadline_is_answered_without_any_other_event(broker):
     # Every slot is taken and no other event occurs at this entry. Without a
     # timer for the deadline the caller would never get an answer.
--- a/cardamombarrow/entry/placement/ticket.py
+++ b/cardamombarrow/entry/placement/ticket.py
@@ -28,6 +28,8 @@
             check=refusal.check,
         )
         self.refusal = refusal
+        if refusal.wait is not None:
+            self.wait_fields = refusal.wait.fields()
 
 
 @dataclasses.dataclass
--- a/cardamombarrow/entry/requests/request_handler.py
+++ b/cardamombarrow/entry/requests/request_handler.py
@@ -351,23 +351,31 @@
                     # A job that is placed just now counts as run once it is
                     # withdrawn, though it has not been sent.
                     refusal = self._services.stop_guard.refusal(ticket.job)
-                    self._services.broker.withdraw(ticket)
-                    raise refusal from None
+                    raise self._withdrawn(ticket, refusal) from None
                 if self._may_forward():
-                    self._services.broker.withdraw(ticket)
-                    raise errors.RefusedError(
+                    refusal = errors.RefusedError(
                         errors.ErrorKind.ENDPOINT_UNREACHED,
                         "no endpoint can be connected",
                         not_run=not ticket.job.may_have_run,
                         check=errors.RefusalCheck.REACHABILITY,
-                    ) from None
+                    )
+                    raise self._withdrawn(ticket, refusal) from None
                 if self._caller.gone():
-                    self._services.broker.withdraw(ticket)
-                    raise errors.RefusedError(
+                    refusal = errors.RefusedError(
                         errors.ErrorKind.CALLER_GONE,
                         "the caller left",
                         not_run=not ticket.job.may_have_run,
-                    ) from None
+                    )
+                    raise self._withdrawn(ticket, refusal) from None
+
+    def _withdrawn(
+        self, ticket: ticket_module.Ticket, refusal: errors.RefusedError
+    ) -> errors.RefusedError:
+        """Withdraws a waiting job; returns the refusal with its wait."""
+        wait = self._services.broker.withdraw(ticket)
+        if wait is not None:
+            refusal.wait_fields = wait.fields()
+        return refusal
 
     def _may_wait(self, job: messages.Job) -> bool:
         guard = self._services.stop_guard
--- a/cardamombarrow/forwarding/core.py
+++ b/cardamombarrow/forwarding/core.py
@@ -158,8 +158,8 @@
         Args:
             settings: How requests are forwarded.
             reachability: Whether endpoints are reachable; None never forwards.
-            count: Counts an outcome: ``taken``, ``declined``, ``unreached`` or
-                ``failed``.
+            count: Counts an outcome: ``taken``, ``declined``, ``unreached``,
+                ``failed`` or ``abandoned``.
         """
         self._settings = settings
         self._reachability = reachability
@@ -256,6 +256,10 @@
                 raise
             self._set_declined(address, request.service)
             return None
+        except errors.RefusedError as error:
+            exchange.close()
+            self._log(request, address, "abandoned", error.detail)
+            raise
         except BaseException:
             exchange.close()
             raise
--- a/cardamombarrow/kernel/errors.py
+++ b/cardamombarrow/kernel/errors.py
@@ -167,6 +167,8 @@
             table's `not_run` if passed to the constructor.
         class_id: The class of the failed request, or None if unknown.
         check: The check that refused the request.
+        wait_fields: Fields of a log line with the state in which the request
+            waited; empty if it did not.
     """
 
     def __init__(
@@ -184,6 +186,7 @@
         self.retry_after_s = retry_after_s
         self.class_id: ids.ClassId | None = None
         self.check = check
+        self.wait_fields: dict[str, object] = {}
         self._not_run = not_run
 
     @property
