--- a/cardamombarrow/decisions/base/choice.py
+++ b/cardamombarrow/decisions/base/choice.py
@@ -35,6 +35,19 @@
         """
         return states
 
+    def is_on_probation(self, state: endpoint_module.EndpointState) -> bool:
+        """Returns whether an endpoint gets probes only, after failures."""
+        return False
+
+    def probe_wait_s(
+        self,
+        job: messages.Job,
+        state: endpoint_module.EndpointState,
+        now_s: float,
+    ) -> float:
+        """Returns the time until an endpoint on probation may get a job."""
+        return 0.0
+
     def recheck_after_s(self, job: messages.Job) -> float | None:
         """Returns the wait after which `available` may change, or None."""
         return None
