Answer 400 to odd bodies of the administration API

A body nested over 900 deep, a number of 1e999 or of more than 64 bits, or a text with a lone surrogate got a 500, because json.loads raises RecursionError, int of an infinite number OverflowError, and the message that takes the values ValueError behind the check. The bodies are parsed by the strict reader, and numbers and texts checked there. The test of each of the three calls failed before.

--- a/cardamombarrow/admin/app.py
+++ b/cardamombarrow/admin/app.py
@@ -19,6 +19,7 @@
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
+from cardamombarrow.kernel import json_text
 from cardamombarrow.kernel import logs
 from cardamombarrow.ledger import client as ledger_client
 from cardamombarrow.log import base
@@ -173,8 +174,8 @@
         """Replaces the whole document by an edition."""
         self._require_all_sections(owner)
         try:
-            raw = json.loads(self._editions.read_text(request))
-            number, text = int(raw["number"]), str(raw["text"])
+            raw = json_text.load(self._editions.read_text(request))
+            number, text = _int64(raw["number"]), _text(raw["text"])
         except (ValueError, KeyError, TypeError) as error:
             raise errors.RefusedError(
                 errors.ErrorKind.BAD_REQUEST, f"not an edition: {error!r}"
@@ -241,9 +242,9 @@
 
     def _parse_change(self, request: wrappers.Request) -> membership.Change:
         try:
-            raw = json.loads(request.get_data())
+            raw = json_text.load(request.get_data())
             kind = membership.ChangeKind(raw["change"])
-            name = str(raw["member"])
+            name = _text(raw["member"])
         except (ValueError, KeyError, TypeError) as error:
             raise errors.RefusedError(
                 errors.ErrorKind.BAD_REQUEST, f"not a change: {error!r}"
@@ -279,16 +280,17 @@
 
 def _parse_edit(request: wrappers.Request, owner: ids.OwnerId) -> machine.Edit:
     try:
-        raw = json.loads(request.get_data())
+        raw = json_text.load(request.get_data())
         replacements = {
-            str(name): str(body) for name, body in raw["replacements"].items()
+            _text(name): _text(body)
+            for name, body in raw["replacements"].items()
         }
         return machine.Edit(
-            edit_id=ids.EditId(str(raw["edit_id"])),
-            base_revision=ids.Revision(int(raw["base_revision"])),
+            edit_id=ids.EditId(_text(raw["edit_id"])),
+            base_revision=ids.Revision(_int64(raw["base_revision"])),
             replacements=replacements,
             owner=owner,
-            author=str(raw.get("author", "")),
+            author=_text(raw.get("author", "")),
             at_unix_s=time.time(),
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
@@ -297,6 +299,30 @@
         ) from None
 
 
+def _int64(value: typing.Any) -> int:
+    """Returns an integer that messages hold.
+
+    Raises:
+        ValueError: It is out of range, or no number.
+        TypeError: It is of another type.
+    """
+    number = int(value)
+    if not -(2**63) <= number < 2**63:
+        raise ValueError("a number is out of range")
+    return number
+
+
+def _text(value: typing.Any) -> str:
+    """Returns the value as a text that messages hold.
+
+    Raises:
+        ValueError: It has lone surrogates.
+    """
+    text = str(value)
+    text.encode()
+    return text
+
+
 def _json(content: typing.Any, status: int = 200) -> wrappers.Response:
     return wrappers.Response(
         json.dumps(content), status=status, content_type="application/json"
--- a/cardamombarrow/admin/tests/test_app.py
+++ b/cardamombarrow/admin/tests/test_app.py
@@ -11,6 +11,7 @@
 from cardamombarrow.control import state
 from cardamombarrow.document import formats
 from cardamombarrow.document import machine
+from cardamombarrow.kernel.tests import odd_values
 from cardamombarrow.log import base
 from cardamombarrow.peers.control import codec
 from cardamombarrow.peers.control import control_pb2
@@ -56,7 +57,7 @@
         """Does nothing."""
 
 
-def _request(kandula_text, method, path, body=b""):
+def _request(kandula_text, method, path, body=b"", token="sales-token"):
     edition = machine.Edition(3, kandula_text, formats.SECTIONS)
     wire = codec.edition_to_wire(edition)
     command = control_pb2.Command(edition=wire)
@@ -67,7 +68,7 @@
         method=method,
         input_stream=io.BytesIO(body),
         content_length=len(body),
-        headers={"Authorization": "Bearer sales-token"},
+        headers={"Authorization": f"Bearer {token}"},
     )
     response = werkzeug_test.run_wsgi_app(
         app.AdminApp(log, applied, dict), builder.get_environ()
@@ -112,3 +113,38 @@
     assert status.startswith("503")
     assert content["error"]["code"] == "not_ready"
     assert log.barriers == 0
+
+
+_ODD_BODIES = [
+    *odd_values.JSON_VALUES,
+    *(
+        f'{{"edit_id": "a", "base_revision": {each}, "replacements": {{}}}}'
+        for each in odd_values.JSON_VALUES
+    ),
+    *(f'{{"number": {each}, "text": "a"}}' for each in odd_values.JSON_VALUES),
+    *(f'{{"number": 9, "text": {each}}}' for each in odd_values.JSON_VALUES),
+    *(
+        f'{{"edit_id": {each}, "base_revision": 1, "replacements": {{}}}}'
+        for each in odd_values.JSON_VALUES
+    ),
+    *(
+        f'{{"change": "remove", "member": {each}}}'
+        for each in odd_values.JSON_VALUES
+    ),
+]
+
+
+@pytest.mark.parametrize(
+    ("method", "path"),
+    [("POST", "/v1/edits"), ("PUT", "/v1/editions"), ("POST", "/v1/members")],
+)
+def test_an_odd_body_gets_an_answer(kandula_text, method, path):
+    # Guards against a status of 500, upon which an operator sends it again.
+    statuses = set()
+    for body in _ODD_BODIES:
+        status, content, _ = _request(
+            kandula_text, method, path, body.encode(), "operations-token"
+        )
+        statuses.add(status[:3])
+        assert content
+    assert statuses <= {"200", "400", "404", "409", "422"}
