Leave out odd items of the project's own list

One item without an address, with an unknown state or nested deeply made the whole list fail, and a number as address became an endpoint.

--- a/cardamombarrow/discovery/json_list.py
+++ b/cardamombarrow/discovery/json_list.py
@@ -6,11 +6,13 @@
 changes nothing.
 """
 
-import json
+import typing
 
 from cardamombarrow.discovery import base
 from cardamombarrow.endpoints import http_get
 from cardamombarrow.kernel import ids
+from cardamombarrow.kernel import json_text
+from cardamombarrow.kernel import left_out
 from cardamombarrow.kernel import registry
 
 __all__ = ["JsonList", "parse"]
@@ -19,20 +21,26 @@
 
 
 def parse(body: bytes) -> list[base.ListedEndpoint]:
-    """Parses the JSON of a list.
+    """Parses the JSON of a list; items that are not valid are left out.
 
     Raises:
         ValueError: The body does not have the expected format.
     """
+    _, items, damaged = json_text.load_array_member(body, "endpoints")
+    listed = [each for each in map(_parse_item, items) if each is not None]
+    left_out.record("list", "invalid", len(items) - len(listed) + len(damaged))
+    return listed
+
+
+def _parse_item(item: typing.Any) -> base.ListedEndpoint | None:
+    """Returns an item, or None if it is not valid."""
     try:
-        return [
-            base.ListedEndpoint(
-                ids.EndpointId(item["address"]), base.ListedState(item["state"])
-            )
-            for item in json.loads(body)["endpoints"]
-        ]
-    except (KeyError, TypeError) as error:
-        raise ValueError(f"not a list of endpoints: {error!r}") from None
+        endpoint, state = item["address"], base.ListedState(item["state"])
+    except (KeyError, TypeError, ValueError):
+        return None
+    if not base.is_endpoint(endpoint):
+        return None
+    return base.ListedEndpoint(ids.EndpointId(endpoint), state)
 
 
 @registry.plugin(base.SLOT, "list")
