Probe no endpoint whose address is no address

A probe raised ValueError, OverflowError or UnicodeError for an endpoint whose address has no port, one out of range or a label of over 63 characters, where its callers expect that it finds nothing.

--- a/cardamombarrow/endpoints/base.py
+++ b/cardamombarrow/endpoints/base.py
@@ -13,6 +13,7 @@
 from cardamombarrow.document import schema
 from cardamombarrow.endpoints import http_get
 from cardamombarrow.endpoints import statements
+from cardamombarrow.kernel import addresses
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 
@@ -185,11 +186,11 @@
 
 def accepts_connections(endpoint: ids.EndpointId) -> bool:
     """Returns whether a new connection is accepted; sends no data on it."""
-    host, _, port = ids.address_of(endpoint).rpartition(":")
     try:
-        with socket.create_connection((host, int(port)), PROBE_TIMEOUT_S):
+        address = addresses.split(ids.address_of(endpoint))
+        with socket.create_connection(address, PROBE_TIMEOUT_S):
             return True
-    except OSError:
+    except (OSError, ValueError):
         return False
 
 
@@ -200,13 +201,14 @@
     connection to a process that is just ending may be accepted by the system
     and end at once, or get no reply; another one is tried then.
     """
-    host, _, port = ids.address_of(endpoint).rpartition(":")
+    try:
+        address = addresses.split(ids.address_of(endpoint))
+    except ValueError:
+        return False
     end_s = time.monotonic() + EXIT_S
     for _ in range(EXIT_TRIES):
         try:
-            with socket.create_connection(
-                (host, int(port)), REFUSAL_TIMEOUT_S
-            ) as opened:
+            with socket.create_connection(address, REFUSAL_TIMEOUT_S) as opened:
                 if not _ends_by(opened, end_s):
                     return False
         except ConnectionRefusedError:
