Refuse bodies of callers and engines that are nested too deeply

A completion request nested over 900 deep got a 500, and one whose max_tokens has thousands of digits could not be passed on; both get a 400 now. An engine whose list of models is nested that deeply ended the check of the process that sends orders; it counts as not observed.

--- a/cardamombarrow/entry/frontend/incoming.py
+++ b/cardamombarrow/entry/frontend/incoming.py
@@ -14,6 +14,7 @@
 from cardamombarrow.document import schema
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
+from cardamombarrow.kernel import json_text
 
 __all__ = [
     "IncomingCall",
@@ -23,6 +24,9 @@
     "service_call",
 ]
 
+MAX_TOKENS = 2**32 - 1
+"""Highest limit on tokens; the fields of messages hold no higher one."""
+
 CLASS_HEADER = "X-Request-Class"
 KEY_HEADER = "Idempotency-Key"
 BYTES_PER_TOKEN = 4
@@ -118,7 +122,7 @@
     """
     body = read_body(request)
     try:
-        content = json.loads(body)
+        content = json_text.load(body)
     except ValueError as error:
         raise errors.RefusedError(
             errors.ErrorKind.BAD_REQUEST, f"the body is not JSON: {error}"
@@ -136,10 +140,10 @@
             f"unknown model {content['model']!r}",
         )
     limit = content.get("max_tokens") or 0
-    if not isinstance(limit, int) or limit < 0:
+    if not isinstance(limit, int) or not 0 <= limit <= MAX_TOKENS:
         raise errors.RefusedError(
             errors.ErrorKind.BAD_REQUEST,
-            "`max_tokens` is not a non-negative integer",
+            f"`max_tokens` is not an integer from 0 to {MAX_TOKENS}",
         )
     service = document.services[model.service]
     request_class = _request_class(request, document, workspace)
--- a/cardamombarrow/orders/engines.py
+++ b/cardamombarrow/orders/engines.py
@@ -10,6 +10,7 @@
 from cardamombarrow.endpoints import http_get
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
+from cardamombarrow.kernel import json_text
 from cardamombarrow.orders import lease
 from cardamombarrow.orders import plan
 
@@ -24,7 +25,7 @@
         reply = http_get.fetch(
             f"http://{endpoint}/v1/models", timeout_s=OBSERVE_TIMEOUT_S
         )
-        items = json.loads(reply.body)["data"]
+        items = json_text.load(reply.body)["data"]
         return plan.Observed(
             loaded=frozenset(
                 item["id"] for item in items if item["state"] == "loaded"
