Refuse documents whose endpoints no socket can connect to

Ports such as 0 or 70000, 999.0.0.1, digits of other scripts and labels of over 63 characters were accepted; requests to such an endpoint then end with an error of the socket that is no OSError.

--- a/cardamombarrow/document/rules.py
+++ b/cardamombarrow/document/rules.py
@@ -13,6 +13,7 @@
 
 from cardamombarrow.decisions import policies as policies_module
 from cardamombarrow.document import schema
+from cardamombarrow.kernel import addresses
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import registry
 
@@ -27,7 +28,6 @@
 MAX_RESERVED_SHARE = 0.5
 """Most capacity that all lower tiers together may reserve."""
 
-_ADDRESS = re.compile(r"^[A-Za-z0-9.-]+:\d{1,5}$|^\[[0-9a-fA-F:]+\]:\d{1,5}$")
 _DIGEST = re.compile(r"^[0-9a-f]{64}$")
 _ROUTE = re.compile(r"^[A-Z]+ /\S*$")
 
@@ -177,7 +177,7 @@
     for service in document.services.values():
         section = f"service:{service.service}"
         for endpoint in (e for g in service.endpoints.values() for e in g):
-            if not _ADDRESS.match(endpoint):
+            if not addresses.is_valid(endpoint):
                 yield section, f"{endpoint!r} is not `host:port`"
             if endpoint in service_of:
                 reason = f"{endpoint} is listed in [{service_of[endpoint]}]"
--- a/cardamombarrow/document/tests/test_parsing.py
+++ b/cardamombarrow/document/tests/test_parsing.py
@@ -7,6 +7,7 @@
 from cardamombarrow.document import text
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
+from cardamombarrow.kernel.tests import odd_values
 
 
 def _mistakes(document: str) -> list[str]:
@@ -93,3 +94,13 @@
     document = parsing.parse(_changed(kandula_text, "service:till", body))
     service = document.services[ids.ServiceId("till")]
     assert service.unrepeatable == ("POST /charge",)
+
+
+@pytest.mark.parametrize(
+    "address", [each for each in odd_values.ADDRESSES if each], ids=ascii
+)
+def test_an_endpoint_at_no_address_is_rejected(kandula_text, address):
+    # Guards against requests that end with an error of the socket.
+    body = f"kind = engine\nendpoints.x = 10.0.0.8:80, {address}"
+    broken = _changed(kandula_text, "service:extra", body)
+    assert _mistakes(broken)
--- a/cardamombarrow/kernel/addresses.py
+++ b/cardamombarrow/kernel/addresses.py
@@ -20,7 +20,8 @@
     other hosts, where callers expect `OSError` alone.
 
     Args:
-        address: ``host:port`` with an IPv4 address or the name of a host.
+        address: ``host:port`` with an IPv4 address, an IPv6 address in
+            brackets, or the name of a host.
 
     Raises:
         ValueError: It is no such text.
@@ -28,7 +29,10 @@
     host, _, port = address.rpartition(":")
     if not (_PORT.fullmatch(port) and 0 < int(port) < 65_536):
         raise ValueError(f"{address[:64]!r} has no valid port")
-    if _NUMERIC.fullmatch(host):
+    if host.startswith("[") and host.endswith("]"):
+        host = host[1:-1]
+        ipaddress.IPv6Address(host)
+    elif _NUMERIC.fullmatch(host):
         ipaddress.IPv4Address(host)
     elif len(host) > MAX_HOST_CHARS or not _NAME.fullmatch(host):
         raise ValueError(f"{address[:64]!r} has no valid host")
--- a/cardamombarrow/kernel/tests/test_addresses.py
+++ b/cardamombarrow/kernel/tests/test_addresses.py
@@ -10,6 +10,7 @@
     ("address", "parts"),
     [
         ("10.0.0.9:8080", ("10.0.0.9", 8080)),
+        ("[::1]:80", ("::1", 80)),
         ("localhost:1", ("localhost", 1)),
         ("entry-1.zone_a.example:65535", ("entry-1.zone_a.example", 65535)),
     ],
