Refuse a request early that no endpoint may get before its deadline

What callers saw: requests that may run once (POST) got no answer within their limit of 2.0 s, or a refusal some ms before it, which is of no use; the log said `caller_gone` and nothing else.

Cause: an endpoint gets probes only after two failures in a row, and a due probe waits 8 s more for a request that may be repeated. With all endpoints of a service there, a request that may run once can't be placed for up to 16 s. It was queued all the same, and given up at its latest start: the deadline less the mean run time, which is some ms for short requests. If the machine is busy the caller's own limit comes first. One that waits alone is not caught by the predicted wait, which looks at the requests ahead only.

Fix: the backlog of a job has the time until an endpoint may get it as a probe; the first check of its wait (after a quarter of its target, or of its time if its caller allows less) refuses it if that is past its latest start. One that a probe can serve waits for it as before, repeatable or not, and one is placed at once when an endpoint is proven sound meanwhile.

--- a/cardamombarrow/decisions/arrivals.py
+++ b/cardamombarrow/decisions/arrivals.py
@@ -4,10 +4,12 @@
 ahead of a job, from which admission predicts its wait.
 """
 
+from collections import abc
 import dataclasses
 import math
 
 from cardamombarrow.decisions import context as context_module
+from cardamombarrow.decisions import endpoint as endpoint_module
 from cardamombarrow.decisions import messages
 from cardamombarrow.decisions import runs
 from cardamombarrow.decisions.queueing import forecast
@@ -217,6 +219,9 @@
             self._roster.pause_wait_s(reachable, now_s),
             now_s,
         )
+        probe_wait_s = self._probe_wait_s(job, available, now_s)
+        if probe_wait_s:
+            backlog = dataclasses.replace(backlog, probe_wait_s=probe_wait_s)
         if not job.prompt_tokens:
             # Slots limit calls without a prompt, as without the controls.
             return backlog
@@ -224,6 +229,27 @@
             return backlog
         return self._with_prefill(job, backlog, now_s)
 
+    def _probe_wait_s(
+        self,
+        job: messages.Job,
+        states: abc.Iterable[endpoint_module.EndpointState],
+        now_s: float,
+    ) -> float:
+        """Returns the time until an endpoint may get a job as a probe.
+
+        It is 0 if one may get it in any case, or none serves it.
+        """
+        wait_s = math.inf
+        for state in states:
+            if job.may_run_on(state.software):
+                wait_s = min(
+                    wait_s,
+                    self._policies.choice.probe_wait_s(job, state, now_s),
+                )
+                if not wait_s:
+                    break
+        return 0.0 if math.isinf(wait_s) else wait_s
+
     def _share_ahead(self, job: messages.Job, now_s: float) -> float:
         is_late = self._roster.lateness.is_late(job, now_s)
         return self._policies.queue.share_ahead(job, is_late)
--- a/cardamombarrow/decisions/base/choice.py
+++ b/cardamombarrow/decisions/base/choice.py
@@ -39,6 +39,15 @@
         """Returns whether an endpoint gets probes only, after failures."""
         return False
 
+    def probe_wait_s(
+        self,
+        job: messages.Job,
+        state: endpoint_module.EndpointState,
+        now_s: float,
+    ) -> float:
+        """Returns the time until an endpoint on probation may get a job."""
+        return 0.0
+
     def recheck_after_s(self, job: messages.Job) -> float | None:
         """Returns the wait after which `available` may change, or None."""
         return None
--- a/cardamombarrow/decisions/choosing/cost_choice.py
+++ b/cardamombarrow/decisions/choosing/cost_choice.py
@@ -64,6 +64,19 @@
         """Returns whether an endpoint gets probes only, after failures."""
         return self._failures.is_on_probation(state.endpoint)
 
+    def probe_wait_s(
+        self,
+        job: messages.Job,
+        state: endpoint_module.EndpointState,
+        now_s: float,
+    ) -> float:
+        """Returns the time until an endpoint on probation may get a job."""
+        if not self.is_on_probation(state):
+            return 0.0
+        return self._failures.probe_wait_s(
+            state.endpoint, now_s, repeatable=job.repeatable
+        )
+
     def available(
         self,
         job: messages.Job,
--- a/cardamombarrow/decisions/fleet/failures.py
+++ b/cardamombarrow/decisions/fleet/failures.py
@@ -127,8 +127,15 @@
         A request that must not run twice would be lost with the endpoint. It
         is a probe only if no other one came in time.
         """
+        return not self.probe_wait_s(endpoint, now_s, repeatable=repeatable)
+
+    def probe_wait_s(
+        self, endpoint: ids.EndpointId, now_s: float, *, repeatable: bool
+    ) -> float:
+        """Returns the time until an endpoint on probation may get a request."""
         delay_s = 0.0 if repeatable else UNREPEATABLE_PROBE_DELAY_S
-        return now_s >= self._records[endpoint].probe_at_s + delay_s
+        due_s = self._records[endpoint].probe_at_s + delay_s
+        return max(due_s - now_s, 0.0)
 
     def record_probe(self, endpoint: ids.EndpointId, now_s: float) -> None:
         """Records a probe and sets the time of the next one."""
--- a/cardamombarrow/decisions/messages/backlog.py
+++ b/cardamombarrow/decisions/messages/backlog.py
@@ -23,6 +23,8 @@
             of all endpoints; infinite if another instance spends them all.
         pause_wait_s: Part of the predicted wait that is due to pauses of all
             endpoints.
+        probe_wait_s: Time until an endpoint may get it, if all have failed of
+            late and get probes only; 0 otherwise.
         lower_over_reserve: Whether a lower tier runs more than its reserved
             share of these slots.
         prefill_wait_s: Part of the predicted wait that is due to the prefill
@@ -42,6 +44,7 @@
     returning_s: float = 0.0
     limit_wait_s: float = 0.0
     pause_wait_s: float = 0.0
+    probe_wait_s: float = 0.0
     lower_over_reserve: bool = False
     prefill_wait_s: float | None = None
     lower_waiting: bool = False
--- a/cardamombarrow/decisions/queueing/admission.py
+++ b/cardamombarrow/decisions/queueing/admission.py
@@ -31,7 +31,8 @@
 latest start only. A tier is not refused while more than one job of a lower tier
 waits, whose callers may allow more time.
 
-A waiting job is given up as soon as it can no longer meet its deadline, or
+A waiting job is given up as soon as it can no longer meet its deadline, or all
+endpoints have failed of late and none may get it before (`failures`), or
 when its first token is predicted far beyond its target; it is answered
 immediately.
 
@@ -65,7 +66,8 @@
 change of the prediction does not drop requests that were just admitted."""
 
 CHECKS_PER_TARGET = 4
-"""Checks of a waiting job within its target time."""
+"""Checks of a waiting job within its target time, or within its whole time if
+its caller allows less."""
 
 WAITING_BOUND = 320
 """Maximum number of requests waiting in one instance."""
@@ -92,16 +94,29 @@
     def give_up(
         self, job: messages.Job, backlog: messages.Backlog, now_s: float
     ) -> str | None:
-        """Gives up a job that can no longer end by its deadline."""
-        if now_s >= _latest_start_s(job, backlog):
+        """Gives up a job that can no longer end by its deadline.
+
+        At the deadline the answer would come too late to be of use: the caller
+        has left, or has no time to try elsewhere.
+        """
+        latest_s = _latest_start_s(job, backlog)
+        if now_s >= latest_s:
             return "it can no longer be answered by its deadline"
+        if now_s + backlog.probe_wait_s >= latest_s:
+            return (
+                "all endpoints have failed of late; none may get it for "
+                f"{backlog.probe_wait_s:.2f} s more"
+            )
         return None
 
     def next_check_s(
         self, job: messages.Job, backlog: messages.Backlog, now_s: float
     ) -> float:
-        """Returns the latest time at which the job could be started."""
-        return _latest_start_s(job, backlog)
+        """Returns the latest start of the job, or when it may be given up."""
+        latest_s = _latest_start_s(job, backlog)
+        if backlog.probe_wait_s:
+            return min(now_s + _check_step_s(job), latest_s)
+        return latest_s
 
 
 @registry.plugin("admission", "predicted-wait")
@@ -140,8 +155,7 @@
         self, job: messages.Job, backlog: messages.Backlog, now_s: float
     ) -> float:
         """Returns the time of the next check, or the latest start."""
-        step_s = job.target_first_token_s / CHECKS_PER_TARGET
-        return min(now_s + step_s, _latest_start_s(job, backlog))
+        return min(now_s + _check_step_s(job), _latest_start_s(job, backlog))
 
 
 @registry.plugin("admission", "queue-age")
@@ -193,6 +207,11 @@
         return True
 
 
+def _check_step_s(job: messages.Job) -> float:
+    total_s = job.deadline_s - job.arrived_s
+    return min(job.target_first_token_s, total_s) / CHECKS_PER_TARGET
+
+
 def _latest_start_s(job: messages.Job, backlog: messages.Backlog) -> float:
     total_s = job.deadline_s - job.arrived_s
     return job.deadline_s - min(backlog.service_s, MAX_SERVICE_SHARE * total_s)
