Test servers that end within a head, at every place of a head

The stand-in servers may end an answer, or the list, after any number of bytes of its heads, with interim heads first.

--- a/cardamombarrow/platform/tests/standin_streams.py
+++ b/cardamombarrow/platform/tests/standin_streams.py
@@ -102,6 +102,9 @@
         on_begun: Called when the head has been sent.
         work_s: Time before the head.
         hold: Called with the number of each event before it is sent.
+        interim: Heads of interim answers that are sent first.
+        head_bytes: Bytes of the heads that are sent before the connection ends;
+            None for all.
     """
 
     framing: Framing = Framing.CHUNKED
@@ -117,6 +120,8 @@
     on_begun: abc.Callable[[], None] = lambda: None
     work_s: float = 0.0
     hold: abc.Callable[[int], None] = lambda number: None
+    interim: bytes = b""
+    head_bytes: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -196,6 +201,8 @@
         foreign: Entries of the list by another writer, as they are sent.
         damaged: Identities of servers whose entries of the list can't be read.
         listing_lag_s: Time by which the list lags behind.
+        listing_bytes: Bytes of an answer with the list that are sent before the
+            connection ends; None for all.
         listing_url: URL of the list.
     """
 
@@ -207,6 +214,7 @@
         self.foreign: list[bytes] = []
         self.damaged: set[str] = set()
         self.listing_lag_s = 0.0
+        self.listing_bytes: int | None = None
         self._listings: collections.deque[tuple[float, bytes]] = (
             collections.deque()
         )
@@ -311,11 +319,12 @@
         body = self._listing()
         if self.listing_lag_s:
             body = self._listing_of(time.monotonic() - self.listing_lag_s)
-        connection.sendall(
+        answer = (
             b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
             b"Connection: close\r\nContent-Length: %d\r\n\r\n%b"
             % (len(body), body)
         )
+        connection.sendall(answer[: self.listing_bytes])
 
     @contextlib.contextmanager
     def lagging(self, lag_s: float) -> abc.Iterator[None]:
@@ -444,6 +453,19 @@
         connection.sendall(piece)
 
 
+def _send_head(
+    connection: socket.socket, answer: Answer, lines: list[str]
+) -> bool:
+    """Sends the heads of an answer; returns whether its body follows."""
+    heads = answer.interim + "\r\n".join([*lines, "", ""]).encode()
+    connection.sendall(heads[: answer.head_bytes])
+    if answer.head_bytes is None:
+        return True
+    if answer.ending.resets:
+        reset(connection)
+    return False
+
+
 def _send(
     connection: socket.socket, received: Received, answer: Answer
 ) -> abc.Iterator[int]:
@@ -472,7 +494,8 @@
     elif answer.framing is Framing.CHUNKED:
         head.append("Transfer-Encoding: chunked")
     time.sleep(answer.work_s)
-    connection.sendall("\r\n".join([*head, "", ""]).encode())
+    if not _send_head(connection, answer, head):
+        return
     answer.on_begun()
     for index in _send_pieces(connection, answer, pieces):
         number = received.last_event + 1 + index
