Doubt the software of endpoints that may have restarted in place

What callers saw: streams with events of two software versions, status 200. Endpoints came back under their identities and addresses with other software, the platform's list named the former one for 2 s more, and streams that broke at that moment went on there, within one answer and as callers resumed them.

Cause: the version of an endpoint was that of the list for as long as the list said so. That its process had ended was seen by every stream, and not used.

Change: a process that ends closes all of its connections. An entry keeps its established connections by endpoint (endpoints/open_connections.py). 50 ms after one has broken it judges (resumption/restart_watch.py): if no older one is open, and two ended within their answers and not all by a reset, or an idle one ended before its keep-alive time, or a new one is refused, the endpoint's software is in doubt until a list has been read that was fetched LISTING_LAG_S after the last break. It gets no stream that requires a version; placements of the placer are checked, and the endpoint again once the first piece of a resumed run has arrived. Origins of streams that begin there meanwhile are conflicting, and become those of the list that ends the doubt; control is told of an unknown version, so that unknown streams do not go on either.

Why it holds: older connections that are open belong to the process that the list named. Ones that have ended unnoticed are found as a new connection is established, so that none to the new process is taken for an older one.

With resets of all connections as a sign, test_a_stream_goes_on_at_the_version_that_began_it failed: all four answers of a server are reset at one time there.

StreamOrigins.is_conflicting became confirms, which also compares the version; the assertion that used it asks that the version is not confirmed.

--- a/cardamombarrow/decisions/arrivals.py
+++ b/cardamombarrow/decisions/arrivals.py
@@ -73,7 +73,7 @@
         capacity = self._roster.capacities.get(job.service)
         groups = () if capacity is None else (capacity.local, capacity.remote)
         if any(
-            job.may_run_on(state.software)
+            self._roster.may_run(job, state)
             for group in groups
             for state in group
         ):
--- a/cardamombarrow/decisions/core.py
+++ b/cardamombarrow/decisions/core.py
@@ -210,9 +210,7 @@
             victim = self._policies.preemption.victim(
                 job,
                 self._roster.available(
-                    free_slots_module.with_required_software(
-                        job, capacity.local
-                    ),
+                    self._roster.with_required_software(job, capacity.local),
                     now_s,
                 ),
                 now_s,
--- a/cardamombarrow/decisions/dispatcher_state.py
+++ b/cardamombarrow/decisions/dispatcher_state.py
@@ -49,6 +49,18 @@
         state = self._roster.endpoints.get(endpoint)
         return ids.UNKNOWN_SOFTWARE if state is None else state.software
 
+    def set_doubted(
+        self, doubted: frozenset[ids.EndpointId], now_s: float
+    ) -> None:
+        """Sets the endpoints that may run other software than listed.
+
+        They get no job that requires a version; waiting ones are checked.
+        """
+        services = self._roster.set_doubted(doubted)
+        for job in self._policies.queue.jobs():
+            if job.required_software and job.service in services:
+                self._waiting.schedule_check(job, now_s)
+
     def set_instances(self, count: int) -> None:
         """Sets how many instances share the limits on the whole fleet."""
         self._context.fleet.update_instances(count)
--- a/cardamombarrow/decisions/fleet/free_slots.py
+++ b/cardamombarrow/decisions/fleet/free_slots.py
@@ -11,20 +11,11 @@
 from cardamombarrow.decisions.limiting import capacity as capacity_module
 from cardamombarrow.kernel import ids
 
-__all__ = ["BacklogFunction", "FreeSlots", "with_required_software"]
+__all__ = ["BacklogFunction", "FreeSlots"]
 
 BacklogFunction = abc.Callable[[messages.Job, float], messages.Backlog]
 
 
-def with_required_software(
-    job: messages.Job, states: list[endpoint_module.EndpointState]
-) -> list[endpoint_module.EndpointState]:
-    """Returns the endpoints whose software may run a job."""
-    if job.required_software is None:
-        return states
-    return [state for state in states if job.may_run_on(state.software)]
-
-
 class FreeSlots(base.FreeSlots):
     """The dispatcher's free slots at one time."""
 
@@ -86,7 +77,7 @@
         capacity = self._roster.capacities[job.service]
         must_run_alone = self._policies.quarantine.must_run_alone(job, now_s)
         available = self._roster.available(
-            with_required_software(job, capacity.local), now_s
+            self._roster.with_required_software(job, capacity.local), now_s
         )
         considered = self._policies.choice.prepare(job, available, now_s)
         local = [s for s in considered if self._accepts(job, s, must_run_alone)]
@@ -97,7 +88,7 @@
         remote = [
             state
             for state in self._roster.available(
-                with_required_software(job, capacity.remote), now_s
+                self._roster.with_required_software(job, capacity.remote), now_s
             )
             if self._accepts(job, state, must_run_alone)
             and self._policies.spill.allow(job, state, ahead, now_s)
--- a/cardamombarrow/decisions/fleet/roster.py
+++ b/cardamombarrow/decisions/fleet/roster.py
@@ -37,6 +37,7 @@
         changed: Services with changes since their last check.
         rate_budget: The rates that may be sent to endpoints with rate limits.
         lateness: Predicts whether jobs can still meet their targets.
+        doubted: Endpoints that may run other software than listed.
     """
 
     def __init__(
@@ -53,6 +54,7 @@
         self.endpoints: dict[ids.EndpointId, endpoint_module.EndpointState] = {}
         self.capacities: dict[ids.ServiceId, capacity_module.Capacity] = {}
         self.changed: set[ids.ServiceId] = set()
+        self.doubted: frozenset[ids.EndpointId] = frozenset()
         self.rate_budget = rate_budget.RateBudget(
             context.rate_limits, context.domain
         )
@@ -77,6 +79,7 @@
     def copy_from(self, other: "Roster", now_s: float) -> None:
         """Copies the endpoints and loads of another view."""
         self.set_discovered(other._discovered, now_s)
+        self.set_doubted(other.doubted)
         for endpoint, state in other.endpoints.items():
             if state.leaving:
                 self.set_leaving(endpoint, True)
@@ -294,6 +297,35 @@
         )
         return max(end_s - now_s, 0.0)
 
+    def set_doubted(
+        self, doubted: frozenset[ids.EndpointId]
+    ) -> set[ids.ServiceId]:
+        """Sets the endpoints in doubt; returns the services concerned."""
+        changed = doubted ^ self.doubted
+        self.doubted = doubted
+        services = {
+            state.service
+            for endpoint in changed
+            if (state := self.endpoints.get(endpoint)) is not None
+        }
+        self.changed.update(services)
+        return services
+
+    def may_run(
+        self, job: messages.Job, state: endpoint_module.EndpointState
+    ) -> bool:
+        """Returns whether an endpoint's software may run a job."""
+        is_doubted = job.required_software and state.endpoint in self.doubted
+        return job.may_run_on(state.software) and not is_doubted
+
+    def with_required_software(
+        self, job: messages.Job, states: list[endpoint_module.EndpointState]
+    ) -> list[endpoint_module.EndpointState]:
+        """Returns the endpoints whose software may run a job."""
+        if job.required_software is None:
+            return states
+        return [state for state in states if self.may_run(job, state)]
+
     def pause(self, endpoint: ids.EndpointId) -> None:
         """Takes away the slots of an endpoint that has asked for a pause."""
         state = self.endpoints.get(endpoint)
--- a/cardamombarrow/decisions/remote_placements.py
+++ b/cardamombarrow/decisions/remote_placements.py
@@ -59,7 +59,7 @@
         state = self._roster.endpoints.get(placed.endpoint)
         if state is None or state.leaving:
             return False
-        if not self._awaiting_remote[request_id].may_run_on(state.software):
+        if not self._roster.may_run(self._awaiting_remote[request_id], state):
             return False
         if not self._context.restrictions.allows(placed.endpoint, now_s):
             return False
--- a/cardamombarrow/decisions/retries.py
+++ b/cardamombarrow/decisions/retries.py
@@ -58,7 +58,7 @@
             state
             for state in self._roster.capacities[job.service].local
             if state.endpoint not in job.tried
-            and job.may_run_on(state.software)
+            and self._roster.may_run(job, state)
             and job.request_id not in state.running
             and self.rate_limit(state.endpoint) is None
             and self._context.restrictions.allows(state.endpoint, now_s)
--- a/cardamombarrow/decisions/tests/test_required_software.py
+++ b/cardamombarrow/decisions/tests/test_required_software.py
@@ -125,3 +125,42 @@
     )
     applied = dispatcher.apply_remote_placement(job.request_id, placement, 0.0)
     assert applied is (required is None)
+
+
+def test_a_stream_goes_on_at_an_endpoint_that_is_not_in_doubt(
+    new_dispatcher, new_job
+):
+    # Guards against streams that go on at an endpoint that has come back with
+    # other software.
+    dispatcher = new_dispatcher()
+    dispatcher.set_discovered(_found([_OLD, _OLD, _NEW]), 0.0)
+    doubted, other = (ids.EndpointId(each) for each in _ADDRESSES[:2])
+    dispatcher.set_doubted(frozenset([doubted]), 0.0)
+    for _ in range(5):
+        (placed,) = _placed(dispatcher, new_job(required_software=_OLD))
+        assert placed.endpoint == other
+    new = [_placed(dispatcher, new_job())[0].endpoint for _ in range(5)]
+    assert doubted in new
+    job = new_job(required_software=_OLD)
+    assert dispatcher.await_remote_placement(job, 0.0) is None
+    placement = messages.Placement(job.request_id, doubted, 0.0, (), "test")
+    assert not dispatcher.apply_remote_placement(job.request_id, placement, 0.0)
+    dispatcher.set_doubted(frozenset(), 0.0)
+    assert dispatcher.apply_remote_placement(job.request_id, placement, 0.0)
+
+
+def test_a_stream_whose_endpoints_are_all_in_doubt_is_refused(
+    new_dispatcher, new_job
+):
+    # Guards against a wait until the deadline for an endpoint in doubt.
+    dispatcher = new_dispatcher(slots=1)
+    dispatcher.set_discovered(_found([_OLD, _NEW, _NEW]), 0.0)
+    doubted = frozenset([ids.EndpointId(_ADDRESSES[0])])
+    assert _placed(dispatcher, new_job(required_software=_OLD))
+    waiting = new_job(required_software=_OLD)
+    assert not _placed(dispatcher, waiting)
+    dispatcher.set_doubted(doubted, 0.1)
+    (refused,) = dispatcher.place(0.1)
+    assert isinstance(refused, messages.Refusal)
+    refusal = dispatcher.offer(new_job(required_software=_OLD), 0.1)
+    assert refusal.kind is errors.ErrorKind.NO_ENDPOINT
--- a/cardamombarrow/discovery/core.py
+++ b/cardamombarrow/discovery/core.py
@@ -110,6 +110,11 @@
         if self._thread.is_alive():
             self._thread.join()
 
+    @property
+    def read_s(self) -> float:
+        """When the list in use was fetched; -infinity without one."""
+        return self._read_s
+
     def last_fetched(self) -> tuple[str, float] | None:
         """Returns the list that this entry last fetched itself, and when."""
         return self._last_fetched
--- a/cardamombarrow/endpoints/connection.py
+++ b/cardamombarrow/endpoints/connection.py
@@ -16,7 +16,7 @@
 from cardamombarrow.endpoints import base
 from cardamombarrow.kernel import errors
 
-__all__ = ["BrokenError", "Connection"]
+__all__ = ["BrokenError", "Connection", "is_end"]
 
 KEEPALIVE_IDLE_S = 5
 KEEPALIVE_INTERVAL_S = 3
@@ -28,8 +28,31 @@
 _KEEPALIVE_TIMEOUT = re.compile(r"\btimeout\s*=\s*(\d{1,6})", re.I)
 
 
+_ENDED = (
+    errno.ECONNREFUSED,
+    errno.ECONNRESET,
+    errno.ECONNABORTED,
+    errno.EPIPE,
+)
+"""Errors of connections whose process has ended; others are those of the
+path."""
+
+
 class BrokenError(Exception):
-    """The connection failed, or received data that is not an HTTP answer."""
+    """The connection failed, or received data that is not an HTTP answer.
+
+    Attributes:
+        ended: Whether the endpoint has closed, reset or refused it.
+    """
+
+    def __init__(self, detail: str, *, ended: bool = False):
+        super().__init__(detail)
+        self.ended = ended
+
+
+def is_end(code: int | None) -> bool:
+    """Returns whether a connection fails so if its process has ended."""
+    return code in _ENDED
 
 
 class Connection:
@@ -44,6 +67,10 @@
         unparsed_bytes: Size of the part of the answer that is buffered until
             more is received: of a head, a chunk's size or trailers.
         idle_since_s: End of its last answer; set by the pool.
+        usable_until_s: End of the time in which it may serve another request
+            and the endpoint keeps it open; set by the pool.
+        is_busy: Whether it serves a request.
+        was_reset: Whether it has failed other than by an orderly end.
     """
 
     def __init__(self, address: str):
@@ -70,6 +97,10 @@
         self.ended_by_close = False
         self.unparsed_bytes = 0
         self.idle_since_s = 0.0
+        self.usable_until_s = 0.0
+        self.is_busy = True
+        self.was_reset = False
+        self._on_close: abc.Callable[[], None] = lambda: None
         code = self._socket.connect_ex((host, int(port)))
         if code not in (0, errno.EINPROGRESS):
             self._socket.close()
@@ -147,7 +178,9 @@
         """
         code = self._connect_error()
         if code:
-            raise BrokenError(f"not connected: {os.strerror(code)}")
+            raise BrokenError(
+                f"not connected: {os.strerror(code)}", ended=is_end(code)
+            )
         self.connected = True
 
     def _send(self) -> None:
@@ -156,7 +189,10 @@
         except BlockingIOError:
             return
         except OSError as error:
-            raise BrokenError(f"not sent: {error}") from None
+            self.was_reset = True
+            raise BrokenError(
+                f"not sent: {error}", ended=is_end(error.errno)
+            ) from None
         self.sent = self.sent or count > 0
         self._unsent = self._unsent[count:]
 
@@ -166,7 +202,10 @@
         except BlockingIOError:
             return
         except OSError as error:
-            raise BrokenError(f"connection lost: {error}") from None
+            self.was_reset = True
+            raise BrokenError(
+                f"connection lost: {error}", ended=is_end(error.errno)
+            ) from None
         try:
             self._http.receive_data(data)
             if self._take_events():
@@ -175,7 +214,9 @@
                 self.unparsed_bytes += len(data)
             self.ended_by_close = self.whole and not data
         except h11.RemoteProtocolError as error:
-            raise BrokenError(f"invalid HTTP answer: {error}") from None
+            raise BrokenError(
+                f"invalid HTTP answer: {error}", ended=not data
+            ) from None
         if self.head is None:
             # The parser's limit is for each interim answer (1xx).
             self._head_bytes += len(data)
@@ -260,9 +301,21 @@
         self._head_bytes = self.unparsed_bytes = 0
         self.head = None
         self.whole = self.sent = False
+        self.is_busy = True
+
+    def has_hung_up(self) -> bool:
+        """Returns whether the endpoint has closed or reset it."""
+        poll = select.poll()
+        poll.register(self._socket, select.POLLRDHUP)
+        return bool(poll.poll(0))
+
+    def set_close_listener(self, listener: abc.Callable[[], None]) -> None:
+        """Sets what is called before the socket is closed."""
+        self._on_close = listener
 
     def close(self) -> None:
         """Closes the connection, which cancels a running request."""
+        self._on_close()
         self._socket.close()
 
 
--- a/cardamombarrow/endpoints/pool.py
+++ b/cardamombarrow/endpoints/pool.py
@@ -18,6 +18,7 @@
 import threading
 
 from cardamombarrow.endpoints import connection
+from cardamombarrow.endpoints import open_connections
 from cardamombarrow.kernel import background
 from cardamombarrow.kernel import clock
 from cardamombarrow.kernel import ids
@@ -39,6 +40,9 @@
 
     An endpoint that restarts has another identity, so that no request uses a
     connection to the previous endpoint at the same address.
+
+    Attributes:
+        connections: All established connections, idle or not.
     """
 
     def __init__(self, time_source: clock.Clock):
@@ -49,6 +53,7 @@
                 was suspended, because connections age in it.
         """
         self._clock = time_source
+        self.connections = open_connections.OpenConnections(time_source.now_s)
         self._lock = threading.Lock()
         self._idle: dict[ids.EndpointId, list[connection.Connection]] = {}
         self._has_idle = threading.Event()
@@ -64,16 +69,25 @@
         """
         now_s = self._clock.now_s()
         max_idle_s = REPEATABLE_IDLE_S if repeatable else UNREPEATABLE_IDLE_S
+        found, has_ended = None, False
         with self._lock:
             self._close_old(now_s)
             idle = self._idle.get(endpoint, [])
-            while idle and now_s - idle[-1].idle_since_s <= max_idle_s:
+            while (
+                found is None
+                and idle
+                and now_s - idle[-1].idle_since_s <= max_idle_s
+            ):
                 newest = idle.pop()
                 if newest.is_reusable():
                     newest.reset()
-                    return newest
-                newest.close()
-        return None
+                    found = newest
+                else:
+                    has_ended = has_ended or newest.has_hung_up()
+                    newest.close()
+        if has_ended:
+            self.connections.report_break(endpoint)
+        return found
 
     def add(
         self, endpoint: ids.EndpointId, used: connection.Connection
@@ -85,6 +99,10 @@
                 used.close()
                 return
             used.idle_since_s = self._clock.now_s()
+            used.usable_until_s = (
+                used.idle_since_s + KEEP_ALIVE_SHARE * used.keep_alive_s
+            )
+            used.is_busy = False
             idle.append(used)
             self._has_idle.set()
 
--- a/cardamombarrow/endpoints/transfer.py
+++ b/cardamombarrow/endpoints/transfer.py
@@ -166,6 +166,8 @@
                 connection = connection_module.Connection(address)
         except OSError as error:
             self._record_connect(False)
+            if connection_module.is_end(error.errno):
+                self._pool.connections.report_break(call.endpoint)
             raise errors.EndpointError(
                 errors.ErrorKind.ENDPOINT_UNREACHED, str(error), sent=False
             ) from None
@@ -242,11 +244,20 @@
             connection.handle_events(mask)
         except connection_module.BrokenError as error:
             self._error = str(error)
+            if error.ended:
+                self._pool.connections.report_break(
+                    self._call.endpoint,
+                    connection if connection.connected else None,
+                )
         self._record_connect(connection.connected)
 
     def _record_connect(self, connected: bool) -> None:
         if self._connecting:
             self._connecting = False
+            if connected:
+                self._pool.connections.add(
+                    self._call.endpoint, self._connection
+                )
             self._call.on_connect(connected)
 
     def _silent_s(self) -> float:
@@ -338,6 +349,7 @@
             return
         call = self._call
         if not call.may_exit() and base.refuses_connections(call.endpoint):
+            self._pool.connections.report_break(call.endpoint)
             raise errors.EndpointError(
                 errors.ErrorKind.ANSWER_CUT,
                 "the connection ended, and the endpoint refuses a new one",
--- a/cardamombarrow/entry/core.py
+++ b/cardamombarrow/entry/core.py
@@ -46,6 +46,8 @@
 from cardamombarrow.kernel import reloading
 from cardamombarrow.ledger import client as ledger_client
 from cardamombarrow.ledger import settler
+from cardamombarrow.resumption import core as resumption
+from cardamombarrow.resumption import restart_watch
 
 __all__ = ["ENDPOINT_MODULES", "OPENAI", "run"]
 
@@ -226,6 +228,66 @@
     )
 
 
+def _document_listener(
+    broker: broker_module.Broker, peering: peering_module.Peering
+) -> typing.Callable[[in_force.AppliedDocument], None]:
+    """Returns what is called with each document that comes into force."""
+
+    def apply(applied: in_force.AppliedDocument) -> None:
+        broker.configure(applied.document)
+        peering.membership.on_document(applied.document)
+        peering.origins.set_longest_answer_s(
+            max(
+                each.target_total_s
+                for each in applied.document.classes.values()
+            )
+        )
+
+    return apply
+
+
+def _restart_watch(
+    peering: peering_module.Peering,
+    broker: broker_module.Broker,
+    time_source: clock.Clock,
+) -> restart_watch.RestartWatch:
+    return restart_watch.RestartWatch(
+        transfer.POOL.connections,
+        time_source,
+        resumption.LISTING_LAG_S,
+        restart_watch.Listeners(
+            peering.origins.begin_doubt,
+            peering.origins.end_doubt,
+            broker.set_doubted,
+        ),
+    )
+
+
+def _listing_watch(
+    settings: settings_module.EntrySettings,
+    source: discovery.Source,
+    peering: peering_module.Peering,
+    restarts: restart_watch.RestartWatch,
+    time_source: clock.Clock,
+) -> discovery_core.ListingWatch:
+    def apply(items: list[discovery.ListedEndpoint]) -> None:
+        peering.on_listing(items, source.names_endpoints)
+        restarts.on_listing(watch.read_s)
+
+    watch = discovery_core.ListingWatch(
+        source,
+        settings.platform.listing_url,
+        discovery_core.ListingSchedule.within(
+            settings.platform.listing_interval_s,
+            settings.platform.leaving_within_ms / 1_000,
+        ),
+        apply,
+        time_source,
+        _list_reader(settings, peering),
+    )
+    return watch
+
+
 def _decline_reason(
     reachability: reachability_module.Reachability,
     readiness: readiness_module.Readiness,
@@ -297,17 +359,21 @@
     )
     reachability = _reachability(broker, peering)
     forwarder = _forwarder(settings, reachability, counts)
+    restarts = _restart_watch(peering, broker, time_source)
     services = request_handler.RequestServices(
         broker,
         ledger,
         kinds,
         time_source,
-        crash_detector.CrashDetector(broker, counts),
+        crash_detector.CrashDetector(
+            broker, counts, transfer.POOL.connections.report_break
+        ),
         counts,
         peering.meter,
         reachability,
         forwarder,
         peering.origins,
+        restarts,
         stop_guard.StopGuard(time_source),
     )
     readiness = _readiness(source, broker, peering)
@@ -316,29 +382,10 @@
         instance, documents, services, gate, readiness
     )
 
-    def apply(applied: in_force.AppliedDocument) -> None:
-        broker.configure(applied.document)
-        peering.membership.on_document(applied.document)
-        peering.origins.set_longest_answer_s(
-            max(
-                each.target_total_s
-                for each in applied.document.classes.values()
-            )
-        )
-
+    apply = _document_listener(broker, peering)
     documents.add_listener(apply)
     apply(documents.current())
-    watch = discovery_core.ListingWatch(
-        source,
-        settings.platform.listing_url,
-        discovery_core.ListingSchedule.within(
-            settings.platform.listing_interval_s,
-            settings.platform.leaving_within_ms / 1_000,
-        ),
-        lambda items: peering.on_listing(items, source.names_endpoints),
-        time_source,
-        _list_reader(settings, peering),
-    )
+    watch = _listing_watch(settings, source, peering, restarts, time_source)
     if settings.platform.listing_shared:
         peering.membership.share_listing(watch)
     watch.refresh()
@@ -360,6 +407,7 @@
         *side,
         pool_module.IdleCloser(transfer.POOL),
         poller,
+        *([restarts] if source.names_endpoints else []),
         watch,
         broker,
         peering,
--- a/cardamombarrow/entry/placement/broker_base.py
+++ b/cardamombarrow/entry/placement/broker_base.py
@@ -213,6 +213,15 @@
         if self._domain_broker is not None:
             self._domain_broker.set_discovered(found)
 
+    def set_doubted(self, doubted: frozenset[ids.EndpointId]) -> None:
+        """Sets the endpoints that may run other software than listed."""
+        with self._lock:
+            self._dispatcher.set_doubted(doubted, self._clock.now_s())
+            lines = self._run_due()
+        decision_lines.write(lines)
+        if self._domain_broker is not None:
+            self._domain_broker.set_doubted(doubted)
+
     def set_instances(self, count: int) -> None:
         """Sets the number of instances that share the global bounds."""
         with self._lock:
--- a/cardamombarrow/entry/requests/crash_detector.py
+++ b/cardamombarrow/entry/requests/crash_detector.py
@@ -8,6 +8,7 @@
 crashing endpoints.
 """
 
+from collections import abc
 from concurrent import futures
 import threading
 import time
@@ -60,10 +61,22 @@
     """Probes endpoints after broken connections, one probe per endpoint."""
 
     def __init__(
-        self, broker: broker_module.Broker, metrics: metrics_module.Metrics
+        self,
+        broker: broker_module.Broker,
+        metrics: metrics_module.Metrics,
+        on_crash: abc.Callable[[ids.EndpointId], None] = lambda _: None,
     ):
+        """Builds a detector.
+
+        Args:
+            broker: Where crashes are recorded.
+            metrics: Where they are counted.
+            on_crash: Called with an endpoint that accepts no connection after
+                one has broken.
+        """
         self._broker = broker
         self._metrics = metrics
+        self._on_crash = on_crash
         self._lock = threading.Lock()
         self._probes: dict[ids.EndpointId, _Probe] = {}
 
@@ -118,6 +131,8 @@
         is_paused = self._broker.is_paused(endpoint)
         check = endpoints_base.accepts_connections if is_paused else kind.probe
         crashed = not check(endpoint)
+        if crashed:
+            self._on_crash(endpoint)
         with self._lock:
             suspects = list(probe.suspects.values())
             probe.settled_s = time.monotonic()
--- a/cardamombarrow/entry/requests/request_handler.py
+++ b/cardamombarrow/entry/requests/request_handler.py
@@ -34,6 +34,7 @@
 from cardamombarrow.ledger import client as ledger_client
 from cardamombarrow.metering import meter as meter_module
 from cardamombarrow.resumption import core as resumption
+from cardamombarrow.resumption import restart_watch
 
 __all__ = [
     "RelayedAnswer",
@@ -78,6 +79,7 @@
         reachability: Which services can be connected at all.
         forwarder: Has other entries serve requests of those that can't.
         origins: Which software versions began the streams of late.
+        restarts: Which endpoints may run other software than listed.
         stop_guard: What may still be sent once the process is being stopped.
     """
 
@@ -99,6 +101,9 @@
     origins: resumption.StreamOrigins = dataclasses.field(
         default_factory=lambda: resumption.StreamOrigins(clock.SystemClock())
     )
+    restarts: restart_watch.RestartWatch = dataclasses.field(
+        default_factory=restart_watch.RestartWatch.inactive
+    )
     stop_guard: stop_guard_module.StopGuard = dataclasses.field(
         default_factory=lambda: stop_guard_module.StopGuard(clock.SystemClock())
     )
@@ -179,6 +184,8 @@
             errors.RouterError: It was refused or failed; `not_run` is True if
                 it has certainly not run.
         """
+        if self._call.job.required_software:
+            self._services.restarts.wait_judged()
         ticket = self._services.broker.submit(self._call.job)
         run = self._begin(ticket)
         self._relaying = True
@@ -310,11 +317,29 @@
             first = answer_stream.joined(chunks)
         else:
             first = next(chunks, b"")
+        self._check_software(ticket)
         if resumable:
             self._order.begin_run()
             self._check_order(self._kind.event_ids(first))
         return _Run(ticket, exchange, head, resumable, first, chunks)
 
+    def _check_software(self, ticket: ticket_module.Ticket) -> None:
+        """Checks that a stream goes on at the software version it has to.
+
+        The endpoint may have restarted since the job was placed.
+
+        Raises:
+            errors.EndpointError: That is not certain.
+        """
+        software = ticket.job.required_software
+        endpoint = ticket.placed.result().endpoint
+        if software and self._services.restarts.is_in_doubt(endpoint):
+            raise errors.EndpointError(
+                errors.ErrorKind.ENDPOINT_FAILED,
+                f"the endpoint may not run software {software!r} any more",
+                sent=True,
+            )
+
     def _check_order(self, event_ids: list[str]) -> None:
         """Checks that events go on where the ones before them ended.
 
@@ -492,7 +517,9 @@
     def _has_known_place(self) -> bool:
         """Returns whether it is known after which event the stream goes on."""
         key = self._call.stream_key
-        if key is not None and self._services.origins.is_conflicting(key):
+        if key is not None and not self._services.origins.confirms(
+            key, self._call.job.required_software
+        ):
             return False
         return self._order.can_go_on or not self._kind.has_event_ids
 
@@ -505,8 +532,10 @@
         has_events = progress.first_token_s is not None
         if not run.resumable or (has_events and not progress.tokens):
             raise error
-        if has_events and not self._has_known_place():
-            raise error
+        if has_events:
+            self._services.restarts.wait_judged()
+            if not self._has_known_place():
+                raise error
         resumed = self._begin(self._retry(run.ticket, error))
         logs.decision(
             "resume",
--- a/cardamombarrow/resumption/core.py
+++ b/cardamombarrow/resumption/core.py
@@ -92,6 +92,11 @@
     return int.from_bytes(digest, "big")
 
 
+def _uncertain(origin: Origin) -> Origin:
+    """Returns the origin of a stream whose software version is not known."""
+    return Origin(origin.service, ids.UNKNOWN_SOFTWARE)
+
+
 class StreamOrigins:
     """The origins of the streams that are still open; thread-safe."""
 
@@ -107,6 +112,8 @@
         self._on_unreported: abc.Callable[[], None] = lambda: None
         self._mixed: set[ids.ServiceId] = set()
         self._software: dict[ids.EndpointId, ids.SoftwareVersion] = {}
+        self._in_doubt: set[ids.EndpointId] = set()
+        self._doubted: dict[int, tuple[ids.EndpointId, ids.ServiceId]] = {}
 
     def set_report_listener(self, listener: abc.Callable[[], None]) -> None:
         """Sets what is called when `take_report` has news for control."""
@@ -149,11 +156,65 @@
             if record.endpoint in restarted and is_recent:
                 self._table.set_conflicting(record)
 
-    def is_conflicting(self, key: int) -> bool:
-        """Returns whether a known stream's origin can't be told."""
+    def begin_doubt(self, endpoint: ids.EndpointId, since_s: float) -> None:
+        """Records that an endpoint may run other software than listed.
+
+        Until the doubt ends, no stream that it has begun since can be resumed.
+
+        Args:
+            endpoint: The endpoint.
+            since_s: Local time since when it may.
+        """
+        with self._changed:
+            self._in_doubt.add(endpoint)
+            doubted = [
+                record
+                for record in self._table.values()
+                if record.endpoint == endpoint
+                and record.begun_s >= since_s
+                and record.origin is not None
+                and record.origin.software
+            ]
+            for record in doubted:
+                self._doubted[record.key] = endpoint, record.origin.service
+                self._candidates.add_own(
+                    open_streams.StreamGroup(
+                        open_streams.ANY_CLASS, _uncertain(record.origin)
+                    ),
+                    record.until_s,
+                )
+                self._table.set_conflicting(record)
+        if doubted:
+            self._on_unreported()
+
+    def end_doubt(self, endpoint: ids.EndpointId) -> None:
+        """Records that an endpoint runs the software that is listed."""
+        with self._changed:
+            self._in_doubt.discard(endpoint)
+            software = self._software.get(endpoint)
+            for key, (begun_by, service) in list(self._doubted.items()):
+                if begun_by != endpoint:
+                    continue
+                del self._doubted[key]
+                record = self._table.get(key)
+                if record is not None and software:
+                    record.origin = Origin(service, software)
+                    self._candidates.extend(record.origin, record.until_s)
+                    self._table.append(record)
+
+    def confirms(self, key: int, software: ids.SoftwareVersion | None) -> bool:
+        """Returns whether a stream may go on at a software version.
+
+        Returns:
+            False if the stream's origin can't be told, or is another version.
+        """
         with self._changed:
             record = self._table.get(key)
-            return record is not None and record.origin is None
+            if record is None:
+                return True
+            return (
+                record.origin is not None and record.origin.software == software
+            )
 
     def set_complete(self) -> None:
         """Records that all recent streams of the domain are known."""
@@ -237,13 +298,20 @@
             until_s = now_s + self._candidates.lifetime_s
         until_s = min(until_s, now_s + open_streams.LONGEST_STREAM_S)
         with self._changed:
+            known: Origin | None = origin
+            if endpoint in self._in_doubt and origin.software:
+                known = None
             is_reported = self._candidates.add_own(
-                open_streams.StreamGroup(class_id, origin), until_s
-            )
-        if key is not None:
-            self.merge(
-                [Record(key, origin, now_s, Source.OWN, until_s, endpoint)]
+                open_streams.StreamGroup(class_id, known or _uncertain(origin)),
+                until_s,
             )
+            if key is not None:
+                is_new = self._table.get(key) is None
+                self.merge(
+                    [Record(key, known, now_s, Source.OWN, until_s, endpoint)]
+                )
+                if known is None and is_new:
+                    self._doubted[key] = endpoint, origin.service
         if not is_reported:
             self._on_unreported()
 
@@ -254,6 +322,8 @@
             for record in records:
                 self._merge(record, now_s)
             self._table.drop_ended(now_s)
+            if len(self._doubted) > table.MAX_STREAMS:
+                self._doubted.clear()
             self._update_mixed(now_s)
             self._changed.notify_all()
 
@@ -268,6 +338,9 @@
         if known is None:
             self._table.add(record)
             return
+        if record.origin is not None or record.source is Source.OWN:
+            # Two streams have this key.
+            self._doubted.pop(record.key, None)
         if known.origin is not None and known.origin != record.origin:
             self._table.set_conflicting(known)
         if record.until_s - known.until_s > EXTENSION_STEP_S:
