Control processes without the membership claim no open streams

A joining process hears the leader before it has the membership. It counted no control processes, so that no word of another one was needed, and stayed complete for good; the others took its word once they had restarted. The test failed before.

--- a/cardamombarrow/peers/control/open_streams_recovery.py
+++ b/cardamombarrow/peers/control/open_streams_recovery.py
@@ -72,9 +72,10 @@
 
         Args:
             now_s: The local time.
-            control_count: Number of control processes.
+            control_count: Number of control processes; 0 if it is not known.
         """
-        if not self._is_complete:
+        # A process that joins hears the leader before it has the membership.
+        if not self._is_complete and control_count > 0:
             age_s = now_s - self._started_s
             # A majority of `n` that includes this process has `n // 2` of the
             # others. Any `n - n // 2` others include one of these.
--- a/cardamombarrow/peers/control/tests/test_open_streams.py
+++ b/cardamombarrow/peers/control/tests/test_open_streams.py
@@ -633,3 +633,18 @@
     for name, *arguments in steps:
         getattr(deployment, name)(*arguments)
         deployment.check_majorities()
+
+
+def test_a_process_without_the_membership_claims_nothing(time_source):
+    # Guards against a control process that has lost its disk and counts itself
+    # as told by all others, as it hears the leader before it has any members.
+    counts = [0]
+    relay = open_streams_relay.OpenStreamsRelay(
+        founds=False,
+        count_controls=lambda: counts[0],
+        started_s=time_source.now_s(),
+    )
+    request = control_pb2.OpenStreamsRequest()
+    assert not relay.reply(request, time_source.now_s()).knows_open_streams
+    counts[0] = 3
+    assert not relay.reply(request, time_source.now_s()).knows_open_streams
