A control process under two addresses has one word

A control process that restarts needs the words of enough others. One that is listed under two addresses counted twice, so a group that it lacked could be missing from an answer of a majority. Words are told apart by instance. Found by a review; the test failed before; not seen on processes.

--- a/cardamombarrow/peers/control/open_streams_relay.py
+++ b/cardamombarrow/peers/control/open_streams_relay.py
@@ -114,7 +114,7 @@
         if not reply.instance or reply.instance != self._instance:
             self._recovery.add(
                 open_streams_recovery.Word(
-                    source, asked_s, reply.knows_open_streams
+                    reply.instance or source, asked_s, reply.knows_open_streams
                 )
             )
         return before != (self._urgent_number, self._are_all(now_s))
--- a/cardamombarrow/peers/control/tests/test_open_streams.py
+++ b/cardamombarrow/peers/control/tests/test_open_streams.py
@@ -648,3 +648,16 @@
     assert not relay.reply(request, time_source.now_s()).knows_open_streams
     counts[0] = 3
     assert not relay.reply(request, time_source.now_s()).knows_open_streams
+
+
+def test_a_process_with_two_addresses_has_one_word(time_source):
+    # Guards against a control process that has restarted and takes one other,
+    # which is listed under two addresses, for all others.
+    kept = _relay(time_source, founds=True, control_count=3)
+    restarted = _relay(time_source, control_count=3)
+    time_source.advance(open_streams_recovery.STORING_S)
+    now_s = time_source.now_s()
+    for address in ("10.0.0.1:1", "control-b:1"):
+        _tell(kept, restarted, address, now_s)
+    reply = restarted.reply(control_pb2.OpenStreamsRequest(), now_s)
+    assert not reply.knows_open_streams
