--- a/cardamombarrow/endpoints/tests/test_half_heads.py
+++ b/cardamombarrow/endpoints/tests/test_half_heads.py
@@ -21,7 +21,7 @@
 
 LIMIT_S = 10.0
 
-_FIELDS = b"Content-Type: text/plain\r\nServer-Seal: 3e1b.07.5a2\r\n"
+_FIELDS = b"Content-Type: text/plain\r\nX-Checksum: 3e1b.07.5a2\r\n"
 _OK = b"HTTP/1.1 200 OK\r\n"
 _BODY = b"hello, world"
 _LENGTH = b"Content-Length: 12\r\n"
