A retry that is cut like its first attempt raises no doubt

An endpoint that goes on and cuts two answers in turn, in order, was taken for one that has ended: the retry's connection counted as the second of two, though it was established after the first break. Streams that began there could not be resumed for 5 s or more. Only connections from before the first break count now.

--- a/cardamombarrow/endpoints/open_connections.py
+++ b/cardamombarrow/endpoints/open_connections.py
@@ -23,11 +23,13 @@
         number: Connections with a lower number are older than the break.
         connection: The connection, if it was serving a request. None if an idle
             one has ended early, or a new one is refused.
+        connection_number: The number of that connection.
     """
 
     endpoint: ids.EndpointId
     number: int
     connection: connection_module.Connection | None = None
+    connection_number: int = 0
 
     @property
     def is_sure(self) -> bool:
@@ -74,8 +76,8 @@
             self._number += 1
             number = self._number
             breaks = [
-                Break(endpoint, number, each if each.is_busy else None)
-                for each in others
+                Break(endpoint, number, each if each.is_busy else None, own)
+                for each, own in others.items()
                 if each.has_hung_up() and not self._is_due_to_close(each)
             ]
             others[added] = number
@@ -109,7 +111,9 @@
         """
         with self._lock:
             self._number += 1
-            found = Break(endpoint, self._number, broken)
+            others = self._by_endpoint.get(endpoint, {})
+            own = 0 if broken is None else others.get(broken, self._number)
+            found = Break(endpoint, self._number, broken, own)
         self._on_break(found)
 
     def has_ended(self, breaks: abc.Sequence[Break]) -> bool:
@@ -127,7 +131,13 @@
         if not early:
             return False
         first = early[0]
-        ended = {each.connection for each in early}
+        # A connection that was established after the first break leads to the
+        # same process, or to the next one; its end says nothing of the first.
+        ended = {
+            each.connection
+            for each in early
+            if each.connection_number < first.number
+        }
         with self._lock:
             others = self._by_endpoint.get(first.endpoint, {})
             for each, number in others.items():
--- a/cardamombarrow/resumption/tests/test_restart_watch.py
+++ b/cardamombarrow/resumption/tests/test_restart_watch.py
@@ -225,3 +225,18 @@
         assert world.doubted == {_ENDPOINT}
     finally:
         world.watch.stop()
+
+
+def test_a_retry_that_is_cut_like_its_first_attempt_raises_no_doubt():
+    # Guards against doubts of an endpoint that goes on and cuts two answers in
+    # turn, the second one on a connection made after the first cut.
+    world = _World()
+    (first,) = world.connect(1)
+    world.break_(first)
+    world.clock.advance(0.02)
+    (second,) = world.connect(1)
+    world.break_(second)
+    world.connect(1)
+    world.clock.advance(0.03)
+    world.watch.judge()
+    assert not world.watch.is_in_doubt(_ENDPOINT)
