Doubted streams: two restarts in one doubt, and control is told

A stream that an endpoint began between two restarts within the lag of the list took the version of the last one, and could go on there with another's events. It stays conflicting now. A doubt's beginning and end reach a majority of the control processes like a new group: the version that ends a doubt was known to this entry only, so that unknown streams could go on at another.

--- a/cardamombarrow/resumption/core.py
+++ b/cardamombarrow/resumption/core.py
@@ -200,6 +200,13 @@
             since_s: Local time since when it may.
         """
         with self._changed:
+            if endpoint in self._in_doubt:
+                # The list that ends the doubt names the last version only.
+                self._doubted = {
+                    key: begun
+                    for key, begun in self._doubted.items()
+                    if begun[0] != endpoint
+                }
             self._in_doubt.add(endpoint)
             doubted = [
                 record
@@ -220,21 +227,32 @@
                 self._table.set_conflicting(record)
         if doubted:
             self._on_unreported()
+            self._store_own()
 
     def end_doubt(self, endpoint: ids.EndpointId) -> None:
         """Records that an endpoint runs the software that is listed."""
         with self._changed:
             self._in_doubt.discard(endpoint)
             software = self._software.get(endpoint)
+            known = False
             for key, (begun_by, service) in list(self._doubted.items()):
                 if begun_by != endpoint:
                     continue
                 del self._doubted[key]
                 record = self._table.get(key)
                 if record is not None and software:
+                    known = True
                     record.origin = Origin(service, software)
-                    self._candidates.extend(record.origin, record.until_s)
+                    self._candidates.add_own(
+                        open_streams.StreamGroup(
+                            open_streams.ANY_CLASS, record.origin
+                        ),
+                        record.until_s,
+                    )
                     self._table.append(record)
+        if known:
+            self._on_unreported()
+            self._store_own()
 
     def confirms(self, key: int, software: ids.SoftwareVersion | None) -> bool:
         """Returns whether a stream may go on at a software version.
--- a/cardamombarrow/resumption/tests/test_core.py
+++ b/cardamombarrow/resumption/tests/test_core.py
@@ -524,3 +524,41 @@
     _tell(sender.origins, receiver.origins, 100.0)
     assert receiver.resolve(1).resolution is core.Resolution.CONFLICTING
     assert receiver.resolve(2).source is other
+
+
+def test_streams_between_two_restarts_of_an_endpoint_stay_doubted(
+    instance, time_source
+):
+    # Guards against a stream that takes the version of the last restart for
+    # its own, though the version between two restarts began it.
+    old = _found(_OLD)
+    instance.origins.set_listed(old)
+    (endpoint,) = (each.endpoint for each in old)
+    instance.origins.begin_doubt(endpoint, time_source.now_s())
+    time_source.advance(0.5)
+    instance.origins.add_own(1, _OLD, endpoint=endpoint)
+    time_source.advance(1.0)
+    instance.origins.begin_doubt(endpoint, time_source.now_s())
+    time_source.advance(core.LISTING_LAG_S)
+    last = core.Origin(_OLD.service, ids.SoftwareVersion("v3"))
+    instance.origins.set_listed(_found(last))
+    instance.origins.end_doubt(endpoint)
+    assert instance.resolve(1).origin is None
+
+
+def test_a_version_is_stored_once_the_doubt_of_its_endpoint_ends(
+    instance, time_source
+):
+    # Guards against a version that control never learns of, because its first
+    # streams began while their endpoint was in doubt.
+    found = _found(_OLD)
+    instance.origins.set_listed(found)
+    (endpoint,) = (each.endpoint for each in found)
+    instance.origins.begin_doubt(endpoint, time_source.now_s())
+    until_s = time_source.now_s() + 10 * _LONGEST_S
+    instance.origins.add_own(1, _OLD, until_s, endpoint=endpoint)
+    instance.origins.set_listed(_found(_NEW))
+    instance.origins.end_doubt(endpoint)
+    assert instance.resolve(1).origin == _NEW
+    stored = dict(instance.control.open)
+    assert stored.get(_group(_NEW), 0.0) >= until_s
