Count control processes by the log's members

A log of a single process lists no addresses, and so counted none; it has one member. One that founds the group alone knows all open streams at once.

--- a/cardamombarrow/log/base.py
+++ b/cardamombarrow/log/base.py
@@ -113,6 +113,10 @@
         """Returns the addresses of all known members."""
         return ()
 
+    def count_members(self) -> int:
+        """Returns the number of members; 0 while it is not known."""
+        return 1
+
     @abc.abstractmethod
     def status(self) -> LogStatus:
         """Returns the current status."""
--- a/cardamombarrow/log/driver.py
+++ b/cardamombarrow/log/driver.py
@@ -258,6 +258,10 @@
         members = self._core.state.log.membership.members
         return tuple(member.address for member in members)
 
+    def count_members(self) -> int:
+        """See `base.Log.count_members`."""
+        return len(self._core.state.log.membership.members)
+
     def held_bytes(self) -> int:
         """Returns the size of the entries and the snapshot in memory."""
         return self._core.state.log.held_bytes
--- a/cardamombarrow/peers/control/open_streams_recovery.py
+++ b/cardamombarrow/peers/control/open_streams_recovery.py
@@ -83,7 +83,7 @@
             knowing = sum(word.knows_all for word in self._words.values())
             self._is_complete = (
                 age_s >= open_streams.LONGEST_STREAM_S
-                or (self._founds and age_s >= STORING_S)
+                or (self._founds and (control_count == 1 or age_s >= STORING_S))
                 or knowing >= needed
                 or self._told_after_common_restart(
                     age_s, min(needed, control_count - 1)
--- a/cardamombarrow/peers/control/service.py
+++ b/cardamombarrow/peers/control/service.py
@@ -58,7 +58,7 @@
             lambda: log.status().has_quorum,
             domain,
             founds=founds,
-            count_controls=lambda: len(log.addresses()),
+            count_controls=log.count_members,
             instance=log.status().voter,
         )
 
