--- a/cardamombarrow/platform/tests/test_versions_after_kills.py
+++ b/cardamombarrow/platform/tests/test_versions_after_kills.py
@@ -4,6 +4,7 @@
 limits, which differ from those of their routes.
 """
 
+import shutil
 import time
 
 import pytest
@@ -89,6 +90,18 @@
     scene.check()
 
 
+def test_all_processes_die_and_a_control_process_loses_its_disk(scene):
+    # Guards against a control process that joins anew and says that it knows
+    # all open streams.
+    scene.begin()
+    scene.replace()
+    names = [*version_scene.NAMES, *scene.running.controls]
+    scene.kill(names)
+    shutil.rmtree(scene.running.state_folder("control-b"))
+    scene.start_processes(names)
+    scene.check()
+
+
 @version_scene.limited(version_scene.LONGER, version_scene.WITHIN)
 def test_control_processes_die_before_all_entries(scene):
     # Guards against control processes that have forgotten which entries ran
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -408,6 +408,10 @@
         """Returns the settings file of an instance."""
         return self._settings[name][1]
 
+    def state_folder(self, name: str) -> pathlib.Path:
+        """Returns the folder of a control process's durable state."""
+        return self._folder / name
+
     def log(self, name: str) -> str:
         """Returns the output of a process so far."""
         return (self._folder / f"{name}.log").read_text()
