--- a/cardamombarrow/platform/tests/test_versions_and_resets.py
+++ b/cardamombarrow/platform/tests/test_versions_and_resets.py
@@ -89,7 +89,8 @@
     # Guards against streams that go on at a server that has come back with
     # other software, though another one of their version is left.
     with standin.Servers(_script(())) as servers:
-        listed = [servers.start(f"i-{number}") for number in range(2)]
+        # One server alone has no room for all streams of the other one.
+        listed = [servers.start(f"i-{number}") for number in range(4)]
         with (
             _deployment(servers, tmp_path) as running,
             returning_callers.Callers(running, servers) as callers,
@@ -102,4 +103,5 @@
         version for each in callers.streams for version, _ in each.events
     }
     assert versions == {"v1"}
+    assert any(each.last_event for each in servers.received)
     _check(callers)
