Open streams: report and store in one step; the group without a class in one place

set_listed and both ends of a doubt told control in the same two calls, and the beginning and end of a doubt built the group that candidates already builds. Behaviour is as before; tests of resumption, peers/control and entry pass.

--- a/cardamombarrow/resumption/candidates.py
+++ b/cardamombarrow/resumption/candidates.py
@@ -122,15 +122,15 @@
         if self._was_told_all:
             gone_s = end_s
         for origin in self._listed - listed:
-            self._open.extend(_unclassed(origin), gone_s)
+            self._open.extend(open_streams.unclassed(origin), gone_s)
         for origin in new:
-            self._own.extend(_unclassed(origin), end_s)
+            self._own.extend(open_streams.unclassed(origin), end_s)
         self._listed = listed
         return bool(new)
 
     def extend(self, origin: open_streams.Origin, until_s: float) -> None:
         """Records a stream of any entry, whose class is not known."""
-        self._open.extend(_unclassed(origin), until_s)
+        self._open.extend(open_streams.unclassed(origin), until_s)
 
     def add_own(self, group: open_streams.StreamGroup, until_s: float) -> bool:
         """Records a stream of this entry; returns whether control knows."""
@@ -184,7 +184,3 @@
             first=first,
             knows_all=self.are_all(now_s),
         )
-
-
-def _unclassed(origin: open_streams.Origin) -> open_streams.StreamGroup:
-    return open_streams.StreamGroup(open_streams.ANY_CLASS, origin)
--- a/cardamombarrow/resumption/core.py
+++ b/cardamombarrow/resumption/core.py
@@ -162,8 +162,12 @@
             has_new = self._candidates.set_listed(listed, now_s)
             self._update_mixed(now_s)
         if has_new:
-            self._on_unreported()
-            self._store_own()
+            self._tell_control()
+
+    def _tell_control(self) -> None:
+        """Reports own open streams, and has a majority store them."""
+        self._on_unreported()
+        self._store_own()
 
     def _store_own(self) -> None:
         """Has the control processes store what they have not acknowledged."""
@@ -219,15 +223,12 @@
             for record in doubted:
                 self._doubted[record.key] = endpoint, record.origin.service
                 self._candidates.add_own(
-                    open_streams.StreamGroup(
-                        open_streams.ANY_CLASS, _uncertain(record.origin)
-                    ),
+                    open_streams.unclassed(_uncertain(record.origin)),
                     record.until_s,
                 )
                 self._table.set_conflicting(record)
         if doubted:
-            self._on_unreported()
-            self._store_own()
+            self._tell_control()
 
     def end_doubt(self, endpoint: ids.EndpointId) -> None:
         """Records that an endpoint runs the software that is listed."""
@@ -244,15 +245,12 @@
                     known = True
                     record.origin = Origin(service, software)
                     self._candidates.add_own(
-                        open_streams.StreamGroup(
-                            open_streams.ANY_CLASS, record.origin
-                        ),
+                        open_streams.unclassed(record.origin),
                         record.until_s,
                     )
                     self._table.append(record)
         if known:
-            self._on_unreported()
-            self._store_own()
+            self._tell_control()
 
     def confirms(self, key: int, software: ids.SoftwareVersion | None) -> bool:
         """Returns whether a stream may go on at a software version.
--- a/cardamombarrow/resumption/open_streams.py
+++ b/cardamombarrow/resumption/open_streams.py
@@ -22,6 +22,7 @@
     "Report",
     "ReportedStreams",
     "StreamGroup",
+    "unclassed",
 ]
 
 LONGEST_STREAM_S = 600.0
@@ -56,6 +57,11 @@
     origin: Origin
 
 
+def unclassed(origin: Origin) -> StreamGroup:
+    """Returns the group of an origin's streams whose class is not known."""
+    return StreamGroup(ANY_CLASS, origin)
+
+
 GroupEnd = tuple[StreamGroup, float]
 """A group, and the local time until which one of its streams is open."""
 
