Answers with a folded line in their head are refused

What callers saw: a server in trouble sent a head with a line that begins with a blank or a tab, behind a line that is no field or before the one that tells the length. Its caller got a 200 with that line joined to another field (`X-Note: a garbage`) or, where the line was ` Content-Length: 42`, an answer without a length whose body ended wherever the connection did.

Cause: h11 unfolds such lines (obs-fold) silently. RFC 9112, section 5.2, lets a gateway replace or discard such an answer; joined to its neighbour, a damaged line changes a field that was sound.

Change: heads are parsed by kernel.heads, as those of requests are, before h11 sees them (endpoints/answer_parser.py, taken out of the connection). A refused answer takes the path of one that is no HTTP: what may have run is not sent again.

--- a/cardamombarrow/endpoints/connection.py
+++ b/cardamombarrow/endpoints/connection.py
@@ -11,10 +11,9 @@
 import select
 import socket
 
-import h11
-
+from cardamombarrow.endpoints import answer_parser
 from cardamombarrow.endpoints import base
-from cardamombarrow.kernel import errors
+from cardamombarrow.kernel import heads
 
 __all__ = ["BrokenError", "Connection", "is_end"]
 
@@ -22,7 +21,6 @@
 KEEPALIVE_INTERVAL_S = 3
 """TCP keepalive detects a lost peer while an answer is awaited."""
 
-HEAD_LIMIT_BYTES = 131_072
 READ_BYTES = 65_536
 
 _KEEPALIVE_TIMEOUT = re.compile(r"\btimeout\s*=\s*(\d{1,6})", re.I)
@@ -62,10 +60,6 @@
         connected: Whether the TCP connection is established.
         sent: Whether any byte of the current request was sent.
         head: Status and headers of the answer, once received.
-        whole: Whether the whole answer was received.
-        ended_by_close: Whether only the end of the connection marked its end.
-        unparsed_bytes: Size of the part of the answer that is buffered until
-            more is received: of a head, a chunk's size or trailers.
         idle_since_s: End of its last answer; set by the pool.
         usable_until_s: End of the time in which it may serve another request
             and the endpoint keeps it open; set by the pool.
@@ -83,19 +77,12 @@
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._socket.setblocking(False)
         _set_options(self._socket)
-        self._http = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=HEAD_LIMIT_BYTES
-        )
+        self._parser = answer_parser.AnswerParser()
         self._unsent = memoryview(b"")
-        self._body = bytearray()
-        self._head_bytes = 0
         self._request_cut = False
         self.connected = False
         self.sent = False
         self.head: base.Head | None = None
-        self.whole = False
-        self.ended_by_close = False
-        self.unparsed_bytes = 0
         self.idle_since_s = 0.0
         self.usable_until_s = 0.0
         self.is_busy = True
@@ -129,23 +116,7 @@
         Raises:
             errors.RefusedError: The request can't be written as HTTP.
         """
-        try:
-            request = h11.Request(
-                method=method.encode("ascii"),
-                target=target.encode("latin-1"),
-                headers=[
-                    (name.encode("latin-1"), value.encode("latin-1"))
-                    for name, value in headers
-                ],
-            )
-            data = self._http.send(request)
-            if body:
-                data += self._http.send(h11.Data(data=body))
-            data += self._http.send(h11.EndOfMessage())
-        except (h11.LocalProtocolError, UnicodeEncodeError) as error:
-            raise errors.RefusedError(
-                errors.ErrorKind.BAD_REQUEST, f"not valid HTTP: {error}"
-            ) from None
+        data = self._parser.start_request(method, target, headers, body)
         self._unsent = memoryview(data)
         self.sent = False
 
@@ -207,62 +178,49 @@
                 f"connection lost: {error}", ended=is_end(error.errno)
             ) from None
         try:
-            self._http.receive_data(data)
-            if self._take_events():
-                self.unparsed_bytes = len(self._http.trailing_data[0])
-            else:
-                self.unparsed_bytes += len(data)
-            self.ended_by_close = self.whole and not data
-        except h11.RemoteProtocolError as error:
+            self._parser.receive(data)
+        except answer_parser.InvalidAnswerError as error:
             raise BrokenError(
                 f"invalid HTTP answer: {error}", ended=not data
             ) from None
-        if self.head is None:
-            # The parser's limit is for each interim answer (1xx).
-            self._head_bytes += len(data)
-            if self._head_bytes > HEAD_LIMIT_BYTES:
-                raise BrokenError(f"a head of over {HEAD_LIMIT_BYTES} bytes")
-
-    def _take_events(self) -> bool:
-        """Takes what was received; returns False if it was no whole part."""
-        found = False
-        while True:
-            event = self._http.next_event()
-            if event is h11.NEED_DATA or event is h11.PAUSED:
-                return found
-            found = True
-            if isinstance(event, h11.Response):
-                self.head = base.Head(
-                    event.status_code,
-                    {
-                        name.decode("latin-1"): value.decode("latin-1")
-                        for name, value in event.headers
-                    },
-                    event.reason.decode("latin-1"),
-                )
-                # The rest of the request is no longer needed. It is dropped,
-                # and the connection is not reused: the endpoint would read the
-                # next request as the rest of this one.
-                self._request_cut = bool(self._unsent)
-                self._unsent = memoryview(b"")
-            elif isinstance(event, h11.Data):
-                self._body += event.data
-            elif isinstance(event, h11.EndOfMessage):
-                self.whole = True
-                return found
-            elif not isinstance(event, h11.InformationalResponse):
-                return found
+        if self.head is None and self._parser.head is not None:
+            self._set_head(self._parser.head)
+
+    def _set_head(self, head: heads.AnswerHead) -> None:
+        self.head = base.Head(
+            head.status,
+            {name.lower(): value for name, value in head.fields},
+            head.reason,
+        )
+        # The rest of the request is no longer needed. It is dropped, and the
+        # connection is not reused: the endpoint would read the next request
+        # as the rest of this one.
+        self._request_cut = bool(self._unsent)
+        self._unsent = memoryview(b"")
+
+    @property
+    def whole(self) -> bool:
+        """Whether the whole answer was received."""
+        return self._parser.whole
+
+    @property
+    def ended_by_close(self) -> bool:
+        """Whether only the end of the connection marked the answer's end."""
+        return self._parser.ended_by_close
+
+    @property
+    def unparsed_bytes(self) -> int:
+        """Size of the part of the answer that can't be parsed yet."""
+        return self._parser.unparsed_bytes
 
     @property
     def has_body(self) -> bool:
         """Whether a part of the body was received that was not taken yet."""
-        return bool(self._body)
+        return self._parser.has_body
 
     def take_body(self) -> bytes:
         """Returns the received part of the body that was not taken yet."""
-        data = bytes(self._body)
-        self._body.clear()
-        return data
+        return self._parser.take_body()
 
     @property
     def keep_alive_s(self) -> float:
@@ -272,12 +230,8 @@
         states the time. Otherwise the endpoint could close the connection while
         a request is sent, so that it is unknown whether the request has run.
         """
-        http = self._http
-        done = http.our_state is h11.DONE and http.their_state is h11.DONE
-        trailing, _ = http.trailing_data
-        if not (done and self.whole and self.sent) or self._request_cut:
-            return 0.0
-        if self._unsent or trailing or self.head is None:
+        done = self._parser.allows_next_request and self.sent
+        if not done or self._request_cut or self._unsent or self.head is None:
             return 0.0
         match = _KEEPALIVE_TIMEOUT.search(
             self.head.headers.get("keep-alive", "")
@@ -296,11 +250,9 @@
 
     def reset(self) -> None:
         """Prepares for the next request after a complete exchange."""
-        self._http.start_next_cycle()
-        self._body.clear()
-        self._head_bytes = self.unparsed_bytes = 0
+        self._parser.start_next()
         self.head = None
-        self.whole = self.sent = False
+        self.sent = False
         self.is_busy = True
 
     def has_hung_up(self) -> bool:
--- a/cardamombarrow/kernel/heads.py
+++ b/cardamombarrow/kernel/heads.py
@@ -1,4 +1,4 @@
-"""Parses the head of an HTTP/1.1 request and rejects ambiguous ones.
+"""Parses the heads of HTTP/1.1 requests and answers; rejects ambiguous ones.
 
 Two programs that parse an ambiguous request differently can be made to disagree
 where it ends: one reads a body that the other reads as a second request, with
@@ -6,6 +6,10 @@
 length together with chunked encoding, a bare line feed or a folded field is
 therefore rejected before any byte of it is forwarded (RFC 9112, sections 2.2, 5
 and 6.3).
+
+The same holds for answers: a damaged head is not repaired, since the body that
+it is read with would not be the sender's. Only their lines may end with a bare
+line feed.
 """
 
 import dataclasses
@@ -13,13 +17,20 @@
 
 from cardamombarrow.kernel import errors
 
-__all__ = ["RequestHead", "parse"]
+__all__ = ["AnswerHead", "RequestHead", "parse", "parse_answer"]
 
 _REQUEST_LINE = re.compile(
     rb"(?P<method>[A-Z]{1,20}) (?P<target>/[!-~]*) "
     rb"HTTP/(?P<version>[0-9]\.[0-9])"
 )
 _VERSIONS = (b"1.0", b"1.1")
+_STATUS_LINE = re.compile(
+    rb"HTTP/[0-9]\.[0-9] (?P<status>[0-9]{3})(?: (?P<reason>[^\x00\r\n]*))?"
+)
+_ANSWER_FIELD = re.compile(
+    rb"(?P<name>[!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*(?P<value>[^\x00\r\n]*)"
+)
+_LINE_END = re.compile(rb"\r?\n")
 _FIELD = re.compile(
     rb"(?P<name>[!#$%&'*+.^_`|~0-9A-Za-z-]+):"
     rb"[ \t]*(?P<value>[\t -~\x80-\xff]*)"
@@ -52,6 +63,20 @@
         )
 
 
+@dataclasses.dataclass(frozen=True)
+class AnswerHead:
+    """A status line and its fields.
+
+    Attributes:
+        fields: Names and values in order; values without surrounding white
+            space.
+    """
+
+    status: int
+    reason: str
+    fields: tuple[tuple[str, str], ...]
+
+
 def parse(raw: bytes) -> RequestHead:
     """Parses a head that includes its final empty line.
 
@@ -77,6 +102,29 @@
     )
 
 
+def parse_answer(raw: bytes) -> AnswerHead:
+    """Parses the head of an answer that includes its final empty line.
+
+    Raises:
+        ValueError: It is malformed.
+    """
+    first, *lines = _LINE_END.split(raw)[:-2]
+    line = _STATUS_LINE.fullmatch(first)
+    if line is None:
+        raise ValueError(f"a malformed status line: {first!r}")
+    reason = (line["reason"] or b"").decode("latin-1")
+    fields = tuple(_answer_field(each) for each in lines)
+    return AnswerHead(int(line["status"]), reason, fields)
+
+
+def _answer_field(line: bytes) -> tuple[str, str]:
+    field = _ANSWER_FIELD.fullmatch(line)
+    if field is None:
+        raise ValueError(f"a line that is no field: {line!r}")
+    value = field["value"].strip(b" \t")
+    return field["name"].decode(), value.decode("latin-1")
+
+
 def _field(line: bytes) -> tuple[str, str]:
     field = _FIELD.fullmatch(line)
     if field is None:
--- a/cardamombarrow/kernel/tests/test_heads.py
+++ b/cardamombarrow/kernel/tests/test_heads.py
@@ -51,3 +51,56 @@
     with pytest.raises(errors.RefusedError) as caught:
         heads.parse(raw)
     assert caught.value.kind is errors.ErrorKind.BAD_REQUEST
+
+
+_OK = b"HTTP/1.1 200 OK\r\n"
+
+
+def test_the_head_of_an_answer_is_parsed():
+    head = heads.parse_answer(_OK + b"X-A:  b c \r\nX-A: d\r\nX-B:\r\n\r\n")
+    assert (head.status, head.reason) == (200, "OK")
+    assert head.fields == (("X-A", "b c"), ("X-A", "d"), ("X-B", ""))
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"HTTP/1.1 200\r\n\r\n",
+        b"HTTP/1.1 200 \r\n\r\n",
+        b"HTTP/1.0 200 Fine\n\n",
+        b"HTTP/1.1 200 OK\nX-A: b\r\n\n",
+    ],
+)
+def test_the_head_of_an_answer_may_lack_a_reason_or_carriage_returns(raw):
+    assert heads.parse_answer(raw).status == 200
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"\r\n",
+        b"\r\n" + _OK + b"\r\n",
+        b"HTTP/1.1 20 OK\r\n\r\n",
+        b"HTTP/1.1 2000 OK\r\n\r\n",
+        b"HTTP/1.1  200 OK\r\n\r\n",
+        b"HTTP/1.1 200OK\r\n\r\n",
+        b"HTTP 200 OK\r\n\r\n",
+        b"http/1.1 200 OK\r\n\r\n",
+        _OK + b" X-A: b\r\n\r\n",
+        _OK + b"X-A: b\r\n folded\r\n\r\n",
+        _OK + b"X-A: b\r\n\tfolded\r\n\r\n",
+        _OK + b"X-A: b\r\n Content-Length: 5\r\n\r\n",
+        _OK + b"X-A: b\r\n \r\n\r\n",
+        _OK + b"X-A: b\rX-B: c\r\n\r\n",
+        _OK + b"X-A: b\x00\r\n\r\n",
+        _OK + b"X-A : b\r\n\r\n",
+        _OK + b"X A: b\r\n\r\n",
+        _OK + b"X\x01A: b\r\n\r\n",
+        _OK + b": b\r\n\r\n",
+        _OK + b"garbage\r\n\r\n",
+    ],
+)
+def test_a_malformed_head_of_an_answer_is_rejected(raw):
+    # Guards against a body that is delimited, or passed on, by a damaged head.
+    with pytest.raises(ValueError):
+        heads.parse_answer(raw)
--- a/cardamombarrow/platform/tests/standin_streams.py
+++ b/cardamombarrow/platform/tests/standin_streams.py
@@ -106,6 +106,7 @@
         interim: Heads of interim answers that are sent first.
         head_bytes: Bytes of the heads that are sent before the connection ends;
             None for all.
+        alter_head: Returns what is sent in place of its final head.
     """
 
     framing: Framing = Framing.CHUNKED
@@ -123,6 +124,7 @@
     hold: abc.Callable[[int], None] = lambda number: None
     interim: bytes = b""
     head_bytes: int | None = None
+    alter_head: abc.Callable[[bytes], bytes] = lambda head: head
 
 
 @dataclasses.dataclass(frozen=True)
@@ -488,7 +490,8 @@
     connection: socket.socket, answer: Answer, lines: list[str]
 ) -> bool:
     """Sends the heads of an answer; returns whether its body follows."""
-    heads = answer.interim + "\r\n".join([*lines, "", ""]).encode()
+    head = answer.alter_head("\r\n".join([*lines, "", ""]).encode())
+    heads = answer.interim + head
     connection.sendall(heads[: answer.head_bytes])
     if answer.head_bytes is None:
         return True
--- /dev/null
+++ b/cardamombarrow/platform/tests/test_spoilt_answers.py
@@ -0,0 +1,276 @@
+"""Servers whose answers have a malformed head, or break off an upload."""
+
+import socket
+import time
+
+import pytest
+
+from cardamombarrow.platform.tests import platform_plan
+from cardamombarrow.platform.tests import standin_streams as standin
+from cardamombarrow.platform.tests import stream_client
+from tools import deployment
+
+pytestmark = pytest.mark.process
+
+_UPLOAD_BYTES = 4_000_000
+_PART = b"hello, wor"
+
+_SPOILT_LENGTHS = {
+    "letters": b"Content-Length: 4x2",
+    "sign": b"Content-Length: +%d",
+    "negative": b"Content-Length: -%d",
+    "hexadecimal": b"Content-Length: 0x%x",
+    "fraction": b"Content-Length: %d.0",
+    "underscore": b"Content-Length: 1_%d",
+    "blank inside": b"Content-Length: 1 %d",
+    "empty": b"Content-Length:",
+    "control byte": b"Content-Length: %d\x01",
+    "zero byte": b"Content-Length: \x00%d",
+    "two values": b"Content-Length: 12, %d",
+    "two fields": b"Content-Length: 12\r\nContent-Length: %d",
+    "other coding": b"Transfer-Encoding: chunkee",
+    "coding twice": b"Transfer-Encoding: chunked, chunked",
+    "no coding": b"Transfer-Encoding:",
+}
+"""Lines in place of the one that tells the length of the body."""
+
+_NO_FIELDS = {
+    "no colon": b"Content-Length %d",
+    "garbage": b"\x9c\xfe\x00\x07garbage",
+    "text": b"garbage",
+    "empty name": b": %d",
+    "folded": b"X-Note: a\r\n garbage",
+    "folded seal": b" garbage",
+    "folded by a tab": b"\tgarbage: 1",
+    "carriage return": b"X-Note: a\rContent-Length: 5",
+}
+"""Lines that are no fields."""
+
+_SPOILT_NAMES = {
+    "blank inside": b"Content Length: %d",
+    "blank before": b" Content-Length: %d",
+    "tab before": b"\tContent-Length: %d",
+    "blank behind": b"Content-Length : %d",
+    "control byte": b"Content\x01-Length: %d",
+    "zero byte": b"Content-Length\x00: %d",
+    "delete": b"Content-Length\x7f: %d",
+    "of another field": b"X Note: a",
+    "of another field, control byte": b"X-N\x02ote: a",
+}
+"""Fields whose name holds a byte that names can't hold."""
+
+_FRAMINGS = [
+    (standin.Framing.LENGTH, "text/plain"),
+    (standin.Framing.CHUNKED, "text/event-stream"),
+    (standin.Framing.CLOSE, "text/plain"),
+]
+
+
+@pytest.fixture(scope="module")
+def running(servers, tmp_path_factory):
+    for number in range(3):
+        servers.start(f"i-{number}")
+    document = stream_client.configuration()
+    document["limits"]["maxBodyBytes"] = _UPLOAD_BYTES
+    plan = platform_plan.plan(document, servers.listing_url, {"a": ["a-1"]})
+    folder = tmp_path_factory.mktemp("spoilt")
+    with deployment.Deployment(plan, folder) as started:
+        yield started
+
+
+def _call(running, servers, answer):
+    """Returns what a caller sees of an answer that a server has given it."""
+    assert deployment.wait_until(lambda: _is_served(running, servers))
+    servers.script = lambda received: answer
+    before = len(servers.received)
+    seen = stream_client.call(running, "once", "1.1")
+    assert len(servers.received) > before
+    return seen
+
+
+def _is_served(running, servers):
+    """Ends the probation of the servers by sound answers."""
+    servers.script = lambda received: standin.Answer()
+    return stream_client.call(running, "again", "1.1").status == 200
+
+
+def _replace_length(line):
+    """Returns a head in which a line stands for the length of the body."""
+
+    def alter(head):
+        kept = [
+            each
+            for each in head.split(b"\r\n")
+            if not each.lower().startswith((b"content-length", b"transfer-"))
+        ]
+        length = len(stream_client.whole())
+        text = line % length if b"%" in line else line
+        return b"\r\n".join([*kept[:-2], text, b"", b""])
+
+    return alter
+
+
+def _add(line):
+    """Returns a head that holds one more line."""
+
+    def alter(head):
+        length = len(stream_client.whole())
+        text = line % length if b"%" in line else line
+        return head[:-2] + text + b"\r\n\r\n"
+
+    return alter
+
+
+@pytest.mark.parametrize("content_type", ["text/plain", "text/event-stream"])
+@pytest.mark.parametrize("line", _SPOILT_LENGTHS.values(), ids=_SPOILT_LENGTHS)
+def test_an_answer_with_a_spoilt_length_is_no_success(
+    running, servers, line, content_type
+):
+    # Guards against a body that ends elsewhere than the server's.
+    answer = standin.Answer(
+        standin.Framing.CLOSE,
+        alter_head=_replace_length(line),
+        content_type=content_type,
+    )
+    assert _call(running, servers, answer).status != 200
+
+
+@pytest.mark.parametrize(("framing", "content_type"), _FRAMINGS)
+@pytest.mark.parametrize("line", _NO_FIELDS.values(), ids=_NO_FIELDS)
+def test_an_answer_with_a_line_that_is_no_field_is_no_success(
+    running, servers, line, framing, content_type
+):
+    # Guards against such lines that are passed on, or joined to other fields.
+    answer = standin.Answer(
+        framing, alter_head=_add(line), content_type=content_type
+    )
+    assert _call(running, servers, answer).status != 200
+
+
+@pytest.mark.parametrize(
+    "status", [b"000", b"0", b"099", b"20", b"2000", b"-20", b"2 0"]
+)
+def test_an_answer_without_a_known_status_is_no_answer(
+    running, servers, status
+):
+    # Guards against a status that no caller can understand.
+    answer = standin.Answer(
+        alter_head=lambda head: head.replace(b" 200 ", b" %b " % status, 1)
+    )
+    assert _call(running, servers, answer).status == 502
+
+
+@pytest.mark.parametrize(("framing", "content_type"), _FRAMINGS)
+@pytest.mark.parametrize("line", _SPOILT_NAMES.values(), ids=_SPOILT_NAMES)
+def test_an_answer_with_a_spoilt_field_name_is_no_success(
+    running, servers, line, framing, content_type
+):
+    # Guards against names that callers read differently, or not at all.
+    answer = standin.Answer(
+        framing, alter_head=_add(line), content_type=content_type
+    )
+    assert _call(running, servers, answer).status != 200
+
+
+class _EarlyServers(standin.Servers):
+    """Servers that answer an upload at once and reset it while it is written.
+
+    Attributes:
+        pauses_s: Times before the answer, before its body and before the reset.
+        read_bytes: Bytes of the upload that are read before the answer.
+        requests: Number of requests since it was set to 0.
+    """
+
+    def __init__(self):
+        super().__init__(lambda received: standin.Answer())
+        self.pauses_s = (0.0, 0.0, 0.0)
+        self.read_bytes = 0
+        self.requests = 0
+
+    def _answer_request(self, connection, port, raw):
+        self.requests += 1
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        attempt = next(
+            line.partition(b":")[2].strip()
+            for line in raw.split(b"\r\n")
+            if line.lower().startswith(b"attempt-id:")
+        )
+        left = self.read_bytes
+        while left > 0:
+            left -= len(connection.recv(left))
+        head = (
+            b"HTTP/1.1 200 OK\r\nAttempt-Id: %b\r\nServer-Seal: s\r\n"
+            b"Content-Type: text/plain\r\n\r\n" % attempt
+        )
+        before_s, between_s, after_s = self.pauses_s
+        time.sleep(before_s)
+        if between_s:
+            connection.sendall(head)
+            time.sleep(between_s)
+            connection.sendall(_PART)
+        else:
+            connection.sendall(head + _PART)
+        time.sleep(after_s)
+        standin.reset(connection)
+
+
+@pytest.fixture(scope="module")
+def early_servers():
+    with _EarlyServers() as started:
+        started.start("i-0")
+        yield started
+
+
+@pytest.fixture(scope="module")
+def running_uploads(early_servers, tmp_path_factory):
+    document = stream_client.configuration()
+    document["limits"]["maxBodyBytes"] = _UPLOAD_BYTES
+    plan = platform_plan.plan(
+        document, early_servers.listing_url, {"a": ["a-1"]}
+    )
+    folder = tmp_path_factory.mktemp("uploads")
+    with deployment.Deployment(plan, folder) as started:
+        yield started
+
+
+def _upload(running):
+    """Returns what the caller of a long upload sees."""
+    host, _, port = (
+        running.entries["a-1"].removeprefix("http://").partition(":")
+    )
+    attempt = stream_client.Attempt.new("once")
+    head = [
+        f"POST {attempt.path} HTTP/1.1",
+        "Host: one.example",
+        f"Attempt-Id: {attempt.attempt}",
+        "Model-Name: m",
+        "Token-Count: 10,6",
+        f"Deadline-Ms: {stream_client.LIMIT_MS}",
+        f"Content-Length: {_UPLOAD_BYTES}",
+        "",
+        "",
+    ]
+    caller = socket.create_connection((host, int(port)), timeout=10)
+    caller.sendall("\r\n".join(head).encode() + bytes(_UPLOAD_BYTES))
+    return stream_client.read(caller)
+
+
+@pytest.mark.parametrize("read_bytes", [0, 100_000])
+@pytest.mark.parametrize(
+    "pauses_s",
+    [(0, 0, 0), (0, 0, 0.1), (0, 0.1, 0.1), (0.1, 0, 0), (0.1, 0.1, 0)],
+)
+def test_a_part_of_an_answer_during_an_upload_does_not_look_complete(
+    running_uploads, early_servers, pauses_s, read_bytes
+):
+    # Guards against a reset that a failed write hides from the reader.
+    early_servers.pauses_s = pauses_s
+    early_servers.read_bytes = read_bytes
+
+    def reaches_server():
+        early_servers.requests = 0
+        seen = _upload(running_uploads)
+        assert seen.status != 200 or not seen.looks_complete
+        return early_servers.requests > 0
+
+    assert deployment.wait_until(reaches_server)
