Answers with two statements about their length are refused

What callers saw: an answer whose head held `Content-Length: 5` beside `Transfer-Encoding: chunked` came as a 200 with both: the length as the server had sent it, the body unchunked and of another size. Its caller took the first five bytes for the whole answer.

Cause: h11 lets the coding win over the length and keeps both fields (RFC 9112, section 6.3: such a message "ought to be handled as an error"). It also takes chunks in HTTP/1.0, and equal lengths that are repeated.

--- a/cardamombarrow/kernel/heads.py
+++ b/cardamombarrow/kernel/heads.py
@@ -25,7 +25,8 @@
 )
 _VERSIONS = (b"1.0", b"1.1")
 _STATUS_LINE = re.compile(
-    rb"HTTP/[0-9]\.[0-9] (?P<status>[0-9]{3})(?: (?P<reason>[^\x00\r\n]*))?"
+    rb"(?P<version>HTTP/[0-9]\.[0-9]) (?P<status>[0-9]{3})"
+    rb"(?: (?P<reason>[^\x00\r\n]*))?"
 )
 _ANSWER_FIELD = re.compile(
     rb"(?P<name>[!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*(?P<value>[^\x00\r\n]*)"
@@ -96,7 +97,11 @@
         )
     fields = tuple(_field(each) for each in lines)
     version = f"HTTP/{line['version'].decode()}"
-    _check_framing(version, fields)
+    if version == "HTTP/1.1" and not _has_host(fields):
+        raise _refused("the Host header is missing")
+    problem = _framing_problem(version, fields)
+    if problem is not None:
+        raise _refused(problem)
     return RequestHead(
         line["method"].decode(), line["target"].decode(), version, fields
     )
@@ -106,7 +111,7 @@
     """Parses the head of an answer that includes its final empty line.
 
     Raises:
-        ValueError: It is malformed.
+        ValueError: It is malformed, or ambiguous about the end of the body.
     """
     first, *lines = _LINE_END.split(raw)[:-2]
     line = _STATUS_LINE.fullmatch(first)
@@ -114,6 +119,9 @@
         raise ValueError(f"a malformed status line: {first!r}")
     reason = (line["reason"] or b"").decode("latin-1")
     fields = tuple(_answer_field(each) for each in lines)
+    problem = _framing_problem(line["version"].decode(), fields)
+    if problem is not None:
+        raise ValueError(problem)
     return AnswerHead(int(line["status"]), reason, fields)
 
 
@@ -133,28 +141,32 @@
     return field["name"].decode(), value.decode("latin-1")
 
 
-def _check_framing(version: str, fields: tuple[tuple[str, str], ...]) -> None:
+def _has_host(fields: tuple[tuple[str, str], ...]) -> bool:
+    return any(name.lower() == "host" and value for name, value in fields)
+
+
+def _framing_problem(
+    version: str, fields: tuple[tuple[str, str], ...]
+) -> str | None:
+    """Returns why a body's end is ambiguous; None if it is not."""
     seen: dict[str, str] = {}
     for name, value in fields:
         lower = name.lower()
         if lower in _SINGLE:
             if lower in seen:
-                raise _refused(f"{name} is repeated")
+                return f"{name} is repeated"
             seen[lower] = value
-    if version == "HTTP/1.1" and not seen.get("host"):
-        raise _refused("the Host header is missing")
     length = seen.get("content-length")
     if length is not None and not _LENGTH.fullmatch(length):
-        raise _refused("Content-Length is not a number")
+        return "Content-Length is not a number"
     coding = seen.get("transfer-encoding")
     if coding is None:
-        return
-    if length is not None or version != "HTTP/1.1":
-        raise _refused(
-            "Transfer-Encoding together with Content-Length or HTTP/1.0"
-        )
+        return None
+    if length is not None or version == "HTTP/1.0":
+        return "Transfer-Encoding together with Content-Length or HTTP/1.0"
     if coding.lower() != "chunked":
-        raise _refused("Transfer-Encoding is not chunked")
+        return "Transfer-Encoding is not chunked"
+    return None
 
 
 def _refused(detail: str) -> errors.RefusedError:
--- a/cardamombarrow/kernel/tests/test_heads.py
+++ b/cardamombarrow/kernel/tests/test_heads.py
@@ -98,6 +98,12 @@
         _OK + b"X\x01A: b\r\n\r\n",
         _OK + b": b\r\n\r\n",
         _OK + b"garbage\r\n\r\n",
+        _OK + b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n",
+        _OK + b"Content-Length: 5\r\nContent-Length: 5\r\n\r\n",
+        _OK + b"Content-Length: 5, 5\r\n\r\n",
+        _OK + b"Transfer-Encoding: gzip, chunked\r\n\r\n",
+        _OK + b"Content-Type: a/b\r\nContent-Type: text/event-stream\r\n\r\n",
+        b"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
     ],
 )
 def test_a_malformed_head_of_an_answer_is_rejected(raw):
--- a/cardamombarrow/platform/tests/test_spoilt_answers.py
+++ b/cardamombarrow/platform/tests/test_spoilt_answers.py
@@ -19,7 +19,7 @@
     "letters": b"Content-Length: 4x2",
     "sign": b"Content-Length: +%d",
     "negative": b"Content-Length: -%d",
-    "hexadecimal": b"Content-Length: 0x%x",
+    "hexadecimal": b"Content-Length: 0x%d",
     "fraction": b"Content-Length: %d.0",
     "underscore": b"Content-Length: 1_%d",
     "blank inside": b"Content-Length: 1 %d",
@@ -28,6 +28,9 @@
     "zero byte": b"Content-Length: \x00%d",
     "two values": b"Content-Length: 12, %d",
     "two fields": b"Content-Length: 12\r\nContent-Length: %d",
+    "other length": b"Content-Length: 5\r\nTransfer-Encoding: chunked",
+    "length and chunks": b"Transfer-Encoding: chunked\r\nContent-Length: %d",
+    "length twice": b"Content-Length: %d\r\nContent-Length: %d",
     "other coding": b"Transfer-Encoding: chunkee",
     "coding twice": b"Transfer-Encoding: chunked, chunked",
     "no coding": b"Transfer-Encoding:",
@@ -104,7 +107,7 @@
             if not each.lower().startswith((b"content-length", b"transfer-"))
         ]
         length = len(stream_client.whole())
-        text = line % length if b"%" in line else line
+        text = line.replace(b"%d", b"%d" % length)
         return b"\r\n".join([*kept[:-2], text, b"", b""])
 
     return alter
@@ -115,7 +118,7 @@
 
     def alter(head):
         length = len(stream_client.whole())
-        text = line % length if b"%" in line else line
+        text = line.replace(b"%d", b"%d" % length)
         return head[:-2] + text + b"\r\n\r\n"
 
     return alter
@@ -127,8 +130,9 @@
     running, servers, line, content_type
 ):
     # Guards against a body that ends elsewhere than the server's.
+    is_chunked = b"Transfer-Encoding: chunked" in line.split(b"\r\n")
     answer = standin.Answer(
-        standin.Framing.CLOSE,
+        standin.Framing.CHUNKED if is_chunked else standin.Framing.CLOSE,
         alter_head=_replace_length(line),
         content_type=content_type,
     )
