Answers whose status or version is none are refused

What callers saw: an answer with a status from 600 to 999 came as it was, with its body. 000, 099 and numbers of one, two or four digits were refused before (the tests of them are kept), as is now a version other than HTTP/1.

Cause: h11 takes any status of three digits from 200 on, and any version of two digits. Outside 100 to 599 a status is invalid (RFC 9110, section 15), and a caller can't tell what it means for its request.

Change: the status line names HTTP/1 and a status from 100 to 599.

--- a/cardamombarrow/kernel/heads.py
+++ b/cardamombarrow/kernel/heads.py
@@ -25,7 +25,7 @@
 )
 _VERSIONS = (b"1.0", b"1.1")
 _STATUS_LINE = re.compile(
-    rb"(?P<version>HTTP/[0-9]\.[0-9]) (?P<status>[0-9]{3})"
+    rb"(?P<version>HTTP/1\.[0-9]) (?P<status>[1-5][0-9]{2})"
     rb"(?: (?P<reason>[^\x00\r\n]*))?"
 )
 _ANSWER_FIELD = re.compile(
--- a/cardamombarrow/platform/tests/test_spoilt_answers.py
+++ b/cardamombarrow/platform/tests/test_spoilt_answers.py
@@ -152,7 +152,8 @@
 
 
 @pytest.mark.parametrize(
-    "status", [b"000", b"0", b"099", b"20", b"2000", b"-20", b"2 0"]
+    "status",
+    [b"000", b"0", b"099", b"600", b"999", b"20", b"2000", b"-20", b"2 0"],
 )
 def test_an_answer_without_a_known_status_is_no_answer(
     running, servers, status
