Answers with a control byte in a field's value are refused

What callers saw: a field such as `X-Note: a\x01` of a damaged head was passed on as it was; so was a control byte of the reason phrase.

Cause: h11 refuses only NUL and white space other than blank and tab. RFC 9110, section 5.5, calls such values invalid and lets a recipient keep them; a head that holds one is damaged, and nothing shows that its other lines are not.

Change: fields of answers are read like those of requests. The error names the number of the field and not its bytes, since callers get its text.

--- a/cardamombarrow/kernel/heads.py
+++ b/cardamombarrow/kernel/heads.py
@@ -12,6 +12,7 @@
 line feed.
 """
 
+from collections import abc
 import dataclasses
 import re
 
@@ -26,10 +27,7 @@
 _VERSIONS = (b"1.0", b"1.1")
 _STATUS_LINE = re.compile(
     rb"(?P<version>HTTP/1\.[0-9]) (?P<status>[1-5][0-9]{2})"
-    rb"(?: (?P<reason>[^\x00\r\n]*))?"
-)
-_ANSWER_FIELD = re.compile(
-    rb"(?P<name>[!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*(?P<value>[^\x00\r\n]*)"
+    rb"(?: (?P<reason>[\t -~\x80-\xff]*))?"
 )
 _LINE_END = re.compile(rb"\r?\n")
 _FIELD = re.compile(
@@ -95,7 +93,10 @@
             errors.ErrorKind.UNKNOWN_VERSION,
             "only HTTP/1.0 and HTTP/1.1 are supported",
         )
-    fields = tuple(_field(each) for each in lines)
+    try:
+        fields = _fields(lines)
+    except ValueError as error:
+        raise _refused(str(error)) from None
     version = f"HTTP/{line['version'].decode()}"
     if version == "HTTP/1.1" and not _has_host(fields):
         raise _refused("the Host header is missing")
@@ -116,29 +117,30 @@
     first, *lines = _LINE_END.split(raw)[:-2]
     line = _STATUS_LINE.fullmatch(first)
     if line is None:
-        raise ValueError(f"a malformed status line: {first!r}")
+        raise ValueError("the status line is malformed")
     reason = (line["reason"] or b"").decode("latin-1")
-    fields = tuple(_answer_field(each) for each in lines)
+    fields = _fields(lines)
     problem = _framing_problem(line["version"].decode(), fields)
     if problem is not None:
         raise ValueError(problem)
     return AnswerHead(int(line["status"]), reason, fields)
 
 
-def _answer_field(line: bytes) -> tuple[str, str]:
-    field = _ANSWER_FIELD.fullmatch(line)
-    if field is None:
-        raise ValueError(f"a line that is no field: {line!r}")
-    value = field["value"].strip(b" \t")
-    return field["name"].decode(), value.decode("latin-1")
-
+def _fields(lines: abc.Iterable[bytes]) -> tuple[tuple[str, str], ...]:
+    """Returns the names and values of fields.
 
-def _field(line: bytes) -> tuple[str, str]:
-    field = _FIELD.fullmatch(line)
-    if field is None:
-        raise _refused("a header field is malformed")
-    value = field["value"].rstrip(b" \t")
-    return field["name"].decode(), value.decode("latin-1")
+    Raises:
+        ValueError: One is malformed. Its text may be secret, or harmful where
+            it is printed, and is not repeated.
+    """
+    found = []
+    for number, line in enumerate(lines, 1):
+        field = _FIELD.fullmatch(line)
+        if field is None:
+            raise ValueError(f"header field {number} is malformed")
+        value = field["value"].rstrip(b" \t")
+        found.append((field["name"].decode(), value.decode("latin-1")))
+    return tuple(found)
 
 
 def _has_host(fields: tuple[tuple[str, str], ...]) -> bool:
--- a/cardamombarrow/platform/tests/test_spoilt_answers.py
+++ b/cardamombarrow/platform/tests/test_spoilt_answers.py
@@ -49,6 +49,14 @@
 }
 """Lines that are no fields."""
 
+_SPOILT_VALUES = {
+    "control byte": b"X-Note: a\x01",
+    "delete": b"X-Note: \x7f",
+    "escape": b"X-Note: \x1b[2J",
+    "zero byte": b"X-Note: a\x00b",
+}
+"""Fields whose value holds a byte that values can't hold."""
+
 _SPOILT_NAMES = {
     "blank inside": b"Content Length: %d",
     "blank before": b" Content-Length: %d",
@@ -177,6 +185,18 @@
     assert _call(running, servers, answer).status != 200
 
 
+@pytest.mark.parametrize(("framing", "content_type"), _FRAMINGS)
+@pytest.mark.parametrize("line", _SPOILT_VALUES.values(), ids=_SPOILT_VALUES)
+def test_an_answer_with_a_spoilt_field_value_is_no_success(
+    running, servers, line, framing, content_type
+):
+    # Guards against control bytes that reach callers and their terminals.
+    answer = standin.Answer(
+        framing, alter_head=_add(line), content_type=content_type
+    )
+    assert _call(running, servers, answer).status != 200
+
+
 class _EarlyServers(standin.Servers):
     """Servers that answer an upload at once and reset it while it is written.
 
