Answers whose body exceeds their length are refused

What callers saw: a head whose `Content-Length` was smaller than the body, with the rest in the same segment, came as a whole 200 with the beginning of the body. Streams that lost a part of an event were cut before, those that lost whole events were not.

Cause: what follows an answer belongs to no request, so it was ignored but for the reuse of the connection. RFC 9112, section 6.3, names a wrong length as one reason for such data.

Weighed: the other reason, a sound answer with surplus bytes behind it, looks the same. A beginning that passes for the whole is the graver fault; the surplus costs a failure, and only where it arrives together with the end of the body. The beginning of another answer (`HTTP/`) shows that the body had ended and is no reason. Answers in chunks mark their own end. Bytes that arrive later than the last part of the body can't be waited for: then only the connection is given up, as before.

--- a/cardamombarrow/endpoints/answer_parser.py
+++ b/cardamombarrow/endpoints/answer_parser.py
@@ -17,6 +17,7 @@
 HEAD_LIMIT_BYTES = 131_072
 """Size of the largest head, together with the interim answers before it."""
 
+_VERSION_START = b"HTTP/"
 _HEAD_END = re.compile(rb"(?:\A|\n)\r?\n")
 
 
@@ -41,6 +42,7 @@
         )
         self._unparsed_head = bytearray()
         self._head_bytes = 0
+        self._has_length = False
         self._body = bytearray()
         self.head: heads.AnswerHead | None = None
         self.whole = False
@@ -128,6 +130,9 @@
         event = self._http.next_event()
         if isinstance(event, h11.Response):
             self.head = head
+            self._has_length = any(
+                name.lower() == "content-length" for name, _ in head.fields
+            )
 
     def _begin_body(self) -> None:
         rest = bytes(self._unparsed_head)
@@ -168,6 +173,18 @@
         self._body.clear()
         return data
 
+    @property
+    def exceeds_length(self) -> bool:
+        """Whether a whole answer is followed by what may be more of its body.
+
+        Its length may be wrong then (RFC 9112, section 6.3). The beginning of
+        another answer is no part of a body.
+        """
+        if not self.whole or not self._has_length:
+            return False
+        trailing, _ = self._http.trailing_data
+        return not _VERSION_START.startswith(trailing[: len(_VERSION_START)])
+
     @property
     def allows_next_request(self) -> bool:
         """Whether the exchange is complete and the connection may go on."""
--- a/cardamombarrow/endpoints/connection.py
+++ b/cardamombarrow/endpoints/connection.py
@@ -213,6 +213,11 @@
         """Size of the part of the answer that can't be parsed yet."""
         return self._parser.unparsed_bytes
 
+    @property
+    def exceeds_length(self) -> bool:
+        """Whether the answer's body may be longer than its head states."""
+        return self._parser.exceeds_length
+
     @property
     def has_body(self) -> bool:
         """Whether a part of the body was received that was not taken yet."""
--- a/cardamombarrow/endpoints/transfer.py
+++ b/cardamombarrow/endpoints/transfer.py
@@ -111,6 +111,7 @@
             connection.head, self._ends_stream or (lambda tail: True)
         )
         while True:
+            self._check_length(connection)
             data = connection.take_body()
             if data:
                 complete = body.feed(data)
@@ -336,6 +337,14 @@
             self._stalled_s = silent_s
             self._progress_s -= max(limit_s - WAIT_SLICE_S, 0.0)
 
+    def _check_length(self, connection: connection_module.Connection) -> None:
+        """Gives up an answer before the end of a body that is cut short."""
+        if connection.exceeds_length and self._call.method != "HEAD":
+            raise self._endpoint_error(
+                errors.ErrorKind.ANSWER_CUT,
+                "the body is longer than the head states",
+            )
+
     def _check_exit(self, connection: connection_module.Connection) -> None:
         """Checks that a process still stands behind an answer that has ended.
 
--- a/cardamombarrow/platform/tests/test_spoilt_answers.py
+++ b/cardamombarrow/platform/tests/test_spoilt_answers.py
@@ -147,6 +147,54 @@
     assert _call(running, servers, answer).status != 200
 
 
+def _with_body(length, behind=b""):
+    """Returns a head with a length, and a whole body in the same segment."""
+
+    def alter(head):
+        line = b"Content-Length: %d" % length
+        return _replace_length(line)(head) + stream_client.whole() + behind
+
+    return alter
+
+
+@pytest.mark.parametrize("content_type", ["text/plain", "text/event-stream"])
+@pytest.mark.parametrize(
+    "missing_bytes", [1, 5, 54, len(stream_client.whole())]
+)
+def test_an_answer_whose_body_exceeds_its_length_is_no_success(
+    running, servers, missing_bytes, content_type
+):
+    # Guards against the beginning of a body that is taken for all of it.
+    length = len(stream_client.whole()) - missing_bytes
+    answer = standin.Answer(
+        standin.Framing.LENGTH,
+        alter_head=_with_body(length),
+        content_type=content_type,
+        pieces=(),
+    )
+    assert _call(running, servers, answer).status != 200
+
+
+@pytest.mark.parametrize("content_type", ["text/plain", "text/event-stream"])
+@pytest.mark.parametrize(
+    "behind",
+    [b"HTT", b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"],
+)
+def test_an_answer_that_another_one_follows_is_a_success(
+    running, servers, behind, content_type
+):
+    # Guards against sound answers that are lost for what follows them.
+    whole = stream_client.whole()
+    answer = standin.Answer(
+        standin.Framing.LENGTH,
+        alter_head=_with_body(len(whole), behind),
+        content_type=content_type,
+        pieces=(),
+    )
+    seen = _call(running, servers, answer)
+    assert seen == stream_client.Seen(200, whole, looks_complete=True)
+
+
 @pytest.mark.parametrize(("framing", "content_type"), _FRAMINGS)
 @pytest.mark.parametrize("line", _NO_FIELDS.values(), ids=_NO_FIELDS)
 def test_an_answer_with_a_line_that_is_no_field_is_no_success(
