Short requests read their answers like those to callers

What their readers got: the list, load reports, status checks, orders, calls to the platform and the operators' commands took answers with a damaged head as whole ones: with a body that is not the server's where a name with a blank or a control byte, an empty coding or two lengths stand in place of the length, or where the body exceeds it; and with lines of no name, statuses of 600 and more or of four digits.

Cause: they were read by libcurl, which repairs such heads (it unfolds lines before a program sees them, so a check of its lines can't tell). Two parsers with two opinions, of which one was strict.

A refused answer is an EndpointError as before, `sent` if any byte of the request had left.

--- a/cardamombarrow/endpoints/http_get.py
+++ b/cardamombarrow/endpoints/http_get.py
@@ -1,8 +1,17 @@
-"""Short HTTP requests by pycurl, for load reports, lists and operators."""
+"""Short HTTP requests, for load reports, lists and operators.
+
+Their answers are parsed like those to callers' requests, so that no endpoint's
+answer is valid for one reader and not for the other.
+"""
 
 import dataclasses
-import io
+import select
+import socket
+import ssl
+import time
+from urllib import parse
 
+from cardamombarrow.endpoints import answer_parser
 from cardamombarrow.kernel import errors
 
 __all__ = ["MAX_REPLY_BYTES", "Reply", "fetch"]
@@ -11,7 +20,11 @@
 """Maximum size of an answer's body, twice that of a submitted document. Faulty
 servers may send without end."""
 
-_HEAD_ENDS = (b"\r\n", b"\n")
+READ_BYTES = 65_536
+
+_PORTS = {"http": 80, "https": 443}
+
+_WOULD_BLOCK = (BlockingIOError, ssl.SSLWantReadError, ssl.SSLWantWriteError)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -22,30 +35,6 @@
     body: bytes
 
 
-class _HeadWatch:
-    """Watches for the end of a head.
-
-    libcurl reports success if a connection ends after a status line, even if
-    the rest of the head is missing.
-
-    Attributes:
-        complete: Whether the head of the final answer has ended.
-    """
-
-    def __init__(self):
-        self._is_interim = False
-        self.complete = False
-
-    def feed(self, line: bytes) -> None:
-        """Takes a line of a head, or of the trailers that follow a body."""
-        if self.complete:
-            return
-        if line.startswith(b"HTTP/"):
-            self._is_interim = line.partition(b" ")[2].startswith(b"1")
-        elif line in _HEAD_ENDS:
-            self.complete = not self._is_interim
-
-
 def fetch(
     url: str,
     *,
@@ -62,49 +51,171 @@
         errors.EndpointError: No complete answer came in time, or its body is
             over `max_bytes`.
     """
-    # Imported on use: libcurl takes over a megabyte, and most entries never
-    # call this function.
-    import pycurl
+    exchange = _Exchange(time.monotonic() + timeout_s, max_bytes)
+    try:
+        target = _Target.parse(url)
+        exchange.start(method, target, headers, body)
+        with _connect(target, timeout_s, ca_file) as connection:
+            return exchange.run(connection)
+    except (
+        OSError,
+        ValueError,
+        errors.RefusedError,
+        answer_parser.InvalidAnswerError,
+    ) as error:
+        raise errors.EndpointError(
+            errors.ErrorKind.ENDPOINT_FAILED
+            if exchange.sent
+            else errors.ErrorKind.ENDPOINT_UNREACHED,
+            f"{url}: {error}",
+            sent=exchange.sent,
+        ) from None
+
+
+@dataclasses.dataclass(frozen=True)
+class _Target:
+    """What a URL names.
 
-    buffer = io.BytesIO()
-    head = _HeadWatch()
+    Attributes:
+        authority: Host and port as the URL gives them.
+        path: Path and query.
+    """
 
-    def write(data: bytes) -> int:
-        # Any other number than that of the bytes ends the transfer.
-        if buffer.tell() + len(data) > max_bytes:
-            return 0
-        return buffer.write(data)
+    is_tls: bool
+    host: str
+    port: int
+    authority: str
+    path: str
+
+    @classmethod
+    def parse(cls, url: str) -> "_Target":
+        """Parses a URL.
+
+        Raises:
+            ValueError: It is no URL of HTTP.
+        """
+        parts = parse.urlsplit(url)
+        if parts.scheme not in _PORTS or not parts.hostname:
+            raise ValueError("no URL of HTTP")
+        query = f"?{parts.query}" if parts.query else ""
+        return cls(
+            is_tls=parts.scheme == "https",
+            host=parts.hostname,
+            port=_PORTS[parts.scheme] if parts.port is None else parts.port,
+            authority=parts.netloc.rpartition("@")[2],
+            path=(parts.path or "/") + query,
+        )
+
+
+def _connect(target: _Target, timeout_s: float, ca_file: str) -> socket.socket:
+    """Connects to a target.
 
-    easy = pycurl.Curl()
+    Raises:
+        OSError: It is not reachable, or its certificate is not valid.
+        ValueError: Its host is no name.
+    """
+    connection = socket.create_connection(
+        (target.host, target.port), timeout=timeout_s
+    )
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    if not target.is_tls:
+        return connection
     try:
-        easy.setopt(pycurl.URL, url)
-        easy.setopt(pycurl.CUSTOMREQUEST, method)
+        context = ssl.create_default_context(cafile=ca_file or None)
+        # An end without the closing alert may have been forged.
+        return context.wrap_socket(
+            connection,
+            server_hostname=target.host,
+            suppress_ragged_eofs=False,
+        )
+    except BaseException:
+        connection.close()
+        raise
+
+
+class _Exchange:
+    """One request and its answer.
+
+    Attributes:
+        sent: Whether any byte of the request was sent.
+    """
+
+    def __init__(self, deadline_s: float, max_bytes: int):
+        self._deadline_s = deadline_s
+        self._max_bytes = max_bytes
+        self._parser = answer_parser.AnswerParser()
+        self._unsent = memoryview(b"")
+        self._body = bytearray()
+        self.sent = False
+
+    def start(
+        self,
+        method: str,
+        target: _Target,
+        headers: tuple[str, ...],
+        body: bytes | None,
+    ) -> None:
+        """Writes the request.
+
+        Raises:
+            errors.RefusedError: It can't be written as HTTP.
+        """
+        fields = [("Host", target.authority), ("Accept", "*/*")]
+        for header in headers:
+            name, _, value = header.partition(":")
+            fields.append((name, value.strip()))
         if body is not None:
-            easy.setopt(pycurl.POSTFIELDS, body)
-        easy.setopt(pycurl.HTTPHEADER, [*headers, "Expect:"])
-        easy.setopt(pycurl.NOSIGNAL, 1)
-        easy.setopt(pycurl.NOPROXY, "*")
-        easy.setopt(pycurl.TIMEOUT_MS, round(timeout_s * 1_000))
-        easy.setopt(pycurl.WRITEFUNCTION, write)
-        easy.setopt(pycurl.HEADERFUNCTION, head.feed)
-        if ca_file:
-            easy.setopt(pycurl.CAINFO, ca_file)
-        easy.perform()
-        if not head.complete:
-            raise errors.EndpointError(
-                errors.ErrorKind.ENDPOINT_FAILED,
-                f"{url}: the connection ended within the head",
-                sent=True,
+            fields.append(("Content-Length", str(len(body))))
+        self._unsent = memoryview(
+            self._parser.start_request(method, target.path, fields, body or b"")
+        )
+
+    def run(self, connection: socket.socket) -> Reply:
+        """Sends the request and reads the answer.
+
+        Raises:
+            OSError: The connection broke, or the answer is late or too large.
+            answer_parser.InvalidAnswerError: It is no valid answer.
+        """
+        connection.setblocking(False)
+        poll = select.poll()
+        poll.register(connection)
+        while not self._parser.whole:
+            # A server may answer before it has read the whole request, whose
+            # rest is not needed then.
+            is_sending = self._unsent and self._parser.head is None
+            events = select.POLLIN | (select.POLLOUT if is_sending else 0)
+            poll.modify(connection, events)
+            left_s = self._deadline_s - time.monotonic()
+            ready = poll.poll(max(left_s, 0.0) * 1_000)
+            if not ready:
+                raise TimeoutError("no complete answer in time")
+            _, mask = ready[0]
+            if mask & ~select.POLLOUT:
+                self._receive(connection)
+            if mask & select.POLLOUT:
+                self._send(connection)
+        if self._parser.exceeds_length:
+            raise answer_parser.InvalidAnswerError(
+                "the body is longer than the head states"
             )
-        return Reply(easy.getinfo(pycurl.RESPONSE_CODE), buffer.getvalue())
-    except pycurl.error as error:
-        sent = easy.getinfo(pycurl.REQUEST_SIZE) > 0
-        raise errors.EndpointError(
-            errors.ErrorKind.ENDPOINT_FAILED
-            if sent
-            else errors.ErrorKind.ENDPOINT_UNREACHED,
-            f"{url}: {error.args[1]}",
-            sent=sent,
-        ) from None
-    finally:
-        easy.close()
+        assert self._parser.head is not None, "the answer is whole"
+        return Reply(self._parser.head.status, bytes(self._body))
+
+    def _send(self, connection: socket.socket) -> None:
+        try:
+            size = connection.send(self._unsent)
+        except _WOULD_BLOCK:
+            return
+        self.sent = self.sent or size > 0
+        self._unsent = self._unsent[size:]
+
+    def _receive(self, connection: socket.socket) -> None:
+        try:
+            data = connection.recv(READ_BYTES)
+        except _WOULD_BLOCK:
+            return
+        self._parser.receive(data)
+        self._body += self._parser.take_body()
+        if len(self._body) > self._max_bytes:
+            raise OSError(f"a body of over {self._max_bytes} bytes")
