Operators' commands: an answer that is none has the next control process asked

What operators saw: a control process, or something else at its address, that answered with a body that is no JSON, no object or half an error ended the command in a traceback (ValueError, KeyError, TypeError); `usage`, `capacity` and `instance` did for an answer of another shape.

Cause: the client trusted the shape of every complete answer.

Change: such an answer is an EndpointError, so the client goes on to the next address; edits, editions and changes of members may be sent again there, as after a lost answer. The commands that read one instance share one reader, which requires status 200 and an object.

--- a/cardamombarrow/admin/client.py
+++ b/cardamombarrow/admin/client.py
@@ -6,6 +6,7 @@
 
 from cardamombarrow.endpoints import http_get
 from cardamombarrow.kernel import errors
+from cardamombarrow.kernel import json_text
 from cardamombarrow.log import membership
 
 __all__ = ["AdminClient"]
@@ -73,18 +74,39 @@
                     headers=self._headers,
                     ca_file=self._ca_file,
                 )
+                return _read(url, reply, ok)
             except errors.EndpointError as error:
                 failure = error
-                continue
-            content = json.loads(reply.body)
-            if reply.status in ok and "error" not in content:
-                return content
-            failure = errors.RouterError(
-                errors.ErrorKind(content["error"]["code"]),
-                content["error"]["message"],
-            )
-            if reply.status < 500:
-                break
+            except errors.RouterError as error:
+                failure = error
+                if reply.status < 500:
+                    break
         raise failure or errors.RouterError(
             errors.ErrorKind.BAD_REQUEST, "give at least one --url"
         )
+
+
+def _read(
+    url: str, reply: http_get.Reply, ok: tuple[int, ...]
+) -> dict[str, typing.Any]:
+    """Returns the content of an answer.
+
+    Raises:
+        errors.EndpointError: It is not the answer of a control process.
+        errors.RouterError: It tells of an error.
+    """
+    try:
+        content = json_text.load(reply.body)
+        if not isinstance(content, dict):
+            raise TypeError("no object")
+        if reply.status in ok and "error" not in content:
+            return content
+        told = content["error"]
+        kind, message = errors.ErrorKind(told["code"]), str(told["message"])
+    except (KeyError, TypeError, ValueError):
+        raise errors.EndpointError(
+            errors.ErrorKind.ENDPOINT_FAILED,
+            f"{url} gave no answer of a control process",
+            sent=True,
+        ) from None
+    raise errors.RouterError(kind, message)
--- a/cardamombarrow/cli/duties.py
+++ b/cardamombarrow/cli/duties.py
@@ -5,8 +5,7 @@
 import json
 import typing
 
-from cardamombarrow.endpoints import http_get
-from cardamombarrow.kernel import errors
+from cardamombarrow.cli import instance_report
 
 __all__ = ["add_parser"]
 
@@ -28,7 +27,11 @@
 
 
 def _run(arguments: argparse.Namespace) -> int:
-    duties = _fetch(arguments.address)
+    duties = instance_report.fetch(
+        f"http://{arguments.address}/duties",
+        TIMEOUT_S,
+        f"{arguments.address} is not the metrics address of a control process",
+    )
     if arguments.json:
         print(json.dumps(duties, indent=2))
         return 0
@@ -38,23 +41,6 @@
     return 0
 
 
-def _fetch(address: str) -> dict[str, typing.Any]:
-    """Fetches the duties from a control process.
-
-    Raises:
-        errors.EndpointError: The answer is not that of a control process.
-    """
-    reply = http_get.fetch(f"http://{address}/duties", timeout_s=TIMEOUT_S)
-    try:
-        return json.loads(reply.body)
-    except ValueError:
-        raise errors.EndpointError(
-            errors.ErrorKind.ENDPOINT_FAILED,
-            f"{address} is not the metrics address of a control process",
-            sent=True,
-        ) from None
-
-
 def _usage_lines(duties: dict[str, typing.Any]) -> abc.Iterator[str]:
     yield f"{'window':>12}{'requests':>10}{'workspaces':>12}{'token':>7}  taken"
     for report in duties["reports"]:
--- a/cardamombarrow/cli/operate.py
+++ b/cardamombarrow/cli/operate.py
@@ -10,8 +10,8 @@
 
 from cardamombarrow.admin import client
 from cardamombarrow.cli import exit_codes
+from cardamombarrow.cli import instance_report
 from cardamombarrow.document import text
-from cardamombarrow.endpoints import http_get
 
 __all__ = [
     "diff",
@@ -113,10 +113,13 @@
 
 def instance(arguments: argparse.Namespace) -> int:
     """Prints the state of an entry and the age of its data."""
-    reply = http_get.fetch(
-        f"http://{arguments.address}/v1/instance", timeout_s=INSTANCE_TIMEOUT_S
+    _print(
+        instance_report.fetch(
+            f"http://{arguments.address}/v1/instance",
+            INSTANCE_TIMEOUT_S,
+            f"{arguments.address} is not the readiness address of an entry",
+        )
     )
-    _print(json.loads(reply.body))
     return 0
 
 
--- a/cardamombarrow/cli/tests/test_duties.py
+++ b/cardamombarrow/cli/tests/test_duties.py
@@ -57,3 +57,23 @@
 def test_an_unreachable_address_is_reported(capsys):
     assert core.run(["usage", "127.0.0.1:1"]) == 1
     assert "127.0.0.1:1" in capsys.readouterr().err
+
+
+@pytest.mark.parametrize("command", ["usage", "capacity", "instance"])
+@pytest.mark.parametrize(
+    ("status", "body"),
+    [("200 OK", b"garbage"), ("200 OK", b"[]"), ("500 Failed", b"{}")],
+)
+def test_an_answer_that_is_no_report_is_an_error(capsys, command, status, body):
+    # Guards against a command that ends in a traceback.
+    def app(environ, start_response):
+        start_response(status, [("Content-Length", str(len(body)))])
+        return [body]
+
+    server = http.side_server("127.0.0.1:0", app)
+    server.start()
+    try:
+        assert core.run([command, f"127.0.0.1:{server.port}"]) == 1
+    finally:
+        server.stop()
+    assert "endpoint_failed" in capsys.readouterr().err
