A failure's body is neither a list of endpoints nor a list of models

What happened: the reader of the project's own list and that of an engine's models took the body of an answer of any status. A failing platform or engine whose failure has the shape of an empty list would have endpoints taken out of use, or models ordered that are loaded.

Cause: the status was not looked at; the list of the platform and load reports do.

Change: only an answer with status 200 is read; others fail as an answer that broke off does, and change nothing.

--- a/cardamombarrow/discovery/json_list.py
+++ b/cardamombarrow/discovery/json_list.py
@@ -10,6 +10,7 @@
 
 from cardamombarrow.discovery import base
 from cardamombarrow.endpoints import http_get
+from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import json_text
 from cardamombarrow.kernel import left_out
@@ -49,4 +50,11 @@
 
     def fetch(self, url: str) -> list[base.ListedEndpoint]:
         """Reads the whole list; see `base.Source`."""
-        return parse(http_get.fetch(url, timeout_s=FETCH_TIMEOUT_S).body)
+        reply = http_get.fetch(url, timeout_s=FETCH_TIMEOUT_S)
+        if reply.status != 200:
+            raise errors.EndpointError(
+                errors.ErrorKind.ENDPOINT_FAILED,
+                f"{url} answered {reply.status}",
+                sent=True,
+            )
+        return parse(reply.body)
--- a/cardamombarrow/orders/engines.py
+++ b/cardamombarrow/orders/engines.py
@@ -25,6 +25,8 @@
         reply = http_get.fetch(
             f"http://{endpoint}/v1/models", timeout_s=OBSERVE_TIMEOUT_S
         )
+        if reply.status != 200:
+            return None
         items = json_text.load(reply.body)["data"]
         return plan.Observed(
             loaded=frozenset(
--- a/cardamombarrow/orders/tests/test_engines.py
+++ b/cardamombarrow/orders/tests/test_engines.py
@@ -16,3 +16,11 @@
     monkeypatch.setattr(http_get, "fetch", lambda *args, **fields: reply)
     observed = engines.observe(ids.EndpointId("10.0.0.1:80"))
     assert observed is None or not (observed.loaded or observed.loading)
+
+
+@pytest.mark.parametrize("status", [199, 204, 404, 500, 503])
+def test_a_failure_shows_no_models(monkeypatch, status):
+    # Guards against orders that load what a failing engine seems to lack.
+    reply = http_get.Reply(status, b'{"data": []}')
+    monkeypatch.setattr(http_get, "fetch", lambda *args, **fields: reply)
+    assert engines.observe(ids.EndpointId("10.0.0.1:80")) is None
