--- a/cardamombarrow/admin/tests/test_client.py
+++ b/cardamombarrow/admin/tests/test_client.py
@@ -1,43 +1,17 @@
 """Answers of control processes to operators' commands."""
 
 import contextlib
-import socket
-import threading
 
 import pytest
 
 from cardamombarrow.admin import client
+from cardamombarrow.endpoints.tests import raw_server
 from cardamombarrow.kernel import errors
 
 _CONTENT = b'{"revision": 7, "text": ""}'
 _OK = b"HTTP/1.1 200 OK\r\n"
 
 
-class _Control:
-    """Answers every request with the same bytes."""
-
-    def __init__(self, answer):
-        self._answer = answer
-        self.requests = 0
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self.url = f"http://127.0.0.1:{self._listener.getsockname()[1]}"
-        threading.Thread(target=self._serve, daemon=True).start()
-
-    def _serve(self):
-        while True:
-            try:
-                connection, _ = self._listener.accept()
-            except OSError:
-                return
-            with connection, contextlib.suppress(OSError):
-                connection.recv(65_536)
-                self.requests += 1
-                connection.sendall(self._answer)
-
-    def close(self):
-        self._listener.close()
-
-
 def _answer(body, status_line=_OK):
     return status_line + b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
 
@@ -46,7 +20,7 @@
 def serve():
     with contextlib.ExitStack() as stack:
         yield lambda answer: stack.enter_context(
-            contextlib.closing(_Control(answer))
+            raw_server.RawServer(lambda control: control.sendall(answer))
         )
 
 
--- a/cardamombarrow/endpoints/http_get.py
+++ b/cardamombarrow/endpoints/http_get.py
@@ -183,7 +183,7 @@
         while not self._parser.whole:
             # A server may answer before it has read the whole request, whose
             # rest is not needed then.
-            is_sending = self._unsent and self._parser.head is None
+            is_sending = bool(self._unsent) and self._parser.head is None
             events = select.POLLIN | (select.POLLOUT if is_sending else 0)
             poll.modify(connection, events)
             left_s = self._deadline_s - time.monotonic()
--- a/cardamombarrow/endpoints/tests/test_http_get.py
+++ b/cardamombarrow/endpoints/tests/test_http_get.py
@@ -1,14 +1,13 @@
 """Short requests to servers that answer, and to such that are in trouble."""
 
 import contextlib
-import socket
 import subprocess
-import threading
 import time
 
 import pytest
 
 from cardamombarrow.endpoints import http_get
+from cardamombarrow.endpoints.tests import raw_server
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import http
 from cardamombarrow.platform.tests import standin_streams
@@ -19,44 +18,10 @@
 _BODY = b"hello, world"
 
 
-class _Server:
-    """Answers each connection in one way, once a request's head is there.
-
-    Attributes:
-        received: What was read of the last request.
-    """
-
-    def __init__(self, answer):
-        self._answer = answer
-        self.received = b""
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        # Uploads block early, so that they go on while the answer arrives.
-        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
-        self.url = f"http://127.0.0.1:{self._listener.getsockname()[1]}"
-        threading.Thread(target=self._serve, daemon=True).start()
-
-    def _serve(self):
-        while True:
-            try:
-                connection, _ = self._listener.accept()
-            except OSError:
-                return
-            with connection, contextlib.suppress(OSError):
-                self.received = b""
-                while b"\r\n\r\n" not in self.received:
-                    self.received += connection.recv(2_048)
-                self._answer(connection)
-
-    def close(self):
-        self._listener.close()
-
-
 @pytest.fixture
 def serve():
     with contextlib.ExitStack() as stack:
-        yield lambda answer: stack.enter_context(
-            contextlib.closing(_Server(answer))
-        )
+        yield lambda answer: stack.enter_context(raw_server.RawServer(answer))
 
 
 @pytest.mark.parametrize("between_s", [0.0, 0.1])
--- a/cardamombarrow/kernel/heads.py
+++ b/cardamombarrow/kernel/heads.py
@@ -114,7 +114,7 @@
     Raises:
         ValueError: It is malformed, or ambiguous about the end of the body.
     """
-    first, *lines = _LINE_END.split(raw)[:-2]
+    first, *lines = _LINE_END.split(raw)[:-2] or [b""]
     line = _STATUS_LINE.fullmatch(first)
     if line is None:
         raise ValueError("the status line is malformed")
--- a/cardamombarrow/platform/tests/test_spoilt_answers.py
+++ b/cardamombarrow/platform/tests/test_spoilt_answers.py
@@ -1,5 +1,6 @@
 """Servers whose answers have a malformed head, or break off an upload."""
 
+import re
 import socket
 import time
 
@@ -245,6 +246,17 @@
     assert _call(running, servers, answer).status != 200
 
 
+def test_the_log_says_what_was_wrong_with_an_answer(running, servers):
+    answer = standin.Answer(alter_head=_add(b"garbage"))
+    _call(running, servers, answer)
+    settled = [
+        line
+        for line in running.log("a-1").splitlines()
+        if '"decision": "settle"' in line and "header field 5" in line
+    ]
+    assert settled
+
+
 class _EarlyServers(standin.Servers):
     """Servers that answer an upload at once and reset it while it is written.
 
@@ -263,11 +275,7 @@
     def _answer_request(self, connection, port, raw):
         self.requests += 1
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
-        attempt = next(
-            line.partition(b":")[2].strip()
-            for line in raw.split(b"\r\n")
-            if line.lower().startswith(b"attempt-id:")
-        )
+        attempt = re.search(rb"attempt-id: *(\S+)", raw, re.I)[1]
         left = self.read_bytes
         while left > 0:
             left -= len(connection.recv(left))
