--- a/cardamombarrow/platform/tests/test_spoilt_answers.py
+++ b/cardamombarrow/platform/tests/test_spoilt_answers.py
@@ -91,12 +91,15 @@
 
 
 def _call(running, servers, answer):
-    """Returns what a caller sees of an answer that a server has given it."""
+    """Returns what a caller sees of an answer that one server has given it.
+
+    The request may run once, so no other server may get it.
+    """
     assert deployment.wait_until(lambda: _is_served(running, servers))
     servers.script = lambda received: answer
     before = len(servers.received)
     seen = stream_client.call(running, "once", "1.1")
-    assert len(servers.received) > before
+    assert len(servers.received) == before + 1
     return seen
 
 
@@ -246,6 +249,19 @@
     assert _call(running, servers, answer).status != 200
 
 
+@pytest.mark.parametrize("line", [b"garbage", b" folded", b"X-Note: \x01"])
+def test_a_repeatable_request_is_answered_by_another_server(
+    running, servers, line
+):
+    # Guards against callers that see a failure which another server mends.
+    assert deployment.wait_until(lambda: _is_served(running, servers))
+    answers = iter((standin.Answer(alter_head=_add(line)), standin.Answer()))
+    servers.script = lambda received: next(answers)
+    seen = stream_client.call(running, "again", "1.1")
+    whole = stream_client.whole()
+    assert seen == stream_client.Seen(200, whole, looks_complete=True)
+
+
 def test_the_log_says_what_was_wrong_with_an_answer(running, servers):
     answer = standin.Answer(alter_head=_add(b"garbage"))
     _call(running, servers, answer)
