An answer without a body by its status is whole, whatever its length says

Cause: a 204 or 304 has no body (RFC 9112, section 6.3), so all that follows it looked like surplus.

Change: only an answer whose length tells the end of its body can exceed it.

--- a/cardamombarrow/endpoints/answer_parser.py
+++ b/cardamombarrow/endpoints/answer_parser.py
@@ -17,6 +17,9 @@
 HEAD_LIMIT_BYTES = 131_072
 """Size of the largest head, together with the interim answers before it."""
 
+_BODILESS = (204, 304)
+"""Statuses of answers without a body, whatever length they state."""
+
 _VERSION_START = b"HTTP/"
 _HEAD_END = re.compile(rb"(?:\A|\n)\r?\n")
 
@@ -130,7 +133,7 @@
         event = self._http.next_event()
         if isinstance(event, h11.Response):
             self.head = head
-            self._has_length = any(
+            self._has_length = head.status not in _BODILESS and any(
                 name.lower() == "content-length" for name, _ in head.fields
             )
 
