Short requests: a field that is given replaces the one sent by default

What callers saw: since a request with a Host of its own had two, and was refused with 400.

Cause: libcurl replaced its default by the given field, the new client added both.

--- a/cardamombarrow/endpoints/http_get.py
+++ b/cardamombarrow/endpoints/http_get.py
@@ -47,6 +47,16 @@
 ) -> Reply:
     """Sends one request on a new connection and reads the answer.
 
+    Args:
+        url: Where it is sent.
+        timeout_s: Time for the whole exchange.
+        method: Its method.
+        body: Its body; None for none.
+        headers: Header fields, each ``name: value``; they replace those that
+            are sent by default, such as ``Host``.
+        ca_file: Certificates to trust, in PEM; empty for those of the system.
+        max_bytes: Size of the largest body that is read.
+
     Raises:
         errors.EndpointError: No complete answer came in time, or its body is
             over `max_bytes`.
@@ -160,14 +170,19 @@
         Raises:
             errors.RefusedError: It can't be written as HTTP.
         """
-        fields = [("Host", target.authority), ("Accept", "*/*")]
+        fields = {
+            "host": ("Host", target.authority),
+            "accept": ("Accept", "*/*"),
+        }
         for header in headers:
             name, _, value = header.partition(":")
-            fields.append((name, value.strip()))
+            fields[name.lower()] = (name, value.strip())
         if body is not None:
-            fields.append(("Content-Length", str(len(body))))
+            fields["content-length"] = ("Content-Length", str(len(body)))
         self._unsent = memoryview(
-            self._parser.start_request(method, target.path, fields, body or b"")
+            self._parser.start_request(
+                method, target.path, fields.values(), body or b""
+            )
         )
 
     def run(self, connection: socket.socket) -> Reply:
--- a/cardamombarrow/endpoints/tests/test_http_get.py
+++ b/cardamombarrow/endpoints/tests/test_http_get.py
@@ -77,6 +77,29 @@
     assert b"Host: " + server.url.removeprefix("http://").encode() in lines
 
 
+def test_a_field_replaces_one_that_is_sent_by_default(serve):
+    # Guards against requests with two hosts, which servers refuse.
+    server = serve(lambda connection: connection.sendall(_OK + b"\r\n"))
+    http_get.fetch(
+        server.url, timeout_s=LIMIT_S, headers=("Host: shop.example",)
+    )
+    lines = server.received.lower().split(b"\r\n")
+    assert [each for each in lines if each.startswith(b"host:")] == [
+        b"host: shop.example"
+    ]
+
+
+def test_an_answer_that_has_no_body_by_its_status_is_a_reply(serve):
+    # Guards against deletions that fail for the length that they state.
+    server = serve(
+        lambda connection: connection.sendall(
+            b"HTTP/1.1 204 No Content\r\nContent-Length: 2\r\n\r\n{}"
+        )
+    )
+    reply = http_get.fetch(server.url, timeout_s=LIMIT_S, method="DELETE")
+    assert reply == http_get.Reply(204, b"")
+
+
 @pytest.mark.parametrize(
     "url",
     [
