--- a/cardamombarrow/endpoints/tests/test_half_heads.py
+++ b/cardamombarrow/endpoints/tests/test_half_heads.py
@@ -50,7 +50,7 @@
 }
 """Heads of answers that end with their connection."""
 
-SPOILT = {
+MALFORMED = {
     "blank in a name": _OK + b"Content Length: 12\r\n\r\n" + _BODY,
     "control byte in a name": _OK + b"Content\x01-Length: 5\r\n\r\n" + _BODY,
     "blank before a name": _OK
@@ -222,8 +222,8 @@
 
 
 @READERS
-@pytest.mark.parametrize("answer", SPOILT.values(), ids=SPOILT)
-def test_an_answer_with_a_spoilt_head_is_no_answer(read, answer):
+@pytest.mark.parametrize("answer", MALFORMED.values(), ids=MALFORMED)
+def test_an_answer_with_a_malformed_head_is_no_answer(read, answer):
     # Guards against readers of which one takes what another one refuses.
     with contextlib.closing(_Broken()) as endpoint:
         endpoint.sent = answer
--- a/cardamombarrow/platform/tests/test_spoilt_answers.py
+++ b/cardamombarrow/platform/tests/test_malformed_answers.py
@@ -16,7 +16,7 @@
 _UPLOAD_BYTES = 4_000_000
 _PART = b"hello, wor"
 
-_SPOILT_LENGTHS = {
+_MALFORMED_LENGTHS = {
     "letters": b"Content-Length: 4x2",
     "sign": b"Content-Length: +%d",
     "negative": b"Content-Length: -%d",
@@ -50,7 +50,7 @@
 }
 """Lines that are no fields."""
 
-_SPOILT_VALUES = {
+_MALFORMED_VALUES = {
     "control byte": b"X-Note: a\x01",
     "delete": b"X-Note: \x7f",
     "escape": b"X-Note: \x1b[2J",
@@ -58,7 +58,7 @@
 }
 """Fields whose value holds a byte that values can't hold."""
 
-_SPOILT_NAMES = {
+_MALFORMED_NAMES = {
     "blank inside": b"Content Length: %d",
     "blank before": b" Content-Length: %d",
     "tab before": b"\tContent-Length: %d",
@@ -85,7 +85,7 @@
     document = stream_client.configuration()
     document["limits"]["maxBodyBytes"] = _UPLOAD_BYTES
     plan = platform_plan.plan(document, servers.listing_url, {"a": ["a-1"]})
-    folder = tmp_path_factory.mktemp("spoilt")
+    folder = tmp_path_factory.mktemp("malformed")
     with deployment.Deployment(plan, folder) as started:
         yield started
 
@@ -137,8 +137,10 @@
 
 
 @pytest.mark.parametrize("content_type", ["text/plain", "text/event-stream"])
-@pytest.mark.parametrize("line", _SPOILT_LENGTHS.values(), ids=_SPOILT_LENGTHS)
-def test_an_answer_with_a_spoilt_length_is_no_success(
+@pytest.mark.parametrize(
+    "line", _MALFORMED_LENGTHS.values(), ids=_MALFORMED_LENGTHS
+)
+def test_an_answer_with_a_malformed_length_is_no_success(
     running, servers, line, content_type
 ):
     # Guards against a body that ends elsewhere than the server's.
@@ -226,8 +228,10 @@
 
 
 @pytest.mark.parametrize(("framing", "content_type"), _FRAMINGS)
-@pytest.mark.parametrize("line", _SPOILT_NAMES.values(), ids=_SPOILT_NAMES)
-def test_an_answer_with_a_spoilt_field_name_is_no_success(
+@pytest.mark.parametrize(
+    "line", _MALFORMED_NAMES.values(), ids=_MALFORMED_NAMES
+)
+def test_an_answer_with_a_malformed_field_name_is_no_success(
     running, servers, line, framing, content_type
 ):
     # Guards against names that callers read differently, or not at all.
@@ -238,8 +242,10 @@
 
 
 @pytest.mark.parametrize(("framing", "content_type"), _FRAMINGS)
-@pytest.mark.parametrize("line", _SPOILT_VALUES.values(), ids=_SPOILT_VALUES)
-def test_an_answer_with_a_spoilt_field_value_is_no_success(
+@pytest.mark.parametrize(
+    "line", _MALFORMED_VALUES.values(), ids=_MALFORMED_VALUES
+)
+def test_an_answer_with_a_malformed_field_value_is_no_success(
     running, servers, line, framing, content_type
 ):
     # Guards against control bytes that reach callers and their terminals.
