Gossip: a standstill within an exchange is noticed

In service it would take itself for the only one of its domain.

Cause: a standstill that begins within a round counts from the longest time of a round, 6.5 s with the pull of a document, and from a second above it. An exchange is cut after 1.5 s, so a longer one shows that the process stood still.

Change: the time of the exchanges is checked against their own timeout. Within the pull of a document up to 6 s may still pass unnoticed.

--- a/cardamombarrow/peers/gossip/node.py
+++ b/cardamombarrow/peers/gossip/node.py
@@ -243,6 +243,8 @@
         self._update_members(gone)
         addresses = self._choose_partners(now_s)
         await asyncio.gather(*(self._exchange(each) for each in addresses))
+        exchanged_s = self._clock.now_s()
+        self._note_delay(exchanged_s - now_s - EXCHANGE_TIMEOUT_S, exchanged_s)
         await self._pull_newer(revision)
 
     def _update_members(self, gone: list[ids.InstanceId]) -> None:
--- a/cardamombarrow/peers/gossip/tests/test_node.py
+++ b/cardamombarrow/peers/gossip/tests/test_node.py
@@ -73,6 +73,17 @@
         """Blocks its loop."""
         self.loop.call_soon(lambda: time.sleep(for_s))
 
+    def stand_still_in_exchange(self, for_s):
+        """Blocks its loop within its next exchange, which fails then."""
+        exchange_rows = self.node._exchange_rows
+
+        async def stop_once(partner, address):
+            self.node._exchange_rows = exchange_rows
+            time.sleep(for_s)
+            await exchange_rows(partner, address)
+
+        self.node._exchange_rows = stop_once
+
     def stand_still_after_replies(self, for_s):
         """Blocks its loop after each reply, before what follows is read."""
         add_rows = self.node._add_rows
@@ -278,6 +289,19 @@
     assert _all_connected(nodes)
 
 
+def test_a_node_that_stood_still_in_an_exchange_drops_no_others(start):
+    # Guards against a standstill that passes for a slow round.
+    nodes = start(3)
+    assert _all_connected(nodes)
+    stopped = nodes[0]
+    for other in nodes[1:]:
+        other.node._choose_partners = lambda now_s: []
+    stopped.stand_still_in_exchange(1.5 * table_module.DEAD_AGE_S)
+    time.sleep(2.5 * table_module.DEAD_AGE_S)
+    assert not stopped.gone
+    assert _all_connected(nodes)
+
+
 def test_an_instance_that_died_during_a_standstill_is_dropped(start):
     # Guards against an instance that never drops others once it stood still.
     nodes = start(3)
