--- a/review/scene/startup.py
+++ b/review/scene/startup.py
@@ -7,7 +7,7 @@
 
 __all__ = ["TROUBLE_S", "judge"]
 
-TROUBLE_S = 0.4
+TROUBLE_S = 0.25
 """When the disruption comes, after the start of the machines."""
 
 CALM_S = 8.0
