Review case 5: after a restart of all processes no stream can be taken up

Cause: what began a stream is kept in memory only, and no control process counts as knowing all open streams until another one does or 600 s are over.

No product code.

--- a/review/scene/case.py
+++ b/review/scene/case.py
@@ -73,6 +73,19 @@
                 )
             )
 
+    def use_servers(self, kind: type[servers_module.Server]) -> None:
+        """Replaces the servers, before the start, by those of another kind."""
+        for number, each in enumerate(self.servers):
+            each.close()
+            self.servers[number] = kind(
+                each.service,
+                each.identity,
+                f"{self.fleet.ip(100 + number)}:{self.fleet.port()}",
+                each.zone,
+                self.on_run,
+                slots=64,
+            )
+
     def on_run(self, run: servers_module.Run) -> None:
         """Records what a server runs."""
         attempt = run.request.headers.get("attempt-id", "")
@@ -137,6 +150,10 @@
             "tenants": [{"name": "hule930", "apiKeys": [KEY], "priority": 1}],
         }
 
+    def attempt(self) -> str:
+        """Returns the id of another attempt of a consumer."""
+        return f"{next(self._numbers):016x}"
+
     def send(
         self,
         entry: fleet_module.Machine,
@@ -145,7 +162,7 @@
         body: bytes = b"",
     ) -> wire.Answer:
         """Sends one request as a consumer does."""
-        attempt = f"{next(self._numbers):016x}"
+        attempt = self.attempt()
         headers = {
             "Host": HOST,
             "Attempt-Id": attempt,
--- a/review/scene/wire.py
+++ b/review/scene/wire.py
@@ -11,7 +11,15 @@
 import threading
 import time
 
-__all__ = ["Answer", "Listener", "Request", "exchange", "read_request", "reset"]
+__all__ = [
+    "Answer",
+    "Listener",
+    "Request",
+    "exchange",
+    "parse",
+    "read_request",
+    "reset",
+]
 
 
 @dataclasses.dataclass
@@ -184,6 +192,13 @@
     return answer
 
 
+def parse(raw: bytes) -> Answer:
+    """Parses what has come of an answer; its status is 0 without a head."""
+    answer = Answer()
+    _fill(answer, raw, ended=False)
+    return answer
+
+
 def _fill(answer: Answer, raw: bytes, *, ended: bool) -> bool:
     """Parses what has come; returns whether the answer is complete."""
     if b"\r\n\r\n" not in raw:
