A first edition below 1 is stored before it is acknowledged

What callers saw: a first configuration of version 0 (or -5) was answered 200 and stored nowhere. Every read was answered 503, and all entries refused all requests until a configuration with a higher version came.

Cause: the number of the accepted document was 0 while there was none, and an edition is stored if its number is above it. So a first number in that part of the range counted as sent again and was acknowledged without the log.

Entries and followers compare revisions, which the control processes count from 1.

--- a/cardamombarrow/admin/editions.py
+++ b/cardamombarrow/admin/editions.py
@@ -96,7 +96,7 @@
             status = machine.EditionStatus.INVALID
             mistakes = tuple(error.mistakes)
         else:
-            if number > accepted.number:
+            if accepted.is_older_than(number):
                 return None
             status = machine.EditionStatus.NOT_NEWER
             mistakes = ()
--- a/cardamombarrow/admin/tests/test_editions.py
+++ b/cardamombarrow/admin/tests/test_editions.py
@@ -29,9 +29,9 @@
         return future
 
 
-def _put(number, text, *, current=0, reachable=True):
+def _put(number, text, *, current=None, reachable=True):
     applied = state.ControlState()
-    if current:
+    if current is not None:
         log = _Log(applied)
         assert editions.Editions(log, applied).put(
             current, text, formats.SECTIONS
@@ -61,6 +61,32 @@
     assert (answer.number, log.proposed) == (5, 0)
 
 
+@pytest.mark.parametrize("number", [0, -5, -(2**63)])
+def test_a_first_edition_below_one_is_stored_before_it_is_acknowledged(
+    kandula_text, number
+):
+    # Guards against acknowledging a first edition that no process stores, as
+    # a number in its range stands for none.
+    answer, log = _put(number, kandula_text)
+    assert answer.status is machine.EditionStatus.ACCEPTED
+    assert (answer.number, log.proposed) == (number, 1)
+    again, log = _put(number, kandula_text, current=number)
+    assert again.status is machine.EditionStatus.NOT_NEWER
+    assert (again.number, log.proposed) == (number, 0)
+
+
+def test_an_invalid_first_edition_is_answered_without_a_number():
+    # Guards against an answer that names an edition where none is in force.
+    wire = control_pb2.EditionCommand(number=3, text="[no", format="sections")
+    raw = state.ControlState().apply(
+        1, control_pb2.Command(edition=wire).SerializeToString()
+    )
+    reply = control_pb2.Reply.FromString(raw)
+    answer = codec.edition_answer_from_wire(reply.edition)
+    assert answer.status is machine.EditionStatus.INVALID
+    assert answer.number is None
+
+
 def test_an_invalid_edition_is_not_proposed():
     answer, log = _put(7, "[no such")
     assert answer.status is machine.EditionStatus.INVALID
--- a/cardamombarrow/control/metrics.py
+++ b/cardamombarrow/control/metrics.py
@@ -102,6 +102,8 @@
                 sum(not r.taken for r in self._state.duties.reports.values()),
             ),
         ):
+            if value is None:
+                continue
             yield f"# TYPE {PREFIX}{name} gauge"
             yield f"{PREFIX}{name} {value}"
         yield from background.metric_lines(PREFIX)
--- a/cardamombarrow/document/machine.py
+++ b/cardamombarrow/document/machine.py
@@ -160,13 +160,13 @@
     Attributes:
         status: `NOT_NEWER` if the same or a higher number was accepted before.
         revision: The revision in force afterwards.
-        number: The number in force afterwards.
+        number: The number in force afterwards; None if there is none.
         mistakes: Why the edition is invalid.
     """
 
     status: EditionStatus
     revision: ids.Revision
-    number: int
+    number: int | None
     mistakes: tuple[str, ...] = ()
 
 
@@ -178,14 +178,19 @@
     one revision with the number of another.
 
     Attributes:
-        number: The operator's number; 0 if the document was made by edits.
+        number: The operator's number, any integer of 64 bits; None if the
+            document was made by edits or there is none yet.
         format: The plug-in that parses the text; see `formats`.
     """
 
     revision: ids.Revision
     text: str
     format: str = formats.SECTIONS
-    number: int = 0
+    number: int | None = None
+
+    def is_older_than(self, edition_number: int) -> bool:
+        """Returns whether an edition with this number replaces the document."""
+        return self.number is None or self.number < edition_number
 
     @functools.cached_property
     def packed_text(self) -> bytes:
@@ -221,7 +226,7 @@
     def apply_edition(self, edition: Edition) -> EditionAnswer:
         """Accepts an edition if its number is above the current one."""
         accepted = self.accepted
-        if edition.number <= accepted.number:
+        if not accepted.is_older_than(edition.number):
             status = EditionStatus.NOT_NEWER
             return EditionAnswer(status, accepted.revision, accepted.number)
         try:
@@ -339,7 +344,9 @@
             "text": self.text,
             "revision": self.revision,
             "format": self.accepted.format,
-            "number": self.accepted.number,
+            # Earlier versions read the number only, and 0 as none.
+            "number": self.accepted.number or 0,
+            "is_numbered": self.accepted.number is not None,
             "history": [dataclasses.asdict(item) for item in self.history],
             "changed_at": self._changed_at,
             "answers": {
@@ -352,12 +359,14 @@
     def from_json(cls, raw: dict) -> "DocumentState":
         """Reads what `to_json` wrote."""
         state = cls(raw["text"])
+        # A snapshot of an earlier version has none of these.
+        number = raw.get("number", 0)
+        is_numbered = raw.get("is_numbered", number != 0)
         state.accepted = AcceptedDocument(
             ids.Revision(raw["revision"]),
             raw["text"],
-            # A snapshot of an earlier version has neither.
             raw.get("format", formats.SECTIONS),
-            raw.get("number", 0),
+            number if is_numbered else None,
         )
         for item in raw["history"]:
             sections = tuple(item["sections"])
--- a/cardamombarrow/peers/control/codec.py
+++ b/cardamombarrow/peers/control/codec.py
@@ -112,7 +112,7 @@
     return document_machine.EditionAnswer(
         document_machine.EditionStatus(wire.status),
         ids.Revision(wire.revision),
-        wire.number,
+        wire.number if wire.HasField("number") else None,
         tuple(wire.mistakes),
     )
 
