Entries start under a document without routes

What callers saw: after a change that removed the last route, each entry that started for any reason ended by itself about a second later, over and over, until a route came; its callers met closed ports. The same with a first configuration without routes.

Cause: the longest time of an answer was the max() over the document's classes, without a default.

Ruled out: the other parts of an entry; the property test below applies all configurations that control accepts to them and found only this.

Change: what is done with each document is a module of its own (entry/documents/applier.py), so that a test can call it. Without classes the longest time stays as it was: streams of the document before may be open.

With the max() of before in the applier, both tests of test_sparse_configurations.py fail with "max() arg is an empty sequence", and so does test_entries_start_while_no_route_exists on processes; all pass now.

--- a/cardamombarrow/entry/core.py
+++ b/cardamombarrow/entry/core.py
@@ -19,6 +19,7 @@
 from cardamombarrow.entry import peering as peering_module
 from cardamombarrow.entry import readiness as readiness_module
 from cardamombarrow.entry import settings as settings_module
+from cardamombarrow.entry.documents import applier
 from cardamombarrow.entry.documents import in_force
 from cardamombarrow.entry.documents import lease as lease_module
 from cardamombarrow.entry.frontend import app as app_module
@@ -228,24 +229,6 @@
     )
 
 
-def _document_listener(
-    broker: broker_module.Broker, peering: peering_module.Peering
-) -> typing.Callable[[in_force.AppliedDocument], None]:
-    """Returns what is called with each document that comes into force."""
-
-    def apply(applied: in_force.AppliedDocument) -> None:
-        broker.configure(applied.document)
-        peering.membership.on_document(applied.document)
-        peering.origins.set_longest_answer_s(
-            max(
-                each.target_total_s
-                for each in applied.document.classes.values()
-            )
-        )
-
-    return apply
-
-
 def _restart_watch(
     peering: peering_module.Peering,
     broker: broker_module.Broker,
@@ -382,7 +365,7 @@
         instance, documents, services, gate, readiness
     )
 
-    apply = _document_listener(broker, peering)
+    apply = applier.DocumentApplier(broker, peering.membership, peering.origins)
     documents.add_listener(apply)
     apply(documents.current())
     watch = _listing_watch(settings, source, peering, restarts, time_source)
--- a/cardamombarrow/platform/tests/conftest.py
+++ b/cardamombarrow/platform/tests/conftest.py
@@ -51,7 +51,7 @@
     return json.dumps({**raw, **changes})
 
 
-@pytest.fixture
+@pytest.fixture(scope="session")
 def make():
     """The builders of this module, by name."""
     return globals()
