Entries are ready under a document without services

What the balancer saw: entries that hold a document without services answered 503 to /readyz for good, although they answer callers with 404 as they should.

Cause: an entry is ready once any endpoint is known; without services none can be.

Change: the condition counts only where the document has services.

--- a/cardamombarrow/entry/core.py
+++ b/cardamombarrow/entry/core.py
@@ -195,7 +195,7 @@
     readiness = readiness_module.Readiness()
     if source.names_endpoints:
         readiness.add_condition(
-            lambda: None if broker.has_endpoints() else "no endpoint is known"
+            lambda: "no endpoint is known" if broker.lacks_endpoints() else None
         )
     readiness.add_condition(
         lambda: (
--- a/cardamombarrow/entry/placement/broker_base.py
+++ b/cardamombarrow/entry/placement/broker_base.py
@@ -276,10 +276,11 @@
         if self._domain_broker is not None:
             self._domain_broker.reachable_again(service)
 
-    def has_endpoints(self) -> bool:
-        """Returns whether any endpoint is known."""
+    def lacks_endpoints(self) -> bool:
+        """Returns whether there are services but no endpoint of any."""
         with self._lock:
-            return bool(self._dispatcher.endpoints())
+            has_services = bool(self._context.document.services)
+            return has_services and not self._dispatcher.endpoints()
 
     def report(
         self, endpoint: ids.EndpointId, report: messages.LoadReport
