A document comes into force at all parts of an entry, or at none

What was seen: under a document without routes, an entry that ran logged "document not taken", yet routes and keys followed the new document, the broker and the membership too, and what came behind the part that failed did not. The revision counted as in force, so it was never applied again.

Cause: `offer` set the document in force before its listeners ran, and an error of one ended the loop over them.

Weighed: to call the others and go on leaves parts with different documents for good where the error repeats. With the previous one everywhere, the lease refuses requests that a newer document may not allow, as for an entry whose document is late.

Change: parts apply a document first, then it comes into force, then the lease is told. Where one fails, those before it get the previous document back and the revision is taken when it is offered again. A part that can't apply the document of the start waits for the next one; the entry no longer ends. Nor does it end at a first document that it can't parse (fetch_first).

--- a/cardamombarrow/entry/core.py
+++ b/cardamombarrow/entry/core.py
@@ -19,9 +19,9 @@
 from cardamombarrow.entry import peering as peering_module
 from cardamombarrow.entry import readiness as readiness_module
 from cardamombarrow.entry import settings as settings_module
-from cardamombarrow.entry.documents import applier
 from cardamombarrow.entry.documents import in_force
 from cardamombarrow.entry.documents import lease as lease_module
+from cardamombarrow.entry.documents import parts as parts_module
 from cardamombarrow.entry.frontend import app as app_module
 from cardamombarrow.entry.frontend import protocol as protocol_module
 from cardamombarrow.entry.frontend import routed
@@ -365,9 +365,8 @@
         instance, documents, services, gate, readiness
     )
 
-    apply = applier.DocumentApplier(broker, peering.membership, peering.origins)
-    documents.add_listener(apply)
-    apply(documents.current())
+    for part in parts_module.parts(broker, peering.membership, peering.origins):
+        documents.add_part(part)
     watch = _listing_watch(settings, source, peering, restarts, time_source)
     if settings.platform.listing_shared:
         peering.membership.share_listing(watch)
--- a/cardamombarrow/entry/documents/in_force.py
+++ b/cardamombarrow/entry/documents/in_force.py
@@ -11,12 +11,13 @@
 from cardamombarrow.document import schema
 from cardamombarrow.entry.frontend import incoming
 from cardamombarrow.entry.frontend import routes as routes_module
+from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import logs
 from cardamombarrow.peers.control import control_pb2
 from cardamombarrow.peers.control import document_codec
 
-__all__ = ["AppliedDocument", "DocumentInForce", "fetch_first"]
+__all__ = ["AppliedDocument", "ApplyDocument", "DocumentInForce", "fetch_first"]
 
 NO_QUORUM_WAIT_S = 3.0
 """How long a start waits for a control process with a quorum. A domain that is
@@ -40,25 +41,44 @@
         return self.accepted.revision
 
 
+ApplyDocument = abc.Callable[[AppliedDocument], None]
+
+
 class DocumentInForce:
     """Holds the highest revision received; never reverts to a lower one.
 
     A control process that was cut off may still offer an old revision when it
     is reached again. Applying it would revert an accepted edit.
+
+    A revision comes into force once every part of the process has applied it.
+    If one can't, all of them go on with the revision before.
     """
 
     def __init__(self):
         self._applied: AppliedDocument | None = None
-        self._first = threading.Event()
-        self._lock = threading.Lock()
-        self._listeners: list[abc.Callable[[AppliedDocument], None]] = []
-
-    def add_listener(
-        self, listener: abc.Callable[[AppliedDocument], None]
-    ) -> None:
-        """Calls `listener` with each revision that is put into force."""
+        self._changed = threading.Condition()
+        self._parts: list[ApplyDocument] = []
+        self._listeners: list[ApplyDocument] = []
+
+    def add_listener(self, listener: ApplyDocument) -> None:
+        """Calls `listener` with each revision once it is in force.
+
+        Args:
+            listener: Raises nothing.
+        """
         self._listeners.append(listener)
 
+    def add_part(self, apply: ApplyDocument) -> None:
+        """Has a part apply the revision in force, and each later one.
+
+        Waits for a later one while the part can't apply the one in force; call
+        only after `wait_first`.
+        """
+        with self._changed:
+            while not _is_applied(apply, self.current()):
+                self._changed.wait()
+            self._parts.append(apply)
+
     def offer(
         self, revision: ids.Revision, text: str, format_name: str = ""
     ) -> bool:
@@ -71,32 +91,50 @@
 
         Returns:
             Whether it was newer.
+
+        Raises:
+            errors.ConfigError: It is invalid, or a part can't apply it.
         """
         format_name = format_name or formats.SECTIONS
-        with self._lock:
+        with self._changed:
             if self._applied and revision <= self._applied.revision:
                 return False
             document = formats.parse(format_name, text)
             keys = incoming.KeyIndex(document)
             routes = routes_module.RouteIndex(document)
             accepted = machine.AcceptedDocument(revision, text, format_name)
-            self._applied = AppliedDocument(accepted, document, keys, routes)
+            applied = AppliedDocument(accepted, document, keys, routes)
+            self._apply_to_parts(applied)
+            self._applied = applied
             for listener in self._listeners:
-                listener(self._applied)
-        self._first.set()
+                listener(applied)
+            self._changed.notify_all()
         logs.event("document in force", revision=revision)
         return True
 
+    def _apply_to_parts(self, applied: AppliedDocument) -> None:
+        for number, apply in enumerate(self._parts, 1):
+            if _is_applied(apply, applied):
+                continue
+            for reached in self._parts[:number]:
+                _is_applied(reached, self.current())
+            raise errors.ConfigError(
+                [f"revision {applied.revision} can't be applied"]
+            )
+
     def revision_and_text(self) -> tuple[ids.Revision, str]:
         """Returns the revision in force and its text; 0 and "" before any."""
-        with self._lock:
-            if self._applied is None:
-                return ids.Revision(0), ""
-            return self._applied.revision, self._applied.accepted.text
+        applied = self._applied
+        if applied is None:
+            return ids.Revision(0), ""
+        return applied.revision, applied.accepted.text
 
     def wait_first(self, timeout_s: float) -> bool:
         """Waits until a document is in force; returns whether there is one."""
-        return self._first.wait(timeout_s)
+        with self._changed:
+            return self._changed.wait_for(
+                lambda: self._applied is not None, timeout_s
+            )
 
     def current(self) -> AppliedDocument:
         """Returns the document in force; call only after `wait_first`."""
@@ -109,6 +147,21 @@
         return self._applied.revision if self._applied else ids.Revision(0)
 
 
+def _is_applied(apply: ApplyDocument, applied: AppliedDocument) -> bool:
+    """Has a part apply a document; returns whether it did."""
+    try:
+        apply(applied)
+    except Exception as error:
+        logs.event(
+            "document not applied",
+            "ERROR",
+            revision=applied.revision,
+            detail=repr(error),
+        )
+        return False
+    return True
+
+
 QuerySources = abc.Callable[
     [], list[futures.Future[control_pb2.DocumentMessage | None]]
 ]
@@ -144,8 +197,20 @@
         waited = time.monotonic() - start_s >= NO_QUORUM_WAIT_S
         if found and (certain or waited):
             best = max(found, key=lambda message: message.revision)
-            text = document_codec.text_from_wire(best)
-            documents.offer(ids.Revision(best.revision), text, best.format)
-            return True
+            if _is_taken(documents, best):
+                return True
         time.sleep(QUERY_INTERVAL_S)
     return documents.revision > 0
+
+
+def _is_taken(
+    documents: DocumentInForce, message: control_pb2.DocumentMessage
+) -> bool:
+    """Puts a received document into force; returns False if it can't be."""
+    try:
+        text = document_codec.text_from_wire(message)
+        documents.offer(ids.Revision(message.revision), text, message.format)
+    except (errors.RouterError, ValueError) as error:
+        logs.event("document not taken", "ERROR", detail=str(error))
+        return False
+    return True
--- a/cardamombarrow/platform/tests/test_sparse_configurations.py
+++ b/cardamombarrow/platform/tests/test_sparse_configurations.py
@@ -14,8 +14,8 @@
 from cardamombarrow.document import machine
 from cardamombarrow.document import schema
 from cardamombarrow.endpoints import plain
-from cardamombarrow.entry.documents import applier
 from cardamombarrow.entry.documents import in_force
+from cardamombarrow.entry.documents import parts
 from cardamombarrow.entry.frontend import routes as routes_module
 from cardamombarrow.entry.placement import broker as broker_module
 from cardamombarrow.entry.requests import gate as gate_module
@@ -128,11 +128,9 @@
             self._clock,
         )
         membership.attach(mock.Mock(), mock.Mock())
-        apply = applier.DocumentApplier(
-            self._broker, membership, resumption.StreamOrigins(self._clock)
-        )
-        documents.add_listener(apply)
-        apply(documents.current())
+        origins = resumption.StreamOrigins(self._clock)
+        for part in parts.parts(self._broker, membership, origins):
+            documents.add_part(part)
         self._gate = gate_module.Gate(16, random.Random(1))
         self._brokers = (self._broker, self._broker.for_domain())
         self._broker.start()
