Callers by route get no answer of an entry's own while it starts

What callers saw: an entry that had no document yet answered /healthz with 200 "ok" of its own, without a server's seal, for any host, key, method and query.

Cause: StartupApp stands for the application of every caller protocol and had the health check of the router's own one.

Ruled out: other paths and phases; of 120 cases of path, method and host only /healthz before the first document got an unsealed success.

Change: an interface by caller protocol decides what an entry answers by itself, and selects the application. Refusals during a start are the protocol's own and are logged with the caller's id, as those of a running entry are.

--- a/cardamombarrow/entry/core.py
+++ b/cardamombarrow/entry/core.py
@@ -23,7 +23,7 @@
 from cardamombarrow.entry.documents import lease as lease_module
 from cardamombarrow.entry.documents import parts as parts_module
 from cardamombarrow.entry.frontend import app as app_module
-from cardamombarrow.entry.frontend import protocol as protocol_module
+from cardamombarrow.entry.frontend import interface
 from cardamombarrow.entry.frontend import routed
 from cardamombarrow.entry.frontend import side as side_module
 from cardamombarrow.entry.frontend import startup_app as startup_app_module
@@ -50,7 +50,7 @@
 from cardamombarrow.resumption import core as resumption
 from cardamombarrow.resumption import restart_watch
 
-__all__ = ["ENDPOINT_MODULES", "OPENAI", "run"]
+__all__ = ["ENDPOINT_MODULES", "run"]
 
 ENDPOINT_MODULES = (
     "cardamombarrow.discovery.json_list",
@@ -61,9 +61,6 @@
 
 DRAIN_POLL_S = 0.05
 
-OPENAI = "openai"
-"""The caller protocol whose requests name models and plain services."""
-
 
 class _Drain(lifecycle.Part):
     """Drains at a stop: becomes unready, then refuses, then waits.
@@ -113,7 +110,7 @@
     protocol: str,
 ) -> dict[schema.ServiceKind, endpoints_base.EndpointKind]:
     """Returns the endpoint protocol of each kind of service."""
-    prefix = "" if protocol == OPENAI else f"{protocol}."
+    prefix = "" if protocol == interface.OPENAI else f"{protocol}."
     return {
         kind: registry.lookup("endpoint-kind", f"{prefix}{kind.value}")()
         for kind in schema.ServiceKind
@@ -122,28 +119,28 @@
 
 def _app(
     settings: settings_module.EntrySettings,
+    callers: interface.CallerInterface,
     documents: in_force.DocumentInForce,
     runner: call_runner_module.CallRunner,
     readiness: readiness_module.Readiness,
     lease: lease_module.DocumentLease,
 ) -> typing.Any:
     """Returns the application that serves callers."""
-    protocol = settings.calls.protocol
-    if protocol == OPENAI:
-        return app_module.App(
-            ids.InstanceId(settings.instance.id),
+    if isinstance(callers, interface.RoutedInterface):
+        return routed.RoutedApp(
             documents,
             runner,
-            readiness,
-            settings.calls.body_limit_bytes,
+            callers.protocol,
+            lease,
+            random.Random(),
+            byte_budget.ByteBudget(settings.calls.large_bodies_bytes),
         )
-    return routed.RoutedApp(
+    return app_module.App(
+        ids.InstanceId(settings.instance.id),
         documents,
         runner,
-        registry.lookup(protocol_module.SLOT, protocol)(),
-        lease,
-        random.Random(),
-        byte_budget.ByteBudget(settings.calls.large_bodies_bytes),
+        readiness,
+        settings.calls.body_limit_bytes,
     )
 
 
@@ -326,8 +323,9 @@
     documents = in_force.DocumentInForce()
     time_source = clock.SystemClock()
     peering = peering_module.Peering(settings, documents, time_source)
-    startup = startup_app_module.StartupApp(startup_app_module.HOLD_S)
-    side_startup = startup_app_module.StartupApp()
+    callers = interface.of_protocol(settings.calls.protocol)
+    startup = startup_app_module.StartupApp(callers, startup_app_module.HOLD_S)
+    side_startup = startup_app_module.StartupApp(interface.OwnInterface())
     web = http.HttpServer(settings.http, startup)
     side = _side_servers(settings, side_startup)
     for server in (web, *side):
@@ -371,7 +369,7 @@
     if settings.platform.listing_shared:
         peering.membership.share_listing(watch)
     watch.refresh()
-    app = _app(settings, documents, runner, readiness, peering.lease)
+    app = _app(settings, callers, documents, runner, readiness, peering.lease)
     startup.forward_to(app)
     decline_reason = _decline_reason(reachability, readiness)
     forwarding_server = _forwarding_server(settings, app, decline_reason)
--- a/cardamombarrow/entry/frontend/answers.py
+++ b/cardamombarrow/entry/frontend/answers.py
@@ -9,7 +9,13 @@
 from cardamombarrow.kernel import ids
 from cardamombarrow.kernel import logs
 
-__all__ = ["error_body", "error_event", "error_response", "internal_error"]
+__all__ = [
+    "error_body",
+    "error_event",
+    "error_response",
+    "internal_error",
+    "log_refusal",
+]
 
 
 def error_body(error: errors.RouterError, request_id: ids.RequestId) -> bytes:
@@ -48,6 +54,25 @@
     )
 
 
+def log_refusal(
+    error: errors.RouterError,
+    request_id: ids.RequestId,
+    status: int,
+    **fields: object,
+) -> None:
+    """Logs an answer of the router's own to a caller by route."""
+    logs.decision(
+        "answer",
+        request_id=request_id,
+        status=status,
+        kind=error.kind.value,
+        detail=error.detail,
+        not_run=error.not_run,
+        retry_after_s=error.retry_after_s,
+        **fields,
+    )
+
+
 def internal_error(
     cause: Exception, request_id: ids.RequestId
 ) -> errors.RouterError:
--- a/cardamombarrow/entry/frontend/app.py
+++ b/cardamombarrow/entry/frontend/app.py
@@ -11,6 +11,7 @@
 from cardamombarrow.entry.documents import in_force
 from cardamombarrow.entry.frontend import answers
 from cardamombarrow.entry.frontend import incoming
+from cardamombarrow.entry.frontend import interface
 from cardamombarrow.entry.requests import call_runner as call_runner_module
 from cardamombarrow.kernel import errors
 from cardamombarrow.kernel import ids
@@ -33,7 +34,7 @@
             endpoint="service",
             methods=_METHODS,
         ),
-        routing.Rule("/healthz", endpoint="health", methods=["GET"]),
+        routing.Rule(interface.HEALTH_PATH, endpoint="health", methods=["GET"]),
         routing.Rule("/metrics", endpoint="metrics", methods=["GET"]),
         routing.Rule("/readyz", endpoint="ready", methods=["GET"]),
         routing.Rule("/v1/instance", endpoint="instance", methods=["GET"]),
--- a/cardamombarrow/entry/frontend/routed.py
+++ b/cardamombarrow/entry/frontend/routed.py
@@ -129,14 +129,10 @@
                 and round(start_age_s, 3),
             }
         answer = self._protocol.error(error, request_id)
-        logs.decision(
-            "answer",
-            request_id=request_id,
-            status=answer.status,
-            kind=error.kind.value,
-            detail=error.detail,
-            not_run=error.not_run,
-            retry_after_s=error.retry_after_s,
+        answers.log_refusal(
+            error,
+            request_id,
+            answer.status,
             revision=self._documents.revision,
             document_age_s=round(self._lease.age_s, 3),
             waited_s=round(waited_s, 3),
--- a/cardamombarrow/entry/frontend/startup_app.py
+++ b/cardamombarrow/entry/frontend/startup_app.py
@@ -11,9 +11,8 @@
 
 from werkzeug import wrappers
 
-from cardamombarrow.entry.frontend import answers
+from cardamombarrow.entry.frontend import interface as interface_module
 from cardamombarrow.kernel import errors
-from cardamombarrow.kernel import ids
 
 __all__ = ["StartupApp"]
 
@@ -27,14 +26,18 @@
 class StartupApp:
     """A WSGI application that forwards to another one once that is set."""
 
-    def __init__(self, hold_s: float = 0.0):
+    def __init__(
+        self, interface: interface_module.CallerInterface, hold_s: float = 0.0
+    ):
         """Builds the application.
 
         Args:
+            interface: What is answered without the other application.
             hold_s: How long a request waits for the other application, in
                 seconds. With 0 it is refused immediately, which a balancer's
                 readiness probe requires.
         """
+        self._interface = interface
         self._hold_s = hold_s
         self._served = threading.Event()
         self._app: typing.Any = None
@@ -48,19 +51,18 @@
         self, environ: dict[str, typing.Any], start_response: typing.Any
     ) -> abc.Iterable[bytes]:
         """Serves one request; see PEP 3333."""
-        if self._app is None and environ["PATH_INFO"] != "/healthz":
+        is_own = self._interface.is_own(environ["PATH_INFO"])
+        if self._app is None and not is_own:
             self._served.wait(self._hold_s)
         if self._app is not None:
             return self._app(environ, start_response)
-        return self._answer(environ["PATH_INFO"])(environ, start_response)
-
-    def _answer(self, path: str) -> wrappers.Response:
-        if path == "/healthz":
-            return wrappers.Response("ok\n")
+        if is_own:
+            return wrappers.Response("ok\n")(environ, start_response)
         error = errors.RefusedError(
             errors.ErrorKind.NOT_READY,
             "no document is in force yet",
             retry_after_s=RETRY_AFTER_S,
             check=errors.RefusalCheck.DOCUMENT_MISSING,
         )
-        return answers.error_response(error, ids.new_request_id())
+        refusal = self._interface.refusal(error, environ)
+        return refusal(environ, start_response)
--- a/cardamombarrow/entry/frontend/tests/test_startup_hold.py
+++ b/cardamombarrow/entry/frontend/tests/test_startup_hold.py
@@ -5,6 +5,7 @@
 import pytest
 
 from cardamombarrow.entry.documents import lease as lease_module
+from cardamombarrow.entry.frontend import interface
 from cardamombarrow.entry.frontend import startup_app
 from cardamombarrow.entry.frontend import startup_hold
 from cardamombarrow.kernel import clock
@@ -62,7 +63,7 @@
 
 
 def test_a_caller_is_held_until_the_first_document_is_available():
-    app = startup_app.StartupApp(hold_s=30.0)
+    app = startup_app.StartupApp(interface.OwnInterface(), hold_s=30.0)
     answers = []
     caller = threading.Thread(target=lambda: answers.append(_ask(app)))
     caller.start()
@@ -72,5 +73,7 @@
 
 
 def test_a_readiness_probe_is_answered_immediately():
-    assert _ask(startup_app.StartupApp()) == "503"
-    assert _ask(startup_app.StartupApp(hold_s=30.0), "/healthz") == "200"
+    probes = interface.OwnInterface()
+    assert _ask(startup_app.StartupApp(probes)) == "503"
+    held = startup_app.StartupApp(probes, hold_s=30.0)
+    assert _ask(held, "/healthz") == "200"
