Answers to HEAD, 204 and 304 are sent without a body

What callers saw: a HEAD request that the router refused was answered with the JSON of the error behind the head (`HEAD /nope/`: 404 and 182 bytes). To its caller these bytes belong to no answer.

Cause: the writer of answers left out the chunked coding for such answers, but not the bytes. Answers of endpoints come without a body here already.

Change: the writer drops the body where the answer can't have one.

--- a/cardamombarrow/kernel/connection.py
+++ b/cardamombarrow/kernel/connection.py
@@ -129,6 +129,7 @@
         self._handler = handler
         self._head: tuple[str, list[tuple[str, str]]] | None = None
         self._chunked = False
+        self._has_body = True
         self.started = False
         self.ends_by_close = False
 
@@ -144,8 +145,13 @@
         return self.write
 
     def write(self, data: bytes) -> None:
-        """Sends one chunk, preceded by the head if it is the first."""
+        """Sends one chunk, preceded by the head if it is the first.
+
+        The chunk is left out if the answer can't have a body.
+        """
         head = b"" if self.started else self._begin()
+        if not self._has_body:
+            data = b""
         if self._chunked and data:
             data = b"%x\r\n%b\r\n" % (len(data), data)
         if head or data:
@@ -167,11 +173,11 @@
         code, _, reason = status_text.partition(" ")
         self.started = True
         names = {name.lower() for name, _ in headers}
-        unknown_length = (
-            "content-length" not in names
-            and int(code) not in _NO_BODY_STATUSES
+        self._has_body = (
+            int(code) not in _NO_BODY_STATUSES
             and self._handler.command != "HEAD"
         )
+        unknown_length = self._has_body and "content-length" not in names
         self._chunked = (
             unknown_length and self._handler.request_version >= "HTTP/1.1"
         )
