What control acknowledges of open streams is on its disk

What callers saw: after all processes were killed once, streams of the only version could not be taken up for 600 s (0 of 28), while new ones began.

Cause: which versions have open streams was kept in memory. A control process that restarted needed the words of others that knew all; after a restart of all there was none, so no entry could tell that there had been one version only.

Ruled out: entries alone and control alone restart without harm (28 of 28). A conclusion from the list alone would break ORDER: a version that has gone may have begun the stream.

Weighed (docs/design/resumption.md): the replicated log (a round trip by the leader, and nothing is acknowledged without one), each stream's origin on disk, and what callers send back, which can't carry it.

Change: a control process acknowledges groups once they are in a file on its disk, which also says whether it had all that it ever acknowledged. A process that loads such a file knows all. One that can't write says so in its reply: it counts for no acknowledgement, but for answers to attempts. A file that is missing, damaged or of a process that had not all leaves what was before.

--- a/cardamombarrow/control/core.py
+++ b/cardamombarrow/control/core.py
@@ -43,6 +43,7 @@
 from cardamombarrow.peers.control import follower_exchange
 from cardamombarrow.peers.control import followers as followers_module
 from cardamombarrow.peers.control import metering_collector
+from cardamombarrow.peers.control import open_streams_store
 from cardamombarrow.peers.control import sends as sends_module
 from cardamombarrow.peers.control import service as control_service
 from cardamombarrow.peers.log import transport as log_transport
@@ -54,6 +55,9 @@
 
 METERING_TIMEOUT_S = 2.0
 
+OPEN_STREAMS_FILE = "open-streams"
+"""Name of the file of open streams, in the folder of the log."""
+
 DUTY_MODULES = (
     "cardamombarrow.discovery.json_list",
     "cardamombarrow.duties.http_gateway",
@@ -140,6 +144,9 @@
             lambda: self._state.document.accepted,
             ids.DomainId(self._settings.instance.domain),
             founds=self._founds,
+            open_streams_file=open_streams_store.OpenStreamsFile(
+                pathlib.Path(self._settings.state.folder) / OPEN_STREAMS_FILE
+            ),
         )
         self._server = server.Server([service, self._log_service])
         service.collector.set_window_length(self._settings.duties.window_s)
--- a/cardamombarrow/log/storage.py
+++ b/cardamombarrow/log/storage.py
@@ -24,6 +24,7 @@
 import struct
 import zlib
 
+from cardamombarrow.kernel import durable_file
 from cardamombarrow.log import codec
 from cardamombarrow.log import entries as entries_module
 from cardamombarrow.log import membership as membership_module
@@ -319,21 +320,7 @@
         self._size_bytes = self._rewritten_bytes = len(frame)
 
     def _replace_file(self, name: str, parts: abc.Iterable[bytes]) -> None:
-        """Replaces a file by a synced temporary file, and syncs the folder.
-
-        Without the sync of the folder, the old file may be back after a crash.
-        """
-        temporary_path = self._folder / f"{name}.new"
-        with temporary_path.open("wb") as file:
-            file.writelines(parts)
-            file.flush()
-            self._sync(file.fileno())
-        temporary_path.replace(self._folder / name)
-        descriptor = os.open(self._folder, os.O_RDONLY)
-        try:
-            self._sync(descriptor)
-        finally:
-            os.close(descriptor)
+        durable_file.replace(self._folder / name, parts, self._sync)
 
     def snapshot(self) -> messages.Snapshot:
         """Returns the newest snapshot, with its bytes in the file.
--- a/cardamombarrow/peers/control/followers.py
+++ b/cardamombarrow/peers/control/followers.py
@@ -20,9 +20,12 @@
 from cardamombarrow.document import machine
 from cardamombarrow.document import text as text_module
 from cardamombarrow.kernel import ids
+from cardamombarrow.kernel import logs
 from cardamombarrow.peers.control import control_pb2
 from cardamombarrow.peers.control import document_codec
+from cardamombarrow.peers.control import open_streams_codec
 from cardamombarrow.peers.control import open_streams_relay
+from cardamombarrow.peers.control import open_streams_store
 from cardamombarrow.peers.control import sends as sends_module
 from cardamombarrow.peers.control import suspect_relay
 
@@ -41,6 +44,13 @@
 """Entries of each kind that are named to an entry: others than the few that it
 tries are named a second later."""
 
+STORE_WAIT_S = 0.25
+"""Longest wait for the disk before an entry is told that its streams are not
+stored: it holds a first event back for little longer."""
+
+READ_STORE_WAIT_S = 0.05
+"""The same if the entry also asks for the streams of all: attempts wait."""
+
 CACHED_TEXTS = 4
 """Number of texts that are cached to send only changes. Edits come 41 s apart
 at the target size, so a follower is rarely further behind; if it is, it gets
@@ -92,6 +102,7 @@
         founds: bool = False,
         count_controls: abc.Callable[[], int] = lambda: 1,
         instance: str = "",
+        open_streams_file: open_streams_store.OpenStreamsFile | None = None,
     ):
         """Builds an empty table.
 
@@ -101,15 +112,32 @@
             founds: Whether there was no log before this process.
             count_controls: Returns the number of control processes.
             instance: Id of this process.
+            open_streams_file: Where open streams are stored; None for memory
+                only.
         """
         self._knows_all_s = time.monotonic() + (0.0 if founds else MEMORY_S)
         self._left_s: dict[ids.InstanceId, float] = {}
+        started_s = time.monotonic()
+        self._store: open_streams_store.OpenStreamsStore | None = None
+        stored = None
+        if open_streams_file is not None:
+            stored = open_streams_file.load(started_s)
+            logs.event(
+                "open streams loaded",
+                groups=len(stored.items),
+                complete=stored.are_all,
+            )
+            self._store = open_streams_store.OpenStreamsStore(
+                open_streams_file, lambda now_s: self._open_streams.table(now_s)
+            )
         self._open_streams = open_streams_relay.OpenStreamsRelay(
             founds=founds,
             has_quorum=has_quorum,
             count_controls=count_controls,
-            started_s=time.monotonic(),
+            started_s=started_s,
             instance=instance,
+            stored=stored,
+            on_complete=self._store.write_soon if self._store else lambda: None,
         )
         self._suspects = suspect_relay.SuspectRelay(random.Random())
         self._forwarders: dict[ids.DomainId, list[str]] = {}
@@ -264,14 +292,31 @@
         if self._suspects.put(reports, source, time.monotonic()):
             self._notify_soon()
 
-    def exchange_open_streams(
+    async def exchange_open_streams(
         self, request: control_pb2.OpenStreamsRequest
     ) -> control_pb2.OpenStreamsReply:
         """Stores an entry's open streams, and returns those of all."""
         now_s = time.monotonic()
         if self._open_streams.put_request(request, now_s):
             self._notify_soon()
-        return self._open_streams.reply(request, now_s)
+        is_stored = await self._store_streams(request, now_s)
+        return self._open_streams.reply(
+            request, time.monotonic(), is_stored=is_stored
+        )
+
+    async def _store_streams(
+        self, request: control_pb2.OpenStreamsRequest, now_s: float
+    ) -> bool:
+        """Stores a request's streams; returns whether they are durable."""
+        if self._store is None:
+            return True
+        items = list(
+            open_streams_codec.open_streams_from_wire(
+                request.open_streams, now_s
+            )
+        )
+        wait_s = READ_STORE_WAIT_S if request.wants_all else STORE_WAIT_S
+        return await self._store.store(items, wait_s)
 
     def _notify_soon(self) -> None:
         task = asyncio.create_task(self._notify())
--- a/cardamombarrow/peers/control/open_streams_recovery.py
+++ b/cardamombarrow/peers/control/open_streams_recovery.py
@@ -1,10 +1,11 @@
 """Whether a control process still has all open streams that it acknowledged.
 
-Control processes keep open streams in memory. A majority of them stores a group
-before the first event of its first stream reaches a caller, and an entry asks a
-majority before it resumes an unknown stream; the two have a control process in
-common. One that has restarted must not take part in an answer before the others
-have told it what it had stored.
+A majority of the control processes stores a group before the first event of its
+first stream reaches a caller, and an entry asks a majority before it resumes an
+unknown stream; the two have a control process in common. One that has restarted
+has what it stored on its disk. Without it (the disk is new, or was written by
+an earlier version) it must not take part in an answer before the others have
+told it what it had stored.
 """
 
 import dataclasses
@@ -39,17 +40,20 @@
 class Recovery:
     """What a control process has been told since its start."""
 
-    def __init__(self, started_s: float, *, founds: bool):
+    def __init__(
+        self, started_s: float, *, founds: bool, is_complete: bool = False
+    ):
         """Begins a recovery.
 
         Args:
             started_s: When the process started.
             founds: Whether it is the first start of any process, or a founding
                 process has lost its disk.
+            is_complete: Whether the disk has all that was ever acknowledged.
         """
         self._started_s = started_s
         self._founds = founds
-        self._is_complete = False
+        self._is_complete = is_complete
         self._words: dict[str, Word] = {}
         self._entry_knows_all = False
 
--- a/cardamombarrow/peers/control/open_streams_relay.py
+++ b/cardamombarrow/peers/control/open_streams_relay.py
@@ -12,6 +12,7 @@
 from cardamombarrow.peers.control import control_pb2
 from cardamombarrow.peers.control import open_streams_codec
 from cardamombarrow.peers.control import open_streams_recovery
+from cardamombarrow.peers.control import open_streams_store
 from cardamombarrow.resumption import open_streams
 
 __all__ = ["OpenStreamsRelay", "Sent"]
@@ -46,8 +47,10 @@
         count_controls: abc.Callable[[], int] = lambda: 1,
         started_s: float = 0.0,
         instance: str = "",
+        stored: open_streams_store.StoredStreams | None = None,
+        on_complete: abc.Callable[[], None] = lambda: None,
     ):
-        """Builds an empty relay.
+        """Builds a relay.
 
         Args:
             founds: Whether no entry has run before this process.
@@ -56,24 +59,45 @@
             count_controls: Returns the number of control processes.
             started_s: When this process started.
             instance: Its id.
+            stored: What it has on its disk; None for nothing.
+            on_complete: Called when this process has again all that it ever
+                acknowledged.
         """
+        stored = stored or open_streams_store.StoredStreams()
         self._open = open_streams.OpenStreams()
         self._told: dict[open_streams.StreamGroup, tuple[float, int]] = {}
         self._number = 0
         self._urgent_number = 0
         self._recovery = open_streams_recovery.Recovery(
-            started_s, founds=founds
+            started_s, founds=founds, is_complete=stored.are_all
         )
+        self._was_complete = False
+        self._on_complete = on_complete
         self._has_quorum = has_quorum
         self._count_controls = count_controls
         self._instance = instance
+        for group, until_s in stored.items:
+            if self._open.extend(group, until_s):
+                self._tell(group, until_s, started_s)
 
     def _are_all(self, now_s: float) -> bool:
         # Without a quorum the number of control processes may be an old one.
-        return (
-            self._has_quorum()
-            and self._open.has_all(now_s)
-            and self._recovery.is_complete(now_s, self._count_controls())
+        if not self._has_quorum() or not self._is_complete(now_s):
+            return False
+        return self._open.has_all(now_s)
+
+    def _is_complete(self, now_s: float) -> bool:
+        is_complete = self._recovery.is_complete(now_s, self._count_controls())
+        if is_complete and not self._was_complete:
+            self._was_complete = True
+            self._on_complete()
+        return is_complete
+
+    def table(self, now_s: float) -> open_streams_store.StoredStreams:
+        """Returns what is to be on the disk."""
+        return open_streams_store.StoredStreams(
+            tuple(self._open.items(now_s)),
+            self._was_complete and self._open.has_all(now_s),
         )
 
     def put_report(
@@ -191,13 +215,24 @@
         self._fill(reply, self._open.items(now_s), now_s)
 
     def reply(
-        self, request: control_pb2.OpenStreamsRequest, now_s: float
+        self,
+        request: control_pb2.OpenStreamsRequest,
+        now_s: float,
+        *,
+        is_stored: bool = True,
     ) -> control_pb2.OpenStreamsReply:
-        """Returns the answer to an entry's request."""
+        """Returns the answer to an entry's request.
+
+        Args:
+            request: The request.
+            now_s: The local time.
+            is_stored: Whether what it brought is on the disk.
+        """
         reply = control_pb2.OpenStreamsReply(
             instance=self._instance,
             has_quorum=self._has_quorum(),
             control_count=self._count_controls(),
+            is_unstored=not is_stored,
         )
         items = self._open.items(now_s) if request.wants_all else []
         self._fill(reply, items, now_s)
--- a/cardamombarrow/peers/control/open_streams_rounds.py
+++ b/cardamombarrow/peers/control/open_streams_rounds.py
@@ -44,7 +44,7 @@
 
     Attributes:
         control_count: Number of control processes, as far as known.
-        stored: Those that have stored the request's streams.
+        stored: Those that have the request's streams on their disks.
         knowing: Those that know all open streams.
         known: What they know.
     """
@@ -57,7 +57,8 @@
     def add(self, reply: control_pb2.OpenStreamsReply, now_s: float) -> None:
         """Adds a reply."""
         self.control_count = max(self.control_count, reply.control_count)
-        self.stored.add(reply.instance)
+        if not reply.is_unstored:
+            self.stored.add(reply.instance)
         if reply.knows_open_streams and reply.has_quorum:
             self.knowing.add(reply.instance)
         self.known += open_streams_codec.open_streams_from_wire(
@@ -70,13 +71,20 @@
         Args:
             wants_all: Whether all open streams were asked for.
         """
-        majority = self.control_count // 2 + 1
-        if wants_all and len(self.knowing) >= majority:
+        if wants_all and self._is_majority(self.knowing):
             return rounds.RoundResult.ALL_KNOWN
-        if len(self.stored) >= majority:
+        if self.is_stored:
             return rounds.RoundResult.STORED
         return rounds.RoundResult.NO_MAJORITY
 
+    @property
+    def is_stored(self) -> bool:
+        """Whether a majority has stored the request's streams."""
+        return self._is_majority(self.stored)
+
+    def _is_majority(self, controls: set[str]) -> bool:
+        return len(controls) > self.control_count // 2
+
 
 class OpenStreamsRounds:
     """Makes round trips to the control processes and applies the answers."""
@@ -182,7 +190,7 @@
                 if (reply := task.result()) is not None:
                     answers.add(reply, self._clock.now_s())
             result = answers.result(wants_all=wants_all)
-            if not is_stored and result is not rounds.RoundResult.NO_MAJORITY:
+            if not is_stored and answers.is_stored:
                 is_stored = True
                 self._origins.acknowledge(stored)
             if result is rounds.RoundResult.ALL_KNOWN or (
--- a/cardamombarrow/peers/control/service.py
+++ b/cardamombarrow/peers/control/service.py
@@ -19,6 +19,7 @@
 from cardamombarrow.peers.control import document_codec
 from cardamombarrow.peers.control import followers as followers_module
 from cardamombarrow.peers.control import metering_collector
+from cardamombarrow.peers.control import open_streams_store
 from cardamombarrow.peers.control import sends as sends_module
 
 __all__ = ["ControlService"]
@@ -46,6 +47,7 @@
         domain: ids.DomainId = ids.DomainId(""),
         *,
         founds: bool = False,
+        open_streams_file: open_streams_store.OpenStreamsFile | None = None,
     ):
         self._log = log
         self._accepted = accepted
@@ -60,6 +62,7 @@
             founds=founds,
             count_controls=log.count_members,
             instance=log.status().voter,
+            open_streams_file=open_streams_file,
         )
 
     async def Propose(self, stream: server.Stream) -> None:  # noqa: N802
@@ -148,4 +151,5 @@
     async def OpenStreams(self, stream: server.Stream) -> None:  # noqa: N802
         """Stores an entry's open streams and answers with those of all."""
         request = await stream.recv_message()
-        await stream.send_message(self.followers.exchange_open_streams(request))
+        reply = await self.followers.exchange_open_streams(request)
+        await stream.send_message(reply)
