Origins of streams of several versions outlive all processes

What callers saw: after all processes were killed once while two versions served, no stream that had begun before could be taken up.

Cause: which of several versions began a stream is known to the entries only, which have no disk. The groups that control stores do not tell single streams apart.

Weighed (docs/design/resumption.md): each stream stored before its first event (a round trip and a sync a stream), and each stream at all times.

Change: an entry adds the streams that it began to its report, each second, while their service has several versions; the control process that it follows appends them to a file. An attempt at an unknown stream that several versions may have begun asks all control processes for it in its round trip. Nothing waits for the disk; a stream that was not reported is refused.

test_control_is_not_asked_where_the_answer_could_not_differ changes with it: for a stream that its caller names, the answer of control can differ now although several versions may have begun it. The test still requires that nothing is asked for a known stream and for one that is not named, and that a named one is asked for once. The framing of records moved from log/storage.py to kernel/.

--- a/cardamombarrow/control/core.py
+++ b/cardamombarrow/control/core.py
@@ -46,6 +46,7 @@
 from cardamombarrow.peers.control import open_streams_store
 from cardamombarrow.peers.control import sends as sends_module
 from cardamombarrow.peers.control import service as control_service
+from cardamombarrow.peers.control import stream_origins_store
 from cardamombarrow.peers.log import transport as log_transport
 
 __all__ = ["run"]
@@ -56,7 +57,8 @@
 METERING_TIMEOUT_S = 2.0
 
 OPEN_STREAMS_FILE = "open-streams"
-"""Name of the file of open streams, in the folder of the log."""
+STREAM_ORIGINS_FILE = "stream-origins"
+"""Names of files in the folder of the log."""
 
 DUTY_MODULES = (
     "cardamombarrow.discovery.json_list",
@@ -139,13 +141,17 @@
 
     async def _start(self) -> None:
         peers = self._settings.peers
+        folder = pathlib.Path(self._settings.state.folder)
         service = control_service.ControlService(
             self._log,
             lambda: self._state.document.accepted,
             ids.DomainId(self._settings.instance.domain),
             founds=self._founds,
             open_streams_file=open_streams_store.OpenStreamsFile(
-                pathlib.Path(self._settings.state.folder) / OPEN_STREAMS_FILE
+                folder / OPEN_STREAMS_FILE
+            ),
+            stream_origins_file=stream_origins_store.StreamOriginsFile(
+                folder / STREAM_ORIGINS_FILE
             ),
         )
         self._server = server.Server([service, self._log_service])
--- a/cardamombarrow/entry/documents/control_news.py
+++ b/cardamombarrow/entry/documents/control_news.py
@@ -15,6 +15,7 @@
 from cardamombarrow.peers.control import open_streams_codec
 from cardamombarrow.peers.control import suspect_codec
 from cardamombarrow.peers.control import suspect_relay
+from cardamombarrow.peers.placing import origin_codec
 from cardamombarrow.resumption import core as resumption
 
 __all__ = ["ControlNews"]
@@ -40,6 +41,7 @@
         self._early_suspects: list[messages.SuspectReport] = []
         self._early_entry_count = 0
         self._is_new = False
+        self._reported_number = 0
         self._counted_s = -math.inf
 
     def join(self, broker: broker_module.Broker) -> None:
@@ -135,6 +137,12 @@
             )
         )
         report.knows_open_streams = streams.are_all
+        records, self._reported_number = self._origins.since(
+            0 if first else self._reported_number, resumption.Source.OWN
+        )
+        report.stream_origins.extend(
+            origin_codec.origins_to_wire(records, self._clock.now_s())
+        )
 
     def on_entry_count(self, count: int) -> None:
         """Applies the number of entries that share the global bounds.
--- a/cardamombarrow/kernel/durable_file.py
+++ b/cardamombarrow/kernel/durable_file.py
@@ -1,10 +1,10 @@
-"""Replacing a file so that it is there, whole, after a loss of power."""
+"""Writes that are there after a loss of power."""
 
 from collections import abc
 import os
 import pathlib
 
-__all__ = ["replace"]
+__all__ = ["append", "replace"]
 
 
 def replace(
@@ -35,3 +35,19 @@
         sync(descriptor)
     finally:
         os.close(descriptor)
+
+
+def append(path: pathlib.Path, data: bytes) -> None:
+    """Appends to a file and syncs it; a crash may leave a part of the data.
+
+    Args:
+        path: The file; its folder has been synced since it was created.
+        data: What is added.
+
+    Raises:
+        OSError: The write or sync failed.
+    """
+    with path.open("ab") as file:
+        file.write(data)
+        file.flush()
+        os.fsync(file.fileno())
--- a/cardamombarrow/log/storage.py
+++ b/cardamombarrow/log/storage.py
@@ -25,6 +25,7 @@
 import zlib
 
 from cardamombarrow.kernel import durable_file
+from cardamombarrow.kernel import framing
 from cardamombarrow.log import codec
 from cardamombarrow.log import entries as entries_module
 from cardamombarrow.log import membership as membership_module
@@ -35,7 +36,6 @@
 __all__ = ["Batch", "CorruptError", "FileData", "Storage", "batches"]
 
 _MAGIC = b"CbL1"
-_HEADER = struct.Struct(">4sII")
 _SNAPSHOT_HEADER = struct.Struct(">4sI")
 _COMMIT = struct.Struct(">QI")
 _RECOVERY_HINT = (
@@ -232,18 +232,18 @@
         raw = path.read_bytes()
         offset = 0
         while offset < len(raw):
-            payload = _payload_at(raw, offset)
+            payload = framing.payload_at(_MAGIC, raw, offset)
             if payload is None:
                 self._check_tail(raw, offset, path)
                 break
             yield log_pb2.LogRecord.FromString(payload)
-            offset += _HEADER.size + len(payload)
+            offset += framing.HEADER_BYTES + len(payload)
         self._size_bytes = offset
 
     def _check_tail(self, raw: bytes, offset: int, path: pathlib.Path) -> None:
         later = raw.find(_MAGIC, offset + 1)
         while later >= 0:
-            if _payload_at(raw, later) is not None:
+            if framing.payload_at(_MAGIC, raw, later) is not None:
                 raise CorruptError(
                     f"{path}: the record at byte {offset} is damaged and an "
                     f"intact one follows at byte {later}; {_RECOVERY_HINT}"
@@ -264,7 +264,7 @@
             self._append(batch)
 
     def _append(self, writes: Batch) -> None:
-        frame = _frame(self._record(writes))
+        frame = framing.frame(_MAGIC, self._record(writes).SerializeToString())
         # The end of the last complete record; a failed write may have left
         # a partial one there.
         self._file.seek(self._size_bytes)
@@ -312,7 +312,7 @@
         record.base.index = write.base_index
         record.base.term = write.base_term
         record.entries.extend(map(codec.entry_to_wire, write.entries))
-        frame = _frame(record)
+        frame = framing.frame(_MAGIC, record.SerializeToString())
         self._file.close()
         self._replace_file("log", [frame])
         self._file = (self._folder / "log").open("r+b", buffering=0)
@@ -360,19 +360,3 @@
         if self._commit_file is not None:
             os.close(self._commit_file)
             self._commit_file = None
-
-
-def _frame(record: log_pb2.LogRecord) -> bytes:
-    payload = record.SerializeToString()
-    return _HEADER.pack(_MAGIC, len(payload), zlib.crc32(payload)) + payload
-
-
-def _payload_at(raw: bytes, offset: int) -> bytes | None:
-    if len(raw) - offset < _HEADER.size:
-        return None
-    magic, length, checksum = _HEADER.unpack_from(raw, offset)
-    start = offset + _HEADER.size
-    payload = raw[start : start + length]
-    if magic != _MAGIC or len(payload) < length or not payload:
-        return None
-    return payload if zlib.crc32(payload) == checksum else None
--- a/cardamombarrow/peers/control/control_grpc.py
+++ b/cardamombarrow/peers/control/control_grpc.py
@@ -9,6 +9,7 @@
 if typing.TYPE_CHECKING:
     import grpclib.server
 
+import cardamombarrow.peers.placing.placing_pb2
 import cardamombarrow.peers.control.control_pb2
 
 
--- a/cardamombarrow/peers/control/followers.py
+++ b/cardamombarrow/peers/control/followers.py
@@ -27,6 +27,7 @@
 from cardamombarrow.peers.control import open_streams_relay
 from cardamombarrow.peers.control import open_streams_store
 from cardamombarrow.peers.control import sends as sends_module
+from cardamombarrow.peers.control import stream_origins_store
 from cardamombarrow.peers.control import suspect_relay
 
 __all__ = ["Follower", "Followers"]
@@ -103,6 +104,9 @@
         count_controls: abc.Callable[[], int] = lambda: 1,
         instance: str = "",
         open_streams_file: open_streams_store.OpenStreamsFile | None = None,
+        stream_origins_file: (
+            stream_origins_store.StreamOriginsFile | None
+        ) = None,
     ):
         """Builds an empty table.
 
@@ -114,6 +118,8 @@
             instance: Id of this process.
             open_streams_file: Where open streams are stored; None for memory
                 only.
+            stream_origins_file: Where the origins of streams are stored; None
+                to keep none.
         """
         self._knows_all_s = time.monotonic() + (0.0 if founds else MEMORY_S)
         self._left_s: dict[ids.InstanceId, float] = {}
@@ -139,6 +145,13 @@
             stored=stored,
             on_complete=self._store.write_soon if self._store else lambda: None,
         )
+        self._stream_origins = (
+            None
+            if stream_origins_file is None
+            else stream_origins_store.StreamOriginsStore(
+                stream_origins_file, started_s
+            )
+        )
         self._suspects = suspect_relay.SuspectRelay(random.Random())
         self._forwarders: dict[ids.DomainId, list[str]] = {}
         self._forwarders_until_s = 0.0
@@ -300,9 +313,13 @@
         if self._open_streams.put_request(request, now_s):
             self._notify_soon()
         is_stored = await self._store_streams(request, now_s)
-        return self._open_streams.reply(
-            request, time.monotonic(), is_stored=is_stored
-        )
+        now_s = time.monotonic()
+        reply = self._open_streams.reply(request, now_s, is_stored=is_stored)
+        if self._stream_origins is not None:
+            reply.stream_origins.extend(
+                self._stream_origins.find(request.streams, now_s)
+            )
+        return reply
 
     async def _store_streams(
         self, request: control_pb2.OpenStreamsRequest, now_s: float
@@ -429,8 +446,11 @@
     def _apply(self, report: control_pb2.AppliedReport) -> None:
         instance = ids.InstanceId(report.instance)
         self.put_suspects(report.suspects, instance)
-        if self._open_streams.put_report(report, time.monotonic()):
+        now_s = time.monotonic()
+        if self._open_streams.put_report(report, now_s):
             self._notify_soon()
+        if self._stream_origins is not None:
+            self._stream_origins.put(report.stream_origins, instance, now_s)
         if report.leaving:
             self._left_s[instance] = time.monotonic()
             self._table.pop(instance, None)
--- a/cardamombarrow/peers/control/open_streams_rounds.py
+++ b/cardamombarrow/peers/control/open_streams_rounds.py
@@ -17,6 +17,7 @@
 from cardamombarrow.peers.control import client as control_client
 from cardamombarrow.peers.control import control_pb2
 from cardamombarrow.peers.control import open_streams_codec
+from cardamombarrow.peers.placing import origin_codec
 from cardamombarrow.resumption import core as resumption
 from cardamombarrow.resumption import open_streams
 from cardamombarrow.resumption import rounds
@@ -31,6 +32,10 @@
 """Time after which the next round trip begins although the current one has not
 ended: above one without faults."""
 
+ORIGINS_WAIT_S = 0.2
+"""Longest wait for further answers if origins are asked for, as each is known
+to a single control process. It may be the one that is down."""
+
 INTERVAL_S = 0.01
 """Shortest time between the beginnings of two round trips."""
 
@@ -47,12 +52,14 @@
         stored: Those that have the request's streams on their disks.
         knowing: Those that know all open streams.
         known: What they know.
+        origins: Origins of the streams that were asked for.
     """
 
     control_count: int
     stored: set[str] = dataclasses.field(default_factory=set)
     knowing: set[str] = dataclasses.field(default_factory=set)
     known: list[open_streams.GroupEnd] = dataclasses.field(default_factory=list)
+    origins: list[resumption.Record] = dataclasses.field(default_factory=list)
 
     def add(self, reply: control_pb2.OpenStreamsReply, now_s: float) -> None:
         """Adds a reply."""
@@ -64,6 +71,9 @@
         self.known += open_streams_codec.open_streams_from_wire(
             reply.open_streams, now_s
         )
+        self.origins += origin_codec.origins_from_wire(
+            reply.stream_origins, now_s, resumption.Source.OTHER_DOMAIN
+        )
 
     def result(self, *, wants_all: bool) -> rounds.RoundResult:
         """Returns what the answers show so far.
@@ -114,18 +124,22 @@
         self._lock = threading.Lock()
         self._next: rounds.Round | None = None
         self._wants_all = False
+        self._streams: set[int] = set()
         self._running: asyncio.Task | None = None
         self._earliest_s = 0.0
         self._late: set[asyncio.Task] = set()
 
-    def begin(self, wants_all: bool) -> rounds.Round:
+    def begin(self, wants_all: bool, stream: int | None = None) -> rounds.Round:
         """Joins the next round trip, from any thread.
 
         Args:
             wants_all: Whether all open streams are asked for.
+            stream: A stream whose origin is asked for; None for none.
         """
         with self._lock:
             self._wants_all = self._wants_all or wants_all
+            if stream is not None:
+                self._streams.add(stream)
             if self._next is None:
                 self._next = futures.Future()
                 self._loop.call(self._round())
@@ -142,20 +156,26 @@
             # What arrives from here on is not covered by this round trip.
             current, self._next = self._next, None
             wants_all, self._wants_all = self._wants_all, False
+            streams, self._streams = self._streams, set()
         answers = Answers(0)
         try:
-            await self._ask_all(answers, wants_all=wants_all)
+            await self._ask_all(answers, streams, wants_all=wants_all)
         finally:
             result = answers.result(wants_all=wants_all)
+            # All at once: control processes may have been told different ones.
+            self._origins.merge(answers.origins)
             self._origins.end_round(current, result, answers.known)
         if result is rounds.RoundResult.NO_MAJORITY:
             self._earliest_s = loop.time() + RETRY_S
 
-    async def _ask_all(self, answers: Answers, *, wants_all: bool) -> None:
+    async def _ask_all(
+        self, answers: Answers, streams: set[int], *, wants_all: bool
+    ) -> None:
         """Asks all control processes until the answers suffice, or a timeout.
 
         Args:
             answers: Gets the answers.
+            streams: Streams whose origins are asked for.
             wants_all: Whether all open streams are asked for.
         """
         loop = asyncio.get_running_loop()
@@ -166,8 +186,10 @@
                 stored, self._clock.now_s()
             ),
             wants_all=wants_all,
+            streams=streams,
         )
-        end_s = loop.time() + TIMEOUT_S
+        begin_s = loop.time()
+        end_s = begin_s + TIMEOUT_S
         addresses = self._control.addresses()
         answers.control_count = len(addresses)
         pending = {
@@ -196,7 +218,9 @@
             if result is rounds.RoundResult.ALL_KNOWN or (
                 is_stored and not wants_all
             ):
-                break
+                if not streams:
+                    break
+                end_s = min(end_s, begin_s + ORIGINS_WAIT_S)
         self._leave(pending)
 
     def _leave(self, pending: set[asyncio.Task]) -> None:
--- a/cardamombarrow/peers/control/open_streams_store.py
+++ b/cardamombarrow/peers/control/open_streams_store.py
@@ -14,11 +14,10 @@
 from collections import abc
 import dataclasses
 import pathlib
-import struct
 import time
-import zlib
 
 from cardamombarrow.kernel import durable_file
+from cardamombarrow.kernel import framing
 from cardamombarrow.kernel import logs
 from cardamombarrow.peers.control import control_pb2
 from cardamombarrow.peers.control import open_streams_codec
@@ -33,7 +32,6 @@
 """Pause after a write that failed."""
 
 _MAGIC = b"CbS1"
-_HEADER = struct.Struct(">4sI")
 
 
 @dataclasses.dataclass(frozen=True)
@@ -64,8 +62,8 @@
         except OSError as error:
             logs.event("open streams not read", "ERROR", detail=str(error))
             return StoredStreams()
-        payload = raw[_HEADER.size :]
-        if raw[: _HEADER.size] != _HEADER.pack(_MAGIC, zlib.crc32(payload)):
+        payload = framing.payload_at(_MAGIC, raw, 0)
+        if payload is None:
             logs.event("open streams damaged", "ERROR", file=self._path.name)
             return StoredStreams()
         table = control_pb2.OpenStreamsTable.FromString(payload)
@@ -86,8 +84,7 @@
             ),
             knows_open_streams=stored.are_all,
         ).SerializeToString()
-        header = _HEADER.pack(_MAGIC, zlib.crc32(payload))
-        durable_file.replace(self._path, [header, payload])
+        durable_file.replace(self._path, [framing.frame(_MAGIC, payload)])
 
 
 class OpenStreamsStore:
--- a/cardamombarrow/peers/control/service.py
+++ b/cardamombarrow/peers/control/service.py
@@ -21,6 +21,7 @@
 from cardamombarrow.peers.control import metering_collector
 from cardamombarrow.peers.control import open_streams_store
 from cardamombarrow.peers.control import sends as sends_module
+from cardamombarrow.peers.control import stream_origins_store
 
 __all__ = ["ControlService"]
 
@@ -48,6 +49,9 @@
         *,
         founds: bool = False,
         open_streams_file: open_streams_store.OpenStreamsFile | None = None,
+        stream_origins_file: (
+            stream_origins_store.StreamOriginsFile | None
+        ) = None,
     ):
         self._log = log
         self._accepted = accepted
@@ -63,6 +67,7 @@
             count_controls=log.count_members,
             instance=log.status().voter,
             open_streams_file=open_streams_file,
+            stream_origins_file=stream_origins_file,
         )
 
     async def Propose(self, stream: server.Stream) -> None:  # noqa: N802
--- a/cardamombarrow/peers/control/tests/test_open_streams.py
+++ b/cardamombarrow/peers/control/tests/test_open_streams.py
@@ -61,7 +61,8 @@
         self.news.add_open_streams(report, first=first)
         self._relay.put_report(_over_the_wire(report), self._clock.now_s())
 
-    def _round(self, wants_all):
+    def _round(self, wants_all, stream=None):
+        del stream
         self.rounds += 1
         now_s = self._clock.now_s()
         stored = self.origins.unacknowledged()
--- a/cardamombarrow/platform/tests/test_streams_after_restarts.py
+++ b/cardamombarrow/platform/tests/test_streams_after_restarts.py
@@ -16,6 +16,9 @@
 _LATER_S = 2.0
 _FOLLOWED_S = 12.0
 
+_REPORTED_S = 2.0
+"""Time after which entries have reported which version began each stream."""
+
 
 def _start_all(scene, names=_ALL):
     for name in names:
@@ -81,3 +84,16 @@
     scene.begin(["a-1", "a-2", "b-1", "b-2"], rotates=False)
     scene.kill(["a-1"])
     _check(scene)
+
+
+def test_streams_of_two_versions_go_on_after_all_processes_died(scene):
+    # Guards against streams that are refused, or go on at the other version,
+    # as nobody remembers which of the two began them.
+    scene.list_second_version()
+    scene.serve_second_version()
+    time.sleep(_FOUNDED_S)
+    scene.begin(begun_s=_REPORTED_S)
+    scene.kill(_ALL)
+    _start_all(scene)
+    _wait_ready(scene)
+    _check(scene)
--- a/cardamombarrow/resumption/core.py
+++ b/cardamombarrow/resumption/core.py
@@ -555,10 +555,11 @@
             waited_s = time.monotonic() - begun_s
             left_s = timeout_s - waited_s
             is_unknown = resolved.resolution is Resolution.UNKNOWN
-            # With several candidates the answer could not differ.
-            may_differ = is_unknown and len(resolved.candidates) <= 1
+            # With several candidates only the stream's own origin decides.
+            is_single = len(resolved.candidates) <= 1
+            may_differ = is_unknown and (is_single or key is not None)
             if may_differ and (left_s > 0 or not barrier.has_begun):
-                barrier.begin()
+                barrier.begin(None if is_single else key)
             if not is_unknown or (left_s <= 0 and not barrier.is_done):
                 return dataclasses.replace(resolved, waited_s=waited_s)
             with self._changed:
--- a/cardamombarrow/resumption/rounds.py
+++ b/cardamombarrow/resumption/rounds.py
@@ -26,9 +26,9 @@
 Round = futures.Future[RoundResult]
 """A round trip; done when what it has brought has been applied."""
 
-BeginRound = abc.Callable[[bool], Round]
+BeginRound = abc.Callable[..., Round]
 """Begins a round trip, or joins one that has not begun; called with whether all
-open streams are asked for."""
+open streams are asked for, and with a stream whose origin is asked for, too."""
 
 
 class Barrier:
@@ -46,6 +46,7 @@
         """
         self._begin = begin
         self._round: Round | None = None
+        self._has_asked_origin = False
         self.result: RoundResult | None = None
 
     @property
@@ -63,11 +64,22 @@
         """Whether a round trip has ended whose result was not taken."""
         return self._round is not None and self._round.done()
 
-    def begin(self) -> None:
-        """Begins a round trip, if none is under way and one is needed."""
-        if self._begin is None or self._round is not None or self.has_passed:
+    def begin(self, stream: int | None = None) -> None:
+        """Begins a round trip, if none is under way and one is needed.
+
+        Args:
+            stream: The stream, if its origin is asked for; once is enough.
+        """
+        is_needed = not self.has_passed or (
+            stream is not None and not self._has_asked_origin
+        )
+        if self._begin is None or self._round is not None or not is_needed:
             return
-        self._round = self._begin(True)
+        if stream is None:
+            self._round = self._begin(True)
+        else:
+            self._has_asked_origin = True
+            self._round = self._begin(True, stream)
 
     def take(self) -> None:
         """Takes the result of a round trip that has ended."""
--- a/cardamombarrow/resumption/tests/test_core.py
+++ b/cardamombarrow/resumption/tests/test_core.py
@@ -49,10 +49,13 @@
         self.is_reached = True
         self.knows_all = knows_all
         self.open = []
+        self.origins = []
+        self.asked = []
         self.rounds = 0
 
-    def begin_round(self, origins, wants_all):
+    def begin_round(self, origins, wants_all, stream=None):
         self.rounds += 1
+        self.asked += [] if stream is None else [stream]
         result = rounds.RoundResult.NO_MAJORITY
         if self.is_reached:
             result = rounds.RoundResult.STORED
@@ -63,6 +66,7 @@
             result = rounds.RoundResult.ALL_KNOWN
         known = self.open if self.is_reached and wants_all else ()
         ended = futures.Future()
+        origins.merge([each for each in self.origins if each.key == stream])
         origins.end_round(ended, result, known)
         return ended
 
@@ -73,7 +77,7 @@
         self.origins = core.StreamOrigins(time_source)
         self.origins.set_longest_answer_s(_LONGEST_S)
         self.origins.set_round_starter(
-            lambda wants_all: self.control.begin_round(self.origins, wants_all)
+            lambda *asked: self.control.begin_round(self.origins, *asked)
         )
         if is_complete:
             self.origins.set_complete()
@@ -208,13 +212,53 @@
 
 def test_control_is_not_asked_where_the_answer_could_not_differ(instance):
     # Guards against messages for each resumption of a stream that is known, or
-    # that several versions may have begun.
+    # that several versions may have begun and that its caller does not name.
     instance.origins.set_listed(_found(_OLD, _NEW))
     instance.origins.add_own(1, _OLD)
     before = instance.control.rounds
     assert instance.resolve(1).origin == _OLD
-    assert instance.resolve(7).origin is None
+    assert instance.resolve(None).origin is None
     assert instance.control.rounds == before
+    assert instance.resolve(7).origin is None
+    assert instance.control.asked == [7]
+
+
+def test_a_stream_of_several_versions_goes_on_where_control_has_its_origin(
+    instance, time_source
+):
+    # Guards against streams that are refused after a restart of all processes
+    # though their origins are on a disk, and against asking for single ones
+    # where one version has served.
+    instance.origins.set_listed(_found(_OLD, _NEW))
+    until_s = time_source.now_s() + 20.0
+    instance.control.origins = [
+        core.Record(
+            key, origin, time_source.now_s(), core.Source.OTHER_DOMAIN, until_s
+        )
+        for key, origin in ((1, _OLD), (2, _NEW), (3, None))
+    ]
+    for key, origin in ((1, _OLD), (2, _NEW), (3, None), (4, None)):
+        assert instance.resolve(key).origin == origin
+    assert instance.control.asked == [1, 2, 3, 4]
+    other = _Instance(time_source)
+    other.origins.set_listed(_found(_OLD))
+    assert other.resolve(5).origin == _OLD
+    assert not other.control.asked
+
+
+def test_control_with_two_origins_of_a_stream_decides_nothing(
+    instance, time_source
+):
+    # Guards against the answer of a control process that was told less.
+    instance.origins.set_listed(_found(_OLD, _NEW))
+    now_s = time_source.now_s()
+    instance.control.origins = [
+        core.Record(1, origin, now_s, core.Source.OTHER_DOMAIN, now_s + 20.0)
+        for origin in (_OLD, _NEW)
+    ]
+    resolved = instance.resolve(1)
+    assert resolved.origin is None
+    assert resolved.resolution is core.Resolution.CONFLICTING
 
 
 def test_an_attempt_is_decided_by_a_round_that_began_after_it(instance):
