--- a/cardamombarrow/platform/tests/test_malformed_answers.py
+++ b/cardamombarrow/platform/tests/test_malformed_answers.py
@@ -1,11 +1,8 @@
 """Servers whose answers have a malformed head, or break off an upload."""
 
-import re
-import socket
-import time
-
 import pytest
 
+from cardamombarrow.platform.tests import early_answers
 from cardamombarrow.platform.tests import platform_plan
 from cardamombarrow.platform.tests import standin_streams as standin
 from cardamombarrow.platform.tests import stream_client
@@ -13,9 +10,6 @@
 
 pytestmark = pytest.mark.process
 
-_UPLOAD_BYTES = 4_000_000
-_PART = b"hello, wor"
-
 _MALFORMED_LENGTHS = {
     "letters": b"Content-Length: 4x2",
     "sign": b"Content-Length: +%d",
@@ -83,7 +77,7 @@
     for number in range(3):
         servers.start(f"i-{number}")
     document = stream_client.configuration()
-    document["limits"]["maxBodyBytes"] = _UPLOAD_BYTES
+    document["limits"]["maxBodyBytes"] = early_answers.UPLOAD_BYTES
     plan = platform_plan.plan(document, servers.listing_url, {"a": ["a-1"]})
     folder = tmp_path_factory.mktemp("malformed")
     with deployment.Deployment(plan, folder) as started:
@@ -279,47 +273,9 @@
     assert settled
 
 
-class _EarlyServers(standin.Servers):
-    """Servers that answer an upload at once and reset it while it is written.
-
-    Attributes:
-        pauses_s: Times before the answer, before its body and before the reset.
-        read_bytes: Bytes of the upload that are read before the answer.
-        requests: Number of requests since it was set to 0.
-    """
-
-    def __init__(self):
-        super().__init__(lambda received: standin.Answer())
-        self.pauses_s = (0.0, 0.0, 0.0)
-        self.read_bytes = 0
-        self.requests = 0
-
-    def _answer_request(self, connection, port, raw):
-        self.requests += 1
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
-        attempt = re.search(rb"attempt-id: *(\S+)", raw, re.I)[1]
-        left = self.read_bytes
-        while left > 0:
-            left -= len(connection.recv(left))
-        head = (
-            b"HTTP/1.1 200 OK\r\nAttempt-Id: %b\r\nServer-Seal: s\r\n"
-            b"Content-Type: text/plain\r\n\r\n" % attempt
-        )
-        before_s, between_s, after_s = self.pauses_s
-        time.sleep(before_s)
-        if between_s:
-            connection.sendall(head)
-            time.sleep(between_s)
-            connection.sendall(_PART)
-        else:
-            connection.sendall(head + _PART)
-        time.sleep(after_s)
-        standin.reset(connection)
-
-
 @pytest.fixture(scope="module")
 def early_servers():
-    with _EarlyServers() as started:
+    with early_answers.EarlyServers() as started:
         started.start("i-0")
         yield started
 
@@ -327,7 +283,7 @@
 @pytest.fixture(scope="module")
 def running_uploads(early_servers, tmp_path_factory):
     document = stream_client.configuration()
-    document["limits"]["maxBodyBytes"] = _UPLOAD_BYTES
+    document["limits"]["maxBodyBytes"] = early_answers.UPLOAD_BYTES
     plan = platform_plan.plan(
         document, early_servers.listing_url, {"a": ["a-1"]}
     )
@@ -336,33 +292,8 @@
         yield started
 
 
-def _upload(running):
-    """Returns what the caller of a long upload sees."""
-    host, _, port = (
-        running.entries["a-1"].removeprefix("http://").partition(":")
-    )
-    attempt = stream_client.Attempt.new("once")
-    head = [
-        f"POST {attempt.path} HTTP/1.1",
-        "Host: one.example",
-        f"Attempt-Id: {attempt.attempt}",
-        "Model-Name: m",
-        "Token-Count: 10,6",
-        f"Deadline-Ms: {stream_client.LIMIT_MS}",
-        f"Content-Length: {_UPLOAD_BYTES}",
-        "",
-        "",
-    ]
-    caller = socket.create_connection((host, int(port)), timeout=10)
-    caller.sendall("\r\n".join(head).encode() + bytes(_UPLOAD_BYTES))
-    return stream_client.read(caller)
-
-
-@pytest.mark.parametrize("read_bytes", [0, 100_000])
-@pytest.mark.parametrize(
-    "pauses_s",
-    [(0, 0, 0), (0, 0, 0.1), (0, 0.1, 0.1), (0.1, 0, 0), (0.1, 0.1, 0)],
-)
+@pytest.mark.parametrize("read_bytes", early_answers.READ_BYTES)
+@pytest.mark.parametrize("pauses_s", early_answers.PAUSES_S)
 def test_a_part_of_an_answer_during_an_upload_does_not_look_complete(
     running_uploads, early_servers, pauses_s, read_bytes
 ):
@@ -372,7 +303,7 @@
 
     def reaches_server():
         early_servers.requests = 0
-        seen = _upload(running_uploads)
+        seen = early_answers.upload(running_uploads)
         assert seen.status != 200 or not seen.looks_complete
         return early_servers.requests > 0
 
