Open streams on disk: a second loss without a quorum, and no room

Two faults of the change that stores them, found by reading. A process that had loaded that it knows all, and stored a group before it had a quorum, wrote that it did not: after a second loss of all processes nobody would know all. And where a list names more groups than are kept, each request wrote the file, and the groups left out were waited for.

Change: what is loaded stays true; without room nothing is written and nothing is acknowledged.

Evidence: test_a_process_that_is_lost_before_it_has_a_quorum_knows_all and test_groups_without_room_are_not_stored fail on the commit before, and pass.

--- a/cardamombarrow/peers/control/followers.py
+++ b/cardamombarrow/peers/control/followers.py
@@ -124,7 +124,9 @@
         self._knows_all_s = time.monotonic() + (0.0 if founds else MEMORY_S)
         self._left_s: dict[ids.InstanceId, float] = {}
         started_s = time.monotonic()
-        self._store: open_streams_store.OpenStreamsStore | None = None
+        self._open_streams_store: open_streams_store.OpenStreamsStore | None = (
+            None
+        )
         stored = None
         if open_streams_file is not None:
             stored = open_streams_file.load(started_s)
@@ -133,7 +135,7 @@
                 groups=len(stored.items),
                 complete=stored.are_all,
             )
-            self._store = open_streams_store.OpenStreamsStore(
+            self._open_streams_store = open_streams_store.OpenStreamsStore(
                 open_streams_file, lambda now_s: self._open_streams.table(now_s)
             )
         self._open_streams = open_streams_relay.OpenStreamsRelay(
@@ -143,7 +145,9 @@
             started_s=started_s,
             instance=instance,
             stored=stored,
-            on_complete=self._store.write_soon if self._store else lambda: None,
+            on_complete=self._open_streams_store.write_soon
+            if self._open_streams_store
+            else lambda: None,
         )
         self._stream_origins = (
             None
@@ -325,15 +329,17 @@
         self, request: control_pb2.OpenStreamsRequest, now_s: float
     ) -> bool:
         """Stores a request's streams; returns whether they are durable."""
-        if self._store is None:
+        if self._open_streams_store is None:
             return True
+        if not self._open_streams.has_room(now_s):
+            return False
         items = list(
             open_streams_codec.open_streams_from_wire(
                 request.open_streams, now_s
             )
         )
         wait_s = READ_STORE_WAIT_S if request.wants_all else STORE_WAIT_S
-        return await self._store.store(items, wait_s)
+        return await self._open_streams_store.store(items, wait_s)
 
     def _notify_soon(self) -> None:
         task = asyncio.create_task(self._notify())
--- a/cardamombarrow/peers/control/open_streams_relay.py
+++ b/cardamombarrow/peers/control/open_streams_relay.py
@@ -71,7 +71,7 @@
         self._recovery = open_streams_recovery.Recovery(
             started_s, founds=founds, is_complete=stored.are_all
         )
-        self._was_complete = False
+        self._was_complete = stored.are_all
         self._on_complete = on_complete
         self._has_quorum = has_quorum
         self._count_controls = count_controls
@@ -93,6 +93,10 @@
             self._on_complete()
         return is_complete
 
+    def has_room(self, now_s: float) -> bool:
+        """Returns whether no group was left out for want of room."""
+        return self._open.has_all(now_s)
+
     def table(self, now_s: float) -> open_streams_store.StoredStreams:
         """Returns what is to be on the disk."""
         return open_streams_store.StoredStreams(
--- a/cardamombarrow/peers/control/tests/test_open_streams_store.py
+++ b/cardamombarrow/peers/control/tests/test_open_streams_store.py
@@ -36,10 +36,10 @@
     return tmp_path / "open-streams"
 
 
-def _process(path, *, founds=False):
+def _process(path, *, founds=False, has_quorum=True):
     """Returns the followers of a control process that has just started."""
     return followers.Followers(
-        lambda: True,
+        lambda: has_quorum,
         founds=founds,
         open_streams_file=open_streams_store.OpenStreamsFile(path),
     )
@@ -89,6 +89,52 @@
     asyncio.run(run())
 
 
+def test_a_process_that_is_lost_before_it_has_a_quorum_knows_all(path):
+    # Guards against a second loss of all processes, before they have found
+    # each other, after which none knows all.
+    items = ((_GROUPS[0], time.monotonic() + 60.0),)
+    open_streams_store.OpenStreamsFile(path).save(
+        open_streams_store.StoredStreams(items, are_all=True), time.monotonic()
+    )
+
+    async def run():
+        process = _process(path, has_quorum=False)
+        begun = (_GROUPS[1], time.monotonic() + 20.0)
+        reply = await _store(process, begun, wants_all=True)
+        assert not reply.knows_open_streams
+
+    asyncio.run(run())
+    groups, are_all = _loaded(path)
+    assert are_all
+    assert set(groups) == set(_GROUPS[:2])
+
+
+def test_groups_without_room_are_not_stored(path, monkeypatch):
+    # Guards against an acknowledgement of what is not on the disk, and against
+    # a write for each request meanwhile.
+    monkeypatch.setattr(open_streams, "MAX_GROUPS", 2)
+    writes = []
+    replace = durable_file.replace
+    monkeypatch.setattr(
+        durable_file,
+        "replace",
+        lambda *arguments: (writes.append(1), replace(*arguments)),
+    )
+
+    async def run():
+        process = _process(path)
+        until_s = time.monotonic() + 20.0
+        for _ in range(5):
+            replies = [
+                await _store(process, (group, until_s)) for group in _GROUPS
+            ]
+        assert replies[-1].is_unstored
+
+    asyncio.run(run())
+    assert len(writes) <= 2
+    assert set(_loaded(path)[0]) == set(_GROUPS[:2])
+
+
 @pytest.mark.parametrize("has_file", [True, False])
 def test_a_disk_without_all_vouches_for_nothing(path, has_file):
     # Guards against a new disk, and one that a process left before it had
