Names of two steps of a document; one check of early answers

`_try_apply` and `_try_offer` do something and tell whether it worked; the names of before read like questions. Two tests shared the check of a part of an answer.

--- a/cardamombarrow/entry/documents/in_force.py
+++ b/cardamombarrow/entry/documents/in_force.py
@@ -75,7 +75,7 @@
         only after `wait_first`.
         """
         with self._changed:
-            while not _is_applied(apply, self.current()):
+            while not _try_apply(apply, self.current()):
                 self._changed.wait()
             self._parts.append(apply)
 
@@ -114,10 +114,10 @@
 
     def _apply_to_parts(self, applied: AppliedDocument) -> None:
         for number, apply in enumerate(self._parts, 1):
-            if _is_applied(apply, applied):
+            if _try_apply(apply, applied):
                 continue
             for reached in self._parts[:number]:
-                _is_applied(reached, self.current())
+                _try_apply(reached, self.current())
             raise errors.ConfigError(
                 [f"revision {applied.revision} can't be applied"]
             )
@@ -147,7 +147,7 @@
         return self._applied.revision if self._applied else ids.Revision(0)
 
 
-def _is_applied(apply: ApplyDocument, applied: AppliedDocument) -> bool:
+def _try_apply(apply: ApplyDocument, applied: AppliedDocument) -> bool:
     """Has a part apply a document; returns whether it did."""
     try:
         apply(applied)
@@ -197,13 +197,13 @@
         waited = time.monotonic() - start_s >= NO_QUORUM_WAIT_S
         if found and (certain or waited):
             best = max(found, key=lambda message: message.revision)
-            if _is_taken(documents, best):
+            if _try_offer(documents, best):
                 return True
         time.sleep(QUERY_INTERVAL_S)
     return documents.revision > 0
 
 
-def _is_taken(
+def _try_offer(
     documents: DocumentInForce, message: control_pb2.DocumentMessage
 ) -> bool:
     """Puts a received document into force; returns False if it can't be."""
--- a/cardamombarrow/platform/tests/early_answers.py
+++ b/cardamombarrow/platform/tests/early_answers.py
@@ -13,6 +13,7 @@
     "READ_BYTES",
     "UPLOAD_BYTES",
     "EarlyServers",
+    "check_part",
     "upload",
 ]
 
@@ -85,3 +86,22 @@
     caller = socket.create_connection((host, int(port)), timeout=10)
     caller.sendall("\r\n".join(head).encode() + bytes(UPLOAD_BYTES))
     return stream_client.read(caller)
+
+
+def check_part(
+    running: deployment.Deployment,
+    servers: EarlyServers,
+    pauses_s: tuple[float, float, float],
+    read_bytes: int,
+) -> None:
+    """Checks that a part of an answer does not look complete to its caller."""
+    servers.pauses_s = pauses_s
+    servers.read_bytes = read_bytes
+
+    def reaches_server() -> bool:
+        servers.requests = 0
+        seen = upload(running)
+        assert seen.status != 200 or not seen.looks_complete
+        return servers.requests > 0
+
+    assert deployment.wait_until(reaches_server)
--- a/cardamombarrow/platform/tests/test_forwarded_uploads.py
+++ b/cardamombarrow/platform/tests/test_forwarded_uploads.py
@@ -48,16 +48,7 @@
     forwarding, servers, pauses_s, read_bytes
 ):
     # Guards against a reset that is lost between two entries.
-    servers.pauses_s = pauses_s
-    servers.read_bytes = read_bytes
-
-    def reaches_server():
-        servers.requests = 0
-        seen = early_answers.upload(forwarding)
-        assert seen.status != 200 or not seen.looks_complete
-        return servers.requests > 0
-
-    assert deployment.wait_until(reaches_server)
+    early_answers.check_part(forwarding, servers, pauses_s, read_bytes)
 
 
 @pytest.mark.parametrize("status", [b"000", b"0"])
--- a/cardamombarrow/platform/tests/test_malformed_answers.py
+++ b/cardamombarrow/platform/tests/test_malformed_answers.py
@@ -298,13 +298,6 @@
     running_uploads, early_servers, pauses_s, read_bytes
 ):
     # Guards against a reset that a failed write hides from the reader.
-    early_servers.pauses_s = pauses_s
-    early_servers.read_bytes = read_bytes
-
-    def reaches_server():
-        early_servers.requests = 0
-        seen = early_answers.upload(running_uploads)
-        assert seen.status != 200 or not seen.looks_complete
-        return early_servers.requests > 0
-
-    assert deployment.wait_until(reaches_server)
+    early_answers.check_part(
+        running_uploads, early_servers, pauses_s, read_bytes
+    )
