--- a/cardamombarrow/peers/control/open_streams_store.py
+++ b/cardamombarrow/peers/control/open_streams_store.py
@@ -157,12 +157,11 @@
             try:
                 await asyncio.to_thread(self._file.save, ahead, now_s)
             except OSError as error:
-                logs.event(
-                    "open streams not stored", "ERROR", detail=str(error)
-                )
+                self._log_failure(str(error))
                 self._is_wanted = True
                 await asyncio.sleep(RETRY_S)
                 continue
+            self._is_failing = False
             async with self._written:
                 self._until_s = dict(ahead.items)
                 self._written.notify_all()
--- a/cardamombarrow/peers/control/tests/test_open_streams_store.py
+++ b/cardamombarrow/peers/control/tests/test_open_streams_store.py
@@ -186,6 +186,28 @@
     asyncio.run(run())
 
 
+def test_a_disk_that_fails_for_long_is_logged_once(path, monkeypatch):
+    # Guards against a line for each try of a write to a disk that is full.
+    def full(*_):
+        raise OSError(errno.ENOSPC, "full")
+
+    events = []
+    monkeypatch.setattr(durable_file, "replace", full)
+    monkeypatch.setattr(open_streams_store, "RETRY_S", 0.01)
+    monkeypatch.setattr(
+        open_streams_store.logs,
+        "event",
+        lambda name, *_, **__: events.append(name),
+    )
+
+    async def run():
+        begun = (_GROUPS[0], time.monotonic() + 20.0)
+        assert (await _store(_process(path), begun)).is_unstored
+
+    asyncio.run(run())
+    assert events.count("open streams not stored") == 1
+
+
 def test_a_disk_that_hangs_delays_no_answer_for_long(path, monkeypatch):
     # Guards against attempts that wait for a disk, which they do not need.
     released = threading.Event()
