Received documents are put into force in one place

What an entry gets by gossip or with a confirmation and what it fetches at a start were unpacked, offered and, where they can't be read, logged by two copies of the same code; fetch_first's copy had come lately. `offer_message` serves both.

--- a/cardamombarrow/entry/documents/in_force.py
+++ b/cardamombarrow/entry/documents/in_force.py
@@ -17,7 +17,13 @@
 from cardamombarrow.peers.control import control_pb2
 from cardamombarrow.peers.control import document_codec
 
-__all__ = ["AppliedDocument", "ApplyDocument", "DocumentInForce", "fetch_first"]
+__all__ = [
+    "AppliedDocument",
+    "ApplyDocument",
+    "DocumentInForce",
+    "fetch_first",
+    "offer_message",
+]
 
 NO_QUORUM_WAIT_S = 3.0
 """How long a start waits for a control process with a quorum. A domain that is
@@ -197,20 +203,26 @@
         waited = time.monotonic() - start_s >= NO_QUORUM_WAIT_S
         if found and (certain or waited):
             best = max(found, key=lambda message: message.revision)
-            if _try_offer(documents, best):
+            offer_message(documents, best)
+            if documents.revision:
                 return True
         time.sleep(QUERY_INTERVAL_S)
     return documents.revision > 0
 
 
-def _try_offer(
+def offer_message(
     documents: DocumentInForce, message: control_pb2.DocumentMessage
 ) -> bool:
-    """Puts a received document into force; returns False if it can't be."""
+    """Puts a received document into force if it is newer and can be applied.
+
+    Returns:
+        Whether it came into force.
+    """
     try:
         text = document_codec.text_from_wire(message)
-        documents.offer(ids.Revision(message.revision), text, message.format)
+        return documents.offer(
+            ids.Revision(message.revision), text, message.format
+        )
     except (errors.RouterError, ValueError) as error:
         logs.event("document not taken", "ERROR", detail=str(error))
         return False
-    return True
--- a/cardamombarrow/entry/peering.py
+++ b/cardamombarrow/entry/peering.py
@@ -449,15 +449,8 @@
         )
 
     def _take_document(self, message: control_pb2.DocumentMessage) -> None:
-        revision = ids.Revision(message.revision)
-        try:
-            text = document_codec.text_from_wire(message)
-            taken = self._documents.offer(revision, text, message.format)
-        except (errors.RouterError, ValueError) as error:
-            logs.event("document not taken", "ERROR", detail=str(error))
-            return
-        if taken:
-            logs.event("document from another entry", revision=revision)
+        if in_force.offer_message(self._documents, message):
+            logs.event("document from another entry", revision=message.revision)
             self.control.report_now()
 
     def on_listing(
