Open streams of an entry are read with the listed versions in one step

Each of the three readers extended the listed versions first; `_own_items` does. A second extension in set_listed is left out: the readers and the next list make it.

--- a/cardamombarrow/resumption/candidates.py
+++ b/cardamombarrow/resumption/candidates.py
@@ -126,7 +126,6 @@
         for origin in self._listed - listed:
             self._open.extend(open_streams.unclassed(origin), gone_s)
         self._listed = listed
-        self._extend_listed(now_s)
         return bool(new)
 
     def _extend_listed(self, now_s: float) -> None:
@@ -135,12 +134,16 @@
         for origin in self._listed:
             self._own.extend(open_streams.unclassed(origin), end_s)
 
+    def _own_items(self, now_s: float) -> list[open_streams.GroupEnd]:
+        """Returns what this entry has begun, or may begin now."""
+        self._extend_listed(now_s)
+        return self._own.items(now_s)
+
     def is_listed_due(self, now_s: float) -> bool:
         """Returns whether a majority should be told (again) of the list."""
-        self._extend_listed(now_s)
         return any(
             self._acknowledged.is_due(group, until_s)
-            for group, until_s in self._own.items(now_s)
+            for group, until_s in self._own_items(now_s)
             if group.class_id == open_streams.ANY_CLASS
         )
 
@@ -180,8 +183,7 @@
 
     def unacknowledged(self, now_s: float) -> tuple[open_streams.GroupEnd, ...]:
         """Returns what a majority of the control processes is to store."""
-        self._extend_listed(now_s)
-        return self._acknowledged.due(self._own.items(now_s))
+        return self._acknowledged.due(self._own_items(now_s))
 
     def acknowledge(
         self, items: abc.Iterable[open_streams.GroupEnd], now_s: float
@@ -209,9 +211,8 @@
             now_s: The local time.
             first: Whether it is the first report on a link.
         """
-        self._extend_listed(now_s)
         return self._reported.take(
-            self._own.items(now_s),
+            self._own_items(now_s),
             self._open.items(now_s),
             first=first,
             knows_all=self.are_all(now_s),
