--- a/cardamombarrow/platform/tests/early_answers.py
+++ b/cardamombarrow/platform/tests/early_answers.py
@@ -4,6 +4,7 @@
 import socket
 import time
 
+from cardamombarrow.platform.tests import platform_plan
 from cardamombarrow.platform.tests import standin_streams as standin
 from cardamombarrow.platform.tests import stream_client
 from tools import deployment
@@ -14,6 +15,7 @@
     "UPLOAD_BYTES",
     "EarlyServers",
     "check_part",
+    "plan",
     "upload",
 ]
 
@@ -66,6 +68,13 @@
         standin.reset(connection)
 
 
+def plan(listing_url: str, entries: dict[str, list[str]]) -> deployment.Plan:
+    """Returns a plan whose configuration allows such uploads."""
+    document = stream_client.configuration()
+    document["limits"]["maxBodyBytes"] = UPLOAD_BYTES
+    return platform_plan.plan(document, listing_url, entries)
+
+
 def upload(running: deployment.Deployment) -> stream_client.Seen:
     """Returns what the caller of a long upload sees."""
     host, _, port = (
--- a/cardamombarrow/platform/tests/test_first_version.py
+++ b/cardamombarrow/platform/tests/test_first_version.py
@@ -2,7 +2,6 @@
 
 import json
 import shutil
-import signal
 import time
 
 import pytest
@@ -64,13 +63,6 @@
     )
 
 
-def _kill(running, names):
-    for name in names:
-        running.signal(name, signal.SIGKILL)
-    for name in names:
-        running.processes[name].wait()
-
-
 def _start(running, names):
     for name in names:
         running.start_instance(name)
@@ -86,7 +78,7 @@
 def test_a_first_version_below_one_outlives_all_processes(running, version):
     # Guards against a restart from disk that takes the version for none.
     names = [*running.controls, *running.entries]
-    _kill(running, names)
+    running.kill(names)
     _start(running, names)
     assert _reads(running, version)
 
@@ -95,7 +87,7 @@
     running, version
 ):
     # Guards against a replica that joins and takes the version for none.
-    _kill(running, ["control-c"])
+    running.kill(["control-c"])
     shutil.rmtree(running.state_folder("control-c"))
     _start(running, ["control-c"])
     assert _reads(running, version)
--- a/cardamombarrow/platform/tests/test_forwarded_uploads.py
+++ b/cardamombarrow/platform/tests/test_forwarded_uploads.py
@@ -3,8 +3,6 @@
 import pytest
 
 from cardamombarrow.platform.tests import early_answers
-from cardamombarrow.platform.tests import platform_plan
-from cardamombarrow.platform.tests import stream_client
 from tools import cut_off
 from tools import deployment
 from tools.standin import cut_links
@@ -22,11 +20,7 @@
 @pytest.fixture(scope="module")
 def forwarding(servers, tmp_path_factory):
     """A deployment while entry a-1 has another one serve its callers."""
-    document = stream_client.configuration()
-    document["limits"]["maxBodyBytes"] = early_answers.UPLOAD_BYTES
-    plan = platform_plan.plan(
-        document, servers.listing_url, {"a": ["a-1", "a-2"]}
-    )
+    plan = early_answers.plan(servers.listing_url, {"a": ["a-1", "a-2"]})
     folder = tmp_path_factory.mktemp("forwarded-uploads")
     refuse = cut_links.CutMode.REFUSE
     with (
--- a/cardamombarrow/platform/tests/test_malformed_answers.py
+++ b/cardamombarrow/platform/tests/test_malformed_answers.py
@@ -3,7 +3,6 @@
 import pytest
 
 from cardamombarrow.platform.tests import early_answers
-from cardamombarrow.platform.tests import platform_plan
 from cardamombarrow.platform.tests import standin_streams as standin
 from cardamombarrow.platform.tests import stream_client
 from tools import deployment
@@ -76,9 +75,7 @@
 def running(servers, tmp_path_factory):
     for number in range(3):
         servers.start(f"i-{number}")
-    document = stream_client.configuration()
-    document["limits"]["maxBodyBytes"] = early_answers.UPLOAD_BYTES
-    plan = platform_plan.plan(document, servers.listing_url, {"a": ["a-1"]})
+    plan = early_answers.plan(servers.listing_url, {"a": ["a-1"]})
     folder = tmp_path_factory.mktemp("malformed")
     with deployment.Deployment(plan, folder) as started:
         yield started
@@ -282,11 +279,7 @@
 
 @pytest.fixture(scope="module")
 def running_uploads(early_servers, tmp_path_factory):
-    document = stream_client.configuration()
-    document["limits"]["maxBodyBytes"] = early_answers.UPLOAD_BYTES
-    plan = platform_plan.plan(
-        document, early_servers.listing_url, {"a": ["a-1"]}
-    )
+    plan = early_answers.plan(early_servers.listing_url, {"a": ["a-1"]})
     folder = tmp_path_factory.mktemp("uploads")
     with deployment.Deployment(plan, folder) as started:
         yield started
--- a/cardamombarrow/platform/tests/test_own_paths.py
+++ b/cardamombarrow/platform/tests/test_own_paths.py
@@ -105,15 +105,9 @@
     }
 
 
-def _kill(running, *names):
-    for name in names:
-        running.signal(name, signal.SIGKILL)
-        running.processes[name].wait()
-
-
 def test_an_entry_without_a_document_answers_no_path_by_itself(running):
     # Guards against a success that comes from no server while an entry starts.
-    _kill(running, "control-1", "a-1")
+    running.kill(["control-1", "a-1"])
     running.start_instance("a-1")
     assert deployment.wait_until(
         lambda: _ask(running, "a-1", "GET", "/", _HOSTS[0]).status
--- a/cardamombarrow/platform/tests/version_scene.py
+++ b/cardamombarrow/platform/tests/version_scene.py
@@ -7,7 +7,6 @@
 import json
 import os
 import pathlib
-import signal
 import threading
 import time
 
@@ -191,10 +190,7 @@
 
     def kill(self, names: abc.Sequence[str] = NAMES) -> None:
         """Kills processes at once."""
-        for name in names:
-            self.running.signal(name, signal.SIGKILL)
-        for name in names:
-            self.running.processes[name].wait()
+        self.running.kill(names)
 
     def start_processes(self, names: abc.Sequence[str] = NAMES) -> None:
         """Starts processes, and waits until they are ready."""
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -4,6 +4,7 @@
 only the processes that it started.
 """
 
+from collections import abc
 import contextlib
 import dataclasses
 import itertools
@@ -425,6 +426,14 @@
         """Sends a signal to one of the processes."""
         self.processes[name].send_signal(number)
 
+    def kill(self, names: abc.Iterable[str]) -> None:
+        """Kills processes at once, and waits until they have ended."""
+        names = list(names)
+        for name in names:
+            self.signal(name, signal.SIGKILL)
+        for name in names:
+            self.processes[name].wait()
+
     def stop(self) -> None:
         """Terminates every process, kills those left, and closes the proxy."""
         for process in self.processes.values():
