A first event of a version that control does not know never goes out

Cause: the wait ended at the route's limit, 3 s in the test, while callers come back to their stream for 25 s.

Change: without an acknowledgement and an established origin the request ends as at its deadline (504, or a closed connection once its head has gone out).

--- a/cardamombarrow/entry/requests/request_handler.py
+++ b/cardamombarrow/entry/requests/request_handler.py
@@ -625,10 +625,21 @@
             self._wait_acknowledged(begun)
 
     def _wait_acknowledged(self, begun: open_streams.GroupEnd) -> None:
-        """Holds the first event back until control has stored its origin."""
+        """Holds the first event back until control has stored its origin.
+
+        Raises:
+            errors.RefusedError: Control did not in time, and does not know the
+                origin: the event must not go out.
+        """
         origins = self._services.origins
         if origins.wait_acknowledged(begun, max(self.left_s(), 0.0)):
             return
+        if not origins.is_established(begun):
+            raise errors.RefusedError(
+                errors.ErrorKind.DEADLINE,
+                "control has not stored which software began the stream",
+                not_run=False,
+            )
         self._services.metrics.count_unacknowledged_stream()
         group, until_s = begun
         logs.decision(
--- a/cardamombarrow/platform/tests/test_streams_after_restarts.py
+++ b/cardamombarrow/platform/tests/test_streams_after_restarts.py
@@ -99,14 +99,21 @@
     _check(scene)
 
 
-def test_a_version_comes_and_goes_around_a_restart_of_all_processes(scene):
+@pytest.mark.parametrize("begun_s", [0.5, 4.0])
+def test_a_version_comes_and_goes_around_a_restart_of_all_processes(
+    scene, begun_s
+):
     # Guards against streams that go on at the version before, as theirs came
     # while control was gone, and has left before all processes were back.
     time.sleep(_FOUNDED_S)
     scene.kill(version_scene.CONTROL_NAMES)
     scene.replace()
+    # Room for all callers at once: a refused one comes back only after the
+    # entries have stopped serving without control.
+    for _ in range(3):
+        scene.start("v2")
     time.sleep(version_scene.LISTED_S)
-    scene.begin()
+    scene.begin(begun_s=begun_s)
     scene.kill()
     scene.replace("v2", "v1")
     _start_all(scene)
--- a/cardamombarrow/resumption/core.py
+++ b/cardamombarrow/resumption/core.py
@@ -433,9 +433,8 @@
         Callers resume a stream only after its first event. While that is held
         back, no other entry needs to know what began the stream.
 
-        It may go out without, after a while, if a majority has stored that
-        streams of its origin may be open: after a restart of all processes
-        nobody else would know an origin that has left the list since.
+        It may go out without, after a while, if its origin is established; see
+        `is_established`.
 
         Args:
             begun: What `add_own` has returned.
@@ -470,6 +469,22 @@
                     return True
         return False
 
+    def is_established(self, begun: open_streams.GroupEnd) -> bool:
+        """Returns whether control counts streams of this origin as open.
+
+        If not, after a restart of all processes nobody would know an origin
+        that has left the list since.
+
+        Args:
+            begun: What `add_own` has returned.
+        """
+        group, until_s = begun
+        if self._begin_round is None:
+            # No unknown stream is ever resumed.
+            return True
+        with self._changed:
+            return self._candidates.is_established(group.origin, until_s)
+
     def merge(self, records: abc.Iterable[Record]) -> None:
         """Records streams that this or other instances began."""
         with self._changed:
--- a/cardamombarrow/resumption/tests/test_core.py
+++ b/cardamombarrow/resumption/tests/test_core.py
@@ -308,8 +308,10 @@
     wait_s = 2 * core.ACKNOWLEDGEMENT_WAIT_S
     assert not instance.origins.wait_acknowledged(begun, wait_s)
     assert time.monotonic() - began_s >= wait_s
+    assert not instance.origins.is_established(begun)
     instance.control.is_reached = True
     assert instance.origins.wait_acknowledged(begun, wait_s)
+    assert instance.origins.is_established(begun)
 
 
 def test_a_listed_version_stays_known_to_control_without_traffic(
